Workspace, the document and its checks, frames, settings and health

Cause: there was nothing. The contracts between the programs come first, so that the parts can be built side by side: the document and its findings, frames between processes, the two outside protocols as plain structs, and what every program shares.

Ruled out: a home-made codec and timers of each part's own.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The program on an entry host: callers' requests, admission, placement, relay.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load and experiments on real processes.
--- /dev/null
+++ b/crates/process/src/admin.rs
@@ -0,0 +1,67 @@
+//! The port for operators: `/livez`, `/readyz`, `/metrics`, and what a program adds.
+
+use crate::http::{self, Answer};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use prometheus::{Encoder, Registry, TextEncoder};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::net::TcpListener;
+
+/// Whether the process is ready for work; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct Ready(Arc<AtomicBool>);
+
+impl Ready {
+    /// Sets whether the process is ready.
+    pub fn set(&self, ready: bool) {
+        self.0.store(ready, Ordering::Relaxed);
+    }
+
+    /// Whether the process is ready.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Answers a path and query with JSON, or `None` where the program has no such page.
+pub type Pages = Arc<dyn Fn(&str, &str) -> Option<serde_json::Value> + Send + Sync>;
+
+/// Serves the port until the process ends.
+pub async fn serve(listener: TcpListener, registry: Registry, ready: Ready, pages: Pages) {
+    let handle = move |request: Request<Incoming>| {
+        let response = answer(&request, &registry, &ready, &pages);
+        async move { response }
+    };
+    http::serve(listener, handle).await;
+}
+
+fn answer(
+    request: &Request<Incoming>,
+    registry: &Registry,
+    ready: &Ready,
+    pages: &Pages,
+) -> Response<Answer> {
+    match request.uri().path() {
+        "/livez" => Response::new(http::full("ok\n")),
+        "/readyz" if ready.get() => Response::new(http::full("ok\n")),
+        "/readyz" => status(503, "not ready\n"),
+        "/metrics" => Response::new(http::full(metrics(registry))),
+        path => match pages(path, request.uri().query().unwrap_or_default()) {
+            Some(value) => http::json(200, &value),
+            None => status(404, "no such page\n"),
+        },
+    }
+}
+
+fn metrics(registry: &Registry) -> Vec<u8> {
+    let mut text = Vec::new();
+    let _ = TextEncoder::new().encode(&registry.gather(), &mut text);
+    text
+}
+
+fn status(code: u16, text: &'static str) -> Response<Answer> {
+    let mut response = Response::new(http::full(text));
+    *response.status_mut() = hyper::StatusCode::from_u16(code).unwrap_or_default();
+    response
+}
--- /dev/null
+++ b/crates/process/src/http.rs
@@ -0,0 +1,171 @@
+//! A small HTTP server and client on `hyper`, with limits on what they read.
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1 as client;
+use hyper::server::conn::http1 as server;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// Largest request head, in bytes.
+pub const HEAD_BYTES_MAX: usize = 16 << 10;
+/// Longest time to read a request's head, in milliseconds.
+pub const HEAD_READ_MS: u64 = 10_000;
+
+/// Body of an answer, whole or streamed.
+pub type Answer = BoxBody<Bytes, Infallible>;
+
+/// Why a call or a body failed.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// could not connect to {0}: {1}
+    Connect(SocketAddr, String),
+    /// call failed after it was sent: {0}
+    Broken(String),
+    /// no answer within {0} ms
+    Timeout(u64),
+    /// body is larger than {0} bytes
+    TooLarge(usize),
+    /// request could not be built: {0}
+    Request(String),
+}
+
+impl std::error::Error for Error {}
+
+/// A whole body.
+pub fn full(bytes: impl Into<Bytes>) -> Answer {
+    Full::new(bytes.into()).boxed()
+}
+
+/// A JSON answer.
+pub fn json(status: u16, value: &serde_json::Value) -> Response<Answer> {
+    let mut response = Response::new(full(value.to_string()));
+    *response.status_mut() =
+        hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+    let kind = hyper::header::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Reads a whole body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// [`Error::TooLarge`] or [`Error::Broken`].
+pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, Error>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Error::TooLarge(limit)),
+        Err(error) => Err(Error::Broken(error.to_string())),
+    }
+}
+
+/// Serves one connection with `handle` until it ends.
+pub async fn serve_connection<H, R>(tcp: TcpStream, handle: H)
+where
+    H: Fn(Request<Incoming>) -> R,
+    R: Future<Output = Response<Answer>>,
+{
+    let service = service_fn(|request| {
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let _ = tcp.set_nodelay(true);
+    let _ = server::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(HEAD_READ_MS))
+        .max_buf_size(HEAD_BYTES_MAX)
+        .serve_connection(TokioIo::new(tcp), service)
+        .await;
+}
+
+/// Serves every connection of a listener with `handle`, for as long as the process lives.
+pub async fn serve<H, R>(listener: TcpListener, handle: H)
+where
+    H: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<Answer>> + Send + 'static,
+{
+    loop {
+        let Ok((tcp, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let handle = handle.clone();
+        tokio::spawn(async move { serve_connection(tcp, handle).await });
+    }
+}
+
+/// Makes one call on a connection of its own and returns the answer with its body still open.
+///
+/// # Errors
+///
+/// [`Error::Connect`] when nothing was sent; any other when something may have been.
+pub async fn open(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<Response<Incoming>, Error> {
+    let connect = |error: String| Error::Connect(address, error);
+    let tcp = match timeout(limit, TcpStream::connect(address)).await {
+        Ok(opened) => opened.map_err(|error| connect(error.to_string()))?,
+        Err(_) => return Err(connect("timed out".to_owned())),
+    };
+    let _ = tcp.set_nodelay(true);
+    let opened = client::handshake(TokioIo::new(tcp)).await;
+    let (mut sender, connection) = opened.map_err(|error| connect(error.to_string()))?;
+    tokio::spawn(connection);
+    let timed_out = Error::Timeout(u64::try_from(limit.as_millis()).unwrap_or(u64::MAX));
+    let answer = timeout(limit, sender.send_request(request)).await.map_err(|_| timed_out)?;
+    answer.map_err(|error| Error::Broken(error.to_string()))
+}
+
+/// Makes one call and reads the whole answer.
+///
+/// # Errors
+///
+/// As [`open`] and [`read`].
+pub async fn call(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+    bytes: usize,
+) -> Result<Response<Bytes>, Error> {
+    let timed_out = Error::Timeout(u64::try_from(limit.as_millis()).unwrap_or(u64::MAX));
+    let whole = async {
+        let (head, body) = open(address, request, limit).await?.into_parts();
+        let body = read(body, bytes).await?;
+        Ok(Response::from_parts(head, body))
+    };
+    timeout(limit, whole).await.unwrap_or(Err(timed_out))
+}
+
+/// A request with a body.
+///
+/// # Errors
+///
+/// [`Error::Request`] for a bad method or target.
+pub fn request(
+    method: &str,
+    target: &str,
+    body: impl Into<Bytes>,
+) -> Result<Request<Full<Bytes>>, Error> {
+    Request::builder()
+        .method(method)
+        .uri(target)
+        .header("host", "chestnutrack")
+        .body(Full::new(body.into()))
+        .map_err(|error| Error::Request(error.to_string()))
+}
--- /dev/null
+++ b/crates/process/src/lib.rs
@@ -0,0 +1,10 @@
+//! What every program shares: settings, logs, metrics, health, shutdown, timers, TLS.
+
+pub mod admin;
+pub mod clock;
+pub mod http;
+pub mod log;
+pub mod settings;
+pub mod shutdown;
+pub mod timer;
+pub mod tls;
--- /dev/null
+++ b/crates/process/src/tls.rs
@@ -0,0 +1,98 @@
+//! Identity between the system's own processes: mutual TLS from PEM files.
+//!
+//! Every process presents a certificate for the name `chestnutrack` that one of the trusted
+//! authorities signed. Two authorities may be trusted at once, so that keys can be rotated while
+//! traffic runs.
+
+use chestnutrack_wire::connection::Security;
+use displaydoc::Display;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::server::WebPkiClientVerifier;
+use rustls::{ClientConfig, RootCertStore, ServerConfig};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// Files that hold a process's identity and trust.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Files {
+    /// Certificate chain of this process.
+    pub certificate: PathBuf,
+    /// Private key of this process.
+    pub key: PathBuf,
+    /// Certificates of the trusted authorities.
+    pub authorities: PathBuf,
+}
+
+/// Why an identity could not be loaded.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// {0}: could not be read: {1}
+    Read(PathBuf, std::io::Error),
+    /// {0}: holds no {1}
+    Empty(PathBuf, &'static str),
+    /// {0}: was refused: {1}
+    Refused(PathBuf, String),
+}
+
+impl std::error::Error for Error {}
+
+/// Loads an identity.
+///
+/// # Errors
+///
+/// Names the file and what is wrong with it.
+pub fn load(files: &Files) -> Result<Security, Error> {
+    let roots = Arc::new(authorities(&files.authorities)?);
+    let chain = certificates(&files.certificate)?;
+    let key = private_key(&files.key)?;
+    let refused = |error: &dyn std::fmt::Display| {
+        Error::Refused(files.certificate.clone(), error.to_string())
+    };
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let client = ClientConfig::builder_with_provider(provider.clone())
+        .with_safe_default_protocol_versions()
+        .map_err(|error| refused(&error))?
+        .with_root_certificates(roots.clone())
+        .with_client_auth_cert(chain.clone(), key.clone_key())
+        .map_err(|error| refused(&error))?;
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots, provider.clone())
+        .build()
+        .map_err(|error| refused(&error))?;
+    let server = ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .map_err(|error| refused(&error))?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(chain, key)
+        .map_err(|error| refused(&error))?;
+    Ok(Security { client: Arc::new(client), server: Arc::new(server) })
+}
+
+fn read(path: &Path) -> Result<Vec<u8>, Error> {
+    std::fs::read(path).map_err(|error| Error::Read(path.to_owned(), error))
+}
+
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, Error> {
+    let bytes = read(path)?;
+    let found: Result<Vec<_>, _> = rustls_pemfile::certs(&mut bytes.as_slice()).collect();
+    let found = found.map_err(|error| Error::Read(path.to_owned(), error))?;
+    if found.is_empty() {
+        return Err(Error::Empty(path.to_owned(), "certificate"));
+    }
+    Ok(found)
+}
+
+fn private_key(path: &Path) -> Result<PrivateKeyDer<'static>, Error> {
+    let bytes = read(path)?;
+    let found = rustls_pemfile::private_key(&mut bytes.as_slice());
+    let found = found.map_err(|error| Error::Read(path.to_owned(), error))?;
+    found.ok_or_else(|| Error::Empty(path.to_owned(), "private key"))
+}
+
+fn authorities(path: &Path) -> Result<RootCertStore, Error> {
+    let mut roots = RootCertStore::empty();
+    for certificate in certificates(path)? {
+        let added = roots.add(certificate);
+        added.map_err(|error| Error::Refused(path.to_owned(), error.to_string()))?;
+    }
+    Ok(roots)
+}
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,60 @@
+//! Encodes frames as CBOR and decodes them within a size limit.
+
+use crate::frame::Frame;
+use displaydoc::Display;
+
+/// Largest frame, in bytes.
+pub const FRAME_BYTES_MAX: usize = 16 << 20;
+
+/// Why a frame could not be encoded or decoded.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// frame of {0} bytes is larger than the limit
+    TooLarge(usize),
+    /// frame is broken at byte {0}
+    Broken(usize),
+    /// frame is not understood: {0}
+    Unknown(String),
+    /// frame has {0} bytes after its end
+    Trailing(usize),
+}
+
+impl std::error::Error for Error {}
+
+/// Encodes a frame.
+///
+/// # Errors
+///
+/// [`Error::TooLarge`] for a frame over [`FRAME_BYTES_MAX`].
+pub fn encode(frame: &Frame) -> Result<Vec<u8>, Error> {
+    let mut bytes = Vec::with_capacity(128);
+    ciborium::into_writer(frame, &mut bytes).map_err(|error| Error::Unknown(error.to_string()))?;
+    if bytes.len() > FRAME_BYTES_MAX {
+        return Err(Error::TooLarge(bytes.len()));
+    }
+    Ok(bytes)
+}
+
+/// Decodes a frame that fills `bytes` exactly.
+///
+/// # Errors
+///
+/// Says what is wrong and, where the codec knows it, at which byte.
+pub fn decode(bytes: &[u8]) -> Result<Frame, Error> {
+    if bytes.len() > FRAME_BYTES_MAX {
+        return Err(Error::TooLarge(bytes.len()));
+    }
+    let mut rest = bytes;
+    let frame = ciborium::from_reader(&mut rest).map_err(|error| broken(&error, bytes.len()))?;
+    if rest.is_empty() { Ok(frame) } else { Err(Error::Trailing(rest.len())) }
+}
+
+fn broken(error: &ciborium::de::Error<std::io::Error>, length: usize) -> Error {
+    use ciborium::de::Error as Source;
+    match error {
+        Source::Io(_) => Error::Broken(length),
+        Source::Syntax(at) => Error::Broken(*at),
+        Source::Semantic(_, text) => Error::Unknown(text.clone()),
+        Source::RecursionLimitExceeded => Error::Unknown("nested too deeply".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/connection.rs
@@ -0,0 +1,213 @@
+//! A WebSocket connection that carries frames, over TCP or TLS.
+//!
+//! A connection is split into a reading half and a bounded sending queue. A writer task drains
+//! the queue; when either side fails, both end.
+
+use crate::codec;
+use crate::frame::Frame;
+use displaydoc::Display;
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use rustls::pki_types::ServerName;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_rustls::{TlsAcceptor, TlsConnector};
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{Error as SocketError, Message};
+
+/// Longest time to open a connection, in milliseconds.
+pub const OPEN_MS: u64 = 1_000;
+/// Frames that may queue for a slow reader before the connection is given up.
+pub const QUEUE_FRAMES: usize = 4_096;
+
+/// Why a connection could not be opened or has ended.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// could not connect to {0}: {1}
+    Connect(SocketAddr, String),
+    /// handshake failed: {0}
+    Handshake(String),
+    /// connection failed: {0}
+    Broken(String),
+    /// peer sent a bad frame: {0}
+    Frame(codec::Error),
+    /// connection was closed
+    Closed,
+}
+
+impl std::error::Error for Error {}
+
+/// Identity and trust for TLS between the system's own processes.
+#[derive(Clone)]
+pub struct Security {
+    /// Configuration for outgoing connections.
+    pub client: Arc<rustls::ClientConfig>,
+    /// Configuration for incoming connections.
+    pub server: Arc<rustls::ServerConfig>,
+}
+
+/// Name that every process's certificate carries.
+const SERVER_NAME: &str = "chestnutrack";
+
+trait Stream: AsyncRead + AsyncWrite + Unpin + Send {}
+impl<T: AsyncRead + AsyncWrite + Unpin + Send> Stream for T {}
+
+type Socket = WebSocketStream<Box<dyn Stream>>;
+
+/// An open connection.
+pub struct Connection {
+    /// Sends frames to the peer.
+    pub sender: Sender,
+    /// Receives frames from the peer.
+    pub receiver: Receiver,
+    /// The peer's address.
+    pub peer: SocketAddr,
+}
+
+/// Sending half; cheap to clone. Dropping every clone closes the connection.
+#[derive(Clone, Debug)]
+pub struct Sender(mpsc::Sender<Message>);
+
+impl Sender {
+    /// Queues a frame without waiting.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Closed`] when the connection has ended or its queue is full, and
+    /// [`Error::Frame`] for a frame that is too large.
+    pub fn send(&self, frame: &Frame) -> Result<(), Error> {
+        let bytes = codec::encode(frame).map_err(Error::Frame)?;
+        self.0.try_send(Message::binary(bytes)).map_err(|_| Error::Closed)
+    }
+
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+}
+
+/// Receiving half.
+pub struct Receiver(SplitStream<Socket>);
+
+impl Receiver {
+    /// Waits for the next frame. Cancel-safe.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Closed`] at the end, [`Error::Frame`] for a bad frame.
+    pub async fn receive(&mut self) -> Result<Frame, Error> {
+        loop {
+            let message = match self.0.next().await {
+                Some(Ok(message)) => message,
+                Some(Err(SocketError::ConnectionClosed)) | None => return Err(Error::Closed),
+                Some(Err(error)) => return Err(Error::Broken(error.to_string())),
+            };
+            match message {
+                Message::Binary(bytes) => return codec::decode(&bytes).map_err(Error::Frame),
+                Message::Close(_) => return Err(Error::Closed),
+                Message::Text(_) => {
+                    let text = "text message".to_owned();
+                    return Err(Error::Frame(codec::Error::Unknown(text)));
+                }
+                Message::Ping(_) | Message::Pong(_) | Message::Frame(_) => {}
+            }
+        }
+    }
+}
+
+/// Opens a connection to a process.
+///
+/// # Errors
+///
+/// Says whether the connection or the handshake failed.
+pub async fn connect(address: SocketAddr, tls: Option<&Security>) -> Result<Connection, Error> {
+    let opening = async {
+        let tcp = TcpStream::connect(address)
+            .await
+            .map_err(|error| Error::Connect(address, error.to_string()))?;
+        tcp.set_nodelay(true).map_err(|error| Error::Broken(error.to_string()))?;
+        let stream = secure_client(tcp, tls).await?;
+        let url = format!("ws://{address}/frames");
+        let opened = tokio_tungstenite::client_async_with_config(url, stream, Some(limits())).await;
+        let (socket, _) = opened.map_err(|error| Error::Handshake(error.to_string()))?;
+        Ok(start(socket, address))
+    };
+    let timed_out = Error::Connect(address, "timed out".to_owned());
+    timeout(Duration::from_millis(OPEN_MS), opening).await.unwrap_or(Err(timed_out))
+}
+
+/// Takes a connection that a process has opened.
+///
+/// # Errors
+///
+/// [`Error::Handshake`] when the other end is not one of the system's processes.
+pub async fn accept(
+    tcp: TcpStream,
+    peer: SocketAddr,
+    tls: Option<&Security>,
+) -> Result<Connection, Error> {
+    let opening = async {
+        tcp.set_nodelay(true).map_err(|error| Error::Broken(error.to_string()))?;
+        let stream = secure_server(tcp, tls).await?;
+        let opened = tokio_tungstenite::accept_async_with_config(stream, Some(limits())).await;
+        let socket = opened.map_err(|error| Error::Handshake(error.to_string()))?;
+        Ok(start(socket, peer))
+    };
+    let timed_out = Error::Handshake("timed out".to_owned());
+    timeout(Duration::from_millis(OPEN_MS), opening).await.unwrap_or(Err(timed_out))
+}
+
+async fn secure_client(tcp: TcpStream, tls: Option<&Security>) -> Result<Box<dyn Stream>, Error> {
+    let Some(security) = tls else {
+        return Ok(Box::new(tcp));
+    };
+    let name =
+        ServerName::try_from(SERVER_NAME).map_err(|error| Error::Handshake(error.to_string()))?;
+    let connector = TlsConnector::from(security.client.clone());
+    let stream = connector.connect(name, tcp).await;
+    Ok(Box::new(stream.map_err(|error| Error::Handshake(error.to_string()))?))
+}
+
+async fn secure_server(tcp: TcpStream, tls: Option<&Security>) -> Result<Box<dyn Stream>, Error> {
+    let Some(security) = tls else {
+        return Ok(Box::new(tcp));
+    };
+    let stream = TlsAcceptor::from(security.server.clone()).accept(tcp).await;
+    Ok(Box::new(stream.map_err(|error| Error::Handshake(error.to_string()))?))
+}
+
+fn limits() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(codec::FRAME_BYTES_MAX))
+        .max_frame_size(Some(codec::FRAME_BYTES_MAX))
+}
+
+fn start(socket: Socket, peer: SocketAddr) -> Connection {
+    let (sink, stream) = socket.split();
+    let (queue, messages) = mpsc::channel(QUEUE_FRAMES);
+    tokio::spawn(write(sink, messages));
+    Connection { sender: Sender(queue), receiver: Receiver(stream), peer }
+}
+
+async fn write(mut sink: SplitSink<Socket, Message>, mut messages: mpsc::Receiver<Message>) {
+    while let Some(message) = messages.recv().await {
+        if sink.feed(message).await.is_err() {
+            return;
+        }
+        while let Ok(message) = messages.try_recv() {
+            if sink.feed(message).await.is_err() {
+                return;
+            }
+        }
+        if sink.flush().await.is_err() {
+            return;
+        }
+    }
+    let _ = sink.close().await;
+}
