--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,4 +3,12 @@
 //! Nothing here reads a clock, opens a socket or draws from the system's random source: time,
 //! messages and seeds come in as arguments, so that a run can be replayed from its events.
 
+pub mod claim;
+pub mod config;
+pub mod limit;
+pub mod member;
+pub mod place;
+pub mod queue;
+pub mod retry;
+pub mod server;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/limit/mod.rs
@@ -0,0 +1,1 @@
+//! Limits over the fleet: shares, borrowing, buckets.
--- /dev/null
+++ b/crates/core/src/member/mod.rs
@@ -0,0 +1,1 @@
+//! Membership: the table of members, vouching, leases, proof of death.
--- /dev/null
+++ b/crates/core/src/place/mod.rs
@@ -0,0 +1,1 @@
+//! Placement: which decode and which prefill server a request goes to.
--- /dev/null
+++ b/crates/core/src/queue/mod.rs
@@ -0,0 +1,1 @@
+//! Waiting: fair between organisations, interactive before may-wait, early refusal.
--- /dev/null
+++ b/crates/core/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retries within a budget.
--- /dev/null
+++ b/crates/core/src/server/mod.rs
@@ -0,0 +1,1 @@
+//! One backend server as its side process sees it: slots, waiting, leases, transfers.
--- /dev/null
+++ b/crates/harness/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fleets of separate processes on loopback, for the demo, tests and experiments.
