Persistent connections that are never used again after a timeout

Both clients of outside protocols need them, and need to know whether a failed call was sent. A shared module keeps that logic in one place. A connection is kept only after its answer was read to the end; an error or a timeout closes every unused connection, since whatever lost track of one may have lost all.

--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod http;
 pub mod log;
+pub mod pool;
 pub mod settings;
 pub mod shutdown;
 pub mod timer;
--- /dev/null
+++ b/crates/process/src/pool.rs
@@ -0,0 +1,272 @@
+//! Persistent HTTP/1.1 connections to one address.
+//!
+//! A connection carries one call at a time and is used again only after a call whose answer was
+//! read to its end. After a timeout or an error no connection that was open then is used again, so
+//! that a late answer meets no other call.
+
+use crate::http::{self, Error};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1 as client;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Settings of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Longest time to open a connection.
+    pub connect: Duration,
+    /// Longest time that a connection stays unused.
+    pub idle: Duration,
+    /// Most unused connections kept.
+    pub idle_max: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            connect: Duration::from_millis(1_000),
+            idle: Duration::from_millis(5_000),
+            idle_max: 64,
+        }
+    }
+}
+
+struct Connection {
+    sender: client::SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    used: Instant,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Default)]
+struct Idle {
+    connections: VecDeque<Connection>,
+    /// Grows when the open connections become suspect; those of an older epoch aren't kept.
+    epoch: u64,
+}
+
+struct Shared {
+    address: SocketAddr,
+    settings: Settings,
+    idle: Mutex<Idle>,
+}
+
+/// Connections to one address; cheap to clone.
+#[derive(Clone)]
+pub struct Pool(Arc<Shared>);
+
+/// The body of an answer, with the connection that it comes on.
+pub struct Stream {
+    body: Incoming,
+    connection: Option<Connection>,
+    epoch: u64,
+    pool: Pool,
+}
+
+impl Pool {
+    /// A pool without connections; they are opened as calls need them.
+    pub fn new(address: SocketAddr, settings: Settings) -> Pool {
+        Pool(Arc::new(Shared { address, settings, idle: Mutex::default() }))
+    }
+
+    /// The address called.
+    pub fn address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    /// Makes one call and returns the answer's head with its body still open.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] or [`Error::Request`] when nothing was sent; any other when something
+    /// may have been.
+    pub async fn open(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Stream>, Error> {
+        let end = Instant::now() + limit;
+        let epoch = self.epoch();
+        let answer = timeout_at(end, self.send(request, end)).await;
+        let answer = answer.unwrap_or(Err(Error::Timeout(millis(limit))));
+        let (response, connection) = answer.inspect_err(|_| self.distrust())?;
+        let (head, body) = response.into_parts();
+        let stream = Stream { body, connection: Some(connection), epoch, pool: self.clone() };
+        Ok(Response::from_parts(head, stream))
+    }
+
+    /// Makes one call and reads the whole answer, of at most `bytes` bytes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Pool::open`], and [`Error::TooLarge`].
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        bytes: usize,
+    ) -> Result<Response<Bytes>, Error> {
+        let end = Instant::now() + limit;
+        let (head, mut stream) = self.open(request, limit).await?.into_parts();
+        let body = match timeout_at(end, stream.read(bytes)).await {
+            Ok(body) => body?,
+            Err(_) => {
+                self.distrust();
+                return Err(Error::Timeout(millis(limit)));
+            }
+        };
+        Ok(Response::from_parts(head, body))
+    }
+
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        end: Instant,
+    ) -> Result<(Response<Incoming>, Connection), Error> {
+        let mut request = request;
+        while let Some(connection) = self.take() {
+            match attempt(connection, request).await? {
+                Attempt::Answered(response, connection) => return Ok((response, connection)),
+                Attempt::Unsent(unsent, _) => request = unsent,
+            }
+        }
+        match attempt(self.connect(end).await?, request).await? {
+            Attempt::Answered(response, connection) => Ok((response, connection)),
+            Attempt::Unsent(_, error) => Err(Error::Connect(self.0.address, error)),
+        }
+    }
+
+    async fn connect(&self, end: Instant) -> Result<Connection, Error> {
+        let failed = |error: String| Error::Connect(self.0.address, error);
+        // Ends just before the call does, so that a slow opening is known as not sent.
+        let left = end.saturating_duration_since(Instant::now()).mul_f64(0.9);
+        let limit = self.0.settings.connect.min(left);
+        let tcp = match timeout(limit, TcpStream::connect(self.0.address)).await {
+            Ok(opened) => opened.map_err(|error| failed(error.to_string()))?,
+            Err(_) => return Err(failed("timed out".to_owned())),
+        };
+        let _ = tcp.set_nodelay(true);
+        let opened = client::handshake(TokioIo::new(tcp)).await;
+        let (sender, connection) = opened.map_err(|error| failed(error.to_string()))?;
+        let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
+        Ok(Connection { sender, task, used: Instant::now() })
+    }
+
+    fn take(&self) -> Option<Connection> {
+        let mut idle = self.0.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let limit = self.0.settings.idle;
+        idle.connections.retain(|kept| kept.used.elapsed() < limit && !kept.sender.is_closed());
+        idle.connections.pop_back()
+    }
+
+    fn keep(&self, mut connection: Connection, epoch: u64) {
+        connection.used = Instant::now();
+        let mut idle = self.0.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let trusted = idle.epoch == epoch && !connection.sender.is_closed();
+        if trusted && idle.connections.len() < self.0.settings.idle_max {
+            idle.connections.push_back(connection);
+        }
+    }
+
+    fn epoch(&self) -> u64 {
+        self.0.idle.lock().unwrap_or_else(PoisonError::into_inner).epoch
+    }
+
+    /// Closes the unused connections, and those in use once their calls end.
+    fn distrust(&self) {
+        let mut idle = self.0.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.epoch += 1;
+        idle.connections.clear();
+    }
+}
+
+impl Stream {
+    /// The next bytes, or `None` at the end of the body.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Broken`] when the connection broke before the body's end.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
+        loop {
+            match self.body.frame().await {
+                None => {
+                    self.finish().await;
+                    return Ok(None);
+                }
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Ok(Some(bytes));
+                    }
+                }
+                Some(Err(error)) => {
+                    self.fail();
+                    return Err(Error::Broken(error.to_string()));
+                }
+            }
+        }
+    }
+
+    /// Reads the rest of the body, of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::TooLarge`] or [`Error::Broken`].
+    pub async fn read(&mut self, limit: usize) -> Result<Bytes, Error> {
+        let read = http::read(&mut self.body, limit).await;
+        match read {
+            Ok(_) => self.finish().await,
+            Err(_) => self.fail(),
+        }
+        read
+    }
+
+    /// Closes the connection, and lets no other that is open now be used again.
+    pub fn fail(&mut self) {
+        self.connection = None;
+        self.pool.distrust();
+    }
+
+    async fn finish(&mut self) {
+        let Some(mut connection) = self.connection.take() else { return };
+        if connection.sender.ready().await.is_ok() {
+            self.pool.keep(connection, self.epoch);
+        }
+    }
+}
+
+enum Attempt {
+    Answered(Response<Incoming>, Connection),
+    /// The connection was closed before anything of the request was sent.
+    Unsent(Request<Full<Bytes>>, String),
+}
+
+async fn attempt(
+    mut connection: Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<Attempt, Error> {
+    match connection.sender.try_send_request(request).await {
+        Ok(response) => Ok(Attempt::Answered(response, connection)),
+        Err(mut error) => match error.take_message() {
+            Some(unsent) => Ok(Attempt::Unsent(unsent, error.into_error().to_string())),
+            None => Err(Error::Broken(error.into_error().to_string())),
+        },
+    }
+}
+
+fn millis(limit: Duration) -> u64 {
+    u64::try_from(limit.as_millis()).unwrap_or(u64::MAX)
+}
