Client of the object interface

Typed errors separate calls that were not sent from those that may have taken effect. update() reads the object again after a lost answer and compares the value; an unchanged object is written again under the same version, so that at most one of the two writes takes effect.

--- /dev/null
+++ b/crates/platform/src/client/mod.rs
@@ -0,0 +1,236 @@
+//! The client of the object interface.
+
+mod count;
+mod update;
+
+use crate::error::Error;
+use crate::host;
+use crate::object::{Conflict, List, Object, VALUE_BYTES_MAX, Written};
+use bytes::Bytes;
+use chestnutrack_process::http;
+use chestnutrack_process::pool::{self, Pool};
+use http_body_util::Full;
+use hyper::header::{HeaderValue, IF_MATCH};
+use hyper::{Request, Response};
+use prometheus::Registry;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub use count::{Call, Count};
+
+/// Longest name of a kind or an object, in bytes.
+pub const NAME_BYTES_MAX: usize = 200;
+/// Longest text of a refusal that is kept, in bytes.
+const TEXT_BYTES_MAX: usize = 200;
+
+/// Settings of a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Connections.
+    pub pool: pool::Settings,
+    /// Longest time for a read, a list or the host list.
+    pub read: Duration,
+    /// Longest time for a write or a deletion.
+    pub write: Duration,
+    /// Longest time for a watch beyond the time that it is asked to wait.
+    pub watch: Duration,
+    /// Largest answer, in bytes.
+    pub answer_bytes: usize,
+    /// How often an update whose answer was lost is read again.
+    pub update_reads: u32,
+    /// Time between those reads.
+    pub update_pause: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            pool: pool::Settings::default(),
+            read: Duration::from_millis(1_000),
+            write: Duration::from_millis(1_000),
+            watch: Duration::from_millis(1_000),
+            answer_bytes: 16 * VALUE_BYTES_MAX,
+            update_reads: 3,
+            update_pause: Duration::from_millis(50),
+        }
+    }
+}
+
+/// A client of the object interface; cheap to clone.
+#[derive(Clone)]
+pub struct Client {
+    pool: Pool,
+    settings: Settings,
+    count: Count,
+}
+
+impl Client {
+    /// A client of the interface at an address; its counters are registered where a registry is
+    /// given.
+    pub fn new(address: SocketAddr, settings: Settings, registry: Option<&Registry>) -> Client {
+        let pool = Pool::new(address, settings.pool);
+        Client { pool, settings, count: Count::new(registry) }
+    }
+
+    /// How many calls of each kind were made.
+    pub fn count(&self) -> &Count {
+        &self.count
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Missing`] when it doesn't exist.
+    pub async fn read(&self, kind: &str, name: &str) -> Result<Object, Error> {
+        let target = target(kind, name)?;
+        let request = http::request("GET", &target, Bytes::new())?;
+        let answer = self.call(Call::Read, request, self.settings.read).await?;
+        parse("read", &accept(answer)?)
+    }
+
+    /// Reads all objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// Any but [`Error::Conflict`] and [`Error::Missing`].
+    pub async fn list(&self, kind: &str) -> Result<List, Error> {
+        let target = format!("/v1/objects/{}", checked("kind", kind)?);
+        let request = http::request("GET", &target, Bytes::new())?;
+        let answer = self.call(Call::List, request, self.settings.read).await?;
+        parse("list", &accept(answer)?)
+    }
+
+    /// Writes an object that must not exist yet; returns its version.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] when it exists.
+    pub async fn create(&self, kind: &str, name: &str, value: &Value) -> Result<u64, Error> {
+        self.replace(kind, name, 0, value).await
+    }
+
+    /// Writes an object that must have a version, 0 where it must not exist; returns its new
+    /// version.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] when it has another version.
+    pub async fn replace(
+        &self,
+        kind: &str,
+        name: &str,
+        version: u64,
+        value: &Value,
+    ) -> Result<u64, Error> {
+        let target = target(kind, name)?;
+        let body = value.to_string();
+        if body.len() > VALUE_BYTES_MAX {
+            let text = format!("value of {} bytes is larger than {VALUE_BYTES_MAX}", body.len());
+            return Err(Error::NotSent(text));
+        }
+        let request = http::request("PUT", &target, body)?;
+        self.write(Call::Write, request, version).await
+    }
+
+    /// Deletes an object that must have a version; returns the version of the deletion.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] when it has another version, [`Error::Missing`] when it doesn't exist.
+    pub async fn delete(&self, kind: &str, name: &str, version: u64) -> Result<u64, Error> {
+        let request = http::request("DELETE", &target(kind, name)?, Bytes::new())?;
+        self.write(Call::Delete, request, version).await
+    }
+
+    /// Waits up to `wait` for objects of a kind that change after a version; the list is empty
+    /// when none did.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Refused`] with status 410 when the changes after that version are forgotten.
+    pub async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<List, Error> {
+        let kind = checked("kind", kind)?;
+        let target = format!("/v1/watch/{kind}?after={after}&wait_ms={}", wait.as_millis());
+        let request = http::request("GET", &target, Bytes::new())?;
+        let answer = self.call(Call::Watch, request, wait + self.settings.watch).await?;
+        parse("watch", &accept(answer)?)
+    }
+
+    /// Reads the host list.
+    ///
+    /// # Errors
+    ///
+    /// Any but [`Error::Conflict`] and [`Error::Missing`].
+    pub async fn hosts(&self) -> Result<host::List, Error> {
+        let request = http::request("GET", "/v1/hosts", Bytes::new())?;
+        let answer = self.call(Call::Hosts, request, self.settings.read).await?;
+        parse("hosts", &accept(answer)?)
+    }
+
+    async fn write(
+        &self,
+        call: Call,
+        mut request: Request<Full<Bytes>>,
+        version: u64,
+    ) -> Result<u64, Error> {
+        request.headers_mut().insert(IF_MATCH, HeaderValue::from(version));
+        let answer = self.call(call, request, self.settings.write).await?;
+        if answer.status().as_u16() == 409 {
+            return Err(Error::Conflict(parse::<Conflict>("conflict", answer.body())?.version));
+        }
+        // The write took effect; only its version is lost.
+        let body = accept(answer)?;
+        let written = parse::<Written>("written", &body);
+        Ok(written.map_err(|error| Error::Unknown(error.to_string()))?.version)
+    }
+
+    async fn call(
+        &self,
+        call: Call,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, Error> {
+        self.count.made(call);
+        let answer = self.pool.call(request, limit, self.settings.answer_bytes).await;
+        answer.inspect_err(|_| self.count.failed(call)).map_err(Error::from)
+    }
+}
+
+/// The body of an answer that says yes.
+fn accept(answer: Response<Bytes>) -> Result<Bytes, Error> {
+    match answer.status().as_u16() {
+        200 => Ok(answer.into_body()),
+        404 => Err(Error::Missing),
+        // Something between the two ends answered; the call may have passed it.
+        status @ (500 | 502 | 504) => Err(Error::Unknown(format!("status {status}"))),
+        status => Err(Error::Refused(status, text(answer.body()))),
+    }
+}
+
+fn text(body: &[u8]) -> String {
+    String::from_utf8_lossy(&body[..body.len().min(TEXT_BYTES_MAX)]).into_owned()
+}
+
+fn parse<T: DeserializeOwned>(place: &str, body: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(body)
+        .map_err(|error| Error::Malformed(place.to_owned(), error.to_string()))
+}
+
+fn target(kind: &str, name: &str) -> Result<String, Error> {
+    Ok(format!("/v1/objects/{}/{}", checked("kind", kind)?, checked("name", name)?))
+}
+
+/// A name as it may stand in a URL.
+fn checked<'a>(place: &str, name: &'a str) -> Result<&'a str, Error> {
+    let known = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+    let length = 1..=NAME_BYTES_MAX;
+    if length.contains(&name.len()) && name.bytes().all(known) && !matches!(name, "." | "..") {
+        return Ok(name);
+    }
+    Err(Error::NotSent(format!(
+        "{place} `{name}` is not 1 to {NAME_BYTES_MAX} letters, digits, `-`, `_`, `.` or `:`"
+    )))
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,11 +8,13 @@
 //! | list | `GET /v1/objects/{kind}` | 200 [`object::List`] |
 //! | write | `PUT /v1/objects/{kind}/{name}`, `if-match: VERSION` (0: must not exist) | 200 [`object::Written`], 409 [`object::Conflict`] |
 //! | delete | `DELETE /v1/objects/{kind}/{name}`, `if-match: VERSION` | 200 [`object::Written`], 409, 404 |
-//! | watch | `GET /v1/watch/{kind}?after=VERSION&wait_ms=N` | 200 [`object::List`], empty after `wait_ms` |
+//! | watch | `GET /v1/watch/{kind}?after=VERSION&wait_ms=N` | 200 [`object::List`], empty after `wait_ms`; 410 when changes after VERSION are forgotten |
 //! | hosts | `GET /v1/hosts` | 200 [`host::List`] |
 //!
-//! Versions come from one counter for the whole interface and only grow. A write without
+//! A status of 503 says that the call was not applied. Versions come from one counter for the whole interface and only grow. A write without
 //! `if-match` is unconditional; the system itself never makes one.
 
+pub mod client;
+pub mod error;
 pub mod host;
 pub mod object;
