Client of model engines

Orders and questions with a timeout each, typed errors that separate what was not sent, what is fenced off, gone or full, and what may have taken effect. A stream is checked line by line: a gap, a repeat, an end that names another total, a broken connection and silence are errors with their place.

--- /dev/null
+++ b/crates/engine/src/error.rs
@@ -0,0 +1,34 @@
+//! Why a call to an engine failed, and whether it may have taken effect.
+
+use chestnutrack_process::http;
+use displaydoc::Display;
+
+/// Why a call failed.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Error {
+    /// call was not sent: {0}
+    NotSent(String),
+    /// order may have taken effect: {0}
+    Unknown(String),
+    /// order carries an old fencing number
+    Fenced,
+    /// engine doesn't hold what the order names
+    Missing,
+    /// engine's memory is full
+    Full,
+    /// order was refused with status {0}: {1}
+    Refused(u16, String),
+    /// {0}: {1}
+    Malformed(String, String),
+}
+
+impl std::error::Error for Error {}
+
+impl From<http::Error> for Error {
+    fn from(error: http::Error) -> Error {
+        match error {
+            http::Error::Connect(..) | http::Error::Request(_) => Error::NotSent(error.to_string()),
+            _ => Error::Unknown(error.to_string()),
+        }
+    }
+}
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -16,4 +16,7 @@
 //! | `POST /v1/order` | [`order::Order`] | 200, 412 |
 //! | `POST /v1/export` | [`order::Export`] | 200, the KV's bytes at the link's rate; between engines |
 
+pub mod client;
+pub mod error;
 pub mod order;
+pub mod prefix;
