--- /dev/null
+++ b/crates/harness/src/fleet.rs
@@ -0,0 +1,569 @@
+//! A fleet: every process of one deployment, ready to serve.
+
+use crate::caller::{self, Answer, Call};
+use crate::deployment::{
+    ADMIN_PORT, Block, CALLER_PORT, Deployment, PEER_PORT, PLATFORM_PORT, SIDE_PORT,
+};
+use crate::error::Error;
+use crate::identity;
+use crate::link::Link;
+use crate::process::Process;
+use chestnutrack_document::Document;
+use chestnutrack_document::model::{Role, Server};
+use chestnutrack_process::http;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Number of the object interface's host.
+const PLATFORM_HOST: u8 = 1;
+/// Number of the first backend server's host.
+const FIRST_SERVER_HOST: u8 = 10;
+/// Number of the first entry host.
+const FIRST_ENTRY_HOST: u8 = 100;
+/// Port of the relay before the object interface, on each host.
+const LINK_PORT: u16 = 20_010;
+/// Port of the relay before a side process.
+const SIDE_LINK_PORT: u16 = 20_011;
+/// Longest time for every process to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// Time between looks at a condition.
+const POLL: Duration = Duration::from_millis(20);
+/// Longest time for a call to a process's admin port.
+const ADMIN_LIMIT: Duration = Duration::from_secs(2);
+/// Largest page of an admin port, in bytes.
+const PAGE_BYTES_MAX: usize = 16 << 20;
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Which deployment.
+    pub deployment: Deployment,
+    /// Number of entry hosts.
+    pub entries: u8,
+    /// Whether connections between processes use TLS.
+    pub tls: bool,
+    /// Whether relays that can be cut stand before side processes and the object interface.
+    pub links: bool,
+    /// Whether the engines check fencing numbers.
+    pub checks_fencing: bool,
+    /// Further arguments of every engine.
+    pub engine_arguments: Vec<String>,
+    /// Further arguments of every plain service.
+    pub plain_arguments: Vec<String>,
+    /// Changes the document before it is written.
+    pub edit: fn(&mut Document),
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            deployment: Deployment::Larder,
+            entries: 2,
+            tls: false,
+            links: false,
+            checks_fencing: true,
+            engine_arguments: Vec::new(),
+            plain_arguments: Vec::new(),
+            edit: |_| {},
+        }
+    }
+}
+
+/// A running fleet. Dropping it kills every process.
+pub struct Fleet {
+    /// What it was made of.
+    pub settings: Settings,
+    /// Its document, as it was first written.
+    pub document: Document,
+    block: Block,
+    folder: tempfile::TempDir,
+    programs: PathBuf,
+    processes: BTreeMap<String, Process>,
+    links: BTreeMap<String, Link>,
+}
+
+impl Fleet {
+    /// Starts every process and waits until all are ready.
+    ///
+    /// # Errors
+    ///
+    /// Names the process that ended or was not ready, with the end of its log.
+    pub async fn start(settings: Settings) -> Result<Fleet, Error> {
+        let mut fleet = Fleet::prepare(settings)?;
+        fleet.start_platform().await?;
+        fleet.write_document(&fleet.document.clone(), None).await?;
+        let servers: Vec<Server> = fleet.servers().cloned().collect();
+        for server in &servers {
+            fleet.start_backend(server)?;
+        }
+        for server in &servers {
+            fleet.start_side(server).await?;
+        }
+        for index in 0..fleet.settings.entries {
+            fleet.start_entry(index).await?;
+        }
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    fn prepare(settings: Settings) -> Result<Fleet, Error> {
+        let other = |error: std::io::Error| Error::Other(error.to_string());
+        let folder = tempfile::tempdir().map_err(other)?;
+        if settings.tls {
+            identity::write(folder.path())?;
+        }
+        let block = Block::random();
+        let deployment = settings.deployment;
+        let mut document = deployment.document(block, FIRST_SERVER_HOST, settings.checks_fencing);
+        if settings.links {
+            put_links_before_sides(&mut document);
+        }
+        (settings.edit)(&mut document);
+        Ok(Fleet {
+            settings,
+            document,
+            block,
+            folder,
+            programs: programs()?,
+            processes: BTreeMap::new(),
+            links: BTreeMap::new(),
+        })
+    }
+
+    /// Every backend server of the document.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.document.pools.iter().flat_map(|pool| &pool.servers)
+    }
+
+    /// Names of the servers with a role.
+    pub fn servers_with(&self, role: Role) -> Vec<String> {
+        let fits = self.servers().filter(|server| server.role == role);
+        fits.map(|server| server.name.to_string()).collect()
+    }
+
+    /// Address of the object interface.
+    pub fn platform(&self) -> SocketAddr {
+        self.block.address(PLATFORM_HOST, PLATFORM_PORT)
+    }
+
+    /// Address that an entry host serves callers on.
+    pub fn entry(&self, index: u8) -> SocketAddr {
+        self.block.address(FIRST_ENTRY_HOST + index, CALLER_PORT)
+    }
+
+    /// Addresses of every entry host for callers.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        (0..self.settings.entries).map(|index| self.entry(index)).collect()
+    }
+
+    /// Address of an entry host's admin port.
+    pub fn entry_admin(&self, index: u8) -> SocketAddr {
+        self.block.address(FIRST_ENTRY_HOST + index, ADMIN_PORT)
+    }
+
+    /// Address of a side process's admin port.
+    pub fn side_admin(&self, server: &str) -> Option<SocketAddr> {
+        let server = self.servers().find(|candidate| candidate.name.as_ref() == server)?;
+        Some(SocketAddr::new(server.address.ip(), ADMIN_PORT))
+    }
+
+    /// Address of a backend server.
+    pub fn backend(&self, server: &str) -> Option<SocketAddr> {
+        let server = self.servers().find(|candidate| candidate.name.as_ref() == server)?;
+        Some(server.address)
+    }
+
+    /// Key of an organisation.
+    pub fn key(&self, organisation: &str) -> String {
+        self.settings.deployment.key(organisation)
+    }
+
+    /// A process: `platform`, `entry-N`, `side-SERVER` or `backend-SERVER`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Other`] when there is no such process.
+    pub fn process(&mut self, name: &str) -> Result<&mut Process, Error> {
+        let missing = || Error::Other(format!("no process is named `{name}`"));
+        self.processes.get_mut(name).ok_or_else(missing)
+    }
+
+    /// Names of every process.
+    pub fn process_names(&self) -> Vec<String> {
+        self.processes.keys().cloned().collect()
+    }
+
+    /// A link: `side-SERVER`, or `platform-PROCESS` for a process's way to the object interface.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Other`] when there is no such link.
+    pub fn link(&self, name: &str) -> Result<&Link, Error> {
+        self.links.get(name).ok_or_else(|| Error::Other(format!("no link is named `{name}`")))
+    }
+
+    /// Makes a caller's call to an entry host.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Call`] when no whole answer came.
+    pub async fn call(&self, entry: u8, call: &Call) -> Result<Answer, Error> {
+        caller::call(self.entry(entry), call).await
+    }
+
+    /// Writes the service's document, on condition of its version if one is given.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Call`] with the answer when it was refused.
+    pub async fn write_document(
+        &self,
+        document: &Document,
+        version: Option<u64>,
+    ) -> Result<u64, Error> {
+        let value = serde_json::to_value(document);
+        let value = value.map_err(|error| Error::Other(error.to_string()))?;
+        self.write_object("documents", &document.service, &value, version).await
+    }
+
+    /// Writes an object as an operator would.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Call`] with the answer when it was refused.
+    pub async fn write_object(
+        &self,
+        kind: &str,
+        name: &str,
+        value: &Value,
+        version: Option<u64>,
+    ) -> Result<u64, Error> {
+        let headers = version.map(|version| ("if-match".to_owned(), version.to_string()));
+        let call = Call {
+            method: "PUT",
+            target: format!("/v1/objects/{kind}/{name}"),
+            headers: headers.into_iter().collect(),
+            body: value.to_string().into_bytes(),
+            ..Call::default()
+        };
+        let answer = caller::call(self.platform(), &call).await?;
+        if answer.status != 200 {
+            let text = format!("status {}: {}", answer.status, answer.text());
+            return Err(Error::Call(self.platform(), text));
+        }
+        Ok(answer.json()["version"].as_u64().unwrap_or_default())
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Call`] when the object interface doesn't answer.
+    pub async fn read_object(&self, kind: &str, name: &str) -> Result<Option<Value>, Error> {
+        let target = format!("/v1/objects/{kind}/{name}");
+        let answer = caller::call(self.platform(), &Call { target, ..Call::default() }).await?;
+        Ok((answer.status == 200).then(|| answer.json()))
+    }
+
+    /// Posts a fault or another order to a stand-in's control page.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Call`] with the answer when it was refused.
+    pub async fn control(
+        &self,
+        address: SocketAddr,
+        page: &str,
+        order: &Value,
+    ) -> Result<Value, Error> {
+        let call = Call {
+            method: "POST",
+            target: format!("/control/{page}"),
+            body: order.to_string().into_bytes(),
+            ..Call::default()
+        };
+        let answer = caller::call(address, &call).await?;
+        if answer.status != 200 {
+            let text = format!("status {}: {}", answer.status, answer.text());
+            return Err(Error::Call(address, text));
+        }
+        Ok(answer.json())
+    }
+
+    /// Reads a JSON page of an admin port or a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Call`] when there is no answer.
+    pub async fn page(&self, address: SocketAddr, target: &str) -> Result<Value, Error> {
+        Ok(serde_json::from_slice(&get(address, target).await?.1).unwrap_or_default())
+    }
+
+    /// Reads a process's metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Call`] when there is no answer.
+    pub async fn metrics(&self, admin: SocketAddr) -> Result<String, Error> {
+        Ok(String::from_utf8_lossy(&get(admin, "/metrics").await?.1).into_owned())
+    }
+
+    /// Waits until a condition holds.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Other`] with `what` when it doesn't hold within the limit.
+    pub async fn until<F>(&self, limit: Duration, what: &str, condition: F) -> Result<(), Error>
+    where
+        F: AsyncFn() -> bool,
+    {
+        let waiting = async {
+            while !condition().await {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let ended = tokio::time::timeout(limit, waiting).await;
+        ended.map_err(|_| Error::Other(format!("not within {limit:?}: {what}")))
+    }
+
+    /// Fails if any process has ended.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Ended`] with the end of its log.
+    pub fn check_alive(&mut self) -> Result<(), Error> {
+        for process in self.processes.values_mut() {
+            if let Some(status) = process.ended() {
+                let (name, log) = (process.name.clone(), process.log_end());
+                return Err(Error::Ended { name, status, log });
+            }
+        }
+        Ok(())
+    }
+
+    /// Shuts every process down, entry hosts first, and returns those that did not exit with 0.
+    pub async fn shut_down(&mut self) -> Vec<String> {
+        let mut failed = Vec::new();
+        for prefix in ["entry-", "side-", "backend-", "platform"] {
+            let group = || |process: &&mut Process| process.name.starts_with(prefix);
+            for process in self.processes.values_mut().filter(group()) {
+                let _ = process.terminate();
+            }
+            for process in self.processes.values_mut().filter(group()) {
+                let code = process.wait(READY_LIMIT).await;
+                if code != Some(0) {
+                    failed.push(format!("{}: {code:?}", process.name));
+                }
+            }
+        }
+        failed
+    }
+
+    /// Starts one more entry host, without waiting until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Start`] with the system's error.
+    pub async fn add_entry(&mut self) -> Result<u8, Error> {
+        let index = self.settings.entries;
+        self.start_entry(index).await?;
+        self.settings.entries += 1;
+        Ok(index)
+    }
+
+    /// Waits until every side process and entry host says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotReady`] or [`Error::Ended`], with the end of the process's log.
+    pub async fn wait_ready(&mut self) -> Result<(), Error> {
+        let sides = self.servers().map(|server| {
+            let address = SocketAddr::new(server.address.ip(), ADMIN_PORT);
+            (format!("side-{}", server.name), address)
+        });
+        let mut admins: Vec<(String, SocketAddr)> = sides.collect();
+        for index in 0..self.settings.entries {
+            admins.push((format!("entry-{index}"), self.entry_admin(index)));
+        }
+        for (name, address) in admins {
+            self.wait_for(&name, address, "/readyz").await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_for(
+        &mut self,
+        name: &str,
+        address: SocketAddr,
+        target: &str,
+    ) -> Result<(), Error> {
+        let deadline = tokio::time::Instant::now() + READY_LIMIT;
+        loop {
+            if matches!(get(address, target).await, Ok((200, _))) {
+                return Ok(());
+            }
+            self.check_alive()?;
+            if tokio::time::Instant::now() > deadline {
+                let log = self.process(name)?.log_end();
+                return Err(Error::NotReady(name.to_owned(), log));
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    async fn start_platform(&mut self) -> Result<(), Error> {
+        let listen = self.platform();
+        let arguments = arguments(&[("--listen", &listen)]);
+        self.spawn("platform", "chestnutrack-standin", prefixed("platform", arguments))?;
+        self.wait_for("platform", listen, "/v1/hosts").await?;
+        let host = |server: &Server| {
+            json!({
+                "name": server.host,
+                "failure_domain": server.failure_domain,
+                "state": "live",
+            })
+        };
+        let hosts: Vec<Value> = self.servers().map(host).collect();
+        self.control(listen, "hosts", &json!({ "hosts": hosts })).await?;
+        Ok(())
+    }
+
+    fn start_backend(&mut self, server: &Server) -> Result<(), Error> {
+        let name = format!("backend-{}", server.name);
+        let mut given = arguments(&[("--listen", &server.address), ("--slots", &server.slots)]);
+        if server.role == Role::Plain {
+            given.extend(self.settings.plain_arguments.clone());
+            return self.spawn(&name, "chestnutrack-standin", prefixed("plain", given));
+        }
+        given.extend(arguments(&[
+            ("--kv-tokens", &server.kv_tokens),
+            ("--link-bytes-per-s", &server.link_bytes_per_s),
+            ("--checks-fencing", &server.checks_fencing),
+        ]));
+        given.extend(self.settings.engine_arguments.clone());
+        self.spawn(&name, "chestnutrack-standin", prefixed("engine", given))
+    }
+
+    async fn start_side(&mut self, server: &Server) -> Result<(), Error> {
+        let name = format!("side-{}", server.name);
+        let ip = server.address.ip();
+        let listen = SocketAddr::new(ip, SIDE_PORT);
+        if server.side != listen {
+            self.start_link(&name, server.side, listen).await?;
+        }
+        let kind = if server.role == Role::Plain { "plain" } else { "engine" };
+        let platform = self.platform_for(&name, ip).await?;
+        let mut given = arguments(&[
+            ("--name", &server.name),
+            ("--service", &self.document.service),
+            ("--listen", &listen),
+            ("--admin", &SocketAddr::new(ip, ADMIN_PORT)),
+            ("--platform", &platform),
+            ("--kind", &kind),
+            ("--backend", &server.address),
+        ]);
+        given.extend(self.identity_arguments());
+        self.spawn(&name, "chestnutrack-side", given)
+    }
+
+    async fn start_entry(&mut self, index: u8) -> Result<(), Error> {
+        let name = format!("entry-{index}");
+        let host = FIRST_ENTRY_HOST + index;
+        let domains = self.settings.deployment.failure_domains();
+        let platform = self.platform_for(&name, self.block.host(host)).await?;
+        let mut given = arguments(&[
+            ("--name", &name),
+            ("--service", &self.document.service),
+            ("--listen", &self.block.address(host, CALLER_PORT)),
+            ("--peer-listen", &self.block.address(host, PEER_PORT)),
+            ("--admin", &self.block.address(host, ADMIN_PORT)),
+            ("--platform", &platform),
+            ("--failure-domain", &domains[usize::from(index) % domains.len()]),
+        ]);
+        given.extend(self.identity_arguments());
+        self.spawn(&name, "chestnutrack-entry", given)
+    }
+
+    async fn platform_for(
+        &mut self,
+        name: &str,
+        ip: std::net::IpAddr,
+    ) -> Result<SocketAddr, Error> {
+        let platform = self.platform();
+        if !self.settings.links {
+            return Ok(platform);
+        }
+        let address = SocketAddr::new(ip, LINK_PORT);
+        self.start_link(&format!("platform-{name}"), address, platform).await?;
+        Ok(address)
+    }
+
+    async fn start_link(
+        &mut self,
+        name: &str,
+        listen: SocketAddr,
+        target: SocketAddr,
+    ) -> Result<(), Error> {
+        let link = Link::start(listen, target).await;
+        let link = link.map_err(|error| Error::Start(format!("link {name}"), error))?;
+        self.links.insert(name.to_owned(), link);
+        Ok(())
+    }
+
+    fn identity_arguments(&self) -> Vec<String> {
+        if !self.settings.tls {
+            return Vec::new();
+        }
+        let file = |name: &str| self.folder.path().join(name).display().to_string();
+        arguments(&[
+            ("--certificate", &file("process.pem")),
+            ("--key", &file("process.key")),
+            ("--authorities", &file("authority.pem")),
+        ])
+    }
+
+    fn spawn(&mut self, name: &str, program: &str, given: Vec<String>) -> Result<(), Error> {
+        let log = self.folder.path().join(format!("{name}.log"));
+        let process = Process::start(name, &self.programs.join(program), given, log)?;
+        self.processes.insert(name.to_owned(), process);
+        Ok(())
+    }
+}
+
+fn put_links_before_sides(document: &mut Document) {
+    for server in document.pools.iter_mut().flat_map(|pool| &mut pool.servers) {
+        server.side.set_port(SIDE_LINK_PORT);
+    }
+}
+
+fn arguments(pairs: &[(&str, &dyn std::fmt::Display)]) -> Vec<String> {
+    pairs.iter().flat_map(|(flag, value)| [(*flag).to_owned(), value.to_string()]).collect()
+}
+
+fn prefixed(subcommand: &str, mut given: Vec<String>) -> Vec<String> {
+    given.insert(0, subcommand.to_owned());
+    given
+}
+
+async fn get(address: SocketAddr, target: &str) -> Result<(u16, bytes::Bytes), Error> {
+    let failed = |error: http::Error| Error::Call(address, error.to_string());
+    let request = http::request("GET", target, "").map_err(failed)?;
+    let answer = http::call(address, request, ADMIN_LIMIT, PAGE_BYTES_MAX).await;
+    let answer = answer.map_err(failed)?;
+    Ok((answer.status().as_u16(), answer.into_body()))
+}
+
+/// The folder that holds the programs: the running program's, or the one above it for tests.
+fn programs() -> Result<PathBuf, Error> {
+    let running = std::env::current_exe().map_err(|error| Error::Other(error.to_string()))?;
+    let found = running.ancestors().skip(1).take(3).find(|folder| holds_programs(folder));
+    found.map(Path::to_owned).ok_or(Error::Programs(running))
+}
+
+fn holds_programs(folder: &Path) -> bool {
+    let names = ["chestnutrack-entry", "chestnutrack-side", "chestnutrack-standin"];
+    names.iter().all(|name| folder.join(name).is_file())
+}
--- /dev/null
+++ b/crates/harness/src/identity.rs
@@ -0,0 +1,35 @@
+//! An authority and a certificate for a fleet's processes.
+
+use crate::error::Error;
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use std::path::Path;
+
+/// Name that every process's certificate carries.
+const PROCESS_NAME: &str = "chestnutrack";
+
+/// Writes `authority.pem`, `process.pem` and `process.key` into a folder.
+///
+/// # Errors
+///
+/// When a key can't be made or a file can't be written.
+pub fn write(folder: &Path) -> Result<(), Error> {
+    let other = |error: &dyn std::fmt::Display| Error::Other(error.to_string());
+    let authority_key = KeyPair::generate().map_err(|error| other(&error))?;
+    let mut authority = CertificateParams::default();
+    authority.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let root = authority.self_signed(&authority_key).map_err(|error| other(&error))?;
+    let issuer = Issuer::new(authority, authority_key);
+    let key = KeyPair::generate().map_err(|error| other(&error))?;
+    let parameters = CertificateParams::new(vec![PROCESS_NAME.to_owned()]);
+    let parameters = parameters.map_err(|error| other(&error))?;
+    let certificate = parameters.signed_by(&key, &issuer).map_err(|error| other(&error))?;
+    let files = [
+        ("authority.pem", root.pem()),
+        ("process.pem", certificate.pem()),
+        ("process.key", key.serialize_pem()),
+    ];
+    for (name, text) in files {
+        std::fs::write(folder.join(name), text).map_err(|error| other(&error))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/harness/src/process.rs
@@ -0,0 +1,135 @@
+//! One separate process of a fleet: its log, its signals, its end.
+
+use crate::error::Error;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+use tokio::process::{Child, Command};
+
+/// Bytes of a log that an error shows.
+const LOG_END_BYTES: usize = 2_000;
+
+/// A running process. Dropping it kills it.
+#[derive(Debug)]
+pub struct Process {
+    /// Name within the fleet.
+    pub name: String,
+    program: PathBuf,
+    arguments: Vec<String>,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program with its log in a file.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Start`] with the system's error.
+    pub fn start(
+        name: &str,
+        program: &Path,
+        arguments: Vec<String>,
+        log: PathBuf,
+    ) -> Result<Process, Error> {
+        let child = spawn(program, &arguments, &log)
+            .map_err(|error| Error::Start(name.to_owned(), error))?;
+        Ok(Process { name: name.to_owned(), program: program.to_owned(), arguments, log, child })
+    }
+
+    /// Starts the program again after it has ended, with the same arguments.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Start`] with the system's error.
+    pub fn restart(&mut self) -> Result<(), Error> {
+        self.child = spawn(&self.program, &self.arguments, &self.log)
+            .map_err(|error| Error::Start(self.name.clone(), error))?;
+        Ok(())
+    }
+
+    /// Stops the process so that it can be continued (SIGSTOP).
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Signal`] when it has ended.
+    pub fn stop(&self) -> Result<(), Error> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Continues a stopped process (SIGCONT).
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Signal`] when it has ended.
+    pub fn resume(&self) -> Result<(), Error> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Asks the process to shut down (SIGTERM).
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Signal`] when it has ended.
+    pub fn terminate(&self) -> Result<(), Error> {
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Kills the process (SIGKILL) and waits for its end.
+    pub async fn kill(&mut self) {
+        let _ = self.child.kill().await;
+    }
+
+    /// Waits for the process's end and returns its exit code, if it ended by itself.
+    pub async fn wait(&mut self, limit: Duration) -> Option<i32> {
+        let ended = tokio::time::timeout(limit, self.child.wait()).await.ok()?;
+        ended.ok()?.code()
+    }
+
+    /// How the process ended, if it has.
+    pub fn ended(&mut self) -> Option<String> {
+        let status = self.child.try_wait().ok()??;
+        Some(status.to_string())
+    }
+
+    /// The process's identifier, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
+    /// The end of the process's log.
+    pub fn log_end(&self) -> String {
+        let text = self.log();
+        let mut start = text.len().saturating_sub(LOG_END_BYTES);
+        while !text.is_char_boundary(start) {
+            start += 1;
+        }
+        text[start..].to_owned()
+    }
+
+    /// The whole log.
+    pub fn log(&self) -> String {
+        let bytes = std::fs::read(&self.log).unwrap_or_default();
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), Error> {
+        let failed = |text: String| Error::Signal(self.name.clone(), text);
+        let id = self.child.id().ok_or_else(|| failed("it has ended".to_owned()))?;
+        let id = i32::try_from(id).map_err(|error| failed(error.to_string()))?;
+        kill(Pid::from_raw(id), signal).map_err(|error| failed(error.to_string()))
+    }
+}
+
+fn spawn(program: &Path, arguments: &[String], log: &Path) -> std::io::Result<Child> {
+    let file = std::fs::OpenOptions::new().create(true).append(true).open(log)?;
+    Command::new(program)
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(file.try_clone()?)
+        .stderr(file)
+        .kill_on_drop(true)
+        .spawn()
+}
