--- a/crates/harness/src/demo/mod.rs
+++ b/crates/harness/src/demo/mod.rs
@@ -13,7 +13,7 @@
 /// # Errors
 ///
 /// Names the process that failed with the end of its log, or the answer that was not as expected.
-pub async fn run(deployment: Deployment, tls: bool) -> Result<(), Error> {
+pub(crate) async fn run(deployment: Deployment, tls: bool) -> Result<(), Error> {
     println!("== {} ==", deployment.service());
     let settings = Settings { deployment, tls, ..Settings::default() };
     let mut fleet = Fleet::start(settings).await?;
--- /dev/null
+++ b/crates/wire/tests/codec.rs
@@ -0,0 +1,119 @@
+//! Frames survive the codec, and broken ones are refused with their place.
+
+#![allow(clippy::unwrap_used)]
+
+use chestnutrack_wire::codec::{self, Error};
+use chestnutrack_wire::frame::{Cause, Failure, Finish, Frame, Load, Ran, Reserve, Sender};
+use chestnutrack_wire::{Attempt, Request, decode, encode};
+use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
+
+#[derive(Clone, Debug)]
+struct Sample(Frame);
+
+impl Arbitrary for Sample {
+    fn arbitrary(g: &mut Gen) -> Sample {
+        let request = Request(u128::arbitrary(g));
+        let attempt = Attempt(u32::arbitrary(g));
+        let load = Load { used: u32::arbitrary(g), slots: 20, ..Load::default() };
+        let text = String::arbitrary(g);
+        Sample(match u8::arbitrary(g) % 8 {
+            0 => Frame::Hello { version: 1, sender: sender(&text), configuration: 3 },
+            1 => Frame::Ping(u64::arbitrary(g)),
+            2 => Frame::Configuration { version: 7, document: Vec::arbitrary(g) },
+            3 => Frame::Reserve(request, attempt, reserve(&text)),
+            4 => Frame::Tokens(request, attempt, u32::arbitrary(g), vec![text.into()]),
+            5 => Frame::End(request, attempt, u32::arbitrary(g), Finish::Stop, load),
+            6 => Frame::Failed(request, attempt, failure(), load),
+            _ => Frame::Body(request, attempt, u64::arbitrary(g), Vec::arbitrary(g)),
+        })
+    }
+}
+
+fn sender(name: &str) -> Sender {
+    Sender { name: name.into(), incarnation: 9 }
+}
+
+fn reserve(organisation: &str) -> Reserve {
+    Reserve {
+        organisation: organisation.into(),
+        may_wait: true,
+        kv_tokens: 1_500,
+        transfer_tokens: 1_000,
+        output_tokens: 500,
+        wait_ms: 10,
+        needed_in_ms: 20,
+    }
+}
+
+fn failure() -> Failure {
+    Failure { ran: Ran::NotRun, cause: Cause::Full, retry_after_ms: 30 }
+}
+
+quickcheck! {
+    fn a_frame_survives_the_codec(sample: Sample) -> bool {
+        decode(&encode(&sample.0).unwrap()) == Ok(sample.0)
+    }
+
+    fn a_cut_frame_is_refused(sample: Sample, cut: usize) -> bool {
+        let bytes = encode(&sample.0).unwrap();
+        decode(&bytes[..cut % bytes.len()]).is_err()
+    }
+
+    fn any_bytes_are_read_without_panic(bytes: Vec<u8>) -> TestResult {
+        let _ = decode(&bytes);
+        TestResult::passed()
+    }
+}
+
+#[test]
+fn bytes_after_a_frame_are_refused() {
+    let mut bytes = encode(&Frame::Ping(1)).unwrap();
+    bytes.extend([0, 0]);
+
+    assert_eq!(decode(&bytes), Err(Error::Trailing(2)));
+}
+
+#[test]
+fn a_frame_of_a_newer_version_is_named() {
+    let mut bytes = Vec::new();
+    let newer = ciborium::Value::Map(vec![("teleport".into(), ciborium::Value::from(1))]);
+    ciborium::into_writer(&newer, &mut bytes).unwrap();
+
+    let error = decode(&bytes).unwrap_err().to_string();
+
+    assert!(error.starts_with("frame is not understood: unknown variant `teleport`"), "{error}");
+}
+
+#[test]
+fn a_frame_over_the_limit_is_refused_at_either_end() {
+    let document = vec![0; codec::FRAME_BYTES_MAX + 1];
+    let frame = Frame::Configuration { version: 1, document };
+
+    let refused = encode(&frame).unwrap_err();
+
+    assert!(matches!(refused, Error::TooLarge(_)));
+    let bytes = vec![0; codec::FRAME_BYTES_MAX + 1];
+    assert_eq!(decode(&bytes), Err(Error::TooLarge(codec::FRAME_BYTES_MAX + 1)));
+}
+
+/// Bytes a second that a node may spend on control.
+const CONTROL_BYTES_PER_S: usize = 5_000;
+/// Requests a second at the size to design for.
+const REQUESTS_PER_S: usize = 22_000;
+/// Nodes at the size to design for.
+const NODES: usize = 780;
+
+#[test]
+fn a_placement_order_fits_a_nodes_share_of_control_bytes() {
+    let share = CONTROL_BYTES_PER_S * NODES / REQUESTS_PER_S;
+    let frames = [
+        Frame::Ping(1_000_000),
+        Frame::Reserve(Request(u128::MAX), Attempt(1), reserve("dairy-coop")),
+        Frame::Failed(Request(u128::MAX), Attempt(1), failure(), Load::default()),
+    ];
+
+    for frame in frames {
+        let bytes = encode(&frame).unwrap().len();
+        assert!(bytes <= share, "{bytes} bytes of {share}: {frame:?}");
+    }
+}
