Decisions on placement, waiting and retries

Cause: the request path needs them before it can be built. Placement looks at four random candidates, with reports of load that age and this host's own requests added. Retries come from a token bucket that requests fill. Properties: no server that is full or leaving is chosen, no organisation starves, the budget is never exceeded.

--- /dev/null
+++ b/crates/core/src/place/choose.rs
@@ -0,0 +1,101 @@
+//! The choices themselves.
+
+use super::prefix::Record;
+use super::table::{Key, Server, Table};
+use crate::time::Instant;
+use chestnutrack_document::model::Role;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use std::cmp::Reverse;
+use std::sync::Arc;
+
+/// Candidates that one choice looks at.
+pub const CANDIDATES: usize = 4;
+/// Requests that may wait at one server beyond its slots, so that a slot that falls free is used
+/// at once.
+const AHEAD: u64 = 2;
+/// Loads closer than this share of the slots count as equal, in thousandths.
+const EQUAL_MILLI: u64 = 50;
+/// Prompt tokens by which a queue may be longer for a prefix held elsewhere in the same measure.
+const EQUAL_TOKENS: u64 = 128;
+
+/// What is asked of a server.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// Pool.
+    pub pool: Arc<str>,
+    /// KV cache that the request holds at its end, in tokens.
+    pub kv_tokens: u64,
+    /// Prompt, in tokens.
+    pub prompt_tokens: u64,
+    /// Hashes of the prompt's pieces; see [`super::prefix::pieces`].
+    pub pieces: Vec<u64>,
+    /// Failure domain to prefer when loads are equal.
+    pub near: Arc<str>,
+    /// Servers that refused this request or failed it.
+    pub passed_over: Vec<Arc<str>>,
+}
+
+/// Chooses the server that a request decodes on, or `None` while all are full.
+pub fn decode(table: &Table, ask: &Ask, now: Instant, rng: &mut impl Rng) -> Option<Key> {
+    least_loaded(table, ask, Role::Decode, now, rng)
+}
+
+/// Chooses the plain service that a call goes to, or `None` while all are full.
+pub fn plain(table: &Table, ask: &Ask, now: Instant, rng: &mut impl Rng) -> Option<Key> {
+    least_loaded(table, ask, Role::Plain, now, rng)
+}
+
+fn least_loaded(
+    table: &Table,
+    ask: &Ask,
+    role: Role,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Option<Key> {
+    let fits = |server: &Server| {
+        let room = u64::from(server.slots) + AHEAD;
+        let kv_fits = role == Role::Plain || ask.kv_tokens <= server.kv_tokens;
+        let free = server.expected_used_milli(now) < room * 1_000;
+        kv_fits && free && server.full_until <= now
+    };
+    let candidates = eligible(table, ask, role, fits);
+    let sampled = candidates.choose_multiple(rng, CANDIDATES);
+    sampled.copied().min_by_key(|key| {
+        let server = &table[*key];
+        let slots = u64::from(server.slots.max(1));
+        let fill = server.expected_used_milli(now) / slots / EQUAL_MILLI;
+        (fill, server.failure_domain != ask.near)
+    })
+}
+
+/// Chooses the server that a prompt is prefilled on: the least work before it and in it, where
+/// pieces that it holds already are no work.
+pub fn prefill(
+    table: &Table,
+    record: &Record,
+    ask: &Ask,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Option<Key> {
+    let candidates = eligible(table, ask, Role::Prefill, |server| server.full_until <= now);
+    let sampled: Vec<Key> = candidates.choose_multiple(rng, CANDIDATES).copied().collect();
+    let holders = record.holders(&ask.pieces, now);
+    let holding = candidates.iter().copied().filter(|key| holders.contains_key(key));
+    sampled.iter().copied().chain(holding).min_by_key(|key| {
+        let server = &table[*key];
+        let held = holders.get(key).copied().unwrap_or(0);
+        let work = server.expected_queue_tokens() + ask.prompt_tokens.saturating_sub(held);
+        (work / EQUAL_TOKENS, server.failure_domain != ask.near, Reverse(held))
+    })
+}
+
+fn eligible(table: &Table, ask: &Ask, role: Role, fits: impl Fn(&Server) -> bool) -> Vec<Key> {
+    let of_pool = |server: &Server| server.role == role && server.pool == ask.pool;
+    let wanted = |server: &Server| !ask.passed_over.contains(&server.name);
+    table
+        .iter()
+        .filter(|(_, server)| of_pool(server) && server.is_open() && wanted(server) && fits(server))
+        .map(|(key, _)| key)
+        .collect()
+}
--- /dev/null
+++ b/crates/core/src/place/prefix.rs
@@ -0,0 +1,108 @@
+//! Which prompts were sent where: a bounded record that expires.
+
+use super::table::Key;
+use crate::time::Instant;
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+/// Bytes of prompt text in one piece.
+pub const PIECE_BYTES: usize = 4_096;
+/// Tokens in one piece.
+pub const PIECE_TOKENS: u64 = 1_024;
+/// Pieces that the record holds.
+const PIECES_MAX: usize = 65_536;
+/// How long a piece is taken to be held after it was last used.
+const HELD_FOR: Duration = Duration::from_secs(60);
+
+/// Hashes of a prompt's whole pieces, each over the text from the prompt's start.
+pub fn pieces(prompt: &str) -> Vec<u64> {
+    let mut hasher = blake3::Hasher::new();
+    prompt
+        .as_bytes()
+        .chunks_exact(PIECE_BYTES)
+        .map(|piece| {
+            hasher.update(piece);
+            let mut head = [0; 8];
+            head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+            u64::from_le_bytes(head)
+        })
+        .collect()
+}
+
+/// Which pieces are taken to be held where.
+#[derive(Debug, Default)]
+pub struct Record {
+    held: HashMap<(u64, Key), Instant>,
+    servers: HashMap<u64, Vec<Key>>,
+    order: VecDeque<(u64, Key, Instant)>,
+}
+
+impl Record {
+    /// Notes that a prompt was prefilled on a server.
+    pub fn note(&mut self, server: Key, pieces: &[u64], now: Instant) {
+        for piece in pieces {
+            if self.held.insert((*piece, server), now).is_none() {
+                self.servers.entry(*piece).or_default().push(server);
+            }
+            self.order.push_back((*piece, server, now));
+        }
+        self.evict(now);
+    }
+
+    /// Prompt tokens that each server is taken to hold of a prompt.
+    pub fn holders(&self, pieces: &[u64], now: Instant) -> HashMap<Key, u64> {
+        let mut tokens = HashMap::new();
+        for (index, piece) in pieces.iter().enumerate() {
+            let held_before = index as u64 * PIECE_TOKENS;
+            for server in self.servers.get(piece).into_iter().flatten() {
+                let used = self.held.get(&(*piece, *server)).copied().unwrap_or_default();
+                let total = tokens.entry(*server).or_insert(0);
+                if now.since(used) < HELD_FOR && *total == held_before {
+                    *total += PIECE_TOKENS;
+                }
+            }
+        }
+        tokens
+    }
+
+    /// Forgets what a server held, for instance because it started anew.
+    pub fn forget(&mut self, server: Key) {
+        self.held.retain(|(_, key), _| *key != server);
+        for servers in self.servers.values_mut() {
+            servers.retain(|key| *key != server);
+        }
+        self.servers.retain(|_, servers| !servers.is_empty());
+    }
+
+    /// Pieces on record.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Whether nothing is on record.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    fn evict(&mut self, now: Instant) {
+        while let Some((piece, server, noted)) = self.order.front().copied() {
+            let expired = now.since(noted) >= HELD_FOR;
+            if !expired && self.held.len() <= PIECES_MAX && self.order.len() <= 2 * PIECES_MAX {
+                return;
+            }
+            self.order.pop_front();
+            if self.held.get(&(piece, server)) == Some(&noted) {
+                self.drop_piece(piece, server);
+            }
+        }
+    }
+
+    fn drop_piece(&mut self, piece: u64, server: Key) {
+        self.held.remove(&(piece, server));
+        let Some(servers) = self.servers.get_mut(&piece) else { return };
+        servers.retain(|key| *key != server);
+        if servers.is_empty() {
+            self.servers.remove(&piece);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/place/table.rs
@@ -0,0 +1,139 @@
+//! The table of servers and what is known of each.
+
+use crate::time::Instant;
+use chestnutrack_document::model::Role;
+use slotmap::SlotMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Age at which a report of load says nothing any more.
+pub const LOAD_STALE: Duration = Duration::from_millis(4_000);
+/// How long a server that refused for want of room is passed over.
+pub const FULL_FOR: Duration = Duration::from_millis(20);
+
+slotmap::new_key_type! {
+    /// A backend server in the table.
+    pub struct Key;
+}
+
+/// A server's load, as its side process reported it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Slots in use or reserved.
+    pub used: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// KV cache in use or reserved, in tokens.
+    pub kv_used: u64,
+    /// When a slot is expected to be free, in milliseconds.
+    pub free_in_ms: u32,
+    /// Work queued before a new prefill, in prompt tokens.
+    pub queued_tokens: u64,
+}
+
+/// One backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Server {
+    /// Name.
+    pub name: Arc<str>,
+    /// Pool.
+    pub pool: Arc<str>,
+    /// Role.
+    pub role: Role,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Requests that it can run at once.
+    pub slots: u32,
+    /// Engine memory, in tokens.
+    pub kv_tokens: u64,
+    /// Whether the document or the host list says that it leaves.
+    pub leaving: bool,
+    /// Whether its side process says that it leaves.
+    pub draining: bool,
+    /// Whether its side process can be reached.
+    pub connected: bool,
+    /// Its last report.
+    pub load: Load,
+    /// When the last report came.
+    pub reported: Instant,
+    /// Requests of this host that hold or ask for a slot.
+    pub held: u32,
+    /// Requests sent there since the last report.
+    pub sent: u32,
+    /// Prompt tokens sent there since the last report.
+    pub sent_tokens: u64,
+    /// It is passed over until then.
+    pub full_until: Instant,
+}
+
+impl Server {
+    /// A server of which nothing is known yet.
+    pub fn new(name: Arc<str>, pool: Arc<str>, role: Role, failure_domain: Arc<str>) -> Server {
+        Server {
+            name,
+            pool,
+            role,
+            failure_domain,
+            slots: 1,
+            kv_tokens: 0,
+            leaving: false,
+            draining: false,
+            connected: false,
+            load: Load::default(),
+            reported: Instant::default(),
+            held: 0,
+            sent: 0,
+            sent_tokens: 0,
+            full_until: Instant::default(),
+        }
+    }
+
+    /// Whether it may get new work.
+    pub fn is_open(&self) -> bool {
+        self.connected && !self.leaving && !self.draining
+    }
+
+    /// Slots expected to be taken or asked for, in thousandths of a slot. A report counts less
+    /// the older it is; this host's own requests always count.
+    pub fn expected_used_milli(&self, now: Instant) -> u64 {
+        let known = u64::from(self.load.used + self.load.waiting + self.sent) * 1_000;
+        let own = u64::from(self.held) * 1_000;
+        let age = now.since(self.reported).min(LOAD_STALE);
+        let fresh = u64::try_from((LOAD_STALE - age).as_millis()).unwrap_or(0);
+        let whole = u64::try_from(LOAD_STALE.as_millis()).unwrap_or(1).max(1);
+        own.max(known * fresh / whole)
+    }
+
+    /// Prompt tokens expected to be before a new prefill.
+    pub fn expected_queue_tokens(&self) -> u64 {
+        self.load.queued_tokens + self.sent_tokens
+    }
+
+    /// Notes a request that goes there.
+    pub fn note_sent(&mut self, tokens: u64) {
+        self.held += 1;
+        self.sent += 1;
+        self.sent_tokens += tokens;
+    }
+
+    /// Notes that a request of this host has left.
+    pub fn note_left(&mut self) {
+        self.held = self.held.saturating_sub(1);
+    }
+
+    /// Notes a report.
+    pub fn note_load(&mut self, now: Instant, load: Load) {
+        self.load = load;
+        self.reported = now;
+        self.sent = 0;
+        self.sent_tokens = 0;
+    }
+
+    /// Notes that it refused for want of room.
+    pub fn note_full(&mut self, now: Instant) {
+        self.full_until = now + FULL_FOR;
+    }
+}
+
+/// All servers.
+pub type Table = SlotMap<Key, Server>;
--- /dev/null
+++ b/crates/core/src/place/tests.rs
@@ -0,0 +1,158 @@
+use super::prefix::{PIECE_BYTES, pieces};
+use super::{Ask, Key, Load, Record, Server, Table, decode, prefill};
+use crate::time::Instant;
+use chestnutrack_document::model::Role;
+use quickcheck::quickcheck;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const NOW: Instant = Instant::from_millis(100_000);
+
+fn server(name: &str, role: Role) -> Server {
+    Server {
+        slots: 4,
+        kv_tokens: 10_000,
+        connected: true,
+        reported: NOW,
+        ..Server::new(name.into(), "model".into(), role, "domain-1".into())
+    }
+}
+
+fn ask() -> Ask {
+    Ask { pool: "model".into(), kv_tokens: 100, prompt_tokens: 4_096, ..Ask::default() }
+}
+
+fn rng(seed: u64) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(seed)
+}
+
+fn name_of(table: &Table, key: Option<Key>) -> Option<String> {
+    key.map(|key| table[key].name.to_string())
+}
+
+quickcheck! {
+    fn never_a_server_that_is_full_leaving_or_unreachable(
+        servers: Vec<(u8, bool, bool, bool)>, seed: u64
+    ) -> bool {
+        let mut table = Table::with_key();
+        for (index, (used, leaving, draining, connected)) in servers.iter().enumerate() {
+            let load = Load { used: u32::from(*used % 12), ..Load::default() };
+            let (leaving, draining, connected) = (*leaving, *draining, *connected);
+            let base = server(&format!("s{index}"), Role::Decode);
+            table.insert(Server { load, leaving, draining, connected, ..base });
+        }
+        let open = |server: &Server| server.is_open() && server.load.used < server.slots + 2;
+        match decode(&table, &ask(), NOW, &mut rng(seed)) {
+            Some(key) => open(&table[key]),
+            None => !table.values().any(open),
+        }
+    }
+
+    fn a_server_that_was_passed_over_is_not_chosen(count: u8, seed: u64) -> bool {
+        let mut table = Table::with_key();
+        let count = usize::from(count % 6) + 1;
+        for index in 0..count {
+            table.insert(server(&format!("s{index}"), Role::Decode));
+        }
+        let passed_over = vec!["s0".into()];
+        let chosen = decode(&table, &Ask { passed_over, ..ask() }, NOW, &mut rng(seed));
+        name_of(&table, chosen).as_deref() != Some("s0") && chosen.is_some() == (count > 1)
+    }
+
+    fn the_record_stays_bounded(notes: Vec<(u8, u64)>) -> bool {
+        let mut table = Table::with_key();
+        let key = table.insert(server("p", Role::Prefill));
+        let mut record = Record::default();
+        for (at, piece) in &notes {
+            record.note(key, &[*piece], NOW + std::time::Duration::from_secs(u64::from(*at)));
+        }
+        record.len() <= notes.len()
+    }
+}
+
+#[test]
+fn the_least_loaded_candidate_is_chosen() {
+    let mut table = Table::with_key();
+    let busy = Load { used: 3, ..Load::default() };
+    table.insert(Server { load: busy, ..server("busy", Role::Decode) });
+    table.insert(server("idle", Role::Decode));
+
+    let chosen = decode(&table, &ask(), NOW, &mut rng(1));
+
+    assert_eq!(name_of(&table, chosen).as_deref(), Some("idle"));
+}
+
+#[test]
+fn a_near_server_is_preferred_only_at_equal_load() {
+    let mut table = Table::with_key();
+    let busy = Load { used: 3, ..Load::default() };
+    let far = Server { failure_domain: "domain-2".into(), ..server("far", Role::Decode) };
+    table.insert(far);
+    let near = table.insert(server("near", Role::Decode));
+    let ask = Ask { near: "domain-1".into(), ..ask() };
+
+    let equal = decode(&table, &ask, NOW, &mut rng(1));
+    table[near].load = busy;
+    let unequal = decode(&table, &ask, NOW, &mut rng(1));
+
+    assert_eq!(name_of(&table, equal).as_deref(), Some("near"));
+    assert_eq!(name_of(&table, unequal).as_deref(), Some("far"));
+}
+
+#[test]
+fn requests_sent_since_a_report_count() {
+    let mut table = Table::with_key();
+    let key = table.insert(server("only", Role::Decode));
+    for _ in 0..6 {
+        table[key].note_sent(100);
+    }
+
+    let chosen = decode(&table, &ask(), NOW, &mut rng(1));
+
+    assert_eq!(chosen, None);
+}
+
+#[test]
+fn a_prompt_goes_where_its_prefix_is_held() {
+    let mut table = Table::with_key();
+    for index in 0..16 {
+        table.insert(server(&format!("p{index}"), Role::Prefill));
+    }
+    let holder = table.keys().nth(9).unwrap();
+    let mut record = Record::default();
+    let pieces = pieces(&"x".repeat(4 * PIECE_BYTES));
+    record.note(holder, &pieces, NOW);
+
+    let chosen = prefill(&table, &record, &Ask { pieces, ..ask() }, NOW, &mut rng(3));
+
+    assert_eq!(chosen, Some(holder));
+}
+
+#[test]
+fn a_long_queue_outweighs_a_prefix() {
+    let mut table = Table::with_key();
+    table.insert(server("idle", Role::Prefill));
+    let holder = table.insert(server("holder", Role::Prefill));
+    table[holder].load.queued_tokens = 50_000;
+    let mut record = Record::default();
+    let pieces = pieces(&"x".repeat(4 * PIECE_BYTES));
+    record.note(holder, &pieces, NOW);
+
+    let chosen = prefill(&table, &record, &Ask { pieces, ..ask() }, NOW, &mut rng(3));
+
+    assert_eq!(name_of(&table, chosen).as_deref(), Some("idle"));
+}
+
+#[test]
+fn a_prefix_expires() {
+    let mut table = Table::with_key();
+    let key = table.insert(server("p", Role::Prefill));
+    let mut record = Record::default();
+    record.note(key, &[1, 2], NOW);
+
+    let held = record.holders(&[1, 2], NOW).get(&key).copied();
+    let later = record.holders(&[1, 2], NOW + std::time::Duration::from_secs(60));
+
+    assert_eq!(held, Some(2_048));
+    assert_eq!(later.get(&key).copied().unwrap_or(0), 0);
+}
--- /dev/null
+++ b/crates/core/src/queue/tests.rs
@@ -0,0 +1,160 @@
+use super::{Queue, Refusal, Settings, Waiting};
+use crate::time::Instant;
+use quickcheck::quickcheck;
+use std::collections::HashMap;
+
+fn waiting(organisation: &str, tokens: u64, may_wait: bool) -> Waiting<u32> {
+    Waiting {
+        organisation: organisation.into(),
+        may_wait,
+        tokens,
+        arrived: Instant::default(),
+        deadline: Instant::from_millis(60_000),
+        returned: false,
+        item: 0,
+    }
+}
+
+fn queue() -> Queue<u32> {
+    Queue::new(Settings { per_organisation: 10_000, total: 100_000, may_wait_every: 4 })
+}
+
+fn take(queue: &mut Queue<u32>) -> Option<Waiting<u32>> {
+    queue.take(Instant::default(), |_| Some(())).map(|(waiting, ())| waiting)
+}
+
+quickcheck! {
+    /// While two organisations wait, their served tokens differ by at most one request of each.
+    fn tokens_served_stay_even(sizes: Vec<(bool, u8)>) -> bool {
+        let mut queue = queue();
+        let mut left: HashMap<&str, usize> = HashMap::new();
+        for (first, tokens) in &sizes {
+            let name = if *first { "a" } else { "b" };
+            *left.entry(name).or_default() += 1;
+            queue.push(Instant::default(), waiting(name, u64::from(*tokens) + 1, false)).unwrap();
+        }
+        let mut served: HashMap<String, u64> = HashMap::new();
+        while left.len() == 2 && left.values().all(|count| *count > 0) {
+            let next = take(&mut queue).unwrap();
+            *served.entry(next.organisation.to_string()).or_default() += next.tokens;
+            *left.get_mut(&*next.organisation).unwrap() -= 1;
+            let of = |name: &str| served.get(name).copied().unwrap_or(0);
+            if of("a").abs_diff(of("b")) > 2 * 256 {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// An organisation that comes late waits for at most one request of each other organisation.
+    fn nobody_is_starved(flood: u8, others: u8, tokens: u8) -> bool {
+        let mut queue = queue();
+        let others = usize::from(others % 8) + 1;
+        for other in 0..others {
+            for _ in 0..=flood {
+                let size = u64::from(tokens) + 1;
+                queue.push(Instant::default(), waiting(&format!("o{other}"), size, false)).unwrap();
+            }
+        }
+        take(&mut queue);
+        queue.push(Instant::default(), waiting("late", 1, false)).unwrap();
+        let turns = std::iter::from_fn(|| take(&mut queue))
+            .position(|next| &*next.organisation == "late")
+            .unwrap();
+        turns <= others
+    }
+
+    /// Requests that may wait get every fourth turn, however many interactive ones there are.
+    fn may_wait_is_not_starved(interactive: u8) -> bool {
+        let mut queue = queue();
+        queue.push(Instant::default(), waiting("a", 1, true)).unwrap();
+        for _ in 0..interactive {
+            queue.push(Instant::default(), waiting("b", 1, false)).unwrap();
+        }
+        let turn = std::iter::from_fn(|| take(&mut queue)).position(|next| next.may_wait);
+        turn.unwrap() < 4
+    }
+
+    fn nothing_is_lost_or_doubled(events: Vec<(u8, bool, bool)>) -> bool {
+        let mut queue = queue();
+        let (mut entered, mut left) = (0_u32, Vec::new());
+        for (organisation, may_wait, enters) in events {
+            if enters {
+                let name = format!("o{}", organisation % 5);
+                let entry = Waiting { item: entered, ..waiting(&name, 3, may_wait) };
+                queue.push(Instant::default(), entry).unwrap();
+                entered += 1;
+            } else if let Some(next) = take(&mut queue) {
+                left.push(next.item);
+            }
+        }
+        left.extend(std::iter::from_fn(|| take(&mut queue)).map(|next| next.item));
+        left.sort_unstable();
+        left == (0..entered).collect::<Vec<_>>() && queue.is_empty()
+    }
+}
+
+#[test]
+fn interactive_goes_before_may_wait() {
+    let mut queue = queue();
+    queue.push(Instant::default(), waiting("a", 1, true)).unwrap();
+    queue.push(Instant::default(), waiting("a", 1, false)).unwrap();
+
+    let first = take(&mut queue).unwrap();
+
+    assert!(!first.may_wait);
+}
+
+#[test]
+fn one_organisation_cannot_fill_the_queue() {
+    let mut queue = Queue::new(Settings { per_organisation: 1, ..Settings::default() });
+    queue.push(Instant::default(), waiting("a", 1, false)).unwrap();
+
+    let again = queue.push(Instant::default(), waiting("a", 1, false));
+    let other = queue.push(Instant::default(), waiting("b", 1, false));
+
+    assert_eq!(again, Err(Refusal::OrganisationFull));
+    assert!(other.is_ok());
+}
+
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_at_once() {
+    let mut queue = queue();
+    for _ in 0..100 {
+        queue.push(Instant::default(), waiting("a", 1, false)).unwrap();
+    }
+    for turn in 0..50 {
+        queue.take(Instant::from_millis(turn * 100), |_| Some(()));
+    }
+    let now = Instant::from_millis(5_000);
+
+    let refused = queue
+        .push(now, Waiting { deadline: Instant::from_millis(5_500), ..waiting("a", 1, false) });
+
+    assert!(matches!(refused, Err(Refusal::Deadline { wait_ms }) if wait_ms > 500));
+}
+
+#[test]
+fn a_passed_deadline_ends_the_wait() {
+    let mut queue = queue();
+    queue.push(Instant::default(), waiting("a", 1, false)).unwrap();
+
+    let expired = queue.expire(Instant::from_millis(60_000), |_| false);
+
+    assert_eq!(expired.len(), 1);
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn a_returned_request_is_at_the_front_and_not_charged_twice() {
+    let mut queue = queue();
+    queue.push(Instant::default(), waiting("a", 5, false)).unwrap();
+    queue.push(Instant::default(), waiting("b", 5, false)).unwrap();
+    let first = take(&mut queue).unwrap();
+    queue.push(Instant::default(), Waiting { returned: true, item: 7, ..first }).unwrap();
+    queue.push(Instant::default(), waiting("a", 5, false)).unwrap();
+
+    let order: Vec<_> = std::iter::from_fn(|| take(&mut queue)).map(|next| next.item).collect();
+
+    assert!(order.iter().position(|item| *item == 7).unwrap() <= 1);
+}
--- /dev/null
+++ b/crates/core/src/retry/tests.rs
@@ -0,0 +1,37 @@
+use super::{Budget, Failed, Settings, is_safe};
+use quickcheck::quickcheck;
+
+quickcheck! {
+    fn retries_never_exceed_the_budget(events: Vec<bool>, per_mille: u8, burst: u8) -> bool {
+        let settings = Settings {
+            per_mille: u32::from(per_mille),
+            burst: u32::from(burst),
+            per_request: u32::MAX,
+        };
+        let mut budget = Budget::new(settings);
+        let (mut requests, mut retries) = (0_u64, 0_u64);
+        events.iter().all(|is_request| {
+            if *is_request {
+                budget.earn();
+                requests += 1;
+            } else if budget.spend(0) {
+                retries += 1;
+            }
+            retries * 1_000 <= u64::from(burst) * 1_000 + requests * u64::from(per_mille)
+        })
+    }
+
+    fn only_a_harmless_attempt_is_repeated(not_run: bool, idempotent: bool, answered: bool) -> bool {
+        let safe = is_safe(Failed { not_run, idempotent, answered });
+        safe == (!answered && (not_run || idempotent))
+    }
+}
+
+#[test]
+fn one_request_is_retried_a_bounded_number_of_times() {
+    let mut budget = Budget::new(Settings { per_request: 2, ..Settings::default() });
+
+    let taken = (0..5).filter(|before| budget.spend(*before)).count();
+
+    assert_eq!(taken, 2);
+}
