Subset of servers for each entry host

Cause: 780 entry hosts times 7,700 servers are six million connections; a node's 5 KB a second carries a few dozen.

Weighed: rendezvous hashing (a server stands in 4.9 windows on average, give or take the square root of it), windows over a hashed order (every server in the same number, give or take one; a lost member moves a window by at most eleven of 48 at the size to design for, as the test shows).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod queue;
 pub mod retry;
 pub mod server;
+pub mod subset;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/subset/tests.rs
@@ -0,0 +1,60 @@
+use super::choose;
+use quickcheck::quickcheck;
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+fn names(prefix: &str, count: usize) -> Vec<Arc<str>> {
+    (0..count).map(|number| format!("{prefix}-{number}").into()).collect()
+}
+
+/// How many windows each server stands in.
+fn cover(members: &[Arc<str>], servers: &[Arc<str>], size: usize) -> HashMap<Arc<str>, usize> {
+    let mut cover: HashMap<_, _> = servers.iter().map(|server| (server.clone(), 0)).collect();
+    for member in members {
+        for server in choose(member, members, servers, size) {
+            *cover.get_mut(&server).unwrap() += 1;
+        }
+    }
+    cover
+}
+
+quickcheck! {
+    fn every_server_stands_in_as_many_windows_give_or_take_one(
+        members: u8, servers: u8, size: u8
+    ) -> bool {
+        let members = names("entry", usize::from(members) + 1);
+        let servers = names("server", usize::from(servers) + 1);
+        let size = usize::from(size) % servers.len() + 1;
+        let cover = cover(&members, &servers, size);
+        let (least, most) = (cover.values().min().unwrap(), cover.values().max().unwrap());
+        most - least <= 1
+    }
+
+    fn a_window_holds_as_many_different_servers(members: u8, servers: u8, size: u8) -> bool {
+        let members = names("entry", usize::from(members) + 1);
+        let servers = names("server", usize::from(servers) + 1);
+        let size = usize::from(size) % servers.len() + 1;
+        let chosen = choose("entry-0", &members, &servers, size);
+        chosen.len() == size && chosen.iter().collect::<HashSet<_>>().len() == size
+    }
+}
+
+#[test]
+fn a_small_pool_is_taken_whole() {
+    let servers = names("server", 12);
+
+    assert_eq!(choose("entry-0", &names("entry", 3), &servers, 48), servers);
+}
+
+#[test]
+fn a_lost_member_moves_windows_by_a_few_servers() {
+    let members = names("entry", 780);
+    let servers = names("server", 7_700);
+    let fewer: Vec<_> = members[1..].to_vec();
+
+    for own in fewer.iter().step_by(40) {
+        let before: HashSet<_> = choose(own, &members, &servers, 48).into_iter().collect();
+        let after: HashSet<_> = choose(own, &fewer, &servers, 48).into_iter().collect();
+        assert!(before.difference(&after).count() <= 11);
+    }
+}
