Table of one backend server: slots, waiting, leases, transfers, reconciling

The decisions of the side process stand in core::server, without input or output. Frames come in as the wire's plain structs, so core depends on the wire crate for them.

--- /dev/null
+++ b/crates/core/src/server/capacity.rs
@@ -0,0 +1,246 @@
+//! Slots and memory: what is in use, who is granted next, and when something will be free.
+
+use super::event::Effect;
+use super::hold::{Hold, Key, Stage, Work};
+use super::wait::Waiter;
+use super::{Counter, Server, Settings};
+use crate::time::Instant;
+use chestnutrack_document::model::Role;
+use chestnutrack_wire::Frame;
+use chestnutrack_wire::frame::{Cause, Failure, Load, Ran};
+use std::time::Duration;
+
+/// Weight of the newest measurement: one in so many.
+const SMOOTHING: u64 = 8;
+/// Shortest time after which a refused request may come back, in milliseconds.
+const RETRY_AFTER_MS_MIN: u64 = 50;
+/// Longest time after which a refused request may come back, in milliseconds.
+const RETRY_AFTER_MS_MAX: u64 = 5_000;
+
+/// Measured speeds of the server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pace {
+    /// Time between tokens, in microseconds.
+    token_micros: u64,
+    /// Time to prefill a token, in nanoseconds.
+    prefill_nanos: u64,
+}
+
+impl Pace {
+    pub(super) fn new(settings: &Settings) -> Pace {
+        Pace {
+            token_micros: u64::try_from(settings.token_time.as_micros()).unwrap_or(u64::MAX),
+            prefill_nanos: 1_000_000_000 / settings.prefill_tokens_per_s.max(1),
+        }
+    }
+
+    pub(super) fn decoded(&mut self, took: Duration) {
+        let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        self.token_micros = smooth(self.token_micros, micros);
+    }
+
+    pub(super) fn prefilled(&mut self, tokens: u64, took: Duration) {
+        let nanos = u64::try_from(took.as_nanos()).unwrap_or(u64::MAX);
+        if let Some(each) = nanos.checked_div(tokens) {
+            self.prefill_nanos = smooth(self.prefill_nanos, each);
+        }
+    }
+
+    pub(super) fn decode_time(&self, tokens: u64) -> Duration {
+        Duration::from_micros(self.token_micros.saturating_mul(tokens))
+    }
+
+    pub(super) fn prefill_time(&self, tokens: u64) -> Duration {
+        Duration::from_nanos(self.prefill_nanos.saturating_mul(tokens))
+    }
+}
+
+fn smooth(old: u64, new: u64) -> u64 {
+    (old * (SMOOTHING - 1) + new) / SMOOTHING
+}
+
+/// What is in use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Used {
+    /// Slots in use, reserved or being freed.
+    pub slots: u32,
+    /// Engine memory in use, reserved or being freed, in tokens.
+    pub kv_tokens: u64,
+}
+
+impl Server {
+    /// What is in use.
+    pub fn used(&self) -> Used {
+        let mut used = Used::default();
+        for hold in self.holds.values() {
+            used.slots += u32::from(hold.stage.takes_slot());
+            if hold.stage.takes_memory() {
+                used.kv_tokens += u64::from(hold.kv_tokens);
+            }
+        }
+        used
+    }
+
+    pub(super) fn role(&self) -> Option<Role> {
+        self.config.as_ref().map(|server| server.role)
+    }
+
+    pub(super) fn slots(&self) -> u32 {
+        self.config.as_ref().map_or(0, |server| server.slots)
+    }
+
+    fn memory(&self) -> u64 {
+        match &self.config {
+            Some(server) if server.role != Role::Plain => server.kv_tokens,
+            _ => u64::MAX,
+        }
+    }
+
+    pub(super) fn fits(&self, kv_tokens: u32) -> bool {
+        let used = self.used();
+        used.slots < self.slots() && used.kv_tokens + u64::from(kv_tokens) <= self.memory()
+    }
+
+    /// Whether the server could never hold so much.
+    pub(super) fn exceeds(&self, kv_tokens: u32) -> bool {
+        u64::from(kv_tokens) > self.memory()
+    }
+
+    /// The server's load, as frames carry it.
+    pub fn load(&self, now: Instant) -> Load {
+        let used = self.used();
+        let waiting = self.holds.values().filter(|hold| is_waiting(hold)).count();
+        let free = used.slots < self.slots();
+        Load {
+            used: used.slots,
+            slots: self.slots(),
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+            kv_used: used.kv_tokens,
+            free_in_ms: if free { 0 } else { self.free_in_ms(now, waiting) },
+            queued_tokens: self.queued_tokens(),
+        }
+    }
+
+    fn free_in_ms(&self, now: Instant, waiting: usize) -> u32 {
+        let ends = self.expected_ends(now);
+        let end = ends.get(waiting).or(ends.last());
+        let millis = end.map_or(RETRY_AFTER_MS_MAX, |end| now.millis_until(*end));
+        u32::try_from(millis.max(1)).unwrap_or(u32::MAX)
+    }
+
+    /// When a refused request may come back, in milliseconds.
+    pub(super) fn retry_after_ms(&self, now: Instant) -> u32 {
+        let waiting = self.holds.values().filter(|hold| is_waiting(hold)).count();
+        let millis = u64::from(self.free_in_ms(now, waiting));
+        u32::try_from(millis.clamp(RETRY_AFTER_MS_MIN, RETRY_AFTER_MS_MAX)).unwrap_or(u32::MAX)
+    }
+
+    /// When the slots in use are expected to be free, soonest first.
+    pub(super) fn expected_ends(&self, now: Instant) -> Vec<Instant> {
+        let busy = self.holds.values().filter(|hold| hold.stage.takes_slot());
+        let mut ends: Vec<_> = busy.map(|hold| now + self.remaining(now, hold)).collect();
+        ends.sort_unstable();
+        ends
+    }
+
+    fn remaining(&self, now: Instant, hold: &Hold) -> Duration {
+        match &hold.work {
+            Work::Decode(reserve, order) => {
+                let longest = order.as_ref().map_or(reserve.output_tokens, |o| o.output_tokens);
+                let left = u64::from(longest.saturating_sub(hold.answer.end()));
+                self.pace.decode_time(left)
+            }
+            Work::Prefill(prefill, _) => {
+                let whole = self.pace.prefill_time(u64::from(prefill.prompt_tokens));
+                match hold.stage {
+                    Stage::Prefilling { since } => whole.saturating_sub(now.since(since)),
+                    _ => whole,
+                }
+            }
+            Work::Forward(_) => Duration::ZERO,
+        }
+    }
+
+    fn queued_tokens(&self) -> u64 {
+        let queued = self.holds.values().filter_map(|hold| match (&hold.work, hold.stage) {
+            (Work::Prefill(prefill, _), Stage::Waiting { .. } | Stage::Prefilling { .. }) => {
+                Some(u64::from(prefill.prompt_tokens))
+            }
+            _ => None,
+        });
+        queued.sum()
+    }
+
+    /// Time until a new prefill would end.
+    pub(super) fn prefill_wait(&self, tokens: u32) -> Duration {
+        let lanes = u64::from(self.slots().max(1));
+        let queued = self.queued_tokens() / lanes;
+        self.pace.prefill_time(queued + u64::from(tokens))
+    }
+
+    /// Whether an organisation has as many waiting as it may.
+    pub(super) fn waits_too_much(&self, organisation: &str) -> bool {
+        let waiting = self.holds.values().filter(|hold| is_waiting(hold));
+        let own = waiting.filter(|hold| hold.organisation.as_ref() == organisation).count();
+        own >= self.settings.waiting_per_organisation
+    }
+
+    /// Gives free slots to those that were promised one, then to those that wait.
+    pub(super) fn grant(&mut self, now: Instant) {
+        if self.leaving.is_some() || !self.authority.is_held() {
+            return;
+        }
+        let mut waiters = self.waiters();
+        while let Some(next) = self.fair.next(&waiters, self.settings.interactive_run).cloned() {
+            let Some(hold) = self.holds.get(next.key) else { return };
+            if !self.fits(hold.kv_tokens) {
+                return;
+            }
+            self.fair.charge(&next, hold.cost, &waiters);
+            waiters.retain(|waiter| waiter.key != next.key);
+            self.count(Counter::Granted);
+            self.begin(now, next.key);
+        }
+    }
+
+    fn waiters(&self) -> Vec<Waiter> {
+        let waiting = self.holds.iter().filter_map(|(key, hold)| match hold.stage {
+            Stage::Waiting { since, .. } => Some(Waiter {
+                key,
+                organisation: hold.organisation.clone(),
+                may_wait: hold.may_wait,
+                since,
+            }),
+            _ => None,
+        });
+        waiting.collect()
+    }
+
+    fn begin(&mut self, now: Instant, key: Key) {
+        match self.holds.get(key).map(|hold| &hold.work) {
+            Some(Work::Decode(..)) => self.reserved(now, key, true),
+            Some(Work::Prefill(..)) => self.start_prefill(now, key),
+            Some(Work::Forward(_)) => self.start_call(key),
+            None => {}
+        }
+    }
+
+    /// Refuses an attempt that has no hold, as not run.
+    pub(super) fn refuse(&mut self, now: Instant, asked: &super::frame::Asked, cause: Cause) {
+        let retry_after_ms = match cause {
+            Cause::Protocol | Cause::Deadline => 0,
+            _ => self.retry_after_ms(now),
+        };
+        let failure = Failure { ran: Ran::NotRun, cause, retry_after_ms };
+        let (request, attempt) = asked.id;
+        self.count(Counter::Failed(cause, Ran::NotRun));
+        self.past.add(now, asked.id, Some(failure));
+        let load = self.load(now);
+        let frame = Frame::Failed(request, attempt, failure, load);
+        self.effects.push(Effect::Send(asked.connection, frame));
+    }
+}
+
+pub(super) fn is_waiting(hold: &Hold) -> bool {
+    matches!(hold.stage, Stage::Waiting { .. })
+}
--- /dev/null
+++ b/crates/core/src/server/free.rs
@@ -0,0 +1,109 @@
+//! Freeing: a hold that the engine knows of stays in the table until the engine has freed it.
+
+use super::Server;
+use super::event::{Effect, Fault, Task};
+use super::hold::{Key, Stage, Work, parse_engine_id};
+use crate::time::Instant;
+use chestnutrack_wire::frame::Failure;
+use std::sync::Arc;
+
+impl Server {
+    /// Gives up a hold: takes it out of the table, or asks the engine to free it first.
+    pub(super) fn free(&mut self, now: Instant, key: Key) {
+        let Some(hold) = self.holds.get(key) else { return };
+        self.changed = true;
+        self.link.release(key);
+        let open = match hold.stage {
+            Stage::Freeing { .. } => return,
+            Stage::Waiting { .. } | Stage::Reserved { .. } | Stage::Arrived { .. } => {
+                self.remove(now, key);
+                return;
+            }
+            Stage::Ended { .. } => {
+                self.remove(now, key);
+                return;
+            }
+            Stage::Calling { .. } => {
+                self.effects.push(Effect::Abort(key));
+                self.remove(now, key);
+                return;
+            }
+            Stage::Importing | Stage::Prefilling { .. } => true,
+            Stage::Decoding { .. } => {
+                self.effects.push(Effect::Abort(key));
+                false
+            }
+            Stage::Prefilled { .. } => false,
+        };
+        if self.drop_pending(key) {
+            self.remove(now, key);
+            return;
+        }
+        self.set_stage(key, Stage::Freeing { open, retry: now + self.settings.cancel_retry });
+        self.order(key, Task::Cancel);
+    }
+
+    /// Ends a hold whose import or prefill failed. The engine is asked to free it only where it
+    /// may have taken the order.
+    pub(super) fn fail_order(&mut self, now: Instant, key: Key, fault: Fault, failure: Failure) {
+        self.tell_failure(now, key, failure);
+        if fault != Fault::Unknown {
+            self.remove(now, key);
+            return;
+        }
+        let retry = now + self.settings.cancel_retry;
+        self.set_stage(key, Stage::Freeing { open: false, retry });
+        self.order(key, Task::Cancel);
+    }
+
+    /// An import or a prefill of a hold has ended, one way or the other. If the hold was given up
+    /// meanwhile, what it brought is freed now.
+    pub(super) fn order_closed(&mut self, now: Instant, key: Key) {
+        let Some(hold) = self.holds.get(key) else { return };
+        if let Stage::Freeing { open: true, .. } = hold.stage {
+            let retry = now + self.settings.cancel_retry;
+            self.set_stage(key, Stage::Freeing { open: false, retry });
+            self.order(key, Task::Cancel);
+        }
+    }
+
+    pub(super) fn cancelled(&mut self, now: Instant, id: Arc<str>, result: Result<(), Fault>) {
+        if result == Err(Fault::Fenced) {
+            self.fenced(chestnutrack_wire::frame::Ran::Unknown);
+        }
+        let Some(key) = parse_engine_id(&id).and_then(|id| self.index.get(&id).copied()) else {
+            return;
+        };
+        let stage = self.holds.get(key).map(|hold| hold.stage);
+        let freed = matches!(stage, Some(Stage::Freeing { open: false, .. }));
+        if freed && matches!(result, Ok(()) | Err(Fault::Missing)) {
+            self.remove(now, key);
+        }
+    }
+
+    /// Asks the engine again to free what it has not freed yet.
+    pub(super) fn retry_cancels(&mut self, now: Instant) {
+        let due = self.holds.iter().filter_map(|(key, hold)| match hold.stage {
+            Stage::Freeing { open, retry } if retry <= now => Some((key, open)),
+            _ => None,
+        });
+        let due: Vec<_> = due.collect();
+        for (key, open) in due {
+            let retry = now + self.settings.cancel_retry;
+            self.set_stage(key, Stage::Freeing { open, retry });
+            self.order(key, Task::Cancel);
+        }
+    }
+
+    pub(super) fn remove(&mut self, now: Instant, key: Key) {
+        let Some(hold) = self.holds.remove(key) else { return };
+        self.index.remove(&hold.id);
+        self.past.add(now, hold.id, None);
+        self.changed = true;
+    }
+
+    /// Whether a hold is a plain call, which nothing on an engine belongs to.
+    pub(super) fn is_plain(&self, key: Key) -> bool {
+        self.holds.get(key).is_some_and(|hold| matches!(hold.work, Work::Forward(_)))
+    }
+}
--- a/crates/core/src/server/mod.rs
+++ b/crates/core/src/server/mod.rs
@@ -1,1 +1,209 @@
 //! One backend server as its side process sees it: slots, waiting, leases, transfers.
+//!
+//! [`Server`] is a table of holds and the systems that run over it. It takes [`Event`]s with the
+//! time and gives [`Effect`]s. A hold is what one attempt of a request has of the server: a place
+//! in the queue, a slot, engine memory, a turn on the link. Every hold has an owner, the entry
+//! host that asked for it, and ends when its owner, its lease or its answer ends.
+
+pub mod count;
+pub mod event;
+pub mod hold;
+pub mod link;
+pub mod owner;
+pub mod settings;
+pub mod view;
+pub mod wait;
+
+mod answer;
+mod authority;
+mod capacity;
+mod decode;
+mod frame;
+mod free;
+mod lease;
+mod order;
+mod plain;
+mod prefill;
+mod reconcile;
+
+pub use authority::Authority;
+pub use count::Counter;
+pub use event::{Connection, Effect, Event, Fault, Order, Task};
+pub use hold::{Hold, Key};
+pub use settings::Settings;
+
+use crate::time::Instant;
+use chestnutrack_document::model;
+use chestnutrack_wire::frame::{Failure, Sender};
+use chestnutrack_wire::{Attempt, Frame, Request};
+use slotmap::SlotMap;
+use std::collections::HashMap;
+
+/// A request's attempt, which the server takes once.
+pub type Id = (Request, Attempt);
+
+/// The table of one backend server.
+pub struct Server {
+    settings: Settings,
+    /// This side process.
+    sender: Sender,
+    /// Version of the configuration in force; 0 for none.
+    version: u64,
+    /// The server's entry in the configuration in force.
+    config: Option<model::Server>,
+    authority: Authority,
+    leaving: Option<Instant>,
+    terminated: bool,
+    holds: SlotMap<Key, Hold>,
+    index: HashMap<Id, Key>,
+    owners: owner::Owners,
+    past: hold::Past,
+    fair: wait::Fair,
+    link: link::Link,
+    pace: capacity::Pace,
+    reconcile: reconcile::Reconcile,
+    pending: Vec<order::Pending>,
+    seen: Instant,
+    changed: bool,
+    counts: count::Counts,
+    effects: Vec<Effect>,
+}
+
+impl Server {
+    /// An empty table of a side process that has no authority and no configuration yet.
+    pub fn new(settings: Settings, sender: Sender, now: Instant) -> Server {
+        Server {
+            past: hold::Past::new(settings.past),
+            pace: capacity::Pace::new(&settings),
+            settings,
+            sender,
+            version: 0,
+            config: None,
+            authority: Authority::None,
+            leaving: None,
+            terminated: false,
+            holds: SlotMap::with_key(),
+            index: HashMap::new(),
+            owners: owner::Owners::default(),
+            fair: wait::Fair::default(),
+            link: link::Link::default(),
+            reconcile: reconcile::Reconcile::default(),
+            pending: Vec::new(),
+            seen: now,
+            changed: false,
+            counts: count::Counts::default(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes an event and returns what is to be done.
+    pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        self.notice_pause(now);
+        self.apply(now, event);
+        if std::mem::take(&mut self.changed) {
+            self.start_imports(now);
+            self.grant(now);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    fn apply(&mut self, now: Instant, event: Event) {
+        match event {
+            Event::Tick { late } => self.tick(now, late),
+            Event::Frame(connection, frame) => self.frame(now, connection, frame),
+            Event::Disconnected(connection) => self.disconnected(now, connection),
+            Event::Configured { version, server } => self.configured(now, version, server),
+            Event::Terminate => self.terminate(now),
+            Event::Authority(authority) => self.authority_changed(now, authority),
+            Event::Prefilled(key, result) => self.prefilled(now, key, result),
+            Event::Imported(key, result) => self.imported(now, key, result),
+            Event::Token(key, offset, text) => self.token(now, key, offset, text),
+            Event::StreamEnd(key, total, finish) => self.stream_end(now, key, total, finish),
+            Event::StreamBroken(key, fault) => self.stream_broken(now, key, fault),
+            Event::Cancelled(id, result) => self.cancelled(now, id, result),
+            Event::Holds(result) => self.engine_holds(now, result),
+            Event::Head(key, status, headers) => self.head(key, status, headers),
+            Event::Body(key, bytes) => self.body(key, bytes),
+            Event::BodyEnd(key) => self.body_end(now, key),
+            Event::CallFailed(key, ran) => self.call_failed(now, key, ran),
+        }
+    }
+
+    fn configured(&mut self, now: Instant, version: u64, server: Option<model::Server>) {
+        if version <= self.version {
+            return;
+        }
+        self.version = version;
+        let leaving = server.as_ref().is_none_or(|server| server.leaving);
+        if server.is_some() {
+            self.config = server;
+        }
+        self.link.rate(self.config.as_ref().map_or(0, |server| server.link_bytes_per_s));
+        self.set_leaving(now, leaving || self.terminated);
+        self.changed = true;
+    }
+
+    fn terminate(&mut self, now: Instant) {
+        self.terminated = true;
+        self.set_leaving(now, true);
+    }
+
+    fn set_leaving(&mut self, now: Instant, leaving: bool) {
+        if leaving == self.leaving.is_some() {
+            return;
+        }
+        self.leaving = leaving.then_some(now);
+        if leaving {
+            for connection in self.owners.connections() {
+                self.effects.push(Effect::Send(connection, Frame::Leaving));
+            }
+            self.refuse_waiting(now);
+        }
+    }
+
+    /// Whether the server takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_some()
+    }
+
+    /// Whether nothing runs, waits or has yet to be delivered.
+    pub fn is_idle(&self) -> bool {
+        self.holds.is_empty() && self.reconcile.is_settled()
+    }
+
+    /// Whether the server takes work: it has authority and a configuration.
+    pub fn is_ready(&self) -> bool {
+        self.config.is_some() && self.authority.is_held() && self.leaving.is_none()
+    }
+
+    /// Version of the configuration in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn count(&mut self, counter: Counter) {
+        self.counts.add(counter);
+    }
+
+    /// Sends a frame to whoever follows the hold, if anyone does.
+    fn tell(&mut self, key: Key, frame: Frame) {
+        if let Some(connection) = self.holds.get(key).and_then(|hold| hold.connection) {
+            self.effects.push(Effect::Send(connection, frame));
+        }
+    }
+
+    /// Ends a hold with a failure and frees what it has.
+    fn fail(&mut self, now: Instant, key: Key, failure: Failure) {
+        self.tell_failure(now, key, failure);
+        self.free(now, key);
+    }
+
+    fn tell_failure(&mut self, now: Instant, key: Key, failure: Failure) {
+        let Some(hold) = self.holds.get(key) else { return };
+        let (request, attempt) = hold.id;
+        self.count(Counter::Failed(failure.cause, failure.ran));
+        let load = self.load(now);
+        self.tell(key, Frame::Failed(request, attempt, failure, load));
+        self.past.add(now, (request, attempt), Some(failure));
+    }
+}
--- /dev/null
+++ b/crates/core/src/server/order.rs
@@ -0,0 +1,59 @@
+//! Orders to the engine pass here: none is given without authority.
+
+use super::event::{Effect, Order, Task};
+use super::hold::{Key, engine_id};
+use super::{Counter, Server};
+use std::sync::Arc;
+
+/// An order that waits until this process's authority has been read again.
+#[derive(Clone, Debug)]
+pub(super) struct Pending {
+    hold: Key,
+    id: Arc<str>,
+    task: Task,
+}
+
+/// Priority on the engine; higher runs first.
+pub(super) fn priority(may_wait: bool) -> i32 {
+    i32::from(!may_wait)
+}
+
+impl Server {
+    /// Orders something for a hold.
+    pub(super) fn order(&mut self, key: Key, task: Task) {
+        let Some(hold) = self.holds.get(key) else { return };
+        let id = engine_id(hold.id);
+        self.give(Pending { hold: key, id, task });
+    }
+
+    /// Orders something that no hold is for.
+    pub(super) fn order_by_id(&mut self, id: Arc<str>, task: Task) {
+        self.give(Pending { hold: Key::default(), id, task });
+    }
+
+    fn give(&mut self, pending: Pending) {
+        let Some(fence) = self.authority.fence() else {
+            if !self.authority.is_lost() {
+                self.pending.push(pending);
+            }
+            return;
+        };
+        self.count(Counter::Orders);
+        let Pending { hold, id, task } = pending;
+        self.effects.push(Effect::Order(Order { hold, id, fence, task }));
+    }
+
+    pub(super) fn give_pending(&mut self) {
+        for pending in std::mem::take(&mut self.pending) {
+            self.give(pending);
+        }
+    }
+
+    /// Drops the first order of a hold if it was not given yet, and tells whether it was.
+    pub(super) fn drop_pending(&mut self, key: Key) -> bool {
+        let before = self.pending.len();
+        let first = |task: &Task| matches!(task, Task::Prefill { .. } | Task::Import { .. });
+        self.pending.retain(|pending| pending.hold != key || !first(&pending.task));
+        before != self.pending.len()
+    }
+}
--- /dev/null
+++ b/crates/core/src/server/owner.rs
@@ -0,0 +1,119 @@
+//! Entry hosts, which own holds, and their connections.
+
+use super::event::Connection;
+use crate::time::Instant;
+use chestnutrack_wire::frame::Sender;
+use slotmap::{SlotMap, new_key_type};
+use std::collections::HashMap;
+use std::time::Duration;
+
+new_key_type! {
+    /// Key of an owner.
+    pub struct Key;
+}
+
+/// An entry host: one incarnation of one name.
+#[derive(Clone, Debug)]
+pub struct Owner {
+    /// Name and incarnation.
+    pub sender: Sender,
+    /// Its newest connection, while that is open.
+    pub connection: Option<Connection>,
+    /// When it was last heard of.
+    pub heard: Instant,
+}
+
+/// Owners and their connections.
+#[derive(Clone, Debug, Default)]
+pub struct Owners {
+    owners: SlotMap<Key, Owner>,
+    connections: HashMap<Connection, Key>,
+}
+
+/// What an introduction has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Introduced {
+    /// The owner.
+    pub key: Key,
+    /// An older connection of it, which is to be closed.
+    pub replaced: Option<Connection>,
+    /// Owners of the same name and another incarnation, which are gone.
+    pub gone: Vec<Key>,
+}
+
+impl Owners {
+    /// Takes the first frame of a connection.
+    pub fn introduce(
+        &mut self,
+        now: Instant,
+        connection: Connection,
+        sender: Sender,
+    ) -> Introduced {
+        let same_name = self.owners.iter().filter(|(_, owner)| owner.sender.name == sender.name);
+        let (known, gone): (Vec<_>, Vec<_>) = same_name
+            .map(|(key, owner)| (key, owner.sender.incarnation))
+            .partition(|(_, incarnation)| *incarnation == sender.incarnation);
+        let key = match known.first() {
+            Some((key, _)) => *key,
+            None => self.owners.insert(Owner { sender, connection: None, heard: now }),
+        };
+        let mut replaced = None;
+        if let Some(owner) = self.owners.get_mut(key) {
+            owner.heard = now;
+            replaced = owner.connection.replace(connection).filter(|old| *old != connection);
+        }
+        if let Some(old) = replaced {
+            self.connections.remove(&old);
+        }
+        self.connections.insert(connection, key);
+        Introduced { key, replaced, gone: gone.into_iter().map(|(key, _)| key).collect() }
+    }
+
+    /// Notes that a connection speaks, and says whose it is.
+    pub fn heard(&mut self, now: Instant, connection: Connection) -> Option<Key> {
+        let key = *self.connections.get(&connection)?;
+        self.owners.get_mut(key)?.heard = now;
+        Some(key)
+    }
+
+    /// Takes a connection away and says whose it was.
+    pub fn disconnect(&mut self, connection: Connection) -> Option<Key> {
+        let key = self.connections.remove(&connection)?;
+        let owner = self.owners.get_mut(key)?;
+        if owner.connection == Some(connection) {
+            owner.connection = None;
+        }
+        Some(key)
+    }
+
+    /// Forgets an owner and returns its connection.
+    pub fn remove(&mut self, key: Key) -> Option<Connection> {
+        let connection = self.owners.remove(key)?.connection?;
+        self.connections.remove(&connection);
+        Some(connection)
+    }
+
+    /// An owner.
+    pub fn get(&self, key: Key) -> Option<&Owner> {
+        self.owners.get(key)
+    }
+
+    /// Every owner.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Owner)> {
+        self.owners.iter()
+    }
+
+    /// Every open connection, in order.
+    pub fn connections(&self) -> Vec<Connection> {
+        let mut connections: Vec<_> = self.connections.keys().copied().collect();
+        connections.sort_unstable();
+        connections
+    }
+
+    /// Allows for a time in which this process was stopped and could hear nobody.
+    pub fn excuse(&mut self, late: Duration) {
+        for owner in self.owners.values_mut() {
+            owner.heard = owner.heard + late;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/server/reconcile.rs
@@ -0,0 +1,179 @@
+//! Reconciling with the engine: whatever it holds that no live request claims is freed.
+//!
+//! At its start the process asks the engine what it holds. Entry hosts may claim running answers
+//! for [`super::settings::CLAIM_BOUND`]; what is left then is cancelled. Later the engine is asked
+//! again every so often, so that nothing stays that the table doesn't know of.
+
+use super::decode::failure;
+use super::event::{Fault, Held, Task};
+use super::frame::Asked;
+use super::hold::{Key, Stage, Work, parse_engine_id};
+use super::{Counter, Id, Server};
+use crate::time::Instant;
+use chestnutrack_document::model::Role;
+use chestnutrack_wire::frame::{Cause, Ran, Reserve};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// How far the comparison with the engine has come.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Reconcile {
+    /// Whether the first list has come.
+    listed: bool,
+    /// When an answer to the last ask is given up; absent while none is open.
+    asked: Option<Instant>,
+    /// When the engine is asked next.
+    next: Option<Instant>,
+    /// When unclaimed requests are cancelled.
+    claims_end: Option<Instant>,
+    /// Requests found at the start that nobody has claimed yet.
+    found: HashMap<Id, Held>,
+    /// Resumes that came before the first list.
+    early: Vec<Early>,
+}
+
+/// A resume that came before the first list.
+#[derive(Clone, Debug)]
+struct Early {
+    id: Id,
+    owner: super::owner::Key,
+    connection: super::Connection,
+    offset: u64,
+}
+
+impl Reconcile {
+    pub(super) fn is_settled(&self) -> bool {
+        self.found.is_empty() && self.early.is_empty()
+    }
+
+    pub(super) fn disclaim(&mut self, id: Id) {
+        self.early.retain(|early| early.id != id);
+    }
+}
+
+impl Server {
+    fn has_engine(&self) -> bool {
+        !matches!(self.role(), Some(Role::Plain))
+    }
+
+    pub(super) fn start_reconcile(&mut self, now: Instant) {
+        self.reconcile.next = Some(now);
+        self.reconcile_tick(now);
+    }
+
+    pub(super) fn reconcile_tick(&mut self, now: Instant) {
+        if !self.authority.is_held() || self.config.is_none() {
+            return;
+        }
+        if !self.has_engine() {
+            self.refuse_early(now);
+            return;
+        }
+        if self.reconcile.claims_end.is_some_and(|end| end < now) {
+            self.cancel_unclaimed();
+        }
+        let open = self.reconcile.asked.is_some_and(|until| now < until);
+        if open || self.reconcile.next.is_some_and(|next| now < next) {
+            return;
+        }
+        self.reconcile.asked = Some(now + self.settings.audit_period);
+        self.order_by_id("".into(), Task::Holds);
+    }
+
+    pub(super) fn engine_holds(&mut self, now: Instant, result: Result<Vec<Held>, Fault>) {
+        self.reconcile.asked = None;
+        let Ok(held) = result else {
+            self.reconcile.next = Some(now + self.settings.cancel_retry);
+            return;
+        };
+        self.reconcile.next = Some(now + self.settings.audit_period);
+        if self.reconcile.listed {
+            self.cancel_unknown(held);
+            return;
+        }
+        self.reconcile.listed = true;
+        self.reconcile.claims_end = Some(now + self.settings.claim_bound);
+        let (running, rest): (Vec<_>, Vec<_>) = held.into_iter().partition(|held| held.running);
+        self.cancel_unknown(rest);
+        for held in running {
+            match parse_engine_id(&held.id) {
+                Some(id) if !self.index.contains_key(&id) => {
+                    self.reconcile.found.insert(id, held);
+                }
+                Some(_) => {}
+                None => self.cancel_unknown(vec![held]),
+            }
+        }
+        for early in std::mem::take(&mut self.reconcile.early) {
+            let asked = Asked { id: early.id, owner: early.owner, connection: early.connection };
+            if self.owners.get(early.owner).is_some() {
+                self.claim(now, &asked, early.offset);
+            }
+        }
+    }
+
+    fn cancel_unknown(&mut self, held: Vec<Held>) {
+        for held in held {
+            let id = parse_engine_id(&held.id);
+            let known = id.is_some_and(|id| {
+                self.index.contains_key(&id) || self.reconcile.found.contains_key(&id)
+            });
+            if !known {
+                self.count(Counter::Unclaimed);
+                self.order_by_id(held.id, Task::Cancel);
+            }
+        }
+    }
+
+    fn cancel_unclaimed(&mut self) {
+        self.reconcile.claims_end = None;
+        for held in std::mem::take(&mut self.reconcile.found).into_values() {
+            self.count(Counter::Unclaimed);
+            self.order_by_id(held.id, Task::Cancel);
+        }
+    }
+
+    fn refuse_early(&mut self, now: Instant) {
+        for early in std::mem::take(&mut self.reconcile.early) {
+            let asked = Asked { id: early.id, owner: early.owner, connection: early.connection };
+            self.say_failed(now, &asked, failure(Cause::ReservationLapsed, Ran::Unknown));
+        }
+    }
+
+    /// Takes up a request that runs on the engine since before this process started.
+    pub(super) fn claim(&mut self, now: Instant, asked: &Asked, offset: u64) {
+        if self.has_engine() && !self.reconcile.listed {
+            let Asked { id, owner, connection } = *asked;
+            self.reconcile.early.push(Early { id, owner, connection, offset });
+            return;
+        }
+        let Some(held) = self.reconcile.found.remove(&asked.id) else {
+            self.say_failed(now, asked, failure(Cause::ReservationLapsed, Ran::Unknown));
+            return;
+        };
+        let key = self.insert_claimed(now, asked, &held);
+        let offset = u32::try_from(offset).unwrap_or(u32::MAX);
+        if let Some(hold) = self.holds.get_mut(key) {
+            hold.answer.base = offset;
+        }
+        self.count(Counter::Resumed);
+        self.order(key, Task::Resume { offset });
+    }
+
+    fn insert_claimed(&mut self, now: Instant, asked: &Asked, held: &Held) -> Key {
+        let organisation: Arc<str> = "".into();
+        let reserve = Reserve {
+            organisation: organisation.clone(),
+            may_wait: false,
+            kv_tokens: held.kv_tokens,
+            transfer_tokens: 0,
+            output_tokens: 0,
+            wait_ms: 0,
+            needed_in_ms: 0,
+        };
+        let work = Work::Decode(reserve, None);
+        let key = self.insert(now, asked, organisation, false, work, now);
+        self.set_stage(key, Stage::Decoding { retry: None, tries: 0 });
+        key
+    }
+}
--- /dev/null
+++ b/crates/core/src/server/settings.rs
@@ -0,0 +1,79 @@
+//! Settings of a server's table.
+
+use std::time::Duration;
+
+/// Longest silence of a connection that carries live work.
+pub const SILENT: Duration = Duration::from_millis(800);
+/// Time in which a hold whose connection is gone may be claimed on a new one.
+pub const RESUME_GRACE: Duration = Duration::from_millis(700);
+/// Time in which running answers may be claimed after this process started.
+pub const CLAIM_BOUND: Duration = Duration::from_secs(1);
+/// Time for which a leaving server still takes up reservations made before.
+pub const LEAVING_GRACE: Duration = Duration::from_secs(2);
+/// Gap between two events after which this process counts as having been stopped.
+pub const PAUSE_BOUND: Duration = Duration::from_millis(500);
+/// Time within which engine memory is freed after its caller or entry host is gone.
+pub const FREED_WITHIN: Duration = Duration::from_secs(2);
+
+/// Settings of a server's table.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Longest silence of a connection that carries live work.
+    pub silent: Duration,
+    /// Time in which a hold whose connection is gone may be claimed on a new one.
+    pub resume_grace: Duration,
+    /// Time in which running answers may be claimed after this process started.
+    pub claim_bound: Duration,
+    /// Time for which a leaving server still takes up reservations made before.
+    pub leaving_grace: Duration,
+    /// Gap between two events after which this process counts as having been stopped.
+    pub pause_bound: Duration,
+    /// Lease of a reservation beyond the time at which its KV cache is expected.
+    pub reserved_lease: Duration,
+    /// Longest time that a KV cache which has arrived waits for its import.
+    pub arrived_wait: Duration,
+    /// Time for which an answer that has ended is kept for a resume.
+    pub ended_keep: Duration,
+    /// Time between two orders to cancel the same request.
+    pub cancel_retry: Duration,
+    /// Time between two looks at what the engine holds.
+    pub audit_period: Duration,
+    /// Requests that one organisation may have waiting.
+    pub waiting_per_organisation: usize,
+    /// Interactive grants in a row while a request that may wait waits.
+    pub interactive_run: u32,
+    /// Size of a KV cache, in bytes a token.
+    pub kv_bytes_per_token: u64,
+    /// Time between tokens assumed before any was measured.
+    pub token_time: Duration,
+    /// Prefill rate assumed before any was measured, in tokens a second.
+    pub prefill_tokens_per_s: u64,
+    /// Bytes of a plain answer kept for a resume.
+    pub body_keep_bytes: usize,
+    /// Attempts that have ended and are remembered.
+    pub past: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            silent: SILENT,
+            resume_grace: RESUME_GRACE,
+            claim_bound: CLAIM_BOUND,
+            leaving_grace: LEAVING_GRACE,
+            pause_bound: PAUSE_BOUND,
+            reserved_lease: Duration::from_secs(2),
+            arrived_wait: Duration::from_secs(1),
+            ended_keep: Duration::from_secs(5),
+            cancel_retry: Duration::from_millis(200),
+            audit_period: Duration::from_secs(1),
+            waiting_per_organisation: 256,
+            interactive_run: 7,
+            kv_bytes_per_token: 64 << 10,
+            token_time: Duration::from_millis(30),
+            prefill_tokens_per_s: 10_000,
+            body_keep_bytes: 1 << 20,
+            past: 1 << 16,
+        }
+    }
+}
