--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,41 @@
+//! Prints scripted runs of the decisions as JSON lines.
+
+use argh::FromArgs;
+use chestnutrack_bench::scripted::{Policy, Settings, run};
+
+/// Runs the decisions with fixed seeds in virtual time and prints their measures.
+#[derive(FromArgs)]
+struct Arguments {
+    /// number of seeds, from 1 on
+    #[argh(option, default = "3")]
+    seeds: u64,
+    /// in-rate load as a part of the ceiling
+    #[argh(option, default = "0.9")]
+    offered: f64,
+    /// longest wait for a slot at one decode server, in milliseconds
+    #[argh(option, default = "250")]
+    reserve_wait_ms: u32,
+}
+
+fn main() {
+    let arguments: Arguments = argh::from_env();
+    let policies = [
+        ("plainest", Policy::PLAINEST),
+        ("informed", Policy { reserve_first: false, fair: false, ..Policy::SHIPPED }),
+        ("reserved", Policy { fair: false, ..Policy::SHIPPED }),
+        ("shipped", Policy::SHIPPED),
+    ];
+    for (name, policy) in policies {
+        for seed in 1..=arguments.seeds {
+            let settings = Settings {
+                seed,
+                policy,
+                offered: arguments.offered,
+                reserve_wait_ms: arguments.reserve_wait_ms,
+                ..Settings::default()
+            };
+            let measures = serde_json::to_string(&run(&settings)).unwrap_or_default();
+            println!("{name} seed {seed}: {measures}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/scripted/engine.rs
@@ -0,0 +1,108 @@
+//! Engines, reduced to what the decisions see: how long a prefill, a transfer and a step take.
+
+use super::settings::Settings;
+use chestnutrack_core::server::Key;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Prefill rate, in prompt tokens a second.
+pub const PREFILL_TOKENS_PER_S: u64 = 12_000;
+/// Time of a decode step with an empty batch, in microseconds.
+pub const STEP_MICROS: u64 = 8_000;
+/// Time that each running request adds to a step, in microseconds.
+pub const STEP_MICROS_PER_REQUEST: u64 = 600;
+/// Size of a token's KV cache, in bytes.
+pub const KV_BYTES_PER_TOKEN: u64 = 64 << 10;
+/// Rate of an engine's link, in bytes a second.
+pub const LINK_BYTES_PER_S: u64 = 10_000_000_000;
+/// Time after which an exported KV cache is evicted, in milliseconds.
+pub const EVICTED_IN_MS: u64 = 800;
+/// Engine memory, in tokens.
+pub const KV_TOKENS: u64 = 400_000;
+
+/// A request in a decode engine's batch.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// The server's hold.
+    pub key: Key,
+    /// The engine's name for it.
+    pub id: Arc<str>,
+    /// Tokens generated.
+    pub done: u32,
+    /// Tokens to generate.
+    pub total: u32,
+}
+
+/// A prefill that waits or runs.
+#[derive(Clone, Debug)]
+pub struct Prefill {
+    /// The server's hold.
+    pub key: Key,
+    /// The engine's name for it.
+    pub id: Arc<str>,
+    /// Prompt, in tokens.
+    pub tokens: u32,
+    /// Higher runs first.
+    pub priority: i32,
+}
+
+/// One engine.
+#[derive(Clone, Debug, Default)]
+pub struct Engine {
+    /// The decode batch.
+    pub batch: Vec<Running>,
+    /// Whether a step is under way.
+    pub stepping: bool,
+    /// Prefills that wait.
+    pub prefills: VecDeque<Prefill>,
+    /// The prefill that runs.
+    pub prefilling: Option<Prefill>,
+}
+
+impl Engine {
+    /// Time of the next decode step.
+    pub fn step(&self) -> Duration {
+        Duration::from_micros(step_micros(self.batch.len() as u64))
+    }
+
+    /// Takes the next prefill to run, the oldest of the highest priority.
+    pub fn next_prefill(&mut self) -> Option<Prefill> {
+        let highest = self.prefills.iter().map(|prefill| prefill.priority).max()?;
+        let at = self.prefills.iter().position(|prefill| prefill.priority == highest)?;
+        self.prefills.remove(at)
+    }
+
+    /// Forgets a request.
+    pub fn cancel(&mut self, id: &str) {
+        self.batch.retain(|running| running.id.as_ref() != id);
+        self.prefills.retain(|prefill| prefill.id.as_ref() != id);
+    }
+}
+
+fn step_micros(batch: u64) -> u64 {
+    STEP_MICROS + STEP_MICROS_PER_REQUEST * batch
+}
+
+/// Time of a prefill.
+pub fn prefill_time(tokens: u32) -> Duration {
+    Duration::from_micros(u64::from(tokens) * 1_000_000 / PREFILL_TOKENS_PER_S)
+}
+
+/// Time of a transfer.
+pub fn transfer_time(bytes: u64) -> Duration {
+    Duration::from_micros(bytes * 1_000_000 / LINK_BYTES_PER_S)
+}
+
+/// Requests a second that the engines can serve within both targets: the lesser of what the
+/// decode batches yield, at the largest batch whose step meets the target, and what the prefill
+/// servers yield.
+pub fn ceiling(settings: &Settings) -> f64 {
+    let target = u64::try_from(settings.between_tokens.as_micros()).unwrap_or(u64::MAX);
+    let fits = |batch: &u64| step_micros(*batch) <= target;
+    let batch = (1..=u64::from(settings.slots)).rev().find(fits).unwrap_or(1);
+    let tokens_per_s = batch as f64 * 1e6 / step_micros(batch) as f64;
+    let decode = settings.decode as f64 * tokens_per_s / settings.output_tokens;
+    let prefill_rate = PREFILL_TOKENS_PER_S as f64 / settings.prompt_tokens;
+    decode.min(settings.prefill as f64 * prefill_rate)
+}
--- /dev/null
+++ b/crates/bench/src/scripted/load.rs
@@ -0,0 +1,110 @@
+//! Arrivals, drawn before the run starts.
+
+use super::engine::ceiling;
+use super::settings::Settings;
+use chestnutrack_core::time::Instant;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Shortest and longest prompt, in tokens.
+const PROMPT_TOKENS: (f64, f64) = (20.0, 16_000.0);
+/// Shortest and longest answer, in tokens.
+const OUTPUT_TOKENS: (f64, f64) = (4.0, 1_000.0);
+/// Seconds of its rate that an organisation may use at once.
+const BURST_S: f64 = 4.0;
+
+/// One request of the script.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it arrives.
+    pub at: Instant,
+    /// Entry host that it arrives at.
+    pub entry: usize,
+    /// Organisation, by number.
+    pub organisation: usize,
+    /// Prompt, in tokens.
+    pub prompt_tokens: u32,
+    /// Answer, in tokens.
+    pub output_tokens: u32,
+    /// Whether its organisation's rate and burst cover it.
+    pub in_rate: bool,
+}
+
+/// Names of the organisations.
+pub fn organisations(settings: &Settings) -> Vec<Arc<str>> {
+    (0..settings.organisations).map(|number| format!("organisation-{number}").into()).collect()
+}
+
+/// Draws every arrival, in the order of time.
+pub fn draw(settings: &Settings) -> Vec<Arrival> {
+    let each = ceiling(settings) * settings.offered / settings.organisations as f64;
+    let mut arrivals = Vec::new();
+    for organisation in 0..settings.organisations {
+        let sent = if organisation == 0 { each * settings.excess } else { each * 0.95 };
+        let seed = settings.seed * 1_000 + organisation as u64;
+        arrivals.extend(draw_one(settings, organisation, sent, each, seed));
+    }
+    arrivals.sort_by_key(|arrival| arrival.at);
+    arrivals
+}
+
+fn draw_one(
+    settings: &Settings,
+    organisation: usize,
+    sent_per_s: f64,
+    rate_per_s: f64,
+    seed: u64,
+) -> Vec<Arrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut bucket = Bucket::new(rate_per_s * (settings.prompt_tokens + settings.output_tokens));
+    let mut arrivals = Vec::new();
+    let mut at = Instant::default();
+    loop {
+        at = at + Duration::from_secs_f64(exponential(&mut rng, 1.0 / sent_per_s));
+        if at.since(Instant::default()) > settings.arrivals {
+            return arrivals;
+        }
+        let prompt = exponential(&mut rng, settings.prompt_tokens);
+        let output = exponential(&mut rng, settings.output_tokens);
+        let prompt_tokens = prompt.clamp(PROMPT_TOKENS.0, PROMPT_TOKENS.1) as u32;
+        let output_tokens = output.clamp(OUTPUT_TOKENS.0, OUTPUT_TOKENS.1) as u32;
+        arrivals.push(Arrival {
+            at,
+            entry: rng.random_range(0..settings.entries),
+            organisation,
+            prompt_tokens,
+            output_tokens,
+            in_rate: bucket.take(at, f64::from(prompt_tokens + output_tokens)),
+        });
+    }
+}
+
+fn exponential(rng: &mut ChaCha8Rng, mean: f64) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
+
+/// A token bucket over the whole fleet.
+struct Bucket {
+    rate: f64,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Bucket {
+    fn new(rate: f64) -> Bucket {
+        Bucket { rate, tokens: rate * BURST_S, filled: Instant::default() }
+    }
+
+    fn take(&mut self, now: Instant, tokens: f64) -> bool {
+        let grown = self.rate * now.since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + grown).min(self.rate * BURST_S);
+        self.filled = now;
+        let covered = self.tokens >= tokens;
+        if covered {
+            self.tokens -= tokens;
+        }
+        covered
+    }
+}
--- /dev/null
+++ b/crates/bench/src/scripted/mod.rs
@@ -0,0 +1,16 @@
+//! A scripted run: arrivals, entry hosts, servers, engines, and the four measures.
+
+pub mod engine;
+pub mod entry;
+pub mod load;
+pub mod measure;
+pub mod settings;
+pub mod world;
+
+pub use measure::Measures;
+pub use settings::{Choice, Policy, Settings};
+
+/// Runs a script to its end.
+pub fn run(settings: &Settings) -> Measures {
+    world::World::new(settings).run()
+}
