Stand-ins of the object interface, model engines and plain services

One binary with a subcommand each. The engine models what decides: a batch with slots whose step grows, prefills one at a time by priority, a prefix cache with late events and gaps, KV caches evicted after a prefill, shared links, memory in tokens summed from what is held, fencing numbers, streams that go on when their connection breaks. Answers are a function of prompt and offset, so that whoever reads one can check that it is whole and its own. Each has faults and shows what it saw in bounded memory.

--- /dev/null
+++ b/crates/standin/src/cmd/engine.rs
@@ -0,0 +1,182 @@
+//! `chestnutrack-standin engine`.
+
+use super::{Common, Flags};
+use argh::FromArgs;
+use chestnutrack_process::settings::Findings;
+use chestnutrack_standin::engine::{self, Settings};
+use std::num::NonZeroU64;
+use std::process::ExitCode;
+use std::str::FromStr;
+use std::time::Duration;
+
+/// Stands in for a model engine of any role.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "engine")]
+pub(crate) struct Arguments {
+    /// address to listen on
+    #[argh(option)]
+    listen: Option<String>,
+    /// requests generated for at a time
+    #[argh(option)]
+    slots: Option<String>,
+    /// memory for KV caches, in tokens
+    #[argh(option)]
+    kv_tokens: Option<String>,
+    /// memory for the prefix cache beside it, in tokens
+    #[argh(option)]
+    cache_tokens: Option<String>,
+    /// time of a step with an empty batch, in µs
+    #[argh(option)]
+    step_us: Option<String>,
+    /// time that each request in the batch adds to a step, in µs
+    #[argh(option)]
+    step_per_request_us: Option<String>,
+    /// prompt tokens computed a second
+    #[argh(option)]
+    prefill_tokens_per_s: Option<String>,
+    /// size of the KV cache of one token, in bytes
+    #[argh(option)]
+    kv_bytes_per_token: Option<String>,
+    /// rate of the link for exports, and of that for imports, in bytes a second
+    #[argh(option)]
+    link_bytes_per_s: Option<String>,
+    /// time after a prefill until its KV cache is evicted, in ms
+    #[argh(option)]
+    evict_ms: Option<String>,
+    /// age of load reports, in ms
+    #[argh(option)]
+    load_lag_ms: Option<String>,
+    /// time until a cache event shows, in ms
+    #[argh(option)]
+    events_lag_ms: Option<String>,
+    /// cache events that are lost, in percent
+    #[argh(option)]
+    events_lost_percent: Option<String>,
+    /// time to load a model from the weight store, in ms
+    #[argh(option)]
+    load_model_ms: Option<String>,
+    /// whether orders with an old fencing number are refused: true or false
+    #[argh(option)]
+    checks_fencing: Option<String>,
+    /// real time for each unit of the model's time
+    #[argh(option)]
+    time_scale: Option<String>,
+    /// seed of the losses
+    #[argh(option)]
+    seed: Option<String>,
+    /// form of the log: text or json
+    #[argh(option)]
+    log: Option<String>,
+}
+
+/// Runs the subcommand.
+pub(crate) async fn run(arguments: &Arguments) -> ExitCode {
+    super::run(settings(arguments), engine::serve).await
+}
+
+fn settings(given: &Arguments) -> Result<(Common, Settings), Findings> {
+    let mut flags = Flags::new();
+    let common = flags.common(given.listen.as_deref(), given.log.as_deref());
+    let default = Settings::default();
+    let settings = Settings {
+        slots: flags.count("--slots", given.slots.as_deref(), default.slots),
+        kv_tokens: flags.count("--kv-tokens", given.kv_tokens.as_deref(), default.kv_tokens),
+        cache_tokens: flags.or(
+            "--cache-tokens",
+            given.cache_tokens.as_deref(),
+            "a number of tokens",
+            default.cache_tokens,
+        ),
+        step: micros(&mut flags, "--step-us", given.step_us.as_deref(), default.step),
+        step_per_request: micros(
+            &mut flags,
+            "--step-per-request-us",
+            given.step_per_request_us.as_deref(),
+            default.step_per_request,
+        ),
+        prefill_tokens_per_s: flags.count(
+            "--prefill-tokens-per-s",
+            given.prefill_tokens_per_s.as_deref(),
+            default.prefill_tokens_per_s,
+        ),
+        kv_bytes_per_token: bytes(
+            &mut flags,
+            "--kv-bytes-per-token",
+            given.kv_bytes_per_token.as_deref(),
+            default.kv_bytes_per_token,
+        ),
+        link_bytes_per_s: bytes(
+            &mut flags,
+            "--link-bytes-per-s",
+            given.link_bytes_per_s.as_deref(),
+            default.link_bytes_per_s,
+        ),
+        evict: flags.millis("--evict-ms", given.evict_ms.as_deref(), default.evict),
+        load_lag: flags.millis("--load-lag-ms", given.load_lag_ms.as_deref(), default.load_lag),
+        events_lag: flags.millis(
+            "--events-lag-ms",
+            given.events_lag_ms.as_deref(),
+            default.events_lag,
+        ),
+        events_lost_percent: flags
+            .or(
+                "--events-lost-percent",
+                given.events_lost_percent.as_deref(),
+                "a whole number from 0 to 100",
+                Percent(default.events_lost_percent),
+            )
+            .0,
+        load_model: flags.millis(
+            "--load-model-ms",
+            given.load_model_ms.as_deref(),
+            default.load_model,
+        ),
+        checks_fencing: flags.or(
+            "--checks-fencing",
+            given.checks_fencing.as_deref(),
+            "`true` or `false`",
+            default.checks_fencing,
+        ),
+        time_scale: flags
+            .or(
+                "--time-scale",
+                given.time_scale.as_deref(),
+                "a number from 0.001 to 1000",
+                Scale(default.time_scale),
+            )
+            .0,
+        seed: flags.or("--seed", given.seed.as_deref(), "a whole number", default.seed),
+    };
+    flags.finish((common, settings))
+}
+
+fn micros(flags: &mut Flags, flag: &str, given: Option<&str>, default: Duration) -> Duration {
+    let micros = default.as_micros().try_into().unwrap_or(u64::MAX);
+    Duration::from_micros(flags.or(flag, given, "a number of microseconds", micros))
+}
+
+fn bytes(flags: &mut Flags, flag: &str, given: Option<&str>, default: u64) -> u64 {
+    let default = NonZeroU64::new(default).unwrap_or(NonZeroU64::MIN);
+    flags.or(flag, given, "a number of bytes of at least 1", default).get()
+}
+
+struct Percent(u32);
+
+impl FromStr for Percent {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Percent, ()> {
+        text.parse().ok().filter(|percent| *percent <= 100).map(Percent).ok_or(())
+    }
+}
+
+struct Scale(f64);
+
+impl FromStr for Scale {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Scale, ()> {
+        let known = |scale: &f64| (0.001..=1_000.0).contains(scale);
+        text.parse().ok().filter(known).map(Scale).ok_or(())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/control.rs
@@ -0,0 +1,174 @@
+//! Faults, counts and what was seen.
+
+use super::Settings;
+use crate::http::{Refusal, refusal};
+use crate::seen::Log;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+/// Kind of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Call {
+    /// Read of one object.
+    Read,
+    /// List of a kind.
+    List,
+    /// Write.
+    Write,
+    /// Deletion.
+    Delete,
+    /// Watch of a kind, counted once however long it waits.
+    Watch,
+    /// Host list.
+    Hosts,
+}
+
+impl Call {
+    /// The kind of a call by its method and path.
+    pub fn of(method: &str, path: &str) -> Option<Call> {
+        let parts: Vec<&str> = path.split('/').skip(1).collect();
+        match (method, parts.as_slice()) {
+            ("GET", ["v1", "hosts"]) => Some(Call::Hosts),
+            ("GET", ["v1", "watch", _]) => Some(Call::Watch),
+            ("GET", ["v1", "objects", _]) => Some(Call::List),
+            ("GET", ["v1", "objects", _, _]) => Some(Call::Read),
+            ("PUT", ["v1", "objects", _, _]) => Some(Call::Write),
+            ("DELETE", ["v1", "objects", _, _]) => Some(Call::Delete),
+            _ => None,
+        }
+    }
+
+    fn writes(self) -> bool {
+        matches!(self, Call::Write | Call::Delete)
+    }
+}
+
+/// Faults in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Faults {
+    /// Every call's connection is cut without an answer; nothing takes effect.
+    pub down: bool,
+    /// Delay of each call, half of it before it takes effect, in milliseconds.
+    pub delay_ms: u64,
+    /// Writes still to come that take effect and whose connection is then cut.
+    pub lose_answers: u64,
+    /// Age of what reads and lists show, in milliseconds.
+    pub stale_ms: u64,
+}
+
+/// A change of the faults; what isn't given stays.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct Change {
+    down: Option<bool>,
+    delay_ms: Option<u64>,
+    lose_answers: Option<u64>,
+    stale_ms: Option<u64>,
+}
+
+/// Counts of calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub(super) struct Counts {
+    read: u64,
+    list: u64,
+    write: u64,
+    delete: u64,
+    watch: u64,
+    hosts: u64,
+    /// Writes that met another version.
+    pub(super) conflict: u64,
+    /// Writes whose answer was lost.
+    lost: u64,
+    /// Calls beyond the rate.
+    refused: u64,
+}
+
+/// One call, as `/control/seen` shows it.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Seen {
+    call: Call,
+    method: String,
+    target: String,
+}
+
+/// Calls allowed in a second, and those left of it.
+struct Budget {
+    per_s: f64,
+    left: f64,
+    filled: Instant,
+}
+
+pub(super) struct Control {
+    pub(super) faults: Faults,
+    pub(super) counts: Counts,
+    pub(super) seen: Log<Seen>,
+    writes: Budget,
+    reads: Budget,
+}
+
+impl Control {
+    pub(super) fn new(settings: &Settings) -> Control {
+        Control {
+            faults: Faults::default(),
+            counts: Counts::default(),
+            seen: Log::default(),
+            writes: Budget::new(settings.writes_per_s),
+            reads: Budget::new(settings.reads_per_s),
+        }
+    }
+
+    pub(super) fn count(&mut self, call: Call, method: &str, target: &str) -> Result<(), Refusal> {
+        let counter = match call {
+            Call::Read => &mut self.counts.read,
+            Call::List => &mut self.counts.list,
+            Call::Write => &mut self.counts.write,
+            Call::Delete => &mut self.counts.delete,
+            Call::Watch => &mut self.counts.watch,
+            Call::Hosts => &mut self.counts.hosts,
+        };
+        *counter += 1;
+        self.seen.push(Seen { call, method: method.to_owned(), target: target.to_owned() });
+        let budget = if call.writes() { &mut self.writes } else { &mut self.reads };
+        if budget.take() {
+            return Ok(());
+        }
+        self.counts.refused += 1;
+        Err(refusal(429, "call", "too many calls"))
+    }
+
+    pub(super) fn change(&mut self, change: Change) -> Faults {
+        let faults = &mut self.faults;
+        faults.down = change.down.unwrap_or(faults.down);
+        faults.delay_ms = change.delay_ms.unwrap_or(faults.delay_ms);
+        faults.lose_answers = change.lose_answers.unwrap_or(faults.lose_answers);
+        faults.stale_ms = change.stale_ms.unwrap_or(faults.stale_ms);
+        *faults
+    }
+
+    /// Whether the answer to a write that took effect reaches its writer.
+    pub(super) fn lose_answer(&mut self) -> Result<(), Refusal> {
+        if self.faults.lose_answers == 0 {
+            return Ok(());
+        }
+        self.faults.lose_answers -= 1;
+        self.counts.lost += 1;
+        Err(Refusal::Cut)
+    }
+}
+
+impl Budget {
+    fn new(per_s: u32) -> Budget {
+        let per_s = f64::from(per_s);
+        Budget { per_s, left: per_s, filled: Instant::now() }
+    }
+
+    fn take(&mut self) -> bool {
+        let gained = self.filled.elapsed().as_secs_f64() * self.per_s;
+        self.left = (self.left + gained).min(self.per_s);
+        self.filled = Instant::now();
+        let allowed = self.left >= 1.0;
+        self.left -= f64::from(u8::from(allowed));
+        allowed
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,203 @@
+//! A stand-in of the object interface and the host list.
+
+mod control;
+mod store;
+
+use crate::http::{self, Refusal, Reply, refusal};
+use bytes::Bytes;
+use chestnutrack_platform::host;
+use chestnutrack_platform::object::{Conflict, VALUE_BYTES_MAX, Written};
+use control::{Change, Control};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use store::{Outcome, Store};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+pub use control::{Call, Faults};
+
+/// Settings of the stand-in.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Time until a change of the host list shows.
+    pub hosts_lag: Duration,
+    /// Writes and deletions a second, beyond which calls get 429.
+    pub writes_per_s: u32,
+    /// Reads, lists, watches and host lists a second, beyond which calls get 429.
+    pub reads_per_s: u32,
+    /// Longest time that a watch waits.
+    pub watch_max: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            hosts_lag: Duration::from_millis(500),
+            writes_per_s: 400,
+            reads_per_s: 2_000,
+            watch_max: Duration::from_millis(60_000),
+        }
+    }
+}
+
+struct Platform {
+    settings: Settings,
+    store: Mutex<Store>,
+    control: Mutex<Control>,
+    /// Newest version; watches wait on it.
+    newest: watch::Sender<u64>,
+    down: watch::Sender<bool>,
+}
+
+/// Serves the stand-in.
+pub async fn serve(listener: TcpListener, settings: Settings) {
+    let platform = Arc::new(Platform {
+        settings,
+        store: Mutex::default(),
+        control: Mutex::new(Control::new(&settings)),
+        newest: watch::Sender::new(0),
+        down: watch::Sender::new(false),
+    });
+    http::serve(listener, move |request| Arc::clone(&platform).answer(request)).await;
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Platform {
+    async fn answer(self: Arc<Platform>, request: Request<Incoming>) -> Reply {
+        let (head, body) = request.into_parts();
+        let target = head.uri.path().to_owned();
+        let method = head.method.as_str();
+        if let Some(page) = target.strip_prefix("/control/") {
+            return self.control(method, page, &http::read(body).await?);
+        }
+        let call = Call::of(method, &target).ok_or_else(|| http::unknown(method, &target))?;
+        locked(&self.control).count(call, method, &target)?;
+        let work = async {
+            let body = http::read(body).await?;
+            self.slow().await;
+            let reply = self.call(call, &target, head.uri.query(), &head.headers, &body).await;
+            self.slow().await;
+            reply
+        };
+        let mut down = self.down.subscribe();
+        tokio::select! {
+            biased;
+            _ = down.wait_for(|down| *down) => Err(Refusal::Cut),
+            reply = work => reply,
+        }
+    }
+
+    /// Half of the delay; it comes before and after the work.
+    async fn slow(&self) {
+        let delay = locked(&self.control).faults.delay_ms;
+        if delay > 0 {
+            tokio::time::sleep(Duration::from_millis(delay) / 2).await;
+        }
+    }
+
+    async fn call(
+        &self,
+        call: Call,
+        target: &str,
+        query: Option<&str>,
+        headers: &HeaderMap,
+        body: &Bytes,
+    ) -> Reply {
+        let (kind, name) = names(target);
+        match call {
+            Call::Read => self.read(kind, name),
+            Call::List => http::json(&locked(&self.store).list(kind, self.stale())),
+            Call::Write => self.write(kind, name, headers, Some(body)),
+            Call::Delete => self.write(kind, name, headers, None),
+            Call::Watch => self.watch(kind, query).await,
+            Call::Hosts => http::json(&locked(&self.store).hosts(self.settings.hosts_lag)),
+        }
+    }
+
+    fn stale(&self) -> Duration {
+        Duration::from_millis(locked(&self.control).faults.stale_ms)
+    }
+
+    fn read(&self, kind: &str, name: &str) -> Reply {
+        let object = locked(&self.store).read(kind, name, self.stale());
+        http::json(&object.ok_or_else(|| refusal(404, name, "no such object"))?)
+    }
+
+    fn write(&self, kind: &str, name: &str, headers: &HeaderMap, value: Option<&Bytes>) -> Reply {
+        let condition = condition(headers)?;
+        let value = value.map(|body| value_of(body)).transpose()?;
+        let outcome = locked(&self.store).write(kind, name, condition, value);
+        match outcome {
+            Outcome::Written(version) => {
+                self.newest.send_replace(version);
+                locked(&self.control).lose_answer()?;
+                http::json(&Written { version })
+            }
+            Outcome::Conflict(version) => {
+                locked(&self.control).counts.conflict += 1;
+                let conflict = serde_json::to_vec(&Conflict { version });
+                Ok(http::answer(409, conflict.unwrap_or_default()))
+            }
+            Outcome::Missing => Err(refusal(404, name, "no such object")),
+        }
+    }
+
+    async fn watch(&self, kind: &str, query: Option<&str>) -> Reply {
+        let after = http::parameter(query, "after", 0)?;
+        let wait = Duration::from_millis(http::parameter(query, "wait_ms", 0)?);
+        let end = Instant::now() + wait.min(self.settings.watch_max);
+        let mut newest = self.newest.subscribe();
+        loop {
+            newest.borrow_and_update();
+            let list = locked(&self.store).changes(kind, after);
+            let list = list.ok_or_else(|| refusal(410, "query after", "changes are forgotten"))?;
+            if !list.objects.is_empty() || timeout_at(end, newest.changed()).await.is_err() {
+                return http::json(&list);
+            }
+        }
+    }
+
+    fn control(&self, method: &str, page: &str, body: &Bytes) -> Reply {
+        match (method, page) {
+            ("POST", "faults") => {
+                let change: Change = http::parse(body)?;
+                let faults = locked(&self.control).change(change);
+                self.down.send_replace(faults.down);
+                http::json(&faults)
+            }
+            ("POST", "hosts") => {
+                let list: host::List = http::parse(body)?;
+                locked(&self.store).set_hosts(list.clone());
+                http::json(&list)
+            }
+            ("GET", "faults") => http::json(&locked(&self.control).faults),
+            ("GET", "counts") => http::json(&locked(&self.control).counts),
+            ("GET", "seen") => http::json(&locked(&self.control).seen),
+            _ => Err(http::unknown(method, page)),
+        }
+    }
+}
+
+fn names(target: &str) -> (&str, &str) {
+    let mut parts = target.split('/').skip(3);
+    (parts.next().unwrap_or_default(), parts.next().unwrap_or_default())
+}
+
+fn condition(headers: &HeaderMap) -> Result<Option<u64>, Refusal> {
+    let Some(value) = headers.get("if-match") else { return Ok(None) };
+    let version = value.to_str().ok().and_then(|text| text.trim_matches('"').parse().ok());
+    version.map(Some).ok_or_else(|| refusal(400, "header if-match", "not a version"))
+}
+
+fn value_of(body: &[u8]) -> Result<serde_json::Value, Refusal> {
+    if body.len() > VALUE_BYTES_MAX {
+        return Err(refusal(413, "body", format!("larger than {VALUE_BYTES_MAX} bytes")));
+    }
+    http::parse(body)
+}
