Stand-in engine: cancelled and failed prefills count as wasted, model loads survive their caller

A load whose caller went away left the engine refusing work for good: the change ran in the caller's call and was dropped with it. It runs on its own now.

--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -41,6 +41,8 @@
     pub(super) exported_tokens: u64,
     pub(super) imports: u64,
     pub(super) imported_tokens: u64,
+    /// Tokens imported and cancelled before generation was ordered.
+    pub(super) undecoded_tokens: u64,
     /// Tokens of answers.
     pub(super) generated_tokens: u64,
     /// Answers generated whole.
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -191,9 +191,12 @@
         self.answered(seen, Ok(empty()))
     }
 
-    async fn order(&self, order: Order) -> Reply {
+    async fn order(self: &Arc<Engine>, order: Order) -> Reply {
         let seen = self.saw("order", &"".into(), order.fence)?;
-        let changed = self.change(order.change).await;
+        let engine = Arc::clone(self);
+        // A change runs to its end also when its caller goes away.
+        let changing = tokio::spawn(async move { engine.change(order.change).await });
+        let changed = changing.await.unwrap_or(Err(Refusal::Cut));
         self.answered(seen, changed.map(|()| empty()))
     }
 
--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -55,7 +55,7 @@
             due = Instant::now();
             continue;
         }
-        // A host that is late doesn't catch up by shorter steps.
+        // Makes up for what is lost to the timer's resolution, but never for more than a step.
         due = due.max(Instant::now() - engine.settings.step);
         due += engine.settings.real(engine.settings.step_of(size));
         sleep_until(due).await;
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -186,16 +186,18 @@
     /// Ends a prefill; returns whether its KV cache is held now.
     pub(super) fn end_prefill(&mut self, work: &Work, failed: bool) -> bool {
         self.counts.prefilled_tokens += u64::from(work.tokens);
-        if !self.has_prompt(&work.id, work.number) {
-            return false;
+        let wanted = self.has_prompt(&work.id, work.number);
+        if failed && wanted {
+            let prompt = self.prompts.remove(&work.id);
+            prompt
+                .into_iter()
+                .for_each(|prompt| prompt.end(Err(refusal(500, "prefill", "failed"))));
         }
-        if failed {
-            if let Some(prompt) = self.prompts.remove(&work.id) {
-                prompt.end(Err(refusal(500, "prefill", "failed")));
-            }
+        let prompt = self.prompts.get_mut(&work.id).filter(|_| wanted);
+        let Some(prompt) = prompt else {
+            self.counts.wasted_prefill_tokens += u64::from(work.tokens);
             return false;
-        }
-        let Some(prompt) = self.prompts.get_mut(&work.id) else { return false };
+        };
         prompt.stage = Stage::Held;
         let prefilled = Prefilled {
             tokens: prompt.tokens,
@@ -392,7 +394,10 @@
         let held = self.prompts.contains_key(id) || self.answers.contains_key(id);
         self.counts.cancelled += u64::from(held);
         self.waste(id);
-        self.answers.remove(id);
+        if let Some(answer) = self.answers.remove(id) {
+            let unread = answer.prompt.filter(|_| answer.progress.is_none());
+            self.counts.undecoded_tokens += unread.map_or(0, |prompt| u64::from(prompt.tokens));
+        }
         self.prefill_queue.retain(|_, queued| **queued != *id);
         self.decode_queue.retain(|_, queued| **queued != *id);
         self.batch.retain(|running| **running != *id);
