--- a/crates/core/src/server/authority.rs
+++ b/crates/core/src/server/authority.rs
@@ -2,11 +2,19 @@
 //! when the process was stopped or another one has taken over.
 
 use super::decode::failure;
-use super::event::Effect;
+use super::event::{Connection, Effect};
 use super::hold::{Key, Stage, Work};
 use super::{Counter, Server};
 use crate::time::Instant;
+use chestnutrack_wire::Frame;
 use chestnutrack_wire::frame::{Cause, Failure, Ran};
+use std::sync::Arc;
+
+/// Name under which a process that takes a server over introduces itself to the one before; no
+/// entry host can have it.
+pub fn successor_name(server: &str) -> Arc<str> {
+    format!("side/{server}").into()
+}
 
 /// What is known of this process's authority.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,7 +72,26 @@
         let ignores_fencing = self.config.as_ref().is_none_or(|server| !server.checks_fencing);
         if let (Authority::Held(epoch), true) = (self.authority, ignores_fencing) {
             self.authority = Authority::Suspect(epoch);
-            self.effects.push(Effect::Recheck);
+            self.effects.push(Effect::Recheck(epoch));
+        }
+    }
+
+    /// Takes the news that another process claims the server: looks whether that is so.
+    pub(super) fn successor(&mut self, connection: Connection) {
+        self.successors.push(connection);
+        match self.authority {
+            Authority::Held(epoch) => {
+                self.authority = Authority::Suspect(epoch);
+                self.effects.push(Effect::Recheck(epoch));
+            }
+            Authority::Lost => self.release_successors(),
+            Authority::None | Authority::Suspect(_) => {}
+        }
+    }
+
+    fn release_successors(&mut self) {
+        for connection in std::mem::take(&mut self.successors) {
+            self.effects.push(Effect::Send(connection, Frame::Leaving));
         }
     }
 
@@ -82,9 +109,9 @@
 
     /// Notes that the engine has refused an order's fencing number.
     pub(super) fn fenced(&mut self, ran: Ran) -> Failure {
-        if !self.authority.is_lost() {
-            self.authority = Authority::Lost;
-            self.effects.push(Effect::Recheck);
+        if let Some(epoch) = self.authority.fence() {
+            self.authority = Authority::Suspect(epoch);
+            self.effects.push(Effect::Recheck(epoch));
         }
         failure(Cause::Fenced, ran)
     }
@@ -104,14 +131,13 @@
                 }
                 _ => Some(Ran::Ran),
             };
-            match ran {
-                Some(ran) => self.fail(now, key, failure(Cause::Fenced, ran)),
-                None if matches!(hold.stage, Stage::Ended { .. }) => {}
-                None => {}
+            if let Some(ran) = ran {
+                self.fail(now, key, failure(Cause::Fenced, ran));
             }
             self.forget_engine_part(now, key);
         }
         self.pending.clear();
+        self.release_successors();
     }
 
     fn forget_engine_part(&mut self, now: Instant, key: Key) {
--- a/crates/core/src/server/event.rs
+++ b/crates/core/src/server/event.rs
@@ -120,8 +120,8 @@
     Abort(Key),
     /// Make a plain call.
     Call(Key, Forward),
-    /// Read this process's authority again.
-    Recheck,
+    /// Read again whether this process is still in charge under an epoch.
+    Recheck(u64),
 }
 
 /// An order to the engine.
@@ -137,6 +137,13 @@
     pub task: Task,
 }
 
+impl Task {
+    /// Whether the answer is a stream.
+    pub fn follows(&self) -> bool {
+        matches!(self, Task::Decode { .. } | Task::Resume { .. })
+    }
+}
+
 /// What an order asks for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Task {
--- a/crates/core/src/server/frame.rs
+++ b/crates/core/src/server/frame.rs
@@ -67,6 +67,10 @@
             self.effects.push(Effect::Close(connection));
             return;
         }
+        if sender.name == super::successor_name(&self.sender.name) {
+            self.successor(connection);
+            return;
+        }
         let introduced = self.owners.introduce(now, connection, sender);
         if let Some(old) = introduced.replaced {
             self.detach(now, old);
--- a/crates/core/src/server/free.rs
+++ b/crates/core/src/server/free.rs
@@ -74,9 +74,12 @@
         let Some(key) = parse_engine_id(&id).and_then(|id| self.index.get(&id).copied()) else {
             return;
         };
-        let stage = self.holds.get(key).map(|hold| hold.stage);
-        let freed = matches!(stage, Some(Stage::Freeing { open: false, .. }));
-        if freed && matches!(result, Ok(()) | Err(Fault::Missing)) {
+        let Some(Stage::Freeing { open, .. }) = self.holds.get(key).map(|hold| hold.stage) else {
+            return;
+        };
+        let engine_gone = self.terminated && result == Err(Fault::Unreachable);
+        let freed = !open && matches!(result, Ok(()) | Err(Fault::Missing));
+        if engine_gone || freed {
             self.remove(now, key);
         }
     }
--- a/crates/core/src/server/mod.rs
+++ b/crates/core/src/server/mod.rs
@@ -26,7 +26,7 @@
 mod prefill;
 mod reconcile;
 
-pub use authority::Authority;
+pub use authority::{Authority, successor_name};
 pub use count::Counter;
 pub use event::{Connection, Effect, Event, Fault, Order, Task};
 pub use hold::{Hold, Key};
@@ -63,6 +63,7 @@
     pace: capacity::Pace,
     reconcile: reconcile::Reconcile,
     pending: Vec<order::Pending>,
+    successors: Vec<Connection>,
     seen: Instant,
     changed: bool,
     counts: count::Counts,
@@ -89,6 +90,7 @@
             link: link::Link::default(),
             reconcile: reconcile::Reconcile::default(),
             pending: Vec::new(),
+            successors: Vec::new(),
             seen: now,
             changed: false,
             counts: count::Counts::default(),
@@ -171,6 +173,11 @@
         self.holds.is_empty() && self.reconcile.is_settled()
     }
 
+    /// Whether the process was asked to end and may.
+    pub fn is_ended(&self) -> bool {
+        self.terminated && self.is_idle()
+    }
+
     /// Whether the server takes work: it has authority and a configuration.
     pub fn is_ready(&self) -> bool {
         self.config.is_some() && self.authority.is_held() && self.leaving.is_none()
--- a/crates/core/src/server/reconcile.rs
+++ b/crates/core/src/server/reconcile.rs
@@ -43,7 +43,7 @@
 
 impl Reconcile {
     pub(super) fn is_settled(&self) -> bool {
-        self.found.is_empty() && self.early.is_empty()
+        self.found.is_empty()
     }
 
     pub(super) fn disclaim(&mut self, id: Id) {
--- /dev/null
+++ b/crates/side/src/actor.rs
@@ -0,0 +1,285 @@
+//! The actor that owns the table, the connections and the streams.
+
+use crate::authority::Claimant;
+use crate::config::Config;
+use crate::engine::{self, Decided};
+use crate::metrics::Metrics;
+use crate::plain;
+use crate::settings::Settings;
+use chestnutrack_core::server::{Connection, Effect, Event, Key, Server};
+use chestnutrack_core::time::Instant;
+use chestnutrack_engine::client as engine_client;
+use chestnutrack_platform::client as platform_client;
+use chestnutrack_process::admin::Ready;
+use chestnutrack_process::clock;
+use chestnutrack_wire::Frame;
+use chestnutrack_wire::connection::{Security, Sender};
+use prometheus::Registry;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::task::AbortHandle;
+
+/// Time between two updates of the pages.
+const PUBLISH_PERIOD: Duration = Duration::from_millis(100);
+/// Time for the last frames to leave before the process ends.
+const FLUSH: Duration = Duration::from_millis(200);
+
+/// The actor.
+pub struct Side;
+
+/// What the actor is told.
+pub enum Message {
+    /// Something has happened to the table.
+    Event(Event),
+    /// A connection has been opened.
+    Opened(Connection, Sender),
+    /// A connection has ended.
+    Closed(Connection),
+}
+
+/// What the actor starts with.
+pub struct Arguments {
+    /// Settings, with the addresses that are listened on.
+    pub settings: Settings,
+    /// Identity and trust between processes.
+    pub security: Option<Security>,
+    /// Where clients register their counters.
+    pub registry: Registry,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Whether the process is ready.
+    pub ready: Ready,
+    /// Where the pages are put.
+    pub publisher: watch::Sender<Arc<Published>>,
+    /// Random number drawn when the process started.
+    pub incarnation: u64,
+}
+
+/// The pages, as they were at the last update.
+#[derive(Clone, Debug, Default)]
+pub struct Published {
+    state: serde_json::Value,
+    holds: serde_json::Value,
+}
+
+impl Published {
+    /// The page at a path.
+    pub fn page(&self, path: &str) -> Option<serde_json::Value> {
+        match path {
+            "/v1/state" => Some(self.state.clone()),
+            "/v1/holds" => Some(self.holds.clone()),
+            _ => None,
+        }
+    }
+}
+
+/// What the actor owns.
+pub struct State {
+    arguments: Arguments,
+    claimant: Claimant,
+    server: Server,
+    config: Config,
+    engine: engine_client::Client,
+    connections: HashMap<Connection, Sender>,
+    tasks: HashMap<Key, AbortHandle>,
+    published: Instant,
+    ending: bool,
+}
+
+impl Actor for Side {
+    type Msg = Message;
+    type State = State;
+    type Arguments = Arguments;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        arguments: Arguments,
+    ) -> Result<State, ActorProcessingErr> {
+        let settings = &arguments.settings;
+        let registry = Some(&arguments.registry);
+        let claimant = Claimant {
+            client: platform_client::Client::new(settings.platform, Default::default(), registry),
+            name: settings.name.clone(),
+            incarnation: arguments.incarnation,
+            address: settings.listen,
+            security: arguments.security.clone(),
+        };
+        let engine = engine_client::Client::new(settings.backend, Default::default(), registry);
+        let sender = chestnutrack_wire::frame::Sender {
+            name: settings.name.clone(),
+            incarnation: arguments.incarnation,
+        };
+        let now = clock::now();
+        let server = Server::new(Default::default(), sender, now);
+        let claiming = claimant.clone();
+        tokio::spawn(async move {
+            let authority = claiming.claim().await;
+            let _ = myself.cast(Message::Event(Event::Authority(authority)));
+        });
+        Ok(State {
+            arguments,
+            claimant,
+            server,
+            config: Config::default(),
+            engine,
+            connections: HashMap::new(),
+            tasks: HashMap::new(),
+            published: now,
+            ending: false,
+        })
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Message>,
+        message: Message,
+        state: &mut State,
+    ) -> Result<(), ActorProcessingErr> {
+        match message {
+            Message::Opened(connection, sender) => {
+                state.connections.insert(connection, sender);
+            }
+            Message::Closed(connection) => {
+                state.connections.remove(&connection);
+                state.event(&myself, Event::Disconnected(connection));
+            }
+            Message::Event(event) => {
+                state.configure(&myself, &event);
+                let ticked = matches!(event, Event::Tick { .. });
+                state.event(&myself, event);
+                if ticked {
+                    state.tick(&myself);
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    fn event(&mut self, myself: &ActorRef<Message>, event: Event) {
+        let now = clock::now();
+        self.log(&event);
+        for effect in self.server.handle(now, event) {
+            self.carry_out(myself, now, effect);
+        }
+    }
+
+    fn log(&self, event: &Event) {
+        match event {
+            Event::Authority(authority) => tracing::info!(?authority, "authority"),
+            Event::Configured { version, server } => {
+                let leaving = server.as_ref().is_none_or(|server| server.leaving);
+                tracing::info!(version, listed = server.is_some(), leaving, "configuration");
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes a configuration that came in a frame.
+    fn configure(&mut self, myself: &ActorRef<Message>, event: &Event) {
+        let Event::Frame(_, Frame::Configuration { version, document }) = event else { return };
+        let settings = &self.arguments.settings;
+        match self.config.take(*version, document, &settings.service, &settings.name) {
+            Ok(Some(taken)) => {
+                let event = Event::Configured { version: taken.version, server: taken.server };
+                self.event(myself, event);
+            }
+            Ok(None) => {}
+            Err(findings) => {
+                self.arguments.metrics.refused_configurations.inc();
+                tracing::warn!(version, %findings, "configuration refused");
+            }
+        }
+    }
+
+    fn carry_out(&mut self, myself: &ActorRef<Message>, now: Instant, effect: Effect) {
+        match effect {
+            Effect::Send(connection, frame) => self.send(myself, connection, &frame),
+            Effect::SendConfiguration(connection) => {
+                let version = self.config.version();
+                let document = self.config.document().to_vec();
+                self.send(myself, connection, &Frame::Configuration { version, document });
+            }
+            Effect::Close(connection) => {
+                self.connections.remove(&connection);
+            }
+            Effect::Order(order) => {
+                let hold = order.hold;
+                let follows = order.task.follows();
+                let bound = chestnutrack_core::server::settings::PAUSE_BOUND;
+                let decided = Decided { order, at: now, bound };
+                let running = engine::carry_out(self.engine.clone(), decided, myself.clone());
+                let task = tokio::spawn(running).abort_handle();
+                if follows {
+                    self.replace_task(hold, task);
+                }
+            }
+            Effect::Call(key, ask) => {
+                let backend = self.arguments.settings.backend;
+                let running = plain::call(backend, key, ask, myself.clone());
+                let task = tokio::spawn(running).abort_handle();
+                self.replace_task(key, task);
+            }
+            Effect::Abort(key) => {
+                if let Some(task) = self.tasks.remove(&key) {
+                    task.abort();
+                }
+            }
+            Effect::Recheck(epoch) => {
+                let claimant = self.claimant.clone();
+                let myself = myself.clone();
+                tokio::spawn(async move {
+                    let authority = claimant.recheck(epoch).await;
+                    let _ = myself.cast(Message::Event(Event::Authority(authority)));
+                });
+            }
+        }
+    }
+
+    fn send(&mut self, myself: &ActorRef<Message>, connection: Connection, frame: &Frame) {
+        let Some(sender) = self.connections.get(&connection) else { return };
+        self.arguments.metrics.sent.inc();
+        if sender.send(frame).is_err() {
+            self.connections.remove(&connection);
+            let _ = myself.cast(Message::Closed(connection));
+        }
+    }
+
+    fn replace_task(&mut self, key: Key, task: AbortHandle) {
+        if let Some(old) = self.tasks.insert(key, task) {
+            old.abort();
+        }
+    }
+
+    fn tick(&mut self, myself: &ActorRef<Message>) {
+        let now = clock::now();
+        self.arguments.ready.set(self.server.is_ready());
+        self.tasks.retain(|_, task| !task.is_finished());
+        if now.since(self.published) >= PUBLISH_PERIOD {
+            self.publish(now);
+        }
+        if self.server.is_ended() && !self.ending {
+            self.ending = true;
+            let myself = myself.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(FLUSH).await;
+                myself.stop(None);
+            });
+        }
+    }
+
+    fn publish(&mut self, now: Instant) {
+        self.published = now;
+        self.arguments.metrics.show(&self.server, now);
+        let mut state = serde_json::json!(self.server.view(now));
+        state["name"] = serde_json::json!(self.arguments.settings.name);
+        state["incarnation"] = serde_json::json!(self.arguments.incarnation);
+        let holds = serde_json::json!({ "holds": self.server.view_holds(now) });
+        self.arguments.publisher.send_replace(Arc::new(Published { state, holds }));
+    }
+}
--- /dev/null
+++ b/crates/side/src/connection.rs
@@ -0,0 +1,56 @@
+//! Connections of entry hosts.
+
+use crate::actor::Message;
+use chestnutrack_core::server::{Connection, Event};
+use chestnutrack_wire::connection::{self, Receiver, Security};
+use ractor::ActorRef;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Time after which a listener that failed is asked again.
+const LISTEN_RETRY: Duration = Duration::from_millis(10);
+
+/// Accepts connections until the actor ends.
+pub async fn accept(listener: TcpListener, security: Option<Security>, actor: ActorRef<Message>) {
+    let mut number = 0;
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = actor.wait(None) => return,
+        };
+        let Ok((tcp, peer)) = accepted else {
+            tokio::time::sleep(LISTEN_RETRY).await;
+            continue;
+        };
+        number += 1;
+        let serving = serve(tcp, peer, security.clone(), Connection(number), actor.clone());
+        tokio::spawn(serving);
+    }
+}
+
+async fn serve(
+    tcp: TcpStream,
+    peer: SocketAddr,
+    security: Option<Security>,
+    number: Connection,
+    actor: ActorRef<Message>,
+) {
+    let Ok(opened) = connection::accept(tcp, peer, security.as_ref()).await else { return };
+    if actor.cast(Message::Opened(number, opened.sender)).is_err() {
+        return;
+    }
+    tokio::select! {
+        () = read(opened.receiver, number, &actor) => {}
+        _ = actor.wait(None) => {}
+    }
+    let _ = actor.cast(Message::Closed(number));
+}
+
+async fn read(mut receiver: Receiver, number: Connection, actor: &ActorRef<Message>) {
+    while let Ok(frame) = receiver.receive().await {
+        if actor.cast(Message::Event(Event::Frame(number, frame))).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/side/src/plain.rs
@@ -0,0 +1,70 @@
+//! Calls to a plain service, each on a connection of its own, so that a late answer meets no
+//! other call.
+
+use crate::actor::Message;
+use crate::header;
+use chestnutrack_core::server::{Event, Key};
+use chestnutrack_process::http::{self, Error};
+use chestnutrack_wire::frame::{Forward, Ran};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{Request, Response};
+use ractor::ActorRef;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Longest silence within a body.
+const BODY_SILENCE: Duration = Duration::from_secs(30);
+
+/// Makes a call and reports what comes of it. It is sent at most once.
+pub async fn call(address: SocketAddr, key: Key, ask: Forward, actor: ActorRef<Message>) {
+    let report = |event| drop(actor.cast(Message::Event(event)));
+    let limit = Duration::from_millis(u64::from(ask.deadline_ms));
+    let request = match build(&ask) {
+        Ok(request) => request,
+        Err(_) => return report(Event::CallFailed(key, Ran::NotRun)),
+    };
+    match http::open(address, request, limit).await {
+        Ok(response) => relay(key, response, report).await,
+        Err(error) => report(Event::CallFailed(key, ran(&error))),
+    }
+}
+
+fn ran(error: &Error) -> Ran {
+    match error {
+        Error::Connect(..) | Error::Request(_) => Ran::NotRun,
+        Error::Broken(_) | Error::Timeout(_) | Error::TooLarge(_) => Ran::Unknown,
+    }
+}
+
+fn build(ask: &Forward) -> Result<Request<Full<Bytes>>, Error> {
+    let mut request = http::request(&ask.method, &ask.target, ask.body.clone())?;
+    for (name, value) in header::to_server(&ask.headers) {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        let (Ok(name), Ok(value)) = (name, value) else {
+            return Err(Error::Request("a header is malformed".to_owned()));
+        };
+        request.headers_mut().append(name, value);
+    }
+    Ok(request)
+}
+
+async fn relay(key: Key, response: Response<Incoming>, report: impl Fn(Event)) {
+    let (head, mut body) = response.into_parts();
+    report(Event::Head(key, head.status.as_u16(), header::to_caller(&head.headers)));
+    loop {
+        match timeout(BODY_SILENCE, body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                let Ok(bytes) = frame.into_data() else { continue };
+                if !bytes.is_empty() {
+                    report(Event::Body(key, bytes.to_vec()));
+                }
+            }
+            Ok(None) => return report(Event::BodyEnd(key)),
+            Ok(Some(Err(_))) | Err(_) => return report(Event::CallFailed(key, Ran::Ran)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/side/src/program.rs
@@ -0,0 +1,118 @@
+//! Starts the process's parts and waits for its end.
+
+use crate::actor::{self, Message, Side};
+use crate::settings::Settings;
+use crate::{connection, metrics};
+use chestnutrack_core::server::Event;
+use chestnutrack_process::admin::{self, Ready};
+use chestnutrack_process::shutdown::Shutdown;
+use chestnutrack_process::timer::Timer;
+use chestnutrack_process::tls;
+use displaydoc::Display;
+use prometheus::Registry;
+use ractor::{Actor, ActorRef};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Period of the table's systems.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Why the process could not start.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// could not listen for signals: {0}
+    Signal(std::io::Error),
+    /// could not listen on {0}: {1}
+    Listen(SocketAddr, std::io::Error),
+    /// {0}
+    Identity(tls::Error),
+    /// a metric could not be registered: {0}
+    Metric(prometheus::Error),
+    /// could not start the table's actor: {0}
+    Actor(String),
+}
+
+impl std::error::Error for Error {}
+
+/// A running process.
+pub struct Program {
+    /// Address for entry hosts.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    actor: ActorRef<Message>,
+    ended: JoinHandle<()>,
+}
+
+impl Program {
+    /// Waits until the process has been shut down and is idle.
+    pub async fn ended(self) {
+        let _ = self.ended.await;
+    }
+
+    /// Ends at once, as if the process were killed.
+    pub fn kill(&self) {
+        self.actor.kill();
+    }
+}
+
+/// Starts the process.
+///
+/// # Errors
+///
+/// When an address is taken, or the identity can't be loaded.
+pub async fn start(settings: Settings, shutdown: Shutdown) -> Result<Program, Error> {
+    let security = match &settings.identity {
+        Some(files) => Some(tls::load(files).map_err(Error::Identity)?),
+        None => None,
+    };
+    let frames = bind(settings.listen).await?;
+    let operators = bind(settings.admin).await?;
+    let listen = frames.local_addr().map_err(|error| Error::Listen(settings.listen, error))?;
+    let admin = operators.local_addr().map_err(|error| Error::Listen(settings.admin, error))?;
+    let registry = Registry::new();
+    let metrics = metrics::Metrics::new(&registry).map_err(Error::Metric)?;
+    let ready = Ready::default();
+    let (publisher, published) = watch::channel(Arc::new(actor::Published::default()));
+    let arguments = actor::Arguments {
+        settings: Settings { listen, admin, ..settings },
+        security: security.clone(),
+        registry: registry.clone(),
+        metrics,
+        ready: ready.clone(),
+        publisher,
+        incarnation: rand::random(),
+    };
+    let spawned = Actor::spawn(None, Side, arguments).await;
+    let (actor, ended) = spawned.map_err(|error| Error::Actor(error.to_string()))?;
+    tokio::spawn(connection::accept(frames, security, actor.clone()));
+    tokio::spawn(tick(actor.clone()));
+    tokio::spawn(terminate(actor.clone(), shutdown));
+    let pages = Arc::new(move |path: &str, _: &str| published.borrow().page(path));
+    tokio::spawn(admin::serve(operators, registry, ready, pages));
+    tracing::info!(%listen, %admin, "started");
+    Ok(Program { listen, admin, actor, ended })
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
+}
+
+async fn tick(actor: ActorRef<Message>) {
+    let mut ticks = Timer::start().subscribe(TICK);
+    while let Some(tick) = ticks.recv().await {
+        if actor.cast(Message::Event(Event::Tick { late: tick.late })).is_err() {
+            return;
+        }
+    }
+}
+
+async fn terminate(actor: ActorRef<Message>, mut shutdown: Shutdown) {
+    shutdown.wait().await;
+    tracing::info!("leaving: asked to end");
+    let _ = actor.cast(Message::Event(Event::Terminate));
+}
--- /dev/null
+++ b/crates/side/src/settings.rs
@@ -0,0 +1,205 @@
+//! Settings from flags and environment variables.
+
+use argh::FromArgs;
+use chestnutrack_process::log::Form;
+use chestnutrack_process::settings::{Findings, Reader, Setting};
+use chestnutrack_process::tls::Files;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::sync::Arc;
+
+/// Kind of the backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Kind {
+    /// A model engine.
+    #[default]
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+/// Not a kind of backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unknown;
+
+impl FromStr for Kind {
+    type Err = Unknown;
+
+    fn from_str(text: &str) -> Result<Kind, Unknown> {
+        match text {
+            "engine" => Ok(Kind::Engine),
+            "plain" => Ok(Kind::Plain),
+            _ => Err(Unknown),
+        }
+    }
+}
+
+/// The process beside one backend server: its slots, KV cache, transfers and orders.
+///
+/// Each flag may also come from an environment variable: CHESTNUTRACK_ and the flag's name in
+/// upper case.
+#[derive(Clone, Debug, Default, FromArgs)]
+pub struct Flags {
+    /// name of the backend server in the document
+    #[argh(option)]
+    pub name: Option<String>,
+    /// service that it belongs to
+    #[argh(option)]
+    pub service: Option<String>,
+    /// address for entry hosts
+    #[argh(option)]
+    pub listen: Option<String>,
+    /// address for operators
+    #[argh(option)]
+    pub admin: Option<String>,
+    /// address of the object interface
+    #[argh(option)]
+    pub platform: Option<String>,
+    /// kind of the backend server: engine or plain
+    #[argh(option)]
+    pub kind: Option<String>,
+    /// address of the backend server
+    #[argh(option)]
+    pub backend: Option<String>,
+    /// certificate chain of this process, as a PEM file
+    #[argh(option)]
+    pub certificate: Option<String>,
+    /// private key of this process, as a PEM file
+    #[argh(option)]
+    pub key: Option<String>,
+    /// certificates of the trusted authorities, as a PEM file
+    #[argh(option)]
+    pub authorities: Option<String>,
+    /// form of the log: text or json
+    #[argh(option)]
+    pub log: Option<String>,
+}
+
+/// Settings of the process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of the backend server in the document.
+    pub name: Arc<str>,
+    /// Service that it belongs to.
+    pub service: Arc<str>,
+    /// Address for entry hosts.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address of the object interface.
+    pub platform: SocketAddr,
+    /// Kind of the backend server.
+    pub kind: Kind,
+    /// Address of the backend server.
+    pub backend: SocketAddr,
+    /// Identity and trust; plain TCP where absent.
+    pub identity: Option<Files>,
+    /// Form of the log.
+    pub log: Form,
+}
+
+/// An address that nothing listens on; any free port where it is listened on.
+pub const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            name: "server".into(),
+            service: "service".into(),
+            listen: NOWHERE,
+            admin: NOWHERE,
+            platform: NOWHERE,
+            kind: Kind::Engine,
+            backend: NOWHERE,
+            identity: None,
+            log: Form::Text,
+        }
+    }
+}
+
+const ADDRESS: &str = "an IP address with a port";
+
+const fn setting(
+    flag: &'static str,
+    variable: &'static str,
+    allowed: &'static str,
+) -> Setting<'static> {
+    Setting { flag, variable, allowed }
+}
+
+const NAME: Setting<'static> =
+    setting("--name", "CHESTNUTRACK_NAME", "the server's name in the document");
+const SERVICE: Setting<'static> =
+    setting("--service", "CHESTNUTRACK_SERVICE", "the service's name");
+const LISTEN: Setting<'static> = setting("--listen", "CHESTNUTRACK_LISTEN", ADDRESS);
+const ADMIN: Setting<'static> = setting("--admin", "CHESTNUTRACK_ADMIN", ADDRESS);
+const PLATFORM: Setting<'static> = setting("--platform", "CHESTNUTRACK_PLATFORM", ADDRESS);
+const KIND: Setting<'static> = setting("--kind", "CHESTNUTRACK_KIND", "`engine` or `plain`");
+const BACKEND: Setting<'static> = setting("--backend", "CHESTNUTRACK_BACKEND", ADDRESS);
+const CERTIFICATE: Setting<'static> = setting(
+    "--certificate",
+    "CHESTNUTRACK_CERTIFICATE",
+    "a PEM file, with --key and --authorities",
+);
+const KEY: Setting<'static> =
+    setting("--key", "CHESTNUTRACK_KEY", "a PEM file, with --certificate and --authorities");
+const AUTHORITIES: Setting<'static> = setting(
+    "--authorities",
+    "CHESTNUTRACK_AUTHORITIES",
+    "a PEM file, with --certificate and --key",
+);
+const LOG: Setting<'static> = setting("--log", "CHESTNUTRACK_LOG_FORM", "`text` or `json`");
+
+/// Reads the settings.
+///
+/// # Errors
+///
+/// Every wrong or missing setting.
+pub fn read(
+    flags: &Flags,
+    environment: impl Fn(&str) -> Option<String>,
+) -> Result<Settings, Findings> {
+    let mut reader = Reader::new(environment);
+    let name: String = reader.required(NAME, flags.name.as_deref(), String::new());
+    let service: String = reader.required(SERVICE, flags.service.as_deref(), String::new());
+    let identity = read_identity(&mut reader, flags);
+    let settings = Settings {
+        name: name.into(),
+        service: service.into(),
+        listen: reader.required(LISTEN, flags.listen.as_deref(), NOWHERE),
+        admin: reader.required(ADMIN, flags.admin.as_deref(), NOWHERE),
+        platform: reader.required(PLATFORM, flags.platform.as_deref(), NOWHERE),
+        kind: reader.required(KIND, flags.kind.as_deref(), Kind::Engine),
+        backend: reader.required(BACKEND, flags.backend.as_deref(), NOWHERE),
+        identity,
+        log: reader.or(LOG, flags.log.as_deref(), Form::Text),
+    };
+    reader.finish(settings)
+}
+
+fn read_identity<F: Fn(&str) -> Option<String>>(
+    reader: &mut Reader<F>,
+    flags: &Flags,
+) -> Option<Files> {
+    let certificate: Option<PathBuf> = reader.optional(CERTIFICATE, flags.certificate.as_deref());
+    let key: Option<PathBuf> = reader.optional(KEY, flags.key.as_deref());
+    let authorities: Option<PathBuf> = reader.optional(AUTHORITIES, flags.authorities.as_deref());
+    match (certificate, key, authorities) {
+        (Some(certificate), Some(key), Some(authorities)) => {
+            Some(Files { certificate, key, authorities })
+        }
+        (None, None, None) => None,
+        (certificate, key, authorities) => {
+            let parts = [
+                (CERTIFICATE, certificate.is_none()),
+                (KEY, key.is_none()),
+                (AUTHORITIES, authorities.is_none()),
+            ];
+            for (setting, _) in parts.into_iter().filter(|(_, missing)| *missing) {
+                reader.refuse(setting, "is missing beside the other two files of the identity");
+            }
+            None
+        }
+    }
+}
