--- /dev/null
+++ b/crates/core/src/member/table.rs
@@ -0,0 +1,58 @@
+//! The table of members, as it stands in the object interface and in frames.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Which process: a name from its settings, and a number drawn when it started.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Identity {
+    /// Name, unique within the fleet.
+    pub name: Arc<str>,
+    /// Random number drawn when the process started.
+    pub incarnation: u64,
+}
+
+/// One member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Who it is.
+    #[serde(flatten)]
+    pub identity: Identity,
+    /// Address that peers reach it at.
+    pub address: SocketAddr,
+}
+
+/// The members, in the order in which they joined.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Table {
+    /// Version, as the object interface counts it.
+    pub version: u64,
+    /// The members; one that joins is put last.
+    pub members: Vec<Member>,
+}
+
+impl Table {
+    /// Whether a process is listed, by name and incarnation.
+    pub fn lists(&self, identity: &Identity) -> bool {
+        self.position(identity).is_some()
+    }
+
+    /// A process's place in the order of joining.
+    pub fn position(&self, identity: &Identity) -> Option<usize> {
+        self.members.iter().position(|member| member.identity == *identity)
+    }
+
+    /// The members with one more; an older incarnation of the same name goes.
+    pub fn with(&self, member: Member) -> Vec<Member> {
+        let mut members = self.without(&member.identity.name);
+        members.push(member);
+        members
+    }
+
+    /// The members but for one name.
+    pub fn without(&self, name: &str) -> Vec<Member> {
+        let others = |member: &&Member| &*member.identity.name != name;
+        self.members.iter().filter(others).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/member/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of membership.
