--- a/crates/core/src/place/choose.rs
+++ b/crates/core/src/place/choose.rs
@@ -32,7 +32,7 @@
     pub pieces: Vec<u64>,
     /// Failure domain to prefer when loads are equal.
     pub near: Arc<str>,
-    /// Servers that refused this request or failed it.
+    /// Servers that failed this request; they are chosen only when no other is open.
     pub passed_over: Vec<Arc<str>>,
 }
 
@@ -92,10 +92,9 @@
 
 fn eligible(table: &Table, ask: &Ask, role: Role, fits: impl Fn(&Server) -> bool) -> Vec<Key> {
     let of_pool = |server: &Server| server.role == role && server.pool == ask.pool;
-    let wanted = |server: &Server| !ask.passed_over.contains(&server.name);
-    table
-        .iter()
-        .filter(|(_, server)| of_pool(server) && server.is_open() && wanted(server) && fits(server))
-        .map(|(key, _)| key)
-        .collect()
+    let open = table.iter().filter(|(_, server)| of_pool(server) && server.is_open());
+    let (passed_over, wanted): (Vec<_>, Vec<_>) =
+        open.partition(|(_, server)| ask.passed_over.contains(&server.name));
+    let left = if wanted.is_empty() { passed_over } else { wanted };
+    left.into_iter().filter(|(_, server)| fits(server)).map(|(key, _)| key).collect()
 }
--- a/crates/core/src/place/tests.rs
+++ b/crates/core/src/place/tests.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    fn a_server_that_was_passed_over_is_not_chosen(count: u8, seed: u64) -> bool {
+    fn a_server_that_was_passed_over_is_the_last_choice(count: u8, seed: u64) -> bool {
         let mut table = Table::with_key();
         let count = usize::from(count % 6) + 1;
         for index in 0..count {
@@ -56,7 +56,7 @@
         }
         let passed_over = vec!["s0".into()];
         let chosen = decode(&table, &Ask { passed_over, ..ask() }, NOW, &mut rng(seed));
-        name_of(&table, chosen).as_deref() != Some("s0") && chosen.is_some() == (count > 1)
+        (name_of(&table, chosen).as_deref() == Some("s0")) == (count == 1) && chosen.is_some()
     }
 
     fn the_record_stays_bounded(notes: Vec<(u8, u64)>) -> bool {
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -68,6 +68,15 @@
     },
 }
 
+/// A request that may not wait, handed back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refused<T> {
+    /// Why.
+    pub why: Refusal,
+    /// What the queue's owner keeps with it.
+    pub item: T,
+}
+
 #[derive(Debug, Default)]
 struct Lane {
     interactive: VecDeque<Key>,
@@ -133,9 +142,11 @@
     /// # Errors
     ///
     /// When there is no room, or its turn would surely come too late.
-    pub fn push(&mut self, now: Instant, waiting: Waiting<T>) -> Result<Key, Refusal> {
-        if !waiting.returned {
-            self.admit(now, &waiting)?;
+    pub fn push(&mut self, now: Instant, waiting: Waiting<T>) -> Result<Key, Refused<T>> {
+        if !waiting.returned
+            && let Err(why) = self.admit(now, &waiting)
+        {
+            return Err(Refused { why, item: waiting.item });
         }
         let organisation = waiting.organisation.clone();
         let (may_wait, returned) = (waiting.may_wait, waiting.returned);
--- /dev/null
+++ b/crates/entry/src/admin/mod.rs
@@ -0,0 +1,41 @@
+//! The pages for operators.
+
+use crate::app::App;
+use crate::scheduler::View;
+use chestnutrack_process::admin::Pages;
+use chestnutrack_wire::Request;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use tokio::sync::watch;
+
+/// `/v1/explain?id=…`, `/v1/servers`, `/v1/configuration`, `/v1/usage`.
+pub fn pages(app: Arc<App>, servers: watch::Receiver<Vec<View>>) -> Pages {
+    Arc::new(move |path, query| match path {
+        "/v1/explain" => Some(explain(&app, query)),
+        "/v1/servers" => Some(json!({ "servers": *servers.borrow() })),
+        "/v1/configuration" => Some(configuration(&app)),
+        "/v1/usage" => Some(json!({ "usage": app.ledger.lines() })),
+        _ => None,
+    })
+}
+
+fn explain(app: &App, query: &str) -> Value {
+    let id = query.split('&').find_map(|pair| pair.strip_prefix("id="));
+    let Some(id) = id.and_then(|text| text.parse::<Request>().ok()) else {
+        return json!({ "error": { "place": "id", "message": "must be a request's identifier" } });
+    };
+    match app.ring.get(id) {
+        Some(entry) => json!(entry),
+        None => json!({ "error": { "place": "id", "message": "not among the recent requests" } }),
+    }
+}
+
+fn configuration(app: &App) -> Value {
+    let snapshot = app.authority.snapshot();
+    json!({
+        "version": snapshot.version,
+        "trusted": snapshot.trusted,
+        "service": snapshot.document.as_ref().map(|document| document.service.clone()),
+        "leaving_hosts": snapshot.leaving,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/answer/reply.rs
@@ -0,0 +1,162 @@
+//! The way back to one caller.
+
+use super::{Answer, Broken, Streamed, add, set};
+use crate::request::refusal::Refusal;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{Response, StatusCode};
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::{mpsc, oneshot};
+
+/// Parts of an answer that may wait for a slow caller.
+const PARTS: usize = 64;
+
+/// Name and value of a header.
+pub type Header = (Arc<str>, Arc<str>);
+
+/// An answer that is kept until it is whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Kept {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: Vec<Header>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+enum State {
+    /// Nothing has been sent.
+    Fresh(oneshot::Sender<Response<Answer>>),
+    /// Nothing is sent before the answer is whole.
+    Keeping(oneshot::Sender<Response<Answer>>, Option<Kept>),
+    /// The head has been sent, the body goes on.
+    Streaming(mpsc::Sender<Result<Bytes, Broken>>),
+    /// All has been sent.
+    Over,
+}
+
+/// The way back to one caller: exactly one answer can be sent on it.
+pub struct Reply {
+    request: Arc<str>,
+    state: Mutex<State>,
+}
+
+impl Reply {
+    /// A way back that sends at once.
+    pub fn new(request: Arc<str>, head: oneshot::Sender<Response<Answer>>) -> Reply {
+        Reply { request, state: Mutex::new(State::Fresh(head)) }
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn replace(&self, with: State) -> State {
+        std::mem::replace(&mut *self.state(), with)
+    }
+
+    /// From now on, keeps the answer until it is released.
+    pub fn keep(&self) {
+        let mut state = self.state();
+        *state = match std::mem::replace(&mut *state, State::Over) {
+            State::Fresh(head) => State::Keeping(head, None),
+            other => other,
+        };
+    }
+
+    /// Whether a part of the answer has gone to the caller.
+    pub fn is_started(&self) -> bool {
+        !matches!(*self.state(), State::Fresh(_) | State::Keeping(..))
+    }
+
+    /// Sends the head.
+    pub fn start(&self, status: u16, headers: Vec<Header>) {
+        let mut state = self.state();
+        *state = match std::mem::replace(&mut *state, State::Over) {
+            State::Fresh(head) => {
+                let (parts, body) = mpsc::channel(PARTS);
+                let body = Streamed(body).boxed();
+                let _ = head.send(self.response(status, &headers, body));
+                State::Streaming(parts)
+            }
+            State::Keeping(head, None) => {
+                State::Keeping(head, Some(Kept { status, headers, body: Vec::new() }))
+            }
+            other => other,
+        };
+    }
+
+    fn response(&self, status: u16, headers: &[Header], body: Answer) -> Response<Answer> {
+        let mut response = Response::new(body);
+        *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        for (name, value) in headers {
+            add(&mut response, name, value);
+        }
+        set(&mut response, "x-chestnutrack-request", &self.request);
+        response
+    }
+
+    /// Sends a part of the body, waiting for a slow caller.
+    pub async fn send(&self, bytes: Bytes) {
+        let parts = match &mut *self.state() {
+            State::Streaming(parts) => parts.clone(),
+            State::Keeping(_, Some(kept)) => {
+                kept.body.extend_from_slice(&bytes);
+                return;
+            }
+            _ => return,
+        };
+        let _ = parts.send(Ok(bytes)).await;
+    }
+
+    /// Ends a streamed answer as whole.
+    pub fn end(&self) {
+        let mut state = self.state();
+        if matches!(*state, State::Streaming(_)) {
+            *state = State::Over;
+        }
+    }
+
+    /// Breaks the caller's connection off, since the answer can't be completed.
+    pub async fn break_off(&self) {
+        if let State::Streaming(parts) = self.replace(State::Over) {
+            let _ = parts.send(Err(Broken)).await;
+        }
+    }
+
+    /// Sends a refusal in place of an answer; false when a part of an answer has gone already.
+    pub fn refuse(&self, refusal: &Refusal) -> bool {
+        match self.replace(State::Over) {
+            State::Fresh(head) | State::Keeping(head, _) => {
+                let mut response = refusal.response();
+                set(&mut response, "x-chestnutrack-request", &self.request);
+                let _ = head.send(response);
+                true
+            }
+            other => {
+                *self.state() = other;
+                false
+            }
+        }
+    }
+
+    /// What has been kept so far.
+    pub fn kept(&self) -> Option<Kept> {
+        match &*self.state() {
+            State::Keeping(_, kept) => kept.clone(),
+            _ => None,
+        }
+    }
+
+    /// Sends a kept answer.
+    pub fn release(&self, kept: Kept) {
+        match self.replace(State::Over) {
+            State::Fresh(head) | State::Keeping(head, _) => {
+                let body = super::full(kept.body);
+                let _ = head.send(self.response(kept.status, &kept.headers, body));
+            }
+            other => *self.state() = other,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/app.rs
@@ -0,0 +1,85 @@
+//! What every request of the process shares.
+
+use crate::authority::Authority;
+use crate::explain::Ring;
+use crate::metric::Metrics;
+use crate::scheduler::Scheduler;
+use crate::usage::Ledger;
+use chestnutrack_core::retry::Budget;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// What every request of the process shares.
+pub struct App {
+    /// Failure domain of this host.
+    pub failure_domain: Arc<str>,
+    /// The fleet, as the request path sees it.
+    pub authority: Authority,
+    /// Turns on servers.
+    pub scheduler: Scheduler,
+    /// Counters.
+    pub metrics: Arc<Metrics>,
+    /// Counters of organisations.
+    pub ledger: Ledger,
+    /// Why recent requests went where they did.
+    pub ring: Ring,
+    /// What is left to spend on retries.
+    pub budget: Mutex<Budget>,
+    /// How fast prompts are prefilled.
+    pub prefill: Prefill,
+    /// Whether the process is shutting down.
+    pub draining: AtomicBool,
+}
+
+impl App {
+    /// Notes a new request in the budget of retries.
+    pub fn earn_retry(&self) {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner).earn();
+    }
+
+    /// Takes a retry of a request that was retried `before` times.
+    pub fn spend_retry(&self, before: u32) -> bool {
+        let taken = self.budget.lock().unwrap_or_else(PoisonError::into_inner).spend(before);
+        let counter = if taken { &self.metrics.retries } else { &self.metrics.retries_denied };
+        counter.inc();
+        taken
+    }
+
+    /// Whether the process is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+}
+
+/// How fast prompts are prefilled, learned from those that were.
+#[derive(Debug)]
+pub struct Prefill(AtomicU64);
+
+impl Default for Prefill {
+    fn default() -> Prefill {
+        /// Time for a prompt token before any was seen, in nanoseconds.
+        const NANOS_PER_TOKEN: u64 = 100_000;
+        Prefill(AtomicU64::new(NANOS_PER_TOKEN))
+    }
+}
+
+impl Prefill {
+    /// Weight of a new prefill is one in so many.
+    const SMOOTHING: u64 = 16;
+
+    /// Notes a prefill of so many uncached tokens.
+    pub fn note(&self, tokens: u64, took: std::time::Duration) {
+        if tokens == 0 {
+            return;
+        }
+        let nanos = u64::try_from(took.as_nanos()).unwrap_or(u64::MAX) / tokens;
+        let old = self.0.load(Ordering::Relaxed);
+        let new = old - old / Prefill::SMOOTHING + nanos / Prefill::SMOOTHING;
+        self.0.store(new, Ordering::Relaxed);
+    }
+
+    /// Expected time of a prefill, in milliseconds.
+    pub fn expected_ms(&self, tokens: u64) -> u64 {
+        self.0.load(Ordering::Relaxed).saturating_mul(tokens) / 1_000_000
+    }
+}
--- /dev/null
+++ b/crates/entry/src/link/stream.rs
@@ -0,0 +1,193 @@
+//! One attempt on one side process, as its link sees it.
+
+use super::cursor::{Cursor, Fit};
+use bytes::Bytes;
+use chestnutrack_core::time::Instant;
+use chestnutrack_wire::frame::{Failure, Finish, Frame, Kv, Ran};
+use chestnutrack_wire::{Attempt, Request};
+use std::sync::Arc;
+use tokio::sync::mpsc;
+
+/// Times that one answer is asked for again from its offset before it is given up.
+const RESUMES_MAX: u32 = 8;
+
+/// Names an attempt at a request.
+pub type Id = (Request, Attempt);
+
+/// How far an attempt is on its side process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// A hold or a prefill was asked for; nothing of the answer can have been made yet.
+    Asked,
+    /// The hold was given, or the prefill is ready.
+    Held,
+    /// The answer is being made: an order was sent that may have taken effect.
+    Answering,
+}
+
+/// What a side process says of an attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The hold is given; the KV cache may come in so many milliseconds.
+    Reserved(u32),
+    /// The KV cache is ready.
+    Prefilled(Kv),
+    /// More of the answer.
+    Tokens(Vec<Arc<str>>),
+    /// The answer is whole.
+    End(Finish),
+    /// Head of a plain answer.
+    Head(u16, Vec<(Arc<str>, Arc<str>)>),
+    /// More of a plain answer.
+    Body(Bytes),
+    /// The plain answer is whole.
+    BodyEnd,
+    /// The attempt was refused or failed.
+    Failed(Failure),
+    /// The side process can't be reached any more; whether the attempt ran.
+    Lost(Ran),
+}
+
+/// What the link does after a frame was taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Goes on.
+    Continue,
+    /// Asks for the answer again, from this offset.
+    Resume(u64),
+    /// Forgets the stream: it has ended.
+    Ended,
+    /// Gives the stream up: its answer contradicts itself.
+    GiveUp,
+    /// Drops the frame: late, duplicated or out of place.
+    Dropped,
+}
+
+/// An attempt in a link's table.
+#[derive(Debug)]
+pub struct Stream {
+    /// How far it is.
+    pub stage: Stage,
+    /// How much of its answer has come.
+    pub cursor: Cursor,
+    /// Since when it waits for a connection to go on.
+    pub broken_since: Option<Instant>,
+    head_seen: bool,
+    resumes: u32,
+    events: mpsc::UnboundedSender<Event>,
+}
+
+impl Stream {
+    /// A stream that was just asked for.
+    pub fn new(stage: Stage, events: mpsc::UnboundedSender<Event>) -> Stream {
+        Stream {
+            stage,
+            cursor: Cursor::default(),
+            broken_since: None,
+            head_seen: false,
+            resumes: 0,
+            events,
+        }
+    }
+
+    /// Tells the request's task.
+    pub fn tell(&self, event: Event) {
+        let _ = self.events.send(event);
+    }
+
+    /// Whether the attempt ran, once its side process can't be reached.
+    pub fn ran(&self) -> Ran {
+        match self.stage {
+            Stage::Asked | Stage::Held => Ran::NotRun,
+            Stage::Answering if self.head_seen || self.cursor.0 > 0 => Ran::Ran,
+            Stage::Answering => Ran::Unknown,
+        }
+    }
+
+    /// Notes that the answer is asked for again; false when it was too often.
+    pub fn note_resume(&mut self) -> bool {
+        self.resumes += 1;
+        self.resumes <= RESUMES_MAX
+    }
+
+    /// Takes a frame of this attempt in.
+    pub fn take(&mut self, frame: Frame) -> Next {
+        match (self.stage, frame) {
+            (Stage::Asked, Frame::Reserved(_, _, ready_in_ms, _)) => {
+                self.hold(Event::Reserved(ready_in_ms))
+            }
+            (Stage::Asked, Frame::Prefilled(_, _, kv, _)) => self.hold(Event::Prefilled(kv)),
+            (Stage::Answering, Frame::Tokens(_, _, offset, texts)) => self.tokens(offset, texts),
+            (Stage::Answering, Frame::End(_, _, total, finish, _)) => {
+                self.end(u64::from(total), Event::End(finish))
+            }
+            (Stage::Answering, Frame::Head(_, _, status, headers)) => self.head(status, headers),
+            (Stage::Answering, Frame::Body(_, _, offset, bytes)) => self.body(offset, bytes),
+            (Stage::Answering, Frame::BodyEnd(_, _, total, _)) if self.head_seen => {
+                self.end(total, Event::BodyEnd)
+            }
+            (_, Frame::Failed(_, _, failure, _)) => self.fail(failure),
+            _ => Next::Dropped,
+        }
+    }
+
+    fn hold(&mut self, event: Event) -> Next {
+        self.stage = Stage::Held;
+        self.tell(event);
+        Next::Continue
+    }
+
+    fn tokens(&mut self, offset: u32, mut texts: Vec<Arc<str>>) -> Next {
+        match self.cursor.place(u64::from(offset), texts.len()) {
+            Fit::Take(skip) => {
+                self.tell(Event::Tokens(texts.split_off(skip)));
+                Next::Continue
+            }
+            Fit::Duplicate => Next::Dropped,
+            Fit::Gap => Next::Resume(self.cursor.0),
+        }
+    }
+
+    fn head(&mut self, status: u16, headers: Vec<(Arc<str>, Arc<str>)>) -> Next {
+        if self.head_seen {
+            return Next::Dropped;
+        }
+        self.head_seen = true;
+        self.tell(Event::Head(status, headers));
+        Next::Continue
+    }
+
+    fn body(&mut self, offset: u64, bytes: Vec<u8>) -> Next {
+        if !self.head_seen {
+            return Next::Resume(0);
+        }
+        match self.cursor.place(offset, bytes.len()) {
+            Fit::Take(skip) => {
+                self.tell(Event::Body(Bytes::from(bytes).slice(skip..)));
+                Next::Continue
+            }
+            Fit::Duplicate => Next::Dropped,
+            Fit::Gap => Next::Resume(self.cursor.0),
+        }
+    }
+
+    fn end(&mut self, total: u64, event: Event) -> Next {
+        if total > self.cursor.0 {
+            return Next::Resume(self.cursor.0);
+        }
+        if total < self.cursor.0 {
+            return Next::GiveUp;
+        }
+        self.tell(event);
+        Next::Ended
+    }
+
+    /// A failure is final. After a broken connection a side process that knows nothing of the
+    /// attempt can't tell that it did not run.
+    fn fail(&mut self, failure: Failure) -> Next {
+        let doubtful = self.resumes > 0 && failure.ran == Ran::NotRun;
+        let ran = if doubtful { self.ran() } else { failure.ran };
+        self.tell(Event::Failed(Failure { ran, ..failure }));
+        Next::Ended
+    }
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,42 @@
+//! `chestnutrack-entry`: the program on an entry host.
+
+use chestnutrack_entry::program;
+use chestnutrack_entry::settings::{self, Flags};
+use chestnutrack_process::log;
+use chestnutrack_process::settings::environment;
+use std::process::ExitCode;
+
+/// Exit code for wrong settings.
+const WRONG_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags: Flags = argh::from_env();
+    let settings = match settings::read(&flags, environment) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            report(&findings);
+            return ExitCode::from(WRONG_SETTINGS);
+        }
+    };
+    log::start(settings.log);
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            report(&error);
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(program::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            report(&error);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[expect(clippy::print_stderr, reason = "errors before and after logging go to standard error")]
+fn report(error: &dyn std::fmt::Display) {
+    eprint!("{error}");
+    eprintln!();
+}
--- /dev/null
+++ b/crates/entry/src/metric/mod.rs
@@ -0,0 +1,119 @@
+//! The program's counters and histograms.
+
+use prometheus::{
+    Error, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// Bounds of histograms of milliseconds and of tens of them, in seconds.
+const BUCKETS_S: &[f64] =
+    &[0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.16, 0.32, 0.63, 1.25, 2.5, 5.0, 10.0, 30.0];
+/// Bounds of the histogram of the router's own time, in seconds.
+const OWN_BUCKETS_S: &[f64] =
+    &[0.000_1, 0.000_2, 0.000_5, 0.001, 0.002, 0.003, 0.005, 0.01, 0.02, 0.05, 0.1, 1.0];
+
+/// Counters and histograms of an entry host.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Requests, by route and outcome.
+    pub requests: IntCounterVec,
+    /// Refusals, by code.
+    pub refusals: IntCounterVec,
+    /// Attempts beyond the first of a request.
+    pub retries: IntCounter,
+    /// Retries that the budget did not allow.
+    pub retries_denied: IntCounter,
+    /// Frames that were late, duplicated or out of place.
+    pub frames_dropped: IntCounter,
+    /// Answers asked for again from their offset.
+    pub resumes: IntCounter,
+    /// Connections that were replaced because they were silent.
+    pub connections_silent: IntCounter,
+    /// Prompt tokens prefilled.
+    pub prefill_tokens: IntCounter,
+    /// Prompt tokens prefilled of which no answer came.
+    pub prefill_tokens_wasted: IntCounter,
+    /// Connections of callers.
+    pub connections: IntGauge,
+    /// Requests in progress.
+    pub in_progress: IntGauge,
+    /// Time from arrival to the first token, in seconds.
+    pub first_token: Histogram,
+    /// Time between tokens, in seconds.
+    pub between_tokens: Histogram,
+    /// Time to the first token that was spent in this process, in seconds.
+    pub own_time: Histogram,
+}
+
+impl Metrics {
+    /// Registers them.
+    ///
+    /// # Errors
+    ///
+    /// When a name is taken.
+    pub fn new(registry: &Registry) -> Result<Metrics, Error> {
+        Ok(Metrics {
+            requests: counters(registry, "requests", "Requests", &["route", "outcome"])?,
+            refusals: counters(registry, "refusals", "Refusals", &["code"])?,
+            retries: counter(registry, "retries", "Attempts beyond the first")?,
+            retries_denied: counter(registry, "retries_denied", "Retries beyond the budget")?,
+            frames_dropped: counter(registry, "frames_dropped", "Late or crossed frames")?,
+            resumes: counter(registry, "resumes", "Answers asked for again from an offset")?,
+            connections_silent: counter(registry, "connections_silent", "Connections replaced")?,
+            prefill_tokens: counter(registry, "prefill_tokens", "Prompt tokens prefilled")?,
+            prefill_tokens_wasted: counter(
+                registry,
+                "prefill_tokens_wasted",
+                "Prompt tokens prefilled without an answer",
+            )?,
+            connections: gauge(registry, "connections", "Connections of callers")?,
+            in_progress: gauge(registry, "in_progress", "Requests in progress")?,
+            first_token: histogram(registry, "first_token", "Time to first token", BUCKETS_S)?,
+            between_tokens: histogram(
+                registry,
+                "between_tokens",
+                "Time between tokens",
+                BUCKETS_S,
+            )?,
+            own_time: histogram(registry, "own_time", "Time spent here", OWN_BUCKETS_S)?,
+        })
+    }
+}
+
+fn name(text: &str, suffix: &str) -> String {
+    format!("chestnutrack_entry_{text}{suffix}")
+}
+
+fn counter(registry: &Registry, text: &str, help: &str) -> Result<IntCounter, Error> {
+    let counter = IntCounter::new(name(text, "_total"), help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn counters(
+    registry: &Registry,
+    text: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, Error> {
+    let counters = IntCounterVec::new(Opts::new(name(text, "_total"), help), labels)?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
+fn gauge(registry: &Registry, text: &str, help: &str) -> Result<IntGauge, Error> {
+    let gauge = IntGauge::new(name(text, ""), help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
+fn histogram(
+    registry: &Registry,
+    text: &str,
+    help: &str,
+    buckets: &[f64],
+) -> Result<Histogram, Error> {
+    let options = HistogramOpts::new(name(text, "_seconds"), help).buckets(buckets.to_vec());
+    let histogram = Histogram::with_opts(options)?;
+    registry.register(Box::new(histogram.clone()))?;
+    Ok(histogram)
+}
--- /dev/null
+++ b/crates/entry/src/request/body.rs
@@ -0,0 +1,152 @@
+//! Reads the body of a model request, with the place of each thing that is wrong.
+
+use super::refusal::{Code, Refusal};
+use chestnutrack_document::finding::Findings;
+use chestnutrack_document::model::{Api, Bounds};
+use serde_json::{Map, Value};
+use std::sync::Arc;
+
+/// Bytes of prompt text that count as one token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Longest answer where the caller states none, in tokens.
+const MAX_TOKENS_DEFAULT: u32 = 256;
+
+/// A model request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// Model that the caller states.
+    pub model: Arc<str>,
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// Its size, in tokens.
+    pub prompt_tokens: u32,
+    /// Longest answer, in tokens.
+    pub max_tokens: u32,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+/// Reads the body as a JSON object.
+///
+/// # Errors
+///
+/// With the line and column of what is wrong.
+pub fn object(bytes: &[u8]) -> Result<Map<String, Value>, Refusal> {
+    match serde_json::from_slice(bytes) {
+        Ok(Value::Object(fields)) => Ok(fields),
+        Ok(_) => {
+            Err(Refusal::new(Code::InvalidJson, "the body must be a JSON object")
+                .at("line 1 column 1"))
+        }
+        Err(error) => {
+            let place = format!("line {} column {}", error.line(), error.column());
+            Err(Refusal::new(Code::InvalidJson, "the body is not valid JSON").at(place))
+        }
+    }
+}
+
+/// The model that a body states.
+///
+/// # Errors
+///
+/// When it states none.
+pub fn model(fields: &Map<String, Value>) -> Result<&str, Refusal> {
+    let missing = || Refusal::new(Code::InvalidField, "must be a model's name").at("model");
+    fields.get("model").and_then(Value::as_str).ok_or_else(missing)
+}
+
+/// Reads a model request.
+///
+/// # Errors
+///
+/// Everything that is wrong with its fields, at the place of the first.
+pub fn call(api: Api, fields: &Map<String, Value>, bounds: &Bounds) -> Result<Call, Refusal> {
+    let mut findings = Findings::default();
+    let model = model(fields)?.into();
+    let prompt = match api {
+        Api::Chat => messages(&mut findings, fields),
+        _ => prompt(&mut findings, fields),
+    };
+    let prompt_tokens = prompt_tokens(&mut findings, api, &prompt, bounds);
+    let max_tokens = max_tokens(&mut findings, fields, bounds);
+    let stream = stream(&mut findings, fields);
+    if findings.is_empty() {
+        return Ok(Call { model, prompt: prompt.into(), prompt_tokens, max_tokens, stream });
+    }
+    let place = findings.0[0].place.clone();
+    let message = findings.to_string().replace('\n', "; ");
+    Err(Refusal::new(Code::InvalidField, message).at(place))
+}
+
+fn prompt(findings: &mut Findings, fields: &Map<String, Value>) -> String {
+    match fields.get("prompt").and_then(Value::as_str) {
+        Some(text) if !text.is_empty() => text.to_owned(),
+        _ => {
+            findings.add("prompt", "must be a text that is not empty");
+            String::new()
+        }
+    }
+}
+
+fn messages(findings: &mut Findings, fields: &Map<String, Value>) -> String {
+    let Some(messages) = fields.get("messages").and_then(Value::as_array) else {
+        findings.add("messages", "must be a list of messages");
+        return String::new();
+    };
+    if messages.is_empty() {
+        findings.add("messages", "must hold a message");
+    }
+    let mut prompt = String::new();
+    for (index, message) in messages.iter().enumerate() {
+        for field in ["role", "content"] {
+            let Some(text) = message.get(field).and_then(Value::as_str) else {
+                findings.add(format!("messages[{index}].{field}"), "must be a text");
+                continue;
+            };
+            prompt.push_str(text);
+            prompt.push_str(if field == "role" { ": " } else { "\n" });
+        }
+    }
+    prompt.push_str("assistant: ");
+    prompt
+}
+
+fn prompt_tokens(findings: &mut Findings, api: Api, prompt: &str, bounds: &Bounds) -> u32 {
+    let tokens = prompt.len().div_ceil(BYTES_PER_TOKEN);
+    let most = bounds.prompt_tokens;
+    match u32::try_from(tokens) {
+        Ok(tokens) if tokens <= most => tokens,
+        _ => {
+            let place = if api == Api::Chat { "messages" } else { "prompt" };
+            findings.add(place, format!("{tokens} tokens; at most {most} are allowed"));
+            0
+        }
+    }
+}
+
+fn max_tokens(findings: &mut Findings, fields: &Map<String, Value>, bounds: &Bounds) -> u32 {
+    let most = bounds.output_tokens;
+    let value = match fields.get("max_tokens") {
+        None | Some(Value::Null) => return MAX_TOKENS_DEFAULT.min(most),
+        Some(value) => value,
+    };
+    let stated = value.as_u64().and_then(|tokens| u32::try_from(tokens).ok());
+    match stated {
+        Some(tokens) if (1..=most).contains(&tokens) => tokens,
+        _ => {
+            findings.add("max_tokens", format!("must be a whole number from 1 to {most}"));
+            0
+        }
+    }
+}
+
+fn stream(findings: &mut Findings, fields: &Map<String, Value>) -> bool {
+    match fields.get("stream") {
+        None | Some(Value::Null) => false,
+        Some(Value::Bool(stream)) => *stream,
+        Some(_) => {
+            findings.add("stream", "must be true or false");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request/refusal.rs
@@ -0,0 +1,193 @@
+//! Refusals and failures, as callers see them.
+
+use crate::answer::{self, Answer};
+use chestnutrack_wire::frame::{Cause, Failure, Ran};
+use hyper::Response;
+use serde_json::json;
+
+/// What went wrong; the word callers see as `code`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Code {
+    /// The body is not JSON.
+    InvalidJson,
+    /// A field is missing or out of bounds.
+    InvalidField,
+    /// The request itself is malformed.
+    InvalidRequest,
+    /// The document has no such model on this path.
+    UnknownModel,
+    /// The document has no such route.
+    UnknownRoute,
+    /// The route has other methods.
+    MethodNotAllowed,
+    /// The body is too large.
+    BodyTooLarge,
+    /// The head is too large.
+    HeadTooLarge,
+    /// The body did not come in time.
+    BodyTimeout,
+    /// No key came.
+    KeyMissing,
+    /// The key is not in force.
+    KeyRefused,
+    /// The key now belongs to another organisation.
+    KeyMoved,
+    /// The key stands in a place that would pass to a backend server.
+    KeyExposed,
+    /// The organisation is over its rate.
+    OverRate,
+    /// This host can't get the organisation's tokens in time.
+    TokensUnavailable,
+    /// The configuration is not confirmed.
+    ConfigurationUnconfirmed,
+    /// Too many requests wait.
+    TooManyWaiting,
+    /// Too many connections.
+    TooManyConnections,
+    /// The deadline can't be met.
+    DeadlineUnmet,
+    /// A request with this idempotency key runs.
+    StillRunning,
+    /// It is not known whether the request ran.
+    OutcomeUnknown,
+    /// The idempotency key came with another request.
+    IdempotencyKeyReused,
+    /// The claim can't be made.
+    ClaimUnavailable,
+    /// The backend server failed.
+    BackendFailed,
+    /// The caller is gone.
+    CallerGone,
+}
+
+impl Code {
+    /// The word that callers see, and the HTTP status.
+    pub fn parts(self) -> (&'static str, u16) {
+        match self {
+            Code::InvalidJson => ("invalid_json", 400),
+            Code::InvalidField => ("invalid_field", 400),
+            Code::InvalidRequest => ("invalid_request", 400),
+            Code::UnknownModel => ("unknown_model", 404),
+            Code::UnknownRoute => ("unknown_route", 404),
+            Code::MethodNotAllowed => ("method_not_allowed", 405),
+            Code::BodyTooLarge => ("body_too_large", 413),
+            Code::HeadTooLarge => ("head_too_large", 431),
+            Code::BodyTimeout => ("body_timeout", 408),
+            Code::KeyMissing => ("key_missing", 401),
+            Code::KeyRefused => ("key_refused", 401),
+            Code::KeyMoved => ("key_moved", 403),
+            Code::KeyExposed => ("key_exposed", 400),
+            Code::OverRate => ("over_rate", 429),
+            Code::TokensUnavailable => ("tokens_unavailable", 503),
+            Code::ConfigurationUnconfirmed => ("configuration_unconfirmed", 503),
+            Code::TooManyWaiting => ("too_many_waiting", 503),
+            Code::TooManyConnections => ("too_many_connections", 503),
+            Code::DeadlineUnmet => ("deadline_unmet", 503),
+            Code::StillRunning => ("still_running", 409),
+            Code::OutcomeUnknown => ("outcome_unknown", 409),
+            Code::IdempotencyKeyReused => ("idempotency_key_reused", 422),
+            Code::ClaimUnavailable => ("claim_unavailable", 503),
+            Code::BackendFailed => ("backend_failed", 502),
+            Code::CallerGone => ("caller_gone", 499),
+        }
+    }
+
+    /// The word that callers see.
+    pub fn as_str(self) -> &'static str {
+        self.parts().0
+    }
+}
+
+/// A refusal or failure.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// What went wrong.
+    pub code: Code,
+    /// What is wrong and what is allowed.
+    pub message: String,
+    /// Where in the request it stands.
+    pub place: Option<String>,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// A refusal of a request that did not run.
+    pub fn new(code: Code, message: impl Into<String>) -> Refusal {
+        let message = message.into();
+        Refusal { code, message, place: None, ran: Ran::NotRun, retry_after_ms: None }
+    }
+
+    /// The same, with the place in the request.
+    pub fn at(self, place: impl Into<String>) -> Refusal {
+        Refusal { place: Some(place.into()), ..self }
+    }
+
+    /// The same, with when to come back.
+    pub fn retry_after(self, millis: u64) -> Refusal {
+        Refusal { retry_after_ms: Some(millis.max(1)), ..self }
+    }
+
+    /// The same, with whether it ran.
+    pub fn ran(self, ran: Ran) -> Refusal {
+        Refusal { ran, ..self }
+    }
+
+    /// What a side process's failure means for the caller.
+    pub fn of(failure: Failure) -> Refusal {
+        let (code, message) = match failure.cause {
+            Cause::Deadline => (Code::DeadlineUnmet, "the deadline can't be met"),
+            Cause::Full => (Code::DeadlineUnmet, "no server has room in time"),
+            Cause::Leaving => (Code::BackendFailed, "the server is leaving"),
+            Cause::ReservationLapsed => (Code::BackendFailed, "the reservation has lapsed"),
+            Cause::KvLost => (Code::BackendFailed, "the KV cache was lost"),
+            Cause::Backend => (Code::BackendFailed, "the backend server failed"),
+            Cause::Fenced => (Code::BackendFailed, "the side process was replaced"),
+            Cause::Cancelled => (Code::BackendFailed, "the request was cancelled"),
+            Cause::Unconfigured => (Code::BackendFailed, "the side process is not configured"),
+            Cause::Protocol => (Code::BackendFailed, "the side process refused a frame"),
+        };
+        let refusal = Refusal::new(code, message).ran(failure.ran);
+        match failure.retry_after_ms {
+            0 => refusal,
+            millis => refusal.retry_after(u64::from(millis)),
+        }
+    }
+
+    /// The error as JSON, for a body or an event.
+    pub fn json(&self) -> serde_json::Value {
+        let mut error = json!({
+            "code": self.code.as_str(),
+            "message": self.message,
+            "ran": self.ran.as_str(),
+        });
+        if let Some(place) = &self.place {
+            error["place"] = json!(place);
+        }
+        if let Some(millis) = self.retry_after_ms {
+            error["retry_after_ms"] = json!(millis);
+        }
+        json!({ "error": error })
+    }
+
+    /// Headers that go with it.
+    pub fn headers(&self) -> Vec<(&'static str, String)> {
+        let mut headers = vec![
+            ("content-type", "application/json".to_owned()),
+            ("x-chestnutrack-ran", self.ran.as_str().to_owned()),
+        ];
+        if let Some(millis) = self.retry_after_ms {
+            headers.push(("retry-after", millis.div_ceil(1_000).to_string()));
+            headers.push(("x-chestnutrack-retry-after-ms", millis.to_string()));
+        }
+        headers
+    }
+
+    /// The whole answer.
+    pub fn response(&self) -> Response<Answer> {
+        let (_, status) = self.code.parts();
+        answer::whole(status, &self.headers(), self.json().to_string())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/scheduler/servers.rs
@@ -0,0 +1,163 @@
+//! The servers of the configuration in force, and the links to their side processes.
+
+use super::{Arguments, Condition, Message, View};
+use crate::link::{self, Link};
+use chestnutrack_core::place::{Key, Server, Table};
+use chestnutrack_core::time::Instant;
+use chestnutrack_document::model;
+use chestnutrack_fleet::Snapshot;
+use ractor::ActorRef;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The table of servers and what belongs to each.
+#[derive(Default)]
+pub(super) struct Servers {
+    /// What placement knows.
+    pub(super) table: Table,
+    links: HashMap<Key, Link>,
+    keys: HashMap<(Arc<str>, SocketAddr), Key>,
+    removed: Vec<Key>,
+}
+
+impl Servers {
+    pub(super) fn link(&self, key: Key) -> Option<Link> {
+        self.links.get(&key).cloned()
+    }
+
+    /// Brings the table in line with a configuration.
+    pub(super) fn configure(
+        &mut self,
+        snapshot: &Arc<Snapshot>,
+        arguments: &Arguments,
+        actor: &ActorRef<Message>,
+    ) {
+        let Some(document) = &snapshot.document else { return };
+        let mut wanted = Vec::new();
+        for pool in &document.pools {
+            for server in &pool.servers {
+                let name = (server.name.clone(), server.side);
+                let key = match self.keys.get(&name) {
+                    Some(key) => *key,
+                    None => self.add(pool, server, snapshot, arguments, actor),
+                };
+                wanted.push(key);
+                let leaving = server.leaving || snapshot.leaving.contains(&server.host);
+                update(&mut self.table[key], pool, server, leaving);
+            }
+        }
+        self.remove_others(&wanted);
+        self.links.values().for_each(|link| link.configure(snapshot.clone()));
+    }
+
+    fn add(
+        &mut self,
+        pool: &model::Pool,
+        server: &model::Server,
+        snapshot: &Arc<Snapshot>,
+        arguments: &Arguments,
+        actor: &ActorRef<Message>,
+    ) -> Key {
+        let domain = server.failure_domain.clone();
+        let entry = Server::new(server.name.clone(), pool.name.clone(), server.role, domain);
+        let key = self.table.insert(entry);
+        self.keys.insert((server.name.clone(), server.side), key);
+        let notices = actor.clone();
+        let arguments = link::Arguments {
+            server: server.name.clone(),
+            address: server.side,
+            sender: arguments.sender.clone(),
+            security: arguments.security.clone(),
+            snapshot: snapshot.clone(),
+            notices: Arc::new(move |notice| {
+                let _ = notices.cast(Message::Notice(key, notice));
+            }),
+            timer: arguments.timer.clone(),
+            metrics: arguments.metrics.clone(),
+        };
+        start(key, arguments, actor.clone());
+        key
+    }
+
+    /// Servers that are no longer configured get no new work; they go once they are idle.
+    fn remove_others(&mut self, wanted: &[Key]) {
+        self.removed = self.table.keys().filter(|key| !wanted.contains(key)).collect();
+        for key in &self.removed {
+            self.table[*key].leaving = true;
+        }
+        self.sweep();
+    }
+
+    /// Forgets removed servers that are idle.
+    pub(super) fn sweep(&mut self) {
+        let idle = |key: &Key| self.table.get(*key).is_none_or(|server| server.held == 0);
+        let (gone, kept): (Vec<Key>, Vec<Key>) = self.removed.drain(..).partition(idle);
+        self.removed = kept;
+        for key in gone {
+            self.table.remove(key);
+            self.keys.retain(|_, other| *other != key);
+            if let Some(link) = self.links.remove(&key) {
+                link.stop();
+            }
+        }
+    }
+
+    pub(super) fn linked(&mut self, key: Key, link: Link) {
+        if self.table.contains_key(key) {
+            self.links.insert(key, link);
+        } else {
+            link.stop();
+        }
+    }
+
+    /// The servers, as operators see them.
+    pub(super) fn views(&self, now: Instant) -> Vec<View> {
+        let mut views: Vec<View> = self.table.values().map(|server| view(server, now)).collect();
+        views.sort_by(|a, b| (&a.pool, &a.name).cmp(&(&b.pool, &b.name)));
+        views
+    }
+}
+
+fn start(key: Key, arguments: link::Arguments, actor: ActorRef<Message>) {
+    tokio::spawn(async move {
+        let server = arguments.server.clone();
+        match Link::start(arguments).await {
+            Ok(link) => {
+                let _ = actor.cast(Message::Linked(key, link));
+            }
+            Err(error) => tracing::error!(%server, %error, "link could not be started"),
+        }
+    });
+}
+
+fn update(entry: &mut Server, pool: &model::Pool, server: &model::Server, leaving: bool) {
+    entry.pool = pool.name.clone();
+    entry.role = server.role;
+    entry.failure_domain = server.failure_domain.clone();
+    entry.slots = server.slots;
+    entry.kv_tokens = server.kv_tokens;
+    entry.leaving = leaving;
+}
+
+fn view(server: &Server, now: Instant) -> View {
+    let full = server.expected_used_milli(now) >= u64::from(server.slots) * 1_000;
+    let state = match (server.leaving || server.draining, server.connected, full) {
+        (true, ..) => Condition::Leaving,
+        (_, false, _) => Condition::Unreachable,
+        (_, _, true) => Condition::Full,
+        _ => Condition::Live,
+    };
+    View {
+        name: server.name.clone(),
+        pool: server.pool.clone(),
+        role: server.role,
+        failure_domain: server.failure_domain.clone(),
+        state,
+        slots: server.slots,
+        used: server.load.used,
+        waiting: server.load.waiting,
+        held: server.held,
+        queued_tokens: server.load.queued_tokens,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/scheduler/state.rs
@@ -0,0 +1,192 @@
+//! The actor's state and what it does with each message.
+
+use super::handle::{Hold, Scheduler, Turn};
+use super::servers::Servers;
+use super::{Arguments, Late, Message, Want};
+use crate::link::Notice;
+use chestnutrack_core::place::{self, Ask, Key, Load, Record};
+use chestnutrack_core::queue::{Queue, Refusal, Settings, Waiting};
+use chestnutrack_core::time::Instant;
+use chestnutrack_document::model::Role;
+use chestnutrack_fleet::Snapshot;
+use chestnutrack_process::clock;
+use chestnutrack_process::timer::Tick;
+use chestnutrack_wire::frame;
+use ractor::ActorRef;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time between views of the servers for operators.
+const SHOW_EVERY: Duration = Duration::from_millis(250);
+/// When to come back where too many wait, in milliseconds.
+const FULL_RETRY_MS: u64 = 1_000;
+
+type Queues = HashMap<(Arc<str>, Role), Queue<Want>>;
+
+/// State of the actor.
+pub struct State {
+    arguments: Arguments,
+    actor: ActorRef<Message>,
+    servers: Servers,
+    record: Record,
+    queues: Queues,
+    rng: ChaCha8Rng,
+    waiting_per_organisation: usize,
+    shown: Instant,
+}
+
+impl State {
+    pub(super) fn new(arguments: Arguments, actor: ActorRef<Message>) -> State {
+        let rng = ChaCha8Rng::seed_from_u64(arguments.seed);
+        State {
+            arguments,
+            actor,
+            servers: Servers::default(),
+            record: Record::default(),
+            queues: Queues::new(),
+            rng,
+            waiting_per_organisation: Settings::default().per_organisation,
+            shown: Instant::default(),
+        }
+    }
+
+    pub(super) fn configure(&mut self, snapshot: &Arc<Snapshot>) {
+        let Some(document) = &snapshot.document else { return };
+        self.waiting_per_organisation =
+            usize::try_from(document.bounds.waiting_per_organisation).unwrap_or(usize::MAX);
+        for queue in self.queues.values_mut() {
+            queue.set_per_organisation(self.waiting_per_organisation);
+        }
+        self.servers.configure(snapshot, &self.arguments, &self.actor);
+        self.dispatch_all();
+    }
+
+    pub(super) fn linked(&mut self, key: Key, link: crate::link::Link) {
+        self.servers.linked(key, link);
+        self.dispatch_all();
+    }
+
+    pub(super) fn wait(&mut self, waiting: Waiting<Want>) {
+        let now = clock::now();
+        let name = (waiting.item.ask.pool.clone(), waiting.item.role);
+        let settings =
+            Settings { per_organisation: self.waiting_per_organisation, ..Settings::default() };
+        let queue = self.queues.entry(name.clone()).or_insert_with(|| Queue::new(settings));
+        if let Err(refused) = queue.push(now, waiting) {
+            let _ = refused.item.reply.send(Err(late(refused.why)));
+        }
+        self.dispatch(&name);
+    }
+
+    fn dispatch_all(&mut self) {
+        let names: Vec<_> = self.queues.keys().cloned().collect();
+        names.iter().for_each(|name| self.dispatch(name));
+    }
+
+    /// Gives turns while there is room.
+    fn dispatch(&mut self, name: &(Arc<str>, Role)) {
+        let now = clock::now();
+        let Some(queue) = self.queues.get_mut(name) else { return };
+        loop {
+            let (servers, rng) = (&self.servers, &mut self.rng);
+            let taken = queue.take(now, |waiting| {
+                let want = &waiting.item;
+                if want.reply.is_closed() {
+                    return Some(None);
+                }
+                let choose = if want.role == Role::Plain { place::plain } else { place::decode };
+                let key = choose(&servers.table, &want.ask, now, rng)?;
+                servers.link(key).map(|link| Some((key, link)))
+            });
+            let Some((waiting, placed)) = taken else { return };
+            let Some((key, link)) = placed else { continue };
+            self.servers.table[key].note_sent(waiting.item.ask.prompt_tokens);
+            let turn = Turn {
+                server: self.servers.table[key].name.clone(),
+                link,
+                hold: Hold { scheduler: Scheduler(self.actor.clone()), key },
+            };
+            let _ = waiting.item.reply.send(Ok(turn));
+        }
+    }
+
+    pub(super) fn prefill(&mut self, ask: &Ask, reply: oneshot::Sender<Option<Turn>>) {
+        let now = clock::now();
+        let table = &self.servers.table;
+        let key = place::prefill(table, &self.record, ask, now, &mut self.rng);
+        let turn = key.and_then(|key| {
+            let link = self.servers.link(key)?;
+            self.servers.table[key].note_sent(ask.prompt_tokens);
+            self.record.note(key, &ask.pieces, now);
+            Some(Turn {
+                server: self.servers.table[key].name.clone(),
+                link,
+                hold: Hold { scheduler: Scheduler(self.actor.clone()), key },
+            })
+        });
+        let _ = reply.send(turn);
+    }
+
+    pub(super) fn left(&mut self, key: Key) {
+        let Some(server) = self.servers.table.get_mut(key) else { return };
+        server.note_left();
+        let name = (server.pool.clone(), server.role);
+        self.servers.sweep();
+        self.dispatch(&name);
+    }
+
+    pub(super) fn full(&mut self, key: Key) {
+        if let Some(server) = self.servers.table.get_mut(key) {
+            server.note_full(clock::now());
+        }
+    }
+
+    pub(super) fn notice(&mut self, key: Key, notice: Notice) {
+        let Some(server) = self.servers.table.get_mut(key) else { return };
+        match notice {
+            Notice::Up => {
+                server.connected = true;
+                server.draining = false;
+            }
+            Notice::Down => server.connected = false,
+            Notice::Draining => server.draining = true,
+            Notice::Loaded(load) => server.note_load(clock::now(), reported(load)),
+        }
+        let name = (server.pool.clone(), server.role);
+        self.dispatch(&name);
+    }
+
+    pub(super) fn tick(&mut self, tick: Tick) {
+        for queue in self.queues.values_mut() {
+            for waiting in queue.expire(tick.now, |waiting| waiting.item.reply.is_closed()) {
+                let _ = waiting.item.reply.send(Err(Late::Deadline(FULL_RETRY_MS)));
+            }
+        }
+        self.dispatch_all();
+        if tick.now.since(self.shown) >= SHOW_EVERY {
+            self.shown = tick.now;
+            self.arguments.servers.send_replace(self.servers.views(tick.now));
+        }
+    }
+}
+
+fn late(refusal: Refusal) -> Late {
+    match refusal {
+        Refusal::OrganisationFull | Refusal::Full => Late::Full(FULL_RETRY_MS),
+        Refusal::Deadline { wait_ms } => Late::Deadline(wait_ms),
+    }
+}
+
+fn reported(load: frame::Load) -> Load {
+    Load {
+        used: load.used,
+        waiting: load.waiting,
+        kv_used: load.kv_used,
+        free_in_ms: load.free_in_ms,
+        queued_tokens: load.queued_tokens,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/server/mod.rs
@@ -0,0 +1,120 @@
+//! The port for callers: bounded connections, keep-alive, and a shutdown that cuts no request.
+
+use crate::answer::{self, Answer};
+use crate::app::App;
+use crate::request;
+use crate::request::refusal::{Code, Refusal};
+use chestnutrack_process::http::HEAD_READ_MS;
+use chestnutrack_process::shutdown::Shutdown;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// Largest head that is read at all, in bytes; one above the bound for requests gets a typed
+/// error, one above this a bare 431.
+const HEAD_READ_BYTES_MAX: usize = 64 << 10;
+/// Connections before there is a configuration.
+const CONNECTIONS_DEFAULT: u32 = 4_096;
+/// Longest time that a refused connection is kept to read its request.
+const REFUSED_WITHIN: Duration = Duration::from_millis(1_000);
+
+/// Serves callers until shutdown, then for the drain period, then until every request has ended.
+pub async fn serve(listener: TcpListener, app: Arc<App>, mut shutdown: Shutdown, drain: Duration) {
+    let mut connections = JoinSet::new();
+    let (closing, closed) = watch::channel(false);
+    let drained = async {
+        shutdown.wait().await;
+        app.draining.store(true, Ordering::Relaxed);
+        tokio::time::sleep(drain).await;
+    };
+    tokio::pin!(drained);
+    loop {
+        tokio::select! {
+            () = &mut drained => break,
+            accepted = listener.accept() => match accepted {
+                Ok((tcp, _)) => admit(tcp, &app, &mut connections, &closed),
+                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+            },
+            Some(_) = connections.join_next() => app.metrics.connections.dec(),
+        }
+    }
+    drop(listener);
+    closing.send_replace(true);
+    while connections.join_next().await.is_some() {
+        app.metrics.connections.dec();
+    }
+}
+
+fn admit(
+    tcp: TcpStream,
+    app: &Arc<App>,
+    connections: &mut JoinSet<()>,
+    closed: &watch::Receiver<bool>,
+) {
+    let snapshot = app.authority.snapshot();
+    let document = snapshot.document.as_ref();
+    let most = document.map_or(CONNECTIONS_DEFAULT, |document| document.bounds.connections);
+    let is_full = connections.len() >= usize::try_from(most).unwrap_or(usize::MAX);
+    if is_full && connections.len() >= 2 * usize::try_from(most).unwrap_or(usize::MAX) {
+        return;
+    }
+    app.metrics.connections.inc();
+    let (app, closed) = (app.clone(), closed.clone());
+    if is_full {
+        connections.spawn(async move {
+            let _ = tokio::time::timeout(REFUSED_WITHIN, serve_one(tcp, refuse, closed)).await;
+        });
+    } else {
+        let handle = move |request| answer(app.clone(), request);
+        connections.spawn(serve_one(tcp, handle, closed));
+    }
+}
+
+async fn refuse(_: Request<Incoming>) -> Response<Answer> {
+    /// When to come back, in milliseconds.
+    const RETRY_MS: u64 = 1_000;
+    let refusal = Refusal::new(Code::TooManyConnections, "too many connections");
+    let mut response = refusal.retry_after(RETRY_MS).response();
+    answer::set(&mut response, "connection", "close");
+    response
+}
+
+async fn answer(app: Arc<App>, request: Request<Incoming>) -> Response<Answer> {
+    let mut response = request::handle(app.clone(), request).await;
+    if app.is_draining() {
+        answer::set(&mut response, "connection", "close");
+    }
+    response
+}
+
+async fn serve_one<H, R>(tcp: TcpStream, handle: H, mut closed: watch::Receiver<bool>)
+where
+    H: Fn(Request<Incoming>) -> R,
+    R: Future<Output = Response<Answer>>,
+{
+    let service = service_fn(|request| {
+        let answer = handle(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let _ = tcp.set_nodelay(true);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(HEAD_READ_MS))
+        .max_buf_size(HEAD_READ_BYTES_MAX)
+        .serve_connection(TokioIo::new(tcp), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = closed.wait_for(|closed| *closed) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/entry/src/settings/mod.rs
@@ -0,0 +1,169 @@
+//! Settings of the program, from flags and environment variables.
+
+use argh::FromArgs;
+use chestnutrack_process::log;
+use chestnutrack_process::settings::{Findings, Reader, Setting};
+use chestnutrack_process::tls;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time that the balancer is given to notice a shutdown, in milliseconds.
+const DRAIN_MS_DEFAULT: u64 = 1_000;
+
+/// Serves callers on an entry host. Each flag can also be set by CHESTNUTRACK_<FLAG>.
+#[derive(Debug, Default, FromArgs)]
+pub struct Flags {
+    /// name of this entry host, unique within the fleet
+    #[argh(option)]
+    pub name: Option<String>,
+    /// service that it serves
+    #[argh(option)]
+    pub service: Option<String>,
+    /// address for callers
+    #[argh(option)]
+    pub listen: Option<String>,
+    /// address for other entry hosts
+    #[argh(option)]
+    pub peer_listen: Option<String>,
+    /// address for operators
+    #[argh(option)]
+    pub admin: Option<String>,
+    /// address of the object interface
+    #[argh(option)]
+    pub platform: Option<String>,
+    /// failure domain of this host
+    #[argh(option)]
+    pub failure_domain: Option<String>,
+    /// certificate of this process, PEM; with --key and --authorities
+    #[argh(option)]
+    pub certificate: Option<String>,
+    /// private key of this process, PEM
+    #[argh(option)]
+    pub key: Option<String>,
+    /// certificates of the trusted authorities, PEM
+    #[argh(option)]
+    pub authorities: Option<String>,
+    /// time that the balancer is given to notice a shutdown, in milliseconds (default 1000)
+    #[argh(option)]
+    pub drain_ms: Option<String>,
+    /// form of the log lines: text or json
+    #[argh(option)]
+    pub log: Option<String>,
+}
+
+/// Settings that have been read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Name of this entry host.
+    pub name: Arc<str>,
+    /// Service that it serves.
+    pub service: Arc<str>,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for other entry hosts.
+    pub peer_listen: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    /// Address of the object interface.
+    pub platform: SocketAddr,
+    /// Failure domain of this host.
+    pub failure_domain: Arc<str>,
+    /// Identity between processes; plain TCP where absent.
+    pub files: Option<tls::Files>,
+    /// Time that the balancer is given to notice a shutdown.
+    pub drain: Duration,
+    /// Form of the log lines.
+    pub log: log::Form,
+}
+
+const ADDRESS: &str = "an address such as 127.0.0.1:8080";
+const NAME: &str = "a name";
+const FILE: &str = "a file's path";
+
+const fn setting(
+    flag: &'static str,
+    variable: &'static str,
+    allowed: &'static str,
+) -> Setting<'static> {
+    Setting { flag, variable, allowed }
+}
+
+const SETTING_NAME: Setting<'_> = setting("--name", "CHESTNUTRACK_NAME", NAME);
+const SETTING_SERVICE: Setting<'_> = setting("--service", "CHESTNUTRACK_SERVICE", NAME);
+const SETTING_LISTEN: Setting<'_> = setting("--listen", "CHESTNUTRACK_LISTEN", ADDRESS);
+const SETTING_PEER: Setting<'_> = setting("--peer-listen", "CHESTNUTRACK_PEER_LISTEN", ADDRESS);
+const SETTING_ADMIN: Setting<'_> = setting("--admin", "CHESTNUTRACK_ADMIN", ADDRESS);
+const SETTING_PLATFORM: Setting<'_> = setting("--platform", "CHESTNUTRACK_PLATFORM", ADDRESS);
+const SETTING_DOMAIN: Setting<'_> =
+    setting("--failure-domain", "CHESTNUTRACK_FAILURE_DOMAIN", NAME);
+const SETTING_CERTIFICATE: Setting<'_> = setting("--certificate", "CHESTNUTRACK_CERTIFICATE", FILE);
+const SETTING_KEY: Setting<'_> = setting("--key", "CHESTNUTRACK_KEY", FILE);
+const SETTING_AUTHORITIES: Setting<'_> = setting("--authorities", "CHESTNUTRACK_AUTHORITIES", FILE);
+const SETTING_DRAIN: Setting<'_> =
+    setting("--drain-ms", "CHESTNUTRACK_DRAIN_MS", "a number of milliseconds");
+const SETTING_LOG: Setting<'_> = setting("--log", "CHESTNUTRACK_LOG_FORM", "`text` or `json`");
+
+/// Reads the settings.
+///
+/// # Errors
+///
+/// Every wrong setting, with the flag or variable it came from.
+pub fn read(
+    flags: &Flags,
+    environment: impl Fn(&str) -> Option<String>,
+) -> Result<Settings, Findings> {
+    let mut reader = Reader::new(environment);
+    let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let settings = Settings {
+        name: text(&mut reader, SETTING_NAME, flags.name.as_deref()),
+        service: text(&mut reader, SETTING_SERVICE, flags.service.as_deref()),
+        listen: reader.required(SETTING_LISTEN, flags.listen.as_deref(), nowhere),
+        peer_listen: reader.required(SETTING_PEER, flags.peer_listen.as_deref(), nowhere),
+        admin: reader.required(SETTING_ADMIN, flags.admin.as_deref(), nowhere),
+        platform: reader.required(SETTING_PLATFORM, flags.platform.as_deref(), nowhere),
+        failure_domain: text(&mut reader, SETTING_DOMAIN, flags.failure_domain.as_deref()),
+        files: files(&mut reader, flags),
+        drain: Duration::from_millis(reader.or(
+            SETTING_DRAIN,
+            flags.drain_ms.as_deref(),
+            DRAIN_MS_DEFAULT,
+        )),
+        log: reader.or(SETTING_LOG, flags.log.as_deref(), log::Form::default()),
+    };
+    reader.finish(settings)
+}
+
+fn text<F: Fn(&str) -> Option<String>>(
+    reader: &mut Reader<F>,
+    setting: Setting<'_>,
+    flag: Option<&str>,
+) -> Arc<str> {
+    let value = reader.required(setting, flag, String::from("unnamed"));
+    if value.is_empty() {
+        reader.refuse(setting, "must not be empty");
+    }
+    value.into()
+}
+
+fn files<F: Fn(&str) -> Option<String>>(
+    reader: &mut Reader<F>,
+    flags: &Flags,
+) -> Option<tls::Files> {
+    let certificate: Option<PathBuf> =
+        reader.optional(SETTING_CERTIFICATE, flags.certificate.as_deref());
+    let key: Option<PathBuf> = reader.optional(SETTING_KEY, flags.key.as_deref());
+    let authorities: Option<PathBuf> =
+        reader.optional(SETTING_AUTHORITIES, flags.authorities.as_deref());
+    match (certificate, key, authorities) {
+        (Some(certificate), Some(key), Some(authorities)) => {
+            Some(tls::Files { certificate, key, authorities })
+        }
+        (None, None, None) => None,
+        _ => {
+            reader.refuse(SETTING_CERTIFICATE, "goes together with --key and --authorities");
+            None
+        }
+    }
+}
