Load tool: send

Cause: callers' requests need a tool that times the parts of an answer and tells a whole one from a short one. The harness's caller gains access to what it has read so far; nothing else changes there. Ruled out: a second HTTP caller in the load tool, since the harness has one.

--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -121,8 +121,17 @@
         Ok(Answer { status, headers: self.head.headers, body: self.read.freeze() })
     }
 
+    /// What has been read of the body.
+    pub fn so_far(&self) -> &[u8] {
+        &self.read
+    }
+
     /// Reads one piece; false at the body's end.
-    async fn read_some(&mut self) -> Result<bool, Error> {
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Call`] when the body breaks.
+    pub async fn read_some(&mut self) -> Result<bool, Error> {
         let failed = |text: &str| Error::Call(self.address, text.to_owned());
         let frame = timeout(PATIENCE, self.body.frame()).await;
         match frame.map_err(|_| failed("body is silent"))? {
--- /dev/null
+++ b/crates/load/src/cmd/send.rs
@@ -0,0 +1,109 @@
+//! `send`: sends requests one after the other and prints what came back.
+
+use super::{FINDING, Failure, UNREACHABLE, USAGE};
+use crate::call::{self, Reply, Verdict};
+use argh::FromArgs;
+use chestnutrack_harness::caller::{self, Call};
+use std::net::SocketAddr;
+
+/// Prompt where none is given.
+const PROMPT: &str = "Which pies can be picked up before noon?";
+
+/// Sends requests one after the other to entry hosts in turn and prints what came back.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "send")]
+pub(super) struct Send {
+    /// address of an entry host; may be given several times
+    #[argh(option)]
+    entry: Vec<SocketAddr>,
+    /// caller's key
+    #[argh(option)]
+    key: Option<String>,
+    /// path; by default /v1/completions
+    #[argh(option, default = "\"/v1/completions\".to_owned()")]
+    path: String,
+    /// model; without one the call is plain
+    #[argh(option)]
+    model: Option<String>,
+    /// prompt of a completion, or body of a plain call
+    #[argh(option)]
+    body: Option<String>,
+    /// idempotency key
+    #[argh(option)]
+    idempotency_key: Option<String>,
+    /// tokens to generate; by default 16
+    #[argh(option, default = "16")]
+    tokens: u32,
+    /// requests to send; by default 1
+    #[argh(option, default = "1")]
+    count: u32,
+    /// have the answer streamed
+    #[argh(switch)]
+    stream: bool,
+}
+
+impl Send {
+    pub(super) async fn run(self) -> Result<(), Failure> {
+        if self.entry.is_empty() {
+            return Err(Failure::new(USAGE, "--entry is missing: the address of an entry host"));
+        }
+        let call = self.call();
+        let mut wrong = 0;
+        for (index, address) in (0..self.count).zip(self.entry.iter().cycle()) {
+            let reply = call::send(*address, &call).await;
+            let reply = reply.map_err(|error| Failure::new(UNREACHABLE, error))?;
+            wrong += u32::from(!self.show(index, &reply));
+        }
+        if wrong == 0 {
+            return Ok(());
+        }
+        Err(Failure::new(FINDING, format!("{wrong} of {} answers not as wanted", self.count)))
+    }
+
+    fn prompt(&self) -> &str {
+        self.body.as_deref().unwrap_or(PROMPT)
+    }
+
+    fn call(&self) -> Call {
+        let mut call = match &self.model {
+            Some(model) => {
+                let (prompt, key) = (self.prompt(), String::new());
+                caller::completion(&self.path, model, &key, prompt, self.tokens, self.stream)
+            }
+            None => Call {
+                method: if self.body.is_some() { "POST" } else { "GET" },
+                target: self.path.clone(),
+                body: self.body.clone().unwrap_or_default().into_bytes(),
+                ..Call::default()
+            },
+        };
+        call.key = self.key.clone();
+        let key = self.idempotency_key.iter();
+        call.headers.extend(key.map(|key| ("idempotency-key".to_owned(), key.clone())));
+        call
+    }
+
+    /// Prints a reply; false where it is not as wanted.
+    fn show(&self, index: u32, reply: &Reply) -> bool {
+        let verdict = self.verdict(reply);
+        println!(
+            "{index}: status {} request {} {} first {} ms total {} ms: {verdict}",
+            reply.answer.status,
+            reply.request(),
+            reply.ran(),
+            reply.first.as_millis(),
+            reply.total.as_millis(),
+        );
+        println!("{}", reply.answer.text().trim_end());
+        verdict == Verdict::Whole
+    }
+
+    fn verdict(&self, reply: &Reply) -> Verdict {
+        match (&self.model, reply.is_success()) {
+            (_, false) => Verdict::Refused,
+            (None, true) => Verdict::Whole,
+            (Some(_), true) if reply.answer.completion().1 => Verdict::Whole,
+            (Some(_), true) => Verdict::Short,
+        }
+    }
+}
