Burn: what entry hosts count, keep in objects and what it amounts to

Cause: a report on service-level burn has to survive the loss of any host, and hosts keep nothing. Each entry host writes its counts to an object of its own, conditionally, at most once in 30 s and only if it counted something; values carry ages, so that no wall clock is compared. Ruled out: one shared object (every host's write would conflict), and a value that names only its last writer: the property test failed with [LoseAnswer, Record, Tick, Tick, Rival], a rival's write over one whose answer was lost, and the counts were added twice. Conclusion: each request is counted once under lost writes, lost answers and rivals of one name.

--- /dev/null
+++ b/crates/burn/src/value.rs
@@ -0,0 +1,166 @@
+//! The value of a host's object: compact, and bounded in size.
+//!
+//! A bucket is an array: how many buckets back it lies from the newest, then the counts (good,
+//! slow, failed, refused, over the rate) without trailing zeros.
+
+use crate::BURN_VALUE_BYTES_MAX;
+use crate::count::Counts;
+use crate::series::{Key, LONG, Moment, SHORT, Series, number};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Most processes whose last write a value names.
+pub const WRITERS_MAX: usize = 8;
+
+/// Series by key.
+pub type Table = BTreeMap<Key, Series>;
+
+/// Counts in a bucket.
+const COUNTS: usize = 5;
+
+/// What a host's object holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Value {
+    /// Service.
+    pub service: Arc<str>,
+    /// Last write of each process that wrote it, newest first, to tell whether a write whose
+    /// answer was lost took effect.
+    pub writers: Vec<Writer>,
+    /// Age of the newest short bucket's start when it was written, in seconds.
+    pub short_age_s: u64,
+    /// Age of the newest long bucket's start when it was written, in seconds.
+    pub long_age_s: u64,
+    /// The series.
+    pub series: Vec<Entry>,
+}
+
+/// One write of one process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Writer {
+    /// Random number drawn when the process started.
+    pub incarnation: u64,
+    /// Number of the write.
+    pub sequence: u64,
+}
+
+/// One series.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Organisation; empty on routes that are open to all.
+    pub organisation: Arc<str>,
+    /// Route.
+    pub route: Arc<str>,
+    /// Short buckets.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub short: Vec<Vec<u64>>,
+    /// Long buckets.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub long: Vec<Vec<u64>>,
+}
+
+impl Value {
+    /// The value of a table at a moment.
+    pub fn of(service: &Arc<str>, writers: Vec<Writer>, table: &Table, now: Moment) -> Value {
+        let entry = |(key, series): (&Key, &Series)| Entry {
+            organisation: key.organisation.clone(),
+            route: key.route.clone(),
+            short: series.short().map(|(at, counts)| bucket(now, at, SHORT, counts)).collect(),
+            long: series.long().map(|(at, counts)| bucket(now, at, LONG, counts)).collect(),
+        };
+        Value {
+            service: service.clone(),
+            writers,
+            short_age_s: now.as_secs() % SHORT.as_secs(),
+            long_age_s: now.as_secs() % LONG.as_secs(),
+            series: table.iter().map(entry).collect(),
+        }
+    }
+
+    /// The table that a value holds, as seen at a moment when it has a certain age.
+    pub fn table(&self, now: Moment, age: Duration) -> Table {
+        let mut table = Table::new();
+        for entry in &self.series {
+            let key = Key { organisation: entry.organisation.clone(), route: entry.route.clone() };
+            let series: &mut Series = table.entry(key).or_default();
+            for (back, counts) in entry.short.iter().filter_map(|bucket| unpack(bucket)) {
+                let age = age + Duration::from_secs(self.short_age_s);
+                if let Some(at) = middle(now, age, back, SHORT) {
+                    series.add(at, counts);
+                }
+            }
+            for (back, counts) in entry.long.iter().filter_map(|bucket| unpack(bucket)) {
+                let age = age + Duration::from_secs(self.long_age_s);
+                if let Some(at) = middle(now, age, back, LONG) {
+                    series.add_long(at, counts);
+                }
+            }
+            series.roll_up(now);
+        }
+        table.retain(|_, series| !series.is_empty());
+        table
+    }
+}
+
+/// Makes a table small enough for a value: first with fewer short buckets, then with the smallest
+/// series folded together.
+pub fn fit(table: &mut Table, now: Moment, bytes_max: usize) {
+    if bytes(table, now) <= bytes_max {
+        return;
+    }
+    for series in table.values_mut() {
+        series.coarsen(now, LONG);
+    }
+    while bytes(table, now) > bytes_max && table.len() > 1 {
+        fold_smallest(table);
+    }
+}
+
+/// Largest value that a table is fitted to.
+pub const FIT_BYTES: usize = BURN_VALUE_BYTES_MAX - 1_024;
+
+/// Size of a table's value, in bytes.
+pub fn bytes(table: &Table, now: Moment) -> usize {
+    let value = Value::of(&Arc::from(""), Vec::new(), table, now);
+    serde_json::to_vec(&value).map_or(0, |json| json.len())
+}
+
+/// Folds the smaller half of the series into one.
+fn fold_smallest(table: &mut Table) {
+    let mut sizes: Vec<(u64, Key)> =
+        table.iter().map(|(key, series)| (series.total().all(), key.clone())).collect();
+    sizes.sort();
+    let mut folded = Series::default();
+    for (_, key) in sizes.iter().take(sizes.len().div_ceil(2)) {
+        if let Some(series) = table.remove(key) {
+            folded.merge(&series);
+        }
+    }
+    table.entry(Key::other()).or_default().merge(&folded);
+}
+
+fn bucket(now: Moment, at: Moment, length: Duration, counts: Counts) -> Vec<u64> {
+    let mut bucket = vec![number(now, length) - number(at, length).min(number(now, length))];
+    bucket.extend(counts.as_array());
+    while bucket.len() > 2 && bucket.last() == Some(&0) {
+        bucket.pop();
+    }
+    bucket
+}
+
+fn unpack(bucket: &[u64]) -> Option<(u64, Counts)> {
+    let (back, given) = bucket.split_first()?;
+    let mut counts = [0; COUNTS];
+    for (count, given) in counts.iter_mut().zip(given) {
+        *count = *given;
+    }
+    Some((*back, Counts::from_array(counts)))
+}
+
+/// The middle of the bucket so many back; `None` before the zero.
+fn middle(now: Moment, age: Duration, back: u64, length: Duration) -> Option<Moment> {
+    let back = Duration::from_secs(back.checked_mul(length.as_secs())?);
+    let start = now.checked_sub(age.checked_add(back)?)?;
+    Some((start + length / 2).min(now))
+}
--- /dev/null
+++ b/crates/burn/tests/ledger.rs
@@ -0,0 +1,225 @@
+//! The ledger counts every request exactly once, whatever answers are lost.
+
+use chestnutrack_burn::ledger::{Read, Step};
+use chestnutrack_burn::series::Key;
+use chestnutrack_burn::{BURN_PERIOD, Counts, Ledger, Outcome, Report, Write};
+use chestnutrack_core::time::Instant;
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use std::time::Duration;
+
+/// An object as the platform keeps it.
+#[derive(Default)]
+struct Object {
+    version: u64,
+    value: Option<serde_json::Value>,
+    written: Instant,
+}
+
+impl Object {
+    fn write(&mut self, now: Instant, write: &Write) -> Result<u64, ()> {
+        if write.version != self.version {
+            return Err(());
+        }
+        *self =
+            Object { version: self.version + 1, value: Some(write.value.clone()), written: now };
+        Ok(self.version)
+    }
+
+    fn read(&self, now: Instant) -> Option<Read> {
+        let value = self.value.clone()?;
+        Some(Read { version: self.version, age: now.since(self.written), value })
+    }
+}
+
+fn key(organisation: &str, route: &str) -> Key {
+    Key { organisation: organisation.into(), route: route.into() }
+}
+
+fn ledger(incarnation: u64, now: Instant) -> Ledger {
+    Ledger::new("larder-orders".into(), incarnation, now)
+}
+
+/// Lets a ledger do what is due, with every answer coming.
+fn settle(ledger: &mut Ledger, object: &mut Object, now: Instant) {
+    loop {
+        match ledger.tick(now) {
+            Step::Idle => return,
+            Step::Read => ledger.was_read(now, object.read(now)),
+            Step::Write(write) => match object.write(now, &write) {
+                Ok(version) => ledger.was_written(version),
+                Err(()) => ledger.was_lost(now),
+            },
+        }
+    }
+}
+
+fn total(object: &Object, now: Instant) -> Counts {
+    let objects: Vec<Read> = object.read(now).into_iter().collect();
+    let report = Report::of("larder-orders", 950, &objects);
+    report.whole.windows.last().map(|burn| burn.counts).unwrap_or_default()
+}
+
+#[test]
+fn a_first_write_must_meet_no_object() {
+    let now = Instant::from_millis(1_000);
+    let mut ledger = ledger(1, now);
+    ledger.record(now, key("dairy-coop", "deposit"), Outcome::Good);
+
+    assert_eq!(ledger.tick(now), Step::Read);
+    ledger.was_read(now, None);
+    let Step::Write(write) = ledger.tick(now) else { panic!("no write") };
+
+    assert_eq!(write.version, 0);
+}
+
+#[test]
+fn a_host_that_counts_nothing_makes_one_call() {
+    let start = Instant::from_millis(0);
+    let mut ledger = ledger(1, start);
+    let mut object = Object::default();
+
+    settle(&mut ledger, &mut object, start);
+    let later = start + 100 * BURN_PERIOD;
+
+    assert_eq!(ledger.tick(later), Step::Idle);
+    assert_eq!(object.version, 0);
+}
+
+#[test]
+fn a_lost_answer_counts_nothing_twice() {
+    let now = Instant::from_millis(1_000);
+    let mut ledger = ledger(1, now);
+    let mut object = Object::default();
+    settle(&mut ledger, &mut object, now);
+    ledger.record(now, key("dairy-coop", "deposit"), Outcome::Good);
+    let write = ledger.flush(now).unwrap();
+
+    object.write(now, &write).unwrap();
+    ledger.was_lost(now);
+    let later = now + 2 * BURN_PERIOD;
+    ledger.record(later, key("dairy-coop", "deposit"), Outcome::Failed);
+    settle(&mut ledger, &mut object, later);
+
+    assert_eq!(total(&object, later), Counts { good: 1, failed: 1, ..Counts::default() });
+}
+
+#[test]
+fn a_successor_carries_the_figures_on() {
+    let now = Instant::from_millis(1_000);
+    let mut object = Object::default();
+    let mut first = ledger(1, now);
+    settle(&mut first, &mut object, now);
+    first.record(now, key("honey-shop", "chat"), Outcome::Slow);
+    let write = first.flush(now).unwrap();
+    object.write(now, &write).unwrap();
+
+    // The successor's clock starts anew: its host has just come up.
+    let boot = Instant::from_millis(5);
+    object.written = Instant::from_millis(0);
+    let mut second = ledger(2, boot);
+    settle(&mut second, &mut object, boot);
+    second.record(boot, key("honey-shop", "chat"), Outcome::Good);
+    let later = boot + 2 * BURN_PERIOD;
+    settle(&mut second, &mut object, later);
+
+    assert_eq!(total(&object, later), Counts { good: 1, slow: 1, ..Counts::default() });
+}
+
+#[test]
+fn a_value_stays_small_and_its_period_grows() {
+    let start = Instant::from_millis(0);
+    let mut ledger = ledger(1, start);
+    let mut object = Object::default();
+    settle(&mut ledger, &mut object, start);
+    let mut recorded = 0;
+    for bucket in 0..100 {
+        let now = start + Duration::from_secs(300 * bucket);
+        for organisation in 0..200 {
+            let key = key(&format!("organisation-{organisation}"), "chat");
+            ledger.record(now, key, Outcome::Good);
+            recorded += 1;
+        }
+    }
+    let now = start + Duration::from_secs(300 * 100);
+
+    let write = ledger.flush(now).unwrap();
+    object.write(now, &write).unwrap();
+
+    assert!(write.bytes <= chestnutrack_burn::BURN_VALUE_BYTES_MAX, "{} bytes", write.bytes);
+    assert!(chestnutrack_burn::period(write.bytes) > BURN_PERIOD);
+    assert_eq!(total(&object, now).good, recorded);
+}
+
+/// What happens to one host.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Record,
+    Wait,
+    Tick,
+    /// The next write takes effect and its answer is lost.
+    LoseAnswer,
+    /// The next write is lost before it takes effect.
+    LoseWrite,
+    /// Another process of the same name writes.
+    Rival,
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Event {
+        use Event::*;
+        *g.choose(&[Record, Record, Wait, Tick, Tick, LoseAnswer, LoseWrite, Rival])
+            .expect("there are events")
+    }
+}
+
+/// Plays events and lets both processes settle; whether each request is counted once.
+fn counts_each_once(events: Vec<Event>) -> bool {
+    let mut now = Instant::from_millis(0);
+    let (mut ledger, mut rival) = (ledger(1, now), ledger(2, now));
+    let mut object = Object::default();
+    let (mut recorded, mut lose_answer, mut lose_write) = (0, false, false);
+    for event in events {
+        match event {
+            Event::Record => {
+                ledger.record(now, key("bay-bakery", "stock"), Outcome::Good);
+                recorded += 1;
+            }
+            Event::Wait => now = now + BURN_PERIOD,
+            Event::LoseAnswer => lose_answer = true,
+            Event::LoseWrite => lose_write = true,
+            Event::Rival => {
+                rival.record(now, key("bay-bakery", "stock"), Outcome::Good);
+                recorded += 1;
+                settle(&mut rival, &mut object, now);
+            }
+            Event::Tick => match ledger.tick(now) {
+                Step::Idle => {}
+                Step::Read => ledger.was_read(now, object.read(now)),
+                Step::Write(_) if std::mem::take(&mut lose_write) => ledger.was_lost(now),
+                Step::Write(write) => match object.write(now, &write) {
+                    Ok(_) if std::mem::take(&mut lose_answer) => ledger.was_lost(now),
+                    Ok(version) => ledger.was_written(version),
+                    Err(()) => ledger.was_lost(now),
+                },
+            },
+        }
+    }
+    for _ in 0..4 {
+        now = now + 4 * BURN_PERIOD;
+        settle(&mut ledger, &mut object, now);
+        settle(&mut rival, &mut object, now);
+    }
+    total(&object, now).all() == recorded
+}
+#[test]
+fn a_rival_that_writes_over_a_lost_answer_counts_nothing_twice() {
+    use Event::*;
+
+    assert!(counts_each_once(vec![LoseAnswer, Record, Tick, Tick, Rival]));
+}
+
+quickcheck! {
+    fn each_request_is_counted_once(events: Vec<Event>) -> bool {
+        counts_each_once(events)
+    }
+}
