--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -7,6 +7,8 @@
 mod settings;
 mod state;
 mod stream;
+#[cfg(test)]
+mod tests;
 mod transfer;
 
 use crate::http::{self, Body, Refusal, Reply, refusal};
--- /dev/null
+++ b/crates/standin/tests/engine_client.rs
@@ -0,0 +1,502 @@
+//! The client of engines against the stand-in, its faults, and servers that misbehave.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod support;
+
+use chestnutrack_engine::client::{Client, Settings};
+use chestnutrack_engine::error::Error;
+use chestnutrack_engine::order::{
+    Cancel, Change, Decode, Import, Line, Order, Prefill, Prefilled, Resume,
+};
+use chestnutrack_standin::{answer, engine};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::{Act, control, page, scripted};
+
+const PROMPT: &str = "a catalog summary of apples and pears";
+const HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// An engine that is quick and keeps its KV caches for long.
+fn quick() -> engine::Settings {
+    engine::Settings {
+        step: Duration::from_micros(500),
+        step_per_request: Duration::ZERO,
+        prefill_tokens_per_s: 1_000_000,
+        evict: Duration::from_secs(60),
+        ..engine::Settings::default()
+    }
+}
+
+fn client(address: SocketAddr) -> Client {
+    Client::new(address, Settings::default(), None)
+}
+
+/// A client that gives up soon on streams.
+fn hasty(address: SocketAddr) -> Client {
+    let silence = Duration::from_secs(1);
+    Client::new(address, Settings { silence, ..Settings::default() }, None)
+}
+
+async fn quick_engine() -> (SocketAddr, Client) {
+    let address = support::engine(quick()).await;
+    (address, client(address))
+}
+
+fn prefill(id: &str, prompt: &str) -> Prefill {
+    Prefill { id: id.into(), fence: 1, prompt: prompt.into(), priority: 0 }
+}
+
+fn import(id: &str, from: SocketAddr, kv_tokens: u32) -> Import {
+    Import { id: id.into(), fence: 1, from, handle: id.into(), kv_tokens }
+}
+
+fn decode(id: &str, output_tokens: u32) -> Decode {
+    Decode { id: id.into(), fence: 1, output_tokens, priority: 0 }
+}
+
+fn resume(id: &str, offset: u32) -> Resume {
+    Resume { id: id.into(), fence: 1, offset }
+}
+
+fn cancel(id: &str) -> Cancel {
+    Cancel { id: id.into(), fence: 1 }
+}
+
+/// Prefills, exports and imports a prompt on one engine.
+async fn imported(client: &Client, id: &str, prompt: &str, kv_tokens: u32) {
+    client.prefill(&prefill(id, prompt)).await.unwrap();
+    client.import(&import(id, client.address(), kv_tokens)).await.unwrap();
+}
+
+/// Reads a stream to its end: its text, and why it ended.
+async fn read(stream: &mut chestnutrack_engine::client::Stream) -> Result<(String, String), Error> {
+    let mut whole = String::new();
+    loop {
+        match stream.next().await? {
+            Some(Line::Token { text, .. }) => whole.push_str(&text),
+            Some(Line::End { finish, .. }) => return Ok((whole, finish.to_string())),
+            None => panic!("the stream ended without an end"),
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_answer_goes_from_one_engine_to_another_and_holds_nothing_after() {
+    let (_, first) = quick_engine().await;
+    let (_, second) = quick_engine().await;
+
+    let prefilled = first.prefill(&prefill("a.1", PROMPT)).await.unwrap();
+    let imported = second.import(&import("a.1", first.address(), 40)).await.unwrap();
+    let mut stream = second.decode(&decode("a.1", 30)).await.unwrap();
+    let text = read(&mut stream).await.unwrap();
+
+    let tokens = u32::try_from(PROMPT.len().div_ceil(4)).unwrap();
+    let bytes = u64::from(tokens) * quick().kv_bytes_per_token;
+    let expected = Prefilled { tokens, bytes, cached_tokens: 0, evicted_in_ms: 60_000 };
+    assert_eq!(prefilled, expected);
+    assert_eq!(imported.tokens, tokens);
+    assert_eq!(text, (answer::whole(PROMPT, 30), "length".to_owned()));
+    assert_eq!(stream.next().await, Ok(None));
+    assert_eq!(first.holds().await.unwrap().holds, vec![]);
+    assert_eq!(second.holds().await.unwrap().holds, vec![]);
+}
+
+#[tokio::test]
+async fn a_prompt_says_where_its_answer_stops() {
+    let (_, client) = quick_engine().await;
+    let prompt = "stock check <stop:3>";
+    imported(&client, "a.1", prompt, 100).await;
+
+    let mut stream = client.decode(&decode("a.1", 30)).await.unwrap();
+
+    let text: String = (0..3).map(|offset| answer::token(prompt, offset)).collect();
+    assert_eq!(read(&mut stream).await.unwrap(), (text, "stop".to_owned()));
+}
+
+#[tokio::test]
+async fn a_stream_that_was_cut_is_resumed_at_its_offset() {
+    let (address, client) = quick_engine().await;
+    imported(&client, "a.1", PROMPT, 10_000).await;
+    let mut stream = client.decode(&decode("a.1", 2_000)).await.unwrap();
+    let mut text = String::new();
+    while stream.offset() < 10 {
+        let Some(Line::Token { text: token, .. }) = stream.next().await.unwrap() else { break };
+        text.push_str(&token);
+    }
+
+    control(address, "faults", json!({ "cut_streams": true })).await;
+    let broken = loop {
+        match stream.next().await {
+            Ok(Some(Line::Token { text: token, .. })) => text.push_str(&token),
+            outcome => break outcome,
+        }
+    };
+    let mut stream = client.resume(&resume("a.1", stream.offset())).await.unwrap();
+    let (rest, _) = read(&mut stream).await.unwrap();
+
+    assert!(matches!(broken, Err(Error::Unknown(_))), "{broken:?}");
+    assert_eq!(text + &rest, answer::whole(PROMPT, 2_000));
+}
+
+#[tokio::test]
+async fn an_answer_that_ended_can_be_read_again() {
+    let (_, client) = quick_engine().await;
+    imported(&client, "a.1", PROMPT, 100).await;
+    let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
+    read(&mut stream).await.unwrap();
+
+    let mut again = client.resume(&resume("a.1", 4)).await.unwrap();
+    let mut end = client.resume(&resume("a.1", 5)).await.unwrap();
+    let beyond = client.resume(&resume("a.1", 6)).await.map(drop);
+
+    assert_eq!(read(&mut again).await.unwrap().0, answer::token(PROMPT, 4));
+    assert_eq!(read(&mut end).await.unwrap().0, "");
+    assert!(matches!(beyond, Err(Error::Refused(400, _))), "{beyond:?}");
+}
+
+#[tokio::test]
+async fn an_answer_goes_on_without_a_reader_until_it_is_cancelled() {
+    let (address, client) = quick_engine().await;
+    imported(&client, "a.1", PROMPT, 150_000).await;
+    let stream = client.decode(&decode("a.1", 100_000)).await.unwrap();
+
+    drop(stream);
+    let before = page(address, "counts").await["generated_tokens"].as_u64().unwrap();
+    let generated = async || page(address, "counts").await["generated_tokens"].as_u64().unwrap();
+    support::until(async || generated().await > before + 20).await;
+    let held = client.holds().await.unwrap().holds.len();
+    client.cancel(&cancel("a.1")).await.unwrap();
+
+    assert_eq!(held, 1);
+    assert_eq!(client.holds().await.unwrap().holds, vec![]);
+    assert_eq!(client.resume(&resume("a.1", 0)).await.map(drop), Err(Error::Missing));
+}
+
+#[tokio::test]
+async fn a_cancelled_answer_has_no_end() {
+    let (_, client) = quick_engine().await;
+    imported(&client, "a.1", PROMPT, 150_000).await;
+    let mut stream = client.decode(&decode("a.1", 100_000)).await.unwrap();
+    stream.next().await.unwrap();
+
+    client.cancel(&cancel("a.1")).await.unwrap();
+
+    let outcome = read(&mut stream).await;
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+}
+
+#[tokio::test]
+async fn an_old_fencing_number_is_refused_by_an_engine_that_checks() {
+    let (address, client) = quick_engine().await;
+    client.cancel(&Cancel { id: "x".into(), fence: 5 }).await.unwrap();
+    let load = Order { fence: 4, change: Change::LoadModel("larder".into()) };
+
+    let outcomes = [
+        client.prefill(&prefill("a.1", PROMPT)).await.map(drop),
+        client.import(&import("a.1", address, 100)).await.map(drop),
+        client.decode(&decode("a.1", 5)).await.map(drop),
+        client.resume(&resume("a.1", 0)).await.map(drop),
+        client.cancel(&cancel("a.1")).await,
+        client.order(&load).await,
+    ];
+
+    for outcome in outcomes {
+        assert_eq!(outcome, Err(Error::Fenced));
+    }
+    assert_eq!(page(address, "counts").await["fenced"], 6);
+    assert_eq!(page(address, "seen").await["fence"], 5);
+}
+
+#[tokio::test]
+async fn an_old_fencing_number_is_obeyed_by_an_engine_that_does_not_check() {
+    let settings = engine::Settings { checks_fencing: false, ..quick() };
+    let client = client(support::engine(settings).await);
+    client.cancel(&Cancel { id: "x".into(), fence: 5 }).await.unwrap();
+
+    let outcome = client.prefill(&prefill("a.1", PROMPT)).await;
+
+    assert!(outcome.is_ok(), "{outcome:?}");
+}
+
+#[tokio::test]
+async fn a_full_engine_refuses_and_frees() {
+    let settings = engine::Settings { kv_tokens: 100, ..quick() };
+    let client = client(support::engine(settings).await);
+    imported(&client, "a.1", PROMPT, 80).await;
+
+    let too_much = client.prefill(&prefill("b.1", &"x".repeat(200))).await;
+    client.prefill(&prefill("c.1", "short")).await.unwrap();
+    let no_room = client.import(&import("c.1", client.address(), 30)).await;
+    client.cancel(&cancel("a.1")).await.unwrap();
+    let room = client.import(&import("c.1", client.address(), 30)).await;
+
+    assert_eq!(too_much, Err(Error::Full));
+    assert_eq!(no_room, Err(Error::Full));
+    assert!(room.is_ok(), "{room:?}");
+}
+
+#[tokio::test]
+async fn a_kv_cache_is_gone_after_its_time() {
+    let settings = engine::Settings { evict: Duration::from_millis(1), ..quick() };
+    let address = support::engine(settings).await;
+    let client = client(address);
+
+    client.prefill(&prefill("a.1", PROMPT)).await.unwrap();
+    support::until(async || client.holds().await.unwrap().holds.is_empty()).await;
+    let imported = client.import(&import("a.1", address, 100)).await;
+
+    assert_eq!(imported, Err(Error::Missing));
+    assert_eq!(client.holds().await.unwrap().holds, vec![]);
+    assert_eq!(page(address, "counts").await["wasted_prefill_tokens"], 10);
+}
+
+#[tokio::test]
+async fn orders_for_what_is_not_there_are_missing() {
+    let (address, client) = quick_engine().await;
+    let (gone, listener) = support::listener().await;
+    drop(listener);
+
+    let outcomes = [
+        client.import(&import("a.1", address, 100)).await.map(drop),
+        client.import(&import("a.1", gone, 100)).await.map(drop),
+        client.decode(&decode("a.1", 5)).await.map(drop),
+        client.resume(&resume("a.1", 0)).await.map(drop),
+    ];
+
+    for outcome in outcomes {
+        assert_eq!(outcome, Err(Error::Missing));
+    }
+    assert_eq!(client.cancel(&cancel("a.1")).await, Ok(()));
+}
+
+#[tokio::test]
+async fn an_order_that_comes_twice_runs_once() {
+    let (address, client) = quick_engine().await;
+    imported(&client, "a.1", PROMPT, 10_000).await;
+    client.prefill(&prefill("b.1", PROMPT)).await.unwrap();
+    let _stream = client.decode(&decode("a.1", 5_000)).await.unwrap();
+
+    let outcomes = [
+        client.prefill(&prefill("b.1", PROMPT)).await.map(drop),
+        client.import(&import("a.1", address, 100)).await.map(drop),
+        client.decode(&decode("a.1", 5)).await.map(drop),
+    ];
+
+    for outcome in outcomes {
+        assert!(matches!(outcome, Err(Error::Refused(409, _))), "{outcome:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_longer_than_its_import_is_refused() {
+    let (_, client) = quick_engine().await;
+    imported(&client, "a.1", PROMPT, 20).await;
+
+    let outcome = client.decode(&decode("a.1", 11)).await.map(drop);
+
+    let Err(Error::Refused(400, text)) = outcome else { panic!("{outcome:?}") };
+    assert!(text.contains("output_tokens"), "{text}");
+}
+
+#[tokio::test]
+async fn a_prefill_that_fails_holds_nothing() {
+    let (address, client) = quick_engine().await;
+    control(address, "faults", json!({ "fail_prefills": 1 })).await;
+
+    let failed = client.prefill(&prefill("a.1", PROMPT)).await;
+    let holds = client.holds().await.unwrap().holds;
+    let again = client.prefill(&prefill("a.1", PROMPT)).await;
+
+    assert!(matches!(failed, Err(Error::Unknown(_))), "{failed:?}");
+    assert_eq!(holds, vec![]);
+    assert!(again.is_ok(), "{again:?}");
+}
+
+#[tokio::test]
+async fn a_frozen_engine_is_silent_and_goes_on_later() {
+    let (address, client) = quick_engine().await;
+    imported(&client, "a.1", PROMPT, 3_000).await;
+    let mut stream = hasty(address).decode(&decode("a.1", 2_000)).await.unwrap();
+    stream.next().await.unwrap();
+
+    control(address, "faults", json!({ "freeze": true })).await;
+    let silent = read(&mut stream).await;
+    let asked = client.holds().await;
+    control(address, "faults", json!({ "freeze": false })).await;
+    let mut stream = client.resume(&resume("a.1", 0)).await.unwrap();
+
+    assert!(matches!(silent, Err(Error::Unknown(_))), "{silent:?}");
+    assert!(matches!(asked, Err(Error::Unknown(_))), "{asked:?}");
+    assert_eq!(read(&mut stream).await.unwrap().0, answer::whole(PROMPT, 2_000));
+}
+
+#[tokio::test]
+async fn a_stalled_transfer_is_given_up_and_freed_by_cancelling() {
+    let (address, client) = quick_engine().await;
+    let import_limit = Duration::from_millis(500);
+    let hasty = client.with(Settings { import: import_limit, ..Settings::default() });
+    client.prefill(&prefill("a.1", PROMPT)).await.unwrap();
+    control(address, "faults", json!({ "stall": true })).await;
+
+    let stalled = hasty.import(&import("a.1", address, 100)).await;
+    client.cancel(&cancel("a.1")).await.unwrap();
+    let holds = client.holds().await.unwrap().holds;
+    control(address, "faults", json!({ "stall": false })).await;
+
+    assert!(matches!(stalled, Err(Error::Unknown(_))), "{stalled:?}");
+    assert_eq!(holds, vec![]);
+    let wait = Duration::from_millis(50);
+    tokio::time::sleep(wait).await;
+    assert_eq!(client.holds().await.unwrap().holds, vec![]);
+}
+
+#[tokio::test]
+async fn orders_change_role_and_model() {
+    let settings = engine::Settings { load_model: Duration::from_millis(1), ..quick() };
+    let address = support::engine(settings).await;
+    let client = client(address);
+
+    let role = Order { fence: 1, change: Change::Role("decode".into()) };
+    client.order(&role).await.unwrap();
+    let model = Order { fence: 2, change: Change::LoadModel("larder".into()) };
+    client.order(&model).await.unwrap();
+    let wrong = Order { fence: 2, change: Change::Role("cook".into()) };
+    let refused = client.order(&wrong).await;
+
+    let seen = page(address, "seen").await;
+    assert_eq!((&seen["role"], &seen["model"]), (&json!("decode"), &json!("larder")));
+    assert!(matches!(refused, Err(Error::Refused(400, _))), "{refused:?}");
+}
+
+#[tokio::test]
+async fn a_model_that_loads_refuses_work_until_it_is_loaded() {
+    let settings = engine::Settings { load_model: Duration::from_secs(2), ..quick() };
+    let address = support::engine(settings).await;
+    let client = client(address);
+    let hasty = client.with(Settings { order: Duration::from_millis(50), ..Settings::default() });
+
+    let order = Order { fence: 1, change: Change::LoadModel("larder".into()) };
+    let given_up = hasty.order(&order).await;
+    let refused = client.prefill(&prefill("a.1", PROMPT)).await;
+
+    assert!(matches!(given_up, Err(Error::Unknown(_))), "{given_up:?}");
+    assert_eq!(refused, Err(Error::Full));
+    support::until(async || client.prefill(&prefill("a.1", PROMPT)).await.is_ok()).await;
+}
+
+#[tokio::test]
+async fn prefixes_are_cached_and_their_events_come() {
+    let events_lag = Duration::from_millis(1);
+    let settings = engine::Settings { events_lag, events_lost_percent: 0, ..quick() };
+    let client = client(support::engine(settings).await);
+    let prompt = "x".repeat(10_000);
+    client.prefill(&prefill("a.1", &prompt)).await.unwrap();
+
+    let again = client.prefill(&prefill("b.1", &(prompt.clone() + "more"))).await.unwrap();
+
+    assert_eq!(again.cached_tokens, 2_048);
+    support::until(async || client.events(0).await.unwrap().newest == 2).await;
+    let events = client.events(0).await.unwrap().events;
+    let names: Vec<_> = events.iter().map(|event| event.prefix).collect();
+    assert_eq!(names, chestnutrack_engine::prefix::names(&prompt));
+    assert!(events.iter().all(|event| event.stored));
+    assert_eq!(client.events(1).await.unwrap().events, events[1..]);
+}
+
+#[tokio::test]
+async fn lines_that_make_no_sense_are_errors_with_their_place() {
+    let bad = [
+        ("not json\n", "line 1"),
+        ("{\"token\":{\"offset\":1,\"text\":\"b\"}}\n", "line 1"),
+        ("{\"end\":{\"total\":3,\"finish\":\"stop\"}}\n", "line 1"),
+        ("{\"token\":{\"offset\":-1,\"text\":\"b\"}}\n", "line 1"),
+        ("{\"token\":{\"offset\":0,\"text\":\"a\"}}\n\n", "line 2"),
+    ];
+    for (lines, place) in bad {
+        let text = format!("{HEAD}{:x}\r\n{lines}\r\n0\r\n\r\n", lines.len());
+        let client = client(scripted(vec![Act::Keep(text.leak())]).await);
+        let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
+
+        let outcome = read(&mut stream).await;
+
+        assert!(
+            matches!(&outcome, Err(Error::Malformed(found, _)) if found == place),
+            "{lines}: {outcome:?}"
+        );
+        assert_eq!(stream.next().await, Ok(None));
+    }
+}
+
+#[tokio::test]
+async fn a_token_that_comes_twice_is_an_error() {
+    let lines = "{\"token\":{\"offset\":0,\"text\":\"a\"}}\n".repeat(2);
+    let text = format!("{HEAD}{:x}\r\n{lines}\r\n0\r\n\r\n", lines.len());
+    let client = client(scripted(vec![Act::Keep(text.leak())]).await);
+    let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
+
+    let outcome = read(&mut stream).await;
+
+    let expected = "offset 0 in place of 1".to_owned();
+    assert_eq!(outcome, Err(Error::Malformed("line 2".to_owned(), expected)));
+}
+
+#[tokio::test]
+async fn a_stream_that_stops_early_is_no_answer() {
+    let token = "{\"token\":{\"offset\":0,\"text\":\"a\"}}\n";
+    let chunk = format!("{HEAD}{:x}\r\n{token}\r\n", token.len());
+    let whole: &'static str = format!("{chunk}0\r\n\r\n").leak();
+    let chunk: &'static str = chunk.leak();
+    let half: &'static str = chunk[..chunk.len() - 10].to_owned().leak();
+
+    for act in [Act::Keep(whole), Act::Send(chunk), Act::Hold(chunk), Act::Hold(half)] {
+        let client = hasty(scripted(vec![act]).await);
+        let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
+        let outcome = read(&mut stream).await;
+        assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_line_without_end_is_an_error() {
+    let line = "x".repeat(100_000);
+    let text = format!("{HEAD}{:x}\r\n{line}\r\n", line.len());
+    let client = client(scripted(vec![Act::Hold(text.leak())]).await);
+    let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
+
+    let outcome = stream.next().await;
+
+    assert!(matches!(outcome, Err(Error::Malformed(_, _))), "{outcome:?}");
+}
+
+#[tokio::test]
+async fn answers_that_make_no_sense_are_typed_errors() {
+    let body = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{\"foo\":1}";
+    let large = "HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\n{}";
+    let silent = Act::Hold("");
+    let acts = vec![Act::Send(body), Act::Send(large), Act::Send(""), silent];
+    let client = client(scripted(acts).await);
+
+    let foreign = client.load().await.unwrap_err();
+    let large = client.holds().await.unwrap_err();
+    let cut = client.prefill(&prefill("a.1", PROMPT)).await.unwrap_err();
+    let silent = client.cancel(&cancel("a.1")).await.unwrap_err();
+
+    assert!(matches!(&foreign, Error::Malformed(place, _) if place == "load"), "{foreign:?}");
+    assert!(matches!(large, Error::Unknown(_)), "{large:?}");
+    assert!(matches!(cut, Error::Unknown(_)), "{cut:?}");
+    assert!(matches!(silent, Error::Unknown(_)), "{silent:?}");
+}
+
+#[tokio::test]
+async fn an_order_that_reaches_nobody_was_not_sent() {
+    let (address, listener) = support::listener().await;
+    drop(listener);
+    let client = client(address);
+
+    let outcome = client.prefill(&prefill("a.1", PROMPT)).await;
+
+    assert!(matches!(outcome, Err(Error::NotSent(_))), "{outcome:?}");
+    assert_eq!(client.calls("prefill"), 1);
+}
