Watcher of objects and poller of the host list

The watcher lists once, then watches from its version on, and lists again when changes are forgotten. Random answers showed three ways in which a stale or confused interface would have made it go back: an older list, an object in an answer twice, and a list that revives a deleted object (first seen as 'version 3 after 29'). It now keeps the versions of deleted objects too and refuses such an answer whole.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,7 +14,10 @@
 //! A status of 503 says that the call was not applied. Versions come from one counter for the whole interface and only grow. A write without
 //! `if-match` is unconditional; the system itself never makes one.
 
+pub mod backoff;
 pub mod client;
 pub mod error;
 pub mod host;
 pub mod object;
+pub mod poller;
+pub mod watcher;
--- /dev/null
+++ b/crates/platform/src/watcher/mod.rs
@@ -0,0 +1,126 @@
+//! Follows the objects of one kind: a list first, then watches from its version on.
+//!
+//! What is handed out never goes back to an older version, whatever the interface answers. In an
+//! outage it retries with growing, jittered pauses and then resumes where it was.
+
+mod table;
+
+use crate::backoff::Backoff;
+use crate::client::Client;
+use crate::error::Error;
+use crate::object::{List, Object};
+use chestnutrack_core::time::Instant;
+use chestnutrack_process::clock;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+pub use table::Table;
+
+/// Status of a watch whose changes are forgotten.
+const GONE: u16 = 410;
+/// Updates that wait for their reader.
+const UPDATES_MAX: usize = 16;
+
+/// Settings of a watcher.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Longest time that one watch waits.
+    pub wait: Duration,
+    /// Pause after each answer, which bounds the calls to an interface that answers at once.
+    pub pause: Duration,
+    /// First pause after a failure; it doubles with each that follows.
+    pub retry_min: Duration,
+    /// Longest pause after a failure.
+    pub retry_max: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            wait: Duration::from_millis(10_000),
+            pause: Duration::from_millis(10),
+            retry_min: Duration::from_millis(100),
+            retry_max: Duration::from_millis(2_000),
+        }
+    }
+}
+
+/// One answer of the interface.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Update {
+    /// Whether the objects are all that there are; those handed out earlier and not among them
+    /// were deleted.
+    pub whole: bool,
+    /// Objects that changed; none when the answer only confirms what was known.
+    pub objects: Vec<Object>,
+    /// Version up to which changes are known.
+    pub version: u64,
+    /// When the call was sent: the objects are at least as new as this.
+    pub sent: Instant,
+}
+
+/// Follows a kind until the receiver is dropped.
+pub fn start(
+    client: Client,
+    kind: impl Into<Arc<str>>,
+    settings: Settings,
+) -> mpsc::Receiver<Update> {
+    let (updates, receiver) = mpsc::channel(UPDATES_MAX);
+    let kind = kind.into();
+    tokio::spawn(async move {
+        let closed = updates.clone();
+        tokio::select! {
+            () = closed.closed() => {}
+            () = follow(&client, &kind, &settings, &updates) => {}
+        }
+    });
+    receiver
+}
+
+async fn follow(client: &Client, kind: &str, settings: &Settings, updates: &mpsc::Sender<Update>) {
+    let mut table = Table::default();
+    let mut backoff = Backoff::new(settings.retry_min, settings.retry_max);
+    loop {
+        let sent = clock::now();
+        let whole = table.needs_list();
+        let answer = ask(client, kind, settings, &table).await;
+        let taken = answer.and_then(|list| table.take(list, whole, sent));
+        match taken {
+            Ok(update) => {
+                if backoff.succeeded() {
+                    tracing::info!(
+                        kind,
+                        version = update.version,
+                        "object interface answers again"
+                    );
+                }
+                if updates.send(update).await.is_err() {
+                    return;
+                }
+                sleep(settings.pause).await;
+            }
+            Err(Error::Refused(GONE, _)) => table.forget_version(),
+            Err(error) => {
+                if backoff.failed() {
+                    tracing::warn!(kind, %error, "object interface doesn't answer");
+                }
+                sleep(backoff.pause()).await;
+            }
+        }
+    }
+}
+
+async fn ask(
+    client: &Client,
+    kind: &str,
+    settings: &Settings,
+    table: &Table,
+) -> Result<List, Error> {
+    if table.needs_list() {
+        client.list(kind).await
+    } else {
+        client.watch(kind, table.version(), settings.wait).await
+    }
+}
