--- a/crates/core/src/server/capacity.rs
+++ b/crates/core/src/server/capacity.rs
@@ -24,6 +24,8 @@
     token_micros: u64,
     /// Time to prefill a token, in nanoseconds.
     prefill_nanos: u64,
+    /// When the last prefill ended.
+    prefill_end: Instant,
 }
 
 impl Pace {
@@ -31,6 +33,7 @@
         Pace {
             token_micros: u64::try_from(settings.token_time.as_micros()).unwrap_or(u64::MAX),
             prefill_nanos: 1_000_000_000 / settings.prefill_tokens_per_s.max(1),
+            prefill_end: Instant::default(),
         }
     }
 
@@ -39,7 +42,11 @@
         self.token_micros = smooth(self.token_micros, micros);
     }
 
-    pub(super) fn prefilled(&mut self, tokens: u64, took: Duration) {
+    /// Measures a prefill that began at `since`; the time that it waited for the one before it
+    /// doesn't count.
+    pub(super) fn prefilled(&mut self, now: Instant, tokens: u64, since: Instant) {
+        let took = now.since(since.max(self.prefill_end));
+        self.prefill_end = now;
         let nanos = u64::try_from(took.as_nanos()).unwrap_or(u64::MAX);
         if let Some(each) = nanos.checked_div(tokens) {
             self.prefill_nanos = smooth(self.prefill_nanos, each);
@@ -98,7 +105,12 @@
 
     pub(super) fn fits(&self, kv_tokens: u32) -> bool {
         let used = self.used();
-        used.slots < self.slots() && used.kv_tokens + u64::from(kv_tokens) <= self.memory()
+        let engine_busy = self.role() == Some(Role::Prefill)
+            && used.slots >= self.settings.prefill_orders
+            && self.ordered_prefill_tokens() >= self.settings.prefill_order_tokens;
+        !engine_busy
+            && used.slots < self.slots()
+            && used.kv_tokens + u64::from(kv_tokens) <= self.memory()
     }
 
     /// Whether the server could never hold so much.
@@ -171,11 +183,19 @@
         queued.sum()
     }
 
+    fn ordered_prefill_tokens(&self) -> u64 {
+        let ordered = self.holds.values().filter_map(|hold| match (&hold.work, hold.stage) {
+            (Work::Prefill(prefill, _), Stage::Prefilling { .. }) => {
+                Some(u64::from(prefill.prompt_tokens))
+            }
+            _ => None,
+        });
+        ordered.sum()
+    }
+
     /// Time until a new prefill would end.
     pub(super) fn prefill_wait(&self, tokens: u32) -> Duration {
-        let lanes = u64::from(self.slots().max(1));
-        let queued = self.queued_tokens() / lanes;
-        self.pace.prefill_time(queued + u64::from(tokens))
+        self.pace.prefill_time(self.queued_tokens() + u64::from(tokens))
     }
 
     /// Whether an organisation has as many waiting as it may.
--- a/crates/core/src/server/prefill.rs
+++ b/crates/core/src/server/prefill.rs
@@ -65,7 +65,7 @@
                 let until = now + Duration::from_millis(done.evicted_in_ms);
                 hold.stage = Stage::Prefilled { until };
                 let computed = done.tokens.saturating_sub(done.cached_tokens);
-                self.pace.prefilled(u64::from(computed), now.since(since));
+                self.pace.prefilled(now, u64::from(computed), since);
                 self.say_prefilled(now, key);
             }
             (Ok(_), None) => {
--- a/crates/core/src/server/reconcile.rs
+++ b/crates/core/src/server/reconcile.rs
@@ -93,9 +93,7 @@
         }
         self.reconcile.listed = true;
         self.reconcile.claims_end = Some(now + self.settings.claim_bound);
-        let (running, rest): (Vec<_>, Vec<_>) = held.into_iter().partition(|held| held.running);
-        self.cancel_unknown(rest);
-        for held in running {
+        for held in held {
             match parse_engine_id(&held.id) {
                 Some(id) if !self.index.contains_key(&id) => {
                     self.reconcile.found.insert(id, held);
--- a/crates/core/src/server/settings.rs
+++ b/crates/core/src/server/settings.rs
@@ -48,6 +48,11 @@
     pub token_time: Duration,
     /// Prefill rate assumed before any was measured, in tokens a second.
     pub prefill_tokens_per_s: u64,
+    /// Prefills ordered from the engine at once, whatever their size; more wait here, where
+    /// their order is fair.
+    pub prefill_orders: u32,
+    /// Prompt tokens up to which more prefills are ordered at once.
+    pub prefill_order_tokens: u64,
     /// Bytes of a plain answer kept for a resume.
     pub body_keep_bytes: usize,
     /// Attempts that have ended and are remembered.
@@ -72,6 +77,8 @@
             kv_bytes_per_token: 64 << 10,
             token_time: Duration::from_millis(30),
             prefill_tokens_per_s: 10_000,
+            prefill_orders: 2,
+            prefill_order_tokens: 4_096,
             body_keep_bytes: 1 << 20,
             past: 1 << 16,
         }
--- a/crates/side/src/program.rs
+++ b/crates/side/src/program.rs
@@ -103,7 +103,8 @@
 }
 
 async fn tick(actor: ActorRef<Message>) {
-    let mut ticks = Timer::start().subscribe(TICK);
+    let timer = Timer::start();
+    let mut ticks = timer.subscribe(TICK);
     while let Some(tick) = ticks.recv().await {
         if actor.cast(Message::Event(Event::Tick { late: tick.late })).is_err() {
             return;
