A member: joins the table, follows documents, debits and lends tokens, makes claims

The member is one actor; connections and calls to the object interface are tasks that tell it what happens.

--- a/crates/core/src/claim/mod.rs
+++ b/crates/core/src/claim/mod.rs
@@ -27,7 +27,7 @@
     /// Hash of what was claimed, as 64 hexadecimal digits.
     pub body: String,
     /// How the request ended; absent while it runs.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub ended: Option<E>,
 }
 
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -176,11 +176,9 @@
         Offer::Adopted
     }
 
-    /// A member that is gone counts on until its lease has surely lapsed. One that was proven dead,
-    /// or replaced by a new incarnation of its name, does not.
+    /// A member that is gone counts on until its lease has surely lapsed, unless it is dead.
     fn hold_removed(&mut self, table: &Table) {
-        let named = |name: &str| table.members.iter().any(|member| &*member.identity.name == name);
-        let gone = |peer: &&Peer| !peer.dead && !named(&peer.member.identity.name);
+        let gone = |peer: &&Peer| !peer.dead && !table.lists(&peer.member.identity);
         let count = self.peers.values().filter(gone).count();
         let held = Held { version: table.version, ready: None };
         self.held.extend(std::iter::repeat_n(held, count));
@@ -287,9 +285,18 @@
 
     /// Whether this member may act as a member now.
     pub fn is_current(&self, now: Instant) -> bool {
-        let vouched =
-            |peer: &Peer| !peer.needed || peer.dead || peer.until.is_some_and(|until| now < until);
-        self.listed && !self.left && self.peers.values().all(vouched)
+        self.current_until().is_some_and(|until| now < until)
+    }
+
+    /// Until when this member is current if nothing more is heard; `None` if it is not.
+    pub fn current_until(&self) -> Option<Instant> {
+        if !self.listed || self.left {
+            return None;
+        }
+        let needed = self.peers.values().filter(|peer| peer.needed && !peer.dead);
+        needed
+            .map(|peer| peer.until)
+            .try_fold(Instant(u64::MAX), |least, until| until.map(|until| until.min(least)))
     }
 
     /// By how many the fleet's rates are divided on this member; `None` before it has a share.
--- /dev/null
+++ b/crates/fleet/src/claim/keeper.rs
@@ -0,0 +1,207 @@
+//! Makes, settles and gives back claims in the object interface.
+
+use super::{Ask, End, Error, Held, Lives, Outcome};
+use crate::metric::Metric;
+use crate::store::CLAIMS;
+use chestnutrack_core::claim::{self, ANSWER_BYTES_MAX, Record, Verdict};
+use chestnutrack_core::member::Identity;
+use chestnutrack_platform::client::Client;
+use chestnutrack_platform::error;
+use chestnutrack_platform::object::Object;
+use serde_json::Value;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// How often a claim is tried when others change it at the same time.
+const ATTEMPTS: u32 = 4;
+/// Claims that were written perhaps, for requests that were then refused, kept to be given back.
+const STRAYS_MAX: usize = 4_096;
+
+/// Makes and settles claims for one member; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Keeper<L> {
+    pub(crate) client: Client,
+    pub(crate) service: Arc<str>,
+    pub(crate) me: Identity,
+    pub(crate) lives: L,
+    pub(crate) metric: Metric,
+    pub(crate) strays: Arc<Mutex<Vec<Stray>>>,
+}
+
+/// A claim that may stand for a request that was refused as not run.
+#[derive(Clone, Debug)]
+pub(crate) struct Stray {
+    name: Arc<str>,
+    record: Record<End>,
+}
+
+/// What a look at a claim's object found.
+enum Found {
+    Absent,
+    Claim(u64, Duration, Record<End>),
+}
+
+impl<L: Lives> Keeper<L> {
+    /// Makes a claim, or says what stands there.
+    pub(crate) async fn claim(&self, ask: Ask) -> Result<Outcome, Error> {
+        let name = claim::name(&self.service, &ask.organisation, &ask.route, &ask.key);
+        let name: Arc<str> = Arc::from(name);
+        let record = self.record(ask.request, ask.body, None);
+        let outcome = self.try_claim(&name, &record, &ask).await;
+        self.metric.claims.with_label_values(&[word(&outcome)]).inc();
+        outcome
+    }
+
+    async fn try_claim(
+        &self,
+        name: &Arc<str>,
+        record: &Record<End>,
+        ask: &Ask,
+    ) -> Result<Outcome, Error> {
+        let value = value(record)?;
+        for _ in 0..ATTEMPTS {
+            let held = |version| Held {
+                name: name.clone(),
+                version,
+                request: ask.request,
+                body: ask.body,
+            };
+            match self.client.update(CLAIMS, name, 0, &value).await {
+                Ok(version) => return Ok(Outcome::Run(held(version))),
+                Err(error::Error::Conflict(_)) => {}
+                Err(error) => {
+                    if may_have_landed(&error) {
+                        self.stray(name, record);
+                    }
+                    return Err(Error::Unavailable);
+                }
+            }
+            let Found::Claim(version, age, found) = self.find(name).await? else {
+                continue;
+            };
+            let live = self.lives.lives(found.writer.clone()).await;
+            match claim::judge(&found, age, record, |_| live) {
+                Verdict::Own => return Ok(Outcome::Run(held(version))),
+                Verdict::Ended(End::Unknown) | Verdict::Unknown => return Ok(Outcome::Unknown),
+                Verdict::Ended(end) => return Ok(Outcome::Ended(end)),
+                Verdict::Running => return Ok(Outcome::Running),
+                Verdict::Mismatch => return Ok(Outcome::Mismatch),
+                Verdict::Expired => drop(self.client.delete(CLAIMS, name, version).await),
+            }
+        }
+        Err(Error::Unavailable)
+    }
+
+    /// Records how a claimed request ended.
+    pub(crate) async fn settle(&self, held: Held, end: End) -> Result<(), Error> {
+        let outcome = match end {
+            End::NotRun => {
+                let record = self.record(held.request, held.body, None);
+                self.give_back(&held.name, held.version, &record).await
+            }
+            end => self.write_end(&held, cut(end)).await,
+        };
+        let word = if outcome.is_ok() { "settled" } else { "unsettled" };
+        self.metric.claims.with_label_values(&[word]).inc();
+        outcome
+    }
+
+    async fn write_end(&self, held: &Held, end: End) -> Result<(), Error> {
+        let value = value(&self.record(held.request, held.body, Some(end)))?;
+        let written = self.client.update(CLAIMS, &held.name, held.version, &value).await;
+        written.map(drop).map_err(|_| Error::Unavailable)
+    }
+
+    /// Deletes a claim of a request that did not run; kept for later where that fails.
+    async fn give_back(
+        &self,
+        name: &Arc<str>,
+        version: u64,
+        record: &Record<End>,
+    ) -> Result<(), Error> {
+        match self.client.delete(CLAIMS, name, version).await {
+            Ok(_) | Err(error::Error::Missing | error::Error::Conflict(_)) => Ok(()),
+            Err(_) => {
+                self.stray(name, record);
+                Err(Error::Unavailable)
+            }
+        }
+    }
+
+    fn stray(&self, name: &Arc<str>, record: &Record<End>) {
+        let mut strays = self.strays.lock().unwrap_or_else(PoisonError::into_inner);
+        if strays.len() < STRAYS_MAX {
+            strays.push(Stray { name: name.clone(), record: record.clone() });
+        }
+    }
+
+    /// Gives back claims that stand for requests that were refused, as far as it can.
+    pub(crate) async fn give_back_strays(&self) {
+        let strays =
+            std::mem::take(&mut *self.strays.lock().unwrap_or_else(PoisonError::into_inner));
+        for stray in strays {
+            match self.find(&stray.name).await {
+                Ok(Found::Claim(version, _, found)) if found == stray.record => {
+                    let _ = self.give_back(&stray.name, version, &stray.record).await;
+                }
+                Ok(_) => {}
+                Err(_) => self.stray(&stray.name, &stray.record),
+            }
+        }
+    }
+
+    async fn find(&self, name: &str) -> Result<Found, Error> {
+        match self.client.read(CLAIMS, name).await {
+            Ok(object) => read(object),
+            Err(error::Error::Missing) => Ok(Found::Absent),
+            Err(_) => Err(Error::Unavailable),
+        }
+    }
+
+    fn record(&self, request: u128, body: [u8; 32], ended: Option<End>) -> Record<End> {
+        Record {
+            request: format!("{request:032x}"),
+            writer: self.me.clone(),
+            body: hex::encode(body),
+            ended,
+        }
+    }
+}
+
+fn read(object: Object) -> Result<Found, Error> {
+    let Some(value) = object.value else {
+        return Ok(Found::Absent);
+    };
+    let record = serde_json::from_value(value).map_err(|_| Error::Unavailable)?;
+    Ok(Found::Claim(object.version, Duration::from_millis(object.age_ms), record))
+}
+
+fn value(record: &Record<End>) -> Result<Value, Error> {
+    serde_json::to_value(record).map_err(|_| Error::Unavailable)
+}
+
+fn may_have_landed(error: &error::Error) -> bool {
+    matches!(error, error::Error::Unknown(_))
+}
+
+/// Drops an answer's body that is too large to keep.
+fn cut(end: End) -> End {
+    match end {
+        End::Answered { status, headers, body } => {
+            let body = body.filter(|body| body.len() <= ANSWER_BYTES_MAX);
+            End::Answered { status, headers, body }
+        }
+        other => other,
+    }
+}
+
+fn word(outcome: &Result<Outcome, Error>) -> &'static str {
+    match outcome {
+        Ok(Outcome::Run(_)) => "run",
+        Ok(Outcome::Ended(_)) => "ended",
+        Ok(Outcome::Running) => "running",
+        Ok(Outcome::Unknown) => "unknown",
+        Ok(Outcome::Mismatch) => "mismatch",
+        Err(Error::Unavailable) => "unavailable",
+    }
+}
--- a/crates/fleet/src/claim.rs
+++ b/crates/fleet/src/claim/mod.rs
@@ -1,5 +1,8 @@
 //! Claims of at-most-once requests, as the request path sees them.
 
+pub(crate) mod keeper;
+
+use chestnutrack_core::member::Identity;
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -73,3 +76,9 @@
 }
 
 impl std::error::Error for Error {}
+
+/// Says whether a process is a member.
+pub(crate) trait Lives: Clone + Send + Sync + 'static {
+    /// Whether it is.
+    fn lives(&self, identity: Identity) -> impl Future<Output = bool> + Send;
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,19 +4,35 @@
 
 pub mod claim;
 pub mod limit;
+mod member;
+mod metric;
+mod page;
+mod peer;
 pub mod snapshot;
+mod store;
 
 pub use snapshot::Snapshot;
 
+use chestnutrack_core::member::Identity;
+use chestnutrack_core::time::Instant;
+use chestnutrack_platform::client::{self, Client};
+use chestnutrack_process::clock;
 use chestnutrack_process::shutdown::Shutdown;
-use chestnutrack_process::timer::Timer;
+use chestnutrack_process::timer::{Tick, Timer};
 use chestnutrack_wire::connection::Security;
+use claim::keeper::Keeper;
 use displaydoc::Display;
+use member::{Debit, Member, Message, Shared, Start};
+use metric::Metric;
+use page::Pages;
 use prometheus::Registry;
+use ractor::{Actor, ActorRef};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// What a member needs to know when it starts.
 #[derive(Clone)]
@@ -44,14 +60,25 @@
     Listen(SocketAddr, std::io::Error),
     /// a metric could not be registered: {0}
     Metric(prometheus::Error),
+    /// the member's actor could not be started: {0}
+    Actor(String),
 }
 
 impl std::error::Error for Error {}
 
+/// Longest time for the write that leaves the table.
+const LEAVE: Duration = Duration::from_secs(3);
+/// Time between two rounds that give back claims of requests that were refused.
+const STRAYS: Duration = Duration::from_secs(1);
+
 /// Handle on what the entry hosts agree on; cheap to clone.
 #[derive(Clone)]
 pub struct Fleet {
+    member: ActorRef<Message>,
+    keeper: Keeper<ActorRef<Message>>,
     snapshots: watch::Receiver<Arc<Snapshot>>,
+    pages: watch::Receiver<Arc<Pages>>,
+    trusted_until: Arc<AtomicU64>,
 }
 
 impl Fleet {
@@ -67,14 +94,41 @@
         registry: &Registry,
         shutdown: Shutdown,
     ) -> Result<Fleet, Error> {
-        let _ = (settings, timer, registry, shutdown);
-        let (_, snapshots) = watch::channel(Arc::new(Snapshot::default()));
-        Ok(Fleet { snapshots })
+        // The member leaves when its requests have ended, not when the shutdown starts.
+        drop(shutdown);
+        let listen = settings.listen;
+        let failed = |error| Error::Listen(listen, error);
+        let listener = TcpListener::bind(listen).await.map_err(failed)?;
+        let metric = Metric::new(registry).map_err(Error::Metric)?;
+        let client = Client::new(settings.platform, client::Settings::default(), Some(registry));
+        let (snapshots, published) = watch::channel(Arc::new(Snapshot::default()));
+        let (pages, shown) = watch::channel(Arc::new(Pages::default()));
+        let trusted_until = Arc::new(AtomicU64::new(0));
+        let shared = Shared { snapshots, trusted_until: trusted_until.clone(), pages };
+        let me = Identity { name: settings.name.clone(), incarnation: settings.incarnation };
+        let service = settings.service.clone();
+        let start =
+            Start { settings, client: client.clone(), listener, metric: metric.clone(), shared };
+        let spawned = Actor::spawn(None, Member, start).await;
+        let (member, _) = spawned.map_err(|error| Error::Actor(error.to_string()))?;
+        tokio::spawn(pass_ticks(timer.subscribe(member::TICK), member.clone()));
+        let lives = member.clone();
+        let strays = Arc::default();
+        let keeper = Keeper { client, service, me, lives, metric, strays };
+        tokio::spawn(give_back(timer.subscribe(STRAYS), keeper.clone()));
+        Ok(Fleet { member, keeper, snapshots: published, pages: shown, trusted_until })
     }
 
     /// What is in force now.
+    ///
+    /// A trust that has lapsed since it was published, as when the process was stopped, is gone.
     pub fn snapshot(&self) -> Arc<Snapshot> {
-        self.snapshots.borrow().clone()
+        let snapshot = self.snapshots.borrow().clone();
+        let until = Instant(self.trusted_until.load(Ordering::Relaxed));
+        if !snapshot.trusted || clock::now() < until {
+            return snapshot;
+        }
+        Arc::new(Snapshot { trusted: false, ..Snapshot::clone(&snapshot) })
     }
 
     /// Follows what is in force.
@@ -82,6 +136,11 @@
         self.snapshots.clone()
     }
 
+    /// A page for operators as JSON: `/v1/members`, `/v1/configuration` or `/v1/limits`.
+    pub fn pages(&self, path: &str) -> Option<serde_json::Value> {
+        self.pages.borrow().get(path)
+    }
+
     /// Debits an organisation's tokens, waiting for them no longer than `within`.
     ///
     /// # Errors
@@ -93,13 +152,16 @@
         tokens: u64,
         within: Duration,
     ) -> Result<(), limit::Refusal> {
-        let _ = (organisation, tokens, within);
-        Ok(())
+        let (reply, answer) = oneshot::channel();
+        let organisation = organisation.clone();
+        let debit = Debit { organisation, tokens, within, reply };
+        let _ = self.member.send_message(Message::Debit(debit));
+        answer.await.unwrap_or(Err(limit::Refusal::GONE))
     }
 
     /// Hands back tokens that were debited and not used.
     pub fn refund(&self, organisation: &Arc<str>, tokens: u64) {
-        let _ = (organisation, tokens);
+        let _ = self.member.send_message(Message::Refund(organisation.clone(), tokens));
     }
 
     /// Claims an at-most-once request before it runs.
@@ -108,8 +170,7 @@
     ///
     /// When the claim can't be made; the request must then be refused as not run.
     pub async fn claim(&self, ask: claim::Ask) -> Result<claim::Outcome, claim::Error> {
-        let _ = ask;
-        Err(claim::Error::Unavailable)
+        self.keeper.claim(ask).await
     }
 
     /// Records how a claimed request ended, so that a repeat gets the same answer.
@@ -118,10 +179,28 @@
     ///
     /// When the end can't be recorded; a repeat is then told that the outcome is unknown.
     pub async fn settle(&self, held: claim::Held, end: claim::End) -> Result<(), claim::Error> {
-        let _ = (held, end);
-        Err(claim::Error::Unavailable)
+        self.keeper.settle(held, end).await
     }
 
     /// Leaves the table, once every request of this host has ended.
-    pub async fn leave(&self) {}
+    pub async fn leave(&self) {
+        let (done, left) = oneshot::channel();
+        if self.member.send_message(Message::Leave(done)).is_ok() {
+            let _ = tokio::time::timeout(LEAVE, left).await;
+        }
+    }
+}
+
+async fn pass_ticks(mut ticks: mpsc::Receiver<Tick>, member: ActorRef<Message>) {
+    while ticks.recv().await.is_some() {
+        if member.send_message(Message::Tick).is_err() {
+            return;
+        }
+    }
+}
+
+async fn give_back(mut ticks: mpsc::Receiver<Tick>, keeper: Keeper<ActorRef<Message>>) {
+    while ticks.recv().await.is_some() {
+        keeper.give_back_strays().await;
+    }
 }
--- /dev/null
+++ b/crates/fleet/src/member/table.rs
@@ -0,0 +1,223 @@
+//! Joining the table, removing members that are gone, and leaving.
+
+use super::{Link, Message, State, tell};
+use crate::peer;
+use crate::store::{self, Seen};
+use chestnutrack_core::member::{Member, Offer, Table};
+use chestnutrack_core::time::Instant;
+use chestnutrack_wire::frame::{self, Frame};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Pause between two attempts to join, at first.
+const JOIN_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause between two attempts to join.
+const JOIN_PAUSE_MAX: Duration = Duration::from_secs(10);
+/// Pause between two attempts to remove members.
+const REMOVE_PAUSE: Duration = Duration::from_millis(200);
+/// Time without an answer after which the object interface is held to be down.
+const DOWN: Duration = Duration::from_secs(3);
+
+/// How the table's changes stand.
+#[derive(Default)]
+pub(super) struct Progress {
+    /// Newest state seen: absent, or the table.
+    seen: Option<Option<Table>>,
+    /// Whether a write is under way.
+    writing: bool,
+    /// Before this no write is tried.
+    next: Instant,
+    /// Pause before the next attempt to join.
+    pause: Duration,
+    /// When the object interface last answered.
+    answered: Option<Instant>,
+    /// Whom to tell when this member has left.
+    leaving: Option<oneshot::Sender<()>>,
+}
+
+impl Progress {
+    /// Whether the object interface has answered lately.
+    pub(super) fn store_answers(&self, now: Instant) -> bool {
+        self.answered.is_some_and(|answered| now.since(answered) < DOWN)
+    }
+}
+
+impl State {
+    pub(super) fn members_seen(&mut self, now: Instant, seen: &Seen) {
+        match &seen.state {
+            store::State::Is(object) => {
+                let Some(table) = store::table(object) else {
+                    return;
+                };
+                let version = table.version;
+                self.table.seen = Some(Some(table.clone()));
+                self.offer_table(now, table);
+                self.membership.confirmed(now, version, seen.asked);
+            }
+            store::State::Same => {
+                if let Some(Some(table)) = &self.table.seen {
+                    self.membership.confirmed(now, table.version, seen.asked);
+                }
+            }
+            store::State::Absent => self.table.seen = Some(None),
+            store::State::Failed => return,
+        }
+        self.table.answered = Some(seen.asked);
+    }
+
+    /// Puts a table in force if it is newer, and passes it on.
+    pub(super) fn offer_table(&mut self, now: Instant, table: Table) {
+        if self.membership.offer(now, table) == Offer::Old {
+            return;
+        }
+        self.metric.tables.inc();
+        if let Some(table) = self.membership.table() {
+            let names: Vec<_> = table.members.iter().map(|m| &*m.identity.name).collect();
+            tracing::info!(version = table.version, members = ?names, "members changed");
+        }
+        self.relink(now);
+        self.restand(now);
+        let Some(frame) = self.members_frame() else {
+            return;
+        };
+        for link in self.links.values_mut() {
+            link.send(&frame);
+            link.next_ask = now;
+        }
+    }
+
+    pub(super) fn members_frame(&self) -> Option<Frame> {
+        let table = self.membership.table()?;
+        let member = |member: &Member| frame::Member {
+            sender: frame::Sender {
+                name: member.identity.name.clone(),
+                incarnation: member.identity.incarnation,
+            },
+            address: member.address,
+        };
+        let members = table.members.iter().map(member).collect();
+        Some(Frame::Members { version: table.version, members })
+    }
+
+    /// Dials the members of the table in force, and no others.
+    fn relink(&mut self, now: Instant) {
+        let members: Vec<_> = self.membership.peers().map(|peer| peer.member.clone()).collect();
+        let listed = |link: &Link| members.iter().any(|member| member.identity == link.identity);
+        self.links.retain(|_, link| listed(link));
+        for member in members {
+            if self.links.contains_key(&member.identity.name) {
+                continue;
+            }
+            let (name, identity) = (member.identity.name.clone(), member.identity.clone());
+            let told = tell(&self.myself, Message::Peer);
+            let task = self.tasks.spawn(peer::dial(member, self.greeting.clone(), told));
+            self.links.insert(name, Link { identity, sender: None, task, next_ask: now });
+        }
+    }
+
+    /// Starts the write that the table needs now, if any.
+    pub(super) fn tend_table(&mut self, now: Instant) {
+        if self.table.writing || now < self.table.next {
+            return;
+        }
+        if self.membership.is_leaving() {
+            self.tend_leaving(now);
+        } else if !self.membership.is_listed() {
+            self.join(now);
+        } else if let Some(table) = self.membership.removal(now) {
+            self.table.next = now + REMOVE_PAUSE;
+            self.write(table);
+        } else if self.membership.wants_confirmation() {
+            self.table.next = now + REMOVE_PAUSE;
+            self.reread();
+        }
+    }
+
+    fn join(&mut self, now: Instant) {
+        let Some(seen) = self.table.seen.clone() else {
+            return;
+        };
+        let newest = self
+            .membership
+            .table()
+            .filter(|table| seen.as_ref().is_some_and(|seen| seen.version < table.version));
+        let base = newest.cloned().or(seen);
+        if base.is_none() && self.membership.version() == 0 {
+            self.membership.found();
+        }
+        let base = base.unwrap_or(Table { version: 0, members: Vec::new() });
+        let identity = self.membership.me().clone();
+        let member = Member { identity, address: self.settings.listen };
+        let members = base.with(member);
+        self.table.pause = (self.table.pause * 2).clamp(JOIN_PAUSE, JOIN_PAUSE_MAX);
+        self.table.next = now + self.table.pause;
+        self.write(Table { version: base.version, members });
+    }
+
+    fn write(&mut self, table: Table) {
+        self.table.writing = true;
+        let (client, service) = (self.client.clone(), self.settings.service.clone());
+        self.spawn(
+            async move { Message::Wrote(store::write_table(&client, &service, table).await) },
+        );
+    }
+
+    fn reread(&mut self) {
+        let (client, service) = (self.client.clone(), self.settings.service.clone());
+        self.spawn(async move {
+            Message::Members(store::look(&client, store::MEMBERS, &service).await)
+        });
+    }
+
+    pub(super) fn table_written(&mut self, now: Instant, table: Option<Table>) {
+        self.table.writing = false;
+        let Some(table) = table else {
+            // Another write came first, or the outcome is not known: what stands is read.
+            self.reread();
+            return;
+        };
+        self.table.answered = Some(now);
+        self.table.seen = Some(Some(table.clone()));
+        self.offer_table(now, table);
+        if self.membership.is_leaving() {
+            self.tend_leaving(now);
+        }
+    }
+
+    /// Leaves: from now on this member admits nothing and vouches for nobody.
+    pub(super) fn leave(&mut self, now: Instant, done: oneshot::Sender<()>) {
+        self.membership.leave();
+        self.table.leaving = Some(done);
+        self.restand(now);
+        self.publish(now);
+        if !self.table.writing {
+            self.tend_leaving(now);
+        }
+    }
+
+    fn tend_leaving(&mut self, now: Instant) {
+        if !self.membership.is_listed() {
+            if let Some(done) = self.table.leaving.take() {
+                let _ = done.send(());
+            }
+            return;
+        }
+        if let Some(table) = self.membership.table() {
+            let members = table.without(&self.settings.name);
+            let table = Table { version: table.version, members };
+            self.table.next = now + REMOVE_PAUSE;
+            self.write(table);
+        }
+    }
+
+    /// Whether this member has come into the table; a later removal starts with a short pause.
+    pub(super) fn joined(&mut self) {
+        self.table.pause = Duration::ZERO;
+    }
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/peer/mod.rs
@@ -0,0 +1,161 @@
+//! Connections between members.
+//!
+//! Each member dials every other and asks on the connection it dialed; the other answers there. A
+//! connection on which nothing comes for [`SILENT`] is given up and a new one is opened.
+
+use chestnutrack_core::member::{Identity, Member};
+use chestnutrack_wire::connection::{self, Connection, Receiver, Security, Sender};
+use chestnutrack_wire::frame::{self, Frame, VERSION};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// Silence after which a dialed connection is given up.
+pub(crate) const SILENT: Duration = Duration::from_millis(600);
+/// Silence after which an accepted connection is given up.
+const SILENT_ASKER: Duration = Duration::from_secs(5);
+/// Longest wait for a peer's first frame.
+const HELLO: Duration = Duration::from_millis(500);
+/// Pause before a peer is dialed again.
+const REDIAL: Duration = Duration::from_millis(100);
+
+/// What happens on connections.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A dialed connection is open.
+    Opened(Identity, Sender),
+    /// A frame came on a dialed connection.
+    Answer(Identity, Frame),
+    /// A dialed connection has ended or fallen silent.
+    Closed(Identity),
+    /// The member's address refuses connections or belongs to another process.
+    Dead(Identity),
+    /// A frame came on an accepted connection; answers go to the sender.
+    Ask(Identity, Sender, Frame),
+}
+
+/// What a member says of itself first.
+#[derive(Clone)]
+pub(crate) struct Greeting {
+    /// The member.
+    pub(crate) me: Identity,
+    /// Version of the configuration in force.
+    pub(crate) configuration: Arc<AtomicU64>,
+    /// Identity and trust between processes.
+    pub(crate) security: Option<Security>,
+}
+
+impl Greeting {
+    fn hello(&self) -> Frame {
+        let Identity { name, incarnation } = self.me.clone();
+        let configuration = self.configuration.load(Ordering::Relaxed);
+        let sender = frame::Sender { name, incarnation };
+        Frame::Hello { version: VERSION, sender, configuration }
+    }
+}
+
+/// An identity as core has it.
+pub(crate) fn identity(sender: &frame::Sender) -> Identity {
+    Identity { name: sender.name.clone(), incarnation: sender.incarnation }
+}
+
+/// Keeps a connection to a member open until the task is aborted.
+pub(crate) async fn dial(
+    member: Member,
+    greeting: Greeting,
+    tell: impl Fn(Event) + Send + Sync + 'static,
+) {
+    loop {
+        match connection::connect(member.address, greeting.security.as_ref()).await {
+            Ok(connection) => converse(&member, connection, &greeting, &tell).await,
+            Err(_) if refuses(member.address).await => tell(Event::Dead(member.identity.clone())),
+            Err(_) => {}
+        }
+        sleep(REDIAL).await;
+    }
+}
+
+/// Whether nobody listens at an address.
+async fn refuses(address: SocketAddr) -> bool {
+    let opened = timeout(HELLO, TcpStream::connect(address)).await;
+    matches!(opened, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
+async fn converse(
+    member: &Member,
+    connection: Connection,
+    greeting: &Greeting,
+    tell: &(impl Fn(Event) + Send + Sync),
+) {
+    let Connection { sender, mut receiver, .. } = connection;
+    if sender.send(&greeting.hello()).is_err() {
+        return;
+    }
+    let Some(other) = hello(&mut receiver).await else {
+        return;
+    };
+    if other != member.identity {
+        tell(Event::Dead(member.identity.clone()));
+        return;
+    }
+    tell(Event::Opened(other.clone(), sender));
+    while let Ok(Ok(frame)) = timeout(SILENT, receiver.receive()).await {
+        tell(Event::Answer(other.clone(), frame));
+    }
+    tell(Event::Closed(other));
+}
+
+async fn hello(receiver: &mut Receiver) -> Option<Identity> {
+    match timeout(HELLO, receiver.receive()).await {
+        Ok(Ok(Frame::Hello { version, sender, .. })) if version <= VERSION => {
+            Some(identity(&sender))
+        }
+        _ => None,
+    }
+}
+
+/// Takes connections from other members until the task is aborted.
+pub(crate) async fn accept(
+    listener: TcpListener,
+    greeting: Greeting,
+    tell: impl Fn(Event) + Clone + Send + Sync + 'static,
+) {
+    let mut tasks = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((tcp, peer)) => {
+                    drop(tasks.spawn(attend(tcp, peer, greeting.clone(), tell.clone())));
+                }
+                Err(_) => sleep(REDIAL).await,
+            },
+            Some(_) = tasks.join_next() => {}
+        }
+    }
+}
+
+async fn attend(
+    tcp: TcpStream,
+    peer: SocketAddr,
+    greeting: Greeting,
+    tell: impl Fn(Event) + Send + Sync,
+) {
+    let Ok(connection) = connection::accept(tcp, peer, greeting.security.as_ref()).await else {
+        return;
+    };
+    let Connection { sender, mut receiver, .. } = connection;
+    let Some(other) = hello(&mut receiver).await else {
+        return;
+    };
+    if sender.send(&greeting.hello()).is_err() {
+        return;
+    }
+    while let Ok(Ok(frame)) = timeout(SILENT_ASKER, receiver.receive()).await {
+        tell(Event::Ask(other.clone(), sender.clone(), frame));
+    }
+}
