Links repeat an order that did not arrive, and go on with holds after a reconnect

Cause: side processes answer a repeated order as the first time and keep holds for a grace after a connection ends, so a broken connection need not cost a reservation or a prefill. A prefill that may have begun is no longer reported as not run.

--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -58,8 +58,8 @@
 /// What is known of a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Failed {
-    /// It certainly did not run.
-    pub not_run: bool,
+    /// Nothing of its answer can have been made.
+    pub harmless: bool,
     /// The route is idempotent.
     pub idempotent: bool,
     /// A part of its answer has gone to the caller.
@@ -68,5 +68,5 @@
 
 /// Whether a failed attempt may be followed by another without harm.
 pub fn is_safe(failed: Failed) -> bool {
-    !failed.answered && (failed.not_run || failed.idempotent)
+    !failed.answered && (failed.harmless || failed.idempotent)
 }
--- a/crates/core/src/retry/tests.rs
+++ b/crates/core/src/retry/tests.rs
@@ -21,9 +21,9 @@
         })
     }
 
-    fn only_a_harmless_attempt_is_repeated(not_run: bool, idempotent: bool, answered: bool) -> bool {
-        let safe = is_safe(Failed { not_run, idempotent, answered });
-        safe == (!answered && (not_run || idempotent))
+    fn only_a_harmless_attempt_is_repeated(harmless: bool, idempotent: bool, answered: bool) -> bool {
+        let safe = is_safe(Failed { harmless, idempotent, answered });
+        safe == (!answered && (harmless || idempotent))
     }
 }
 
--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -31,51 +31,62 @@
 
 /// Why an attempt ended without an answer.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Trouble {
-    /// The server refused it or failed.
-    Failed(Arc<str>, Failure),
-    /// The side process can't be reached; whether the attempt ran.
-    Lost(Arc<str>, Ran),
-    /// There was no server for it.
-    Nowhere(Refusal),
+pub struct Trouble {
+    /// Server that refused it or failed; none where there was no server for it.
+    pub server: Option<Arc<str>>,
+    /// What the server says, where it says something.
+    pub cause: Option<Cause>,
+    /// Nothing of the answer can have been made, so that another attempt does no harm.
+    pub harmless: bool,
+    /// What the caller is told when the request is given up.
+    pub refusal: Refusal,
 }
 
 impl Trouble {
-    /// Whether the attempt ran.
-    pub fn ran(&self) -> Ran {
-        match self {
-            Trouble::Failed(_, failure) => failure.ran,
-            Trouble::Lost(_, ran) => *ran,
-            Trouble::Nowhere(refusal) => refusal.ran,
-        }
+    /// A request may not go on, whatever the servers do.
+    pub fn last(refusal: Refusal) -> Trouble {
+        Trouble { server: None, cause: None, harmless: false, refusal }
     }
 
-    fn server(&self) -> Option<&Arc<str>> {
-        match self {
-            Trouble::Failed(server, _) | Trouble::Lost(server, _) => Some(server),
-            Trouble::Nowhere(_) => None,
+    /// A server refused or failed.
+    pub fn failed(server: &Arc<str>, failure: Failure) -> Trouble {
+        let cause = failure.cause;
+        // The generation starts only once the KV cache has been moved.
+        let before_generation = matches!(cause, Cause::KvLost | Cause::ReservationLapsed);
+        Trouble {
+            server: Some(server.clone()),
+            cause: Some(cause),
+            harmless: before_generation || failure.ran == Ran::NotRun,
+            refusal: Refusal::of(failure),
         }
     }
 
+    /// A side process can't be reached any more.
+    pub fn lost(server: &Arc<str>, ran: Ran) -> Trouble {
+        let refusal = Refusal::new(Code::BackendFailed, "the server can't be reached").ran(ran);
+        let harmless = ran == Ran::NotRun;
+        Trouble { server: Some(server.clone()), cause: None, harmless, refusal }
+    }
+
+    /// The same, where nothing of the answer can have been made yet.
+    pub fn before_answer(self) -> Trouble {
+        Trouble { harmless: self.server.is_some(), ..self }
+    }
+
+    /// The same, where the prompt was prefilled before, so that it ran in part.
+    pub fn after_prefill(self) -> Trouble {
+        let ran = if self.refusal.ran == Ran::NotRun { Ran::Ran } else { self.refusal.ran };
+        Trouble { refusal: self.refusal.ran(ran), ..self }
+    }
+
     /// Whether the server merely had no room. Nothing was done, so that it is no retry.
     fn is_full(&self) -> bool {
-        matches!(self, Trouble::Failed(_, failure) if failure.cause == Cause::Full)
+        self.cause == Some(Cause::Full)
     }
 
     /// The server that the request is not sent to again; one that was full is asked again later.
     pub fn to_pass_over(&self) -> Option<Arc<str>> {
-        if self.is_full() { None } else { self.server().cloned() }
-    }
-
-    /// What the caller is told when the request is given up.
-    pub fn refusal(&self) -> Refusal {
-        match self {
-            Trouble::Failed(_, failure) => Refusal::of(*failure),
-            Trouble::Lost(_, ran) => {
-                Refusal::new(Code::BackendFailed, "the server can't be reached").ran(*ran)
-            }
-            Trouble::Nowhere(refusal) => refusal.clone(),
-        }
+        if self.is_full() { None } else { self.server.clone() }
     }
 }
 
@@ -91,40 +102,40 @@
     trouble: &Trouble,
     before: u32,
 ) -> Result<(), Refusal> {
-    let why = format!("{trouble:?}");
-    exchange.note(app, What::Refused, trouble.server(), Some(&why));
+    let refusal = &trouble.refusal;
+    let why = format!("{}, {}: {}", refusal.code.as_str(), refusal.ran.as_str(), refusal.message);
+    exchange.note(app, What::Refused, trouble.server.as_ref(), Some(&why));
     let failed = Failed {
-        not_run: trouble.ran() == Ran::NotRun,
+        harmless: trouble.harmless,
         idempotent: admitted.route.idempotent,
         answered: exchange.reply.is_started(),
     };
-    let hopeless = matches!(trouble, Trouble::Nowhere(_));
-    if hopeless || !is_safe(failed) || time_until(admitted.deadline).is_zero() {
-        return Err(trouble.refusal());
+    let is_last = trouble.server.is_none() || time_until(admitted.deadline).is_zero();
+    if is_last || !is_safe(failed) {
+        return Err(refusal.clone());
     }
     let allowed = if trouble.is_full() { before < FULL_MAX } else { app.spend_retry(before) };
     if !allowed {
-        return Err(trouble.refusal());
+        return Err(refusal.clone());
     }
-    exchange.note_failed(trouble.ran());
+    exchange.note_failed(refusal.ran);
     exchange.note(app, What::Retried, None, None);
     Ok(())
 }
 
 /// What an event means that ends an attempt without an answer.
 fn trouble(turn: &Turn, event: Event) -> Trouble {
-    let server = turn.server.clone();
     match event {
         Event::Failed(failure) => {
             if failure.cause == Cause::Full {
                 turn.hold.was_full();
             }
-            Trouble::Failed(server, failure)
+            Trouble::failed(&turn.server, failure)
         }
-        Event::Lost(ran) => Trouble::Lost(server, ran),
+        Event::Lost(ran) => Trouble::lost(&turn.server, ran),
         _ => {
             let failure = Failure { ran: Ran::Unknown, cause: Cause::Protocol, retry_after_ms: 0 };
-            Trouble::Failed(server, failure)
+            Trouble::failed(&turn.server, failure)
         }
     }
 }
@@ -180,7 +191,7 @@
     event: impl Future<Output = T>,
 ) -> Result<T, Trouble> {
     let within = time_until(admitted.deadline) + GRACE;
-    timeout(within, event).await.map_err(|_| Trouble::Lost(server.clone(), ran))
+    timeout(within, event).await.map_err(|_| Trouble::lost(server, ran))
 }
 
 /// Milliseconds left until the deadline, as frames carry them.
--- a/crates/entry/src/attempt/model.rs
+++ b/crates/entry/src/attempt/model.rs
@@ -12,7 +12,7 @@
 use chestnutrack_core::place::{Ask, prefix};
 use chestnutrack_document::model::Role;
 use chestnutrack_process::clock;
-use chestnutrack_wire::frame::{Decode, Failure, Finish, Frame, Kv, Prefill, Ran, Reserve};
+use chestnutrack_wire::frame::{Decode, Finish, Frame, Kv, Prefill, Ran, Reserve};
 use chestnutrack_wire::{Attempt, Request};
 use std::sync::Arc;
 use std::time::Duration;
@@ -90,12 +90,14 @@
         let returned = attempt.0 > 1;
         let turn =
             turn(self.app, self.exchange, self.admitted, Role::Decode, self.ask.clone(), returned);
-        let turn = turn.await.map_err(Trouble::Nowhere)?;
+        let turn = turn.await.map_err(Trouble::last)?;
         let decode = self.reserve(attempt, turn).await?;
         let (prefill, kv) = self.prefill(attempt).await?;
         let used = u64::from(kv.tokens);
         self.app.metrics.prefill_tokens.inc_by(used);
+        self.exchange.note_used(used);
         let answered = self.decode(attempt, decode, prefill, kv, writer).await;
+        let answered = answered.map_err(Trouble::after_prefill);
         if answered.is_err() && writer.tokens == 0 {
             self.app.metrics.prefill_tokens_wasted.inc_by(used);
         }
@@ -120,7 +122,7 @@
                 needed_in_ms: expected_ms,
             },
         );
-        let mut open = turn.link.open(self.id(attempt), Stage::Asked, frame);
+        let mut open = turn.link.open(self.id(attempt), Stage::Reserving, frame);
         let next = self.exchange.outside(open.next());
         let event = until_deadline(self.admitted, &turn.server, Ran::NotRun, next).await?;
         match event {
@@ -128,15 +130,15 @@
                 self.exchange.note(self.app, What::Reserved, Some(&turn.server), None);
                 Ok(Part { turn, open })
             }
-            event => Err(not_run(trouble(&turn, event))),
+            event => Err(trouble(&turn, event).before_answer()),
         }
     }
 
     async fn prefill(&self, attempt: Attempt) -> Result<(Part, Kv), Trouble> {
-        check(self.app, self.admitted).map_err(Trouble::Nowhere)?;
+        check(self.app, self.admitted).map_err(Trouble::last)?;
         let Some(turn) = self.app.scheduler.prefill(self.ask.clone()).await else {
             let refusal = Refusal::new(Code::DeadlineUnmet, "no prefill server can be reached");
-            return Err(Trouble::Nowhere(refusal.retry_after(1_000)));
+            return Err(Trouble::last(refusal.retry_after(1_000)));
         };
         let frame = Frame::Prefill(
             self.exchange.request,
@@ -149,10 +151,13 @@
                 deadline_ms: millis_left(self.admitted),
             },
         );
+        self.exchange.note_ordered();
         let start = clock::now();
-        let mut open = turn.link.open(self.id(attempt), Stage::Asked, frame);
+        let mut open = turn.link.open(self.id(attempt), Stage::Prefilling, frame);
         let next = self.exchange.outside(open.next());
-        let event = until_deadline(self.admitted, &turn.server, Ran::NotRun, next).await?;
+        let event = until_deadline(self.admitted, &turn.server, Ran::Unknown, next)
+            .await
+            .map_err(Trouble::before_answer)?;
         match event {
             Event::Prefilled(kv) => {
                 let took = clock::now().since(start);
@@ -161,7 +166,7 @@
                 self.exchange.note(self.app, What::Prefilled, Some(&turn.server), None);
                 Ok((Part { turn, open }, kv))
             }
-            event => Err(not_run(trouble(&turn, event))),
+            event => Err(trouble(&turn, event).before_answer()),
         }
     }
 
@@ -173,10 +178,9 @@
         kv: Kv,
         writer: &mut Writer<'_>,
     ) -> Result<(), Trouble> {
-        check(self.app, self.admitted).map_err(Trouble::Nowhere)?;
+        check(self.app, self.admitted).map_err(Trouble::last)?;
         let output_tokens = self.call.max_tokens;
         let frame = Frame::Decode(self.exchange.request, attempt, Decode { kv, output_tokens });
-        self.exchange.note_ordered();
         decode.open.advance(frame);
         let server = decode.turn.server.clone();
         let next = self.exchange.outside(decode.open.next());
@@ -240,14 +244,3 @@
         reply.end();
     }
 }
-
-/// Before the order to decode nothing of the answer can have been made, whatever the side says.
-fn not_run(trouble: Trouble) -> Trouble {
-    match trouble {
-        Trouble::Failed(server, failure) => {
-            Trouble::Failed(server, Failure { ran: Ran::NotRun, ..failure })
-        }
-        Trouble::Lost(server, _) => Trouble::Lost(server, Ran::NotRun),
-        other => other,
-    }
-}
--- a/crates/entry/src/attempt/plain.rs
+++ b/crates/entry/src/attempt/plain.rs
@@ -82,8 +82,8 @@
     attempt: Attempt,
 ) -> Result<(), Trouble> {
     let turn = turn(app, exchange, admitted, Role::Plain, ask.clone(), attempt.0 > 1);
-    let turn = turn.await.map_err(Trouble::Nowhere)?;
-    check(app, admitted).map_err(Trouble::Nowhere)?;
+    let turn = turn.await.map_err(Trouble::last)?;
+    check(app, admitted).map_err(Trouble::last)?;
     let left_ms = millis_left(admitted);
     let organisation = admitted.credential.as_ref().map(|owner| owner.organisation.clone());
     let frame = Frame::Forward(
--- a/crates/entry/src/link/mod.rs
+++ b/crates/entry/src/link/mod.rs
@@ -32,6 +32,9 @@
 /// How long an answer waits for a new connection before it is given up.
 pub const RESUME_WITHIN: Duration = Duration::from_millis(2_000);
 
+/// How long a hold or a prefill waits for a new connection before another server is asked.
+pub const REPLACE_AFTER: Duration = Duration::from_millis(400);
+
 /// What the scheduler learns from a link.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Notice {
@@ -125,8 +128,8 @@
         state: &mut State,
     ) -> Result<(), ActorProcessingErr> {
         match message {
-            Message::Open(id, stage, frame, events) => state.open(id, stage, &frame, events),
-            Message::Advance(id, frame) => state.advance(id, &frame),
+            Message::Open(id, stage, frame, events) => state.open(id, stage, *frame, events),
+            Message::Advance(id, frame) => state.advance(id, *frame),
             Message::Close(id, close) => state.close(id, close),
             Message::Configure(snapshot) => state.configure(snapshot),
             Message::Connected(number, Ok(connection)) => state.connected(number, connection),
--- a/crates/entry/src/link/state.rs
+++ b/crates/entry/src/link/state.rs
@@ -2,7 +2,7 @@
 
 use super::stream::{Next, Stream};
 use super::{Arguments, Close, Event, Id, Message, Notice, Stage};
-use super::{RESUME_WITHIN, SILENT_AFTER, is_understood};
+use super::{REPLACE_AFTER, RESUME_WITHIN, SILENT_AFTER, is_understood};
 use chestnutrack_core::time::Instant;
 use chestnutrack_fleet::Snapshot;
 use chestnutrack_process::clock;
@@ -20,6 +20,8 @@
 
 /// Shortest and longest wait before a connection is tried again, in milliseconds.
 const BACKOFF_MS: (u64, u64) = (20, 1_000);
+/// Longest wait while attempts stand, in milliseconds.
+const BACKOFF_BUSY_MS: u64 = 160;
 /// Attempts given up while there was no connection, to be cancelled on the next.
 const CANCELS_MAX: usize = 4_096;
 /// A tick this late means that the process itself was stopped, so that silence says nothing.
@@ -96,8 +98,12 @@
             tracing::warn!(server = %self.arguments.server, %error, "side process lost");
         }
         self.disconnect();
+        if matches!(error, Error::Connect(..)) {
+            self.lose_where(Stream::is_replaceable);
+        }
         let wait_ms = rand::rng().random_range(self.backoff_ms / 2..=self.backoff_ms);
-        self.backoff_ms = (self.backoff_ms * 2).min(BACKOFF_MS.1);
+        let most = if self.streams.is_empty() { BACKOFF_MS.1 } else { BACKOFF_BUSY_MS };
+        self.backoff_ms = (self.backoff_ms * 2).min(most);
         let actor = self.actor.clone();
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(wait_ms)).await;
@@ -117,15 +123,15 @@
             (self.arguments.notices)(Notice::Down);
         }
         let now = clock::now();
-        let mut lost = Vec::new();
-        for (id, stream) in &mut self.streams {
-            match stream.stage {
-                Stage::Asked => lost.push(*id),
-                Stage::Held | Stage::Answering => {
-                    stream.broken_since.get_or_insert(now);
-                }
-            }
+        for stream in self.streams.values_mut() {
+            stream.broken_since.get_or_insert(now);
         }
+    }
+
+    /// Loses every attempt that `is_lost` names.
+    fn lose_where(&mut self, is_lost: impl Fn(&Stream) -> bool) {
+        let lost = self.streams.iter().filter(|(_, stream)| is_lost(stream));
+        let lost: Vec<Id> = lost.map(|(id, _)| *id).collect();
         lost.into_iter().for_each(|id| self.lose(id));
     }
 
@@ -137,8 +143,7 @@
     }
 
     pub(super) fn give_up_all(&mut self) {
-        let ids: Vec<Id> = self.streams.keys().copied().collect();
-        ids.into_iter().for_each(|id| self.lose(id));
+        self.lose_where(|_| true);
         self.disconnect();
     }
 
@@ -146,25 +151,27 @@
         &mut self,
         id: Id,
         stage: Stage,
-        frame: &Frame,
+        order: Frame,
         events: mpsc::UnboundedSender<Event>,
     ) {
-        let stream = Stream::new(stage, events);
-        if !self.greeted || !self.send(frame) {
+        let sent = self.greeted && self.send(&order);
+        let stream = Stream::new(stage, order, events);
+        if !sent {
             stream.tell(Event::Lost(Ran::NotRun));
             return;
         }
         self.streams.insert(id, stream);
     }
 
-    pub(super) fn advance(&mut self, id: Id, frame: &Frame) {
-        let sent = self.greeted && self.streams.contains_key(&id) && self.send(frame);
+    pub(super) fn advance(&mut self, id: Id, order: Frame) {
+        let sent = self.greeted && self.streams.contains_key(&id) && self.send(&order);
         if !sent {
             self.lose(id);
             return;
         }
         if let Some(stream) = self.streams.get_mut(&id) {
             stream.stage = Stage::Answering;
+            stream.order = order;
         }
     }
 
@@ -243,8 +250,7 @@
         self.push_configuration();
         if restarted {
             self.cancels.clear();
-            let ids: Vec<Id> = self.streams.keys().copied().collect();
-            ids.into_iter().for_each(|id| self.lose(id));
+            self.lose_where(Stream::is_replaceable);
         }
         self.resume_all();
         if !self.up {
@@ -258,14 +264,26 @@
         for id in std::mem::take(&mut self.cancels) {
             self.cancel(id);
         }
-        let broken: Vec<Id> = self
-            .streams
-            .iter_mut()
-            .filter_map(|(id, stream)| stream.broken_since.take().map(|_| (id, stream)))
-            .filter(|(_, stream)| stream.stage == Stage::Answering)
-            .map(|(id, _)| *id)
+        let broken = self.streams.iter_mut().filter(|(_, stream)| stream.broken_since.is_some());
+        let broken: Vec<(Id, Stage)> = broken
+            .map(|(id, stream)| {
+                stream.broken_since = None;
+                (*id, stream.stage)
+            })
             .collect();
-        broken.into_iter().for_each(|id| self.resume(id));
+        for (id, stage) in broken {
+            match stage {
+                Stage::Reserving | Stage::Prefilling => self.repeat(id),
+                Stage::Reserved | Stage::Prefilled | Stage::Answering => self.resume(id),
+            }
+        }
+    }
+
+    /// Sends an order again; a side process that has it already answers as before.
+    fn repeat(&mut self, id: Id) {
+        if let Some(order) = self.streams.get(&id).map(|stream| stream.order.clone()) {
+            self.send(&order);
+        }
     }
 
     fn resume(&mut self, id: Id) {
@@ -293,7 +311,8 @@
         };
         match stream.take(frame) {
             Next::Continue => {}
-            Next::Resume(_) => self.resume(id),
+            Next::Resume => self.resume(id),
+            Next::Repeat => self.repeat(id),
             Next::Ended => {
                 self.streams.remove(&id);
             }
@@ -303,14 +322,10 @@
     }
 
     pub(super) fn tick(&mut self, tick: Tick) {
-        let overdue = |since: Instant| tick.now.since(since) >= RESUME_WITHIN;
-        let over: Vec<Id> = self
-            .streams
-            .iter()
-            .filter(|(_, stream)| stream.broken_since.is_some_and(overdue))
-            .map(|(id, _)| *id)
-            .collect();
-        over.into_iter().for_each(|id| self.lose(id));
+        self.lose_where(|stream| {
+            let within = if stream.is_replaceable() { REPLACE_AFTER } else { RESUME_WITHIN };
+            stream.broken_since.is_some_and(|since| tick.now.since(since) >= within)
+        });
         if self.sender.is_none() {
             return;
         }
--- a/crates/entry/src/link/stream.rs
+++ b/crates/entry/src/link/stream.rs
@@ -17,10 +17,14 @@
 /// How far an attempt is on its side process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// A hold or a prefill was asked for; nothing of the answer can have been made yet.
-    Asked,
-    /// The hold was given, or the prefill is ready.
-    Held,
+    /// A reservation was asked for; nothing runs.
+    Reserving,
+    /// The reservation stands; nothing runs.
+    Reserved,
+    /// A prefill was ordered; nothing of the answer can have been made yet.
+    Prefilling,
+    /// The prefill is ready.
+    Prefilled,
     /// The answer is being made: an order was sent that may have taken effect.
     Answering,
 }
@@ -53,8 +57,10 @@
 pub enum Next {
     /// Goes on.
     Continue,
-    /// Asks for the answer again, from this offset.
-    Resume(u64),
+    /// Asks for the answer again, from where it has come.
+    Resume,
+    /// Sends the order again, which did not arrive.
+    Repeat,
     /// Forgets the stream: it has ended.
     Ended,
     /// Gives the stream up: its answer contradicts itself.
@@ -72,6 +78,8 @@
     pub cursor: Cursor,
     /// Since when it waits for a connection to go on.
     pub broken_since: Option<Instant>,
+    /// The newest order, to be sent again if it did not arrive.
+    pub order: Frame,
     head_seen: bool,
     resumes: u32,
     events: mpsc::UnboundedSender<Event>,
@@ -79,9 +87,10 @@
 
 impl Stream {
     /// A stream that was just asked for.
-    pub fn new(stage: Stage, events: mpsc::UnboundedSender<Event>) -> Stream {
+    pub fn new(stage: Stage, order: Frame, events: mpsc::UnboundedSender<Event>) -> Stream {
         Stream {
             stage,
+            order,
             cursor: Cursor::default(),
             broken_since: None,
             head_seen: false,
@@ -98,12 +107,18 @@
     /// Whether the attempt ran, once its side process can't be reached.
     pub fn ran(&self) -> Ran {
         match self.stage {
-            Stage::Asked | Stage::Held => Ran::NotRun,
+            Stage::Reserving | Stage::Reserved => Ran::NotRun,
+            Stage::Prefilled => Ran::Ran,
             Stage::Answering if self.head_seen || self.cursor.0 > 0 => Ran::Ran,
-            Stage::Answering => Ran::Unknown,
+            Stage::Prefilling | Stage::Answering => Ran::Unknown,
         }
     }
 
+    /// Whether the attempt waits for a hold or a prefill, so that another server may do as well.
+    pub fn is_replaceable(&self) -> bool {
+        self.stage != Stage::Answering
+    }
+
     /// Notes that the answer is asked for again; false when it was too often.
     pub fn note_resume(&mut self) -> bool {
         self.resumes += 1;
@@ -113,10 +128,13 @@
     /// Takes a frame of this attempt in.
     pub fn take(&mut self, frame: Frame) -> Next {
         match (self.stage, frame) {
-            (Stage::Asked, Frame::Reserved(_, _, ready_in_ms, _)) => {
-                self.hold(Event::Reserved(ready_in_ms))
+            (Stage::Reserving, Frame::Reserved(_, _, ready_in_ms, _)) => {
+                self.hold(Stage::Reserved, Event::Reserved(ready_in_ms))
+            }
+            (Stage::Prefilling, Frame::Prefilled(_, _, kv, _)) => {
+                self.hold(Stage::Prefilled, Event::Prefilled(kv))
             }
-            (Stage::Asked, Frame::Prefilled(_, _, kv, _)) => self.hold(Event::Prefilled(kv)),
+            (Stage::Answering, Frame::Reserved(..)) if self.is_repeatable() => Next::Repeat,
             (Stage::Answering, Frame::Tokens(_, _, offset, texts)) => self.tokens(offset, texts),
             (Stage::Answering, Frame::End(_, _, total, finish, _)) => {
                 self.end(u64::from(total), Event::End(finish))
@@ -131,8 +149,14 @@
         }
     }
 
-    fn hold(&mut self, event: Event) -> Next {
-        self.stage = Stage::Held;
+    /// Whether an order to decode is known not to have arrived, once the side process says after
+    /// a resume that the reservation still stands.
+    fn is_repeatable(&self) -> bool {
+        self.resumes > 0 && self.cursor.0 == 0 && matches!(self.order, Frame::Decode(..))
+    }
+
+    fn hold(&mut self, stage: Stage, event: Event) -> Next {
+        self.stage = stage;
         self.tell(event);
         Next::Continue
     }
@@ -144,7 +168,7 @@
                 Next::Continue
             }
             Fit::Duplicate => Next::Dropped,
-            Fit::Gap => Next::Resume(self.cursor.0),
+            Fit::Gap => Next::Resume,
         }
     }
 
@@ -159,7 +183,7 @@
 
     fn body(&mut self, offset: u64, bytes: Vec<u8>) -> Next {
         if !self.head_seen {
-            return Next::Resume(0);
+            return Next::Resume;
         }
         match self.cursor.place(offset, bytes.len()) {
             Fit::Take(skip) => {
@@ -167,13 +191,13 @@
                 Next::Continue
             }
             Fit::Duplicate => Next::Dropped,
-            Fit::Gap => Next::Resume(self.cursor.0),
+            Fit::Gap => Next::Resume,
         }
     }
 
     fn end(&mut self, total: u64, event: Event) -> Next {
         if total > self.cursor.0 {
-            return Next::Resume(self.cursor.0);
+            return Next::Resume;
         }
         if total < self.cursor.0 {
             return Next::GiveUp;
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -49,8 +49,8 @@
     outside_us: AtomicU64,
     /// Whether an order was sent that may have taken effect.
     ordered: AtomicBool,
-    /// Whether an attempt that was given up may have run.
-    ran_before: AtomicBool,
+    /// Whether attempts that were given up ran, at worst.
+    ran_before: Mutex<Option<Ran>>,
     debited: AtomicU64,
     used: AtomicU64,
     pace: Mutex<Pace>,
@@ -73,7 +73,7 @@
             reply,
             outside_us: AtomicU64::new(0),
             ordered: AtomicBool::new(false),
-            ran_before: AtomicBool::new(false),
+            ran_before: Mutex::new(None),
             debited: AtomicU64::new(0),
             used: AtomicU64::new(0),
             pace: Mutex::default(),
@@ -112,9 +112,8 @@
     /// Notes that an attempt was given up, and whether it ran.
     pub fn note_failed(&self, ran: Ran) {
         self.ordered.store(false, Ordering::Relaxed);
-        if ran != Ran::NotRun {
-            self.ran_before.store(true, Ordering::Relaxed);
-        }
+        let ran = self.ran_with(ran);
+        *self.ran_before.lock().unwrap_or_else(PoisonError::into_inner) = Some(ran);
     }
 
     /// Whether the request ran, as far as is known while it is in progress.
@@ -128,9 +127,11 @@
 
     /// Whether the request ran, given how its newest attempt ended.
     pub fn ran_with(&self, newest: Ran) -> Ran {
-        match newest {
-            Ran::NotRun if self.ran_before.load(Ordering::Relaxed) => Ran::Unknown,
-            ran => ran,
+        let before = *self.ran_before.lock().unwrap_or_else(PoisonError::into_inner);
+        match (newest, before.unwrap_or(Ran::NotRun)) {
+            (Ran::Ran, _) | (_, Ran::Ran) => Ran::Ran,
+            (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
+            (Ran::NotRun, Ran::NotRun) => Ran::NotRun,
         }
     }
 
