--- /dev/null
+++ b/crates/harness/tests/common/mod.rs
@@ -0,0 +1,152 @@
+//! Fixtures of the fault tests: small fleets, calls, and looks at what backend servers saw.
+
+#![allow(clippy::unwrap_used, dead_code, unreachable_pub)]
+
+use chestnutrack_document::Document;
+use chestnutrack_document::model::Role;
+use chestnutrack_harness::caller::{self, Answer, Call, Opened};
+use chestnutrack_harness::{Error, Fleet, Settings};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Organisation that the fixtures call as.
+pub const ORGANISATION: &str = "dairy-coop";
+/// Promise: engine memory is free within this time of a caller's or an entry host's death.
+pub const MEMORY_FREE: Duration = Duration::from_secs(2);
+/// Promise: withdrawal, leaving and configuration are in force everywhere within this time.
+pub const IN_FORCE: Duration = Duration::from_secs(5);
+/// Limit for conditions that are no promise.
+pub const GENEROUS: Duration = Duration::from_secs(30);
+/// How much slower than usual the engines of slow fleets are.
+pub const SLOW: &str = "8";
+
+/// A fleet with few servers: one prefill, two decode, two plain.
+pub fn small() -> Settings {
+    Settings { edit: keep_few, ..Settings::default() }
+}
+
+/// A small fleet whose answers take seconds, so that faults meet them half-way.
+pub fn slow() -> Settings {
+    let engine_arguments = vec!["--time-scale".to_owned(), SLOW.to_owned()];
+    Settings { engine_arguments, ..small() }
+}
+
+/// A small fleet whose plain services take seconds.
+pub fn slow_plain() -> Settings {
+    let plain_arguments = vec!["--service-ms".to_owned(), "1500".to_owned()];
+    Settings { plain_arguments, ..small() }
+}
+
+fn keep_few(document: &mut Document) {
+    for pool in &mut document.pools {
+        let mut kept = [(Role::Prefill, 1), (Role::Decode, 2), (Role::Plain, 2)];
+        pool.servers.retain(|server| {
+            let Some(count) = kept.iter_mut().find(|(role, _)| *role == server.role) else {
+                return false;
+            };
+            let keep = count.1 > 0;
+            count.1 -= i32::from(keep);
+            keep
+        });
+    }
+}
+
+/// A streamed completion of so many tokens.
+pub fn completion(fleet: &Fleet, prompt: &str, tokens: u32) -> Call {
+    let key = fleet.key(ORGANISATION);
+    caller::completion("/v1/completions", "larder-llm", &key, prompt, tokens, true)
+}
+
+/// A deposit, at most once under an idempotency key if one is given.
+pub fn deposit(fleet: &Fleet, key: Option<&str>, body: &str) -> Call {
+    let header = key.map(|key| ("idempotency-key".to_owned(), key.to_owned()));
+    Call {
+        method: "POST",
+        target: "/deposits".to_owned(),
+        key: Some(fleet.key(ORGANISATION)),
+        headers: header.into_iter().collect(),
+        body: body.as_bytes().to_vec(),
+    }
+}
+
+/// A stock check.
+pub fn stock(fleet: &Fleet) -> Call {
+    let key = Some(fleet.key(ORGANISATION));
+    Call { target: "/stock/honey".to_owned(), key, ..Call::default() }
+}
+
+/// Starts a streamed completion and waits for its first tokens.
+pub async fn begin(fleet: &Fleet, entry: u8, call: &Call) -> Opened {
+    let mut opened = caller::open(fleet.entry(entry), call).await.unwrap();
+    assert_eq!(opened.status(), 200);
+    opened.read_until("\"text\":").await.unwrap();
+    opened
+}
+
+/// Asserts that an answer is whole and belongs to its prompt.
+pub fn assert_whole(answer: &Answer, prompt: &str, tokens: u32) {
+    let (text, done) = answer.completion();
+    let expected: String =
+        (0..tokens).map(|offset| chestnutrack_standin::answer::token(prompt, offset)).collect();
+    assert_eq!(text, expected, "{}", answer.text());
+    assert!(done, "no end: {}", answer.text());
+}
+
+/// Requests that the model engines hold anything for.
+pub async fn held(fleet: &Fleet) -> Vec<String> {
+    let mut held = Vec::new();
+    let engines = fleet.servers().filter(|server| server.role != Role::Plain);
+    let engines: Vec<SocketAddr> = engines.map(|server| server.address).collect();
+    for engine in engines {
+        let page = fleet.page(engine, "/v1/holds").await.unwrap_or_default();
+        let holds = page["holds"].as_array().cloned().unwrap_or_default();
+        held.extend(holds.iter().map(Value::to_string));
+    }
+    held
+}
+
+/// Waits until engines hold nothing, within the promise.
+pub async fn assert_memory_freed(fleet: &Fleet) {
+    let freed =
+        fleet.until(MEMORY_FREE, "engines hold nothing", async || held(fleet).await.is_empty());
+    if let Err(error) = freed.await {
+        panic!("{error}: {:?}", held(fleet).await);
+    }
+}
+
+/// Every call that the plain services have run, as they recorded it.
+pub async fn plain_calls(fleet: &Fleet) -> Vec<Value> {
+    let mut calls = Vec::new();
+    let plain = fleet.servers().filter(|server| server.role == Role::Plain);
+    let plain: Vec<SocketAddr> = plain.map(|server| server.address).collect();
+    for address in plain {
+        let seen = fleet.page(address, "/control/seen").await.unwrap_or_default();
+        calls.extend(seen["seen"].as_array().cloned().unwrap_or_default());
+    }
+    calls
+}
+
+/// How many calls to a path the plain services have run.
+pub async fn runs(fleet: &Fleet, path: &str) -> usize {
+    let calls = plain_calls(fleet).await;
+    calls.iter().filter(|call| call["target"] == path).count()
+}
+
+/// Takes the object interface down, or brings it back.
+pub async fn outage(fleet: &Fleet, down: bool) {
+    let order = json!({ "down": down });
+    fleet.control(fleet.platform(), "faults", &order).await.unwrap();
+}
+
+/// Version of the document in force on an entry host; 0 when it can't be had.
+pub async fn version_in_force(fleet: &Fleet, entry: u8) -> u64 {
+    let page = fleet.page(fleet.entry_admin(entry), "/v1/configuration").await;
+    page.unwrap_or_default()["version"].as_u64().unwrap_or_default()
+}
+
+/// Status that a call gets, or 0 when it got no answer.
+pub async fn status(fleet: &Fleet, entry: u8, call: &Call) -> u16 {
+    let answer: Result<Answer, Error> = fleet.call(entry, call).await;
+    answer.map_or(0, |answer| answer.status)
+}
--- /dev/null
+++ b/crates/harness/tests/limit.rs
@@ -0,0 +1,119 @@
+//! Promise: no organisation gets more than its rate and burst over all hosts together.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use chestnutrack_document::Document;
+use chestnutrack_harness::{Fleet, Settings};
+use common::{outage, small, stock};
+use std::time::{Duration, Instant};
+
+/// Rate of the limited organisation, in tokens a second.
+const RATE: u64 = 200;
+/// Burst of the limited organisation, in tokens.
+const BURST: u64 = 400;
+/// Tokens that a stock check costs.
+const COST: u64 = 10;
+/// How long each test's load lasts.
+const LOAD: Duration = Duration::from_secs(6);
+/// Callers on each entry host, enough for several times the rate.
+const CALLERS: usize = 4;
+
+fn limited() -> Settings {
+    fn edit(document: &mut Document) {
+        (small().edit)(document);
+        for organisation in &mut document.organisations {
+            organisation.rate_tokens_per_s = RATE;
+            organisation.burst_tokens = BURST;
+        }
+    }
+    Settings { edit, entries: 3, ..small() }
+}
+
+/// Calls all entry hosts as fast as they answer; returns the tokens admitted.
+async fn load(fleet: &Fleet, duration: Duration) -> u64 {
+    let start = Instant::now();
+    let caller = |entry: u8| async move {
+        let mut admitted = 0;
+        while start.elapsed() < duration {
+            match fleet.call(entry, &stock(fleet)).await {
+                Ok(answer) if answer.status == 200 => admitted += COST,
+                Ok(_) => {}
+                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        }
+        admitted
+    };
+    let entries = 0..fleet.settings.entries;
+    let callers = entries.flat_map(|entry| (0..CALLERS).map(move |_| caller(entry)));
+    futures_util::future::join_all(callers).await.into_iter().sum()
+}
+
+/// Most that may be admitted from a moment on.
+fn bound(start: Instant) -> u64 {
+    let elapsed_ms = u64::try_from(start.elapsed().as_millis()).unwrap();
+    BURST + RATE * elapsed_ms / 1_000 + COST
+}
+
+#[tokio::test]
+async fn the_fleet_admits_no_more_than_rate_and_burst() {
+    let fleet = Fleet::start(limited()).await.unwrap();
+    let start = Instant::now();
+
+    let admitted = load(&fleet, LOAD).await;
+
+    let bound = bound(start);
+    assert!(admitted <= bound, "{admitted} of {bound}");
+}
+
+#[tokio::test]
+async fn an_outage_and_a_killed_entry_host_give_nobody_more() {
+    let mut fleet = Fleet::start(limited()).await.unwrap();
+    let start = Instant::now();
+    let mut admitted = load(&fleet, LOAD / 3).await;
+    outage(&fleet, true).await;
+    admitted += load(&fleet, LOAD / 3).await;
+    let entry = fleet.process("entry-1").unwrap();
+    entry.kill().await;
+    entry.restart().unwrap();
+    admitted += load(&fleet, LOAD / 3).await;
+    outage(&fleet, false).await;
+    admitted += load(&fleet, LOAD / 3).await;
+
+    let bound = bound(start);
+    assert!(admitted <= bound, "{admitted} of {bound}");
+}
+
+#[tokio::test]
+async fn a_stopped_entry_host_that_is_continued_gives_nobody_more() {
+    let fleet = &mut Fleet::start(limited()).await.unwrap();
+    let start = Instant::now();
+    let mut admitted = 0;
+    fleet.process("entry-1").unwrap().stop().unwrap();
+    tokio::time::sleep(LOAD).await;
+    fleet.process("entry-1").unwrap().resume().unwrap();
+
+    admitted += load(fleet, LOAD).await;
+
+    let bound = bound(start);
+    assert!(admitted <= bound, "{admitted} of {bound}");
+}
+
+#[tokio::test]
+async fn an_organisation_within_its_rate_is_not_refused_on_one_entry_host() {
+    let fleet = Fleet::start(limited()).await.unwrap();
+    let period = Duration::from_millis(1_000 * COST / RATE * 10 / 8);
+    let mut ticks = tokio::time::interval(period);
+    let mut refused = Vec::new();
+
+    for _ in 0..80 {
+        ticks.tick().await;
+        let answer = fleet.call(0, &stock(&fleet)).await.unwrap();
+        if answer.status != 200 {
+            refused.push(answer.text());
+        }
+    }
+
+    assert_eq!(refused, Vec::<String>::new());
+}
--- /dev/null
+++ b/crates/harness/tests/memory.rs
@@ -0,0 +1,54 @@
+//! Promise: no engine memory stays held by a request whose caller is gone.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use chestnutrack_harness::Fleet;
+use common::{assert_memory_freed, begin, completion, held, slow};
+
+#[tokio::test]
+async fn a_caller_that_goes_frees_engine_memory() {
+    let fleet = Fleet::start(slow()).await.unwrap();
+    let opened = begin(&fleet, 0, &completion(&fleet, "early pies", 500)).await;
+    assert!(!held(&fleet).await.is_empty());
+
+    drop(opened);
+
+    assert_memory_freed(&fleet).await;
+}
+
+#[tokio::test]
+async fn a_killed_entry_host_frees_engine_memory() {
+    let mut fleet = Fleet::start(slow()).await.unwrap();
+    let _opened = begin(&fleet, 0, &completion(&fleet, "early pies", 500)).await;
+
+    fleet.process("entry-0").unwrap().kill().await;
+
+    assert_memory_freed(&fleet).await;
+}
+
+#[tokio::test]
+async fn a_frozen_entry_host_frees_engine_memory() {
+    let mut fleet = Fleet::start(slow()).await.unwrap();
+    let _opened = begin(&fleet, 0, &completion(&fleet, "early pies", 500)).await;
+
+    fleet.process("entry-0").unwrap().stop().unwrap();
+
+    assert_memory_freed(&fleet).await;
+}
+
+#[tokio::test]
+async fn a_killed_entry_host_and_a_restarted_side_process_free_engine_memory() {
+    let mut fleet = Fleet::start(slow()).await.unwrap();
+    let _opened = begin(&fleet, 0, &completion(&fleet, "early pies", 500)).await;
+    fleet.process("entry-0").unwrap().kill().await;
+
+    for side in ["side-larder-llm-3", "side-larder-llm-4"] {
+        let side = fleet.process(side).unwrap();
+        side.kill().await;
+        side.restart().unwrap();
+    }
+
+    assert_memory_freed(&fleet).await;
+}
