--- /dev/null
+++ b/crates/standin/tests/plain.rs
@@ -0,0 +1,101 @@
+//! The stand-in of a plain service: what it records, and its faults.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod support;
+
+use bytes::Bytes;
+use chestnutrack_process::http::{self, Error};
+use chestnutrack_standin::plain::{self, Settings};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::{PATIENCE, call, control, page};
+
+async fn stand_in() -> SocketAddr {
+    support::plain(Settings { service: Duration::from_millis(1), ..Settings::default() }).await
+}
+
+async fn post(address: SocketAddr) -> Result<u16, Error> {
+    let request = http::request("POST", "/deposits", Bytes::from("{}")).unwrap();
+    let answer = http::call(address, request, PATIENCE, 1 << 20).await?;
+    Ok(answer.status().as_u16())
+}
+
+#[tokio::test]
+async fn a_call_is_echoed_and_recorded_whole() {
+    let address = stand_in().await;
+    let mut request = http::request("POST", "/deposits?shop=7", Bytes::from("{}")).unwrap();
+    request.headers_mut().insert("x-shop", "seven".parse().unwrap());
+
+    let answer = http::call(address, request, PATIENCE, 1 << 20).await.unwrap();
+
+    let echo: Value = serde_json::from_slice(answer.body()).unwrap();
+    let expected =
+        json!({ "method": "POST", "path": "/deposits?shop=7", "body_bytes": 2, "call": 1 });
+    assert_eq!(echo, expected);
+    let seen = &page(address, "seen").await["seen"][0];
+    assert_eq!((&seen["target"], &seen["body"]), (&json!("/deposits?shop=7"), &json!("{}")));
+    assert_eq!(seen["ran"], true);
+    assert!(seen["headers"].as_array().unwrap().contains(&json!(["x-shop", "seven"])));
+}
+
+#[tokio::test]
+async fn a_dropped_call_has_run_and_a_failed_one_has_not() {
+    let address = stand_in().await;
+    control(address, "faults", json!({ "fail": 1 })).await;
+    let failed = post(address).await;
+    control(address, "faults", json!({ "drop_after": 1 })).await;
+    let dropped = post(address).await;
+    let answered = post(address).await;
+
+    assert_eq!(failed, Ok(500));
+    assert!(matches!(dropped, Err(Error::Broken(_))), "{dropped:?}");
+    assert_eq!(answered, Ok(200));
+    let counts = json!({ "calls": 3, "ran": 2, "failed": 1, "dropped": 1 });
+    assert_eq!(page(address, "counts").await, counts);
+    let seen = page(address, "seen").await;
+    let ran: Vec<_> = seen["seen"].as_array().unwrap().iter().map(|seen| &seen["ran"]).collect();
+    assert_eq!(ran, [false, true, true]);
+}
+
+#[tokio::test]
+async fn a_call_that_hangs_runs_later_also_when_its_caller_has_gone() {
+    let address = stand_in().await;
+    control(address, "faults", json!({ "hang": true })).await;
+    let caller = tokio::spawn(post(address));
+    support::until(async || page(address, "counts").await["calls"] == 1).await;
+
+    caller.abort();
+    let before = page(address, "counts").await["ran"].clone();
+    control(address, "faults", json!({ "hang": false })).await;
+
+    assert_eq!(before, 0);
+    support::until(async || page(address, "counts").await["ran"] == 1).await;
+}
+
+#[tokio::test]
+async fn calls_beyond_the_slots_wait() {
+    let settings = Settings { slots: 1, service: Duration::from_millis(20) };
+    let address = support::plain(settings).await;
+
+    let calls: Vec<_> = (0..5).map(|_| tokio::spawn(post(address))).collect();
+
+    for call in calls {
+        assert_eq!(call.await.unwrap(), Ok(200));
+    }
+    assert_eq!(page(address, "counts").await["ran"], 5);
+}
+
+#[tokio::test]
+async fn what_was_seen_is_bounded() {
+    let address =
+        support::plain(Settings { service: Duration::ZERO, ..plain::Settings::default() });
+    let address = address.await;
+    let body = "x".repeat(10_000);
+
+    call(address, "POST", "/", &body).await;
+
+    let seen = page(address, "seen").await;
+    assert_eq!(seen["seen"][0]["body"].as_str().unwrap().len(), 4_096);
+}
--- /dev/null
+++ b/crates/standin/tests/watcher.rs
@@ -0,0 +1,173 @@
+//! The watcher and the poller of the host list through outages, gaps and stale answers.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod support;
+
+use chestnutrack_platform::client::{self, Call, Client};
+use chestnutrack_platform::host::{Host, List, State};
+use chestnutrack_platform::poller;
+use chestnutrack_platform::watcher::{self, Update};
+use chestnutrack_standin::platform;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::{Act, PATIENCE, control, scripted};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+async fn stand_in() -> SocketAddr {
+    support::platform(platform::Settings::default()).await
+}
+
+fn client(address: SocketAddr) -> Client {
+    Client::new(address, client::Settings::default(), None)
+}
+
+fn settings() -> watcher::Settings {
+    let wait = Duration::from_millis(200);
+    let retry_min = Duration::from_millis(5);
+    let retry_max = Duration::from_millis(50);
+    watcher::Settings { wait, retry_min, retry_max, ..watcher::Settings::default() }
+}
+
+/// The next update that says anything: whether it is whole, and its objects.
+async fn next(updates: &mut mpsc::Receiver<Update>) -> (bool, Vec<(String, Option<Value>)>) {
+    loop {
+        let update = timeout(PATIENCE, updates.recv()).await.unwrap().unwrap();
+        if update.whole || !update.objects.is_empty() {
+            let pair = |object: chestnutrack_platform::object::Object| {
+                (object.name.to_string(), object.value)
+            };
+            return (update.whole, update.objects.into_iter().map(pair).collect());
+        }
+    }
+}
+
+fn changed(name: &str, value: Option<Value>) -> (bool, Vec<(String, Option<Value>)>) {
+    (false, vec![(name.to_owned(), value)])
+}
+
+#[tokio::test]
+async fn a_watcher_lists_once_and_then_hands_out_changes() {
+    let client = client(stand_in().await);
+    client.create("sides", "a", &json!(1)).await.unwrap();
+    let mut updates = watcher::start(client.clone(), "sides", settings());
+
+    let first = next(&mut updates).await;
+    let version = client.create("sides", "b", &json!(2)).await.unwrap();
+    let second = next(&mut updates).await;
+    client.delete("sides", "b", version).await.unwrap();
+    let third = next(&mut updates).await;
+
+    assert_eq!(first, (true, vec![("a".to_owned(), Some(json!(1)))]));
+    assert_eq!(second, changed("b", Some(json!(2))));
+    assert_eq!(third, changed("b", None));
+    assert_eq!(client.count().calls(Call::List), 1);
+}
+
+#[tokio::test]
+async fn a_watch_that_ends_empty_confirms_what_is_known() {
+    let client = client(stand_in().await);
+    let mut updates = watcher::start(client.clone(), "sides", settings());
+    let first = timeout(PATIENCE, updates.recv()).await.unwrap().unwrap();
+
+    let second = timeout(PATIENCE, updates.recv()).await.unwrap().unwrap();
+
+    assert!(first.whole && !second.whole);
+    assert!(second.objects.is_empty());
+    assert!(second.sent > first.sent);
+}
+
+#[tokio::test]
+async fn a_watcher_goes_on_after_an_outage_where_it_was() {
+    let address = stand_in().await;
+    let client = client(address);
+    let version = client.create("sides", "a", &json!(1)).await.unwrap();
+    let mut updates = watcher::start(client.clone(), "sides", settings());
+    next(&mut updates).await;
+
+    control(address, "faults", json!({ "down": true })).await;
+    support::until(async || client.count().failures(Call::Watch) > 3).await;
+    control(address, "faults", json!({ "down": false })).await;
+    client.replace("sides", "a", version, &json!(2)).await.unwrap();
+
+    assert_eq!(next(&mut updates).await, changed("a", Some(json!(2))));
+    assert_eq!(client.count().calls(Call::List), 1);
+}
+
+#[tokio::test]
+async fn a_watcher_that_starts_in_an_outage_lists_after_it() {
+    let address = stand_in().await;
+    let client = client(address);
+    control(address, "faults", json!({ "down": true })).await;
+    let mut updates = watcher::start(client.clone(), "sides", settings());
+    support::until(async || client.count().failures(Call::List) > 1).await;
+
+    control(address, "faults", json!({ "down": false })).await;
+
+    assert_eq!(next(&mut updates).await, (true, vec![]));
+}
+
+#[tokio::test]
+async fn a_watcher_lists_again_after_a_gap_but_takes_nothing_older() {
+    let lists = [
+        r#"{"version":5,"objects":[{"name":"a","version":5,"value":"five","age_ms":0}]}"#,
+        r#"{"version":3,"objects":[{"name":"a","version":3,"value":"three","age_ms":0}]}"#,
+        r#"{"version":9,"objects":[{"name":"a","version":9,"value":"nine","age_ms":0}]}"#,
+    ];
+    let answer = |text: &str| -> &'static str {
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{text}", text.len()).leak()
+    };
+    let gone = "HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n";
+    let texts = [answer(lists[0]), gone, answer(lists[1]), answer(lists[2])];
+    let client = client(scripted(texts.map(Act::Keep).to_vec()).await);
+
+    let mut updates = watcher::start(client.clone(), "sides", settings());
+
+    let whole = |value: &str| (true, vec![("a".to_owned(), Some(json!(value)))]);
+    assert_eq!(next(&mut updates).await, whole("five"));
+    assert_eq!(next(&mut updates).await, whole("nine"));
+    assert_eq!(client.count().calls(Call::List), 3);
+}
+
+#[tokio::test]
+async fn a_watcher_ends_with_its_reader() {
+    let client = client(stand_in().await);
+    let updates = watcher::start(client.clone(), "sides", settings());
+    support::until(async || client.count().calls(Call::Watch) > 0).await;
+
+    drop(updates);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let calls = client.count().calls(Call::Watch);
+    tokio::time::sleep(2 * settings().wait).await;
+
+    assert_eq!(client.count().calls(Call::Watch), calls);
+}
+
+#[tokio::test]
+async fn a_poller_keeps_the_last_host_list_in_an_outage() {
+    let address = stand_in().await;
+    let client = client(address);
+    let host = |state| Host { name: "h".into(), failure_domain: "d".into(), state };
+    let list = |state| List { hosts: vec![host(state)] };
+    control(address, "hosts", json!(list(State::Live))).await;
+    let period = Duration::from_millis(10);
+    let settings = poller::Settings { period, ..poller::Settings::default() };
+
+    let mut readings = poller::start(client.clone(), settings);
+    let shows = |state| {
+        move |reading: &Option<poller::Reading>| {
+            reading.as_ref().is_some_and(|reading| reading.list == list(state))
+        }
+    };
+    timeout(PATIENCE, readings.wait_for(shows(State::Live))).await.unwrap().unwrap();
+    control(address, "faults", json!({ "down": true })).await;
+    support::until(async || client.count().failures(Call::Hosts) > 1).await;
+    let kept = readings.borrow().clone();
+    control(address, "faults", json!({ "down": false })).await;
+    control(address, "hosts", json!(list(State::Leaving))).await;
+
+    assert_eq!(kept.unwrap().list, list(State::Live));
+    timeout(PATIENCE, readings.wait_for(shows(State::Leaving))).await.unwrap().unwrap();
+}
