--- a/crates/standin/src/cmd/engine.rs
+++ b/crates/standin/src/cmd/engine.rs
@@ -4,10 +4,8 @@
 use argh::FromArgs;
 use chestnutrack_process::settings::Findings;
 use chestnutrack_standin::engine::{self, Settings};
-use std::num::NonZeroU64;
 use std::process::ExitCode;
 use std::str::FromStr;
-use std::time::Duration;
 
 /// Stands in for a model engine of any role.
 #[derive(FromArgs)]
@@ -76,90 +74,60 @@
 
 fn settings(given: &Arguments) -> Result<(Common, Settings), Findings> {
     let mut flags = Flags::new();
-    let common = flags.common(given.listen.as_deref(), given.log.as_deref());
+    let common = flags.common(&given.listen, &given.log);
     let default = Settings::default();
+    let tokens = "a number of tokens";
+    let percent = "a whole number from 0 to 100";
+    let truth = "`true` or `false`";
+    let scale = "a number from 0.001 to 1000";
+    let step_per_request = default.step_per_request;
+    let rate = default.prefill_tokens_per_s;
+    let kv_bytes = default.kv_bytes_per_token;
+    let lost = Percent(default.events_lost_percent);
     let settings = Settings {
-        slots: flags.count("--slots", given.slots.as_deref(), default.slots),
-        kv_tokens: flags.count("--kv-tokens", given.kv_tokens.as_deref(), default.kv_tokens),
-        cache_tokens: flags.or(
-            "--cache-tokens",
-            given.cache_tokens.as_deref(),
-            "a number of tokens",
-            default.cache_tokens,
-        ),
-        step: micros(&mut flags, "--step-us", given.step_us.as_deref(), default.step),
-        step_per_request: micros(
-            &mut flags,
+        slots: flags.count("--slots", &given.slots, default.slots),
+        kv_tokens: flags.count("--kv-tokens", &given.kv_tokens, default.kv_tokens),
+        cache_tokens: flags.or("--cache-tokens", &given.cache_tokens, tokens, default.cache_tokens),
+        step: flags.micros("--step-us", &given.step_us, default.step),
+        step_per_request: flags.micros(
             "--step-per-request-us",
-            given.step_per_request_us.as_deref(),
-            default.step_per_request,
+            &given.step_per_request_us,
+            step_per_request,
         ),
         prefill_tokens_per_s: flags.count(
             "--prefill-tokens-per-s",
-            given.prefill_tokens_per_s.as_deref(),
-            default.prefill_tokens_per_s,
+            &given.prefill_tokens_per_s,
+            rate,
         ),
-        kv_bytes_per_token: bytes(
-            &mut flags,
+        kv_bytes_per_token: flags.bytes(
             "--kv-bytes-per-token",
-            given.kv_bytes_per_token.as_deref(),
-            default.kv_bytes_per_token,
+            &given.kv_bytes_per_token,
+            kv_bytes,
         ),
-        link_bytes_per_s: bytes(
-            &mut flags,
+        link_bytes_per_s: flags.bytes(
             "--link-bytes-per-s",
-            given.link_bytes_per_s.as_deref(),
+            &given.link_bytes_per_s,
             default.link_bytes_per_s,
         ),
-        evict: flags.millis("--evict-ms", given.evict_ms.as_deref(), default.evict),
-        load_lag: flags.millis("--load-lag-ms", given.load_lag_ms.as_deref(), default.load_lag),
-        events_lag: flags.millis(
-            "--events-lag-ms",
-            given.events_lag_ms.as_deref(),
-            default.events_lag,
-        ),
+        evict: flags.millis("--evict-ms", &given.evict_ms, default.evict),
+        load_lag: flags.millis("--load-lag-ms", &given.load_lag_ms, default.load_lag),
+        events_lag: flags.millis("--events-lag-ms", &given.events_lag_ms, default.events_lag),
         events_lost_percent: flags
-            .or(
-                "--events-lost-percent",
-                given.events_lost_percent.as_deref(),
-                "a whole number from 0 to 100",
-                Percent(default.events_lost_percent),
-            )
+            .or("--events-lost-percent", &given.events_lost_percent, percent, lost)
             .0,
-        load_model: flags.millis(
-            "--load-model-ms",
-            given.load_model_ms.as_deref(),
-            default.load_model,
-        ),
+        load_model: flags.millis("--load-model-ms", &given.load_model_ms, default.load_model),
         checks_fencing: flags.or(
             "--checks-fencing",
-            given.checks_fencing.as_deref(),
-            "`true` or `false`",
+            &given.checks_fencing,
+            truth,
             default.checks_fencing,
         ),
-        time_scale: flags
-            .or(
-                "--time-scale",
-                given.time_scale.as_deref(),
-                "a number from 0.001 to 1000",
-                Scale(default.time_scale),
-            )
-            .0,
-        seed: flags.or("--seed", given.seed.as_deref(), "a whole number", default.seed),
+        time_scale: flags.or("--time-scale", &given.time_scale, scale, Scale(default.time_scale)).0,
+        seed: flags.or("--seed", &given.seed, "a whole number", default.seed),
     };
     flags.finish((common, settings))
 }
 
-fn micros(flags: &mut Flags, flag: &str, given: Option<&str>, default: Duration) -> Duration {
-    let micros = default.as_micros().try_into().unwrap_or(u64::MAX);
-    Duration::from_micros(flags.or(flag, given, "a number of microseconds", micros))
-}
-
-fn bytes(flags: &mut Flags, flag: &str, given: Option<&str>, default: u64) -> u64 {
-    let default = NonZeroU64::new(default).unwrap_or(NonZeroU64::MIN);
-    flags.or(flag, given, "a number of bytes of at least 1", default).get()
-}
-
 struct Percent(u32);
 
 impl FromStr for Percent {
--- a/crates/standin/src/cmd/mod.rs
+++ b/crates/standin/src/cmd/mod.rs
@@ -9,7 +9,7 @@
 use chestnutrack_process::shutdown;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::num::NonZeroU32;
+use std::num::{NonZeroU32, NonZeroU64};
 use std::process::ExitCode;
 use std::str::FromStr;
 use std::time::Duration;
@@ -39,16 +39,16 @@
     pub(crate) fn or<T: FromStr>(
         &mut self,
         flag: &str,
-        given: Option<&str>,
+        given: &Option<String>,
         allowed: &str,
         default: T,
     ) -> T {
         let variable = variable(flag);
-        self.0.or(Setting { flag, variable: &variable, allowed }, given, default)
+        self.0.or(Setting { flag, variable: &variable, allowed }, given.as_deref(), default)
     }
 
     /// Reads a whole number of at least 1, or takes its default.
-    pub(crate) fn count(&mut self, flag: &str, given: Option<&str>, default: u32) -> u32 {
+    pub(crate) fn count(&mut self, flag: &str, given: &Option<String>, default: u32) -> u32 {
         let allowed = "a whole number of at least 1";
         let default = NonZeroU32::new(default).unwrap_or(NonZeroU32::MIN);
         self.or(flag, given, allowed, default).get()
@@ -58,19 +58,37 @@
     pub(crate) fn millis(
         &mut self,
         flag: &str,
-        given: Option<&str>,
+        given: &Option<String>,
         default: Duration,
     ) -> Duration {
         let millis = default.as_millis().try_into().unwrap_or(u64::MAX);
         Duration::from_millis(self.or(flag, given, "a number of milliseconds", millis))
     }
 
+    /// Reads a time in microseconds, or takes its default.
+    pub(crate) fn micros(
+        &mut self,
+        flag: &str,
+        given: &Option<String>,
+        default: Duration,
+    ) -> Duration {
+        let micros = default.as_micros().try_into().unwrap_or(u64::MAX);
+        Duration::from_micros(self.or(flag, given, "a number of microseconds", micros))
+    }
+
+    /// Reads a number of bytes of at least 1, or takes its default.
+    pub(crate) fn bytes(&mut self, flag: &str, given: &Option<String>, default: u64) -> u64 {
+        let default = NonZeroU64::new(default).unwrap_or(NonZeroU64::MIN);
+        self.or(flag, given, "a number of bytes of at least 1", default).get()
+    }
+
     /// Reads what every subcommand is told.
-    pub(crate) fn common(&mut self, listen: Option<&str>, log: Option<&str>) -> Common {
+    pub(crate) fn common(&mut self, listen: &Option<String>, log: &Option<String>) -> Common {
         let variable = variable("--listen");
         let allowed = "an address and a port";
         let setting = Setting { flag: "--listen", variable: &variable, allowed };
-        let listen = self.0.required(setting, listen, SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listen =
+            self.0.required(setting, listen.as_deref(), SocketAddr::from(([127, 0, 0, 1], 0)));
         let form = self.or("--log", log, "`text` or `json`", Form::default());
         Common { listen, form }
     }
--- a/crates/standin/src/cmd/plain.rs
+++ b/crates/standin/src/cmd/plain.rs
@@ -31,12 +31,12 @@
 
 fn settings(given: &Arguments) -> Result<(Common, Settings), Findings> {
     let mut flags = Flags::new();
-    let common = flags.common(given.listen.as_deref(), given.log.as_deref());
+    let common = flags.common(&given.listen, &given.log);
     let default = Settings::default();
     let slots = u32::try_from(default.slots).unwrap_or(u32::MAX);
     let settings = Settings {
-        slots: flags.count("--slots", given.slots.as_deref(), slots) as usize,
-        service: flags.millis("--service-ms", given.service_ms.as_deref(), default.service),
+        slots: flags.count("--slots", &given.slots, slots) as usize,
+        service: flags.millis("--service-ms", &given.service_ms, default.service),
     };
     flags.finish((common, settings))
 }
--- a/crates/standin/src/cmd/platform.rs
+++ b/crates/standin/src/cmd/platform.rs
@@ -34,20 +34,12 @@
 
 fn settings(given: &Arguments) -> Result<(Common, Settings), Findings> {
     let mut flags = Flags::new();
-    let common = flags.common(given.listen.as_deref(), given.log.as_deref());
+    let common = flags.common(&given.listen, &given.log);
     let default = Settings::default();
     let settings = Settings {
-        hosts_lag: flags.millis("--hosts-lag-ms", given.hosts_lag_ms.as_deref(), default.hosts_lag),
-        writes_per_s: flags.count(
-            "--writes-per-s",
-            given.writes_per_s.as_deref(),
-            default.writes_per_s,
-        ),
-        reads_per_s: flags.count(
-            "--reads-per-s",
-            given.reads_per_s.as_deref(),
-            default.reads_per_s,
-        ),
+        hosts_lag: flags.millis("--hosts-lag-ms", &given.hosts_lag_ms, default.hosts_lag),
+        writes_per_s: flags.count("--writes-per-s", &given.writes_per_s, default.writes_per_s),
+        reads_per_s: flags.count("--reads-per-s", &given.reads_per_s, default.reads_per_s),
         ..default
     };
     flags.finish((common, settings))
