Stand-in engine: a cancelled import ends also when its exporter is silent

An import looked whether it was cancelled only when a line came, so one from a silent engine never ended. Before: an_import_from_a_silent_engine_ends_when_it_ is_cancelled failed with 'no answer within 2000 ms'; after: it passes. The other tests of transfers, a race of cancellations and imports among them, passed with and without the change.

--- a/crates/standin/src/engine/transfer.rs
+++ b/crates/standin/src/engine/transfer.rs
@@ -17,10 +17,16 @@
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// Longest time until an export begins.
 const BEGIN: Duration = Duration::from_millis(2_000);
 
+/// Time after which an import looks again whether it was cancelled.
+const CHECK: Duration = Duration::from_millis(50);
+/// Longest line of an export, in bytes.
+const LINE_BYTES_MAX: usize = 1 << 10;
+
 /// One line of an export.
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -110,35 +116,61 @@
 }
 
 async fn fetch(engine: &Engine, order: &Import, number: u64) -> Result<Imported, Refusal> {
-    let gone = |text: String| refusal(404, "handle", text);
-    let export = serde_json::to_vec(&Export { handle: Arc::clone(&order.handle) });
-    let export = export.map_err(|error| gone(error.to_string()))?;
+    let body = open(order).await.map_err(gone)?;
+    let mut lines = Lines { body, buffer: BytesMut::new() };
+    let mut imported = None;
+    loop {
+        if !engine.state().has_answer(&order.id, number) {
+            return Err(refusal(409, "id", "cancelled"));
+        }
+        let Ok(line) = timeout(CHECK, lines.next()).await else { continue };
+        match line.map_err(gone)? {
+            Line::Head { tokens, hash, stop } => {
+                imported = Some(Imported { source: Source::from_parts(hash, stop), tokens });
+            }
+            Line::Chunk { bytes } => engine.import_link.pass(bytes, &engine.stalled).await,
+            Line::End => return imported.ok_or_else(|| gone("no head".to_owned())),
+        }
+    }
+}
+
+async fn open(order: &Import) -> Result<pool::Stream, String> {
+    let export = Export { handle: Arc::clone(&order.handle) };
+    let export = serde_json::to_vec(&export).map_err(|error| error.to_string())?;
     let request = chestnutrack_process::http::request("POST", "/v1/export", export);
-    let request = request.map_err(|error| gone(error.to_string()))?;
     let pool = Pool::new(order.from, pool::Settings::default());
-    let answer = pool.open(request, BEGIN).await.map_err(|error| gone(error.to_string()))?;
-    if answer.status() != 200 {
-        return Err(gone(format!("status {}", answer.status())));
+    let answer = pool.open(request.map_err(|error| error.to_string())?, BEGIN).await;
+    let answer = answer.map_err(|error| error.to_string())?;
+    match answer.status().as_u16() {
+        200 => Ok(answer.into_body()),
+        status => Err(format!("status {status}")),
     }
-    let mut body = answer.into_body();
-    let mut buffer = BytesMut::new();
-    let mut imported = None;
-    loop {
-        while let Some(end) = buffer.iter().position(|byte| *byte == b'\n') {
-            let line = serde_json::from_slice(&buffer.split_to(end + 1));
-            match line.map_err(|error| gone(error.to_string()))? {
-                Line::Head { tokens, hash, stop } => {
-                    imported = Some(Imported { source: Source::from_parts(hash, stop), tokens });
-                }
-                Line::Chunk { bytes } => engine.import_link.pass(bytes, &engine.stalled).await,
-                Line::End => return imported.ok_or_else(|| gone("no head".to_owned())),
+}
+
+/// Whatever breaks a transfer, its KV cache can't be had.
+fn gone(text: String) -> Refusal {
+    refusal(404, "handle", text)
+}
+
+struct Lines {
+    body: pool::Stream,
+    buffer: BytesMut,
+}
+
+impl Lines {
+    /// The next line of an export. Cancel safe.
+    async fn next(&mut self) -> Result<Line, String> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let line = self.buffer.split_to(end + 1);
+                return serde_json::from_slice(&line).map_err(|error| error.to_string());
             }
-            if !engine.state().has_answer(&order.id, number) {
-                return Err(refusal(409, "id", "cancelled"));
+            if self.buffer.len() > LINE_BYTES_MAX {
+                return Err("line too long".to_owned());
             }
+            let chunk = self.body.chunk().await.map_err(|error| error.to_string())?;
+            self.buffer.extend_from_slice(&chunk.ok_or("ended early")?);
         }
-        let chunk = body.chunk().await.map_err(|error| gone(error.to_string()))?;
-        buffer.extend_from_slice(&chunk.ok_or_else(|| gone("ended early".to_owned()))?);
     }
 }
 
