Slots promised ahead, early refusal by the measured rate of release, leases one by one

A reservation may be promised a slot that a running answer leaves by the time its KV cache comes, counted by the longest answer, so that a promise holds whatever the model does; the import waits for the slot.

--- a/crates/core/src/server/capacity.rs
+++ b/crates/core/src/server/capacity.rs
@@ -3,69 +3,19 @@
 use super::event::Effect;
 use super::hold::{Hold, Key, Stage, Work};
 use super::wait::Waiter;
-use super::{Counter, Server, Settings};
+use super::{Counter, Server};
 use crate::time::Instant;
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::Frame;
 use chestnutrack_wire::frame::{Cause, Failure, Load, Ran};
+use std::collections::HashSet;
 use std::time::Duration;
 
-/// Weight of the newest measurement: one in so many.
-const SMOOTHING: u64 = 8;
 /// Shortest time after which a refused request may come back, in milliseconds.
 const RETRY_AFTER_MS_MIN: u64 = 50;
 /// Longest time after which a refused request may come back, in milliseconds.
 const RETRY_AFTER_MS_MAX: u64 = 5_000;
 
-/// Measured speeds of the server.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Pace {
-    /// Time between tokens, in microseconds.
-    token_micros: u64,
-    /// Time to prefill a token, in nanoseconds.
-    prefill_nanos: u64,
-    /// When the last prefill ended.
-    prefill_end: Instant,
-}
-
-impl Pace {
-    pub(super) fn new(settings: &Settings) -> Pace {
-        Pace {
-            token_micros: u64::try_from(settings.token_time.as_micros()).unwrap_or(u64::MAX),
-            prefill_nanos: 1_000_000_000 / settings.prefill_tokens_per_s.max(1),
-            prefill_end: Instant::default(),
-        }
-    }
-
-    pub(super) fn decoded(&mut self, took: Duration) {
-        let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
-        self.token_micros = smooth(self.token_micros, micros);
-    }
-
-    /// Measures a prefill that began at `since`; the time that it waited for the one before it
-    /// doesn't count.
-    pub(super) fn prefilled(&mut self, now: Instant, tokens: u64, since: Instant) {
-        let took = now.since(since.max(self.prefill_end));
-        self.prefill_end = now;
-        let nanos = u64::try_from(took.as_nanos()).unwrap_or(u64::MAX);
-        if let Some(each) = nanos.checked_div(tokens) {
-            self.prefill_nanos = smooth(self.prefill_nanos, each);
-        }
-    }
-
-    pub(super) fn decode_time(&self, tokens: u64) -> Duration {
-        Duration::from_micros(self.token_micros.saturating_mul(tokens))
-    }
-
-    pub(super) fn prefill_time(&self, tokens: u64) -> Duration {
-        Duration::from_nanos(self.prefill_nanos.saturating_mul(tokens))
-    }
-}
-
-fn smooth(old: u64, new: u64) -> u64 {
-    (old * (SMOOTHING - 1) + new) / SMOOTHING
-}
-
 /// What is in use.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Used {
@@ -113,6 +63,10 @@
             && used.kv_tokens + u64::from(kv_tokens) <= self.memory()
     }
 
+    pub(super) fn free_memory(&self) -> u64 {
+        self.memory().saturating_sub(self.used().kv_tokens)
+    }
+
     /// Whether the server could never hold so much.
     pub(super) fn exceeds(&self, kv_tokens: u32) -> bool {
         u64::from(kv_tokens) > self.memory()
@@ -136,7 +90,9 @@
     fn free_in_ms(&self, now: Instant, waiting: usize) -> u32 {
         let ends = self.expected_ends(now);
         let end = ends.get(waiting).or(ends.last());
-        let millis = end.map_or(RETRY_AFTER_MS_MAX, |end| now.millis_until(*end));
+        let longest = end.map_or(RETRY_AFTER_MS_MAX, |end| now.millis_until(*end));
+        let usual = self.pace.release_time(waiting as u64 + 1).map(|time| time.as_millis() as u64);
+        let millis = usual.map_or(longest, |usual| usual.min(longest));
         u32::try_from(millis.max(1)).unwrap_or(u32::MAX)
     }
 
@@ -155,7 +111,7 @@
         ends
     }
 
-    fn remaining(&self, now: Instant, hold: &Hold) -> Duration {
+    pub(super) fn remaining(&self, now: Instant, hold: &Hold) -> Duration {
         match &hold.work {
             Work::Decode(reserve, order) => {
                 let longest = order.as_ref().map_or(reserve.output_tokens, |o| o.output_tokens);
@@ -198,6 +154,28 @@
         self.pace.prefill_time(self.queued_tokens() + u64::from(tokens))
     }
 
+    /// Whether a request can be taken in: at once, or to wait with a chance to be granted in time.
+    pub(super) fn has_room(&self, organisation: &str, kv_tokens: u32, wait_ms: u32) -> bool {
+        let nobody_waits = !self.holds.values().any(is_waiting);
+        if nobody_waits && self.fits(kv_tokens) {
+            return true;
+        }
+        let wait = Duration::from_millis(u64::from(wait_ms));
+        let in_time = self.expected_wait(organisation).is_none_or(|expected| expected <= wait);
+        wait_ms > 0 && in_time && !self.waits_too_much(organisation)
+    }
+
+    /// Time until one more request of an organisation would get a slot, at the rate at which they
+    /// have become free lately; absent where that isn't known.
+    pub(super) fn expected_wait(&self, organisation: &str) -> Option<Duration> {
+        let waiting: Vec<_> = self.holds.values().filter(|hold| is_waiting(hold)).collect();
+        let own = waiting.iter().filter(|hold| hold.organisation.as_ref() == organisation).count();
+        let organisations: HashSet<_> = waiting.iter().map(|hold| &hold.organisation).collect();
+        // Each other organisation is served about as often as this one.
+        let before = waiting.len().min((own + 1) * organisations.len());
+        self.pace.release_time(before as u64 + 1)
+    }
+
     /// Whether an organisation has as many waiting as it may.
     pub(super) fn waits_too_much(&self, organisation: &str) -> bool {
         let waiting = self.holds.values().filter(|hold| is_waiting(hold));
@@ -205,21 +183,31 @@
         own >= self.settings.waiting_per_organisation
     }
 
-    /// Gives free slots to those that were promised one, then to those that wait.
-    pub(super) fn grant(&mut self, now: Instant) {
+    /// Hands out what has become free: to those that were promised a slot, to those that wait.
+    pub(super) fn allot(&mut self, now: Instant) {
+        self.pace.released(now, self.used().slots);
+        self.keep_promises();
+        self.start_imports(now);
+        self.grant(now);
+        self.pace.allotted(now, self.used().slots, self.slots());
+    }
+
+    /// Gives free slots, and slots that will be free in time, to those that wait.
+    fn grant(&mut self, now: Instant) {
         if self.leaving.is_some() || !self.authority.is_held() {
             return;
         }
         let mut waiters = self.waiters();
         while let Some(next) = self.fair.next(&waiters, self.settings.interactive_run).cloned() {
             let Some(hold) = self.holds.get(next.key) else { return };
-            if !self.fits(hold.kv_tokens) {
+            let firm = self.fits(hold.kv_tokens) && !self.has_promised();
+            if !firm && !self.can_promise(now, hold) {
                 return;
             }
             self.fair.charge(&next, hold.cost, &waiters);
             waiters.retain(|waiter| waiter.key != next.key);
-            self.count(Counter::Granted);
-            self.begin(now, next.key);
+            self.count(if firm { Counter::Granted } else { Counter::Promised });
+            self.begin(now, next.key, firm);
         }
     }
 
@@ -236,9 +224,9 @@
         waiting.collect()
     }
 
-    fn begin(&mut self, now: Instant, key: Key) {
+    fn begin(&mut self, now: Instant, key: Key, firm: bool) {
         match self.holds.get(key).map(|hold| &hold.work) {
-            Some(Work::Decode(..)) => self.reserved(now, key, true),
+            Some(Work::Decode(..)) => self.reserved(now, key, firm),
             Some(Work::Prefill(..)) => self.start_prefill(now, key),
             Some(Work::Forward(_)) => self.start_call(key),
             None => {}
--- a/crates/core/src/server/count.rs
+++ b/crates/core/src/server/count.rs
@@ -10,6 +10,8 @@
     Frames,
     /// Holds given a slot.
     Granted,
+    /// Holds promised a slot that is not free yet.
+    Promised,
     /// Attempts refused or failed.
     Failed(Cause, Ran),
     /// Frames dropped as late or repeated.
--- a/crates/core/src/server/decode.rs
+++ b/crates/core/src/server/decode.rs
@@ -25,10 +25,7 @@
             self.refuse(now, asked, Cause::Protocol);
             return;
         }
-        let nobody_waits = !self.holds.values().any(super::capacity::is_waiting);
-        let at_once = nobody_waits && self.fits(ask.kv_tokens);
-        let may_join = ask.wait_ms > 0 && !self.waits_too_much(&ask.organisation);
-        if !at_once && !may_join {
+        if !self.has_room(&ask.organisation, ask.kv_tokens, ask.wait_ms) {
             self.refuse(now, asked, Cause::Full);
             return;
         }
--- a/crates/core/src/server/mod.rs
+++ b/crates/core/src/server/mod.rs
@@ -22,8 +22,10 @@
 mod free;
 mod lease;
 mod order;
+mod pace;
 mod plain;
 mod prefill;
+mod promise;
 mod reconcile;
 
 pub use authority::{Authority, successor_name};
@@ -60,7 +62,7 @@
     past: hold::Past,
     fair: wait::Fair,
     link: link::Link,
-    pace: capacity::Pace,
+    pace: pace::Pace,
     reconcile: reconcile::Reconcile,
     pending: Vec<order::Pending>,
     successors: Vec<Connection>,
@@ -75,7 +77,7 @@
     pub fn new(settings: Settings, sender: Sender, now: Instant) -> Server {
         Server {
             past: hold::Past::new(settings.past),
-            pace: capacity::Pace::new(&settings),
+            pace: pace::Pace::new(&settings),
             settings,
             sender,
             version: 0,
@@ -103,8 +105,7 @@
         self.notice_pause(now);
         self.apply(now, event);
         if std::mem::take(&mut self.changed) {
-            self.start_imports(now);
-            self.grant(now);
+            self.allot(now);
         }
         std::mem::take(&mut self.effects)
     }
--- /dev/null
+++ b/crates/core/src/server/pace.rs
@@ -0,0 +1,90 @@
+//! Measured speeds of the server.
+
+use super::Settings;
+use crate::time::Instant;
+use std::time::Duration;
+
+/// Weight of the newest measurement: one in so many.
+const SMOOTHING: u64 = 8;
+
+/// Measured speeds of the server.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pace {
+    /// Time between tokens, in microseconds.
+    token_micros: u64,
+    /// Time to prefill a token, in nanoseconds.
+    prefill_nanos: u64,
+    /// When the last prefill ended.
+    prefill_end: Instant,
+    /// Time between two slots that become free while all are taken, in microseconds.
+    release_micros: Option<u64>,
+    /// Since when all slots are taken, or when one last became free while they were.
+    full_since: Option<Instant>,
+    /// Slots taken after the last allotment.
+    taken: u32,
+}
+
+impl Pace {
+    pub(super) fn new(settings: &Settings) -> Pace {
+        Pace {
+            token_micros: u64::try_from(settings.token_time.as_micros()).unwrap_or(u64::MAX),
+            prefill_nanos: 1_000_000_000 / settings.prefill_tokens_per_s.max(1),
+            prefill_end: Instant::default(),
+            release_micros: None,
+            full_since: None,
+            taken: 0,
+        }
+    }
+
+    pub(super) fn decoded(&mut self, took: Duration) {
+        let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        self.token_micros = smooth(self.token_micros, micros);
+    }
+
+    /// Measures a prefill that began at `since`; the time that it waited for the one before it
+    /// doesn't count.
+    pub(super) fn prefilled(&mut self, now: Instant, tokens: u64, since: Instant) {
+        let took = now.since(since.max(self.prefill_end));
+        self.prefill_end = now;
+        let nanos = u64::try_from(took.as_nanos()).unwrap_or(u64::MAX);
+        if let Some(each) = nanos.checked_div(tokens) {
+            self.prefill_nanos = smooth(self.prefill_nanos, each);
+        }
+    }
+
+    /// Measures the slots that have become free since the last allotment.
+    pub(super) fn released(&mut self, now: Instant, taken: u32) {
+        let released = u64::from(self.taken.saturating_sub(taken));
+        let Some(since) = self.full_since.filter(|_| released > 0) else { return };
+        let micros = u64::try_from(now.since(since).as_micros()).unwrap_or(u64::MAX) / released;
+        self.release_micros = Some(self.release_micros.map_or(micros, |old| smooth(old, micros)));
+        self.full_since = Some(now);
+    }
+
+    /// Notes how many slots are taken after an allotment.
+    pub(super) fn allotted(&mut self, now: Instant, taken: u32, slots: u32) {
+        self.taken = taken;
+        if taken < slots {
+            self.full_since = None;
+        } else {
+            self.full_since.get_or_insert(now);
+        }
+    }
+
+    /// Time until so many slots have become free, if that was measured.
+    pub(super) fn release_time(&self, slots: u64) -> Option<Duration> {
+        self.release_micros.map(|micros| Duration::from_micros(micros.saturating_mul(slots)))
+    }
+
+    pub(super) fn decode_time(&self, tokens: u64) -> Duration {
+        Duration::from_micros(self.token_micros.saturating_mul(tokens))
+    }
+
+    pub(super) fn prefill_time(&self, tokens: u64) -> Duration {
+        Duration::from_nanos(self.prefill_nanos.saturating_mul(tokens))
+    }
+}
+
+fn smooth(old: u64, new: u64) -> u64 {
+    (old * (SMOOTHING - 1) + new) / SMOOTHING
+}
--- a/crates/core/src/server/plain.rs
+++ b/crates/core/src/server/plain.rs
@@ -17,14 +17,11 @@
             return;
         }
         let organisation = ask.organisation.clone().unwrap_or_default();
-        let nobody_waits = !self.holds.values().any(super::capacity::is_waiting);
-        let at_once = nobody_waits && self.fits(0);
-        let may_join = ask.wait_ms > 0 && !self.waits_too_much(&organisation);
-        if !at_once && !may_join {
+        let wait_ms = ask.wait_ms.min(ask.deadline_ms);
+        if !self.has_room(&organisation, 0, wait_ms) {
             self.refuse(now, asked, Cause::Full);
             return;
         }
-        let wait_ms = ask.wait_ms.min(ask.deadline_ms);
         let until = now + Duration::from_millis(u64::from(wait_ms));
         let may_wait = ask.may_wait;
         self.insert(now, asked, organisation, may_wait, Work::Forward(Some(ask)), until);
--- /dev/null
+++ b/crates/core/src/server/promise.rs
@@ -0,0 +1,64 @@
+//! Slots that are promised before they are free.
+//!
+//! A reservation whose KV cache comes later may have a slot that a running answer will have left by
+//! then, even if every running answer takes all the tokens that it may. The import itself waits
+//! until the slot is free.
+
+use super::Server;
+use super::hold::{Hold, Key, Stage, Work};
+use crate::time::Instant;
+use std::time::Duration;
+
+impl Server {
+    /// Whether a waiting hold can have a slot by the time that it needs it.
+    pub(super) fn can_promise(&self, now: Instant, hold: &Hold) -> bool {
+        let Work::Decode(ask, _) = &hold.work else { return false };
+        let needed = now + Duration::from_millis(u64::from(ask.needed_in_ms));
+        let mut ending = 0;
+        let mut freed = 0;
+        for running in self.holds.values().filter(|hold| is_running(hold)) {
+            if now + self.remaining(now, running) <= needed {
+                ending += 1;
+                freed += u64::from(running.kv_tokens);
+            }
+        }
+        let promised = self.holds.values().filter(|hold| is_promised(hold));
+        let (count, wanted) = promised
+            .fold((0, u64::from(hold.kv_tokens)), |(count, tokens), hold| {
+                (count + 1, tokens + u64::from(hold.kv_tokens))
+            });
+        ending > count && freed + self.free_memory() >= wanted
+    }
+
+    /// Whether a promise stands whose slot is not free yet.
+    pub(super) fn has_promised(&self) -> bool {
+        self.holds.values().any(is_promised)
+    }
+
+    /// Gives free slots to the holds that were promised one, oldest turn first.
+    pub(super) fn keep_promises(&mut self) {
+        let promised = self.holds.iter().filter(|(_, hold)| is_promised(hold));
+        let mut promised: Vec<Key> = promised.map(|(key, _)| key).collect();
+        promised.sort_by_key(|key| self.link.turn(*key).map(|turn| turn.start));
+        for key in promised {
+            let Some(hold) = self.holds.get(key) else { continue };
+            if !self.fits(hold.kv_tokens) {
+                return;
+            }
+            let stage = match hold.stage {
+                Stage::Reserved { until, .. } => Stage::Reserved { until, firm: true },
+                Stage::Arrived { until, .. } => Stage::Arrived { until, firm: true },
+                stage => stage,
+            };
+            self.set_stage(key, stage);
+        }
+    }
+}
+
+fn is_running(hold: &Hold) -> bool {
+    matches!(hold.stage, Stage::Decoding { .. })
+}
+
+fn is_promised(hold: &Hold) -> bool {
+    matches!(hold.stage, Stage::Reserved { firm: false, .. } | Stage::Arrived { firm: false, .. })
+}
--- a/crates/core/tests/server/invariant.rs
+++ b/crates/core/tests/server/invariant.rs
@@ -6,7 +6,7 @@
 use chestnutrack_core::server::{Counter, Event};
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::Frame;
-use chestnutrack_wire::frame::{Cause, Ran};
+use chestnutrack_wire::frame::{Cause, Ran, Reserve};
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use std::collections::HashSet;
 
@@ -87,7 +87,11 @@
             let organisation = if request % 2 == 0 { "dairy-coop" } else { "honey-shop" };
             let frame = match role {
                 Role::Prefill => Frame::Prefill(id, attempt, prefill(organisation, tokens, 3_000)),
-                _ => Frame::Reserve(id, attempt, reserve(organisation, tokens, 500)),
+                _ => {
+                    let needed_in_ms = u32::from(u8::MAX - size) * 100;
+                    let ask = reserve(organisation, tokens, 500);
+                    Frame::Reserve(id, attempt, Reserve { needed_in_ms, ..ask })
+                }
             };
             world.frame(owner(request), frame);
         }
@@ -185,6 +189,7 @@
 
     let expected = [
         Counter::Granted,
+        Counter::Promised,
         Counter::Late,
         Counter::Foreign,
         Counter::Freed(Reason::Done),
--- a/crates/core/tests/server/main.rs
+++ b/crates/core/tests/server/main.rs
@@ -5,4 +5,5 @@
 
 mod fair;
 mod invariant;
+mod lease;
 mod model;
--- a/crates/side/src/metrics.rs
+++ b/crates/side/src/metrics.rs
@@ -80,6 +80,7 @@
             }
             Counter::Frames => "frames_received",
             Counter::Granted => "granted",
+            Counter::Promised => "promised",
             Counter::Late => "frames_late",
             Counter::Foreign => "frames_foreign",
             Counter::Protocol => "frames_protocol",
