--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,7 +18,7 @@
 use chestnutrack_platform::client::{self, Client};
 use chestnutrack_process::clock;
 use chestnutrack_process::shutdown::Shutdown;
-use chestnutrack_process::timer::{Tick, Timer};
+use chestnutrack_process::timer::Timer;
 use chestnutrack_wire::connection::Security;
 use claim::keeper::Keeper;
 use displaydoc::Display;
@@ -32,7 +32,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 
 /// What a member needs to know when it starts.
 #[derive(Clone)]
@@ -111,11 +111,11 @@
             Start { settings, client: client.clone(), listener, metric: metric.clone(), shared };
         let spawned = Actor::spawn(None, Member, start).await;
         let (member, _) = spawned.map_err(|error| Error::Actor(error.to_string()))?;
-        tokio::spawn(pass_ticks(timer.subscribe(member::TICK), member.clone()));
+        tokio::spawn(pass_ticks(timer.clone(), member.clone()));
         let lives = member.clone();
         let strays = Arc::default();
         let keeper = Keeper { client, service, me, lives, metric, strays };
-        tokio::spawn(give_back(timer.subscribe(STRAYS), keeper.clone()));
+        tokio::spawn(give_back(timer, keeper.clone()));
         Ok(Fleet { member, keeper, snapshots: published, pages: shown, trusted_until })
     }
 
@@ -191,7 +191,8 @@
     }
 }
 
-async fn pass_ticks(mut ticks: mpsc::Receiver<Tick>, member: ActorRef<Message>) {
+async fn pass_ticks(timer: Timer, member: ActorRef<Message>) {
+    let mut ticks = timer.subscribe(member::TICK);
     while ticks.recv().await.is_some() {
         if member.send_message(Message::Tick).is_err() {
             return;
@@ -199,7 +200,8 @@
     }
 }
 
-async fn give_back(mut ticks: mpsc::Receiver<Tick>, keeper: Keeper<ActorRef<Message>>) {
+async fn give_back(timer: Timer, keeper: Keeper<ActorRef<Message>>) {
+    let mut ticks = timer.subscribe(STRAYS);
     while ticks.recv().await.is_some() {
         keeper.give_back_strays().await;
     }
--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,207 @@
+//! Members in one process, each on a runtime of its own, and the stand-in object interface.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use bytes::Bytes;
+use chestnutrack_document::key::Hash;
+use chestnutrack_fleet::{Fleet, Settings};
+use chestnutrack_platform::client::{self, Client};
+use chestnutrack_platform::error::Error;
+use chestnutrack_process::{http, shutdown, timer};
+use chestnutrack_standin::platform;
+use prometheus::Registry;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+
+/// Longest time for anything in a test that is not itself a promise.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+pub(crate) const SERVICE: &str = "shop";
+pub(crate) const SALT: &str = "0123456789abcdef";
+
+/// One member on a runtime of one thread, so that it can be killed and stopped as a whole.
+pub(crate) struct Host {
+    pub(crate) fleet: Fleet,
+    pub(crate) registry: Registry,
+    pub(crate) address: SocketAddr,
+    pub(crate) name: Arc<str>,
+    runtime: Option<Runtime>,
+}
+
+impl Host {
+    pub(crate) async fn start(name: &str, incarnation: u64, platform: SocketAddr) -> Host {
+        let address = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        Host::start_at(name, incarnation, platform, address).await
+    }
+
+    pub(crate) async fn start_at(
+        name: &str,
+        incarnation: u64,
+        platform: SocketAddr,
+        address: SocketAddr,
+    ) -> Host {
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+        let registry = Registry::new();
+        let settings = Settings {
+            name: Arc::from(name),
+            incarnation,
+            service: Arc::from(SERVICE),
+            failure_domain: Arc::from("a"),
+            listen: address,
+            platform,
+            security: None,
+        };
+        let registered = registry.clone();
+        let (_, shutdown) = shutdown::manual();
+        let started = runtime.spawn(async move {
+            Fleet::start(settings, timer::Timer::start(), &registered, shutdown).await
+        });
+        let fleet = started.await.unwrap().unwrap();
+        Host { fleet, registry, address, name: Arc::from(name), runtime: Some(runtime) }
+    }
+
+    /// Ends the member at once; its sockets close.
+    pub(crate) fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Stops the member as a whole for a while; its sockets stay open.
+    pub(crate) fn stop(&self, length: Duration) {
+        if let Some(runtime) = &self.runtime {
+            runtime.spawn(async move { std::thread::sleep(length) });
+        }
+    }
+
+    pub(crate) fn page(&self, path: &str) -> Value {
+        self.fleet.pages(path).unwrap_or_default()
+    }
+
+    pub(crate) fn is_current(&self) -> bool {
+        self.page("/v1/members")["current"] == json!(true)
+    }
+
+    /// The share of every rate, as `1/N`.
+    pub(crate) fn share(&self) -> String {
+        self.page("/v1/members")["share"].as_str().unwrap_or_default().to_owned()
+    }
+
+    pub(crate) fn accepts(&self, key: &str) -> bool {
+        let snapshot = self.fleet.snapshot();
+        snapshot.trusted && snapshot.organisation_of(key).is_some()
+    }
+
+    /// Value of a counter with a label, or of all its labels together.
+    pub(crate) fn count(&self, name: &str, label: Option<&str>) -> f64 {
+        let families = self.registry.gather();
+        let named = families.iter().filter(|family| family.name() == name);
+        let metrics = named.flat_map(|family| family.get_metric());
+        let labelled = metrics.filter(|metric| {
+            label.is_none_or(|label| metric.get_label().iter().any(|pair| pair.value() == label))
+        });
+        labelled.map(|metric| metric.get_counter().get_value()).sum()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The stand-in object interface and a client of it, as an operator uses it.
+pub(crate) struct Platform {
+    pub(crate) address: SocketAddr,
+    pub(crate) client: Client,
+}
+
+impl Platform {
+    pub(crate) async fn start() -> Platform {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(platform::serve(listener, platform::Settings::default()));
+        Platform { address, client: Client::new(address, client::Settings::default(), None) }
+    }
+
+    pub(crate) async fn faults(&self, faults: Value) {
+        let request = http::request("POST", "/control/faults", Bytes::from(faults.to_string()));
+        let answer = http::call(self.address, request.unwrap(), PATIENCE, 1 << 20).await.unwrap();
+        assert_eq!(answer.status(), 200);
+    }
+
+    pub(crate) async fn counts(&self) -> Value {
+        let request = http::request("GET", "/control/counts", Bytes::new()).unwrap();
+        let answer = http::call(self.address, request, PATIENCE, 1 << 20).await.unwrap();
+        serde_json::from_slice(answer.body()).unwrap()
+    }
+
+    /// Writes the service's document over whatever stands there.
+    pub(crate) async fn write(&self, document: &Value) -> u64 {
+        let version = match self.client.read("documents", SERVICE).await {
+            Ok(object) => object.version,
+            Err(Error::Missing) => 0,
+            Err(error) => panic!("{error}"),
+        };
+        self.client.replace("documents", SERVICE, version, document).await.unwrap()
+    }
+
+    pub(crate) async fn read(&self, kind: &str) -> Value {
+        let object = self.client.read(kind, SERVICE).await;
+        object.ok().and_then(|object| object.value).unwrap_or_default()
+    }
+}
+
+/// A document with one organisation `acme` and these keys.
+pub(crate) fn document(keys: &[&str], rate: u64, burst: u64) -> Value {
+    let key = |key: &&str| json!({ "id": key, "hash": Hash::of(SALT, key).to_hex() });
+    json!({
+        "service": SERVICE,
+        "key_salt": SALT,
+        "organisations": [{
+            "name": "acme",
+            "keys": keys.iter().map(key).collect::<Vec<_>>(),
+            "rate_tokens_per_s": rate,
+            "burst_tokens": burst,
+        }],
+        "pools": [{
+            "name": "app",
+            "kind": "plain",
+            "servers": [{
+                "name": "app-1",
+                "side": "127.0.0.1:9001",
+                "address": "127.0.0.1:9002",
+                "host": "h1",
+                "failure_domain": "a",
+                "role": "plain",
+                "slots": 4,
+            }],
+        }],
+        "routes": [{
+            "name": "stock",
+            "method": "GET",
+            "path": "/stock",
+            "api": "plain",
+            "pool": "app",
+            "deadline_ms": 1000,
+        }],
+    })
+}
+
+/// Waits until something holds.
+pub(crate) async fn until(what: &str, holds: impl Fn() -> bool) {
+    within(PATIENCE, what, holds).await;
+}
+
+/// Waits until something holds, within a bound that is promised.
+pub(crate) async fn within(bound: Duration, what: &str, holds: impl Fn() -> bool) {
+    let waited = tokio::time::timeout(bound, async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+    assert!(waited.await.is_ok(), "not within {bound:?}: {what}");
+}
