Whole exchanges over real sockets, with fakes of side processes

Cause: the request path had not run. A repeat of a running request says 'unknown', since the first may land.

--- a/crates/entry/src/metric/mod.rs
+++ b/crates/entry/src/metric/mod.rs
@@ -32,6 +32,8 @@
     pub prefill_tokens: IntCounter,
     /// Prompt tokens prefilled of which no answer came.
     pub prefill_tokens_wasted: IntCounter,
+    /// Side processes that can be reached.
+    pub links: IntGauge,
     /// Connections of callers.
     pub connections: IntGauge,
     /// Requests in progress.
@@ -65,6 +67,7 @@
                 "prefill_tokens_wasted",
                 "Prompt tokens prefilled without an answer",
             )?,
+            links: gauge(registry, "links", "Side processes that can be reached")?,
             connections: gauge(registry, "connections", "Connections of callers")?,
             in_progress: gauge(registry, "in_progress", "Requests in progress")?,
             first_token: histogram(registry, "first_token", "Time to first token", BUCKETS_S)?,
--- a/crates/entry/src/request/claim.rs
+++ b/crates/entry/src/request/claim.rs
@@ -93,7 +93,8 @@
         Outcome::Ended(End::NotRun) => Err(unavailable()),
         Outcome::Running => {
             let message = "a request with this idempotency key runs";
-            Err(Refusal::new(Code::StillRunning, message).retry_after(RUNNING_RETRY_MS))
+            let refusal = Refusal::new(Code::StillRunning, message).ran(Ran::Unknown);
+            Err(refusal.retry_after(RUNNING_RETRY_MS))
         }
         Outcome::Ended(End::Unknown) | Outcome::Unknown => {
             let message = "it is not known whether the request ran; it is not run again";
--- a/crates/entry/src/scheduler/servers.rs
+++ b/crates/entry/src/scheduler/servers.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Side processes that can be reached.
+    pub(super) fn reached(&self) -> usize {
+        let reached = |key: &Key| self.table.get(*key).is_some_and(|server| server.connected);
+        self.links.keys().filter(|key| reached(key)).count()
+    }
+
     /// The servers, as operators see them.
     pub(super) fn views(&self, now: Instant) -> Vec<View> {
         let mut views: Vec<View> = self.table.values().map(|server| view(server, now)).collect();
--- a/crates/entry/src/scheduler/state.rs
+++ b/crates/entry/src/scheduler/state.rs
@@ -167,6 +167,8 @@
             }
         }
         self.dispatch_all();
+        let reached = i64::try_from(self.servers.reached()).unwrap_or(i64::MAX);
+        self.arguments.metrics.links.set(reached);
         if tick.now.since(self.shown) >= SHOW_EVERY {
             self.shown = tick.now;
             self.arguments.servers.send_replace(self.servers.views(tick.now));
--- /dev/null
+++ b/crates/entry/tests/entry/faults.rs
@@ -0,0 +1,326 @@
+//! Broken, silent and crossed connections: whole answers, never twice, and `ran` that is true.
+
+use crate::fixture::caller::{Caller, Got, call, completion, request};
+use crate::fixture::document::document;
+use crate::fixture::side::{self, Side};
+use crate::fixture::{Entry, eventually};
+use chestnutrack_wire::frame::{Cause, Failure, Load, Ran};
+use chestnutrack_wire::{Attempt, Frame, Request};
+use expect_test::expect;
+
+/// A stream that has begun: its caller, its decode server, and how the server names it.
+struct Begun {
+    entry: Entry,
+    caller: Caller,
+    decode: Side,
+    request: Request,
+    attempt: Attempt,
+    _prefill: Side,
+}
+
+/// Starts a streamed completion of which the caller has seen the first token, `fresh `.
+async fn begin() -> Begun {
+    let prefill = Side::start(side::engine(&[])).await;
+    let decode = Side::start(side::engine_without_answer).await;
+    let entry = Entry::start(&document(&[prefill.address], &[decode.address], &[])).await;
+    let mut caller = Caller::connect(entry.address).await;
+    caller.send(&completion("today", true)).await;
+    let order = decode.saw("decode", |frame| matches!(frame, Frame::Decode(..))).await;
+    let (request, attempt) = side::id(&order);
+    decode.send(&side::tokens(request, attempt, 0, &["fresh "]));
+    Begun { entry, caller, decode, request, attempt, _prefill: prefill }
+}
+
+/// The text of a streamed answer.
+fn text_of(got: &Got) -> String {
+    let events = got.body.lines().filter_map(|line| line.strip_prefix("data: {"));
+    let values = events.map(|rest| format!("{{{rest}"));
+    let values = values.filter_map(|text| serde_json::from_str::<serde_json::Value>(&text).ok());
+    values.filter_map(|value| value["choices"][0]["text"].as_str().map(str::to_owned)).collect()
+}
+
+fn is_done(got: &Got) -> bool {
+    got.body.ends_with("data: [DONE]\n\n")
+}
+
+#[tokio::test]
+async fn an_answer_goes_on_at_its_offset_after_a_cut() {
+    let Begun { mut caller, decode, request, attempt, entry, .. } = begin().await;
+    eventually("the first token went through", || {
+        entry.app.metrics.first_token.get_sample_count() == 1
+    })
+    .await;
+
+    decode.cut();
+    decode.saw("resume", |frame| matches!(frame, Frame::Resume(..))).await;
+    decode.send(&side::tokens(request, attempt, 1, &["apple ", "pie"]));
+    decode.send(&side::end(request, attempt, 3));
+    let got = caller.read().await;
+
+    assert_eq!(text_of(&got), "fresh apple pie");
+    assert!(is_done(&got));
+    expect![[r#"
+        reserve #1 for shop kv=10 output=8
+        decode #1 kv=2 output=8
+        resume #1 at 1
+    "#]]
+    .assert_eq(&decode.transcript());
+}
+
+#[tokio::test]
+async fn an_answer_goes_on_when_its_connection_is_silent_for_good() {
+    let Begun { mut caller, decode, request, attempt, entry, .. } = begin().await;
+    eventually("the first token went through", || {
+        entry.app.metrics.first_token.get_sample_count() == 1
+    })
+    .await;
+
+    decode.silence();
+    decode.saw("resume", |frame| matches!(frame, Frame::Resume(..))).await;
+    decode.send_on(0, &side::tokens(request, attempt, 1, &["late"]));
+    decode.send(&side::tokens(request, attempt, 1, &["pie"]));
+    decode.send(&side::end(request, attempt, 2));
+    let got = caller.read().await;
+
+    assert_eq!(text_of(&got), "fresh pie");
+    assert!(is_done(&got));
+    assert_eq!(entry.app.metrics.connections_silent.get(), 1);
+}
+
+#[tokio::test]
+async fn late_duplicated_and_crossed_frames_are_dropped() {
+    let Begun { mut caller, decode, request, attempt, entry, .. } = begin().await;
+    let (other, old) = (Request(request.0 ^ 1), Attempt(attempt.0 + 1));
+
+    decode.send(&side::tokens(request, attempt, 0, &["fresh "]));
+    decode.send(&side::tokens(other, attempt, 1, &["crossed"]));
+    decode.send(&side::tokens(request, old, 1, &["old"]));
+    decode.send(&side::tokens(request, attempt, 0, &["fresh ", "pie"]));
+    decode.send(&side::end(other, attempt, 2));
+    decode.send(&side::end(request, attempt, 2));
+    decode.send(&side::tokens(request, attempt, 2, &["late"]));
+    let got = caller.read().await;
+
+    assert_eq!(text_of(&got), "fresh pie");
+    assert!(is_done(&got));
+    eventually("dropped frames are counted", || entry.app.metrics.frames_dropped.get() == 5).await;
+}
+
+#[tokio::test]
+async fn a_gap_is_asked_for_again() {
+    let Begun { mut caller, decode, request, attempt, .. } = begin().await;
+
+    decode.send(&side::tokens(request, attempt, 2, &["pie"]));
+    decode.saw("resume", |frame| matches!(frame, Frame::Resume(_, _, 1))).await;
+    decode.send(&side::tokens(request, attempt, 1, &["apple ", "pie"]));
+    decode.send(&side::end(request, attempt, 3));
+    let got = caller.read().await;
+
+    assert_eq!(text_of(&got), "fresh apple pie");
+}
+
+#[tokio::test]
+async fn an_end_that_does_not_fit_never_makes_an_answer_whole() {
+    let Begun { mut caller, decode, request, attempt, .. } = begin().await;
+
+    decode.send(&side::end(request, attempt, 9));
+    decode.saw("resume", |frame| matches!(frame, Frame::Resume(_, _, 1))).await;
+    decode.send(&side::end(request, attempt, 0));
+    let got = caller.read().await;
+
+    assert!(!is_done(&got));
+    assert!(got.body.contains(r#""ran":"ran""#), "{}", got.body);
+    decode.saw("cancel", |frame| matches!(frame, Frame::Cancel(..))).await;
+}
+
+#[tokio::test]
+async fn a_stream_that_cannot_be_resumed_ends_with_an_error() {
+    let Begun { mut caller, decode, .. } = begin().await;
+    caller.read_until("fresh").await;
+
+    decode.refuse_connections();
+    decode.cut();
+    let rest = caller.read_until("backend_failed").await;
+
+    assert!(!rest.contains("[DONE]"));
+}
+
+#[tokio::test]
+async fn a_whole_answer_that_fails_says_that_it_may_have_run() {
+    let prefill = Side::start(side::engine(&[])).await;
+    let decode = Side::start(|frame: &Frame| match frame {
+        Frame::Decode(request, attempt, _) => vec![
+            side::tokens(*request, *attempt, 0, &["fresh "]),
+            failed(*request, *attempt, Ran::Ran, Cause::Backend),
+        ],
+        other => side::engine_without_answer(other),
+    })
+    .await;
+    let entry = Entry::start(&document(&[prefill.address], &[decode.address], &[])).await;
+
+    let got = call(entry.address, &completion("today", false)).await;
+
+    expect![[r#"
+        HTTP/1.1 502 Bad Gateway
+        content-type: application/json
+        x-chestnutrack-ran: ran
+        content-length: 85
+
+        {"error":{"code":"backend_failed","message":"the backend server failed","ran":"ran"}}
+    "#]]
+    .assert_eq(&got.text());
+}
+
+fn failed(request: Request, attempt: Attempt, ran: Ran, cause: Cause) -> Frame {
+    Frame::Failed(request, attempt, Failure { ran, cause, retry_after_ms: 0 }, Load::default())
+}
+
+#[tokio::test]
+async fn a_full_server_is_left_for_another() {
+    let prefill = Side::start(side::engine(&[])).await;
+    let full = Side::start(|frame: &Frame| match frame {
+        Frame::Reserve(request, attempt, _) => {
+            vec![failed(*request, *attempt, Ran::NotRun, Cause::Full)]
+        }
+        _ => Vec::new(),
+    })
+    .await;
+    let free = Side::start(side::engine(&["pie"])).await;
+    let sides = [full.address, free.address];
+    let entry = Entry::start(&document(&[prefill.address], &sides, &[])).await;
+
+    let answers = [
+        call(entry.address, &completion("one", false)).await,
+        call(entry.address, &completion("two", false)).await,
+        call(entry.address, &completion("three", false)).await,
+    ];
+
+    assert!(answers.iter().all(|got| got.status() == 200));
+}
+
+#[tokio::test]
+async fn a_lost_prefill_is_tried_again_elsewhere_and_the_old_hold_is_freed() {
+    let failing = Side::start(|frame: &Frame| match frame {
+        Frame::Prefill(request, attempt, _) => {
+            vec![failed(*request, *attempt, Ran::Unknown, Cause::Backend)]
+        }
+        _ => Vec::new(),
+    })
+    .await;
+    let working = Side::start(side::engine(&[])).await;
+    let decode = Side::start(side::engine(&["pie"])).await;
+    let sides = [failing.address, working.address];
+    let entry = Entry::start(&document(&sides, &[decode.address], &[])).await;
+
+    let mut retried = false;
+    for _ in 0..20 {
+        let got = call(entry.address, &completion("today", false)).await;
+        assert_eq!(got.status(), 200);
+        retried |= entry.app.metrics.retries.get() > 0;
+    }
+
+    assert!(retried, "no request met the failing server");
+    decode.saw("cancel", |frame| matches!(frame, Frame::Cancel(_, Attempt(1)))).await;
+}
+
+#[tokio::test]
+async fn a_generation_that_may_have_begun_is_not_run_again() {
+    let prefill = Side::start(side::engine(&[])).await;
+    let decode = Side::start(|frame: &Frame| match frame {
+        Frame::Decode(request, attempt, _) => {
+            vec![failed(*request, *attempt, Ran::Unknown, Cause::Backend)]
+        }
+        other => side::engine_without_answer(other),
+    })
+    .await;
+    let entry = Entry::start(&document(&[prefill.address], &[decode.address], &[])).await;
+
+    let got = call(entry.address, &completion("today", false)).await;
+
+    assert_eq!(got.status(), 502);
+    assert_eq!(got.header("x-chestnutrack-ran"), Some("unknown"));
+    assert!(!decode.transcript().contains("#2"));
+}
+
+#[tokio::test]
+async fn a_call_that_may_have_landed_is_never_repeated() {
+    let plain = Side::start(|_: &Frame| Vec::new()).await;
+    let entry = Entry::start(&document(&[], &[], &[plain.address])).await;
+    let mut caller = Caller::connect(entry.address).await;
+    caller.send(&request("POST", "/deposits", &[], "5 euros")).await;
+    plain.saw("forward", |frame| matches!(frame, Frame::Forward(..))).await;
+
+    plain.refuse_connections();
+    plain.cut();
+    let got = caller.read().await;
+
+    expect![[r#"
+        HTTP/1.1 502 Bad Gateway
+        content-type: application/json
+        x-chestnutrack-ran: unknown
+        content-length: 91
+
+        {"error":{"code":"backend_failed","message":"the server can't be reached","ran":"unknown"}}
+    "#]]
+    .assert_eq(&got.text());
+    let forwards = plain.seen().iter().filter(|frame| matches!(frame, Frame::Forward(..))).count();
+    assert_eq!(forwards, 1);
+}
+
+#[tokio::test]
+async fn a_call_that_was_refused_before_it_ran_is_not_run() {
+    let plain = Side::start(|frame: &Frame| match frame {
+        Frame::Forward(request, attempt, _) => {
+            vec![failed(*request, *attempt, Ran::NotRun, Cause::Leaving)]
+        }
+        _ => Vec::new(),
+    })
+    .await;
+    let entry = Entry::start(&document(&[], &[], &[plain.address])).await;
+
+    let got = call(entry.address, &request("POST", "/deposits", &[], "5 euros")).await;
+
+    assert_eq!(got.header("x-chestnutrack-ran"), Some("not-run"));
+    eventually("all tokens are handed back", || entry.debited("shop") == 0).await;
+}
+
+#[tokio::test]
+async fn a_truncated_plain_answer_breaks_the_connection() {
+    let plain = Side::start(|frame: &Frame| match frame {
+        Frame::Forward(request, attempt, _) => vec![
+            Frame::Head(*request, *attempt, 200, Vec::new()),
+            Frame::Body(*request, *attempt, 0, b"half".to_vec()),
+            failed(*request, *attempt, Ran::Ran, Cause::Backend),
+        ],
+        _ => Vec::new(),
+    })
+    .await;
+    let entry = Entry::start(&document(&[], &[], &[plain.address])).await;
+
+    let got = call(entry.address, &request("GET", "/stock/pies", &[], "")).await;
+
+    assert!(!got.is_whole, "{got:?}");
+}
+
+#[tokio::test]
+async fn an_order_that_did_not_arrive_is_sent_again_not_run_again() {
+    let Begun { caller: _caller, decode, request, attempt, .. } = begin_unanswered().await;
+
+    decode.cut();
+    decode.saw("resume", |frame| matches!(frame, Frame::Resume(..))).await;
+    decode.send(&side::reserved(request, attempt));
+
+    eventually("decode again", || decode.transcript().matches("decode #1").count() == 2).await;
+}
+
+/// Starts a streamed completion whose decode server has said nothing yet.
+async fn begin_unanswered() -> Begun {
+    let prefill = Side::start(side::engine(&[])).await;
+    let decode = Side::start(side::engine_without_answer).await;
+    let entry = Entry::start(&document(&[prefill.address], &[decode.address], &[])).await;
+    let mut caller = Caller::connect(entry.address).await;
+    caller.send(&completion("today", true)).await;
+    let order = decode.saw("decode", |frame| matches!(frame, Frame::Decode(..))).await;
+    let (request, attempt) = side::id(&order);
+    Begun { entry, caller, decode, request, attempt, _prefill: prefill }
+}
