Command line: check, key, status, servers, usage, explain, report

Cause: operators need to check a document before it is submitted and to see what is in force; the command line only reads. Pages of several entry hosts are asked at once, and what can be reached is shown beside what can't (exit code 3). Ruled out: a submit subcommand, since operators drive the system by editing the document alone. Seen: 21 tests with golden output pass; entry hosts' pages are stand-ins in these tests.

--- /dev/null
+++ b/crates/cli/src/cmd/explain.rs
@@ -0,0 +1,75 @@
+//! `explain`: why a request was placed or refused where it was.
+
+use crate::output::{FINDING, Output, USAGE};
+use crate::page::{self, Page};
+use crate::source;
+use crate::table::Table;
+use argh::FromArgs;
+use serde::Deserialize;
+
+/// Digits of a request's identifier.
+const ID_DIGITS: usize = 32;
+
+/// Show why a request was placed or refused where it was; recent requests only.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub(super) struct Explain {
+    /// the request's identifier, from the answer's x-chestnutrack-request header
+    #[argh(positional)]
+    id: String,
+    /// admin port of an entry host; may be given several times
+    #[argh(option)]
+    entry: Vec<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// What an entry host has on record.
+#[derive(Deserialize)]
+struct Record {
+    route: Option<String>,
+    organisation: Option<String>,
+    steps: Vec<Step>,
+}
+
+#[derive(Deserialize)]
+struct Step {
+    at_us: u64,
+    what: String,
+    server: Option<String>,
+    why: Option<String>,
+}
+
+impl Explain {
+    pub(super) async fn run(self) -> Result<Output, Output> {
+        if self.id.len() != ID_DIGITS || !self.id.chars().all(|c| c.is_ascii_hexdigit()) {
+            let message = format!("`{}` is not a request's identifier: 32 hex digits", self.id);
+            return Err(Output::error(USAGE, message));
+        }
+        let entries = source::entries(&self.entry).map_err(super::wrong_settings)?;
+        let pages = page::fetch(&entries, &format!("/v1/explain?id={}", self.id)).await;
+        let found = pages.iter().find_map(|page| Some((page, page.read::<Record>()?)));
+        let Some((page, record)) = found else {
+            let message = format!("request {} is not among the recent ones of any host", self.id);
+            return Ok(page::note_missing(Output::error(FINDING, message), &pages));
+        };
+        Ok(if self.json { Output::json(page) } else { Output::ok(text(&self.id, page, &record)) })
+    }
+}
+
+fn text(id: &str, page: &Page, record: &Record) -> String {
+    let known = |name: &Option<String>| name.clone().unwrap_or_else(|| "-".to_owned());
+    let (route, organisation) = (known(&record.route), known(&record.organisation));
+    let mut table = Table::new(&["ms", "what", "server", "why"]);
+    for step in &record.steps {
+        table.row(vec![
+            format!("{}.{:03}", step.at_us / 1_000, step.at_us % 1_000),
+            step.what.clone(),
+            step.server.clone().unwrap_or_default(),
+            step.why.clone().unwrap_or_default(),
+        ]);
+    }
+    let head = format!("request {id} on {} route {route} for {organisation}\n", page.entry);
+    head + &table.text()
+}
--- /dev/null
+++ b/crates/cli/src/cmd/key.rs
@@ -0,0 +1,120 @@
+//! `key`: callers' keys, their hashes and the salt.
+
+use super::check;
+use crate::output::{FINDING, Output, USAGE};
+use argh::FromArgs;
+use chestnutrack_document::key::Hash;
+use chestnutrack_document::model::Document;
+use serde_json::json;
+use std::io::Read;
+
+/// Bytes of a fresh key or salt.
+const FRESH_BYTES: usize = 32;
+/// Start of a fresh key, by which scanners for leaked secrets find it.
+const KEY_PREFIX: &str = "ctk_";
+
+/// Make a caller's key, or hash one for the document.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "key")]
+pub(super) struct Key {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    New(New),
+    Hash(HashKey),
+    Salt(Salt),
+}
+
+/// Make a fresh key; only its hash goes into the document.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "new")]
+struct New {
+    /// the document's key_salt
+    #[argh(option)]
+    salt: Option<String>,
+    /// a document to take the salt from
+    #[argh(option)]
+    document: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Hash a key that is read from standard input, so that it stands in no list of processes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hash")]
+struct HashKey {
+    /// the document's key_salt
+    #[argh(option)]
+    salt: Option<String>,
+    /// a document to take the salt from
+    #[argh(option)]
+    document: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Make a fresh salt for a new document.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "salt")]
+struct Salt {}
+
+impl Key {
+    pub(super) fn run(self) -> Result<Output, Output> {
+        match self.command {
+            Command::New(new) => {
+                let salt = salt(new.salt, new.document.as_deref())?;
+                let key = format!("{KEY_PREFIX}{}", fresh());
+                let hash = Hash::of(&salt, &key).to_hex();
+                Ok(match new.json {
+                    true => Output::json(&json!({ "key": key, "hash": hash })),
+                    false => Output::ok(format!("key   {key}\nhash  {hash}\n")),
+                })
+            }
+            Command::Hash(hash) => {
+                let salt = salt(hash.salt, hash.document.as_deref())?;
+                let key = read_key()?;
+                let value = Hash::of(&salt, &key).to_hex();
+                Ok(match hash.json {
+                    true => Output::json(&json!({ "hash": value })),
+                    false => Output::ok(format!("{value}\n")),
+                })
+            }
+            Command::Salt(Salt {}) => Ok(Output::ok(format!("{}\n", fresh()))),
+        }
+    }
+}
+
+fn fresh() -> String {
+    hex::encode(rand::random::<[u8; FRESH_BYTES]>())
+}
+
+fn salt(salt: Option<String>, document: Option<&str>) -> Result<String, Output> {
+    match (salt, document) {
+        (Some(salt), None) => Ok(salt),
+        (None, Some(file)) => {
+            let document: Document = serde_json::from_slice(&check::read(file)?)
+                .map_err(|error| Output::error(FINDING, format!("{file}: {error}")))?;
+            Ok(document.key_salt.to_string())
+        }
+        _ => {
+            Err(Output::error(USAGE, "give one of --salt and --document; keys are hashed under it"))
+        }
+    }
+}
+
+fn read_key() -> Result<String, Output> {
+    let mut text = String::new();
+    let read = std::io::stdin().read_to_string(&mut text);
+    read.map_err(|error| Output::error(USAGE, format!("standard input: {error}")))?;
+    let key = text.trim();
+    if key.is_empty() {
+        return Err(Output::error(USAGE, "standard input holds no key"));
+    }
+    Ok(key.to_owned())
+}
--- /dev/null
+++ b/crates/cli/src/cmd/report.rs
@@ -0,0 +1,118 @@
+//! `report`: the service-level burn.
+
+use super::check::unreachable;
+use crate::output::{FINDING, Output, USAGE};
+use crate::plot;
+use crate::source;
+use crate::table::Table;
+use argh::FromArgs;
+use chestnutrack_burn::ledger::Read;
+use chestnutrack_burn::report::{Burn, Row};
+use chestnutrack_burn::{KIND, Report as Burned};
+use chestnutrack_document::Document;
+use chestnutrack_platform::client::{Client, Settings};
+use chestnutrack_platform::error::Error;
+use chestnutrack_platform::object::Object;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Show how fast a service spends its error budget, by organisation and route.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+pub(super) struct Report {
+    /// name of the service
+    #[argh(option)]
+    service: Option<String>,
+    /// address of the object interface
+    #[argh(option)]
+    platform: Option<String>,
+    /// also write a plot of the burn by hour to this SVG file
+    #[argh(option)]
+    svg: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl Report {
+    pub(super) async fn run(self) -> Result<Output, Output> {
+        let given = source::object(self.platform.as_deref(), self.service.as_deref());
+        let (platform, service) = given.map_err(super::wrong_settings)?;
+        let report = read(platform, &service).await?;
+        if let Some(file) = &self.svg {
+            let svg = plot::burn(&report);
+            std::fs::write(file, svg)
+                .map_err(|error| Output::error(USAGE, format!("--svg {file}: {error}")))?;
+        }
+        Ok(if self.json { Output::json(&report) } else { Output::ok(text(&report)) })
+    }
+}
+
+async fn read(platform: SocketAddr, service: &str) -> Result<Burned, Output> {
+    let client = Client::new(platform, Settings::default(), None);
+    let failed = |error: Error| unreachable(platform, &error);
+    let accepted = match client.read("accepted", service).await {
+        Ok(object) => object.value.unwrap_or_default(),
+        Err(Error::Missing) => {
+            let message = format!("service `{service}` has no accepted document");
+            return Err(Output::error(FINDING, message));
+        }
+        Err(error) => return Err(failed(error)),
+    };
+    let document = serde_json::from_value::<Document>(accepted["document"].clone());
+    let document = document.map_err(|error| {
+        Output::error(FINDING, format!("accepted document of `{service}`: {error}"))
+    })?;
+    let list = client.list(KIND).await.map_err(failed)?;
+    let objects: Vec<Read> = list.objects.into_iter().filter_map(object).collect();
+    Ok(Burned::of(service, document.targets.objective_per_mille, &objects))
+}
+
+fn object(object: Object) -> Option<Read> {
+    let age = Duration::from_millis(object.age_ms);
+    Some(Read { version: object.version, age, value: object.value? })
+}
+
+fn text(report: &Burned) -> String {
+    let objective = f64::from(report.objective_per_mille) / 10.0;
+    let newest = report.newest_s.map_or("none".to_owned(), |age| format!("{age} s old"));
+    let head = format!(
+        "{}: objective {objective}%, {} hosts counted, newest figures {newest}\n",
+        report.service, report.hosts
+    );
+    let mut table = Table::new(&[
+        "organisation",
+        "route",
+        "budget left",
+        "burn 5m",
+        "1h",
+        "6h",
+        "3d",
+        "requests 3d",
+        "slow",
+        "failed",
+        "refused",
+        "over rate",
+    ]);
+    for row in std::iter::once(&report.whole).chain(&report.rows) {
+        table.row(cells(row));
+    }
+    head + &table.text()
+}
+
+fn cells(row: &Row) -> Vec<String> {
+    let name =
+        |name: &str, whole: &str| if name.is_empty() { whole.to_owned() } else { name.into() };
+    let (organisation, route) = match row.route.is_empty() {
+        true => ("all".to_owned(), "all".to_owned()),
+        false => (name(&row.organisation, "open"), row.route.to_string()),
+    };
+    let left = row.budget_left.map(|left| format!("{:.1}%", left * 100.0)).unwrap_or_default();
+    let rate = |burn: &Burn| burn.burn_rate.map(|rate| format!("{rate:.2}")).unwrap_or_default();
+    let mut cells = vec![organisation, route, left];
+    cells.extend(row.windows.iter().map(rate));
+    let counts = row.windows.last().map(|burn| burn.counts).unwrap_or_default();
+    let numbers = [counts.eligible(), counts.slow, counts.failed, counts.refused, counts.over_rate];
+    cells.extend(numbers.map(|number| number.to_string()));
+    cells
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,9 @@
-//! The operators' command line.
+//! The operators' command line. It only reads: a service is driven by editing its document.
+
+pub mod cmd;
+pub mod diff;
+pub mod output;
+pub mod page;
+pub mod plot;
+pub mod source;
+pub mod table;
--- /dev/null
+++ b/crates/cli/src/plot.rs
@@ -0,0 +1,63 @@
+//! Plots as SVG.
+
+use chestnutrack_burn::Report;
+use chestnutrack_burn::report::Row;
+use plotters::prelude::*;
+
+/// Size of a plot, in pixels.
+const SIZE: (u32, u32) = (960, 480);
+/// Most lines in a plot, the whole service's apart.
+const LINES_MAX: usize = 6;
+/// Hours shown.
+const HOURS: i64 = 72;
+/// Lowest top of the vertical axis: the rate that spends the budget exactly shows.
+const TOP_MIN: f64 = 1.5;
+
+/// Burn rate by hour: the service as a whole and its worst organisations and routes.
+pub fn burn(report: &Report) -> String {
+    let mut svg = String::new();
+    if let Err(error) = draw(report, &mut svg) {
+        // Drawing into a string fails only on a fault of the plot itself.
+        return format!("<!-- {error} -->");
+    }
+    svg
+}
+
+fn draw(report: &Report, svg: &mut String) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::with_string(svg, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let rows: Vec<&Row> =
+        std::iter::once(&report.whole).chain(report.rows.iter().take(LINES_MAX)).collect();
+    let rates = rows.iter().flat_map(|row| row.hours.iter().map(|hour| hour.burn_rate));
+    let top = rates.fold(TOP_MIN, f64::max) * 1.05;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(format!("{}: burn rate by hour", report.service), ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(48)
+        .build_cartesian_2d(-HOURS..0_i64, 0.0..top)?;
+    chart.configure_mesh().x_desc("hours from now").y_desc("burn rate").draw()?;
+    chart.draw_series(LineSeries::new([(-HOURS, 1.0), (0, 1.0)], BLACK.mix(0.4)))?;
+    for (index, row) in rows.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let points = row
+            .hours
+            .iter()
+            .map(|hour| (-i64::try_from(hour.back).unwrap_or(HOURS).min(HOURS), hour.burn_rate));
+        let points: Vec<(i64, f64)> = points.collect();
+        chart
+            .draw_series(LineSeries::new(points, color.stroke_width(2)).point_size(2))?
+            .label(label(row))
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+    root.present()?;
+    Ok(())
+}
+
+fn label(row: &Row) -> String {
+    if row.route.is_empty() {
+        return "whole service".to_owned();
+    }
+    format!("{} {}", row.organisation, row.route)
+}
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,6 @@
+//! The subcommands, on pages and objects served on loopback.
+
+mod check;
+mod common;
+mod pages;
+mod report;
