--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -2,20 +2,21 @@
 
 use crate::app::App;
 use crate::scheduler::View;
+use chestnutrack_fleet::Fleet;
 use chestnutrack_process::admin::Pages;
 use chestnutrack_wire::Request;
 use serde_json::{Value, json};
 use std::sync::Arc;
 use tokio::sync::watch;
 
-/// `/v1/explain?id=…`, `/v1/servers`, `/v1/configuration`, `/v1/usage`.
-pub fn pages(app: Arc<App>, servers: watch::Receiver<Vec<View>>) -> Pages {
+/// `/v1/explain?id=…`, `/v1/servers`, `/v1/configuration`, `/v1/usage`, and those of the fleet.
+pub fn pages(app: Arc<App>, servers: watch::Receiver<Vec<View>>, fleet: Fleet) -> Pages {
     Arc::new(move |path, query| match path {
         "/v1/explain" => Some(explain(&app, query)),
         "/v1/servers" => Some(json!({ "servers": *servers.borrow() })),
         "/v1/configuration" => Some(configuration(&app)),
         "/v1/usage" => Some(json!({ "usage": app.ledger.lines() })),
-        _ => None,
+        other => fleet.pages(other),
     })
 }
 
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -150,7 +150,7 @@
         seed: rand::random(),
     };
     let path = start(parts, &registry).await?;
-    let pages = admin::pages(path.app.clone(), path.servers);
+    let pages = admin::pages(path.app.clone(), path.servers, fleet.clone());
     tokio::spawn(chestnutrack_process::admin::serve(operators, registry, ready.clone(), pages));
     tokio::spawn(keep_ready(ready, fleet.clone(), timer, shutdown.clone()));
     tracing::info!(name = %settings.name, listen = %settings.listen, "serving");
--- a/crates/entry/src/request/admit.rs
+++ b/crates/entry/src/request/admit.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use chestnutrack_document::Document;
 use chestnutrack_document::model::Route;
-use chestnutrack_fleet::{Snapshot, claim};
+use chestnutrack_fleet::{Snapshot, claim, limit};
 use chestnutrack_process::http::{self, HEAD_BYTES_MAX};
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
@@ -218,15 +218,25 @@
     let Some(credential) = &admitted.credential else { return Ok(()) };
     let within = time_until(admitted.deadline);
     let debited = (app.authority.debit)(credential.organisation.clone(), tokens, within);
-    exchange.outside(debited).await.map_err(|refused| {
-        let (code, message) = if refused.over_rate {
-            (Code::OverRate, "the organisation is over its rate")
-        } else {
-            (Code::TokensUnavailable, "this host can't get the organisation's tokens in time")
-        };
-        Refusal::new(code, message).retry_after(refused.retry_after_ms)
-    })?;
+    exchange.outside(debited).await.map_err(short_of_tokens)?;
     exchange.note_debit(tokens);
     exchange.note(app, What::Debited, None, None);
     Ok(())
 }
+
+fn short_of_tokens(refused: limit::Refusal) -> Refusal {
+    let refusal = match (refused.cause, refused.over_rate) {
+        (limit::Cause::OverBurst, _) => {
+            Refusal::new(Code::OverBurst, "the request is larger than the organisation's burst")
+        }
+        (_, true) => Refusal::new(Code::OverRate, "the organisation is over its rate"),
+        (_, false) => {
+            let message = "this host can't get the organisation's tokens in time";
+            Refusal::new(Code::TokensUnavailable, message)
+        }
+    };
+    match refused.retry_after_ms {
+        0 => refusal,
+        millis => refusal.retry_after(millis),
+    }
+}
--- a/crates/entry/src/request/refusal.rs
+++ b/crates/entry/src/request/refusal.rs
@@ -36,6 +36,8 @@
     KeyExposed,
     /// The organisation is over its rate.
     OverRate,
+    /// The request is larger than the organisation's burst, so that it can never run.
+    OverBurst,
     /// This host can't get the organisation's tokens in time.
     TokensUnavailable,
     /// The configuration is not confirmed.
@@ -78,6 +80,7 @@
             Code::KeyMoved => ("key_moved", 403),
             Code::KeyExposed => ("key_exposed", 400),
             Code::OverRate => ("over_rate", 429),
+            Code::OverBurst => ("over_burst", 429),
             Code::TokensUnavailable => ("tokens_unavailable", 503),
             Code::ConfigurationUnconfirmed => ("configuration_unconfirmed", 503),
             Code::TooManyWaiting => ("too_many_waiting", 503),
