Load tool: run and compare, experiments for both deployments

Arrivals, prompts and lengths are fixed before the first request is sent; a token bucket at the caller marks which requests are within their organisation's rate. Ruled out: random numbers shared by streams, since a change of one stream would shift the others.

--- a/crates/load/src/call/mod.rs
+++ b/crates/load/src/call/mod.rs
@@ -2,7 +2,7 @@
 
 mod verdict;
 
-pub use verdict::{Verdict, judge};
+pub use verdict::{Verdict, judge, judge_plain};
 
 use chestnutrack_harness::Error;
 use chestnutrack_harness::caller::{self, Answer, Call};
--- a/crates/load/src/call/verdict.rs
+++ b/crates/load/src/call/verdict.rs
@@ -12,6 +12,8 @@
     Refused,
     /// not whole
     Short,
+    /// longer than whole
+    Long,
     /// another request's
     Crossed,
 }
@@ -22,9 +24,23 @@
         return Verdict::Refused;
     }
     let (text, complete) = reply.answer.completion();
-    match (text == expected, expected.starts_with(&text)) {
-        (true, _) if complete => Verdict::Whole,
-        (_, true) => Verdict::Short,
-        (_, false) => Verdict::Crossed,
+    if text == expected && complete {
+        return Verdict::Whole;
+    }
+    if expected.starts_with(&text) {
+        return Verdict::Short;
+    }
+    if text.starts_with(expected) { Verdict::Long } else { Verdict::Crossed }
+}
+
+/// Judges a plain answer: the stand-in service answers with the target that it got.
+pub fn judge_plain(reply: &Reply, target: &str) -> Verdict {
+    if !reply.is_success() {
+        return Verdict::Refused;
+    }
+    match reply.answer.json()["path"].as_str() {
+        Some(path) if path == target => Verdict::Whole,
+        Some(_) => Verdict::Crossed,
+        None => Verdict::Short,
     }
 }
--- a/crates/load/src/cmd/mod.rs
+++ b/crates/load/src/cmd/mod.rs
@@ -1,23 +1,20 @@
 //! The subcommands, one a file.
 
+mod compare;
+mod run;
 mod send;
 
 use argh::FromArgs;
+use chestnutrack_cli::output::{Output, USAGE};
 use std::io::Write;
-use std::process::ExitCode;
-
-/// Exit code when something was found wrong.
-const FINDING: u8 = 1;
-/// Exit code for wrong arguments.
-const USAGE: u8 = 2;
-/// Exit code when a process could not be reached or started.
-const UNREACHABLE: u8 = 3;
 
 /// Sends callers' load to entry hosts, runs experiments on fleets of processes, compares them.
-///
-/// Exit codes: 0 all well, 1 something found wrong, 2 wrong arguments, 3 a process can't be
-/// reached or started.
 #[derive(FromArgs)]
+#[argh(
+    error_code(1, "something was found wrong"),
+    error_code(2, "wrong arguments or a wrong experiment"),
+    error_code(3, "a process can't be reached or started")
+)]
 struct Arguments {
     #[argh(subcommand)]
     command: Command,
@@ -27,54 +24,32 @@
 #[argh(subcommand)]
 enum Command {
     Send(send::Send),
+    Run(run::Run),
+    Compare(compare::Compare),
 }
 
-/// Why a subcommand failed: its exit code and a message.
-struct Failure {
-    code: u8,
-    message: String,
-}
-
-impl Failure {
-    fn new(code: u8, message: impl std::fmt::Display) -> Failure {
-        Failure { code, message: message.to_string() }
-    }
-}
-
-/// Runs the program.
-pub async fn main() -> ExitCode {
-    let arguments = match parse() {
+/// Runs the subcommand that the arguments name.
+pub async fn run(given: &[String]) -> Output {
+    let given: Vec<&str> = given.iter().map(String::as_str).collect();
+    let arguments = match Arguments::from_args(&["chestnutrack-load"], &given) {
         Ok(arguments) => arguments,
-        Err(code) => return code,
+        Err(exit) if exit.status.is_ok() => return Output::ok(exit.output),
+        Err(exit) => return Output::error(USAGE, exit.output.trim_end()),
     };
     let ended = match arguments.command {
         Command::Send(command) => command.run().await,
+        Command::Run(command) => command.run().await,
+        Command::Compare(command) => command.run(),
     };
-    match ended {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(failure) => {
-            say(&format!("error: {}", failure.message));
-            ExitCode::from(failure.code)
-        }
-    }
+    ended.unwrap_or_else(|error| error)
 }
 
-fn parse() -> Result<Arguments, ExitCode> {
-    let given: Vec<String> = std::env::args().skip(1).collect();
-    let given: Vec<&str> = given.iter().map(String::as_str).collect();
-    Arguments::from_args(&["chestnutrack-load"], &given).map_err(|exit| match exit.status {
-        Ok(()) => {
-            println!("{}", exit.output);
-            ExitCode::SUCCESS
-        }
-        Err(()) => {
-            say(exit.output.trim_end());
-            ExitCode::from(USAGE)
-        }
-    })
+/// Writes a line of progress on standard error.
+fn progress(line: &str) {
+    let _ = writeln!(std::io::stderr(), "{line}");
 }
 
-/// Writes a line on standard error.
-fn say(line: &str) {
-    let _ = writeln!(std::io::stderr(), "{line}");
+/// Reads a file.
+fn read(file: &str) -> Result<Vec<u8>, Output> {
+    std::fs::read(file).map_err(|error| Output::error(USAGE, format!("{file}: {error}")))
 }
--- a/crates/load/src/cmd/send.rs
+++ b/crates/load/src/cmd/send.rs
@@ -1,9 +1,11 @@
 //! `send`: sends requests one after the other and prints what came back.
 
-use super::{FINDING, Failure, UNREACHABLE, USAGE};
 use crate::call::{self, Reply, Verdict};
 use argh::FromArgs;
+use chestnutrack_cli::output::{FINDING, Output, UNREACHABLE, USAGE};
 use chestnutrack_harness::caller::{self, Call};
+use chestnutrack_standin::answer;
+use std::fmt::Write;
 use std::net::SocketAddr;
 
 /// Prompt where none is given.
@@ -43,21 +45,24 @@
 }
 
 impl Send {
-    pub(super) async fn run(self) -> Result<(), Failure> {
+    pub(super) async fn run(self) -> Result<Output, Output> {
         if self.entry.is_empty() {
-            return Err(Failure::new(USAGE, "--entry is missing: the address of an entry host"));
+            return Err(Output::error(USAGE, "--entry is missing: the address of an entry host"));
         }
         let call = self.call();
+        let mut output = Output::default();
         let mut wrong = 0;
         for (index, address) in (0..self.count).zip(self.entry.iter().cycle()) {
-            let reply = call::send(*address, &call).await;
-            let reply = reply.map_err(|error| Failure::new(UNREACHABLE, error))?;
-            wrong += u32::from(!self.show(index, &reply));
+            match call::send(*address, &call).await {
+                Ok(reply) => wrong += u32::from(!self.show(index, &reply, &mut output.out)),
+                Err(error) => return Ok(output.with_error(UNREACHABLE, error)),
+            }
         }
         if wrong == 0 {
-            return Ok(());
+            return Ok(output);
         }
-        Err(Failure::new(FINDING, format!("{wrong} of {} answers not as wanted", self.count)))
+        let message = format!("{wrong} of {} answers not as wanted", self.count);
+        Ok(output.with_error(FINDING, message))
     }
 
     fn prompt(&self) -> &str {
@@ -83,27 +88,26 @@
         call
     }
 
-    /// Prints a reply; false where it is not as wanted.
-    fn show(&self, index: u32, reply: &Reply) -> bool {
+    /// Shows a reply; false where it is not as wanted.
+    fn show(&self, index: u32, reply: &Reply, out: &mut String) -> bool {
         let verdict = self.verdict(reply);
-        println!(
-            "{index}: status {} request {} {} first {} ms total {} ms: {verdict}",
+        let _ = writeln!(
+            out,
+            "{index}: status {} request {} {} first {} ms total {} ms: {verdict}\n{}",
             reply.answer.status,
             reply.request(),
             reply.ran(),
             reply.first.as_millis(),
             reply.total.as_millis(),
+            reply.answer.text().trim_end(),
         );
-        println!("{}", reply.answer.text().trim_end());
         verdict == Verdict::Whole
     }
 
     fn verdict(&self, reply: &Reply) -> Verdict {
-        match (&self.model, reply.is_success()) {
-            (_, false) => Verdict::Refused,
-            (None, true) => Verdict::Whole,
-            (Some(_), true) if reply.answer.completion().1 => Verdict::Whole,
-            (Some(_), true) => Verdict::Short,
+        if self.model.is_some() {
+            return call::judge(reply, &answer::whole(self.prompt(), self.tokens));
         }
+        if reply.is_success() { Verdict::Whole } else { Verdict::Refused }
     }
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,3 +5,7 @@
 
 pub mod call;
 pub mod cmd;
+pub mod experiment;
+pub mod measure;
+pub mod report;
+pub mod run;
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -5,5 +5,6 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    cmd::main().await
+    let given: Vec<String> = std::env::args().skip(1).collect();
+    cmd::run(&given).await.write()
 }
--- /dev/null
+++ b/crates/load/src/measure/latency.rs
@@ -0,0 +1,44 @@
+//! Latencies and their percentiles.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Longest time told apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+/// Significant digits.
+const DIGITS: u8 = 3;
+
+/// Percentiles, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Percentiles {
+    /// Times recorded.
+    pub count: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+}
+
+/// A histogram of times.
+pub(super) struct Histogram(hdrhistogram::Histogram<u64>);
+
+impl Default for Histogram {
+    fn default() -> Histogram {
+        let histogram = hdrhistogram::Histogram::new_with_max(LONGEST_US, DIGITS);
+        Histogram(histogram.expect("bounds and digits are constant and allowed"))
+    }
+}
+
+impl Histogram {
+    pub(super) fn record(&mut self, time: Duration) {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(LONGEST_US);
+        self.0.saturating_record(micros);
+    }
+
+    pub(super) fn percentiles(&self) -> Percentiles {
+        let at = |quantile: f64| self.0.value_at_quantile(quantile) as f64 / 1_000.0;
+        Percentiles { count: self.0.len(), p50_ms: at(0.5), p95_ms: at(0.95), p99_ms: at(0.99) }
+    }
+}
--- /dev/null
+++ b/crates/load/src/measure/violation.rs
@@ -0,0 +1,79 @@
+//! What must never be: answers that are not whole or not the caller's, and calls run twice.
+
+use super::route;
+use crate::call::Verdict;
+use crate::run::{Ended, Outcome, Sent};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Counts of violations.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Violations {
+    /// Answers that ended as if whole and were not.
+    pub short: u64,
+    /// Answers longer than whole.
+    pub long: u64,
+    /// Answers to another request.
+    pub crossed: u64,
+    /// Requests that must land once and ran more than once.
+    pub ran_twice: u64,
+    /// Requests refused as not run that ran.
+    pub not_run_ran: u64,
+    /// Repetitions under one idempotency key that got another answer.
+    pub repeat_differs: u64,
+}
+
+impl Violations {
+    /// All of them.
+    pub fn total(&self) -> u64 {
+        let answers = self.short + self.long + self.crossed;
+        answers + self.ran_twice + self.not_run_ran + self.repeat_differs
+    }
+}
+
+pub(super) fn find(outcome: &Outcome) -> Violations {
+    let mut found = Violations::default();
+    for sent in &outcome.sent {
+        match sent.ended {
+            Ended::Answered { verdict: Verdict::Short, .. } => found.short += 1,
+            Ended::Answered { verdict: Verdict::Long, .. } => found.long += 1,
+            Ended::Answered { verdict: Verdict::Crossed, .. } => found.crossed += 1,
+            _ => {}
+        }
+    }
+    let ran = outcome.record.times_ran();
+    for sends in by_request(&outcome.sent).values() {
+        let request = &sends[0].request;
+        let Some(route) = route(&outcome.document, &request.route) else { continue };
+        if request.completion.is_some() {
+            continue;
+        }
+        let times = ran.get(request.target(route).as_str()).copied().unwrap_or(0);
+        found.ran_twice += u64::from(route.once && times > 1);
+        found.not_run_ran += u64::from(times > 0 && sends.iter().all(|sent| is_not_run(sent)));
+        found.repeat_differs += u64::from(route.once && differ(sends));
+    }
+    found
+}
+
+fn by_request(sent: &[Sent]) -> HashMap<Arc<str>, Vec<&Sent>> {
+    let mut requests: HashMap<Arc<str>, Vec<&Sent>> = HashMap::new();
+    for sent in sent {
+        requests.entry(sent.request.id.clone()).or_default().push(sent);
+    }
+    requests
+}
+
+fn is_not_run(sent: &Sent) -> bool {
+    matches!(&sent.ended, Ended::Refused { ran, .. } if ran == "not-run")
+}
+
+fn differ(sends: &[&Sent]) -> bool {
+    let bodies = sends.iter().filter_map(|sent| match &sent.ended {
+        Ended::Answered { body, .. } if sent.is_whole() => body.as_ref(),
+        _ => None,
+    });
+    let bodies: Vec<_> = bodies.collect();
+    bodies.windows(2).any(|pair| pair[0] != pair[1])
+}
--- /dev/null
+++ b/crates/load/src/report/mod.rs
@@ -0,0 +1,103 @@
+//! What a run amounts to, for people: tables, a plot, a comparison.
+
+mod compare;
+mod plot;
+
+pub use compare::compare;
+pub use plot::plot;
+
+use crate::measure::{Measures, Percentiles, Results, Row};
+use chestnutrack_cli::table::Table;
+
+/// A run as tables.
+pub fn text(results: &Results) -> String {
+    let mut text = format!(
+        "{} (seed {}), {:.0} s measured\n",
+        results.experiment, results.seed, results.measured_s
+    );
+    text += &measures(&results.measures);
+    text += &rows(&results.rows);
+    text += &latencies(results);
+    text += &violations(results);
+    text
+}
+
+/// Names and values of the measures, in the order of the brief.
+pub(crate) fn named(measures: &Measures) -> [(&'static str, f64); 6] {
+    [
+        ("goodput, requests/s", measures.goodput_per_s),
+        ("goodput / servable", measures.goodput_share),
+        ("in-rate refusals", measures.in_rate_refusals),
+        ("worst served / mean", measures.worst_against_mean),
+        ("wasted prefill", measures.wasted_prefill),
+        ("offered / decode capacity", measures.offered_load),
+    ]
+}
+
+fn measures(measures: &Measures) -> String {
+    let mut table = Table::new(&["measure", "value"]);
+    for (name, value) in named(measures) {
+        table.row(vec![name.to_owned(), format!("{value:.4}")]);
+    }
+    table.text() + "\n"
+}
+
+fn rows(rows: &[Row]) -> String {
+    let mut table = Table::new(&[
+        "organisation",
+        "route",
+        "sent",
+        "in rate",
+        "good",
+        "late",
+        "refused",
+        "broken",
+        "first p50",
+        "p95",
+        "p99",
+        "between p95",
+        "codes",
+    ]);
+    for row in rows {
+        let mut cells = vec![row.organisation.to_string(), row.route.to_string()];
+        let counts = [row.sent, row.in_rate, row.good, row.late, row.refused, row.broken];
+        cells.extend(counts.map(|count| count.to_string()));
+        let times = [row.first.p50_ms, row.first.p95_ms, row.first.p99_ms, row.between.p95_ms];
+        cells.extend(times.map(|time| format!("{time:.1}")));
+        let codes = row.codes.iter().map(|(code, count)| format!("{code}:{count}"));
+        cells.push(codes.collect::<Vec<String>>().join(","));
+        table.row(cells);
+    }
+    table.text() + "\n"
+}
+
+fn latencies(results: &Results) -> String {
+    let mut table = Table::new(&["interactive, ms", "count", "p50", "p95", "p99"]);
+    let mut line = |name: &str, times: &Percentiles| {
+        let shown = [times.p50_ms, times.p95_ms, times.p99_ms].map(|time| format!("{time:.1}"));
+        let mut cells = vec![name.to_owned(), times.count.to_string()];
+        cells.extend(shown);
+        table.row(cells);
+    };
+    line("first token", &results.first_token);
+    line("first token, unloaded engine", &results.first_token_unloaded);
+    line("between tokens", &results.between_tokens);
+    table.text() + "\n"
+}
+
+fn violations(results: &Results) -> String {
+    let found = results.violations;
+    let mut table = Table::new(&["violation", "count"]);
+    let counts = [
+        ("answer not whole", found.short),
+        ("answer longer than whole", found.long),
+        ("answer of another request", found.crossed),
+        ("ran twice", found.ran_twice),
+        ("ran, said not run", found.not_run_ran),
+        ("repetition answered otherwise", found.repeat_differs),
+    ];
+    for (name, count) in counts {
+        table.row(vec![name.to_owned(), count.to_string()]);
+    }
+    table.text()
+}
