--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -25,17 +25,20 @@
         ("reserved", Policy { fair: false, ..Policy::SHIPPED }),
         ("shipped", Policy::SHIPPED),
     ];
-    for (name, policy) in policies {
-        for seed in 1..=arguments.seeds {
-            let settings = Settings {
-                seed,
-                policy,
-                offered: arguments.offered,
-                reserve_wait_ms: arguments.reserve_wait_ms,
-                ..Settings::default()
-            };
-            let measures = serde_json::to_string(&run(&settings)).unwrap_or_default();
-            println!("{name} seed {seed}: {measures}");
+    let shared = Settings {
+        offered: arguments.offered,
+        reserve_wait_ms: arguments.reserve_wait_ms,
+        ..Settings::default()
+    };
+    for seed in 1..=arguments.seeds {
+        print("central", &Settings { seed, ..shared.central() });
+        for (name, policy) in policies {
+            print(name, &Settings { seed, policy, ..shared.clone() });
         }
     }
 }
+
+fn print(name: &str, settings: &Settings) {
+    let measures = serde_json::to_string(&run(settings)).unwrap_or_default();
+    println!("{name} seed {}: {measures}", settings.seed);
+}
--- a/crates/bench/src/scripted/settings.rs
+++ b/crates/bench/src/scripted/settings.rs
@@ -102,3 +102,11 @@
         }
     }
 }
+
+impl Settings {
+    /// The same load on one entry host without delays, which knows every server's state: what the
+    /// engines can serve when every decision is made in one place.
+    pub fn central(&self) -> Settings {
+        Settings { entries: 1, delay: Duration::ZERO, ..self.clone() }
+    }
+}
