--- a/crates/bench/src/scripted/world.rs
+++ b/crates/bench/src/scripted/world.rs
@@ -25,6 +25,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(250);
 /// Time after the last arrival at which the run ends.
 const TAIL: Duration = Duration::from_secs(20);
+/// Longest time for which a server that refused is passed over.
+const AGAIN_MAX: Duration = Duration::from_millis(250);
 /// Attempts at one request.
 const ATTEMPTS_MAX: u32 = 64;
 
@@ -326,7 +328,10 @@
             Frame::Prefilled(id, attempt, kv, _) => self.prefilled(number, id, attempt, kv),
             Frame::Tokens(id, _, offset, texts) => self.tokens(id, offset, texts.len()),
             Frame::End(id, attempt, total, _, _) => self.ended(number, server, id, attempt, total),
-            Frame::Failed(id, attempt, _, _) => self.failed(number, server, id, attempt),
+            Frame::Failed(id, attempt, failure, _) => {
+                self.full(number, server, failure);
+                self.failed(number, server, id, attempt);
+            }
             _ => {}
         }
         self.turns(number);
@@ -424,7 +429,6 @@
             let held = decode.map(|key| entry.numbers[&key]);
             entry.left(prefill);
             entry.left(decode);
-            entry.table[key].note_full(self.now);
             if let Some(held) = held {
                 self.send(held, number, Frame::Cancel(id, attempt));
             }
@@ -437,7 +441,6 @@
         let has_kv = active.kv.is_some();
         let wanted = ask(&self.arrivals[index], Some(active));
         entry.left(Some(key));
-        entry.table[key].note_full(self.now);
         if !has_kv {
             if let Some(active) = entry.active.get_mut(&index) {
                 active.passed_over.clear();
@@ -451,6 +454,16 @@
         }
     }
 
+    /// Passes a server that refused over until it says that it may be asked again.
+    fn full(&mut self, number: usize, server: usize, failure: frame::Failure) {
+        let entry = &mut self.entries[number];
+        let key = entry.keys[&server];
+        let again = Duration::from_millis(u64::from(failure.retry_after_ms)).min(AGAIN_MAX);
+        entry.table[key].note_full(self.now);
+        let full_until = entry.table[key].full_until.max(self.now + again);
+        entry.table[key].full_until = full_until;
+    }
+
     fn lose(&mut self, number: usize) {
         let fresh =
             backend(&self.settings, &(self.backends[number].config.name.clone(), Role::Decode));
