--- a/crates/engine/src/client/mod.rs
+++ b/crates/engine/src/client/mod.rs
@@ -187,7 +187,7 @@
         self.count(call);
         let request = http::request("GET", target, Bytes::new())?;
         let limit = self.settings.ask;
-        let answer = self.pool.call(request, limit, self.settings.answer_bytes).await?;
+        let answer = self.pool.ask(request, limit, self.settings.answer_bytes).await?;
         parse(call, &accept(answer)?)
     }
 
--- a/crates/platform/src/client/mod.rs
+++ b/crates/platform/src/client/mod.rs
@@ -194,7 +194,11 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, Error> {
         self.count.made(call);
-        let answer = self.pool.call(request, limit, self.settings.answer_bytes).await;
+        let bytes = self.settings.answer_bytes;
+        let answer = match call {
+            Call::Read | Call::List | Call::Hosts => self.pool.ask(request, limit, bytes).await,
+            Call::Write | Call::Delete | Call::Watch => self.pool.call(request, limit, bytes).await,
+        };
         answer.inspect_err(|_| self.count.failed(call)).map_err(Error::from)
     }
 }
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -132,6 +132,29 @@
         Ok(Response::from_parts(head, body))
     }
 
+    /// As [`Pool::call`], for a call that may run twice: when its connection breaks, as one does
+    /// that the other end closes for disuse in just that moment, it is made once more within the
+    /// same limit.
+    ///
+    /// # Errors
+    ///
+    /// As [`Pool::call`].
+    pub async fn ask(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+        bytes: usize,
+    ) -> Result<Response<Bytes>, Error> {
+        let end = Instant::now() + limit;
+        match self.call(request.clone(), limit, bytes).await {
+            Err(Error::Broken(_)) => {
+                let left = end.saturating_duration_since(Instant::now());
+                self.call(request, left, bytes).await
+            }
+            outcome => outcome,
+        }
+    }
+
     async fn send(
         &self,
         request: Request<Full<Bytes>>,
