--- a/crates/standin/tests/engine_client.rs
+++ b/crates/standin/tests/engine_client.rs
@@ -10,6 +10,7 @@
     Cancel, Change, Decode, Import, Line, Order, Prefill, Prefilled, Resume,
 };
 use chestnutrack_standin::{answer, engine};
+use quickcheck::quickcheck;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -458,6 +459,52 @@
     }
 }
 
+/// A stream's text in chunks that end at these places, modulo its length.
+fn chunked(text: &str, cuts: &[usize]) -> String {
+    let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % text.len()).collect();
+    cuts.extend([0, text.len()]);
+    cuts.sort_unstable();
+    cuts.dedup();
+    let pieces = cuts.windows(2).map(|ends| &text[ends[0]..ends[1]]);
+    pieces.map(|piece| format!("{:x}\r\n{piece}\r\n", piece.len())).collect()
+}
+
+/// Reads an answer that comes as these chunks.
+fn answer_of(chunks: String) -> Result<(String, String), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let text = format!("{HEAD}{chunks}0\r\n\r\n");
+        let client = client(scripted(vec![Act::Keep(text.leak())]).await);
+        let mut stream = client.decode(&decode("a.1", 5)).await?;
+        read(&mut stream).await
+    })
+}
+
+const WHOLE: &str = concat!(
+    "{\"token\":{\"offset\":0,\"text\":\" w1\"}}\n",
+    "{\"token\":{\"offset\":1,\"text\":\" w2\"}}\n",
+    "{\"end\":{\"total\":2,\"finish\":\"length\"}}\n",
+);
+
+quickcheck! {
+    fn an_answer_is_the_same_in_whatever_chunks_it_comes(cuts: Vec<usize>) -> bool {
+        answer_of(chunked(WHOLE, &cuts)) == Ok((" w1 w2".to_owned(), "length".to_owned()))
+    }
+
+    fn an_answer_with_a_byte_less_or_another_is_none(place: usize, byte: Option<u8>) -> bool {
+        let place = place % WHOLE.len();
+        let byte = byte.map(|byte| char::from(byte % 128)).filter(|byte| !"\n ".contains(*byte));
+        let other = byte.map(String::from).unwrap_or_default();
+        let text = format!("{}{other}{}", &WHOLE[..place], &WHOLE[place + 1..]);
+        match answer_of(chunked(&text, &[])) {
+            // The text of a token is the engine's own affair, and so is the reason of the end.
+            Ok((tokens, finish)) => tokens != " w1 w2" || finish != "length" || text == WHOLE,
+            Err(Error::Malformed(place, _)) => place.starts_with("line "),
+            Err(error) => matches!(error, Error::Unknown(_)),
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_line_without_end_is_an_error() {
     let line = "x".repeat(100_000);
