--- a/crates/platform/src/watcher/mod.rs
+++ b/crates/platform/src/watcher/mod.rs
@@ -20,8 +20,8 @@
 
 /// Status of a watch whose changes are forgotten.
 const GONE: u16 = 410;
-/// Updates that wait for their reader.
-const UPDATES_MAX: usize = 16;
+/// Events that wait for their reader.
+const EVENTS_MAX: usize = 16;
 
 /// Settings of a watcher.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -47,6 +47,20 @@
     }
 }
 
+/// What became of one call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// It was answered.
+    Updated(Update),
+    /// It got no answer that can be used; what was handed out stays as it is.
+    Failed {
+        /// When the call was sent.
+        sent: Instant,
+        /// Why.
+        error: Error,
+    },
+}
+
 /// One answer of the interface.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Update {
@@ -66,20 +80,20 @@
     client: Client,
     kind: impl Into<Arc<str>>,
     settings: Settings,
-) -> mpsc::Receiver<Update> {
-    let (updates, receiver) = mpsc::channel(UPDATES_MAX);
+) -> mpsc::Receiver<Event> {
+    let (events, receiver) = mpsc::channel(EVENTS_MAX);
     let kind = kind.into();
     tokio::spawn(async move {
-        let closed = updates.clone();
+        let closed = events.clone();
         tokio::select! {
             () = closed.closed() => {}
-            () = follow(&client, &kind, &settings, &updates) => {}
+            () = follow(&client, &kind, &settings, &events) => {}
         }
     });
     receiver
 }
 
-async fn follow(client: &Client, kind: &str, settings: &Settings, updates: &mpsc::Sender<Update>) {
+async fn follow(client: &Client, kind: &str, settings: &Settings, events: &mpsc::Sender<Event>) {
     let mut table = Table::default();
     let mut backoff = Backoff::new(settings.retry_min, settings.retry_max);
     loop {
@@ -87,28 +101,27 @@
         let whole = table.needs_list();
         let answer = ask(client, kind, settings, &table).await;
         let taken = answer.and_then(|list| table.take(list, whole, sent));
-        match taken {
+        let (event, pause) = match taken {
             Ok(update) => {
                 if backoff.succeeded() {
-                    tracing::info!(
-                        kind,
-                        version = update.version,
-                        "object interface answers again"
-                    );
+                    tracing::info!(kind, update.version, "object interface answers again");
                 }
-                if updates.send(update).await.is_err() {
-                    return;
-                }
-                sleep(settings.pause).await;
+                (Event::Updated(update), settings.pause)
             }
-            Err(Error::Refused(GONE, _)) => table.forget_version(),
             Err(error) => {
+                if let Error::Refused(GONE, _) = error {
+                    table.forget_version();
+                }
                 if backoff.failed() {
                     tracing::warn!(kind, %error, "object interface doesn't answer");
                 }
-                sleep(backoff.pause()).await;
+                (Event::Failed { sent, error }, backoff.pause())
             }
+        };
+        if events.send(event).await.is_err() {
+            return;
         }
+        sleep(pause).await;
     }
 }
 
--- a/crates/standin/tests/watcher.rs
+++ b/crates/standin/tests/watcher.rs
@@ -5,9 +5,10 @@
 mod support;
 
 use chestnutrack_platform::client::{self, Call, Client};
+use chestnutrack_platform::error::Error;
 use chestnutrack_platform::host::{Host, List, State};
 use chestnutrack_platform::poller;
-use chestnutrack_platform::watcher::{self, Update};
+use chestnutrack_platform::watcher::{self, Event, Update};
 use chestnutrack_standin::platform;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -31,10 +32,20 @@
     watcher::Settings { wait, retry_min, retry_max, ..watcher::Settings::default() }
 }
 
+/// The next update.
+async fn update(events: &mut mpsc::Receiver<Event>) -> Update {
+    loop {
+        let event = timeout(PATIENCE, events.recv()).await.unwrap().unwrap();
+        if let Event::Updated(update) = event {
+            return update;
+        }
+    }
+}
+
 /// The next update that says anything: whether it is whole, and its objects.
-async fn next(updates: &mut mpsc::Receiver<Update>) -> (bool, Vec<(String, Option<Value>)>) {
+async fn next(events: &mut mpsc::Receiver<Event>) -> (bool, Vec<(String, Option<Value>)>) {
     loop {
-        let update = timeout(PATIENCE, updates.recv()).await.unwrap().unwrap();
+        let update = update(events).await;
         if update.whole || !update.objects.is_empty() {
             let pair = |object: chestnutrack_platform::object::Object| {
                 (object.name.to_string(), object.value)
@@ -52,13 +63,13 @@
 async fn a_watcher_lists_once_and_then_hands_out_changes() {
     let client = client(stand_in().await);
     client.create("sides", "a", &json!(1)).await.unwrap();
-    let mut updates = watcher::start(client.clone(), "sides", settings());
+    let mut events = watcher::start(client.clone(), "sides", settings());
 
-    let first = next(&mut updates).await;
+    let first = next(&mut events).await;
     let version = client.create("sides", "b", &json!(2)).await.unwrap();
-    let second = next(&mut updates).await;
+    let second = next(&mut events).await;
     client.delete("sides", "b", version).await.unwrap();
-    let third = next(&mut updates).await;
+    let third = next(&mut events).await;
 
     assert_eq!(first, (true, vec![("a".to_owned(), Some(json!(1)))]));
     assert_eq!(second, changed("b", Some(json!(2))));
@@ -69,10 +80,10 @@
 #[tokio::test]
 async fn a_watch_that_ends_empty_confirms_what_is_known() {
     let client = client(stand_in().await);
-    let mut updates = watcher::start(client.clone(), "sides", settings());
-    let first = timeout(PATIENCE, updates.recv()).await.unwrap().unwrap();
+    let mut events = watcher::start(client.clone(), "sides", settings());
+    let first = update(&mut events).await;
 
-    let second = timeout(PATIENCE, updates.recv()).await.unwrap().unwrap();
+    let second = update(&mut events).await;
 
     assert!(first.whole && !second.whole);
     assert!(second.objects.is_empty());
@@ -84,15 +95,15 @@
     let address = stand_in().await;
     let client = client(address);
     let version = client.create("sides", "a", &json!(1)).await.unwrap();
-    let mut updates = watcher::start(client.clone(), "sides", settings());
-    next(&mut updates).await;
+    let mut events = watcher::start(client.clone(), "sides", settings());
+    next(&mut events).await;
 
     control(address, "faults", json!({ "down": true })).await;
     support::until(async || client.count().failures(Call::Watch) > 3).await;
     control(address, "faults", json!({ "down": false })).await;
     client.replace("sides", "a", version, &json!(2)).await.unwrap();
 
-    assert_eq!(next(&mut updates).await, changed("a", Some(json!(2))));
+    assert_eq!(next(&mut events).await, changed("a", Some(json!(2))));
     assert_eq!(client.count().calls(Call::List), 1);
 }
 
@@ -101,12 +112,23 @@
     let address = stand_in().await;
     let client = client(address);
     control(address, "faults", json!({ "down": true })).await;
-    let mut updates = watcher::start(client.clone(), "sides", settings());
+    let mut events = watcher::start(client.clone(), "sides", settings());
     support::until(async || client.count().failures(Call::List) > 1).await;
 
     control(address, "faults", json!({ "down": false })).await;
 
-    assert_eq!(next(&mut updates).await, (true, vec![]));
+    assert_eq!(next(&mut events).await, (true, vec![]));
+}
+
+#[tokio::test]
+async fn a_watcher_tells_of_calls_that_fail() {
+    let address = stand_in().await;
+    control(address, "faults", json!({ "down": true })).await;
+
+    let mut events = watcher::start(client(address), "sides", settings());
+    let failed = timeout(PATIENCE, events.recv()).await.unwrap().unwrap();
+
+    assert!(matches!(failed, Event::Failed { error: Error::Unknown(_), .. }), "{failed:?}");
 }
 
 #[tokio::test]
@@ -123,21 +145,21 @@
     let texts = [answer(lists[0]), gone, answer(lists[1]), answer(lists[2])];
     let client = client(scripted(texts.map(Act::Keep).to_vec()).await);
 
-    let mut updates = watcher::start(client.clone(), "sides", settings());
+    let mut events = watcher::start(client.clone(), "sides", settings());
 
     let whole = |value: &str| (true, vec![("a".to_owned(), Some(json!(value)))]);
-    assert_eq!(next(&mut updates).await, whole("five"));
-    assert_eq!(next(&mut updates).await, whole("nine"));
+    assert_eq!(next(&mut events).await, whole("five"));
+    assert_eq!(next(&mut events).await, whole("nine"));
     assert_eq!(client.count().calls(Call::List), 3);
 }
 
 #[tokio::test]
 async fn a_watcher_ends_with_its_reader() {
     let client = client(stand_in().await);
-    let updates = watcher::start(client.clone(), "sides", settings());
+    let events = watcher::start(client.clone(), "sides", settings());
     support::until(async || client.count().calls(Call::Watch) > 0).await;
 
-    drop(updates);
+    drop(events);
     tokio::time::sleep(Duration::from_millis(50)).await;
     let calls = client.count().calls(Call::Watch);
     tokio::time::sleep(2 * settings().wait).await;
