--- /dev/null
+++ b/crates/side/tests/authority.rs
@@ -0,0 +1,123 @@
+//! Authority over a backend server: claimed once, kept through outages, given up to a newer one.
+
+#![allow(clippy::unwrap_used)]
+
+mod fixture;
+
+use chestnutrack_document::model::Role;
+use chestnutrack_standin::engine::Settings;
+use chestnutrack_wire::frame::{Cause, Ran};
+use chestnutrack_wire::{Frame, Request};
+use fixture::{
+    ATTEMPT, Host, World, beside, configure, decode, get, post, start_engine, start_platform,
+    state, until,
+};
+use serde_json::json;
+
+async fn epoch_is(beside: &fixture::Beside, epoch: u64) {
+    until("the epoch is held", async || state(beside).await["epoch"] == json!(epoch)).await;
+}
+
+#[tokio::test]
+async fn a_claim_waits_for_the_end_of_an_outage() {
+    let platform = start_platform().await;
+    post(platform, "/control/faults", json!({"down": true})).await;
+    let engine = start_engine(Settings::default()).await;
+    let side = beside(platform, "decode-1", Role::Decode, engine).await;
+    until("the page is there", async || state(&side).await.is_object()).await;
+    let without = state(&side).await["epoch"].clone();
+
+    post(platform, "/control/faults", json!({"down": false})).await;
+
+    epoch_is(&side, 1).await;
+    assert!(without.is_null());
+}
+
+#[tokio::test]
+async fn a_claim_whose_answer_is_lost_is_made_once() {
+    let platform = start_platform().await;
+    post(platform, "/control/faults", json!({"lose_answers": 1})).await;
+    let engine = start_engine(Settings::default()).await;
+
+    let side = beside(platform, "decode-1", Role::Decode, engine).await;
+    epoch_is(&side, 1).await;
+
+    let object = get(platform, "/v1/objects/sides/decode-1").await;
+    assert_eq!(object["value"]["epoch"], json!(1));
+    assert_eq!(object["value"]["address"], json!(side.program.listen.to_string()));
+}
+
+#[tokio::test]
+async fn nothing_is_renewed_at_rest() {
+    let world = World::start().await;
+    world.configure(1, &world.document()).await;
+    let before = get(world.platform, "/control/counts").await;
+
+    // Long enough for several of any renewal that could matter.
+    tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+
+    let mut after = get(world.platform, "/control/counts").await;
+    // Pauses of this process under load have the authority read again, which is no renewal.
+    after["read"] = before["read"].clone();
+    assert_eq!(after["write"], before["write"]);
+}
+
+async fn taken_over(checks_fencing: bool) {
+    let world = World::with(Settings { checks_fencing, ..Settings::default() }).await;
+    world.configure(1, &world.document()).await;
+    let mut host = Host::connect(world.decode.program.listen, "entry-1", 1).await;
+
+    let newer = beside(world.platform, "decode-1", Role::Decode, world.decode.backend).await;
+    configure(&newer, 1, &world.document()).await;
+    epoch_is(&newer, 2).await;
+    host.send(&Frame::Reserve(Request(1), ATTEMPT, fixture::reserve(8)));
+    let refused = loop {
+        match host.next().await {
+            Frame::Failed(_, _, failure, _) => break failure,
+            Frame::Leaving => {}
+            frame => panic!("{frame:?}"),
+        }
+    };
+
+    assert_eq!((refused.cause, refused.ran), (Cause::Fenced, Ran::NotRun));
+}
+
+#[tokio::test]
+async fn a_process_steps_down_before_its_successor_begins() {
+    taken_over(false).await;
+}
+
+#[tokio::test]
+async fn a_process_steps_down_also_where_the_engine_checks_fencing() {
+    taken_over(true).await;
+}
+
+#[tokio::test]
+async fn an_order_with_an_old_fencing_number_is_refused_by_the_engine_and_not_run() {
+    let world = World::start().await;
+    world.configure(1, &world.document()).await;
+    let cancel = json!({"id": "00000000000000000000000000000009.1", "fence": 50});
+    post(world.prefill.backend, "/v1/cancel", cancel).await;
+    let mut host = Host::connect(world.prefill.program.listen, "entry-1", 1).await;
+
+    host.send(&Frame::Prefill(Request(1), ATTEMPT, fixture::prefill("a prompt")));
+    let failure = host.failed().await;
+
+    assert_eq!((failure.cause, failure.ran), (Cause::Fenced, Ran::NotRun));
+}
+
+#[tokio::test]
+async fn a_running_answer_outlives_an_outage_of_the_object_interface() {
+    let world = World::start().await;
+    world.configure(1, &world.document()).await;
+    post(world.platform, "/control/faults", json!({"down": true})).await;
+    let mut prefill = Host::connect(world.prefill.program.listen, "entry-1", 1).await;
+    let mut host = Host::connect(world.decode.program.listen, "entry-1", 1).await;
+
+    host.reserved(Request(1), 8).await;
+    let kv = prefill.prefilled(Request(1), "a prompt").await;
+    host.send(&Frame::Decode(Request(1), ATTEMPT, decode(kv, 8)));
+    let (tokens, _) = host.answer(0).await;
+
+    assert_eq!(tokens.len(), 8);
+}
