Fencing: the process before is asked again and again, also after a lost answer

Cause: a claim whose answer was lost was taken up again from the object itself, and the process before was then never asked to step down; and a single silent connection ended the ask. The claim now remembers whom it replaced, and asks on new connections until it is answered, refused or STEP_DOWN has passed. Found by reading, without a test that failed.

--- a/crates/core/src/server/authority.rs
+++ b/crates/core/src/server/authority.rs
@@ -6,6 +6,7 @@
 use super::hold::{Key, Stage, Work};
 use super::{Counter, Server};
 use crate::time::Instant;
+use chestnutrack_document::model::Role;
 use chestnutrack_wire::Frame;
 use chestnutrack_wire::frame::{Cause, Failure, Ran};
 use std::sync::Arc;
@@ -69,7 +70,11 @@
 
     /// Has the authority read again before the next order, where the engine doesn't check it.
     pub(super) fn suspect(&mut self) {
-        let ignores_fencing = self.config.as_ref().is_none_or(|server| !server.checks_fencing);
+        // Beside a plain service nothing but the number of calls at a time depends on it.
+        let ignores_fencing = self
+            .config
+            .as_ref()
+            .is_none_or(|server| !server.checks_fencing && server.role != Role::Plain);
         if let (Authority::Held(epoch), true) = (self.authority, ignores_fencing) {
             self.authority = Authority::Suspect(epoch);
             self.effects.push(Effect::Recheck(epoch));
--- a/crates/side/src/authority.rs
+++ b/crates/side/src/authority.rs
@@ -8,9 +8,11 @@
 use chestnutrack_wire::frame::{Sender, VERSION};
 use chestnutrack_wire::{Connection, Frame};
 use serde::{Deserialize, Serialize};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 /// Kind of the objects that say who is in charge.
@@ -19,6 +21,8 @@
 const RETRY: Duration = Duration::from_millis(200);
 /// Longest time that the process before this one is asked to step down.
 const STEP_DOWN: Duration = Duration::from_secs(2);
+/// Time between two asks to step down.
+const ASK_AGAIN: Duration = Duration::from_millis(50);
 
 /// Who is in charge of a server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,53 +53,70 @@
 impl Claimant {
     /// Claims the server, however long that takes, and has the process before step down.
     pub async fn claim(self) -> Authority {
-        loop {
-            match self.try_claim().await {
-                Ok((claim, previous)) => {
-                    if let Some(previous) = previous {
-                        self.relieve(&previous).await;
-                    }
-                    return Authority::Held(claim.epoch);
-                }
+        let mut previous = None;
+        let epoch = loop {
+            match self.try_claim(&mut previous).await {
+                Ok(epoch) => break epoch,
                 Err(error) => {
                     tracing::debug!(%error, "authority not claimed yet");
                     tokio::time::sleep(RETRY).await;
                 }
             }
+        };
+        if let Some(previous) = previous {
+            self.relieve(&previous).await;
         }
+        Authority::Held(epoch)
     }
 
-    async fn try_claim(&self) -> Result<(Claim, Option<Claim>), Error> {
-        let (version, previous) = match self.client.read(KIND, &self.name).await {
+    /// Tries once; `previous` keeps the newest claim of another process that was seen, also when
+    /// an earlier try took effect and its answer was lost.
+    async fn try_claim(&self, previous: &mut Option<Claim>) -> Result<u64, Error> {
+        let (version, found) = match self.client.read(KIND, &self.name).await {
             Ok(object) => (object.version, object.value.and_then(parse)),
             Err(Error::Missing) => (0, None),
             Err(error) => return Err(error),
         };
-        if let Some(own) = previous.clone().filter(|claim| claim.incarnation == self.incarnation) {
-            return Ok((own, None));
+        if let Some(own) = found.as_ref().filter(|claim| claim.incarnation == self.incarnation) {
+            return Ok(own.epoch);
         }
-        let epoch = previous.as_ref().map_or(0, |claim| claim.epoch) + 1;
+        let epoch = found.as_ref().map_or(0, |claim| claim.epoch) + 1;
+        *previous = found;
         let claim = Claim { epoch, incarnation: self.incarnation, address: self.address };
-        let value = serde_json::json!(claim);
-        self.client.update(KIND, &self.name, version, &value).await?;
-        Ok((claim, previous))
+        self.client.update(KIND, &self.name, version, &serde_json::json!(claim)).await?;
+        Ok(epoch)
     }
 
     /// Asks the process before this one to step down. One at this process's own address is dead,
     /// or this process could not listen there; so is one whose address refuses connections. One
-    /// that doesn't answer is stopped or cut off: it reads its authority again before its next
-    /// order.
+    /// that doesn't answer was stopped for longer than [`PAUSE_BOUND`]: it reads its authority
+    /// again before its next order.
+    ///
+    /// [`PAUSE_BOUND`]: chestnutrack_core::server::settings::PAUSE_BOUND
     async fn relieve(&self, previous: &Claim) {
         if previous.address == self.address {
             return;
         }
         let asking = async {
-            let opened = connection::connect(previous.address, self.security.as_ref()).await;
-            if let Ok(connection) = opened {
-                ask_to_leave(connection, self.successor()).await;
+            while !self.has_left(previous.address).await {
+                tokio::time::sleep(ASK_AGAIN).await;
             }
         };
-        let _ = timeout(STEP_DOWN, asking).await;
+        if timeout(STEP_DOWN, asking).await.is_err() {
+            tracing::warn!(address = %previous.address, "the process before does not answer");
+        }
+    }
+
+    /// Asks once; whether the process before has stepped down or is dead.
+    async fn has_left(&self, address: SocketAddr) -> bool {
+        let refused = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+        if TcpStream::connect(address).await.is_err_and(|error| refused(&error)) {
+            return true;
+        }
+        match connection::connect(address, self.security.as_ref()).await {
+            Ok(connection) => ask_to_leave(connection, self.successor()).await,
+            Err(_) => false,
+        }
     }
 
     fn successor(&self) -> Sender {
@@ -124,16 +145,17 @@
     }
 }
 
-async fn ask_to_leave(mut connection: Connection, sender: Sender) {
+async fn ask_to_leave(mut connection: Connection, sender: Sender) -> bool {
     let hello = Frame::Hello { version: VERSION, sender, configuration: 0 };
     if connection.sender.send(&hello).is_err() {
-        return;
+        return false;
     }
     while let Ok(frame) = connection.receiver.receive().await {
         if frame == Frame::Leaving {
-            return;
+            return true;
         }
     }
+    false
 }
 
 fn parse(value: serde_json::Value) -> Option<Claim> {
