Golden files of whole exchanges before a side process

Streamed, prefilled, cancelled while an import completes, resumed, host gone, drained, plain. Reading them showed two faults: a failure's load still counted the slot that it frees ([2/3] where 1 was in use a moment later), and a leaving server named a time to come back (2,970 ms). Now the load is what is left, and a server that is leaving or was replaced names no time.

--- a/crates/core/src/server/capacity.rs
+++ b/crates/core/src/server/capacity.rs
@@ -236,7 +236,7 @@
     /// Refuses an attempt that has no hold, as not run.
     pub(super) fn refuse(&mut self, now: Instant, asked: &super::frame::Asked, cause: Cause) {
         let retry_after_ms = match cause {
-            Cause::Protocol | Cause::Deadline => 0,
+            Cause::Protocol | Cause::Deadline | Cause::Leaving | Cause::Fenced => 0,
             _ => self.retry_after_ms(now),
         };
         let failure = Failure { ran: Ran::NotRun, cause, retry_after_ms };
--- a/crates/core/src/server/free.rs
+++ b/crates/core/src/server/free.rs
@@ -53,12 +53,13 @@
     /// Ends a hold whose import or prefill failed. The engine is asked to free it only where it
     /// may have taken the order.
     pub(super) fn fail_order(&mut self, now: Instant, key: Key, fault: Fault, failure: Failure) {
-        self.tell_failure(now, key, failure);
-        if fault != Fault::Unknown {
-            self.remove(now, key);
-            return;
-        }
-        self.cancel_order(now, key, false, true);
+        self.fail_with(now, key, failure, |server| {
+            if fault == Fault::Unknown {
+                server.cancel_order(now, key, false, true);
+            } else {
+                server.remove(now, key);
+            }
+        });
     }
 
     /// An import or a prefill of a hold has ended, one way or the other. If the hold was given up
--- a/crates/core/src/server/lease.rs
+++ b/crates/core/src/server/lease.rs
@@ -115,7 +115,10 @@
     fn lapsed(&mut self, now: Instant, key: Key, end: End) {
         match end {
             End::Refused(cause) => {
-                let retry_after_ms = self.retry_after_ms(now);
+                let retry_after_ms = match cause {
+                    Cause::Full => self.retry_after_ms(now),
+                    _ => 0,
+                };
                 self.fail(now, key, Failure { ran: Ran::NotRun, cause, retry_after_ms });
             }
             End::Unknown => self.fail(now, key, failure(Cause::Deadline, Ran::Unknown)),
--- a/crates/core/src/server/mod.rs
+++ b/crates/core/src/server/mod.rs
@@ -202,16 +202,27 @@
 
     /// Ends a hold with a failure and frees what it has.
     fn fail(&mut self, now: Instant, key: Key, failure: Failure) {
-        self.tell_failure(now, key, failure);
-        self.free(now, key);
+        self.fail_with(now, key, failure, |server| server.free(now, key));
     }
 
-    fn tell_failure(&mut self, now: Instant, key: Key, failure: Failure) {
+    /// Ends a hold with a failure; `free` frees what it has, so that the load that goes with the
+    /// failure is without it.
+    fn fail_with(
+        &mut self,
+        now: Instant,
+        key: Key,
+        failure: Failure,
+        free: impl FnOnce(&mut Server),
+    ) {
         let Some(hold) = self.holds.get(key) else { return };
-        let (request, attempt) = hold.id;
+        let ((request, attempt), connection) = (hold.id, hold.connection);
         self.count(Counter::Failed(failure.cause, failure.ran));
-        let load = self.load(now);
-        self.tell(key, Frame::Failed(request, attempt, failure, load));
         self.past.add(now, (request, attempt), Some(failure));
+        free(self);
+        let load = self.load(now);
+        if let Some(connection) = connection {
+            let frame = Frame::Failed(request, attempt, failure, load);
+            self.effects.push(Effect::Send(connection, frame));
+        }
     }
 }
--- a/crates/core/tests/server/main.rs
+++ b/crates/core/tests/server/main.rs
@@ -3,7 +3,9 @@
 
 #![allow(clippy::unwrap_used, unreachable_pub)]
 
+mod exchange;
 mod fair;
 mod invariant;
 mod lease;
+mod log;
 mod model;
--- a/crates/core/tests/server/model.rs
+++ b/crates/core/tests/server/model.rs
@@ -1,5 +1,6 @@
 //! A table with a scripted engine and scripted entry hosts, in virtual time.
 
+use super::log;
 use chestnutrack_core::server::event::{Held, Prefilled};
 use chestnutrack_core::server::{
     Authority, Connection, Effect, Event, Fault, Id, Key, Order, Server, Settings, Task, hold,
@@ -76,6 +77,8 @@
     /// Requests that the engine has accepted at any time.
     pub accepted: HashSet<Arc<str>>,
     pub violations: Vec<String>,
+    /// What went over the wires, line by line.
+    pub log: Vec<String>,
     cancelled: HashSet<Arc<str>>,
     connections: u64,
     next_tick: Instant,
@@ -126,6 +129,7 @@
             begun: HashMap::new(),
             accepted: HashSet::new(),
             violations: Vec::new(),
+            log: Vec::new(),
             cancelled: HashSet::new(),
             connections: 0,
             next_tick: now,
@@ -143,6 +147,23 @@
         self.event(Event::Configured { version: self.version, server });
     }
 
+    /// The lines since the last call, each with its time.
+    pub fn lines(&mut self) -> String {
+        let mut lines = std::mem::take(&mut self.log).join("\n");
+        lines.push('\n');
+        lines
+    }
+
+    fn note(&mut self, line: &str) {
+        let millis = self.now.since(Instant::from_millis(1_000)).as_millis();
+        self.log.push(format!("{millis} {line}"));
+    }
+
+    fn host_of(&self, connection: Connection) -> String {
+        let host = self.hosts.iter().find(|host| host.connection == Some(connection));
+        host.map_or_else(|| "nobody".to_owned(), |host| host.name.to_string())
+    }
+
     pub fn event(&mut self, event: Event) {
         for effect in self.server.handle(self.now, event) {
             self.carry_out(effect);
@@ -183,10 +204,18 @@
                 self.violations.push(format!("{id} is said not to have run, and has: {failure:?}"));
             }
         }
+        if !matches!(frame, Frame::Pong(_)) {
+            let line = format!("side > {}: {}", self.host_of(connection), log::frame(&frame));
+            self.note(&line);
+        }
         self.sent.push((connection, frame));
     }
 
     fn ordered(&mut self, order: Order) {
+        if order.task != Task::Holds {
+            let line = format!("side > engine: {}", log::order(&order));
+            self.note(&line);
+        }
         let begins = matches!(order.task, Task::Import { .. } | Task::Prefill { .. });
         if begins {
             let count = self.begun.entry(order.id.clone()).or_default();
@@ -239,6 +268,10 @@
         }
         let Open { order, answer } = self.open.remove(index);
         let result = if lost { Err(Fault::Unknown) } else { answer.unwrap() };
+        if order.task != Task::Holds {
+            let line = format!("engine > side: {}", log::answer(&order, result));
+            self.note(&line);
+        }
         let Order { hold, id, task, .. } = order;
         let event = match task {
             Task::Import { .. } => Event::Imported(hold, result),
@@ -337,12 +370,16 @@
         host.pings = true;
         let sender = Sender { name: host.name.clone(), incarnation: host.incarnation };
         let hello = Frame::Hello { version: VERSION, sender, configuration: self.version };
+        let line = format!("{} > side: {}", self.host_of(connection), log::frame(&hello));
+        self.note(&line);
         self.event(Event::Frame(connection, hello));
         connection
     }
 
     pub fn disconnect(&mut self, host: usize) {
         if let Some(connection) = self.hosts[host].connection.take() {
+            let line = format!("{}: connection ends", self.hosts[host].name);
+            self.note(&line);
             self.event(Event::Disconnected(connection));
         }
     }
@@ -353,6 +390,8 @@
             Some(connection) => connection,
             None => self.connect(host),
         };
+        let line = format!("{} > side: {}", self.hosts[host].name, log::frame(&frame));
+        self.note(&line);
         self.event(Event::Frame(connection, frame));
     }
 
@@ -427,3 +466,17 @@
     };
     Decode { kv, output_tokens }
 }
+
+pub fn forward(wait_ms: u32, deadline_ms: u32) -> Forward {
+    Forward {
+        organisation: Some("dairy-coop".into()),
+        may_wait: false,
+        once: true,
+        method: "POST".into(),
+        target: "/deposits".into(),
+        headers: Vec::new(),
+        body: b"deposit".to_vec(),
+        wait_ms,
+        deadline_ms,
+    }
+}
