Model of several members under random events

What the object interface's table needs from a member is decided in core now, so that the actor and the model run the same decisions.

--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::time::Instant;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -82,6 +83,17 @@
     Old,
 }
 
+/// What the table in the object interface needs from this member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// Nothing.
+    None,
+    /// Write this table over the version that it names.
+    Write(Table),
+    /// Read the table again.
+    Read,
+}
+
 /// One member's view of the table.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -148,11 +160,6 @@
         self.table.as_ref().is_some_and(|table| table.lists(identity))
     }
 
-    /// Notes that this member writes the first table there is, so that nobody came before it.
-    pub fn found(&mut self) {
-        self.founder = true;
-    }
-
     /// Notes that this member leaves: it vouches for nobody and is not current any more.
     pub fn leave(&mut self) {
         self.left = true;
@@ -279,7 +286,7 @@
     }
 
     /// Whether a proof of death waits for a read of the table.
-    pub fn wants_confirmation(&self) -> bool {
+    fn wants_confirmation(&self) -> bool {
         self.peers.values().any(|peer| peer.unsure.is_some() && !peer.dead)
     }
 
@@ -319,8 +326,48 @@
         self.peers.values().any(|peer| !peer.dead && peer.configuration > version)
     }
 
+    /// What the table needs from this member, which would be reached at `address`.
+    ///
+    /// `seen` is what the object interface last showed: `Some(None)` where there was no table.
+    pub fn duty(
+        &mut self,
+        now: Instant,
+        seen: Option<Option<&Table>>,
+        address: SocketAddr,
+    ) -> Duty {
+        match (self.left, self.listed) {
+            (true, true) => self.departure(),
+            (true, false) => Duty::None,
+            (false, false) => seen.map_or(Duty::None, |seen| self.entry(seen, address)),
+            (false, true) => match self.removal(now) {
+                Some(table) => Duty::Write(table),
+                None if self.wants_confirmation() => Duty::Read,
+                None => Duty::None,
+            },
+        }
+    }
+
+    fn departure(&self) -> Duty {
+        let without =
+            |table: &Table| Table { version: table.version, members: table.without(&self.me.name) };
+        self.table.as_ref().map_or(Duty::None, |table| Duty::Write(without(table)))
+    }
+
+    fn entry(&mut self, seen: Option<&Table>, address: SocketAddr) -> Duty {
+        // A table that is absent now may have been there before, unless none was ever known.
+        self.founder = seen.is_none() && self.table.is_none();
+        let known = self
+            .table
+            .as_ref()
+            .filter(|known| seen.is_some_and(|seen| seen.version < known.version));
+        let nothing = Table { version: 0, members: Vec::new() };
+        let base = known.or(seen).unwrap_or(&nothing);
+        let member = Member { identity: self.me.clone(), address };
+        Duty::Write(Table { version: base.version, members: base.with(member) })
+    }
+
     /// The table without the members that this one may remove now, if there are any.
-    pub fn removal(&self, now: Instant) -> Option<Table> {
+    fn removal(&self, now: Instant) -> Option<Table> {
         let table = self.table.as_ref()?;
         let own = table.position(&self.me)?;
         if self.left {
--- /dev/null
+++ b/crates/core/tests/world/host.rs
@@ -0,0 +1,397 @@
+//! One member of the world: it does with the decisions what the member's actor does.
+
+use super::{Message, STEP, Settings, Store, World, organisation};
+use chestnutrack_core::config::{Config, Duty as Judging};
+use chestnutrack_core::limit::{Debit, Effect, Limits, Refusal, Standing, Wait};
+use chestnutrack_core::member::{Answer, Duty, Identity, Membership, Offer, Table, VOUCH_PERIOD};
+use chestnutrack_core::time::Instant;
+use rand::Rng;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two looks at the object interface.
+const POLL: Duration = Duration::from_millis(100);
+/// Time between two tries to connect.
+const DIAL: Duration = Duration::from_millis(100);
+/// A tick so late that the host was stopped.
+const WOKEN: Duration = Duration::from_millis(500);
+/// Pause between two writes.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// A write that is under way.
+#[derive(Clone, Debug)]
+struct Write {
+    due: Instant,
+    table: Table,
+}
+
+/// What became of one request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outcome {
+    pub(crate) tokens: u64,
+    pub(crate) asked: Instant,
+    pub(crate) refused: Option<Refusal>,
+}
+
+pub(crate) struct Host {
+    pub(crate) index: usize,
+    pub(crate) dead: bool,
+    pub(crate) stopped: bool,
+    pub(crate) load: u64,
+    pub(crate) membership: Membership,
+    pub(crate) config: Config,
+    pub(crate) limits: Limits,
+    pub(crate) outcomes: Vec<Outcome>,
+    hasty: bool,
+    careless: bool,
+    address: std::net::SocketAddr,
+    seen: Option<Option<Table>>,
+    write: Option<Write>,
+    next_write: Instant,
+    next_poll: Instant,
+    next_dial: Instant,
+    asks: BTreeMap<u64, Instant>,
+    next_ask: u64,
+    next_vouch: Instant,
+    ticked: Instant,
+    settled: bool,
+    waits: BTreeMap<Wait, (u64, Instant)>,
+}
+
+impl Host {
+    pub(crate) fn new(index: usize, incarnation: u64, now: Instant, settings: &Settings) -> Host {
+        let name: Arc<str> = Arc::from(format!("h{index}"));
+        let port = 1_000 + u16::try_from(index).unwrap();
+        Host {
+            index,
+            dead: false,
+            stopped: false,
+            load: 0,
+            membership: Membership::new(Identity { name, incarnation }),
+            config: Config::default(),
+            limits: Limits::new(settings.borrows),
+            outcomes: Vec::new(),
+            hasty: settings.hasty,
+            careless: settings.careless,
+            address: ([127, 0, 0, 1], port).into(),
+            seen: None,
+            write: None,
+            next_write: now,
+            next_poll: now,
+            next_dial: now,
+            asks: BTreeMap::new(),
+            next_ask: 1,
+            next_vouch: now,
+            ticked: now,
+            settled: false,
+            waits: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn me(&self) -> &Identity {
+        self.membership.me()
+    }
+
+    pub(crate) fn runs(&self) -> bool {
+        !self.dead && !self.stopped
+    }
+
+    pub(crate) fn kill(&mut self) {
+        self.dead = true;
+        self.stopped = false;
+    }
+
+    pub(crate) fn is_current(&self, now: Instant) -> bool {
+        self.membership.is_current(now) || (self.careless && self.membership.is_listed())
+    }
+
+    pub(crate) fn divisor(&mut self, now: Instant) -> Option<u32> {
+        let table = self.membership.table().map(|table| table.members.len());
+        let listed = table.and_then(|count| u32::try_from(count).ok());
+        let divisor = self.membership.divisor(now);
+        if self.hasty && self.membership.is_listed() { listed } else { divisor }
+    }
+
+    pub(crate) fn tick(world: &mut World, index: usize) {
+        let now = world.now;
+        let host = &mut world.hosts[index];
+        if now.since(host.ticked) >= WOKEN {
+            host.membership.woken(now);
+        }
+        host.ticked = now;
+        Host::poll(world, index);
+        Host::tend_table(world, index);
+        Host::tend_peers(world, index);
+        Host::settle(world, index);
+        Host::request(world, index);
+        Host::run_limits(world, index);
+    }
+
+    fn poll(world: &mut World, index: usize) {
+        let now = world.now;
+        if now < world.hosts[index].next_poll {
+            return;
+        }
+        let shown = world.shown(index).cloned();
+        let host = &mut world.hosts[index];
+        host.next_poll = now + POLL;
+        let Some(Store { members, accepted, document, .. }) = shown else {
+            return;
+        };
+        host.seen = Some(members.clone());
+        if let Some(table) = members {
+            let version = table.version;
+            Host::offer(world, index, table);
+            world.hosts[index].membership.confirmed(now, version, now);
+        }
+        Host::offer_config(world, index, accepted);
+        let host = &mut world.hosts[index];
+        host.config.shown(accepted, now);
+        let judges = host.membership.is_current(now)
+            && document > accepted
+            && host.config.duty(document) == Judging::Judge;
+        if judges && world.writable(index) && world.store.accepted == accepted {
+            world.store.version += 1;
+            world.store.accepted = document;
+            Host::offer_config(world, index, document);
+        }
+    }
+
+    fn offer(world: &mut World, index: usize, table: Table) {
+        let host = &mut world.hosts[index];
+        if host.membership.offer(world.now, table) == Offer::Old {
+            return;
+        }
+        host.next_vouch = world.now;
+        let Some(table) = host.membership.table().cloned() else {
+            return;
+        };
+        for peer in host.peers() {
+            world.send(index, &peer, Message::Members(table.clone()));
+        }
+    }
+
+    fn offer_config(world: &mut World, index: usize, version: u64) {
+        let terms = world.terms_of(version);
+        let now = world.now;
+        let host = &mut world.hosts[index];
+        if !host.config.offer(version, Arc::from([])) {
+            return;
+        }
+        host.settled = false;
+        host.limits.configure(now, &terms, false);
+        for peer in host.peers() {
+            world.send(index, &peer, Message::Configuration(version));
+        }
+    }
+
+    fn settle(world: &mut World, index: usize) {
+        let now = world.now;
+        let terms = world.terms_of(world.hosts[index].config.version());
+        let host = &mut world.hosts[index];
+        let all = host.membership.all_configured(host.config.version());
+        if !host.settled && host.membership.is_current(now) && all {
+            host.settled = true;
+            host.limits.configure(now, &terms, true);
+        }
+    }
+
+    fn peers(&self) -> Vec<Identity> {
+        self.membership.peers().map(|peer| peer.member.identity.clone()).collect()
+    }
+
+    fn tend_table(world: &mut World, index: usize) {
+        let now = world.now;
+        if world.hosts[index].write.as_ref().is_some_and(|write| now >= write.due) {
+            Host::finish_write(world, index);
+        }
+        let delay = Duration::from_millis(world.rng.random_range(1..30));
+        let host = &mut world.hosts[index];
+        if host.write.is_some() || now < host.next_write {
+            return;
+        }
+        let seen = host.seen.as_ref().map(Option::as_ref);
+        if let Duty::Write(table) = host.membership.duty(now, seen, host.address) {
+            host.write = Some(Write { due: now + delay, table });
+            host.next_write = now + PAUSE;
+        }
+    }
+
+    fn finish_write(world: &mut World, index: usize) {
+        let Some(Write { mut table, .. }) = world.hosts[index].write.take() else {
+            return;
+        };
+        let stands = world.store.members.as_ref().map_or(0, |table| table.version);
+        if !world.writable(index) || stands != table.version {
+            return;
+        }
+        world.store.version += 1;
+        table.version = world.store.version;
+        world.store.members = Some(table.clone());
+        if world.lose_answers > 0 {
+            world.lose_answers -= 1;
+            return;
+        }
+        world.hosts[index].seen = Some(Some(table.clone()));
+        Host::offer(world, index, table);
+    }
+
+    fn tend_peers(world: &mut World, index: usize) {
+        let now = world.now;
+        if now >= world.hosts[index].next_dial {
+            world.hosts[index].next_dial = now + DIAL;
+            for peer in world.hosts[index].peers() {
+                if let Some(Message::Dead(identity)) = world.dial(index, &peer) {
+                    world.hosts[index].membership.proven_dead(now, &identity);
+                }
+            }
+        }
+        if now < world.hosts[index].next_vouch {
+            return;
+        }
+        world.hosts[index].next_vouch = now + VOUCH_PERIOD;
+        for peer in world.hosts[index].peers() {
+            let host = &mut world.hosts[index];
+            let ask = host.next_ask;
+            host.next_ask += 1;
+            host.asks.insert(ask, now);
+            let (members, configuration) = (host.membership.version(), host.config.version());
+            world.send(index, &peer, Message::Vouch { ask, members, configuration });
+        }
+    }
+
+    fn request(world: &mut World, index: usize) {
+        let now = world.now;
+        for _ in 0..world.hosts[index].load {
+            if world.rng.random_range(0..4) > 0 {
+                continue;
+            }
+            let burst = world.terms.values().map(|(_, burst)| *burst).max().unwrap_or(1);
+            let tokens = world.rng.random_range(1..=burst.div_ceil(8));
+            let within = Duration::from_millis(world.rng.random_range(0..600));
+            Host::debit(world, index, tokens, within);
+        }
+        if world.rng.random_range(0..50) == 0 {
+            let refund = world.checks.refundable(&mut world.rng);
+            world.hosts[index].limits.refund(now, "acme", refund);
+            world.checks.refund(refund);
+        }
+    }
+
+    /// A request comes to a host.
+    pub(crate) fn debit(world: &mut World, index: usize, tokens: u64, within: Duration) {
+        let now = world.now;
+        let host = &mut world.hosts[index];
+        host.stand(now);
+        match host.limits.debit(now, &organisation(), tokens, within) {
+            Ok(Debit::Granted) => Host::admitted(world, index, tokens, now),
+            Ok(Debit::Waits(wait)) => drop(host.waits.insert(wait, (tokens, now))),
+            Err(refusal) => host.refused(tokens, now, refusal),
+        }
+        Host::run_limits(world, index);
+    }
+
+    fn admitted(world: &mut World, index: usize, tokens: u64, asked: Instant) {
+        world.hosts[index].outcomes.push(Outcome { tokens, asked, refused: None });
+        world.checks.admit(tokens);
+    }
+
+    fn refused(&mut self, tokens: u64, asked: Instant, refusal: Refusal) {
+        self.outcomes.push(Outcome { tokens, asked, refused: Some(refusal) });
+    }
+
+    fn stand(&mut self, now: Instant) {
+        let (divisor, current) = (self.divisor(now), self.is_current(now));
+        let peers = self.membership.peers().filter(|peer| !peer.dead);
+        let peers = peers.map(|peer| peer.member.identity.name.clone()).collect();
+        let joins = self.membership.joins();
+        self.limits.stand(now, Standing { divisor, current, peers, joins });
+    }
+
+    pub(crate) fn run_limits(world: &mut World, index: usize) {
+        let now = world.now;
+        world.hosts[index].stand(now);
+        for effect in world.hosts[index].limits.run(now) {
+            match effect {
+                Effect::Grant(wait) => {
+                    if let Some((tokens, asked)) = world.hosts[index].waits.remove(&wait) {
+                        Host::admitted(world, index, tokens, asked);
+                    }
+                }
+                Effect::Refuse(wait, refusal) => {
+                    let host = &mut world.hosts[index];
+                    if let Some((tokens, asked)) = host.waits.remove(&wait) {
+                        host.refused(tokens, asked, refusal);
+                    }
+                }
+                Effect::Borrow { peer, ask, tokens, .. } => {
+                    let peers = world.hosts[index].peers();
+                    if let Some(peer) = peers.into_iter().find(|known| known.name == peer) {
+                        world.checks.messages += 2;
+                        world.send(index, &peer, Message::Borrow { ask, tokens });
+                    }
+                }
+                Effect::Lost { .. } => {}
+            }
+        }
+    }
+
+    pub(crate) fn receive(world: &mut World, index: usize, from: &Identity, message: Message) {
+        let now = world.now;
+        match message {
+            Message::Vouch { ask, members, configuration } => {
+                Host::vouch(world, index, from, ask, members, configuration);
+            }
+            Message::Vouched { ask, mut answer, age } => {
+                let host = &mut world.hosts[index];
+                let Some(sent) = host.asks.remove(&ask) else {
+                    return;
+                };
+                answer.sent = sent;
+                host.membership.answered(now, from, answer);
+                host.config.told(answer.configuration, age, sent);
+            }
+            Message::Members(table) => Host::offer(world, index, table),
+            Message::Configuration(version) => Host::offer_config(world, index, version),
+            Message::Borrow { ask, tokens } => {
+                let host = &mut world.hosts[index];
+                host.stand(now);
+                let lists = host.membership.lists(from);
+                let tokens = if lists { host.limits.lend(now, "acme", tokens) } else { 0 };
+                world.send(index, from, Message::Lent { ask, tokens });
+            }
+            Message::Lent { ask, tokens } => {
+                let host = &mut world.hosts[index];
+                host.stand(now);
+                host.limits.lent(now, ask, tokens);
+                Host::run_limits(world, index);
+            }
+            Message::Dead(identity) => world.hosts[index].membership.proven_dead(now, &identity),
+        }
+    }
+
+    fn vouch(
+        world: &mut World,
+        index: usize,
+        from: &Identity,
+        ask: u64,
+        members: u64,
+        configuration: u64,
+    ) {
+        let now = world.now;
+        let host = &mut world.hosts[index];
+        let listed = host.membership.vouch(now, from, members, configuration);
+        let (version, config) = (host.membership.version(), host.config.version());
+        let answer = Answer { sent: now, members: version, listed, configuration: config };
+        let age = host.config.confirmed_ago(now).unwrap_or(Duration::from_secs(3_600)) + STEP;
+        let table = host.membership.table().filter(|_| members < version).cloned();
+        world.send(index, from, Message::Vouched { ask, answer, age });
+        if let Some(table) = table {
+            world.send(index, from, Message::Members(table));
+        }
+        if configuration < config {
+            world.send(index, from, Message::Configuration(config));
+        }
+    }
+}
--- a/crates/fleet/src/member/limit.rs
+++ b/crates/fleet/src/member/limit.rs
@@ -65,9 +65,6 @@
         let dead = |peer: &&chestnutrack_core::member::Peer| !peer.dead;
         let peers = self.membership.peers().filter(dead);
         let peers = peers.map(|peer| peer.member.identity.name.clone()).collect();
-        if self.membership.is_listed() {
-            self.joined();
-        }
         let joins = self.membership.joins();
         self.limits.stand(now, Standing { divisor, current, peers, joins });
     }
--- a/crates/fleet/src/member/table.rs
+++ b/crates/fleet/src/member/table.rs
@@ -3,7 +3,7 @@
 use super::{Link, Message, State, tell};
 use crate::peer;
 use crate::store::{self, Seen};
-use chestnutrack_core::member::{Member, Offer, Table};
+use chestnutrack_core::member::{Duty, Member, Offer, Table};
 use chestnutrack_core::time::Instant;
 use chestnutrack_wire::frame::{self, Frame};
 use std::time::Duration;
@@ -13,8 +13,8 @@
 const JOIN_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between two attempts to join.
 const JOIN_PAUSE_MAX: Duration = Duration::from_secs(10);
-/// Pause between two attempts to remove members.
-const REMOVE_PAUSE: Duration = Duration::from_millis(200);
+/// Pause between two calls for other reasons.
+const PAUSE: Duration = Duration::from_millis(200);
 /// Time without an answer after which the object interface is held to be down.
 const DOWN: Duration = Duration::from_secs(3);
 
@@ -115,43 +115,41 @@
         }
     }
 
-    /// Starts the write that the table needs now, if any.
+    /// Starts the call that the table needs now, if any.
     pub(super) fn tend_table(&mut self, now: Instant) {
         if self.table.writing || now < self.table.next {
             return;
         }
-        if self.membership.is_leaving() {
-            self.tend_leaving(now);
-        } else if !self.membership.is_listed() {
-            self.join(now);
-        } else if let Some(table) = self.membership.removal(now) {
-            self.table.next = now + REMOVE_PAUSE;
-            self.write(table);
-        } else if self.membership.wants_confirmation() {
-            self.table.next = now + REMOVE_PAUSE;
-            self.reread();
+        let seen = self.table.seen.as_ref().map(Option::as_ref);
+        match self.membership.duty(now, seen, self.settings.listen) {
+            Duty::None => self.tell_left(),
+            Duty::Write(table) => {
+                self.pause(now);
+                self.write(table);
+            }
+            Duty::Read => {
+                self.pause(now);
+                self.reread();
+            }
         }
     }
 
-    fn join(&mut self, now: Instant) {
-        let Some(seen) = self.table.seen.clone() else {
+    /// Puts off the next call; longer from one attempt to join to the next.
+    fn pause(&mut self, now: Instant) {
+        if self.membership.is_listed() {
+            self.table.pause = Duration::ZERO;
+            self.table.next = now + PAUSE;
             return;
-        };
-        let newest = self
-            .membership
-            .table()
-            .filter(|table| seen.as_ref().is_some_and(|seen| seen.version < table.version));
-        let base = newest.cloned().or(seen);
-        if base.is_none() && self.membership.version() == 0 {
-            self.membership.found();
         }
-        let base = base.unwrap_or(Table { version: 0, members: Vec::new() });
-        let identity = self.membership.me().clone();
-        let member = Member { identity, address: self.settings.listen };
-        let members = base.with(member);
         self.table.pause = (self.table.pause * 2).clamp(JOIN_PAUSE, JOIN_PAUSE_MAX);
         self.table.next = now + self.table.pause;
-        self.write(Table { version: base.version, members });
+    }
+
+    fn tell_left(&mut self) {
+        let left = self.membership.is_leaving() && !self.membership.is_listed();
+        if let Some(done) = self.table.leaving.take_if(|_| left) {
+            let _ = done.send(());
+        }
     }
 
     fn write(&mut self, table: Table) {
@@ -179,40 +177,18 @@
         self.table.answered = Some(now);
         self.table.seen = Some(Some(table.clone()));
         self.offer_table(now, table);
-        if self.membership.is_leaving() {
-            self.tend_leaving(now);
-        }
+        self.table.next = now;
+        self.tend_table(now);
     }
 
     /// Leaves: from now on this member admits nothing and vouches for nobody.
     pub(super) fn leave(&mut self, now: Instant, done: oneshot::Sender<()>) {
         self.membership.leave();
         self.table.leaving = Some(done);
+        self.table.next = now;
         self.restand(now);
         self.publish(now);
-        if !self.table.writing {
-            self.tend_leaving(now);
-        }
-    }
-
-    fn tend_leaving(&mut self, now: Instant) {
-        if !self.membership.is_listed() {
-            if let Some(done) = self.table.leaving.take() {
-                let _ = done.send(());
-            }
-            return;
-        }
-        if let Some(table) = self.membership.table() {
-            let members = table.without(&self.settings.name);
-            let table = Table { version: table.version, members };
-            self.table.next = now + REMOVE_PAUSE;
-            self.write(table);
-        }
-    }
-
-    /// Whether this member has come into the table; a later removal starts with a short pause.
-    pub(super) fn joined(&mut self) {
-        self.table.pause = Duration::ZERO;
+        self.tend_table(now);
     }
 }
 
