--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -1,6 +1,7 @@
 //! What every request of the process shares.
 
 use crate::authority::Authority;
+use crate::burn::Burn;
 use crate::explain::Ring;
 use crate::metric::Metrics;
 use crate::scheduler::Scheduler;
@@ -21,6 +22,8 @@
     pub metrics: Arc<Metrics>,
     /// Counters of organisations.
     pub ledger: Ledger,
+    /// Counts for the report on service-level burn.
+    pub burn: Arc<Burn>,
     /// Why recent requests went where they did.
     pub ring: Ring,
     /// What is left to spend on retries.
--- /dev/null
+++ b/crates/entry/src/burn/mod.rs
@@ -0,0 +1,101 @@
+//! Counts for the report on service-level burn, kept in an object of this host.
+
+use crate::request::exchange::Admitted;
+use crate::request::refusal::{Code, Refusal};
+use chestnutrack_burn::ledger::{Read, Step, Write};
+use chestnutrack_burn::{KIND, Key, Ledger, Outcome, object_name};
+use chestnutrack_platform::client::Client;
+use chestnutrack_platform::error::Error;
+use chestnutrack_process::clock;
+use chestnutrack_process::timer::Timer;
+use chestnutrack_wire::frame::Ran;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Time between looks at whether a write is due.
+const TICK: Duration = Duration::from_secs(1);
+
+/// What this host counts.
+pub struct Burn {
+    ledger: Mutex<Ledger>,
+    object: String,
+}
+
+impl Burn {
+    /// Counts of a host that starts now.
+    pub fn new(service: Arc<str>, host: &str, incarnation: u64) -> Burn {
+        let object = object_name(&service, host);
+        Burn { ledger: Mutex::new(Ledger::new(service, incarnation, clock::now())), object }
+    }
+
+    fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts a request that ended.
+    pub fn record(&self, admitted: &Admitted, refusal: Option<&Refusal>, in_time: bool) {
+        let Some(outcome) = outcome(refusal, in_time) else { return };
+        let key = Key { organisation: admitted.organisation(), route: admitted.route.name.clone() };
+        self.ledger().record(clock::now(), key, outcome);
+    }
+
+    /// Writes the counts whenever it is time, for as long as the process lives.
+    pub async fn keep(self: Arc<Burn>, client: Client, timer: Timer) {
+        let mut ticks = timer.subscribe(TICK);
+        while let Some(tick) = ticks.recv().await {
+            let step = self.ledger().tick(tick.now);
+            match step {
+                Step::Idle => {}
+                Step::Read => self.read(&client).await,
+                Step::Write(write) => self.write(&client, write).await,
+            }
+        }
+    }
+
+    /// Writes what is left, before the process ends.
+    pub async fn flush(&self, client: &Client) {
+        let write = self.ledger().flush(clock::now());
+        if let Some(write) = write {
+            self.write(client, write).await;
+        }
+    }
+
+    async fn read(&self, client: &Client) {
+        let read = match client.read(KIND, &self.object).await {
+            Ok(object) => object.value.map(|value| Read {
+                version: object.version,
+                age: Duration::from_millis(object.age_ms),
+                value,
+            }),
+            Err(Error::Missing) => None,
+            Err(_) => return,
+        };
+        self.ledger().was_read(clock::now(), read);
+    }
+
+    async fn write(&self, client: &Client, write: Write) {
+        let written = client.replace(KIND, &self.object, write.version, &write.value).await;
+        match written {
+            Ok(version) => self.ledger().was_written(version),
+            Err(_) => self.ledger().was_lost(clock::now()),
+        }
+    }
+}
+
+/// How a request ended, as the objective sees it; `None` where its caller caused the end.
+fn outcome(refusal: Option<&Refusal>, in_time: bool) -> Option<Outcome> {
+    let Some(refusal) = refusal else {
+        return Some(if in_time { Outcome::Good } else { Outcome::Slow });
+    };
+    match refusal.code {
+        Code::OverRate | Code::OverBurst => Some(Outcome::OverRate),
+        Code::CallerGone
+        | Code::KeyRefused
+        | Code::KeyMoved
+        | Code::KeyMissing
+        | Code::StillRunning
+        | Code::IdempotencyKeyReused => None,
+        _ if refusal.ran == Ran::NotRun => Some(Outcome::Refused),
+        _ => Some(Outcome::Failed),
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod app;
 pub mod attempt;
 pub mod authority;
+pub mod burn;
 pub mod explain;
 pub mod link;
 pub mod metric;
--- a/crates/entry/src/link/mod.rs
+++ b/crates/entry/src/link/mod.rs
@@ -5,12 +5,14 @@
 //! dropped.
 
 pub mod cursor;
+pub mod events;
 pub mod handle;
 mod state;
 pub mod stream;
 
+pub use events::{Event, Events};
 pub use handle::{Link, Open};
-pub use stream::{Event, Id, Stage};
+pub use stream::{Id, Stage};
 
 use crate::metric::Metrics;
 use chestnutrack_fleet::Snapshot;
@@ -23,17 +25,33 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
 
-/// Time between heartbeats.
-pub const PING_EVERY: Duration = Duration::from_millis(250);
-/// Silence after which a connection is replaced.
-pub const SILENT_AFTER: Duration = Duration::from_millis(800);
-/// How long an answer waits for a new connection before it is given up.
-pub const RESUME_WITHIN: Duration = Duration::from_millis(2_000);
+/// Bounds on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Time between heartbeats.
+    pub ping_every: Duration,
+    /// Silence after which a connection is replaced.
+    pub silent_after: Duration,
+    /// How long an answer waits for a new connection before it is given up.
+    pub resume_within: Duration,
+    /// How long a hold or a prefill waits for a new connection before another server is asked.
+    pub replace_after: Duration,
+    /// Bytes of an answer that may wait for a slow caller before the answer is given up.
+    pub waiting_bytes: usize,
+}
 
-/// How long a hold or a prefill waits for a new connection before another server is asked.
-pub const REPLACE_AFTER: Duration = Duration::from_millis(400);
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            ping_every: Duration::from_millis(250),
+            silent_after: Duration::from_millis(800),
+            resume_within: Duration::from_millis(2_000),
+            replace_after: Duration::from_millis(400),
+            waiting_bytes: 8 << 20,
+        }
+    }
+}
 
 /// What the scheduler learns from a link.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,6 +77,8 @@
     pub sender: Sender,
     /// Identity and trust; plain TCP where absent.
     pub security: Option<Security>,
+    /// Bounds on the connection.
+    pub settings: Settings,
     /// The configuration in force.
     pub snapshot: Arc<Snapshot>,
     /// Where notices go.
@@ -72,7 +92,7 @@
 /// Messages of the actor.
 pub enum Message {
     /// Starts an attempt with its first frame.
-    Open(Id, Stage, Box<Frame>, mpsc::UnboundedSender<Event>),
+    Open(Id, Stage, Box<Frame>, Events),
     /// Sends an attempt's next order.
     Advance(Id, Box<Frame>),
     /// Ends an attempt: its answer came whole, or it is given up.
@@ -115,7 +135,7 @@
         myself: ActorRef<Message>,
         arguments: Arguments,
     ) -> Result<State, ActorProcessingErr> {
-        forward_ticks(&arguments.timer, myself.clone());
+        forward_ticks(&arguments, myself.clone());
         let mut state = State::new(arguments, myself);
         state.connect();
         Ok(state)
@@ -148,8 +168,8 @@
     }
 }
 
-fn forward_ticks(timer: &Timer, actor: ActorRef<Message>) {
-    let mut ticks = timer.subscribe(PING_EVERY);
+fn forward_ticks(arguments: &Arguments, actor: ActorRef<Message>) {
+    let mut ticks = arguments.timer.subscribe(arguments.settings.ping_every);
     tokio::spawn(async move {
         while let Some(tick) = ticks.recv().await {
             if actor.cast(Message::Tick(tick)).is_err() {
--- a/crates/entry/src/link/state.rs
+++ b/crates/entry/src/link/state.rs
@@ -1,8 +1,8 @@
 //! The actor's state and what it does with each message.
 
+use super::is_understood;
 use super::stream::{Next, Stream};
-use super::{Arguments, Close, Event, Id, Message, Notice, Stage};
-use super::{REPLACE_AFTER, RESUME_WITHIN, SILENT_AFTER, is_understood};
+use super::{Arguments, Close, Event, Events, Id, Message, Notice, Stage};
 use chestnutrack_core::time::Instant;
 use chestnutrack_fleet::Snapshot;
 use chestnutrack_process::clock;
@@ -15,7 +15,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
 /// Shortest and longest wait before a connection is tried again, in milliseconds.
@@ -147,13 +146,7 @@
         self.disconnect();
     }
 
-    pub(super) fn open(
-        &mut self,
-        id: Id,
-        stage: Stage,
-        order: Frame,
-        events: mpsc::UnboundedSender<Event>,
-    ) {
+    pub(super) fn open(&mut self, id: Id, stage: Stage, order: Frame, events: Events) {
         let sent = self.greeted && self.send(&order);
         let stream = Stream::new(stage, order, events);
         if !sent {
@@ -322,8 +315,10 @@
     }
 
     pub(super) fn tick(&mut self, tick: Tick) {
+        let settings = self.arguments.settings;
         self.lose_where(|stream| {
-            let within = if stream.is_replaceable() { REPLACE_AFTER } else { RESUME_WITHIN };
+            let replaceable = stream.is_replaceable();
+            let within = if replaceable { settings.replace_after } else { settings.resume_within };
             stream.broken_since.is_some_and(|since| tick.now.since(since) >= within)
         });
         if self.sender.is_none() {
@@ -332,7 +327,7 @@
         if tick.late >= STOPPED_AFTER {
             self.heard = tick.now;
         }
-        if tick.now.since(self.heard) >= SILENT_AFTER {
+        if tick.now.since(self.heard) >= settings.silent_after {
             self.arguments.metrics.connections_silent.inc();
             tracing::warn!(server = %self.arguments.server, "connection is silent, opening another");
             self.disconnect();
--- a/crates/entry/src/link/stream.rs
+++ b/crates/entry/src/link/stream.rs
@@ -1,12 +1,12 @@
 //! One attempt on one side process, as its link sees it.
 
 use super::cursor::{Cursor, Fit};
+use super::events::{Event, Events};
 use bytes::Bytes;
 use chestnutrack_core::time::Instant;
-use chestnutrack_wire::frame::{Failure, Finish, Frame, Kv, Ran};
+use chestnutrack_wire::frame::{Failure, Frame, Ran};
 use chestnutrack_wire::{Attempt, Request};
 use std::sync::Arc;
-use tokio::sync::mpsc;
 
 /// Times that one answer is asked for again from its offset before it is given up.
 const RESUMES_MAX: u32 = 8;
@@ -29,29 +29,6 @@
     Answering,
 }
 
-/// What a side process says of an attempt.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Event {
-    /// The hold is given; the KV cache may come in so many milliseconds.
-    Reserved(u32),
-    /// The KV cache is ready.
-    Prefilled(Kv),
-    /// More of the answer.
-    Tokens(Vec<Arc<str>>),
-    /// The answer is whole.
-    End(Finish),
-    /// Head of a plain answer.
-    Head(u16, Vec<(Arc<str>, Arc<str>)>),
-    /// More of a plain answer.
-    Body(Bytes),
-    /// The plain answer is whole.
-    BodyEnd,
-    /// The attempt was refused or failed.
-    Failed(Failure),
-    /// The side process can't be reached any more; whether the attempt ran.
-    Lost(Ran),
-}
-
 /// What the link does after a frame was taken in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
@@ -82,12 +59,12 @@
     pub order: Frame,
     head_seen: bool,
     resumes: u32,
-    events: mpsc::UnboundedSender<Event>,
+    events: Events,
 }
 
 impl Stream {
     /// A stream that was just asked for.
-    pub fn new(stage: Stage, order: Frame, events: mpsc::UnboundedSender<Event>) -> Stream {
+    pub fn new(stage: Stage, order: Frame, events: Events) -> Stream {
         Stream {
             stage,
             order,
@@ -101,7 +78,7 @@
 
     /// Tells the request's task.
     pub fn tell(&self, event: Event) {
-        let _ = self.events.send(event);
+        self.events.send(event);
     }
 
     /// Whether the attempt ran, once its side process can't be reached.
@@ -188,7 +165,7 @@
         match self.cursor.place(offset, bytes.len()) {
             Fit::Take(skip) => {
                 self.tell(Event::Body(Bytes::from(bytes).slice(skip..)));
-                Next::Continue
+                if self.events.is_overfull() { Next::GiveUp } else { Next::Continue }
             }
             Fit::Duplicate => Next::Dropped,
             Fit::Gap => Next::Resume,
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -3,7 +3,9 @@
 use crate::admin;
 use crate::app::{App, Prefill};
 use crate::authority::Authority;
+use crate::burn::Burn;
 use crate::explain::Ring;
+use crate::link;
 use crate::metric::Metrics;
 use crate::scheduler::{self, Scheduler, View};
 use crate::server;
@@ -11,6 +13,7 @@
 use crate::usage::Ledger;
 use chestnutrack_core::retry::{self, Budget};
 use chestnutrack_fleet::Fleet;
+use chestnutrack_platform::client::Client;
 use chestnutrack_process::admin::Ready;
 use chestnutrack_process::shutdown::Shutdown;
 use chestnutrack_process::timer::Timer;
@@ -47,6 +50,8 @@
 
 /// What the request path needs to know when it starts.
 pub struct Parts {
+    /// Service that it serves.
+    pub service: Arc<str>,
     /// Failure domain of this host.
     pub failure_domain: Arc<str>,
     /// Who this process is.
@@ -59,6 +64,10 @@
     pub timer: Timer,
     /// Seed of random choices.
     pub seed: u64,
+    /// Bounds on connections to side processes.
+    pub link: link::Settings,
+    /// Bounds on retries.
+    pub retry: retry::Settings,
 }
 
 /// The request path and what operators see of its servers.
@@ -77,8 +86,11 @@
 pub async fn start(parts: Parts, registry: &Registry) -> Result<Path, Error> {
     let metrics = Arc::new(Metrics::new(registry).map_err(Error::Metric)?);
     let (shown, servers) = watch::channel(Vec::new());
+    let incarnation = parts.sender.incarnation;
+    let burn = Burn::new(parts.service, &parts.sender.name, incarnation);
     let arguments = scheduler::Arguments {
         sender: parts.sender,
+        link: parts.link,
         security: parts.security,
         seed: parts.seed,
         timer: parts.timer,
@@ -93,8 +105,9 @@
         scheduler,
         metrics,
         ledger: Ledger::default(),
+        burn: Arc::new(burn),
         ring: Ring::default(),
-        budget: Mutex::new(Budget::new(retry::Settings::default())),
+        budget: Mutex::new(Budget::new(parts.retry)),
         prefill: Prefill::default(),
         draining: AtomicBool::new(false),
     });
@@ -142,19 +155,26 @@
     );
     let fleet = fleet.await.map_err(Error::Fleet)?;
     let parts = Parts {
+        service: settings.service.clone(),
         failure_domain: settings.failure_domain.clone(),
         sender: Sender { name: settings.name.clone(), incarnation },
         security,
         authority: Authority::of(&fleet),
         timer: timer.clone(),
         seed: rand::random(),
+        link: link::Settings::default(),
+        retry: retry::Settings::default(),
     };
     let path = start(parts, &registry).await?;
     let pages = admin::pages(path.app.clone(), path.servers, fleet.clone());
     tokio::spawn(chestnutrack_process::admin::serve(operators, registry, ready.clone(), pages));
-    tokio::spawn(keep_ready(ready, fleet.clone(), timer, shutdown.clone()));
+    tokio::spawn(keep_ready(ready, fleet.clone(), timer.clone(), shutdown.clone()));
+    let client = Client::new(settings.platform, Default::default(), None);
+    let burn = path.app.burn.clone();
+    tokio::spawn(burn.clone().keep(client.clone(), timer));
     tracing::info!(name = %settings.name, listen = %settings.listen, "serving");
     server::serve(callers, path.app, shutdown, settings.drain).await;
+    burn.flush(&client).await;
     fleet.leave().await;
     tracing::info!(name = %settings.name, "drained");
     Ok(())
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -172,8 +172,17 @@
         pace.tokens += tokens;
     }
 
-    /// Whether the answer kept both latency targets.
-    pub fn within(&self, targets: &Targets) -> bool {
+    /// Whether the answer came in time: within both latency targets where it is an interactive
+    /// model request, else within its deadline.
+    pub fn is_in_time(&self, admitted: &Admitted) -> bool {
+        if admitted.route.api.is_model() && !admitted.route.may_wait {
+            return self.is_within(&admitted.targets);
+        }
+        let pace = *self.pace.lock().unwrap_or_else(PoisonError::into_inner);
+        pace.first.is_some_and(|first| first <= admitted.deadline)
+    }
+
+    fn is_within(&self, targets: &Targets) -> bool {
         let pace = *self.pace.lock().unwrap_or_else(PoisonError::into_inner);
         let first = pace.first.unwrap_or_else(clock::now);
         let last = pace.last.unwrap_or(first);
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -189,7 +189,8 @@
         app.metrics.refusals.with_label_values(&[refusal.code.as_str()]).inc();
     }
     let Some(admitted) = admitted else { return };
-    let within = refusal.is_none() && exchange.within(&admitted.targets);
+    let within = refusal.is_none() && exchange.is_in_time(admitted);
+    app.burn.record(admitted, refusal, within);
     app.ledger.change(&admitted.organisation(), &admitted.route.name, |counters| {
         counters.requests += 1;
         counters.answered += u64::from(refusal.is_none());
--- a/crates/entry/src/scheduler/mod.rs
+++ b/crates/entry/src/scheduler/mod.rs
@@ -7,7 +7,7 @@
 
 pub use handle::{Hold, Scheduler, Turn};
 
-use crate::link::{Link, Notice};
+use crate::link::{self, Link, Notice};
 use crate::metric::Metrics;
 use chestnutrack_core::place::{Ask, Key};
 use chestnutrack_core::queue::Waiting;
@@ -33,6 +33,8 @@
     pub sender: frame::Sender,
     /// Identity and trust; plain TCP where absent.
     pub security: Option<Security>,
+    /// Bounds on connections to side processes.
+    pub link: link::Settings,
     /// Seed of its random choices.
     pub seed: u64,
     /// The timer service.
--- a/crates/entry/src/scheduler/servers.rs
+++ b/crates/entry/src/scheduler/servers.rs
@@ -69,6 +69,7 @@
             address: server.side,
             sender: arguments.sender.clone(),
             security: arguments.security.clone(),
+            settings: arguments.link,
             snapshot: snapshot.clone(),
             notices: Arc::new(move |notice| {
                 let _ = notices.cast(Message::Notice(key, notice));
--- a/crates/entry/src/usage/mod.rs
+++ b/crates/entry/src/usage/mod.rs
@@ -15,7 +15,8 @@
     pub refused: BTreeMap<&'static str, u64>,
     /// Tokens spent.
     pub tokens: u64,
-    /// Requests answered within both latency targets.
+    /// Requests answered in time: within both latency targets for interactive model requests,
+    /// within the deadline for others.
     pub within_targets: u64,
 }
 
