--- a/crates/load/src/measure/mod.rs
+++ b/crates/load/src/measure/mod.rs
@@ -12,7 +12,7 @@
 use chestnutrack_standin::engine;
 use latency::Histogram;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +39,8 @@
     pub first_token_unloaded: Percentiles,
     /// What must never be.
     pub violations: Violations,
+    /// Answers that were not whole or not the caller's, the first of them.
+    pub incidents: Vec<String>,
     /// What the engines counted, the warm-up included.
     pub engines: Engines,
     /// Calls that the object interface counted, the warm-up included.
@@ -68,13 +70,17 @@
     pub offered_load: f64,
 }
 
-/// Good requests among those within the rate.
+/// Good requests among those within the rate, and tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
     /// In-rate requests.
     pub in_rate: u64,
     /// Good ones.
     pub good: u64,
+    /// Tokens of answered requests, the warm-up included.
+    pub admitted_tokens: u64,
+    /// Tokens that the burst and the rate up to the last answer allow.
+    pub allowed_tokens: u64,
 }
 
 impl Share {
@@ -95,15 +101,16 @@
     pub sent: u64,
     /// Requests that a token bucket over the whole fleet, at the caller, admitted.
     pub in_rate: u64,
-    /// In-rate requests that were good: answered whole, within both targets if interactive, else
-    /// within their deadline.
+    /// Requests that were good, up to `in_rate`: answered whole, within both targets if
+    /// interactive, else within their deadline. Which requests of an organisation over its rate
+    /// are admitted is the router's choice, so they are counted without regard to which they were.
     pub good: u64,
-    /// In-rate requests answered whole, but late.
+    /// Requests answered whole, but late, up to what is left of `in_rate`.
     pub late: u64,
-    /// In-rate requests refused.
-    pub refused: u64,
-    /// In-rate requests without a whole answer.
+    /// Requests without a whole answer, up to what is left then.
     pub broken: u64,
+    /// What is left then: requests within the rate that were refused.
+    pub refused: u64,
     /// Refusals of all requests, by code.
     pub codes: BTreeMap<String, u64>,
     /// Why answers were not whole, with one example each.
@@ -117,7 +124,7 @@
 /// One second of a run, by when requests were sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Second {
-    /// Good in-rate requests.
+    /// Good requests.
     pub good: u32,
     /// Late ones.
     pub late: u32,
@@ -125,11 +132,11 @@
     pub refused: u32,
     /// Broken ones.
     pub broken: u32,
-    /// Requests over their organisation's rate.
+    /// Refused ones of organisations that send more than their rate.
     pub over_rate: u32,
 }
 
-/// How an in-rate request fared.
+/// How a request fared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fate {
     Good,
@@ -153,10 +160,12 @@
     let mut unloaded = Histogram::default();
     let mut timeline = vec![Second::default(); experiment.duration_s.ceil() as usize];
     let (mut output_tokens, mut completions) = (0, 0_u64);
+    let over = over_rate(&outcome.sent);
     for sent in outcome.sent.iter().filter(|sent| !sent.repeated) {
         let Some(route) = route(&outcome.document, &sent.request.route) else { continue };
         let fate = fate(&outcome.document, route, sent);
-        note_second(&mut timeline, sent, fate);
+        let within = !over.contains(&sent.request.organisation);
+        note_second(&mut timeline, sent, fate, within);
         if sent.request.at < warm_up {
             continue;
         }
@@ -166,27 +175,31 @@
             output_tokens += u64::from(completion.output_tokens);
             completions += 1;
         }
-        if is_interactive(route) && sent.request.in_rate {
+        if is_interactive(route) && within {
             note_latency(&mut first, &mut between, sent);
             unloaded.record(engine_alone(sent));
         }
     }
     let rows: Vec<Row> = tallies.into_iter().map(|(key, tally)| tally.finish(key)).collect();
-    let organisations = shares(&rows);
+    let mut organisations = shares(&rows);
+    note_tokens(&mut organisations, outcome);
     let measured_s = experiment.duration_s - experiment.warm_up_s;
     let capacity = decode_tokens_per_s(&outcome.document) * measured_s;
     let load = Load { output_tokens, completions, capacity, measured_s };
+    let measures = measures(&rows, &organisations, &load, &outcome.record.engines);
+    let violations = violation::find(outcome, &organisations);
     Results {
         experiment: experiment.name.clone(),
         seed: experiment.seed,
         measured_s,
-        measures: measures(&rows, &organisations, &load, &outcome.record.engines),
+        measures,
         organisations,
         rows,
         first_token: first.percentiles(),
         between_tokens: between.percentiles(),
         first_token_unloaded: unloaded.percentiles(),
-        violations: violation::find(outcome),
+        violations,
+        incidents: violation::incidents(&outcome.sent),
         engines: outcome.record.engines,
         platform_calls: outcome.record.platform.clone(),
         timeline,
@@ -236,6 +249,29 @@
     shares
 }
 
+/// Organisations that send more than their rate.
+fn over_rate(sent: &[Sent]) -> HashSet<Arc<str>> {
+    let over = sent.iter().filter(|sent| !sent.request.in_rate);
+    over.map(|sent| sent.request.organisation.clone()).collect()
+}
+
+/// Notes the tokens that organisations were given and those that they were allowed.
+fn note_tokens(shares: &mut BTreeMap<Arc<str>, Share>, outcome: &Outcome) {
+    for (name, share) in shares {
+        let organisations = &outcome.document.organisations;
+        let Some(limits) = organisations.iter().find(|known| known.name == *name) else { continue };
+        let own = outcome.sent.iter().filter(|sent| sent.request.organisation == *name);
+        let mut last = Duration::ZERO;
+        for sent in own.filter(|sent| !sent.repeated) {
+            let Ended::Answered { first, .. } = &sent.ended else { continue };
+            share.admitted_tokens += sent.request.tokens;
+            last = last.max(sent.request.at + *first);
+        }
+        let gained = last.as_secs_f64() * limits.rate_tokens_per_s as f64;
+        share.allowed_tokens = limits.burst_tokens + gained.ceil() as u64;
+    }
+}
+
 fn fate(document: &Document, route: &Route, sent: &Sent) -> Fate {
     let Ended::Answered { first, between, .. } = &sent.ended else {
         let refused = matches!(sent.ended, Ended::Refused { .. });
@@ -267,10 +303,7 @@
         }
         Ended::Answered { .. } => note_latency(&mut tally.first, &mut tally.between, sent),
     }
-    if !sent.request.in_rate {
-        return;
-    }
-    row.in_rate += 1;
+    row.in_rate += u64::from(sent.request.in_rate);
     match fate {
         Fate::Good => row.good += 1,
         Fate::Late => row.late += 1,
@@ -290,12 +323,12 @@
     }
 }
 
-fn note_second(timeline: &mut [Second], sent: &Sent, fate: Fate) {
+fn note_second(timeline: &mut [Second], sent: &Sent, fate: Fate, within: bool) {
     let index = usize::try_from(sent.request.at.as_secs()).unwrap_or(usize::MAX);
     let Some(second) = timeline.get_mut(index) else { return };
     let count = match fate {
-        _ if !sent.request.in_rate => &mut second.over_rate,
         Fate::Good => &mut second.good,
+        Fate::Refused if !within => &mut second.over_rate,
         Fate::Late => &mut second.late,
         Fate::Refused => &mut second.refused,
         Fate::Broken => &mut second.broken,
@@ -306,7 +339,13 @@
 impl Tally {
     fn finish(self, (organisation, route): (Arc<str>, Arc<str>)) -> Row {
         let (first, between) = (self.first.percentiles(), self.between.percentiles());
-        Row { organisation, route, first, between, ..self.row }
+        let mut row = Row { organisation, route, first, between, ..self.row };
+        let mut left = row.in_rate;
+        for count in [&mut row.good, &mut row.late, &mut row.broken, &mut row.refused] {
+            *count = (*count).min(left);
+            left -= *count;
+        }
+        row
     }
 }
 
--- a/crates/load/src/measure/violation.rs
+++ b/crates/load/src/measure/violation.rs
@@ -1,12 +1,15 @@
 //! What must never be: answers that are not whole or not the caller's, and calls run twice.
 
-use super::route;
+use super::{Share, route};
 use crate::call::Verdict;
 use crate::run::{Ended, Outcome, Sent};
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+/// Most incidents that are listed.
+const INCIDENTS_MAX: usize = 50;
+
 /// Counts of violations.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Violations {
@@ -20,6 +23,8 @@
     pub ran_twice: u64,
     /// Requests refused as not run that ran.
     pub not_run_ran: u64,
+    /// Organisations that got more than their rate and burst over the whole run.
+    pub over_rate: u64,
     /// Repetitions under one idempotency key that got another answer.
     pub repeat_differs: u64,
 }
@@ -28,12 +33,13 @@
     /// All of them.
     pub fn total(&self) -> u64 {
         let answers = self.short + self.long + self.crossed;
-        answers + self.ran_twice + self.not_run_ran + self.repeat_differs
+        answers + self.ran_twice + self.not_run_ran + self.over_rate + self.repeat_differs
     }
 }
 
-pub(super) fn find(outcome: &Outcome) -> Violations {
-    let mut found = Violations::default();
+pub(super) fn find(outcome: &Outcome, shares: &BTreeMap<Arc<str>, Share>) -> Violations {
+    let over = shares.values().filter(|share| share.admitted_tokens > share.allowed_tokens);
+    let mut found = Violations { over_rate: over.count() as u64, ..Violations::default() };
     for sent in &outcome.sent {
         match sent.ended {
             Ended::Answered { verdict: Verdict::Short, .. } => found.short += 1,
@@ -57,6 +63,19 @@
     found
 }
 
+/// Answers that were not whole or not the caller's, for people.
+pub(super) fn incidents(sent: &[Sent]) -> Vec<String> {
+    let wrong = sent.iter().filter_map(|sent| match sent.ended {
+        Ended::Answered { verdict, ref between, .. } if !sent.is_whole() => {
+            let (at, id) = (sent.request.at.as_secs_f64(), &sent.request.id);
+            let events = between.len() + 1;
+            Some(format!("{at:.3} s: {id}, request {}: {verdict}, {events} events", sent.given))
+        }
+        _ => None,
+    });
+    wrong.take(INCIDENTS_MAX).collect()
+}
+
 fn by_request(sent: &[Sent]) -> HashMap<Arc<str>, Vec<&Sent>> {
     let mut requests: HashMap<Arc<str>, Vec<&Sent>> = HashMap::new();
     for sent in sent {
--- a/crates/load/src/report/mod.rs
+++ b/crates/load/src/report/mod.rs
@@ -16,6 +16,7 @@
         results.experiment, results.seed, results.measured_s
     );
     text += &measures(&results.measures);
+    text += &shares(results);
     text += &rows(&results.rows);
     text += &latencies(results);
     text += &violations(results);
@@ -42,6 +43,21 @@
     table.text() + "\n"
 }
 
+fn shares(results: &Results) -> String {
+    let columns = ["organisation", "in rate", "good", "share", "tokens", "tokens allowed"];
+    let mut table = Table::new(&columns);
+    for (name, share) in &results.organisations {
+        let counts = [share.in_rate, share.good].map(|count| count.to_string());
+        let tokens = [share.admitted_tokens, share.allowed_tokens].map(|count| count.to_string());
+        let mut cells = vec![name.to_string()];
+        cells.extend(counts);
+        cells.push(format!("{:.4}", share.value()));
+        cells.extend(tokens);
+        table.row(cells);
+    }
+    table.text() + "\n"
+}
+
 fn rows(rows: &[Row]) -> String {
     let mut table = Table::new(&[
         "organisation",
@@ -94,6 +110,7 @@
         ("answer of another request", found.crossed),
         ("ran twice", found.ran_twice),
         ("ran, said not run", found.not_run_ran),
+        ("organisation over rate and burst", found.over_rate),
         ("repetition answered otherwise", found.repeat_differs),
     ];
     for (name, count) in counts {
--- a/crates/load/src/run/send.rs
+++ b/crates/load/src/run/send.rs
@@ -43,6 +43,8 @@
     pub request: Arc<Planned>,
     /// Whether this was its repetition.
     pub repeated: bool,
+    /// Identifier that the entry host gave it; empty where no answer began.
+    pub given: String,
     /// How it ended.
     pub ended: Ended,
 }
@@ -64,19 +66,20 @@
 impl Context {
     pub(super) async fn send(&self, request: Arc<Planned>, repeated: bool) -> Sent {
         let route = self.document.routes.iter().find(|route| route.name == request.route);
-        let ended = match route {
+        let missing = || Ended::Broken { why: "the document has no such route".to_owned() };
+        let (given, ended) = match route {
             Some(route) => self.exchange(&request, route).await,
-            None => Ended::Broken { why: "the document has no such route".to_owned() },
+            None => (String::new(), missing()),
         };
-        Sent { request, repeated, ended }
+        Sent { request, repeated, given, ended }
     }
 
-    async fn exchange(&self, request: &Planned, route: &Route) -> Ended {
+    async fn exchange(&self, request: &Planned, route: &Route) -> (String, Ended) {
         let key = self.deployment.key(&request.organisation);
         let call = request.call(route, &key);
         match call::send(self.balancer.pick(), &call).await {
-            Ok(reply) => judge(request, route, reply),
-            Err(error) => Ended::Broken { why: error.to_string() },
+            Ok(reply) => (reply.request().to_owned(), judge(request, route, reply)),
+            Err(error) => (String::new(), Ended::Broken { why: error.to_string() }),
         }
     }
 }
--- /dev/null
+++ b/crates/load/tests/load/main.rs
@@ -0,0 +1,6 @@
+//! Experiments, their schedule and their measures; no processes are started.
+
+mod experiment;
+mod fixture;
+mod measure;
+mod verdict;
--- /dev/null
+++ b/crates/load/tests/load/verdict.rs
@@ -0,0 +1,57 @@
+//! Verdicts on answers.
+
+use crate::fixture::reply;
+use chestnutrack_load::call::{Verdict, judge, judge_plain};
+
+fn streamed(tokens: &[&str], done: bool) -> String {
+    let event = |token: &&str| {
+        format!("data: {}\n\n", serde_json::json!({ "choices": [{ "text": token }] }))
+    };
+    let events: String = tokens.iter().map(event).collect();
+    if done { events + "data: [DONE]\n\n" } else { events }
+}
+
+fn verdict(tokens: &[&str], done: bool) -> Verdict {
+    judge(&reply(200, "text/event-stream", &streamed(tokens, done)), " a b c")
+}
+
+#[test]
+fn a_whole_answer_has_all_tokens_and_an_end() {
+    assert_eq!(verdict(&[" a", " b", " c"], true), Verdict::Whole);
+}
+
+#[test]
+fn an_answer_without_its_end_is_not_whole() {
+    assert_eq!(verdict(&[" a", " b", " c"], false), Verdict::Short);
+}
+
+#[test]
+fn an_answer_that_ends_early_is_not_whole() {
+    assert_eq!(verdict(&[" a", " b"], true), Verdict::Short);
+}
+
+#[test]
+fn a_repeated_token_makes_an_answer_another() {
+    assert_eq!(verdict(&[" a", " b", " b", " c"], true), Verdict::Crossed);
+}
+
+#[test]
+fn an_answer_that_goes_on_is_too_long() {
+    assert_eq!(verdict(&[" a", " b", " c", " d"], true), Verdict::Long);
+}
+
+#[test]
+fn a_refusal_is_no_answer() {
+    let refusal = reply(429, "application/json", r#"{"error":{"code":"over_rate"}}"#);
+
+    assert_eq!(judge(&refusal, " a"), Verdict::Refused);
+    assert_eq!(refusal.code(), "over_rate");
+}
+
+#[test]
+fn a_plain_answer_names_the_target_it_is_for() {
+    let answer = reply(200, "application/json", r#"{"path":"/stock/1?request=a"}"#);
+
+    assert_eq!(judge_plain(&answer, "/stock/1?request=a"), Verdict::Whole);
+    assert_eq!(judge_plain(&answer, "/stock/1?request=b"), Verdict::Crossed);
+}
