A wait at one decode server is bounded, and its refusal's hint is kept

Weighed: waits of 0, 30, 60, 120, 250, 500 and 4,000 ms at one server, with and without the hint of when to ask again.

--- a/crates/bench/src/scripted/world.rs
+++ b/crates/bench/src/scripted/world.rs
@@ -25,8 +25,6 @@
 const HEARTBEAT: Duration = Duration::from_millis(250);
 /// Time after the last arrival at which the run ends.
 const TAIL: Duration = Duration::from_secs(20);
-/// Longest time for which a server that refused is passed over.
-const AGAIN_MAX: Duration = Duration::from_millis(250);
 /// Attempts at one request.
 const ATTEMPTS_MAX: u32 = 64;
 
@@ -458,10 +456,8 @@
     fn full(&mut self, number: usize, server: usize, failure: frame::Failure) {
         let entry = &mut self.entries[number];
         let key = entry.keys[&server];
-        let again = Duration::from_millis(u64::from(failure.retry_after_ms)).min(AGAIN_MAX);
-        entry.table[key].note_full(self.now);
-        let full_until = entry.table[key].full_until.max(self.now + again);
-        entry.table[key].full_until = full_until;
+        let again_in = Duration::from_millis(u64::from(failure.retry_after_ms));
+        entry.table[key].note_full(self.now, again_in);
     }
 
     fn lose(&mut self, number: usize) {
--- a/crates/core/src/place/table.rs
+++ b/crates/core/src/place/table.rs
@@ -8,8 +8,10 @@
 
 /// Age at which a report of load says nothing any more.
 pub const LOAD_STALE: Duration = Duration::from_millis(4_000);
-/// How long a server that refused for want of room is passed over.
-pub const FULL_FOR: Duration = Duration::from_millis(20);
+/// Shortest time for which a server that refused for want of room is passed over.
+pub const FULL_FOR_MIN: Duration = Duration::from_millis(20);
+/// Longest time for which a server that refused for want of room is passed over.
+pub const FULL_FOR_MAX: Duration = Duration::from_millis(250);
 
 slotmap::new_key_type! {
     /// A backend server in the table.
@@ -129,9 +131,9 @@
         self.sent_tokens = 0;
     }
 
-    /// Notes that it refused for want of room.
-    pub fn note_full(&mut self, now: Instant) {
-        self.full_until = now + FULL_FOR;
+    /// Notes that it refused for want of room, and when it says that it may be asked again.
+    pub fn note_full(&mut self, now: Instant, again_in: Duration) {
+        self.full_until = now + again_in.clamp(FULL_FOR_MIN, FULL_FOR_MAX);
     }
 }
 
--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -24,8 +24,6 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Times that one request is put back because a server had no room.
-const FULL_MAX: u32 = 16;
 /// Time beyond a deadline that a side process is given to say how an attempt ended.
 const GRACE: Duration = Duration::from_millis(1_000);
 
@@ -114,7 +112,7 @@
     if is_last || !is_safe(failed) {
         return Err(refusal.clone());
     }
-    let allowed = if trouble.is_full() { before < FULL_MAX } else { app.spend_retry(before) };
+    let allowed = trouble.is_full() || app.spend_retry(before);
     if !allowed {
         return Err(refusal.clone());
     }
@@ -128,7 +126,8 @@
     match event {
         Event::Failed(failure) => {
             if failure.cause == Cause::Full {
-                turn.hold.was_full();
+                let again_in = Duration::from_millis(u64::from(failure.retry_after_ms));
+                turn.hold.was_full(again_in);
             }
             Trouble::failed(&turn.server, failure)
         }
--- a/crates/entry/src/attempt/model.rs
+++ b/crates/entry/src/attempt/model.rs
@@ -18,6 +18,8 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
+/// Longest wait for a slot at one decode server, in milliseconds; the request then looks again.
+const RESERVE_WAIT_MS: u32 = 250;
 /// Longest silence within an answer before it is given up.
 const TOKEN_WITHIN: Duration = Duration::from_secs(30);
 
@@ -118,7 +120,7 @@
                 kv_tokens: call.prompt_tokens.saturating_add(call.max_tokens),
                 transfer_tokens: call.prompt_tokens,
                 output_tokens: call.max_tokens,
-                wait_ms: left_ms - expected_ms,
+                wait_ms: RESERVE_WAIT_MS.min(left_ms - expected_ms),
                 needed_in_ms: expected_ms,
             },
         );
--- a/crates/entry/src/scheduler/handle.rs
+++ b/crates/entry/src/scheduler/handle.rs
@@ -7,6 +7,7 @@
 use chestnutrack_fleet::Snapshot;
 use ractor::{Actor, ActorRef, SpawnErr};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// Handle on the scheduler; cheap to clone.
@@ -68,9 +69,9 @@
 }
 
 impl Hold {
-    /// Tells that the server refused for want of room.
-    pub fn was_full(&self) {
-        let _ = self.scheduler.0.cast(Message::Full(self.key));
+    /// Tells that the server refused for want of room, and when it may be asked again.
+    pub fn was_full(&self, again_in: Duration) {
+        let _ = self.scheduler.0.cast(Message::Full(self.key, again_in));
     }
 }
 
--- a/crates/entry/src/scheduler/mod.rs
+++ b/crates/entry/src/scheduler/mod.rs
@@ -111,8 +111,8 @@
     Prefill(Ask, oneshot::Sender<Option<Turn>>),
     /// A request has left a server.
     Left(Key),
-    /// A server refused for want of room.
-    Full(Key),
+    /// A server refused for want of room, and when it may be asked again.
+    Full(Key, Duration),
     /// A link has news of its server.
     Notice(Key, Notice),
     /// A new configuration is in force.
@@ -158,7 +158,7 @@
             Message::Wait(waiting) => state.wait(waiting),
             Message::Prefill(ask, reply) => state.prefill(&ask, reply),
             Message::Left(key) => state.left(key),
-            Message::Full(key) => state.full(key),
+            Message::Full(key, again_in) => state.full(key, again_in),
             Message::Notice(key, notice) => state.notice(key, notice),
             Message::Configure(snapshot) => state.configure(&snapshot),
             Message::Linked(key, link) => state.linked(key, link),
--- a/crates/entry/src/scheduler/state.rs
+++ b/crates/entry/src/scheduler/state.rs
@@ -139,9 +139,9 @@
         self.dispatch(&name);
     }
 
-    pub(super) fn full(&mut self, key: Key) {
+    pub(super) fn full(&mut self, key: Key, again_in: Duration) {
         if let Some(server) = self.servers.table.get_mut(key) {
-            server.note_full(clock::now());
+            server.note_full(clock::now(), again_in);
         }
     }
 
