--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -11,12 +11,13 @@
 mod tests;
 mod transfer;
 
+use crate::faults;
 use crate::http::{self, Body, Refusal, Reply, refusal};
 use bytes::Bytes;
 use chestnutrack_engine::order::{
     Cancel, Change, Decode, Export, Import, Load, Order, Prefill, Resume,
 };
-use control::{Control, Seen};
+use control::{Control, Faults, Seen};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use link::Link;
@@ -233,11 +234,12 @@
     fn control_page(&self, method: &str, page: &str, body: &Bytes) -> Reply {
         match (method, page) {
             ("POST", "faults") => {
-                let change: control::Change = http::parse(body)?;
-                let faults = self.control().change(&change);
+                let mut control = self.control();
+                let faults: Faults = faults::changed(&control.faults, body)?;
+                control.faults = Faults { cut_streams: false, ..faults };
                 self.frozen.send_replace(faults.freeze);
                 self.stalled.send_replace(faults.stall);
-                if change.cut_streams {
+                if faults.cut_streams {
                     self.cuts.send_modify(|cuts| *cuts += 1);
                 }
                 http::json(&faults)
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod answer;
 pub mod engine;
+pub mod faults;
 pub mod http;
 pub mod plain;
 pub mod platform;
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -3,11 +3,12 @@
 mod control;
 mod store;
 
+use crate::faults;
 use crate::http::{self, Refusal, Reply, refusal};
 use bytes::Bytes;
 use chestnutrack_platform::host;
 use chestnutrack_platform::object::{Conflict, VALUE_BYTES_MAX, Written};
-use control::{Change, Control};
+use control::Control;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -166,8 +167,9 @@
     fn control(&self, method: &str, page: &str, body: &Bytes) -> Reply {
         match (method, page) {
             ("POST", "faults") => {
-                let change: Change = http::parse(body)?;
-                let faults = locked(&self.control).change(change);
+                let mut control = locked(&self.control);
+                let faults = faults::changed(&control.faults, body)?;
+                control.faults = faults;
                 self.down.send_replace(faults.down);
                 http::json(&faults)
             }
