--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -21,6 +21,11 @@
 /// Longest time to read a request's head, in milliseconds.
 pub const HEAD_READ_MS: u64 = 10_000;
 
+/// Sends calls on a connection.
+pub(crate) type Sender = client::SendRequest<Full<Bytes>>;
+/// Drives a connection.
+pub(crate) type Connection = client::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
 /// Body of an answer, whole or streamed.
 pub type Answer = BoxBody<Bytes, Infallible>;
 
@@ -108,6 +113,20 @@
     }
 }
 
+/// Opens a connection for calls; what drives it is returned beside its sender.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<(Sender, Connection), Error> {
+    let failed = |error: String| Error::Connect(address, error);
+    let tcp = match timeout(limit, TcpStream::connect(address)).await {
+        Ok(opened) => opened.map_err(|error| failed(error.to_string()))?,
+        Err(_) => return Err(failed("timed out".to_owned())),
+    };
+    let _ = tcp.set_nodelay(true);
+    client::handshake(TokioIo::new(tcp)).await.map_err(|error| failed(error.to_string()))
+}
+
 /// Makes one call on a connection of its own and returns the answer with its body still open.
 ///
 /// # Errors
@@ -118,14 +137,7 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<Response<Incoming>, Error> {
-    let connect = |error: String| Error::Connect(address, error);
-    let tcp = match timeout(limit, TcpStream::connect(address)).await {
-        Ok(opened) => opened.map_err(|error| connect(error.to_string()))?,
-        Err(_) => return Err(connect("timed out".to_owned())),
-    };
-    let _ = tcp.set_nodelay(true);
-    let opened = client::handshake(TokioIo::new(tcp)).await;
-    let (mut sender, connection) = opened.map_err(|error| connect(error.to_string()))?;
+    let (mut sender, connection) = connect(address, limit).await?;
     tokio::spawn(connection);
     let timed_out = Error::Timeout(u64::try_from(limit.as_millis()).unwrap_or(u64::MAX));
     let answer = timeout(limit, sender.send_request(request)).await.map_err(|_| timed_out)?;
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -8,16 +8,13 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1 as client;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 /// Settings of a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +38,7 @@
 }
 
 struct Connection {
-    sender: client::SendRequest<Full<Bytes>>,
+    sender: http::Sender,
     task: AbortHandle,
     used: Instant,
 }
@@ -174,17 +171,10 @@
     }
 
     async fn connect(&self, end: Instant) -> Result<Connection, Error> {
-        let failed = |error: String| Error::Connect(self.0.address, error);
         // Ends just before the call does, so that a slow opening is known as not sent.
         let left = end.saturating_duration_since(Instant::now()).mul_f64(0.9);
         let limit = self.0.settings.connect.min(left);
-        let tcp = match timeout(limit, TcpStream::connect(self.0.address)).await {
-            Ok(opened) => opened.map_err(|error| failed(error.to_string()))?,
-            Err(_) => return Err(failed("timed out".to_owned())),
-        };
-        let _ = tcp.set_nodelay(true);
-        let opened = client::handshake(TokioIo::new(tcp)).await;
-        let (sender, connection) = opened.map_err(|error| failed(error.to_string()))?;
+        let (sender, connection) = http::connect(self.0.address, limit).await?;
         let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
         Ok(Connection { sender, task, used: Instant::now() })
     }
