Writes and orders have a connection of their own each

Cause: a property over servers that answer late, cut, half, twice and again showed that on a shared connection the second answer to one call is taken for the next one's: smallest case two calls, 'Again' then anything. Nothing in HTTP/1.1 tells them apart, so looking at the socket before use only makes the window smaller. Ruled out: sharing no connection at all; questions can be checked by what they are about, are asked often, and a wrong answer to one takes no effect. A read checks the object's name.

--- a/crates/engine/src/client/mod.rs
+++ b/crates/engine/src/client/mod.rs
@@ -66,7 +66,10 @@
 /// A client of one engine; cheap to clone.
 #[derive(Clone)]
 pub struct Client {
+    /// Connections for questions.
     pool: Pool,
+    /// Opens a connection for each order.
+    orders: Pool,
     settings: Settings,
     calls: IntCounterVec,
 }
@@ -82,7 +85,12 @@
             // A second client of the same process counts apart.
             let _ = registry.register(Box::new(calls.clone()));
         }
-        Client { pool: Pool::new(address, settings.pool), settings, calls }
+        Client {
+            pool: Pool::new(address, settings.pool),
+            orders: Pool::new(address, settings.pool.unshared()),
+            settings,
+            calls,
+        }
     }
 
     /// The same client, with the same connections, under other settings for its calls.
@@ -199,7 +207,7 @@
     ) -> Result<Bytes, Error> {
         self.count(call);
         let request = http::request("POST", &format!("/v1/{call}"), encode(order)?)?;
-        accept(self.pool.call(request, limit, self.settings.answer_bytes).await?)
+        accept(self.orders.call(request, limit, self.settings.answer_bytes).await?)
     }
 
     async fn stream(
@@ -210,7 +218,7 @@
     ) -> Result<Stream, Error> {
         self.count(call);
         let request = http::request("POST", &format!("/v1/{call}"), encode(order)?)?;
-        let (head, mut body) = self.pool.open(request, self.settings.begin).await?.into_parts();
+        let (head, mut body) = self.orders.open(request, self.settings.begin).await?.into_parts();
         if head.status.as_u16() != 200 {
             let text = body.read(self.settings.answer_bytes).await?;
             return Err(refusal(head.status.as_u16(), &text));
--- a/crates/platform/src/client/mod.rs
+++ b/crates/platform/src/client/mod.rs
@@ -61,7 +61,10 @@
 /// A client of the object interface; cheap to clone.
 #[derive(Clone)]
 pub struct Client {
+    /// Connections for questions.
     pool: Pool,
+    /// Opens a connection for each write.
+    writes: Pool,
     settings: Settings,
     count: Count,
 }
@@ -71,7 +74,8 @@
     /// given.
     pub fn new(address: SocketAddr, settings: Settings, registry: Option<&Registry>) -> Client {
         let pool = Pool::new(address, settings.pool);
-        Client { pool, settings, count: Count::new(registry) }
+        let writes = Pool::new(address, settings.pool.unshared());
+        Client { pool, writes, settings, count: Count::new(registry) }
     }
 
     /// How many calls of each kind were made.
@@ -88,7 +92,12 @@
         let target = target(kind, name)?;
         let request = http::request("GET", &target, Bytes::new())?;
         let answer = self.call(Call::Read, request, self.settings.read).await?;
-        parse("read", &accept(answer)?)
+        let object: Object = parse("read", &accept(answer)?)?;
+        if &*object.name != name {
+            let text = format!("`{}` in place of `{name}`", object.name);
+            return Err(Error::Malformed("read".to_owned(), text));
+        }
+        Ok(object)
     }
 
     /// Reads all objects of a kind.
@@ -197,7 +206,8 @@
         let bytes = self.settings.answer_bytes;
         let answer = match call {
             Call::Read | Call::List | Call::Hosts => self.pool.ask(request, limit, bytes).await,
-            Call::Write | Call::Delete | Call::Watch => self.pool.call(request, limit, bytes).await,
+            Call::Watch => self.pool.call(request, limit, bytes).await,
+            Call::Write | Call::Delete => self.writes.call(request, limit, bytes).await,
         };
         answer.inspect_err(|_| self.count.failed(call)).map_err(Error::from)
     }
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -37,6 +37,14 @@
     }
 }
 
+impl Settings {
+    /// The same, but with a connection of its own for each call. A server that answers a call
+    /// twice, or something between the two ends that does, can then confuse no other call.
+    pub fn unshared(self) -> Settings {
+        Settings { idle_max: 0, ..self }
+    }
+}
+
 struct Connection {
     sender: http::Sender,
     task: AbortHandle,
--- a/crates/standin/tests/platform_client.rs
+++ b/crates/standin/tests/platform_client.rs
@@ -239,6 +239,31 @@
     assert_eq!(second.unwrap().version, 2);
 }
 
+#[tokio::test]
+async fn an_answer_about_another_object_is_an_error() {
+    let other = "HTTP/1.1 200 OK\r\ncontent-length: 45\r\n\r\n\
+                 {\"name\":\"b\",\"version\":2,\"value\":1,\"age_ms\":0}";
+    let client = client(scripted(vec![Act::Keep(other)]).await);
+
+    let read = client.read("claims", "a").await;
+
+    let text = "`b` in place of `a`".to_owned();
+    assert_eq!(read, Err(Error::Malformed("read".to_owned(), text)));
+}
+
+#[tokio::test]
+async fn a_write_that_is_answered_twice_answers_no_other() {
+    let twice = "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"version\":1}\
+                 HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"version\":2}";
+    let once = "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"version\":3}";
+    let client = client(scripted(vec![Act::Keep(twice), Act::Keep(once)]).await);
+
+    let first = client.create("claims", "a", &mark("x")).await;
+    let second = client.create("claims", "b", &mark("x")).await;
+
+    assert_eq!((first, second), (Ok(1), Ok(3)));
+}
+
 #[tokio::test]
 async fn a_silent_server_is_given_up() {
     let client = hasty(scripted(vec![]).await);
