Stand-in engine: orders whose answer is lost, and how late steps ended

The first is a failure that side processes have to live through; the second tells whether the host kept the model's time, without which a figure measured on a busy machine means little.

--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -11,6 +11,8 @@
     pub(super) freeze: bool,
     /// Prefills still to come that fail with status 500 after their time.
     pub(super) fail_prefills: u64,
+    /// Orders still to come that take effect and whose connection is then cut.
+    pub(super) lose_answers: u64,
     /// Transfers don't move until this ends.
     pub(super) stall: bool,
     /// Cuts the connections of the streams that are open now; it doesn't last.
@@ -35,6 +37,11 @@
     pub(super) undecoded_tokens: u64,
     /// Tokens of answers.
     pub(super) generated_tokens: u64,
+    /// Steps of the batch.
+    pub(super) steps: u64,
+    /// Time by which steps ended later than the model says, in microseconds; it grows when the
+    /// host is too busy to keep the model's time.
+    pub(super) late_us: u64,
     /// Answers generated whole.
     pub(super) answers: u64,
     /// Requests cancelled that held something.
@@ -77,6 +84,13 @@
         }
     }
 
+    /// Whether the answer to an order that took effect is lost.
+    pub(super) fn lose_answer(&mut self) -> bool {
+        let lost = self.faults.lose_answers > 0;
+        self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
+        lost
+    }
+
     /// Takes one from the prefills still to fail.
     pub(super) fn fail_prefill(&mut self) -> bool {
         let fails = self.faults.fail_prefills > 0;
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -101,6 +101,9 @@
         _ => Err(http::unknown(method, path)),
     };
     engine.thawed().await;
+    if method == "POST" && reply.is_ok() && engine.control().lose_answer() {
+        return Err(Refusal::Cut);
+    }
     reply
 }
 
--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -59,8 +59,9 @@
         due = due.max(Instant::now() - engine.settings.step);
         due += engine.settings.real(engine.settings.step_of(size));
         sleep_until(due).await;
+        let late = due.elapsed();
         engine.thawed().await;
-        engine.state().step();
+        engine.state().step(late);
     }
 }
 
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -361,8 +361,10 @@
         size
     }
 
-    /// Generates a token for each request in the batch.
-    pub(super) fn step(&mut self) {
+    /// Generates a token for each request in the batch, so much later than due.
+    pub(super) fn step(&mut self, late: Duration) {
+        self.counts.steps += 1;
+        self.counts.late_us += u64::try_from(late.as_micros()).unwrap_or(u64::MAX);
         for id in std::mem::take(&mut self.batch) {
             let Some(answer) = self.answers.get_mut(&id) else { continue };
             let Some(progress) = &answer.progress else { continue };
--- a/crates/standin/src/engine/tests.rs
+++ b/crates/standin/src/engine/tests.rs
@@ -7,6 +7,7 @@
 use chestnutrack_engine::order::{Decode, Import, Prefill};
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Memory of the engine under test, in tokens.
 const KV_TOKENS: u32 = 60;
@@ -132,7 +133,7 @@
             }
             Event::Step => {
                 self.state.fill_batch();
-                self.state.step();
+                self.state.step(Duration::ZERO);
             }
             Event::Cancel(request) => self.state.cancel(&name(request)),
         }
@@ -261,7 +262,7 @@
 
     let sizes: Vec<_> = std::iter::from_fn(|| {
         let size = state.fill_batch();
-        state.step();
+        state.step(Duration::ZERO);
         (size > 0).then_some(size)
     })
     .collect();
--- a/crates/standin/tests/engine_client.rs
+++ b/crates/standin/tests/engine_client.rs
@@ -315,6 +315,29 @@
     assert!(again.is_ok(), "{again:?}");
 }
 
+#[tokio::test]
+async fn an_order_whose_answer_is_lost_has_taken_effect() {
+    let (address, client) = quick_engine().await;
+    control(address, "faults", json!({ "lose_answers": 4 })).await;
+
+    let prefilled = client.prefill(&prefill("a.1", PROMPT)).await.map(drop);
+    control(address, "faults", json!({ "lose_answers": 0 })).await;
+    let holds = client.holds().await.unwrap().holds;
+    client.import(&import("a.1", address, 150_000)).await.unwrap();
+    control(address, "faults", json!({ "lose_answers": 1 })).await;
+    let decoding = client.decode(&decode("a.1", 100_000)).await.map(drop);
+    let twice = client.decode(&decode("a.1", 100_000)).await.map(drop);
+    control(address, "faults", json!({ "lose_answers": 1 })).await;
+    let cancelled = client.cancel(&cancel("a.1")).await;
+
+    for outcome in [prefilled, decoding, cancelled] {
+        assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+    }
+    assert_eq!(holds.len(), 1);
+    assert!(matches!(twice, Err(Error::Refused(409, _))), "{twice:?}");
+    assert_eq!(client.holds().await.unwrap().holds, vec![]);
+}
+
 #[tokio::test]
 async fn a_frozen_engine_is_silent_and_goes_on_later() {
     let (address, client) = quick_engine().await;
--- a/crates/standin/tests/session.rs
+++ b/crates/standin/tests/session.rs
@@ -17,7 +17,7 @@
         let (status, answer) = support::call(address, method, target, &body).await;
         text += &format!("> {method} {target}\n");
         text += &lines("> ", &body.replace(&address.to_string(), "SELF"));
-        text += &format!("< {status}\n{}\n", lines("< ", &without_age(&answer)));
+        text += &format!("< {status}\n{}\n", lines("< ", &without_times(&answer)));
     }
     expected.assert_eq(&text);
 }
@@ -26,12 +26,16 @@
     text.lines().map(|line| format!("{mark}{line}\n")).collect()
 }
 
-/// Ages differ from run to run.
-fn without_age(text: &str) -> String {
-    let mut parts = text.split("\"age_ms\":");
+/// A text without the times that differ from run to run.
+fn without_times(text: &str) -> String {
+    without(&without(text, "\"age_ms\":"), "\"late_us\":")
+}
+
+fn without(text: &str, key: &str) -> String {
+    let mut parts = text.split(key);
     let first = parts.next().unwrap_or_default().to_owned();
     let rest = parts.map(|part| part.trim_start_matches(|digit: char| digit.is_ascii_digit()));
-    rest.fold(first, |text, part| text + "\"age_ms\":0" + part)
+    rest.fold(first, |text, part| text + key + "0" + part)
 }
 
 #[tokio::test]
@@ -109,7 +113,7 @@
 
         > GET /control/counts
         < 200
-        < {"prefills":1,"prefilled_tokens":7,"cached_tokens":0,"wasted_prefill_tokens":0,"exports":1,"exported_tokens":7,"imports":1,"imported_tokens":7,"undecoded_tokens":0,"generated_tokens":4,"answers":1,"cancelled":0,"batch_max":1,"fenced":1}
+        < {"prefills":1,"prefilled_tokens":7,"cached_tokens":0,"wasted_prefill_tokens":0,"exports":1,"exported_tokens":7,"imports":1,"imported_tokens":7,"undecoded_tokens":0,"generated_tokens":4,"steps":4,"late_us":0,"answers":1,"cancelled":0,"batch_max":1,"fenced":1}
 
         > GET /control/seen
         < 200
