--- a/crates/platform/src/backoff.rs
+++ b/crates/platform/src/backoff.rs
@@ -31,6 +31,11 @@
     pub fn pause(&self) -> Duration {
         let doublings = self.failures.saturating_sub(1).min(16);
         let whole = self.min.saturating_mul(1 << doublings).min(self.max);
-        whole.mul_f64(rand::random_range(0.5..=1.0))
+        jittered(whole)
     }
 }
+
+/// Between half of a pause and all of it, so that many processes don't call in step.
+pub fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::random_range(0.5..=1.0))
+}
--- a/crates/platform/src/poller.rs
+++ b/crates/platform/src/poller.rs
@@ -1,6 +1,6 @@
 //! Polls the host list.
 
-use crate::backoff::Backoff;
+use crate::backoff::{self, Backoff};
 use crate::client::Client;
 use crate::host::List;
 use chestnutrack_core::time::Instant;
@@ -12,7 +12,7 @@
 /// Settings of a poller.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
-    /// Time between two reads.
+    /// Longest time between two reads; the pauses are between half of it and all of it.
     pub period: Duration,
     /// First pause after a failure; it doubles with each that follows.
     pub retry_min: Duration,
@@ -62,7 +62,7 @@
                     tracing::info!("host list answers again");
                 }
                 readings.send_replace(Some(Reading { list, sent }));
-                sleep(settings.period).await;
+                sleep(backoff::jittered(settings.period)).await;
             }
             Err(error) => {
                 if backoff.failed() {
