Side process: no prefill that would end late, true words for imports, load told when it changes

- A prefill whose turn comes too late is refused instead of started: its KV cache could not be used.
- A failed import says what is certain: refused by the engine is not run; lost or timed out is a lost KV cache, since no generation was ordered.
Before, a stalled transfer was "backend, unknown", which no retry may follow.
- Prompts and bodies that wait are bounded in bytes, over all organisations.
- The size of a KV cache for the link's turns is learned from the caches that come.
- A heartbeat's answer brings the load when it has changed, so that several entry hosts see a slot that another's request has left within a heartbeat.

--- a/crates/core/src/server/capacity.rs
+++ b/crates/core/src/server/capacity.rs
@@ -155,14 +155,20 @@
     }
 
     /// Whether a request can be taken in: at once, or to wait with a chance to be granted in time.
-    pub(super) fn has_room(&self, organisation: &str, kv_tokens: u32, wait_ms: u32) -> bool {
+    pub(super) fn has_room(
+        &self,
+        organisation: &str,
+        kv_tokens: u32,
+        wait_ms: u32,
+        bytes: usize,
+    ) -> bool {
         let nobody_waits = !self.holds.values().any(is_waiting);
         if nobody_waits && self.fits(kv_tokens) {
             return true;
         }
         let wait = Duration::from_millis(u64::from(wait_ms));
         let in_time = self.expected_wait(organisation).is_none_or(|expected| expected <= wait);
-        wait_ms > 0 && in_time && !self.waits_too_much(organisation)
+        wait_ms > 0 && in_time && !self.waits_too_much(organisation, bytes)
     }
 
     /// Time until one more request of an organisation would get a slot, at the rate at which they
@@ -176,11 +182,13 @@
         self.pace.release_time(before as u64 + 1)
     }
 
-    /// Whether an organisation has as many waiting as it may.
-    pub(super) fn waits_too_much(&self, organisation: &str) -> bool {
-        let waiting = self.holds.values().filter(|hold| is_waiting(hold));
-        let own = waiting.filter(|hold| hold.organisation.as_ref() == organisation).count();
+    /// Whether an organisation has as many waiting as it may, or no more fits in this process.
+    pub(super) fn waits_too_much(&self, organisation: &str, bytes: usize) -> bool {
+        let waiting = || self.holds.values().filter(|hold| is_waiting(hold));
+        let own = waiting().filter(|hold| hold.organisation.as_ref() == organisation).count();
+        let held: usize = waiting().map(|hold| waiting_bytes(&hold.work)).sum();
         own >= self.settings.waiting_per_organisation
+            || held.saturating_add(bytes) > self.settings.waiting_bytes
     }
 
     /// Hands out what has become free: to those that were promised a slot, to those that wait.
@@ -249,6 +257,14 @@
     }
 }
 
+fn waiting_bytes(work: &Work) -> usize {
+    match work {
+        Work::Prefill(ask, _) => ask.prompt.len(),
+        Work::Forward(Some(ask)) => ask.body.len(),
+        Work::Forward(None) | Work::Decode(..) => 0,
+    }
+}
+
 pub(super) fn is_waiting(hold: &Hold) -> bool {
     matches!(hold.stage, Stage::Waiting { .. })
 }
--- a/crates/core/src/server/decode.rs
+++ b/crates/core/src/server/decode.rs
@@ -25,7 +25,7 @@
             self.refuse(now, asked, Cause::Protocol);
             return;
         }
-        if !self.has_room(&ask.organisation, ask.kv_tokens, ask.wait_ms) {
+        if !self.has_room(&ask.organisation, ask.kv_tokens, ask.wait_ms, 0) {
             self.refuse(now, asked, Cause::Full);
             return;
         }
@@ -40,7 +40,7 @@
         let Some(hold) = self.holds.get_mut(key) else { return };
         let Work::Decode(ask, _) = &hold.work else { return };
         let needed = now + Duration::from_millis(u64::from(ask.needed_in_ms));
-        let bytes = u64::from(ask.transfer_tokens) * self.settings.kv_bytes_per_token;
+        let bytes = self.pace.kv_bytes(ask.transfer_tokens);
         let turn = self.link.book(key, needed, bytes);
         hold.stage = Stage::Reserved { until: turn.start + self.settings.reserved_lease, firm };
         self.say_reserved(now, key);
@@ -77,6 +77,7 @@
             self.count(Counter::Late);
             return;
         };
+        self.pace.sized(order.kv.tokens, order.kv.bytes);
         *slot = Some(order);
         hold.stage = Stage::Arrived { until, firm };
         self.changed = true;
@@ -121,11 +122,13 @@
             (Stage::Importing, Ok(())) => self.generate(key),
             (Stage::Importing, Err(fault)) => {
                 let failure = match fault {
-                    Fault::Missing => failure(Cause::KvLost, Ran::Ran),
-                    Fault::Full => failure(Cause::Full, Ran::Ran),
-                    Fault::Fenced => self.fenced(Ran::Ran),
-                    Fault::Unreachable | Fault::Late => failure(Cause::Backend, Ran::NotRun),
-                    Fault::Refused | Fault::Unknown => failure(Cause::Backend, Ran::Unknown),
+                    // No generation was ordered; the prefill has run.
+                    Fault::Missing | Fault::Unknown => failure(Cause::KvLost, Ran::Ran),
+                    Fault::Full => failure(Cause::Full, Ran::NotRun),
+                    Fault::Fenced => self.fenced(Ran::NotRun),
+                    Fault::Unreachable | Fault::Late | Fault::Refused => {
+                        failure(Cause::Backend, Ran::NotRun)
+                    }
                 };
                 self.fail_order(now, key, fault, failure);
             }
--- a/crates/core/src/server/frame.rs
+++ b/crates/core/src/server/frame.rs
@@ -6,7 +6,7 @@
 use crate::time::Instant;
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::Frame;
-use chestnutrack_wire::frame::{Cause, Failure, Sender, VERSION};
+use chestnutrack_wire::frame::{Cause, Failure, Load, Sender, VERSION};
 use std::sync::Arc;
 
 /// Who asks for what.
@@ -31,6 +31,7 @@
         match frame {
             Frame::Ping(number) => {
                 self.effects.push(Effect::Send(connection, Frame::Pong(number)));
+                self.report(now, owner, connection);
             }
             Frame::Reserve(request, attempt, ask) => {
                 self.reserve(now, &asked(request, attempt), ask);
@@ -91,8 +92,16 @@
         if self.leaving.is_some() {
             self.effects.push(Effect::Send(connection, Frame::Leaving));
         }
-        let loaded = Frame::Loaded(self.load(now));
-        self.effects.push(Effect::Send(connection, loaded));
+        self.report(now, introduced.key, connection);
+    }
+
+    /// Reports the server's load, if it has changed since the last report. How soon a slot is free
+    /// is an estimate that moves all the time and is no change by itself.
+    fn report(&mut self, now: Instant, owner: owner::Key, connection: Connection) {
+        let load = self.load(now);
+        if self.owners.tell(owner, Load { free_in_ms: 0, ..load }) {
+            self.effects.push(Effect::Send(connection, Frame::Loaded(load)));
+        }
     }
 
     /// The hold that a frame is about, if it stands and the sender owns it. The sender's
--- a/crates/core/src/server/owner.rs
+++ b/crates/core/src/server/owner.rs
@@ -2,7 +2,7 @@
 
 use super::event::Connection;
 use crate::time::Instant;
-use chestnutrack_wire::frame::Sender;
+use chestnutrack_wire::frame::{Load, Sender};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -21,6 +21,8 @@
     pub connection: Option<Connection>,
     /// When it was last heard of.
     pub heard: Instant,
+    /// The load that it was last told of by itself.
+    pub told: Option<Load>,
 }
 
 /// Owners and their connections.
@@ -55,11 +57,12 @@
             .partition(|(_, incarnation)| *incarnation == sender.incarnation);
         let key = match known.first() {
             Some((key, _)) => *key,
-            None => self.owners.insert(Owner { sender, connection: None, heard: now }),
+            None => self.owners.insert(Owner { sender, connection: None, heard: now, told: None }),
         };
         let mut replaced = None;
         if let Some(owner) = self.owners.get_mut(key) {
             owner.heard = now;
+            owner.told = None;
             replaced = owner.connection.replace(connection).filter(|old| *old != connection);
         }
         if let Some(old) = replaced {
@@ -76,6 +79,12 @@
         Some(key)
     }
 
+    /// Notes that an owner is told of a load; whether it is news.
+    pub fn tell(&mut self, key: Key, load: Load) -> bool {
+        let Some(owner) = self.owners.get_mut(key) else { return false };
+        owner.told.replace(load) != Some(load)
+    }
+
     /// Takes a connection away and says whose it was.
     pub fn disconnect(&mut self, connection: Connection) -> Option<Key> {
         let key = self.connections.remove(&connection)?;
--- a/crates/core/src/server/pace.rs
+++ b/crates/core/src/server/pace.rs
@@ -14,6 +14,8 @@
     token_micros: u64,
     /// Time to prefill a token, in nanoseconds.
     prefill_nanos: u64,
+    /// Size of a KV cache, in bytes a token.
+    kv_bytes_per_token: u64,
     /// When the last prefill ended.
     prefill_end: Instant,
     /// Time between two slots that become free while all are taken, in microseconds.
@@ -29,6 +31,7 @@
         Pace {
             token_micros: u64::try_from(settings.token_time.as_micros()).unwrap_or(u64::MAX),
             prefill_nanos: 1_000_000_000 / settings.prefill_tokens_per_s.max(1),
+            kv_bytes_per_token: settings.kv_bytes_per_token,
             prefill_end: Instant::default(),
             release_micros: None,
             full_since: None,
@@ -52,6 +55,18 @@
         }
     }
 
+    /// Takes the size of a KV cache that is about to be moved.
+    pub(super) fn sized(&mut self, tokens: u32, bytes: u64) {
+        if let Some(each) = bytes.checked_div(u64::from(tokens)).filter(|each| *each > 0) {
+            self.kv_bytes_per_token = smooth(self.kv_bytes_per_token, each);
+        }
+    }
+
+    /// Expected size of a KV cache, in bytes.
+    pub(super) fn kv_bytes(&self, tokens: u32) -> u64 {
+        self.kv_bytes_per_token.saturating_mul(u64::from(tokens))
+    }
+
     /// Measures the slots that have become free since the last allotment.
     pub(super) fn released(&mut self, now: Instant, taken: u32) {
         let released = u64::from(self.taken.saturating_sub(taken));
--- a/crates/core/src/server/plain.rs
+++ b/crates/core/src/server/plain.rs
@@ -18,7 +18,7 @@
         }
         let organisation = ask.organisation.clone().unwrap_or_default();
         let wait_ms = ask.wait_ms.min(ask.deadline_ms);
-        if !self.has_room(&organisation, 0, wait_ms) {
+        if !self.has_room(&organisation, 0, wait_ms, ask.body.len()) {
             self.refuse(now, asked, Cause::Full);
             return;
         }
--- a/crates/core/src/server/prefill.rs
+++ b/crates/core/src/server/prefill.rs
@@ -25,7 +25,7 @@
             self.refuse(now, asked, Cause::Deadline);
             return;
         }
-        if self.waits_too_much(&ask.organisation) {
+        if self.waits_too_much(&ask.organisation, ask.prompt.len()) {
             self.refuse(now, asked, Cause::Full);
             return;
         }
@@ -36,6 +36,10 @@
     }
 
     pub(super) fn start_prefill(&mut self, now: Instant, key: Key) {
+        if self.would_end_late(now, key) {
+            self.fail(now, key, failure(Cause::Deadline, Ran::NotRun));
+            return;
+        }
         let Some(hold) = self.holds.get_mut(key) else { return };
         hold.stage = Stage::Prefilling { since: now };
         let priority = super::order::priority(hold.may_wait);
@@ -44,6 +48,16 @@
         self.order(key, Task::Prefill { prompt, priority });
     }
 
+    /// Whether a prefill that starts now would end after its deadline.
+    fn would_end_late(&self, now: Instant, key: Key) -> bool {
+        match self.holds.get(key).map(|hold| (&hold.work, hold.stage)) {
+            Some((Work::Prefill(ask, _), Stage::Waiting { until, .. })) => {
+                now + self.pace.prefill_time(u64::from(ask.prompt_tokens)) > until
+            }
+            _ => false,
+        }
+    }
+
     pub(super) fn prefilled(&mut self, now: Instant, key: Key, result: Result<Prefilled, Fault>) {
         self.changed = true;
         let address = self.config.as_ref().map(|server| server.address);
@@ -76,10 +90,10 @@
                 let failure = match fault {
                     Fault::Full => failure(Cause::Full, Ran::NotRun),
                     Fault::Fenced => self.fenced(Ran::NotRun),
-                    Fault::Unreachable | Fault::Late => failure(Cause::Backend, Ran::NotRun),
-                    Fault::Refused | Fault::Missing | Fault::Unknown => {
-                        failure(Cause::Backend, Ran::Unknown)
+                    Fault::Unreachable | Fault::Late | Fault::Refused | Fault::Missing => {
+                        failure(Cause::Backend, Ran::NotRun)
                     }
+                    Fault::Unknown => failure(Cause::Backend, Ran::Unknown),
                 };
                 self.fail_order(now, key, fault, failure);
             }
--- a/crates/core/src/server/settings.rs
+++ b/crates/core/src/server/settings.rs
@@ -40,9 +40,11 @@
     pub audit_period: Duration,
     /// Requests that one organisation may have waiting.
     pub waiting_per_organisation: usize,
+    /// Prompts and bodies that wait, in bytes.
+    pub waiting_bytes: usize,
     /// Interactive grants in a row while a request that may wait waits.
     pub interactive_run: u32,
-    /// Size of a KV cache, in bytes a token.
+    /// Size of a KV cache assumed before any was seen, in bytes a token.
     pub kv_bytes_per_token: u64,
     /// Time between tokens assumed before any was measured.
     pub token_time: Duration,
@@ -73,6 +75,7 @@
             cancel_retry: Duration::from_millis(200),
             audit_period: Duration::from_secs(1),
             waiting_per_organisation: 256,
+            waiting_bytes: 32 << 20,
             interactive_run: 7,
             kv_bytes_per_token: 64 << 10,
             token_time: Duration::from_millis(30),
--- a/crates/core/tests/server/exchange.rs
+++ b/crates/core/tests/server/exchange.rs
@@ -203,7 +203,11 @@
         0 side > entry-2: leaving
         0 entry-2 > side: reserve 3.1 200 tokens
         0 side > entry-2: failed 3.1 Leaving not-run retry after 0 ms [2/3 slots, 0 waiting, 400 tokens]
+        0 side > entry-1: loaded [2/3 slots, 0 waiting, 400 tokens]
+        0 side > entry-2: loaded [2/3 slots, 0 waiting, 400 tokens]
         2020 side > entry-2: failed 2.1 Leaving not-run retry after 0 ms [1/3 slots, 0 waiting, 200 tokens]
+        2040 side > entry-1: loaded [1/3 slots, 0 waiting, 200 tokens]
+        2040 side > entry-2: loaded [1/3 slots, 0 waiting, 200 tokens]
         2100 entry-2 > side: decode 2.1
         2100 side > entry-2: failed 2.1 Leaving not-run retry after 0 ms [1/3 slots, 0 waiting, 200 tokens]
         2100 side > entry-1: end 1.1 1 length [0/3 slots, 0 waiting, 0 tokens]
--- a/crates/core/tests/server/main.rs
+++ b/crates/core/tests/server/main.rs
@@ -9,3 +9,4 @@
 mod lease;
 mod log;
 mod model;
+mod refuse;
--- /dev/null
+++ b/crates/core/tests/server/refuse.rs
@@ -0,0 +1,93 @@
+//! Refusals: when, with which cause, and whether the request has run.
+
+use super::model::{World, decode, prefill, reserve};
+use chestnutrack_core::server::{Fault, Settings};
+use chestnutrack_document::model::Role;
+use chestnutrack_wire::frame::{Cause, Ran, Reserve};
+use chestnutrack_wire::{Attempt, Frame, Request};
+
+const ATTEMPT: Attempt = Attempt(1);
+
+/// How a decode attempt fails whose import the engine answers with `fault`.
+fn import_failure(fault: Fault) -> (Cause, Ran) {
+    let mut world = World::new(Role::Decode);
+    let ask = reserve("dairy-coop", 200, 1_000);
+    world.frame(0, Frame::Reserve(Request(1), ATTEMPT, ask));
+    world.frame(0, Frame::Decode(Request(1), ATTEMPT, decode(100)));
+    world.open[0].answer = Some(Err(fault));
+    world.answer(0, false);
+    world.settle();
+    assert_eq!(world.server.used().slots, 0);
+    let (_, cause, ran) = world.failures()[0];
+    (cause, ran)
+}
+
+#[test]
+fn an_import_that_fails_says_what_is_known() {
+    let expected = [
+        (Fault::Missing, (Cause::KvLost, Ran::Ran)),
+        (Fault::Unknown, (Cause::KvLost, Ran::Ran)),
+        (Fault::Full, (Cause::Full, Ran::NotRun)),
+        (Fault::Refused, (Cause::Backend, Ran::NotRun)),
+        (Fault::Unreachable, (Cause::Backend, Ran::NotRun)),
+        (Fault::Late, (Cause::Backend, Ran::NotRun)),
+        (Fault::Fenced, (Cause::Fenced, Ran::NotRun)),
+    ];
+
+    for (fault, failure) in expected {
+        assert_eq!(import_failure(fault), failure, "{fault:?}");
+    }
+}
+
+#[test]
+fn a_prefill_that_would_end_late_when_its_turn_comes_is_not_started() {
+    let mut world = World::new(Role::Prefill);
+    for request in 1..=4 {
+        let ask = prefill("dairy-coop", 400, 200);
+        world.frame(0, Frame::Prefill(Request(request), ATTEMPT, ask));
+    }
+    world.advance(180);
+    let before = world.failures();
+
+    world.arrive(0);
+    world.answer(0, false);
+
+    assert_eq!(before, []);
+    assert_eq!(world.failures(), [(Request(4), Cause::Deadline, Ran::NotRun)]);
+    assert_eq!(world.begun.len(), 3);
+}
+
+#[test]
+fn a_request_that_could_not_have_its_turn_in_time_is_refused_at_once() {
+    let mut world = World::new(Role::Decode);
+    for request in 1..=3 {
+        let ask = reserve("dairy-coop", 200, 1_000);
+        world.frame(0, Frame::Reserve(Request(request), ATTEMPT, ask));
+    }
+    world.frame(0, Frame::Reserve(Request(4), ATTEMPT, reserve("dairy-coop", 200, 10_000)));
+    world.advance(900);
+    world.frame(0, Frame::Cancel(Request(1), ATTEMPT));
+
+    let hasty = Reserve { wait_ms: 300, ..reserve("dairy-coop", 200, 300) };
+    world.frame(0, Frame::Reserve(Request(5), ATTEMPT, hasty));
+    world.frame(0, Frame::Reserve(Request(6), ATTEMPT, reserve("dairy-coop", 200, 5_000)));
+
+    assert_eq!(world.reserved(), [1, 2, 3, 4].map(Request));
+    assert_eq!(world.failures(), [(Request(5), Cause::Full, Ran::NotRun)]);
+    assert_eq!(world.server.load(world.now).waiting, 1);
+}
+
+#[test]
+fn prompts_that_wait_are_bounded_in_bytes() {
+    let mut world = World::new(Role::Prefill);
+    let bytes = Settings::default().waiting_bytes;
+    let mut ask = prefill("dairy-coop", 1_900, 60_000);
+    world.frame(0, Frame::Prefill(Request(1), ATTEMPT, ask.clone()));
+    ask.prompt = "p".repeat(bytes / 2).into();
+
+    for request in 2..=4 {
+        world.frame(0, Frame::Prefill(Request(request), ATTEMPT, ask.clone()));
+    }
+
+    assert_eq!(world.failures(), [(Request(4), Cause::Full, Ran::NotRun)]);
+}
