Prefixes that a prefill engine holds, from its cache events

Bounded, expiring, with lost events counted; on the page /v1/prefixes. Without lost events the account is exact (quickcheck).

--- a/crates/core/src/server/mod.rs
+++ b/crates/core/src/server/mod.rs
@@ -10,6 +10,7 @@
 pub mod hold;
 pub mod link;
 pub mod owner;
+pub mod prefix;
 pub mod settings;
 pub mod view;
 pub mod wait;
@@ -184,6 +185,11 @@
         self.config.is_some() && self.authority.is_held() && self.leaving.is_none()
     }
 
+    /// Whether the configuration names the server as one that prefills.
+    pub fn is_prefill(&self) -> bool {
+        self.role() == Some(model::Role::Prefill)
+    }
+
     /// Version of the configuration in force; 0 for none.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/core/tests/server/main.rs
+++ b/crates/core/tests/server/main.rs
@@ -9,4 +9,5 @@
 mod lease;
 mod log;
 mod model;
+mod prefix;
 mod refuse;
--- /dev/null
+++ b/crates/core/tests/server/prefix.rs
@@ -0,0 +1,69 @@
+//! Prefixes held, from events that come late and with gaps.
+
+use chestnutrack_core::server::prefix::{Change, HELD_FOR, PREFIXES_MAX, Prefixes};
+use chestnutrack_core::time::Instant;
+use quickcheck::{Gen, QuickCheck};
+use std::collections::HashSet;
+use std::time::Duration;
+
+const NOW: Instant = Instant::from_millis(1_000);
+
+fn change(number: u64, prefix: u64, stored: bool) -> Change {
+    Change { number, prefix, stored }
+}
+
+#[test]
+fn stores_and_evictions_are_followed_and_gaps_counted() {
+    let mut prefixes = Prefixes::default();
+
+    prefixes.apply(NOW, &[change(1, 10, true), change(2, 20, true)], 2);
+    prefixes.apply(NOW, &[change(5, 10, false)], 6);
+
+    assert_eq!(prefixes.iter().collect::<Vec<_>>(), [20]);
+    assert_eq!((prefixes.newest(), prefixes.gaps()), (6, 3));
+}
+
+#[test]
+fn an_engine_that_starts_anew_holds_nothing() {
+    let mut prefixes = Prefixes::default();
+    prefixes.apply(NOW, &[change(1, 10, true), change(2, 20, true)], 2);
+
+    prefixes.apply(NOW, &[change(1, 30, true)], 1);
+
+    assert_eq!(prefixes.iter().collect::<Vec<_>>(), [30]);
+}
+
+#[test]
+fn a_prefix_without_news_expires_and_their_number_is_bounded() {
+    let mut prefixes = Prefixes::default();
+    let many = 2 * PREFIXES_MAX as u64;
+    let changes: Vec<_> = (1..=many).map(|number| change(number, number, true)).collect();
+
+    prefixes.apply(NOW, &changes, many);
+    let kept = prefixes.len();
+    prefixes.apply(NOW + HELD_FOR + Duration::from_secs(1), &[], many);
+
+    assert_eq!((kept, prefixes.len()), (PREFIXES_MAX, 0));
+}
+
+/// Without lost events, what is held is what an exact account says.
+fn follows_an_exact_account(steps: Vec<(u8, bool)>) -> bool {
+    let mut prefixes = Prefixes::default();
+    let mut exact = HashSet::new();
+    for (number, (prefix, stored)) in (1..).zip(steps) {
+        let prefix = u64::from(prefix % 8);
+        if stored {
+            exact.insert(prefix)
+        } else {
+            exact.remove(&prefix)
+        };
+        prefixes.apply(NOW, &[change(number, prefix, stored)], number);
+    }
+    prefixes.iter().collect::<HashSet<_>>() == exact && prefixes.gaps() == 0
+}
+
+#[test]
+fn without_lost_events_the_account_is_exact() {
+    let property: fn(Vec<(u8, bool)>) -> bool = follows_an_exact_account;
+    QuickCheck::new().rng(Gen::from_size_and_seed(100, 1)).quickcheck(property);
+}
--- a/crates/side/src/actor.rs
+++ b/crates/side/src/actor.rs
@@ -6,6 +6,7 @@
 use crate::metrics::Metrics;
 use crate::plain;
 use crate::settings::Settings;
+use chestnutrack_core::server::prefix::{Change, Prefixes};
 use chestnutrack_core::server::{Connection, Effect, Event, Key, Server};
 use chestnutrack_core::time::Instant;
 use chestnutrack_engine::client as engine_client;
@@ -24,6 +25,10 @@
 
 /// Time between two updates of the pages.
 const PUBLISH_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two questions for changes of the engine's prefix cache.
+const EVENTS_PERIOD: Duration = Duration::from_millis(500);
+/// Prefixes that the page shows.
+const PREFIXES_SHOWN: usize = 1_000;
 /// Time for the last frames to leave before the process ends.
 const FLUSH: Duration = Duration::from_millis(200);
 
@@ -38,6 +43,8 @@
     Opened(Connection, Sender),
     /// A connection has ended.
     Closed(Connection),
+    /// The engine has told of changes of its prefix cache.
+    Events(Vec<Change>, u64),
 }
 
 /// What the actor starts with.
@@ -63,6 +70,7 @@
 pub struct Published {
     state: serde_json::Value,
     holds: serde_json::Value,
+    prefixes: serde_json::Value,
 }
 
 impl Published {
@@ -71,6 +79,7 @@
         match path {
             "/v1/state" => Some(self.state.clone()),
             "/v1/holds" => Some(self.holds.clone()),
+            "/v1/prefixes" => Some(self.prefixes.clone()),
             _ => None,
         }
     }
@@ -85,6 +94,9 @@
     engine: engine_client::Client,
     connections: HashMap<Connection, Sender>,
     tasks: HashMap<Key, AbortHandle>,
+    prefixes: Prefixes,
+    /// When the engine is asked next for changes of its prefix cache.
+    events_due: Instant,
     published: Instant,
     ending: bool,
 }
@@ -128,6 +140,8 @@
             engine,
             connections: HashMap::new(),
             tasks: HashMap::new(),
+            prefixes: Prefixes::default(),
+            events_due: now,
             published: now,
             ending: false,
         })
@@ -147,6 +161,9 @@
                 state.connections.remove(&connection);
                 state.event(&myself, Event::Disconnected(connection));
             }
+            Message::Events(changes, newest) => {
+                state.prefixes.apply(clock::now(), &changes, newest);
+            }
             Message::Event(event) => {
                 state.configure(&myself, &event);
                 let ticked = matches!(event, Event::Tick { .. });
@@ -260,6 +277,11 @@
         let now = clock::now();
         self.arguments.ready.set(self.server.is_ready());
         self.tasks.retain(|_, task| !task.is_finished());
+        if self.server.is_prefill() && now >= self.events_due {
+            self.events_due = now + EVENTS_PERIOD;
+            let (client, after) = (self.engine.clone(), self.prefixes.newest());
+            tokio::spawn(engine::ask_events(client, after, myself.clone()));
+        }
         if now.since(self.published) >= PUBLISH_PERIOD {
             self.publish(now);
         }
@@ -280,6 +302,15 @@
         state["name"] = serde_json::json!(self.arguments.settings.name);
         state["incarnation"] = serde_json::json!(self.arguments.incarnation);
         let holds = serde_json::json!({ "holds": self.server.view_holds(now) });
-        self.arguments.publisher.send_replace(Arc::new(Published { state, holds }));
+        let shown: Vec<_> =
+            self.prefixes.iter().take(PREFIXES_SHOWN).map(|name| format!("{name:016x}")).collect();
+        let prefixes = serde_json::json!({
+            "held": self.prefixes.len(),
+            "newest_event": self.prefixes.newest(),
+            "lost_events": self.prefixes.gaps(),
+            "prefixes": shown,
+        });
+        let published = Published { state, holds, prefixes };
+        self.arguments.publisher.send_replace(Arc::new(published));
     }
 }
--- a/crates/side/src/engine.rs
+++ b/crates/side/src/engine.rs
@@ -2,6 +2,7 @@
 
 use crate::actor::Message;
 use chestnutrack_core::server::event::{Held, Prefilled};
+use chestnutrack_core::server::prefix::Change;
 use chestnutrack_core::server::{Event, Fault, Key, Order, Task};
 use chestnutrack_core::time::Instant;
 use chestnutrack_engine::client::{Client, Stream};
@@ -61,6 +62,18 @@
     }
 }
 
+/// Asks for changes of the engine's prefix cache after an event's number.
+pub async fn ask_events(client: Client, after: u64, actor: ActorRef<Message>) {
+    let Ok(answer) = client.events(after).await else { return };
+    let change = |event: &order::Event| Change {
+        number: event.number,
+        prefix: event.prefix,
+        stored: event.stored,
+    };
+    let changes = answer.events.iter().map(change).collect();
+    let _ = actor.cast(Message::Events(changes, answer.newest));
+}
+
 fn failed(hold: Key, id: std::sync::Arc<str>, task: &Task, fault: Fault) -> Event {
     match task {
         Task::Prefill { .. } => Event::Prefilled(hold, Err(fault)),
--- a/crates/side/tests/path.rs
+++ b/crates/side/tests/path.rs
@@ -4,9 +4,12 @@
 
 mod fixture;
 
+use chestnutrack_engine::prefix;
+use chestnutrack_standin::engine::Settings;
 use chestnutrack_wire::frame::Finish;
 use chestnutrack_wire::{Frame, Request};
-use fixture::{ATTEMPT, Host, World, decode, engine_holds, forward, until};
+use fixture::{ATTEMPT, Host, World, decode, engine_holds, forward, get, until};
+use serde_json::json;
 
 #[tokio::test]
 async fn an_answer_passes_through_prefill_transfer_and_decode() {
@@ -31,6 +34,24 @@
     .await;
 }
 
+#[tokio::test]
+async fn prefixes_that_the_engine_holds_become_known() {
+    let settings = Settings { events_lost_percent: 0, ..Settings::default() };
+    let world = World::with(settings).await;
+    world.configure(1, &world.document()).await;
+    let mut prefill = Host::connect(world.prefill.program.listen, "entry-1", 1).await;
+    let prompt = "a register of marriages ".repeat(400);
+
+    prefill.prefilled(Request(7), &prompt).await;
+    let page = || async { get(world.prefill.program.admin, "/v1/prefixes").await };
+
+    let names = prefix::names(&prompt);
+    until("the prefixes are known", async || page().await["held"] == json!(names.len())).await;
+    let shown = page().await["prefixes"].clone();
+    let newest_first = names.iter().rev().map(|name| format!("{name:016x}"));
+    assert_eq!(shown, json!(newest_first.collect::<Vec<_>>()));
+}
+
 #[tokio::test]
 async fn a_plain_call_passes_through() {
     let world = World::start().await;
--- a/crates/side/tests/process.rs
+++ b/crates/side/tests/process.rs
@@ -86,6 +86,16 @@
     drop(host);
 }
 
+/// Whether every thread of a process has stopped; a signal takes a while to reach them all.
+fn is_stopped(process: &Process) -> bool {
+    let tasks = format!("/proc/{}/task", process.id().unwrap());
+    let mut tasks = std::fs::read_dir(tasks).unwrap();
+    tasks.all(|task| {
+        let status = std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap();
+        status.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+    })
+}
+
 /// Orders that an engine has taken under an epoch, beyond questions and cancellations.
 async fn orders(engine: SocketAddr, fence: u64) -> Vec<Value> {
     let seen = get(engine, "/control/seen").await;
@@ -111,6 +121,7 @@
     let epoch = get(first.admin, "/v1/state").await["epoch"].as_u64().unwrap();
 
     first.process.stop().unwrap();
+    until("the process has stopped", async || is_stopped(&first.process)).await;
     let second = beside(world.platform, "decode-1", Role::Prefill, world.decode.backend).await;
     configure(&second, 1, &document).await;
     host.send(&Frame::Prefill(Request(1), ATTEMPT, fixture::prefill("a prompt")));
