Side process at rest: fewer ticks, one thread

Ticks come every 20 ms while anyone has a hold, else every 100 ms; one thread carries the whole process.

--- a/crates/side/src/actor.rs
+++ b/crates/side/src/actor.rs
@@ -24,7 +24,7 @@
 use tokio::task::AbortHandle;
 
 /// Time between two updates of the pages.
-const PUBLISH_PERIOD: Duration = Duration::from_millis(100);
+const PUBLISH_PERIOD: Duration = Duration::from_millis(200);
 /// Time between two questions for changes of the engine's prefix cache.
 const EVENTS_PERIOD: Duration = Duration::from_millis(500);
 /// Prefixes that the page shows.
@@ -61,6 +61,8 @@
     pub ready: Ready,
     /// Where the pages are put.
     pub publisher: watch::Sender<Arc<Published>>,
+    /// Whether anyone has a hold, which makes the ticks more frequent.
+    pub busy: watch::Sender<bool>,
     /// Random number drawn when the process started.
     pub incarnation: u64,
 }
@@ -184,6 +186,8 @@
         for effect in self.server.handle(now, event) {
             self.carry_out(myself, now, effect);
         }
+        let busy = !self.server.is_idle();
+        self.arguments.busy.send_if_modified(|before| std::mem::replace(before, busy) != busy);
     }
 
     fn log(&self, event: &Event) {
--- a/crates/side/src/main.rs
+++ b/crates/side/src/main.rs
@@ -8,7 +8,7 @@
 /// Exit code for wrong settings.
 const WRONG_SETTINGS: u8 = 2;
 
-#[tokio::main]
+#[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let flags: Flags = argh::from_env();
     let settings = match settings::read(&flags, environment) {
--- a/crates/side/src/program.rs
+++ b/crates/side/src/program.rs
@@ -18,8 +18,10 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-/// Period of the table's systems.
+/// Period of the table's systems while anyone has a hold.
 const TICK: Duration = Duration::from_millis(20);
+/// Their period otherwise; well under the bound after which a pause is noticed.
+const TICK_AT_REST: Duration = Duration::from_millis(100);
 
 /// Why the process could not start.
 #[derive(Debug, Display)]
@@ -78,6 +80,7 @@
     let metrics = metrics::Metrics::new(&registry).map_err(Error::Metric)?;
     let ready = Ready::default();
     let (publisher, published) = watch::channel(Arc::new(actor::Published::default()));
+    let (busy, is_busy) = watch::channel(false);
     let arguments = actor::Arguments {
         settings: Settings { listen, admin, ..settings },
         security: security.clone(),
@@ -85,12 +88,13 @@
         metrics,
         ready: ready.clone(),
         publisher,
+        busy,
         incarnation: rand::random(),
     };
     let spawned = Actor::spawn(None, Side, arguments).await;
     let (actor, ended) = spawned.map_err(|error| Error::Actor(error.to_string()))?;
     tokio::spawn(connection::accept(frames, security, actor.clone()));
-    tokio::spawn(tick(actor.clone()));
+    tokio::spawn(tick(actor.clone(), is_busy));
     tokio::spawn(terminate(actor.clone(), shutdown));
     let pages = Arc::new(move |path: &str, _: &str| published.borrow().page(path));
     tokio::spawn(admin::serve(operators, registry, ready, pages));
@@ -102,12 +106,23 @@
     TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
 }
 
-async fn tick(actor: ActorRef<Message>) {
+async fn tick(actor: ActorRef<Message>, mut busy: watch::Receiver<bool>) {
     let timer = Timer::start();
-    let mut ticks = timer.subscribe(TICK);
-    while let Some(tick) = ticks.recv().await {
-        if actor.cast(Message::Event(Event::Tick { late: tick.late })).is_err() {
-            return;
+    loop {
+        let period = if *busy.borrow_and_update() { TICK } else { TICK_AT_REST };
+        let mut ticks = timer.subscribe(period);
+        loop {
+            tokio::select! {
+                changed = busy.changed() => match changed {
+                    Ok(()) => break,
+                    Err(_) => return,
+                },
+                Some(tick) = ticks.recv() => {
+                    if actor.cast(Message::Event(Event::Tick { late: tick.late })).is_err() {
+                        return;
+                    }
+                }
+            }
         }
     }
 }
