Claims: expired ones are swept, perhaps-written ones given back; limits measured

The check's own bucket was filled only at a step's end and took tokens of the step for overshoot at five times the rate; it fills at each debit now.

--- /dev/null
+++ b/crates/core/tests/limits.rs
@@ -0,0 +1,179 @@
+//! In-rate refusals and overshoot with and without borrowing, over the same requests.
+//!
+//! `cargo test -p chestnutrack-core --test limits -- --nocapture` prints the table of
+//! `docs/limits.md`.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod world;
+
+use rand::Rng;
+use std::fmt::Write;
+use std::time::Duration;
+use world::host::Host;
+use world::{Event, Settings, World};
+
+/// Length of a run.
+const RUN_S: u64 = 120;
+/// Rate and burst of the organisation, in tokens a second and tokens.
+const RATE: u64 = 30_000;
+const BURST: u64 = 30_000;
+/// Longest wait for tokens that a request allows.
+const WITHIN: Duration = Duration::from_millis(300);
+/// Share of the rate that an organisation within its rate asks for.
+const IN_RATE: f64 = 0.9;
+/// Seeds over which figures are added up.
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// How the balancer spreads an organisation's requests over three hosts, in percent.
+const EVEN: [u32; 3] = [34, 33, 33];
+const SKEWED: [u32; 3] = [70, 20, 10];
+const ONE: [u32; 3] = [100, 0, 0];
+
+/// One experiment.
+#[derive(Clone, Copy)]
+struct Case {
+    name: &'static str,
+    /// Tokens asked for, as a multiple of the rate.
+    load: f64,
+    spread: [u32; 3],
+    /// What happens, and at which second.
+    events: &'static [(u64, Event)],
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Figures {
+    requests: u64,
+    refused: u64,
+    tokens: u64,
+    offered: u64,
+    messages: u64,
+    overshoot: u64,
+}
+
+const CASES: [Case; 8] = [
+    Case { name: "in rate, even", load: IN_RATE, spread: EVEN, events: &[] },
+    Case { name: "in rate, 70/20/10", load: IN_RATE, spread: SKEWED, events: &[] },
+    Case { name: "in rate, all on one host", load: IN_RATE, spread: ONE, events: &[] },
+    Case { name: "five times the rate, even", load: 5.0, spread: EVEN, events: &[] },
+    Case { name: "five times the rate, one host", load: 5.0, spread: ONE, events: &[] },
+    Case {
+        name: "in rate, 70/20/10, outage of two minutes",
+        load: IN_RATE,
+        spread: SKEWED,
+        events: &[(0, Event::Outage(true))],
+    },
+    Case {
+        name: "in rate, 70/20/10, a host killed and restarted",
+        load: IN_RATE,
+        spread: SKEWED,
+        events: &[(30, Event::Kill(2)), (60, Event::Start(2))],
+    },
+    Case {
+        name: "in rate, 70/20/10, a host stopped for ten seconds",
+        load: IN_RATE,
+        spread: SKEWED,
+        events: &[(30, Event::Stop(2)), (40, Event::Continue(2))],
+    },
+];
+
+fn run(case: &Case, borrows: bool, seed: u64) -> Figures {
+    let settings = Settings { seed, rate: RATE, burst: BURST, borrows, ..Settings::default() };
+    let mut world = World::new(settings);
+    world.run(Duration::from_secs(10));
+    let admitted = world.checks.admitted;
+    let mut figures = Figures::default();
+    for second in 0..RUN_S {
+        for (_, event) in case.events.iter().filter(|(at, _)| *at == second) {
+            world.apply(event);
+        }
+        for _ in 0..100 {
+            figures.offered += arrive(&mut world, case);
+            world.run(Duration::from_millis(10));
+        }
+    }
+    world.run(Duration::from_secs(2));
+    for outcome in world.hosts.iter().flat_map(|host| &host.outcomes) {
+        figures.requests += 1;
+        figures.refused += u64::from(outcome.refused.is_some());
+    }
+    figures.tokens = world.checks.admitted - admitted;
+    figures.messages = world.checks.messages;
+    figures.overshoot = world.checks.overshoot();
+    assert_eq!(world.checks.findings, Vec::<String>::new(), "{}", case.name);
+    figures
+}
+
+/// Requests of one step: on average a hundredth of a second's tokens.
+fn arrive(world: &mut World, case: &Case) -> u64 {
+    let mean = 600.0;
+    let expected = case.load * 300.0 / mean;
+    let whole = expected.floor();
+    let more = world.rng.random_bool(expected - whole);
+    let mut offered = 0;
+    for _ in 0..(whole as u64 + u64::from(more)) {
+        let tokens = world.rng.random_range(100..=1_100);
+        let host = pick(world, case.spread);
+        offered += tokens;
+        if world.hosts[host].runs() {
+            Host::debit(world, host, tokens, WITHIN);
+        } else {
+            let others: Vec<_> = (0..3).filter(|index| world.hosts[*index].runs()).collect();
+            Host::debit(world, others[0], tokens, WITHIN);
+        }
+    }
+    offered
+}
+
+fn pick(world: &mut World, spread: [u32; 3]) -> usize {
+    let draw = world.rng.random_range(0..100);
+    match draw {
+        _ if draw < spread[0] => 0,
+        _ if draw < spread[0] + spread[1] => 1,
+        _ => 2,
+    }
+}
+
+fn sum(case: &Case, borrows: bool) -> Figures {
+    SEEDS.iter().map(|seed| run(case, borrows, *seed)).fold(Figures::default(), |a, b| Figures {
+        requests: a.requests + b.requests,
+        refused: a.refused + b.refused,
+        tokens: a.tokens + b.tokens,
+        offered: a.offered + b.offered,
+        messages: a.messages + b.messages,
+        overshoot: a.overshoot + b.overshoot,
+    })
+}
+
+fn row(case: &Case, way: &str, figures: &Figures) -> String {
+    let mut row = String::new();
+    let seconds = u64::try_from(SEEDS.len()).unwrap() * RUN_S;
+    let percent = |part: u64, whole: u64| 100.0 * part as f64 / whole.max(1) as f64;
+    let Figures { requests, refused, tokens, messages, overshoot, .. } = figures;
+    let refused = percent(*refused, *requests);
+    let used = percent(*tokens, RATE * seconds);
+    let each = *messages as f64 / *requests as f64;
+    let name = case.name;
+    write!(row, "| {name} | {way} | {requests} | {refused:.3} % | {used:.1} % | ").unwrap();
+    write!(row, "{each:.2} | {overshoot} |").unwrap();
+    row
+}
+
+#[test]
+fn borrowing_refuses_little_within_the_rate_and_never_overshoots() {
+    let mut shares = Vec::new();
+    let mut loans = Vec::new();
+
+    for case in &CASES {
+        shares.push(sum(case, false));
+        loans.push(sum(case, true));
+        println!("{}", row(case, "fixed shares", shares.last().unwrap()));
+        println!("{}", row(case, "borrowing", loans.last().unwrap()));
+    }
+
+    assert!(shares.iter().chain(&loans).all(|figures| figures.overshoot == 0));
+    // At rest: under 0.1 % of requests within the rate are refused.
+    for figures in &loans[..3] {
+        assert!(figures.refused * 1_000 < figures.requests, "{figures:?}");
+    }
+}
--- a/crates/core/tests/world/check.rs
+++ b/crates/core/tests/world/check.rs
@@ -47,7 +47,12 @@
     }
 
     /// Tokens were debited for a request.
-    pub(crate) fn admit(&mut self, tokens: u64) {
+    pub(crate) fn admit(world: &mut World, tokens: u64) {
+        Checks::fill(world);
+        world.checks.take(tokens);
+    }
+
+    fn take(&mut self, tokens: u64) {
         self.admitted += tokens;
         self.refundable += tokens;
         let wanted = tokens * MICRO;
@@ -64,9 +69,10 @@
     }
 
     /// Tokens were handed back.
-    pub(crate) fn refund(&mut self, tokens: u64) {
-        let burst = self.burst();
-        self.level = (self.level + tokens * MICRO).min(burst * MICRO);
+    pub(crate) fn refund(world: &mut World, tokens: u64) {
+        Checks::fill(world);
+        let checks = &mut world.checks;
+        checks.level = (checks.level + tokens * MICRO).min(checks.burst() * MICRO);
     }
 
     /// Tokens admitted beyond rate and burst.
--- a/crates/core/tests/world/host.rs
+++ b/crates/core/tests/world/host.rs
@@ -1,5 +1,6 @@
 //! One member of the world: it does with the decisions what the member's actor does.
 
+use super::check::Checks;
 use super::{Message, STEP, Settings, Store, World, organisation};
 use chestnutrack_core::config::{Config, Duty as Judging};
 use chestnutrack_core::limit::{Debit, Effect, Limits, Refusal, Standing, Wait};
@@ -274,8 +275,8 @@
         }
         if world.rng.random_range(0..50) == 0 {
             let refund = world.checks.refundable(&mut world.rng);
+            Checks::refund(world, refund);
             world.hosts[index].limits.refund(now, "acme", refund);
-            world.checks.refund(refund);
         }
     }
 
@@ -294,7 +295,7 @@
 
     fn admitted(world: &mut World, index: usize, tokens: u64, asked: Instant) {
         world.hosts[index].outcomes.push(Outcome { tokens, asked, refused: None });
-        world.checks.admit(tokens);
+        Checks::admit(world, tokens);
     }
 
     fn refused(&mut self, tokens: u64, asked: Instant, refusal: Refusal) {
--- a/crates/fleet/src/claim/keeper.rs
+++ b/crates/fleet/src/claim/keeper.rs
@@ -16,6 +16,12 @@
 const ATTEMPTS: u32 = 4;
 /// Claims that were written perhaps, for requests that were then refused, kept to be given back.
 const STRAYS_MAX: usize = 4_096;
+/// How often a claim that was perhaps written is looked for, since its write may still arrive.
+const STRAY_LOOKS: u32 = 20;
+/// Expired claims that one sweep deletes at most.
+const SWEEP_MAX: usize = 200;
+/// Pause between two deletions of a sweep.
+const SWEEP_PAUSE: Duration = Duration::from_millis(50);
 
 /// Makes and settles claims for one member; cheap to clone.
 #[derive(Clone)]
@@ -33,6 +39,7 @@
 pub(crate) struct Stray {
     name: Arc<str>,
     record: Record<End>,
+    looks: u32,
 }
 
 /// What a look at a claim's object found.
@@ -71,7 +78,7 @@
                 Err(error::Error::Conflict(_)) => {}
                 Err(error) => {
                     if may_have_landed(&error) {
-                        self.stray(name, record);
+                        self.stray(name, record, STRAY_LOOKS);
                     }
                     return Err(Error::Unavailable);
                 }
@@ -122,34 +129,55 @@
         match self.client.delete(CLAIMS, name, version).await {
             Ok(_) | Err(error::Error::Missing | error::Error::Conflict(_)) => Ok(()),
             Err(_) => {
-                self.stray(name, record);
+                self.stray(name, record, STRAY_LOOKS);
                 Err(Error::Unavailable)
             }
         }
     }
 
-    fn stray(&self, name: &Arc<str>, record: &Record<End>) {
+    fn stray(&self, name: &Arc<str>, record: &Record<End>, looks: u32) {
         let mut strays = self.strays.lock().unwrap_or_else(PoisonError::into_inner);
-        if strays.len() < STRAYS_MAX {
-            strays.push(Stray { name: name.clone(), record: record.clone() });
+        if looks > 0 && strays.len() < STRAYS_MAX {
+            strays.push(Stray { name: name.clone(), record: record.clone(), looks });
         }
     }
 
+    fn take_strays(&self) -> Vec<Stray> {
+        std::mem::take(&mut *self.strays.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// Gives back claims that stand for requests that were refused, as far as it can.
     pub(crate) async fn give_back_strays(&self) {
-        let strays =
-            std::mem::take(&mut *self.strays.lock().unwrap_or_else(PoisonError::into_inner));
-        for stray in strays {
-            match self.find(&stray.name).await {
-                Ok(Found::Claim(version, _, found)) if found == stray.record => {
-                    let _ = self.give_back(&stray.name, version, &stray.record).await;
+        let strays = self.take_strays();
+        for Stray { name, record, looks } in strays {
+            match self.find(&name).await {
+                Ok(Found::Claim(version, _, found)) if found == record => {
+                    let _ = self.give_back(&name, version, &record).await;
                 }
-                Ok(_) => {}
-                Err(_) => self.stray(&stray.name, &stray.record),
+                Ok(Found::Claim(..)) => {}
+                Ok(Found::Absent) => self.stray(&name, &record, looks - 1),
+                Err(_) => self.stray(&name, &record, looks),
             }
         }
     }
 
+    /// Deletes claims that are at least as old as `ttl`, a few at a time; returns how many.
+    pub(crate) async fn sweep(&self, ttl: Duration) -> usize {
+        let Ok(list) = self.client.list(CLAIMS).await else {
+            return 0;
+        };
+        let old = |object: &Object| Duration::from_millis(object.age_ms) >= ttl;
+        let mut deleted = 0;
+        for object in list.objects.into_iter().filter(old).take(SWEEP_MAX) {
+            // A claim that was written again since has another version and stays.
+            let done = self.client.delete(CLAIMS, &object.name, object.version).await;
+            deleted += usize::from(done.is_ok());
+            tokio::time::sleep(SWEEP_PAUSE).await;
+        }
+        self.metric.claims.with_label_values(&["expired"]).inc_by(deleted as u64);
+        deleted
+    }
+
     async fn find(&self, name: &str) -> Result<Found, Error> {
         match self.client.read(CLAIMS, name).await {
             Ok(object) => read(object),
--- a/crates/fleet/src/claim/mod.rs
+++ b/crates/fleet/src/claim/mod.rs
@@ -1,6 +1,8 @@
 //! Claims of at-most-once requests, as the request path sees them.
 
 pub(crate) mod keeper;
+#[cfg(test)]
+mod tests;
 
 use chestnutrack_core::member::Identity;
 use displaydoc::Display;
@@ -77,8 +79,11 @@
 
 impl std::error::Error for Error {}
 
-/// Says whether a process is a member.
+/// What claims need to know of the members.
 pub(crate) trait Lives: Clone + Send + Sync + 'static {
-    /// Whether it is.
+    /// Whether a process may still run a request that it claimed.
     fn lives(&self, identity: Identity) -> impl Future<Output = bool> + Send;
+
+    /// Whether this member is the one that deletes expired claims.
+    fn sweeps(&self) -> impl Future<Output = bool> + Send;
 }
--- /dev/null
+++ b/crates/fleet/src/claim/tests.rs
@@ -0,0 +1,200 @@
+//! Claims against the stand-in and its faults.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use super::keeper::Keeper;
+use super::{Ask, End, Error, Held, Lives, Outcome};
+use crate::metric::Metric;
+use bytes::Bytes;
+use chestnutrack_core::claim::ANSWER_BYTES_MAX;
+use chestnutrack_core::member::Identity;
+use chestnutrack_platform::client::{self, Client};
+use chestnutrack_process::http;
+use chestnutrack_standin::platform;
+use prometheus::Registry;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+/// Whether holders of claims are taken to be alive.
+#[derive(Clone)]
+struct Alive(Arc<AtomicBool>);
+
+impl Lives for Alive {
+    async fn lives(&self, _: Identity) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    async fn sweeps(&self) -> bool {
+        true
+    }
+}
+
+async fn stand_in() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(platform::serve(listener, platform::Settings::default()));
+    address
+}
+
+async fn faults(address: SocketAddr, faults: serde_json::Value) {
+    let request = http::request("POST", "/control/faults", Bytes::from(faults.to_string()));
+    let limit = Duration::from_secs(10);
+    let answer = http::call(address, request.unwrap(), limit, 1 << 20).await.unwrap();
+    assert_eq!(answer.status(), 200);
+}
+
+fn keeper(address: SocketAddr, name: &str) -> Keeper<Alive> {
+    Keeper {
+        client: Client::new(address, client::Settings::default(), None),
+        service: "shop".into(),
+        me: Identity { name: name.into(), incarnation: 1 },
+        lives: Alive(Arc::new(AtomicBool::new(true))),
+        metric: Metric::new(&Registry::new()).unwrap(),
+        strays: Arc::default(),
+    }
+}
+
+fn ask(request: u128) -> Ask {
+    Ask {
+        organisation: "acme".into(),
+        route: "deposit".into(),
+        key: "order-1".into(),
+        body: [7; 32],
+        request,
+    }
+}
+
+fn held(outcome: Result<Outcome, Error>) -> Held {
+    match outcome {
+        Ok(Outcome::Run(held)) => held,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn answered(body: Vec<u8>) -> End {
+    End::Answered { status: 201, headers: Vec::new(), body: Some(body) }
+}
+
+#[tokio::test]
+async fn a_repeat_gets_what_the_first_got() {
+    let address = stand_in().await;
+    let (a, b) = (keeper(address, "a"), keeper(address, "b"));
+    let first = held(a.claim(ask(1)).await);
+
+    let during = b.claim(ask(2)).await;
+    a.settle(first, answered(b"done".to_vec())).await.unwrap();
+    let after = b.claim(ask(3)).await;
+
+    assert_eq!(during, Ok(Outcome::Running));
+    assert_eq!(after, Ok(Outcome::Ended(answered(b"done".to_vec()))));
+}
+
+#[tokio::test]
+async fn an_answer_too_large_to_keep_ends_without_its_body() {
+    let address = stand_in().await;
+    let a = keeper(address, "a");
+    let first = held(a.claim(ask(1)).await);
+
+    a.settle(first, answered(vec![1; ANSWER_BYTES_MAX + 1])).await.unwrap();
+
+    let end = End::Answered { status: 201, headers: Vec::new(), body: None };
+    assert_eq!(a.claim(ask(2)).await, Ok(Outcome::Ended(end)));
+}
+
+#[tokio::test]
+async fn the_same_key_with_another_body_is_told_apart() {
+    let address = stand_in().await;
+    let a = keeper(address, "a");
+    held(a.claim(ask(1)).await);
+
+    let other = a.claim(Ask { body: [8; 32], ..ask(2) }).await;
+
+    assert_eq!(other, Ok(Outcome::Mismatch));
+}
+
+#[tokio::test]
+async fn a_claim_whose_holder_is_gone_is_unknown_and_never_runs_again() {
+    let address = stand_in().await;
+    let (a, b) = (keeper(address, "a"), keeper(address, "b"));
+    held(a.claim(ask(1)).await);
+
+    b.lives.0.store(false, Ordering::Relaxed);
+
+    assert_eq!(b.claim(ask(2)).await, Ok(Outcome::Unknown));
+    assert_eq!(b.claim(ask(3)).await, Ok(Outcome::Unknown));
+}
+
+#[tokio::test]
+async fn a_request_that_did_not_run_gives_its_claim_back() {
+    let address = stand_in().await;
+    let (a, b) = (keeper(address, "a"), keeper(address, "b"));
+    let first = held(a.claim(ask(1)).await);
+
+    a.settle(first, End::NotRun).await.unwrap();
+
+    held(b.claim(ask(2)).await);
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_read_again_and_is_the_writers_own() {
+    let address = stand_in().await;
+    let (a, b) = (keeper(address, "a"), keeper(address, "b"));
+    faults(address, json!({ "lose_answers": 1 })).await;
+
+    let first = a.claim(ask(1)).await;
+
+    held(first);
+    assert_eq!(b.claim(ask(2)).await, Ok(Outcome::Running));
+}
+
+#[tokio::test]
+async fn an_outage_refuses_and_a_claim_left_behind_is_given_back() {
+    let address = stand_in().await;
+    let (a, b) = (keeper(address, "a"), keeper(address, "b"));
+    faults(address, json!({ "down": true })).await;
+
+    let refused = a.claim(ask(1)).await;
+    faults(address, json!({ "down": false })).await;
+    a.give_back_strays().await;
+
+    assert_eq!(refused, Err(Error::Unavailable));
+    held(b.claim(ask(2)).await);
+}
+
+#[tokio::test]
+async fn many_askers_with_lost_answers_get_one_run() {
+    let address = stand_in().await;
+    for round in 0..20_u128 {
+        faults(address, json!({ "lose_answers": round % 5 })).await;
+        let key: Arc<str> = format!("order-{round}").into();
+        let mut asks = JoinSet::new();
+        for request in 0..8 {
+            let keeper = keeper(address, &format!("h{request}"));
+            let ask = Ask { key: key.clone(), ..ask(round * 100 + request) };
+            asks.spawn(async move { keeper.claim(ask).await });
+        }
+
+        let outcomes = asks.join_all().await;
+
+        let runs = outcomes.iter().filter(|outcome| matches!(outcome, Ok(Outcome::Run(_))));
+        assert!(runs.count() <= 1, "round {round}: {outcomes:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_sweep_deletes_what_has_expired_and_nothing_else() {
+    let address = stand_in().await;
+    let a = keeper(address, "a");
+    held(a.claim(ask(1)).await);
+
+    let young = a.sweep(Duration::from_secs(3_600)).await;
+    let old = a.sweep(Duration::ZERO).await;
+
+    assert_eq!((young, old), (0, 1));
+    held(a.claim(ask(2)).await);
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub use snapshot::Snapshot;
 
+use chestnutrack_core::claim::CLAIM_TTL;
 use chestnutrack_core::member::Identity;
 use chestnutrack_core::time::Instant;
 use chestnutrack_platform::client::{self, Client};
@@ -20,6 +21,7 @@
 use chestnutrack_process::shutdown::Shutdown;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_wire::connection::Security;
+use claim::Lives;
 use claim::keeper::Keeper;
 use displaydoc::Display;
 use member::{Debit, Member, Message, Shared, Start};
@@ -71,6 +73,9 @@
 /// Time between two rounds that give back claims of requests that were refused.
 const STRAYS: Duration = Duration::from_secs(1);
 
+/// Time between two sweeps for expired claims.
+const SWEEP: Duration = Duration::from_secs(600);
+
 /// Handle on what the entry hosts agree on; cheap to clone.
 #[derive(Clone)]
 pub struct Fleet {
@@ -115,7 +120,8 @@
         let lives = member.clone();
         let strays = Arc::default();
         let keeper = Keeper { client, service, me, lives, metric, strays };
-        tokio::spawn(give_back(timer, keeper.clone()));
+        tokio::spawn(give_back(timer.clone(), keeper.clone()));
+        tokio::spawn(sweep(timer, keeper.clone()));
         Ok(Fleet { member, keeper, snapshots: published, pages: shown, trusted_until })
     }
 
@@ -206,3 +212,12 @@
         keeper.give_back_strays().await;
     }
 }
+
+async fn sweep(timer: Timer, keeper: Keeper<ActorRef<Message>>) {
+    let mut ticks = timer.subscribe(SWEEP);
+    while ticks.recv().await.is_some() {
+        if keeper.lives.sweeps().await {
+            keeper.sweep(CLAIM_TTL).await;
+        }
+    }
+}
--- a/crates/fleet/src/member/mod.rs
+++ b/crates/fleet/src/member/mod.rs
@@ -71,6 +71,8 @@
     Judged(store::Case, Judgement),
     /// Somebody asks whether a claim's holder is a member.
     Lives(Identity, oneshot::Sender<bool>),
+    /// Somebody asks whether this member deletes expired claims.
+    Sweeps(oneshot::Sender<bool>),
     /// The host leaves; told once the table is written or that has failed.
     Leave(oneshot::Sender<()>),
 }
@@ -215,7 +217,12 @@
             Message::Wrote(table) => self.table_written(now, table),
             Message::Judged(case, judgement) => self.judged(now, &case, &judgement),
             Message::Lives(identity, reply) => {
-                let _ = reply.send(self.membership.lists(&identity));
+                // One that is not current may have missed that the holder joined.
+                let knows = self.membership.is_current(now);
+                let _ = reply.send(!knows || self.holds_claims(&identity));
+            }
+            Message::Sweeps(reply) => {
+                let _ = reply.send(self.sweeps(now));
             }
             Message::Leave(done) => self.leave(now, done),
         }
@@ -251,6 +258,16 @@
         self.shared.pages.send_replace(Arc::new(pages));
     }
 
+    fn holds_claims(&self, identity: &Identity) -> bool {
+        self.membership.me() == identity || self.membership.lists(identity)
+    }
+
+    fn sweeps(&self, now: Instant) -> bool {
+        let table = self.membership.table();
+        let first = table.and_then(|table| table.position(self.membership.me())) == Some(0);
+        first && self.membership.is_current(now)
+    }
+
     fn spawn(&mut self, task: impl Future<Output = Message> + Send + 'static) {
         let myself = self.myself.clone();
         self.tasks.spawn(async move {
@@ -263,7 +280,12 @@
     async fn lives(&self, identity: Identity) -> bool {
         let (reply, answer) = oneshot::channel();
         let sent = self.send_message(Message::Lives(identity, reply)).is_ok();
-        sent && answer.await.unwrap_or(false)
+        !sent || answer.await.unwrap_or(true)
+    }
+
+    async fn sweeps(&self) -> bool {
+        let (reply, answer) = oneshot::channel();
+        self.send_message(Message::Sweeps(reply)).is_ok() && answer.await.unwrap_or(false)
     }
 }
 
