--- a/crates/core/src/claim/tests.rs
+++ b/crates/core/src/claim/tests.rs
@@ -1,1 +1,145 @@
-//! Tests.
+//! Claims under random orders of calls, lost answers and losses of holders.
+
+use super::{CLAIM_RUN_MAX, CLAIM_TTL, Record, Verdict, judge, name};
+use crate::member::Identity;
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// One thing that happens to a key.
+#[derive(Clone, Debug)]
+enum Step {
+    /// A member asks for a new request; its write's answer may be lost.
+    Ask { member: u8, lost: bool },
+    /// A member tries again for the request that it asked for last.
+    Again { member: u8 },
+    /// The holder settles, if it is the member.
+    Settle { member: u8 },
+    /// A member is lost, and another incarnation starts in its place.
+    Lose { member: u8 },
+    /// Time goes by.
+    Wait { minutes: u8 },
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Step {
+        let member = u8::arbitrary(g) % 3;
+        match u8::arbitrary(g) % 8 {
+            0..=2 => Step::Ask { member, lost: bool::arbitrary(g) },
+            3 | 4 => Step::Again { member },
+            5 => Step::Settle { member },
+            6 => Step::Lose { member },
+            _ => Step::Wait { minutes: u8::arbitrary(g) % 20 },
+        }
+    }
+}
+
+/// One key's object and three members.
+#[derive(Default)]
+struct Model {
+    object: Option<(Record<u32>, u64)>,
+    minute: u64,
+    incarnations: [u64; 3],
+    requests: [u64; 3],
+    asked: u64,
+    ran: BTreeSet<u64>,
+}
+
+impl Model {
+    fn identity(&self, member: u8) -> Identity {
+        let incarnation = self.incarnations[usize::from(member)];
+        Identity { name: format!("h{member}").into(), incarnation }
+    }
+
+    fn record(&self, member: u8) -> Record<u32> {
+        let request = self.requests[usize::from(member)].to_string();
+        Record { request, writer: self.identity(member), body: "body".to_owned(), ended: None }
+    }
+
+    /// Creates the object if there is none; otherwise judges what stands there.
+    fn claim(&mut self, member: u8, lost: bool) {
+        let mine = self.record(member);
+        let Some((found, at)) = &self.object else {
+            self.object = Some((mine, self.minute));
+            if !lost {
+                self.ran.insert(self.requests[usize::from(member)]);
+            }
+            return;
+        };
+        let age = Duration::from_secs(60 * (self.minute - at));
+        let live = |holder: &Identity| (0..3).any(|member| self.identity(member) == *holder);
+        match judge(found, age, &mine, live) {
+            Verdict::Own => drop(self.ran.insert(self.requests[usize::from(member)])),
+            Verdict::Expired => self.object = None,
+            _ => {}
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Ask { member, lost } => {
+                self.asked += 1;
+                self.requests[usize::from(member)] = self.asked;
+                self.claim(member, lost);
+            }
+            Step::Again { member } => self.claim(member, false),
+            Step::Settle { member } => {
+                let holder = self.identity(member);
+                let running = |(record, _): &&mut (Record<u32>, u64)| {
+                    record.writer == holder && record.ended.is_none()
+                };
+                if let Some((record, at)) = self.object.as_mut().filter(running) {
+                    record.ended = Some(1);
+                    *at = self.minute;
+                }
+            }
+            Step::Lose { member } => self.incarnations[usize::from(member)] += 1,
+            Step::Wait { minutes } => self.minute += u64::from(minutes),
+        }
+    }
+}
+
+quickcheck! {
+    fn one_key_runs_once_within_its_lifetime(steps: Vec<Step>) -> bool {
+        let mut model = Model::default();
+        let ttl = CLAIM_TTL.as_secs() / 60;
+        for step in &steps {
+            if model.minute < ttl {
+                model.step(step);
+            }
+        }
+        model.minute >= ttl || model.ran.len() <= 1
+    }
+}
+
+fn record(request: &str, incarnation: u64, ended: Option<u32>) -> Record<u32> {
+    let writer = Identity { name: "a".into(), incarnation };
+    Record { request: request.to_owned(), writer, body: "body".to_owned(), ended }
+}
+
+#[test]
+fn a_running_claim_is_unknown_once_its_holder_is_gone_or_it_is_too_old() {
+    let (found, mine) = (record("1", 1, None), record("2", 2, None));
+
+    let gone = judge(&found, Duration::ZERO, &mine, |_| false);
+    let old = judge(&found, CLAIM_RUN_MAX, &mine, |_| true);
+    let live = judge(&found, Duration::ZERO, &mine, |_| true);
+
+    assert_eq!((gone, old, live), (Verdict::Unknown, Verdict::Unknown, Verdict::Running));
+}
+
+#[test]
+fn an_end_is_told_whoever_lives_until_it_expires() {
+    let (found, mine) = (record("1", 1, Some(7)), record("2", 2, None));
+
+    let end = judge(&found, CLAIM_RUN_MAX, &mine, |_| false);
+    let expired = judge(&found, CLAIM_TTL, &mine, |_| true);
+
+    assert_eq!((end, expired), (Verdict::Ended(7), Verdict::Expired));
+}
+
+#[test]
+fn names_keep_their_parts_apart() {
+    assert_ne!(name("s", "ab", "c", "k"), name("s", "a", "bc", "k"));
+    assert_eq!(name("s", "a", "b", "k").len(), 64);
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -73,9 +73,9 @@
         self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
-    /// Whether the document may be acted on.
+    /// Whether the document may be acted on, as long as no member was seen with a newer one.
     ///
-    /// `current`: this host is a current member, and no member was seen with a newer document.
+    /// `current`: this host is a current member.
     pub fn is_trusted(&self, now: Instant, current: bool) -> bool {
         let confirmed = self.confirmed_ago(now).is_some_and(|age| age < CONFIRMED_LEASE);
         self.version > 0 && (confirmed || current)
--- a/crates/core/src/config/tests.rs
+++ b/crates/core/src/config/tests.rs
@@ -1,1 +1,81 @@
-//! Tests.
+//! What is in force, and when it is trusted.
+
+use super::{CONFIRMED_LEASE, Config, Duty};
+use crate::time::Instant;
+use quickcheck::quickcheck;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(1_000_000 + ms)
+}
+
+fn config(version: u64) -> Config {
+    let mut config = Config::default();
+    config.offer(version, Arc::from([]));
+    config
+}
+
+quickcheck! {
+    fn the_highest_version_wins_and_stays(offers: Vec<u8>) -> bool {
+        let mut config = Config::default();
+        let mut highest = 0;
+        offers.into_iter().map(u64::from).all(|version| {
+            config.offer(version, Arc::from([]));
+            highest = version.max(highest);
+            config.version() == highest
+        })
+    }
+}
+
+#[test]
+fn a_stale_answer_confirms_nothing() {
+    let mut config = config(5);
+
+    config.shown(4, at(0));
+
+    assert!(!config.is_trusted(at(0), false));
+}
+
+#[test]
+fn a_confirmation_counts_from_when_it_was_asked_for() {
+    let mut config = config(5);
+
+    config.shown(5, at(0));
+
+    let lease = u64::try_from(CONFIRMED_LEASE.as_millis()).unwrap();
+    assert!(config.is_trusted(at(lease - 1), false));
+    assert!(!config.is_trusted(at(lease), false));
+}
+
+#[test]
+fn a_peers_confirmation_is_as_old_as_the_peer_says() {
+    let mut config = config(5);
+
+    config.told(5, CONFIRMED_LEASE - Duration::from_millis(10), at(0));
+
+    assert!(config.is_trusted(at(5), false));
+    assert!(!config.is_trusted(at(10), false));
+}
+
+#[test]
+fn a_current_member_trusts_what_no_member_knows_better() {
+    let config = config(5);
+
+    assert!(config.is_trusted(at(0), true));
+    assert!(!Config::default().is_trusted(at(0), true));
+}
+
+#[test]
+fn a_document_is_judged_once_and_never_an_older_one() {
+    let mut config = config(5);
+
+    let before = config.duty(7);
+    config.judged(7);
+
+    assert_eq!(before, Duty::Judge);
+    assert_eq!(
+        [config.duty(7), config.duty(4), config.duty(8)],
+        [Duty::None, Duty::None, Duty::Judge]
+    );
+}
--- a/crates/core/src/limit/tests.rs
+++ b/crates/core/src/limit/tests.rs
@@ -1,1 +1,214 @@
-//! Tests.
+//! One member's shares, waits and loans.
+
+use super::{Cause, Debit, Effect, LAPSE_WAIT, LOAN_LEASE, Limits, Standing, Terms};
+use crate::time::Instant;
+use std::sync::Arc;
+use std::time::Duration;
+
+const RATE: u64 = 1_000;
+const BURST: u64 = 600;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(1_000_000 + ms)
+}
+
+fn acme() -> Arc<str> {
+    Arc::from("acme")
+}
+
+fn terms(rate: u64, burst: u64) -> Vec<Terms> {
+    vec![Terms { name: acme(), rate, burst }]
+}
+
+fn standing(divisor: u32, peers: &[&str]) -> Standing {
+    let peers = peers.iter().map(|name| Arc::from(*name)).collect();
+    Standing { divisor: Some(divisor), current: true, peers, joins: 1 }
+}
+
+/// A member with an empty bucket at 0 ms.
+fn limits(divisor: u32, peers: &[&str]) -> Limits {
+    let mut limits = Limits::default();
+    limits.configure(at(0), &terms(RATE, BURST), true);
+    limits.stand(at(0), standing(divisor, peers));
+    limits
+}
+
+fn available(limits: &mut Limits, ms: u64) -> u64 {
+    limits.statuses(at(ms))[0].available
+}
+
+#[test]
+fn a_new_member_starts_empty_and_fills_to_its_share() {
+    let mut limits = limits(2, &[]);
+
+    let levels = [0, 100, 10_000].map(|ms| available(&mut limits, ms));
+
+    assert_eq!(levels, [0, 50, 300]);
+}
+
+#[test]
+fn a_share_that_shrinks_is_cut_and_one_that_grows_gives_nothing() {
+    let mut limits = limits(1, &[]);
+    available(&mut limits, 10_000);
+
+    limits.stand(at(10_000), standing(3, &[]));
+    let cut = available(&mut limits, 10_000);
+    limits.stand(at(10_000), standing(1, &[]));
+    let grown = available(&mut limits, 10_000);
+
+    assert_eq!((cut, grown), (200, 200));
+}
+
+#[test]
+fn tokens_of_an_earlier_membership_are_void() {
+    let mut limits = limits(1, &[]);
+    available(&mut limits, 10_000);
+
+    limits.stand(at(10_000), Standing { joins: 2, ..standing(1, &[]) });
+
+    assert_eq!(available(&mut limits, 10_000), 0);
+}
+
+#[test]
+fn a_request_larger_than_the_burst_is_never_possible() {
+    let mut limits = limits(1, &[]);
+
+    let refusal = limits.debit(at(0), &acme(), BURST + 1, Duration::from_secs(60)).unwrap_err();
+
+    assert_eq!((refusal.cause, refusal.retry_after_ms), (Cause::OverBurst, 0));
+}
+
+#[test]
+fn a_wait_that_can_not_be_met_is_refused_at_once_with_when_to_come_back() {
+    let mut limits = limits(1, &[]);
+
+    let refusal = limits.debit(at(0), &acme(), 500, Duration::from_millis(400)).unwrap_err();
+
+    assert_eq!((refusal.cause, refusal.retry_after_ms), (Cause::OverRate, 500));
+}
+
+#[test]
+fn requests_get_tokens_in_the_order_in_which_they_came() {
+    let mut limits = limits(1, &[]);
+    let second = Duration::from_secs(1);
+    let Ok(Debit::Waits(first)) = limits.debit(at(0), &acme(), 300, second) else { panic!() };
+    let Ok(Debit::Waits(next)) = limits.debit(at(0), &acme(), 10, second) else { panic!() };
+
+    let early = limits.run(at(200));
+    let late = limits.run(at(310));
+
+    assert_eq!(early, vec![]);
+    assert_eq!(late, vec![Effect::Grant(first), Effect::Grant(next)]);
+}
+
+#[test]
+fn a_cancelled_wait_frees_the_ones_behind_it() {
+    let mut limits = limits(1, &[]);
+    let second = Duration::from_secs(1);
+    let Ok(Debit::Waits(first)) = limits.debit(at(0), &acme(), 500, second) else { panic!() };
+    let Ok(Debit::Waits(next)) = limits.debit(at(0), &acme(), 10, second) else { panic!() };
+
+    limits.cancel(first);
+
+    assert_eq!(limits.run(at(10)), vec![Effect::Grant(next)]);
+}
+
+#[test]
+fn a_member_that_is_short_borrows_and_spends_at_once() {
+    let mut lender = limits(2, &["b"]);
+    let mut borrower = limits(2, &["a"]);
+    available(&mut lender, 10_000);
+    let second = Duration::from_secs(1);
+    let Ok(Debit::Waits(wait)) = borrower.debit(at(0), &acme(), 200, second) else { panic!() };
+
+    let effects = borrower.run(at(0));
+    let Effect::Borrow { ask, tokens, .. } = effects[0].clone() else { panic!() };
+    let lent = lender.lend(at(10_000), "acme", tokens);
+    borrower.lent(at(2), ask, lent);
+
+    assert_eq!((tokens, lent), (200, 200));
+    assert_eq!(borrower.run(at(2)), vec![Effect::Grant(wait)]);
+    assert_eq!(available(&mut lender, 10_000), 100);
+}
+
+#[test]
+fn a_lender_counts_a_loan_against_its_capacity_until_it_has_lapsed() {
+    let mut lender = limits(2, &["b"]);
+    available(&mut lender, 10_000);
+    let lease = u64::try_from(LOAN_LEASE.as_millis()).unwrap();
+
+    lender.lend(at(10_000), "acme", 300);
+
+    assert_eq!(available(&mut lender, 10_000 + lease - 1), 0);
+    assert!(available(&mut lender, 10_000 + lease + 10) > 0);
+}
+
+#[test]
+fn a_loan_that_comes_late_or_twice_is_not_used() {
+    let mut borrower = limits(2, &["a"]);
+    let wait = borrower.debit(at(0), &acme(), 200, Duration::from_secs(1));
+    assert!(matches!(wait, Ok(Debit::Waits(_))));
+    let effects = borrower.run(at(0));
+    let Effect::Borrow { ask, .. } = effects[0].clone() else { panic!() };
+    let lease = u64::try_from(LOAN_LEASE.as_millis()).unwrap();
+
+    borrower.lent(at(lease), ask, 200);
+    borrower.lent(at(lease), ask, 200);
+
+    assert_eq!(available(&mut borrower, lease), 125);
+}
+
+#[test]
+fn a_refund_never_fills_beyond_the_capacity() {
+    let mut limits = limits(2, &[]);
+
+    limits.refund(at(0), "acme", 10_000);
+
+    assert_eq!(available(&mut limits, 0), 300);
+}
+
+#[test]
+fn changed_terms_shrink_at_once_and_grow_when_settled() {
+    let mut limits = limits(1, &[]);
+
+    limits.configure(at(0), &terms(500, 2_000), false);
+    let before = limits.statuses(at(0))[0].clone();
+    limits.configure(at(0), &terms(500, 2_000), true);
+    let after = limits.statuses(at(0))[0].clone();
+
+    assert_eq!((before.rate, before.burst), (500, BURST));
+    assert_eq!((after.rate, after.burst), (500, 2_000));
+}
+
+#[test]
+fn a_member_that_is_not_current_admits_lends_and_waits_for_little() {
+    let mut limits = limits(1, &["b"]);
+    available(&mut limits, 10_000);
+    let lapsed = Standing { current: false, ..standing(1, &["b"]) };
+    limits.stand(at(10_000), lapsed);
+
+    let wait = limits.debit(at(10_000), &acme(), 10, Duration::from_secs(60));
+    let lent = limits.lend(at(10_000), "acme", 10);
+    let effects = limits.run(at(10_000) + LAPSE_WAIT);
+
+    let Ok(Debit::Waits(wait)) = wait else { panic!() };
+    assert_eq!(lent, 0);
+    assert!(matches!(&effects[..], [Effect::Refuse(refused, refusal)]
+        if *refused == wait && refusal.cause == Cause::NotCurrent));
+}
+
+#[test]
+fn an_organisation_that_the_document_drops_is_unknown() {
+    let mut limits = limits(1, &[]);
+    let waits = limits.debit(at(0), &acme(), 100, Duration::from_secs(1));
+    assert!(matches!(waits, Ok(Debit::Waits(_))));
+
+    limits.configure(at(0), &[], true);
+
+    let effects = limits.run(at(0));
+    assert!(
+        matches!(&effects[..], [Effect::Refuse(_, refusal)] if refusal.cause == Cause::Unknown)
+    );
+    let refusal = limits.debit(at(0), &acme(), 1, Duration::ZERO).unwrap_err();
+    assert_eq!(refusal.cause, Cause::Unknown);
+}
--- a/crates/core/src/member/tests.rs
+++ b/crates/core/src/member/tests.rs
@@ -1,1 +1,212 @@
-//! Tests of membership.
+//! Tables, vouching and proofs of death on one member.
+
+use super::{Answer, Duty, Identity, Member, Membership, Offer, SUSPECT, Table, VOUCH_LEASE};
+use crate::time::Instant;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn at(ms: u64) -> Instant {
+    Instant::from_millis(1_000_000 + ms)
+}
+
+fn identity(name: &str) -> Identity {
+    Identity { name: name.into(), incarnation: 1 }
+}
+
+fn address() -> SocketAddr {
+    ([127, 0, 0, 1], 1).into()
+}
+
+fn table(version: u64, names: &[&str]) -> Table {
+    let member = |name: &&str| Member { identity: identity(name), address: address() };
+    Table { version, members: names.iter().map(member).collect() }
+}
+
+/// A member that a table was offered to at 0 ms.
+fn member(name: &str, version: u64, names: &[&str]) -> Membership {
+    let mut membership = Membership::new(identity(name));
+    membership.offer(at(0), table(version, names));
+    membership
+}
+
+fn answer(sent: u64, members: u64) -> Answer {
+    Answer { sent: at(sent), members, listed: true, configuration: 0 }
+}
+
+/// Milliseconds of the lease.
+fn lease() -> u64 {
+    u64::try_from(VOUCH_LEASE.as_millis()).unwrap()
+}
+
+#[test]
+fn a_lone_member_of_an_unknown_table_does_nothing() {
+    let mut alone = Membership::new(identity("a"));
+
+    assert!(!alone.is_current(at(0)));
+    assert_eq!(alone.divisor(at(0)), None);
+    assert_eq!(alone.duty(at(0), None, address()), Duty::None);
+}
+
+#[test]
+fn the_first_member_of_all_has_the_whole_share_at_once() {
+    let mut first = Membership::new(identity("a"));
+
+    let duty = first.duty(at(0), Some(None), address());
+    first.offer(at(0), table(1, &["a"]));
+
+    assert_eq!(duty, Duty::Write(table(0, &["a"])));
+    assert_eq!((first.is_current(at(0)), first.divisor(at(0))), (true, Some(1)));
+}
+
+#[test]
+fn one_that_joins_has_no_share_until_earlier_leases_have_lapsed() {
+    let mut b = member("b", 2, &["a", "b"]);
+
+    b.answered(at(10), &identity("a"), answer(0, 2));
+    let early = b.divisor(at(lease()));
+    let late = b.divisor(at(10 + lease()));
+
+    assert!(b.is_current(at(20)));
+    assert_eq!((early, late), (None, Some(2)));
+}
+
+#[test]
+fn an_answer_counts_from_when_the_ask_was_sent() {
+    let mut b = member("b", 2, &["a", "b"]);
+
+    b.answered(at(2_000), &identity("a"), answer(500, 2));
+
+    assert!(b.is_current(at(499 + lease())));
+    assert!(!b.is_current(at(500 + lease())));
+}
+
+#[test]
+fn an_answer_from_another_table_does_not_count() {
+    let mut b = member("b", 2, &["a", "b"]);
+
+    b.answered(at(10), &identity("a"), answer(0, 1));
+    b.answered(at(10), &identity("a"), answer(0, 3));
+    b.answered(at(10), &identity("a"), Answer { listed: false, ..answer(0, 2) });
+
+    assert!(!b.is_current(at(20)));
+}
+
+#[test]
+fn a_newer_table_shrinks_the_share_at_once_and_an_older_one_is_ignored() {
+    let mut a = Membership::new(identity("a"));
+    a.duty(at(0), Some(None), address());
+    a.offer(at(0), table(1, &["a"]));
+
+    a.offer(at(10), table(2, &["a", "b"]));
+    let old = a.offer(at(10), table(1, &["a"]));
+
+    assert_eq!((a.divisor(at(10)), old), (Some(2), Offer::Old));
+}
+
+#[test]
+fn a_removed_members_share_is_taken_over_after_its_lease() {
+    let mut a = Membership::new(identity("a"));
+    a.duty(at(0), Some(None), address());
+    a.offer(at(0), table(1, &["a"]));
+    a.offer(at(0), table(2, &["a", "b"]));
+    a.vouch(at(1_000), &identity("b"), 2, 0);
+
+    a.offer(at(1_100), table(3, &["a"]));
+    let refuses = a.vouch(at(1_200), &identity("b"), 2, 0);
+    let early = a.divisor(at(1_099 + lease()));
+    let late = a.divisor(at(1_100 + lease()));
+
+    assert!(!refuses);
+    assert_eq!((early, late), (Some(2), Some(1)));
+}
+
+#[test]
+fn a_member_that_it_never_vouched_for_does_not_hold_up_an_earlier_one() {
+    let mut a = Membership::new(identity("a"));
+    a.duty(at(0), Some(None), address());
+    a.offer(at(0), table(1, &["a"]));
+
+    a.offer(at(0), table(2, &["a", "b"]));
+    let before = a.is_current(at(60_000));
+    a.vouch(at(60_000), &identity("b"), 2, 0);
+
+    assert!(before && a.is_current(at(60_000)));
+    assert!(!a.is_current(at(60_000 + lease())));
+}
+
+#[test]
+fn silence_removes_one_that_depends_on_this_member_and_no_other() {
+    let mut a = member("a", 2, &["a", "b"]);
+    let mut b = member("b", 2, &["a", "b"]);
+    let silent = at(0) + SUSPECT * 5;
+
+    let by_a = a.duty(silent, None, address());
+    let by_b = b.duty(silent, None, address());
+    b.answered(at(10), &identity("a"), answer(0, 2));
+    let once_vouched = b.duty(silent, None, address());
+
+    assert_eq!(by_a, Duty::Write(table(2, &["a"])));
+    assert_eq!(by_b, Duty::None);
+    assert_eq!(once_vouched, Duty::Write(table(2, &["b"])));
+}
+
+#[test]
+fn a_death_proven_soon_after_the_last_answer_needs_no_store() {
+    let mut b = member("b", 2, &["a", "b"]);
+    b.answered(at(10), &identity("a"), answer(0, 2));
+
+    b.proven_dead(at(500), &identity("a"));
+
+    assert!(b.is_current(at(60_000)));
+}
+
+#[test]
+fn a_death_proven_late_counts_once_the_table_was_read_again() {
+    let mut b = member("b", 2, &["a", "b"]);
+    b.answered(at(10), &identity("a"), answer(0, 2));
+
+    b.proven_dead(at(2_000), &identity("a"));
+    let before = b.is_current(at(lease()));
+    b.confirmed(at(2_100), 2, at(1_900));
+    let asked_before = b.is_current(at(lease()));
+    b.confirmed(at(2_200), 2, at(2_100));
+
+    assert_eq!((before, asked_before), (false, false));
+    assert!(b.is_current(at(lease())));
+}
+
+#[test]
+fn one_that_was_stopped_takes_nobody_for_silent_meanwhile() {
+    let mut a = member("a", 2, &["a", "b"]);
+
+    a.woken(at(60_000));
+
+    assert_eq!(a.duty(at(60_000), None, address()), Duty::None);
+}
+
+#[test]
+fn one_that_hears_nobody_waits_longer_than_the_others() {
+    let mut a = member("a", 3, &["a", "b", "c"]);
+    let mut b = member("b", 3, &["a", "b", "c"]);
+    b.answered(at(10), &identity("a"), answer(0, 3));
+    b.vouch(at(1_000), &identity("c"), 3, 0);
+    let now = at(0) + SUSPECT + Duration::from_millis(300);
+
+    assert_eq!(a.duty(now, None, address()), Duty::None);
+    assert_eq!(b.duty(now, None, address()), Duty::Write(table(3, &["b", "c"])));
+}
+
+#[test]
+fn a_removed_member_joins_again_at_the_end_and_without_a_share() {
+    let mut b = member("b", 2, &["a", "b"]);
+    b.answered(at(10), &identity("a"), answer(0, 2));
+
+    b.offer(at(100), table(3, &["a"]));
+    let removed = b.is_current(at(100));
+    let duty = b.duty(at(100), Some(Some(&table(3, &["a"]))), address());
+    b.offer(at(200), table(4, &["a", "b"]));
+
+    assert!(!removed);
+    assert_eq!(duty, Duty::Write(table(3, &["a", "b"])));
+    assert_eq!((b.joins(), b.divisor(at(200))), (2, None));
+}
--- a/crates/core/tests/world/check.rs
+++ b/crates/core/tests/world/check.rs
@@ -152,8 +152,8 @@
             let newer = world.checks.accepted.range(version + 1..).next();
             let late = newer.is_some_and(|(_, at)| now.since(*at) > PROPAGATION);
             let newest_known = !host.membership.knows_newer_configuration(version);
-            let current = newest_known && host.is_current(now);
-            if late && host.config.is_trusted(now, current) {
+            let trusted = newest_known && host.config.is_trusted(now, host.is_current(now));
+            if late && trusted {
                 texts.push(format!("host {} still acts on {version}", host.index));
             }
         }
--- a/crates/fleet/src/member/config.rs
+++ b/crates/fleet/src/member/config.rs
@@ -202,9 +202,9 @@
     /// Publishes what is in force, if that has changed.
     pub(super) fn publish(&mut self, now: Instant) {
         let newest = !self.membership.knows_newer_configuration(self.config.version());
-        let current = newest && self.membership.is_current(now);
-        let trusted = self.config.is_trusted(now, current);
-        self.shared.trusted_until.store(self.trusted_until(now, current).0, Ordering::Relaxed);
+        let trusted = newest && self.config.is_trusted(now, self.membership.is_current(now));
+        let until = if newest { self.trusted_until(now) } else { Instant::default() };
+        self.shared.trusted_until.store(until.0, Ordering::Relaxed);
         let before = self.shared.snapshots.borrow().clone();
         if !self.documents.changed && before.trusted == trusted {
             return;
@@ -226,8 +226,8 @@
         self.shared.snapshots.send_replace(Arc::new(snapshot));
     }
 
-    fn trusted_until(&self, now: Instant, current: bool) -> Instant {
-        let member = self.membership.current_until().filter(|_| current);
+    fn trusted_until(&self, now: Instant) -> Instant {
+        let member = self.membership.current_until();
         let age = self.config.confirmed_ago(now);
         let confirmed = age.map(|age| (now - age) + CONFIRMED_LEASE);
         member.max(confirmed).unwrap_or_default()
--- /dev/null
+++ b/crates/fleet/tests/faults.rs
@@ -0,0 +1,163 @@
+//! Rates, withdrawals and restarts under faults, on real sockets.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod support;
+
+use chestnutrack_fleet::limit::Cause;
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use support::{Host, Platform, Way, document, until, within};
+use tokio::task::JoinSet;
+
+/// Time in which a change is in force on every member.
+const CHANGE: Duration = Duration::from_secs(5);
+const RATE: u64 = 1_000;
+const BURST: u64 = 600;
+
+fn acme() -> Arc<str> {
+    Arc::from("acme")
+}
+
+fn available(host: &Host) -> u64 {
+    host.page("/v1/limits")["organisations"][0]["available_tokens"].as_u64().unwrap_or(0)
+}
+
+/// Three members with full buckets.
+async fn fleet(platform: &Platform) -> Vec<Host> {
+    platform.write(&document(&["key-1", "key-2"], RATE, BURST)).await;
+    let mut hosts = Vec::new();
+    for (name, incarnation) in ["a", "b", "c"].iter().zip(1..) {
+        hosts.push(Host::start(name, incarnation, platform.address).await);
+    }
+    until("every bucket is full", || {
+        hosts.iter().all(|host| host.accepts("key-1") && available(host) == BURST / 3)
+    })
+    .await;
+    hosts
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_host_can_spend_the_whole_burst() {
+    let platform = Platform::start().await;
+    let hosts = fleet(&platform).await;
+
+    for _ in 0..3 {
+        hosts[0].fleet.debit(&acme(), BURST / 3, Duration::from_secs(2)).await.unwrap();
+    }
+    let whole = hosts[0].fleet.debit(&acme(), BURST + 1, Duration::from_secs(60)).await;
+
+    assert!(hosts[0].count("chestnutrack_fleet_tokens_total", Some("borrowed")) > 0.0);
+    assert_eq!(whole.unwrap_err().cause, Cause::OverBurst);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_gives_up_leaves_its_tokens_to_others() {
+    let platform = Platform::start().await;
+    let hosts = fleet(&platform).await;
+    for _ in 0..3 {
+        hosts[0].fleet.debit(&acme(), BURST / 3, Duration::from_secs(2)).await.unwrap();
+    }
+
+    let acme = acme();
+    let given_up = hosts[0].fleet.debit(&acme, BURST, Duration::from_secs(60));
+    let given_up = tokio::time::timeout(Duration::from_millis(50), given_up).await;
+    let next = hosts[0].fleet.debit(&acme, 10, Duration::from_secs(20)).await;
+
+    assert!(given_up.is_err());
+    assert_eq!(next, Ok(()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn five_times_the_rate_never_overshoots_through_outage_kill_and_stop() {
+    let platform = Platform::start().await;
+    let mut hosts = fleet(&platform).await;
+    let (over, admitted) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let started = Instant::now();
+    let mut callers = JoinSet::new();
+    for host in &hosts {
+        for _ in 0..4 {
+            let (fleet, over, admitted) = (host.fleet.clone(), over.clone(), admitted.clone());
+            callers.spawn(async move {
+                while !over.load(Ordering::Relaxed) {
+                    let within = Duration::from_millis(100);
+                    if fleet.debit(&acme(), 20, within).await.is_ok() {
+                        admitted.fetch_add(20, Ordering::Relaxed);
+                    }
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            });
+        }
+    }
+
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    platform.faults(json!({ "down": true })).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    platform.faults(json!({ "down": false })).await;
+    hosts[2].kill();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    hosts[1].stop(Duration::from_secs(5));
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    over.store(true, Ordering::Relaxed);
+    while callers.join_next().await.is_some() {}
+
+    let length = started.elapsed().as_secs_f64();
+    let admitted = admitted.load(Ordering::Relaxed) as f64;
+    assert!(admitted <= BURST as f64 + RATE as f64 * length, "{admitted} in {length} s");
+    assert!(admitted >= 0.3 * RATE as f64 * length, "{admitted} in {length} s");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_cut_off_from_the_store_hears_of_a_withdrawal_from_its_peers() {
+    let platform = Platform::start().await;
+    platform.write(&document(&["key-1", "key-2"], RATE, BURST)).await;
+    let way = Way::to(platform.address).await;
+    let a = Host::start("a", 1, platform.address).await;
+    let b = Host::start("b", 2, way.address).await;
+    until("the key is accepted", || a.accepts("key-1") && b.accepts("key-1")).await;
+    until("both are members", || a.share() == "1/2" && b.share() == "1/2").await;
+
+    way.cut(true);
+    platform.write(&document(&["key-2"], RATE, BURST)).await;
+
+    let stopped = || !a.accepts("key-1") && !b.accepts("key-1") && b.accepts("key-2");
+    within(CHANGE, "the key is withdrawn", stopped).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_host_restarted_in_an_outage_refuses_until_it_is_a_member() {
+    let platform = Platform::start().await;
+    let mut hosts = fleet(&platform).await;
+    let version = hosts[0].fleet.snapshot().version;
+    platform.faults(json!({ "down": true })).await;
+    let address = hosts[2].address;
+    hosts[2].kill();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+
+    hosts[2] = Host::start_at("c", 9, platform.address, address).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let refusal = hosts[2].fleet.debit(&acme(), 1, Duration::from_millis(100)).await;
+    platform.faults(json!({ "down": false })).await;
+
+    assert!(refusal.is_err() && !hosts[2].accepts("key-1"));
+    until("it is a member", || hosts[2].is_current() && hosts[2].accepts("key-1")).await;
+    assert_eq!(hosts[2].fleet.snapshot().version, version);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_answers_stale_brings_no_document_back() {
+    let platform = Platform::start().await;
+    let hosts = fleet(&platform).await;
+    platform.write(&document(&["key-2"], RATE, BURST)).await;
+    within(CHANGE, "the key is withdrawn", || hosts.iter().all(|h| !h.accepts("key-1"))).await;
+
+    platform.faults(json!({ "stale_ms": 60_000 })).await;
+    for _ in 0..200 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert!(hosts.iter().all(|host| !host.accepts("key-1")));
+    }
+
+    assert!(hosts.iter().all(|host| host.accepts("key-2")));
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -205,3 +205,37 @@
     });
     assert!(waited.await.is_ok(), "not within {bound:?}: {what}");
 }
+
+/// A way to the object interface that can be cut for one member.
+pub(crate) struct Way {
+    pub(crate) address: SocketAddr,
+    cut: tokio::sync::watch::Sender<bool>,
+}
+
+impl Way {
+    pub(crate) async fn to(target: SocketAddr) -> Way {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let cut = tokio::sync::watch::Sender::new(false);
+        let watch = cut.subscribe();
+        tokio::spawn(async move {
+            while let Ok((mut near, _)) = listener.accept().await {
+                let mut watch = watch.clone();
+                tokio::spawn(async move {
+                    let Ok(mut far) = tokio::net::TcpStream::connect(target).await else {
+                        return;
+                    };
+                    tokio::select! {
+                        _ = watch.wait_for(|cut| *cut) => {}
+                        _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
+                    }
+                });
+            }
+        });
+        Way { address, cut }
+    }
+
+    pub(crate) fn cut(&self, cut: bool) {
+        self.cut.send_replace(cut);
+    }
+}
