--- a/crates/core/src/server/mod.rs
+++ b/crates/core/src/server/mod.rs
@@ -22,8 +22,10 @@
 mod free;
 mod lease;
 mod order;
+mod pace;
 mod plain;
 mod prefill;
+mod promise;
 mod reconcile;
 
 pub use authority::{Authority, successor_name};
@@ -60,7 +62,7 @@
     past: hold::Past,
     fair: wait::Fair,
     link: link::Link,
-    pace: capacity::Pace,
+    pace: pace::Pace,
     reconcile: reconcile::Reconcile,
     pending: Vec<order::Pending>,
     successors: Vec<Connection>,
@@ -75,7 +77,7 @@
     pub fn new(settings: Settings, sender: Sender, now: Instant) -> Server {
         Server {
             past: hold::Past::new(settings.past),
-            pace: capacity::Pace::new(&settings),
+            pace: pace::Pace::new(&settings),
             settings,
             sender,
             version: 0,
@@ -103,8 +105,7 @@
         self.notice_pause(now);
         self.apply(now, event);
         if std::mem::take(&mut self.changed) {
-            self.start_imports(now);
-            self.grant(now);
+            self.allot(now);
         }
         std::mem::take(&mut self.effects)
     }
@@ -201,16 +202,27 @@
 
     /// Ends a hold with a failure and frees what it has.
     fn fail(&mut self, now: Instant, key: Key, failure: Failure) {
-        self.tell_failure(now, key, failure);
-        self.free(now, key);
+        self.fail_with(now, key, failure, |server| server.free(now, key));
     }
 
-    fn tell_failure(&mut self, now: Instant, key: Key, failure: Failure) {
+    /// Ends a hold with a failure; `free` frees what it has, so that the load that goes with the
+    /// failure is without it.
+    fn fail_with(
+        &mut self,
+        now: Instant,
+        key: Key,
+        failure: Failure,
+        free: impl FnOnce(&mut Server),
+    ) {
         let Some(hold) = self.holds.get(key) else { return };
-        let (request, attempt) = hold.id;
+        let ((request, attempt), connection) = (hold.id, hold.connection);
         self.count(Counter::Failed(failure.cause, failure.ran));
-        let load = self.load(now);
-        self.tell(key, Frame::Failed(request, attempt, failure, load));
         self.past.add(now, (request, attempt), Some(failure));
+        free(self);
+        let load = self.load(now);
+        if let Some(connection) = connection {
+            let frame = Frame::Failed(request, attempt, failure, load);
+            self.effects.push(Effect::Send(connection, frame));
+        }
     }
 }
