--- a/crates/fleet/src/peer/mod.rs
+++ b/crates/fleet/src/peer/mod.rs
@@ -3,6 +3,9 @@
 //! Each member dials every other and asks on the connection it dialed; the other answers there. A
 //! connection on which nothing comes for [`SILENT`] is given up and a new one is opened.
 
+#[cfg(test)]
+mod tests;
+
 use chestnutrack_core::member::{Identity, Member};
 use chestnutrack_wire::connection::{self, Connection, Receiver, Security, Sender};
 use chestnutrack_wire::frame::{self, Frame, VERSION};
@@ -71,12 +74,19 @@
     tell: impl Fn(Event) + Send + Sync + 'static,
 ) {
     loop {
-        match connection::connect(member.address, greeting.security.as_ref()).await {
+        let talked = match connection::connect(member.address, greeting.security.as_ref()).await {
             Ok(connection) => converse(&member, connection, &greeting, &tell).await,
-            Err(_) if refuses(member.address).await => tell(Event::Dead(member.identity.clone())),
-            Err(_) => {}
+            Err(_) => {
+                if refuses(member.address).await {
+                    tell(Event::Dead(member.identity.clone()));
+                }
+                false
+            }
+        };
+        // One that has just been lost is dialed at once: a proof of its death counts only soon.
+        if !talked {
+            sleep(REDIAL).await;
         }
-        sleep(REDIAL).await;
     }
 }
 
@@ -86,28 +96,32 @@
     matches!(opened, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Talks to a member until the connection ends or falls silent; says whether it came to that.
 async fn converse(
     member: &Member,
     connection: Connection,
     greeting: &Greeting,
     tell: &(impl Fn(Event) + Send + Sync),
-) {
+) -> bool {
     let Connection { sender, mut receiver, .. } = connection;
     if sender.send(&greeting.hello()).is_err() {
-        return;
+        return false;
     }
     let Some(other) = hello(&mut receiver).await else {
-        return;
+        return false;
     };
     if other != member.identity {
         tell(Event::Dead(member.identity.clone()));
-        return;
+        return false;
     }
     tell(Event::Opened(other.clone(), sender));
+    let mut talked = false;
     while let Ok(Ok(frame)) = timeout(SILENT, receiver.receive()).await {
+        talked = true;
         tell(Event::Answer(other.clone(), frame));
     }
     tell(Event::Closed(other));
+    talked
 }
 
 async fn hello(receiver: &mut Receiver) -> Option<Identity> {
