A peer that can't be dialed is asked on the connection that it dialed

Also tested: a connection to the object interface that falls silent for good hides no withdrawal (within 5 s), and a good document after a refused one comes into force.

--- a/crates/fleet/src/member/exchange.rs
+++ b/crates/fleet/src/member/exchange.rs
@@ -9,21 +9,36 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// A peer's ask to be vouched for.
+struct Ask {
+    number: u64,
+    members: u64,
+    configuration: u64,
+}
+
 impl Link {
-    /// Sends a frame if the connection is open.
+    /// Sends a frame on the connection that was dialed or, failing that, on the peer's own.
     pub(super) fn send(&mut self, frame: &Frame) {
-        let failed = self.sender.as_ref().is_some_and(|sender| sender.send(frame).is_err());
-        if failed {
-            self.sender = None;
+        self.sender.take_if(|sender| sender.is_closed());
+        self.accepted.take_if(|sender| sender.is_closed());
+        if let Some(sender) = self.sender.as_ref().or(self.accepted.as_ref()) {
+            let _ = sender.send(frame);
         }
     }
+
+    fn is_open(&self) -> bool {
+        self.sender.is_some() || self.accepted.is_some()
+    }
 }
 
 impl State {
     pub(super) fn exchange(&mut self, now: Instant, event: Event) {
         match event {
             Event::Opened(peer, sender) => self.opened(now, &peer, sender),
-            Event::Answer(peer, frame) => self.answer(now, &peer, frame),
+            Event::Answer(peer, frame) => {
+                let sender = self.link(&peer).and_then(|link| link.sender.clone());
+                self.take_frame(now, &peer, sender.as_ref(), frame);
+            }
             Event::Closed(peer) => {
                 self.metric.links_lost.inc();
                 if let Some(link) = self.link(&peer) {
@@ -34,7 +49,12 @@
                 self.membership.proven_dead(now, &peer);
                 self.restand(now);
             }
-            Event::Ask(peer, sender, frame) => self.ask(now, &peer, &sender, frame),
+            Event::Ask(peer, sender, frame) => {
+                if let Some(link) = self.link(&peer) {
+                    link.accepted = Some(sender.clone());
+                }
+                self.take_frame(now, &peer, Some(&sender), frame);
+            }
         }
     }
 
@@ -65,7 +85,7 @@
             return;
         }
         for link in self.links.values_mut() {
-            if now < link.next_ask || link.sender.is_none() {
+            if now < link.next_ask || !link.is_open() {
                 continue;
             }
             let ask = self.next_ask;
@@ -78,54 +98,65 @@
         }
     }
 
-    /// Takes a frame from a peer that this member has dialed.
-    fn answer(&mut self, now: Instant, peer: &Identity, frame: Frame) {
+    /// Takes a frame; an answer goes to the connection that it came on.
+    fn take_frame(&mut self, now: Instant, peer: &Identity, back: Option<&Sender>, frame: Frame) {
+        let reply = |frame: &Frame| drop(back.map(|sender| sender.send(frame)));
         match frame {
-            Frame::Vouched { ask, members, listed, configuration, confirmed_ms_ago, .. } => {
-                let Some((asked, sent)) = self.asks.remove(&ask) else {
-                    return;
-                };
-                if asked != *peer {
-                    return;
+            Frame::Vouch { ask, sender, members, configuration } => {
+                if identity(&sender) == *peer {
+                    let ask = Ask { number: ask, members, configuration };
+                    self.vouch(now, peer, &ask).iter().for_each(reply);
                 }
-                let answer = Answer { sent, members, listed, configuration };
-                self.membership.answered(now, peer, answer);
-                let age = Duration::from_millis(confirmed_ms_ago);
-                self.config.told(configuration, age, sent);
-                self.metric.vouched.inc();
-                self.restand(now);
-                self.run_limits(now);
             }
-            Frame::Lent { ask, tokens } => self.take_loan(now, ask, tokens),
-            other => self.news(now, other),
-        }
-    }
-
-    /// Takes a frame from a peer that has dialed this member.
-    fn ask(&mut self, now: Instant, peer: &Identity, sender: &Sender, frame: Frame) {
-        match frame {
-            Frame::Vouch { ask, sender: asker, members, configuration } => {
-                if identity(&asker) != *peer {
-                    return;
-                }
-                let listed = self.membership.vouch(now, peer, members, configuration);
-                let _ = sender.send(&self.vouched(now, ask, listed));
-                if members < self.membership.version() {
-                    let _ = self.members_frame().map(|frame| sender.send(&frame));
-                }
-                if configuration < self.config.version() {
-                    let _ = self.configuration_frame().map(|frame| sender.send(&frame));
-                }
-                self.restand(now);
+            Frame::Vouched { ask, members, listed, configuration, confirmed_ms_ago, .. } => {
+                let answer = Answer { sent: now, members, listed, configuration };
+                self.answered(now, peer, ask, answer, Duration::from_millis(confirmed_ms_ago));
             }
             Frame::Borrow { ask, organisation, tokens } => {
                 let tokens = self.lend(now, peer, &organisation, tokens);
-                let _ = sender.send(&Frame::Lent { ask, tokens });
+                reply(&Frame::Lent { ask, tokens });
             }
+            Frame::Lent { ask, tokens } => self.take_loan(now, ask, tokens),
             other => self.news(now, other),
         }
     }
 
+    /// Vouches for a peer, or not, and passes on what it doesn't know yet.
+    fn vouch(&mut self, now: Instant, peer: &Identity, ask: &Ask) -> Vec<Frame> {
+        let listed = self.membership.vouch(now, peer, ask.members, ask.configuration);
+        self.restand(now);
+        let mut frames = vec![self.vouched(now, ask.number, listed)];
+        if ask.members < self.membership.version() {
+            frames.extend(self.members_frame());
+        }
+        if ask.configuration < self.config.version() {
+            frames.extend(self.configuration_frame());
+        }
+        frames
+    }
+
+    fn answered(
+        &mut self,
+        now: Instant,
+        peer: &Identity,
+        ask: u64,
+        mut answer: Answer,
+        age: Duration,
+    ) {
+        let Some((asked, sent)) = self.asks.remove(&ask) else {
+            return;
+        };
+        if asked != *peer {
+            return;
+        }
+        answer.sent = sent;
+        self.membership.answered(now, peer, answer);
+        self.config.told(answer.configuration, age, sent);
+        self.metric.vouched.inc();
+        self.restand(now);
+        self.run_limits(now);
+    }
+
     fn vouched(&self, now: Instant, ask: u64, listed: bool) -> Frame {
         let Identity { name, incarnation } = self.membership.me().clone();
         let ago = self.config.confirmed_ago(now);
--- a/crates/fleet/src/member/mod.rs
+++ b/crates/fleet/src/member/mod.rs
@@ -95,10 +95,13 @@
     pub(crate) shared: Shared,
 }
 
-/// A dialed connection to a peer.
+/// The connections to a peer.
 struct Link {
     identity: Identity,
+    /// On the connection that this member dialed.
     sender: Option<Sender>,
+    /// On the one that the peer dialed.
+    accepted: Option<Sender>,
     task: AbortHandle,
     next_ask: Instant,
 }
--- a/crates/fleet/src/member/table.rs
+++ b/crates/fleet/src/member/table.rs
@@ -111,7 +111,8 @@
             let (name, identity) = (member.identity.name.clone(), member.identity.clone());
             let told = tell(&self.myself, Message::Peer);
             let task = self.tasks.spawn(peer::dial(member, self.greeting.clone(), told));
-            self.links.insert(name, Link { identity, sender: None, task, next_ask: now });
+            self.links
+                .insert(name, Link { identity, sender: None, accepted: None, task, next_ask: now });
         }
     }
 
--- a/crates/fleet/src/peer/mod.rs
+++ b/crates/fleet/src/peer/mod.rs
@@ -1,7 +1,8 @@
 //! Connections between members.
 //!
-//! Each member dials every other and asks on the connection it dialed; the other answers there. A
-//! connection on which nothing comes for [`SILENT`] is given up and a new one is opened.
+//! Each member dials every other and asks on the connection it dialed; the other answers there.
+//! While that one can't be had, it asks on the one that the other dialed. A dialed connection on
+//! which nothing comes for [`SILENT`] is given up and a new one is opened.
 
 #[cfg(test)]
 mod tests;
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
-use support::{Host, Platform, Way, document, until, within};
+use support::{Host, Passage, Platform, Way, document, one_way_peer, until, within};
 use tokio::task::JoinSet;
 
 /// Time in which a change is in force on every member.
@@ -119,7 +119,7 @@
     until("the key is accepted", || a.accepts("key-1") && b.accepts("key-1")).await;
     until("both are members", || a.share() == "1/2" && b.share() == "1/2").await;
 
-    way.cut(true);
+    way.set(Passage::Cut);
     platform.write(&document(&["key-2"], RATE, BURST)).await;
 
     let stopped = || !a.accepts("key-1") && !b.accepts("key-1") && b.accepts("key-2");
@@ -161,3 +161,54 @@
 
     assert!(hosts.iter().all(|host| host.accepts("key-2")));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_connection_to_the_store_does_not_hide_a_withdrawal() {
+    let platform = Platform::start().await;
+    platform.write(&document(&["key-1", "key-2"], RATE, BURST)).await;
+    let way = Way::to(platform.address).await;
+    let host = Host::start("a", 1, way.address).await;
+    until("the key is accepted", || host.accepts("key-1")).await;
+
+    way.set(Passage::Silent);
+    platform.write(&document(&["key-2"], RATE, BURST)).await;
+
+    let stopped = || !host.accepts("key-1") && host.accepts("key-2");
+    within(CHANGE, "the key is withdrawn", stopped).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_good_document_after_a_refused_one_comes_into_force() {
+    let platform = Platform::start().await;
+    let hosts = fleet(&platform).await;
+    platform.write(&document(&["key-3"], 0, 0)).await;
+
+    let newest = platform.write(&document(&["key-4"], RATE, BURST)).await;
+
+    let in_force = || hosts.iter().all(|h| h.accepts("key-4") && !h.accepts("key-1"));
+    within(CHANGE, "the newest is in force", in_force).await;
+    assert_eq!(platform.read("accepted").await["source"], json!(newest));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peer_that_can_not_be_dialed_is_asked_on_its_own_connection() {
+    let platform = Platform::start().await;
+    let host = Host::start("a", 1, platform.address).await;
+    until("it is a member", || host.is_current()).await;
+    // Nobody takes connections from this listener, so that dialing it fails without proof.
+    let deaf = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let object = platform.client.read("members", support::SERVICE).await.unwrap();
+    let mut table = object.value.unwrap();
+    let address = deaf.local_addr().unwrap();
+    let peer = json!({ "name": "b", "incarnation": 7, "address": address });
+    table["members"].as_array_mut().unwrap().push(peer);
+
+    let peer = tokio::spawn(one_way_peer(host.address, "b", 7));
+    platform.client.replace("members", support::SERVICE, object.version, &table).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(8)).await;
+
+    let peers = host.page("/v1/members")["peers"].clone();
+    assert!(host.is_current(), "{peers}");
+    assert_eq!((&peers[0]["name"], &peers[0]["needed"]), (&json!("b"), &json!(true)));
+    peer.abort();
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -206,36 +206,98 @@
     assert!(waited.await.is_ok(), "not within {bound:?}: {what}");
 }
 
+/// What happens on a way to the object interface.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Passage {
+    Open,
+    /// Connections end, and new ones as well.
+    Cut,
+    /// Connections that were open stay so and carry nothing; new ones work.
+    Silent,
+}
+
 /// A way to the object interface that can be cut for one member.
 pub(crate) struct Way {
     pub(crate) address: SocketAddr,
-    cut: tokio::sync::watch::Sender<bool>,
+    passage: tokio::sync::watch::Sender<Passage>,
 }
 
 impl Way {
     pub(crate) async fn to(target: SocketAddr) -> Way {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let cut = tokio::sync::watch::Sender::new(false);
-        let watch = cut.subscribe();
+        let passage = tokio::sync::watch::Sender::new(Passage::Open);
+        let watch = passage.subscribe();
         tokio::spawn(async move {
-            while let Ok((mut near, _)) = listener.accept().await {
-                let mut watch = watch.clone();
-                tokio::spawn(async move {
-                    let Ok(mut far) = tokio::net::TcpStream::connect(target).await else {
-                        return;
-                    };
-                    tokio::select! {
-                        _ = watch.wait_for(|cut| *cut) => {}
-                        _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
-                    }
-                });
+            while let Ok((near, _)) = listener.accept().await {
+                tokio::spawn(carry(near, target, watch.clone()));
             }
         });
-        Way { address, cut }
+        Way { address, passage }
     }
 
-    pub(crate) fn cut(&self, cut: bool) {
-        self.cut.send_replace(cut);
+    pub(crate) fn set(&self, passage: Passage) {
+        self.passage.send_replace(passage);
+    }
+}
+
+async fn carry(
+    mut near: tokio::net::TcpStream,
+    target: SocketAddr,
+    mut passage: tokio::sync::watch::Receiver<Passage>,
+) {
+    if *passage.borrow_and_update() == Passage::Cut {
+        return;
+    }
+    let Ok(mut far) = tokio::net::TcpStream::connect(target).await else {
+        return;
+    };
+    let changed = tokio::select! {
+        changed = passage.changed() => changed.is_ok(),
+        _ = tokio::io::copy_bidirectional(&mut near, &mut far) => return,
+    };
+    if changed && *passage.borrow() == Passage::Silent {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// A peer that dials a member and vouches for it, but can't be dialed itself.
+pub(crate) async fn one_way_peer(host: SocketAddr, name: &str, incarnation: u64) {
+    use chestnutrack_wire::frame::{Frame, Sender, VERSION};
+    let sender = Sender { name: name.into(), incarnation };
+    let mut connection = chestnutrack_wire::connection::connect(host, None).await.unwrap();
+    let hello = Frame::Hello { version: VERSION, sender: sender.clone(), configuration: 0 };
+    connection.sender.send(&hello).unwrap();
+    let (mut asks, mut table) = (0, 0);
+    loop {
+        asks += 1;
+        let vouch =
+            Frame::Vouch { ask: asks, sender: sender.clone(), members: table, configuration: 0 };
+        connection.sender.send(&vouch).unwrap();
+        let pause = tokio::time::sleep(Duration::from_millis(100));
+        tokio::pin!(pause);
+        loop {
+            let frame = tokio::select! {
+                () = &mut pause => break,
+                frame = connection.receiver.receive() => frame.unwrap(),
+            };
+            match frame {
+                Frame::Members { version, .. } => table = version,
+                Frame::Vouch { ask, members, .. } => {
+                    let (configuration, confirmed_ms_ago) = (0, u64::MAX);
+                    let (sender, listed) = (sender.clone(), true);
+                    let vouched = Frame::Vouched {
+                        ask,
+                        sender,
+                        members,
+                        listed,
+                        configuration,
+                        confirmed_ms_ago,
+                    };
+                    connection.sender.send(&vouched).unwrap();
+                }
+                _ => {}
+            }
+        }
     }
 }
