Servers that keep failing are passed over; the prefill's queue counts in a reservation

Cause: an engine that dies while its side process lives answers every order at once with a failure and so looks idle: it drew new requests until the budget of retries was spent. After two failures in a row a server is now passed over for 100 ms, doubling to 2 s, and then tried by one request at a time. A reservation asks for its slot when the prefill's queue at the best prefill server will have ended, and a prefill that can't end in time is not started. A stream that has begun never says 'unknown'.

--- a/crates/core/src/place/choose.rs
+++ b/crates/core/src/place/choose.rs
@@ -57,7 +57,7 @@
         let room = u64::from(server.slots) + AHEAD;
         let kv_fits = role == Role::Plain || ask.kv_tokens <= server.kv_tokens;
         let free = server.expected_used_milli(now) < room * 1_000;
-        kv_fits && free && server.full_until <= now
+        kv_fits && free && server.full_until <= now && server.is_sound(now)
     };
     let candidates = eligible(table, ask, role, fits);
     let sampled = candidates.choose_multiple(rng, CANDIDATES);
@@ -78,18 +78,36 @@
     now: Instant,
     rng: &mut impl Rng,
 ) -> Option<Key> {
-    let candidates = eligible(table, ask, Role::Prefill, |server| server.full_until <= now);
+    let candidates = prefill_candidates(table, ask, now);
     let sampled: Vec<Key> = candidates.choose_multiple(rng, CANDIDATES).copied().collect();
     let holders = record.holders(&ask.pieces, now);
     let holding = candidates.iter().copied().filter(|key| holders.contains_key(key));
     sampled.iter().copied().chain(holding).min_by_key(|key| {
         let server = &table[*key];
         let held = holders.get(key).copied().unwrap_or(0);
-        let work = server.expected_queue_tokens() + ask.prompt_tokens.saturating_sub(held);
+        let work = work(server, ask, held);
         (work / EQUAL_TOKENS, server.failure_domain != ask.near, Reverse(held))
     })
 }
 
+/// Prompt tokens that must be computed, at the best prefill server, before a prompt's KV cache is
+/// ready; `None` while there is no such server.
+pub fn prefill_work(table: &Table, record: &Record, ask: &Ask, now: Instant) -> Option<u64> {
+    let holders = record.holders(&ask.pieces, now);
+    let candidates = prefill_candidates(table, ask, now).into_iter();
+    let held = |key: &Key| holders.get(key).copied().unwrap_or(0);
+    candidates.map(|key| work(&table[key], ask, held(&key))).min()
+}
+
+fn prefill_candidates(table: &Table, ask: &Ask, now: Instant) -> Vec<Key> {
+    let fits = |server: &Server| server.full_until <= now && server.is_sound(now);
+    eligible(table, ask, Role::Prefill, fits)
+}
+
+fn work(server: &Server, ask: &Ask, held: u64) -> u64 {
+    server.expected_queue_tokens() + ask.prompt_tokens.saturating_sub(held)
+}
+
 fn eligible(table: &Table, ask: &Ask, role: Role, fits: impl Fn(&Server) -> bool) -> Vec<Key> {
     let of_pool = |server: &Server| server.role == role && server.pool == ask.pool;
     let open = table.iter().filter(|(_, server)| of_pool(server) && server.is_open());
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -11,6 +11,6 @@
 #[cfg(test)]
 mod tests;
 
-pub use choose::{Ask, decode, plain, prefill};
+pub use choose::{Ask, decode, plain, prefill, prefill_work};
 pub use prefix::Record;
 pub use table::{Key, Load, Server, Table};
--- a/crates/core/src/place/table.rs
+++ b/crates/core/src/place/table.rs
@@ -11,6 +11,12 @@
 /// How long a server that refused for want of room is passed over.
 pub const FULL_FOR: Duration = Duration::from_millis(20);
 
+/// Failures in a row after which a server is passed over.
+pub const FAILURES_MAX: u32 = 2;
+/// How long a failing server is passed over: at first, and at most.
+pub const FAILING_FOR: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(2_000));
+
 slotmap::new_key_type! {
     /// A backend server in the table.
     pub struct Key;
@@ -62,8 +68,12 @@
     pub sent: u32,
     /// Prompt tokens sent there since the last report.
     pub sent_tokens: u64,
-    /// It is passed over until then.
+    /// It has no room until then.
     pub full_until: Instant,
+    /// Failures since it last answered.
+    pub failures: u32,
+    /// It is passed over for its failures until then.
+    pub failing_until: Instant,
 }
 
 impl Server {
@@ -85,6 +95,8 @@
             sent: 0,
             sent_tokens: 0,
             full_until: Instant::default(),
+            failures: 0,
+            failing_until: Instant::default(),
         }
     }
 
@@ -93,6 +105,13 @@
         self.connected && !self.leaving && !self.draining
     }
 
+    /// Whether it may be tried, as far as its failures say: once the time for which it is passed
+    /// over has ended, by one request at a time until one is answered.
+    pub fn is_sound(&self, now: Instant) -> bool {
+        let failing = self.failures >= FAILURES_MAX;
+        !failing || (self.failing_until <= now && self.held == 0)
+    }
+
     /// Slots expected to be taken or asked for, in thousandths of a slot. A report counts less
     /// the older it is; this host's own requests always count.
     pub fn expected_used_milli(&self, now: Instant) -> u64 {
@@ -129,6 +148,19 @@
         self.sent_tokens = 0;
     }
 
+    /// Notes that it failed a request.
+    pub fn note_failed(&mut self, now: Instant) {
+        self.failures = self.failures.saturating_add(1);
+        let doublings = self.failures.saturating_sub(FAILURES_MAX).min(16);
+        let passed_over = (FAILING_FOR.0 * (1 << doublings)).min(FAILING_FOR.1);
+        self.failing_until = now + passed_over;
+    }
+
+    /// Notes that it answered a request.
+    pub fn note_answered(&mut self) {
+        self.failures = 0;
+    }
+
     /// Notes that it refused for want of room.
     pub fn note_full(&mut self, now: Instant) {
         self.full_until = now + FULL_FOR;
--- a/crates/core/src/place/tests.rs
+++ b/crates/core/src/place/tests.rs
@@ -1,4 +1,5 @@
 use super::prefix::{PIECE_BYTES, pieces};
+use super::table::FAILING_FOR;
 use super::{Ask, Key, Load, Record, Server, Table, decode, prefill};
 use crate::time::Instant;
 use chestnutrack_document::model::Role;
@@ -156,3 +157,24 @@
     assert_eq!(held, Some(2_048));
     assert_eq!(later.get(&key).copied().unwrap_or(0), 0);
 }
+
+#[test]
+fn a_server_that_keeps_failing_is_passed_over_and_then_tried_by_one_request() {
+    let mut table = Table::with_key();
+    let key = table.insert(server("failing", Role::Decode));
+    let choose = |table: &Table, now| decode(table, &ask(), now, &mut rng(1));
+
+    table[key].note_failed(NOW);
+    let after_one = choose(&table, NOW);
+    table[key].note_failed(NOW);
+    let after_two = choose(&table, NOW);
+    let later = NOW + FAILING_FOR.0;
+    let tried = choose(&table, later);
+    table[key].note_sent(1);
+    let beside = choose(&table, later);
+    table[key].note_answered();
+    let answered = choose(&table, later);
+
+    assert_eq!((after_one, after_two, tried), (Some(key), None, Some(key)));
+    assert_eq!((beside, answered), (None, Some(key)));
+}
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -70,7 +70,7 @@
     /// Weight of a new prefill is one in so many.
     const SMOOTHING: u64 = 16;
 
-    /// Notes a prefill of so many uncached tokens.
+    /// Notes that so many uncached tokens, those queued before them included, took so long.
     pub fn note(&self, tokens: u64, took: std::time::Duration) {
         if tokens == 0 {
             return;
--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -13,7 +13,7 @@
 use crate::link::Event;
 use crate::request::exchange::{Admitted, Exchange, check};
 use crate::request::refusal::{Code, Refusal};
-use crate::scheduler::{Late, Turn, Want};
+use crate::scheduler::{Late, Took, Turn, Want};
 use chestnutrack_core::place::Ask;
 use chestnutrack_core::queue::Waiting;
 use chestnutrack_core::retry::{Failed, is_safe};
@@ -127,8 +127,10 @@
 fn trouble(turn: &Turn, event: Event) -> Trouble {
     match event {
         Event::Failed(failure) => {
-            if failure.cause == Cause::Full {
-                turn.hold.was_full();
+            match failure.cause {
+                Cause::Full => turn.hold.tell(Took::Full),
+                Cause::Backend | Cause::Fenced => turn.hold.tell(Took::Failed),
+                _ => {}
             }
             Trouble::failed(&turn.server, failure)
         }
@@ -164,7 +166,7 @@
     };
     let turn = exchange.outside(app.scheduler.turn(want)).await.map_err(late)?;
     check(app, admitted)?;
-    exchange.note(app, What::Placed, Some(&turn.server), None);
+    exchange.note(app, What::Placed, Some(&turn.server), Some(&turn.why));
     Ok(turn)
 }
 
--- a/crates/entry/src/attempt/model.rs
+++ b/crates/entry/src/attempt/model.rs
@@ -8,7 +8,7 @@
 use crate::request::body::Call;
 use crate::request::exchange::{Admitted, Exchange, check};
 use crate::request::refusal::{Code, Refusal};
-use crate::scheduler::Turn;
+use crate::scheduler::{Took, Turn};
 use chestnutrack_core::place::{Ask, prefix};
 use chestnutrack_document::model::Role;
 use chestnutrack_process::clock;
@@ -105,10 +105,15 @@
     }
 
     async fn reserve(&self, attempt: Attempt, turn: Turn) -> Result<Part, Trouble> {
-        let (call, prompt) = (self.call, u64::from(self.call.prompt_tokens));
-        let expected_ms = self.app.prefill.expected_ms(prompt);
+        let call = self.call;
+        let work = turn.prefill_work.unwrap_or(u64::from(call.prompt_tokens));
+        let expected_ms = self.app.prefill.expected_ms(work);
         let left_ms = millis_left(self.admitted);
-        let expected_ms = u32::try_from(expected_ms).unwrap_or(u32::MAX).min(left_ms);
+        let Some(wait_ms) = u64::from(left_ms).checked_sub(expected_ms) else {
+            let refusal = Refusal::new(Code::DeadlineUnmet, "the prefill can't end in time");
+            return Err(Trouble::last(refusal.retry_after(expected_ms)));
+        };
+        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
         let frame = Frame::Reserve(
             self.exchange.request,
             attempt,
@@ -118,8 +123,8 @@
                 kv_tokens: call.prompt_tokens.saturating_add(call.max_tokens),
                 transfer_tokens: call.prompt_tokens,
                 output_tokens: call.max_tokens,
-                wait_ms: left_ms - expected_ms,
-                needed_in_ms: expected_ms,
+                wait_ms,
+                needed_in_ms: left_ms - wait_ms,
             },
         );
         let mut open = turn.link.open(self.id(attempt), Stage::Reserving, frame);
@@ -152,6 +157,7 @@
             },
         );
         self.exchange.note_ordered();
+        self.exchange.note(self.app, What::Placed, Some(&turn.server), Some(&turn.why));
         let start = clock::now();
         let mut open = turn.link.open(self.id(attempt), Stage::Prefilling, frame);
         let next = self.exchange.outside(open.next());
@@ -161,8 +167,9 @@
         match event {
             Event::Prefilled(kv) => {
                 let took = clock::now().since(start);
-                let fresh = kv.tokens.saturating_sub(kv.cached_tokens);
-                self.app.prefill.note(u64::from(fresh), took);
+                let fresh = u64::from(kv.tokens.saturating_sub(kv.cached_tokens));
+                self.app.prefill.note(turn.prefill_work.unwrap_or(0).max(fresh), took);
+                turn.hold.tell(Took::Answered);
                 self.exchange.note(self.app, What::Prefilled, Some(&turn.server), None);
                 Ok((Part { turn, open }, kv))
             }
@@ -192,7 +199,12 @@
         let mut event = first;
         loop {
             match event {
-                Event::Tokens(texts) => self.tokens(writer, &texts).await,
+                Event::Tokens(texts) => {
+                    if writer.tokens == 0 {
+                        decode.turn.hold.tell(Took::Answered);
+                    }
+                    self.tokens(writer, &texts).await;
+                }
                 Event::End(finish) => break self.end(writer, finish).await,
                 event => return Err(trouble(&decode.turn, event)),
             }
--- a/crates/entry/src/attempt/plain.rs
+++ b/crates/entry/src/attempt/plain.rs
@@ -7,7 +7,7 @@
 use crate::link::{Event, Open, Stage};
 use crate::request::exchange::{Admitted, Exchange, check};
 use crate::request::refusal::Refusal;
-use crate::scheduler::Turn;
+use crate::scheduler::{Took, Turn};
 use chestnutrack_core::place::Ask;
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::Attempt;
@@ -109,6 +109,7 @@
         return Err(trouble(&turn, first));
     };
     exchange.note(app, What::Answering, Some(&turn.server), None);
+    turn.hold.tell(Took::Answered);
     exchange.note_used(admitted.route.cost_tokens);
     exchange.note_tokens(app, 1);
     exchange.reply.start(status, passed_on(headers));
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -128,7 +128,8 @@
     /// Whether the request ran, given how its newest attempt ended.
     pub fn ran_with(&self, newest: Ran) -> Ran {
         let before = *self.ran_before.lock().unwrap_or_else(PoisonError::into_inner);
-        match (newest, before.unwrap_or(Ran::NotRun)) {
+        let before = if self.reply.is_started() { Ran::Ran } else { before.unwrap_or(Ran::NotRun) };
+        match (newest, before) {
             (Ran::Ran, _) | (_, Ran::Ran) => Ran::Ran,
             (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
             (Ran::NotRun, Ran::NotRun) => Ran::NotRun,
--- a/crates/entry/src/scheduler/handle.rs
+++ b/crates/entry/src/scheduler/handle.rs
@@ -57,10 +57,26 @@
     pub server: Arc<str>,
     /// The link to its side process.
     pub link: Link,
+    /// Why this server.
+    pub why: Arc<str>,
+    /// Prompt tokens that a prefill server must compute before the KV cache is ready, as far as
+    /// is known: for a decode server at the best prefill server, for a prefill server at itself.
+    pub prefill_work: Option<u64>,
     /// Counts the request against the server until dropped.
     pub hold: Hold,
 }
 
+/// How a server took a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Took {
+    /// It refused for want of room.
+    Full,
+    /// It failed.
+    Failed,
+    /// It answered.
+    Answered,
+}
+
 /// Counts a request against a server until dropped.
 pub struct Hold {
     pub(super) scheduler: Scheduler,
@@ -68,9 +84,9 @@
 }
 
 impl Hold {
-    /// Tells that the server refused for want of room.
-    pub fn was_full(&self) {
-        let _ = self.scheduler.0.cast(Message::Full(self.key));
+    /// Tells how the server took the request.
+    pub fn tell(&self, took: Took) {
+        let _ = self.scheduler.0.cast(Message::Took(self.key, took));
     }
 }
 
--- a/crates/entry/src/scheduler/mod.rs
+++ b/crates/entry/src/scheduler/mod.rs
@@ -5,7 +5,7 @@
 mod servers;
 mod state;
 
-pub use handle::{Hold, Scheduler, Turn};
+pub use handle::{Hold, Scheduler, Took, Turn};
 
 use crate::link::{self, Link, Notice};
 use crate::metric::Metrics;
@@ -111,8 +111,8 @@
     Prefill(Ask, oneshot::Sender<Option<Turn>>),
     /// A request has left a server.
     Left(Key),
-    /// A server refused for want of room.
-    Full(Key),
+    /// How a server took a request.
+    Took(Key, Took),
     /// A link has news of its server.
     Notice(Key, Notice),
     /// A new configuration is in force.
@@ -158,7 +158,7 @@
             Message::Wait(waiting) => state.wait(waiting),
             Message::Prefill(ask, reply) => state.prefill(&ask, reply),
             Message::Left(key) => state.left(key),
-            Message::Full(key) => state.full(key),
+            Message::Took(key, took) => state.took(key, took),
             Message::Notice(key, notice) => state.notice(key, notice),
             Message::Configure(snapshot) => state.configure(&snapshot),
             Message::Linked(key, link) => state.linked(key, link),
--- a/crates/entry/src/scheduler/servers.rs
+++ b/crates/entry/src/scheduler/servers.rs
@@ -112,6 +112,14 @@
         }
     }
 
+    /// What is known of a server, for the record of a request that is placed there.
+    pub(super) fn describe(&self, key: Key, now: Instant) -> Arc<str> {
+        let Some(server) = self.table.get(key) else { return "removed".into() };
+        let used = server.expected_used_milli(now).div_ceil(1_000);
+        let queued = server.expected_queue_tokens();
+        format!("{used} of {} slots expected in use, {queued} tokens queued", server.slots).into()
+    }
+
     /// Side processes that can be reached.
     pub(super) fn reached(&self) -> usize {
         let reached = |key: &Key| self.table.get(*key).is_some_and(|server| server.connected);
--- a/crates/entry/src/scheduler/state.rs
+++ b/crates/entry/src/scheduler/state.rs
@@ -1,9 +1,9 @@
 //! The actor's state and what it does with each message.
 
-use super::handle::{Hold, Scheduler, Turn};
+use super::handle::{Hold, Scheduler, Took, Turn};
 use super::servers::Servers;
 use super::{Arguments, Late, Message, Want};
-use crate::link::Notice;
+use crate::link::{Link, Notice};
 use chestnutrack_core::place::{self, Ask, Key, Load, Record};
 use chestnutrack_core::queue::{Queue, Refusal, Settings, Waiting};
 use chestnutrack_core::time::Instant;
@@ -65,7 +65,7 @@
         self.dispatch_all();
     }
 
-    pub(super) fn linked(&mut self, key: Key, link: crate::link::Link) {
+    pub(super) fn linked(&mut self, key: Key, link: Link) {
         self.servers.linked(key, link);
         self.dispatch_all();
     }
@@ -90,8 +90,8 @@
     /// Gives turns while there is room.
     fn dispatch(&mut self, name: &(Arc<str>, Role)) {
         let now = clock::now();
-        let Some(queue) = self.queues.get_mut(name) else { return };
         loop {
+            let Some(queue) = self.queues.get_mut(name) else { return };
             let (servers, rng) = (&self.servers, &mut self.rng);
             let taken = queue.take(now, |waiting| {
                 let want = &waiting.item;
@@ -104,13 +104,14 @@
             });
             let Some((waiting, placed)) = taken else { return };
             let Some((key, link)) = placed else { continue };
-            self.servers.table[key].note_sent(waiting.item.ask.prompt_tokens);
-            let turn = Turn {
-                server: self.servers.table[key].name.clone(),
-                link,
-                hold: Hold { scheduler: Scheduler(self.actor.clone()), key },
-            };
-            let _ = waiting.item.reply.send(Ok(turn));
+            let Want { role, ask, reply } = waiting.item;
+            let prefill_work = (role == Role::Decode)
+                .then(|| place::prefill_work(&self.servers.table, &self.record, &ask, now))
+                .flatten();
+            let why = self.servers.describe(key, now);
+            self.servers.table[key].note_sent(ask.prompt_tokens);
+            let turn = self.turn(key, link, why, prefill_work);
+            let _ = reply.send(Ok(turn));
         }
     }
 
@@ -120,17 +121,27 @@
         let key = place::prefill(table, &self.record, ask, now, &mut self.rng);
         let turn = key.and_then(|key| {
             let link = self.servers.link(key)?;
+            let held = self.record.holders(&ask.pieces, now).get(&key).copied().unwrap_or(0);
+            let why = format!("{}, {held} prompt tokens held", self.servers.describe(key, now));
+            let queued = self.servers.table[key].expected_queue_tokens();
+            let work = queued + ask.prompt_tokens.saturating_sub(held);
             self.servers.table[key].note_sent(ask.prompt_tokens);
             self.record.note(key, &ask.pieces, now);
-            Some(Turn {
-                server: self.servers.table[key].name.clone(),
-                link,
-                hold: Hold { scheduler: Scheduler(self.actor.clone()), key },
-            })
+            Some(self.turn(key, link, why.into(), Some(work)))
         });
         let _ = reply.send(turn);
     }
 
+    fn turn(&self, key: Key, link: Link, why: Arc<str>, prefill_work: Option<u64>) -> Turn {
+        Turn {
+            server: self.servers.table[key].name.clone(),
+            link,
+            why,
+            prefill_work,
+            hold: Hold { scheduler: Scheduler(self.actor.clone()), key },
+        }
+    }
+
     pub(super) fn left(&mut self, key: Key) {
         let Some(server) = self.servers.table.get_mut(key) else { return };
         server.note_left();
@@ -139,9 +150,12 @@
         self.dispatch(&name);
     }
 
-    pub(super) fn full(&mut self, key: Key) {
-        if let Some(server) = self.servers.table.get_mut(key) {
-            server.note_full(clock::now());
+    pub(super) fn took(&mut self, key: Key, took: Took) {
+        let Some(server) = self.servers.table.get_mut(key) else { return };
+        match took {
+            Took::Full => server.note_full(clock::now()),
+            Took::Failed => server.note_failed(clock::now()),
+            Took::Answered => server.note_answered(),
         }
     }
 
