An answer is broken unless it was marked as whole; frames out of place end nothing

Random arrivals (late, doubled, reordered, with gaps) never give text that is not the answer's start. A caller who reads nothing for 30 s is broken off.

--- a/crates/entry/src/answer/mod.rs
+++ b/crates/entry/src/answer/mod.rs
@@ -13,6 +13,8 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Response, StatusCode};
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use tokio::sync::{mpsc, watch};
 
@@ -58,8 +60,13 @@
     }
 }
 
-/// A body whose parts come one by one.
-pub struct Streamed(pub mpsc::Receiver<Result<Bytes, Broken>>);
+/// A body whose parts come one by one. It is broken unless it was marked as whole.
+pub struct Streamed {
+    /// The parts.
+    pub parts: mpsc::Receiver<Bytes>,
+    /// Whether the parts that came are all.
+    pub is_whole: Arc<AtomicBool>,
+}
 
 impl Body for Streamed {
     type Data = Bytes;
@@ -69,7 +76,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        self.0.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data)))
+        let part = std::task::ready!(self.parts.poll_recv(context));
+        let broken = || (!self.is_whole.load(Ordering::Acquire)).then_some(Err(Broken));
+        Poll::Ready(part.map(|part| Ok(Frame::data(part))).or_else(broken))
     }
 }
 
--- a/crates/entry/src/answer/reply.rs
+++ b/crates/entry/src/answer/reply.rs
@@ -1,15 +1,20 @@
 //! The way back to one caller.
 
-use super::{Answer, Broken, Streamed, add, set};
+use super::{Answer, Streamed, add, set};
 use crate::request::refusal::Refusal;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 
 /// Parts of an answer that may wait for a slow caller.
 const PARTS: usize = 64;
+/// Longest time that a part of an answer waits for a slow caller.
+const SEND_WITHIN: Duration = Duration::from_secs(30);
 
 /// Name and value of a header.
 pub type Header = (Arc<str>, Arc<str>);
@@ -31,7 +36,7 @@
     /// Nothing is sent before the answer is whole.
     Keeping(oneshot::Sender<Response<Answer>>, Option<Kept>),
     /// The head has been sent, the body goes on.
-    Streaming(mpsc::Sender<Result<Bytes, Broken>>),
+    Streaming(mpsc::Sender<Bytes>, Arc<AtomicBool>),
     /// All has been sent.
     Over,
 }
@@ -76,9 +81,10 @@
         *state = match std::mem::replace(&mut *state, State::Over) {
             State::Fresh(head) => {
                 let (parts, body) = mpsc::channel(PARTS);
-                let body = Streamed(body).boxed();
+                let is_whole = Arc::new(AtomicBool::new(false));
+                let body = Streamed { parts: body, is_whole: is_whole.clone() }.boxed();
                 let _ = head.send(self.response(status, &headers, body));
-                State::Streaming(parts)
+                State::Streaming(parts, is_whole)
             }
             State::Keeping(head, None) => {
                 State::Keeping(head, Some(Kept { status, headers, body: Vec::new() }))
@@ -97,31 +103,35 @@
         response
     }
 
-    /// Sends a part of the body, waiting for a slow caller.
+    /// Sends a part of the body, waiting for a slow caller. One that is too slow is broken off.
     pub async fn send(&self, bytes: Bytes) {
         let parts = match &mut *self.state() {
-            State::Streaming(parts) => parts.clone(),
+            State::Streaming(parts, _) => parts.clone(),
             State::Keeping(_, Some(kept)) => {
                 kept.body.extend_from_slice(&bytes);
                 return;
             }
             _ => return,
         };
-        let _ = parts.send(Ok(bytes)).await;
+        if timeout(SEND_WITHIN, parts.send(bytes)).await.is_err() {
+            self.break_off();
+        }
     }
 
     /// Ends a streamed answer as whole.
     pub fn end(&self) {
         let mut state = self.state();
-        if matches!(*state, State::Streaming(_)) {
+        if let State::Streaming(_, is_whole) = &*state {
+            is_whole.store(true, Ordering::Release);
             *state = State::Over;
         }
     }
 
     /// Breaks the caller's connection off, since the answer can't be completed.
-    pub async fn break_off(&self) {
-        if let State::Streaming(parts) = self.replace(State::Over) {
-            let _ = parts.send(Err(Broken)).await;
+    pub fn break_off(&self) {
+        let mut state = self.state();
+        if matches!(*state, State::Streaming(..)) {
+            *state = State::Over;
         }
     }
 
--- a/crates/entry/src/attempt/plain.rs
+++ b/crates/entry/src/attempt/plain.rs
@@ -4,6 +4,7 @@
 use crate::answer::reply::Header;
 use crate::app::App;
 use crate::explain::What;
+use crate::header::is_of_connection;
 use crate::link::{Event, Open, Stage};
 use crate::request::exchange::{Admitted, Exchange, check};
 use crate::request::refusal::Refusal;
@@ -18,18 +19,8 @@
 
 /// Longest silence within an answer before it is given up.
 const BODY_WITHIN: Duration = Duration::from_secs(30);
-/// Headers of an answer that belong to the connection it came on, or that the router sets.
-const DROPPED_HEADERS: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "x-chestnutrack-request",
-    "x-chestnutrack-ran",
-];
+/// Start of the names of headers that only the router sets.
+const OWN_HEADERS: &str = "x-chestnutrack-";
 
 /// What is passed on.
 #[derive(Clone, Debug)]
@@ -133,6 +124,9 @@
 }
 
 fn passed_on(headers: Vec<Header>) -> Vec<Header> {
-    let kept = |name: &str| !DROPPED_HEADERS.iter().any(|other| other.eq_ignore_ascii_case(name));
+    let kept = |name: &str| {
+        let name = name.to_ascii_lowercase();
+        !is_of_connection(&name) && !name.starts_with(OWN_HEADERS)
+    };
     headers.into_iter().filter(|(name, _)| kept(name)).collect()
 }
--- a/crates/entry/src/explain/mod.rs
+++ b/crates/entry/src/explain/mod.rs
@@ -6,9 +6,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// Requests on record.
-const REQUESTS_MAX: usize = 4_096;
+const REQUESTS_MAX: usize = 2_048;
 /// Steps on record for one request.
-const STEPS_MAX: usize = 48;
+const STEPS_MAX: usize = 32;
 
 /// What happened to a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
--- a/crates/entry/src/link/events.rs
+++ b/crates/entry/src/link/events.rs
@@ -72,6 +72,13 @@
         self.waiting.fetch_sub(size(&event), Ordering::Relaxed);
         Some(event)
     }
+
+    /// What has come already, if anything.
+    pub fn try_next(&mut self) -> Option<Event> {
+        let event = self.events.try_recv().ok()?;
+        self.waiting.fetch_sub(size(&event), Ordering::Relaxed);
+        Some(event)
+    }
 }
 
 fn size(event: &Event) -> usize {
--- a/crates/entry/src/link/mod.rs
+++ b/crates/entry/src/link/mod.rs
@@ -9,6 +9,8 @@
 pub mod handle;
 mod state;
 pub mod stream;
+#[cfg(test)]
+mod tests;
 
 pub use events::{Event, Events};
 pub use handle::{Link, Open};
--- a/crates/entry/src/link/stream.rs
+++ b/crates/entry/src/link/stream.rs
@@ -105,6 +105,7 @@
     /// Takes a frame of this attempt in.
     pub fn take(&mut self, frame: Frame) -> Next {
         match (self.stage, frame) {
+            (_, Frame::Failed(_, _, failure, _)) => self.fail(failure),
             (Stage::Reserving, Frame::Reserved(_, _, ready_in_ms, _)) => {
                 self.hold(Stage::Reserved, Event::Reserved(ready_in_ms))
             }
@@ -112,16 +113,29 @@
                 self.hold(Stage::Prefilled, Event::Prefilled(kv))
             }
             (Stage::Answering, Frame::Reserved(..)) if self.is_repeatable() => Next::Repeat,
-            (Stage::Answering, Frame::Tokens(_, _, offset, texts)) => self.tokens(offset, texts),
-            (Stage::Answering, Frame::End(_, _, total, finish, _)) => {
-                self.end(u64::from(total), Event::End(finish))
-            }
-            (Stage::Answering, Frame::Head(_, _, status, headers)) => self.head(status, headers),
-            (Stage::Answering, Frame::Body(_, _, offset, bytes)) => self.body(offset, bytes),
-            (Stage::Answering, Frame::BodyEnd(_, _, total, _)) if self.head_seen => {
-                self.end(total, Event::BodyEnd)
+            (Stage::Answering, frame) if matches!(self.order, Frame::Decode(..)) => {
+                self.generated(frame)
             }
-            (_, Frame::Failed(_, _, failure, _)) => self.fail(failure),
+            (Stage::Answering, frame) => self.passed_on(frame),
+            _ => Next::Dropped,
+        }
+    }
+
+    /// Takes a frame of a generated answer in.
+    fn generated(&mut self, frame: Frame) -> Next {
+        match frame {
+            Frame::Tokens(_, _, offset, texts) => self.tokens(offset, texts),
+            Frame::End(_, _, total, finish, _) => self.end(u64::from(total), Event::End(finish)),
+            _ => Next::Dropped,
+        }
+    }
+
+    /// Takes a frame of a plain answer in.
+    fn passed_on(&mut self, frame: Frame) -> Next {
+        match frame {
+            Frame::Head(_, _, status, headers) => self.head(status, headers),
+            Frame::Body(_, _, offset, bytes) => self.body(offset, bytes),
+            Frame::BodyEnd(_, _, total, _) if self.head_seen => self.end(total, Event::BodyEnd),
             _ => Next::Dropped,
         }
     }
--- /dev/null
+++ b/crates/entry/src/link/tests.rs
@@ -0,0 +1,195 @@
+use super::events::{self, Event, Incoming};
+use super::stream::{Next, Stage, Stream};
+use chestnutrack_wire::frame::{Cause, Decode, Failure, Finish, Forward, Frame, Kv, Load, Ran};
+use chestnutrack_wire::{Attempt, Request};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+const REQUEST: Request = Request(7);
+const ATTEMPT: Attempt = Attempt(1);
+/// The answer that the side process makes, a token a letter.
+const ANSWER: &str = "abcdefghijkl";
+
+/// A frame as it may come: late, doubled, out of order, with a part missing before it.
+#[derive(Clone, Debug)]
+enum Arrival {
+    Tokens(usize, usize),
+    End(usize),
+    Failed,
+}
+
+impl Arbitrary for Arrival {
+    fn arbitrary(g: &mut Gen) -> Arrival {
+        let offset = usize::arbitrary(g) % ANSWER.len();
+        match u8::arbitrary(g) % 16 {
+            0 => Arrival::Failed,
+            1 | 2 => Arrival::End(ANSWER.len()),
+            3 => Arrival::End(offset),
+            _ => Arrival::Tokens(offset, usize::arbitrary(g) % 5),
+        }
+    }
+}
+
+impl Arrival {
+    fn frame(&self) -> Frame {
+        match self {
+            Arrival::Tokens(offset, length) => {
+                let letters = ANSWER.chars().skip(*offset).take(*length);
+                let texts = letters.map(|letter| letter.to_string().into()).collect();
+                Frame::Tokens(REQUEST, ATTEMPT, u32::try_from(*offset).unwrap(), texts)
+            }
+            Arrival::End(total) => {
+                let total = u32::try_from(*total).unwrap();
+                Frame::End(REQUEST, ATTEMPT, total, Finish::Stop, Load::default())
+            }
+            Arrival::Failed => failed(Ran::NotRun),
+        }
+    }
+}
+
+fn failed(ran: Ran) -> Frame {
+    let failure = Failure { ran, cause: Cause::Backend, retry_after_ms: 0 };
+    Frame::Failed(REQUEST, ATTEMPT, failure, Load::default())
+}
+
+fn forward() -> Frame {
+    Frame::Forward(
+        REQUEST,
+        ATTEMPT,
+        Forward {
+            organisation: None,
+            may_wait: false,
+            once: true,
+            method: "POST".into(),
+            target: "/deposits".into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            wait_ms: 0,
+            deadline_ms: 0,
+        },
+    )
+}
+
+fn decode() -> Frame {
+    let kv = Kv {
+        address: "127.0.0.1:9".parse().unwrap(),
+        handle: "kv".into(),
+        tokens: 1,
+        bytes: 1,
+        cached_tokens: 0,
+    };
+    Frame::Decode(REQUEST, ATTEMPT, Decode { kv, output_tokens: 1 })
+}
+
+fn stream(order: Frame) -> (Stream, Incoming) {
+    let (events, incoming) = events::channel(1 << 10);
+    (Stream::new(Stage::Answering, order, events), incoming)
+}
+
+/// What came through: the text, and whether it was called whole.
+fn received(incoming: &mut Incoming) -> (String, bool) {
+    let (mut text, mut is_whole) = (String::new(), false);
+    while let Some(event) = incoming.try_next() {
+        match event {
+            Event::Tokens(texts) => text.push_str(&texts.concat()),
+            Event::End(_) => is_whole = true,
+            _ => {}
+        }
+    }
+    (text, is_whole)
+}
+
+quickcheck! {
+    fn an_answer_is_a_prefix_and_called_whole_only_when_it_is(arrivals: Vec<Arrival>) -> bool {
+        let (mut stream, mut incoming) = stream(decode());
+        for arrival in &arrivals {
+            if matches!(stream.take(arrival.frame()), Next::Ended | Next::GiveUp) {
+                break;
+            }
+        }
+        let (text, is_whole) = received(&mut incoming);
+        // A side process never states a total that is short of what it sent; one that does is
+        // given up where more has come, and believed where it fits.
+        let fits = ANSWER.starts_with(&text);
+        let stated = |arrival: &Arrival| matches!(arrival, Arrival::End(total) if *total == text.len());
+        fits && (!is_whole || arrivals.iter().any(stated))
+    }
+
+    fn frames_in_order_give_the_whole_answer(cuts: Vec<u8>) -> bool {
+        let (mut stream, mut incoming) = stream(decode());
+        let mut offset = 0;
+        for cut in cuts.iter().map(|cut| usize::from(cut % 4)).chain([ANSWER.len()]) {
+            stream.take(Arrival::Tokens(offset, cut).frame());
+            offset = (offset + cut).min(ANSWER.len());
+            stream.take(Arrival::Tokens(offset.saturating_sub(2), 2).frame());
+        }
+        stream.take(Arrival::End(ANSWER.len()).frame());
+        received(&mut incoming) == (ANSWER.to_owned(), true)
+    }
+}
+
+#[test]
+fn a_failure_after_a_resume_never_says_not_run() {
+    let (mut stream, mut incoming) = stream(forward());
+
+    stream.note_resume();
+    stream.take(failed(Ran::NotRun));
+
+    let Some(Event::Failed(failure)) = incoming.try_next() else { panic!("no failure") };
+    assert_eq!(failure.ran, Ran::Unknown);
+}
+
+#[test]
+fn a_failure_on_the_first_connection_is_believed() {
+    let (mut stream, mut incoming) = stream(forward());
+
+    stream.take(failed(Ran::NotRun));
+
+    let Some(Event::Failed(failure)) = incoming.try_next() else { panic!("no failure") };
+    assert_eq!(failure.ran, Ran::NotRun);
+}
+
+#[test]
+fn a_body_that_a_slow_caller_leaves_waiting_is_given_up() {
+    let (mut stream, _incoming) = stream(forward());
+    stream.take(Frame::Head(REQUEST, ATTEMPT, 200, Vec::new()));
+    let part = |offset: u64| Frame::Body(REQUEST, ATTEMPT, offset, vec![0; 600]);
+
+    let (first, second) = (stream.take(part(0)), stream.take(part(600)));
+
+    assert_eq!((first, second), (Next::Continue, Next::GiveUp));
+}
+
+#[test]
+fn a_body_before_its_head_is_asked_for_again() {
+    let (mut stream, _incoming) = stream(forward());
+
+    let next = stream.take(Frame::Body(REQUEST, ATTEMPT, 0, vec![1]));
+
+    assert_eq!(next, Next::Resume);
+}
+
+#[test]
+fn a_lost_stream_tells_whether_it_ran() {
+    let ran = |stage| {
+        let (events, _incoming) = events::channel(1);
+        Stream::new(stage, forward(), events).ran()
+    };
+
+    assert_eq!(ran(Stage::Reserving), Ran::NotRun);
+    assert_eq!(ran(Stage::Reserved), Ran::NotRun);
+    assert_eq!(ran(Stage::Prefilling), Ran::Unknown);
+    assert_eq!(ran(Stage::Prefilled), Ran::Ran);
+    assert_eq!(ran(Stage::Answering), Ran::Unknown);
+}
+
+#[test]
+fn an_order_is_sent_again_only_once_it_is_known_not_to_have_arrived() {
+    let reserved = || Frame::Reserved(REQUEST, ATTEMPT, 0, Load::default());
+    let (mut stream, _incoming) = stream(decode());
+
+    let late = stream.take(reserved());
+    stream.note_resume();
+    let after_resume = stream.take(reserved());
+
+    assert_eq!((late, after_resume), (Next::Dropped, Next::Repeat));
+}
--- a/crates/entry/src/request/credential.rs
+++ b/crates/entry/src/request/credential.rs
@@ -1,6 +1,7 @@
 //! Callers' keys: looked up, dropped, and kept away from backend servers.
 
 use super::refusal::{Code, Refusal};
+use crate::header::is_of_connection;
 use chestnutrack_document::key::Hash;
 use chestnutrack_fleet::Snapshot;
 use hyper::HeaderMap;
@@ -17,19 +18,8 @@
     "api-key",
     "x-auth-token",
 ];
-/// Headers that belong to one connection only.
-const CONNECTION_HEADERS: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "content-length",
-    "expect",
-];
+/// Header that the client of the backend server writes itself.
+const CONTENT_LENGTH: &str = "content-length";
 /// Shortest key that is looked for in paths and bodies, in bytes; shorter texts stand there by
 /// chance.
 const SEARCHED_KEY_BYTES_MIN: usize = 8;
@@ -85,7 +75,8 @@
     headers
         .iter()
         .filter_map(|(name, value)| Some((name.as_str(), value.to_str().ok()?)))
-        .filter(|(name, _)| !SECRET_HEADERS.contains(name) && !CONNECTION_HEADERS.contains(name))
+        .filter(|(name, _)| !SECRET_HEADERS.contains(name) && *name != CONTENT_LENGTH)
+        .filter(|(name, _)| !is_of_connection(name))
         .filter(|(name, _)| !named.iter().any(|other| other.eq_ignore_ascii_case(name)))
         .filter(|(name, value)| !holds(name, key) && !holds(value, key))
         .map(|(name, value)| (name.into(), value.into()))
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -161,7 +161,7 @@
         exchange.reply.send(openai::event(&refusal.json())).await;
         exchange.reply.end();
     } else {
-        exchange.reply.break_off().await;
+        exchange.reply.break_off();
     }
 }
 
--- a/crates/entry/src/scheduler/servers.rs
+++ b/crates/entry/src/scheduler/servers.rs
@@ -152,6 +152,10 @@
     entry.failure_domain = server.failure_domain.clone();
     entry.slots = server.slots;
     entry.kv_tokens = server.kv_tokens;
+    if entry.leaving && !leaving {
+        // The side process may have said that it leaves for no other reason.
+        entry.draining = false;
+    }
     entry.leaving = leaving;
 }
 
--- a/crates/entry/tests/entry/faults.rs
+++ b/crates/entry/tests/entry/faults.rs
@@ -324,3 +324,78 @@
     let (request, attempt) = side::id(&order);
     Begun { entry, caller, decode, request, attempt, _prefill: prefill }
 }
+
+#[tokio::test]
+async fn a_side_process_of_a_newer_version_gets_no_work() {
+    let newer = Side::start(side::service("new")).await;
+    newer.speak(chestnutrack_wire::frame::VERSION + 1);
+    let known = Side::start(side::service("known")).await;
+    let document = document(&[], &[], &[newer.address, known.address]);
+    let entry = Entry::start_unconnected(&document).await;
+    eventually("one is reached", || entry.app.metrics.links.get() == 1).await;
+
+    for _ in 0..10 {
+        let got = call(entry.address, &request("GET", "/hours", &[], "")).await;
+        assert_eq!(got.body, "known");
+    }
+
+    assert!(newer.seen().is_empty());
+}
+
+#[tokio::test]
+async fn frames_that_are_out_of_place_are_dropped() {
+    let Begun { mut caller, decode, request, attempt, entry, .. } = begin().await;
+
+    decode.send(&Frame::Vouch {
+        ask: 1,
+        sender: chestnutrack_wire::frame::Sender { name: "stranger".into(), incarnation: 1 },
+        members: 1,
+        configuration: 1,
+    });
+    decode.send(&side::prefilled(request, attempt, 1));
+    decode.send(&Frame::Head(request, attempt, 200, Vec::new()));
+    decode.send(&Frame::Done(request, attempt));
+    decode.send(&side::tokens(request, attempt, 1, &["pie"]));
+    decode.send(&side::end(request, attempt, 2));
+    let got = caller.read().await;
+
+    assert_eq!(text_of(&got), "fresh pie");
+    assert_eq!(entry.app.metrics.frames_dropped.get(), 4);
+}
+
+#[tokio::test]
+async fn a_side_process_that_starts_anew_is_asked_for_its_running_answer() {
+    let Begun { mut caller, decode, request, attempt, .. } = begin().await;
+    caller.read_until("fresh").await;
+
+    decode.restart();
+    decode.saw("resume", |frame| matches!(frame, Frame::Resume(_, _, 1))).await;
+    decode.send(&side::tokens(request, attempt, 1, &["pie"]));
+    decode.send(&side::end(request, attempt, 2));
+
+    caller.read_until("[DONE]").await;
+}
+
+#[tokio::test]
+async fn a_reservation_at_a_side_process_that_starts_anew_is_made_elsewhere() {
+    let prefill = Side::start(side::engine(&[])).await;
+    let restarting = Side::start(|_: &Frame| Vec::new()).await;
+    let working = Side::start(side::engine(&["pie"])).await;
+    let sides = [restarting.address, working.address];
+    let entry = Entry::start(&document(&[prefill.address], &sides, &[])).await;
+    let mut callers = Vec::new();
+    while restarting.seen().is_empty() {
+        let mut caller = Caller::connect(entry.address).await;
+        caller.send(&completion("today", false)).await;
+        callers.push(caller);
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+
+    restarting.restart();
+    for mut caller in callers {
+        assert_eq!(caller.read().await.status(), 200);
+    }
+
+    let stays = |frame: &Frame| matches!(frame, Frame::Prefill(..) | Frame::Decode(..));
+    assert!(!restarting.seen().iter().any(stays));
+}
