--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -13,7 +13,7 @@
 use crate::link::Event;
 use crate::request::exchange::{Admitted, Exchange, check};
 use crate::request::refusal::{Code, Refusal};
-use crate::scheduler::{Late, Turn, Want};
+use crate::scheduler::{Late, Took, Turn, Want};
 use chestnutrack_core::place::Ask;
 use chestnutrack_core::queue::Waiting;
 use chestnutrack_core::retry::{Failed, is_safe};
@@ -125,9 +125,13 @@
 fn trouble(turn: &Turn, event: Event) -> Trouble {
     match event {
         Event::Failed(failure) => {
-            if failure.cause == Cause::Full {
-                let again_in = Duration::from_millis(u64::from(failure.retry_after_ms));
-                turn.hold.was_full(again_in);
+            match failure.cause {
+                Cause::Full => {
+                    let again_in = Duration::from_millis(u64::from(failure.retry_after_ms));
+                    turn.hold.tell(Took::Full { again_in });
+                }
+                Cause::Backend | Cause::Fenced => turn.hold.tell(Took::Failed),
+                _ => {}
             }
             Trouble::failed(&turn.server, failure)
         }
@@ -163,7 +167,7 @@
     };
     let turn = exchange.outside(app.scheduler.turn(want)).await.map_err(late)?;
     check(app, admitted)?;
-    exchange.note(app, What::Placed, Some(&turn.server), None);
+    exchange.note(app, What::Placed, Some(&turn.server), Some(&turn.why));
     Ok(turn)
 }
 
