--- a/crates/cli/src/cmd/status.rs
+++ b/crates/cli/src/cmd/status.rs
@@ -28,6 +28,16 @@
     service: Option<String>,
 }
 
+/// The part of the members page that is shown.
+#[derive(Default, Deserialize)]
+struct Members {
+    name: String,
+    current: bool,
+    share: Option<String>,
+    platform_up: bool,
+    peers: Vec<serde::de::IgnoredAny>,
+}
+
 /// Both pages of one entry host.
 #[derive(Serialize)]
 struct Host {
@@ -60,21 +70,34 @@
 }
 
 fn table(configurations: &[Page], members: &[Page]) -> String {
-    let mut table = Table::new(&["entry", "service", "version", "trusted", "members"]);
+    let mut table = Table::new(&[
+        "entry", "name", "service", "version", "trusted", "current", "members", "share", "platform",
+    ]);
     for (configuration, members) in configurations.iter().zip(members) {
-        let entry = configuration.entry.to_string();
-        let count = count_members(members).map(|count| count.to_string()).unwrap_or_default();
-        let Some(shown) = configuration.read::<Configuration>() else {
-            table.row(vec![entry, "unreachable".to_owned(), String::new(), String::new(), count]);
-            continue;
-        };
-        let service = shown.service.unwrap_or_default();
-        let trusted = if shown.trusted { "yes" } else { "no" };
-        table.row(vec![entry, service, shown.version.to_string(), trusted.to_owned(), count]);
+        let mut cells = vec![configuration.entry.to_string()];
+        let member = members.read::<Members>();
+        cells.push(member.as_ref().map(|member| member.name.clone()).unwrap_or_default());
+        match configuration.read::<Configuration>() {
+            Some(shown) => cells.extend([
+                shown.service.unwrap_or_default(),
+                shown.version.to_string(),
+                yes(shown.trusted),
+            ]),
+            None => cells.extend(["unreachable".to_owned(), String::new(), String::new()]),
+        }
+        cells.extend(member.map(member_cells).unwrap_or_default());
+        table.row(cells);
     }
     table.text()
 }
 
-fn count_members(page: &Page) -> Option<usize> {
-    page.page.as_ref()?.get("members")?.as_array().map(Vec::len)
+fn member_cells(member: Members) -> [String; 4] {
+    let count = member.peers.len() + 1;
+    let platform = if member.platform_up { "up" } else { "down" };
+    let share = member.share.unwrap_or_default();
+    [yes(member.current), count.to_string(), share, platform.to_owned()]
+}
+
+fn yes(value: bool) -> String {
+    if value { "yes" } else { "no" }.to_owned()
 }
--- a/crates/cli/tests/cli/pages.rs
+++ b/crates/cli/tests/cli/pages.rs
@@ -37,7 +37,14 @@
                 "version": 42, "trusted": true, "service": "larder-orders", "leaving_hosts": [],
             }),
         ),
-        ("/v1/members", json!({ "members": [{ "name": "entry-0" }, { "name": "entry-1" }] })),
+        (
+            "/v1/members",
+            json!({
+                "name": "entry-0", "incarnation": 1, "version": 3, "listed": true,
+                "current": true, "share": "1/2", "platform_up": true,
+                "peers": [{ "name": "entry-1" }],
+            }),
+        ),
         (
             "/v1/servers",
             json!({ "servers": [
@@ -96,9 +103,9 @@
 
     expect![[r#"
         exit code 0
-        ENTRY            SERVICE        VERSION  TRUSTED  MEMBERS
-        ENTRY-0  larder-orders       42  yes            2
-        ENTRY-1  larder-orders       41  no             -
+        ENTRY            NAME     SERVICE        VERSION  TRUSTED  CURRENT  MEMBERS  SHARE  PLATFORM
+        ENTRY-0  entry-0  larder-orders       42  yes      yes            2  1/2    up
+        ENTRY-1  -        larder-orders       41  no       -              -  -      -
     "#]]
     .assert_eq(&text);
 }
