--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -153,8 +153,21 @@
 ///
 /// [`Error::Call`] when no answer began.
 pub async fn open(address: SocketAddr, call: &Call) -> Result<Opened, Error> {
+    open_within(address, call, PATIENCE).await
+}
+
+/// As [`open`], for an answer that begins within `patience`.
+///
+/// # Errors
+///
+/// As [`open`].
+pub async fn open_within(
+    address: SocketAddr,
+    call: &Call,
+    patience: Duration,
+) -> Result<Opened, Error> {
     let request = request(address, call)?;
-    let answer = http::open(address, request, PATIENCE).await;
+    let answer = http::open(address, request, patience).await;
     let answer = answer.map_err(|error| Error::Call(address, error.to_string()))?;
     let (head, body) = answer.into_parts();
     Ok(Opened { address, head, body, read: BytesMut::new() })
--- a/crates/load/src/call/mod.rs
+++ b/crates/load/src/call/mod.rs
@@ -47,6 +47,9 @@
     }
 }
 
+/// Longest time for an answer to begin; longer than any deadline of the deployments.
+const PATIENCE: Duration = Duration::from_secs(75);
+
 /// Makes a call, reads the whole answer and notes when its parts came.
 ///
 /// # Errors
@@ -54,7 +57,7 @@
 /// [`Error::Call`] when no whole answer came.
 pub async fn send(address: SocketAddr, call: &Call) -> Result<Reply, Error> {
     let start = Instant::now();
-    let mut opened = caller::open(address, call).await?;
+    let mut opened = caller::open_within(address, call, PATIENCE).await?;
     let mut first = None;
     let mut between = Vec::new();
     let mut last = start;
--- a/crates/load/src/run/mod.rs
+++ b/crates/load/src/run/mod.rs
@@ -21,7 +21,7 @@
 /// Time between progress lines.
 const PROGRESS: Duration = Duration::from_secs(5);
 /// Longest time after the last arrival for answers to end.
-const DRAIN: Duration = Duration::from_secs(40);
+const DRAIN: Duration = Duration::from_secs(80);
 
 /// What an experiment gave.
 pub struct Outcome {
