Load tool: a stream that says that it is broken off is a failure, not a truncated answer

Cause: the 30 and 22 answers counted as not whole in trials with faults ended with an error event and without [DONE]: the entry host does say that they are broken off. They count as broken now; an answer that ends without either still counts as a violation.

--- a/crates/load/src/call/mod.rs
+++ b/crates/load/src/call/mod.rs
@@ -6,6 +6,7 @@
 
 use chestnutrack_harness::Error;
 use chestnutrack_harness::caller::{self, Answer, Call};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -41,6 +42,15 @@
         self.answer.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
     }
 
+    /// The code of the event by which a stream says that it can't be completed, if there is one.
+    pub fn stream_error(&self) -> Option<String> {
+        let text = self.answer.text();
+        let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
+        let mut parsed = events.filter_map(|event| serde_json::from_str::<Value>(event).ok());
+        let error = parsed.find(|event| event.get("error").is_some())?;
+        Some(error["error"]["code"].as_str().unwrap_or_default().to_owned())
+    }
+
     /// Whether the answer is no refusal.
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.answer.status)
--- a/crates/load/src/call/verdict.rs
+++ b/crates/load/src/call/verdict.rs
@@ -10,6 +10,8 @@
     Whole,
     /// refused
     Refused,
+    /// broken off, and said so
+    BrokenOff,
     /// not whole
     Short,
     /// longer than whole
@@ -28,7 +30,8 @@
         return Verdict::Whole;
     }
     if expected.starts_with(&text) {
-        return Verdict::Short;
+        let said = reply.stream_error().is_some();
+        return if said { Verdict::BrokenOff } else { Verdict::Short };
     }
     if text.starts_with(expected) { Verdict::Long } else { Verdict::Crossed }
 }
--- a/crates/load/src/run/send.rs
+++ b/crates/load/src/run/send.rs
@@ -92,6 +92,10 @@
     if verdict == Verdict::Refused {
         return Ended::Refused { code: reply.code(), ran: reply.ran().to_owned() };
     }
+    if verdict == Verdict::BrokenOff {
+        let code = reply.stream_error().unwrap_or_default();
+        return Ended::Broken { why: format!("stream ended with {code}") };
+    }
     let body = request.completion.is_none().then_some(reply.answer.body);
     Ended::Answered { verdict, first: reply.first, between: reply.between, body }
 }
--- a/crates/load/tests/load/verdict.rs
+++ b/crates/load/tests/load/verdict.rs
@@ -30,6 +30,15 @@
     assert_eq!(verdict(&[" a", " b"], true), Verdict::Short);
 }
 
+#[test]
+fn an_answer_that_says_that_it_is_broken_off_is_not_taken_for_short() {
+    let text = streamed(&[" a"], false) + "data: {\"error\":{\"code\":\"backend_failed\"}}\n\n";
+    let reply = reply(200, "text/event-stream", &text);
+
+    assert_eq!(judge(&reply, " a b c"), Verdict::BrokenOff);
+    assert_eq!(reply.stream_error().as_deref(), Some("backend_failed"));
+}
+
 #[test]
 fn a_repeated_token_makes_an_answer_another() {
     assert_eq!(verdict(&[" a", " b", " b", " c"], true), Verdict::Crossed);
