--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -52,6 +52,15 @@
     };
     fleet.until(SHOWN_WITHIN, "the answer is counted", counted).await.expect("usage");
 
+    let reported = async || {
+        let platform = fleet.platform().to_string();
+        let arguments = ["report", "--service", "larder-orders", "--platform", &platform];
+        let arguments: Vec<String> = arguments.iter().map(|text| (*text).to_owned()).collect();
+        let output = chestnutrack_cli::cmd::run(&arguments).await;
+        output.code == OK && output.out.lines().any(|line| line.starts_with("dairy-coop"))
+    };
+    fleet.until(SHOWN_WITHIN, "the answer is in the report", reported).await.expect("report");
+
     check_is_compared(&fleet).await;
 
     fleet.process("entry-1").expect("an entry host").kill().await;
