--- a/crates/bench/src/scripted/world.rs
+++ b/crates/bench/src/scripted/world.rs
@@ -246,7 +246,8 @@
             self.counts.placed += 1;
             match key {
                 Some(key) => self.reserve(number, index, key),
-                None => self.start_prefill(number, index),
+                None if self.start_prefill(number, index) => {}
+                None => return,
             }
         }
     }
@@ -278,15 +279,16 @@
         self.send(server, number, Frame::Reserve(request(index), Attempt(attempt), reserve));
     }
 
-    fn start_prefill(&mut self, number: usize, index: usize) {
+    /// Sends a request to a prefill server; false when none is open and it is back in the queue.
+    fn start_prefill(&mut self, number: usize, index: usize) -> bool {
         let arrival = self.arrivals[index].clone();
         let entry = &mut self.entries[number];
         let wanted = ask(&arrival, None);
         let Some(key) = entry.prefill(&self.settings, self.now, &wanted) else {
             self.give_back(number, index);
-            return;
+            return false;
         };
-        let Some(active) = entry.active.get_mut(&index) else { return };
+        let Some(active) = entry.active.get_mut(&index) else { return true };
         active.prefill = Some(key);
         active.attempt = active.attempt.max(1);
         let attempt = active.attempt;
@@ -301,6 +303,7 @@
             deadline_ms: u32::try_from(left_ms).unwrap_or(u32::MAX),
         };
         self.send(server, number, Frame::Prefill(request(index), Attempt(attempt), prefill));
+        true
     }
 
     /// Puts a request back at the front of the queue, or refuses it.
@@ -344,7 +347,9 @@
         active.reserved = true;
         match active.kv.clone() {
             Some(kv) => self.decode(number, index, kv),
-            None => self.start_prefill(number, index),
+            None => {
+                self.start_prefill(number, index);
+            }
         }
     }
 
