Engine client: errors are counted by kind, and an order's unreadable answer is unknown

A malformed body on an order that took effect was reported like a question's. A refused stream whose text never came left the call waiting for good; the status is enough. A conflict with an unreadable body is a refusal: it did not apply.

--- a/crates/engine/src/client/mod.rs
+++ b/crates/engine/src/client/mod.rs
@@ -15,6 +15,7 @@
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::timeout;
 
 pub use stream::Stream;
 
@@ -72,24 +73,24 @@
     orders: Pool,
     settings: Settings,
     calls: IntCounterVec,
+    errors: IntCounterVec,
 }
 
 impl Client {
     /// A client of the engine at an address; its counters are registered where a registry is
     /// given.
     pub fn new(address: SocketAddr, settings: Settings, registry: Option<&Registry>) -> Client {
-        let name = "chestnutrack_engine_calls_total";
-        let calls = IntCounterVec::new(Opts::new(name, "Calls to the engine."), &["call"]);
-        let calls = calls.expect("name and label are constant and well formed");
-        if let Some(registry) = registry {
-            // A second client of the same process counts apart.
-            let _ = registry.register(Box::new(calls.clone()));
-        }
+        let calls = "chestnutrack_engine_calls_total";
+        let calls = family(registry, calls, "Calls to the engine.", &["call"]);
+        let errors = "chestnutrack_engine_errors_total";
+        let help = "Calls to the engine that failed or were refused.";
+        let errors = family(registry, errors, help, &["call", "error"]);
         Client {
             pool: Pool::new(address, settings.pool),
             orders: Pool::new(address, settings.pool.unshared()),
             settings,
             calls,
+            errors,
         }
     }
 
@@ -114,8 +115,7 @@
     ///
     /// [`Error::Full`] when the engine has no memory for it.
     pub async fn prefill(&self, prefill: &Prefill) -> Result<Prefilled, Error> {
-        let body = self.post("prefill", prefill, self.settings.prefill).await?;
-        parse("prefill", &body)
+        self.post("prefill", prefill, self.settings.prefill).await
     }
 
     /// Moves a KV cache here from another engine.
@@ -124,8 +124,7 @@
     ///
     /// [`Error::Missing`] when it is gone there, [`Error::Full`] when there is no memory here.
     pub async fn import(&self, import: &Import) -> Result<Imported, Error> {
-        let body = self.post("import", import, self.settings.import).await?;
-        parse("import", &body)
+        self.post("import", import, self.settings.import).await
     }
 
     /// Starts generation from an imported KV cache and streams it from its first token.
@@ -134,7 +133,7 @@
     ///
     /// [`Error::Missing`] when nothing was imported under that name.
     pub async fn decode(&self, decode: &Decode) -> Result<Stream, Error> {
-        self.stream("decode", decode, 0).await
+        self.counted("decode", self.stream("decode", decode, 0)).await
     }
 
     /// Streams a running answer again, from an offset.
@@ -143,7 +142,7 @@
     ///
     /// [`Error::Missing`] when it isn't running.
     pub async fn resume(&self, resume: &Resume) -> Result<Stream, Error> {
-        self.stream("resume", resume, resume.offset).await
+        self.counted("resume", self.stream("resume", resume, resume.offset)).await
     }
 
     /// Stops a request and frees what it holds; idempotent.
@@ -152,7 +151,8 @@
     ///
     /// Any but [`Error::Full`] and [`Error::Missing`].
     pub async fn cancel(&self, cancel: &Cancel) -> Result<(), Error> {
-        self.post("cancel", cancel, self.settings.cancel).await.map(drop)
+        let limit = self.settings.cancel;
+        self.counted("cancel", self.send("cancel", cancel, limit)).await.map(drop)
     }
 
     /// Changes what the engine serves.
@@ -161,7 +161,8 @@
     ///
     /// [`Error::Fenced`] when the engine has seen a higher fencing number.
     pub async fn order(&self, order: &Order) -> Result<(), Error> {
-        self.post("order", order, self.settings.order).await.map(drop)
+        let limit = self.settings.order;
+        self.counted("order", self.send("order", order, limit)).await.map(drop)
     }
 
     /// What the engine holds.
@@ -192,20 +193,35 @@
     }
 
     async fn get<T: DeserializeOwned>(&self, call: &str, target: &str) -> Result<T, Error> {
-        self.count(call);
-        let request = http::request("GET", target, Bytes::new())?;
-        let limit = self.settings.ask;
-        let answer = self.pool.ask(request, limit, self.settings.answer_bytes).await?;
-        parse(call, &accept(answer)?)
+        let asking = async {
+            let request = http::request("GET", target, Bytes::new())?;
+            let limit = self.settings.ask;
+            let answer = self.pool.ask(request, limit, self.settings.answer_bytes).await?;
+            parse(call, &accept(answer)?)
+        };
+        self.counted(call, asking).await
+    }
+
+    async fn post<T: DeserializeOwned>(
+        &self,
+        call: &str,
+        order: &impl Serialize,
+        limit: Duration,
+    ) -> Result<T, Error> {
+        let ordering = async {
+            let answer = self.send(call, order, limit).await?;
+            // The order took effect, whatever its answer says.
+            parse(call, &answer).map_err(|error| Error::Unknown(error.to_string()))
+        };
+        self.counted(call, ordering).await
     }
 
-    async fn post(
+    async fn send(
         &self,
         call: &str,
         order: &impl Serialize,
         limit: Duration,
     ) -> Result<Bytes, Error> {
-        self.count(call);
         let request = http::request("POST", &format!("/v1/{call}"), encode(order)?)?;
         accept(self.orders.call(request, limit, self.settings.answer_bytes).await?)
     }
@@ -216,19 +232,37 @@
         order: &impl Serialize,
         offset: u32,
     ) -> Result<Stream, Error> {
-        self.count(call);
         let request = http::request("POST", &format!("/v1/{call}"), encode(order)?)?;
         let (head, mut body) = self.orders.open(request, self.settings.begin).await?.into_parts();
         if head.status.as_u16() != 200 {
-            let text = body.read(self.settings.answer_bytes).await?;
+            // The status says it all; its text only helps.
+            let text = timeout(self.settings.begin, body.read(self.settings.answer_bytes)).await;
+            let text = text.ok().and_then(Result::ok).unwrap_or_default();
             return Err(refusal(head.status.as_u16(), &text));
         }
         Ok(Stream::new(body, offset, &self.settings))
     }
 
-    fn count(&self, call: &str) {
+    /// Makes a call, and counts it and its error.
+    async fn counted<T>(
+        &self,
+        call: &str,
+        calling: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
         self.calls.with_label_values(&[call]).inc();
+        let error = |error: &Error| self.errors.with_label_values(&[call, error.word()]).inc();
+        calling.await.inspect_err(error)
+    }
+}
+
+fn family(registry: Option<&Registry>, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let family = IntCounterVec::new(Opts::new(name, help), labels);
+    let family = family.expect("name and labels are constant and well formed");
+    if let Some(registry) = registry {
+        // A second client of the same process counts apart.
+        let _ = registry.register(Box::new(family.clone()));
     }
+    family
 }
 
 /// The body of an answer that says yes.
--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -24,6 +24,21 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// The kind of the error in a word, as metrics show it.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Error::NotSent(_) => "not_sent",
+            Error::Unknown(_) => "unknown",
+            Error::Fenced => "fenced",
+            Error::Missing => "missing",
+            Error::Full => "full",
+            Error::Refused(..) => "refused",
+            Error::Malformed(..) => "malformed",
+        }
+    }
+}
+
 impl From<http::Error> for Error {
     fn from(error: http::Error) -> Error {
         match error {
--- a/crates/platform/src/client/mod.rs
+++ b/crates/platform/src/client/mod.rs
@@ -188,7 +188,9 @@
         request.headers_mut().insert(IF_MATCH, HeaderValue::from(version));
         let answer = self.call(call, request, self.settings.write).await?;
         if answer.status().as_u16() == 409 {
-            return Err(Error::Conflict(parse::<Conflict>("conflict", answer.body())?.version));
+            let conflict = parse::<Conflict>("conflict", answer.body());
+            let refused = |_| Error::Refused(409, text(answer.body()));
+            return Err(conflict.map_or_else(refused, |found| Error::Conflict(found.version)));
         }
         // The write took effect; only its version is lost.
         let body = accept(answer)?;
--- a/crates/standin/tests/engine_client.rs
+++ b/crates/standin/tests/engine_client.rs
@@ -10,6 +10,7 @@
     Cancel, Change, Decode, Import, Line, Order, Prefill, Prefilled, Resume,
 };
 use chestnutrack_standin::{answer, engine};
+use prometheus::Registry;
 use quickcheck::quickcheck;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -528,6 +529,20 @@
     }
 }
 
+#[tokio::test]
+async fn a_refusal_whose_text_does_not_come_is_one_all_the_same() {
+    let fenced = "HTTP/1.1 412 Fenced\r\ncontent-length: 10\r\n\r\n{";
+    let acts = vec![Act::Hold(fenced), Act::Send(fenced)];
+    let begin = Duration::from_millis(500);
+    let settings = Settings { begin, ..Settings::default() };
+    let client = Client::new(scripted(acts).await, settings, None);
+
+    let silent = client.decode(&decode("a.1", 5)).await.map(drop);
+    let cut = client.decode(&decode("a.1", 5)).await.map(drop);
+
+    assert_eq!((silent, cut), (Err(Error::Fenced), Err(Error::Fenced)));
+}
+
 #[tokio::test]
 async fn a_line_without_end_is_an_error() {
     let line = "x".repeat(100_000);
@@ -546,21 +561,46 @@
     let head = "HTTP/1.1 200 OK\r\ncontent-length: 101\r\n\r\n";
     let large = format!("{head}{}", "x".repeat(101)).leak();
     let silent = Act::Hold("");
-    let acts = vec![Act::Send(body), Act::Send(large), Act::Send(""), silent];
+    let empty = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let acts = [body, large, "", body, empty].map(Act::Send).into_iter().chain([silent]).collect();
     let settings = Settings { answer_bytes: 100, ..Settings::default() };
     let client = Client::new(scripted(acts).await, settings, None);
 
     let foreign = client.load().await.unwrap_err();
     let large = client.holds().await.unwrap_err();
     let cut = client.prefill(&prefill("a.1", PROMPT)).await.unwrap_err();
+    let strange = client.prefill(&prefill("a.1", PROMPT)).await.unwrap_err();
+    let empty = client.cancel(&cancel("a.1")).await;
     let silent = client.cancel(&cancel("a.1")).await.unwrap_err();
 
+    assert!(matches!(strange, Error::Unknown(_)), "{strange:?}");
+    assert_eq!(empty, Ok(()));
     assert!(matches!(&foreign, Error::Malformed(place, _) if place == "load"), "{foreign:?}");
     assert_eq!(large, Error::Unknown("body is larger than 100 bytes".to_owned()));
     assert!(matches!(cut, Error::Unknown(_)), "{cut:?}");
     assert!(matches!(silent, Error::Unknown(_)), "{silent:?}");
 }
 
+#[tokio::test]
+async fn errors_are_counted_by_call_and_kind() {
+    let registry = Registry::new();
+    let address = support::engine(quick()).await;
+    let client = Client::new(address, Settings::default(), Some(&registry));
+
+    let _ = client.import(&import("a.1", address, 100)).await;
+    let _ = client.decode(&decode("a.1", 5)).await;
+    let _ = client.holds().await;
+
+    let families = registry.gather();
+    let errors = families.iter().find(|family| family.name() == "chestnutrack_engine_errors_total");
+    let counted = errors.unwrap().get_metric().iter().map(|metric| {
+        let labels = metric.get_label().iter().map(|label| label.value());
+        (labels.collect::<Vec<_>>(), metric.get_counter().get_value() as u64)
+    });
+    let expected = [(vec!["decode", "missing"], 1), (vec!["import", "missing"], 1)];
+    assert_eq!(counted.collect::<Vec<_>>(), expected);
+}
+
 #[tokio::test]
 async fn an_order_that_reaches_nobody_was_not_sent() {
     let (address, listener) = support::listener().await;
--- a/crates/standin/tests/platform_client.rs
+++ b/crates/standin/tests/platform_client.rs
@@ -294,19 +294,22 @@
     let body = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{\"foo\":1}";
     let gateway = "HTTP/1.1 502 Bad Gateway\r\ncontent-length: 0\r\n\r\n";
     let busy = "HTTP/1.1 503 Busy\r\ncontent-length: 4\r\n\r\nbusy";
-    let acts = [body, body, gateway, busy, "SSH-2.0-hello\r\n\r\n"].map(Act::Send);
+    let conflict = "HTTP/1.1 409 Conflict\r\ncontent-length: 2\r\n\r\n{}";
+    let acts = [body, body, gateway, busy, conflict, "SSH-2.0-hello\r\n\r\n"].map(Act::Send);
     let client = client(scripted(acts.to_vec()).await);
 
     let read = client.read("claims", "a").await.unwrap_err();
     let write = client.create("claims", "a", &mark("x")).await.unwrap_err();
     let gateway = client.create("claims", "a", &mark("x")).await.unwrap_err();
     let busy = client.create("claims", "a", &mark("x")).await.unwrap_err();
+    let conflict = client.create("claims", "a", &mark("x")).await.unwrap_err();
     let strange = client.create("claims", "a", &mark("x")).await.unwrap_err();
 
     assert!(matches!(&read, Error::Malformed(place, _) if place == "read"), "{read:?}");
     assert!(matches!(write, Error::Unknown(_)), "{write:?}");
     assert!(matches!(gateway, Error::Unknown(_)), "{gateway:?}");
     assert_eq!(busy, Error::Refused(503, "busy".to_owned()));
+    assert_eq!(conflict, Error::Refused(409, "{}".to_owned()));
     assert!(matches!(strange, Error::Unknown(_)), "{strange:?}");
 }
 
