--- a/crates/load/src/call/mod.rs
+++ b/crates/load/src/call/mod.rs
@@ -6,6 +6,7 @@
 
 use chestnutrack_harness::Error;
 use chestnutrack_harness::caller::{self, Answer, Call};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -41,12 +42,24 @@
         self.answer.json()["error"]["code"].as_str().unwrap_or_default().to_owned()
     }
 
+    /// The code of the event by which a stream says that it can't be completed, if there is one.
+    pub fn stream_error(&self) -> Option<String> {
+        let text = self.answer.text();
+        let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
+        let mut parsed = events.filter_map(|event| serde_json::from_str::<Value>(event).ok());
+        let error = parsed.find(|event| event.get("error").is_some())?;
+        Some(error["error"]["code"].as_str().unwrap_or_default().to_owned())
+    }
+
     /// Whether the answer is no refusal.
     pub fn is_success(&self) -> bool {
         (200..300).contains(&self.answer.status)
     }
 }
 
+/// Longest time for an answer to begin; longer than any deadline of the deployments.
+const PATIENCE: Duration = Duration::from_secs(75);
+
 /// Makes a call, reads the whole answer and notes when its parts came.
 ///
 /// # Errors
@@ -54,7 +67,7 @@
 /// [`Error::Call`] when no whole answer came.
 pub async fn send(address: SocketAddr, call: &Call) -> Result<Reply, Error> {
     let start = Instant::now();
-    let mut opened = caller::open(address, call).await?;
+    let mut opened = caller::open_within(address, call, PATIENCE).await?;
     let mut first = None;
     let mut between = Vec::new();
     let mut last = start;
