Fairness counts what an organisation used; invariants of plain services

An organisation that asks for long answers and gets short ones was charged for the longest: of 30 grants it got 4 beside one that asks for what it uses. The unused part is handed back at the end of an answer; now it gets 13 to 17 of 30 (the test's bound; fair.rs).

--- a/crates/core/src/server/decode.rs
+++ b/crates/core/src/server/decode.rs
@@ -176,6 +176,10 @@
             return;
         }
         hold.answer.finish = Some(finish);
+        if let Work::Decode(ask, _) = &hold.work {
+            let unused = ask.output_tokens.saturating_sub(total);
+            self.fair.refund(&hold.organisation, u64::from(unused));
+        }
         hold.stage = Stage::Ended { until: now + self.settings.ended_keep };
         let (request, attempt) = hold.id;
         self.count(Counter::Whole);
--- a/crates/core/src/server/wait.rs
+++ b/crates/core/src/server/wait.rs
@@ -48,6 +48,13 @@
         self.times.get(organisation).copied().unwrap_or(0).max(self.floor)
     }
 
+    /// Gives tokens back that an organisation was charged for and did not use.
+    pub fn refund(&mut self, organisation: &Arc<str>, tokens: u64) {
+        if let Some(time) = self.times.get_mut(organisation) {
+            *time = time.saturating_sub(tokens);
+        }
+    }
+
     /// Charges an organisation for the grant of a waiter, one of `waiters`.
     pub fn charge(&mut self, granted: &Waiter, tokens: u64, waiters: &[Waiter]) {
         let time = self.time(&granted.organisation);
--- a/crates/core/tests/server/fair.rs
+++ b/crates/core/tests/server/fair.rs
@@ -113,6 +113,33 @@
     assert_eq!(place, 3 + run, "after the interactive ones that may pass it, and no later");
 }
 
+#[test]
+fn an_organisation_is_charged_for_what_it_used() {
+    let mut world = World::new(Role::Decode);
+    // Both use as much; the first asks for answers far longer than those that it gets.
+    let long = Reserve { output_tokens: 400, ..reserve("short-answers", 100, 60_000) };
+    let exact = Reserve { output_tokens: 1, ..reserve("exact", 100, 60_000) };
+    for number in 0..30 {
+        ask(&mut world, 1, number, long.clone());
+        ask(&mut world, 2, number, exact.clone());
+    }
+
+    let mut done = 0;
+    while done < 30 {
+        let granted = world.reserved();
+        for request in &granted[done..] {
+            world.frame(0, Frame::Decode(*request, Attempt(1), decode(1)));
+            world.settle();
+            world.step(0, false);
+            world.step(0, true);
+        }
+        done = granted.len();
+    }
+
+    let first = world.reserved()[..30].iter().filter(|request| request.0 < 2_000).count();
+    assert!((13..=17).contains(&first), "{first} of 30");
+}
+
 #[test]
 fn an_organisation_may_not_fill_the_queue() {
     let mut world = World::new(Role::Decode);
--- a/crates/core/tests/server/invariant.rs
+++ b/crates/core/tests/server/invariant.rs
@@ -1,12 +1,12 @@
 //! What must hold whatever happens, over random lists of events.
 
-use super::model::{Variant, World, decode, prefill, reserve};
+use super::model::{Variant, World, decode, forward, prefill, reserve};
 use chestnutrack_core::server::count::Reason;
 use chestnutrack_core::server::settings::FREED_WITHIN;
 use chestnutrack_core::server::{Counter, Event};
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::Frame;
-use chestnutrack_wire::frame::{Cause, Ran, Reserve};
+use chestnutrack_wire::frame::{Cause, Forward, Ran, Reserve};
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use std::collections::HashSet;
 
@@ -87,6 +87,10 @@
             let organisation = if request % 2 == 0 { "dairy-coop" } else { "honey-shop" };
             let frame = match role {
                 Role::Prefill => Frame::Prefill(id, attempt, prefill(organisation, tokens, 3_000)),
+                Role::Plain => {
+                    let ask = forward(u32::from(size) * 4, 1_000);
+                    Frame::Forward(id, attempt, Forward { body: vec![request], ..ask })
+                }
                 _ => {
                     let needed_in_ms = u32::from(u8::MAX - size) * 100;
                     let ask = reserve(organisation, tokens, 500);
@@ -113,6 +117,14 @@
             let frame = Frame::Resume(id, attempt, u64::from(offset));
             world.frame(usize::from(host), frame);
         }
+        Step::Arrive(index) if role == Role::Plain => {
+            let calls = world.calls.len().max(1);
+            world.call_arrives(usize::from(index) % calls);
+        }
+        Step::Answer(index, lost) if role == Role::Plain => {
+            let calls = world.calls.len().max(1);
+            world.call_ends(usize::from(index) % calls, lost);
+        }
         Step::Arrive(index) => {
             let open = world.open.len().max(1);
             world.arrive(usize::from(index) % open);
@@ -143,6 +155,10 @@
         host.pings = false;
     }
     world.run(u64::try_from(FREED_WITHIN.as_millis()).unwrap());
+    let used = world.server.used().slots;
+    if used > 0 {
+        world.violations.push(format!("{used} slots are still taken"));
+    }
     if !world.engine.is_empty() {
         let left = format!("the engine still holds {:?}", world.engine);
         world.violations.push(left);
@@ -159,6 +175,7 @@
     }
     match role {
         Role::Prefill => |steps| verdict(&run(Role::Prefill, Variant::Whole, &steps)),
+        Role::Plain => |steps| verdict(&run(Role::Plain, Variant::Whole, &steps)),
         _ => |steps| verdict(&run(Role::Decode, Variant::Whole, &steps)),
     }
 }
@@ -178,6 +195,11 @@
     check(Role::Prefill);
 }
 
+#[test]
+fn a_plain_server_keeps_its_promises() {
+    check(Role::Plain);
+}
+
 #[test]
 fn the_lists_reach_every_stage() {
     let mut lists = Gen::from_size_and_seed(STEPS, SEED);
--- a/crates/core/tests/server/model.rs
+++ b/crates/core/tests/server/model.rs
@@ -70,6 +70,8 @@
     pub engine: BTreeMap<Arc<str>, u32>,
     pub streams: HashMap<Key, (Arc<str>, u32)>,
     pub calls: Vec<(Key, Forward)>,
+    /// Bodies of the calls that were made at any time.
+    pub called: HashSet<Vec<u8>>,
     /// Frames sent, with their connection.
     pub sent: Vec<(Connection, Frame)>,
     /// Orders that begin a request on the engine, by name.
@@ -125,6 +127,7 @@
             engine: BTreeMap::new(),
             streams: HashMap::new(),
             calls: Vec::new(),
+            called: HashSet::new(),
             sent: Vec::new(),
             begun: HashMap::new(),
             accepted: HashSet::new(),
@@ -179,7 +182,12 @@
                 self.streams.remove(&key);
                 self.calls.retain(|(call, _)| *call != key);
             }
-            Effect::Call(key, ask) => self.calls.push((key, ask)),
+            Effect::Call(key, ask) => {
+                if !self.called.insert(ask.body.clone()) {
+                    self.violations.push(format!("{:?} is called again", ask.body));
+                }
+                self.calls.push((key, ask));
+            }
             Effect::Close(connection) => {
                 for host in &mut self.hosts {
                     if host.connection == Some(connection) {
@@ -303,6 +311,32 @@
         self.engine.iter().map(held).collect()
     }
 
+    /// The plain service takes a call; the first byte of its body is the request.
+    pub fn call_arrives(&mut self, index: usize) {
+        if let Some((_, ask)) = self.calls.get(index) {
+            let request = Request(u128::from(ask.body[0]));
+            self.accepted.insert(hold::engine_id((request, Attempt(1))));
+        }
+    }
+
+    /// A call is answered whole, or its connection breaks; one that has not arrived can only fail.
+    pub fn call_ends(&mut self, index: usize, lost: bool) {
+        if index >= self.calls.len() {
+            return;
+        }
+        let (key, ask) = self.calls.remove(index);
+        let id = hold::engine_id((Request(u128::from(ask.body[0])), Attempt(1)));
+        let arrived = self.accepted.contains(&id);
+        if !arrived || lost {
+            let ran = if arrived { Ran::Unknown } else { Ran::NotRun };
+            self.event(Event::CallFailed(key, ran));
+            return;
+        }
+        self.event(Event::Head(key, 200, Vec::new()));
+        self.event(Event::Body(key, ask.body));
+        self.event(Event::BodyEnd(key));
+    }
+
     /// Every open order arrives and is answered, until none is left.
     pub fn settle(&mut self) {
         while !self.open.is_empty() {
