A replaced incarnation that wakes up takes nothing from the one that replaced it

Cause: incarnations are random, so a stopped entry host that was replaced and then wakes up looked like a newer one of its name: its introduction freed what the live one had (test: 0 of 1 answers left before, 1 of 1 after). A replaced incarnation is now sent away while the other is connected.

--- a/crates/core/src/server/frame.rs
+++ b/crates/core/src/server/frame.rs
@@ -72,7 +72,11 @@
             self.successor(connection);
             return;
         }
-        let introduced = self.owners.introduce(now, connection, sender);
+        let Some(introduced) = self.owners.introduce(now, connection, sender) else {
+            self.count(Counter::Foreign);
+            self.effects.push(Effect::Close(connection));
+            return;
+        };
         if let Some(old) = introduced.replaced {
             self.detach(now, old);
             self.effects.push(Effect::Close(old));
--- a/crates/core/src/server/owner.rs
+++ b/crates/core/src/server/owner.rs
@@ -4,7 +4,7 @@
 use crate::time::Instant;
 use chestnutrack_wire::frame::{Load, Sender};
 use slotmap::{SlotMap, new_key_type};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 new_key_type! {
@@ -12,6 +12,9 @@
     pub struct Key;
 }
 
+/// Replaced incarnations that are remembered.
+const REPLACED_MAX: usize = 1_024;
+
 /// An entry host: one incarnation of one name.
 #[derive(Clone, Debug)]
 pub struct Owner {
@@ -30,6 +33,8 @@
 pub struct Owners {
     owners: SlotMap<Key, Owner>,
     connections: HashMap<Connection, Key>,
+    /// Incarnations that another of their name has replaced, oldest first.
+    replaced: VecDeque<Sender>,
 }
 
 /// What an introduction has changed.
@@ -44,13 +49,20 @@
 }
 
 impl Owners {
-    /// Takes the first frame of a connection.
+    /// Takes the first frame of a connection; `None` for an incarnation that was replaced, such
+    /// as a process that was stopped meanwhile, while the one that replaced it is connected.
     pub fn introduce(
         &mut self,
         now: Instant,
         connection: Connection,
         sender: Sender,
-    ) -> Introduced {
+    ) -> Option<Introduced> {
+        if self.replaced.contains(&sender) {
+            if self.has_other(&sender) {
+                return None;
+            }
+            self.replaced.retain(|replaced| *replaced != sender);
+        }
         let same_name = self.owners.iter().filter(|(_, owner)| owner.sender.name == sender.name);
         let (known, gone): (Vec<_>, Vec<_>) = same_name
             .map(|(key, owner)| (key, owner.sender.incarnation))
@@ -69,7 +81,25 @@
             self.connections.remove(&old);
         }
         self.connections.insert(connection, key);
-        Introduced { key, replaced, gone: gone.into_iter().map(|(key, _)| key).collect() }
+        let gone: Vec<Key> = gone.into_iter().map(|(key, _)| key).collect();
+        for key in &gone {
+            self.note_replaced(*key);
+        }
+        Some(Introduced { key, replaced, gone })
+    }
+
+    /// Whether another incarnation of a name is connected.
+    fn has_other(&self, sender: &Sender) -> bool {
+        let mut connected = self.owners.values().filter(|owner| owner.connection.is_some());
+        connected.any(|owner| owner.sender.name == sender.name && owner.sender != *sender)
+    }
+
+    fn note_replaced(&mut self, key: Key) {
+        let Some(owner) = self.owners.get(key) else { return };
+        self.replaced.push_back(owner.sender.clone());
+        if self.replaced.len() > REPLACED_MAX {
+            self.replaced.pop_front();
+        }
     }
 
     /// Notes that a connection speaks, and says whose it is.
--- a/crates/core/tests/server/lease.rs
+++ b/crates/core/tests/server/lease.rs
@@ -89,6 +89,40 @@
     assert!(world.server.is_idle());
 }
 
+#[test]
+fn an_old_incarnation_that_wakes_up_takes_nothing_from_the_new_one() {
+    let mut world = World::new(Role::Decode);
+    world.connect(0);
+    world.hosts[0].incarnation += 1;
+    world.connect(0);
+    world.frame(0, Frame::Reserve(Request(1), ATTEMPT, reserve("dairy-coop", 200, 1_000)));
+    world.frame(0, Frame::Decode(Request(1), ATTEMPT, decode(100)));
+    world.settle();
+    let live = world.hosts[0].connection;
+
+    world.hosts[0].incarnation -= 1;
+    world.connect(0);
+    world.hosts[0].connection = live;
+    world.run(1_000);
+
+    assert_eq!(world.engine.len(), 1);
+}
+
+#[test]
+fn a_replaced_incarnation_may_come_back_once_the_other_is_gone() {
+    let mut world = World::new(Role::Decode);
+    world.connect(0);
+    world.hosts[0].incarnation += 1;
+    world.connect(0);
+    world.disconnect(0);
+    world.hosts[0].incarnation -= 1;
+
+    world.connect(0);
+    world.frame(0, Frame::Reserve(Request(1), ATTEMPT, reserve("dairy-coop", 200, 1_000)));
+
+    assert_eq!(world.reserved(), [Request(1)]);
+}
+
 #[test]
 fn a_reservation_given_before_leaving_may_be_used_for_a_while() {
     let mut world = World::new(Role::Decode);
--- a/crates/side/tests/fault.rs
+++ b/crates/side/tests/fault.rs
@@ -222,6 +222,22 @@
     assert_eq!(refusal, (Request(2), Cause::Leaving, Ran::NotRun));
 }
 
+#[tokio::test]
+async fn without_waiting_a_process_that_ends_cuts_its_answers() {
+    let world = world().await;
+    let mut host = start(&world, Request(1)).await;
+    let mut tokens = some_tokens(&mut host).await;
+
+    world.decode.program.kill();
+    while let Ok(frame) = host.connection.receiver.receive().await {
+        if let Frame::Tokens(_, _, _, texts) = frame {
+            tokens.extend(texts.iter().map(ToString::to_string));
+        }
+    }
+
+    assert_ne!(tokens.concat(), whole());
+}
+
 #[tokio::test]
 async fn a_peer_of_a_newer_version_is_sent_away_and_others_stay() {
     let world = world().await;
