--- a/crates/core/src/server/lease.rs
+++ b/crates/core/src/server/lease.rs
@@ -7,6 +7,7 @@
 use super::{Counter, Server, owner};
 use crate::time::Instant;
 use chestnutrack_wire::frame::{Cause, Failure, Ran};
+use std::collections::HashSet;
 use std::time::Duration;
 
 impl Server {
@@ -39,15 +40,18 @@
         }
     }
 
+    /// Ends the connections that are silent: sooner where they carry live work.
     fn drop_silent(&mut self, now: Instant) {
+        let live: HashSet<_> = self.holds.values().filter_map(|hold| hold.connection).collect();
         let silent = self.owners.iter().filter_map(|(_, owner)| {
-            let silent = now.since(owner.heard) > self.settings.silent;
-            owner.connection.filter(|_| silent)
+            let connection = owner.connection?;
+            let bound = match live.contains(&connection) {
+                true => self.settings.silent,
+                false => self.settings.silent_idle,
+            };
+            (now.since(owner.heard) > bound).then_some(connection)
         });
-        let live = |connection: &Connection| {
-            self.holds.values().any(|hold| hold.connection == Some(*connection))
-        };
-        let silent: Vec<_> = silent.filter(live).collect();
+        let silent: Vec<_> = silent.collect();
         for connection in silent {
             self.effects.push(Effect::Close(connection));
             self.disconnected(now, connection);
--- a/crates/core/src/server/settings.rs
+++ b/crates/core/src/server/settings.rs
@@ -20,6 +20,8 @@
 pub struct Settings {
     /// Longest silence of a connection that carries live work.
     pub silent: Duration,
+    /// Longest silence of a connection that carries none.
+    pub silent_idle: Duration,
     /// Time in which a hold whose connection is gone may be claimed on a new one.
     pub resume_grace: Duration,
     /// Time in which running answers may be claimed after this process started.
@@ -65,6 +67,7 @@
     fn default() -> Settings {
         Settings {
             silent: SILENT,
+            silent_idle: Duration::from_secs(10),
             resume_grace: RESUME_GRACE,
             claim_bound: CLAIM_BOUND,
             leaving_grace: LEAVING_GRACE,
--- a/crates/core/tests/server/lease.rs
+++ b/crates/core/tests/server/lease.rs
@@ -4,7 +4,7 @@
 use chestnutrack_core::server::settings::{
     CLAIM_BOUND, LEAVING_GRACE, PAUSE_BOUND, RESUME_GRACE, SILENT,
 };
-use chestnutrack_core::server::{Authority, Counter, Event, Task};
+use chestnutrack_core::server::{Authority, Counter, Event, Settings, Task};
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::frame::{Cause, Ran, Reserve};
 use chestnutrack_wire::{Attempt, Frame, Request};
@@ -77,6 +77,20 @@
     assert_eq!((before, world.engine.len()), (1, 0));
 }
 
+#[test]
+fn a_connection_without_work_is_ended_after_a_longer_silence() {
+    let mut world = World::new(Role::Decode);
+    world.connect(0);
+    world.hosts[0].pings = false;
+
+    world.run(millis(SILENT + RESUME_GRACE));
+    let kept = world.hosts[0].connection.is_some();
+    world.run(millis(Settings::default().silent_idle));
+
+    assert!(kept);
+    assert_eq!(world.hosts[0].connection, None);
+}
+
 #[test]
 fn a_new_incarnation_frees_what_the_old_one_had_at_once() {
     let mut world = decoding(2);
