An order without a reservation may have run under the process before

Cause: after a restart a decode order that the earlier process may have carried out was refused as not run. Test before: not-run for a request that the engine held; after: unknown, and not-run only once the engine was asked and doesn't hold it.

--- a/crates/core/src/server/decode.rs
+++ b/crates/core/src/server/decode.rs
@@ -65,7 +65,7 @@
         }
         if !self.index.contains_key(&asked.id) {
             if self.past.get(asked.id).is_none() {
-                self.refuse(now, asked, Cause::ReservationLapsed);
+                self.refuse_unreserved(now, asked);
             }
             return;
         }
@@ -83,6 +83,16 @@
         self.changed = true;
     }
 
+    /// Refuses an order without a reservation. One that the process before this one may have
+    /// carried out is not said to be not run.
+    fn refuse_unreserved(&mut self, now: Instant, asked: &Asked) {
+        if self.reconcile.may_hold(asked.id) {
+            self.say_failed(now, asked, failure(Cause::ReservationLapsed, Ran::Unknown));
+        } else {
+            self.refuse(now, asked, Cause::ReservationLapsed);
+        }
+    }
+
     /// Starts the imports whose turn has come. One at a time uses the link, unless a turn is due.
     pub(super) fn start_imports(&mut self, now: Instant) {
         loop {
--- a/crates/core/src/server/reconcile.rs
+++ b/crates/core/src/server/reconcile.rs
@@ -46,6 +46,11 @@
         self.found.is_empty()
     }
 
+    /// Whether the engine may hold a request from before this process started.
+    pub(super) fn may_hold(&self, id: Id) -> bool {
+        !self.listed || self.found.contains_key(&id)
+    }
+
     pub(super) fn disclaim(&mut self, id: Id) {
         self.early.retain(|early| early.id != id);
     }
--- a/crates/core/tests/server/lease.rs
+++ b/crates/core/tests/server/lease.rs
@@ -280,6 +280,21 @@
     assert_eq!(left, ["00000000000000000000000000000001.1"]);
 }
 
+#[test]
+fn an_order_that_the_process_before_may_have_carried_out_may_have_run() {
+    let mut world = World::new(Role::Decode);
+    world.engine.insert("00000000000000000000000000000001.1".into(), 200);
+
+    world.frame(0, Frame::Decode(Request(1), ATTEMPT, decode(100)));
+    world.run(100);
+    world.frame(0, Frame::Decode(Request(1), ATTEMPT, decode(100)));
+    world.frame(0, Frame::Decode(Request(2), ATTEMPT, decode(100)));
+
+    let lapsed = |request, ran| (Request(request), Cause::ReservationLapsed, ran);
+    let expected = [lapsed(1, Ran::Unknown), lapsed(1, Ran::Unknown), lapsed(2, Ran::NotRun)];
+    assert_eq!(world.failures(), expected);
+}
+
 #[test]
 fn an_answer_is_claimed_before_the_engine_was_asked() {
     let mut world = World::new(Role::Decode);
