--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -55,8 +55,9 @@
 }
 
 /// A member that was removed and may still be current.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Held {
+    identity: Identity,
     version: u64,
     ready: Option<Instant>,
 }
@@ -101,8 +102,10 @@
     table: Option<Table>,
     peers: BTreeMap<Arc<str>, Peer>,
     held: Vec<Held>,
-    /// Wait of a member that joined before it has a share; absent once it has one.
+    /// Wait of a member that joined without knowing who was removed; it has no share meanwhile.
     probation: Option<Held>,
+    /// Whether it has joined and not been current since: others may not have shrunk their shares.
+    fresh: bool,
     founder: bool,
     listed: bool,
     left: bool,
@@ -118,6 +121,7 @@
             peers: BTreeMap::new(),
             held: Vec::new(),
             probation: None,
+            fresh: false,
             founder: false,
             listed: false,
             left: false,
@@ -185,10 +189,17 @@
 
     /// A member that is gone counts on until its lease has surely lapsed, unless it is dead.
     fn hold_removed(&mut self, table: &Table) {
-        let gone = |peer: &&Peer| !peer.dead && !table.lists(&peer.member.identity);
-        let count = self.peers.values().filter(gone).count();
-        let held = Held { version: table.version, ready: None };
-        self.held.extend(std::iter::repeat_n(held, count));
+        self.held.retain(|held| !table.lists(&held.identity));
+        let gone = self.peers.values().filter(|peer| !peer.dead);
+        let gone = gone.map(|peer| &peer.member.identity);
+        let former = table.former.iter().flatten().filter(|identity| **identity != self.me);
+        let away: Vec<_> =
+            gone.chain(former).filter(|identity| !table.lists(identity)).cloned().collect();
+        for identity in away {
+            if !self.held.iter().any(|held| held.identity == identity) {
+                self.held.push(Held { identity, version: table.version, ready: None });
+            }
+        }
     }
 
     fn replace_peers(&mut self, now: Instant, table: &Table) {
@@ -212,8 +223,10 @@
         if listed && !self.listed {
             self.joins += 1;
             let founder = self.founder && table.members.len() == 1;
-            let wait = Held { version: table.version, ready: None };
-            self.probation = (!founder).then_some(wait);
+            let knows = founder || table.former.is_some();
+            let wait = Held { identity: self.me.clone(), version: table.version, ready: None };
+            self.probation = (!knows).then_some(wait);
+            self.fresh = true;
         }
         self.founder = false;
         self.listed = listed;
@@ -309,11 +322,11 @@
     /// By how many the fleet's rates are divided on this member; `None` before it has a share.
     pub fn divisor(&mut self, now: Instant) -> Option<u32> {
         self.advance(now);
-        if self.probation.is_some() || !self.listed {
+        if self.probation.is_some() || self.fresh || !self.listed {
             return None;
         }
-        let listed = self.table.as_ref().map_or(0, |table| table.members.len());
-        u32::try_from(listed + self.held.len()).ok()
+        let alive = self.peers.values().filter(|peer| !peer.dead).count();
+        u32::try_from(1 + alive + self.held.len()).ok()
     }
 
     /// Whether every live member was seen with at least this version of the configuration.
@@ -348,9 +361,11 @@
     }
 
     fn departure(&self) -> Duty {
-        let without =
-            |table: &Table| Table { version: table.version, members: table.without(&self.me.name) };
-        self.table.as_ref().map_or(Duty::None, |table| Duty::Write(without(table)))
+        let Some(table) = &self.table else {
+            return Duty::None;
+        };
+        let members = table.without(&self.me.name);
+        Duty::Write(Table { version: table.version, members, former: self.former(&[]) })
     }
 
     fn entry(&mut self, seen: Option<&Table>, address: SocketAddr) -> Duty {
@@ -360,10 +375,19 @@
             .table
             .as_ref()
             .filter(|known| seen.is_some_and(|seen| seen.version < known.version));
-        let nothing = Table { version: 0, members: Vec::new() };
+        let former = self.founder.then(Vec::new);
+        let nothing = Table { version: 0, members: Vec::new(), former };
         let base = known.or(seen).unwrap_or(&nothing);
-        let member = Member { identity: self.me.clone(), address };
-        Duty::Write(Table { version: base.version, members: base.with(member) })
+        Duty::Write(base.with(Member { identity: self.me.clone(), address }))
+    }
+
+    /// Members that may still be current although they are not in the table, and more.
+    fn former(&self, more: &[Identity]) -> Option<Vec<Identity>> {
+        if self.probation.is_some() {
+            return None;
+        }
+        let held = self.held.iter().map(|held| &held.identity);
+        Some(held.chain(more).cloned().collect())
     }
 
     /// The table without the members that this one may remove now, if there are any.
@@ -382,9 +406,13 @@
             let peer = self.peers.get(&member.identity.name);
             peer.is_some_and(|peer| peer.is_gone(now, patience))
         };
-        let members: Vec<_> = table.members.iter().filter(|m| !gone(m)).cloned().collect();
-        let changed = members.len() < table.members.len();
-        changed.then_some(Table { version: table.version, members })
+        let (away, members): (Vec<_>, Vec<_>) = table.members.iter().cloned().partition(gone);
+        if away.is_empty() {
+            return None;
+        }
+        let dead = |identity: &Identity| self.peers.get(&identity.name).is_some_and(|p| p.dead);
+        let away: Vec<_> = away.into_iter().map(|m| m.identity).filter(|i| !dead(i)).collect();
+        Some(Table { version: table.version, members, former: self.former(&away) })
     }
 
     /// Whether most of the table is silent, so that this member is likely to be the one cut off.
@@ -405,7 +433,8 @@
         (peer.member.identity == *identity).then_some(peer)
     }
 
-    /// Ends holds on removed members whose leases have surely lapsed, and the own probation.
+    /// Ends holds on removed members whose leases have surely lapsed, and what the own share waits
+    /// for.
     fn advance(&mut self, now: Instant) {
         let peers = &self.peers;
         let seen = |version| peers.values().all(|peer| peer.dead || peer.seen >= version);
@@ -419,6 +448,8 @@
         if self.probation.as_mut().is_some_and(lapsed) {
             self.probation = None;
         }
+        // One that was removed without having heard of this member has not shrunk its share.
+        self.fresh &= !(self.held.is_empty() && self.is_current(now));
     }
 }
 
--- a/crates/core/src/member/table.rs
+++ b/crates/core/src/member/table.rs
@@ -30,6 +30,9 @@
     pub version: u64,
     /// The members; one that joins is put last.
     pub members: Vec<Member>,
+    /// Members that were removed and may still be current, as far as the writer knew; absent where
+    /// that is not known.
+    pub former: Option<Vec<Identity>>,
 }
 
 impl Table {
@@ -43,11 +46,20 @@
         self.members.iter().position(|member| member.identity == *identity)
     }
 
-    /// The members with one more; an older incarnation of the same name goes.
-    pub fn with(&self, member: Member) -> Vec<Member> {
+    /// The table with one more member; an older incarnation of the same name goes.
+    pub fn with(&self, member: Member) -> Table {
+        let older = |other: &&Member| {
+            other.identity.name == member.identity.name && other.identity != member.identity
+        };
+        let replaced = self.members.iter().filter(older).map(|other| other.identity.clone());
+        let former = self.former.clone().map(|mut former| {
+            former.retain(|identity| *identity != member.identity);
+            former.extend(replaced);
+            former
+        });
         let mut members = self.without(&member.identity.name);
         members.push(member);
-        members
+        Table { version: self.version, members, former }
     }
 
     /// The members but for one name.
--- a/crates/core/src/member/tests.rs
+++ b/crates/core/src/member/tests.rs
@@ -19,7 +19,17 @@
 
 fn table(version: u64, names: &[&str]) -> Table {
     let member = |name: &&str| Member { identity: identity(name), address: address() };
-    Table { version, members: names.iter().map(member).collect() }
+    Table { version, members: names.iter().map(member).collect(), former: Some(Vec::new()) }
+}
+
+/// A table whose writer did not know who was removed.
+fn unsure(table: Table) -> Table {
+    Table { former: None, ..table }
+}
+
+/// A table whose writer held `x` for possibly current.
+fn after(table: Table, name: &str) -> Table {
+    Table { former: Some(vec![identity(name)]), ..table }
 }
 
 /// A member that a table was offered to at 0 ms.
@@ -59,17 +69,42 @@
 }
 
 #[test]
-fn one_that_joins_has_no_share_until_earlier_leases_have_lapsed() {
-    let mut b = member("b", 2, &["a", "b"]);
+fn one_that_joins_has_no_share_until_the_leases_of_removed_ones_have_lapsed() {
+    let mut b = Membership::new(identity("b"));
+    b.offer(at(0), after(table(2, &["a", "b"]), "x"));
 
     b.answered(at(10), &identity("a"), answer(0, 2));
-    let early = b.divisor(at(lease()));
+    b.answered(at(2_000), &identity("a"), answer(1_990, 2));
+    let early = b.divisor(at(9 + lease()));
+    let late = b.divisor(at(10 + lease()));
+
+    assert_eq!((early, late), (None, Some(2)));
+}
+
+#[test]
+fn one_that_joins_without_knowing_who_was_removed_has_no_share_for_a_while() {
+    let mut b = Membership::new(identity("b"));
+    b.offer(at(0), unsure(table(2, &["a", "b"])));
+
+    b.answered(at(10), &identity("a"), answer(0, 2));
+    let early = b.divisor(at(9 + lease()));
     let late = b.divisor(at(10 + lease()));
 
     assert!(b.is_current(at(20)));
     assert_eq!((early, late), (None, Some(2)));
 }
 
+#[test]
+fn the_share_of_a_dead_member_is_taken_over_at_once() {
+    let mut b = member("b", 2, &["a", "b"]);
+    b.answered(at(10), &identity("a"), answer(0, 2));
+
+    b.proven_dead(at(500), &identity("a"));
+
+    assert_eq!(b.divisor(at(500)), Some(1));
+    assert_eq!(b.duty(at(500), None, address()), Duty::Write(table(2, &["b"])));
+}
+
 #[test]
 fn an_answer_counts_from_when_the_ask_was_sent() {
     let mut b = member("b", 2, &["a", "b"]);
@@ -145,9 +180,9 @@
     b.answered(at(10), &identity("a"), answer(0, 2));
     let once_vouched = b.duty(silent, None, address());
 
-    assert_eq!(by_a, Duty::Write(table(2, &["a"])));
+    assert_eq!(by_a, Duty::Write(after(table(2, &["a"]), "b")));
     assert_eq!(by_b, Duty::None);
-    assert_eq!(once_vouched, Duty::Write(table(2, &["b"])));
+    assert_eq!(once_vouched, Duty::Write(after(table(2, &["b"]), "a")));
 }
 
 #[test]
@@ -193,20 +228,23 @@
     let now = at(0) + SUSPECT + Duration::from_millis(300);
 
     assert_eq!(a.duty(now, None, address()), Duty::None);
-    assert_eq!(b.duty(now, None, address()), Duty::Write(table(3, &["b", "c"])));
+    let without_a = after(table(3, &["b", "c"]), "a");
+    assert_eq!(b.duty(now, None, address()), Duty::Write(without_a));
 }
 
 #[test]
-fn a_removed_member_joins_again_at_the_end_and_without_a_share() {
+fn a_removed_member_joins_again_at_the_end_and_with_an_empty_bucket() {
     let mut b = member("b", 2, &["a", "b"]);
     b.answered(at(10), &identity("a"), answer(0, 2));
 
     b.offer(at(100), table(3, &["a"]));
     let removed = b.is_current(at(100));
-    let duty = b.duty(at(100), Some(Some(&table(3, &["a"]))), address());
+    let duty = b.duty(at(100), Some(Some(&after(table(3, &["a"]), "b"))), address());
     b.offer(at(200), table(4, &["a", "b"]));
+    let unvouched = b.divisor(at(200));
+    b.answered(at(220), &identity("a"), answer(210, 4));
 
     assert!(!removed);
     assert_eq!(duty, Duty::Write(table(3, &["a", "b"])));
-    assert_eq!((b.joins(), b.divisor(at(200))), (2, None));
+    assert_eq!((b.joins(), unvouched, b.divisor(at(220))), (2, None, Some(2)));
 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -114,6 +114,28 @@
     assert!(found.iter().any(|text| text.contains("shares add up")), "{found:?}");
 }
 
+/// A host is removed without having heard of one that joined: its share is still the greater.
+#[test]
+fn a_host_removed_before_it_heard_of_another_does_not_add_to_the_rate() {
+    let events = [
+        Event::Stop(2),
+        Event::Wait(2_843),
+        Event::Continue(2),
+        Event::Stop(1),
+        Event::Wait(2_718),
+    ];
+
+    assert_eq!(play(base(), &events), Vec::<String>::new());
+}
+
+/// Hosts that join count their tokens only once the others have shrunk their shares.
+#[test]
+fn hosts_that_join_do_not_add_to_the_rate() {
+    let found = play(settings(17_428_772_719_152_365_829), &[]);
+
+    assert_eq!(found, Vec::<String>::new());
+}
+
 fn base() -> Settings {
     Settings::default()
 }
--- a/crates/core/tests/world/host.rs
+++ b/crates/core/tests/world/host.rs
@@ -168,6 +168,8 @@
         let Some(table) = host.membership.table().cloned() else {
             return;
         };
+        // Frames don't tell who was removed.
+        let table = Table { former: None, ..table };
         for peer in host.peers() {
             world.send(index, &peer, Message::Members(table.clone()));
         }
@@ -386,7 +388,8 @@
         let (version, config) = (host.membership.version(), host.config.version());
         let answer = Answer { sent: now, members: version, listed, configuration: config };
         let age = host.config.confirmed_ago(now).unwrap_or(Duration::from_secs(3_600)) + STEP;
-        let table = host.membership.table().filter(|_| members < version).cloned();
+        let table = host.membership.table().filter(|_| members < version);
+        let table = table.map(|table| Table { former: None, ..table.clone() });
         world.send(index, from, Message::Vouched { ask, answer, age });
         if let Some(table) = table {
             world.send(index, from, Message::Members(table));
--- a/crates/fleet/src/member/exchange.rs
+++ b/crates/fleet/src/member/exchange.rs
@@ -180,7 +180,7 @@
                     address: member.address,
                 };
                 let members = members.into_iter().map(member).collect();
-                self.offer_table(now, Table { version, members });
+                self.offer_table(now, Table { version, members, former: None });
             }
             Frame::Configuration { version, document } => {
                 self.offer_config(now, version, Arc::from(document));
--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -4,7 +4,7 @@
 
 pub(crate) use verdict::{Case, Judgement, judge};
 
-use chestnutrack_core::member::{Member, Table};
+use chestnutrack_core::member::{Identity, Member, Table};
 use chestnutrack_core::time::Instant;
 use chestnutrack_platform::client::Client;
 use chestnutrack_platform::host;
@@ -116,21 +116,24 @@
 #[derive(Serialize, Deserialize)]
 struct Members {
     members: Vec<Member>,
+    /// Members that were removed and may still be current.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    former: Option<Vec<Identity>>,
 }
 
 /// A table as the object interface holds it.
 pub(crate) fn table(object: &Object) -> Option<Table> {
     let value = object.value.clone()?;
-    let Members { members } = serde_json::from_value(value).ok()?;
-    Some(Table { version: object.version, members })
+    let Members { members, former } = serde_json::from_value(value).ok()?;
+    Some(Table { version: object.version, members, former })
 }
 
 /// Writes a table over the version that it came from; returns the table as it then stands.
 pub(crate) async fn write_table(client: &Client, name: &str, table: Table) -> Option<Table> {
-    let members = table.members;
-    let value = serde_json::to_value(Members { members: members.clone() }).ok()?;
-    let version = client.update(MEMBERS, name, table.version, &value).await.ok()?;
-    Some(Table { version, members })
+    let Table { version, members, former } = table.clone();
+    let value = serde_json::to_value(Members { members, former }).ok()?;
+    let version = client.update(MEMBERS, name, version, &value).await.ok()?;
+    Some(Table { version, ..table })
 }
 
 /// The accepted document, as the object interface holds it.
