--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -5,25 +5,17 @@
 use std::sync::Arc;
 
 /// Faults in force.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Faults {
     /// Nothing is computed, moved or answered until this ends.
     pub(super) freeze: bool,
     /// Prefills still to come that fail with status 500 after their time.
     pub(super) fail_prefills: u64,
+    /// Orders still to come that take effect and whose connection is then cut.
+    pub(super) lose_answers: u64,
     /// Transfers don't move until this ends.
     pub(super) stall: bool,
-}
-
-/// A change of the faults; what isn't given stays.
-#[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(super) struct Change {
-    freeze: Option<bool>,
-    fail_prefills: Option<u64>,
-    stall: Option<bool>,
-    /// Cuts the connections of the streams that are open now.
-    #[serde(default)]
+    /// Cuts the connections of the streams that are open now; it doesn't last.
     pub(super) cut_streams: bool,
 }
 
@@ -45,6 +37,11 @@
     pub(super) undecoded_tokens: u64,
     /// Tokens of answers.
     pub(super) generated_tokens: u64,
+    /// Steps of the batch.
+    pub(super) steps: u64,
+    /// Time by which steps ended later than the model says, in microseconds; it grows when the
+    /// host is too busy to keep the model's time.
+    pub(super) late_us: u64,
     /// Answers generated whole.
     pub(super) answers: u64,
     /// Requests cancelled that held something.
@@ -87,12 +84,11 @@
         }
     }
 
-    pub(super) fn change(&mut self, change: &Change) -> Faults {
-        let faults = &mut self.faults;
-        faults.freeze = change.freeze.unwrap_or(faults.freeze);
-        faults.fail_prefills = change.fail_prefills.unwrap_or(faults.fail_prefills);
-        faults.stall = change.stall.unwrap_or(faults.stall);
-        *faults
+    /// Whether the answer to an order that took effect is lost.
+    pub(super) fn lose_answer(&mut self) -> bool {
+        let lost = self.faults.lose_answers > 0;
+        self.faults.lose_answers = self.faults.lose_answers.saturating_sub(1);
+        lost
     }
 
     /// Takes one from the prefills still to fail.
