Under overload, requests that can still meet their target go first

Cause: with more offered than the decode servers carry, the queue grew until every request waited longer than its first-token target: all were answered and none in time. A waiting request has now a target, the moment by which its turn must come: the first-token target less the time from turn to first token, mean plus two mean deviations, as learned from earlier requests. One whose target has passed is late and gets the turns that others leave, and one in 32 besides. The scripted runs state the deadline as the target, which leaves them as they were (one line in the bench crate).

--- a/crates/bench/src/scripted/entry.rs
+++ b/crates/bench/src/scripted/entry.rs
@@ -108,6 +108,7 @@
             may_wait: false,
             tokens: u64::from(arrival.prompt_tokens + arrival.output_tokens),
             arrived: arrival.at,
+            target: arrival.at + settings.deadline,
             deadline: arrival.at + settings.deadline,
             returned,
             item: index,
--- a/crates/core/src/place/choose.rs
+++ b/crates/core/src/place/choose.rs
@@ -13,7 +13,7 @@
 pub const CANDIDATES: usize = 4;
 /// Requests that may wait at one server beyond its slots, so that a slot that falls free is used
 /// at once.
-const AHEAD: u64 = 2;
+const AHEAD: u64 = 1;
 /// Loads closer than this share of the slots count as equal, in thousandths.
 const EQUAL_MILLI: u64 = 50;
 /// Prompt tokens by which a queue may be longer for a prefix held elsewhere in the same measure.
--- a/crates/core/src/place/table.rs
+++ b/crates/core/src/place/table.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Age at which a report of load says nothing any more.
-pub const LOAD_STALE: Duration = Duration::from_millis(4_000);
+/// Age from which a report of load counts less, and age at which it says nothing any more.
+pub const LOAD_STALE: (Duration, Duration) =
+    (Duration::from_millis(1_000), Duration::from_millis(4_000));
 /// How long a server that refused for want of room is passed over.
 pub const FULL_FOR: Duration = Duration::from_millis(20);
 
@@ -117,9 +118,10 @@
     pub fn expected_used_milli(&self, now: Instant) -> u64 {
         let known = u64::from(self.load.used + self.load.waiting + self.sent) * 1_000;
         let own = u64::from(self.held) * 1_000;
-        let age = now.since(self.reported).min(LOAD_STALE);
-        let fresh = u64::try_from((LOAD_STALE - age).as_millis()).unwrap_or(0);
-        let whole = u64::try_from(LOAD_STALE.as_millis()).unwrap_or(1).max(1);
+        let (from, to) = LOAD_STALE;
+        let age = now.since(self.reported).clamp(from, to);
+        let fresh = u64::try_from((to - age).as_millis()).unwrap_or(0);
+        let whole = u64::try_from((to - from).as_millis()).unwrap_or(1).max(1);
         own.max(known * fresh / whole)
     }
 
--- a/crates/core/src/place/tests.rs
+++ b/crates/core/src/place/tests.rs
@@ -42,7 +42,7 @@
             let base = server(&format!("s{index}"), Role::Decode);
             table.insert(Server { load, leaving, draining, connected, ..base });
         }
-        let open = |server: &Server| server.is_open() && server.load.used < server.slots + 2;
+        let open = |server: &Server| server.is_open() && server.load.used < server.slots + 1;
         match decode(&table, &ask(), NOW, &mut rng(seed)) {
             Some(key) => open(&table[key]),
             None => !table.values().any(open),
@@ -104,7 +104,7 @@
 fn requests_sent_since_a_report_count() {
     let mut table = Table::with_key();
     let key = table.insert(server("only", Role::Decode));
-    for _ in 0..6 {
+    for _ in 0..5 {
         table[key].note_sent(100);
     }
 
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -2,8 +2,12 @@
 //!
 //! Start-time fair queueing by tokens: an organisation's virtual time grows by the tokens of each
 //! request that is served, and the organisation with the least is next. One that was idle starts
-//! at the queue's virtual time, so that it can't save up turns. Interactive requests go first, but
-//! every [`Settings::may_wait_every`]th turn belongs to a request that may wait, if there is one.
+//! at the queue's virtual time, so that it can't save up turns.
+//!
+//! Interactive requests go first while they can still meet their latency target. One that can't
+//! any more is late: under overload it would only make the next one late as well. Every
+//! [`Settings::may_wait_every`]th turn belongs to a request that may wait, and every
+//! [`Settings::late_every`]th to one that is late; otherwise these get the turns that are left.
 
 #[cfg(test)]
 mod tests;
@@ -27,11 +31,13 @@
     pub total: usize,
     /// One turn in so many belongs to requests that may wait.
     pub may_wait_every: u32,
+    /// One turn in so many belongs to interactive requests that are late.
+    pub late_every: u32,
 }
 
 impl Default for Settings {
     fn default() -> Settings {
-        Settings { per_organisation: 256, total: 4_096, may_wait_every: 8 }
+        Settings { per_organisation: 256, total: 4_096, may_wait_every: 8, late_every: 32 }
     }
 }
 
@@ -46,6 +52,8 @@
     pub tokens: u64,
     /// When it arrived in the queue.
     pub arrived: Instant,
+    /// When its turn must come for its latency target to be met; its deadline where it has none.
+    pub target: Instant,
     /// When its turn must have come.
     pub deadline: Instant,
     /// Whether it had its turn before and is back at the front, without another charge.
@@ -77,24 +85,35 @@
     pub item: T,
 }
 
+/// Kinds of requests, in the order in which they are served when nothing else decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Class {
+    Interactive,
+    Late,
+    MayWait,
+}
+
+impl Class {
+    const ALL: [Class; 3] = [Class::Interactive, Class::Late, Class::MayWait];
+}
+
 #[derive(Debug, Default)]
 struct Lane {
-    interactive: VecDeque<Key>,
-    may_wait: VecDeque<Key>,
+    classes: [VecDeque<Key>; 3],
     virtual_time: u64,
 }
 
 impl Lane {
-    fn class(&self, may_wait: bool) -> &VecDeque<Key> {
-        if may_wait { &self.may_wait } else { &self.interactive }
+    fn class(&self, class: Class) -> &VecDeque<Key> {
+        &self.classes[class as usize]
     }
 
-    fn class_mut(&mut self, may_wait: bool) -> &mut VecDeque<Key> {
-        if may_wait { &mut self.may_wait } else { &mut self.interactive }
+    fn class_mut(&mut self, class: Class) -> &mut VecDeque<Key> {
+        &mut self.classes[class as usize]
     }
 
     fn waiting(&self) -> usize {
-        self.interactive.len() + self.may_wait.len()
+        self.classes.iter().map(VecDeque::len).sum()
     }
 }
 
@@ -105,7 +124,8 @@
     entries: SlotMap<Key, Waiting<T>>,
     lanes: HashMap<Arc<str>, Lane>,
     virtual_time: u64,
-    interactive_turns: u32,
+    /// Turns since a request that may wait, and since a late one, had its own.
+    turns_since: [u32; 2],
     pace: Pace,
 }
 
@@ -117,7 +137,7 @@
             entries: SlotMap::with_key(),
             lanes: HashMap::new(),
             virtual_time: 0,
-            interactive_turns: 0,
+            turns_since: [0; 2],
             pace: Pace::default(),
         }
     }
@@ -149,13 +169,14 @@
             return Err(Refused { why, item: waiting.item });
         }
         let organisation = waiting.organisation.clone();
-        let (may_wait, returned) = (waiting.may_wait, waiting.returned);
+        let class = if waiting.may_wait { Class::MayWait } else { Class::Interactive };
+        let returned = waiting.returned;
         let key = self.entries.insert(waiting);
         let lane = self.lanes.entry(organisation).or_default();
         if lane.waiting() == 0 && !returned {
             lane.virtual_time = lane.virtual_time.max(self.virtual_time);
         }
-        let class = lane.class_mut(may_wait);
+        let class = lane.class_mut(class);
         if returned {
             class.push_front(key)
         } else {
@@ -185,7 +206,7 @@
         let ahead =
             self.lanes.get(&waiting.organisation).map_or(0, |lane| match waiting.may_wait {
                 true => lane.waiting(),
-                false => lane.interactive.len(),
+                false => lane.class(Class::Interactive).len(),
             });
         let sharing = self.lanes.values().filter(|lane| lane.waiting() > 0).count().max(1);
         let turns = (ahead * sharing).min(self.entries.len());
@@ -198,34 +219,58 @@
         now: Instant,
         mut place: impl FnMut(&Waiting<T>) -> Option<R>,
     ) -> Option<(Waiting<T>, R)> {
-        let may_wait_first = self.interactive_turns + 1 >= self.settings.may_wait_every;
-        for may_wait in [may_wait_first, !may_wait_first] {
-            for organisation in self.by_virtual_time(may_wait) {
-                let head = self.lanes[&organisation].class(may_wait).front().copied();
+        self.demote(now);
+        for class in self.order() {
+            for organisation in self.by_virtual_time(class) {
+                let head = self.lanes[&organisation].class(class).front().copied();
                 let Some(key) = head else { continue };
                 if let Some(placed) = place(&self.entries[key]) {
-                    return self.serve(now, key).map(|waiting| (waiting, placed));
+                    return self.serve(now, class, key).map(|waiting| (waiting, placed));
                 }
             }
         }
         None
     }
 
-    fn by_virtual_time(&self, may_wait: bool) -> Vec<Arc<str>> {
-        let lanes = self.lanes.iter().filter(|(_, lane)| !lane.class(may_wait).is_empty());
+    /// Makes requests late whose latency target can't be met any more.
+    fn demote(&mut self, now: Instant) {
+        for lane in self.lanes.values_mut() {
+            while let Some(key) = lane.class(Class::Interactive).front().copied() {
+                if self.entries.get(key).is_some_and(|waiting| waiting.target > now) {
+                    break;
+                }
+                lane.class_mut(Class::Interactive).pop_front();
+                lane.class_mut(Class::Late).push_back(key);
+            }
+        }
+    }
+
+    /// The order in which kinds of requests are looked at for the next turn.
+    fn order(&self) -> [Class; 3] {
+        let [may_wait, late] = self.turns_since;
+        let is_due = |class: &Class| match class {
+            Class::Interactive => false,
+            Class::Late => late + 1 >= self.settings.late_every,
+            Class::MayWait => may_wait + 1 >= self.settings.may_wait_every,
+        };
+        let mut order = Class::ALL;
+        order.sort_by_key(|class| !is_due(class));
+        order
+    }
+
+    fn by_virtual_time(&self, class: Class) -> Vec<Arc<str>> {
+        let lanes = self.lanes.iter().filter(|(_, lane)| !lane.class(class).is_empty());
         let mut order: Vec<_> =
             lanes.map(|(name, lane)| (lane.virtual_time, name.clone())).collect();
         order.sort_unstable();
         order.into_iter().map(|(_, name)| name).collect()
     }
 
-    fn serve(&mut self, now: Instant, key: Key) -> Option<Waiting<T>> {
+    fn serve(&mut self, now: Instant, class: Class, key: Key) -> Option<Waiting<T>> {
         let waiting = self.remove(key)?;
-        self.interactive_turns = if waiting.may_wait {
-            0
-        } else {
-            (self.interactive_turns + 1).min(self.settings.may_wait_every)
-        };
+        for (turns, own) in self.turns_since.iter_mut().zip([Class::MayWait, Class::Late]) {
+            *turns = if class == own { 0 } else { turns.saturating_add(1) };
+        }
         if !waiting.returned {
             let lane = self.lanes.entry(waiting.organisation.clone()).or_default();
             self.virtual_time = self.virtual_time.max(lane.virtual_time);
@@ -240,7 +285,7 @@
     pub fn remove(&mut self, key: Key) -> Option<Waiting<T>> {
         let waiting = self.entries.remove(key)?;
         if let Some(lane) = self.lanes.get_mut(&waiting.organisation) {
-            lane.class_mut(waiting.may_wait).retain(|other| *other != key);
+            lane.classes.iter_mut().for_each(|class| class.retain(|other| *other != key));
         }
         Some(waiting)
     }
--- a/crates/core/src/queue/tests.rs
+++ b/crates/core/src/queue/tests.rs
@@ -9,6 +9,7 @@
         may_wait,
         tokens,
         arrived: Instant::default(),
+        target: Instant::from_millis(30_000),
         deadline: Instant::from_millis(60_000),
         returned: false,
         item: 0,
@@ -16,7 +17,12 @@
 }
 
 fn queue() -> Queue<u32> {
-    Queue::new(Settings { per_organisation: 10_000, total: 100_000, may_wait_every: 4 })
+    Queue::new(Settings {
+        per_organisation: 10_000,
+        total: 100_000,
+        may_wait_every: 4,
+        late_every: 8,
+    })
 }
 
 fn take(queue: &mut Queue<u32>) -> Option<Waiting<u32>> {
@@ -75,6 +81,19 @@
         turn.unwrap() < 4
     }
 
+    /// However many requests are on time, a late one gets every eighth turn.
+    fn late_is_not_starved(interactive: u8) -> bool {
+        let mut queue = queue();
+        let past = Instant::default();
+        let late = Waiting { target: past, item: 1, ..waiting("a", 1, false) };
+        queue.push(past, late).unwrap();
+        for _ in 0..interactive {
+            queue.push(past, waiting("b", 1, false)).unwrap();
+        }
+        let turn = std::iter::from_fn(|| take(&mut queue)).position(|next| next.item == 1);
+        turn.unwrap() < 8
+    }
+
     fn nothing_is_lost_or_doubled(events: Vec<(u8, bool, bool)>) -> bool {
         let mut queue = queue();
         let (mut entered, mut left) = (0_u32, Vec::new());
@@ -159,3 +178,15 @@
 
     assert!(order.iter().position(|item| *item == 7).unwrap() <= 1);
 }
+
+#[test]
+fn a_request_on_time_goes_before_one_that_is_late() {
+    let mut queue = queue();
+    let late = Waiting { target: Instant::default(), item: 1, ..waiting("a", 1, false) };
+    queue.push(Instant::default(), late).unwrap();
+    queue.push(Instant::default(), waiting("a", 1, false)).unwrap();
+
+    let order: Vec<_> = std::iter::from_fn(|| take(&mut queue)).map(|next| next.item).collect();
+
+    assert_eq!(order, [0, 1]);
+}
--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -9,6 +9,7 @@
 use chestnutrack_core::retry::Budget;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 /// What every request of the process shares.
 pub struct App {
@@ -30,6 +31,8 @@
     pub budget: Mutex<Budget>,
     /// How fast prompts are prefilled.
     pub prefill: Prefill,
+    /// How long a request takes from its turn to its first token.
+    pub first_token: FirstToken,
     /// Whether the process is shutting down.
     pub draining: AtomicBool,
 }
@@ -71,7 +74,7 @@
     const SMOOTHING: u64 = 16;
 
     /// Notes that so many uncached tokens, those queued before them included, took so long.
-    pub fn note(&self, tokens: u64, took: std::time::Duration) {
+    pub fn note(&self, tokens: u64, took: Duration) {
         if tokens == 0 {
             return;
         }
@@ -86,3 +89,45 @@
         self.0.load(Ordering::Relaxed).saturating_mul(tokens) / 1_000_000
     }
 }
+
+/// How long a request takes from its turn to its first token, learned from those that had one.
+#[derive(Debug)]
+pub struct FirstToken(Mutex<Spread>);
+
+/// Mean and mean deviation, in microseconds.
+#[derive(Clone, Copy, Debug)]
+struct Spread {
+    mean: u64,
+    deviation: u64,
+}
+
+impl Default for FirstToken {
+    fn default() -> FirstToken {
+        /// Time before any was seen, in microseconds.
+        const MEAN: u64 = 60_000;
+        FirstToken(Mutex::new(Spread { mean: MEAN, deviation: MEAN / 2 }))
+    }
+}
+
+impl FirstToken {
+    /// Weight of a new time is one in so many.
+    const SMOOTHING: u64 = 16;
+    /// Mean deviations beyond the mean that few times exceed.
+    const DEVIATIONS: u64 = 2;
+
+    /// Notes how long a request took.
+    pub fn note(&self, took: Duration) {
+        let micros = u64::try_from(took.as_micros()).unwrap_or(u64::MAX >> 8);
+        let mut spread = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let off = spread.mean.abs_diff(micros);
+        let smooth = |old: u64, new: u64| old - old / Self::SMOOTHING + new / Self::SMOOTHING;
+        *spread =
+            Spread { mean: smooth(spread.mean, micros), deviation: smooth(spread.deviation, off) };
+    }
+
+    /// Time that few requests exceed.
+    pub fn expected(&self) -> Duration {
+        let spread = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        Duration::from_micros(spread.mean + Self::DEVIATIONS * spread.deviation)
+    }
+}
--- a/crates/entry/src/attempt/model.rs
+++ b/crates/entry/src/attempt/model.rs
@@ -10,6 +10,7 @@
 use crate::request::refusal::{Code, Refusal};
 use crate::scheduler::{Took, Turn};
 use chestnutrack_core::place::{Ask, prefix};
+use chestnutrack_core::time::Instant;
 use chestnutrack_document::model::Role;
 use chestnutrack_process::clock;
 use chestnutrack_wire::frame::{Decode, Finish, Frame, Kv, Prefill, Ran, Reserve};
@@ -42,6 +43,8 @@
     stream: bool,
     text: String,
     tokens: u64,
+    /// When the newest attempt had its turn.
+    turn: Instant,
 }
 
 /// Runs a request until it is answered.
@@ -66,7 +69,8 @@
         passed_over: Vec::new(),
     };
     let mut work = Work { app, exchange, admitted, call, ask };
-    let mut writer = Writer { form, stream: call.stream, text: String::new(), tokens: 0 };
+    let mut writer =
+        Writer { form, stream: call.stream, text: String::new(), tokens: 0, turn: clock::now() };
     let mut attempt = 1;
     loop {
         let trouble = match work.attempt(Attempt(attempt), &mut writer).await {
@@ -91,6 +95,7 @@
         let turn =
             turn(self.app, self.exchange, self.admitted, Role::Decode, self.ask.clone(), returned);
         let turn = turn.await.map_err(Trouble::last)?;
+        writer.turn = clock::now();
         let decode = self.reserve(attempt, turn).await?;
         let (prefill, kv) = self.prefill(attempt).await?;
         let used = u64::from(kv.tokens);
@@ -202,6 +207,7 @@
                 Event::Tokens(texts) => {
                     if writer.tokens == 0 {
                         decode.turn.hold.tell(Took::Answered);
+                        self.app.first_token.note(clock::now().since(writer.turn));
                     }
                     self.tokens(writer, &texts).await;
                 }
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -1,7 +1,7 @@
 //! Puts the program together, and takes it down again.
 
 use crate::admin;
-use crate::app::{App, Prefill};
+use crate::app::{App, FirstToken, Prefill};
 use crate::authority::Authority;
 use crate::burn::Burn;
 use crate::explain::Ring;
@@ -109,6 +109,7 @@
         ring: Ring::default(),
         budget: Mutex::new(Budget::new(parts.retry)),
         prefill: Prefill::default(),
+        first_token: FirstToken::default(),
         draining: AtomicBool::new(false),
     });
     Ok(Path { app, servers })
