--- a/crates/entry/src/attempt/model.rs
+++ b/crates/entry/src/attempt/model.rs
@@ -19,6 +19,8 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
+/// Longest wait for a slot at one decode server, in milliseconds; the request then looks again.
+const RESERVE_WAIT_MS: u32 = 250;
 /// Longest silence within an answer before it is given up.
 const TOKEN_WITHIN: Duration = Duration::from_secs(30);
 
@@ -128,7 +130,7 @@
                 kv_tokens: call.prompt_tokens.saturating_add(call.max_tokens),
                 transfer_tokens: call.prompt_tokens,
                 output_tokens: call.max_tokens,
-                wait_ms,
+                wait_ms: wait_ms.min(RESERVE_WAIT_MS),
                 needed_in_ms: left_ms - wait_ms,
             },
         );
--- a/crates/entry/src/scheduler/handle.rs
+++ b/crates/entry/src/scheduler/handle.rs
@@ -7,6 +7,7 @@
 use chestnutrack_fleet::Snapshot;
 use ractor::{Actor, ActorRef, SpawnErr};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 
 /// Handle on the scheduler; cheap to clone.
@@ -70,7 +71,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Took {
     /// It refused for want of room.
-    Full,
+    Full {
+        /// When it says that it may be asked again.
+        again_in: Duration,
+    },
     /// It failed.
     Failed,
     /// It answered.
--- a/crates/entry/src/scheduler/state.rs
+++ b/crates/entry/src/scheduler/state.rs
@@ -153,7 +153,7 @@
     pub(super) fn took(&mut self, key: Key, took: Took) {
         let Some(server) = self.servers.table.get_mut(key) else { return };
         match took {
-            Took::Full => server.note_full(clock::now()),
+            Took::Full { again_in } => server.note_full(clock::now(), again_in),
             Took::Failed => server.note_failed(clock::now()),
             Took::Answered => server.note_answered(),
         }
