--- a/crates/burn/src/ledger.rs
+++ b/crates/burn/src/ledger.rs
@@ -107,6 +107,7 @@
         }
         let Some(version) = self.known.filter(|_| self.pending.is_none()) else {
             self.due = now + BURN_PERIOD;
+            self.roll_up(now);
             return Step::Read;
         };
         if self.since.is_empty() {
@@ -179,6 +180,13 @@
         Write { version, value, bytes }
     }
 
+    /// Keeps what was counted small while the object can't be read.
+    fn roll_up(&mut self, now: Instant) {
+        let at = self.moment(now);
+        self.since.values_mut().for_each(|series| series.roll_up(at));
+        self.since.retain(|_, series| !series.is_empty());
+    }
+
     fn moment(&self, now: Instant) -> Moment {
         RETENTION + 2 * LONG + now.since(self.start)
     }
