--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -13,7 +13,7 @@
 use crate::link::Event;
 use crate::request::exchange::{Admitted, Exchange, check};
 use crate::request::refusal::{Code, Refusal};
-use crate::scheduler::{Late, Turn, Want};
+use crate::scheduler::{Late, Took, Turn, Want};
 use chestnutrack_core::place::Ask;
 use chestnutrack_core::queue::Waiting;
 use chestnutrack_core::retry::{Failed, is_safe};
@@ -24,8 +24,6 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Times that one request is put back because a server had no room.
-const FULL_MAX: u32 = 16;
 /// Time beyond a deadline that a side process is given to say how an attempt ended.
 const GRACE: Duration = Duration::from_millis(1_000);
 
@@ -114,7 +112,7 @@
     if is_last || !is_safe(failed) {
         return Err(refusal.clone());
     }
-    let allowed = if trouble.is_full() { before < FULL_MAX } else { app.spend_retry(before) };
+    let allowed = trouble.is_full() || app.spend_retry(before);
     if !allowed {
         return Err(refusal.clone());
     }
@@ -127,8 +125,13 @@
 fn trouble(turn: &Turn, event: Event) -> Trouble {
     match event {
         Event::Failed(failure) => {
-            if failure.cause == Cause::Full {
-                turn.hold.was_full();
+            match failure.cause {
+                Cause::Full => {
+                    let again_in = Duration::from_millis(u64::from(failure.retry_after_ms));
+                    turn.hold.tell(Took::Full { again_in });
+                }
+                Cause::Backend | Cause::Fenced => turn.hold.tell(Took::Failed),
+                _ => {}
             }
             Trouble::failed(&turn.server, failure)
         }
@@ -164,7 +167,7 @@
     };
     let turn = exchange.outside(app.scheduler.turn(want)).await.map_err(late)?;
     check(app, admitted)?;
-    exchange.note(app, What::Placed, Some(&turn.server), None);
+    exchange.note(app, What::Placed, Some(&turn.server), Some(&turn.why));
     Ok(turn)
 }
 
--- a/crates/entry/src/attempt/plain.rs
+++ b/crates/entry/src/attempt/plain.rs
@@ -4,10 +4,11 @@
 use crate::answer::reply::Header;
 use crate::app::App;
 use crate::explain::What;
+use crate::header::is_of_connection;
 use crate::link::{Event, Open, Stage};
 use crate::request::exchange::{Admitted, Exchange, check};
 use crate::request::refusal::Refusal;
-use crate::scheduler::Turn;
+use crate::scheduler::{Took, Turn};
 use chestnutrack_core::place::Ask;
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::Attempt;
@@ -18,18 +19,8 @@
 
 /// Longest silence within an answer before it is given up.
 const BODY_WITHIN: Duration = Duration::from_secs(30);
-/// Headers of an answer that belong to the connection it came on, or that the router sets.
-const DROPPED_HEADERS: &[&str] = &[
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "x-chestnutrack-request",
-    "x-chestnutrack-ran",
-];
+/// Start of the names of headers that only the router sets.
+const OWN_HEADERS: &str = "x-chestnutrack-";
 
 /// What is passed on.
 #[derive(Clone, Debug)]
@@ -109,6 +100,7 @@
         return Err(trouble(&turn, first));
     };
     exchange.note(app, What::Answering, Some(&turn.server), None);
+    turn.hold.tell(Took::Answered);
     exchange.note_used(admitted.route.cost_tokens);
     exchange.note_tokens(app, 1);
     exchange.reply.start(status, passed_on(headers));
@@ -132,6 +124,9 @@
 }
 
 fn passed_on(headers: Vec<Header>) -> Vec<Header> {
-    let kept = |name: &str| !DROPPED_HEADERS.iter().any(|other| other.eq_ignore_ascii_case(name));
+    let kept = |name: &str| {
+        let name = name.to_ascii_lowercase();
+        !is_of_connection(&name) && !name.starts_with(OWN_HEADERS)
+    };
     headers.into_iter().filter(|(name, _)| kept(name)).collect()
 }
