Late requests stand in nobody's way, also at the servers; tokens are waited for half the target

In load runs (a trial) an organisation at five times its rate had every admitted request wait about 4.8 s for tokens, so that none was good.

Now a request waits at a server no longer than its target allows, and 50 ms once that has passed; interactive model requests wait for tokens at most half of the time to the first token.

Not measured here: prefixes, several classes, a lost failure domain.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use chestnutrack_bench::scripted::{Policy, Settings, run};
+use std::time::Duration;
 
 /// Runs the decisions with fixed seeds in virtual time and prints their measures.
 #[derive(FromArgs)]
@@ -12,9 +13,9 @@
     /// in-rate load as a part of the ceiling
     #[argh(option, default = "0.9")]
     offered: f64,
-    /// longest wait for a slot at one decode server, in milliseconds
-    #[argh(option, default = "250")]
-    reserve_wait_ms: u32,
+    /// longest wait for a slot at one decode server, in milliseconds; by default what ships
+    #[argh(option)]
+    reserve_wait_ms: Option<u64>,
 }
 
 fn main() {
@@ -27,7 +28,7 @@
     ];
     let shared = Settings {
         offered: arguments.offered,
-        reserve_wait_ms: arguments.reserve_wait_ms,
+        reserve_wait: arguments.reserve_wait_ms.map(Duration::from_millis),
         ..Settings::default()
     };
     for seed in 1..=arguments.seeds {
--- a/crates/bench/src/scripted/entry.rs
+++ b/crates/bench/src/scripted/entry.rs
@@ -1,6 +1,7 @@
 //! An entry host's side of a run: the table, the record and the queue that ship, and what the
 //! request path does with them.
 
+use super::engine::prefill_time;
 use super::load::{Arrival, organisations};
 use super::settings::{Choice, Settings};
 use chestnutrack_core::place::{self, Ask, Key, Load, Record, Server, Table};
@@ -14,7 +15,12 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
+/// Time allowed for the transfer and the first step.
+const TRANSFER_ALLOWANCE: Duration = Duration::from_millis(40);
+/// Times of a prefill allowed for the prefill and its queue.
+const PREFILL_ALLOWANCE: u32 = 2;
 /// Name of the one pool.
 pub const POOL: &str = "model";
 
@@ -108,7 +114,7 @@
             may_wait: false,
             tokens: u64::from(arrival.prompt_tokens + arrival.output_tokens),
             arrived: arrival.at,
-            target: arrival.at + settings.deadline,
+            target: target(settings, arrival),
             deadline: arrival.at + settings.deadline,
             returned,
             item: index,
@@ -172,6 +178,12 @@
     }
 }
 
+/// When a request's turn must come for its first token to come in time.
+pub fn target(settings: &Settings, arrival: &Arrival) -> Instant {
+    let prefill = prefill_time(arrival.prompt_tokens);
+    (arrival.at + settings.first_token) - PREFILL_ALLOWANCE * prefill - TRANSFER_ALLOWANCE
+}
+
 /// What is asked of a server for a request.
 pub fn ask(arrival: &Arrival, active: Option<&Active>) -> Ask {
     Ask {
--- a/crates/bench/src/scripted/settings.rs
+++ b/crates/bench/src/scripted/settings.rs
@@ -66,8 +66,8 @@
     pub output_tokens: f64,
     /// Deadline for a request's first token.
     pub deadline: Duration,
-    /// Longest wait for a slot at one decode server, in milliseconds.
-    pub reserve_wait_ms: u32,
+    /// Longest wait for a slot at one decode server; `None` for what ships.
+    pub reserve_wait: Option<Duration>,
     /// Target for the time to the first token.
     pub first_token: Duration,
     /// Target for the time between tokens.
@@ -95,7 +95,7 @@
             prompt_tokens: 400.0,
             output_tokens: 120.0,
             deadline: Duration::from_secs(5),
-            reserve_wait_ms: 250,
+            reserve_wait: None,
             first_token: Duration::from_millis(630),
             between_tokens: Duration::from_millis(40),
             loss: None,
--- a/crates/bench/src/scripted/world.rs
+++ b/crates/bench/src/scripted/world.rs
@@ -1,10 +1,11 @@
 //! The run itself: virtual time, frames in flight, and what each arrival turns into.
 
 use super::engine::{self, Engine, Prefill, Running};
-use super::entry::{Active, Entry, ask};
+use super::entry::{Active, Entry, ask, target};
 use super::load::{Arrival, draw, organisations};
 use super::measure::{Counts, Measures, Outcome, sum};
 use super::settings::Settings;
+use chestnutrack_core::place;
 use chestnutrack_core::server::event::{Held, Prefilled};
 use chestnutrack_core::server::{
     self, Authority, Connection, Effect, Event, Key, Order, Server, Task,
@@ -26,7 +27,7 @@
 /// Time after the last arrival at which the run ends.
 const TAIL: Duration = Duration::from_secs(20);
 /// Attempts at one request.
-const ATTEMPTS_MAX: u32 = 64;
+const ATTEMPTS_MAX: u32 = 1_000;
 
 /// Something that is due.
 enum Due {
@@ -272,13 +273,22 @@
             kv_tokens: arrival.prompt_tokens + arrival.output_tokens,
             transfer_tokens: arrival.prompt_tokens,
             output_tokens: arrival.output_tokens,
-            wait_ms: if has_kv { 0 } else { self.settings.reserve_wait_ms },
+            wait_ms: if has_kv { 0 } else { self.reserve_wait_ms(&arrival) },
             needed_in_ms,
         };
         self.counts.reserves += 1;
         self.send(server, number, Frame::Reserve(request(index), Attempt(attempt), reserve));
     }
 
+    fn reserve_wait_ms(&self, arrival: &Arrival) -> u32 {
+        let left = (arrival.at + self.settings.deadline).since(self.now);
+        let wait = match self.settings.reserve_wait {
+            Some(wait) => wait.min(left),
+            None => place::wait::longest(self.now, target(&self.settings, arrival), left),
+        };
+        u32::try_from(wait.as_millis()).unwrap_or(u32::MAX)
+    }
+
     /// Sends a request to a prefill server; false when none is open and it is back in the queue.
     fn start_prefill(&mut self, number: usize, index: usize) -> bool {
         let arrival = self.arrivals[index].clone();
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -7,6 +7,7 @@
 pub mod choose;
 pub mod prefix;
 pub mod table;
+pub mod wait;
 
 #[cfg(test)]
 mod tests;
--- a/crates/entry/src/attempt/model.rs
+++ b/crates/entry/src/attempt/model.rs
@@ -1,6 +1,6 @@
 //! Model requests: a decode slot first, then the prefill, then the answer.
 
-use super::{Trouble, again, millis_left, trouble, turn, until_deadline};
+use super::{Trouble, again, millis_left, target, trouble, turn, until_deadline};
 use crate::answer::openai::{Form, Usage};
 use crate::app::App;
 use crate::explain::What;
@@ -9,7 +9,7 @@
 use crate::request::exchange::{Admitted, Exchange, check};
 use crate::request::refusal::{Code, Refusal};
 use crate::scheduler::{Took, Turn};
-use chestnutrack_core::place::{Ask, prefix};
+use chestnutrack_core::place::{self, Ask, prefix};
 use chestnutrack_core::time::Instant;
 use chestnutrack_document::model::Role;
 use chestnutrack_process::clock;
@@ -19,8 +19,6 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// Longest wait for a slot at one decode server, in milliseconds; the request then looks again.
-const RESERVE_WAIT_MS: u32 = 250;
 /// Longest silence within an answer before it is given up.
 const TOKEN_WITHIN: Duration = Duration::from_secs(30);
 
@@ -120,7 +118,9 @@
             let refusal = Refusal::new(Code::DeadlineUnmet, "the prefill can't end in time");
             return Err(Trouble::last(refusal.retry_after(expected_ms)));
         };
-        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
+        let needed_in_ms = u32::try_from(expected_ms).unwrap_or(u32::MAX);
+        let target = target(self.app, self.exchange, self.admitted);
+        let wait = place::wait::longest(clock::now(), target, Duration::from_millis(wait_ms));
         let frame = Frame::Reserve(
             self.exchange.request,
             attempt,
@@ -130,8 +130,8 @@
                 kv_tokens: call.prompt_tokens.saturating_add(call.max_tokens),
                 transfer_tokens: call.prompt_tokens,
                 output_tokens: call.max_tokens,
-                wait_ms: wait_ms.min(RESERVE_WAIT_MS),
-                needed_in_ms: left_ms - wait_ms,
+                wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+                needed_in_ms,
             },
         );
         let mut open = turn.link.open(self.id(attempt), Stage::Reserving, frame);
--- a/crates/entry/src/request/admit.rs
+++ b/crates/entry/src/request/admit.rs
@@ -216,7 +216,7 @@
     tokens: u64,
 ) -> Result<(), Refusal> {
     let Some(credential) = &admitted.credential else { return Ok(()) };
-    let within = time_until(admitted.deadline);
+    let within = token_wait(admitted);
     let debited = (app.authority.debit)(credential.organisation.clone(), tokens, within);
     exchange.outside(debited).await.map_err(short_of_tokens)?;
     exchange.note_debit(tokens);
@@ -224,6 +224,16 @@
     Ok(())
 }
 
+/// Longest wait for tokens: half of the time to the first token for interactive model requests,
+/// so that a request which had to wait can still be good; the deadline for all others.
+fn token_wait(admitted: &Admitted) -> Duration {
+    let left = time_until(admitted.deadline);
+    if !admitted.route.api.is_model() || admitted.route.may_wait {
+        return left;
+    }
+    left.min(Duration::from_millis(admitted.targets.first_token_ms / 2))
+}
+
 fn short_of_tokens(refused: limit::Refusal) -> Refusal {
     let refusal = match (refused.cause, refused.over_rate) {
         (limit::Cause::OverBurst, _) => {
