--- a/crates/bench/src/scripted/entry.rs
+++ b/crates/bench/src/scripted/entry.rs
@@ -13,7 +13,7 @@
 use rand::SeedableRng;
 use rand::seq::IteratorRandom;
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -52,11 +52,11 @@
     /// Requests that wait; the item is the arrival's index.
     pub queue: Queue<usize>,
     /// Requests that it works on, by the arrival's index.
-    pub active: HashMap<usize, Active>,
+    pub active: BTreeMap<usize, Active>,
     /// Number of each server in the world.
-    pub numbers: HashMap<Key, usize>,
+    pub numbers: BTreeMap<Key, usize>,
     /// Key of each server of the world that it talks to.
-    pub keys: HashMap<usize, Key>,
+    pub keys: BTreeMap<usize, Key>,
     /// Its random source.
     pub rng: ChaCha8Rng,
 }
@@ -69,9 +69,9 @@
             table: Table::with_key(),
             record: Record::default(),
             queue: Queue::new(queue::Settings::default()),
-            active: HashMap::new(),
-            numbers: HashMap::new(),
-            keys: HashMap::new(),
+            active: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            keys: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(settings.seed * 7_919 + number as u64),
         };
         for role in [Role::Prefill, Role::Decode] {
