--- a/crates/standin/tests/engine_client.rs
+++ b/crates/standin/tests/engine_client.rs
@@ -11,14 +11,12 @@
 };
 use chestnutrack_standin::{answer, engine};
 use prometheus::Registry;
-use quickcheck::quickcheck;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
-use support::{Act, control, page, scripted};
+use support::{Act, control, page, read_answer, scripted};
 
 const PROMPT: &str = "a catalog summary of apples and pears";
-const HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
 /// An engine that is quick and keeps its KV caches for long.
 fn quick() -> engine::Settings {
@@ -72,18 +70,6 @@
     client.import(&import(id, client.address(), kv_tokens)).await.unwrap();
 }
 
-/// Reads a stream to its end: its text, and why it ended.
-async fn read(stream: &mut chestnutrack_engine::client::Stream) -> Result<(String, String), Error> {
-    let mut whole = String::new();
-    loop {
-        match stream.next().await? {
-            Some(Line::Token { text, .. }) => whole.push_str(&text),
-            Some(Line::End { finish, .. }) => return Ok((whole, finish.to_string())),
-            None => panic!("the stream ended without an end"),
-        }
-    }
-}
-
 #[tokio::test]
 async fn an_answer_goes_from_one_engine_to_another_and_holds_nothing_after() {
     let (_, first) = quick_engine().await;
@@ -92,7 +78,7 @@
     let prefilled = first.prefill(&prefill("a.1", PROMPT)).await.unwrap();
     let imported = second.import(&import("a.1", first.address(), 40)).await.unwrap();
     let mut stream = second.decode(&decode("a.1", 30)).await.unwrap();
-    let text = read(&mut stream).await.unwrap();
+    let text = read_answer(&mut stream).await.unwrap();
 
     let tokens = u32::try_from(PROMPT.len().div_ceil(4)).unwrap();
     let bytes = u64::from(tokens) * quick().kv_bytes_per_token;
@@ -114,7 +100,7 @@
     let mut stream = client.decode(&decode("a.1", 30)).await.unwrap();
 
     let text: String = (0..3).map(|offset| answer::token(prompt, offset)).collect();
-    assert_eq!(read(&mut stream).await.unwrap(), (text, "stop".to_owned()));
+    assert_eq!(read_answer(&mut stream).await.unwrap(), (text, "stop".to_owned()));
 }
 
 #[tokio::test]
@@ -136,7 +122,7 @@
         }
     };
     let mut stream = client.resume(&resume("a.1", stream.offset())).await.unwrap();
-    let (rest, _) = read(&mut stream).await.unwrap();
+    let (rest, _) = read_answer(&mut stream).await.unwrap();
 
     assert!(matches!(broken, Err(Error::Unknown(_))), "{broken:?}");
     assert_eq!(text + &rest, answer::whole(PROMPT, 600));
@@ -147,14 +133,14 @@
     let (_, client) = quick_engine().await;
     imported(&client, "a.1", PROMPT, 100).await;
     let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
-    read(&mut stream).await.unwrap();
+    read_answer(&mut stream).await.unwrap();
 
     let mut again = client.resume(&resume("a.1", 4)).await.unwrap();
     let mut end = client.resume(&resume("a.1", 5)).await.unwrap();
     let beyond = client.resume(&resume("a.1", 6)).await.map(drop);
 
-    assert_eq!(read(&mut again).await.unwrap().0, answer::token(PROMPT, 4));
-    assert_eq!(read(&mut end).await.unwrap().0, "");
+    assert_eq!(read_answer(&mut again).await.unwrap().0, answer::token(PROMPT, 4));
+    assert_eq!(read_answer(&mut end).await.unwrap().0, "");
     assert!(matches!(beyond, Err(Error::Refused(400, _))), "{beyond:?}");
 }
 
@@ -185,7 +171,7 @@
 
     client.cancel(&cancel("a.1")).await.unwrap();
 
-    let outcome = read(&mut stream).await;
+    let outcome = read_answer(&mut stream).await;
     assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
 }
 
@@ -347,14 +333,14 @@
     stream.next().await.unwrap();
 
     control(address, "faults", json!({ "freeze": true })).await;
-    let silent = read(&mut stream).await;
+    let silent = read_answer(&mut stream).await;
     let asked = client.holds().await;
     control(address, "faults", json!({ "freeze": false })).await;
     let mut stream = client.resume(&resume("a.1", 0)).await.unwrap();
 
     assert!(matches!(silent, Err(Error::Unknown(_))), "{silent:?}");
     assert!(matches!(asked, Err(Error::Unknown(_))), "{asked:?}");
-    assert_eq!(read(&mut stream).await.unwrap().0, answer::whole(PROMPT, 600));
+    assert_eq!(read_answer(&mut stream).await.unwrap().0, answer::whole(PROMPT, 600));
 }
 
 #[tokio::test]
@@ -430,131 +416,6 @@
     assert_eq!(client.events(1).await.unwrap().events, events[1..]);
 }
 
-#[tokio::test]
-async fn lines_that_make_no_sense_are_errors_with_their_place() {
-    let bad = [
-        ("not json\n", "line 1"),
-        ("{\"token\":{\"offset\":1,\"text\":\"b\"}}\n", "line 1"),
-        ("{\"end\":{\"total\":3,\"finish\":\"stop\"}}\n", "line 1"),
-        ("{\"token\":{\"offset\":-1,\"text\":\"b\"}}\n", "line 1"),
-        ("{\"token\":{\"offset\":0,\"text\":\"a\"}}\n\n", "line 2"),
-    ];
-    for (lines, place) in bad {
-        let text = format!("{HEAD}{:x}\r\n{lines}\r\n0\r\n\r\n", lines.len());
-        let client = client(scripted(vec![Act::Keep(text.leak())]).await);
-        let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
-
-        let outcome = read(&mut stream).await;
-
-        assert!(
-            matches!(&outcome, Err(Error::Malformed(found, _)) if found == place),
-            "{lines}: {outcome:?}"
-        );
-        assert_eq!(stream.next().await, Ok(None));
-    }
-}
-
-#[tokio::test]
-async fn a_token_that_comes_twice_is_an_error() {
-    let lines = "{\"token\":{\"offset\":0,\"text\":\"a\"}}\n".repeat(2);
-    let text = format!("{HEAD}{:x}\r\n{lines}\r\n0\r\n\r\n", lines.len());
-    let client = client(scripted(vec![Act::Keep(text.leak())]).await);
-    let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
-
-    let outcome = read(&mut stream).await;
-
-    let expected = "offset 0 in place of 1".to_owned();
-    assert_eq!(outcome, Err(Error::Malformed("line 2".to_owned(), expected)));
-}
-
-#[tokio::test]
-async fn a_stream_that_stops_early_is_no_answer() {
-    let token = "{\"token\":{\"offset\":0,\"text\":\"a\"}}\n";
-    let chunk = format!("{HEAD}{:x}\r\n{token}\r\n", token.len());
-    let whole: &'static str = format!("{chunk}0\r\n\r\n").leak();
-    let chunk: &'static str = chunk.leak();
-    let half: &'static str = chunk[..chunk.len() - 10].to_owned().leak();
-
-    for act in [Act::Keep(whole), Act::Send(chunk), Act::Hold(chunk), Act::Hold(half)] {
-        let client = hasty(scripted(vec![act]).await);
-        let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
-        let outcome = read(&mut stream).await;
-        assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
-    }
-}
-
-/// A stream's text in chunks that end at these places, modulo its length.
-fn chunked(text: &str, cuts: &[usize]) -> String {
-    let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % text.len()).collect();
-    cuts.extend([0, text.len()]);
-    cuts.sort_unstable();
-    cuts.dedup();
-    let pieces = cuts.windows(2).map(|ends| &text[ends[0]..ends[1]]);
-    pieces.map(|piece| format!("{:x}\r\n{piece}\r\n", piece.len())).collect()
-}
-
-/// Reads an answer that comes as these chunks.
-fn answer_of(chunks: String) -> Result<(String, String), Error> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    runtime.block_on(async {
-        let text = format!("{HEAD}{chunks}0\r\n\r\n");
-        let client = client(scripted(vec![Act::Keep(text.leak())]).await);
-        let mut stream = client.decode(&decode("a.1", 5)).await?;
-        read(&mut stream).await
-    })
-}
-
-const WHOLE: &str = concat!(
-    "{\"token\":{\"offset\":0,\"text\":\" w1\"}}\n",
-    "{\"token\":{\"offset\":1,\"text\":\" w2\"}}\n",
-    "{\"end\":{\"total\":2,\"finish\":\"length\"}}\n",
-);
-
-quickcheck! {
-    fn an_answer_is_the_same_in_whatever_chunks_it_comes(cuts: Vec<usize>) -> bool {
-        answer_of(chunked(WHOLE, &cuts)) == Ok((" w1 w2".to_owned(), "length".to_owned()))
-    }
-
-    fn an_answer_with_a_byte_less_or_another_is_none(place: usize, byte: Option<u8>) -> bool {
-        let place = place % WHOLE.len();
-        let byte = byte.map(|byte| char::from(byte % 128)).filter(|byte| !"\n ".contains(*byte));
-        let other = byte.map(String::from).unwrap_or_default();
-        let text = format!("{}{other}{}", &WHOLE[..place], &WHOLE[place + 1..]);
-        match answer_of(chunked(&text, &[])) {
-            // The text of a token is the engine's own affair, and so is the reason of the end.
-            Ok((tokens, finish)) => tokens != " w1 w2" || finish != "length" || text == WHOLE,
-            Err(Error::Malformed(place, _)) => place.starts_with("line "),
-            Err(error) => matches!(error, Error::Unknown(_)),
-        }
-    }
-}
-
-#[tokio::test]
-async fn a_refusal_whose_text_does_not_come_is_one_all_the_same() {
-    let fenced = "HTTP/1.1 412 Fenced\r\ncontent-length: 10\r\n\r\n{";
-    let acts = vec![Act::Hold(fenced), Act::Send(fenced)];
-    let begin = Duration::from_millis(500);
-    let settings = Settings { begin, ..Settings::default() };
-    let client = Client::new(scripted(acts).await, settings, None);
-
-    let silent = client.decode(&decode("a.1", 5)).await.map(drop);
-    let cut = client.decode(&decode("a.1", 5)).await.map(drop);
-
-    assert_eq!((silent, cut), (Err(Error::Fenced), Err(Error::Fenced)));
-}
-
-#[tokio::test]
-async fn a_line_without_end_is_an_error() {
-    let line = "x".repeat(100_000);
-    let text = format!("{HEAD}{:x}\r\n{line}\r\n", line.len());
-    let client = client(scripted(vec![Act::Hold(text.leak())]).await);
-    let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
-
-    let outcome = stream.next().await;
-
-    assert!(matches!(outcome, Err(Error::Malformed(_, _))), "{outcome:?}");
-}
-
 #[tokio::test]
 async fn answers_that_make_no_sense_are_typed_errors() {
     let body = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{\"foo\":1}";
--- /dev/null
+++ b/crates/standin/tests/engine_stream.rs
@@ -0,0 +1,154 @@
+//! Streams of answers that are cut, silent, oversized or make no sense.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod support;
+
+use chestnutrack_engine::client::{Client, Settings};
+use chestnutrack_engine::error::Error;
+use chestnutrack_engine::order::Decode;
+use quickcheck::quickcheck;
+use std::net::SocketAddr;
+use std::time::Duration;
+use support::{Act, read_answer, scripted};
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+fn client(address: SocketAddr) -> Client {
+    Client::new(address, Settings::default(), None)
+}
+
+/// A client that gives up soon on streams.
+fn hasty(address: SocketAddr) -> Client {
+    let silence = Duration::from_secs(1);
+    Client::new(address, Settings { silence, ..Settings::default() }, None)
+}
+
+fn decode(id: &str, output_tokens: u32) -> Decode {
+    Decode { id: id.into(), fence: 1, output_tokens, priority: 0 }
+}
+
+#[tokio::test]
+async fn lines_that_make_no_sense_are_errors_with_their_place() {
+    let bad = [
+        ("not json\n", "line 1"),
+        ("{\"token\":{\"offset\":1,\"text\":\"b\"}}\n", "line 1"),
+        ("{\"end\":{\"total\":3,\"finish\":\"stop\"}}\n", "line 1"),
+        ("{\"token\":{\"offset\":-1,\"text\":\"b\"}}\n", "line 1"),
+        ("{\"token\":{\"offset\":0,\"text\":\"a\"}}\n\n", "line 2"),
+    ];
+    for (lines, place) in bad {
+        let text = format!("{HEAD}{:x}\r\n{lines}\r\n0\r\n\r\n", lines.len());
+        let client = client(scripted(vec![Act::Keep(text.leak())]).await);
+        let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
+
+        let outcome = read_answer(&mut stream).await;
+
+        assert!(
+            matches!(&outcome, Err(Error::Malformed(found, _)) if found == place),
+            "{lines}: {outcome:?}"
+        );
+        assert_eq!(stream.next().await, Ok(None));
+    }
+}
+
+#[tokio::test]
+async fn a_token_that_comes_twice_is_an_error() {
+    let lines = "{\"token\":{\"offset\":0,\"text\":\"a\"}}\n".repeat(2);
+    let text = format!("{HEAD}{:x}\r\n{lines}\r\n0\r\n\r\n", lines.len());
+    let client = client(scripted(vec![Act::Keep(text.leak())]).await);
+    let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
+
+    let outcome = read_answer(&mut stream).await;
+
+    let expected = "offset 0 in place of 1".to_owned();
+    assert_eq!(outcome, Err(Error::Malformed("line 2".to_owned(), expected)));
+}
+
+#[tokio::test]
+async fn a_stream_that_stops_early_is_no_answer() {
+    let token = "{\"token\":{\"offset\":0,\"text\":\"a\"}}\n";
+    let chunk = format!("{HEAD}{:x}\r\n{token}\r\n", token.len());
+    let whole: &'static str = format!("{chunk}0\r\n\r\n").leak();
+    let chunk: &'static str = chunk.leak();
+    let half: &'static str = chunk[..chunk.len() - 10].to_owned().leak();
+
+    for act in [Act::Keep(whole), Act::Send(chunk), Act::Hold(chunk), Act::Hold(half)] {
+        let client = hasty(scripted(vec![act]).await);
+        let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
+        let outcome = read_answer(&mut stream).await;
+        assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+    }
+}
+
+/// A stream's text in chunks that end at these places, modulo its length.
+fn chunked(text: &str, cuts: &[usize]) -> String {
+    let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % text.len()).collect();
+    cuts.extend([0, text.len()]);
+    cuts.sort_unstable();
+    cuts.dedup();
+    let pieces = cuts.windows(2).map(|ends| &text[ends[0]..ends[1]]);
+    pieces.map(|piece| format!("{:x}\r\n{piece}\r\n", piece.len())).collect()
+}
+
+/// Reads an answer that comes as these chunks.
+fn answer_of(chunks: String) -> Result<(String, String), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let text = format!("{HEAD}{chunks}0\r\n\r\n");
+        let client = client(scripted(vec![Act::Keep(text.leak())]).await);
+        let mut stream = client.decode(&decode("a.1", 5)).await?;
+        read_answer(&mut stream).await
+    })
+}
+
+const WHOLE: &str = concat!(
+    "{\"token\":{\"offset\":0,\"text\":\" w1\"}}\n",
+    "{\"token\":{\"offset\":1,\"text\":\" w2\"}}\n",
+    "{\"end\":{\"total\":2,\"finish\":\"length\"}}\n",
+);
+
+quickcheck! {
+    fn an_answer_is_the_same_in_whatever_chunks_it_comes(cuts: Vec<usize>) -> bool {
+        answer_of(chunked(WHOLE, &cuts)) == Ok((" w1 w2".to_owned(), "length".to_owned()))
+    }
+
+    fn an_answer_with_a_byte_less_or_another_is_none(place: usize, byte: Option<u8>) -> bool {
+        let place = place % WHOLE.len();
+        let byte = byte.map(|byte| char::from(byte % 128)).filter(|byte| !"\n ".contains(*byte));
+        let other = byte.map(String::from).unwrap_or_default();
+        let text = format!("{}{other}{}", &WHOLE[..place], &WHOLE[place + 1..]);
+        match answer_of(chunked(&text, &[])) {
+            // The text of a token is the engine's own affair, and so is the reason of the end.
+            Ok((tokens, finish)) => tokens != " w1 w2" || finish != "length" || text == WHOLE,
+            Err(Error::Malformed(place, _)) => place.starts_with("line "),
+            Err(error) => matches!(error, Error::Unknown(_)),
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_whose_text_does_not_come_is_one_all_the_same() {
+    let fenced = "HTTP/1.1 412 Fenced\r\ncontent-length: 10\r\n\r\n{";
+    let acts = vec![Act::Hold(fenced), Act::Send(fenced)];
+    let begin = Duration::from_millis(500);
+    let settings = Settings { begin, ..Settings::default() };
+    let client = Client::new(scripted(acts).await, settings, None);
+
+    let silent = client.decode(&decode("a.1", 5)).await.map(drop);
+    let cut = client.decode(&decode("a.1", 5)).await.map(drop);
+
+    assert_eq!((silent, cut), (Err(Error::Fenced), Err(Error::Fenced)));
+}
+
+#[tokio::test]
+async fn a_line_without_end_is_an_error() {
+    let line = "x".repeat(100_000);
+    let text = format!("{HEAD}{:x}\r\n{line}\r\n", line.len());
+    let client = client(scripted(vec![Act::Hold(text.leak())]).await);
+    let mut stream = client.decode(&decode("a.1", 5)).await.unwrap();
+
+    let outcome = stream.next().await;
+
+    assert!(matches!(outcome, Err(Error::Malformed(_, _))), "{outcome:?}");
+}
--- a/crates/standin/tests/support/mod.rs
+++ b/crates/standin/tests/support/mod.rs
@@ -3,6 +3,9 @@
 #![allow(dead_code, reason = "each test file uses its part")]
 
 use bytes::Bytes;
+use chestnutrack_engine::client::Stream;
+use chestnutrack_engine::error::Error;
+use chestnutrack_engine::order::Line;
 use chestnutrack_process::http;
 use chestnutrack_standin::{engine, plain, platform};
 use serde_json::Value;
@@ -137,3 +140,15 @@
     };
     tokio::time::timeout(PATIENCE, waiting).await.expect("condition holds in time");
 }
+
+/// Reads a stream to its end: its text, and why it ended.
+pub(crate) async fn read_answer(stream: &mut Stream) -> Result<(String, String), Error> {
+    let mut whole = String::new();
+    loop {
+        match stream.next().await? {
+            Some(Line::Token { text, .. }) => whole.push_str(&text),
+            Some(Line::End { finish, .. }) => return Ok((whole, finish.to_string())),
+            None => panic!("the stream ended without an end"),
+        }
+    }
+}
