Prefill rate is measured on long prompts only

Cause: the cost of an order by itself counted as time a token; after 20 prompts of 10 tokens at 20 ms each a prompt of 1,500 tokens with 600 ms left was refused as too late. Test before: 1 refusal; after: none. Prefills of fewer than 512 computed tokens no longer change the rate.

--- a/crates/core/src/server/pace.rs
+++ b/crates/core/src/server/pace.rs
@@ -7,6 +7,10 @@
 /// Weight of the newest measurement: one in so many.
 const SMOOTHING: u64 = 8;
 
+/// Shortest prefill whose time says how long a token takes, in tokens; in shorter ones the cost of
+/// an order by itself outweighs it.
+const MEASURED_TOKENS_MIN: u64 = 512;
+
 /// Measured speeds of the server.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pace {
@@ -49,6 +53,9 @@
     pub(super) fn prefilled(&mut self, now: Instant, tokens: u64, since: Instant) {
         let took = now.since(since.max(self.prefill_end));
         self.prefill_end = now;
+        if tokens < MEASURED_TOKENS_MIN {
+            return;
+        }
         let nanos = u64::try_from(took.as_nanos()).unwrap_or(u64::MAX);
         if let Some(each) = nanos.checked_div(tokens) {
             self.prefill_nanos = smooth(self.prefill_nanos, each);
--- a/crates/core/tests/server/refuse.rs
+++ b/crates/core/tests/server/refuse.rs
@@ -91,3 +91,21 @@
 
     assert_eq!(world.failures(), [(Request(4), Cause::Full, Ran::NotRun)]);
 }
+
+#[test]
+fn short_prompts_do_not_make_a_long_one_look_late() {
+    let mut world = World::new(Role::Prefill);
+    for request in 1..=20 {
+        let ask = prefill("dairy-coop", 10, 10_000);
+        world.frame(0, Frame::Prefill(Request(request), ATTEMPT, ask));
+        // What an order costs by itself, whatever its size.
+        world.advance(20);
+        world.settle();
+        world.frame(0, Frame::Done(Request(request), ATTEMPT));
+        world.settle();
+    }
+
+    world.frame(0, Frame::Prefill(Request(99), ATTEMPT, prefill("dairy-coop", 1_500, 600)));
+
+    assert_eq!(world.failures(), []);
+}
