An idle prefill server tries a prompt that its estimate calls late

Cause: an estimate that was once too slow refused every long prompt and so was never measured again. Test before: refused on an idle server; after: started. Refusals by estimate now need other work ahead of the prompt.

--- a/crates/core/src/server/capacity.rs
+++ b/crates/core/src/server/capacity.rs
@@ -129,7 +129,7 @@
         }
     }
 
-    fn queued_tokens(&self) -> u64 {
+    pub(super) fn queued_tokens(&self) -> u64 {
         let queued = self.holds.values().filter_map(|hold| match (&hold.work, hold.stage) {
             (Work::Prefill(prefill, _), Stage::Waiting { .. } | Stage::Prefilling { .. }) => {
                 Some(u64::from(prefill.prompt_tokens))
@@ -139,7 +139,7 @@
         queued.sum()
     }
 
-    fn ordered_prefill_tokens(&self) -> u64 {
+    pub(super) fn ordered_prefill_tokens(&self) -> u64 {
         let ordered = self.holds.values().filter_map(|hold| match (&hold.work, hold.stage) {
             (Work::Prefill(prefill, _), Stage::Prefilling { .. }) => {
                 Some(u64::from(prefill.prompt_tokens))
--- a/crates/core/src/server/prefill.rs
+++ b/crates/core/src/server/prefill.rs
@@ -21,7 +21,9 @@
             return;
         }
         let deadline = Duration::from_millis(u64::from(ask.deadline_ms));
-        if self.prefill_wait(ask.prompt_tokens) > deadline {
+        // An idle server tries it all the same, so that a wrong estimate mends itself.
+        let others = self.queued_tokens() > 0;
+        if others && self.prefill_wait(ask.prompt_tokens) > deadline {
             self.refuse(now, asked, Cause::Deadline);
             return;
         }
@@ -48,8 +50,11 @@
         self.order(key, Task::Prefill { prompt, priority });
     }
 
-    /// Whether a prefill that starts now would end after its deadline.
+    /// Whether a prefill that starts now, beside others, would end after its deadline.
     fn would_end_late(&self, now: Instant, key: Key) -> bool {
+        if self.ordered_prefill_tokens() == 0 {
+            return false;
+        }
         match self.holds.get(key).map(|hold| (&hold.work, hold.stage)) {
             Some((Work::Prefill(ask, _), Stage::Waiting { until, .. })) => {
                 now + self.pace.prefill_time(u64::from(ask.prompt_tokens)) > until
--- a/crates/core/tests/server/refuse.rs
+++ b/crates/core/tests/server/refuse.rs
@@ -109,3 +109,13 @@
 
     assert_eq!(world.failures(), []);
 }
+
+#[test]
+fn an_idle_prefill_server_tries_a_prompt_that_looks_late() {
+    let mut world = World::new(Role::Prefill);
+
+    world.frame(0, Frame::Prefill(Request(1), ATTEMPT, prefill("dairy-coop", 1_900, 20)));
+
+    assert_eq!(world.failures(), []);
+    assert_eq!(world.begun.len(), 1);
+}
