A host restarted at its address waits for no lease of its older incarnation

Who has bound the address is the proof that the older process is gone. Before, a lone host that restarted had no share for a lease's length, and nobody to borrow from.

--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -190,7 +190,8 @@
     /// A member that is gone counts on until its lease has surely lapsed, unless it is dead.
     fn hold_removed(&mut self, table: &Table) {
         self.held.retain(|held| !table.lists(&held.identity));
-        let gone = self.peers.values().filter(|peer| !peer.dead);
+        let dead = |peer: &Peer| peer.dead || table.displaces(&peer.member);
+        let gone = self.peers.values().filter(|peer| !dead(peer));
         let gone = gone.map(|peer| &peer.member.identity);
         let former = table.former.iter().flatten().filter(|identity| **identity != self.me);
         let away: Vec<_> =
--- a/crates/core/src/member/table.rs
+++ b/crates/core/src/member/table.rs
@@ -46,10 +46,20 @@
         self.members.iter().position(|member| member.identity == *identity)
     }
 
-    /// The table with one more member; an older incarnation of the same name goes.
+    /// Whether another process has a member's address, so that the member is surely dead.
+    pub fn displaces(&self, member: &Member) -> bool {
+        let has =
+            |other: &Member| other.address == member.address && other.identity != member.identity;
+        self.members.iter().any(has)
+    }
+
+    /// The table with one more member; an older incarnation of the same name goes. If the new one
+    /// has its address, it is dead.
     pub fn with(&self, member: Member) -> Table {
         let older = |other: &&Member| {
-            other.identity.name == member.identity.name && other.identity != member.identity
+            other.identity.name == member.identity.name
+                && other.identity != member.identity
+                && other.address != member.address
         };
         let replaced = self.members.iter().filter(older).map(|other| other.identity.clone());
         let former = self.former.clone().map(|mut former| {
--- a/crates/core/src/member/tests.rs
+++ b/crates/core/src/member/tests.rs
@@ -13,12 +13,18 @@
     Identity { name: name.into(), incarnation: 1 }
 }
 
+/// Each name has a port of its own.
+fn address_of(name: &str) -> SocketAddr {
+    ([127, 0, 0, 1], 1_000 + u16::from(name.as_bytes()[0])).into()
+}
+
+/// Address of the member whose duty is asked for.
 fn address() -> SocketAddr {
-    ([127, 0, 0, 1], 1).into()
+    address_of("b")
 }
 
 fn table(version: u64, names: &[&str]) -> Table {
-    let member = |name: &&str| Member { identity: identity(name), address: address() };
+    let member = |name: &&str| Member { identity: identity(name), address: address_of(name) };
     Table { version, members: names.iter().map(member).collect(), former: Some(Vec::new()) }
 }
 
@@ -61,7 +67,7 @@
 fn the_first_member_of_all_has_the_whole_share_at_once() {
     let mut first = Membership::new(identity("a"));
 
-    let duty = first.duty(at(0), Some(None), address());
+    let duty = first.duty(at(0), Some(None), address_of("a"));
     first.offer(at(0), table(1, &["a"]));
 
     assert_eq!(duty, Duty::Write(table(0, &["a"])));
@@ -248,3 +254,20 @@
     assert_eq!(duty, Duty::Write(table(3, &["a", "b"])));
     assert_eq!((b.joins(), unvouched, b.divisor(at(220))), (2, None, Some(2)));
 }
+
+#[test]
+fn a_host_restarted_at_its_address_waits_for_no_lease_of_its_own() {
+    let restarted = Identity { incarnation: 2, ..identity("b") };
+    let mut b = Membership::new(restarted.clone());
+
+    let Duty::Write(joined) = b.duty(at(0), Some(Some(&table(2, &["b"]))), address()) else {
+        panic!()
+    };
+    let other = Identity { incarnation: 3, ..identity("b") };
+    let elsewhere = joined.with(Member { identity: other, address: address_of("c") });
+    b.offer(at(0), Table { version: 3, ..joined.clone() });
+
+    assert_eq!(joined.former, Some(Vec::new()));
+    assert_eq!(elsewhere.former, Some(vec![restarted]));
+    assert_eq!(b.divisor(at(0)), Some(1));
+}
