--- a/crates/core/tests/server/lease.rs
+++ b/crates/core/tests/server/lease.rs
@@ -4,7 +4,7 @@
 use chestnutrack_core::server::settings::{
     CLAIM_BOUND, LEAVING_GRACE, PAUSE_BOUND, RESUME_GRACE, SILENT,
 };
-use chestnutrack_core::server::{Authority, Counter, Event, Task};
+use chestnutrack_core::server::{Authority, Counter, Event, Settings, Task};
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::frame::{Cause, Ran, Reserve};
 use chestnutrack_wire::{Attempt, Frame, Request};
@@ -77,6 +77,20 @@
     assert_eq!((before, world.engine.len()), (1, 0));
 }
 
+#[test]
+fn a_connection_without_work_is_ended_after_a_longer_silence() {
+    let mut world = World::new(Role::Decode);
+    world.connect(0);
+    world.hosts[0].pings = false;
+
+    world.run(millis(SILENT + RESUME_GRACE));
+    let kept = world.hosts[0].connection.is_some();
+    world.run(millis(Settings::default().silent_idle));
+
+    assert!(kept);
+    assert_eq!(world.hosts[0].connection, None);
+}
+
 #[test]
 fn a_new_incarnation_frees_what_the_old_one_had_at_once() {
     let mut world = decoding(2);
@@ -89,6 +103,40 @@
     assert!(world.server.is_idle());
 }
 
+#[test]
+fn an_old_incarnation_that_wakes_up_takes_nothing_from_the_new_one() {
+    let mut world = World::new(Role::Decode);
+    world.connect(0);
+    world.hosts[0].incarnation += 1;
+    world.connect(0);
+    world.frame(0, Frame::Reserve(Request(1), ATTEMPT, reserve("dairy-coop", 200, 1_000)));
+    world.frame(0, Frame::Decode(Request(1), ATTEMPT, decode(100)));
+    world.settle();
+    let live = world.hosts[0].connection;
+
+    world.hosts[0].incarnation -= 1;
+    world.connect(0);
+    world.hosts[0].connection = live;
+    world.run(1_000);
+
+    assert_eq!(world.engine.len(), 1);
+}
+
+#[test]
+fn a_replaced_incarnation_may_come_back_once_the_other_is_gone() {
+    let mut world = World::new(Role::Decode);
+    world.connect(0);
+    world.hosts[0].incarnation += 1;
+    world.connect(0);
+    world.disconnect(0);
+    world.hosts[0].incarnation -= 1;
+
+    world.connect(0);
+    world.frame(0, Frame::Reserve(Request(1), ATTEMPT, reserve("dairy-coop", 200, 1_000)));
+
+    assert_eq!(world.reserved(), [Request(1)]);
+}
+
 #[test]
 fn a_reservation_given_before_leaving_may_be_used_for_a_while() {
     let mut world = World::new(Role::Decode);
@@ -232,6 +280,21 @@
     assert_eq!(left, ["00000000000000000000000000000001.1"]);
 }
 
+#[test]
+fn an_order_that_the_process_before_may_have_carried_out_may_have_run() {
+    let mut world = World::new(Role::Decode);
+    world.engine.insert("00000000000000000000000000000001.1".into(), 200);
+
+    world.frame(0, Frame::Decode(Request(1), ATTEMPT, decode(100)));
+    world.run(100);
+    world.frame(0, Frame::Decode(Request(1), ATTEMPT, decode(100)));
+    world.frame(0, Frame::Decode(Request(2), ATTEMPT, decode(100)));
+
+    let lapsed = |request, ran| (Request(request), Cause::ReservationLapsed, ran);
+    let expected = [lapsed(1, Ran::Unknown), lapsed(1, Ran::Unknown), lapsed(2, Ran::NotRun)];
+    assert_eq!(world.failures(), expected);
+}
+
 #[test]
 fn an_answer_is_claimed_before_the_engine_was_asked() {
     let mut world = World::new(Role::Decode);
