A wait for room costs no retry of a request

Cause: attempts that a full server refused counted against the three retries of a request, so that one that had waited for room was given up at its first failure. Seen: a request refused five times for want of room and then failed once got 502 before (the test fails on the former code), 200 and one retry after. A part of an answer that is kept counts as a start.

--- a/crates/entry/src/answer/reply.rs
+++ b/crates/entry/src/answer/reply.rs
@@ -70,9 +70,9 @@
         };
     }
 
-    /// Whether a part of the answer has gone to the caller.
+    /// Whether a part of the answer has gone to the caller, or is kept for it.
     pub fn is_started(&self) -> bool {
-        !matches!(*self.state(), State::Fresh(_) | State::Keeping(..))
+        !matches!(*self.state(), State::Fresh(_) | State::Keeping(_, None))
     }
 
     /// Sends the head.
--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -99,7 +99,6 @@
     exchange: &Exchange,
     admitted: &Admitted,
     trouble: &Trouble,
-    before: u32,
 ) -> Result<(), Refusal> {
     let refusal = &trouble.refusal;
     let why = format!("{}, {}: {}", refusal.code.as_str(), refusal.ran.as_str(), refusal.message);
@@ -113,9 +112,11 @@
     if is_last || !is_safe(failed) {
         return Err(refusal.clone());
     }
-    let allowed = trouble.is_full() || app.spend_retry(before);
-    if !allowed {
-        return Err(refusal.clone());
+    if !trouble.is_full() {
+        if !app.spend_retry(exchange.retries()) {
+            return Err(refusal.clone());
+        }
+        exchange.note_retry();
     }
     exchange.note_failed(refusal.ran);
     exchange.note(app, What::Retried, None, None);
--- a/crates/entry/src/attempt/model.rs
+++ b/crates/entry/src/attempt/model.rs
@@ -79,7 +79,7 @@
             Ok(()) => return Ok(()),
             Err(trouble) => trouble,
         };
-        again(app, exchange, admitted, &trouble, attempt - 1)?;
+        again(app, exchange, admitted, &trouble)?;
         work.ask.passed_over.extend(trouble.to_pass_over());
         writer.text.clear();
         writer.tokens = 0;
--- a/crates/entry/src/attempt/plain.rs
+++ b/crates/entry/src/attempt/plain.rs
@@ -58,7 +58,7 @@
             Ok(()) => return Ok(()),
             Err(trouble) => trouble,
         };
-        again(app, exchange, admitted, &trouble, attempt - 1)?;
+        again(app, exchange, admitted, &trouble)?;
         ask.passed_over.extend(trouble.to_pass_over());
         attempt += 1;
     }
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -11,7 +11,7 @@
 use chestnutrack_process::clock;
 use chestnutrack_wire::Request;
 use chestnutrack_wire::frame::Ran;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -51,6 +51,7 @@
     ordered: AtomicBool,
     /// Whether attempts that were given up ran, at worst.
     ran_before: Mutex<Option<Ran>>,
+    retries: AtomicU32,
     debited: AtomicU64,
     used: AtomicU64,
     pace: Mutex<Pace>,
@@ -74,6 +75,7 @@
             outside_us: AtomicU64::new(0),
             ordered: AtomicBool::new(false),
             ran_before: Mutex::new(None),
+            retries: AtomicU32::new(0),
             debited: AtomicU64::new(0),
             used: AtomicU64::new(0),
             pace: Mutex::default(),
@@ -109,6 +111,16 @@
         self.ordered.store(true, Ordering::Relaxed);
     }
 
+    /// Retries of this request so far.
+    pub fn retries(&self) -> u32 {
+        self.retries.load(Ordering::Relaxed)
+    }
+
+    /// Notes a retry.
+    pub fn note_retry(&self) {
+        self.retries.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Notes that an attempt was given up, and whether it ran.
     pub fn note_failed(&self, ran: Ran) {
         self.ordered.store(false, Ordering::Relaxed);
--- a/crates/entry/tests/entry/faults.rs
+++ b/crates/entry/tests/entry/faults.rs
@@ -399,3 +399,31 @@
     let stays = |frame: &Frame| matches!(frame, Frame::Prefill(..) | Frame::Decode(..));
     assert!(!restarting.seen().iter().any(stays));
 }
+
+#[tokio::test]
+async fn a_wait_for_room_costs_no_retry() {
+    let first = std::sync::atomic::AtomicBool::new(true);
+    let failing_once = Side::start(move |frame: &Frame| match frame {
+        Frame::Prefill(request, attempt, _)
+            if first.swap(false, std::sync::atomic::Ordering::SeqCst) =>
+        {
+            vec![failed(*request, *attempt, Ran::Unknown, Cause::Backend)]
+        }
+        other => side::engine(&[])(other),
+    })
+    .await;
+    let decode = Side::start(|frame: &Frame| match frame {
+        Frame::Reserve(request, attempt, _) if attempt.0 <= 5 => {
+            vec![failed(*request, *attempt, Ran::NotRun, Cause::Full)]
+        }
+        other => side::engine(&["pie"])(other),
+    })
+    .await;
+    let document = document(&[failing_once.address], &[decode.address], &[]);
+    let entry = Entry::start(&document).await;
+
+    let got = call(entry.address, &completion("today", false)).await;
+
+    assert_eq!(got.status(), 200);
+    assert_eq!(entry.app.metrics.retries.get(), 1);
+}
