An interactive request waits for tokens only while its first token can be in time

Cause: an organisation that sends several times its rate waited for its tokens up to the deadline, in order of arrival, so that each request that was admitted came seconds late: it paid for its rate and got nothing in time.

--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -17,7 +17,6 @@
 use chestnutrack_core::place::Ask;
 use chestnutrack_core::queue::Waiting;
 use chestnutrack_core::retry::{Failed, is_safe};
-use chestnutrack_core::time::Instant;
 use chestnutrack_document::model::Role;
 use chestnutrack_process::clock;
 use chestnutrack_wire::frame::{Cause, Failure, Ran};
@@ -163,7 +162,7 @@
         may_wait: admitted.route.may_wait,
         tokens: ask.kv_tokens.max(1),
         arrived: clock::now(),
-        target: target(app, exchange, admitted),
+        target: exchange.target(app, admitted),
         deadline: admitted.deadline,
         returned,
         item: Want { role, ask: ask.clone(), reply },
@@ -174,15 +173,6 @@
     Ok(turn)
 }
 
-/// When a request's turn must come for its first token to come in time.
-fn target(app: &App, exchange: &Exchange, admitted: &Admitted) -> Instant {
-    if !admitted.route.api.is_model() || admitted.route.may_wait {
-        return admitted.deadline;
-    }
-    let target = Duration::from_millis(admitted.targets.first_token_ms);
-    exchange.arrived + target.saturating_sub(app.first_token.expected())
-}
-
 fn late(late: Late) -> Refusal {
     match late {
         Late::Deadline(millis) => {
--- a/crates/entry/src/request/admit.rs
+++ b/crates/entry/src/request/admit.rs
@@ -204,7 +204,7 @@
     Ok(Some(text.into()))
 }
 
-/// Debits a request's tokens, waiting for them within its deadline.
+/// Debits a request's tokens, waiting for them as long as its first token can come in time.
 ///
 /// # Errors
 ///
@@ -216,7 +216,7 @@
     tokens: u64,
 ) -> Result<(), Refusal> {
     let Some(credential) = &admitted.credential else { return Ok(()) };
-    let within = time_until(admitted.deadline);
+    let within = time_until(exchange.target(app, admitted));
     let debited = (app.authority.debit)(credential.organisation.clone(), tokens, within);
     exchange.outside(debited).await.map_err(short_of_tokens)?;
     exchange.note_debit(tokens);
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -31,6 +31,11 @@
 }
 
 impl Admitted {
+    /// Whether latency targets apply to it: to interactive model requests.
+    pub fn has_targets(&self) -> bool {
+        self.route.api.is_model() && !self.route.may_wait
+    }
+
     /// The organisation that it runs for; empty on routes open to all.
     pub fn organisation(&self) -> Arc<str> {
         self.credential.as_ref().map_or_else(|| "".into(), |owner| owner.organisation.clone())
@@ -185,10 +190,21 @@
         pace.tokens += tokens;
     }
 
+    /// When a request must go to its servers for its first token to come in time; its deadline
+    /// where it has no latency target.
+    pub fn target(&self, app: &App, admitted: &Admitted) -> Instant {
+        if !admitted.has_targets() {
+            return admitted.deadline;
+        }
+        let target = Duration::from_millis(admitted.targets.first_token_ms);
+        let target = self.arrived + target.saturating_sub(app.first_token.expected());
+        target.min(admitted.deadline)
+    }
+
     /// Whether the answer came in time: within both latency targets where it is an interactive
     /// model request, else within its deadline.
     pub fn is_in_time(&self, admitted: &Admitted) -> bool {
-        if admitted.route.api.is_model() && !admitted.route.may_wait {
+        if admitted.has_targets() {
             return self.is_within(&admitted.targets);
         }
         let pace = *self.pace.lock().unwrap_or_else(PoisonError::into_inner);
