--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -17,7 +17,6 @@
 use chestnutrack_core::place::Ask;
 use chestnutrack_core::queue::Waiting;
 use chestnutrack_core::retry::{Failed, is_safe};
-use chestnutrack_core::time::Instant;
 use chestnutrack_document::model::Role;
 use chestnutrack_process::clock;
 use chestnutrack_wire::frame::{Cause, Failure, Ran};
@@ -99,7 +98,6 @@
     exchange: &Exchange,
     admitted: &Admitted,
     trouble: &Trouble,
-    before: u32,
 ) -> Result<(), Refusal> {
     let refusal = &trouble.refusal;
     let why = format!("{}, {}: {}", refusal.code.as_str(), refusal.ran.as_str(), refusal.message);
@@ -113,9 +111,11 @@
     if is_last || !is_safe(failed) {
         return Err(refusal.clone());
     }
-    let allowed = trouble.is_full() || app.spend_retry(before);
-    if !allowed {
-        return Err(refusal.clone());
+    if !trouble.is_full() {
+        if !app.spend_retry(exchange.retries()) {
+            return Err(refusal.clone());
+        }
+        exchange.note_retry();
     }
     exchange.note_failed(refusal.ran);
     exchange.note(app, What::Retried, None, None);
@@ -162,7 +162,7 @@
         may_wait: admitted.route.may_wait,
         tokens: ask.kv_tokens.max(1),
         arrived: clock::now(),
-        target: target(app, exchange, admitted),
+        target: exchange.target(app, admitted),
         deadline: admitted.deadline,
         returned,
         item: Want { role, ask: ask.clone(), reply },
@@ -173,15 +173,6 @@
     Ok(turn)
 }
 
-/// When a request's turn must come for its first token to come in time.
-fn target(app: &App, exchange: &Exchange, admitted: &Admitted) -> Instant {
-    if !admitted.route.api.is_model() || admitted.route.may_wait {
-        return admitted.deadline;
-    }
-    let target = Duration::from_millis(admitted.targets.first_token_ms);
-    exchange.arrived + target.saturating_sub(app.first_token.expected())
-}
-
 fn late(late: Late) -> Refusal {
     match late {
         Late::Deadline(millis) => {
--- a/crates/entry/src/attempt/model.rs
+++ b/crates/entry/src/attempt/model.rs
@@ -1,6 +1,6 @@
 //! Model requests: a decode slot first, then the prefill, then the answer.
 
-use super::{Trouble, again, millis_left, target, trouble, turn, until_deadline};
+use super::{Trouble, again, millis_left, trouble, turn, until_deadline};
 use crate::answer::openai::{Form, Usage};
 use crate::app::App;
 use crate::explain::What;
@@ -77,7 +77,7 @@
             Ok(()) => return Ok(()),
             Err(trouble) => trouble,
         };
-        again(app, exchange, admitted, &trouble, attempt - 1)?;
+        again(app, exchange, admitted, &trouble)?;
         work.ask.passed_over.extend(trouble.to_pass_over());
         writer.text.clear();
         writer.tokens = 0;
@@ -119,7 +119,7 @@
             return Err(Trouble::last(refusal.retry_after(expected_ms)));
         };
         let needed_in_ms = u32::try_from(expected_ms).unwrap_or(u32::MAX);
-        let target = target(self.app, self.exchange, self.admitted);
+        let target = self.exchange.target(self.app, self.admitted);
         let wait = place::wait::longest(clock::now(), target, Duration::from_millis(wait_ms));
         let frame = Frame::Reserve(
             self.exchange.request,
--- a/crates/entry/src/request/admit.rs
+++ b/crates/entry/src/request/admit.rs
@@ -204,7 +204,7 @@
     Ok(Some(text.into()))
 }
 
-/// Debits a request's tokens, waiting for them within its deadline.
+/// Debits a request's tokens, waiting for them as long as its first token can come in time.
 ///
 /// # Errors
 ///
@@ -216,7 +216,7 @@
     tokens: u64,
 ) -> Result<(), Refusal> {
     let Some(credential) = &admitted.credential else { return Ok(()) };
-    let within = token_wait(admitted);
+    let within = token_wait(app, exchange, admitted);
     let debited = (app.authority.debit)(credential.organisation.clone(), tokens, within);
     exchange.outside(debited).await.map_err(short_of_tokens)?;
     exchange.note_debit(tokens);
@@ -224,14 +224,11 @@
     Ok(())
 }
 
-/// Longest wait for tokens: half of the time to the first token for interactive model requests,
-/// so that a request which had to wait can still be good; the deadline for all others.
-fn token_wait(admitted: &Admitted) -> Duration {
-    let left = time_until(admitted.deadline);
-    if !admitted.route.api.is_model() || admitted.route.may_wait {
-        return left;
-    }
-    left.min(Duration::from_millis(admitted.targets.first_token_ms / 2))
+/// Longest wait for tokens: for interactive model requests half of the time until their turn must
+/// come, so that one which had to wait can still be good; the deadline for all others.
+fn token_wait(app: &App, exchange: &Exchange, admitted: &Admitted) -> Duration {
+    let until_target = time_until(exchange.target(app, admitted));
+    if admitted.has_targets() { until_target / 2 } else { until_target }
 }
 
 fn short_of_tokens(refused: limit::Refusal) -> Refusal {
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -11,7 +11,7 @@
 use chestnutrack_process::clock;
 use chestnutrack_wire::Request;
 use chestnutrack_wire::frame::Ran;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -31,6 +31,11 @@
 }
 
 impl Admitted {
+    /// Whether latency targets apply to it: to interactive model requests.
+    pub fn has_targets(&self) -> bool {
+        self.route.api.is_model() && !self.route.may_wait
+    }
+
     /// The organisation that it runs for; empty on routes open to all.
     pub fn organisation(&self) -> Arc<str> {
         self.credential.as_ref().map_or_else(|| "".into(), |owner| owner.organisation.clone())
@@ -51,6 +56,7 @@
     ordered: AtomicBool,
     /// Whether attempts that were given up ran, at worst.
     ran_before: Mutex<Option<Ran>>,
+    retries: AtomicU32,
     debited: AtomicU64,
     used: AtomicU64,
     pace: Mutex<Pace>,
@@ -74,6 +80,7 @@
             outside_us: AtomicU64::new(0),
             ordered: AtomicBool::new(false),
             ran_before: Mutex::new(None),
+            retries: AtomicU32::new(0),
             debited: AtomicU64::new(0),
             used: AtomicU64::new(0),
             pace: Mutex::default(),
@@ -109,6 +116,16 @@
         self.ordered.store(true, Ordering::Relaxed);
     }
 
+    /// Retries of this request so far.
+    pub fn retries(&self) -> u32 {
+        self.retries.load(Ordering::Relaxed)
+    }
+
+    /// Notes a retry.
+    pub fn note_retry(&self) {
+        self.retries.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Notes that an attempt was given up, and whether it ran.
     pub fn note_failed(&self, ran: Ran) {
         self.ordered.store(false, Ordering::Relaxed);
@@ -173,10 +190,21 @@
         pace.tokens += tokens;
     }
 
+    /// When a request must go to its servers for its first token to come in time; its deadline
+    /// where it has no latency target.
+    pub fn target(&self, app: &App, admitted: &Admitted) -> Instant {
+        if !admitted.has_targets() {
+            return admitted.deadline;
+        }
+        let target = Duration::from_millis(admitted.targets.first_token_ms);
+        let target = self.arrived + target.saturating_sub(app.first_token.expected());
+        target.min(admitted.deadline)
+    }
+
     /// Whether the answer came in time: within both latency targets where it is an interactive
     /// model request, else within its deadline.
     pub fn is_in_time(&self, admitted: &Admitted) -> bool {
-        if admitted.route.api.is_model() && !admitted.route.may_wait {
+        if admitted.has_targets() {
             return self.is_within(&admitted.targets);
         }
         let pace = *self.pace.lock().unwrap_or_else(PoisonError::into_inner);
