Capacity: slopes from fleets of processes; links that were cut stay cut for their connections

Cause: a link that was cut and mended at once let its connections go on, so that the test of a cut connection passed also without resuming. Connections opened before a cut are now always closed.

--- /dev/null
+++ b/crates/harness/src/capacity/slope.rs
@@ -0,0 +1,21 @@
+//! A straight line through measured points.
+
+/// A line by least squares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Line {
+    /// Value at zero.
+    pub base: f64,
+    /// Growth for each one more.
+    pub slope: f64,
+}
+
+/// Fits a line through points `(x, y)`; flat where all `x` are the same.
+pub fn fit(points: &[(f64, f64)]) -> Line {
+    let count = points.len().max(1) as f64;
+    let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
+    let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
+    let spread: f64 = points.iter().map(|point| (point.0 - mean_x).powi(2)).sum();
+    let together: f64 = points.iter().map(|point| (point.0 - mean_x) * (point.1 - mean_y)).sum();
+    let slope = if spread > 0.0 { together / spread } else { 0.0 };
+    Line { base: mean_y - slope * mean_x, slope }
+}
--- /dev/null
+++ b/crates/harness/src/capacity/sweep.rs
@@ -0,0 +1,266 @@
+//! The sweeps: a fleet for each point, measured at rest or under a steady load.
+
+use super::slope::{Line, fit};
+use super::usage::{self, Usage};
+use crate::caller::{self, Call};
+use crate::error::Error;
+use crate::fleet::{Fleet, Settings};
+use chestnutrack_document::Document;
+use chestnutrack_document::model::{Key, Role};
+use serde_json::Value;
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Time for a fleet to settle before it is measured.
+const SETTLE: Duration = Duration::from_secs(4);
+/// Time over which a fleet is measured.
+const MEASURE: Duration = Duration::from_secs(8);
+/// Last part of the address of the first added server.
+const FIRST_ADDED_HOST: u8 = 40;
+/// Tokens that each completion of the load asks for.
+const OUTPUT_TOKENS: u32 = 16;
+
+/// Changes a document before its fleet starts.
+type Edit = fn(&mut Document);
+
+/// One figure over one quantity.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Row {
+    /// What was varied.
+    pub over: &'static str,
+    /// Which role's figure.
+    pub role: &'static str,
+    /// Which figure, with its unit.
+    pub figure: &'static str,
+    /// Measured points.
+    pub points: Vec<(f64, f64)>,
+    /// The line through them.
+    pub line: Line,
+}
+
+/// What one fleet used.
+struct Sample {
+    entry: Use,
+    side: Use,
+    platform_calls_per_s: f64,
+    link_bytes_per_s: f64,
+}
+
+/// What the mean process of a role used.
+#[derive(Clone, Copy, Default)]
+struct Use {
+    core_per_mille: f64,
+    memory_mib: f64,
+}
+
+/// Runs every sweep.
+///
+/// # Errors
+///
+/// When a fleet can't be started or driven.
+pub async fn sweep_all(progress: impl Fn(&str)) -> Result<Vec<Row>, Error> {
+    let mut rows = Vec::new();
+    rows.extend(over_entries(&progress).await?);
+    rows.extend(over_servers(&progress).await?);
+    rows.extend(over_organisations(&progress).await?);
+    rows.extend(over_requests(&progress).await?);
+    Ok(rows)
+}
+
+async fn over_entries(progress: &impl Fn(&str)) -> Result<Vec<Row>, Error> {
+    let mut samples = Vec::new();
+    for entries in [2, 4, 6, 8] {
+        progress(&format!("{entries} entry hosts"));
+        let mut fleet = start(entries, keep::<1>).await?;
+        samples.push((f64::from(entries), at_rest(&mut fleet).await?));
+    }
+    Ok(rows("entry hosts", &samples))
+}
+
+async fn over_servers(progress: &impl Fn(&str)) -> Result<Vec<Row>, Error> {
+    let edits: [(u8, Edit); 4] =
+        [(4, keep::<4>), (8, keep::<8>), (16, keep::<16>), (32, keep::<32>)];
+    let mut samples = Vec::new();
+    for (servers, edit) in edits {
+        progress(&format!("{servers} decode servers"));
+        let mut fleet = start(2, edit).await?;
+        samples.push((f64::from(servers), at_rest(&mut fleet).await?));
+    }
+    Ok(rows("decode servers", &samples))
+}
+
+async fn over_organisations(progress: &impl Fn(&str)) -> Result<Vec<Row>, Error> {
+    let edits: [(u16, Edit); 4] = [
+        (50, with_organisations::<50>),
+        (200, with_organisations::<200>),
+        (400, with_organisations::<400>),
+        (790, with_organisations::<790>),
+    ];
+    let mut samples = Vec::new();
+    for (organisations, edit) in edits {
+        progress(&format!("{organisations} organisations"));
+        let mut fleet = start(2, edit).await?;
+        samples.push((f64::from(organisations), at_rest(&mut fleet).await?));
+    }
+    Ok(rows("organisations", &samples))
+}
+
+async fn over_requests(progress: &impl Fn(&str)) -> Result<Vec<Row>, Error> {
+    let mut samples = Vec::new();
+    for rate in [10, 20, 40, 60] {
+        progress(&format!("{rate} requests a second"));
+        let mut fleet = start(2, keep::<4>).await?;
+        let calls = 0..rate * (SETTLE + MEASURE).as_secs();
+        let sending = send(&fleet, rate, calls.end);
+        let handle = tokio::spawn(sending);
+        let sample = at_rest(&mut fleet).await?;
+        handle.abort();
+        samples.push((rate as f64, sample));
+    }
+    Ok(rows("requests a second", &samples))
+}
+
+async fn start(entries: u8, edit: Edit) -> Result<Fleet, Error> {
+    Fleet::start(Settings { entries, links: true, edit, ..Settings::default() }).await
+}
+
+/// Sends completions at a steady rate, the entry hosts by turns.
+fn send(fleet: &Fleet, rate: u64, calls: u64) -> impl Future<Output = ()> + Send + use<> {
+    let key = fleet.key(&fleet.document.organisations[0].name);
+    let model = fleet.document.pools[0].name.to_string();
+    let prompt = "Which pies can be picked up before noon? ".repeat(20);
+    let call: Call =
+        caller::completion("/v1/completions", &model, &key, &prompt, OUTPUT_TOKENS, true);
+    let entries = fleet.entries();
+    async move {
+        let start = Instant::now();
+        for number in 0..calls {
+            tokio::time::sleep_until(start + Duration::from_micros(number * 1_000_000 / rate))
+                .await;
+            let index = usize::try_from(number).unwrap_or_default() % entries.len();
+            let (address, call) = (entries[index], call.clone());
+            tokio::spawn(async move { caller::call(address, &call).await });
+        }
+    }
+}
+
+async fn at_rest(fleet: &mut Fleet) -> Result<Sample, Error> {
+    sleep(SETTLE).await;
+    let before = look(fleet).await?;
+    sleep(MEASURE).await;
+    let after = look(fleet).await?;
+    let per_s = |before: f64, after: f64| (after - before) / MEASURE.as_secs_f64();
+    Ok(Sample {
+        entry: between(&before.entries, &after.entries),
+        side: between(&before.sides, &after.sides),
+        platform_calls_per_s: per_s(before.platform_calls, after.platform_calls),
+        link_bytes_per_s: per_s(before.link_bytes, after.link_bytes),
+    })
+}
+
+/// Counters of a whole fleet at one moment.
+struct Look {
+    entries: Vec<Usage>,
+    sides: Vec<Usage>,
+    platform_calls: f64,
+    link_bytes: f64,
+}
+
+async fn look(fleet: &mut Fleet) -> Result<Look, Error> {
+    let counts = fleet.page(fleet.platform(), "/control/counts").await?;
+    let link_bytes = fleet.side_link_bytes() as f64;
+    let mut look =
+        Look { entries: Vec::new(), sides: Vec::new(), platform_calls: total(&counts), link_bytes };
+    for name in fleet.process_names() {
+        let usage = usage::read(fleet.process(&name)?);
+        if name.starts_with("entry-") {
+            look.entries.push(usage);
+        } else if name.starts_with("side-") {
+            look.sides.push(usage);
+        }
+    }
+    Ok(look)
+}
+
+fn total(counts: &Value) -> f64 {
+    let kinds = ["read", "list", "write", "delete", "watch", "hosts"];
+    kinds.iter().filter_map(|kind| counts[kind].as_f64()).sum()
+}
+
+fn between(before: &[Usage], after: &[Usage]) -> Use {
+    let count = after.len().max(1) as f64;
+    let used: u64 = after
+        .iter()
+        .zip(before)
+        .map(|(after, before)| after.processor_ns.saturating_sub(before.processor_ns))
+        .sum();
+    let memory: u64 = after.iter().map(|usage| usage.memory_bytes).sum();
+    let of_a_core = used as f64 / count / MEASURE.as_nanos() as f64;
+    Use {
+        core_per_mille: of_a_core * 1_000.0,
+        memory_mib: memory as f64 / count / f64::from(1 << 20),
+    }
+}
+
+fn rows(over: &'static str, samples: &[(f64, Sample)]) -> Vec<Row> {
+    let row = |role, figure, value: fn(&Sample) -> f64| {
+        let points: Vec<(f64, f64)> = samples.iter().map(|(x, s)| (*x, value(s))).collect();
+        let line = fit(&points);
+        Row { over, role, figure, points, line }
+    };
+    vec![
+        row("entry", "thousandths of a core", |sample| sample.entry.core_per_mille),
+        row("entry", "MiB resident", |sample| sample.entry.memory_mib),
+        row("side", "thousandths of a core", |sample| sample.side.core_per_mille),
+        row("side", "MiB resident", |sample| sample.side.memory_mib),
+        row("all side links", "bytes a second", |sample| sample.link_bytes_per_s),
+        row("object interface", "calls a second", |sample| sample.platform_calls_per_s),
+    ]
+}
+
+/// Leaves one prefill server, one plain service and `DECODE` decode servers.
+fn keep<const DECODE: u8>(document: &mut Document) {
+    for pool in &mut document.pools {
+        let mut kept = Vec::new();
+        for role in [Role::Prefill, Role::Decode, Role::Plain] {
+            kept.extend(pool.servers.iter().find(|server| server.role == role).cloned());
+        }
+        let decode = kept.iter().find(|server| server.role == Role::Decode).cloned();
+        for number in 1..DECODE {
+            let Some(mut server) = decode.clone() else { break };
+            let host = FIRST_ADDED_HOST + number;
+            server.name = format!("added-{number}").into();
+            server.host = format!("host-{host}").into();
+            server.side.set_ip(on_host(server.side.ip(), host));
+            server.address.set_ip(on_host(server.address.ip(), host));
+            kept.push(server);
+        }
+        pool.servers = kept;
+    }
+}
+
+fn on_host(address: IpAddr, host: u8) -> IpAddr {
+    match address {
+        IpAddr::V4(address) => {
+            let [first, second, third, _] = address.octets();
+            IpAddr::V4(Ipv4Addr::new(first, second, third, host))
+        }
+        IpAddr::V6(address) => IpAddr::V6(address),
+    }
+}
+
+/// One server of each role, and `COUNT` organisations.
+fn with_organisations<const COUNT: usize>(document: &mut Document) {
+    keep::<1>(document);
+    let Some(first) = document.organisations.first().cloned() else { return };
+    for number in document.organisations.len()..COUNT {
+        let mut added = first.clone();
+        added.name = format!("organisation-{number}").into();
+        added.keys = vec![Key {
+            id: format!("organisation-{number}-1").into(),
+            hash: format!("{number:064x}"),
+        }];
+        document.organisations.push(added);
+    }
+}
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -205,6 +205,12 @@
         self.links.get(name).ok_or_else(|| Error::Other(format!("no link is named `{name}`")))
     }
 
+    /// Bytes that the links before side processes have carried.
+    pub fn side_link_bytes(&self) -> u64 {
+        let of_sides = self.links.iter().filter(|(name, _)| name.starts_with("side-"));
+        of_sides.map(|(_, link)| link.bytes()).sum()
+    }
+
     /// Makes a caller's call to an entry host.
     ///
     /// # Errors
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -4,6 +4,7 @@
 //! beside each, and entry hosts. Every host has a loopback address of its own.
 
 pub mod caller;
+pub mod capacity;
 pub mod deployment;
 pub mod error;
 pub mod fleet;
--- a/crates/harness/src/link.rs
+++ b/crates/harness/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -10,25 +11,17 @@
 /// Size of a relay's buffer, in bytes.
 const BUFFER_BYTES: usize = 64 << 10;
 
-/// What a link does with its connections.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    /// Connections of this generation and later pass on what they carry.
-    Open { generation: u64 },
-    /// Connections are refused and those open are closed.
-    Cut { generation: u64 },
-    /// Connections opened before the generation carry nothing more, and stay open.
-    Silent { generation: u64 },
-}
-
-impl State {
-    fn generation(self) -> u64 {
-        match self {
-            State::Open { generation }
-            | State::Cut { generation }
-            | State::Silent { generation } => generation,
-        }
-    }
+/// What a link does with its connections, which are numbered in the order of opening.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct State {
+    /// New connections are refused.
+    refuses: bool,
+    /// Connections of an earlier generation are closed.
+    closed_before: u64,
+    /// Connections of an earlier generation carry nothing more, and stay open.
+    silent_before: u64,
+    /// Generation of a connection that opens now.
+    generation: u64,
 }
 
 /// A relay from its own address to a process's.
@@ -37,6 +30,7 @@
     /// Address that the relay listens on.
     pub address: SocketAddr,
     state: Arc<watch::Sender<State>>,
+    bytes: Arc<AtomicU64>,
 }
 
 impl Link {
@@ -48,51 +42,69 @@
     pub async fn start(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Link> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
-        let (state, states) = watch::channel(State::Open { generation: 0 });
-        tokio::spawn(accept(listener, target, states));
-        Ok(Link { address, state: Arc::new(state) })
+        let (state, states) = watch::channel(State::default());
+        let bytes = Arc::new(AtomicU64::new(0));
+        tokio::spawn(accept(listener, target, states, bytes.clone()));
+        Ok(Link { address, state: Arc::new(state), bytes })
     }
 
     /// Closes every connection and refuses new ones.
     pub fn cut(&self) {
-        self.change(|generation| State::Cut { generation });
+        self.state.send_modify(|state| {
+            state.generation += 1;
+            state.closed_before = state.generation;
+            state.refuses = true;
+        });
     }
 
     /// Lets the connections that are open carry nothing more; new ones work.
     pub fn silence_open(&self) {
-        self.change(|generation| State::Silent { generation });
+        self.state.send_modify(|state| {
+            state.generation += 1;
+            state.silent_before = state.generation;
+        });
     }
 
     /// Lets new connections work again.
     pub fn mend(&self) {
-        self.change(|generation| State::Open { generation });
+        self.state.send_modify(|state| state.refuses = false);
     }
 
-    fn change(&self, next: impl Fn(u64) -> State) {
-        self.state.send_modify(|state| *state = next(state.generation() + 1));
+    /// Bytes that the relay has carried, both ways.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, states: watch::Receiver<State>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    states: watch::Receiver<State>,
+    bytes: Arc<AtomicU64>,
+) {
     loop {
         let Ok((incoming, _)) = listener.accept().await else {
             return;
         };
         let state = *states.borrow();
-        if matches!(state, State::Cut { .. }) {
+        if state.refuses {
             continue;
         }
-        let states = states.clone();
-        tokio::spawn(async move { relay(incoming, target, state.generation(), states).await });
+        let watched =
+            Watched { generation: state.generation, states: states.clone(), bytes: bytes.clone() };
+        tokio::spawn(relay(incoming, target, watched));
     }
 }
 
-async fn relay(
-    incoming: TcpStream,
-    target: SocketAddr,
+/// What both directions of a relayed connection follow.
+#[derive(Clone)]
+struct Watched {
     generation: u64,
     states: watch::Receiver<State>,
-) {
+    bytes: Arc<AtomicU64>,
+}
+
+async fn relay(incoming: TcpStream, target: SocketAddr, watched: Watched) {
     let Ok(outgoing) = TcpStream::connect(target).await else {
         return;
     };
@@ -101,33 +113,26 @@
     let (from_caller, to_caller) = incoming.into_split();
     let (from_target, to_target) = outgoing.into_split();
     tokio::join!(
-        copy(from_caller, to_target, generation, states.clone()),
-        copy(from_target, to_caller, generation, states),
+        copy(from_caller, to_target, watched.clone()),
+        copy(from_target, to_caller, watched),
     );
 }
 
-async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    generation: u64,
-    mut states: watch::Receiver<State>,
-) {
+async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut watched: Watched) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let state = *states.borrow_and_update();
-        let past = state.generation() > generation;
-        match state {
-            State::Cut { .. } => return,
-            State::Silent { .. } if past => {
-                if states.changed().await.is_err() {
-                    return;
-                }
-                continue;
+        let state = *watched.states.borrow_and_update();
+        if watched.generation < state.closed_before {
+            return;
+        }
+        if watched.generation < state.silent_before {
+            if watched.states.changed().await.is_err() {
+                return;
             }
-            State::Open { .. } | State::Silent { .. } => {}
+            continue;
         }
         tokio::select! {
-            changed = states.changed() => {
+            changed = watched.states.changed() => {
                 if changed.is_err() {
                     return;
                 }
@@ -137,6 +142,7 @@
                 if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
                     return;
                 }
+                watched.bytes.fetch_add(length as u64, Ordering::Relaxed);
             }
         }
     }
