Operators see servers as soon as they are configured or reached

Cause: the page of servers was renewed every 250 ms only, so that a host that had just become ready showed none; a test of the command line met that once.

--- a/crates/entry/src/scheduler/state.rs
+++ b/crates/entry/src/scheduler/state.rs
@@ -62,6 +62,7 @@
             queue.set_per_organisation(self.waiting_per_organisation);
         }
         self.servers.configure(snapshot, &self.arguments, &self.actor);
+        self.show(clock::now());
         self.dispatch_all();
     }
 
@@ -171,9 +172,18 @@
             Notice::Loaded(load) => server.note_load(clock::now(), reported(load)),
         }
         let name = (server.pool.clone(), server.role);
+        if !matches!(notice, Notice::Loaded(_)) {
+            self.show(clock::now());
+        }
         self.dispatch(&name);
     }
 
+    /// Shows the servers to operators.
+    fn show(&mut self, now: Instant) {
+        self.shown = now;
+        self.arguments.servers.send_replace(self.servers.views(now));
+    }
+
     pub(super) fn tick(&mut self, tick: Tick) {
         for queue in self.queues.values_mut() {
             for waiting in queue.expire(tick.now, |waiting| waiting.item.reply.is_closed()) {
@@ -184,8 +194,7 @@
         let reached = i64::try_from(self.servers.reached()).unwrap_or(i64::MAX);
         self.arguments.metrics.links.set(reached);
         if tick.now.since(self.shown) >= SHOW_EVERY {
-            self.shown = tick.now;
-            self.arguments.servers.send_replace(self.servers.views(tick.now));
+            self.show(tick.now);
         }
     }
 }
