--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet/mod.rs
@@ -1,17 +1,16 @@
 //! A fleet: every process of one deployment, ready to serve.
 
-use crate::caller::{self, Answer, Call};
-use crate::deployment::{
-    ADMIN_PORT, Block, CALLER_PORT, Deployment, PEER_PORT, PLATFORM_PORT, SIDE_PORT,
-};
+mod call;
+mod start;
+
+use crate::deployment::{ADMIN_PORT, Block, CALLER_PORT, Deployment, PLATFORM_PORT};
 use crate::error::Error;
 use crate::identity;
 use crate::link::Link;
 use crate::process::Process;
+use call::get;
 use chestnutrack_document::Document;
 use chestnutrack_document::model::{Role, Server};
-use chestnutrack_process::http;
-use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -23,19 +22,12 @@
 const FIRST_SERVER_HOST: u8 = 10;
 /// Number of the first entry host.
 const FIRST_ENTRY_HOST: u8 = 100;
-/// Port of the relay before the object interface, on each host.
-const LINK_PORT: u16 = 20_010;
 /// Port of the relay before a side process.
 const SIDE_LINK_PORT: u16 = 20_011;
 /// Longest time for every process to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 /// Time between looks at a condition.
 const POLL: Duration = Duration::from_millis(20);
-/// Longest time for a call to a process's admin port.
-const ADMIN_LIMIT: Duration = Duration::from_secs(2);
-/// Largest page of an admin port, in bytes.
-const PAGE_BYTES_MAX: usize = 16 << 20;
-
 /// What a fleet is made of.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -211,112 +203,6 @@
         of_sides.map(|(_, link)| link.bytes()).sum()
     }
 
-    /// Makes a caller's call to an entry host.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Call`] when no whole answer came.
-    pub async fn call(&self, entry: u8, call: &Call) -> Result<Answer, Error> {
-        caller::call(self.entry(entry), call).await
-    }
-
-    /// Writes the service's document, on condition of its version if one is given.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Call`] with the answer when it was refused.
-    pub async fn write_document(
-        &self,
-        document: &Document,
-        version: Option<u64>,
-    ) -> Result<u64, Error> {
-        let value = serde_json::to_value(document);
-        let value = value.map_err(|error| Error::Other(error.to_string()))?;
-        self.write_object("documents", &document.service, &value, version).await
-    }
-
-    /// Writes an object as an operator would.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Call`] with the answer when it was refused.
-    pub async fn write_object(
-        &self,
-        kind: &str,
-        name: &str,
-        value: &Value,
-        version: Option<u64>,
-    ) -> Result<u64, Error> {
-        let headers = version.map(|version| ("if-match".to_owned(), version.to_string()));
-        let call = Call {
-            method: "PUT",
-            target: format!("/v1/objects/{kind}/{name}"),
-            headers: headers.into_iter().collect(),
-            body: value.to_string().into_bytes(),
-            ..Call::default()
-        };
-        let answer = caller::call(self.platform(), &call).await?;
-        if answer.status != 200 {
-            let text = format!("status {}: {}", answer.status, answer.text());
-            return Err(Error::Call(self.platform(), text));
-        }
-        Ok(answer.json()["version"].as_u64().unwrap_or_default())
-    }
-
-    /// Reads an object.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Call`] when the object interface doesn't answer.
-    pub async fn read_object(&self, kind: &str, name: &str) -> Result<Option<Value>, Error> {
-        let target = format!("/v1/objects/{kind}/{name}");
-        let answer = caller::call(self.platform(), &Call { target, ..Call::default() }).await?;
-        Ok((answer.status == 200).then(|| answer.json()))
-    }
-
-    /// Posts a fault or another order to a stand-in's control page.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Call`] with the answer when it was refused.
-    pub async fn control(
-        &self,
-        address: SocketAddr,
-        page: &str,
-        order: &Value,
-    ) -> Result<Value, Error> {
-        let call = Call {
-            method: "POST",
-            target: format!("/control/{page}"),
-            body: order.to_string().into_bytes(),
-            ..Call::default()
-        };
-        let answer = caller::call(address, &call).await?;
-        if answer.status != 200 {
-            let text = format!("status {}: {}", answer.status, answer.text());
-            return Err(Error::Call(address, text));
-        }
-        Ok(answer.json())
-    }
-
-    /// Reads a JSON page of an admin port or a stand-in.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Call`] when there is no answer.
-    pub async fn page(&self, address: SocketAddr, target: &str) -> Result<Value, Error> {
-        Ok(serde_json::from_slice(&get(address, target).await?.1).unwrap_or_default())
-    }
-
-    /// Reads a process's metrics as text.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Call`] when there is no answer.
-    pub async fn metrics(&self, admin: SocketAddr) -> Result<String, Error> {
-        Ok(String::from_utf8_lossy(&get(admin, "/metrics").await?.1).into_owned())
-    }
-
     /// Waits until a condition holds.
     ///
     /// # Errors
@@ -419,124 +305,6 @@
             tokio::time::sleep(POLL).await;
         }
     }
-
-    async fn start_platform(&mut self) -> Result<(), Error> {
-        let listen = self.platform();
-        let arguments = arguments(&[("--listen", &listen)]);
-        self.spawn("platform", "chestnutrack-standin", prefixed("platform", arguments))?;
-        self.wait_for("platform", listen, "/v1/hosts").await?;
-        let host = |server: &Server| {
-            json!({
-                "name": server.host,
-                "failure_domain": server.failure_domain,
-                "state": "live",
-            })
-        };
-        let hosts: Vec<Value> = self.servers().map(host).collect();
-        self.control(listen, "hosts", &json!({ "hosts": hosts })).await?;
-        Ok(())
-    }
-
-    fn start_backend(&mut self, server: &Server) -> Result<(), Error> {
-        let name = format!("backend-{}", server.name);
-        let mut given = arguments(&[("--listen", &server.address), ("--slots", &server.slots)]);
-        if server.role == Role::Plain {
-            given.extend(self.settings.plain_arguments.clone());
-            return self.spawn(&name, "chestnutrack-standin", prefixed("plain", given));
-        }
-        given.extend(arguments(&[
-            ("--kv-tokens", &server.kv_tokens),
-            ("--link-bytes-per-s", &server.link_bytes_per_s),
-            ("--checks-fencing", &server.checks_fencing),
-        ]));
-        given.extend(self.settings.engine_arguments.clone());
-        self.spawn(&name, "chestnutrack-standin", prefixed("engine", given))
-    }
-
-    async fn start_side(&mut self, server: &Server) -> Result<(), Error> {
-        let name = format!("side-{}", server.name);
-        let ip = server.address.ip();
-        let listen = SocketAddr::new(ip, SIDE_PORT);
-        if server.side != listen {
-            self.start_link(&name, server.side, listen).await?;
-        }
-        let kind = if server.role == Role::Plain { "plain" } else { "engine" };
-        let platform = self.platform_for(&name, ip).await?;
-        let mut given = arguments(&[
-            ("--name", &server.name),
-            ("--service", &self.document.service),
-            ("--listen", &listen),
-            ("--admin", &SocketAddr::new(ip, ADMIN_PORT)),
-            ("--platform", &platform),
-            ("--kind", &kind),
-            ("--backend", &server.address),
-        ]);
-        given.extend(self.identity_arguments());
-        self.spawn(&name, "chestnutrack-side", given)
-    }
-
-    async fn start_entry(&mut self, index: u8) -> Result<(), Error> {
-        let name = format!("entry-{index}");
-        let host = FIRST_ENTRY_HOST + index;
-        let domains = self.settings.deployment.failure_domains();
-        let platform = self.platform_for(&name, self.block.host(host)).await?;
-        let mut given = arguments(&[
-            ("--name", &name),
-            ("--service", &self.document.service),
-            ("--listen", &self.block.address(host, CALLER_PORT)),
-            ("--peer-listen", &self.block.address(host, PEER_PORT)),
-            ("--admin", &self.block.address(host, ADMIN_PORT)),
-            ("--platform", &platform),
-            ("--failure-domain", &domains[usize::from(index) % domains.len()]),
-        ]);
-        given.extend(self.identity_arguments());
-        self.spawn(&name, "chestnutrack-entry", given)
-    }
-
-    async fn platform_for(
-        &mut self,
-        name: &str,
-        ip: std::net::IpAddr,
-    ) -> Result<SocketAddr, Error> {
-        let platform = self.platform();
-        if !self.settings.links {
-            return Ok(platform);
-        }
-        let address = SocketAddr::new(ip, LINK_PORT);
-        self.start_link(&format!("platform-{name}"), address, platform).await?;
-        Ok(address)
-    }
-
-    async fn start_link(
-        &mut self,
-        name: &str,
-        listen: SocketAddr,
-        target: SocketAddr,
-    ) -> Result<(), Error> {
-        let link = Link::start(listen, target).await;
-        let link = link.map_err(|error| Error::Start(format!("link {name}"), error))?;
-        self.links.insert(name.to_owned(), link);
-        Ok(())
-    }
-
-    fn identity_arguments(&self) -> Vec<String> {
-        if !self.settings.tls {
-            return Vec::new();
-        }
-        let file = |name: &str| self.folder.path().join(name).display().to_string();
-        arguments(&[
-            ("--certificate", &file("process.pem")),
-            ("--key", &file("process.key")),
-            ("--authorities", &file("authority.pem")),
-        ])
-    }
-
-    fn spawn(&mut self, name: &str, program: &str, given: Vec<String>) -> Result<(), Error> {
-        let log = self.folder.path().join(format!("{name}.log"));
-        let process = Process::start(name, &self.programs.join(program), given, log)?;
-        self.processes.insert(name.to_owned(), process);
-        Ok(())
-    }
 }
 
 fn put_links_before_sides(document: &mut Document) {
@@ -545,23 +313,6 @@
     }
 }
 
-fn arguments(pairs: &[(&str, &dyn std::fmt::Display)]) -> Vec<String> {
-    pairs.iter().flat_map(|(flag, value)| [(*flag).to_owned(), value.to_string()]).collect()
-}
-
-fn prefixed(subcommand: &str, mut given: Vec<String>) -> Vec<String> {
-    given.insert(0, subcommand.to_owned());
-    given
-}
-
-async fn get(address: SocketAddr, target: &str) -> Result<(u16, bytes::Bytes), Error> {
-    let failed = |error: http::Error| Error::Call(address, error.to_string());
-    let request = http::request("GET", target, "").map_err(failed)?;
-    let answer = http::call(address, request, ADMIN_LIMIT, PAGE_BYTES_MAX).await;
-    let answer = answer.map_err(failed)?;
-    Ok((answer.status().as_u16(), answer.into_body()))
-}
-
 /// The folder that holds the programs: the running program's, or the one above it for tests.
 fn programs() -> Result<PathBuf, Error> {
     let running = std::env::current_exe().map_err(|error| Error::Other(error.to_string()))?;
--- /dev/null
+++ b/crates/harness/src/fleet/start.rs
@@ -0,0 +1,147 @@
+//! Starts a fleet's processes, each with its arguments.
+
+use super::{FIRST_ENTRY_HOST, Fleet};
+use crate::deployment::{ADMIN_PORT, CALLER_PORT, PEER_PORT, SIDE_PORT};
+use crate::error::Error;
+use crate::link::Link;
+use crate::process::Process;
+use chestnutrack_document::model::{Role, Server};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+
+/// Port of the relay before the object interface, on each host.
+const LINK_PORT: u16 = 20_010;
+
+impl Fleet {
+    pub(super) async fn start_platform(&mut self) -> Result<(), Error> {
+        let listen = self.platform();
+        let arguments = arguments(&[("--listen", &listen)]);
+        self.spawn("platform", "chestnutrack-standin", prefixed("platform", arguments))?;
+        self.wait_for("platform", listen, "/v1/hosts").await?;
+        let host = |server: &Server| {
+            json!({
+                "name": server.host,
+                "failure_domain": server.failure_domain,
+                "state": "live",
+            })
+        };
+        let hosts: Vec<Value> = self.servers().map(host).collect();
+        self.control(listen, "hosts", &json!({ "hosts": hosts })).await?;
+        Ok(())
+    }
+
+    pub(super) fn start_backend(&mut self, server: &Server) -> Result<(), Error> {
+        let name = format!("backend-{}", server.name);
+        let mut given = arguments(&[("--listen", &server.address), ("--slots", &server.slots)]);
+        if server.role == Role::Plain {
+            given.extend(self.settings.plain_arguments.clone());
+            return self.spawn(&name, "chestnutrack-standin", prefixed("plain", given));
+        }
+        given.extend(arguments(&[
+            ("--kv-tokens", &server.kv_tokens),
+            ("--link-bytes-per-s", &server.link_bytes_per_s),
+            ("--checks-fencing", &server.checks_fencing),
+        ]));
+        given.extend(self.settings.engine_arguments.clone());
+        self.spawn(&name, "chestnutrack-standin", prefixed("engine", given))
+    }
+
+    pub(super) async fn start_side(&mut self, server: &Server) -> Result<(), Error> {
+        let name = format!("side-{}", server.name);
+        let ip = server.address.ip();
+        let listen = SocketAddr::new(ip, SIDE_PORT);
+        if server.side != listen {
+            self.start_link(&name, server.side, listen).await?;
+        }
+        let kind = if server.role == Role::Plain { "plain" } else { "engine" };
+        let platform = self.platform_for(&name, ip).await?;
+        let mut given = arguments(&[
+            ("--name", &server.name),
+            ("--service", &self.document.service),
+            ("--listen", &listen),
+            ("--admin", &SocketAddr::new(ip, ADMIN_PORT)),
+            ("--platform", &platform),
+            ("--kind", &kind),
+            ("--backend", &server.address),
+        ]);
+        given.extend(self.identity_arguments());
+        self.spawn(&name, "chestnutrack-side", given)
+    }
+
+    pub(super) async fn start_entry(&mut self, index: u8) -> Result<(), Error> {
+        let name = format!("entry-{index}");
+        let host = FIRST_ENTRY_HOST + index;
+        let domains = self.settings.deployment.failure_domains();
+        let platform = self.platform_for(&name, self.block.host(host)).await?;
+        let mut given = arguments(&[
+            ("--name", &name),
+            ("--service", &self.document.service),
+            ("--listen", &self.block.address(host, CALLER_PORT)),
+            ("--peer-listen", &self.block.address(host, PEER_PORT)),
+            ("--admin", &self.block.address(host, ADMIN_PORT)),
+            ("--platform", &platform),
+            ("--failure-domain", &domains[usize::from(index) % domains.len()]),
+        ]);
+        given.extend(self.identity_arguments());
+        self.spawn(&name, "chestnutrack-entry", given)
+    }
+
+    pub(super) async fn platform_for(
+        &mut self,
+        name: &str,
+        ip: std::net::IpAddr,
+    ) -> Result<SocketAddr, Error> {
+        let platform = self.platform();
+        if !self.settings.links {
+            return Ok(platform);
+        }
+        let address = SocketAddr::new(ip, LINK_PORT);
+        self.start_link(&format!("platform-{name}"), address, platform).await?;
+        Ok(address)
+    }
+
+    pub(super) async fn start_link(
+        &mut self,
+        name: &str,
+        listen: SocketAddr,
+        target: SocketAddr,
+    ) -> Result<(), Error> {
+        let link = Link::start(listen, target).await;
+        let link = link.map_err(|error| Error::Start(format!("link {name}"), error))?;
+        self.links.insert(name.to_owned(), link);
+        Ok(())
+    }
+
+    pub(super) fn identity_arguments(&self) -> Vec<String> {
+        if !self.settings.tls {
+            return Vec::new();
+        }
+        let file = |name: &str| self.folder.path().join(name).display().to_string();
+        arguments(&[
+            ("--certificate", &file("process.pem")),
+            ("--key", &file("process.key")),
+            ("--authorities", &file("authority.pem")),
+        ])
+    }
+
+    pub(super) fn spawn(
+        &mut self,
+        name: &str,
+        program: &str,
+        given: Vec<String>,
+    ) -> Result<(), Error> {
+        let log = self.folder.path().join(format!("{name}.log"));
+        let process = Process::start(name, &self.programs.join(program), given, log)?;
+        self.processes.insert(name.to_owned(), process);
+        Ok(())
+    }
+}
+
+fn arguments(pairs: &[(&str, &dyn std::fmt::Display)]) -> Vec<String> {
+    pairs.iter().flat_map(|(flag, value)| [(*flag).to_owned(), value.to_string()]).collect()
+}
+
+fn prefixed(subcommand: &str, mut given: Vec<String>) -> Vec<String> {
+    given.insert(0, subcommand.to_owned());
+    given
+}
