--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod authority;
 pub mod burn;
 pub mod explain;
-pub mod header;
 pub mod link;
 pub mod metric;
 pub mod program;
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -189,7 +189,7 @@
 /// has begun.
 async fn keep_ready(ready: Ready, fleet: Fleet, timer: Timer, shutdown: Shutdown) {
     /// Time between checks.
-    const CHECK_EVERY: Duration = Duration::from_millis(20);
+    const CHECK_EVERY: Duration = Duration::from_millis(200);
     let mut ticks = timer.subscribe(CHECK_EVERY);
     while ticks.recv().await.is_some() {
         ready.set(fleet.snapshot().trusted && !shutdown.is_set());
--- a/crates/entry/src/request/credential.rs
+++ b/crates/entry/src/request/credential.rs
@@ -1,9 +1,9 @@
 //! Callers' keys: looked up, dropped, and kept away from backend servers.
 
 use super::refusal::{Code, Refusal};
-use crate::header::is_of_connection;
 use chestnutrack_document::key::Hash;
 use chestnutrack_fleet::Snapshot;
+use chestnutrack_process::header::is_of_connection;
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
 use std::sync::Arc;
--- a/crates/entry/src/scheduler/mod.rs
+++ b/crates/entry/src/scheduler/mod.rs
@@ -24,7 +24,7 @@
 use tokio::sync::{oneshot, watch};
 
 /// Time between sweeps of the requests that wait.
-const SWEEP_EVERY: Duration = Duration::from_millis(10);
+const SWEEP_EVERY: Duration = Duration::from_millis(50);
 
 /// What the scheduler needs to know when it starts.
 #[derive(Clone)]
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -5,7 +5,6 @@
 use chestnutrack_process::settings::{Findings, Reader, Setting};
 use chestnutrack_process::tls;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -80,7 +79,6 @@
 
 const ADDRESS: &str = "an address such as 127.0.0.1:8080";
 const NAME: &str = "a name";
-const FILE: &str = "a file's path";
 
 const fn setting(
     flag: &'static str,
@@ -98,9 +96,6 @@
 const SETTING_PLATFORM: Setting<'_> = setting("--platform", "CHESTNUTRACK_PLATFORM", ADDRESS);
 const SETTING_DOMAIN: Setting<'_> =
     setting("--failure-domain", "CHESTNUTRACK_FAILURE_DOMAIN", NAME);
-const SETTING_CERTIFICATE: Setting<'_> = setting("--certificate", "CHESTNUTRACK_CERTIFICATE", FILE);
-const SETTING_KEY: Setting<'_> = setting("--key", "CHESTNUTRACK_KEY", FILE);
-const SETTING_AUTHORITIES: Setting<'_> = setting("--authorities", "CHESTNUTRACK_AUTHORITIES", FILE);
 const SETTING_DRAIN: Setting<'_> =
     setting("--drain-ms", "CHESTNUTRACK_DRAIN_MS", "a number of milliseconds");
 const SETTING_LOG: Setting<'_> = setting("--log", "CHESTNUTRACK_LOG_FORM", "`text` or `json`");
@@ -116,6 +111,12 @@
 ) -> Result<Settings, Findings> {
     let mut reader = Reader::new(environment);
     let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let identity = tls::Flags {
+        certificate: flags.certificate.as_deref(),
+        key: flags.key.as_deref(),
+        authorities: flags.authorities.as_deref(),
+    };
+    let files = tls::files(&mut reader, identity);
     let settings = Settings {
         name: text(&mut reader, SETTING_NAME, flags.name.as_deref()),
         service: text(&mut reader, SETTING_SERVICE, flags.service.as_deref()),
@@ -124,7 +125,7 @@
         admin: reader.required(SETTING_ADMIN, flags.admin.as_deref(), nowhere),
         platform: reader.required(SETTING_PLATFORM, flags.platform.as_deref(), nowhere),
         failure_domain: text(&mut reader, SETTING_DOMAIN, flags.failure_domain.as_deref()),
-        files: files(&mut reader, flags),
+        files,
         drain: Duration::from_millis(reader.or(
             SETTING_DRAIN,
             flags.drain_ms.as_deref(),
@@ -146,24 +147,3 @@
     }
     value.into()
 }
-
-fn files<F: Fn(&str) -> Option<String>>(
-    reader: &mut Reader<F>,
-    flags: &Flags,
-) -> Option<tls::Files> {
-    let certificate: Option<PathBuf> =
-        reader.optional(SETTING_CERTIFICATE, flags.certificate.as_deref());
-    let key: Option<PathBuf> = reader.optional(SETTING_KEY, flags.key.as_deref());
-    let authorities: Option<PathBuf> =
-        reader.optional(SETTING_AUTHORITIES, flags.authorities.as_deref());
-    match (certificate, key, authorities) {
-        (Some(certificate), Some(key), Some(authorities)) => {
-            Some(tls::Files { certificate, key, authorities })
-        }
-        (None, None, None) => None,
-        _ => {
-            reader.refuse(SETTING_CERTIFICATE, "goes together with --key and --authorities");
-            None
-        }
-    }
-}
--- a/crates/fleet/src/member/mod.rs
+++ b/crates/fleet/src/member/mod.rs
@@ -33,7 +33,7 @@
 use tokio::task::{AbortHandle, JoinSet};
 
 /// Period of the member's ticks.
-pub(crate) const TICK: Duration = Duration::from_millis(10);
+pub(crate) const TICK: Duration = Duration::from_millis(25);
 /// Period at which pages and gauges are brought up to date.
 const REPORT: Duration = Duration::from_millis(200);
 /// A tick so late that the process was stopped or starved.
--- a/crates/entry/src/header.rs
+++ b/crates/process/src/header.rs
@@ -11,6 +11,7 @@
     "upgrade",
     "expect",
     "host",
+    "http2-settings",
 ];
 
 /// Whether a header, named in lower case, belongs to one connection only.
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod admin;
 pub mod clock;
+pub mod header;
 pub mod http;
 pub mod log;
 pub mod pool;
--- a/crates/process/src/tls.rs
+++ b/crates/process/src/tls.rs
@@ -4,6 +4,7 @@
 //! authorities signed. Two authorities may be trusted at once, so that keys can be rotated while
 //! traffic runs.
 
+use crate::settings::{Reader, Setting};
 use chestnutrack_wire::connection::Security;
 use displaydoc::Display;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
@@ -23,6 +24,61 @@
     pub authorities: PathBuf,
 }
 
+const CERTIFICATE: Setting<'static> = Setting {
+    flag: "--certificate",
+    variable: "CHESTNUTRACK_CERTIFICATE",
+    allowed: "a PEM file, with --key and --authorities",
+};
+const KEY: Setting<'static> = Setting {
+    flag: "--key",
+    variable: "CHESTNUTRACK_KEY",
+    allowed: "a PEM file, with --certificate and --authorities",
+};
+const AUTHORITIES: Setting<'static> = Setting {
+    flag: "--authorities",
+    variable: "CHESTNUTRACK_AUTHORITIES",
+    allowed: "a PEM file, with --certificate and --key",
+};
+
+/// Flags that name the files of an identity.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Flags<'a> {
+    /// `--certificate`
+    pub certificate: Option<&'a str>,
+    /// `--key`
+    pub key: Option<&'a str>,
+    /// `--authorities`
+    pub authorities: Option<&'a str>,
+}
+
+/// Reads which files hold the identity: all three, or none for plain TCP. Those that are missing
+/// beside others are noted with the reader.
+pub fn files<F: Fn(&str) -> Option<String>>(
+    reader: &mut Reader<F>,
+    flags: Flags<'_>,
+) -> Option<Files> {
+    let certificate: Option<PathBuf> = reader.optional(CERTIFICATE, flags.certificate);
+    let key: Option<PathBuf> = reader.optional(KEY, flags.key);
+    let authorities: Option<PathBuf> = reader.optional(AUTHORITIES, flags.authorities);
+    match (certificate, key, authorities) {
+        (Some(certificate), Some(key), Some(authorities)) => {
+            Some(Files { certificate, key, authorities })
+        }
+        (None, None, None) => None,
+        (certificate, key, authorities) => {
+            let parts = [
+                (CERTIFICATE, certificate.is_none()),
+                (KEY, key.is_none()),
+                (AUTHORITIES, authorities.is_none()),
+            ];
+            for (setting, _) in parts.into_iter().filter(|(_, missing)| *missing) {
+                reader.refuse(setting, "is missing beside the other two files of the identity");
+            }
+            None
+        }
+    }
+}
+
 /// Why an identity could not be loaded.
 #[derive(Debug, Display)]
 pub enum Error {
--- a/crates/side/src/header.rs
+++ b/crates/side/src/header.rs
@@ -1,24 +1,10 @@
 //! Headers that may pass to and from a plain service.
 
 use chestnutrack_core::server::event::Header;
+use chestnutrack_process::header::is_of_connection;
 use hyper::HeaderMap;
 use std::sync::Arc;
 
-/// Headers that belong to one connection, or that the client library writes itself.
-const HOP_BY_HOP: [&str; 11] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    "content-length",
-    "host",
-    "http2-settings",
-];
-
 /// Headers that may carry a caller's credentials.
 const CREDENTIALS: [&str; 3] = ["authorization", "proxy-authorization", "proxy-authenticate"];
 
@@ -51,6 +37,6 @@
 
 fn passes(name: &str, named: &[String]) -> bool {
     let name = name.to_ascii_lowercase();
-    let known = HOP_BY_HOP.contains(&name.as_str()) || CREDENTIALS.contains(&name.as_str());
-    !known && !named.contains(&name)
+    let is_written_by_client = is_of_connection(&name) || name == "content-length";
+    !is_written_by_client && !CREDENTIALS.contains(&name.as_str()) && !named.contains(&name)
 }
--- a/crates/side/src/settings.rs
+++ b/crates/side/src/settings.rs
@@ -3,9 +3,8 @@
 use argh::FromArgs;
 use chestnutrack_process::log::Form;
 use chestnutrack_process::settings::{Findings, Reader, Setting};
-use chestnutrack_process::tls::Files;
+use chestnutrack_process::tls::{self, Files};
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
 use std::str::FromStr;
 use std::sync::Arc;
 
@@ -137,18 +136,6 @@
 const PLATFORM: Setting<'static> = setting("--platform", "CHESTNUTRACK_PLATFORM", ADDRESS);
 const KIND: Setting<'static> = setting("--kind", "CHESTNUTRACK_KIND", "`engine` or `plain`");
 const BACKEND: Setting<'static> = setting("--backend", "CHESTNUTRACK_BACKEND", ADDRESS);
-const CERTIFICATE: Setting<'static> = setting(
-    "--certificate",
-    "CHESTNUTRACK_CERTIFICATE",
-    "a PEM file, with --key and --authorities",
-);
-const KEY: Setting<'static> =
-    setting("--key", "CHESTNUTRACK_KEY", "a PEM file, with --certificate and --authorities");
-const AUTHORITIES: Setting<'static> = setting(
-    "--authorities",
-    "CHESTNUTRACK_AUTHORITIES",
-    "a PEM file, with --certificate and --key",
-);
 const LOG: Setting<'static> = setting("--log", "CHESTNUTRACK_LOG_FORM", "`text` or `json`");
 
 /// Reads the settings.
@@ -163,7 +150,12 @@
     let mut reader = Reader::new(environment);
     let name: String = reader.required(NAME, flags.name.as_deref(), String::new());
     let service: String = reader.required(SERVICE, flags.service.as_deref(), String::new());
-    let identity = read_identity(&mut reader, flags);
+    let identity = tls::Flags {
+        certificate: flags.certificate.as_deref(),
+        key: flags.key.as_deref(),
+        authorities: flags.authorities.as_deref(),
+    };
+    let identity = tls::files(&mut reader, identity);
     let settings = Settings {
         name: name.into(),
         service: service.into(),
@@ -177,29 +169,3 @@
     };
     reader.finish(settings)
 }
-
-fn read_identity<F: Fn(&str) -> Option<String>>(
-    reader: &mut Reader<F>,
-    flags: &Flags,
-) -> Option<Files> {
-    let certificate: Option<PathBuf> = reader.optional(CERTIFICATE, flags.certificate.as_deref());
-    let key: Option<PathBuf> = reader.optional(KEY, flags.key.as_deref());
-    let authorities: Option<PathBuf> = reader.optional(AUTHORITIES, flags.authorities.as_deref());
-    match (certificate, key, authorities) {
-        (Some(certificate), Some(key), Some(authorities)) => {
-            Some(Files { certificate, key, authorities })
-        }
-        (None, None, None) => None,
-        (certificate, key, authorities) => {
-            let parts = [
-                (CERTIFICATE, certificate.is_none()),
-                (KEY, key.is_none()),
-                (AUTHORITIES, authorities.is_none()),
-            ];
-            for (setting, _) in parts.into_iter().filter(|(_, missing)| *missing) {
-                reader.refuse(setting, "is missing beside the other two files of the identity");
-            }
-            None
-        }
-    }
-}
