A stale read hides no successor from a side process that was stopped

Cause: after a pause the claim was only read; a store that answers stale showed the old one, and an engine that ignores fencing numbers would have had orders from two processes.

Before: a_store_that_answers_stale_hides_no_successor held Held(1); after: Lost. The claim is written again under the version that was read, once a pause, never at rest.

Ruled out: reading twice, which a store may answer stale twice.

--- a/crates/side/src/authority.rs
+++ b/crates/side/src/authority.rs
@@ -124,25 +124,33 @@
         Sender { name, incarnation: self.incarnation }
     }
 
-    /// Reads whether this process is still in charge, however long that takes.
+    /// Finds out whether this process is still in charge, however long that takes.
+    ///
+    /// What was read may be old, so that a claim that looks like this process's own is written
+    /// again under its version: that takes effect only if nobody has claimed the server since.
     pub async fn recheck(self, epoch: u64) -> Authority {
         loop {
-            match self.client.read(KIND, &self.name).await {
-                Ok(object) => {
-                    let claim = object.value.and_then(parse);
-                    let own = claim.is_some_and(|claim| {
-                        claim.incarnation == self.incarnation && claim.epoch == epoch
-                    });
-                    return if own { Authority::Held(epoch) } else { Authority::Lost };
-                }
-                Err(Error::Missing) => return Authority::Lost,
+            match self.try_recheck(epoch).await {
+                Ok(true) => return Authority::Held(epoch),
+                Ok(false) | Err(Error::Missing) => return Authority::Lost,
                 Err(error) => {
-                    tracing::debug!(%error, "authority not read yet");
+                    tracing::debug!(%error, "authority not confirmed yet");
                     tokio::time::sleep(RETRY).await;
                 }
             }
         }
     }
+
+    async fn try_recheck(&self, epoch: u64) -> Result<bool, Error> {
+        let object = self.client.read(KIND, &self.name).await?;
+        let own = Claim { epoch, incarnation: self.incarnation, address: self.address };
+        if object.value.and_then(parse) != Some(own.clone()) {
+            return Ok(false);
+        }
+        let value = serde_json::json!(own);
+        self.client.update(KIND, &self.name, object.version, &value).await?;
+        Ok(true)
+    }
 }
 
 async fn ask_to_leave(mut connection: Connection, sender: Sender) -> bool {
--- a/crates/side/tests/authority.rs
+++ b/crates/side/tests/authority.rs
@@ -4,7 +4,10 @@
 
 mod fixture;
 
+use chestnutrack_core::server::Authority;
 use chestnutrack_document::model::Role;
+use chestnutrack_platform::client::Client;
+use chestnutrack_side::authority::Claimant;
 use chestnutrack_standin::engine::Settings;
 use chestnutrack_wire::frame::{Cause, Ran};
 use chestnutrack_wire::{Frame, Request};
@@ -13,6 +16,8 @@
     state, until,
 };
 use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 async fn epoch_is(beside: &fixture::Beside, epoch: u64) {
     until("the epoch is held", async || state(beside).await["epoch"] == json!(epoch)).await;
@@ -121,3 +126,29 @@
 
     assert_eq!(tokens.len(), 8);
 }
+
+fn claimant(platform: SocketAddr, incarnation: u64) -> Claimant {
+    Claimant {
+        client: Client::new(platform, chestnutrack_platform::client::Settings::default(), None),
+        name: "decode-1".into(),
+        incarnation,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        security: None,
+    }
+}
+
+#[tokio::test]
+async fn a_store_that_answers_stale_hides_no_successor() {
+    let platform = start_platform().await;
+    let (first, second) = (claimant(platform, 1), claimant(platform, 2));
+    assert_eq!(first.clone().claim().await, Authority::Held(1));
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    post(platform, "/control/faults", json!({"stale_ms": 500})).await;
+    let claim = json!({"epoch": 2, "incarnation": 2, "address": second.address});
+    let version = first.client.read("sides", "decode-1").await.unwrap().version;
+    second.client.replace("sides", "decode-1", version, &claim).await.unwrap();
+
+    let authority = first.recheck(1).await;
+
+    assert_eq!(authority, Authority::Lost);
+}
