--- a/crates/core/tests/server/exchange.rs
+++ b/crates/core/tests/server/exchange.rs
@@ -1,6 +1,7 @@
 //! Whole exchanges, as the entry hosts, the engine and the plain service each see them.
 
-use super::model::{World, decode, forward, prefill, reserve};
+use super::ask::{decode, forward, prefill, reserve};
+use super::model::World;
 use chestnutrack_core::server::Event;
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::frame::Ran;
--- a/crates/core/tests/server/fair.rs
+++ b/crates/core/tests/server/fair.rs
@@ -1,6 +1,7 @@
 //! Fair waiting between organisations, and interactive requests before those that may wait.
 
-use super::model::{World, decode, reserve};
+use super::ask::{decode, reserve};
+use super::model::World;
 use chestnutrack_core::server::Settings;
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::frame::Reserve;
--- a/crates/core/tests/server/invariant.rs
+++ b/crates/core/tests/server/invariant.rs
@@ -1,6 +1,7 @@
 //! What must hold whatever happens, over random lists of events.
 
-use super::model::{Variant, World, decode, forward, prefill, reserve};
+use super::ask::{decode, forward, prefill, reserve};
+use super::model::{Variant, World};
 use chestnutrack_core::server::count::Reason;
 use chestnutrack_core::server::settings::FREED_WITHIN;
 use chestnutrack_core::server::{Counter, Event};
--- a/crates/core/tests/server/lease.rs
+++ b/crates/core/tests/server/lease.rs
@@ -1,6 +1,7 @@
 //! Leases, claims, promises and authority, one exchange at a time.
 
-use super::model::{Variant, World, decode, prefill, reserve};
+use super::ask::{decode, prefill, reserve};
+use super::model::{Variant, World};
 use chestnutrack_core::server::settings::{
     CLAIM_BOUND, LEAVING_GRACE, PAUSE_BOUND, RESUME_GRACE, SILENT,
 };
--- a/crates/core/tests/server/main.rs
+++ b/crates/core/tests/server/main.rs
@@ -3,6 +3,7 @@
 
 #![allow(clippy::unwrap_used, unreachable_pub)]
 
+mod ask;
 mod exchange;
 mod fair;
 mod invariant;
--- a/crates/core/tests/server/refuse.rs
+++ b/crates/core/tests/server/refuse.rs
@@ -1,6 +1,7 @@
 //! Refusals: when, with which cause, and whether the request has run.
 
-use super::model::{World, decode, prefill, reserve};
+use super::ask::{decode, prefill, reserve};
+use super::model::World;
 use chestnutrack_core::server::{Fault, Settings};
 use chestnutrack_document::model::Role;
 use chestnutrack_wire::frame::{Cause, Ran, Reserve};
