--- a/crates/cli/src/cmd/report.rs
+++ b/crates/cli/src/cmd/report.rs
@@ -10,9 +10,9 @@
 use chestnutrack_burn::report::{Burn, Row};
 use chestnutrack_burn::{KIND, Report as Burned};
 use chestnutrack_document::Document;
-use chestnutrack_platform::client::{Client, Settings};
-use chestnutrack_platform::error::Error;
-use chestnutrack_platform::object::Object;
+use chestnutrack_store::client::{Client, Settings};
+use chestnutrack_store::error::Error;
+use chestnutrack_store::object::Object;
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,14 +2,19 @@
 
 use chestnutrack_entry::program;
 use chestnutrack_entry::settings::{self, Flags};
+use chestnutrack_forward::program as forward;
 use chestnutrack_process::log;
 use chestnutrack_process::settings::environment;
+use std::path::Path;
 use std::process::ExitCode;
 
 /// Exit code for wrong settings.
 const WRONG_SETTINGS: u8 = 2;
 
 fn main() -> ExitCode {
+    if let Some(path) = chestnutrack_platform::settings::path() {
+        return on_platform(&path);
+    }
     let flags: Flags = argh::from_env();
     let settings = match settings::read(&flags, environment) {
         Ok(settings) => settings,
@@ -35,6 +40,39 @@
     }
 }
 
+/// Runs with the settings file of the users' platform, calling backend servers directly.
+fn on_platform(path: &Path) -> ExitCode {
+    let settings = match chestnutrack_platform::settings::entry(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            report(&error);
+            return ExitCode::from(WRONG_SETTINGS);
+        }
+    };
+    log::start(log::Form::Json);
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            report(&error);
+            return ExitCode::FAILURE;
+        }
+    };
+    let client = forward::store_client(chestnutrack_platform::store::DIALECT, settings.store);
+    let program = forward::run(
+        settings,
+        chestnutrack_platform::DIALECT,
+        chestnutrack_platform::DIRECTORY,
+        client,
+    );
+    match runtime.block_on(program) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            report(&error);
+            ExitCode::FAILURE
+        }
+    }
+}
+
 #[expect(clippy::print_stderr, reason = "errors before and after logging go to standard error")]
 fn report(error: &dyn std::fmt::Display) {
     eprint!("{error}");
--- a/crates/fleet/src/store/mod.rs
+++ b/crates/fleet/src/store/mod.rs
@@ -6,10 +6,10 @@
 
 use chestnutrack_core::member::{Identity, Member, Table};
 use chestnutrack_core::time::Instant;
-use chestnutrack_platform::client::Client;
-use chestnutrack_platform::host;
-use chestnutrack_platform::object::{List, Object};
 use chestnutrack_process::clock;
+use chestnutrack_store::client::Client;
+use chestnutrack_store::host;
+use chestnutrack_store::object::{List, Object};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::HashSet;
@@ -90,7 +90,7 @@
     let asked = clock::now();
     let state = match client.read(kind, name).await {
         Ok(object) => State::Is(object),
-        Err(chestnutrack_platform::error::Error::Missing) => State::Absent,
+        Err(chestnutrack_store::error::Error::Missing) => State::Absent,
         Err(_) => State::Failed,
     };
     Seen { asked, state }
--- a/crates/fleet/src/store/verdict.rs
+++ b/crates/fleet/src/store/verdict.rs
@@ -2,8 +2,8 @@
 
 use super::{ACCEPTED, Accepted, STATUS};
 use chestnutrack_document::{Finding, Findings};
-use chestnutrack_platform::client::Client;
-use chestnutrack_platform::error::Error;
+use chestnutrack_store::client::Client;
+use chestnutrack_store::error::Error;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::sync::Arc;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use chestnutrack_document::key::Hash;
 use chestnutrack_fleet::{Fleet, Settings};
-use chestnutrack_platform::client::{self, Client};
-use chestnutrack_platform::error::Error;
 use chestnutrack_process::{http, shutdown, timer};
 use chestnutrack_standin::platform;
+use chestnutrack_store::client::{self, Client};
+use chestnutrack_store::error::Error;
 use prometheus::Registry;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/forward/src/config/table.rs
@@ -0,0 +1,80 @@
+//! Look-ups in a configuration.
+
+use super::{Config, Organisation, Route, Service};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A configuration, indexed for look-ups.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    config: Config,
+    /// Routes by host, those with the longest prefix first.
+    hosts: HashMap<Arc<str>, Vec<usize>>,
+    keys: HashMap<Arc<str>, usize>,
+    services: HashMap<Arc<str>, usize>,
+}
+
+impl Table {
+    /// Indexes a configuration.
+    pub fn new(config: Config) -> Table {
+        let mut hosts: HashMap<Arc<str>, Vec<usize>> = HashMap::new();
+        for (index, route) in config.routes.iter().enumerate() {
+            hosts.entry(route.host.to_ascii_lowercase().into()).or_default().push(index);
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|&index| std::cmp::Reverse(config.routes[index].prefix.len()));
+        }
+        let keys = config.organisations.iter().enumerate().flat_map(|(index, organisation)| {
+            organisation.keys.iter().map(move |key| (key.clone(), index))
+        });
+        let services = config
+            .services
+            .iter()
+            .enumerate()
+            .map(|(index, service)| (service.name.clone(), index));
+        Table { keys: keys.collect(), services: services.collect(), hosts, config }
+    }
+
+    /// The configuration.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// The route of a host and path: the one with the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase();
+        let routes = self.hosts.get(host.as_str())?.iter().map(|&index| &self.config.routes[index]);
+        let mut matching = routes.filter(|route| path.starts_with(&*route.prefix));
+        matching.next()
+    }
+
+    /// The organisation that holds a key.
+    pub fn organisation(&self, key: &str) -> Option<&Organisation> {
+        self.keys.get(key).map(|&index| &self.config.organisations[index])
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name).map(|&index| &self.config.services[index])
+    }
+
+    /// Whether requests need a key.
+    pub fn needs_key(&self) -> bool {
+        !self.config.organisations.is_empty()
+    }
+}
+
+impl Route {
+    /// The service for a draw from all draws that are equally likely.
+    pub fn service(&self, draw: u32) -> Option<&Arc<str>> {
+        let total: u64 = self.split.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let mut left = u64::from(draw) % total.max(1);
+        for (service, weight) in &self.split {
+            if left < u64::from(*weight) {
+                return Some(service);
+            }
+            left -= u64::from(*weight);
+        }
+        self.split.first().map(|(service, _)| service)
+    }
+}
--- a/crates/side/src/authority.rs
+++ b/crates/side/src/authority.rs
@@ -2,8 +2,8 @@
 //! conditional write, and read again after this process was stopped.
 
 use chestnutrack_core::server::Authority;
-use chestnutrack_platform::client::Client;
-use chestnutrack_platform::error::Error;
+use chestnutrack_store::client::Client;
+use chestnutrack_store::error::Error;
 use chestnutrack_wire::connection::{self, Security};
 use chestnutrack_wire::frame::{Sender, VERSION};
 use chestnutrack_wire::{Connection, Frame};
--- a/crates/side/tests/authority.rs
+++ b/crates/side/tests/authority.rs
@@ -6,9 +6,9 @@
 
 use chestnutrack_core::server::Authority;
 use chestnutrack_document::model::Role;
-use chestnutrack_platform::client::Client;
 use chestnutrack_side::authority::Claimant;
 use chestnutrack_standin::engine::Settings;
+use chestnutrack_store::client::Client;
 use chestnutrack_wire::frame::{Cause, Ran};
 use chestnutrack_wire::{Frame, Request};
 use fixture::{
@@ -129,7 +129,7 @@
 
 fn claimant(platform: SocketAddr, incarnation: u64) -> Claimant {
     Claimant {
-        client: Client::new(platform, chestnutrack_platform::client::Settings::default(), None),
+        client: Client::new(platform, chestnutrack_store::client::Settings::default(), None),
         name: "decode-1".into(),
         incarnation,
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -1,7 +1,7 @@
 //! Objects with versions from one counter, what they were lately, and the host list.
 
-use chestnutrack_platform::host;
-use chestnutrack_platform::object::{List, Object};
+use chestnutrack_store::host;
+use chestnutrack_store::object::{List, Object};
 use serde_json::Value;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
--- a/crates/standin/tests/malformed.rs
+++ b/crates/standin/tests/malformed.rs
@@ -4,9 +4,9 @@
 
 mod support;
 
-use chestnutrack_platform::object::VALUE_BYTES_MAX;
 use chestnutrack_standin::http::BODY_BYTES_MAX;
 use chestnutrack_standin::{engine, plain, platform};
+use chestnutrack_store::object::VALUE_BYTES_MAX;
 use expect_test::{Expect, expect};
 use std::net::SocketAddr;
 
--- a/crates/standin/tests/platform_client.rs
+++ b/crates/standin/tests/platform_client.rs
@@ -4,11 +4,11 @@
 
 mod support;
 
-use chestnutrack_platform::client::{Call, Client, Settings};
-use chestnutrack_platform::error::Error;
-use chestnutrack_platform::host::{Host, List, State};
-use chestnutrack_platform::object::VALUE_BYTES_MAX;
 use chestnutrack_standin::platform;
+use chestnutrack_store::client::{Call, Client, Settings};
+use chestnutrack_store::error::Error;
+use chestnutrack_store::host::{Host, List, State};
+use chestnutrack_store::object::VALUE_BYTES_MAX;
 use prometheus::Registry;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
--- a/crates/standin/tests/update.rs
+++ b/crates/standin/tests/update.rs
@@ -5,9 +5,9 @@
 
 mod support;
 
-use chestnutrack_platform::client::{Client, Settings};
-use chestnutrack_platform::error::Error;
 use chestnutrack_standin::platform;
+use chestnutrack_store::client::{Client, Settings};
+use chestnutrack_store::error::Error;
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use serde_json::json;
 use std::net::SocketAddr;
--- a/crates/standin/tests/watcher.rs
+++ b/crates/standin/tests/watcher.rs
@@ -4,12 +4,12 @@
 
 mod support;
 
-use chestnutrack_platform::client::{self, Call, Client};
-use chestnutrack_platform::error::Error;
-use chestnutrack_platform::host::{Host, List, State};
-use chestnutrack_platform::poller;
-use chestnutrack_platform::watcher::{self, Event, Update};
 use chestnutrack_standin::platform;
+use chestnutrack_store::client::{self, Call, Client};
+use chestnutrack_store::error::Error;
+use chestnutrack_store::host::{Host, List, State};
+use chestnutrack_store::poller;
+use chestnutrack_store::watcher::{self, Event, Update};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -47,7 +47,7 @@
     loop {
         let update = update(events).await;
         if update.whole || !update.objects.is_empty() {
-            let pair = |object: chestnutrack_platform::object::Object| {
+            let pair = |object: chestnutrack_store::object::Object| {
                 (object.name.to_string(), object.value)
             };
             return (update.whole, update.objects.into_iter().map(pair).collect());
--- a/crates/platform/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -3,17 +3,17 @@
 mod count;
 mod update;
 
+use crate::dialect::{Dialect, OWN};
 use crate::error::Error;
 use crate::host;
-use crate::object::{Conflict, List, Object, VALUE_BYTES_MAX, Written};
+use crate::object::{List, Object, VALUE_BYTES_MAX};
 use bytes::Bytes;
 use chestnutrack_process::http;
 use chestnutrack_process::pool::{self, Pool};
 use http_body_util::Full;
-use hyper::header::{HeaderValue, IF_MATCH};
+use hyper::body::Body;
 use hyper::{Request, Response};
 use prometheus::Registry;
-use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -66,16 +66,27 @@
     /// Opens a connection for each write.
     writes: Pool,
     settings: Settings,
+    dialect: Dialect,
     count: Count,
 }
 
 impl Client {
-    /// A client of the interface at an address; its counters are registered where a registry is
-    /// given.
+    /// A client of the interface at an address, in the project's own dialect; its counters are
+    /// registered where a registry is given.
     pub fn new(address: SocketAddr, settings: Settings, registry: Option<&Registry>) -> Client {
+        Client::speaking(OWN, address, settings, registry)
+    }
+
+    /// As [`Client::new`], in another dialect.
+    pub fn speaking(
+        dialect: Dialect,
+        address: SocketAddr,
+        settings: Settings,
+        registry: Option<&Registry>,
+    ) -> Client {
         let pool = Pool::new(address, settings.pool);
         let writes = Pool::new(address, settings.pool.unshared());
-        Client { pool, writes, settings, count: Count::new(registry) }
+        Client { pool, writes, settings, dialect, count: Count::new(registry) }
     }
 
     /// How many calls of each kind were made.
@@ -89,10 +100,9 @@
     ///
     /// [`Error::Missing`] when it doesn't exist.
     pub async fn read(&self, kind: &str, name: &str) -> Result<Object, Error> {
-        let target = target(kind, name)?;
-        let request = http::request("GET", &target, Bytes::new())?;
-        let answer = self.call(Call::Read, request, self.settings.read).await?;
-        let object: Object = parse("read", &accept(answer)?)?;
+        let call = (self.dialect.read)(checked("kind", kind)?, checked("name", name)?)?;
+        let answer = self.call(Call::Read, call, self.settings.read).await?;
+        let object = (self.dialect.object)(&accept(answer)?)?;
         if &*object.name != name {
             let text = format!("`{}` in place of `{name}`", object.name);
             return Err(Error::Malformed("read".to_owned(), text));
@@ -106,10 +116,21 @@
     ///
     /// Any but [`Error::Conflict`] and [`Error::Missing`].
     pub async fn list(&self, kind: &str) -> Result<List, Error> {
-        let target = format!("/v1/objects/{}", checked("kind", kind)?);
-        let request = http::request("GET", &target, Bytes::new())?;
-        let answer = self.call(Call::List, request, self.settings.read).await?;
-        parse("list", &accept(answer)?)
+        let kind = checked("kind", kind)?;
+        let mut list = List { version: u64::MAX, objects: Vec::new() };
+        loop {
+            let after = list.objects.last().map(|object| object.name.clone());
+            let call = (self.dialect.list)(kind, after.as_deref())?;
+            let answer = self.call(Call::List, call, self.settings.read).await?;
+            let page = (self.dialect.page)(&accept(answer)?)?;
+            let stuck = page.list.objects.is_empty();
+            // A watch from the first page's version tells what changed while the others were read.
+            list.version = list.version.min(page.list.version);
+            list.objects.extend(page.list.objects);
+            if !page.more || stuck {
+                return Ok(list);
+            }
+        }
     }
 
     /// Writes an object that must not exist yet; returns its version.
@@ -134,14 +155,14 @@
         version: u64,
         value: &Value,
     ) -> Result<u64, Error> {
-        let target = target(kind, name)?;
-        let body = value.to_string();
-        if body.len() > VALUE_BYTES_MAX {
-            let text = format!("value of {} bytes is larger than {VALUE_BYTES_MAX}", body.len());
+        let (kind, name) = (checked("kind", kind)?, checked("name", name)?);
+        let call = (self.dialect.write)(kind, name, version, value)?;
+        let length = call.body().size_hint().upper().unwrap_or(0);
+        if length > VALUE_BYTES_MAX as u64 {
+            let text = format!("value of {length} bytes is larger than {VALUE_BYTES_MAX}");
             return Err(Error::NotSent(text));
         }
-        let request = http::request("PUT", &target, body)?;
-        self.write(Call::Write, request, version).await
+        self.write(Call::Write, call).await
     }
 
     /// Deletes an object that must have a version; returns the version of the deletion.
@@ -150,8 +171,9 @@
     ///
     /// [`Error::Conflict`] when it has another version, [`Error::Missing`] when it doesn't exist.
     pub async fn delete(&self, kind: &str, name: &str, version: u64) -> Result<u64, Error> {
-        let request = http::request("DELETE", &target(kind, name)?, Bytes::new())?;
-        self.write(Call::Delete, request, version).await
+        let (kind, name) = (checked("kind", kind)?, checked("name", name)?);
+        let call = (self.dialect.delete)(kind, name, version)?;
+        self.write(Call::Delete, call).await
     }
 
     /// Waits up to `wait` for objects of a kind that change after a version; the list is empty
@@ -161,11 +183,9 @@
     ///
     /// [`Error::Refused`] with status 410 when the changes after that version are forgotten.
     pub async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<List, Error> {
-        let kind = checked("kind", kind)?;
-        let target = format!("/v1/watch/{kind}?after={after}&wait_ms={}", wait.as_millis());
-        let request = http::request("GET", &target, Bytes::new())?;
-        let answer = self.call(Call::Watch, request, wait + self.settings.watch).await?;
-        parse("watch", &accept(answer)?)
+        let call = (self.dialect.watch)(checked("kind", kind)?, after, wait)?;
+        let answer = self.call(Call::Watch, call, wait + self.settings.watch).await?;
+        (self.dialect.changes)(&accept(answer)?)
     }
 
     /// Reads the host list.
@@ -176,26 +196,20 @@
     pub async fn hosts(&self) -> Result<host::List, Error> {
         let request = http::request("GET", "/v1/hosts", Bytes::new())?;
         let answer = self.call(Call::Hosts, request, self.settings.read).await?;
-        parse("hosts", &accept(answer)?)
+        serde_json::from_slice(&accept(answer)?)
+            .map_err(|error| Error::Malformed("hosts".to_owned(), error.to_string()))
     }
 
-    async fn write(
-        &self,
-        call: Call,
-        mut request: Request<Full<Bytes>>,
-        version: u64,
-    ) -> Result<u64, Error> {
-        request.headers_mut().insert(IF_MATCH, HeaderValue::from(version));
-        let answer = self.call(call, request, self.settings.write).await?;
+    async fn write(&self, kind: Call, call: Request<Full<Bytes>>) -> Result<u64, Error> {
+        let answer = self.call(kind, call, self.settings.write).await?;
         if answer.status().as_u16() == 409 {
-            let conflict = parse::<Conflict>("conflict", answer.body());
             let refused = |_| Error::Refused(409, text(answer.body()));
-            return Err(conflict.map_or_else(refused, |found| Error::Conflict(found.version)));
+            let found = (self.dialect.conflict)(answer.body()).map_err(refused)?;
+            return Err(Error::Conflict(found));
         }
         // The write took effect; only its version is lost.
         let body = accept(answer)?;
-        let written = parse::<Written>("written", &body);
-        Ok(written.map_err(|error| Error::Unknown(error.to_string()))?.version)
+        (self.dialect.written)(&body).map_err(|error| Error::Unknown(error.to_string()))
     }
 
     async fn call(
@@ -218,7 +232,7 @@
 /// The body of an answer that says yes.
 fn accept(answer: Response<Bytes>) -> Result<Bytes, Error> {
     match answer.status().as_u16() {
-        200 => Ok(answer.into_body()),
+        200..=299 => Ok(answer.into_body()),
         404 => Err(Error::Missing),
         // Something between the two ends answered; the call may have passed it.
         status @ (500 | 502 | 504) => Err(Error::Unknown(format!("status {status}"))),
@@ -230,15 +244,6 @@
     String::from_utf8_lossy(&body[..body.len().min(TEXT_BYTES_MAX)]).into_owned()
 }
 
-fn parse<T: DeserializeOwned>(place: &str, body: &[u8]) -> Result<T, Error> {
-    serde_json::from_slice(body)
-        .map_err(|error| Error::Malformed(place.to_owned(), error.to_string()))
-}
-
-fn target(kind: &str, name: &str) -> Result<String, Error> {
-    Ok(format!("/v1/objects/{}/{}", checked("kind", kind)?, checked("name", name)?))
-}
-
 /// A name as it may stand in a URL.
 fn checked<'a>(place: &str, name: &'a str) -> Result<&'a str, Error> {
     let known = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,6 +1,6 @@
 //! The platform's object interface: its protocol behind plain structs.
 //!
-//! This is the one place that knows how the platform is spoken to.
+//! The one client of it. What stands on the wire is a [`dialect::Dialect`]; the project's own is
 //!
 //! | call | request | answer |
 //! | --- | --- | --- |
@@ -16,6 +16,7 @@
 
 pub mod backoff;
 pub mod client;
+pub mod dialect;
 pub mod error;
 pub mod host;
 pub mod object;
--- a/crates/platform/tests/backoff.rs
+++ b/crates/store/tests/backoff.rs
@@ -1,6 +1,6 @@
 //! Pauses between retries.
 
-use chestnutrack_platform::backoff::Backoff;
+use chestnutrack_store::backoff::Backoff;
 use quickcheck::quickcheck;
 use std::time::Duration;
 
--- a/crates/platform/tests/watcher.rs
+++ b/crates/store/tests/watcher.rs
@@ -1,9 +1,9 @@
 //! What a watcher hands out over random answers, old ones among them.
 
 use chestnutrack_core::time::Instant;
-use chestnutrack_platform::error::Error;
-use chestnutrack_platform::object::{List, Object};
-use chestnutrack_platform::watcher::Table;
+use chestnutrack_store::error::Error;
+use chestnutrack_store::object::{List, Object};
+use chestnutrack_store::watcher::Table;
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 use serde_json::json;
 use std::collections::BTreeMap;
