--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -134,7 +134,9 @@
 /// Sources of a program's or crate's metrics, by the first word of their names.
 fn sources(area: &str) -> String {
     let mut text = String::new();
-    let mut folders = vec![root().join("crates").join(area).join("src")];
+    // Metrics of the platform's object interface are counted by its client.
+    let folder = if area == "platform" { "store" } else { area };
+    let mut folders = vec![root().join("crates").join(folder).join("src")];
     while let Some(folder) = folders.pop() {
         for entry in std::fs::read_dir(folder).expect("a crate's sources") {
             let path = entry.expect("an entry").path();
--- /dev/null
+++ b/crates/core/src/dispatch/engine.rs
@@ -0,0 +1,233 @@
+//! Engines: what runs on them, and which one a generation goes to.
+
+use super::{Ask, Dispatch, Key, Run, Stage};
+use crate::forecast::{self, peak};
+use crate::time::Instant;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Tokens that a generation makes in a millisecond before any was seen.
+pub(super) const TOKENS_PER_MS: f64 = 1.0;
+/// Bounds of what is taken for a generation's speed, in tokens a millisecond.
+const TOKENS_PER_MS_BOUNDS: (f64, f64) = (0.02, 20.0);
+/// Weight of a new speed or length.
+const SMOOTHING: f64 = 0.1;
+/// Prompt tokens that an engine prefills in a millisecond before any was seen.
+const PREFILL_PER_MS: f64 = 50.0;
+/// Bounds of what is taken for the speed of a prefill, in tokens a millisecond.
+const PREFILL_PER_MS_BOUNDS: (f64, f64) = (0.5, 5_000.0);
+/// Time that a transfer between failure domains is taken to cost beside one within, in milliseconds.
+const TRANSFER_MS: f64 = 25.0;
+/// Parts of an engine's memory by which loads count as equal.
+const EQUAL_PARTS: f64 = 8.0;
+
+/// Where a generation goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// The engine that generates.
+    pub decode: Key,
+    /// The engine that prefills; where there is none, the one that generates does.
+    pub prefill: Option<Key>,
+    /// The generation.
+    pub run: Run,
+}
+
+/// What is known of the lengths of a pool's answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Length {
+    /// Logarithm of the length in tokens, smoothed; absent before an answer has ended.
+    typical: Option<f64>,
+}
+
+impl Length {
+    /// Estimate of an answer's length, from what its caller expects.
+    pub fn estimate(&self, hint: Option<u64>, most: u64) -> f64 {
+        let hint = hint.filter(|&hint| hint > 0).map(|hint| (hint as f64).ln());
+        let log = match (self.typical, hint) {
+            (Some(typical), Some(hint)) => f64::midpoint(typical, hint),
+            (Some(one), None) | (None, Some(one)) => one,
+            (None, None) => (most as f64 / 2.0).max(1.0).ln(),
+        };
+        log.exp().min(most.max(1) as f64)
+    }
+
+    /// Notes an answer that ended by itself.
+    pub fn note(&mut self, tokens: u64) {
+        let log = (tokens.max(1) as f64).ln();
+        self.typical = Some(self.typical.map_or(log, |old| old + SMOOTHING * (log - old)));
+    }
+}
+
+/// What is known of a service's engines as a whole.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Pool {
+    pub(super) length: Length,
+    pub(super) prefill_per_ms: f64,
+    pub(super) kv_tokens: u64,
+}
+
+impl Default for Pool {
+    fn default() -> Pool {
+        Pool { length: Length::default(), prefill_per_ms: PREFILL_PER_MS, kv_tokens: 0 }
+    }
+}
+
+/// A generation of this host.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Running {
+    pub(super) decode: Key,
+    pub(super) prefill: Option<Key>,
+    pub(super) prompt: u64,
+    pub(super) memory: forecast::Run,
+    /// When the last tokens came.
+    at: Option<Instant>,
+}
+
+/// Runs on every engine, its own and the peers', by engine.
+pub(super) type Loads = HashMap<Key, Vec<forecast::Run>>;
+
+impl<T> Dispatch<T> {
+    /// Sets the memory of a service's engines, in tokens.
+    pub fn set_memory(&mut self, service: &std::sync::Arc<str>, kv_tokens: u64) {
+        self.pools.entry(service.clone()).or_default().kv_tokens = kv_tokens;
+    }
+
+    /// What runs on the engines now, as far as this host knows.
+    pub(super) fn loads(&self, now: Instant) -> Loads {
+        let mut loads = Loads::new();
+        for run in self.runs.values() {
+            loads.entry(run.decode).or_default().push(run.memory);
+        }
+        for (key, run) in self.peers.values().flat_map(|peer| peer.runs(now, self)) {
+            loads.entry(key).or_default().push(run);
+        }
+        loads
+    }
+
+    /// The engine that would generate for a request, and the part of its memory that is forecast
+    /// to be used then.
+    pub(super) fn decode_for(&self, now: Instant, ask: &Ask, loads: &Loads) -> Option<Key> {
+        let pool = self.pools.get(&ask.service)?;
+        let room = pool.kv_tokens as f64 * self.settings.memory;
+        let fresh = ask.memory(&pool.length);
+        let candidates = self.servers.iter().filter(|(_, server)| {
+            server.entry.stage == Some(Stage::Decode)
+                && server.entry.service == ask.service
+                && !server.entry.leaving
+                && server.health.is_sound(now, server.running)
+        });
+        let ranked = candidates.filter_map(|(key, server)| {
+            let mut runs = loads.get(&key).cloned().unwrap_or_default();
+            if runs.len() >= server.entry.slots as usize {
+                return None;
+            }
+            runs.push(fresh);
+            let peak = peak(&runs, server.tokens_per_ms, &self.settings.forecast);
+            let fill = (peak / room * EQUAL_PARTS) as u32;
+            let far = server.entry.failure_domain != self.near;
+            (peak <= room).then_some(((fill, far, peak as u64), key))
+        });
+        ranked.min().map(|(_, key)| key)
+    }
+
+    /// The engine that prefills a prompt: the one that will be done first, where a transfer between
+    /// failure domains counts as time.
+    pub(super) fn prefill_for(&self, now: Instant, ask: &Ask, decode: Key) -> Option<Key> {
+        let per_ms = self.pools.get(&ask.service)?.prefill_per_ms;
+        let domain = self.servers.get(decode).map(|server| server.entry.failure_domain.clone());
+        let candidates = self.servers.iter().filter(|(_, server)| {
+            server.entry.stage == Some(Stage::Prefill)
+                && server.entry.service == ask.service
+                && !server.entry.leaving
+                && server.health.is_sound(now, server.running)
+        });
+        let ranked = candidates.map(|(key, server)| {
+            let peers = self.peers.values().map(|peer| peer.prefilling(&server.entry.name));
+            let ahead = server.prefilling + peers.sum::<u64>();
+            let far = Some(&server.entry.failure_domain) != domain.as_ref();
+            let transfer = if far { TRANSFER_MS } else { 0.0 };
+            ((ahead as f64 / per_ms + transfer) as u64, key)
+        });
+        ranked.min().map(|(_, key)| key)
+    }
+
+    /// Takes places for a request.
+    pub(super) fn place(&mut self, now: Instant, ask: &Ask, decode: Key) -> Placement {
+        let prefill = self.prefill_for(now, ask, decode);
+        let length = self.pools.get(&ask.service).map(|pool| pool.length).unwrap_or_default();
+        let run = self.runs.insert(Running {
+            decode,
+            prefill,
+            prompt: ask.prompt_tokens,
+            memory: ask.memory(&length),
+            at: None,
+        });
+        self.servers[decode].running += 1;
+        if let Some(server) = prefill.and_then(|key| self.servers.get_mut(key)) {
+            server.running += 1;
+            server.prefilling += ask.prompt_tokens;
+        }
+        Placement { decode, prefill, run }
+    }
+
+    /// Notes that a generation's prompt was prefilled, or that its prefill is given up.
+    pub fn prefilled(&mut self, run: Run, took: Option<Duration>) {
+        let Some(running) = self.runs.get_mut(run) else { return };
+        let (prompt, prefill) = (running.prompt, running.prefill.take());
+        let Some(server) = prefill.and_then(|key| self.servers.get_mut(key)) else { return };
+        let ahead = server.prefilling;
+        server.running -= 1;
+        server.prefilling -= prompt;
+        let service = server.entry.service.clone();
+        if let (Some(took), Some(pool)) = (took, self.pools.get_mut(&service)) {
+            let (least, most) = PREFILL_PER_MS_BOUNDS;
+            let seen = ahead as f64 / (took.as_secs_f64() * 1_000.0).max(1.0);
+            pool.prefill_per_ms += SMOOTHING * (seen.clamp(least, most) - pool.prefill_per_ms);
+        }
+    }
+
+    /// Notes that a generation has made so many tokens in all.
+    pub fn made(&mut self, now: Instant, run: Run, tokens: u64) {
+        let Some(running) = self.runs.get_mut(run) else { return };
+        let more = tokens as f64 - running.memory.made;
+        running.memory = running.memory.after(more);
+        let before = running.at.replace(now);
+        let Some(server) = self.servers.get_mut(running.decode) else { return };
+        if let Some(before) = before {
+            let (least, most) = TOKENS_PER_MS_BOUNDS;
+            let seen = more / (now.since(before).as_secs_f64() * 1_000.0).max(0.1);
+            server.tokens_per_ms += SMOOTHING * (seen.clamp(least, most) - server.tokens_per_ms);
+        }
+    }
+
+    /// Notes that a generation has ended; `whole` says that its answer came to its end.
+    pub fn ended(&mut self, run: Run, whole: bool) {
+        self.prefilled(run, None);
+        let Some(running) = self.runs.remove(run) else { return };
+        let Some(server) = self.servers.get_mut(running.decode) else { return };
+        server.running -= 1;
+        let service = server.entry.service.clone();
+        if whole && let Some(pool) = self.pools.get_mut(&service) {
+            pool.length.note(running.memory.made as u64);
+        }
+    }
+
+    /// When the engines of a service will have ended so many of their generations, from now.
+    pub(super) fn ends_in(&self, now: Instant, service: &str, count: usize) -> Option<Duration> {
+        let shape = self.settings.forecast.shape;
+        let mut ends: Vec<f64> = Vec::new();
+        for (key, runs) in self.loads(now) {
+            let Some(server) = self.servers.get(key) else { continue };
+            if &*server.entry.service == service {
+                ends.extend(runs.iter().map(|run| run.remaining(shape) / server.tokens_per_ms));
+            }
+        }
+        ends.sort_by(f64::total_cmp);
+        let last = *ends.last()?;
+        let millis = match ends.get(count.saturating_sub(1)) {
+            Some(end) => *end,
+            None => last * count as f64 / ends.len() as f64,
+        };
+        Some(Duration::from_secs_f64(millis / 1_000.0))
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/mod.rs
@@ -0,0 +1,202 @@
+//! Where requests go: which backend server, when, and what those are told that can't be served.
+//!
+//! A generation goes to an engine whose memory will hold it together with all that runs there, by
+//! forecast; only then is its prompt prefilled elsewhere, since a prefilled prompt that finds no
+//! room is work in vain. One that finds no room waits while its first token can still come in
+//! time, and is refused at once where it can't. Every host decides for itself with what its peers
+//! told it of their own generations; waiting requests of all hosts take their turns by age.
+
+mod callers;
+mod engine;
+mod news;
+mod plain;
+#[cfg(test)]
+mod tests;
+mod turn;
+
+pub use callers::Callers;
+pub use engine::{Length, Placement};
+pub use turn::{Ask, Effect, Refusal, Wait};
+
+use crate::forecast;
+use crate::health::Health;
+use crate::listing;
+use crate::queue::{self, Queue};
+use crate::time::Instant;
+use news::Peer;
+use slotmap::{SlotMap, new_key_type};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+new_key_type! {
+    /// A backend server; a new start under the same name is another one.
+    pub struct Key;
+    /// A generation of this host.
+    pub struct Run;
+}
+
+/// What an engine does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Stage {
+    /// It prefills prompts.
+    Prefill,
+    /// It generates.
+    Decode,
+}
+
+/// A backend server, as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Name.
+    pub name: Arc<str>,
+    /// When it started, in milliseconds since 1970 by its own clock; tells starts under one name
+    /// apart.
+    pub born: Option<u64>,
+    /// Service.
+    pub service: Arc<str>,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving and must get no new request.
+    pub leaving: bool,
+    /// What it does as an engine; absent for a plain service.
+    pub stage: Option<Stage>,
+}
+
+/// A change of the listed servers.
+pub type Change = listing::Change<Entry>;
+
+/// Bounds on decisions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Forecast of memory.
+    pub forecast: forecast::Settings,
+    /// Part of an engine's memory that may be planned with.
+    pub memory: f64,
+    /// Waiting requests.
+    pub queue: queue::Settings,
+    /// How long a request waits whose first token is late already.
+    pub late_wait: Duration,
+    /// Shortest and longest time after which refused callers are asked to come back.
+    pub retry: (Duration, Duration),
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            forecast: forecast::Settings::default(),
+            memory: 0.98,
+            queue: queue::Settings::default(),
+            late_wait: Duration::from_millis(2_000),
+            retry: (Duration::from_millis(300), Duration::from_millis(8_000)),
+        }
+    }
+}
+
+/// A backend server and what this host has under way there.
+#[derive(Clone, Debug)]
+struct Server {
+    entry: Entry,
+    health: Health,
+    /// Requests of this host under way.
+    running: u32,
+    /// Prompt tokens that this host waits for to be prefilled there.
+    prefilling: u64,
+    /// Tokens that a generation makes in a millisecond.
+    tokens_per_ms: f64,
+}
+
+/// Decides for one host. `T` is what the owner keeps with a request that waits.
+#[derive(Debug)]
+pub struct Dispatch<T> {
+    settings: Settings,
+    near: Arc<str>,
+    servers: SlotMap<Key, Server>,
+    names: HashMap<Arc<str>, Key>,
+    runs: SlotMap<Run, engine::Running>,
+    pools: HashMap<Arc<str>, engine::Pool>,
+    queue: Queue<(Ask, T)>,
+    peers: HashMap<Arc<str>, Peer>,
+    promises: turn::Promises,
+    draws: u64,
+}
+
+impl<T> Dispatch<T> {
+    /// Decides for a host in a failure domain.
+    pub fn new(settings: Settings, near: Arc<str>) -> Dispatch<T> {
+        Dispatch {
+            settings,
+            near,
+            servers: SlotMap::with_key(),
+            names: HashMap::new(),
+            runs: SlotMap::with_key(),
+            pools: HashMap::new(),
+            queue: Queue::new(settings.queue),
+            peers: HashMap::new(),
+            promises: turn::Promises::default(),
+            draws: 0,
+        }
+    }
+
+    /// Puts an entry in force; returns the server's key.
+    pub fn put(&mut self, entry: Entry) -> Key {
+        if let Some(&key) = self.names.get(&entry.name) {
+            let server = &mut self.servers[key];
+            if server.entry.address == entry.address && server.entry.born == entry.born {
+                server.entry = entry;
+                return key;
+            }
+            self.remove(&entry.name);
+        }
+        let name = entry.name.clone();
+        let server = Server {
+            entry,
+            health: Health::default(),
+            running: 0,
+            prefilling: 0,
+            tokens_per_ms: engine::TOKENS_PER_MS,
+        };
+        let key = self.servers.insert(server);
+        self.names.insert(name, key);
+        key
+    }
+
+    /// Forgets a backend server; returns its key.
+    pub fn remove(&mut self, name: &str) -> Option<Key> {
+        let key = self.names.remove(name)?;
+        self.servers.remove(key);
+        Some(key)
+    }
+
+    /// The servers' names.
+    pub fn names(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.names.keys()
+    }
+
+    /// What the platform lists of a server.
+    pub fn entry(&self, key: Key) -> Option<&Entry> {
+        self.servers.get(key).map(|server| &server.entry)
+    }
+
+    /// Notes that a server answered, or failed to.
+    pub fn note(&mut self, now: Instant, key: Key, answered: bool) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        match answered {
+            true => server.health.note_answered(),
+            false => server.health.note_failed(now),
+        }
+    }
+
+    /// The next number of a sequence that spreads evenly, to break ties by.
+    fn draw(&mut self) -> u64 {
+        /// The golden ratio's fraction of 2^64.
+        const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+        self.draws = self.draws.wrapping_add(STEP);
+        self.draws
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/news.rs
@@ -0,0 +1,126 @@
+//! What hosts tell each other of their generations and their waiting requests.
+
+use super::{Dispatch, Key};
+use crate::forecast;
+use crate::time::Instant;
+use chestnutrack_wire::frame::{EngineNews, RunNews};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Age from which a peer's news says nothing any more: by then it has ended its generations, or
+/// its engines have.
+const FORGOTTEN: Duration = Duration::from_secs(10);
+
+/// What a peer has told.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    at: Instant,
+    engines: Vec<EngineNews>,
+    /// Ages of its waiting requests when it told, in milliseconds.
+    waiting: Vec<u32>,
+}
+
+impl Peer {
+    /// Its generations, grown since it told of them.
+    pub(super) fn runs<T>(
+        &self,
+        now: Instant,
+        dispatch: &Dispatch<T>,
+    ) -> Vec<(Key, forecast::Run)> {
+        let age = now.since(self.at);
+        if age >= FORGOTTEN {
+            return Vec::new();
+        }
+        let millis = age.as_secs_f64() * 1_000.0;
+        let mut runs = Vec::new();
+        for engine in &self.engines {
+            let Some(&key) = dispatch.names.get(&engine.server) else { continue };
+            let more = millis * dispatch.servers[key].tokens_per_ms;
+            runs.extend(engine.runs.iter().map(|run| (key, run_of(*run).after(more))));
+        }
+        runs
+    }
+
+    /// Prompt tokens that it waits for to be prefilled at an engine.
+    pub(super) fn prefilling(&self, server: &str) -> u64 {
+        let told = self.engines.iter().find(|engine| &*engine.server == server);
+        told.map_or(0, |engine| u64::from(engine.prefilling))
+    }
+
+    /// How many of its waiting requests are older than one that arrived then.
+    pub(super) fn ahead(&self, now: Instant, arrived: Instant) -> usize {
+        let (age, since) = (now.since(arrived), now.since(self.at));
+        let older = |told: &&u32| Duration::from_millis(u64::from(**told)) + since > age;
+        self.waiting.iter().filter(older).count()
+    }
+
+    /// How many requests wait there.
+    pub(super) fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+}
+
+fn run_of(run: RunNews) -> forecast::Run {
+    forecast::Run {
+        context: f64::from(run.context),
+        made: f64::from(run.made),
+        expected: f64::from(run.expected),
+        most: f64::from(run.most),
+    }
+}
+
+fn count(tokens: f64) -> u32 {
+    tokens.clamp(0.0, f64::from(u32::MAX)) as u32
+}
+
+impl<T> Dispatch<T> {
+    /// What this host tells of its generations.
+    pub fn engines(&self) -> Vec<EngineNews> {
+        let mut news: Vec<EngineNews> = Vec::new();
+        for (key, server) in &self.servers {
+            let runs = self.runs.values().filter(|run| run.decode == key);
+            let runs: Vec<RunNews> = runs
+                .map(|run| RunNews {
+                    context: count(run.memory.context),
+                    made: count(run.memory.made),
+                    expected: count(run.memory.expected),
+                    most: count(run.memory.most),
+                })
+                .collect();
+            if runs.is_empty() && server.prefilling == 0 {
+                continue;
+            }
+            news.push(EngineNews {
+                server: server.entry.name.clone(),
+                runs,
+                prefilling: u32::try_from(server.prefilling).unwrap_or(u32::MAX),
+            });
+        }
+        news
+    }
+
+    /// What this host tells of its waiting requests: their ages, in milliseconds, the oldest first.
+    pub fn waiting(&self, now: Instant) -> Vec<u32> {
+        let age = |arrived| u32::try_from(now.since(arrived).as_millis()).unwrap_or(u32::MAX);
+        let mut ages: Vec<u32> = self.queue.arrivals().map(age).collect();
+        ages.sort_unstable_by(|left, right| right.cmp(left));
+        ages.truncate(super::turn::AHEAD_MAX);
+        ages
+    }
+
+    /// Takes in what a peer tells.
+    pub fn heard(
+        &mut self,
+        now: Instant,
+        peer: &Arc<str>,
+        engines: Vec<EngineNews>,
+        waiting: Vec<u32>,
+    ) {
+        self.peers.insert(peer.clone(), Peer { at: now, engines, waiting });
+    }
+
+    /// Forgets a peer whose process is gone: its connections to engines are closed.
+    pub fn gone(&mut self, peer: &str) {
+        self.peers.remove(peer);
+    }
+}
--- /dev/null
+++ b/crates/core/src/dispatch/turn.rs
@@ -0,0 +1,190 @@
+//! Turns: who goes at once, who waits, and who is refused.
+
+use super::engine::{Length, Loads};
+use super::{Dispatch, Key, Placement};
+use crate::forecast;
+use crate::queue::{self, Waiting};
+use crate::time::Instant;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Waiting requests of a host that others make way for.
+pub(super) const AHEAD_MAX: usize = 8;
+
+/// A request that waits.
+pub type Wait = queue::Key;
+
+/// What is asked for a generation. Tokens are counted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// Service.
+    pub service: Arc<str>,
+    /// Organisation that it runs for.
+    pub organisation: Arc<str>,
+    /// Prompt.
+    pub prompt_tokens: u64,
+    /// Longest answer.
+    pub output_tokens: u64,
+    /// Answer that the caller expects.
+    pub hint: Option<u64>,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its turn must come for its first token to be in time; absent where it is late already.
+    pub target: Option<Instant>,
+    /// When it must have ended.
+    pub deadline: Instant,
+    /// A stream that broke and goes on: its turn is the next.
+    pub urgent: bool,
+}
+
+impl Ask {
+    /// What it will hold of an engine's memory.
+    pub(super) fn memory(&self, length: &Length) -> forecast::Run {
+        forecast::Run {
+            context: self.prompt_tokens as f64,
+            made: 0.0,
+            expected: length.estimate(self.hint, self.output_tokens),
+            most: self.output_tokens as f64,
+        }
+    }
+}
+
+/// A request that can't be served in time. Nothing of it has run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Refusal {
+    /// Requests that wait before it, here and at peers.
+    pub ahead: usize,
+    /// When room is expected.
+    pub retry_after: Duration,
+}
+
+/// What becomes of a request.
+#[derive(Debug)]
+pub enum Effect<T> {
+    /// It goes.
+    Go(T, Placement),
+    /// It is refused.
+    Refuse(T, Refusal),
+}
+
+/// When callers that were refused were asked to come back.
+#[derive(Debug, Default)]
+pub(super) struct Promises(VecDeque<Instant>);
+
+impl Promises {
+    fn pending(&mut self, now: Instant) -> usize {
+        self.0.retain(|at| now < *at);
+        self.0.len()
+    }
+}
+
+impl<T> Dispatch<T> {
+    /// Asks for a turn: the request goes at once, waits, or is refused.
+    pub fn ask(&mut self, now: Instant, ask: Ask, item: T) -> Result<Wait, Effect<T>> {
+        let loads = self.loads(now);
+        if (self.queue.is_empty() || ask.urgent)
+            && let Some(decode) = self.turn_for(now, &ask, &loads)
+        {
+            return Err(Effect::Go(item, self.place(now, &ask, decode)));
+        }
+        let until = match ask.target {
+            Some(target) => target,
+            None => now + self.settings.late_wait,
+        };
+        let until = until.min(ask.deadline);
+        let ahead = self.waiting_in_all();
+        let expected = self.ends_in(now, &ask.service, ahead + 1);
+        if expected.is_none_or(|wait| now + wait > until) {
+            let refusal = self.refuse(now, &ask);
+            return Err(Effect::Refuse(item, refusal));
+        }
+        let waiting = Waiting {
+            organisation: ask.organisation.clone(),
+            may_wait: false,
+            tokens: ask.prompt_tokens + ask.output_tokens,
+            arrived: ask.arrived,
+            target: ask.target.unwrap_or(now),
+            deadline: until,
+            returned: ask.urgent,
+            item: (ask, item),
+        };
+        match self.queue.push(now, waiting) {
+            Ok(wait) => Ok(wait),
+            Err(refused) => {
+                let (ask, item) = refused.item;
+                let refusal = self.refuse(now, &ask);
+                Err(Effect::Refuse(item, refusal))
+            }
+        }
+    }
+
+    /// Takes back a request that waits, because its caller is gone.
+    pub fn forget(&mut self, wait: Wait) {
+        self.queue.remove(wait);
+    }
+
+    /// Whether requests wait.
+    pub fn has_waiting(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
+    /// Gives turns to requests that wait, and refuses those for which it is too late.
+    pub fn tick(&mut self, now: Instant) -> Vec<Effect<T>> {
+        let mut effects = Vec::new();
+        while let Some((item, placement)) = self.next(now) {
+            effects.push(Effect::Go(item, placement));
+        }
+        for waiting in self.queue.expire(now, |_| false) {
+            let (ask, item) = waiting.item;
+            let refusal = self.refuse(now, &ask);
+            effects.push(Effect::Refuse(item, refusal));
+        }
+        effects
+    }
+
+    fn next(&mut self, now: Instant) -> Option<(T, Placement)> {
+        if self.queue.is_empty() {
+            return None;
+        }
+        let loads = self.loads(now);
+        let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
+        let taken = queue.take(now, |waiting| self.turn_for(now, &waiting.item.0, &loads));
+        self.queue = queue;
+        let (waiting, decode) = taken?;
+        let (ask, item) = waiting.item;
+        Some((item, self.place(now, &ask, decode)))
+    }
+
+    /// The engine for a request, once older requests that wait at peers have theirs.
+    fn turn_for(&self, now: Instant, ask: &Ask, loads: &Loads) -> Option<Key> {
+        let ahead: usize = self.peers.values().map(|peer| peer.ahead(now, ask.arrived)).sum();
+        if ahead == 0 {
+            return self.decode_for(now, ask, loads);
+        }
+        let mut loads = loads.clone();
+        let memory = ask.memory(&self.pools.get(&ask.service)?.length);
+        for _ in 0..ahead.min(AHEAD_MAX) {
+            let decode = self.decode_for(now, ask, &loads)?;
+            loads.entry(decode).or_default().push(memory);
+        }
+        self.decode_for(now, ask, &loads)
+    }
+
+    fn waiting_in_all(&self) -> usize {
+        self.queue.len() + self.peers.values().map(super::Peer::waiting).sum::<usize>()
+    }
+
+    /// Refuses a request, and says when room is expected for it: after all that wait, and after
+    /// those that were asked to come back before it.
+    fn refuse(&mut self, now: Instant, ask: &Ask) -> Refusal {
+        let ahead = self.waiting_in_all();
+        let hosts = self.peers.len() + 1;
+        let before = ahead + self.promises.pending(now) * hosts;
+        let (least, most) = self.settings.retry;
+        let ends = self.ends_in(now, &ask.service, before + 1).unwrap_or(least);
+        let retry_after = ends.clamp(least, most);
+        self.promises.0.push_back(now + retry_after);
+        Refusal { ahead, retry_after }
+    }
+}
--- /dev/null
+++ b/crates/core/src/listing/tests.rs
@@ -0,0 +1,92 @@
+use super::{Change, LAPSE_GRACE, Listed, Listing};
+use crate::time::Instant;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(100_000 + millis)
+}
+
+fn listed(name: &str, version: u64) -> (Arc<str>, u64, Option<Listed<u64>>) {
+    (name.into(), version, Some(Some(version)))
+}
+
+fn deleted(name: &str) -> (Arc<str>, u64, Option<Listed<u64>>) {
+    (name.into(), 99, None)
+}
+
+fn listing(count: u64) -> Listing {
+    let mut listing = Listing::default();
+    let entries = (0..count).map(|index| listed(&format!("s{index}"), index)).collect();
+    listing.take(at(0), true, entries);
+    listing
+}
+
+#[test]
+fn one_that_is_deleted_while_the_store_answers_is_gone_at_once() {
+    let mut listing = listing(8);
+
+    let changes = listing.take(at(10), false, vec![deleted("s3")]);
+
+    assert_eq!(changes, [Change::<u64>::Remove("s3".into())]);
+}
+
+#[test]
+fn one_that_lapsed_in_an_outage_is_kept_until_it_is_back() {
+    let mut listing = listing(8);
+    listing.note_failed();
+
+    let changes = listing.take(at(5_000), false, vec![deleted("s3")]);
+    let back = listing.take(at(6_000), false, vec![listed("s3", 120)]);
+    let later = listing.tick::<u64>(at(5_000) + LAPSE_GRACE);
+
+    assert_eq!(changes, []);
+    assert_eq!(back, [Change::Put("s3".into(), 120)]);
+    assert_eq!(later, []);
+}
+
+#[test]
+fn one_that_does_not_come_back_after_an_outage_is_gone() {
+    let mut listing = listing(8);
+    listing.note_failed();
+    let entries = (1..8).map(|index| listed(&format!("s{index}"), index)).collect();
+
+    listing.take(at(5_000), true, entries);
+    let before = listing.tick::<u64>(at(5_000) + LAPSE_GRACE - Duration::from_millis(1));
+    let after = listing.tick::<u64>(at(5_000) + LAPSE_GRACE);
+
+    assert_eq!(before, []);
+    assert_eq!(after, [Change::Remove("s0".into())]);
+}
+
+#[test]
+fn what_vanishes_later_than_the_grace_after_an_outage_is_gone_at_once() {
+    let mut listing = listing(8);
+    listing.note_failed();
+    listing.take::<u64>(at(5_000), false, vec![]);
+
+    let changes = listing.take(at(5_000) + LAPSE_GRACE, false, vec![deleted("s3")]);
+
+    assert_eq!(changes, [Change::<u64>::Remove("s3".into())]);
+}
+
+#[test]
+fn many_that_vanish_together_are_taken_for_lapsed() {
+    let mut listing = listing(6);
+
+    let changes = listing.take(at(10), false, vec![deleted("s1"), deleted("s2"), deleted("s3")]);
+    let later = listing.tick::<u64>(at(10) + LAPSE_GRACE);
+
+    assert_eq!(changes, []);
+    assert_eq!(later.len(), 3);
+}
+
+#[test]
+fn an_entry_that_can_not_be_read_names_no_server_and_the_others_hold() {
+    let mut listing = listing(3);
+
+    let changes = listing.take::<u64>(at(10), false, vec![("s1".into(), 50, Some(None))]);
+
+    assert_eq!(changes, [Change::Remove("s1".into())]);
+    assert_eq!(listing.versions().count(), 2);
+}
--- a/crates/core/src/place/table.rs
+++ b/crates/core/src/place/table.rs
@@ -1,5 +1,7 @@
 //! The table of servers and what is known of each.
 
+pub use crate::health::FAILING_FOR;
+use crate::health::Health;
 use crate::time::Instant;
 use chestnutrack_document::model::Role;
 use slotmap::SlotMap;
@@ -14,12 +16,6 @@
 /// Longest time for which a server that refused for want of room is passed over.
 pub const FULL_FOR_MAX: Duration = Duration::from_millis(250);
 
-/// Failures in a row after which a server is passed over.
-pub const FAILURES_MAX: u32 = 2;
-/// How long a failing server is passed over: at first, and at most.
-pub const FAILING_FOR: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(2_000));
-
 slotmap::new_key_type! {
     /// A backend server in the table.
     pub struct Key;
@@ -73,10 +69,8 @@
     pub sent_tokens: u64,
     /// It has no room until then.
     pub full_until: Instant,
-    /// Failures since it last answered.
-    pub failures: u32,
-    /// It is passed over for its failures until then.
-    pub failing_until: Instant,
+    /// Its failures.
+    pub health: Health,
 }
 
 impl Server {
@@ -98,8 +92,7 @@
             sent: 0,
             sent_tokens: 0,
             full_until: Instant::default(),
-            failures: 0,
-            failing_until: Instant::default(),
+            health: Health::default(),
         }
     }
 
@@ -108,11 +101,9 @@
         self.connected && !self.leaving && !self.draining
     }
 
-    /// Whether it may be tried, as far as its failures say: once the time for which it is passed
-    /// over has ended, by one request at a time until one is answered.
+    /// Whether it may be tried, as far as its failures say.
     pub fn is_sound(&self, now: Instant) -> bool {
-        let failing = self.failures >= FAILURES_MAX;
-        !failing || (self.failing_until <= now && self.held == 0)
+        self.health.is_sound(now, self.held)
     }
 
     /// Slots expected to be taken or asked for, in thousandths of a slot. A report counts less
@@ -154,15 +145,12 @@
 
     /// Notes that it failed a request.
     pub fn note_failed(&mut self, now: Instant) {
-        self.failures = self.failures.saturating_add(1);
-        let doublings = self.failures.saturating_sub(FAILURES_MAX).min(16);
-        let passed_over = (FAILING_FOR.0 * (1 << doublings)).min(FAILING_FOR.1);
-        self.failing_until = now + passed_over;
+        self.health.note_failed(now);
     }
 
     /// Notes that it answered a request.
     pub fn note_answered(&mut self) {
-        self.failures = 0;
+        self.health.note_answered();
     }
 
     /// Notes that it refused for want of room, and when it says that it may be asked again.
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -157,6 +157,11 @@
         self.entries.is_empty()
     }
 
+    /// When the requests that wait arrived, in no order.
+    pub fn arrivals(&self) -> impl Iterator<Item = Instant> {
+        self.entries.values().map(|waiting| waiting.arrived)
+    }
+
     /// Takes a request in.
     ///
     /// # Errors
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -39,6 +39,12 @@
         Budget { settings, milli: u64::from(settings.burst) * MILLI }
     }
 
+    /// Changes the bounds; what is saved beyond the new burst is lost.
+    pub fn set(&mut self, settings: Settings) {
+        self.settings = settings;
+        self.milli = self.milli.min(u64::from(settings.burst) * MILLI);
+    }
+
     /// Notes a new request, which earns its share of a retry.
     pub fn earn(&mut self) {
         let most = u64::from(self.settings.burst) * MILLI;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -42,14 +42,14 @@
 
 /// Runs with the settings file of the users' platform, calling backend servers directly.
 fn on_platform(path: &Path) -> ExitCode {
-    let settings = match chestnutrack_platform::settings::entry(path) {
+    let settings = match chestnutrack_platform::settings::entry(path, rand::random()) {
         Ok(settings) => settings,
         Err(error) => {
             report(&error);
             return ExitCode::from(WRONG_SETTINGS);
         }
     };
-    log::start(log::Form::Json);
+    let _guard = log::start_bounded(log::Bound::default());
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
@@ -57,13 +57,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let client = forward::store_client(chestnutrack_platform::store::DIALECT, settings.store);
-    let program = forward::run(
-        settings,
-        chestnutrack_platform::DIALECT,
-        chestnutrack_platform::DIRECTORY,
-        client,
-    );
+    let program = forward::run(settings, chestnutrack_platform::SPEECH);
     match runtime.block_on(program) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/forward/src/answer/mod.rs
+++ b/crates/forward/src/answer/mod.rs
@@ -79,6 +79,27 @@
     TimedOut,
 }
 
+impl Cause {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Cause::Unconfigured => "unconfigured",
+            Cause::Draining => "draining",
+            Cause::NoRoute => "no_route",
+            Cause::NoKey => "no_key",
+            Cause::BadHead => "bad_head",
+            Cause::TooLarge => "too_large",
+            Cause::BodyLate => "body_late",
+            Cause::OverRate => "over_rate",
+            Cause::Full => "full",
+            Cause::NoServer => "no_server",
+            Cause::Expired => "expired",
+            Cause::Lost => "lost",
+            Cause::TimedOut => "timed_out",
+        }
+    }
+}
+
 /// A final answer of the router's own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -99,6 +120,11 @@
         Refusal { cause, retry_after: Some(retry_after) }
     }
 
+    /// Whether it promises that the request has not run and never will.
+    pub fn not_run(&self) -> bool {
+        !matches!(self.cause, Cause::Lost | Cause::TimedOut)
+    }
+
     /// The status. Those that promise that the request has not run and never will are given only
     /// where that is certain.
     pub fn status(&self) -> StatusCode {
--- /dev/null
+++ b/crates/forward/src/app/limit.rs
@@ -0,0 +1,99 @@
+//! Allowances of organisations, the budget of repeats, and callers that come back.
+
+use super::App;
+use chestnutrack_core::allowance::Refusal;
+use chestnutrack_core::retry::{self, Budget};
+use chestnutrack_core::time::Instant;
+use chestnutrack_process::clock;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Repeats earned by each thousand requests; below the platform's share of 0.2, since hosts count
+/// for themselves.
+const REPEATS_PER_MILLE: u32 = 150;
+/// Part of the fleet's extra repeats that hosts share, in per cent.
+const REPEATS_PART: u32 = 70;
+/// Repeats of one request.
+const REPEATS_PER_REQUEST: u32 = 3;
+/// How long peers are told of a refused caller.
+const REFUSED_TOLD: Duration = Duration::from_secs(2);
+
+impl App {
+    /// Takes an organisation's tokens.
+    ///
+    /// # Errors
+    ///
+    /// When there are not enough.
+    pub fn debit(&self, organisation: &Arc<str>, tokens: u64) -> Result<(), Refusal> {
+        self.state().allowances.take(clock::now(), organisation, tokens)?;
+        self.news.notify_one();
+        Ok(())
+    }
+
+    /// Hands tokens back that were not used.
+    pub fn refund(&self, organisation: &Arc<str>, tokens: u64) {
+        self.state().allowances.refund(clock::now(), organisation, tokens);
+        self.news.notify_one();
+    }
+
+    /// Notes a request in its service's budget of repeats.
+    pub fn earn_repeat(&self, service: &Arc<str>) {
+        self.with_budget(service, Budget::earn);
+    }
+
+    /// Takes a repeat of a request that was repeated `before` times.
+    pub fn spend_repeat(&self, service: &Arc<str>, before: u32) -> bool {
+        let taken = self.with_budget(service, |budget| budget.spend(before));
+        let counter = if taken { &self.metrics.repeats } else { &self.metrics.repeats_denied };
+        counter.inc();
+        taken
+    }
+
+    fn with_budget<R>(&self, service: &Arc<str>, act: impl FnOnce(&mut Budget) -> R) -> R {
+        let mut state = self.state();
+        let hosts = u32::try_from(state.allowances.hosts()).unwrap_or(u32::MAX);
+        let settings = retry::Settings {
+            per_mille: REPEATS_PER_MILLE,
+            burst: self.settings.repeats * REPEATS_PART / 100 / hosts,
+            per_request: REPEATS_PER_REQUEST,
+        };
+        let budget = state.budgets.entry(service.clone()).or_insert_with(|| Budget::new(settings));
+        budget.set(settings);
+        act(budget)
+    }
+
+    /// When a caller came first that is known by what it asks for.
+    pub fn first_seen(&self, caller: u64) -> Option<Instant> {
+        self.state().callers.first(clock::now(), caller)
+    }
+
+    /// Notes that a caller was refused that came first at `first`.
+    pub fn note_refused(&self, caller: u64, first: Instant) {
+        let now = clock::now();
+        let mut state = self.state();
+        state.callers.note(now, caller, first);
+        state.refused.retain(|(.., at)| now.since(*at) < REFUSED_TOLD);
+        state.refused.push_back((caller, first, now));
+        drop(state);
+        self.news.notify_one();
+    }
+
+    /// Callers refused lately, and how long ago they came first, in milliseconds.
+    pub(crate) fn refused_lately(&self) -> Vec<(u64, u32)> {
+        let now = clock::now();
+        let state = self.state();
+        let fresh = state.refused.iter().filter(|(.., at)| now.since(*at) < REFUSED_TOLD);
+        let age = |first: Instant| u32::try_from(now.since(first).as_millis()).unwrap_or(u32::MAX);
+        fresh.map(|(caller, first, _)| (*caller, age(*first))).collect()
+    }
+
+    /// Takes in what a peer tells of callers it refused.
+    pub(crate) fn hear_refused(&self, refused: &[(u64, u32)]) {
+        let now = clock::now();
+        let mut state = self.state();
+        for (caller, age) in refused {
+            let first = now - Duration::from_millis(u64::from(*age));
+            state.callers.note(now, *caller, first);
+        }
+    }
+}
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -1,48 +1,192 @@
 //! What every request of the process shares.
 
-use crate::config::Table;
+mod limit;
+mod place;
+mod turn;
+
+pub use place::Place;
+pub use turn::{Target, Turn};
+
+use crate::config::{Config, Table};
 use crate::dialect::Dialect;
-use crate::server::Servers;
+use crate::metric::Metrics;
+use chestnutrack_core::allowance::Allowances;
+use chestnutrack_core::dispatch::{self, Callers, Change, Dispatch, Key};
+use chestnutrack_core::limit::Terms;
+use chestnutrack_core::retry::Budget;
+use chestnutrack_core::time::Instant;
+use chestnutrack_process::clock;
+use chestnutrack_process::pool::{self, Pool};
+use slotmap::SecondaryMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Who this process is, and what bounds it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of this host.
+    pub name: Arc<str>,
+    /// Number drawn at the start of this process.
+    pub incarnation: u64,
+    /// Failure domain of this host.
+    pub failure_domain: Arc<str>,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
+    /// Repeats of requests that the fleet may send in a budget's window beyond a share of its
+    /// requests.
+    pub repeats: u32,
+    /// Connections to backend servers.
+    pub pool: pool::Settings,
+    /// Bounds on decisions.
+    pub dispatch: dispatch::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            name: "entry".into(),
+            incarnation: 0,
+            failure_domain: "default".into(),
+            first_start: true,
+            repeats: 20,
+            pool: pool::Settings {
+                connect: Duration::from_millis(300),
+                idle: Duration::from_millis(9_000),
+                idle_max: 256,
+                silence: Some(Duration::from_millis(3_000)),
+                distrust: false,
+            },
+            dispatch: dispatch::Settings::default(),
+        }
+    }
+}
+
+/// A configuration in force.
+#[derive(Debug)]
+pub struct InForce {
+    /// Look-ups in it.
+    pub table: Table,
+    /// As the platform's store holds it, to be passed on to peers.
+    pub raw: Vec<u8>,
+}
 
 /// What every request of the process shares.
 pub struct App {
+    /// Who this process is.
+    pub settings: Settings,
     /// Names on the wire.
     pub dialect: Dialect,
-    /// Failure domain of this host.
-    pub failure_domain: Arc<str>,
-    /// Backend servers.
-    pub servers: Servers,
-    table: Mutex<Option<Arc<Table>>>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Something has changed that peers should hear of.
+    pub news: Notify,
+    /// Requests have begun to wait.
+    pub waits: Notify,
+    in_force: Mutex<Option<Arc<InForce>>>,
+    state: Mutex<State>,
     draining: AtomicBool,
 }
 
+/// What decisions are made on.
+pub(crate) struct State {
+    pub(crate) dispatch: Dispatch<turn::Waiter>,
+    pub(crate) allowances: Allowances,
+    pools: SecondaryMap<Key, Pool>,
+    budgets: HashMap<Arc<str>, Budget>,
+    callers: Callers,
+    /// Callers refused lately: what they asked for, when they came first, when they were refused.
+    refused: VecDeque<(u64, Instant, Instant)>,
+}
+
 impl App {
-    /// Without a configuration.
-    pub fn new(dialect: Dialect, failure_domain: Arc<str>) -> App {
+    /// Without a configuration and without servers.
+    pub fn new(settings: Settings, dialect: Dialect, metrics: Metrics) -> App {
+        let state = State {
+            dispatch: Dispatch::new(settings.dispatch, settings.failure_domain.clone()),
+            allowances: Allowances::new(settings.first_start),
+            pools: SecondaryMap::new(),
+            budgets: HashMap::new(),
+            callers: Callers::default(),
+            refused: VecDeque::new(),
+        };
         App {
+            settings,
             dialect,
-            failure_domain,
-            servers: Servers::default(),
-            table: Mutex::default(),
+            metrics,
+            news: Notify::new(),
+            waits: Notify::new(),
+            in_force: Mutex::default(),
+            state: Mutex::new(state),
             draining: AtomicBool::new(false),
         }
     }
 
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The configuration in force.
-    pub fn table(&self) -> Option<Arc<Table>> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    pub fn in_force(&self) -> Option<Arc<InForce>> {
+        self.in_force.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Version of the configuration in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.in_force().map_or(0, |in_force| in_force.table.config().version)
     }
 
     /// Puts a configuration in force, unless a newer one is.
-    pub fn configure(&self, table: Arc<Table>) -> bool {
-        let mut now = self.table.lock().unwrap_or_else(PoisonError::into_inner);
-        let newer = now.as_ref().is_none_or(|now| now.config().version < table.config().version);
-        if newer {
-            *now = Some(table);
+    pub fn configure(&self, config: Config, raw: Vec<u8>) -> bool {
+        let version = config.version;
+        {
+            let mut now = self.in_force.lock().unwrap_or_else(PoisonError::into_inner);
+            let newest = now.as_ref().map_or(0, |now| now.table.config().version);
+            if now.is_some() && newest >= version {
+                return false;
+            }
+            let mut state = self.state();
+            state.allowances.configure(clock::now(), &terms(&config));
+            for service in &config.services {
+                if let Some(engine) = &service.engine {
+                    state.dispatch.set_memory(&service.name, engine.kv_tokens);
+                }
+            }
+            *now = Some(Arc::new(InForce { table: Table::new(config), raw }));
+        }
+        self.metrics.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.news.notify_one();
+        true
+    }
+
+    /// Puts a change of the listed servers in force.
+    pub fn change(self: &Arc<App>, change: Change) {
+        let mut state = self.state();
+        match change {
+            Change::Put(name, entry) => {
+                let (leaving, address) = (entry.leaving, entry.address);
+                tracing::info!(server = %name, %address, leaving, "server listed");
+                let key = state.dispatch.put(entry);
+                if !state.pools.contains_key(key) {
+                    state.pools.insert(key, Pool::new(address, self.settings.pool));
+                }
+            }
+            Change::Remove(name) => {
+                tracing::info!(server = %name, "server gone");
+                if let Some(key) = state.dispatch.remove(&name) {
+                    state.pools.remove(key);
+                }
+            }
         }
-        newer
+        drop(state);
+        self.give_turns();
+    }
+
+    /// Notes that a server answered, or failed to.
+    pub fn note(&self, target: &Target, answered: bool) {
+        self.state().dispatch.note(clock::now(), target.key, answered);
     }
 
     /// Whether the process is shutting down.
@@ -55,3 +199,19 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 }
+
+impl State {
+    fn target(&self, key: Key) -> Option<Target> {
+        let entry = self.dispatch.entry(key)?.clone();
+        Some(Target { key, entry, pool: self.pools.get(key)?.clone() })
+    }
+}
+
+fn terms(config: &Config) -> Vec<Terms> {
+    let terms = config.organisations.iter().map(|organisation| Terms {
+        name: organisation.name.clone(),
+        rate: organisation.rate,
+        burst: organisation.burst,
+    });
+    terms.collect()
+}
--- /dev/null
+++ b/crates/forward/src/app/turn.rs
@@ -0,0 +1,151 @@
+//! Turns of generations.
+
+use super::App;
+use chestnutrack_core::dispatch::{Ask, Effect, Entry, Key, Placement, Refusal, Wait};
+use chestnutrack_process::clock;
+use chestnutrack_process::pool::Pool;
+use chestnutrack_process::timer::Timer;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Time between looks at requests that wait, in which their time may run out.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// Where a waiting request learns its end.
+pub(super) type Waiter = oneshot::Sender<Result<Turn, Refusal>>;
+
+/// A backend server that a request was given.
+#[derive(Clone)]
+pub struct Target {
+    /// The backend server.
+    pub key: Key,
+    /// What the platform lists.
+    pub entry: Entry,
+    /// Connections to it.
+    pub pool: Pool,
+}
+
+/// A generation's places at engines, given back when it is dropped.
+pub struct Turn {
+    app: Arc<App>,
+    placement: Placement,
+    /// The engine that generates.
+    pub decode: Target,
+    /// The engine that prefills; where there is none, the one that generates does.
+    pub prefill: Option<Target>,
+    whole: bool,
+}
+
+impl Turn {
+    /// Notes that the prompt was prefilled in so long, or that its prefill is given up.
+    pub fn prefilled(&self, took: Option<Duration>) {
+        self.app.state().dispatch.prefilled(self.placement.run, took);
+        self.app.news.notify_one();
+    }
+
+    /// Notes that the answer has so many tokens.
+    pub fn made(&self, tokens: u64) {
+        self.app.state().dispatch.made(clock::now(), self.placement.run, tokens);
+    }
+
+    /// Ends it with the whole answer.
+    pub fn end(mut self) {
+        self.whole = true;
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.app.state().dispatch.ended(self.placement.run, self.whole);
+        self.app.news.notify_one();
+        self.app.give_turns();
+    }
+}
+
+/// Takes a waiting request back where its caller goes.
+struct Waiting<'a> {
+    app: &'a App,
+    wait: Wait,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.app.state().dispatch.forget(self.wait);
+    }
+}
+
+impl App {
+    /// Waits for a generation's turn.
+    ///
+    /// # Errors
+    ///
+    /// When it can't be served in time.
+    pub async fn turn(self: &Arc<App>, ask: Ask) -> Result<Turn, Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        let asked = self.state().dispatch.ask(clock::now(), ask, sender);
+        let _waiting = match asked {
+            Ok(wait) => {
+                self.waits.notify_one();
+                self.news.notify_one();
+                Some(Waiting { app: self, wait })
+            }
+            Err(effect) => {
+                self.resolve(vec![effect]);
+                None
+            }
+        };
+        receiver.await.unwrap_or(Err(Refusal::default()))
+    }
+
+    /// Gives turns to requests that wait.
+    pub fn give_turns(self: &Arc<App>) {
+        let mut state = self.state();
+        if !state.dispatch.has_waiting() {
+            return;
+        }
+        let effects = state.dispatch.tick(clock::now());
+        drop(state);
+        self.resolve(effects);
+    }
+
+    fn resolve(self: &Arc<App>, effects: Vec<Effect<Waiter>>) {
+        for effect in effects {
+            match effect {
+                Effect::Go(waiter, placement) => {
+                    let turn = self.turn_of(placement).ok_or(Refusal::default());
+                    // Where the caller has gone meanwhile, its turn ends here.
+                    drop(waiter.send(turn));
+                }
+                Effect::Refuse(waiter, refusal) => drop(waiter.send(Err(refusal))),
+            }
+        }
+    }
+
+    fn turn_of(self: &Arc<App>, placement: Placement) -> Option<Turn> {
+        let state = self.state();
+        let decode = state.target(placement.decode);
+        let prefill = placement.prefill.and_then(|key| state.target(key));
+        drop(state);
+        self.news.notify_one();
+        let Some(decode) = decode else {
+            self.state().dispatch.ended(placement.run, false);
+            return None;
+        };
+        Some(Turn { app: self.clone(), placement, decode, prefill, whole: false })
+    }
+
+    /// Looks after requests that wait, until the process ends.
+    pub async fn look_after_waiting(self: Arc<App>, timer: Timer) {
+        loop {
+            self.waits.notified().await;
+            let mut ticks = timer.subscribe(LOOK_EVERY);
+            while ticks.recv().await.is_some() {
+                self.give_turns();
+                if !self.state().dispatch.has_waiting() {
+                    break;
+                }
+            }
+        }
+    }
+}
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -1,13 +1,17 @@
 //! Requests to model engines: prefilled at one, generated at another.
 
-use super::{Failure, Job, passed_on};
+use super::{Failure, Job, Tries, passed_on, relay};
 use crate::answer::{self, Body, Cause, Refusal};
+use crate::app::{Target, Turn};
 use crate::config::Engine;
-use crate::dialect::{Generation, Handle, Onward, Step};
-use crate::server::{Place, Stage};
+use crate::dialect::{Generation, Handle, Step};
 use bytes::Bytes;
-use chestnutrack_process::pool::{Pool, Stream};
+use chestnutrack_core::dispatch;
+use chestnutrack_core::time::Instant;
+use chestnutrack_process::clock;
+use chestnutrack_process::pool::Stream;
 use hyper::Response;
+use hyper::http::response;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -18,12 +22,29 @@
 const HANDLE_BYTES: usize = 64 << 10;
 /// Longest time to free a handle.
 const FREE_WITHIN: Duration = Duration::from_millis(500);
+/// Prefills of one request.
+const PREFILLS_MAX: u32 = 2;
+/// Time from a turn to the first token that is planned with before any was seen.
+const FIRST_TOKEN: Duration = Duration::from_millis(250);
+/// How long the turn of a stream that broke is waited for.
+const RESUME_WITHIN: Duration = Duration::from_millis(1_500);
+
+/// A generation that an engine has begun to answer.
+pub(super) struct Answering {
+    /// Head of the engine's answer.
+    pub(super) head: response::Parts,
+    /// Its body.
+    pub(super) stream: Stream,
+    /// Places at engines.
+    pub(super) turn: Turn,
+}
 
 /// A KV cache that is freed unless it is taken.
 struct Kept {
     job: Arc<Job>,
-    pool: Pool,
+    target: Target,
     handle: Handle,
+    tokens: u64,
     taken: bool,
 }
 
@@ -32,95 +53,171 @@
         if self.taken {
             return;
         }
+        self.job.app.metrics.prefill_wasted.inc_by(self.tokens);
         let (method, target) = (self.job.app.dialect.free)(&self.handle);
         let Ok(request) = chestnutrack_process::http::request(method, &target, Bytes::new()) else {
             return;
         };
-        let pool = self.pool.clone();
+        let (pool, job) = (self.target.pool.clone(), self.job.clone());
         tokio::spawn(async move {
             if let Err(error) = pool.call(request, FREE_WITHIN, HANDLE_BYTES).await {
-                tracing::warn!(%error, "handle not freed; it lapses by itself");
+                let id = job.ask.id.as_deref();
+                tracing::warn!(id, %error, "handle not freed; it lapses by itself");
             }
         });
     }
 }
 
-/// Prefills and generates.
+/// Prefills and generates, and passes the stream on.
 pub(super) async fn run(job: Arc<Job>, engine: Engine) -> Result<Response<Body>, Refusal> {
-    let generation = job.ask.generation.clone().unwrap_or_default();
-    let tokens = generation.prompt_tokens + generation.output_tokens;
-    let decode = place(&job, Stage::Decode, tokens, engine.kv_tokens)
-        .ok_or(Refusal::until(Cause::Full, super::FULL_RETRY))?;
-    let step = match prefill(&job, &generation).await.map_err(Failure::refusal)? {
-        Some(kept) => kept,
-        None => return Err(Refusal::until(Cause::NoServer, super::FULL_RETRY)),
-    };
-    let mut kept = step;
-    let onward = Onward { step: Step::Generate(kept.handle.clone()), ..job.onward(&decode) };
-    let response = job.send(&decode, &onward).await.map_err(Failure::refusal)?;
-    kept.taken = true;
-    drop(kept);
-    let (head, stream) = response.into_parts();
+    let mut tries = Tries::default();
+    let last = job.ask.last_event;
+    let answering = answer(&job, &mut tries, last, 0).await?;
+    job.note_answer(&answering.turn.decode, answering.head.status.as_u16());
+    let mut response = Response::new(());
+    *response.status_mut() = answering.head.status;
+    *response.headers_mut() = passed_on(&answering.head.headers);
     let (sender, receiver) = mpsc::channel(PARTS);
-    tokio::spawn(relay(job, decode, stream, sender));
-    let mut response = Response::new(answer::parts(receiver));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = passed_on(&head.headers);
-    Ok(response)
+    tokio::spawn(relay::run(job, engine, tries, answering, sender));
+    Ok(response.map(|()| answer::parts(receiver)))
 }
 
-fn place(job: &Job, stage: Stage, tokens: u64, most: u64) -> Option<Place> {
-    job.app.servers.place(tokens, |server| {
-        let fits = server.entry.stage == Some(stage) && server.tokens + tokens <= most;
-        (fits && job.suits(server)).then_some((server.tokens, !job.is_near(server)))
-    })
+/// Finds an engine that answers the request, or that goes on after the last event that the caller
+/// has, of a stream that has made so many tokens.
+pub(super) async fn answer(
+    job: &Arc<Job>,
+    tries: &mut Tries,
+    last_event: Option<u64>,
+    made: u64,
+) -> Result<Answering, Refusal> {
+    loop {
+        let turn = turn(job, made).await?;
+        match generate(job, tries, turn, last_event).await {
+            Ok(answering) => return Ok(answering),
+            Err(failure) => {
+                if !tries.again(job, failure) {
+                    return Err(failure.refusal());
+                }
+            }
+        }
+    }
 }
 
-async fn prefill(job: &Arc<Job>, generation: &Generation) -> Result<Option<Kept>, Failure> {
-    let Some(place) = place(job, Stage::Prefill, generation.prompt_tokens, u64::MAX) else {
-        return Ok(None);
+async fn turn(job: &Arc<Job>, made: u64) -> Result<Turn, Refusal> {
+    let generation = job.ask.generation.clone().unwrap_or_default();
+    let now = clock::now();
+    let urgent = made > 0;
+    let target = match urgent {
+        true => now + RESUME_WITHIN,
+        false => job.first + job.route.target - FIRST_TOKEN,
     };
-    let onward = Onward { step: Step::Prefill, last_event: None, ..job.onward(&place) };
-    let response = job.send(&place, &onward).await?;
-    let (head, mut stream) = response.into_parts();
-    let read = tokio::time::timeout(job.left(), stream.read(HANDLE_BYTES)).await;
-    let body = read.map_err(|_| Failure::NotRun)?.map_err(|_| Failure::NotRun)?;
-    if !head.status.is_success() {
-        return Err(Failure::NotRun);
+    let ask = dispatch::Ask {
+        service: job.service.clone(),
+        organisation: job.organisation.as_ref().map(|o| o.name.clone()).unwrap_or_default(),
+        prompt_tokens: generation.prompt_tokens + made,
+        output_tokens: generation.output_tokens.saturating_sub(made),
+        hint: generation.hint.map(|hint| hint.saturating_sub(made)),
+        arrived: job.arrived,
+        target: (target > now).then_some(target),
+        deadline: job.deadline,
+        urgent,
+    };
+    let turn = job.app.turn(ask).await;
+    let waited_ms = clock::now().since(now).as_millis() as u64;
+    let id = job.ask.id.as_deref();
+    match turn {
+        Ok(turn) => {
+            let decode = &turn.decode.entry.name;
+            let prefill = turn.prefill.as_ref().map(|target| &*target.entry.name);
+            tracing::info!(id, %decode, prefill, waited_ms, tokens = generation.prompt_tokens, urgent, "placed");
+            job.app.metrics.stages.with_label_values(&["turn"]).observe(waited_ms as f64 / 1e3);
+            Ok(turn)
+        }
+        Err(refusal) => {
+            let (ahead, late) = (refusal.ahead, target <= now);
+            tracing::info!(
+                id,
+                ahead,
+                late,
+                waited_ms,
+                tokens = generation.prompt_tokens,
+                urgent,
+                "no room in time"
+            );
+            Err(Refusal::until(Cause::Full, refusal.retry_after))
+        }
     }
-    let address = place.target.entry.address;
-    let handle = (job.app.dialect.handle)(address, &body).ok_or(Failure::NotRun)?;
-    let pool = place.target.pool.clone();
-    Ok(Some(Kept { job: job.clone(), pool, handle, taken: false }))
 }
 
-/// Passes a stream on until it ends or its caller is gone.
-async fn relay(job: Arc<Job>, place: Place, mut stream: Stream, caller: mpsc::Sender<Bytes>) {
-    loop {
-        let chunk = tokio::select! {
-            chunk = stream.chunk() => chunk,
-            () = caller.closed() => {
-                stream.fail();
-                return;
+async fn generate(
+    job: &Arc<Job>,
+    tries: &mut Tries,
+    turn: Turn,
+    last_event: Option<u64>,
+) -> Result<Answering, Failure> {
+    let generation = job.ask.generation.clone().unwrap_or_default();
+    let kept = match &turn.prefill {
+        Some(target) => Some(prefill(job, tries, &turn, target, &generation, last_event).await?),
+        None => None,
+    };
+    let step = kept.as_ref().map_or(Step::Whole, |kept| Step::Generate(kept.handle.clone()));
+    let onward = crate::dialect::Onward { step, last_event, ..job.onward(&turn.decode) };
+    let response = job.send(&turn.decode, &onward).await?;
+    if let Some(mut kept) = kept {
+        kept.taken = true;
+    }
+    let (head, stream) = response.into_parts();
+    Ok(Answering { head, stream, turn })
+}
+
+async fn prefill(
+    job: &Arc<Job>,
+    tries: &mut Tries,
+    turn: &Turn,
+    target: &Target,
+    generation: &Generation,
+    last_event: Option<u64>,
+) -> Result<Kept, Failure> {
+    let started = clock::now();
+    for prefills in 1..=PREFILLS_MAX {
+        match prefill_once(job, target, generation, last_event).await {
+            Ok(kept) => {
+                note_prefilled(job, turn, started);
+                return Ok(kept);
             }
-        };
-        match chunk {
-            Ok(Some(bytes)) if bytes.is_empty() => {}
-            Ok(Some(bytes)) => {
-                if caller.send(bytes).await.is_err() {
-                    stream.fail();
-                    return;
+            Err(failure) => {
+                let again = failure == Failure::Unsent || tries.spend(job);
+                if prefills == PREFILLS_MAX || !again || failure == Failure::TimedOut {
+                    break;
                 }
             }
-            Ok(None) => {
-                let _ = caller.send(Bytes::new()).await;
-                return;
-            }
-            Err(error) => {
-                let server = &place.target.entry.name;
-                tracing::warn!(id = job.ask.id.as_deref(), %server, %error, "stream broken off");
-                return;
-            }
         }
     }
+    turn.prefilled(None);
+    // A prefill is no run.
+    Err(Failure::Unsent)
+}
+
+fn note_prefilled(job: &Job, turn: &Turn, started: Instant) {
+    let took = clock::now().since(started);
+    turn.prefilled(Some(took));
+    job.app.metrics.stages.with_label_values(&["prefill"]).observe(took.as_secs_f64());
+}
+
+async fn prefill_once(
+    job: &Arc<Job>,
+    target: &Target,
+    generation: &Generation,
+    last_event: Option<u64>,
+) -> Result<Kept, Failure> {
+    let step = Step::Prefill;
+    let onward = crate::dialect::Onward { step, last_event, ..job.onward(target) };
+    let response = job.send(target, &onward).await?;
+    let (head, mut stream) = response.into_parts();
+    let read = tokio::time::timeout(job.left(), stream.read(HANDLE_BYTES)).await;
+    let body = read.map_err(|_| Failure::TimedOut)?.map_err(|_| Failure::Unknown)?;
+    let handle = (job.app.dialect.handle)(target.entry.address, &body);
+    let handle = handle.filter(|_| head.status.is_success()).ok_or(Failure::Unknown)?;
+    let tokens = generation.prompt_tokens;
+    Ok(Kept { job: job.clone(), target: target.clone(), handle, tokens, taken: false })
 }
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -1,13 +1,16 @@
 //! What is sent to backend servers for one request.
 
+mod events;
 mod generation;
 mod plain;
+mod relay;
+#[cfg(test)]
+mod tests;
 
 use crate::answer::{Body, Cause, Refusal};
-use crate::app::App;
-use crate::config::{Organisation, Route, Table};
+use crate::app::{App, InForce, Target};
+use crate::config::{Organisation, Route};
 use crate::dialect::{Ask, Onward};
-use crate::server::{Place, Server};
 use bytes::Bytes;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::http::Error;
@@ -23,7 +26,7 @@
     /// What all requests share.
     pub app: Arc<App>,
     /// The configuration that it was admitted under.
-    pub table: Arc<Table>,
+    pub in_force: Arc<InForce>,
     /// Its route.
     pub route: Route,
     /// The service that it goes to.
@@ -36,6 +39,10 @@
     pub body: Bytes,
     /// What its head says.
     pub ask: Ask,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its caller came first; earlier where it was refused before.
+    pub first: Instant,
     /// When it must have ended.
     pub deadline: Instant,
 }
@@ -43,7 +50,9 @@
 /// Why a request has no usable answer from one backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Failure {
-    /// It certainly did not run there: nothing was sent, or the server says so.
+    /// Nothing was sent.
+    Unsent,
+    /// The server says that it did not run the request and never will.
     NotRun,
     /// It may have run.
     Unknown,
@@ -52,9 +61,18 @@
 }
 
 impl Failure {
+    fn name(self) -> &'static str {
+        match self {
+            Failure::Unsent => "unsent",
+            Failure::NotRun => "not_run",
+            Failure::Unknown => "unknown",
+            Failure::TimedOut => "timed_out",
+        }
+    }
+
     fn refusal(self) -> Refusal {
         match self {
-            Failure::NotRun => Refusal::until(Cause::Full, FULL_RETRY),
+            Failure::Unsent | Failure::NotRun => Refusal::until(Cause::Full, FULL_RETRY),
             Failure::Unknown => Refusal::new(Cause::Lost),
             Failure::TimedOut => Refusal::new(Cause::TimedOut),
         }
@@ -62,7 +80,44 @@
 }
 
 /// When to come back to a service without room.
-const FULL_RETRY: Duration = Duration::from_millis(1_000);
+const FULL_RETRY: Duration = Duration::from_millis(500);
+/// Servers that one request is tried at where nothing was sent to those before.
+const UNSENT_MAX: u32 = 3;
+
+/// What was sent for one request so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tries {
+    /// Servers that it was sent to, other than to prefill.
+    sent: u32,
+    /// Servers to which nothing could be sent.
+    unsent: u32,
+    /// Repeats taken from the budget.
+    repeats: u32,
+}
+
+impl Tries {
+    /// Notes a failure, and whether another server may be tried.
+    fn again(&mut self, job: &Job, failure: Failure) -> bool {
+        if failure == Failure::Unsent {
+            self.unsent += 1;
+            return self.unsent < UNSENT_MAX;
+        }
+        self.sent += 1;
+        let harmless = match failure {
+            Failure::Unsent | Failure::NotRun => true,
+            Failure::Unknown => job.route.kind.may_repeat(),
+            Failure::TimedOut => false,
+        };
+        harmless && self.sent < job.route.attempts && self.spend(job)
+    }
+
+    /// Takes a repeat from the budget.
+    fn spend(&mut self, job: &Job) -> bool {
+        let taken = job.app.spend_repeat(&job.service, self.repeats);
+        self.repeats += u32::from(taken);
+        taken
+    }
+}
 
 /// Sends a request on, and returns the answer.
 ///
@@ -70,7 +125,7 @@
 ///
 /// What the caller is told in place of a server's answer.
 pub async fn run(job: Arc<Job>) -> Result<Response<Body>, Refusal> {
-    let engine = job.table.service(&job.service).and_then(|service| service.engine);
+    let engine = job.in_force.table.service(&job.service).and_then(|service| service.engine);
     match engine {
         Some(engine) => generation::run(job, engine).await,
         None => plain::run(&job).await,
@@ -83,18 +138,14 @@
         self.deadline.since(clock::now())
     }
 
-    /// Whether a server may be given this request at all.
-    fn suits(&self, server: &Server) -> bool {
-        server.entry.service == self.service && !server.entry.leaving
+    /// Time since arrival, in milliseconds.
+    fn age_ms(&self) -> u64 {
+        clock::now().since(self.arrived).as_millis() as u64
     }
 
-    fn is_near(&self, server: &Server) -> bool {
-        server.entry.failure_domain == self.app.failure_domain
-    }
-
-    fn onward(&self, place: &Place) -> Onward {
+    fn onward(&self, target: &Target) -> Onward {
         Onward {
-            server: place.target.entry.name.clone(),
+            server: target.entry.name.clone(),
             deadline: self.left(),
             organisation: self.organisation.as_ref().map(|owner| owner.name.clone()),
             last_event: self.ask.last_event,
@@ -102,27 +153,44 @@
         }
     }
 
-    /// Sends the request to the server of a place, and returns the head of its answer.
+    /// Sends the request to a server, and returns the head of its answer.
     async fn send(
         &self,
-        place: &Place,
+        target: &Target,
+        onward: &Onward,
+    ) -> Result<Response<pool::Stream>, Failure> {
+        let sent = self.exchange(target, onward).await;
+        if let Err(failure) = &sent {
+            let (server, failure) = (&target.entry.name, failure.name());
+            tracing::info!(id = self.ask.id.as_deref(), %server, failure, after_ms = self.age_ms(), "attempt failed");
+            self.app.metrics.failures.with_label_values(&[failure]).inc();
+        }
+        // A server that refuses answers all the same.
+        self.app.note(target, matches!(sent, Ok(_) | Err(Failure::NotRun)));
+        sent
+    }
+
+    async fn exchange(
+        &self,
+        target: &Target,
         onward: &Onward,
     ) -> Result<Response<pool::Stream>, Failure> {
         let left = self.left();
         if left.is_zero() {
-            return Err(Failure::NotRun);
+            return Err(Failure::Unsent);
         }
         let headers = (self.app.dialect.onward)(&self.parts.headers, onward);
-        let request = self.request(headers).ok_or(Failure::NotRun)?;
-        let response = match place.target.pool.open(request, left).await {
+        let request = self.request(headers).ok_or(Failure::Unsent)?;
+        let response = match target.pool.open(request, left).await {
             Ok(response) => response,
-            Err(Error::Connect(..) | Error::Request(_)) => return Err(Failure::NotRun),
+            Err(Error::Connect(..) | Error::Request(_)) => return Err(Failure::Unsent),
             Err(Error::Timeout(_)) => return Err(Failure::TimedOut),
             Err(_) => return Err(Failure::Unknown),
         };
         let verdict = (self.app.dialect.verdict)(response.status(), response.headers());
         if verdict.id.is_some() && verdict.id != self.ask.id || verdict.encoded {
-            // The answer belongs to another request.
+            let answers = verdict.id.as_deref();
+            tracing::warn!(id = self.ask.id.as_deref(), server = %target.entry.name, answers, encoded = verdict.encoded, "answer is not this request's");
             return Err(Failure::Unknown);
         }
         if verdict.not_run || verdict.misdirected {
@@ -139,6 +207,19 @@
         *request.headers_mut() = headers;
         Some(request)
     }
+
+    /// Counts an answer of a backend server, and says where it came from.
+    fn note_answer(&self, target: &Target, status: u16) {
+        let kind = match self.route.kind.is_stream() {
+            true => "stream",
+            false => "plain",
+        };
+        let class = format!("{}xx", status / 100);
+        self.app.metrics.requests.with_label_values(&[kind, &class]).inc();
+        self.app.metrics.first_byte.observe(clock::now().since(self.arrived).as_secs_f64());
+        let (id, server, route) = (self.ask.id.as_deref(), &target.entry.name, &self.route.name);
+        tracing::info!(id, %route, %server, status, after_ms = self.age_ms(), "answered");
+    }
 }
 
 /// The headers of an answer that are the server's own.
--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -1,53 +1,44 @@
 //! Requests to plain services.
 
-use super::{Failure, Job, passed_on};
+use super::{FULL_RETRY, Failure, Job, Tries, passed_on};
 use crate::answer::{self, Body, Cause, Refusal};
-use crate::server::{Key, Place};
+use crate::app::Target;
 use hyper::Response;
 
 /// Sends a request to a plain service until it has an answer.
 pub(super) async fn run(job: &Job) -> Result<Response<Body>, Refusal> {
     let mut passed_over = Vec::new();
-    let mut last = Refusal::until(Cause::NoServer, super::FULL_RETRY);
-    for _ in 0..job.route.attempts.max(1) {
-        let Some(place) = place(job, &passed_over) else { return Err(last) };
+    let mut last = Refusal::until(Cause::NoServer, FULL_RETRY);
+    let mut tries = Tries::default();
+    loop {
+        let Some(place) = job.app.place(&job.service, &passed_over) else { return Err(last) };
         passed_over.push(place.target.key);
-        match once(job, &place).await {
+        match once(job, &place.target).await {
             Ok(response) => return Ok(response),
             Err(failure) => {
                 last = failure.refusal();
-                let again = failure == Failure::NotRun || job.route.kind.may_repeat();
-                if !again || failure == Failure::TimedOut {
+                if !tries.again(job, failure) {
                     return Err(last);
                 }
             }
         }
     }
-    Err(last)
 }
 
-fn place(job: &Job, passed_over: &[Key]) -> Option<Place> {
-    job.app
-        .servers
-        .place(0, |server| {
-            let fresh = job.suits(server);
-            fresh.then(|| {
-                let busy = server.running >= server.entry.slots / 2;
-                (busy, !job.is_near(server), server.running)
-            })
-        })
-        .filter(|place| !passed_over.contains(&place.target.key))
-}
-
-async fn once(job: &Job, place: &Place) -> Result<Response<Body>, Failure> {
-    let response = job.send(place, &job.onward(place)).await?;
+async fn once(job: &Job, target: &Target) -> Result<Response<Body>, Failure> {
+    let response = job.send(target, &job.onward(target)).await?;
     let (head, mut stream) = response.into_parts();
-    let limit = job.table.config().limits.body_bytes;
+    let limit = job.in_force.table.config().limits.body_bytes;
     let body = match tokio::time::timeout(job.left(), stream.read(limit)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(_)) => return Err(Failure::Unknown),
+        Ok(Err(error)) => {
+            let server = &target.entry.name;
+            tracing::info!(id = job.ask.id.as_deref(), %server, %error, "answer broken off");
+            return Err(Failure::Unknown);
+        }
         Err(_) => return Err(Failure::TimedOut),
     };
+    job.note_answer(target, head.status.as_u16());
     let mut response = Response::new(answer::full(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = passed_on(&head.headers);
--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -31,6 +31,8 @@
     pub prompt_tokens: u64,
     /// Tokens of the answer, at most.
     pub output_tokens: u64,
+    /// Tokens that the caller expects of the answer; often far off.
+    pub hint: Option<u64>,
     /// Parts of the prompt in order; the last belongs to the request or its session alone.
     pub parts: Vec<Part>,
 }
@@ -95,8 +97,6 @@
     pub encoded: bool,
     /// The answer bears the server's signature.
     pub signed: bool,
-    /// How long the server keeps the connection open, where it says so.
-    pub keep_alive: Option<Duration>,
 }
 
 /// Calls that the router makes by itself.
--- /dev/null
+++ b/crates/forward/src/follow/hosts.rs
@@ -0,0 +1,74 @@
+//! Where the other entry hosts are: each tells it in an object of the platform's store.
+
+use super::watching;
+use crate::mesh::Mesh;
+use chestnutrack_store::backoff::Backoff;
+use chestnutrack_store::client::Client;
+use chestnutrack_store::error::Error;
+use chestnutrack_store::watcher::{self, Event};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// First and longest pause after a write that failed.
+const RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(2_000));
+
+/// What a host tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    /// Number drawn at the start of its process.
+    pub incarnation: u64,
+    /// Address that peers reach it at.
+    pub address: SocketAddr,
+}
+
+/// Follows the other hosts until the process ends.
+pub async fn follow_hosts(client: Client, kind: &'static str, mesh: Arc<Mesh>) {
+    let mut events = watcher::start(client, kind, watching());
+    while let Some(event) = events.recv().await {
+        let Event::Updated(update) = event else { continue };
+        for object in update.objects {
+            let Some(value) = object.value else {
+                mesh.forget(&object.name);
+                continue;
+            };
+            match serde_json::from_value::<Host>(value) {
+                Ok(host) => mesh.meet(object.name, host),
+                Err(error) => tracing::warn!(host = %object.name, %error, "entry names no host"),
+            }
+        }
+    }
+}
+
+/// Tells the other hosts where this one is, until the store has taken it.
+pub async fn register(client: Client, kind: &'static str, name: Arc<str>, host: Host) {
+    let mut backoff = Backoff::new(RETRY.0, RETRY.1);
+    let value = json!(host);
+    loop {
+        let version = match client.read(kind, &name).await {
+            Ok(object) if object.value.as_ref() == Some(&value) => return,
+            Ok(object) => Ok(object.version),
+            Err(Error::Missing) => Ok(0),
+            Err(error) => Err(error),
+        };
+        let written = match version {
+            Ok(version) => client.update(kind, &name, version, &value).await,
+            Err(error) => Err(error),
+        };
+        match written {
+            Ok(version) => {
+                tracing::info!(%name, version, "registered");
+                return;
+            }
+            Err(error) => {
+                if backoff.failed() {
+                    tracing::warn!(%error, "not registered yet");
+                }
+                sleep(backoff.pause()).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/follow/mod.rs
@@ -0,0 +1,257 @@
+//! Follows the configuration and the backend servers in the platform's store.
+
+mod hosts;
+
+pub use hosts::{Host, follow_hosts, register};
+
+use crate::app::App;
+use crate::config::Config;
+use chestnutrack_core::dispatch::Entry;
+use chestnutrack_core::listing::Listing;
+use chestnutrack_core::time::Instant;
+use chestnutrack_process::clock;
+use chestnutrack_process::timer::Timer;
+use chestnutrack_store::client::Client;
+use chestnutrack_store::error::Error;
+use chestnutrack_store::watcher::{self, Event, Update};
+use chestnutrack_wire::frame::ServerNews;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How long a watch waits. Connections that go silent are noticed by probes, not by its end.
+const WATCH: Duration = Duration::from_secs(25);
+/// First and longest pause after a call that failed.
+const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// Time between looks at servers that are missing and may come back.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// Where a platform keeps what the router follows, and how it is read.
+#[derive(Clone, Copy, Debug)]
+pub struct Directory {
+    /// Kind of the object that holds the configuration.
+    pub config_kind: &'static str,
+    /// Name of that object.
+    pub config_name: &'static str,
+    /// Reads the configuration.
+    pub config: fn(&Value) -> Result<Config, String>,
+    /// Kind of the objects that list backend servers.
+    pub servers_kind: &'static str,
+    /// Reads the entry of a backend server under its name.
+    pub server: fn(&Arc<str>, &Value) -> Result<Entry, String>,
+    /// Kind of the objects in which entry hosts tell where they are.
+    pub hosts_kind: &'static str,
+}
+
+/// What is followed, and what peers are told of it.
+pub struct Follower {
+    app: Arc<App>,
+    directory: Directory,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    listing: Listing,
+    /// Entries as the store holds them, with their versions.
+    raw: BTreeMap<Arc<str>, (u64, Value)>,
+    /// When the store answered last about the configuration.
+    config_at: Option<Instant>,
+    config_up: bool,
+}
+
+/// How the store is watched.
+pub fn watching() -> watcher::Settings {
+    watcher::Settings {
+        wait: WATCH,
+        retry_min: RETRY.0,
+        retry_max: RETRY.1,
+        ..watcher::Settings::default()
+    }
+}
+
+impl Follower {
+    /// Follows nothing yet.
+    pub fn new(app: Arc<App>, directory: Directory) -> Arc<Follower> {
+        Arc::new(Follower { app, directory, state: Mutex::default() })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the store answers this host.
+    pub fn is_up(&self) -> bool {
+        let state = self.state();
+        state.config_up && state.listing.is_up()
+    }
+
+    /// Digest of the servers that are known.
+    pub fn digest(&self) -> u64 {
+        let state = self.state();
+        let mut hasher = DefaultHasher::new();
+        for (name, version) in state.listing.versions() {
+            (name, version).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    /// The servers that are known, for a peer.
+    pub fn servers(&self) -> Vec<ServerNews> {
+        let state = self.state();
+        let raw = state.raw.iter().map(|(name, (version, value))| ServerNews {
+            name: name.clone(),
+            version: *version,
+            entry: value.to_string().into_bytes(),
+        });
+        raw.collect()
+    }
+
+    /// Follows the configuration until the process ends.
+    pub async fn follow_config(self: Arc<Follower>, client: Client) {
+        let mut events = watcher::start(client, self.directory.config_kind, watching());
+        while let Some(event) = events.recv().await {
+            let update = match event {
+                Event::Updated(update) => update,
+                Event::Failed { error, .. } => {
+                    self.state().config_up = is_answer(&error);
+                    continue;
+                }
+            };
+            let mut state = self.state();
+            (state.config_up, state.config_at) = (true, Some(clock::now()));
+            drop(state);
+            let mut objects = update.objects.into_iter();
+            let newest = objects.find(|object| &*object.name == self.directory.config_name);
+            if let Some(value) = newest.and_then(|object| object.value) {
+                self.take_config(&value, "store");
+            }
+        }
+    }
+
+    fn take_config(&self, value: &Value, source: &str) {
+        match (self.directory.config)(value) {
+            Ok(config) => {
+                let version = config.version;
+                if self.app.configure(config, value.to_string().into_bytes()) {
+                    tracing::info!(version, source, "configuration in force");
+                }
+            }
+            Err(error) => tracing::error!(%error, source, "configuration can't be read"),
+        }
+    }
+
+    /// Takes in a configuration that a peer has.
+    pub fn hear_config(&self, peer: &str, version: u64, document: &[u8]) {
+        if version <= self.app.version() {
+            return;
+        }
+        match serde_json::from_slice(document) {
+            Ok(value) => self.take_config(&value, peer),
+            Err(error) => tracing::error!(%error, peer, "configuration can't be read"),
+        }
+    }
+
+    /// Follows the backend servers until the process ends.
+    pub async fn follow_servers(self: Arc<Follower>, client: Client, timer: Timer) {
+        let mut events = watcher::start(client, self.directory.servers_kind, watching());
+        let mut looks = None;
+        loop {
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(Event::Updated(update)) => self.take_update(update),
+                    Some(Event::Failed { error, .. }) => self.note_failed(&error),
+                    None => return,
+                },
+                Some(_) = next(&mut looks) => self.look(),
+            }
+            let missing = self.state().listing.has_missing();
+            looks = match (missing, looks) {
+                (true, None) => Some(timer.subscribe(LOOK_EVERY)),
+                (true, looks) => looks,
+                (false, _) => None,
+            };
+        }
+    }
+
+    fn note_failed(&self, error: &Error) {
+        if !is_answer(error) {
+            self.state().listing.note_failed();
+        }
+    }
+
+    fn take_update(&self, update: Update) {
+        let entries = update.objects.into_iter().map(|o| (o.name, o.version, o.value)).collect();
+        self.take_entries(update.whole, entries);
+    }
+
+    fn take_entries(&self, whole: bool, entries: Vec<(Arc<str>, u64, Option<Value>)>) {
+        let mut state = self.state();
+        if whole {
+            state.raw.clear();
+        }
+        let mut listed = Vec::new();
+        for (name, version, value) in entries {
+            let entry = value.as_ref().map(|value| self.read(&name, value));
+            match value {
+                Some(value) => drop(state.raw.insert(name.clone(), (version, value))),
+                None => drop(state.raw.remove(&name)),
+            }
+            listed.push((name, version, entry));
+        }
+        let changes = state.listing.take(clock::now(), whole, listed);
+        let known = state.listing.versions().count();
+        drop(state);
+        self.app.metrics.servers.set(i64::try_from(known).unwrap_or(i64::MAX));
+        changes.into_iter().for_each(|change| self.app.change(change));
+    }
+
+    fn read(&self, name: &Arc<str>, value: &Value) -> Option<Entry> {
+        let entry = (self.directory.server)(name, value);
+        entry.inspect_err(|error| tracing::warn!(server = %name, %error, "entry names none")).ok()
+    }
+
+    fn look(&self) {
+        let changes = self.state().listing.tick(clock::now());
+        changes.into_iter().for_each(|change| self.app.change(change));
+    }
+
+    /// Takes in the servers that a peer knows, while the store doesn't answer this host.
+    pub fn hear_servers(&self, peer: &str, servers: Vec<ServerNews>) {
+        if self.is_up() {
+            return;
+        }
+        tracing::info!(peer, servers = servers.len(), "servers heard from a peer");
+        let entries = servers.into_iter().filter_map(|news| {
+            let value = serde_json::from_slice(&news.entry).ok()?;
+            Some((news.name, news.version, Some(value)))
+        });
+        self.take_entries(true, entries.collect());
+        self.state().listing.note_failed();
+    }
+
+    /// Shows the age of what is believed.
+    pub fn show_ages(&self) {
+        let state = self.state();
+        let age = state
+            .config_at
+            .map_or(-1, |at| i64::try_from(clock::now().since(at).as_millis()).unwrap_or(i64::MAX));
+        self.app.metrics.store_age.with_label_values(&[self.directory.config_kind]).set(age);
+    }
+}
+
+/// Whether a failed call was answered by the store itself: history that is gone, for instance.
+fn is_answer(error: &Error) -> bool {
+    /// History that is gone.
+    const GONE: u16 = 410;
+    matches!(error, Error::Refused(GONE, _))
+}
+
+async fn next<T>(ticks: &mut Option<tokio::sync::mpsc::Receiver<T>>) -> Option<T> {
+    match ticks {
+        Some(ticks) => ticks.recv().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/forward/src/listener/mod.rs
+++ b/crates/forward/src/listener/mod.rs
@@ -101,7 +101,7 @@
 }
 
 fn limits(app: &App) -> Limits {
-    app.table().map(|table| table.config().limits).unwrap_or_default()
+    app.in_force().map(|now| now.table.config().limits).unwrap_or_default()
 }
 
 /// Ends when a connection has been unused for longer than the configuration in force allows.
--- /dev/null
+++ b/crates/forward/src/mesh/link.rs
@@ -0,0 +1,79 @@
+//! Connections between hosts.
+
+use super::{Mesh, read};
+use chestnutrack_process::socket;
+use chestnutrack_store::backoff::Backoff;
+use chestnutrack_wire::Connection;
+use chestnutrack_wire::connection::{self, Error};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// First and longest pause before a peer is tried again.
+const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// Silence after which a connection to a peer counts as broken.
+const SILENCE: Duration = Duration::from_millis(1_500);
+/// Longest time to open a connection.
+const OPEN: Duration = Duration::from_millis(1_000);
+
+/// Keeps a connection to a peer until the task is aborted.
+pub(super) async fn keep(mesh: Arc<Mesh>, name: Arc<str>, address: SocketAddr) {
+    let mut backoff = Backoff::new(RETRY.0, RETRY.1);
+    loop {
+        match open(address).await {
+            Ok(connection) => {
+                backoff.succeeded();
+                if connection.sender.send(&mesh.hello()).is_ok() {
+                    mesh.link(&name, Some(connection.sender.clone()));
+                    read_answers(&mesh, &name, connection).await;
+                    mesh.link(&name, None);
+                }
+            }
+            Err(Refused(true)) => mesh.refused(&name),
+            Err(Refused(false)) => {}
+        }
+        backoff.failed();
+        sleep(backoff.pause()).await;
+    }
+}
+
+/// Why a connection could not be opened: whether the address refuses connections.
+struct Refused(bool);
+
+async fn open(address: SocketAddr) -> Result<Connection, Refused> {
+    let tcp = match timeout(OPEN, TcpStream::connect(address)).await {
+        Ok(Ok(tcp)) => tcp,
+        Ok(Err(error)) => {
+            return Err(Refused(error.kind() == std::io::ErrorKind::ConnectionRefused));
+        }
+        Err(_) => return Err(Refused(false)),
+    };
+    if let Err(error) = socket::bound_silence(&tcp, SILENCE) {
+        tracing::warn!(%address, %error, "silence of a connection can't be bounded");
+    }
+    connection::start_client(tcp, address, None).await.map_err(|_: Error| Refused(false))
+}
+
+/// Reads what a peer answers on the connection that this host opened.
+async fn read_answers(mesh: &Arc<Mesh>, name: &Arc<str>, mut connection: Connection) {
+    while let Ok(frame) = connection.receiver.receive().await {
+        if let Some(answer) = mesh.hear(name, 0, frame)
+            && connection.sender.send(&answer).is_err()
+        {
+            return;
+        }
+    }
+}
+
+/// Reads a connection that a peer opened.
+pub(super) async fn answer(mesh: Arc<Mesh>, tcp: TcpStream, address: SocketAddr) {
+    if let Err(error) = socket::bound_silence(&tcp, SILENCE) {
+        tracing::warn!(%address, %error, "silence of a connection can't be bounded");
+    }
+    match connection::accept(tcp, address, None).await {
+        Ok(connection) => read(&mesh, connection).await,
+        Err(error) => tracing::warn!(%address, %error, "peer's connection not taken"),
+    }
+}
--- /dev/null
+++ b/crates/forward/src/mesh/mod.rs
@@ -0,0 +1,308 @@
+//! Entry hosts that tell each other what they have under way.
+//!
+//! Each host opens a connection to every other and sends its news on it: at once when something
+//! changes, and as a heartbeat. News replace each other, so that a lost one does no harm.
+
+mod link;
+
+use crate::app::App;
+use crate::follow::{Follower, Host};
+use chestnutrack_core::time::Instant;
+use chestnutrack_process::clock;
+use chestnutrack_process::timer::Timer;
+use chestnutrack_wire::connection::Sender;
+use chestnutrack_wire::frame::{self, Frame, News};
+use chestnutrack_wire::{Connection, codec};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+
+/// Time between news when nothing changes.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Time for which changes are gathered into one news.
+const GATHER: Duration = Duration::from_millis(4);
+/// Silence after which a peer counts as one that can't be heard.
+const SILENT: Duration = Duration::from_millis(1_500);
+/// Pause after a connection could not be taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// The other hosts.
+pub struct Mesh {
+    app: Arc<App>,
+    follower: Arc<Follower>,
+    /// Port that every host listens on for its peers.
+    port: u16,
+    peers: Mutex<HashMap<Arc<str>, Peer>>,
+}
+
+struct Peer {
+    host: Host,
+    /// Ends the task that keeps the connection to it.
+    keeper: AbortHandle,
+    sender: Option<Sender>,
+    heard: Option<Instant>,
+    met: Instant,
+    silent: bool,
+    /// Its process is surely gone: its address refuses connections.
+    gone: bool,
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.keeper.abort();
+    }
+}
+
+impl Mesh {
+    /// Without peers; every host listens on the same port for them.
+    pub fn new(app: Arc<App>, follower: Arc<Follower>, port: u16) -> Arc<Mesh> {
+        Arc::new(Mesh { app, follower, port, peers: Mutex::default() })
+    }
+
+    fn peers(&self) -> MutexGuard<'_, HashMap<Arc<str>, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in where a host is.
+    pub fn meet(self: &Arc<Mesh>, name: Arc<str>, host: Host) {
+        if name == self.app.settings.name {
+            return;
+        }
+        let mut peers = self.peers();
+        if peers.get(&name).is_some_and(|peer| peer.host == host) {
+            return;
+        }
+        tracing::info!(peer = %name, address = %host.address, "peer met");
+        let keeper = tokio::spawn(link::keep(self.clone(), name.clone(), host.address));
+        let peer = Peer {
+            host,
+            keeper: keeper.abort_handle(),
+            sender: None,
+            heard: None,
+            met: clock::now(),
+            silent: false,
+            gone: false,
+        };
+        peers.insert(name, peer);
+    }
+
+    /// Takes in a host that opened a connection before the store told of it. All hosts listen on the
+    /// same port.
+    fn meet_caller(self: &Arc<Mesh>, sender: &frame::Sender, peer: SocketAddr) {
+        if !self.peers().contains_key(&sender.name) {
+            let address = SocketAddr::new(peer.ip(), self.port);
+            self.meet(sender.name.clone(), Host { incarnation: sender.incarnation, address });
+        }
+    }
+
+    /// Forgets a host that is gone for good.
+    pub fn forget(&self, name: &str) {
+        if self.peers().remove(name).is_some() {
+            tracing::info!(peer = name, "peer forgotten");
+            self.note_gone(name);
+        }
+    }
+
+    fn note_gone(&self, name: &str) {
+        let mut state = self.app.state();
+        state.dispatch.gone(name);
+        state.allowances.gone(clock::now(), &name.into());
+    }
+
+    /// Notes that a connection to a peer is open, or that there is none.
+    fn link(&self, name: &str, sender: Option<Sender>) {
+        if let Some(peer) = self.peers().get_mut(name) {
+            peer.sender = sender;
+        }
+        self.app.news.notify_one();
+    }
+
+    /// Notes that a peer's address refuses connections: its process is gone, and spends nothing.
+    fn refused(&self, name: &str) {
+        let mut peers = self.peers();
+        let Some(peer) = peers.get_mut(name) else { return };
+        if !std::mem::replace(&mut peer.gone, true) {
+            tracing::warn!(peer = name, "peer's process is gone");
+            drop(peers);
+            self.note_gone(name);
+        }
+    }
+
+    /// Takes in a frame of a peer; the answer, where there is one, goes back on its connection.
+    fn hear(self: &Arc<Mesh>, name: &Arc<str>, incarnation: u64, frame: Frame) -> Option<Frame> {
+        match frame {
+            Frame::News(news) => self.hear_news(name, incarnation, *news),
+            Frame::Want { configuration, servers } => self.tell(configuration, servers),
+            Frame::Configuration { version, document } => {
+                self.follower.hear_config(name, version, &document);
+                None
+            }
+            Frame::Servers(servers) => {
+                self.follower.hear_servers(name, servers);
+                None
+            }
+            _ => None,
+        }
+    }
+
+    fn hear_news(self: &Arc<Mesh>, name: &Arc<str>, incarnation: u64, news: News) -> Option<Frame> {
+        let now = clock::now();
+        if let Some(peer) = self.peers().get_mut(name) {
+            peer.heard = Some(now);
+            peer.gone = false;
+            if std::mem::take(&mut peer.silent) {
+                tracing::info!(peer = %name, "peer heard again");
+            }
+        }
+        let wanted = self.wanted(&news);
+        {
+            let mut state = self.app.state();
+            state.dispatch.heard(now, name, news.engines, news.waiting);
+            state.allowances.heard(now, name, incarnation, news.spent.into_iter().collect());
+        }
+        self.app.hear_refused(&news.refused);
+        self.app.give_turns();
+        wanted
+    }
+
+    /// What this host asks a peer for: a newer configuration, and the servers where the store
+    /// answers the peer but not this host.
+    fn wanted(&self, news: &News) -> Option<Frame> {
+        let (configuration, servers) = (self.app.version(), self.follower.digest());
+        let newer = news.configuration > configuration;
+        let others = news.store && !self.follower.is_up() && news.servers != servers;
+        (newer || others).then_some(Frame::Want { configuration, servers })
+    }
+
+    /// What a peer that asks is told.
+    fn tell(&self, configuration: u64, servers: u64) -> Option<Frame> {
+        let in_force = self.app.in_force();
+        if let Some(newer) = in_force.filter(|now| now.table.config().version > configuration) {
+            let version = newer.table.config().version;
+            return Some(Frame::Configuration { version, document: newer.raw.clone() });
+        }
+        let differ = self.follower.is_up() && self.follower.digest() != servers;
+        differ.then(|| Frame::Servers(self.follower.servers()))
+    }
+
+    fn news(&self) -> News {
+        let refused = self.app.refused_lately();
+        let (servers, store) = (self.follower.digest(), self.follower.is_up());
+        let configuration = self.app.version();
+        let state = self.app.state();
+        let spent = state.allowances.spent().iter();
+        News {
+            configuration,
+            store,
+            servers,
+            spent: spent.map(|(name, tokens)| (name.clone(), *tokens)).collect(),
+            engines: state.dispatch.engines(),
+            waiting: state.dispatch.waiting(clock::now()),
+            refused,
+        }
+    }
+
+    /// Tells peers the news until the process ends.
+    pub async fn publish(self: Arc<Mesh>, timer: Timer) {
+        let mut beats = timer.subscribe(HEARTBEAT);
+        loop {
+            tokio::select! {
+                () = self.app.news.notified() => sleep(GATHER).await,
+                beat = beats.recv() => {
+                    if beat.is_none() {
+                        return;
+                    }
+                    self.look_for_silent();
+                    self.follower.show_ages();
+                }
+            }
+            self.send(&Frame::News(Box::new(self.news())));
+        }
+    }
+
+    fn send(&self, frame: &Frame) {
+        let senders: Vec<Sender> =
+            self.peers().values().filter_map(|peer| peer.sender.clone()).collect();
+        if senders.is_empty() {
+            return;
+        }
+        match codec::encode(frame) {
+            Ok(bytes) => {
+                let bytes = bytes::Bytes::from(bytes);
+                // A connection that has ended is noticed by the task that keeps it.
+                senders.iter().for_each(|sender| drop(sender.send_encoded(bytes.clone())));
+            }
+            Err(error) => tracing::error!(%error, "news can't be encoded"),
+        }
+    }
+
+    fn look_for_silent(&self) {
+        let now = clock::now();
+        let mut silent: Vec<Arc<str>> = Vec::new();
+        let mut heard = 0;
+        for (name, peer) in self.peers().iter_mut() {
+            let is_silent = now.since(peer.heard.unwrap_or(peer.met)) >= SILENT;
+            heard += i64::from(!is_silent);
+            if is_silent && !peer.gone {
+                if !std::mem::replace(&mut peer.silent, true) {
+                    tracing::warn!(peer = %name, "peer can't be heard");
+                }
+                silent.push(name.clone());
+            }
+        }
+        let mut state = self.app.state();
+        silent.iter().for_each(|name| state.allowances.silent(now, name));
+        let kept = (state.allowances.kept_share() * 1_000.0) as i64;
+        drop(state);
+        self.app.metrics.peers.set(heard);
+        self.app.metrics.kept_back.set(kept);
+    }
+
+    /// Takes peers' connections until the process ends.
+    pub async fn accept(self: Arc<Mesh>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((tcp, address)) => {
+                    tokio::spawn(link::answer(self.clone(), tcp, address));
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "peer's connection not taken");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn hello(&self) -> Frame {
+        let (name, incarnation) = (self.app.settings.name.clone(), self.app.settings.incarnation);
+        Frame::Hello {
+            version: frame::VERSION,
+            sender: frame::Sender { name, incarnation },
+            configuration: self.app.version(),
+        }
+    }
+}
+
+/// Reads a connection until it ends. The other end says who it is in its first frame.
+async fn read(mesh: &Arc<Mesh>, mut connection: Connection) {
+    let mut sender: Option<frame::Sender> = None;
+    while let Ok(frame) = connection.receiver.receive().await {
+        match (frame, &sender) {
+            (Frame::Hello { sender: from, .. }, _) => {
+                mesh.meet_caller(&from, connection.peer);
+                sender = Some(from);
+            }
+            (frame, Some(from)) => {
+                let answer = mesh.hear(&from.name, from.incarnation, frame);
+                if answer.is_some_and(|answer| connection.sender.send(&answer).is_err()) {
+                    return;
+                }
+            }
+            (_, None) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/forward/src/metric/mod.rs
@@ -0,0 +1,99 @@
+//! The program's counters, gauges and histograms.
+
+use prometheus::core::Collector;
+use prometheus::{
+    Error, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry,
+};
+
+/// Bounds of histograms of times, in seconds.
+const BUCKETS_S: &[f64] =
+    &[0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3.0, 6.0, 15.0];
+
+/// Counters, gauges and histograms of an entry host that calls backend servers directly.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    /// Requests, by route kind and status class of the answer.
+    pub requests: IntCounterVec,
+    /// Refusals and failures of the router's own, by cause.
+    pub refusals: IntCounterVec,
+    /// Attempts that failed at a backend server, by what is known of them.
+    pub failures: IntCounterVec,
+    /// Streams, by how they ended.
+    pub streams: IntCounterVec,
+    /// Repeats that were sent.
+    pub repeats: IntCounter,
+    /// Repeats that the budget did not allow.
+    pub repeats_denied: IntCounter,
+    /// Prompt tokens prefilled that no generation took.
+    pub prefill_wasted: IntCounter,
+    /// Time of each stage of a request, in seconds.
+    pub stages: HistogramVec,
+    /// Version of the configuration in force.
+    pub configuration: IntGauge,
+    /// Age of the last answer of the platform's store, in milliseconds, by kind.
+    pub store_age: prometheus::IntGaugeVec,
+    /// Backend servers listed.
+    pub servers: IntGauge,
+    /// Peers heard lately.
+    pub peers: IntGauge,
+    /// Part of each allowance that is kept back for peers that can't be heard, in thousandths.
+    pub kept_back: IntGauge,
+    /// Requests that wait for their turn.
+    pub waiting: IntGauge,
+    /// Connections of callers.
+    pub connections: IntGauge,
+    /// Time from arrival to the first byte of an answer, in seconds.
+    pub first_byte: Histogram,
+}
+
+impl Metrics {
+    /// Registers them.
+    ///
+    /// # Errors
+    ///
+    /// When a name is taken.
+    pub fn new(registry: &Registry) -> Result<Metrics, Error> {
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            register(registry, IntCounterVec::new(options(name, help), labels)?)
+        };
+        let counter = |name: &str, help: &str| {
+            register(registry, IntCounter::with_opts(options(name, help))?)
+        };
+        let gauge =
+            |name: &str, help: &str| register(registry, IntGauge::with_opts(options(name, help))?);
+        let histogram = |name: &str, help: &str| {
+            HistogramOpts::from(options(name, help)).buckets(BUCKETS_S.to_vec())
+        };
+        let stages = histogram("stage_seconds", "Time of each stage of a request");
+        let first_byte = histogram("first_byte_seconds", "Time to the first byte of an answer");
+        let store_age = options("store_age_ms", "Age of the store's last answer");
+        Ok(Metrics {
+            requests: counters("requests_total", "Requests", &["kind", "status"])?,
+            refusals: counters("refusals_total", "Answers of the router's own", &["cause"])?,
+            failures: counters("failures_total", "Attempts that failed", &["failure"])?,
+            streams: counters("streams_total", "Streams", &["end"])?,
+            repeats: counter("repeats_total", "Repeats that were sent")?,
+            repeats_denied: counter("repeats_denied_total", "Repeats beyond the budget")?,
+            prefill_wasted: counter("prefill_wasted_tokens_total", "Prompt tokens in vain")?,
+            stages: register(registry, HistogramVec::new(stages, &["stage"])?)?,
+            configuration: gauge("configuration_version", "Version in force")?,
+            store_age: register(registry, prometheus::IntGaugeVec::new(store_age, &["kind"])?)?,
+            servers: gauge("servers", "Backend servers listed")?,
+            peers: gauge("peers", "Peers heard lately")?,
+            kept_back: gauge("kept_back_per_mille", "Allowances kept back for silent peers")?,
+            waiting: gauge("waiting", "Requests that wait for their turn")?,
+            connections: gauge("connections", "Connections of callers")?,
+            first_byte: register(registry, Histogram::with_opts(first_byte)?)?,
+        })
+    }
+}
+
+fn options(name: &str, help: &str) -> Opts {
+    Opts::new(format!("chestnutrack_forward_{name}"), help)
+}
+
+fn register<M: Collector + Clone + 'static>(registry: &Registry, metric: M) -> Result<M, Error> {
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -1,24 +1,31 @@
 //! Puts the request path together, and takes it down again.
 
-use crate::app::App;
-use crate::config::{Config, Table};
+use crate::app::{self, App};
 use crate::dialect::Dialect;
+use crate::follow::{self, Directory, Follower, Host};
 use crate::listener::{self, Drain};
-use crate::server::Entry;
+use crate::mesh::Mesh;
+use crate::metric::Metrics;
+use chestnutrack_process::admin::Ready;
 use chestnutrack_process::http::{self, Answer};
 use chestnutrack_process::shutdown::{self, Shutdown};
+use chestnutrack_process::timer::Timer;
+use chestnutrack_process::{admin, pool};
 use chestnutrack_store::client::{self, Client};
-use chestnutrack_store::object::Object;
-use chestnutrack_store::watcher::{self, Event};
 use displaydoc::Display;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use serde_json::Value;
+use prometheus::Registry;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
+/// Longest time for a list; larger than a single answer takes on a slow day.
+const READ_WITHIN: Duration = Duration::from_millis(2_000);
+/// Silence after which a connection to the store counts as broken.
+const STORE_SILENCE: Duration = Duration::from_millis(3_000);
+
 /// Why the program could not start.
 #[derive(Debug, Display)]
 pub enum Error {
@@ -26,84 +33,103 @@
     Listen(SocketAddr, std::io::Error),
     /// signals could not be listened for: {0}
     Signal(std::io::Error),
+    /// a metric could not be registered: {0}
+    Metric(prometheus::Error),
 }
 
 impl std::error::Error for Error {}
 
-/// Where a platform keeps what the router follows, and how it is read.
-#[derive(Clone, Copy, Debug)]
-pub struct Directory {
-    /// Kind of the object that holds the configuration.
-    pub config_kind: &'static str,
-    /// Name of that object.
-    pub config_name: &'static str,
-    /// Reads the configuration.
-    pub config: fn(&Value) -> Result<Config, String>,
-    /// Kind of the objects that list backend servers.
-    pub servers_kind: &'static str,
-    /// Reads the entry of a backend server under its name.
-    pub server: fn(&Arc<str>, &Value) -> Result<Entry, String>,
-}
-
 /// Settings of the program.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Name of this host.
-    pub name: Arc<str>,
-    /// Failure domain of this host.
-    pub failure_domain: Arc<str>,
+    /// Who this process is.
+    pub app: app::Settings,
     /// Address for callers.
-    pub listen: SocketAddr,
+    pub callers: SocketAddr,
     /// Address at which the platform asks whether this host is ready.
     pub readiness: SocketAddr,
+    /// Address for other entry hosts.
+    pub peers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Times of a shutdown.
     pub drain: Drain,
 }
 
+/// What stands on the wire.
+#[derive(Clone, Copy, Debug)]
+pub struct Speech {
+    /// Requests and answers.
+    pub callers: Dialect,
+    /// What is followed in the platform's store.
+    pub directory: Directory,
+    /// The store's calls.
+    pub store: chestnutrack_store::dialect::Dialect,
+}
+
 /// Runs the program until SIGTERM, then drains it.
 ///
 /// # Errors
 ///
 /// Why it could not start.
-pub async fn run(
-    settings: Settings,
-    dialect: Dialect,
-    directory: Directory,
-    client: Client,
-) -> Result<(), Error> {
+pub async fn run(settings: Settings, speech: Speech) -> Result<(), Error> {
     let shutdown = shutdown::on_signal().map_err(Error::Signal)?;
-    let callers = listen(settings.listen).await?;
+    let callers = listen(settings.callers).await?;
     let readiness = listen(settings.readiness).await?;
-    let app = Arc::new(App::new(dialect, settings.failure_domain.clone()));
-    tokio::spawn(answer_readiness(readiness, app.clone(), shutdown.clone()));
-    tokio::spawn(follow_config(client.clone(), directory, app.clone()));
-    tokio::spawn(follow_servers(client, directory, app.clone()));
-    tracing::info!(name = %settings.name, listen = %settings.listen, "serving");
+    let peers = listen(settings.peers).await?;
+    let operators = listen(settings.operators).await?;
+    let registry = Registry::new();
+    let metrics = Metrics::new(&registry).map_err(Error::Metric)?;
+    let (timer, ready) = (Timer::start(), Ready::default());
+    let name = settings.app.name.clone();
+    let incarnation = settings.app.incarnation;
+    tracing::info!(%name, incarnation, listen = %settings.callers, "started");
+    let app = Arc::new(App::new(settings.app, speech.callers, metrics));
+    let client = store_client(speech.store, settings.store, &registry);
+    let follower = Follower::new(app.clone(), speech.directory);
+    let mesh = Mesh::new(app.clone(), follower.clone(), settings.peers.port());
+    tokio::spawn(answer_readiness(readiness, app.clone(), ready.clone(), shutdown.clone()));
+    tokio::spawn(admin::serve(operators, registry, ready, Arc::new(|_, _| None)));
+    tokio::spawn(follower.clone().follow_config(client.clone()));
+    tokio::spawn(follower.clone().follow_servers(client.clone(), timer.clone()));
+    let host = Host { incarnation, address: settings.peers };
+    let kind = speech.directory.hosts_kind;
+    tokio::spawn(follow::register(client.clone(), kind, name.clone(), host));
+    tokio::spawn(follow::follow_hosts(client, kind, mesh.clone()));
+    tokio::spawn(mesh.clone().accept(peers));
+    tokio::spawn(mesh.publish(timer.clone()));
+    tokio::spawn(app.clone().look_after_waiting(timer));
     listener::serve(callers, app, shutdown, settings.drain).await;
-    tracing::info!(name = %settings.name, "drained");
+    tracing::info!(%name, "stopped");
     Ok(())
 }
 
 /// A client of the platform's store, with the bounds that this program needs.
-pub fn store_client(dialect: chestnutrack_store::dialect::Dialect, address: SocketAddr) -> Client {
-    let settings = client::Settings { read: READ_WITHIN, ..client::Settings::default() };
-    Client::speaking(dialect, address, settings, None)
+fn store_client(
+    dialect: chestnutrack_store::dialect::Dialect,
+    address: SocketAddr,
+    registry: &Registry,
+) -> Client {
+    let pool = pool::Settings { silence: Some(STORE_SILENCE), ..pool::Settings::default() };
+    let settings = client::Settings { pool, read: READ_WITHIN, ..client::Settings::default() };
+    Client::speaking(dialect, address, settings, Some(registry))
 }
 
-/// Longest time for a list; larger than a single answer takes on a slow day.
-const READ_WITHIN: Duration = Duration::from_millis(2_000);
-
 async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
 }
 
 /// Tells the platform whether this host is ready: it knows a configuration and isn't leaving.
-async fn answer_readiness(listener: TcpListener, app: Arc<App>, shutdown: Shutdown) {
+async fn answer_readiness(listener: TcpListener, app: Arc<App>, ready: Ready, shutdown: Shutdown) {
     let handle = move |request: Request<Incoming>| {
-        let ready = app.table().is_some() && !shutdown.is_set();
-        let response = readiness(&request, app.dialect.ready_path, ready);
+        let now = app.in_force().is_some() && !shutdown.is_set();
+        if ready.get() != now {
+            tracing::info!(ready = now, version = app.version(), "readiness changed");
+            ready.set(now);
+        }
+        let response = readiness(&request, app.dialect.ready_path, now);
         async move { response }
     };
     http::serve(listener, handle).await;
@@ -119,51 +145,3 @@
     *response.status_mut() = status;
     response
 }
-
-async fn follow_config(client: Client, directory: Directory, app: Arc<App>) {
-    let mut events = watcher::start(client, directory.config_kind, watcher::Settings::default());
-    while let Some(event) = events.recv().await {
-        let Event::Updated(update) = event else { continue };
-        let newest = update.objects.iter().find(|object| &*object.name == directory.config_name);
-        let Some(value) = newest.and_then(|object| object.value.as_ref()) else { continue };
-        match (directory.config)(value) {
-            Ok(config) => {
-                let version = config.version;
-                if app.configure(Arc::new(Table::new(config))) {
-                    tracing::info!(version, "configuration in force");
-                }
-            }
-            Err(error) => tracing::error!(%error, "configuration can't be read"),
-        }
-    }
-}
-
-async fn follow_servers(client: Client, directory: Directory, app: Arc<App>) {
-    let mut events = watcher::start(client, directory.servers_kind, watcher::Settings::default());
-    while let Some(event) = events.recv().await {
-        let Event::Updated(update) = event else { continue };
-        if update.whole {
-            let listed = |name: &str| update.objects.iter().any(|object| &*object.name == name);
-            app.servers.retain(&listed);
-        }
-        update.objects.iter().for_each(|object| take_server(&directory, &app, object));
-    }
-}
-
-fn take_server(directory: &Directory, app: &App, object: &Object) {
-    let Some(value) = &object.value else {
-        tracing::info!(server = %object.name, "server gone");
-        app.servers.remove(&object.name);
-        return;
-    };
-    match (directory.server)(&object.name, value) {
-        Ok(entry) => {
-            tracing::info!(server = %object.name, leaving = entry.leaving, "server listed");
-            app.servers.put(entry);
-        }
-        Err(error) => {
-            tracing::warn!(server = %object.name, %error, "entry names no server");
-            app.servers.remove(&object.name);
-        }
-    }
-}
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -4,53 +4,109 @@
 use crate::app::App;
 use crate::attempt::{self, Job};
 use crate::config::{Limits, Organisation, Route, Table};
+use crate::dialect::{Ask, Generation};
 use bytes::Bytes;
+use chestnutrack_core::time::Instant;
 use chestnutrack_process::{clock, http};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
 
 /// When to come back to a host that knows no configuration yet.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
+/// Route and identifier in a log line of a request that has none.
+const NONE: &str = "-";
 
 /// Answers a request.
 pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = clock::now();
     let (parts, body) = request.into_parts();
-    match admit(app, parts, body).await {
-        Ok(response) => response,
-        Err(refusal) => refusal.response(),
-    }
+    let ask = (app.dialect.ask)(&parts.headers);
+    let id = ask.as_ref().ok().and_then(|ask| ask.id.clone()).unwrap_or_else(|| NONE.into());
+    let version = app.version();
+    let answer = match ask {
+        Ok(ask) => admit(app.clone(), arrived, parts, body, ask).await,
+        Err(header) => {
+            tracing::info!(%id, header, "head can't be read");
+            Err(Refusal::new(Cause::BadHead))
+        }
+    };
+    answer.unwrap_or_else(|refusal| {
+        let (status, retry_after_ms) =
+            (refusal.status().as_u16(), refusal.retry_after.map(|after| after.as_millis() as u64));
+        let after_ms = clock::now().since(arrived).as_millis() as u64;
+        let cause = refusal.cause;
+        tracing::info!(%id, status, ?cause, retry_after_ms, after_ms, version, "refused");
+        app.metrics.refusals.with_label_values(&[cause.name()]).inc();
+        refusal.response()
+    })
 }
 
-async fn admit(app: Arc<App>, parts: Parts, body: Incoming) -> Result<Response<Body>, Refusal> {
-    let arrived = clock::now();
-    let Some(table) = app.table() else {
+async fn admit(
+    app: Arc<App>,
+    arrived: Instant,
+    parts: Parts,
+    body: Incoming,
+    ask: Ask,
+) -> Result<Response<Body>, Refusal> {
+    let Some(in_force) = app.in_force() else {
         return Err(Refusal::until(Cause::Unconfigured, UNCONFIGURED_RETRY));
     };
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or(parts.uri.host()).unwrap_or_default();
-    let route = table.route(host, parts.uri.path()).ok_or(Refusal::new(Cause::NoRoute))?.clone();
-    let ask = (app.dialect.ask)(&parts.headers).map_err(|_| Refusal::new(Cause::BadHead))?;
-    let organisation = owner(&table, &route, ask.key.as_deref())?.cloned();
+    let table = &in_force.table;
+    let route = route(table, &parts)?.clone();
+    let organisation = owner(table, &route, ask.key.as_deref())?.cloned();
     let limit = ask.deadline.unwrap_or(route.timeout).min(route.timeout);
     let body = read(body, &table.config().limits, limit).await?;
     let service = route.service(rand::random()).cloned().ok_or(Refusal::new(Cause::NoServer))?;
-    let job = Job {
-        app,
-        table,
+    let caller = ask.generation.as_ref().and_then(caller);
+    let first = caller.and_then(|caller| app.first_seen(caller)).unwrap_or(arrived);
+    let tokens = cost(&ask, organisation.as_ref());
+    if let Some(owner) = &organisation {
+        app.debit(&owner.name, tokens).map_err(|refusal| {
+            tracing::info!(
+                id = ask.id.as_deref(), organisation = %owner.name, tokens, left = refusal.left,
+                "over its allowance"
+            );
+            Refusal::until(Cause::OverRate, refusal.retry_after)
+        })?;
+    }
+    app.earn_repeat(&service);
+    let job = Arc::new(Job {
+        app: app.clone(),
+        in_force: in_force.clone(),
         route,
         service,
         organisation,
         parts,
         body,
         ask,
+        arrived,
+        first,
         deadline: arrived + limit,
-    };
-    attempt::run(Arc::new(job)).await
+    });
+    let answer = attempt::run(job.clone()).await;
+    if let Err(refusal) = &answer
+        && refusal.not_run()
+    {
+        if let Some(owner) = &job.organisation {
+            app.refund(&owner.name, tokens);
+        }
+        if let Some(caller) = caller {
+            app.note_refused(caller, first);
+        }
+    }
+    answer
+}
+
+fn route<'a>(table: &'a Table, parts: &Parts) -> Result<&'a Route, Refusal> {
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or_default();
+    table.route(host, parts.uri.path()).ok_or(Refusal::new(Cause::NoRoute))
 }
 
 /// The organisation for which a request runs; none on an open route.
@@ -69,6 +125,23 @@
     Ok(owner)
 }
 
+/// Tokens that a request counts for in its organisation's allowance.
+fn cost(ask: &Ask, organisation: Option<&Organisation>) -> u64 {
+    match (&ask.generation, organisation) {
+        (Some(generation), _) => generation.prompt_tokens + generation.output_tokens,
+        (None, Some(organisation)) => organisation.plain_tokens,
+        (None, None) => 0,
+    }
+}
+
+/// What a caller is known by when it comes back: the part of the prompt that is its own.
+fn caller(generation: &Generation) -> Option<u64> {
+    let own = generation.parts.last()?;
+    let mut hasher = DefaultHasher::new();
+    (&own.id, own.tokens).hash(&mut hasher);
+    Some(hasher.finish())
+}
+
 async fn read(body: Incoming, limits: &Limits, within: Duration) -> Result<Bytes, Refusal> {
     match timeout(within, http::read(body, limits.body_bytes)).await {
         Ok(Ok(body)) => Ok(body),
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -1,5 +1,6 @@
 //! A small HTTP server and client on `hyper`, with limits on what they read.
 
+use crate::socket;
 use bytes::Bytes;
 use displaydoc::Display;
 use http_body_util::combinators::BoxBody;
@@ -113,10 +114,12 @@
     }
 }
 
-/// Opens a connection for calls; what drives it is returned beside its sender.
+/// Opens a connection for calls; what drives it is returned beside its sender. A connection that
+/// goes silent for good is broken after `silence`, where that is given.
 pub(crate) async fn connect(
     address: SocketAddr,
     limit: Duration,
+    silence: Option<Duration>,
 ) -> Result<(Sender, Connection), Error> {
     let failed = |error: String| Error::Connect(address, error);
     let tcp = match timeout(limit, TcpStream::connect(address)).await {
@@ -124,6 +127,9 @@
         Err(_) => return Err(failed("timed out".to_owned())),
     };
     let _ = tcp.set_nodelay(true);
+    if let Some(silence) = silence {
+        socket::bound_silence(&tcp, silence).map_err(|error| failed(error.to_string()))?;
+    }
     client::handshake(TokioIo::new(tcp)).await.map_err(|error| failed(error.to_string()))
 }
 
@@ -137,7 +143,7 @@
     request: Request<Full<Bytes>>,
     limit: Duration,
 ) -> Result<Response<Incoming>, Error> {
-    let (mut sender, connection) = connect(address, limit).await?;
+    let (mut sender, connection) = connect(address, limit, None).await?;
     tokio::spawn(connection);
     let timed_out = Error::Timeout(u64::try_from(limit.as_millis()).unwrap_or(u64::MAX));
     let answer = timeout(limit, sender.send_request(request)).await.map_err(|_| timed_out)?;
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod pool;
 pub mod settings;
 pub mod shutdown;
+pub mod socket;
 pub mod timer;
 pub mod tls;
--- a/crates/process/src/log.rs
+++ b/crates/process/src/log/mod.rs
@@ -1,4 +1,8 @@
-//! Structured logs on standard error.
+//! Structured logs: on standard error, or bounded on standard output.
+
+mod bounded;
+
+pub use bounded::{Bound, Guard, start_bounded};
 
 use displaydoc::Display;
 use std::str::FromStr;
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -8,9 +8,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::task::AbortHandle;
@@ -25,6 +26,11 @@
     pub idle: Duration,
     /// Most unused connections kept.
     pub idle_max: usize,
+    /// How long a connection may be silent before it counts as broken; absent for as long as the
+    /// system lets it.
+    pub silence: Option<Duration>,
+    /// Whether a call that fails ends the trust in every connection that was open then.
+    pub distrust: bool,
 }
 
 impl Default for Settings {
@@ -33,6 +39,8 @@
             connect: Duration::from_millis(1_000),
             idle: Duration::from_millis(5_000),
             idle_max: 64,
+            silence: None,
+            distrust: true,
         }
     }
 }
@@ -49,6 +57,28 @@
     sender: http::Sender,
     task: AbortHandle,
     used: Instant,
+    /// Longest time that it may stay unused.
+    idle: Duration,
+}
+
+impl Connection {
+    /// Takes in how long the server says that it keeps the connection.
+    fn note_keep_alive(&mut self, headers: &HeaderMap) {
+        if let Some(kept) = keep_alive(headers) {
+            self.idle = self.idle.min(kept.saturating_sub(KEEP_ALIVE_MARGIN));
+        }
+    }
+}
+
+/// How much sooner than a server a connection is given up, so that no call crosses its end.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// The time for which a server says that it keeps an unused connection.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let options = text.split(',').filter_map(|option| option.trim().split_once('='));
+    let mut timeouts = options.filter(|(name, _)| name.eq_ignore_ascii_case("timeout"));
+    timeouts.next()?.1.trim().parse().ok().map(Duration::from_secs)
 }
 
 impl Drop for Connection {
@@ -68,6 +98,7 @@
     address: SocketAddr,
     settings: Settings,
     idle: Mutex<Idle>,
+    opened: AtomicU64,
 }
 
 /// Connections to one address; cheap to clone.
@@ -85,7 +116,17 @@
 impl Pool {
     /// A pool without connections; they are opened as calls need them.
     pub fn new(address: SocketAddr, settings: Settings) -> Pool {
-        Pool(Arc::new(Shared { address, settings, idle: Mutex::default() }))
+        Pool(Arc::new(Shared {
+            address,
+            settings,
+            idle: Mutex::default(),
+            opened: AtomicU64::new(0),
+        }))
+    }
+
+    /// Connections opened since the pool was made.
+    pub fn opened(&self) -> u64 {
+        self.0.opened.load(Ordering::Relaxed)
     }
 
     /// The address called.
@@ -108,8 +149,9 @@
         let epoch = self.epoch();
         let answer = timeout_at(end, self.send(request, end)).await;
         let answer = answer.unwrap_or(Err(Error::Timeout(millis(limit))));
-        let (response, connection) = answer.inspect_err(|_| self.distrust())?;
+        let (response, mut connection) = answer.inspect_err(|_| self.distrust())?;
         let (head, body) = response.into_parts();
+        connection.note_keep_alive(&head.headers);
         let stream = Stream { body, connection: Some(connection), epoch, pool: self.clone() };
         Ok(Response::from_parts(head, stream))
     }
@@ -182,16 +224,18 @@
         // Ends just before the call does, so that a slow opening is known as not sent.
         let left = end.saturating_duration_since(Instant::now()).mul_f64(0.9);
         let limit = self.0.settings.connect.min(left);
-        let (sender, connection) = http::connect(self.0.address, limit).await?;
+        let settings = &self.0.settings;
+        let (sender, connection) = http::connect(self.0.address, limit, settings.silence).await?;
+        self.0.opened.fetch_add(1, Ordering::Relaxed);
         let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, task, used: Instant::now() })
+        Ok(Connection { sender, task, used: Instant::now(), idle: settings.idle })
     }
 
     fn take(&self) -> Option<Connection> {
         let mut idle = self.0.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let limit = self.0.settings.idle;
-        idle.connections.retain(|kept| kept.used.elapsed() < limit && !kept.sender.is_closed());
-        idle.connections.pop_back()
+        idle.connections.retain(|kept| kept.used.elapsed() < kept.idle && !kept.sender.is_closed());
+        // The one that was unused for longest: a second answer has had time to show.
+        idle.connections.pop_front()
     }
 
     fn keep(&self, mut connection: Connection, epoch: u64) {
@@ -209,6 +253,9 @@
 
     /// Closes the unused connections, and those in use once their calls end.
     fn distrust(&self) {
+        if !self.0.settings.distrust {
+            return;
+        }
         let mut idle = self.0.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.epoch += 1;
         idle.connections.clear();
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -5,6 +5,7 @@
 
 use crate::codec;
 use crate::frame::Frame;
+use bytes::Bytes;
 use displaydoc::Display;
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
@@ -82,8 +83,16 @@
     /// [`Error::Closed`] when the connection has ended or its queue is full, and
     /// [`Error::Frame`] for a frame that is too large.
     pub fn send(&self, frame: &Frame) -> Result<(), Error> {
-        let bytes = codec::encode(frame).map_err(Error::Frame)?;
-        self.0.try_send(Message::binary(bytes)).map_err(|_| Error::Closed)
+        self.send_encoded(codec::encode(frame).map_err(Error::Frame)?)
+    }
+
+    /// Queues a frame that is encoded already, to send it to many.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Closed`] when the connection has ended or its queue is full.
+    pub fn send_encoded(&self, frame: impl Into<Bytes>) -> Result<(), Error> {
+        self.0.try_send(Message::binary(frame)).map_err(|_| Error::Closed)
     }
 
     /// Whether the connection has ended.
@@ -131,17 +140,30 @@
         let tcp = TcpStream::connect(address)
             .await
             .map_err(|error| Error::Connect(address, error.to_string()))?;
-        tcp.set_nodelay(true).map_err(|error| Error::Broken(error.to_string()))?;
-        let stream = secure_client(tcp, tls).await?;
-        let url = format!("ws://{address}/frames");
-        let opened = tokio_tungstenite::client_async_with_config(url, stream, Some(limits())).await;
-        let (socket, _) = opened.map_err(|error| Error::Handshake(error.to_string()))?;
-        Ok(start(socket, address))
+        start_client(tcp, address, tls).await
     };
     let timed_out = Error::Connect(address, "timed out".to_owned());
     timeout(Duration::from_millis(OPEN_MS), opening).await.unwrap_or(Err(timed_out))
 }
 
+/// Starts frames on a TCP connection that was opened to a process.
+///
+/// # Errors
+///
+/// Says why the handshake failed.
+pub async fn start_client(
+    tcp: TcpStream,
+    address: SocketAddr,
+    tls: Option<&Security>,
+) -> Result<Connection, Error> {
+    tcp.set_nodelay(true).map_err(|error| Error::Broken(error.to_string()))?;
+    let stream = secure_client(tcp, tls).await?;
+    let url = format!("ws://{address}/frames");
+    let opened = tokio_tungstenite::client_async_with_config(url, stream, Some(limits())).await;
+    let (socket, _) = opened.map_err(|error| Error::Handshake(error.to_string()))?;
+    Ok(start(socket, address))
+}
+
 /// Takes a connection that a process has opened.
 ///
 /// # Errors
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -314,4 +314,73 @@
         /// Tokens lent; may be fewer than wanted.
         tokens: u64,
     },
+
+    /// What an entry host that calls backend servers directly tells its peers.
+    News(Box<News>),
+    /// Asks a peer for what it knows and the sender doesn't: a newer configuration than this
+    /// version, and the backend servers unless their digest is this one.
+    Want {
+        /// Version of the configuration in force at the sender.
+        configuration: u64,
+        /// Digest of the backend servers that the sender knows.
+        servers: u64,
+    },
+    /// The backend servers that the sender knows.
+    Servers(Vec<ServerNews>),
+}
+
+/// A generation on an engine, as its host tells peers. All counts are in tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunNews {
+    /// What it holds: its prompt and what it has made.
+    pub context: u32,
+    /// What it has made.
+    pub made: u32,
+    /// Estimate of its whole answer.
+    pub expected: u32,
+    /// Longest answer.
+    pub most: u32,
+}
+
+/// What a host has under way at an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineNews {
+    /// The backend server's name.
+    pub server: Arc<str>,
+    /// Generations.
+    pub runs: Vec<RunNews>,
+    /// Prompt tokens that wait to be prefilled.
+    pub prefilling: u32,
+}
+
+/// What a host tells its peers: each news replaces the one before.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Version of the configuration in force; 0 for none.
+    pub configuration: u64,
+    /// Whether the platform's store answers this host.
+    pub store: bool,
+    /// Digest of the backend servers that this host knows.
+    pub servers: u64,
+    /// Tokens spent since the host started, by organisation, less those handed back.
+    pub spent: Vec<(Arc<str>, i64)>,
+    /// Engines at which something is under way.
+    pub engines: Vec<EngineNews>,
+    /// Ages of the requests that wait, in milliseconds, the oldest first.
+    pub waiting: Vec<u32>,
+    /// Callers that were refused lately: a hash of what they asked for, and how long ago they came
+    /// first, in milliseconds.
+    pub refused: Vec<(u64, u32)>,
+}
+
+/// A backend server, as the platform's store lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerNews {
+    /// Name.
+    pub name: Arc<str>,
+    /// Version of its entry.
+    pub version: u64,
+    /// Its entry's JSON.
+    #[serde(with = "serde_bytes")]
+    pub entry: Vec<u8>,
 }
