News are thinned: gathered 5 ms a peer, only for generations, never queued for a slow peer

Ruled out: the forecasts of requests alone (without waiting requests a host used 0.02 cores). Also: hosts that choose on old news look at three engines each, so that they do not all take one.

--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -18,6 +18,9 @@
 const PREFILL_PER_MS_BOUNDS: (f64, f64) = (0.5, 5_000.0);
 /// Time that a transfer between failure domains is taken to cost beside one within, in milliseconds.
 const TRANSFER_MS: f64 = 25.0;
+/// Engines with room that one choice looks at: hosts choose on news that are a little old, and would
+/// all choose the same one if each took the best of all.
+const CANDIDATES: usize = 3;
 /// Parts of an engine's memory by which loads count as equal.
 const EQUAL_PARTS: f64 = 8.0;
 
@@ -83,6 +86,14 @@
     at: Option<Instant>,
 }
 
+/// Where a server stands in an order that a draw puts all servers in.
+pub(super) fn spread(key: Key, draw: u64) -> u64 {
+    /// An odd constant with its bits mixed well.
+    const MIX: u64 = 0xff51_afd7_ed55_8ccd;
+    let mixed = (slotmap::Key::data(&key).as_ffi() ^ draw).wrapping_mul(MIX);
+    (mixed ^ (mixed >> 32)).wrapping_mul(MIX)
+}
+
 /// Runs on every engine, its own and the peers', by engine.
 pub(super) type Loads = HashMap<Key, Vec<forecast::Run>>;
 
@@ -106,7 +117,13 @@
 
     /// The engine that would generate for a request, and the part of its memory that is forecast
     /// to be used then.
-    pub(super) fn decode_for(&self, now: Instant, ask: &Ask, loads: &Loads) -> Option<Key> {
+    pub(super) fn decode_for(
+        &self,
+        now: Instant,
+        ask: &Ask,
+        loads: &Loads,
+        draw: u64,
+    ) -> Option<Key> {
         let pool = self.pools.get(&ask.service)?;
         let room = pool.kv_tokens as f64 * self.settings.memory;
         let fresh = ask.memory(&pool.length);
@@ -116,7 +133,9 @@
                 && server.is_open()
                 && server.health.is_sound(now, server.running)
         });
-        let ranked = candidates.filter_map(|(key, server)| {
+        let mut candidates: Vec<_> = candidates.collect();
+        candidates.sort_by_key(|(key, _)| spread(*key, draw));
+        let fitting = candidates.into_iter().filter_map(|(key, server)| {
             let mut runs = loads.get(&key).cloned().unwrap_or_default();
             if runs.len() >= server.entry.slots as usize {
                 return None;
@@ -127,7 +146,7 @@
             let far = server.entry.failure_domain != self.near;
             (peak <= room).then_some(((fill, far, peak as u64), key))
         });
-        ranked.min().map(|(_, key)| key)
+        fitting.take(CANDIDATES).min().map(|(_, key)| key)
     }
 
     /// The engine that prefills a prompt: the one that will be done first, where a transfer between
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -1,5 +1,6 @@
 //! Plain services: the server with the fewest requests of this host under way.
 
+use super::engine::spread;
 use super::{Dispatch, Key};
 use crate::time::Instant;
 
@@ -17,7 +18,7 @@
             let unsound = !server.health.is_sound(now, server.running);
             let busy = server.running >= server.entry.slots / NEAR_PART;
             let far = server.entry.failure_domain != self.near;
-            let tie = slotmap::Key::data(&key).as_ffi().wrapping_mul(draw);
+            let tie = spread(key, draw);
             ((unsound, busy, far, server.running, tie), key)
         });
         let (_, key) = ranked.min()?;
--- a/crates/core/src/dispatch/turn.rs
+++ b/crates/core/src/dispatch/turn.rs
@@ -82,9 +82,9 @@
 impl<T> Dispatch<T> {
     /// Asks for a turn: the request goes at once, waits, or is refused.
     pub fn ask(&mut self, now: Instant, ask: Ask, item: T) -> Result<Wait, Effect<T>> {
-        let loads = self.loads(now);
+        let (loads, draw) = (self.loads(now), self.draw());
         if (self.queue.is_empty() || ask.urgent)
-            && let Some(decode) = self.turn_for(now, &ask, &loads)
+            && let Some(decode) = self.turn_for(now, &ask, &loads, draw)
         {
             return Err(Effect::Go(item, self.place(now, &ask, decode)));
         }
@@ -147,9 +147,9 @@
         if self.queue.is_empty() {
             return None;
         }
-        let loads = self.loads(now);
+        let (loads, draw) = (self.loads(now), self.draw());
         let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
-        let taken = queue.take(now, |waiting| self.turn_for(now, &waiting.item.0, &loads));
+        let taken = queue.take(now, |waiting| self.turn_for(now, &waiting.item.0, &loads, draw));
         self.queue = queue;
         let (waiting, decode) = taken?;
         let (ask, item) = waiting.item;
@@ -157,18 +157,18 @@
     }
 
     /// The engine for a request, once older requests that wait at peers have theirs.
-    fn turn_for(&self, now: Instant, ask: &Ask, loads: &Loads) -> Option<Key> {
+    fn turn_for(&self, now: Instant, ask: &Ask, loads: &Loads, draw: u64) -> Option<Key> {
         let ahead: usize = self.peers.values().map(|peer| peer.ahead(now, ask.arrived)).sum();
         if ahead == 0 {
-            return self.decode_for(now, ask, loads);
+            return self.decode_for(now, ask, loads, draw);
         }
         let mut loads = loads.clone();
         let memory = ask.memory(&self.pools.get(&ask.service)?.length);
         for _ in 0..ahead.min(AHEAD_MAX) {
-            let decode = self.decode_for(now, ask, &loads)?;
+            let decode = self.decode_for(now, ask, &loads, draw)?;
             loads.entry(decode).or_default().push(memory);
         }
-        self.decode_for(now, ask, &loads)
+        self.decode_for(now, ask, &loads, draw)
     }
 
     fn waiting_in_all(&self) -> usize {
--- a/crates/forward/src/app/limit.rs
+++ b/crates/forward/src/app/limit.rs
@@ -26,15 +26,12 @@
     ///
     /// When there are not enough.
     pub fn debit(&self, organisation: &Arc<str>, tokens: u64) -> Result<(), Refusal> {
-        self.state().allowances.take(clock::now(), organisation, tokens)?;
-        self.news.notify_one();
-        Ok(())
+        self.state().allowances.take(clock::now(), organisation, tokens)
     }
 
     /// Hands tokens back that were not used.
     pub fn refund(&self, organisation: &Arc<str>, tokens: u64) {
         self.state().allowances.refund(clock::now(), organisation, tokens);
-        self.news.notify_one();
     }
 
     /// Notes a request in its service's budget of repeats.
--- a/crates/forward/src/mesh/link.rs
+++ b/crates/forward/src/mesh/link.rs
@@ -4,7 +4,7 @@
 use chestnutrack_process::socket;
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_wire::Connection;
-use chestnutrack_wire::connection::{self, Error};
+use chestnutrack_wire::connection::{self, Error, Receiver, Sender};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,9 +26,10 @@
             Ok(connection) => {
                 backoff.succeeded();
                 if connection.sender.send(&mesh.hello()).is_ok() {
-                    mesh.link(&name, Some(connection.sender.clone()));
-                    read_answers(&mesh, &name, connection).await;
-                    mesh.link(&name, None);
+                    tokio::select! {
+                        () = send_news(&mesh, &connection.sender) => {}
+                        () = read_answers(&mesh, &name, connection.receiver, &connection.sender) => {}
+                    }
                 }
             }
             Err(Refused(true)) => mesh.refused(&name),
@@ -56,11 +57,28 @@
     connection::start_client(tcp, address, None).await.map_err(|_: Error| Refused(false))
 }
 
+/// Sends the newest news, again and again, each once the one before has gone.
+async fn send_news(mesh: &Arc<Mesh>, sender: &Sender) {
+    let mut newest = mesh.newest.subscribe();
+    newest.mark_changed();
+    while newest.changed().await.is_ok() {
+        let news = newest.borrow_and_update().clone();
+        if !news.is_empty() && sender.send_when_clear(news).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Reads what a peer answers on the connection that this host opened.
-async fn read_answers(mesh: &Arc<Mesh>, name: &Arc<str>, mut connection: Connection) {
-    while let Ok(frame) = connection.receiver.receive().await {
+async fn read_answers(
+    mesh: &Arc<Mesh>,
+    name: &Arc<str>,
+    mut receiver: Receiver,
+    sender: &Sender,
+) {
+    while let Ok(frame) = receiver.receive().await {
         if let Some(answer) = mesh.hear(name, 0, frame)
-            && connection.sender.send(&answer).is_err()
+            && sender.send(&answer).is_err()
         {
             return;
         }
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -7,10 +7,10 @@
 
 use crate::app::App;
 use crate::follow::{Follower, Host};
+use bytes::Bytes;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
-use chestnutrack_wire::connection::Sender;
 use chestnutrack_wire::frame::{self, Frame, News};
 use chestnutrack_wire::{Connection, codec};
 use std::collections::HashMap;
@@ -18,13 +18,16 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
 /// Time between news when nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(500);
-/// Time for which changes are gathered into one news.
-const GATHER: Duration = Duration::from_millis(4);
+/// Time for which changes are gathered into one news: at least, and for each peer, so that the
+/// news that a host receives do not grow with the number of hosts.
+const GATHER_MIN: Duration = Duration::from_millis(15);
+const GATHER_PER_PEER: Duration = Duration::from_millis(5);
 /// Silence after which a peer counts as one that can't be heard.
 const SILENT: Duration = Duration::from_millis(1_500);
 /// Pause after a connection could not be taken.
@@ -36,6 +39,9 @@
     follower: Arc<Follower>,
     /// Port that every host listens on for its peers.
     port: u16,
+    /// The newest news, encoded. Each connection sends it once the one before has gone, so that
+    /// none waits for a slow peer.
+    newest: watch::Sender<Bytes>,
     peers: Mutex<HashMap<Arc<str>, Peer>>,
 }
 
@@ -43,7 +49,6 @@
     host: Host,
     /// Ends the task that keeps the connection to it.
     keeper: AbortHandle,
-    sender: Option<Sender>,
     heard: Option<Instant>,
     met: Instant,
     silent: bool,
@@ -60,7 +65,8 @@
 impl Mesh {
     /// Without peers; every host listens on the same port for them.
     pub fn new(app: Arc<App>, follower: Arc<Follower>, port: u16) -> Arc<Mesh> {
-        Arc::new(Mesh { app, follower, port, peers: Mutex::default() })
+        let newest = watch::Sender::new(Bytes::new());
+        Arc::new(Mesh { app, follower, port, newest, peers: Mutex::default() })
     }
 
     fn peers(&self) -> MutexGuard<'_, HashMap<Arc<str>, Peer>> {
@@ -81,7 +87,6 @@
         let peer = Peer {
             host,
             keeper: keeper.abort_handle(),
-            sender: None,
             heard: None,
             met: clock::now(),
             silent: false,
@@ -113,14 +118,6 @@
         state.allowances.gone(clock::now(), &name.into());
     }
 
-    /// Notes that a connection to a peer is open, or that there is none.
-    fn link(&self, name: &str, sender: Option<Sender>) {
-        if let Some(peer) = self.peers().get_mut(name) {
-            peer.sender = sender;
-        }
-        self.app.news.notify_one();
-    }
-
     /// Notes that a peer's address refuses connections: its process is gone, and spends nothing.
     fn refused(&self, name: &str) {
         let mut peers = self.peers();
@@ -165,7 +162,6 @@
             state.allowances.heard(now, name, incarnation, news.spent.into_iter().collect());
         }
         self.app.hear_refused(&news.refused);
-        self.app.give_turns();
         wanted
     }
 
@@ -211,7 +207,7 @@
         let mut beats = timer.subscribe(HEARTBEAT);
         loop {
             tokio::select! {
-                () = self.app.news.notified() => sleep(GATHER).await,
+                () = self.app.news.notified() => sleep(self.gather()).await,
                 beat = beats.recv() => {
                     if beat.is_none() {
                         return;
@@ -220,24 +216,16 @@
                     self.follower.show_ages();
                 }
             }
-            self.send(&Frame::News(Box::new(self.news())));
+            match codec::encode(&Frame::News(Box::new(self.news()))) {
+                Ok(bytes) => drop(self.newest.send_replace(bytes.into())),
+                Err(error) => tracing::error!(%error, "news can't be encoded"),
+            }
         }
     }
 
-    fn send(&self, frame: &Frame) {
-        let senders: Vec<Sender> =
-            self.peers().values().filter_map(|peer| peer.sender.clone()).collect();
-        if senders.is_empty() {
-            return;
-        }
-        match codec::encode(frame) {
-            Ok(bytes) => {
-                let bytes = bytes::Bytes::from(bytes);
-                // A connection that has ended is noticed by the task that keeps it.
-                senders.iter().for_each(|sender| drop(sender.send_encoded(bytes.clone())));
-            }
-            Err(error) => tracing::error!(%error, "news can't be encoded"),
-        }
+    fn gather(&self) -> Duration {
+        let peers = u32::try_from(self.peers().len()).unwrap_or(u32::MAX);
+        GATHER_MIN.max(GATHER_PER_PEER.saturating_mul(peers))
     }
 
     fn look_for_silent(&self) {
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -86,7 +86,7 @@
         self.send_encoded(codec::encode(frame).map_err(Error::Frame)?)
     }
 
-    /// Queues a frame that is encoded already, to send it to many.
+    /// Queues a frame that is encoded already.
     ///
     /// # Errors
     ///
@@ -95,6 +95,17 @@
         self.0.try_send(Message::binary(frame)).map_err(|_| Error::Closed)
     }
 
+    /// Queues a frame that is encoded already, once no other waits for the peer to read.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Closed`] when the connection has ended.
+    pub async fn send_when_clear(&self, frame: impl Into<Bytes>) -> Result<(), Error> {
+        let clear = self.0.reserve_many(QUEUE_FRAMES).await;
+        clear.map(drop).map_err(|_| Error::Closed)?;
+        self.send_encoded(frame)
+    }
+
     /// Whether the connection has ended.
     pub fn is_closed(&self) -> bool {
         self.0.is_closed()
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -329,8 +329,10 @@
     Servers(Vec<ServerNews>),
 }
 
-/// A generation on an engine, as its host tells peers. All counts are in tokens.
+/// A generation on an engine, as its host tells peers. All counts are in tokens. On the wire it is
+/// an array, since hosts tell of it often.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "[u32; 4]", into = "[u32; 4]")]
 pub struct RunNews {
     /// What it holds: its prompt and what it has made.
     pub context: u32,
@@ -342,6 +344,18 @@
     pub most: u32,
 }
 
+impl From<[u32; 4]> for RunNews {
+    fn from([context, made, expected, most]: [u32; 4]) -> RunNews {
+        RunNews { context, made, expected, most }
+    }
+}
+
+impl From<RunNews> for [u32; 4] {
+    fn from(run: RunNews) -> [u32; 4] {
+        [run.context, run.made, run.expected, run.most]
+    }
+}
+
 /// What a host has under way at an engine.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineNews {
