A restarted host is not charged for older spending; prefilled prompts find another engine; failing servers are told

Test that failed first: a_host_that_starts_beside_others_is_not_charged_for_what_they_spent_before. Ruled out: lapsing shares of restarting peers (kept back was 0 at that time).

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -55,16 +55,30 @@
     peers: HashMap<Arc<str>, Peer>,
     /// Whether new buckets start full.
     full: bool,
+    started: Instant,
+}
+
+/// What a peer tells of its spending.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Number drawn at the start of its process.
+    pub incarnation: u64,
+    /// How long that process has run.
+    pub age: Duration,
+    /// What it has spent since.
+    pub spent: Spent,
 }
 
 impl Allowances {
-    /// Without organisations; `first_start` says that the whole fleet starts for the first time.
-    pub fn new(first_start: bool) -> Allowances {
+    /// Without organisations, at the start of the process; `first_start` says that the whole fleet
+    /// starts for the first time.
+    pub fn new(now: Instant, first_start: bool) -> Allowances {
         Allowances {
             buckets: HashMap::new(),
             own: Spent::new(),
             peers: HashMap::new(),
             full: first_start,
+            started: now,
         }
     }
 
@@ -127,14 +141,18 @@
     }
 
     /// Takes in what a peer has spent in all.
-    pub fn heard(&mut self, now: Instant, name: &Arc<str>, incarnation: u64, spent: Spent) {
+    pub fn heard(&mut self, now: Instant, name: &Arc<str>, told: Told) {
         let kept = self.kept_share();
+        let is_older = now - told.age < self.started;
         let peer = self.peers.entry(name.clone()).or_default();
-        if peer.incarnation != incarnation {
-            *peer = Peer { incarnation, ..Peer::default() };
+        if peer.incarnation != told.incarnation {
+            // What one that started before this host spent until now is no concern of a bucket that
+            // started empty.
+            let spent = if is_older { told.spent.clone() } else { Spent::new() };
+            *peer = Peer { incarnation: told.incarnation, spent, silent: false };
         }
         peer.silent = false;
-        for (organisation, total) in spent {
+        for (organisation, total) in told.spent {
             let before = peer.spent.insert(organisation.clone(), total).unwrap_or(0);
             if let Some(bucket) = self.buckets.get_mut(&organisation) {
                 bucket.refill(now, kept);
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -1,4 +1,4 @@
-use super::{Allowances, Refusal, Spent};
+use super::{Allowances, Refusal, Spent, Told};
 use crate::limit::Terms;
 use crate::time::Instant;
 use std::sync::Arc;
@@ -20,13 +20,14 @@
 
 /// A host that has run for long, so that its bucket is full.
 fn host() -> Allowances {
-    let mut host = Allowances::new(true);
+    let mut host = Allowances::new(at(0), true);
     host.configure(at(0), &terms(RATE));
     host
 }
 
-fn spent(tokens: i64) -> Spent {
-    Spent::from([(name(), tokens)])
+/// A peer that started with this host, or in its so-manieth incarnation.
+fn told(incarnation: u64, tokens: i64) -> Told {
+    Told { incarnation, age: Duration::ZERO, spent: Spent::from([(name(), tokens)]) }
 }
 
 #[test]
@@ -46,8 +47,8 @@
 fn what_a_peer_has_spent_is_gone_here_too_and_counts_once() {
     let mut host = host();
 
-    host.heard(at(0), &"peer".into(), 1, spent(600));
-    host.heard(at(0), &"peer".into(), 1, spent(600));
+    host.heard(at(0), &"peer".into(), told(1, 600));
+    host.heard(at(0), &"peer".into(), told(1, 600));
 
     assert_eq!(host.take(at(0), &name(), 400), Ok(()));
     assert!(host.take(at(0), &name(), 1).is_err());
@@ -56,17 +57,31 @@
 #[test]
 fn a_peer_that_started_anew_counts_from_nothing() {
     let mut host = host();
-    host.heard(at(0), &"peer".into(), 1, spent(600));
+    host.heard(at(0), &"peer".into(), told(1, 600));
 
-    host.heard(at(0), &"peer".into(), 2, spent(100));
+    host.heard(at(0), &"peer".into(), told(2, 100));
 
     assert_eq!(host.take(at(0), &name(), 300), Ok(()));
     assert!(host.take(at(0), &name(), 1).is_err());
 }
 
+#[test]
+fn a_host_that_starts_beside_others_is_not_charged_for_what_they_spent_before() {
+    let mut host = Allowances::new(at(0), false);
+    host.configure(at(0), &terms(RATE));
+    let long = Told { age: Duration::from_secs(60), ..told(1, 1_000_000) };
+    host.heard(at(0), &"peer".into(), long);
+
+    let later = Told { age: Duration::from_secs(61), ..told(1, 1_000_400) };
+    host.heard(at(1), &"peer".into(), later);
+
+    assert_eq!(host.take(at(1), &name(), 600), Ok(()));
+    assert!(host.take(at(1), &name(), 1).is_err());
+}
+
 #[test]
 fn a_start_that_is_not_the_first_begins_with_nothing() {
-    let mut host = Allowances::new(false);
+    let mut host = Allowances::new(at(0), false);
     host.configure(at(0), &terms(RATE));
 
     assert!(host.take(at(0), &name(), 1).is_err());
@@ -75,7 +90,7 @@
 
 #[test]
 fn organisations_that_come_later_begin_with_their_burst() {
-    let mut host = Allowances::new(false);
+    let mut host = Allowances::new(at(0), false);
     host.configure(at(0), &[]);
 
     host.configure(at(0), &terms(RATE));
@@ -87,8 +102,8 @@
 fn hosts_that_do_not_hear_each_other_spend_the_rate_once_between_them() {
     let mut hosts = [host(), host(), host()];
     for host in &mut hosts {
-        host.heard(at(0), &"second".into(), 1, Spent::new());
-        host.heard(at(0), &"third".into(), 1, Spent::new());
+        host.heard(at(0), &"second".into(), told(1, 0));
+        host.heard(at(0), &"third".into(), told(1, 0));
         host.silent(at(0), &"second".into());
         host.silent(at(0), &"third".into());
     }
@@ -109,7 +124,7 @@
 #[test]
 fn a_peer_that_is_surely_gone_leaves_its_share_to_the_others() {
     let mut host = host();
-    host.heard(at(0), &"peer".into(), 1, Spent::new());
+    host.heard(at(0), &"peer".into(), told(1, 0));
     host.silent(at(0), &"peer".into());
 
     host.gone(at(1), &"peer".into());
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -144,14 +144,21 @@
             let peak = peak(&runs, server.tokens_per_ms, &self.settings.forecast);
             let fill = (peak / room * EQUAL_PARTS) as u32;
             let far = server.entry.failure_domain != self.near;
-            (peak <= room).then_some(((fill, far, peak as u64), key))
+            let suspected = self.is_suspected(now, server);
+            (peak <= room).then_some(((suspected, fill, far, peak as u64), key))
         });
         fitting.take(CANDIDATES).min().map(|(_, key)| key)
     }
 
     /// The engine that prefills a prompt: the one that will be done first, where a transfer between
     /// failure domains counts as time.
-    pub(super) fn prefill_for(&self, now: Instant, ask: &Ask, decode: Key) -> Option<Key> {
+    pub(super) fn prefill_for(
+        &self,
+        now: Instant,
+        ask: &Ask,
+        decode: Key,
+        draw: u64,
+    ) -> Option<Key> {
         let per_ms = self.pools.get(&ask.service)?.prefill_per_ms;
         let domain = self.servers.get(decode).map(|server| server.entry.failure_domain.clone());
         let candidates = self.servers.iter().filter(|(_, server)| {
@@ -165,14 +172,16 @@
             let ahead = server.prefilling + peers.sum::<u64>();
             let far = Some(&server.entry.failure_domain) != domain.as_ref();
             let transfer = if far { TRANSFER_MS } else { 0.0 };
-            ((ahead as f64 / per_ms + transfer) as u64, key)
+            let suspected = self.is_suspected(now, server);
+            ((suspected, (ahead as f64 / per_ms + transfer) as u64, spread(key, draw)), key)
         });
         ranked.min().map(|(_, key)| key)
     }
 
     /// Takes places for a request.
     pub(super) fn place(&mut self, now: Instant, ask: &Ask, decode: Key) -> Placement {
-        let prefill = self.prefill_for(now, ask, decode);
+        let draw = self.draw();
+        let prefill = if ask.prefilled { None } else { self.prefill_for(now, ask, decode, draw) };
         let length = self.pools.get(&ask.service).map(|pool| pool.length).unwrap_or_default();
         let run = self.runs.insert(Running {
             decode,
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 
 pub use callers::Callers;
 pub use engine::{Length, Placement};
+pub use plain::Ended;
 pub use turn::{Ask, Effect, Refusal, Wait};
 
 use crate::forecast;
@@ -71,6 +72,17 @@
 /// A change of the listed servers.
 pub type Change = listing::Change<Entry>;
 
+/// How a server met a connection or an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Met {
+    /// It answered, be it with an error or a refusal.
+    Answer,
+    /// It did not answer, or broke an answer off.
+    Failure,
+    /// Its address refuses connections: there is no process.
+    Refusal,
+}
+
 /// Bounds on decisions.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -103,6 +115,7 @@
 struct Server {
     entry: Entry,
     health: Health,
+    record: plain::Record,
     /// Requests of this host under way.
     running: u32,
     /// Prompt tokens that this host waits for to be prefilled there.
@@ -167,6 +180,7 @@
         let server = Server {
             entry,
             health: Health::default(),
+            record: plain::Record::default(),
             running: 0,
             prefilling: 0,
             tokens_per_ms: engine::TOKENS_PER_MS,
@@ -194,12 +208,13 @@
         self.servers.get(key).map(|server| &server.entry)
     }
 
-    /// Notes that a server answered, or failed to.
-    pub fn note(&mut self, now: Instant, key: Key, answered: bool) {
+    /// Notes how a server met a connection or an answer.
+    pub fn note(&mut self, now: Instant, key: Key, met: Met) {
         let Some(server) = self.servers.get_mut(key) else { return };
-        match answered {
-            true => server.health.note_answered(),
-            false => server.health.note_failed(now),
+        match met {
+            Met::Answer => server.health.note_answered(),
+            Met::Failure => server.health.note_failed(now),
+            Met::Refusal => server.health.note_gone(now),
         }
     }
 
--- a/crates/core/src/dispatch/news.rs
+++ b/crates/core/src/dispatch/news.rs
@@ -1,9 +1,9 @@
 //! What hosts tell each other of their generations and their waiting requests.
 
-use super::{Dispatch, Key};
+use super::{Dispatch, Key, Server};
 use crate::forecast;
 use crate::time::Instant;
-use chestnutrack_wire::frame::{EngineNews, RunNews};
+use chestnutrack_wire::frame::{EngineNews, News, RunNews};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +11,9 @@
 /// its engines have.
 const FORGOTTEN: Duration = Duration::from_secs(10);
 
+/// How long what a peer tells of failing servers counts.
+const SUSPECTED_FOR: Duration = Duration::from_millis(1_000);
+
 /// What a peer has told.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
@@ -18,6 +21,8 @@
     engines: Vec<EngineNews>,
     /// Ages of its waiting requests when it told, in milliseconds.
     waiting: Vec<u32>,
+    /// Servers that failed it lately.
+    failing: Vec<Arc<str>>,
 }
 
 impl Peer {
@@ -109,14 +114,26 @@
     }
 
     /// Takes in what a peer tells.
-    pub fn heard(
-        &mut self,
-        now: Instant,
-        peer: &Arc<str>,
-        engines: Vec<EngineNews>,
-        waiting: Vec<u32>,
-    ) {
-        self.peers.insert(peer.clone(), Peer { at: now, engines, waiting });
+    pub fn heard(&mut self, now: Instant, peer: &Arc<str>, news: &News) {
+        let peer_news = Peer {
+            at: now,
+            engines: news.engines.clone(),
+            waiting: news.waiting.clone(),
+            failing: news.failing.clone(),
+        };
+        self.peers.insert(peer.clone(), peer_news);
+    }
+
+    /// Servers that failed this host lately.
+    pub fn failing(&self, now: Instant) -> Vec<Arc<str>> {
+        let failing = self.servers.values().filter(|server| server.health.is_failing(now));
+        failing.map(|server| server.entry.name.clone()).collect()
+    }
+
+    /// Whether a server has failed a peer lately.
+    pub(super) fn is_suspected(&self, now: Instant, server: &Server) -> bool {
+        let fresh = self.peers.values().filter(|peer| now.since(peer.at) < SUSPECTED_FOR);
+        fresh.flat_map(|peer| &peer.failing).any(|name| *name == server.entry.name)
     }
 
     /// Forgets a peer whose process is gone: its connections to engines are closed.
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -1,11 +1,68 @@
-//! Plain services: the server with the fewest requests of this host under way.
+//! Plain services: of two servers drawn at random, the one that answers sooner.
+//!
+//! Hosts do not tell each other of plain requests, which last too short for that. So each host goes by
+//! how a server answered it lately and by what it has under way there, and looks at two servers
+//! only, since hosts that all took the best one would overload it.
 
 use super::engine::spread;
-use super::{Dispatch, Key};
+use super::{Dispatch, Key, Server};
 use crate::time::Instant;
+use std::time::Duration;
 
-/// Part of a server's slots beyond which one in another failure domain is as good.
-const NEAR_PART: u32 = 2;
+/// Servers that one choice looks at.
+const CANDIDATES: usize = 2;
+/// Time for an answer before any was seen, in milliseconds.
+const TOOK_MS: f64 = 50.0;
+/// Weight of a new answer.
+const SMOOTHING: f64 = 0.15;
+/// How much more an answer costs that is an error, in answers.
+const ERROR_COST: f64 = 8.0;
+/// How long a record that is not renewed counts by half.
+const HALF_LIFE: Duration = Duration::from_secs(2);
+/// How long a server that had no room is passed over.
+const FULL_FOR: Duration = Duration::from_millis(100);
+
+/// How a request to a plain service ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// With an answer, after so long.
+    Answered(Duration),
+    /// With a server's error, without an answer or with a broken one, after so long.
+    Failed(Duration),
+    /// The server had no room for it.
+    Full,
+    /// Its caller left.
+    Abandoned,
+}
+
+/// How a server answered this host lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Record {
+    /// Time for an answer, in milliseconds, smoothed.
+    took_ms: Option<f64>,
+    /// Part of the answers that were errors, smoothed.
+    errors: f64,
+    at: Instant,
+    full_until: Instant,
+}
+
+impl Record {
+    fn note(&mut self, now: Instant, took: Duration, error: bool) {
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        let before = self.took_ms.unwrap_or(took_ms);
+        self.took_ms = Some(before + SMOOTHING * (took_ms - before));
+        self.errors += SMOOTHING * (f64::from(u8::from(error)) - self.errors);
+        self.at = now;
+    }
+
+    /// What one more request costs there, in milliseconds.
+    fn cost(&self, now: Instant, running: u32) -> f64 {
+        let age = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        let weight = 0.5_f64.powf(age);
+        let took_ms = TOOK_MS + weight * (self.took_ms.unwrap_or(TOOK_MS) - TOOK_MS);
+        took_ms * f64::from(running + 1) * (1.0 + ERROR_COST * weight * self.errors)
+    }
+}
 
 impl<T> Dispatch<T> {
     /// Takes a place at a server of a plain service, other than those passed over.
@@ -14,22 +71,31 @@
         let candidates = self.servers.iter().filter(|(key, server)| {
             &*server.entry.service == service && server.is_open() && !passed_over.contains(key)
         });
-        let ranked = candidates.map(|(key, server)| {
+        let mut candidates: Vec<(Key, &Server)> = candidates.collect();
+        candidates.sort_by_key(|(key, server)| {
             let unsound = !server.health.is_sound(now, server.running);
-            let busy = server.running >= server.entry.slots / NEAR_PART;
-            let far = server.entry.failure_domain != self.near;
-            let tie = spread(key, draw);
-            ((unsound, busy, far, server.running, tie), key)
+            let full = server.record.full_until > now;
+            (unsound, self.is_suspected(now, server), full, spread(*key, draw))
         });
-        let (_, key) = ranked.min()?;
+        let sound = |server: &Server| server.health.is_sound(now, server.running);
+        let first_is_sound = candidates.first().is_some_and(|(_, server)| sound(server));
+        let looked_at = candidates.into_iter().take(CANDIDATES);
+        let ranked = looked_at.filter(|(_, server)| sound(server) == first_is_sound);
+        let cost = |server: &Server| server.record.cost(now, server.running);
+        let (key, _) = ranked.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)))?;
         self.servers[key].running += 1;
         Some(key)
     }
 
     /// Gives a place at a plain service's server back.
-    pub fn plain_ended(&mut self, key: Key) {
-        if let Some(server) = self.servers.get_mut(key) {
-            server.running -= 1;
+    pub fn plain_ended(&mut self, now: Instant, key: Key, ended: Ended) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        server.running -= 1;
+        match ended {
+            Ended::Answered(took) => server.record.note(now, took, false),
+            Ended::Failed(took) => server.record.note(now, took, true),
+            Ended::Full => server.record.full_until = now + FULL_FOR,
+            Ended::Abandoned => {}
         }
     }
 }
--- a/crates/core/src/dispatch/turn.rs
+++ b/crates/core/src/dispatch/turn.rs
@@ -34,8 +34,10 @@
     pub target: Option<Instant>,
     /// When it must have ended.
     pub deadline: Instant,
-    /// A stream that broke and goes on: its turn is the next.
+    /// Work was done for it already that is in vain if it has to wait: its turn is the next.
     pub urgent: bool,
+    /// Its prompt is prefilled already.
+    pub prefilled: bool,
 }
 
 impl Ask {
--- a/crates/core/src/health/mod.rs
+++ b/crates/core/src/health/mod.rs
@@ -32,6 +32,17 @@
         self.failing_until = now + passed_over;
     }
 
+    /// Notes that there is no process at its address: it is passed over at once.
+    pub fn note_gone(&mut self, now: Instant) {
+        self.failures = self.failures.max(FAILURES_MAX - 1);
+        self.note_failed(now);
+    }
+
+    /// Whether it is passed over now.
+    pub fn is_failing(&self, now: Instant) -> bool {
+        self.failures >= FAILURES_MAX && now < self.failing_until
+    }
+
     /// Notes an answer.
     pub fn note_answered(&mut self) {
         self.failures = 0;
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -11,7 +11,7 @@
 use crate::dialect::Dialect;
 use crate::metric::Metrics;
 use chestnutrack_core::allowance::Allowances;
-use chestnutrack_core::dispatch::{self, Callers, Change, Dispatch, Key};
+use chestnutrack_core::dispatch::{self, Callers, Change, Dispatch, Key, Met};
 use chestnutrack_core::limit::Terms;
 use chestnutrack_core::retry::Budget;
 use chestnutrack_core::time::Instant;
@@ -83,12 +83,15 @@
     pub metrics: Metrics,
     /// Something has changed that peers should hear of.
     pub news: Notify,
+    /// Something has changed that peers should hear of at once.
+    pub urgent_news: Notify,
     /// Requests have begun to wait.
     pub waits: Notify,
     in_force: Mutex<Option<Arc<InForce>>>,
     state: Mutex<State>,
     repeats: AtomicU32,
     draining: AtomicBool,
+    started: Instant,
 }
 
 /// What decisions are made on.
@@ -107,7 +110,7 @@
     pub fn new(settings: Settings, dialect: Dialect, metrics: Metrics) -> App {
         let state = State {
             dispatch: Dispatch::new(settings.dispatch, settings.failure_domain.clone()),
-            allowances: Allowances::new(settings.first_start),
+            allowances: Allowances::new(clock::now(), settings.first_start),
             pools: SecondaryMap::new(),
             budgets: HashMap::new(),
             callers: Callers::default(),
@@ -119,10 +122,12 @@
             dialect,
             metrics,
             news: Notify::new(),
+            urgent_news: Notify::new(),
             waits: Notify::new(),
             in_force: Mutex::default(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
+            started: clock::now(),
         }
     }
 
@@ -135,6 +140,11 @@
         self.in_force.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// How long the process has run.
+    pub fn age(&self) -> Duration {
+        clock::now().since(self.started)
+    }
+
     /// Version of the configuration in force; 0 for none.
     pub fn version(&self) -> u64 {
         self.in_force().map_or(0, |in_force| in_force.table.config().version)
@@ -186,9 +196,9 @@
         self.give_turns();
     }
 
-    /// Notes that a server answered, or failed to.
-    pub fn note(&self, target: &Target, answered: bool) {
-        self.state().dispatch.note(clock::now(), target.key, answered);
+    /// Notes how a server met a connection or an answer.
+    pub fn note(&self, target: &Target, met: Met) {
+        self.state().dispatch.note(clock::now(), target.key, met);
     }
 
     /// Notes that another server answered at a server's address.
--- a/crates/forward/src/app/place.rs
+++ b/crates/forward/src/app/place.rs
@@ -1,7 +1,7 @@
 //! Places at servers of plain services.
 
 use super::{App, Target};
-use chestnutrack_core::dispatch::Key;
+use chestnutrack_core::dispatch::{Ended, Key};
 use chestnutrack_process::clock;
 use std::sync::Arc;
 
@@ -10,11 +10,20 @@
     app: Arc<App>,
     /// The server.
     pub target: Target,
+    ended: Ended,
+}
+
+impl Place {
+    /// Gives it back, and says how the request ended.
+    pub fn end(mut self, ended: Ended) {
+        self.ended = ended;
+    }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.app.state().dispatch.plain_ended(self.target.key);
+        let mut state = self.app.state();
+        state.dispatch.plain_ended(clock::now(), self.target.key, self.ended);
     }
 }
 
@@ -25,9 +34,9 @@
         let key = state.dispatch.plain(clock::now(), service, passed_over)?;
         let target = state.target(key);
         if target.is_none() {
-            state.dispatch.plain_ended(key);
+            state.dispatch.plain_ended(clock::now(), key, Ended::Abandoned);
         }
         drop(state);
-        Some(Place { app: self.clone(), target: target? })
+        Some(Place { app: self.clone(), target: target?, ended: Ended::Abandoned })
     }
 }
--- a/crates/forward/src/app/turn.rs
+++ b/crates/forward/src/app/turn.rs
@@ -127,7 +127,7 @@
         let decode = state.target(placement.decode);
         let prefill = placement.prefill.and_then(|key| state.target(key));
         drop(state);
-        self.news.notify_one();
+        self.urgent_news.notify_one();
         let Some(decode) = decode else {
             self.state().dispatch.ended(placement.run, false);
             return None;
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -7,6 +7,7 @@
 use crate::dialect::{Handle, Onward, Step};
 use bytes::Bytes;
 use chestnutrack_core::dispatch;
+use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::pool::Stream;
 use hyper::Response;
@@ -23,8 +24,10 @@
 const FREE_WITHIN: Duration = Duration::from_millis(500);
 /// Time from a turn to the first token that is planned with before any was seen.
 const FIRST_TOKEN: Duration = Duration::from_millis(250);
-/// How long the turn of a stream that broke is waited for.
-const RESUME_WITHIN: Duration = Duration::from_millis(1_500);
+/// How long a turn is waited for where work was done already.
+const URGENT_WITHIN: Duration = Duration::from_millis(1_500);
+/// Part of a handle's lifetime that its way to the next engine may take.
+const HANDLE_MARGIN: Duration = Duration::from_millis(100);
 
 /// A generation that an engine has begun to answer.
 pub(super) struct Answering {
@@ -42,9 +45,18 @@
     target: Target,
     handle: Handle,
     tokens: u64,
+    since: Instant,
     taken: bool,
 }
 
+impl Kept {
+    /// Whether another engine can still be given it.
+    fn is_fresh(&self, engine: &Engine) -> bool {
+        let age = clock::now().since(self.since);
+        !self.taken && age + HANDLE_MARGIN < engine.handle_ttl
+    }
+}
+
 impl Drop for Kept {
     fn drop(&mut self) {
         if self.taken {
@@ -69,7 +81,7 @@
 pub(super) async fn run(job: Arc<Job>, engine: Engine) -> Result<Response<Body>, Refusal> {
     let mut tries = Tries::default();
     let last = job.ask.last_event;
-    let answering = answer(&job, &mut tries, last, 0).await?;
+    let answering = answer(&job, &engine, &mut tries, last, 0).await?;
     job.note_answer(&answering.turn.decode, answering.head.status.as_u16());
     let mut response = Response::new(());
     *response.status_mut() = answering.head.status;
@@ -83,32 +95,39 @@
 /// has, of a stream that has made so many tokens.
 pub(super) async fn answer(
     job: &Arc<Job>,
+    engine: &Engine,
     tries: &mut Tries,
     last_event: Option<u64>,
     made: u64,
 ) -> Result<Answering, Refusal> {
+    let mut kept: Option<Kept> = None;
     loop {
-        let turn = turn(job, made).await?;
-        let kept = match prefill(job, &turn, last_event).await {
-            Ok(kept) => kept,
-            Err(failure) if tries.prefill_again(job, failure) => continue,
-            // A prefill is no run.
-            Err(_) => return Err(Failure::NotRun.refusal()),
-        };
-        match generate(job, turn, kept, last_event).await {
-            Ok(answering) => return Ok(answering),
+        kept = kept.filter(|kept| kept.is_fresh(engine));
+        let turn = turn(job, made, kept.is_some()).await?;
+        if kept.is_none() {
+            kept = match prefill(job, &turn, last_event).await {
+                Ok(kept) => kept,
+                Err(failure) if tries.prefill_again(job, failure) => continue,
+                // A prefill is no run.
+                Err(_) => return Err(Failure::NotRun.refusal()),
+            };
+        }
+        match generate(job, &turn, kept.as_mut(), last_event).await {
+            Ok((head, stream)) => return Ok(Answering { head, stream, turn }),
             Err(failure) if tries.again(job, failure) => {}
             Err(failure) => return Err(failure.refusal()),
         }
     }
 }
 
-async fn turn(job: &Arc<Job>, made: u64) -> Result<Turn, Refusal> {
+/// Waits for the turn of a request whose stream has made so many tokens already, and whose prompt
+/// may be prefilled already.
+async fn turn(job: &Arc<Job>, made: u64, prefilled: bool) -> Result<Turn, Refusal> {
     let generation = job.ask.generation.clone().unwrap_or_default();
     let now = clock::now();
-    let urgent = made > 0;
+    let urgent = made > 0 || prefilled;
     let target = match urgent {
-        true => now + RESUME_WITHIN,
+        true => now + URGENT_WITHIN,
         false => job.first + job.route.target - FIRST_TOKEN,
     };
     let ask = dispatch::Ask {
@@ -121,48 +140,44 @@
         target: (target > now).then_some(target),
         deadline: job.deadline,
         urgent,
+        prefilled,
     };
     let turn = job.app.turn(ask).await;
     let waited_ms = clock::now().since(now).as_millis() as u64;
-    let id = job.ask.id.as_deref();
+    let (id, tokens) = (job.ask.id.as_deref(), generation.prompt_tokens);
     match turn {
         Ok(turn) => {
             let decode = &turn.decode.entry.name;
             let prefill = turn.prefill.as_ref().map(|target| &*target.entry.name);
-            tracing::info!(id, %decode, prefill, waited_ms, tokens = generation.prompt_tokens, urgent, "placed");
+            tracing::info!(id, %decode, prefill, waited_ms, tokens, urgent, "placed");
             job.app.metrics.stages.with_label_values(&["turn"]).observe(waited_ms as f64 / 1e3);
             Ok(turn)
         }
         Err(refusal) => {
             let (ahead, late) = (refusal.ahead, target <= now);
-            tracing::info!(
-                id,
-                ahead,
-                late,
-                waited_ms,
-                tokens = generation.prompt_tokens,
-                urgent,
-                "no room in time"
-            );
+            tracing::info!(id, ahead, late, waited_ms, tokens, urgent, "no room in time");
             Err(Refusal::until(Cause::Full, refusal.retry_after))
         }
     }
 }
 
+/// Has the answer generated from the KV cache that is kept for it, where there is one.
 async fn generate(
     job: &Arc<Job>,
-    turn: Turn,
-    kept: Option<Kept>,
+    turn: &Turn,
+    kept: Option<&mut Kept>,
     last_event: Option<u64>,
-) -> Result<Answering, Failure> {
+) -> Result<(response::Parts, Stream), Failure> {
     let step = kept.as_ref().map_or(Step::Whole, |kept| Step::Generate(kept.handle.clone()));
     let onward = Onward { step, last_event, ..job.onward(&turn.decode) };
-    let response = job.send(&turn.decode, &onward).await?;
-    if let Some(mut kept) = kept {
-        kept.taken = true;
+    let sent = job.send(&turn.decode, &onward).await;
+    // A handle is spent, unless the engine surely never saw it or says that it had no room.
+    let taken =
+        !matches!(&sent, Err(failure) if failure.is_unsent() || *failure == Failure::NotRun);
+    if let Some(kept) = kept {
+        kept.taken = taken;
     }
-    let (head, stream) = response.into_parts();
-    Ok(Answering { head, stream, turn })
+    sent.map(Response::into_parts)
 }
 
 /// Has the prompt prefilled where the turn says; nothing where the engine that generates does it.
@@ -194,5 +209,6 @@
     let handle = (job.app.dialect.handle)(target.entry.address, &body);
     let handle = handle.filter(|_| head.status.is_success()).ok_or(Failure::Unknown)?;
     let tokens = job.ask.generation.as_ref().map_or(0, |generation| generation.prompt_tokens);
-    Ok(Kept { job: job.clone(), target: target.clone(), handle, tokens, taken: false })
+    let (job, target, since) = (job.clone(), target.clone(), clock::now());
+    Ok(Kept { job, target, handle, tokens, since, taken: false })
 }
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -12,8 +12,9 @@
 use crate::config::{Organisation, Route};
 use crate::dialect::{Ask, Onward, Verdict};
 use bytes::Bytes;
+use chestnutrack_core::dispatch::Met;
 use chestnutrack_core::time::Instant;
-use chestnutrack_process::http::Error;
+use chestnutrack_process::http::{Error, Unreachable};
 use chestnutrack_process::{clock, pool};
 use http_body_util::Full;
 use hyper::http::request::Parts;
@@ -52,6 +53,8 @@
 enum Failure {
     /// Nothing was sent.
     Unsent,
+    /// Nothing was sent, since the address refuses connections.
+    Refused,
     /// The server says that it did not run the request and never will.
     NotRun,
     /// Another server stands at the address; it did not run the request.
@@ -66,6 +69,7 @@
     fn name(self) -> &'static str {
         match self {
             Failure::Unsent => "unsent",
+            Failure::Refused => "refused",
             Failure::NotRun => "not_run",
             Failure::Misdirected => "misdirected",
             Failure::Unknown => "unknown",
@@ -73,9 +77,13 @@
         }
     }
 
+    fn is_unsent(self) -> bool {
+        matches!(self, Failure::Unsent | Failure::Refused)
+    }
+
     fn refusal(self) -> Refusal {
         match self {
-            Failure::Unsent | Failure::NotRun | Failure::Misdirected => {
+            Failure::Unsent | Failure::Refused | Failure::NotRun | Failure::Misdirected => {
                 Refusal::until(Cause::Full, FULL_RETRY)
             }
             Failure::Unknown => Refusal::new(Cause::Lost),
@@ -108,13 +116,13 @@
 impl Tries {
     /// Notes a failure, and whether another server may be tried.
     fn again(&mut self, job: &Job, failure: Failure) -> bool {
-        if failure == Failure::Unsent {
+        if failure.is_unsent() {
             self.unsent += 1;
             return self.unsent < UNSENT_MAX;
         }
         self.sent += 1;
         let harmless = match failure {
-            Failure::Unsent | Failure::NotRun | Failure::Misdirected => true,
+            Failure::Unsent | Failure::Refused | Failure::NotRun | Failure::Misdirected => true,
             Failure::Unknown => job.route.kind.may_repeat(),
             Failure::TimedOut => false,
         };
@@ -123,7 +131,7 @@
 
     /// Notes a prefill that failed, which is no run, and whether another may be tried.
     fn prefill_again(&mut self, job: &Job, failure: Failure) -> bool {
-        if failure == Failure::Unsent {
+        if failure.is_unsent() {
             self.unsent += 1;
             return self.unsent < UNSENT_MAX;
         }
@@ -187,8 +195,11 @@
         }
         match &sent {
             Err(Failure::Misdirected) => self.app.note_replaced(target),
-            // A server that refuses answers all the same.
-            sent => self.app.note(target, matches!(sent, Ok(_) | Err(Failure::NotRun))),
+            Err(Failure::Refused) => self.app.note(target, Met::Refusal),
+            Err(Failure::Unsent | Failure::Unknown | Failure::TimedOut) => {
+                self.app.note(target, Met::Failure);
+            }
+            Ok(_) | Err(Failure::NotRun) => self.app.note(target, Met::Answer),
         }
         sent
     }
@@ -206,6 +217,7 @@
         let request = self.request(headers).ok_or(Failure::Unsent)?;
         let response = match target.pool.open(request, left).await {
             Ok(response) => response,
+            Err(Error::Connect(_, Unreachable::Refused)) => return Err(Failure::Refused),
             Err(Error::Connect(..) | Error::Request(_)) => return Err(Failure::Unsent),
             Err(Error::Timeout(_)) => return Err(Failure::TimedOut),
             Err(_) => return Err(Failure::Unknown),
--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -3,6 +3,8 @@
 use super::{FULL_RETRY, Failure, Job, Tries, passed_on};
 use crate::answer::{self, Body, Cause, Refusal};
 use crate::app::Target;
+use chestnutrack_core::dispatch::Ended;
+use chestnutrack_process::clock;
 use hyper::Response;
 
 /// Sends a request to a plain service until it has an answer.
@@ -13,7 +15,16 @@
     loop {
         let Some(place) = job.app.place(&job.service, &passed_over) else { return Err(last) };
         passed_over.push(place.target.key);
-        match once(job, &place.target).await {
+        let started = clock::now();
+        let answer = once(job, &place.target).await;
+        let took = clock::now().since(started);
+        place.end(match &answer {
+            Ok(response) if response.status().is_server_error() => Ended::Failed(took),
+            Ok(_) => Ended::Answered(took),
+            Err(Failure::NotRun) => Ended::Full,
+            Err(_) => Ended::Failed(took),
+        });
+        match answer {
             Ok(response) => return Ok(response),
             Err(failure) => {
                 last = failure.refusal();
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -5,6 +5,7 @@
 use super::{Job, Tries};
 use crate::config::{Engine, Kind};
 use bytes::Bytes;
+use chestnutrack_core::dispatch::Met;
 use chestnutrack_process::clock;
 use chestnutrack_process::http::Error;
 use std::sync::Arc;
@@ -85,6 +86,7 @@
                 Some(Ok(None)) => return End::Broken,
                 Some(Err(error)) => {
                     answering.stream.fail();
+                    self.job.app.note(&answering.turn.decode, Met::Failure);
                     let (id, server) =
                         (self.job.ask.id.as_deref(), &answering.turn.decode.entry.name);
                     tracing::info!(id, %server, %error, passed = self.passed, "stream broke");
@@ -145,7 +147,7 @@
         let started = clock::now();
         let caller = self.caller.clone();
         let resumed = tokio::select! {
-            resumed = answer(&self.job, tries, self.last, made) => resumed,
+            resumed = answer(&self.job, &self.engine, tries, self.last, made) => resumed,
             () = caller.closed() => return None,
         };
         let id = self.job.ask.id.as_deref();
--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
+/// Pause after an answer about the hosts; until then a new one is heard by those it calls itself.
+const PAUSE: Duration = Duration::from_millis(1_000);
 /// First and longest pause after a write that failed.
 const RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(2_000));
 
@@ -27,7 +29,7 @@
 
 /// Follows the other hosts until the process ends.
 pub async fn follow_hosts(client: Client, kind: &'static str, mesh: Arc<Mesh>) {
-    let mut events = watcher::start(client, kind, watching());
+    let mut events = watcher::start(client, kind, watching(PAUSE));
     while let Some(event) = events.recv().await {
         let Event::Updated(update) = event else { continue };
         for object in update.objects {
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -23,6 +23,11 @@
 
 /// How long a watch waits. Connections that go silent are noticed by probes, not by its end.
 const WATCH: Duration = Duration::from_secs(25);
+/// Pause after an answer about the configuration; a change is in force well within two seconds.
+const CONFIG_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after an answer about the backend servers; one that leaves gets nothing new well within two
+/// seconds.
+const SERVERS_PAUSE: Duration = Duration::from_millis(300);
 /// First and longest pause after a call that failed.
 const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 /// Time between looks at servers that are missing and may come back.
@@ -62,14 +67,15 @@
     config_up: bool,
 }
 
-/// How the store is watched.
-pub fn watching() -> watcher::Settings {
+/// How the store is watched, with a pause after each answer in which changes are gathered: each
+/// answer is a call of every host.
+pub fn watching(pause: Duration) -> watcher::Settings {
     watcher::Settings {
         wait: WATCH,
+        pause,
         retry_min: RETRY.0,
         retry_max: RETRY.1,
         list_after_failure: true,
-        ..watcher::Settings::default()
     }
 }
 
@@ -112,7 +118,7 @@
 
     /// Follows the configuration until the process ends.
     pub async fn follow_config(self: Arc<Follower>, client: Client) {
-        let mut events = watcher::start(client, self.directory.config_kind, watching());
+        let mut events = watcher::start(client, self.directory.config_kind, watching(CONFIG_PAUSE));
         while let Some(event) = events.recv().await {
             let update = match event {
                 Event::Updated(update) => update,
@@ -157,7 +163,8 @@
 
     /// Follows the backend servers until the process ends.
     pub async fn follow_servers(self: Arc<Follower>, client: Client, timer: Timer) {
-        let mut events = watcher::start(client, self.directory.servers_kind, watching());
+        let mut events =
+            watcher::start(client, self.directory.servers_kind, watching(SERVERS_PAUSE));
         let mut looks = None;
         loop {
             tokio::select! {
--- a/crates/forward/src/mesh/link.rs
+++ b/crates/forward/src/mesh/link.rs
@@ -70,12 +70,7 @@
 }
 
 /// Reads what a peer answers on the connection that this host opened.
-async fn read_answers(
-    mesh: &Arc<Mesh>,
-    name: &Arc<str>,
-    mut receiver: Receiver,
-    sender: &Sender,
-) {
+async fn read_answers(mesh: &Arc<Mesh>, name: &Arc<str>, mut receiver: Receiver, sender: &Sender) {
     while let Ok(frame) = receiver.receive().await {
         if let Some(answer) = mesh.hear(name, 0, frame)
             && sender.send(&answer).is_err()
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -8,6 +8,7 @@
 use crate::app::App;
 use crate::follow::{Follower, Host};
 use bytes::Bytes;
+use chestnutrack_core::allowance::Told;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
@@ -25,8 +26,9 @@
 /// Time between news when nothing changes.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 /// Time for which changes are gathered into one news: at least, and for each peer, so that the
-/// news that a host receives do not grow with the number of hosts.
-const GATHER_MIN: Duration = Duration::from_millis(15);
+/// news that a host receives do not grow with the number of hosts. New generations are told after
+/// the shortest time, since others may choose the same engine meanwhile.
+const GATHER_MIN: Duration = Duration::from_millis(4);
 const GATHER_PER_PEER: Duration = Duration::from_millis(5);
 /// Silence after which a peer counts as one that can't be heard.
 const SILENT: Duration = Duration::from_millis(1_500);
@@ -158,8 +160,10 @@
         let wanted = self.wanted(&news);
         {
             let mut state = self.app.state();
-            state.dispatch.heard(now, name, news.engines, news.waiting);
-            state.allowances.heard(now, name, incarnation, news.spent.into_iter().collect());
+            state.dispatch.heard(now, name, &news);
+            let age = Duration::from_millis(news.age_ms);
+            let spent = news.spent.into_iter().collect();
+            state.allowances.heard(now, name, Told { incarnation, age, spent });
         }
         self.app.hear_refused(&news.refused);
         wanted
@@ -195,9 +199,11 @@
             configuration,
             store,
             servers,
+            age_ms: self.app.age().as_millis() as u64,
             spent: spent.map(|(name, tokens)| (name.clone(), *tokens)).collect(),
             engines: state.dispatch.engines(),
             waiting: state.dispatch.waiting(clock::now()),
+            failing: state.dispatch.failing(clock::now()),
             refused,
         }
     }
@@ -207,7 +213,8 @@
         let mut beats = timer.subscribe(HEARTBEAT);
         loop {
             tokio::select! {
-                () = self.app.news.notified() => sleep(self.gather()).await,
+                () = self.app.urgent_news.notified() => sleep(GATHER_MIN).await,
+                () = self.app.news.notified() => self.gather().await,
                 beat = beats.recv() => {
                     if beat.is_none() {
                         return;
@@ -223,9 +230,13 @@
         }
     }
 
-    fn gather(&self) -> Duration {
+    /// Waits while changes are gathered.
+    async fn gather(&self) {
         let peers = u32::try_from(self.peers().len()).unwrap_or(u32::MAX);
-        GATHER_MIN.max(GATHER_PER_PEER.saturating_mul(peers))
+        tokio::select! {
+            () = sleep(GATHER_MIN.max(GATHER_PER_PEER.saturating_mul(peers))) => {}
+            () = self.app.urgent_news.notified() => sleep(GATHER_MIN).await,
+        }
     }
 
     fn look_for_silent(&self) {
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -34,7 +35,7 @@
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum Error {
     /// could not connect to {0}: {1}
-    Connect(SocketAddr, String),
+    Connect(SocketAddr, Unreachable),
     /// call failed after it was sent: {0}
     Broken(String),
     /// no answer within {0} ms
@@ -47,6 +48,15 @@
 
 impl std::error::Error for Error {}
 
+/// Why a connection could not be opened.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Unreachable {
+    /// the address refuses connections
+    Refused,
+    /// {0}
+    Other(String),
+}
+
 /// A whole body.
 pub fn full(bytes: impl Into<Bytes>) -> Answer {
     Full::new(bytes.into()).boxed()
@@ -121,8 +131,11 @@
     limit: Duration,
     silence: Option<Duration>,
 ) -> Result<(Sender, Connection), Error> {
-    let failed = |error: String| Error::Connect(address, error);
+    let failed = |error: String| Error::Connect(address, Unreachable::Other(error));
     let tcp = match timeout(limit, TcpStream::connect(address)).await {
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(Error::Connect(address, Unreachable::Refused));
+        }
         Ok(opened) => opened.map_err(|error| failed(error.to_string()))?,
         Err(_) => return Err(failed("timed out".to_owned())),
     };
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -4,7 +4,7 @@
 //! read to its end. After a timeout or an error no connection that was open then is used again, so
 //! that a late answer meets no other call.
 
-use crate::http::{self, Error};
+use crate::http::{self, Error, Unreachable};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -216,7 +216,9 @@
         }
         match attempt(self.connect(end).await?, request).await? {
             Attempt::Answered(response, connection) => Ok((response, connection)),
-            Attempt::Unsent(_, error) => Err(Error::Connect(self.0.address, error)),
+            Attempt::Unsent(_, error) => {
+                Err(Error::Connect(self.0.address, Unreachable::Other(error)))
+            }
         }
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -376,12 +376,16 @@
     pub store: bool,
     /// Digest of the backend servers that this host knows.
     pub servers: u64,
+    /// How long the host's process has run, in milliseconds.
+    pub age_ms: u64,
     /// Tokens spent since the host started, by organisation, less those handed back.
     pub spent: Vec<(Arc<str>, i64)>,
     /// Engines at which something is under way.
     pub engines: Vec<EngineNews>,
     /// Ages of the requests that wait, in milliseconds, the oldest first.
     pub waiting: Vec<u32>,
+    /// Backend servers that failed the host lately.
+    pub failing: Vec<Arc<str>>,
     /// Callers that were refused lately: a hash of what they asked for, and how long ago they came
     /// first, in milliseconds.
     pub refused: Vec<(u64, u32)>,
