A watch that the store swallowed in an outage is found and given up

A server that left meanwhile was still used. Seen in the log: last answer about servers at 12.73 s, the next at 39.03 s. Ruled out: probes of the connection (it answers them), the other kinds' watches (they may be swallowed at the same moment). Now hosts' watches end at different times, 1.5 s a host; a call that goes unanswered after one that was answered makes this host and its peers list anew; so does a peer that knows other servers for 0.8 s.

--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -13,16 +13,26 @@
 use chestnutrack_process::timer::Timer;
 use chestnutrack_store::client::Client;
 use chestnutrack_store::error::Error;
-use chestnutrack_store::watcher::{self, Event, Update};
+use chestnutrack_store::watcher::{self, Control, Event, Update};
 use chestnutrack_wire::frame::ServerNews;
+use rand::Rng;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::watch;
 
-/// How long a watch waits. Connections that go silent are noticed by probes, not by its end.
-const WATCH: Duration = Duration::from_secs(25);
+/// How long a watch waits, for each host of the fleet, and at most. The platform's store may swallow
+/// a watch in an outage. The hosts' watches end at different times, and a host whose call goes
+/// unanswered tells its peers, which doubt their own: so any swallowed watch is noticed within about
+/// the time for one host, while the fleet's calls do not grow with the hosts.
+const WATCH_PER_HOST: Duration = Duration::from_millis(1_500);
+const WATCH_MAX: Duration = Duration::from_secs(20);
+/// How long peers are told of a call that went unanswered.
+const DOUBT_TOLD: Duration = Duration::from_secs(3);
+/// How long another host may know other servers before this host doubts what it knows.
+const DIFFERS_FOR: Duration = Duration::from_millis(800);
 /// Pause after an answer about the configuration; a change is in force well within two seconds.
 const CONFIG_PAUSE: Duration = Duration::from_millis(150);
 /// Pause after an answer about the backend servers; one that leaves gets nothing new well within two
@@ -55,6 +65,8 @@
     app: Arc<App>,
     directory: Directory,
     state: Mutex<State>,
+    config_watch: watch::Sender<Control>,
+    servers_watch: watch::Sender<Control>,
 }
 
 #[derive(Default)]
@@ -65,13 +77,20 @@
     /// When the store answered last about the configuration.
     config_at: Option<Instant>,
     config_up: bool,
+    /// When the calls under way were sent, at the earliest.
+    config_sent: Instant,
+    servers_sent: Instant,
+    /// When a call of this host last went unanswered.
+    doubted_at: Option<Instant>,
+    /// Since when a peer to which the store answers knows other servers.
+    differs_since: Option<Instant>,
 }
 
 /// How the store is watched, with a pause after each answer in which changes are gathered: each
 /// answer is a call of every host.
 pub fn watching(pause: Duration) -> watcher::Settings {
     watcher::Settings {
-        wait: WATCH,
+        wait: WATCH_MAX,
         pause,
         retry_min: RETRY.0,
         retry_max: RETRY.1,
@@ -82,7 +101,85 @@
 impl Follower {
     /// Follows nothing yet.
     pub fn new(app: Arc<App>, directory: Directory) -> Arc<Follower> {
-        Arc::new(Follower { app, directory, state: Mutex::default() })
+        let control = Control { wait: WATCH_PER_HOST, doubts: 0 };
+        Arc::new(Follower {
+            app,
+            directory,
+            state: Mutex::default(),
+            config_watch: watch::Sender::new(control),
+            servers_watch: watch::Sender::new(control),
+        })
+    }
+
+    /// Sets how long watches wait for a fleet of so many hosts.
+    pub fn set_hosts(&self, hosts: usize) {
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        let longest = WATCH_PER_HOST.saturating_mul(hosts).min(WATCH_MAX);
+        for watch in [&self.config_watch, &self.servers_watch] {
+            // Between half of the longest and all of it, so that hosts' watches end at different
+            // times.
+            watch.send_if_modified(|control| {
+                let other = control.wait > longest || control.wait < longest / 2;
+                if other {
+                    control.wait = longest.mul_f64(rand::rng().random_range(0.5..=1.0));
+                }
+                other
+            });
+        }
+    }
+
+    /// Doubts calls that were sent before a moment at which the store did not answer.
+    fn doubt(&self, at: Instant, why: &str) {
+        let mut state = self.state();
+        for (kind, sent, watch) in [
+            (self.directory.config_kind, state.config_sent, &self.config_watch),
+            (self.directory.servers_kind, state.servers_sent, &self.servers_watch),
+        ] {
+            if sent < at {
+                tracing::info!(kind, why, "watch doubted");
+                watch.send_modify(|control| control.doubts += 1);
+            }
+        }
+        let now = clock::now();
+        state.config_sent = state.config_sent.max(now);
+        state.servers_sent = state.servers_sent.max(now);
+    }
+
+    /// Notes that a call of this host failed, and whether the one before did not: only that says
+    /// something of the calls that others have under way.
+    fn note_doubt(&self, error: &Error, was_up: bool) {
+        if !was_up || !matches!(error, Error::Unknown(_)) {
+            return;
+        }
+        let now = clock::now();
+        self.state().doubted_at = Some(now);
+        self.doubt(now, "own call failed");
+    }
+
+    /// How long ago a call of this host went unanswered, in milliseconds, for peers.
+    pub fn doubted_ms(&self) -> Option<u32> {
+        let ago = clock::now().since(self.state().doubted_at?);
+        (ago < DOUBT_TOLD).then(|| u32::try_from(ago.as_millis()).unwrap_or(u32::MAX))
+    }
+
+    /// Takes in that a call of a peer went unanswered, and whether a peer to which the store answers
+    /// knows other servers.
+    pub fn hear_doubt(&self, doubted_ms: Option<u32>, differs: bool) {
+        let now = clock::now();
+        if let Some(ms) = doubted_ms {
+            self.doubt(now - Duration::from_millis(u64::from(ms)), "a peer's call failed");
+        }
+        let mut state = self.state();
+        if !differs {
+            state.differs_since = None;
+            return;
+        }
+        let since = *state.differs_since.get_or_insert(now);
+        if now.since(since) >= DIFFERS_FOR {
+            state.differs_since = None;
+            drop(state);
+            self.doubt(now, "a peer knows other servers");
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -118,12 +215,16 @@
 
     /// Follows the configuration until the process ends.
     pub async fn follow_config(self: Arc<Follower>, client: Client) {
-        let mut events = watcher::start(client, self.directory.config_kind, watching(CONFIG_PAUSE));
+        let (kind, control) = (self.directory.config_kind, self.config_watch.subscribe());
+        let mut events = watcher::start_controlled(client, kind, watching(CONFIG_PAUSE), control);
         while let Some(event) = events.recv().await {
+            self.state().config_sent = clock::now();
             let update = match event {
                 Event::Updated(update) => update,
                 Event::Failed { error, .. } => {
-                    self.state().config_up = is_answer(&error);
+                    let up = is_answer(&error);
+                    let was_up = std::mem::replace(&mut self.state().config_up, up);
+                    self.note_doubt(&error, was_up);
                     continue;
                 }
             };
@@ -163,8 +264,8 @@
 
     /// Follows the backend servers until the process ends.
     pub async fn follow_servers(self: Arc<Follower>, client: Client, timer: Timer) {
-        let mut events =
-            watcher::start(client, self.directory.servers_kind, watching(SERVERS_PAUSE));
+        let (kind, control) = (self.directory.servers_kind, self.servers_watch.subscribe());
+        let mut events = watcher::start_controlled(client, kind, watching(SERVERS_PAUSE), control);
         let mut looks = None;
         loop {
             tokio::select! {
@@ -185,12 +286,18 @@
     }
 
     fn note_failed(&self, error: &Error) {
+        let mut state = self.state();
+        state.servers_sent = clock::now();
+        let was_up = state.listing.is_up();
         if !is_answer(error) {
-            self.state().listing.note_failed();
+            state.listing.note_failed();
         }
+        drop(state);
+        self.note_doubt(error, was_up);
     }
 
     fn take_update(&self, update: Update) {
+        self.state().servers_sent = clock::now();
         let entries = update.objects.into_iter().map(|o| (o.name, o.version, o.value)).collect();
         self.take_entries(update.whole, entries);
     }
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -157,6 +157,8 @@
                 tracing::info!(peer = %name, "peer heard again");
             }
         }
+        let differs = news.store && news.servers != self.follower.digest();
+        self.follower.hear_doubt(news.doubted_ms, differs);
         let wanted = self.wanted(&news);
         {
             let mut state = self.app.state();
@@ -198,6 +200,7 @@
         News {
             configuration,
             store,
+            doubted_ms: self.follower.doubted_ms(),
             servers,
             age_ms: self.app.age().as_millis() as u64,
             spent: spent.map(|(name, tokens)| (name.clone(), *tokens)).collect(),
@@ -220,6 +223,7 @@
                         return;
                     }
                     self.look_for_silent();
+                    self.follower.set_hosts(self.peers().len() + 1);
                     self.follower.show_ages();
                 }
             }
--- a/crates/standin/tests/watcher.rs
+++ b/crates/standin/tests/watcher.rs
@@ -172,6 +172,27 @@
     assert_eq!(client.count().calls(Call::List), 2);
 }
 
+#[tokio::test]
+async fn a_watch_that_is_doubted_is_given_up_for_a_list() {
+    let list = |version: u64| -> &'static str {
+        let text = format!(r#"{{"version":{version},"objects":[]}}"#);
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{text}", text.len()).leak()
+    };
+    // The watch was swallowed: no answer ever comes.
+    let acts = vec![Act::Keep(list(5)), Act::Hold(""), Act::Keep(list(9)), Act::Hold("")];
+    let client = client(scripted(acts).await);
+    let wait = Duration::from_secs(60);
+    let (control, controlled) = tokio::sync::watch::channel(watcher::Control { wait, doubts: 0 });
+    let mut events = watcher::start_controlled(client.clone(), "sides", settings(), controlled);
+    let first = update(&mut events).await;
+    support::until(async || client.count().calls(Call::Watch) > 0).await;
+
+    control.send_modify(|control| control.doubts += 1);
+    let second = update(&mut events).await;
+
+    assert_eq!((first.version, second.version, second.whole), (5, 9, true));
+}
+
 #[tokio::test]
 async fn a_watcher_ends_with_its_reader() {
     let client = client(stand_in().await);
--- a/crates/store/src/watcher/mod.rs
+++ b/crates/store/src/watcher/mod.rs
@@ -13,7 +13,7 @@
 use chestnutrack_process::clock;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 pub use table::Table;
@@ -51,6 +51,15 @@
     }
 }
 
+/// What a reader asks of a running watcher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Control {
+    /// Longest time that one watch waits.
+    pub wait: Duration,
+    /// Grows when the call under way is doubted: it is given up, and a list follows.
+    pub doubts: u64,
+}
+
 /// What became of one call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -84,6 +93,17 @@
     client: Client,
     kind: impl Into<Arc<str>>,
     settings: Settings,
+) -> mpsc::Receiver<Event> {
+    let (_, control) = watch::channel(Control { wait: settings.wait, doubts: 0 });
+    start_controlled(client, kind, settings, control)
+}
+
+/// As [`start`], under the reader's control.
+pub fn start_controlled(
+    client: Client,
+    kind: impl Into<Arc<str>>,
+    settings: Settings,
+    control: watch::Receiver<Control>,
 ) -> mpsc::Receiver<Event> {
     let (events, receiver) = mpsc::channel(EVENTS_MAX);
     let kind = kind.into();
@@ -91,19 +111,32 @@
         let closed = events.clone();
         tokio::select! {
             () = closed.closed() => {}
-            () = follow(&client, &kind, &settings, &events) => {}
+            () = follow(&client, &kind, &settings, control, &events) => {}
         }
     });
     receiver
 }
 
-async fn follow(client: &Client, kind: &str, settings: &Settings, events: &mpsc::Sender<Event>) {
+async fn follow(
+    client: &Client,
+    kind: &str,
+    settings: &Settings,
+    mut control: watch::Receiver<Control>,
+    events: &mpsc::Sender<Event>,
+) {
     let mut table = Table::default();
     let mut backoff = Backoff::new(settings.retry_min, settings.retry_max);
     loop {
         let sent = clock::now();
         let whole = table.needs_list();
-        let answer = ask(client, kind, settings, &table).await;
+        let now = *control.borrow_and_update();
+        let answer = tokio::select! {
+            answer = ask(client, kind, now.wait, &table) => answer,
+            () = doubted(&mut control, now.doubts) => {
+                table.forget_version();
+                continue;
+            }
+        };
         let taken = answer.and_then(|list| table.take(list, whole, sent));
         let (event, pause) = match taken {
             Ok(update) => {
@@ -129,15 +162,18 @@
     }
 }
 
-async fn ask(
-    client: &Client,
-    kind: &str,
-    settings: &Settings,
-    table: &Table,
-) -> Result<List, Error> {
+/// Ends when the call under way is doubted.
+async fn doubted(control: &mut watch::Receiver<Control>, doubts: u64) {
+    if control.wait_for(|now| now.doubts != doubts).await.is_err() {
+        // Nobody is left to doubt it.
+        std::future::pending().await
+    }
+}
+
+async fn ask(client: &Client, kind: &str, wait: Duration, table: &Table) -> Result<List, Error> {
     if table.needs_list() {
         client.list(kind).await
     } else {
-        client.watch(kind, table.version(), settings.wait).await
+        client.watch(kind, table.version(), wait).await
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -374,6 +374,9 @@
     pub configuration: u64,
     /// Whether the platform's store answers this host.
     pub store: bool,
+    /// How long ago a call of this host to the store went unanswered, in milliseconds; absent where
+    /// none did lately.
+    pub doubted_ms: Option<u32>,
     /// Digest of the backend servers that this host knows.
     pub servers: u64,
     /// How long the host's process has run, in milliseconds.
