--- a/crates/forward/src/answer/mod.rs
+++ b/crates/forward/src/answer/mod.rs
@@ -65,6 +65,8 @@
     TooLarge,
     /// the body did not come in time
     BodyLate,
+    /// this host holds too many bodies
+    Crowded,
     /// the organisation's allowance is spent
     OverRate,
     /// no backend server has room in time
@@ -90,6 +92,7 @@
             Cause::BadHead => "bad_head",
             Cause::TooLarge => "too_large",
             Cause::BodyLate => "body_late",
+            Cause::Crowded => "crowded",
             Cause::OverRate => "over_rate",
             Cause::Full => "full",
             Cause::NoServer => "no_server",
@@ -137,6 +140,7 @@
             Cause::OverRate => StatusCode::TOO_MANY_REQUESTS,
             Cause::Unconfigured
             | Cause::Draining
+            | Cause::Crowded
             | Cause::Full
             | Cause::NoServer
             | Cause::Expired => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -1,9 +1,11 @@
 //! What every request of the process shares.
 
+mod body;
 mod limit;
 mod place;
 mod turn;
 
+pub use body::Held;
 pub use place::Place;
 pub use turn::{Target, Turn};
 
@@ -19,7 +21,7 @@
 use chestnutrack_process::pool::{self, Pool};
 use slotmap::SecondaryMap;
 use std::collections::{HashMap, VecDeque};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -38,6 +40,8 @@
     /// Repeats of requests that the fleet may send in a budget's window beyond a share of its
     /// requests.
     pub repeats: u32,
+    /// Bytes of requests' bodies that are held at once.
+    pub body_bytes: usize,
     /// Connections to backend servers.
     pub pool: pool::Settings,
     /// Bounds on decisions.
@@ -52,6 +56,7 @@
             failure_domain: "default".into(),
             first_start: true,
             repeats: 20,
+            body_bytes: 32 << 20,
             pool: pool::Settings {
                 connect: Duration::from_millis(300),
                 idle: Duration::from_millis(9_000),
@@ -90,6 +95,8 @@
     in_force: Mutex<Option<Arc<InForce>>>,
     state: Mutex<State>,
     repeats: AtomicU32,
+    /// Bytes of requests' bodies that are held now.
+    bodies: Arc<AtomicUsize>,
     draining: AtomicBool,
     started: Instant,
 }
@@ -118,6 +125,7 @@
         };
         App {
             repeats: AtomicU32::new(settings.repeats),
+            bodies: Arc::default(),
             settings,
             dialect,
             metrics,
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -202,6 +202,11 @@
         hasher.finish()
     }
 
+    /// Whether no server is known.
+    pub fn knows_none(&self) -> bool {
+        self.state().raw.is_empty()
+    }
+
     /// The servers that are known, for a peer.
     pub fn servers(&self) -> Vec<ServerNews> {
         let state = self.state();
@@ -335,7 +340,7 @@
 
     /// Takes in the servers that a peer knows, while the store doesn't answer this host.
     pub fn hear_servers(&self, peer: &str, servers: Vec<ServerNews>) {
-        if self.is_up() {
+        if self.is_up() && !self.knows_none() {
             return;
         }
         tracing::info!(peer, servers = servers.len(), "servers heard from a peer");
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -172,11 +172,12 @@
     }
 
     /// What this host asks a peer for: a newer configuration, and the servers where the store
-    /// answers the peer but not this host.
+    /// answers the peer but not this host, or this host has just started.
     fn wanted(&self, news: &News) -> Option<Frame> {
         let (configuration, servers) = (self.app.version(), self.follower.digest());
         let newer = news.configuration > configuration;
-        let others = news.store && !self.follower.is_up() && news.servers != servers;
+        let better = news.store && !self.follower.is_up() || self.follower.knows_none();
+        let others = better && news.servers != servers;
         (newer || others).then_some(Frame::Want { configuration, servers })
     }
 
@@ -187,7 +188,7 @@
             let version = newer.table.config().version;
             return Some(Frame::Configuration { version, document: newer.raw.clone() });
         }
-        let differ = self.follower.is_up() && self.follower.digest() != servers;
+        let differ = self.follower.digest() != servers;
         differ.then(|| Frame::Servers(self.follower.servers()))
     }
 
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -1,13 +1,14 @@
 //! A caller's request, from its head to its answer.
 
 use crate::answer::{Body, Cause, Refusal};
-use crate::app::App;
+use crate::app::{App, Held};
 use crate::attempt::{self, Job};
 use crate::config::{Limits, Organisation, Route, Table};
 use crate::dialect::{Ask, Generation};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use chestnutrack_core::time::Instant;
-use chestnutrack_process::{clock, http};
+use chestnutrack_process::clock;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
@@ -19,6 +20,8 @@
 
 /// When to come back to a host that knows no configuration yet.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
+/// When to come back to a host that holds too many bodies.
+const CROWDED_RETRY: Duration = Duration::from_millis(500);
 /// Route and identifier in a log line of a request that has none.
 const NONE: &str = "-";
 
@@ -61,7 +64,7 @@
     let route = route(table, &parts)?.clone();
     let organisation = owner(table, &route, ask.key.as_deref())?.cloned();
     let limit = ask.deadline.unwrap_or(route.timeout).min(route.timeout);
-    let body = read(body, &table.config().limits, limit).await?;
+    let (body, _held) = read(&app, body, &table.config().limits, limit).await?;
     let service = route.service(rand::random()).cloned().ok_or(Refusal::new(Cause::NoServer))?;
     let caller = ask.generation.as_ref().and_then(caller);
     let first = caller.and_then(|caller| app.first_seen(caller)).unwrap_or(arrived);
@@ -142,10 +145,30 @@
     Some(hasher.finish())
 }
 
-async fn read(body: Incoming, limits: &Limits, within: Duration) -> Result<Bytes, Refusal> {
-    match timeout(within, http::read(body, limits.body_bytes)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(http::Error::TooLarge(_))) => Err(Refusal::new(Cause::TooLarge)),
-        Ok(Err(_)) | Err(_) => Err(Refusal::new(Cause::BodyLate)),
+/// A request's body, and the memory that it holds.
+async fn read(
+    app: &App,
+    body: Incoming,
+    limits: &Limits,
+    within: Duration,
+) -> Result<(Bytes, Held), Refusal> {
+    let whole = timeout(within, collect(app, body, limits.body_bytes)).await;
+    whole.unwrap_or(Err(Refusal::new(Cause::BodyLate)))
+}
+
+async fn collect(app: &App, mut body: Incoming, most: usize) -> Result<(Bytes, Held), Refusal> {
+    let mut held = app.hold();
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::new(Cause::BodyLate))?;
+        let Ok(bytes) = frame.into_data() else { continue };
+        if whole.len() + bytes.len() > most {
+            return Err(Refusal::new(Cause::TooLarge));
+        }
+        if !held.grow(bytes.len(), app.settings.body_bytes) {
+            return Err(Refusal::until(Cause::Crowded, CROWDED_RETRY));
+        }
+        whole.extend_from_slice(&bytes);
     }
+    Ok((whole.freeze(), held))
 }
