Engines are split by demand; first tokens are forecast with the prefill's queue; tests of the deciding code

Now a turn takes the prefill's queue into the time to the first token, and an engine is looked at again before it is given the prompt. A plain server without room was still drawn beside others (test found it).

--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -1,9 +1,9 @@
 //! Engines: what runs on them, and which one a generation goes to.
 
-use super::{Ask, Dispatch, Key, Run, Stage};
+use super::{Ask, Dispatch, Key, Run, Server, Stage, stage};
 use crate::forecast::{self, peak};
 use crate::time::Instant;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Tokens that a generation makes in a millisecond before any was seen.
@@ -12,10 +12,15 @@
 const TOKENS_PER_MS_BOUNDS: (f64, f64) = (0.02, 20.0);
 /// Weight of a new speed or length.
 const SMOOTHING: f64 = 0.1;
+/// Weight of a prefill that was faster, or slower, than known.
+const SMOOTHING_FASTER: f64 = 0.2;
+const SMOOTHING_SLOWER: f64 = 0.01;
 /// Prompt tokens that an engine prefills in a millisecond before any was seen.
 const PREFILL_PER_MS: f64 = 50.0;
 /// Bounds of what is taken for the speed of a prefill, in tokens a millisecond.
 const PREFILL_PER_MS_BOUNDS: (f64, f64) = (0.5, 5_000.0);
+/// Time from a prefilled prompt to the first token.
+const GENERATE: Duration = Duration::from_millis(60);
 /// Time that a transfer between failure domains is taken to cost beside one within, in milliseconds.
 const TRANSFER_MS: f64 = 25.0;
 /// Engines with room that one choice looks at: hosts choose on news that are a little old, and would
@@ -67,11 +72,20 @@
     pub(super) length: Length,
     pub(super) prefill_per_ms: f64,
     pub(super) kv_tokens: u64,
+    pub(super) known: stage::Known,
+    /// When the split of its engines was last changed.
+    pub(super) changed_at: Option<Instant>,
 }
 
 impl Default for Pool {
     fn default() -> Pool {
-        Pool { length: Length::default(), prefill_per_ms: PREFILL_PER_MS, kv_tokens: 0 }
+        Pool {
+            length: Length::default(),
+            prefill_per_ms: PREFILL_PER_MS,
+            kv_tokens: 0,
+            known: stage::Known::default(),
+            changed_at: None,
+        }
     }
 }
 
@@ -81,6 +95,8 @@
     pub(super) decode: Key,
     pub(super) prefill: Option<Key>,
     pub(super) prompt: u64,
+    /// Prompt tokens before its own at the engine that prefills, with its own.
+    prefilled_after: f64,
     pub(super) memory: forecast::Run,
     /// When the last tokens came.
     at: Option<Instant>,
@@ -95,7 +111,16 @@
 }
 
 /// Runs on every engine, its own and the peers', by engine.
-pub(super) type Loads = HashMap<Key, Vec<forecast::Run>>;
+pub(super) type Loads = BTreeMap<Key, Vec<forecast::Run>>;
+
+impl Server {
+    /// Whether a new request of a service may be given to it as an engine of a stage.
+    fn serves(&self, now: Instant, service: &str, stage: Stage) -> bool {
+        let suits = self.entry.stage == Some(stage) && &*self.entry.service == service;
+        let usable = self.is_open() && self.changing_until <= now;
+        suits && usable && self.health.is_sound(now, self.running)
+    }
+}
 
 impl<T> Dispatch<T> {
     /// Sets the memory of a service's engines, in tokens.
@@ -127,12 +152,10 @@
         let pool = self.pools.get(&ask.service)?;
         let room = pool.kv_tokens as f64 * self.settings.memory;
         let fresh = ask.memory(&pool.length);
-        let candidates = self.servers.iter().filter(|(_, server)| {
-            server.entry.stage == Some(Stage::Decode)
-                && server.entry.service == ask.service
-                && server.is_open()
-                && server.health.is_sound(now, server.running)
-        });
+        let candidates = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.serves(now, &ask.service, Stage::Decode));
         let mut candidates: Vec<_> = candidates.collect();
         candidates.sort_by_key(|(key, _)| spread(*key, draw));
         let fitting = candidates.into_iter().filter_map(|(key, server)| {
@@ -161,36 +184,67 @@
     ) -> Option<Key> {
         let per_ms = self.pools.get(&ask.service)?.prefill_per_ms;
         let domain = self.servers.get(decode).map(|server| server.entry.failure_domain.clone());
-        let candidates = self.servers.iter().filter(|(_, server)| {
-            server.entry.stage == Some(Stage::Prefill)
-                && server.entry.service == ask.service
-                && server.is_open()
-                && server.health.is_sound(now, server.running)
-        });
+        let candidates = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.serves(now, &ask.service, Stage::Prefill));
         let ranked = candidates.map(|(key, server)| {
-            let peers = self.peers.values().map(|peer| peer.prefilling(&server.entry.name));
-            let ahead = server.prefilling + peers.sum::<u64>();
             let far = Some(&server.entry.failure_domain) != domain.as_ref();
             let transfer = if far { TRANSFER_MS } else { 0.0 };
             let suspected = self.is_suspected(now, server);
-            ((suspected, (ahead as f64 / per_ms + transfer) as u64, spread(key, draw)), key)
+            let millis = self.prefilling(now, server, per_ms) / per_ms + transfer;
+            ((suspected, millis as u64, spread(key, draw)), key)
         });
         ranked.min().map(|(_, key)| key)
     }
 
+    /// Prompt tokens that wait at an engine, of this host and its peers.
+    fn prefilling(&self, now: Instant, server: &Server, per_ms: f64) -> f64 {
+        let peers = self.peers.values();
+        let peers = peers.map(|peer| peer.prefilling(now, &server.entry.name, per_ms));
+        server.prefilling as f64 + peers.sum::<f64>()
+    }
+
+    /// How long a request takes from its turn to its first token.
+    pub(super) fn first_token_in(&self, now: Instant, ask: &Ask) -> Duration {
+        let Some(pool) = self.pools.get(&ask.service).filter(|_| !ask.prefilled) else {
+            return GENERATE;
+        };
+        let per_ms = pool.prefill_per_ms;
+        let engines = self.servers.values();
+        let engines = engines.filter(|server| server.serves(now, &ask.service, Stage::Prefill));
+        let ahead = engines.map(|server| self.prefilling(now, server, per_ms));
+        let prompt = ask.prompt_tokens as f64;
+        let millis = match ahead.min_by(f64::total_cmp) {
+            Some(ahead) => (ahead + prompt) / per_ms,
+            // The engine that generates prefills as well, at half the speed.
+            None => 2.0 * prompt / per_ms,
+        };
+        GENERATE + Duration::from_secs_f64(millis / 1_000.0)
+    }
+
     /// Takes places for a request.
     pub(super) fn place(&mut self, now: Instant, ask: &Ask, decode: Key) -> Placement {
         let draw = self.draw();
         let prefill = if ask.prefilled { None } else { self.prefill_for(now, ask, decode, draw) };
-        let length = self.pools.get(&ask.service).map(|pool| pool.length).unwrap_or_default();
+        let pool = self.pools.get(&ask.service).copied().unwrap_or_default();
+        let ahead = prefill.and_then(|key| self.servers.get(key));
+        let ahead = ahead.map(|server| self.prefilling(now, server, pool.prefill_per_ms));
         let run = self.runs.insert(Running {
             decode,
             prefill,
             prompt: ask.prompt_tokens,
-            memory: ask.memory(&length),
+            prefilled_after: ahead.unwrap_or(0.0) + ask.prompt_tokens as f64,
+            memory: ask.memory(&pool.length),
             at: None,
         });
         self.servers[decode].running += 1;
+        if let Some(pool) = self.pools.get_mut(&ask.service)
+            && !ask.urgent
+        {
+            let memory = self.runs[run].memory;
+            pool.known.note(memory.context, memory.expected, self.servers[decode].tokens_per_ms);
+        }
         if let Some(server) = prefill.and_then(|key| self.servers.get_mut(key)) {
             server.running += 1;
             server.prefilling += ask.prompt_tokens;
@@ -201,16 +255,21 @@
     /// Notes that a generation's prompt was prefilled, or that its prefill is given up.
     pub fn prefilled(&mut self, run: Run, took: Option<Duration>) {
         let Some(running) = self.runs.get_mut(run) else { return };
-        let (prompt, prefill) = (running.prompt, running.prefill.take());
+        let (prompt, after, prefill) =
+            (running.prompt, running.prefilled_after, running.prefill.take());
         let Some(server) = prefill.and_then(|key| self.servers.get_mut(key)) else { return };
-        let ahead = server.prefilling;
         server.running -= 1;
         server.prefilling -= prompt;
         let service = server.entry.service.clone();
         if let (Some(took), Some(pool)) = (took, self.pools.get_mut(&service)) {
             let (least, most) = PREFILL_PER_MS_BOUNDS;
-            let seen = ahead as f64 / (took.as_secs_f64() * 1_000.0).max(1.0);
-            pool.prefill_per_ms += SMOOTHING * (seen.clamp(least, most) - pool.prefill_per_ms);
+            let seen = after / (took.as_secs_f64() * 1_000.0).max(1.0);
+            let seen = seen.clamp(least, most);
+            // What this host does not know of slows a prefill down; the fastest show what an
+            // engine can do.
+            let faster = seen > pool.prefill_per_ms;
+            let weight = if faster { SMOOTHING_FASTER } else { SMOOTHING_SLOWER };
+            pool.prefill_per_ms += weight * (seen - pool.prefill_per_ms);
         }
     }
 
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod engine;
 mod news;
 mod plain;
+mod stage;
 #[cfg(test)]
 mod tests;
 mod turn;
@@ -22,11 +23,12 @@
 use crate::forecast;
 use crate::health::Health;
 use crate::listing;
+use crate::plan;
 use crate::queue::{self, Queue};
 use crate::time::Instant;
 use news::Peer;
 use slotmap::{SlotMap, new_key_type};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,6 +94,8 @@
     pub memory: f64,
     /// Waiting requests.
     pub queue: queue::Settings,
+    /// How engines are split between prefilling and generating.
+    pub plan: plan::Settings,
     /// How long a request waits whose first token is late already.
     pub late_wait: Duration,
     /// Shortest and longest time after which refused callers are asked to come back.
@@ -104,6 +108,7 @@
             forecast: forecast::Settings::default(),
             memory: 0.98,
             queue: queue::Settings::default(),
+            plan: plan::Settings::default(),
             late_wait: Duration::from_millis(2_000),
             retry: (Duration::from_millis(300), Duration::from_millis(8_000)),
         }
@@ -124,6 +129,8 @@
     tokens_per_ms: f64,
     /// Another server answered at its address: it is gone, unless its entry changes.
     replaced: bool,
+    /// It changes its stage until then.
+    changing_until: Instant,
 }
 
 impl Server {
@@ -143,7 +150,8 @@
     runs: SlotMap<Run, engine::Running>,
     pools: HashMap<Arc<str>, engine::Pool>,
     queue: Queue<(Ask, T)>,
-    peers: HashMap<Arc<str>, Peer>,
+    /// In the order of their names, so that a run repeats exactly.
+    peers: BTreeMap<Arc<str>, Peer>,
     promises: turn::Promises,
     draws: u64,
 }
@@ -159,7 +167,7 @@
             runs: SlotMap::with_key(),
             pools: HashMap::new(),
             queue: Queue::new(settings.queue),
-            peers: HashMap::new(),
+            peers: BTreeMap::new(),
             promises: turn::Promises::default(),
             draws: 0,
         }
@@ -171,6 +179,9 @@
             let server = &mut self.servers[key];
             if server.entry.address == entry.address && server.entry.born == entry.born {
                 server.replaced &= server.entry == entry;
+                if server.entry.stage != entry.stage {
+                    server.changing_until = Instant::default();
+                }
                 server.entry = entry;
                 return key;
             }
@@ -185,6 +196,7 @@
             prefilling: 0,
             tokens_per_ms: engine::TOKENS_PER_MS,
             replaced: false,
+            changing_until: Instant::default(),
         };
         let key = self.servers.insert(server);
         self.names.insert(name, key);
@@ -208,6 +220,11 @@
         self.servers.get(key).map(|server| &server.entry)
     }
 
+    /// Whether a server may still be given a new request.
+    pub fn is_open(&self, key: Key) -> bool {
+        self.servers.get(key).is_some_and(Server::is_open)
+    }
+
     /// Notes how a server met a connection or an answer.
     pub fn note(&mut self, now: Instant, key: Key, met: Met) {
         let Some(server) = self.servers.get_mut(key) else { return };
--- a/crates/core/src/dispatch/news.rs
+++ b/crates/core/src/dispatch/news.rs
@@ -3,7 +3,7 @@
 use super::{Dispatch, Key, Server};
 use crate::forecast;
 use crate::time::Instant;
-use chestnutrack_wire::frame::{EngineNews, News, RunNews};
+use chestnutrack_wire::frame::{DemandNews, EngineNews, News, RunNews};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
     waiting: Vec<u32>,
     /// Servers that failed it lately.
     failing: Vec<Arc<str>>,
+    /// What its requests are like.
+    demand: Vec<DemandNews>,
 }
 
 impl Peer {
@@ -46,10 +48,12 @@
         runs
     }
 
-    /// Prompt tokens that it waits for to be prefilled at an engine.
-    pub(super) fn prefilling(&self, server: &str) -> u64 {
+    /// Prompt tokens that it waits for to be prefilled at an engine that prefills so many in a
+    /// millisecond.
+    pub(super) fn prefilling(&self, now: Instant, server: &str, per_ms: f64) -> f64 {
         let told = self.engines.iter().find(|engine| &*engine.server == server);
-        told.map_or(0, |engine| u64::from(engine.prefilling))
+        let done = now.since(self.at).as_secs_f64() * 1_000.0 * per_ms;
+        told.map_or(0.0, |engine| (f64::from(engine.prefilling) - done).max(0.0))
     }
 
     /// How many of its waiting requests are older than one that arrived then.
@@ -59,6 +63,11 @@
         self.waiting.iter().filter(older).count()
     }
 
+    /// What its requests to a service are like.
+    pub(super) fn demand(&self, service: &str) -> Option<&DemandNews> {
+        self.demand.iter().find(|demand| &*demand.service == service)
+    }
+
     /// How many requests wait there.
     pub(super) fn waiting(&self) -> usize {
         self.waiting.len()
@@ -120,6 +129,7 @@
             engines: news.engines.clone(),
             waiting: news.waiting.clone(),
             failing: news.failing.clone(),
+            demand: news.demand.clone(),
         };
         self.peers.insert(peer.clone(), peer_news);
     }
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -71,18 +71,17 @@
         let candidates = self.servers.iter().filter(|(key, server)| {
             &*server.entry.service == service && server.is_open() && !passed_over.contains(key)
         });
-        let mut candidates: Vec<(Key, &Server)> = candidates.collect();
-        candidates.sort_by_key(|(key, server)| {
+        let class = |server: &Server| {
             let unsound = !server.health.is_sound(now, server.running);
-            let full = server.record.full_until > now;
-            (unsound, self.is_suspected(now, server), full, spread(*key, draw))
-        });
-        let sound = |server: &Server| server.health.is_sound(now, server.running);
-        let first_is_sound = candidates.first().is_some_and(|(_, server)| sound(server));
+            (unsound, self.is_suspected(now, server), server.record.full_until > now)
+        };
+        let mut candidates: Vec<(Key, &Server)> = candidates.collect();
+        candidates.sort_by_key(|(key, server)| (class(server), spread(*key, draw)));
+        let best = class(candidates.first()?.1);
         let looked_at = candidates.into_iter().take(CANDIDATES);
-        let ranked = looked_at.filter(|(_, server)| sound(server) == first_is_sound);
+        let usable = looked_at.filter(|(_, server)| class(server) == best);
         let cost = |server: &Server| server.record.cost(now, server.running);
-        let (key, _) = ranked.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)))?;
+        let (key, _) = usable.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)))?;
         self.servers[key].running += 1;
         Some(key)
     }
--- /dev/null
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -0,0 +1,271 @@
+//! Single choices.
+
+use super::world::{entry, service};
+use crate::dispatch::{Ask, Dispatch, Effect, Ended, Entry, Met, Placement, Settings, Stage};
+use crate::time::Instant;
+use chestnutrack_wire::frame::{EngineNews, News, RunNews};
+use std::time::Duration;
+
+const NOW: Instant = Instant::from_millis(1_000_000);
+const KV_TOKENS: u64 = 20_000;
+
+fn dispatch(decode: usize, prefill: usize) -> Dispatch<u32> {
+    let mut dispatch = Dispatch::new(Settings::default(), "a".into());
+    dispatch.set_memory(&service(), KV_TOKENS);
+    for engine in 0..decode + prefill {
+        dispatch.put(entry(engine, engine < decode));
+    }
+    dispatch
+}
+
+fn ask() -> Ask {
+    Ask {
+        service: service(),
+        organisation: "orchard".into(),
+        prompt_tokens: 5_000,
+        output_tokens: 2_000,
+        hint: Some(1_000),
+        arrived: NOW,
+        first_by: Some(NOW + Duration::from_millis(900)),
+        deadline: NOW + Duration::from_secs(14),
+        urgent: false,
+        prefilled: false,
+    }
+}
+
+fn go(dispatch: &mut Dispatch<u32>, ask: Ask) -> Option<Placement> {
+    match dispatch.ask(NOW, ask, 0) {
+        Err(Effect::Go(_, placement)) => Some(placement),
+        _ => None,
+    }
+}
+
+fn name(dispatch: &Dispatch<u32>, placement: Option<Placement>) -> String {
+    let entry = placement.and_then(|placement| dispatch.entry(placement.decode));
+    entry.map(|entry| entry.name.to_string()).unwrap_or_default()
+}
+
+#[test]
+fn a_generation_goes_where_memory_will_hold_it() {
+    let mut dispatch = dispatch(2, 1);
+
+    let placed = (0..8).map_while(|_| go(&mut dispatch, ask())).count();
+
+    // Three of 5,000 tokens that grow to 6,000 fit into each engine.
+    assert_eq!(placed, 6);
+}
+
+#[test]
+fn what_peers_have_under_way_counts() {
+    let mut dispatch = dispatch(1, 1);
+    let run = RunNews { context: 9_000, made: 100, expected: 1_000, most: 2_000 };
+    let engines = vec![EngineNews { server: "e0".into(), runs: vec![run; 2], prefilling: 0 }];
+
+    dispatch.heard(NOW, &"peer".into(), &News { engines, ..News::default() });
+
+    assert_eq!(go(&mut dispatch, ask()), None);
+    dispatch.gone("peer");
+    assert!(go(&mut dispatch, ask()).is_some());
+}
+
+#[test]
+fn an_engine_that_leaves_changes_was_replaced_or_fails_is_passed_over() {
+    type Change = fn(&mut Dispatch<u32>);
+    let changes: [Change; 5] = [
+        |dispatch| {
+            dispatch.put(Entry { leaving: true, ..entry(0, true) });
+        },
+        |dispatch| dispatch.note_changing(NOW, "e0", Duration::from_secs(6)),
+        |dispatch| {
+            let key = dispatch.put(entry(0, true));
+            dispatch.note_replaced(key);
+        },
+        |dispatch| {
+            let key = dispatch.put(entry(0, true));
+            dispatch.note(NOW, key, Met::Refusal);
+        },
+        |dispatch| {
+            dispatch.remove("e0");
+        },
+    ];
+    for change in changes {
+        let mut dispatch = dispatch(2, 1);
+        change(&mut dispatch);
+
+        let chosen: Vec<String> = (0..3)
+            .map(|_| {
+                let placement = go(&mut dispatch, ask());
+                name(&dispatch, placement)
+            })
+            .collect();
+
+        assert_eq!(chosen, ["e1", "e1", "e1"]);
+    }
+}
+
+#[test]
+fn an_entry_that_changes_ends_what_was_thought_of_a_replaced_server() {
+    let mut dispatch = dispatch(1, 1);
+    let key = dispatch.put(entry(0, true));
+    dispatch.note_replaced(key);
+    let before = go(&mut dispatch, ask());
+
+    dispatch.put(Entry { born: Some(2), ..entry(0, true) });
+
+    assert_eq!(before, None);
+    assert!(go(&mut dispatch, ask()).is_some());
+}
+
+#[test]
+fn an_engine_that_failed_a_peer_is_the_last_choice() {
+    let mut dispatch = dispatch(2, 1);
+    let news = News { failing: vec!["e1".into()], ..News::default() };
+
+    dispatch.heard(NOW, &"peer".into(), &news);
+
+    let chosen: Vec<String> = (0..4)
+        .map(|_| {
+            let placement = go(&mut dispatch, ask());
+            name(&dispatch, placement)
+        })
+        .collect();
+    assert_eq!(chosen, ["e0", "e0", "e0", "e1"]);
+}
+
+#[test]
+fn a_request_whose_prompt_would_wait_too_long_is_refused() {
+    let mut dispatch = dispatch(4, 1);
+    let engines = vec![EngineNews { server: "e4".into(), runs: vec![], prefilling: 60_000 }];
+
+    dispatch.heard(NOW, &"peer".into(), &News { engines, ..News::default() });
+
+    assert_eq!(go(&mut dispatch, ask()), None);
+}
+
+#[test]
+fn without_an_engine_that_prefills_the_one_that_generates_does() {
+    let mut dispatch = dispatch(1, 0);
+
+    let placement = go(&mut dispatch, ask()).unwrap();
+
+    assert_eq!(placement.prefill, None);
+}
+
+#[test]
+fn a_request_that_waits_has_its_turn_when_room_comes_and_is_refused_when_it_is_late() {
+    let mut dispatch = dispatch(1, 1);
+    let first = go(&mut dispatch, ask()).unwrap();
+    for _ in 0..2 {
+        let placement = go(&mut dispatch, ask()).unwrap();
+        dispatch.prefilled(placement.run, Some(Duration::from_millis(100)));
+        dispatch.made(NOW, placement.run, 900);
+    }
+    dispatch.prefilled(first.run, Some(Duration::from_millis(100)));
+    dispatch.made(NOW, first.run, 990);
+    let waits = [dispatch.ask(NOW, ask(), 1), dispatch.ask(NOW, ask(), 2)];
+    let waiting = waits.iter().filter(|wait| wait.is_ok()).count();
+    let before = dispatch.tick(NOW).len();
+
+    dispatch.ended(first.run, true);
+    let turn = dispatch.tick(NOW);
+    let late = dispatch.tick(NOW + Duration::from_secs(1));
+
+    assert_eq!((waiting, before), (2, 0));
+    assert!(matches!(turn[..], [Effect::Go(1, _)]), "{turn:?}");
+    assert!(matches!(late[..], [Effect::Refuse(2, _)]), "{late:?}");
+}
+
+#[test]
+fn an_older_request_that_waits_at_a_peer_has_its_room_first() {
+    let mut dispatch = dispatch(1, 1);
+    for _ in 0..2 {
+        go(&mut dispatch, ask()).unwrap();
+    }
+    let older = News { waiting: vec![500], ..News::default() };
+
+    dispatch.heard(NOW, &"peer".into(), &older);
+
+    assert_eq!(go(&mut dispatch, ask()), None);
+}
+
+#[test]
+fn callers_that_are_refused_are_asked_back_one_after_the_other() {
+    let mut dispatch = dispatch(1, 1);
+    for made in [0, 300, 600] {
+        let placement = go(&mut dispatch, ask()).unwrap();
+        dispatch.made(NOW, placement.run, made);
+    }
+    let late = Ask { first_by: Some(NOW + Duration::from_millis(100)), ..ask() };
+
+    let mut again = Vec::new();
+    for _ in 0..3 {
+        if let Err(Effect::Refuse(_, refusal)) = dispatch.ask(NOW, late.clone(), 0) {
+            again.push(refusal.retry_after);
+        }
+    }
+
+    assert_eq!(again.len(), 3);
+    assert!(again.is_sorted_by(|left, right| left < right), "{again:?}");
+}
+
+#[test]
+fn a_plain_service_that_answers_slowly_or_with_errors_gets_little() {
+    let took = Duration::from_millis;
+    for (name, bad) in [("slow", Ended::Answered(took(400))), ("errors", Ended::Failed(took(50)))] {
+        let mut dispatch: Dispatch<u32> = Dispatch::new(Settings::default(), "a".into());
+        for server in 0..4 {
+            dispatch.put(Entry { stage: None, ..entry(server, false) });
+        }
+        let mut to_bad = 0;
+        for request in 0..400 {
+            let now = NOW + took(request * 20);
+            let key = dispatch.plain(now, &service(), &[]).unwrap();
+            let is_bad = &*dispatch.entry(key).unwrap().name == "e0";
+            to_bad += u32::from(is_bad);
+            let ended = if is_bad { bad } else { Ended::Answered(took(50)) };
+            dispatch.plain_ended(now, key, ended);
+        }
+
+        assert!(to_bad < 40, "{name}: {to_bad} of 400");
+    }
+}
+
+#[test]
+fn a_plain_service_that_is_passed_over_or_full_is_not_chosen_beside_others() {
+    let mut dispatch: Dispatch<u32> = Dispatch::new(Settings::default(), "a".into());
+    let keys: Vec<_> =
+        (0..3).map(|server| dispatch.put(Entry { stage: None, ..entry(server, false) })).collect();
+    while dispatch.plain(NOW, &service(), &[keys[0], keys[2]]).is_none() {}
+    dispatch.plain_ended(NOW, keys[1], Ended::Full);
+
+    let chosen: Vec<_> = (0..20).map(|_| dispatch.plain(NOW, &service(), &keys[..1])).collect();
+
+    assert!(chosen.iter().all(|key| *key == Some(keys[2])), "{chosen:?}");
+}
+
+#[test]
+fn engines_change_their_stage_once_their_requests_are_known() {
+    let mut dispatch = dispatch(4, 4);
+    dispatch.set_memory(&service(), 75_461);
+    let before = dispatch.changes(NOW, &service());
+    let long = Ask { prompt_tokens: 5_200, hint: Some(4_100), output_tokens: 7_670, ..ask() };
+    let later = NOW + Duration::from_secs(1);
+    for _ in 0..20 {
+        let ask = Ask { first_by: Some(NOW + Duration::from_secs(20)), ..long.clone() };
+        if let Some(placement) = go(&mut dispatch, ask) {
+            dispatch.prefilled(placement.run, Some(Duration::from_millis(100)));
+        }
+    }
+
+    let changes = dispatch.changes(later, &service());
+    for (key, _) in &changes {
+        let name = dispatch.entry(*key).unwrap().name.clone();
+        dispatch.note_changing(later, &name, Duration::from_secs(6));
+    }
+    let at_once = dispatch.changes(later, &service());
+
+    assert_eq!(before, []);
+    assert!(!changes.is_empty());
+    assert!(changes.iter().all(|(_, stage)| *stage == Stage::Decode), "{changes:?}");
+    assert_eq!(at_once, []);
+}
--- /dev/null
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -0,0 +1,3 @@
+mod choice;
+mod load;
+mod world;
--- a/crates/core/src/dispatch/turn.rs
+++ b/crates/core/src/dispatch/turn.rs
@@ -30,8 +30,8 @@
     pub hint: Option<u64>,
     /// When it arrived.
     pub arrived: Instant,
-    /// When its turn must come for its first token to be in time; absent where it is late already.
-    pub target: Option<Instant>,
+    /// When its first token must come; absent where that is late already.
+    pub first_by: Option<Instant>,
     /// When it must have ended.
     pub deadline: Instant,
     /// Work was done for it already that is in vain if it has to wait: its turn is the next.
@@ -90,11 +90,7 @@
         {
             return Err(Effect::Go(item, self.place(now, &ask, decode)));
         }
-        let until = match ask.target {
-            Some(target) => target,
-            None => now + self.settings.late_wait,
-        };
-        let until = until.min(ask.deadline);
+        let until = self.turn_by(now, &ask).min(ask.deadline);
         let ahead = self.waiting_in_all();
         let expected = self.ends_in(now, &ask.service, ahead + 1);
         if expected.is_none_or(|wait| now + wait > until) {
@@ -106,7 +102,7 @@
             may_wait: false,
             tokens: ask.prompt_tokens + ask.output_tokens,
             arrived: ask.arrived,
-            target: ask.target.unwrap_or(now),
+            target: if ask.first_by.is_some() { until } else { now },
             deadline: until,
             returned: ask.urgent,
             item: (ask, item),
@@ -158,10 +154,25 @@
         Some((item, self.place(now, &ask, decode)))
     }
 
+    /// When a request's turn must come.
+    fn turn_by(&self, now: Instant, ask: &Ask) -> Instant {
+        match ask.first_by {
+            Some(first_by) => first_by - self.first_token_in(now, ask),
+            None => now + self.settings.late_wait,
+        }
+    }
+
     /// The engine for a request, once older requests that wait at peers have theirs.
     fn turn_for(&self, now: Instant, ask: &Ask, loads: &Loads, draw: u64) -> Option<Key> {
+        let in_time = match ask.first_by {
+            Some(first_by) => now + self.first_token_in(now, ask) <= first_by,
+            None => self.first_token_in(now, ask) <= self.settings.late_wait,
+        };
+        if !in_time {
+            return None;
+        }
         let ahead: usize = self.peers.values().map(|peer| peer.ahead(now, ask.arrived)).sum();
-        if ahead == 0 {
+        if ahead == 0 || ask.urgent {
             return self.decode_for(now, ask, loads, draw);
         }
         let mut loads = loads.clone();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod listing;
 pub mod member;
 pub mod place;
+pub mod plan;
 pub mod queue;
 pub mod retry;
 pub mod server;
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -40,6 +40,8 @@
     /// Repeats of requests that the fleet may send in a budget's window beyond a share of its
     /// requests.
     pub repeats: u32,
+    /// Time that must lie between the orders of two hosts to engines.
+    pub lease: Duration,
     /// Bytes of requests' bodies that are held at once.
     pub body_bytes: usize,
     /// Connections to backend servers.
@@ -56,6 +58,7 @@
             failure_domain: "default".into(),
             first_start: true,
             repeats: 20,
+            lease: Duration::from_secs(3),
             body_bytes: 32 << 20,
             pool: pool::Settings {
                 connect: Duration::from_millis(300),
@@ -204,6 +207,11 @@
         self.give_turns();
     }
 
+    /// Whether a server may still be given a new request.
+    pub fn is_open(&self, target: &Target) -> bool {
+        self.state().dispatch.is_open(target.key)
+    }
+
     /// Notes how a server met a connection or an answer.
     pub fn note(&self, target: &Target, met: Met) {
         self.state().dispatch.note(clock::now(), target.key, met);
@@ -232,7 +240,7 @@
 }
 
 impl State {
-    fn target(&self, key: Key) -> Option<Target> {
+    pub(crate) fn target(&self, key: Key) -> Option<Target> {
         let entry = self.dispatch.entry(key)?.clone();
         Some(Target { key, entry, pool: self.pools.get(key)?.clone() })
     }
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -22,8 +22,6 @@
 const HANDLE_BYTES: usize = 64 << 10;
 /// Longest time to free a handle.
 const FREE_WITHIN: Duration = Duration::from_millis(500);
-/// Time from a turn to the first token that is planned with before any was seen.
-const FIRST_TOKEN: Duration = Duration::from_millis(250);
 /// How long a turn is waited for where work was done already.
 const URGENT_WITHIN: Duration = Duration::from_millis(1_500);
 /// Part of a handle's lifetime that its way to the next engine may take.
@@ -126,9 +124,9 @@
     let generation = job.ask.generation.clone().unwrap_or_default();
     let now = clock::now();
     let urgent = made > 0 || prefilled;
-    let target = match urgent {
+    let first_by = match urgent {
         true => now + URGENT_WITHIN,
-        false => job.first + job.route.target - FIRST_TOKEN,
+        false => job.first + job.route.target,
     };
     let ask = dispatch::Ask {
         service: job.service.clone(),
@@ -137,7 +135,7 @@
         output_tokens: generation.output_tokens.saturating_sub(made),
         hint: generation.hint.map(|hint| hint.saturating_sub(made)),
         arrived: job.arrived,
-        target: (target > now).then_some(target),
+        first_by: (first_by > now).then_some(first_by),
         deadline: job.deadline,
         urgent,
         prefilled,
@@ -154,7 +152,7 @@
             Ok(turn)
         }
         Err(refusal) => {
-            let (ahead, late) = (refusal.ahead, target <= now);
+            let (ahead, late) = (refusal.ahead, first_by <= now);
             tracing::info!(id, ahead, late, waited_ms, tokens, urgent, "no room in time");
             Err(Refusal::until(Cause::Full, refusal.retry_after))
         }
@@ -170,7 +168,11 @@
 ) -> Result<(response::Parts, Stream), Failure> {
     let step = kept.as_ref().map_or(Step::Whole, |kept| Step::Generate(kept.handle.clone()));
     let onward = Onward { step, last_event, ..job.onward(&turn.decode) };
-    let sent = job.send(&turn.decode, &onward).await;
+    // The engine may have begun to leave while the prompt was prefilled.
+    let sent = match job.app.is_open(&turn.decode) {
+        true => job.send(&turn.decode, &onward).await,
+        false => Err(Failure::Unsent),
+    };
     // A handle is spent, unless the engine surely never saw it or says that it had no room.
     let taken =
         !matches!(&sent, Err(failure) if failure.is_unsent() || *failure == Failure::NotRun);
--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -2,7 +2,11 @@
 //!
 //! The request path decides; a dialect only translates names and forms. Each function is pure.
 
-use hyper::{HeaderMap, StatusCode};
+use bytes::Bytes;
+use chestnutrack_core::dispatch::Stage;
+use chestnutrack_process::http;
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, StatusCode};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -99,6 +103,32 @@
     pub signed: bool,
 }
 
+/// What an engine says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// What it does.
+    pub stage: Option<Stage>,
+    /// Whether it carries an order out.
+    pub busy: bool,
+    /// Orders that it has taken since it started.
+    pub orders: u64,
+}
+
+/// An order to an engine to change its stage.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The engine.
+    pub server: Arc<str>,
+    /// Its new stage.
+    pub stage: Stage,
+    /// Who gives it.
+    pub holder: Arc<str>,
+    /// Fencing number of who gives it.
+    pub epoch: u64,
+    /// Orders that the engine has taken; it refuses this one where that is another number.
+    pub orders: u64,
+}
+
 /// Calls that the router makes by itself.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
@@ -112,6 +142,12 @@
     pub handle: fn(SocketAddr, &[u8]) -> Option<Handle>,
     /// Method and target of the call that frees a handle.
     pub free: fn(&Handle) -> (&'static str, String),
+    /// Target of the call that asks an engine for its report.
+    pub report_path: &'static str,
+    /// The report, from its answer's body.
+    pub report: fn(&[u8]) -> Option<Report>,
+    /// The call that gives an engine an order.
+    pub order: fn(&Order) -> Result<Request<Full<Bytes>>, http::Error>,
     /// Path at which the platform asks whether this host is ready.
     pub ready_path: &'static str,
 }
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -58,6 +58,8 @@
     pub server: fn(&Arc<str>, &Value) -> Result<Entry, String>,
     /// Kind of the objects in which entry hosts tell where they are.
     pub hosts_kind: &'static str,
+    /// Kind of the objects that say which host may give orders.
+    pub leases_kind: &'static str,
 }
 
 /// What is followed, and what peers are told of it.
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -12,6 +12,7 @@
 //! | it is sent, sent again, relayed and resumed | [`attempt`] |
 //! | the configuration and the backend servers are followed | [`follow`] |
 //! | hosts find each other and tell each other what they do | [`mesh`] |
+//! | engines change between prefilling and generating | [`stage`], `core::plan` |
 
 pub mod answer;
 pub mod app;
@@ -24,3 +25,4 @@
 pub mod metric;
 pub mod program;
 pub mod request;
+pub mod stage;
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -131,6 +131,13 @@
         }
     }
 
+    /// How many hosts that can be heard come before this one, by name.
+    pub fn rank(&self) -> usize {
+        let peers = self.peers();
+        let heard = peers.iter().filter(|(_, peer)| !peer.silent && !peer.gone);
+        heard.filter(|(name, _)| **name < self.app.settings.name).count()
+    }
+
     /// Takes in a frame of a peer; the answer, where there is one, goes back on its connection.
     fn hear(self: &Arc<Mesh>, name: &Arc<str>, incarnation: u64, frame: Frame) -> Option<Frame> {
         match frame {
@@ -163,6 +170,10 @@
         {
             let mut state = self.app.state();
             state.dispatch.heard(now, name, &news);
+            for (server, left_ms) in &news.changing {
+                let left = Duration::from_millis(u64::from(*left_ms));
+                state.dispatch.note_changing(now, server, left);
+            }
             let age = Duration::from_millis(news.age_ms);
             let spent = news.spent.into_iter().collect();
             state.allowances.heard(now, name, Told { incarnation, age, spent });
@@ -208,6 +219,8 @@
             engines: state.dispatch.engines(),
             waiting: state.dispatch.waiting(clock::now()),
             failing: state.dispatch.failing(clock::now()),
+            changing: state.dispatch.changing(clock::now()),
+            demand: state.dispatch.demand(),
             refused,
         }
     }
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -6,6 +6,7 @@
 use crate::listener::{self, Drain};
 use crate::mesh::Mesh;
 use crate::metric::Metrics;
+use crate::stage::Orders;
 use chestnutrack_process::admin::Ready;
 use chestnutrack_process::http::{self, Answer};
 use chestnutrack_process::shutdown::{self, Shutdown};
@@ -106,7 +107,9 @@
     let host = Host { incarnation, address: settings.peers };
     let kind = speech.directory.hosts_kind;
     tokio::spawn(follow::register(client.clone(), kind, name.clone(), host));
-    tokio::spawn(follow::follow_hosts(client, kind, mesh.clone()));
+    tokio::spawn(follow::follow_hosts(client.clone(), kind, mesh.clone()));
+    let kind = speech.directory.leases_kind;
+    tokio::spawn(Orders::new(app.clone(), mesh.clone(), client, kind).run(timer.clone()));
     tokio::spawn(mesh.clone().accept(peers));
     tokio::spawn(mesh.publish(timer.clone()));
     tokio::spawn(app.clone().look_after_waiting(timer.clone()));
--- /dev/null
+++ b/crates/forward/src/stage/lease.rs
@@ -0,0 +1,89 @@
+//! The lease of the host that gives orders to engines.
+
+use chestnutrack_core::time::Instant;
+use chestnutrack_process::clock;
+use chestnutrack_store::client::Client;
+use chestnutrack_store::error::Error;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::sync::Arc;
+
+/// Name of the lease's object.
+const NAME: &str = "orders";
+
+/// Who holds the lease, as its object says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Value {
+    /// Fencing number; grows with each holder.
+    epoch: u64,
+    holder: Arc<str>,
+    incarnation: u64,
+    /// Grows with each write of a holder, so that it knows its own.
+    write: u64,
+}
+
+/// A lease that is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Held {
+    /// Fencing number.
+    pub(super) epoch: u64,
+    /// When the write that shows it was sent.
+    pub(super) confirmed: Instant,
+    /// Another process held it before.
+    pub(super) taken_over: bool,
+}
+
+/// The lease, as this process knows it.
+pub(super) struct Lease {
+    client: Client,
+    kind: &'static str,
+    holder: Arc<str>,
+    incarnation: u64,
+    /// Its own last write and its version.
+    own: Option<(u64, Value)>,
+}
+
+impl Lease {
+    pub(super) fn new(
+        client: Client,
+        kind: &'static str,
+        holder: Arc<str>,
+        incarnation: u64,
+    ) -> Lease {
+        Lease { client, kind, holder, incarnation, own: None }
+    }
+
+    /// Takes the lease from whoever holds it, or confirms it.
+    pub(super) async fn take(&mut self) -> Result<Held, Error> {
+        if self.own.is_some()
+            && let Ok(held) = self.confirm().await
+        {
+            return Ok(held);
+        }
+        let (version, before) = match self.client.read(self.kind, NAME).await {
+            Ok(object) => (object.version, object.value),
+            Err(Error::Missing) => (0, None),
+            Err(error) => return Err(error),
+        };
+        let before: Option<Value> = before.and_then(|value| serde_json::from_value(value).ok());
+        let epoch = before.as_ref().map_or(0, |value| value.epoch) + 1;
+        // An older process of this host may have given orders under its name.
+        let taken_over = version > 0;
+        self.write(version, epoch, taken_over).await
+    }
+
+    /// Writes the lease again: it is still held.
+    pub(super) async fn confirm(&mut self) -> Result<Held, Error> {
+        let Some((version, value)) = self.own.take() else { return Err(Error::Missing) };
+        self.write(version, value.epoch, false).await
+    }
+
+    async fn write(&mut self, version: u64, epoch: u64, taken_over: bool) -> Result<Held, Error> {
+        let (holder, incarnation) = (self.holder.clone(), self.incarnation);
+        let value = Value { epoch, holder, incarnation, write: version };
+        let confirmed = clock::now();
+        let written = self.client.update(self.kind, NAME, version, &json!(value)).await?;
+        self.own = Some((written, value));
+        Ok(Held { epoch, confirmed, taken_over })
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -367,6 +367,19 @@
     pub prefilling: u32,
 }
 
+/// What a host's requests to a service are like, on average.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandNews {
+    /// Service.
+    pub service: Arc<str>,
+    /// Requests that were seen.
+    pub seen: u32,
+    /// Prompt tokens.
+    pub prompt_tokens: u32,
+    /// Memory over time, in tokens times milliseconds.
+    pub token_ms: u64,
+}
+
 /// What a host tells its peers: each news replaces the one before.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -389,6 +402,10 @@
     pub waiting: Vec<u32>,
     /// Backend servers that failed the host lately.
     pub failing: Vec<Arc<str>>,
+    /// What the host's requests are like, by service.
+    pub demand: Vec<DemandNews>,
+    /// Engines that change their stage, and for how much longer, in milliseconds.
+    pub changing: Vec<(Arc<str>, u32)>,
     /// Callers that were refused lately: a hash of what they asked for, and how long ago they came
     /// first, in milliseconds.
     pub refused: Vec<(u64, u32)>,
