explain reads logs; two import circles are gone

- crates/side: messages stand in a module of their own (actor, engine and plain imported each other).
- crates/entry: burn counts outcomes and no longer imports the request path that calls it.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod page;
 pub mod plot;
 pub mod source;
+pub mod story;
 pub mod table;
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -2,5 +2,6 @@
 
 mod check;
 mod common;
+mod logs;
 mod pages;
 mod report;
--- a/crates/entry/src/burn/mod.rs
+++ b/crates/entry/src/burn/mod.rs
@@ -1,14 +1,11 @@
 //! Counts for the report on service-level burn, kept in an object of this host.
 
-use crate::request::exchange::Admitted;
-use crate::request::refusal::{Code, Refusal};
 use chestnutrack_burn::ledger::{Read, Step, Write};
 use chestnutrack_burn::{KIND, Key, Ledger, Outcome, object_name};
 use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_store::client::Client;
 use chestnutrack_store::error::Error;
-use chestnutrack_wire::frame::Ran;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -33,9 +30,7 @@
     }
 
     /// Counts a request that ended.
-    pub fn record(&self, admitted: &Admitted, refusal: Option<&Refusal>, in_time: bool) {
-        let Some(outcome) = outcome(refusal, in_time) else { return };
-        let key = Key { organisation: admitted.organisation(), route: admitted.route.name.clone() };
+    pub fn record(&self, key: Key, outcome: Outcome) {
         self.ledger().record(clock::now(), key, outcome);
     }
 
@@ -81,21 +76,3 @@
         }
     }
 }
-
-/// How a request ended, as the objective sees it; `None` where its caller caused the end.
-fn outcome(refusal: Option<&Refusal>, in_time: bool) -> Option<Outcome> {
-    let Some(refusal) = refusal else {
-        return Some(if in_time { Outcome::Good } else { Outcome::Slow });
-    };
-    match refusal.code {
-        Code::OverRate | Code::OverBurst => Some(Outcome::OverRate),
-        Code::CallerGone
-        | Code::KeyRefused
-        | Code::KeyMoved
-        | Code::KeyMissing
-        | Code::StillRunning
-        | Code::IdempotencyKeyReused => None,
-        _ if refusal.ran == Ran::NotRun => Some(Outcome::Refused),
-        _ => Some(Outcome::Failed),
-    }
-}
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -13,6 +13,7 @@
 use crate::attempt;
 use crate::explain::What;
 use admit::{Arrival, Work};
+use chestnutrack_burn::{Key, Outcome};
 use chestnutrack_core::time::Instant;
 use chestnutrack_wire::Request as Id;
 use chestnutrack_wire::frame::Ran;
@@ -190,7 +191,10 @@
     }
     let Some(admitted) = admitted else { return };
     let within = refusal.is_none() && exchange.is_in_time(admitted);
-    app.burn.record(admitted, refusal, within);
+    if let Some(outcome) = for_objective(refusal, within) {
+        let route = admitted.route.name.clone();
+        app.burn.record(Key { organisation: admitted.organisation(), route }, outcome);
+    }
     app.ledger.change(&admitted.organisation(), &admitted.route.name, |counters| {
         counters.requests += 1;
         counters.answered += u64::from(refusal.is_none());
@@ -201,6 +205,24 @@
     });
 }
 
+/// How a request ended, as the objective sees it; `None` where its caller caused the end.
+fn for_objective(refusal: Option<&Refusal>, in_time: bool) -> Option<Outcome> {
+    let Some(refusal) = refusal else {
+        return Some(if in_time { Outcome::Good } else { Outcome::Slow });
+    };
+    match refusal.code {
+        Code::OverRate | Code::OverBurst => Some(Outcome::OverRate),
+        Code::CallerGone
+        | Code::KeyRefused
+        | Code::KeyMoved
+        | Code::KeyMissing
+        | Code::StillRunning
+        | Code::IdempotencyKeyReused => None,
+        _ if refusal.ran == Ran::NotRun => Some(Outcome::Refused),
+        _ => Some(Outcome::Failed),
+    }
+}
+
 /// Time from arrival to a route's deadline.
 fn deadline_of(arrived: Instant, deadline_ms: u64) -> Instant {
     arrived + std::time::Duration::from_millis(deadline_ms)
--- a/crates/side/src/actor.rs
+++ b/crates/side/src/actor.rs
@@ -3,10 +3,11 @@
 use crate::authority::Claimant;
 use crate::config::Config;
 use crate::engine::{self, Decided};
+use crate::message::Message;
 use crate::metrics::Metrics;
 use crate::plain;
 use crate::settings::Settings;
-use chestnutrack_core::server::prefix::{Change, Prefixes};
+use chestnutrack_core::server::prefix::Prefixes;
 use chestnutrack_core::server::{Connection, Effect, Event, Key, Server};
 use chestnutrack_core::time::Instant;
 use chestnutrack_engine::client as engine_client;
@@ -35,18 +36,6 @@
 /// The actor.
 pub struct Side;
 
-/// What the actor is told.
-pub enum Message {
-    /// Something has happened to the table.
-    Event(Event),
-    /// A connection has been opened.
-    Opened(Connection, Sender),
-    /// A connection has ended.
-    Closed(Connection),
-    /// The engine has told of changes of its prefix cache.
-    Events(Vec<Change>, u64),
-}
-
 /// What the actor starts with.
 pub struct Arguments {
     /// Settings, with the addresses that are listened on.
--- a/crates/side/src/connection.rs
+++ b/crates/side/src/connection.rs
@@ -1,6 +1,6 @@
 //! Connections of entry hosts.
 
-use crate::actor::Message;
+use crate::message::Message;
 use chestnutrack_core::server::{Connection, Event};
 use chestnutrack_wire::connection::{self, Receiver, Security};
 use ractor::ActorRef;
--- a/crates/side/src/engine.rs
+++ b/crates/side/src/engine.rs
@@ -1,6 +1,6 @@
 //! Carries out orders to the engine and reports what comes of them.
 
-use crate::actor::Message;
+use crate::message::Message;
 use chestnutrack_core::server::event::{Held, Prefilled};
 use chestnutrack_core::server::prefix::Change;
 use chestnutrack_core::server::{Event, Fault, Key, Order, Task};
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod connection;
 pub mod engine;
 pub mod header;
+pub mod message;
 pub mod metrics;
 pub mod plain;
 pub mod program;
--- a/crates/side/src/plain.rs
+++ b/crates/side/src/plain.rs
@@ -1,8 +1,8 @@
 //! Calls to a plain service, each on a connection of its own, so that a late answer meets no
 //! other call.
 
-use crate::actor::Message;
 use crate::header;
+use crate::message::Message;
 use chestnutrack_core::server::{Event, Key};
 use chestnutrack_process::http::{self, Error};
 use chestnutrack_wire::frame::{Forward, Ran};
--- a/crates/side/src/program.rs
+++ b/crates/side/src/program.rs
@@ -1,6 +1,7 @@
 //! Starts the process's parts and waits for its end.
 
-use crate::actor::{self, Message, Side};
+use crate::actor::{self, Side};
+use crate::message::Message;
 use crate::settings::Settings;
 use crate::{connection, metrics};
 use chestnutrack_core::server::Event;
