A server that failed is the last choice for a second, for all hosts; one that can't be reached is passed over longer

An engine that failed twice was also passed over while it had any generation under way. Ruled out: news that come late (4 ms after a placement, 145 ms otherwise).

--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -118,7 +118,7 @@
     fn serves(&self, now: Instant, service: &str, stage: Stage) -> bool {
         let suits = self.entry.stage == Some(stage) && &*self.entry.service == service;
         let usable = self.is_open() && self.changing_until <= now;
-        suits && usable && self.health.is_sound(now, self.running)
+        suits && usable && self.health.may_try(now)
     }
 }
 
@@ -140,6 +140,11 @@
         loads
     }
 
+    /// How much speaks against an engine, beside its load.
+    fn doubts(&self, now: Instant, server: &Server) -> (bool, bool) {
+        (self.is_suspected(now, server), self.is_doubtful(now, server))
+    }
+
     /// The engine that would generate for a request, and the part of its memory that is forecast
     /// to be used then.
     pub(super) fn decode_for(
@@ -167,8 +172,8 @@
             let peak = peak(&runs, server.tokens_per_ms, &self.settings.forecast);
             let fill = (peak / room * EQUAL_PARTS) as u32;
             let far = server.entry.failure_domain != self.near;
-            let suspected = self.is_suspected(now, server);
-            (peak <= room).then_some(((suspected, fill, far, peak as u64), key))
+            let doubts = self.doubts(now, server);
+            (peak <= room).then_some(((doubts, fill, far, peak as u64), key))
         });
         fitting.take(CANDIDATES).min().map(|(_, key)| key)
     }
@@ -191,9 +196,9 @@
         let ranked = candidates.map(|(key, server)| {
             let far = Some(&server.entry.failure_domain) != domain.as_ref();
             let transfer = if far { TRANSFER_MS } else { 0.0 };
-            let suspected = self.is_suspected(now, server);
+            let doubts = self.doubts(now, server);
             let millis = self.prefilling(now, server, per_ms) / per_ms + transfer;
-            ((suspected, millis as u64, spread(key, draw)), key)
+            ((doubts, millis as u64, spread(key, draw)), key)
         });
         ranked.min().map(|(_, key)| key)
     }
@@ -239,6 +244,7 @@
             at: None,
         });
         self.servers[decode].running += 1;
+        self.servers[decode].health.note_tried(now);
         if let Some(pool) = self.pools.get_mut(&ask.service)
             && !ask.urgent
         {
@@ -247,6 +253,7 @@
         }
         if let Some(server) = prefill.and_then(|key| self.servers.get_mut(key)) {
             server.running += 1;
+            server.health.note_tried(now);
             server.prefilling += ask.prompt_tokens;
         }
         Placement { decode, prefill, run }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -81,8 +81,8 @@
     Answer,
     /// It did not answer, or broke an answer off.
     Failure,
-    /// Its address refuses connections: there is no process.
-    Refusal,
+    /// It can't be reached: its address refuses connections or does not answer.
+    Nothing,
 }
 
 /// Bounds on decisions.
@@ -231,7 +231,7 @@
         match met {
             Met::Answer => server.health.note_answered(),
             Met::Failure => server.health.note_failed(now),
-            Met::Refusal => server.health.note_gone(now),
+            Met::Nothing => server.health.note_unreachable(now),
         }
     }
 
--- a/crates/core/src/dispatch/news.rs
+++ b/crates/core/src/dispatch/news.rs
@@ -11,6 +11,8 @@
 /// its engines have.
 const FORGOTTEN: Duration = Duration::from_secs(10);
 
+/// How long a failure makes a server the last choice.
+const DOUBTFUL_FOR: Duration = Duration::from_millis(1_000);
 /// How long what a peer tells of failing servers counts.
 const SUSPECTED_FOR: Duration = Duration::from_millis(1_000);
 
@@ -21,8 +23,10 @@
     engines: Vec<EngineNews>,
     /// Ages of its waiting requests when it told, in milliseconds.
     waiting: Vec<u32>,
-    /// Servers that failed it lately.
+    /// Servers that it passes over.
     failing: Vec<Arc<str>>,
+    /// Servers that failed it lately.
+    doubtful: Vec<Arc<str>>,
     /// What its requests are like.
     demand: Vec<DemandNews>,
 }
@@ -129,25 +133,42 @@
             engines: news.engines.clone(),
             waiting: news.waiting.clone(),
             failing: news.failing.clone(),
+            doubtful: news.doubtful.clone(),
             demand: news.demand.clone(),
         };
         self.peers.insert(peer.clone(), peer_news);
     }
 
-    /// Servers that failed this host lately.
+    /// Forgets a peer whose process is gone: its connections to engines are closed.
+    pub fn gone(&mut self, peer: &str) {
+        self.peers.remove(peer);
+    }
+
+    /// Servers that this host passes over.
     pub fn failing(&self, now: Instant) -> Vec<Arc<str>> {
         let failing = self.servers.values().filter(|server| server.health.is_failing(now));
         failing.map(|server| server.entry.name.clone()).collect()
     }
 
-    /// Whether a server has failed a peer lately.
+    /// Servers that failed this host lately.
+    pub fn doubtful(&self, now: Instant) -> Vec<Arc<str>> {
+        let doubtful =
+            self.servers.values().filter(|server| server.health.failed_within(now, DOUBTFUL_FOR));
+        doubtful.map(|server| server.entry.name.clone()).collect()
+    }
+
+    /// Whether a peer passes a server over.
     pub(super) fn is_suspected(&self, now: Instant, server: &Server) -> bool {
-        let fresh = self.peers.values().filter(|peer| now.since(peer.at) < SUSPECTED_FOR);
-        fresh.flat_map(|peer| &peer.failing).any(|name| *name == server.entry.name)
+        self.fresh_peers(now).any(|peer| peer.failing.contains(&server.entry.name))
     }
 
-    /// Forgets a peer whose process is gone: its connections to engines are closed.
-    pub fn gone(&mut self, peer: &str) {
-        self.peers.remove(peer);
+    /// Whether a server failed this host or a peer lately.
+    pub(super) fn is_doubtful(&self, now: Instant, server: &Server) -> bool {
+        server.health.failed_within(now, DOUBTFUL_FOR)
+            || self.fresh_peers(now).any(|peer| peer.doubtful.contains(&server.entry.name))
+    }
+
+    fn fresh_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |peer| now.since(peer.at) < SUSPECTED_FOR)
     }
 }
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -72,7 +72,7 @@
             &*server.entry.service == service && server.is_open() && !passed_over.contains(key)
         });
         let class = |server: &Server| {
-            let unsound = !server.health.is_sound(now, server.running);
+            let unsound = !server.health.may_try(now);
             (unsound, self.is_suspected(now, server), server.record.full_until > now)
         };
         let mut candidates: Vec<(Key, &Server)> = candidates.collect();
@@ -83,6 +83,7 @@
         let cost = |server: &Server| server.record.cost(now, server.running);
         let (key, _) = usable.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)))?;
         self.servers[key].running += 1;
+        self.servers[key].health.note_tried(now);
         Some(key)
     }
 
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -82,7 +82,7 @@
         },
         |dispatch| {
             let key = dispatch.put(entry(0, true));
-            dispatch.note(NOW, key, Met::Refusal);
+            dispatch.note(NOW, key, Met::Nothing);
         },
         |dispatch| {
             dispatch.remove("e0");
@@ -132,6 +132,25 @@
     assert_eq!(chosen, ["e0", "e0", "e0", "e1"]);
 }
 
+#[test]
+fn an_engine_that_failed_once_is_the_last_choice_for_a_second_also_beside_running_generations() {
+    let mut dispatch = dispatch(2, 1);
+    let key = dispatch.put(entry(0, true));
+    while go(&mut dispatch, ask()).is_some_and(|placement| placement.decode != key) {}
+    dispatch.note(NOW, key, Met::Failure);
+    let at_once = go(&mut dispatch, ask()).unwrap();
+    dispatch.note(NOW, key, Met::Failure);
+
+    let placed: Vec<_> = (0..2).map_while(|_| go(&mut dispatch, ask())).collect();
+    let later = NOW + Duration::from_secs(2);
+    let tried =
+        dispatch.ask(later, Ask { first_by: Some(later + Duration::from_secs(1)), ..ask() }, 0);
+
+    assert_ne!(at_once.decode, key);
+    assert!(placed.iter().all(|placement| placement.decode != key), "{placed:?}");
+    assert!(matches!(tried, Err(Effect::Go(_, placement)) if placement.decode == key), "{tried:?}");
+}
+
 #[test]
 fn a_request_whose_prompt_would_wait_too_long_is_refused() {
     let mut dispatch = dispatch(4, 1);
--- a/crates/core/src/health/mod.rs
+++ b/crates/core/src/health/mod.rs
@@ -9,11 +9,18 @@
 pub const FAILING_FOR: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(2_000));
 
+/// How long a server that can't be reached is passed over: at first, and at most.
+pub const UNREACHABLE_FOR: (Duration, Duration) =
+    (Duration::from_millis(1_000), Duration::from_millis(4_000));
+/// How long others wait for what a request meets that tries a failing server.
+const TRIAL: Duration = Duration::from_millis(500);
+
 /// Failures of a backend server since it last answered.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Health {
     failures: u32,
     failing_until: Instant,
+    failed_at: Option<Instant>,
 }
 
 impl Health {
@@ -24,18 +31,39 @@
         !failing || (self.failing_until <= now && under_way == 0)
     }
 
+    /// Whether it may be tried, where whoever tries it says so by [`Health::note_tried`].
+    pub fn may_try(&self, now: Instant) -> bool {
+        self.failures < FAILURES_MAX || self.failing_until <= now
+    }
+
+    /// Notes that a request goes there: where the server was failing, others wait for its outcome.
+    pub fn note_tried(&mut self, now: Instant) {
+        if self.failures >= FAILURES_MAX {
+            self.failing_until = self.failing_until.max(now + TRIAL);
+        }
+    }
+
     /// Notes a failure; each that follows doubles the time for which the server is passed over.
     pub fn note_failed(&mut self, now: Instant) {
+        self.fail(now, FAILING_FOR);
+    }
+
+    /// Notes that it can't be reached: it is passed over at once, and longer.
+    pub fn note_unreachable(&mut self, now: Instant) {
+        self.failures = self.failures.max(FAILURES_MAX - 1);
+        self.fail(now, UNREACHABLE_FOR);
+    }
+
+    fn fail(&mut self, now: Instant, (first, most): (Duration, Duration)) {
         self.failures = self.failures.saturating_add(1);
         let doublings = self.failures.saturating_sub(FAILURES_MAX).min(16);
-        let passed_over = (FAILING_FOR.0 * (1 << doublings)).min(FAILING_FOR.1);
-        self.failing_until = now + passed_over;
+        self.failing_until = now + (first * (1 << doublings)).min(most);
+        self.failed_at = Some(now);
     }
 
-    /// Notes that there is no process at its address: it is passed over at once.
-    pub fn note_gone(&mut self, now: Instant) {
-        self.failures = self.failures.max(FAILURES_MAX - 1);
-        self.note_failed(now);
+    /// Whether it failed within so long, whatever it did since.
+    pub fn failed_within(&self, now: Instant, within: Duration) -> bool {
+        self.failed_at.is_some_and(|at| now.since(at) < within)
     }
 
     /// Whether it is passed over now.
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -187,6 +187,9 @@
         target: &Target,
         onward: &Onward,
     ) -> Result<Response<pool::Stream>, Failure> {
+        if self.left().is_zero() {
+            return Err(Failure::Unsent);
+        }
         let sent = self.exchange(target, onward).await;
         if let Err(failure) = &sent {
             let (server, failure) = (&target.entry.name, failure.name());
@@ -195,10 +198,8 @@
         }
         match &sent {
             Err(Failure::Misdirected) => self.app.note_replaced(target),
-            Err(Failure::Refused) => self.app.note(target, Met::Refusal),
-            Err(Failure::Unsent | Failure::Unknown | Failure::TimedOut) => {
-                self.app.note(target, Met::Failure);
-            }
+            Err(Failure::Refused | Failure::Unsent) => self.app.note(target, Met::Nothing),
+            Err(Failure::Unknown | Failure::TimedOut) => self.app.note(target, Met::Failure),
             Ok(_) | Err(Failure::NotRun) => self.app.note(target, Met::Answer),
         }
         sent
@@ -210,9 +211,6 @@
         onward: &Onward,
     ) -> Result<Response<pool::Stream>, Failure> {
         let left = self.left();
-        if left.is_zero() {
-            return Err(Failure::Unsent);
-        }
         let headers = (self.app.dialect.onward)(&self.parts.headers, onward);
         let request = self.request(headers).ok_or(Failure::Unsent)?;
         let response = match target.pool.open(request, left).await {
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -219,6 +219,7 @@
             engines: state.dispatch.engines(),
             waiting: state.dispatch.waiting(clock::now()),
             failing: state.dispatch.failing(clock::now()),
+            doubtful: state.dispatch.doubtful(clock::now()),
             changing: state.dispatch.changing(clock::now()),
             demand: state.dispatch.demand(),
             refused,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -400,8 +400,10 @@
     pub engines: Vec<EngineNews>,
     /// Ages of the requests that wait, in milliseconds, the oldest first.
     pub waiting: Vec<u32>,
-    /// Backend servers that failed the host lately.
+    /// Backend servers that the host passes over.
     pub failing: Vec<Arc<str>>,
+    /// Backend servers that failed the host lately.
+    pub doubtful: Vec<Arc<str>>,
     /// What the host's requests are like, by service.
     pub demand: Vec<DemandNews>,
     /// Engines that change their stage, and for how much longer, in milliseconds.
