Prefill speeds are read off prompts that met no queue; short prompts are prefilled where they generate when the others are full

Now only prompts before which nothing was known to wait tell the speed; where the queue is too long and the prompt is short enough not to hold the engine's other generations up beyond their pause, the engine that generates prefills it (half the speed, no transfer). Ruled out: transfers (3 ms), the split's gain threshold. Log lines for servers only where something of them changed.

--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -4,6 +4,7 @@
 use crate::forecast::{self, peak};
 use crate::time::Instant;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Tokens that a generation makes in a millisecond before any was seen.
@@ -12,13 +13,14 @@
 const TOKENS_PER_MS_BOUNDS: (f64, f64) = (0.02, 20.0);
 /// Weight of a new speed or length.
 const SMOOTHING: f64 = 0.1;
-/// Weight of a prefill that was faster, or slower, than known.
-const SMOOTHING_FASTER: f64 = 0.2;
-const SMOOTHING_SLOWER: f64 = 0.01;
 /// Prompt tokens that an engine prefills in a millisecond before any was seen.
 const PREFILL_PER_MS: f64 = 50.0;
 /// Bounds of what is taken for the speed of a prefill, in tokens a millisecond.
 const PREFILL_PER_MS_BOUNDS: (f64, f64) = (0.5, 5_000.0);
+/// How much slower an engine that generates prefills.
+const WHOLE_SLOWER: f64 = 2.0;
+/// Part of the longest pause between events that a prefill may take from others' generations.
+const PAUSE_PART: f64 = 0.9;
 /// Time from a prefilled prompt to the first token.
 const GENERATE: Duration = Duration::from_millis(60);
 /// Time that a transfer between failure domains is taken to cost beside one within, in milliseconds.
@@ -40,6 +42,24 @@
     pub run: Run,
 }
 
+/// How a prompt comes into the memory of the engine that generates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Path {
+    /// Another engine prefills it.
+    Apart,
+    /// The engine that generates prefills it.
+    Whole,
+    /// It is prefilled already.
+    Kept,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Way {
+    pub(super) decode: Key,
+    pub(super) path: Path,
+}
+
 /// What is known of the lengths of a pool's answers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Length {
@@ -72,6 +92,7 @@
     pub(super) length: Length,
     pub(super) prefill_per_ms: f64,
     pub(super) kv_tokens: u64,
+    tokens_per_event: u32,
     pub(super) known: stage::Known,
     /// When the split of its engines was last changed.
     pub(super) changed_at: Option<Instant>,
@@ -83,6 +104,7 @@
             length: Length::default(),
             prefill_per_ms: PREFILL_PER_MS,
             kv_tokens: 0,
+            tokens_per_event: 1,
             known: stage::Known::default(),
             changed_at: None,
         }
@@ -95,8 +117,8 @@
     pub(super) decode: Key,
     pub(super) prefill: Option<Key>,
     pub(super) prompt: u64,
-    /// Prompt tokens before its own at the engine that prefills, with its own.
-    prefilled_after: f64,
+    /// Nothing that this host knows of was before it at the engine that prefills.
+    alone: bool,
     pub(super) memory: forecast::Run,
     /// When the last tokens came.
     at: Option<Instant>,
@@ -123,9 +145,10 @@
 }
 
 impl<T> Dispatch<T> {
-    /// Sets the memory of a service's engines, in tokens.
-    pub fn set_memory(&mut self, service: &std::sync::Arc<str>, kv_tokens: u64) {
-        self.pools.entry(service.clone()).or_default().kv_tokens = kv_tokens;
+    /// Sets the memory of a service's engines, in tokens, and how many an event holds at most.
+    pub fn set_engines(&mut self, service: &Arc<str>, kv_tokens: u64, tokens_per_event: u32) {
+        let pool = self.pools.entry(service.clone()).or_default();
+        (pool.kv_tokens, pool.tokens_per_event) = (kv_tokens, tokens_per_event);
     }
 
     /// What runs on the engines now, as far as this host knows.
@@ -210,28 +233,55 @@
         server.prefilling as f64 + peers.sum::<f64>()
     }
 
-    /// How long a request takes from its turn to its first token.
-    pub(super) fn first_token_in(&self, now: Instant, ask: &Ask) -> Duration {
-        let Some(pool) = self.pools.get(&ask.service).filter(|_| !ask.prefilled) else {
-            return GENERATE;
-        };
-        let per_ms = pool.prefill_per_ms;
+    /// How long a request takes from its turn to its first token where its prompt is prefilled
+    /// apart; nothing where no engine prefills.
+    fn apart_in(&self, now: Instant, ask: &Ask) -> Option<Duration> {
+        let per_ms = self.pools.get(&ask.service)?.prefill_per_ms;
         let engines = self.servers.values();
         let engines = engines.filter(|server| server.serves(now, &ask.service, Stage::Prefill));
         let ahead = engines.map(|server| self.prefilling(now, server, per_ms));
-        let prompt = ask.prompt_tokens as f64;
-        let millis = match ahead.min_by(f64::total_cmp) {
-            Some(ahead) => (ahead + prompt) / per_ms,
-            // The engine that generates prefills as well, at half the speed.
-            None => 2.0 * prompt / per_ms,
-        };
-        GENERATE + Duration::from_secs_f64(millis / 1_000.0)
+        let tokens = ahead.min_by(f64::total_cmp)? + ask.prompt_tokens as f64;
+        Some(GENERATE + Duration::from_secs_f64(tokens / per_ms / 1_000.0))
+    }
+
+    /// How long it takes where the engine that generates prefills as well, at half the speed;
+    /// nothing where that would hold the other generations there up for too long.
+    fn whole_in(&self, ask: &Ask) -> Option<Duration> {
+        let pool = self.pools.get(&ask.service)?;
+        let millis = WHOLE_SLOWER * ask.prompt_tokens as f64 / pool.prefill_per_ms;
+        let event = f64::from(pool.tokens_per_event) / TOKENS_PER_MS;
+        let pause = ask.pause.map_or(f64::INFINITY, |pause| pause.as_secs_f64() * 1_000.0);
+        let bearable = millis + event <= pause * PAUSE_PART;
+        bearable.then(|| GENERATE + Duration::from_secs_f64(millis / 1_000.0))
+    }
+
+    /// How a request's prompt is prefilled so that its first token comes by a time, where that can
+    /// be.
+    pub(super) fn path(&self, now: Instant, ask: &Ask, by: Instant) -> Option<Path> {
+        if ask.prefilled {
+            return (now + GENERATE <= by).then_some(Path::Kept);
+        }
+        let apart = self.apart_in(now, ask);
+        if apart.is_some_and(|takes| now + takes <= by) {
+            return Some(Path::Apart);
+        }
+        let whole = self.whole_in(ask).or(apart.is_none().then_some(GENERATE))?;
+        (now + whole <= by).then_some(Path::Whole)
+    }
+
+    /// The shortest time that a request takes from its turn to its first token.
+    pub(super) fn first_token_in(&self, now: Instant, ask: &Ask) -> Duration {
+        let ways = [self.apart_in(now, ask), self.whole_in(ask)];
+        ways.into_iter().flatten().min().filter(|_| !ask.prefilled).unwrap_or(GENERATE)
     }
 
     /// Takes places for a request.
-    pub(super) fn place(&mut self, now: Instant, ask: &Ask, decode: Key) -> Placement {
-        let draw = self.draw();
-        let prefill = if ask.prefilled { None } else { self.prefill_for(now, ask, decode, draw) };
+    pub(super) fn place(&mut self, now: Instant, ask: &Ask, way: Way) -> Placement {
+        let (draw, decode) = (self.draw(), way.decode);
+        let prefill = match way.path {
+            Path::Apart => self.prefill_for(now, ask, decode, draw),
+            Path::Whole | Path::Kept => None,
+        };
         let pool = self.pools.get(&ask.service).copied().unwrap_or_default();
         let ahead = prefill.and_then(|key| self.servers.get(key));
         let ahead = ahead.map(|server| self.prefilling(now, server, pool.prefill_per_ms));
@@ -239,7 +289,7 @@
             decode,
             prefill,
             prompt: ask.prompt_tokens,
-            prefilled_after: ahead.unwrap_or(0.0) + ask.prompt_tokens as f64,
+            alone: ahead == Some(0.0),
             memory: ask.memory(&pool.length),
             at: None,
         });
@@ -262,21 +312,16 @@
     /// Notes that a generation's prompt was prefilled, or that its prefill is given up.
     pub fn prefilled(&mut self, run: Run, took: Option<Duration>) {
         let Some(running) = self.runs.get_mut(run) else { return };
-        let (prompt, after, prefill) =
-            (running.prompt, running.prefilled_after, running.prefill.take());
+        let (prompt, alone, prefill) = (running.prompt, running.alone, running.prefill.take());
         let Some(server) = prefill.and_then(|key| self.servers.get_mut(key)) else { return };
         server.running -= 1;
         server.prefilling -= prompt;
         let service = server.entry.service.clone();
-        if let (Some(took), Some(pool)) = (took, self.pools.get_mut(&service)) {
+        // What waits behind others says nothing of the engine's speed.
+        if let (true, Some(took), Some(pool)) = (alone, took, self.pools.get_mut(&service)) {
             let (least, most) = PREFILL_PER_MS_BOUNDS;
-            let seen = after / (took.as_secs_f64() * 1_000.0).max(1.0);
-            let seen = seen.clamp(least, most);
-            // What this host does not know of slows a prefill down; the fastest show what an
-            // engine can do.
-            let faster = seen > pool.prefill_per_ms;
-            let weight = if faster { SMOOTHING_FASTER } else { SMOOTHING_SLOWER };
-            pool.prefill_per_ms += weight * (seen - pool.prefill_per_ms);
+            let seen = prompt as f64 / (took.as_secs_f64() * 1_000.0).max(1.0);
+            pool.prefill_per_ms += SMOOTHING * (seen.clamp(least, most) - pool.prefill_per_ms);
         }
     }
 
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -173,17 +173,18 @@
         }
     }
 
-    /// Puts an entry in force; returns the server's key.
-    pub fn put(&mut self, entry: Entry) -> Key {
+    /// Puts an entry in force; returns the server's key, and whether anything is new.
+    pub fn put(&mut self, entry: Entry) -> (Key, bool) {
         if let Some(&key) = self.names.get(&entry.name) {
             let server = &mut self.servers[key];
             if server.entry.address == entry.address && server.entry.born == entry.born {
-                server.replaced &= server.entry == entry;
+                let changed = server.entry != entry;
+                server.replaced &= !changed;
                 if server.entry.stage != entry.stage {
                     server.changing_until = Instant::default();
                 }
                 server.entry = entry;
-                return key;
+                return (key, changed);
             }
             self.remove(&entry.name);
         }
@@ -200,7 +201,7 @@
         };
         let key = self.servers.insert(server);
         self.names.insert(name, key);
-        key
+        (key, true)
     }
 
     /// Forgets a backend server; returns its key.
--- a/crates/core/src/dispatch/turn.rs
+++ b/crates/core/src/dispatch/turn.rs
@@ -1,7 +1,7 @@
 //! Turns: who goes at once, who waits, and who is refused.
 
-use super::engine::{Length, Loads};
-use super::{Dispatch, Key, Placement};
+use super::engine::{Length, Loads, Way};
+use super::{Dispatch, Placement};
 use crate::forecast;
 use crate::queue::{self, Waiting};
 use crate::time::Instant;
@@ -34,6 +34,8 @@
     pub first_by: Option<Instant>,
     /// When it must have ended.
     pub deadline: Instant,
+    /// Longest pause between events of a stream that is in time.
+    pub pause: Option<Duration>,
     /// Work was done for it already that is in vain if it has to wait: its turn is the next.
     pub urgent: bool,
     /// Its prompt is prefilled already.
@@ -86,9 +88,9 @@
     pub fn ask(&mut self, now: Instant, ask: Ask, item: T) -> Result<Wait, Effect<T>> {
         let (loads, draw) = (self.loads(now), self.draw());
         if (self.queue.is_empty() || ask.urgent)
-            && let Some(decode) = self.turn_for(now, &ask, &loads, draw)
+            && let Some(way) = self.turn_for(now, &ask, &loads, draw)
         {
-            return Err(Effect::Go(item, self.place(now, &ask, decode)));
+            return Err(Effect::Go(item, self.place(now, &ask, way)));
         }
         let until = self.turn_by(now, &ask).min(ask.deadline);
         let ahead = self.waiting_in_all();
@@ -149,9 +151,9 @@
         let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
         let taken = queue.take(now, |waiting| self.turn_for(now, &waiting.item.0, &loads, draw));
         self.queue = queue;
-        let (waiting, decode) = taken?;
+        let (waiting, way) = taken?;
         let (ask, item) = waiting.item;
-        Some((item, self.place(now, &ask, decode)))
+        Some((item, self.place(now, &ask, way)))
     }
 
     /// When a request's turn must come.
@@ -162,18 +164,14 @@
         }
     }
 
-    /// The engine for a request, once older requests that wait at peers have theirs.
-    fn turn_for(&self, now: Instant, ask: &Ask, loads: &Loads, draw: u64) -> Option<Key> {
-        let in_time = match ask.first_by {
-            Some(first_by) => now + self.first_token_in(now, ask) <= first_by,
-            None => self.first_token_in(now, ask) <= self.settings.late_wait,
-        };
-        if !in_time {
-            return None;
-        }
+    /// Where a request goes now, once older requests that wait at peers have their turns.
+    fn turn_for(&self, now: Instant, ask: &Ask, loads: &Loads, draw: u64) -> Option<Way> {
+        let by = ask.first_by.unwrap_or(now + self.settings.late_wait);
+        let path = self.path(now, ask, by)?;
         let ahead: usize = self.peers.values().map(|peer| peer.ahead(now, ask.arrived)).sum();
         if ahead == 0 || ask.urgent {
-            return self.decode_for(now, ask, loads, draw);
+            let decode = self.decode_for(now, ask, loads, draw)?;
+            return Some(Way { decode, path });
         }
         let mut loads = loads.clone();
         let memory = ask.memory(&self.pools.get(&ask.service)?.length);
@@ -181,7 +179,8 @@
             let decode = self.decode_for(now, ask, &loads, draw)?;
             loads.entry(decode).or_default().push(memory);
         }
-        self.decode_for(now, ask, &loads, draw)
+        let decode = self.decode_for(now, ask, &loads, draw)?;
+        Some(Way { decode, path })
     }
 
     fn waiting_in_all(&self) -> usize {
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -174,7 +174,8 @@
             state.allowances.configure(clock::now(), &terms(&config));
             for service in &config.services {
                 if let Some(engine) = &service.engine {
-                    state.dispatch.set_memory(&service.name, engine.kv_tokens);
+                    let (kv_tokens, per_event) = (engine.kv_tokens, engine.tokens_per_event);
+                    state.dispatch.set_engines(&service.name, kv_tokens, per_event);
                 }
             }
             *now = Some(Arc::new(InForce { table: Table::new(config), raw }));
@@ -189,9 +190,11 @@
         let mut state = self.state();
         match change {
             Change::Put(name, entry) => {
-                let (leaving, address) = (entry.leaving, entry.address);
-                tracing::info!(server = %name, %address, leaving, "server listed");
-                let key = state.dispatch.put(entry);
+                let (leaving, address, stage) = (entry.leaving, entry.address, entry.stage);
+                let (key, changed) = state.dispatch.put(entry);
+                if changed {
+                    tracing::info!(server = %name, %address, leaving, ?stage, "server listed");
+                }
                 if !state.pools.contains_key(key) {
                     state.pools.insert(key, Pool::new(address, self.settings.pool));
                 }
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -137,6 +137,7 @@
         arrived: job.arrived,
         first_by: (first_by > now).then_some(first_by),
         deadline: job.deadline,
+        pause: job.route.pause,
         urgent,
         prefilled,
     };
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -63,6 +63,8 @@
     pub timeout: Duration,
     /// Time within which an answer, or a stream's first event, is on time.
     pub target: Duration,
+    /// Longest pause between events of a stream that is in time.
+    pub pause: Option<Duration>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Services with their weights.
