--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -55,11 +55,11 @@
         self.at = now;
     }
 
-    /// What one more request costs there, in milliseconds.
-    fn cost(&self, now: Instant, running: u32) -> f64 {
+    /// What one more request costs there, in milliseconds, where such servers usually take so long.
+    fn cost(&self, now: Instant, running: u32, usual_ms: f64) -> f64 {
         let age = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         let weight = 0.5_f64.powf(age);
-        let took_ms = TOOK_MS + weight * (self.took_ms.unwrap_or(TOOK_MS) - TOOK_MS);
+        let took_ms = usual_ms + weight * (self.took_ms.unwrap_or(usual_ms) - usual_ms);
         took_ms * f64::from(running + 1) * (1.0 + ERROR_COST * weight * self.errors)
     }
 }
@@ -78,9 +78,14 @@
         let mut candidates: Vec<(Key, &Server)> = candidates.collect();
         candidates.sort_by_key(|(key, server)| (class(server), spread(*key, draw)));
         let best = class(candidates.first()?.1);
+        let known: Vec<f64> = candidates.iter().filter_map(|(_, s)| s.record.took_ms).collect();
+        let usual_ms = match known.len() {
+            0 => TOOK_MS,
+            count => known.iter().sum::<f64>() / count as f64,
+        };
         let looked_at = candidates.into_iter().take(CANDIDATES);
         let usable = looked_at.filter(|(_, server)| class(server) == best);
-        let cost = |server: &Server| server.record.cost(now, server.running);
+        let cost = |server: &Server| server.record.cost(now, server.running, usual_ms);
         let (key, _) = usable.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)))?;
         self.servers[key].running += 1;
         self.servers[key].health.note_tried(now);
--- /dev/null
+++ b/crates/forward/tests/forward/main.rs
@@ -0,0 +1,10 @@
+//! The request path on real sockets, before scripted backend servers.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod fixture;
+mod limits;
+mod peers;
+mod plain;
+mod shutdown;
+mod streams;
--- /dev/null
+++ b/crates/forward/tests/forward/peers.rs
@@ -0,0 +1,70 @@
+//! Hosts that tell each other what they know.
+
+use crate::fixture::backend::{Backend, answer};
+use crate::fixture::caller::{call, request};
+use crate::fixture::{Host, app, config, host, plain, until};
+use chestnutrack_forward::follow::{Directory, Follower, Host as Met};
+use chestnutrack_forward::mesh::Mesh;
+use chestnutrack_process::timer::Timer;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+
+const DIRECTORY: Directory = Directory {
+    config_kind: "config",
+    config_name: "main",
+    config: |_| Ok(config()),
+    servers_kind: "servers",
+    server: |_, _| Err("none".to_owned()),
+    hosts_kind: "hosts",
+    leases_kind: "leases",
+};
+
+async fn mesh(app: &Arc<chestnutrack_forward::app::App>) -> (Arc<Mesh>, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let follower = Follower::new(app.clone(), DIRECTORY);
+    let mesh = Mesh::new(app.clone(), follower, address.port());
+    tokio::spawn(mesh.clone().accept(listener));
+    tokio::spawn(mesh.clone().publish(Timer::start()));
+    (mesh, address)
+}
+
+fn met(address: SocketAddr) -> Met {
+    Met { incarnation: 1, address }
+}
+
+async fn serving(name: &str) -> (Host, Backend) {
+    let backend = Backend::start(|seen| vec![answer(seen, "200 OK", "fine")]).await;
+    (host(vec![plain(name, &backend)]).await, backend)
+}
+
+#[tokio::test]
+async fn what_one_host_spends_is_gone_at_the_other() {
+    let ((first, _one), (second, _two)) = (serving("app-1").await, serving("app-2").await);
+    let other = app("other");
+    other.configure(config(), b"{}".to_vec());
+    let (here, _) = mesh(&first.app).await;
+    let (_there, address) = mesh(&other).await;
+    here.meet("other".into(), met(address));
+
+    let large = request("POST", "/pay/7", "x-tokens: 9900\r\n", "");
+    let spent = call(first.address, &large).await;
+
+    assert_eq!(spent.status, 200);
+    until(|| other.debit(&"orchard".into(), 1_000).is_err()).await;
+    // A host that hears nobody knows nothing of it.
+    assert_eq!(call(second.address, &large).await.status, 200);
+}
+
+#[tokio::test]
+async fn a_configuration_passes_from_a_host_that_has_it_to_one_that_has_none() {
+    let (with, without) = (app("with"), app("without"));
+    with.configure(config(), b"{\"version\":1}".to_vec());
+    let (here, _) = mesh(&with).await;
+    let (_there, address) = mesh(&without).await;
+
+    here.meet("without".into(), met(address));
+
+    until(|| without.version() == 1).await;
+}
