--- a/crates/forward/tests/forward/plain.rs
+++ b/crates/forward/tests/forward/plain.rs
@@ -68,7 +68,10 @@
 #[tokio::test]
 async fn a_refusal_says_that_nothing_ran_only_where_the_server_says_so() {
     let full = Backend::start(not_run).await;
-    let mute = Backend::start(|_| vec![send("HTTP/1.1 503 Busy\r\nx-id: r1\r\ncontent-length: 4\r\n\r\nbusy")]).await;
+    let mute = Backend::start(|_| {
+        vec![send("HTTP/1.1 503 Busy\r\nx-id: r1\r\ncontent-length: 4\r\n\r\nbusy")]
+    })
+    .await;
     let (refused, passed) =
         (host(vec![plain("app-1", &full)]).await, host(vec![plain("app-1", &mute)]).await);
 
@@ -97,7 +100,9 @@
 
 #[tokio::test]
 async fn a_second_answer_on_a_connection_meets_no_other_request() {
-    let doubled = Backend::start(|seen| vec![answer(seen, "200 OK", "fine"), answer(seen, "200 OK", "more")]).await;
+    let doubled =
+        Backend::start(|seen| vec![answer(seen, "200 OK", "fine"), answer(seen, "200 OK", "more")])
+            .await;
     let host = host(vec![plain("app-1", &doubled)]).await;
 
     let first = call(host.address, &request("GET", "/look/7", "", "")).await;
