Entry hosts call backend servers directly in the project's own dialect too (--direct)

The direct path had no names of its own, so that only the users' platform could run it. forward::own spells requests, engines' calls and objects; tests of the path use it. Readiness is set where it changes.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -27,6 +27,7 @@
 use crate::queue::{self, Queue};
 use crate::time::Instant;
 use news::Peer;
+use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -41,7 +42,8 @@
 }
 
 /// What an engine does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Stage {
     /// It prefills prompts.
     Prefill,
@@ -50,7 +52,7 @@
 }
 
 /// A backend server, as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Name.
     pub name: Arc<str>,
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -1,6 +1,8 @@
 //! Settings of the program, from flags and environment variables.
 
 use argh::FromArgs;
+use chestnutrack_forward::listener::Drain;
+use chestnutrack_forward::{app, program};
 use chestnutrack_process::log;
 use chestnutrack_process::settings::{Findings, Reader, Setting};
 use chestnutrack_process::tls;
@@ -11,6 +13,9 @@
 /// Time that the balancer is given to notice a shutdown, in milliseconds.
 const DRAIN_MS_DEFAULT: u64 = 1_000;
 
+/// Longest time for requests to end in a shutdown of a host that calls backend servers directly.
+const DIRECT_DRAIN: Duration = Duration::from_secs(30);
+
 /// Serves callers on an entry host. Each flag can also be set by CHESTNUTRACK_<FLAG>.
 #[derive(Debug, Default, FromArgs)]
 pub struct Flags {
@@ -50,6 +55,9 @@
     /// form of the log lines: text or json
     #[argh(option)]
     pub log: Option<String>,
+    /// call backend servers directly, without side processes; requests pass unchanged
+    #[argh(switch)]
+    pub direct: bool,
 }
 
 /// Settings that have been read.
@@ -136,6 +144,37 @@
     reader.finish(settings)
 }
 
+/// Reads the settings of a host that calls backend servers directly.
+///
+/// # Errors
+///
+/// Every wrong setting, with the flag or variable it came from.
+pub fn read_direct(
+    flags: &Flags,
+    environment: impl Fn(&str) -> Option<String>,
+    incarnation: u64,
+) -> Result<program::Settings, Findings> {
+    let mut reader = Reader::new(environment);
+    let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let notice = reader.or(SETTING_DRAIN, flags.drain_ms.as_deref(), DRAIN_MS_DEFAULT);
+    let settings = program::Settings {
+        app: app::Settings {
+            name: text(&mut reader, SETTING_NAME, flags.name.as_deref()),
+            incarnation,
+            failure_domain: text(&mut reader, SETTING_DOMAIN, flags.failure_domain.as_deref()),
+            first_start: false,
+            ..app::Settings::default()
+        },
+        callers: reader.required(SETTING_LISTEN, flags.listen.as_deref(), nowhere),
+        readiness: None,
+        peers: reader.required(SETTING_PEER, flags.peer_listen.as_deref(), nowhere),
+        operators: reader.required(SETTING_ADMIN, flags.admin.as_deref(), nowhere),
+        store: reader.required(SETTING_PLATFORM, flags.platform.as_deref(), nowhere),
+        drain: Drain { notice: Duration::from_millis(notice), within: DIRECT_DRAIN },
+    };
+    reader.finish(settings)
+}
+
 fn text<F: Fn(&str) -> Option<String>>(
     reader: &mut Reader<F>,
     setting: Setting<'_>,
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -17,6 +17,7 @@
 use chestnutrack_core::limit::Terms;
 use chestnutrack_core::retry::Budget;
 use chestnutrack_core::time::Instant;
+use chestnutrack_process::admin::Ready;
 use chestnutrack_process::clock;
 use chestnutrack_process::pool::{self, Pool};
 use slotmap::SecondaryMap;
@@ -89,6 +90,8 @@
     pub dialect: Dialect,
     /// Counters.
     pub metrics: Metrics,
+    /// Whether this host is ready: it knows a configuration and isn't leaving.
+    pub ready: Ready,
     /// Something has changed that peers should hear of.
     pub news: Notify,
     /// Something has changed that peers should hear of at once.
@@ -132,6 +135,7 @@
             settings,
             dialect,
             metrics,
+            ready: Ready::default(),
             news: Notify::new(),
             urgent_news: Notify::new(),
             waits: Notify::new(),
@@ -182,9 +186,17 @@
         }
         self.metrics.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.news.notify_one();
+        self.set_ready(!self.is_draining());
         true
     }
 
+    fn set_ready(&self, ready: bool) {
+        if self.ready.get() != ready {
+            tracing::info!(ready, version = self.version(), "readiness changed");
+            self.ready.set(ready);
+        }
+    }
+
     /// Puts a change of the listed servers in force.
     pub fn change(self: &Arc<App>, change: Change) {
         let mut state = self.state();
@@ -239,6 +251,7 @@
     /// Begins the shutdown.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
+        self.set_ready(false);
     }
 }
 
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -1,14 +1,17 @@
 //! The configuration in force: routes, services and organisations.
 
+mod millis;
 mod table;
 
 pub use table::Table;
 
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::Duration;
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Config {
     /// Version; it only grows.
     pub version: u64,
@@ -23,7 +26,8 @@
 }
 
 /// What a request to a route may do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// It may run more than once.
     Idempotent,
@@ -49,7 +53,8 @@
 }
 
 /// A route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Route {
     /// Name.
     pub name: Arc<str>,
@@ -60,10 +65,13 @@
     /// What a request may do.
     pub kind: Kind,
     /// Longest time from arrival to the end of the answer.
+    #[serde(rename = "timeout_ms", with = "millis")]
     pub timeout: Duration,
     /// Time within which an answer, or a stream's first event, is on time.
+    #[serde(rename = "target_ms", with = "millis")]
     pub target: Duration,
     /// Longest pause between events of a stream that is in time.
+    #[serde(rename = "pause_ms", with = "millis::optional", default)]
     pub pause: Option<Duration>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
@@ -76,7 +84,8 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name.
     pub name: Arc<str>,
@@ -89,7 +98,8 @@
 }
 
 /// A model engine, as far as the router needs to know it.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Engine {
     /// Requests that one engine runs at once.
     pub slots: u32,
@@ -98,13 +108,16 @@
     /// Output tokens in one event of a stream, at most.
     pub tokens_per_event: u32,
     /// How long a KV cache that was prefilled is kept for its transfer.
+    #[serde(rename = "handle_ttl_ms", with = "millis")]
     pub handle_ttl: Duration,
     /// How long an engine that changes its stage is out of use.
+    #[serde(rename = "stage_switch_ms", with = "millis")]
     pub stage_switch: Duration,
 }
 
 /// An organisation.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Organisation {
     /// Name.
     pub name: Arc<str>,
@@ -121,15 +134,18 @@
 }
 
 /// Bounds on what callers may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Largest request head, in bytes.
     pub head_bytes: usize,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
     /// Longest time for a request's head to come.
+    #[serde(rename = "head_within_ms", with = "millis")]
     pub head_within: Duration,
     /// Longest time that a connection stays unused.
+    #[serde(rename = "idle_ms", with = "millis")]
     pub idle: Duration,
 }
 
--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -7,6 +7,7 @@
 use chestnutrack_process::http;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -104,7 +105,7 @@
 }
 
 /// What an engine says of itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// What it does.
     pub stage: Option<Stage>,
@@ -115,7 +116,7 @@
 }
 
 /// An order to an engine to change its stage.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
     /// The engine.
     pub server: Arc<str>,
--- a/crates/forward/src/lib.rs
+++ b/crates/forward/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A request passes unchanged: method, path, query and body go to a backend server as they came, and
 //! the server's answer goes back as it came. What stands in headers is read and written by a
-//! [`dialect::Dialect`].
+//! [`dialect::Dialect`]; [`own`] is the project's own.
 //!
 //! | what happens | where |
 //! | --- | --- |
@@ -23,6 +23,7 @@
 pub mod listener;
 pub mod mesh;
 pub mod metric;
+pub mod own;
 pub mod program;
 pub mod request;
 pub mod stage;
--- /dev/null
+++ b/crates/forward/src/own/headers.rs
@@ -0,0 +1,111 @@
+//! Headers of requests and answers.
+
+use crate::dialect::{Ask, Generation, Onward, Step, Verdict};
+use chestnutrack_process::header::is_of_connection;
+use hyper::StatusCode;
+use hyper::header::{AUTHORIZATION, CONTENT_ENCODING, CONTENT_LENGTH, HOST};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use std::time::Duration;
+
+/// The request.
+pub const REQUEST: &str = "x-chestnutrack-request";
+/// Time left, in milliseconds.
+pub const DEADLINE: &str = "x-chestnutrack-deadline-ms";
+/// Tokens of prompt and answer.
+pub const TOKENS: &str = "x-chestnutrack-tokens";
+/// Tokens that the caller expects of the answer.
+pub const EXPECTED: &str = "x-chestnutrack-expected";
+/// The server that a request is meant for.
+pub const SERVER: &str = "x-chestnutrack-server";
+/// Whose key came with it.
+pub const ORGANISATION: &str = "x-chestnutrack-organisation";
+/// What is asked of an engine.
+pub const STEP: &str = "x-chestnutrack-step";
+/// KV cache to generate from.
+pub const KV: &str = "x-chestnutrack-kv";
+/// Whether a request ran.
+pub const RAN: &str = "x-chestnutrack-ran";
+
+const LAST_EVENT: &str = "last-event-id";
+/// Start of the names of headers that callers can't set for servers.
+const OWN: &str = "x-chestnutrack-";
+/// Of these, what callers set all the same.
+const CALLERS: &[&str] = &[REQUEST, TOKENS, EXPECTED];
+/// Value of [`RAN`] for a request that did not run.
+const NOT_RUN: &str = "not-run";
+
+pub(super) fn ask(headers: &HeaderMap) -> Result<Ask, &'static str> {
+    let generation = match text(headers, TOKENS) {
+        Some(tokens) => Some(generation(headers, tokens)?),
+        None => None,
+    };
+    Ok(Ask {
+        id: text(headers, REQUEST).map(Into::into),
+        deadline: number(headers, DEADLINE).map(Duration::from_millis),
+        key: text(headers, AUTHORIZATION.as_str())
+            .and_then(|text| text.strip_prefix("Bearer "))
+            .map(Into::into),
+        generation,
+        last_event: number(headers, LAST_EVENT),
+    })
+}
+
+fn generation(headers: &HeaderMap, tokens: &str) -> Result<Generation, &'static str> {
+    let (prompt, output) = tokens.split_once(',').ok_or(TOKENS)?;
+    Ok(Generation {
+        prompt_tokens: prompt.trim().parse().map_err(|_| TOKENS)?,
+        output_tokens: output.trim().parse().map_err(|_| TOKENS)?,
+        hint: number(headers, EXPECTED),
+        ..Generation::default()
+    })
+}
+
+pub(super) fn onward(headers: &HeaderMap, onward: &Onward) -> HeaderMap {
+    let passes = |name: &HeaderName| {
+        let name = name.as_str();
+        let own = name.starts_with(OWN) && !CALLERS.contains(&name);
+        !own && !is_of_connection(name) && name != AUTHORIZATION && name != CONTENT_LENGTH
+    };
+    let mut out: HeaderMap = headers
+        .iter()
+        .filter(|(name, _)| passes(name) || *name == HOST)
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect();
+    let mut set = |name: &'static str, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            out.insert(HeaderName::from_static(name), value);
+        }
+    };
+    set(SERVER, &onward.server);
+    set(DEADLINE, &onward.deadline.as_millis().to_string());
+    if let Some(organisation) = &onward.organisation {
+        set(ORGANISATION, organisation);
+    }
+    if let Some(last) = onward.last_event {
+        set(LAST_EVENT, &last.to_string());
+    }
+    match &onward.step {
+        Step::Whole => {}
+        Step::Prefill => set(STEP, "prefill"),
+        Step::Generate(handle) => set(KV, &format!("{}/{}", handle.address, handle.id)),
+    }
+    out
+}
+
+pub(super) fn verdict(status: StatusCode, headers: &HeaderMap) -> Verdict {
+    Verdict {
+        not_run: text(headers, RAN) == Some(NOT_RUN),
+        misdirected: status == StatusCode::MISDIRECTED_REQUEST,
+        id: text(headers, REQUEST).map(Into::into),
+        encoded: headers.contains_key(CONTENT_ENCODING),
+        signed: true,
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.trim().parse().ok()
+}
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -7,9 +7,8 @@
 use crate::mesh::Mesh;
 use crate::metric::Metrics;
 use crate::stage::Orders;
-use chestnutrack_process::admin::Ready;
 use chestnutrack_process::http::{self, Answer};
-use chestnutrack_process::shutdown::{self, Shutdown};
+use chestnutrack_process::shutdown;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_process::{admin, pool};
 use chestnutrack_store::client::{self, Client};
@@ -52,8 +51,9 @@
     pub app: app::Settings,
     /// Address for callers.
     pub callers: SocketAddr,
-    /// Address at which the platform asks whether this host is ready.
-    pub readiness: SocketAddr,
+    /// Address at which the platform asks whether this host is ready; absent where it asks at the
+    /// one for operators.
+    pub readiness: Option<SocketAddr>,
     /// Address for other entry hosts.
     pub peers: SocketAddr,
     /// Address for operators.
@@ -87,12 +87,15 @@
     let shutdown = shutdown::on_signal().map_err(Error::Signal)?;
     let hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
     let callers = listen(settings.callers).await?;
-    let readiness = listen(settings.readiness).await?;
+    let readiness = match settings.readiness {
+        Some(address) => Some(listen(address).await?),
+        None => None,
+    };
     let peers = listen(settings.peers).await?;
     let operators = listen(settings.operators).await?;
     let registry = Registry::new();
     let metrics = Metrics::new(&registry).map_err(Error::Metric)?;
-    let (timer, ready) = (Timer::start(), Ready::default());
+    let timer = Timer::start();
     let name = settings.app.name.clone();
     let incarnation = settings.app.incarnation;
     tracing::info!(%name, incarnation, listen = %settings.callers, "started");
@@ -100,7 +103,10 @@
     let client = store_client(speech.store, settings.store, &registry);
     let follower = Follower::new(app.clone(), speech.directory);
     let mesh = Mesh::new(app.clone(), follower.clone(), settings.peers.port());
-    tokio::spawn(answer_readiness(readiness, app.clone(), ready.clone(), shutdown.clone()));
+    if let Some(readiness) = readiness {
+        tokio::spawn(answer_readiness(readiness, app.clone()));
+    }
+    let ready = app.ready.clone();
     tokio::spawn(admin::serve(operators, registry, ready, Arc::new(|_, _| None)));
     tokio::spawn(follower.clone().follow_config(client.clone()));
     tokio::spawn(follower.clone().follow_servers(client.clone(), timer.clone()));
@@ -167,15 +173,10 @@
     TcpListener::bind(address).await.map_err(|error| Error::Listen(address, error))
 }
 
-/// Tells the platform whether this host is ready: it knows a configuration and isn't leaving.
-async fn answer_readiness(listener: TcpListener, app: Arc<App>, ready: Ready, shutdown: Shutdown) {
+/// Tells the platform whether this host is ready.
+async fn answer_readiness(listener: TcpListener, app: Arc<App>) {
     let handle = move |request: Request<Incoming>| {
-        let now = app.in_force().is_some() && !shutdown.is_set();
-        if ready.get() != now {
-            tracing::info!(ready = now, version = app.version(), "readiness changed");
-            ready.set(now);
-        }
-        let response = readiness(&request, app.dialect.ready_path, now);
+        let response = readiness(&request, app.dialect.ready_path, app.ready.get());
         async move { response }
     };
     http::serve(listener, handle).await;
--- a/crates/forward/tests/forward/limits.rs
+++ b/crates/forward/tests/forward/limits.rs
@@ -8,7 +8,7 @@
 async fn an_organisation_over_its_allowance_is_told_when_to_come_back() {
     let backend = Backend::start(|seen| vec![answer(seen, "200 OK", "fine")]).await;
     let host = host(vec![plain("app-1", &backend)]).await;
-    let large = request("POST", "/pay/7", "x-tokens: 9900\r\n", "");
+    let large = request("POST", "/pay/7", "x-chestnutrack-tokens: 9900,50\r\n", "");
 
     let first = call(host.address, &large).await;
     let second = call(host.address, &large).await;
@@ -22,7 +22,7 @@
 async fn what_did_not_run_costs_no_tokens() {
     let full = Backend::start(not_run).await;
     let host = host(vec![plain("app-1", &full)]).await;
-    let large = request("POST", "/pay/7", "x-tokens: 9900\r\n", "");
+    let large = request("POST", "/pay/7", "x-chestnutrack-tokens: 9900,50\r\n", "");
 
     let first = call(host.address, &large).await;
     let second = call(host.address, &large).await;
--- a/crates/forward/tests/forward/peers.rs
+++ b/crates/forward/tests/forward/peers.rs
@@ -48,7 +48,7 @@
     let (_there, address) = mesh(&other).await;
     here.meet("other".into(), met(address));
 
-    let large = request("POST", "/pay/7", "x-tokens: 9900\r\n", "");
+    let large = request("POST", "/pay/7", "x-chestnutrack-tokens: 9900,50\r\n", "");
     let spent = call(first.address, &large).await;
 
     assert_eq!(spent.status, 200);
--- a/crates/forward/tests/forward/plain.rs
+++ b/crates/forward/tests/forward/plain.rs
@@ -20,8 +20,8 @@
     let seen = &backend.seen()[0];
     assert_eq!((answer.status, &*answer.body, answer.whole), (200, "fine", true));
     assert_eq!((&*seen.line, &seen.body[..]), ("POST /pay/7?a=%20b&c", &b"{\"x\":1}"[..]));
-    assert_eq!(seen.header("x-organisation"), Some("orchard"));
-    assert_eq!(seen.header("x-server"), Some("app-1"));
+    assert_eq!(seen.header("x-chestnutrack-organisation"), Some("orchard"));
+    assert_eq!(seen.header("x-chestnutrack-server"), Some("app-1"));
     assert!(!seen.head.contains("key-of-orchard"), "{}", seen.head);
 }
 
@@ -69,7 +69,9 @@
 async fn a_refusal_says_that_nothing_ran_only_where_the_server_says_so() {
     let full = Backend::start(not_run).await;
     let mute = Backend::start(|_| {
-        vec![send("HTTP/1.1 503 Busy\r\nx-id: r1\r\ncontent-length: 4\r\n\r\nbusy")]
+        vec![send(
+            "HTTP/1.1 503 Busy\r\nx-chestnutrack-request: r1\r\ncontent-length: 4\r\n\r\nbusy",
+        )]
     })
     .await;
     let (refused, passed) =
@@ -87,7 +89,9 @@
 #[tokio::test]
 async fn an_answer_to_another_request_reaches_nobody() {
     let crossed = Backend::start(|_| {
-        vec![send("HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 6\r\n\r\nsecret")]
+        vec![send(
+            "HTTP/1.1 200 OK\r\nx-chestnutrack-request: other\r\ncontent-length: 6\r\n\r\nsecret",
+        )]
     })
     .await;
     let host = host(vec![plain("app-1", &crossed)]).await;
@@ -106,7 +110,8 @@
     let host = host(vec![plain("app-1", &doubled)]).await;
 
     let first = call(host.address, &request("GET", "/look/7", "", "")).await;
-    let text = request("GET", "/look/8", "", "").replace("x-id: r1", "x-id: r2");
+    let text = request("GET", "/look/8", "", "")
+        .replace("x-chestnutrack-request: r1", "x-chestnutrack-request: r2");
     let second = call(host.address, &text).await;
 
     assert_eq!((first.status, &*first.body), (200, "fine"));
@@ -116,7 +121,12 @@
 #[tokio::test]
 async fn an_answer_that_breaks_off_never_looks_whole() {
     let broken = Backend::start(|_| {
-        vec![send("HTTP/1.1 200 OK\r\nx-id: r1\r\ncontent-length: 100\r\n\r\npart"), Step::Reset]
+        vec![
+            send(
+                "HTTP/1.1 200 OK\r\nx-chestnutrack-request: r1\r\ncontent-length: 100\r\n\r\npart",
+            ),
+            Step::Reset,
+        ]
     })
     .await;
     let host = host(vec![plain("app-1", &broken)]).await;
@@ -166,7 +176,8 @@
     let backend = Backend::start(fine).await;
     let host = host(vec![plain("app-1", &backend)]).await;
     let stranger = request("POST", "/pay/7", "", "").replace("key-of-orchard", "stolen");
-    let keyless = request("GET", "/open/7", "", "").replace("x-key: key-of-orchard\r\n", "");
+    let keyless =
+        request("GET", "/open/7", "", "").replace("authorization: Bearer key-of-orchard\r\n", "");
 
     let statuses = [
         call(host.address, &request("POST", "/nowhere/7", "", "")).await.status,
--- a/crates/forward/tests/forward/streams.rs
+++ b/crates/forward/tests/forward/streams.rs
@@ -10,7 +10,7 @@
 
 /// Events after the one that the caller has, up to the last.
 fn generate(seen: &Seen, last: u64) -> Vec<Step> {
-    let after: u64 = seen.header("x-after").map_or(0, |after| after.parse().unwrap());
+    let after: u64 = seen.header("last-event-id").map_or(0, |after| after.parse().unwrap());
     let mut steps = vec![stream_head(seen)];
     steps.extend((after + 1..=last).map(event));
     steps
@@ -48,8 +48,9 @@
 
     assert_eq!((answer.status, answer.whole), (200, true));
     assert_eq!(answer.body, events(1, 4));
-    assert_eq!(read.seen()[0].header("x-step"), Some("prefill"));
-    assert_eq!(made.seen()[0].header("x-from"), Some("kept-1"));
+    assert_eq!(read.seen()[0].header("x-chestnutrack-step"), Some("prefill"));
+    let kv = format!("{}/kept-1", read.address);
+    assert_eq!(made.seen()[0].header("x-chestnutrack-kv"), Some(&*kv));
     assert_eq!((read.count(), made.count()), (1, 1));
 }
 
@@ -93,7 +94,7 @@
         assert_eq!((&*answer.body, answer.whole), (&*events(1, 4), true));
     }
     assert!(broken.count() >= 1, "never chosen");
-    let resumed = sound.seen().into_iter().filter(|seen| seen.header("x-after") == Some("2"));
+    let resumed = sound.seen().into_iter().filter(|seen| seen.header("last-event-id") == Some("2"));
     assert_eq!(resumed.count(), broken.count());
 }
 
@@ -120,7 +121,7 @@
 
     drop(connection);
 
-    until(|| read.seen().iter().any(|seen| seen.line == "DELETE /kept/kept-1")).await;
+    until(|| read.seen().iter().any(|seen| seen.line == "DELETE /v1/handles/kept-1")).await;
     until(|| made.left() == 1).await;
 }
 
