No refusal promises 'not run' after an attempt that may have run; a try: look-ups that failed go to another server

Cause: a request that may be repeated was sent again after a lost answer, and where the second server had no room, the caller was told 503, though the first may have run it (a test failed first, for streams that may be resumed and for look-ups). Attempts now remember that one may have run, and the caller is told 502. Lines now say what ran there, the forecast, the age of peers' news and the version. A try: 14 % of the stock checks end with the server's own 500. They are sent to another server, within attempts and the budget of repeats.

--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -40,6 +40,19 @@
     pub prefill: Option<Key>,
     /// The generation.
     pub run: Run,
+    /// What the choice went by.
+    pub basis: Basis,
+}
+
+/// What the choice of an engine went by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Basis {
+    /// Generations that this host knew of there.
+    pub runs: usize,
+    /// Tokens that they and the new one are forecast to hold together at most.
+    pub peak: u64,
+    /// Age of the oldest news of a peer that counted.
+    pub news_age: Duration,
 }
 
 /// How a prompt comes into the memory of the engine that generates.
@@ -58,6 +71,7 @@
 pub(super) struct Way {
     pub(super) decode: Key,
     pub(super) path: Path,
+    pub(super) basis: Basis,
 }
 
 /// What is known of the lengths of a pool's answers.
@@ -168,15 +182,14 @@
         (self.is_suspected(now, server), self.is_doubtful(now, server))
     }
 
-    /// The engine that would generate for a request, and the part of its memory that is forecast
-    /// to be used then.
+    /// The engine that would generate for a request, and what that goes by.
     pub(super) fn decode_for(
         &self,
         now: Instant,
         ask: &Ask,
         loads: &Loads,
         draw: u64,
-    ) -> Option<Key> {
+    ) -> Option<(Key, Basis)> {
         let pool = self.pools.get(&ask.service)?;
         let room = pool.kv_tokens as f64 * self.settings.memory;
         let fresh = ask.memory(&pool.length);
@@ -196,9 +209,10 @@
             let fill = (peak / room * EQUAL_PARTS) as u32;
             let far = server.entry.failure_domain != self.near;
             let doubts = self.doubts(now, server);
-            (peak <= room).then_some(((doubts, fill, far, peak as u64), key))
+            (peak <= room).then_some(((doubts, fill, far, peak as u64), key, runs.len() - 1))
         });
-        fitting.take(CANDIDATES).min().map(|(_, key)| key)
+        let ((.., peak), key, runs) = fitting.take(CANDIDATES).min()?;
+        Some((key, Basis { runs, peak, news_age: self.news_age(now) }))
     }
 
     /// The engine that prefills a prompt: the one that will be done first, where a transfer between
@@ -306,7 +320,7 @@
             server.health.note_tried(now);
             server.prefilling += ask.prompt_tokens;
         }
-        Placement { decode, prefill, run }
+        Placement { decode, prefill, run, basis: way.basis }
     }
 
     /// Notes that a generation's prompt was prefilled, or that its prefill is given up.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -16,8 +16,8 @@
 mod turn;
 
 pub use callers::Callers;
-pub use engine::{Length, Placement};
-pub use plain::Ended;
+pub use engine::{Basis, Length, Placement};
+pub use plain::{Choice, Ended};
 pub use turn::{Ask, Effect, Refusal, Wait};
 
 use crate::forecast;
--- a/crates/core/src/dispatch/news.rs
+++ b/crates/core/src/dispatch/news.rs
@@ -139,6 +139,12 @@
         self.peers.insert(peer.clone(), peer_news);
     }
 
+    /// Age of the oldest news of a peer that count.
+    pub(super) fn news_age(&self, now: Instant) -> Duration {
+        let ages = self.peers.values().map(|peer| now.since(peer.at));
+        ages.filter(|age| *age < FORGOTTEN).max().unwrap_or_default()
+    }
+
     /// Forgets a peer whose process is gone: its connections to engines are closed.
     pub fn gone(&mut self, peer: &str) {
         self.peers.remove(peer);
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -35,6 +35,19 @@
     Abandoned,
 }
 
+/// A server that was chosen, and what the choice went by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The server.
+    pub key: Key,
+    /// Requests that this host had under way there.
+    pub running: u32,
+    /// What one more request costs there, in milliseconds.
+    pub cost_ms: u32,
+    /// Servers that could have been chosen.
+    pub candidates: usize,
+}
+
 /// How a server answered this host lately.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Record {
@@ -66,7 +79,7 @@
 
 impl<T> Dispatch<T> {
     /// Takes a place at a server of a plain service, other than those passed over.
-    pub fn plain(&mut self, now: Instant, service: &str, passed_over: &[Key]) -> Option<Key> {
+    pub fn plain(&mut self, now: Instant, service: &str, passed_over: &[Key]) -> Option<Choice> {
         let draw = self.draw();
         let candidates = self.servers.iter().filter(|(key, server)| {
             &*server.entry.service == service && server.is_open() && !passed_over.contains(key)
@@ -83,13 +96,15 @@
             0 => TOOK_MS,
             count => known.iter().sum::<f64>() / count as f64,
         };
+        let count = candidates.len();
         let looked_at = candidates.into_iter().take(CANDIDATES);
         let usable = looked_at.filter(|(_, server)| class(server) == best);
         let cost = |server: &Server| server.record.cost(now, server.running, usual_ms);
-        let (key, _) = usable.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)))?;
+        let (key, chosen) = usable.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)))?;
+        let (running, cost_ms) = (chosen.running, cost(chosen) as u32);
         self.servers[key].running += 1;
         self.servers[key].health.note_tried(now);
-        Some(key)
+        Some(Choice { key, running, cost_ms, candidates: count })
     }
 
     /// Gives a place at a plain service's server back.
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -242,7 +242,7 @@
         let mut to_bad = 0;
         for request in 0..400 {
             let now = NOW + took(request * 20);
-            let key = dispatch.plain(now, &service(), &[]).unwrap();
+            let key = dispatch.plain(now, &service(), &[]).unwrap().key;
             let is_bad = &*dispatch.entry(key).unwrap().name == "e0";
             to_bad += u32::from(is_bad);
             let ended = if is_bad { bad } else { Ended::Answered(took(50)) };
@@ -262,7 +262,9 @@
     while dispatch.plain(NOW, &service(), &[keys[0], keys[2]]).is_none() {}
     dispatch.plain_ended(NOW, keys[1], Ended::Full);
 
-    let chosen: Vec<_> = (0..20).map(|_| dispatch.plain(NOW, &service(), &keys[..1])).collect();
+    let chosen: Vec<_> = (0..20)
+        .map(|_| dispatch.plain(NOW, &service(), &keys[..1]).map(|choice| choice.key))
+        .collect();
 
     assert!(chosen.iter().all(|key| *key == Some(keys[2])), "{chosen:?}");
 }
--- a/crates/core/src/dispatch/turn.rs
+++ b/crates/core/src/dispatch/turn.rs
@@ -170,17 +170,17 @@
         let path = self.path(now, ask, by)?;
         let ahead: usize = self.peers.values().map(|peer| peer.ahead(now, ask.arrived)).sum();
         if ahead == 0 || ask.urgent {
-            let decode = self.decode_for(now, ask, loads, draw)?;
-            return Some(Way { decode, path });
+            let (decode, basis) = self.decode_for(now, ask, loads, draw)?;
+            return Some(Way { decode, path, basis });
         }
         let mut loads = loads.clone();
         let memory = ask.memory(&self.pools.get(&ask.service)?.length);
         for _ in 0..ahead.min(AHEAD_MAX) {
-            let decode = self.decode_for(now, ask, &loads, draw)?;
+            let (decode, _) = self.decode_for(now, ask, &loads, draw)?;
             loads.entry(decode).or_default().push(memory);
         }
-        let decode = self.decode_for(now, ask, &loads, draw)?;
-        Some(Way { decode, path })
+        let (decode, basis) = self.decode_for(now, ask, &loads, draw)?;
+        Some(Way { decode, path, basis })
     }
 
     fn waiting_in_all(&self) -> usize {
--- a/crates/forward/src/app/place.rs
+++ b/crates/forward/src/app/place.rs
@@ -1,7 +1,7 @@
 //! Places at servers of plain services.
 
 use super::{App, Target};
-use chestnutrack_core::dispatch::{Ended, Key};
+use chestnutrack_core::dispatch::{Choice, Ended, Key};
 use chestnutrack_process::clock;
 use std::sync::Arc;
 
@@ -10,6 +10,8 @@
     app: Arc<App>,
     /// The server.
     pub target: Target,
+    /// What its choice went by.
+    pub choice: Choice,
     ended: Ended,
 }
 
@@ -31,12 +33,13 @@
     /// Takes a place at a server of a plain service, other than those passed over.
     pub fn place(self: &Arc<App>, service: &str, passed_over: &[Key]) -> Option<Place> {
         let mut state = self.state();
-        let key = state.dispatch.plain(clock::now(), service, passed_over)?;
+        let choice = state.dispatch.plain(clock::now(), service, passed_over)?;
+        let key = choice.key;
         let target = state.target(key);
         if target.is_none() {
             state.dispatch.plain_ended(clock::now(), key, Ended::Abandoned);
         }
         drop(state);
-        Some(Place { app: self.clone(), target: target?, ended: Ended::Abandoned })
+        Some(Place { app: self.clone(), target: target?, choice, ended: Ended::Abandoned })
     }
 }
--- a/crates/forward/src/app/turn.rs
+++ b/crates/forward/src/app/turn.rs
@@ -1,7 +1,7 @@
 //! Turns of generations.
 
 use super::App;
-use chestnutrack_core::dispatch::{Ask, Effect, Entry, Key, Placement, Refusal, Wait};
+use chestnutrack_core::dispatch::{Ask, Basis, Effect, Entry, Key, Placement, Refusal, Wait};
 use chestnutrack_process::clock;
 use chestnutrack_process::pool::Pool;
 use chestnutrack_process::timer::Timer;
@@ -38,6 +38,11 @@
 }
 
 impl Turn {
+    /// What the choice of engines went by.
+    pub fn basis(&self) -> Basis {
+        self.placement.basis
+    }
+
     /// Notes that the prompt was prefilled in so long, or that its prefill is given up.
     pub fn prefilled(&self, took: Option<Duration>) {
         self.app.state().dispatch.prefilled(self.placement.run, took);
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -6,7 +6,7 @@
 use crate::config::Engine;
 use crate::dialect::{Handle, Onward, Step};
 use bytes::Bytes;
-use chestnutrack_core::dispatch;
+use chestnutrack_core::dispatch::{self, Basis};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::pool::Stream;
@@ -79,7 +79,8 @@
 pub(super) async fn run(job: Arc<Job>, engine: Engine) -> Result<Response<Body>, Refusal> {
     let mut tries = Tries::default();
     let last = job.ask.last_event;
-    let answering = answer(&job, &engine, &mut tries, last, 0).await?;
+    let answering = answer(&job, &engine, &mut tries, last, 0).await;
+    let answering = answering.map_err(|refusal| tries.refusal(refusal))?;
     job.note_answer(&answering.turn.decode, answering.head.status.as_u16());
     let mut response = Response::new(());
     *response.status_mut() = answering.head.status;
@@ -148,7 +149,12 @@
         Ok(turn) => {
             let decode = &turn.decode.entry.name;
             let prefill = turn.prefill.as_ref().map(|target| &*target.entry.name);
-            tracing::info!(id, %decode, prefill, waited_ms, tokens, urgent, "placed");
+            let Basis { runs, peak, news_age } = turn.basis();
+            let (version, news_ms) = (job.version(), news_age.as_millis() as u64);
+            tracing::info!(
+                id, %decode, prefill, waited_ms, tokens, urgent, runs, peak, news_ms, version,
+                "placed"
+            );
             job.app.metrics.stages.with_label_values(&["turn"]).observe(waited_ms as f64 / 1e3);
             Ok(turn)
         }
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -59,6 +59,8 @@
     NotRun,
     /// Another server stands at the address; it did not run the request.
     Misdirected,
+    /// The server ran it and failed.
+    Failed,
     /// It may have run.
     Unknown,
     /// The deadline passed; it may have run.
@@ -72,6 +74,7 @@
             Failure::Refused => "refused",
             Failure::NotRun => "not_run",
             Failure::Misdirected => "misdirected",
+            Failure::Failed => "failed",
             Failure::Unknown => "unknown",
             Failure::TimedOut => "timed_out",
         }
@@ -81,12 +84,17 @@
         matches!(self, Failure::Unsent | Failure::Refused)
     }
 
+    /// Whether the server may have run the request.
+    fn may_have_run(self) -> bool {
+        matches!(self, Failure::Failed | Failure::Unknown | Failure::TimedOut)
+    }
+
     fn refusal(self) -> Refusal {
         match self {
             Failure::Unsent | Failure::Refused | Failure::NotRun | Failure::Misdirected => {
                 Refusal::until(Cause::Full, FULL_RETRY)
             }
-            Failure::Unknown => Refusal::new(Cause::Lost),
+            Failure::Failed | Failure::Unknown => Refusal::new(Cause::Lost),
             Failure::TimedOut => Refusal::new(Cause::TimedOut),
         }
     }
@@ -111,6 +119,8 @@
     prefills: u32,
     /// Repeats taken from the budget.
     repeats: u32,
+    /// One of the servers may have run it.
+    may_have_run: bool,
 }
 
 impl Tries {
@@ -121,12 +131,21 @@
             return self.unsent < UNSENT_MAX;
         }
         self.sent += 1;
+        self.may_have_run |= failure.may_have_run();
         let harmless = match failure {
             Failure::Unsent | Failure::Refused | Failure::NotRun | Failure::Misdirected => true,
-            Failure::Unknown => job.route.kind.may_repeat(),
+            Failure::Failed | Failure::Unknown => job.route.kind.may_repeat(),
             Failure::TimedOut => false,
         };
-        harmless && self.sent < job.route.attempts && self.spend(job)
+        let again = harmless && self.sent < job.route.attempts && self.spend(job);
+        self.note(job, failure, again);
+        again
+    }
+
+    fn note(&self, job: &Job, failure: Failure, again: bool) {
+        let (id, failure) = (job.ask.id.as_deref(), failure.name());
+        let (sent, attempts, repeats) = (self.sent, job.route.attempts, self.repeats);
+        tracing::info!(id, failure, sent, attempts, repeats, again, "whether to send again");
     }
 
     /// Notes a prefill that failed, which is no run, and whether another may be tried.
@@ -136,7 +155,17 @@
             return self.unsent < UNSENT_MAX;
         }
         self.prefills += 1;
-        failure != Failure::TimedOut && self.prefills < PREFILLS_MAX && self.spend(job)
+        let again = failure != Failure::TimedOut && self.prefills < PREFILLS_MAX && self.spend(job);
+        self.note(job, failure, again);
+        again
+    }
+
+    /// What the caller is told: nothing promises that the request did not run where it may have.
+    fn refusal(&self, refusal: Refusal) -> Refusal {
+        match self.may_have_run && refusal.not_run() {
+            true => Refusal::new(Cause::Lost),
+            false => refusal,
+        }
     }
 
     /// Takes a repeat from the budget.
@@ -166,6 +195,11 @@
         self.deadline.since(clock::now())
     }
 
+    /// Version of the configuration that it was admitted under.
+    fn version(&self) -> u64 {
+        self.in_force.table.config().version
+    }
+
     /// Time since arrival, in milliseconds.
     fn age_ms(&self) -> u64 {
         clock::now().since(self.arrived).as_millis() as u64
@@ -199,7 +233,9 @@
         match &sent {
             Err(Failure::Misdirected) => self.app.note_replaced(target),
             Err(Failure::Refused | Failure::Unsent) => self.app.note(target, Met::Nothing),
-            Err(Failure::Unknown | Failure::TimedOut) => self.app.note(target, Met::Failure),
+            Err(Failure::Failed | Failure::Unknown | Failure::TimedOut) => {
+                self.app.note(target, Met::Failure)
+            }
             Ok(_) | Err(Failure::NotRun) => self.app.note(target, Met::Answer),
         }
         sent
--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -2,40 +2,59 @@
 
 use super::{FULL_RETRY, Failure, Job, Tries, passed_on};
 use crate::answer::{self, Body, Cause, Refusal};
-use crate::app::Target;
-use chestnutrack_core::dispatch::Ended;
+use crate::app::{Place, Target};
+use chestnutrack_core::dispatch::{Choice, Ended};
 use chestnutrack_process::clock;
 use hyper::Response;
 
-/// Sends a request to a plain service until it has an answer.
+/// Sends a request to a plain service until it has an answer. A server's own failure is the answer
+/// where the request may not be sent again, or no other server has one.
 pub(super) async fn run(job: &Job) -> Result<Response<Body>, Refusal> {
     let mut passed_over = Vec::new();
-    let mut last = Refusal::until(Cause::NoServer, FULL_RETRY);
+    let mut last = Err(Refusal::until(Cause::NoServer, FULL_RETRY));
     let mut tries = Tries::default();
     loop {
-        let Some(place) = job.app.place(&job.service, &passed_over) else { return Err(last) };
+        let Some(place) = job.app.place(&job.service, &passed_over) else { return last };
+        note_place(job, &place);
         passed_over.push(place.target.key);
         let started = clock::now();
         let answer = once(job, &place.target).await;
         let took = clock::now().since(started);
-        place.end(match &answer {
-            Ok(response) if response.status().is_server_error() => Ended::Failed(took),
-            Ok(_) => Ended::Answered(took),
-            Err(Failure::NotRun) => Ended::Full,
-            Err(_) => Ended::Failed(took),
-        });
-        match answer {
-            Ok(response) => return Ok(response),
+        let failure = match answer {
+            Ok(response) if response.status().is_server_error() => {
+                place.end(Ended::Failed(took));
+                last = Ok(response);
+                Failure::Failed
+            }
+            Ok(response) => {
+                place.end(Ended::Answered(took));
+                return Ok(response);
+            }
             Err(failure) => {
-                last = failure.refusal();
-                if !tries.again(job, failure) {
-                    return Err(last);
-                }
+                place.end(match failure {
+                    Failure::NotRun => Ended::Full,
+                    _ => Ended::Failed(took),
+                });
+                failure
             }
+        };
+        let again = tries.again(job, failure);
+        if last.is_err() {
+            last = Err(tries.refusal(failure.refusal()));
+        }
+        if !again {
+            return last;
         }
     }
 }
 
+fn note_place(job: &Job, place: &Place) {
+    let Choice { running, cost_ms, candidates, .. } = place.choice;
+    let (id, server) = (job.ask.id.as_deref(), &place.target.entry.name);
+    let (version, after_ms) = (job.version(), job.age_ms());
+    tracing::info!(id, %server, running, cost_ms, candidates, version, after_ms, "placed");
+}
+
 async fn once(job: &Job, target: &Target) -> Result<Response<Body>, Failure> {
     let response = job.send(target, &job.onward(target)).await?;
     let (head, mut stream) = response.into_parts();
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -17,6 +17,8 @@
     pub requests: IntCounterVec,
     /// Refusals and failures of the router's own, by cause.
     pub refusals: IntCounterVec,
+    /// Requests whose callers left before an answer.
+    pub abandoned: IntCounter,
     /// Attempts that failed at a backend server, by what is known of them.
     pub failures: IntCounterVec,
     /// Streams, by how they ended.
@@ -71,6 +73,7 @@
         Ok(Metrics {
             requests: counters("requests_total", "Requests", &["kind", "status"])?,
             refusals: counters("refusals_total", "Answers of the router's own", &["cause"])?,
+            abandoned: counter("abandoned_total", "Callers that left before an answer")?,
             failures: counters("failures_total", "Attempts that failed", &["failure"])?,
             streams: counters("streams_total", "Streams", &["end"])?,
             repeats: counter("repeats_total", "Repeats that were sent")?,
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -32,6 +32,7 @@
     let ask = (app.dialect.ask)(&parts.headers);
     let id = ask.as_ref().ok().and_then(|ask| ask.id.clone()).unwrap_or_else(|| NONE.into());
     let version = app.version();
+    let unanswered = Unanswered { app: app.clone(), id: id.clone(), arrived, answered: false };
     let answer = match ask {
         Ok(ask) => admit(app.clone(), arrived, parts, body, ask).await,
         Err(header) => {
@@ -39,6 +40,7 @@
             Err(Refusal::new(Cause::BadHead))
         }
     };
+    unanswered.end();
     answer.unwrap_or_else(|refusal| {
         let (status, retry_after_ms) =
             (refusal.status().as_u16(), refusal.retry_after.map(|after| after.as_millis() as u64));
@@ -50,6 +52,31 @@
     })
 }
 
+/// A request without an answer: where it is dropped, its caller has left.
+struct Unanswered {
+    app: Arc<App>,
+    id: Arc<str>,
+    arrived: Instant,
+    answered: bool,
+}
+
+impl Unanswered {
+    fn end(mut self) {
+        self.answered = true;
+    }
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let after_ms = clock::now().since(self.arrived).as_millis() as u64;
+        tracing::info!(id = %self.id, after_ms, "caller left before an answer");
+        self.app.metrics.abandoned.inc();
+    }
+}
+
 async fn admit(
     app: Arc<App>,
     arrived: Instant,
--- a/crates/forward/tests/forward/streams.rs
+++ b/crates/forward/tests/forward/streams.rs
@@ -167,6 +167,20 @@
     assert_eq!(lost.count() + other.count(), 1);
 }
 
+#[tokio::test]
+async fn a_generation_that_may_have_begun_is_never_said_not_to_have_run() {
+    let read = Backend::start(prefills).await;
+    let lost = Backend::start(|_| vec![Step::Reset]).await;
+    let full = Backend::start(not_run).await;
+    let host = engines(&read, &[&lost, &full]).await;
+
+    while lost.count() == 0 {
+        let answer = call(host.address, &generation("/recap/7")).await;
+
+        assert!(lost.count() == 0 || answer.status == 502, "{answer:?}");
+    }
+}
+
 #[tokio::test]
 async fn a_server_that_another_replaced_is_asked_once() {
     let read = Backend::start(prefills).await;
