--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -59,8 +59,6 @@
     NotRun,
     /// Another server stands at the address; it did not run the request.
     Misdirected,
-    /// The server ran it and failed.
-    Failed,
     /// It may have run.
     Unknown,
     /// The deadline passed; it may have run.
@@ -74,7 +72,6 @@
             Failure::Refused => "refused",
             Failure::NotRun => "not_run",
             Failure::Misdirected => "misdirected",
-            Failure::Failed => "failed",
             Failure::Unknown => "unknown",
             Failure::TimedOut => "timed_out",
         }
@@ -86,7 +83,7 @@
 
     /// Whether the server may have run the request.
     fn may_have_run(self) -> bool {
-        matches!(self, Failure::Failed | Failure::Unknown | Failure::TimedOut)
+        matches!(self, Failure::Unknown | Failure::TimedOut)
     }
 
     fn refusal(self) -> Refusal {
@@ -94,7 +91,7 @@
             Failure::Unsent | Failure::Refused | Failure::NotRun | Failure::Misdirected => {
                 Refusal::until(Cause::Full, FULL_RETRY)
             }
-            Failure::Failed | Failure::Unknown => Refusal::new(Cause::Lost),
+            Failure::Unknown => Refusal::new(Cause::Lost),
             Failure::TimedOut => Refusal::new(Cause::TimedOut),
         }
     }
@@ -134,7 +131,7 @@
         self.may_have_run |= failure.may_have_run();
         let harmless = match failure {
             Failure::Unsent | Failure::Refused | Failure::NotRun | Failure::Misdirected => true,
-            Failure::Failed | Failure::Unknown => job.route.kind.may_repeat(),
+            Failure::Unknown => job.route.kind.may_repeat(),
             Failure::TimedOut => false,
         };
         let again = harmless && self.sent < job.route.attempts && self.spend(job);
@@ -233,9 +230,7 @@
         match &sent {
             Err(Failure::Misdirected) => self.app.note_replaced(target),
             Err(Failure::Refused | Failure::Unsent) => self.app.note(target, Met::Nothing),
-            Err(Failure::Failed | Failure::Unknown | Failure::TimedOut) => {
-                self.app.note(target, Met::Failure)
-            }
+            Err(Failure::Unknown | Failure::TimedOut) => self.app.note(target, Met::Failure),
             Ok(_) | Err(Failure::NotRun) => self.app.note(target, Met::Answer),
         }
         sent
--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -7,43 +7,32 @@
 use chestnutrack_process::clock;
 use hyper::Response;
 
-/// Sends a request to a plain service until it has an answer. A server's own failure is the answer
-/// where the request may not be sent again, or no other server has one.
+/// Sends a request to a plain service until it has an answer.
 pub(super) async fn run(job: &Job) -> Result<Response<Body>, Refusal> {
     let mut passed_over = Vec::new();
-    let mut last = Err(Refusal::until(Cause::NoServer, FULL_RETRY));
+    let mut last = Refusal::until(Cause::NoServer, FULL_RETRY);
     let mut tries = Tries::default();
     loop {
-        let Some(place) = job.app.place(&job.service, &passed_over) else { return last };
+        let Some(place) = job.app.place(&job.service, &passed_over) else { return Err(last) };
         note_place(job, &place);
         passed_over.push(place.target.key);
         let started = clock::now();
         let answer = once(job, &place.target).await;
         let took = clock::now().since(started);
+        place.end(match &answer {
+            Ok(response) if response.status().is_server_error() => Ended::Failed(took),
+            Ok(_) => Ended::Answered(took),
+            Err(Failure::NotRun) => Ended::Full,
+            Err(_) => Ended::Failed(took),
+        });
         let failure = match answer {
-            Ok(response) if response.status().is_server_error() => {
-                place.end(Ended::Failed(took));
-                last = Ok(response);
-                Failure::Failed
-            }
-            Ok(response) => {
-                place.end(Ended::Answered(took));
-                return Ok(response);
-            }
-            Err(failure) => {
-                place.end(match failure {
-                    Failure::NotRun => Ended::Full,
-                    _ => Ended::Failed(took),
-                });
-                failure
-            }
+            Ok(response) => return Ok(response),
+            Err(failure) => failure,
         };
         let again = tries.again(job, failure);
-        if last.is_err() {
-            last = Err(tries.refusal(failure.refusal()));
-        }
+        last = tries.refusal(failure.refusal());
         if !again {
-            return last;
+            return Err(last);
         }
     }
 }
