Allowances hold over the platform's window, and clumps of requests within it pass

Now no window of the platform's length holds more than rate and burst, by what was spent in its parts, peers' spending included; the bucket within it saves up one second at the rate beyond the burst, so that an organisation at many times its rate still gets it evenly. After a start that knows nothing, the bucket starts empty as before. The tolerance of the rule (a tenth and a constant) is not used.

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -5,26 +5,48 @@
 //! where the fleet as a whole has nothing left. What a peer spends while it can't be heard is unknown:
 //! for as long, its even share of the rate is kept back, and burst is cut in the same measure.
 //!
+//! An allowance holds over a window: in none is more spent than its rate and its burst allow. Within the
+//! window the bucket lets clumps of requests pass, and keeps an organisation from taking the whole window
+//! at once: it holds the burst and what a short time at the rate gives.
+//!
 //! A bucket starts full only when the whole fleet starts for the first time. After any other start
 //! it is empty, since what was spent before isn't known.
 
 #[cfg(test)]
 mod tests;
+mod window;
 
 use crate::limit::Terms;
 use crate::time::Instant;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use window::Window;
 
 /// Shortest time after which a caller that was refused is asked to come back.
 const RETRY_MIN: Duration = Duration::from_millis(100);
 
+/// How allowances are counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Settings {
+    /// Window in which no more than the rate and the burst may be spent; without one, the bucket
+    /// alone counts.
+    pub window: Duration,
+    /// Time at the rate that a bucket can save up beyond the burst.
+    pub saved: Duration,
+}
+
 /// Not enough tokens are left.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refusal {
     /// Tokens that are left.
     pub left: u64,
+    /// Tokens that the organisation may spend a second.
+    pub rate: f64,
+    /// Tokens that it may spend at once.
+    pub burst: f64,
+    /// Part of both that is kept back for peers that can't be heard.
+    pub kept: f64,
     /// When there will be enough if nobody else spends any.
     pub retry_after: Duration,
 }
@@ -38,6 +60,7 @@
     burst: f64,
     level: f64,
     at: Instant,
+    window: Window,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -50,6 +73,7 @@
 /// Allowances, as one host sees them.
 #[derive(Clone, Debug)]
 pub struct Allowances {
+    settings: Settings,
     buckets: HashMap<Arc<str>, Bucket>,
     own: Spent,
     peers: HashMap<Arc<str>, Peer>,
@@ -72,8 +96,9 @@
 impl Allowances {
     /// Without organisations, at the start of the process; `first_start` says that the whole fleet
     /// starts for the first time.
-    pub fn new(now: Instant, first_start: bool) -> Allowances {
+    pub fn new(now: Instant, first_start: bool, settings: Settings) -> Allowances {
         Allowances {
+            settings,
             buckets: HashMap::new(),
             own: Spent::new(),
             peers: HashMap::new(),
@@ -84,19 +109,22 @@
 
     /// Puts limits in force. A rate of 0 is no limit.
     pub fn configure(&mut self, now: Instant, terms: &[Terms]) {
-        let kept = self.kept_share();
+        let (kept, saved) = (self.kept_share(), self.settings.saved);
         let limited = terms.iter().filter(|terms| terms.rate > 0);
         let mut buckets = HashMap::new();
         for terms in limited {
             let (rate, burst) = (terms.rate as f64, terms.burst as f64);
             let bucket = match self.buckets.remove(&terms.name) {
                 Some(mut bucket) => {
-                    bucket.refill(now, kept);
-                    Bucket { rate, burst, level: bucket.level.min(burst), ..bucket }
+                    bucket.refill(now, kept, saved);
+                    let bucket = Bucket { rate, burst, ..bucket };
+                    Bucket { level: bucket.level.min(bucket.most(kept, saved)), ..bucket }
                 }
                 None => {
-                    let level = if self.full { burst } else { 0.0 };
-                    Bucket { rate, burst, level, at: now }
+                    let window = Window::new(self.settings.window);
+                    let bucket = Bucket { rate, burst, level: 0.0, at: now, window };
+                    let level = if self.full { bucket.most(kept, saved) } else { 0.0 };
+                    Bucket { level, ..bucket }
                 }
             };
             buckets.insert(terms.name.clone(), bucket);
@@ -112,26 +140,27 @@
     ///
     /// When there are not enough.
     pub fn take(&mut self, now: Instant, name: &Arc<str>, tokens: u64) -> Result<(), Refusal> {
-        let kept = self.kept_share();
+        let (kept, settings) = (self.kept_share(), self.settings);
         let Some(bucket) = self.buckets.get_mut(name) else { return Ok(()) };
-        bucket.refill(now, kept);
+        bucket.refill(now, kept, settings.saved);
         let wanted = tokens as f64;
-        if bucket.level < wanted {
-            let seconds = (wanted - bucket.level) / (bucket.rate * (1.0 - kept)).max(1.0);
-            let retry_after = Duration::from_secs_f64(seconds.min(3_600.0)).max(RETRY_MIN);
-            return Err(Refusal { left: bucket.level.max(0.0) as u64, retry_after });
+        let left = bucket.left(now, kept, &settings);
+        if left < wanted {
+            let retry_after = bucket.room_in(now, wanted, kept, &settings).max(RETRY_MIN);
+            let (left, rate, burst) = (left.max(0.0) as u64, bucket.rate, bucket.burst);
+            return Err(Refusal { left, rate, burst, kept, retry_after });
         }
-        bucket.level -= wanted;
+        bucket.spend(now, wanted);
         *self.own.entry(name.clone()).or_default() += tokens as i64;
         Ok(())
     }
 
     /// Hands tokens back that a request did not use.
     pub fn refund(&mut self, now: Instant, name: &Arc<str>, tokens: u64) {
-        let kept = self.kept_share();
+        let (kept, saved) = (self.kept_share(), self.settings.saved);
         let Some(bucket) = self.buckets.get_mut(name) else { return };
-        bucket.refill(now, kept);
-        bucket.level = (bucket.level + tokens as f64).min(bucket.burst);
+        bucket.refill(now, kept, saved);
+        bucket.give_back(tokens as f64, saved);
         *self.own.entry(name.clone()).or_default() -= tokens as i64;
     }
 
@@ -142,7 +171,7 @@
 
     /// Takes in what a peer has spent in all.
     pub fn heard(&mut self, now: Instant, name: &Arc<str>, told: Told) {
-        let kept = self.kept_share();
+        let (kept, saved) = (self.kept_share(), self.settings.saved);
         let is_older = now - told.age < self.started;
         let peer = self.peers.entry(name.clone()).or_default();
         if peer.incarnation != told.incarnation {
@@ -155,27 +184,30 @@
         for (organisation, total) in told.spent {
             let before = peer.spent.insert(organisation.clone(), total).unwrap_or(0);
             if let Some(bucket) = self.buckets.get_mut(&organisation) {
-                bucket.refill(now, kept);
-                bucket.level = (bucket.level - (total - before) as f64).min(bucket.burst);
+                bucket.refill(now, kept, saved);
+                match total - before {
+                    more @ 0.. => bucket.spend(now, more as f64),
+                    less => bucket.give_back(-less as f64, saved),
+                }
             }
         }
     }
 
     /// Notes that a peer can't be heard, though it may go on spending.
     pub fn silent(&mut self, now: Instant, name: &Arc<str>) {
-        let before = self.kept_share();
+        let (before, saved) = (self.kept_share(), self.settings.saved);
         self.peers.entry(name.clone()).or_default().silent = true;
         let kept = self.kept_share();
         for bucket in self.buckets.values_mut() {
-            bucket.refill(now, before);
-            bucket.level = bucket.level.min(bucket.burst * (1.0 - kept));
+            bucket.refill(now, before, saved);
+            bucket.level = bucket.level.min(bucket.most(kept, saved));
         }
     }
 
     /// Notes that a peer surely spends nothing: its process is gone.
     pub fn gone(&mut self, now: Instant, name: &Arc<str>) {
-        let kept = self.kept_share();
-        self.buckets.values_mut().for_each(|bucket| bucket.refill(now, kept));
+        let (kept, saved) = (self.kept_share(), self.settings.saved);
+        self.buckets.values_mut().for_each(|bucket| bucket.refill(now, kept, saved));
         self.peers.remove(name);
     }
 
@@ -192,12 +224,56 @@
 }
 
 impl Bucket {
-    fn refill(&mut self, now: Instant, kept: f64) {
+    /// The most that it holds where a part is kept back.
+    fn most(&self, kept: f64, saved: Duration) -> f64 {
+        (self.burst + self.rate * saved.as_secs_f64()) * (1.0 - kept)
+    }
+
+    fn refill(&mut self, now: Instant, kept: f64, saved: Duration) {
         let seconds = now.since(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        let most = self.burst * (1.0 - kept);
+        let most = self.most(kept, saved);
         if self.level < most {
             self.level = (self.level + seconds * self.rate * (1.0 - kept)).min(most);
         }
     }
+
+    fn spend(&mut self, now: Instant, tokens: f64) {
+        self.level -= tokens;
+        self.window.add(now, tokens);
+    }
+
+    fn give_back(&mut self, tokens: f64, saved: Duration) {
+        self.level = (self.level + tokens).min(self.most(0.0, saved));
+        self.window.take_back(tokens);
+    }
+
+    /// What a window may hold where a part is kept back.
+    fn bound(&self, kept: f64, settings: &Settings) -> f64 {
+        (self.rate * settings.window.as_secs_f64() + self.burst) * (1.0 - kept)
+    }
+
+    /// What may be spent now, once refilled.
+    fn left(&mut self, now: Instant, kept: f64, settings: &Settings) -> f64 {
+        if settings.window.is_zero() {
+            return self.level;
+        }
+        self.level.min(self.bound(kept, settings) - self.window.spent(now))
+    }
+
+    /// How long until so many tokens may be spent, if nobody else spends any.
+    fn room_in(&mut self, now: Instant, wanted: f64, kept: f64, settings: &Settings) -> Duration {
+        /// Longest time that a caller is asked to stay away.
+        const MOST_S: f64 = 3_600.0;
+        let seconds = (wanted - self.level) / (self.rate * (1.0 - kept)).max(1.0);
+        let refilled = Duration::from_secs_f64(seconds.clamp(0.0, MOST_S));
+        if settings.window.is_zero() {
+            return refilled;
+        }
+        let over = self.window.spent(now) + wanted - self.bound(kept, settings);
+        match over > 0.0 {
+            true => refilled.max(self.window.leaves_in(now, over)),
+            false => refilled,
+        }
+    }
 }
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -1,4 +1,4 @@
-use super::{Allowances, Refusal, Spent, Told};
+use super::{Allowances, Refusal, Settings, Spent, Told};
 use crate::limit::Terms;
 use crate::time::Instant;
 use std::sync::Arc;
@@ -20,7 +20,7 @@
 
 /// A host that has run for long, so that its bucket is full.
 fn host() -> Allowances {
-    let mut host = Allowances::new(at(0), true);
+    let mut host = Allowances::new(at(0), true, Settings::default());
     host.configure(at(0), &terms(RATE));
     host
 }
@@ -34,12 +34,14 @@
 fn burst_and_then_rate_can_be_spent_and_no_more() {
     let mut host = host();
 
-    let burst = host.take(at(0), &name(), RATE);
+    let at_once = host.take(at(0), &name(), RATE);
     let more = host.take(at(0), &name(), 1);
     let later = host.take(at(1), &name(), RATE);
 
-    assert_eq!(burst, Ok(()));
-    assert_eq!(more, Err(Refusal { left: 0, retry_after: Duration::from_millis(100) }));
+    assert_eq!(at_once, Ok(()));
+    let (rate, burst) = (RATE as f64, RATE as f64);
+    let retry_after = Duration::from_millis(100);
+    assert_eq!(more, Err(Refusal { left: 0, rate, burst, kept: 0.0, retry_after }));
     assert_eq!(later, Ok(()));
 }
 
@@ -67,7 +69,7 @@
 
 #[test]
 fn a_host_that_starts_beside_others_is_not_charged_for_what_they_spent_before() {
-    let mut host = Allowances::new(at(0), false);
+    let mut host = Allowances::new(at(0), false, Settings::default());
     host.configure(at(0), &terms(RATE));
     let long = Told { age: Duration::from_secs(60), ..told(1, 1_000_000) };
     host.heard(at(0), &"peer".into(), long);
@@ -81,7 +83,7 @@
 
 #[test]
 fn a_start_that_is_not_the_first_begins_with_nothing() {
-    let mut host = Allowances::new(at(0), false);
+    let mut host = Allowances::new(at(0), false, Settings::default());
     host.configure(at(0), &terms(RATE));
 
     assert!(host.take(at(0), &name(), 1).is_err());
@@ -90,7 +92,7 @@
 
 #[test]
 fn organisations_that_come_later_begin_with_their_burst() {
-    let mut host = Allowances::new(at(0), false);
+    let mut host = Allowances::new(at(0), false, Settings::default());
     host.configure(at(0), &[]);
 
     host.configure(at(0), &terms(RATE));
@@ -155,3 +157,91 @@
     assert_eq!(host.spent()[&name()], 0);
     assert_eq!(host.take(at(0), &name(), RATE), Ok(()));
 }
+
+const WINDOWED: Settings =
+    Settings { window: Duration::from_secs(8), saved: Duration::from_secs(1) };
+
+/// Requests at these times, in milliseconds, of these tokens; what was let in.
+fn let_in(settings: Settings, requests: impl Iterator<Item = (u64, u64)>) -> Vec<(u64, u64)> {
+    let mut host = Allowances::new(at(0), true, settings);
+    host.configure(at(0), &terms(RATE));
+    let taken = |&(ms, tokens): &(u64, u64)| {
+        host.take(at(0) + Duration::from_millis(ms), &name(), tokens).is_ok()
+    };
+    requests.filter(taken).collect()
+}
+
+/// The most that was let in within a window of so many milliseconds.
+fn most_within(taken: &[(u64, u64)], window: u64) -> u64 {
+    let sums = taken.iter().map(|(from, _)| {
+        let inside = taken.iter().filter(|(ms, _)| (*from..from + window).contains(ms));
+        inside.map(|(_, tokens)| tokens).sum()
+    });
+    sums.max().unwrap_or(0)
+}
+
+quickcheck::quickcheck! {
+    fn no_window_holds_more_than_rate_and_burst(steps: Vec<(u16, u16)>) -> bool {
+        let mut ms = 0;
+        let requests = steps.into_iter().cycle().take(400).map(|(pause, tokens)| {
+            ms += u64::from(pause % 700);
+            (ms, u64::from(tokens % 1_500))
+        });
+        let taken = let_in(WINDOWED, requests.collect::<Vec<_>>().into_iter());
+        most_within(&taken, 8_000) <= 9 * RATE
+    }
+}
+
+#[test]
+fn clumps_of_large_requests_within_the_rate_are_let_in() {
+    // Pattern: requests of 0.45 s worth of the rate each, three together every 1.5 s.
+    let clumps = || (0..60).map(|n| ((n / 3) * 1_500, 450));
+
+    let bucket = let_in(Settings::default(), clumps()).len();
+    let windowed = let_in(WINDOWED, clumps()).len();
+
+    assert_eq!((bucket, windowed), (40, 60));
+}
+
+#[test]
+fn an_organisation_far_beyond_its_rate_gets_its_rate_and_never_waits_a_window() {
+    // Pattern: one organisation at seven times its rate for 40 s.
+    let flood = (0..40 * 70).map(|n| (n * 1_000 / 70, 100));
+
+    let taken = let_in(WINDOWED, flood);
+
+    let total: u64 = taken.iter().map(|(_, tokens)| tokens).sum();
+    assert!((40 * RATE..=42 * RATE).contains(&total), "{total}");
+    let pauses = taken.windows(2).map(|pair| pair[1].0 - pair[0].0);
+    assert!(pauses.max().unwrap() <= 2_000, "{taken:?}");
+}
+
+#[test]
+fn a_refused_caller_is_told_when_the_window_has_room() {
+    let mut host = Allowances::new(at(0), true, WINDOWED);
+    host.configure(at(0), &terms(RATE));
+    for second in 0..8 {
+        while host.take(at(second), &name(), 100).is_ok() {}
+    }
+
+    let refusal = host.take(at(8), &name(), 2 * RATE).unwrap_err();
+
+    assert!(refusal.retry_after >= Duration::from_millis(250), "{refusal:?}");
+    assert_eq!(host.take(at(8) + refusal.retry_after, &name(), 2 * RATE), Ok(()));
+}
+
+#[test]
+fn what_peers_spend_fills_the_window_too() {
+    let mut host = Allowances::new(at(0), true, WINDOWED);
+    host.configure(at(0), &terms(RATE));
+    for second in 0..8_u32 {
+        let spent = i64::from(second + 1) * 1_100;
+        host.heard(at(u64::from(second)), &"peer".into(), told(1, spent));
+    }
+
+    let more = host.take(at(8), &name(), 300);
+    let least = host.take(at(8), &name(), 200);
+
+    assert!(more.is_err());
+    assert_eq!(least, Ok(()));
+}
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -51,6 +51,16 @@
     Decode,
 }
 
+impl Stage {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Stage::Prefill => "prefill",
+            Stage::Decode => "decode",
+        }
+    }
+}
+
 /// A backend server, as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -12,8 +12,8 @@
 use crate::config::{Config, Table};
 use crate::dialect::Dialect;
 use crate::metric::Metrics;
-use chestnutrack_core::allowance::Allowances;
-use chestnutrack_core::dispatch::{self, Callers, Change, Dispatch, Key, Met};
+use chestnutrack_core::allowance::{self, Allowances};
+use chestnutrack_core::dispatch::{self, Callers, Change, Dispatch, Key, Met, Stage};
 use chestnutrack_core::limit::Terms;
 use chestnutrack_core::retry::Budget;
 use chestnutrack_core::time::Instant;
@@ -27,6 +27,11 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 
+/// Time at its rate that an organisation can save up beyond its burst, where its allowance holds over a
+/// window: long enough for clumps of its largest requests, and short enough that a fleet that has lost
+/// all it knew exceeds a window by no more than the platform tolerates.
+pub const ALLOWANCE_SAVED: Duration = Duration::from_secs(1);
+
 /// Who this process is, and what bounds it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -43,6 +48,8 @@
     pub repeats: u32,
     /// Time that must lie between the orders of two hosts to engines.
     pub lease: Duration,
+    /// How organisations' allowances are counted.
+    pub allowance: allowance::Settings,
     /// Bytes of requests' bodies that are held at once.
     pub body_bytes: usize,
     /// Connections to backend servers.
@@ -60,6 +67,7 @@
             first_start: true,
             repeats: 20,
             lease: Duration::from_secs(3),
+            allowance: allowance::Settings::default(),
             body_bytes: 32 << 20,
             pool: pool::Settings {
                 connect: Duration::from_millis(300),
@@ -123,7 +131,7 @@
     pub fn new(settings: Settings, dialect: Dialect, metrics: Metrics) -> App {
         let state = State {
             dispatch: Dispatch::new(settings.dispatch, settings.failure_domain.clone()),
-            allowances: Allowances::new(clock::now(), settings.first_start),
+            allowances: Allowances::new(clock::now(), settings.first_start, settings.allowance),
             pools: SecondaryMap::new(),
             budgets: HashMap::new(),
             callers: Callers::default(),
@@ -205,7 +213,8 @@
                 let (leaving, address, stage) = (entry.leaving, entry.address, entry.stage);
                 let (key, changed) = state.dispatch.put(entry);
                 if changed {
-                    tracing::info!(server = %name, %address, leaving, ?stage, "server listed");
+                    let stage = stage.map(Stage::name);
+                    tracing::info!(server = %name, %address, leaving, stage, "server listed");
                 }
                 if !state.pools.contains_key(key) {
                     state.pools.insert(key, Pool::new(address, self.settings.pool));
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -164,7 +164,7 @@
                 None
             }
             Err(refusal) => {
-                tracing::info!(id, cause = ?refusal.cause, after_ms, "stream can't go on");
+                tracing::info!(id, cause = refusal.cause.name(), after_ms, "stream can't go on");
                 None
             }
         }
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -45,9 +45,9 @@
         let (status, retry_after_ms) =
             (refusal.status().as_u16(), refusal.retry_after.map(|after| after.as_millis() as u64));
         let after_ms = clock::now().since(arrived).as_millis() as u64;
-        let cause = refusal.cause;
-        tracing::info!(%id, status, ?cause, retry_after_ms, after_ms, version, "refused");
-        app.metrics.refusals.with_label_values(&[cause.name()]).inc();
+        let cause = refusal.cause.name();
+        tracing::info!(%id, status, cause, retry_after_ms, after_ms, version, "refused");
+        app.metrics.refusals.with_label_values(&[cause]).inc();
         refusal.response()
     })
 }
@@ -98,10 +98,9 @@
     let tokens = cost(&ask, organisation.as_ref());
     if let Some(owner) = &organisation {
         app.debit(&owner.name, tokens).map_err(|refusal| {
-            tracing::info!(
-                id = ask.id.as_deref(), organisation = %owner.name, tokens, left = refusal.left,
-                "over its allowance"
-            );
+            let (id, organisation) = (ask.id.as_deref(), &owner.name);
+            let chestnutrack_core::allowance::Refusal { left, rate, burst, kept, .. } = refusal;
+            tracing::info!(id, %organisation, tokens, left, rate, burst, kept, "over its allowance");
             Refusal::until(Cause::OverRate, refusal.retry_after)
         })?;
     }
--- a/crates/forward/src/stage/mod.rs
+++ b/crates/forward/src/stage/mod.rs
@@ -142,7 +142,8 @@
         let status = answer.as_ref().ok().map(|answer| answer.status().as_u16());
         let error = answer.as_ref().err().map(ToString::to_string);
         let (server, epoch, sequence) = (&order.server, order.epoch, order.orders);
-        tracing::info!(%server, ?stage, epoch, sequence, status, error, "order given");
+        let stage = stage.name();
+        tracing::info!(%server, stage, epoch, sequence, status, error, "order given");
         if status.is_none_or(|status| !TAKEN.contains(&status)) {
             // It may still be carried out.
             self.note_changing(server, LATE);
