--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -192,6 +192,44 @@
     assert!(missing.is_empty(), "{missing:?}");
 }
 
+#[test]
+fn every_cause_line_and_metric_of_the_operations_page_is_there() {
+    let page = read("docs/OPERATIONS.md");
+    let text = ["forward", "store", "process"].map(sources).concat();
+    let mut named = first_column(&page, "## Refusals");
+    named.extend(first_column(&page, "## Log lines"));
+    let metrics = first_column(&page, "## Metrics").into_iter();
+    let metrics =
+        metrics.filter_map(|name| Some(name.strip_prefix("chestnutrack_forward_")?.to_owned()));
+    named.extend(metrics);
+
+    let missing: Vec<_> =
+        named.iter().filter(|name| !text.contains(&format!("\"{name}\""))).collect();
+
+    assert!(named.len() >= 50, "{named:?}");
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
+#[test]
+fn every_cause_that_direct_hosts_name_is_on_the_operations_page() {
+    let page = read("docs/OPERATIONS.md");
+    let text = sources("forward");
+    let names = |start: &str, end: &str| -> Vec<String> {
+        let found = text.split(start).skip(1).filter_map(|rest| rest.split_once(end));
+        found.map(|(name, _)| name.to_owned()).collect()
+    };
+    let causes = names("Cause::", ",").into_iter();
+    let causes: Vec<String> = causes
+        .filter_map(|arm| Some(arm.split_once(" => \"")?.1.trim_end_matches('"').to_owned()))
+        .collect();
+
+    let missing: Vec<_> =
+        causes.iter().filter(|cause| !page.contains(&format!("`{cause}`"))).collect();
+
+    assert!(causes.len() >= 12, "{causes:?}");
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
 fn reference() -> Vec<Row> {
     let page = read("docs/document.md");
     let rows = page.lines().filter(|line| line.starts_with("| `"));
--- a/crates/forward/src/answer/mod.rs
+++ b/crates/forward/src/answer/mod.rs
@@ -53,8 +53,6 @@
 pub enum Cause {
     /// no configuration is known yet
     Unconfigured,
-    /// this host is shutting down
-    Draining,
     /// no route leads there
     NoRoute,
     /// the key is missing or unknown
@@ -73,8 +71,6 @@
     Full,
     /// no backend server is known
     NoServer,
-    /// the deadline passed before the request was sent
-    Expired,
     /// a backend server may have run the request, and its answer is lost
     Lost,
     /// the deadline passed while a backend server had the request
@@ -86,7 +82,6 @@
     pub fn name(self) -> &'static str {
         match self {
             Cause::Unconfigured => "unconfigured",
-            Cause::Draining => "draining",
             Cause::NoRoute => "no_route",
             Cause::NoKey => "no_key",
             Cause::BadHead => "bad_head",
@@ -96,7 +91,6 @@
             Cause::OverRate => "over_rate",
             Cause::Full => "full",
             Cause::NoServer => "no_server",
-            Cause::Expired => "expired",
             Cause::Lost => "lost",
             Cause::TimedOut => "timed_out",
         }
@@ -138,12 +132,9 @@
             Cause::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Cause::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Cause::OverRate => StatusCode::TOO_MANY_REQUESTS,
-            Cause::Unconfigured
-            | Cause::Draining
-            | Cause::Crowded
-            | Cause::Full
-            | Cause::NoServer
-            | Cause::Expired => StatusCode::SERVICE_UNAVAILABLE,
+            Cause::Unconfigured | Cause::Crowded | Cause::Full | Cause::NoServer => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Cause::Lost => StatusCode::BAD_GATEWAY,
             Cause::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
