A host that starts beside others takes over what organisations have spent

A new host now asks its peers for levels and windows and takes them over once. Ruled out: shares kept back in the cut (the hosts heard each other), late news (the three hosts that served spent 217,000 in the first quarter second, within one bucket).

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -9,8 +9,9 @@
 //! window the bucket lets clumps of requests pass, and keeps an organisation from taking the whole window
 //! at once: it holds the burst and what a short time at the rate gives.
 //!
-//! A bucket starts full only when the whole fleet starts for the first time. After any other start
-//! it is empty, since what was spent before isn't known.
+//! A bucket starts full only when the whole fleet starts for the first time. A host that starts beside
+//! others takes their accounts over. Where nobody knows what was spent, the bucket starts empty: a window
+//! may then hold more by what can be saved up.
 
 #[cfg(test)]
 mod tests;
@@ -79,9 +80,22 @@
     peers: HashMap<Arc<str>, Peer>,
     /// Whether new buckets start full.
     full: bool,
+    /// Whether it is known what was spent in the window.
+    known: bool,
     started: Instant,
 }
 
+/// What an organisation has spent lately.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Account {
+    /// The organisation.
+    pub organisation: Arc<str>,
+    /// Tokens left in its bucket; negative where more were spent.
+    pub level: f64,
+    /// What was spent in the window: how long ago, and tokens; the newest is last.
+    pub spent: Vec<(Duration, f64)>,
+}
+
 /// What a peer tells of its spending.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Told {
@@ -103,6 +117,7 @@
             own: Spent::new(),
             peers: HashMap::new(),
             full: first_start,
+            known: first_start,
             started: now,
         }
     }
@@ -164,6 +179,47 @@
         *self.own.entry(name.clone()).or_default() -= tokens as i64;
     }
 
+    /// Whether it is known what was spent in the window: from the first start, from a peer, or since
+    /// the host has run for as long.
+    pub fn is_known(&self, now: Instant) -> bool {
+        /// Time that counts where there is no window.
+        const LEAST: Duration = Duration::from_secs(1);
+        self.known || now.since(self.started) >= self.settings.window.max(LEAST)
+    }
+
+    /// What organisations have spent lately, for a host that starts.
+    pub fn accounts(&mut self, now: Instant) -> Vec<Account> {
+        let (kept, saved) = (self.kept_share(), self.settings.saved);
+        let accounts = self.buckets.iter_mut().map(|(name, bucket)| {
+            bucket.refill(now, kept, saved);
+            bucket.window.spent(now);
+            let spent = bucket.window.parts(now).collect();
+            Account { organisation: name.clone(), level: bucket.level, spent }
+        });
+        accounts.collect()
+    }
+
+    /// Takes over what a peer knows, at a start that knows nothing; whether it was taken.
+    pub fn adopt(&mut self, now: Instant, accounts: &[Account]) -> bool {
+        if self.buckets.is_empty() || self.is_known(now) {
+            return false;
+        }
+        self.known = true;
+        let (kept, saved) = (self.kept_share(), self.settings.saved);
+        for account in accounts {
+            let Some(bucket) = self.buckets.get_mut(&account.organisation) else { continue };
+            // The peer may not have heard of this host's own spending yet.
+            let own = self.own.get(&account.organisation).map_or(0.0, |own| *own as f64);
+            bucket.refill(now, kept, saved);
+            bucket.level = (account.level - own).min(bucket.most(kept, saved));
+            let mut window = Window::new(self.settings.window);
+            account.spent.iter().for_each(|(ago, tokens)| window.add(now - *ago, *tokens));
+            window.add(now, own);
+            bucket.window = window;
+        }
+        true
+    }
+
     /// What this host has spent.
     pub fn spent(&self) -> &Spent {
         &self.own
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -1,4 +1,4 @@
-use super::{Allowances, Refusal, Settings, Spent, Told};
+use super::{Account, Allowances, Refusal, Settings, Spent, Told};
 use crate::limit::Terms;
 use crate::time::Instant;
 use std::sync::Arc;
@@ -245,3 +245,67 @@
     assert!(more.is_err());
     assert_eq!(least, Ok(()));
 }
+
+fn restarted() -> Allowances {
+    let mut host = Allowances::new(at(0), false, WINDOWED);
+    host.configure(at(0), &terms(RATE));
+    host
+}
+
+#[test]
+fn a_fleet_that_has_lost_all_it_knew_exceeds_a_window_by_what_can_be_saved_up_at_most() {
+    // Pattern: an organisation at many times its rate, and all hosts are killed once it has spent all
+    // that it could.
+    let flood = |host: &mut Allowances, from: u64, to: u64| -> u64 {
+        let at = |ms| at(0) + Duration::from_millis(ms);
+        let taken = (from..to).step_by(10).filter(|ms| host.take(at(*ms), &name(), 100).is_ok());
+        taken.count() as u64 * 100
+    };
+    for killed_at in [500, 1_000, 3_000, 7_000] {
+        let mut before = Allowances::new(at(0), true, WINDOWED);
+        before.configure(at(0), &terms(RATE));
+        let mut spent = flood(&mut before, 0, killed_at);
+
+        let mut after = Allowances::new(at(0) + Duration::from_millis(killed_at), false, WINDOWED);
+        after.configure(at(0) + Duration::from_millis(killed_at), &terms(RATE));
+        spent += flood(&mut after, killed_at, 8_000);
+
+        assert!(spent <= (9 + 1) * RATE, "killed at {killed_at}: {spent}");
+    }
+}
+
+#[test]
+fn a_host_that_starts_beside_others_takes_over_what_they_know() {
+    let mut old = Allowances::new(at(0), true, WINDOWED);
+    old.configure(at(0), &terms(RATE));
+    old.take(at(0), &name(), 1_500).unwrap();
+    let mut new = restarted();
+
+    let adopted = new.adopt(at(0), &old.accounts(at(0)));
+
+    assert!(adopted);
+    assert_eq!(new.take(at(0), &name(), 500), Ok(()));
+    assert!(new.take(at(0), &name(), 1).is_err());
+    assert_eq!(new.accounts(at(0))[0].spent, [(Duration::ZERO, 2_000.0)]);
+}
+
+#[test]
+fn what_is_known_already_is_not_taken_over_again() {
+    let mut host = restarted();
+    let rich = Account { organisation: name(), level: 5_000.0, spent: Vec::new() };
+    let poor = Account { level: 0.0, ..rich.clone() };
+
+    let first = host.adopt(at(0), &[poor]);
+    let second = host.adopt(at(0), &[rich]);
+
+    assert_eq!((first, second), (true, false));
+    assert!(host.take(at(0), &name(), 1).is_err());
+}
+
+#[test]
+fn a_host_that_heard_of_no_account_knows_once_it_has_run_for_a_window() {
+    let host = restarted();
+
+    assert!(!host.is_known(at(7)));
+    assert!(host.is_known(at(8)));
+}
--- a/crates/core/src/allowance/window.rs
+++ b/crates/core/src/allowance/window.rs
@@ -62,6 +62,11 @@
         self.sum
     }
 
+    /// What was spent in each part, and how long ago the part began; the newest is last.
+    pub(super) fn parts(&self, now: Instant) -> impl Iterator<Item = (Duration, f64)> {
+        self.parts.iter().map(move |(began, spent)| (now.since(*began), *spent))
+    }
+
     /// How long until so many of the tokens have left the window.
     pub(super) fn leaves_in(&self, now: Instant, tokens: f64) -> Duration {
         let mut left = tokens;
--- a/crates/forward/src/app/limit.rs
+++ b/crates/forward/src/app/limit.rs
@@ -1,10 +1,11 @@
 //! Allowances of organisations, the budget of repeats, and callers that come back.
 
 use super::App;
-use chestnutrack_core::allowance::Refusal;
+use chestnutrack_core::allowance::{Account, Refusal};
 use chestnutrack_core::retry::{self, Budget};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
+use chestnutrack_wire::frame::AccountNews;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -34,6 +35,36 @@
         self.state().allowances.refund(clock::now(), organisation, tokens);
     }
 
+    /// Whether this host knows what organisations have spent lately.
+    pub(crate) fn knows_accounts(&self) -> bool {
+        self.state().allowances.is_known(clock::now())
+    }
+
+    /// What organisations have spent lately, for a peer that starts.
+    pub(crate) fn accounts(&self) -> Vec<AccountNews> {
+        let accounts = self.state().allowances.accounts(clock::now());
+        let millis = |ago: Duration| u32::try_from(ago.as_millis()).unwrap_or(u32::MAX);
+        let news = accounts.into_iter().map(|account| AccountNews {
+            organisation: account.organisation,
+            level: account.level as i64,
+            spent: account.spent.iter().map(|(ago, spent)| (millis(*ago), *spent as u64)).collect(),
+        });
+        news.collect()
+    }
+
+    /// Takes over what a peer knows of organisations' spending.
+    pub(crate) fn adopt_accounts(&self, peer: &str, news: &[AccountNews]) {
+        let millis = |ago: u32| Duration::from_millis(u64::from(ago));
+        let accounts = news.iter().map(|news| Account {
+            organisation: news.organisation.clone(),
+            level: news.level as f64,
+            spent: news.spent.iter().map(|(ago, spent)| (millis(*ago), *spent as f64)).collect(),
+        });
+        let accounts: Vec<Account> = accounts.collect();
+        let adopted = self.state().allowances.adopt(clock::now(), &accounts);
+        tracing::info!(peer, accounts = accounts.len(), adopted, "accounts heard from a peer");
+    }
+
     /// Notes a request in its service's budget of repeats.
     pub fn earn_repeat(&self, service: &Arc<str>) {
         self.with_budget(service, Budget::earn);
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -142,7 +142,13 @@
     fn hear(self: &Arc<Mesh>, name: &Arc<str>, incarnation: u64, frame: Frame) -> Option<Frame> {
         match frame {
             Frame::News(news) => self.hear_news(name, incarnation, *news),
-            Frame::Want { configuration, servers } => self.tell(configuration, servers),
+            Frame::Want { configuration, servers, accounts } => {
+                self.tell(configuration, servers, accounts)
+            }
+            Frame::Accounts(accounts) => {
+                self.app.adopt_accounts(name, &accounts);
+                None
+            }
             Frame::Configuration { version, document } => {
                 self.follower.hear_config(name, version, &document);
                 None
@@ -182,23 +188,30 @@
         wanted
     }
 
-    /// What this host asks a peer for: a newer configuration, and the servers where the store
-    /// answers the peer but not this host, or this host has just started.
+    /// What this host asks a peer for: a newer configuration, the servers where the store answers the
+    /// peer but not this host, and where this host has just started, servers and accounts.
     fn wanted(&self, news: &News) -> Option<Frame> {
         let (configuration, servers) = (self.app.version(), self.follower.digest());
         let newer = news.configuration > configuration;
         let better = news.store && !self.follower.is_up() || self.follower.knows_none();
         let others = better && news.servers != servers;
-        (newer || others).then_some(Frame::Want { configuration, servers })
+        let accounts = configuration > 0 && !self.app.knows_accounts();
+        // One that knows the peer's servers is told none.
+        let servers = if others { servers } else { news.servers };
+        let wants = newer || others || accounts;
+        wants.then_some(Frame::Want { configuration, servers, accounts })
     }
 
     /// What a peer that asks is told.
-    fn tell(&self, configuration: u64, servers: u64) -> Option<Frame> {
+    fn tell(&self, configuration: u64, servers: u64, accounts: bool) -> Option<Frame> {
         let in_force = self.app.in_force();
         if let Some(newer) = in_force.filter(|now| now.table.config().version > configuration) {
             let version = newer.table.config().version;
             return Some(Frame::Configuration { version, document: newer.raw.clone() });
         }
+        if accounts && self.app.knows_accounts() {
+            return Some(Frame::Accounts(self.app.accounts()));
+        }
         let differ = self.follower.digest() != servers;
         differ.then(|| Frame::Servers(self.follower.servers()))
     }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -324,9 +324,13 @@
         configuration: u64,
         /// Digest of the backend servers that the sender knows.
         servers: u64,
+        /// What organisations have spent, since the sender has just started and knows nothing of it.
+        accounts: bool,
     },
     /// The backend servers that the sender knows.
     Servers(Vec<ServerNews>),
+    /// What organisations have spent lately.
+    Accounts(Vec<AccountNews>),
 }
 
 /// A generation on an engine, as its host tells peers. All counts are in tokens. On the wire it is
@@ -413,6 +417,17 @@
     pub refused: Vec<(u64, u32)>,
 }
 
+/// What an organisation has spent lately.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AccountNews {
+    /// The organisation.
+    pub organisation: Arc<str>,
+    /// Tokens that are left of its bucket; negative where more were spent.
+    pub level: i64,
+    /// What was spent in the window: how long ago in milliseconds, and tokens.
+    pub spent: Vec<(u32, u64)>,
+}
+
 /// A backend server, as the platform's store lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerNews {
