Fleets of more than 32 hosts are divided into cells

Now hosts and servers belong to a cell by a hash of their names; hosts connect to those of their cell, use its servers before others, and spend the cell's part of each allowance (a test: three cells spend it once). Fleets of up to 32 hosts are one cell, as before. Buffers of connections are 4 KiB. The lease of orders is one a cell, with epochs from the store's version, so that they grow over all cells. Ways weighed: a ring of neighbours (shares of allowances overlap), delegates that pass sums on (state to recover), gossip (late by rounds).

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -78,6 +78,8 @@
     buckets: HashMap<Arc<str>, Bucket>,
     own: Spent,
     peers: HashMap<Arc<str>, Peer>,
+    /// Hosts of other cells, which spend their own part.
+    others: usize,
     /// Whether new buckets start full.
     full: bool,
     /// Whether it is known what was spent in the window.
@@ -116,6 +118,7 @@
             buckets: HashMap::new(),
             own: Spent::new(),
             peers: HashMap::new(),
+            others: 0,
             full: first_start,
             known: first_start,
             started: now,
@@ -251,9 +254,21 @@
 
     /// Notes that a peer can't be heard, though it may go on spending.
     pub fn silent(&mut self, now: Instant, name: &Arc<str>) {
-        let (before, saved) = (self.kept_share(), self.settings.saved);
+        let before = self.kept_share();
         self.peers.entry(name.clone()).or_default().silent = true;
-        let kept = self.kept_share();
+        self.cut(now, before);
+    }
+
+    /// Sets how many hosts belong to other cells: they spend their own part of each allowance.
+    pub fn set_others(&mut self, now: Instant, others: usize) {
+        let before = self.kept_share();
+        self.others = others;
+        self.cut(now, before);
+    }
+
+    /// Cuts buckets to what this host may hold, of which a part was kept back before.
+    fn cut(&mut self, now: Instant, before: f64) {
+        let (kept, saved) = (self.kept_share(), self.settings.saved);
         for bucket in self.buckets.values_mut() {
             bucket.refill(now, before, saved);
             bucket.level = bucket.level.min(bucket.most(kept, saved));
@@ -267,14 +282,14 @@
         self.peers.remove(name);
     }
 
-    /// Hosts that spend, this one and those that may be silent included.
+    /// Hosts that spend, this one, those that may be silent and those of other cells included.
     pub fn hosts(&self) -> usize {
-        self.peers.len() + 1
+        self.peers.len() + 1 + self.others
     }
 
-    /// The part of each rate that is kept back for peers that can't be heard.
+    /// The part of each rate that is kept back for hosts that aren't heard.
     pub fn kept_share(&self) -> f64 {
-        let silent = self.peers.values().filter(|peer| peer.silent).count();
+        let silent = self.peers.values().filter(|peer| peer.silent).count() + self.others;
         silent as f64 / self.hosts() as f64
     }
 }
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -309,3 +309,21 @@
     assert!(!host.is_known(at(7)));
     assert!(host.is_known(at(8)));
 }
+
+#[test]
+fn cells_spend_an_allowance_once_between_them() {
+    // Three cells of one, two and three hosts; only the hosts of a cell hear each other.
+    let mut total = 0;
+    for size in 1..=3_u64 {
+        let mut host = host();
+        (1..size).for_each(|peer| host.heard(at(0), &peer.to_string().into(), told(1, 0)));
+        host.set_others(at(0), 6 - usize::try_from(size).unwrap());
+        for second in 0..=8 {
+            while host.take(at(second), &name(), 1).is_ok() {
+                total += 1;
+            }
+        }
+    }
+
+    assert!((9 * RATE - 30..=9 * RATE).contains(&total), "{total}");
+}
--- /dev/null
+++ b/crates/core/src/cell/tests.rs
@@ -0,0 +1,42 @@
+use super::{Cell, HOSTS};
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("host-{number}")).collect()
+}
+
+#[test]
+fn a_fleet_of_one_cell_is_whole() {
+    let cell = Cell::of("host-1", HOSTS);
+
+    assert!(cell.is_whole());
+    assert!(names(100).iter().all(|name| cell.holds(name)));
+}
+
+#[test]
+fn each_host_belongs_to_one_cell_of_bounded_size() {
+    for count in [33, 64, 100, 300, 780] {
+        let hosts = names(count);
+        let cells: Vec<Cell> = hosts.iter().map(|name| Cell::of(name, count)).collect();
+
+        let sizes = cells.iter().map(|cell| hosts.iter().filter(|name| cell.holds(name)).count());
+        let sizes: Vec<usize> = sizes.collect();
+
+        assert!(sizes.iter().all(|size| (1..=2 * HOSTS).contains(size)), "{count}: {sizes:?}");
+        assert!(hosts.iter().zip(&cells).all(|(name, cell)| cell.holds(name)));
+    }
+}
+
+#[test]
+fn a_few_hosts_more_move_none() {
+    let moved = names(300).iter().filter(|name| Cell::of(name, 300) != Cell::of(name, 310)).count();
+
+    assert_eq!(moved, 0);
+}
+
+#[test]
+fn a_fleet_that_outgrows_its_cells_divides_each() {
+    let (before, after) = (Cell::of("host-1", 512), Cell::of("host-1", 513));
+
+    assert_eq!(before.numbers().1 * 2, after.numbers().1);
+    assert!(names(600).iter().all(|name| !after.holds(name) || before.holds(name)));
+}
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -165,6 +165,18 @@
         (pool.kv_tokens, pool.tokens_per_event) = (kv_tokens, tokens_per_event);
     }
 
+    /// Engines of a stage that may be given a new request: those of this host's cell, or all where its
+    /// cell has none.
+    fn usable(&self, now: Instant, service: &str, stage: Stage) -> Vec<(Key, &Server)> {
+        let serving = |(_, server): &(Key, &Server)| server.serves(now, service, stage);
+        let own = self.servers.iter().filter(|(_, server)| server.own).filter(serving);
+        let own: Vec<_> = own.collect();
+        if !own.is_empty() || self.cell.is_whole() {
+            return own;
+        }
+        self.servers.iter().filter(serving).collect()
+    }
+
     /// What runs on the engines now, as far as this host knows.
     pub(super) fn loads(&self, now: Instant) -> Loads {
         let mut loads = Loads::new();
@@ -193,11 +205,7 @@
         let pool = self.pools.get(&ask.service)?;
         let room = pool.kv_tokens as f64 * self.settings.memory;
         let fresh = ask.memory(&pool.length);
-        let candidates = self
-            .servers
-            .iter()
-            .filter(|(_, server)| server.serves(now, &ask.service, Stage::Decode));
-        let mut candidates: Vec<_> = candidates.collect();
+        let mut candidates = self.usable(now, &ask.service, Stage::Decode);
         candidates.sort_by_key(|(key, _)| spread(*key, draw));
         let fitting = candidates.into_iter().filter_map(|(key, server)| {
             let mut runs = loads.get(&key).cloned().unwrap_or_default();
@@ -226,10 +234,7 @@
     ) -> Option<Key> {
         let per_ms = self.pools.get(&ask.service)?.prefill_per_ms;
         let domain = self.servers.get(decode).map(|server| server.entry.failure_domain.clone());
-        let candidates = self
-            .servers
-            .iter()
-            .filter(|(_, server)| server.serves(now, &ask.service, Stage::Prefill));
+        let candidates = self.usable(now, &ask.service, Stage::Prefill).into_iter();
         let ranked = candidates.map(|(key, server)| {
             let far = Some(&server.entry.failure_domain) != domain.as_ref();
             let transfer = if far { TRANSFER_MS } else { 0.0 };
@@ -251,9 +256,8 @@
     /// apart; nothing where no engine prefills.
     fn apart_in(&self, now: Instant, ask: &Ask) -> Option<Duration> {
         let per_ms = self.pools.get(&ask.service)?.prefill_per_ms;
-        let engines = self.servers.values();
-        let engines = engines.filter(|server| server.serves(now, &ask.service, Stage::Prefill));
-        let ahead = engines.map(|server| self.prefilling(now, server, per_ms));
+        let engines = self.usable(now, &ask.service, Stage::Prefill).into_iter();
+        let ahead = engines.map(|(_, server)| self.prefilling(now, server, per_ms));
         let tokens = ahead.min_by(f64::total_cmp)? + ask.prompt_tokens as f64;
         Some(GENERATE + Duration::from_secs_f64(tokens / per_ms / 1_000.0))
     }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -20,6 +20,7 @@
 pub use plain::{Choice, Ended};
 pub use turn::{Ask, Effect, Refusal, Wait};
 
+use crate::cell::Cell;
 use crate::forecast;
 use crate::health::Health;
 use crate::listing;
@@ -143,6 +144,8 @@
     replaced: bool,
     /// It changes its stage until then.
     changing_until: Instant,
+    /// It belongs to this host's cell.
+    own: bool,
 }
 
 impl Server {
@@ -157,6 +160,7 @@
 pub struct Dispatch<T> {
     settings: Settings,
     near: Arc<str>,
+    cell: Cell,
     servers: SlotMap<Key, Server>,
     names: HashMap<Arc<str>, Key>,
     runs: SlotMap<Run, engine::Running>,
@@ -174,6 +178,7 @@
         Dispatch {
             settings,
             near,
+            cell: Cell::default(),
             servers: SlotMap::with_key(),
             names: HashMap::new(),
             runs: SlotMap::with_key(),
@@ -185,6 +190,19 @@
         }
     }
 
+    /// The cell that this host belongs to.
+    pub fn cell(&self) -> Cell {
+        self.cell
+    }
+
+    /// Sets the cell that this host belongs to.
+    pub fn set_cell(&mut self, cell: Cell) {
+        self.cell = cell;
+        for server in self.servers.values_mut() {
+            server.own = cell.holds(&server.entry.name);
+        }
+    }
+
     /// Puts an entry in force; returns the server's key, and whether anything is new.
     pub fn put(&mut self, entry: Entry) -> (Key, bool) {
         if let Some(&key) = self.names.get(&entry.name) {
@@ -201,6 +219,7 @@
             self.remove(&entry.name);
         }
         let name = entry.name.clone();
+        let own = self.cell.holds(&name);
         let server = Server {
             entry,
             health: Health::default(),
@@ -210,6 +229,7 @@
             tokens_per_ms: engine::TOKENS_PER_MS,
             replaced: false,
             changing_until: Instant::default(),
+            own,
         };
         let key = self.servers.insert(server);
         self.names.insert(name, key);
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -86,7 +86,8 @@
         });
         let class = |server: &Server| {
             let unsound = !server.health.may_try(now);
-            (unsound, self.is_suspected(now, server), server.record.full_until > now)
+            let suspected = self.is_suspected(now, server);
+            (unsound, !server.own, suspected, server.record.full_until > now)
         };
         let mut candidates: Vec<(Key, &Server)> = candidates.collect();
         candidates.sort_by_key(|(key, server)| (class(server), spread(*key, draw)));
--- a/crates/core/src/dispatch/stage.rs
+++ b/crates/core/src/dispatch/stage.rs
@@ -69,7 +69,10 @@
             let engines = self.servers.iter().filter(move |(_, server)| {
                 &*server.entry.service == service && server.entry.stage == Some(stage)
             });
-            engines.filter(|(_, server)| server.is_open()).map(|(key, _)| key).collect::<Vec<_>>()
+            engines
+                .filter(|(_, server)| server.own && server.is_open())
+                .map(|(key, _)| key)
+                .collect::<Vec<_>>()
         };
         let (prefill, decode) = (of(Stage::Prefill), of(Stage::Decode));
         let loads = self.loads(now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! messages and seeds come in as arguments, so that a run can be replayed from its events.
 
 pub mod allowance;
+pub mod cell;
 pub mod claim;
 pub mod config;
 pub mod dispatch;
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -13,6 +13,7 @@
 use crate::dialect::Dialect;
 use crate::metric::Metrics;
 use chestnutrack_core::allowance::{self, Allowances};
+use chestnutrack_core::cell::Cell;
 use chestnutrack_core::dispatch::{self, Callers, Change, Dispatch, Key, Met, Stage};
 use chestnutrack_core::limit::Terms;
 use chestnutrack_core::retry::Budget;
@@ -252,6 +253,21 @@
         self.repeats.swap(repeats, Ordering::Relaxed) != repeats
     }
 
+    /// Sets the cell that this host belongs to; whether it is another than before.
+    pub fn set_cell(&self, cell: Cell) -> bool {
+        let mut state = self.state();
+        let changed = state.dispatch.cell() != cell;
+        if changed {
+            state.dispatch.set_cell(cell);
+        }
+        changed
+    }
+
+    /// The cell that this host belongs to.
+    pub fn cell(&self) -> Cell {
+        self.state().dispatch.cell()
+    }
+
     /// Whether the process is shutting down.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -5,6 +5,7 @@
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_store::client::Client;
 use chestnutrack_store::error::Error;
+use chestnutrack_store::object::Object;
 use chestnutrack_store::watcher::{self, Event};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -32,19 +33,17 @@
     let mut events = watcher::start(client, kind, watching(PAUSE));
     while let Some(event) = events.recv().await {
         let Event::Updated(update) = event else { continue };
-        for object in update.objects {
-            let Some(value) = object.value else {
-                mesh.forget(&object.name);
-                continue;
-            };
-            match serde_json::from_value::<Host>(value) {
-                Ok(host) => mesh.meet(object.name, host),
-                Err(error) => tracing::warn!(host = %object.name, %error, "entry names no host"),
-            }
-        }
+        mesh.learn(update.objects.into_iter().filter_map(read));
     }
 }
 
+fn read(object: Object) -> Option<(Arc<str>, Option<Host>)> {
+    let host = object.value.map(serde_json::from_value::<Host>).transpose();
+    let host = host
+        .inspect_err(|error| tracing::warn!(host = %object.name, %error, "entry names no host"));
+    Some((object.name.clone(), host.ok()?))
+}
+
 /// Tells the other hosts where this one is, until the store has taken it.
 pub async fn register(client: Client, kind: &'static str, name: Arc<str>, host: Host) {
     let mut backoff = Backoff::new(RETRY.0, RETRY.1);
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -1,7 +1,8 @@
 //! Entry hosts that tell each other what they have under way.
 //!
 //! Each host opens a connection to every other and sends its news on it: at once when something
-//! changes, and as a heartbeat. News replace each other, so that a lost one does no harm.
+//! changes, and as a heartbeat. News replace each other, so that a lost one does no harm. In a fleet that
+//! is larger than one cell, hosts connect to those of their own cell only.
 
 mod link;
 
@@ -9,12 +10,13 @@
 use crate::follow::{Follower, Host};
 use bytes::Bytes;
 use chestnutrack_core::allowance::Told;
+use chestnutrack_core::cell::Cell;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_wire::frame::{self, Frame, News};
 use chestnutrack_wire::{Connection, codec};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -44,6 +46,9 @@
     /// The newest news, encoded. Each connection sends it once the one before has gone, so that
     /// none waits for a slow peer.
     newest: watch::Sender<Bytes>,
+    /// All other hosts.
+    hosts: Mutex<BTreeMap<Arc<str>, Host>>,
+    /// Those of this host's cell.
     peers: Mutex<HashMap<Arc<str>, Peer>>,
 }
 
@@ -68,52 +73,99 @@
     /// Without peers; every host listens on the same port for them.
     pub fn new(app: Arc<App>, follower: Arc<Follower>, port: u16) -> Arc<Mesh> {
         let newest = watch::Sender::new(Bytes::new());
-        Arc::new(Mesh { app, follower, port, newest, peers: Mutex::default() })
+        let (hosts, peers) = (Mutex::default(), Mutex::default());
+        Arc::new(Mesh { app, follower, port, newest, hosts, peers })
     }
 
     fn peers(&self) -> MutexGuard<'_, HashMap<Arc<str>, Peer>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes in where a host is.
-    pub fn meet(self: &Arc<Mesh>, name: Arc<str>, host: Host) {
-        if name == self.app.settings.name {
-            return;
+    fn hosts(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, Host>> {
+        self.hosts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in where hosts are; those without a place are gone for good.
+    pub fn learn(self: &Arc<Mesh>, changes: impl IntoIterator<Item = (Arc<str>, Option<Host>)>) {
+        let mut hosts = self.hosts();
+        for (name, host) in changes {
+            match host {
+                Some(host) if name != self.app.settings.name => drop(hosts.insert(name, host)),
+                Some(_) => {}
+                None => {
+                    hosts.remove(&name);
+                    self.part(&name);
+                }
+            }
+        }
+        drop(hosts);
+        self.settle();
+    }
+
+    /// Connects to the hosts of this host's cell, and to no other.
+    fn settle(self: &Arc<Mesh>) {
+        let hosts = self.hosts();
+        let cell = Cell::of(&self.app.settings.name, hosts.len() + 1);
+        if self.app.set_cell(cell) {
+            let (index, count) = cell.numbers();
+            tracing::info!(index, count, hosts = hosts.len() + 1, "cell changed");
         }
+        let gone: Vec<Arc<str>> =
+            self.peers().keys().filter(|name| !cell.holds(name)).cloned().collect();
+        gone.iter().for_each(|name| self.part(name));
+        let near = hosts.iter().filter(|(name, _)| cell.holds(name));
+        near.for_each(|(name, host)| self.connect(name, host));
+        let others = hosts.keys().filter(|name| !cell.holds(name)).count();
+        self.app.state().allowances.set_others(clock::now(), others);
+    }
+
+    /// Keeps a connection to a host, unless there is one.
+    fn connect(self: &Arc<Mesh>, name: &Arc<str>, host: &Host) {
         let mut peers = self.peers();
-        if peers.get(&name).is_some_and(|peer| peer.host == host) {
+        if peers.get(name).is_some_and(|peer| peer.host == *host) {
             return;
         }
         tracing::info!(peer = %name, address = %host.address, "peer met");
         let keeper = tokio::spawn(link::keep(self.clone(), name.clone(), host.address));
         let peer = Peer {
-            host,
+            host: host.clone(),
             keeper: keeper.abort_handle(),
             heard: None,
             met: clock::now(),
             silent: false,
             gone: false,
         };
-        peers.insert(name, peer);
+        peers.insert(name.clone(), peer);
     }
 
     /// Takes in a host that opened a connection before the store told of it. All hosts listen on the
     /// same port.
     fn meet_caller(self: &Arc<Mesh>, sender: &frame::Sender, peer: SocketAddr) {
-        if !self.peers().contains_key(&sender.name) {
+        if !self.hosts().contains_key(&sender.name) {
             let address = SocketAddr::new(peer.ip(), self.port);
-            self.meet(sender.name.clone(), Host { incarnation: sender.incarnation, address });
+            let host = Host { incarnation: sender.incarnation, address };
+            self.learn([(sender.name.clone(), Some(host))]);
         }
     }
 
-    /// Forgets a host that is gone for good.
-    pub fn forget(&self, name: &str) {
+    /// Ends the connection to a host.
+    fn part(&self, name: &str) {
         if self.peers().remove(name).is_some() {
             tracing::info!(peer = name, "peer forgotten");
             self.note_gone(name);
         }
     }
 
+    /// Hosts that this one keeps connections to.
+    pub fn connected(&self) -> usize {
+        self.peers().len()
+    }
+
+    /// Other hosts, of all cells.
+    pub fn others(&self) -> usize {
+        self.hosts().len()
+    }
+
     fn note_gone(&self, name: &str) {
         let mut state = self.app.state();
         state.dispatch.gone(name);
@@ -251,7 +303,7 @@
                         return;
                     }
                     self.look_for_silent();
-                    self.follower.set_hosts(self.peers().len() + 1);
+                    self.follower.set_hosts(self.others() + 1);
                     self.follower.show_ages();
                 }
             }
--- a/crates/forward/src/stage/lease.rs
+++ b/crates/forward/src/stage/lease.rs
@@ -1,5 +1,9 @@
-//! The lease of the host that gives orders to engines.
+//! The lease of the host that gives orders to the engines of a cell.
+//!
+//! Its epoch is taken from the version of the whole store, so that it also grows from a lease of one
+//! division of the fleet into cells to those of another.
 
+use chestnutrack_core::cell::Cell;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_store::client::Client;
@@ -8,8 +12,14 @@
 use serde_json::json;
 use std::sync::Arc;
 
-/// Name of the lease's object.
-const NAME: &str = "orders";
+/// Name of the lease of a cell.
+fn name(cell: Cell) -> Arc<str> {
+    let (index, count) = cell.numbers();
+    match cell.is_whole() {
+        true => "orders".into(),
+        false => format!("orders-{index}-of-{count}").into(),
+    }
+}
 
 /// Who holds the lease, as its object says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +47,7 @@
 pub(super) struct Lease {
     client: Client,
     kind: &'static str,
+    name: Arc<str>,
     holder: Arc<str>,
     incarnation: u64,
     /// Its own last write and its version.
@@ -50,7 +61,15 @@
         holder: Arc<str>,
         incarnation: u64,
     ) -> Lease {
-        Lease { client, kind, holder, incarnation, own: None }
+        Lease { client, kind, name: name(Cell::default()), holder, incarnation, own: None }
+    }
+
+    /// Goes over to the lease of a cell.
+    pub(super) fn set_cell(&mut self, cell: Cell) {
+        let name = name(cell);
+        if self.name != name {
+            (self.name, self.own) = (name, None);
+        }
     }
 
     /// Takes the lease from whoever holds it, or confirms it.
@@ -60,16 +79,13 @@
         {
             return Ok(held);
         }
-        let (version, before) = match self.client.read(self.kind, NAME).await {
-            Ok(object) => (object.version, object.value),
-            Err(Error::Missing) => (0, None),
-            Err(error) => return Err(error),
-        };
-        let before: Option<Value> = before.and_then(|value| serde_json::from_value(value).ok());
-        let epoch = before.as_ref().map_or(0, |value| value.epoch) + 1;
-        // An older process of this host may have given orders under its name.
-        let taken_over = version > 0;
-        self.write(version, epoch, taken_over).await
+        let list = self.client.list(self.kind).await?;
+        let before = list.objects.iter().find(|object| object.name == self.name);
+        let version = before.map_or(0, |object| object.version);
+        // An older process of this host may have given orders under its name, and so may the host of
+        // a cell that engines belonged to before.
+        let taken_over = list.objects.iter().any(|object| object.value.is_some());
+        self.write(version, list.version + 1, taken_over).await
     }
 
     /// Writes the lease again: it is still held.
@@ -82,7 +98,7 @@
         let (holder, incarnation) = (self.holder.clone(), self.incarnation);
         let value = Value { epoch, holder, incarnation, write: version };
         let confirmed = clock::now();
-        let written = self.client.update(self.kind, NAME, version, &json!(value)).await?;
+        let written = self.client.update(self.kind, &self.name, version, &json!(value)).await?;
         self.own = Some((written, value));
         Ok(Held { epoch, confirmed, taken_over })
     }
--- a/crates/forward/src/stage/mod.rs
+++ b/crates/forward/src/stage/mod.rs
@@ -83,6 +83,7 @@
     }
 
     async fn give(&mut self, changes: Vec<(Target, Stage)>) {
+        self.lease.set_cell(self.app.cell());
         let held = match self.lease.take().await {
             Ok(held) => held,
             Err(error) => {
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -24,6 +24,9 @@
 
 /// Longest time to open a connection, in milliseconds.
 pub const OPEN_MS: u64 = 1_000;
+/// Buffer of each direction of a connection, in bytes; larger frames pass in parts. The library's own size
+/// of 128 KiB takes 40 MB for 300 connections.
+const BUFFER_BYTES: usize = 4 << 10;
 /// Frames that may queue for a slow reader before the connection is given up.
 pub const QUEUE_FRAMES: usize = 4_096;
 
@@ -217,6 +220,8 @@
 
 fn limits() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
         .max_message_size(Some(codec::FRAME_BYTES_MAX))
         .max_frame_size(Some(codec::FRAME_BYTES_MAX))
 }
