chestnutrack-soak: random faults on fleets of processes, promises checked meanwhile

The soak runs entry hosts and the store's stand-in as processes, faults come from outside (signals, relays that cut, silence, reset, slow or carry one way, a store that errs, servers that fail, leave and are replaced, changes of the configuration), overlap, and are drawn from a seed; servers and callers note what ran and what was told, and each promise is checked against that. Links of the harness learn to reset, slow and cut one way.

--- a/crates/harness/src/fleet/mod.rs
+++ b/crates/harness/src/fleet/mod.rs
@@ -314,7 +314,11 @@
 }
 
 /// The folder that holds the programs: the running program's, or the one above it for tests.
-fn programs() -> Result<PathBuf, Error> {
+///
+/// # Errors
+///
+/// [`Error::Programs`] when they were not built.
+pub fn programs() -> Result<PathBuf, Error> {
     let running = std::env::current_exe().map_err(|error| Error::Other(error.to_string()))?;
     let found = running.ancestors().skip(1).take(3).find(|folder| holds_programs(folder));
     found.map(Path::to_owned).ok_or(Error::Programs(running))
--- a/crates/harness/src/link.rs
+++ b/crates/harness/src/link.rs
@@ -1,12 +1,14 @@
-//! A TCP relay between two processes that can be cut, or made silent for good.
+//! A TCP relay between two processes that can be cut, slowed, reset, cut one way, or made silent for good.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 /// Size of a relay's buffer, in bytes.
 const BUFFER_BYTES: usize = 64 << 10;
@@ -22,10 +24,23 @@
     silent_before: u64,
     /// Generation of a connection that opens now.
     generation: u64,
+    /// Connections of an earlier generation are reset.
+    reset_before: u64,
+    /// Nothing passes towards the process that was called.
+    one_way: bool,
+    /// Time that each part is held for.
+    delay: Duration,
+}
+
+/// Which way a relay's half carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Out,
+    Back,
 }
 
 /// A relay from its own address to a process's.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Link {
     /// Address that the relay listens on.
     pub address: SocketAddr,
@@ -65,9 +80,29 @@
         });
     }
 
-    /// Lets new connections work again.
+    /// Resets every connection that is open; new ones work.
+    pub fn reset_open(&self) {
+        self.state.send_modify(|state| {
+            state.generation += 1;
+            state.reset_before = state.generation;
+        });
+    }
+
+    /// Holds back what goes towards the process that is called, until the link is mended.
+    pub fn cut_one_way(&self) {
+        self.state.send_modify(|state| state.one_way = true);
+    }
+
+    /// Holds each part for so long, both ways, until the link is mended.
+    pub fn slow(&self, delay: Duration) {
+        self.state.send_modify(|state| state.delay = delay);
+    }
+
+    /// Lets new connections work again, at once and both ways.
     pub fn mend(&self) {
-        self.state.send_modify(|state| state.refuses = false);
+        self.state.send_modify(|state| {
+            (state.refuses, state.one_way, state.delay) = (false, false, Duration::ZERO);
+        });
     }
 
     /// Bytes that the relay has carried, both ways.
@@ -113,19 +148,25 @@
     let (from_caller, to_caller) = incoming.into_split();
     let (from_target, to_target) = outgoing.into_split();
     tokio::join!(
-        copy(from_caller, to_target, watched.clone()),
-        copy(from_target, to_caller, watched),
+        copy(from_caller, to_target, Way::Out, watched.clone()),
+        copy(from_target, to_caller, Way::Back, watched),
     );
 }
 
-async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut watched: Watched) {
+async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, way: Way, mut watched: Watched) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let state = *watched.states.borrow_and_update();
         if watched.generation < state.closed_before {
             return;
         }
-        if watched.generation < state.silent_before {
+        if watched.generation < state.reset_before {
+            let half: &TcpStream = to.as_ref();
+            // A half that can't be told to reset is closed all the same.
+            drop(half.set_zero_linger());
+            return;
+        }
+        if watched.generation < state.silent_before || state.one_way && way == Way::Out {
             if watched.states.changed().await.is_err() {
                 return;
             }
@@ -139,6 +180,9 @@
             }
             read = from.read(&mut buffer) => {
                 let Ok(length) = read else { return };
+                if !state.delay.is_zero() {
+                    sleep(state.delay).await;
+                }
                 if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
                     return;
                 }
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -77,6 +77,15 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Tells the process that its settings have changed (SIGHUP).
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Signal`] when it has ended.
+    pub fn hang_up(&self) -> Result<(), Error> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Kills the process (SIGKILL) and waits for its end.
     pub async fn kill(&mut self) {
         let _ = self.child.kill().await;
--- /dev/null
+++ b/crates/soak/src/caller/mod.rs
@@ -0,0 +1,120 @@
+//! Callers that keep connections open, note what they are told, and check it.
+
+use crate::backend;
+use crate::ledger::{Kind, Ledger, Outcome};
+use bytes::Bytes;
+use chestnutrack_forward::own::{DEADLINE, REQUEST, TOKENS};
+use chestnutrack_process::http::{Error, request};
+use chestnutrack_process::pool::{self, Pool};
+use hyper::header::{AUTHORIZATION, HOST, HeaderName, HeaderValue};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Host of the routes.
+pub const ROUTE_HOST: &str = "shop.example";
+/// How long a caller waits.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// How much later than its deadline a final answer may come on a busy machine.
+const PATIENCE_SLACK: Duration = Duration::from_secs(2);
+/// Largest answer, in bytes.
+const ANSWER_BYTES: usize = 1 << 20;
+
+/// Who calls.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Organisation of the key.
+    pub organisation: Arc<str>,
+    /// The key.
+    pub key: Arc<str>,
+}
+
+/// Connections to one host.
+pub fn connections(address: std::net::SocketAddr) -> Pool {
+    let settings = pool::Settings {
+        connect: Duration::from_secs(1),
+        idle: Duration::from_secs(4),
+        ..pool::Settings::default()
+    };
+    Pool::new(address, settings)
+}
+
+/// Makes one request, and leaves after a time where one is given.
+pub async fn call(
+    ledger: &Ledger,
+    pool: &Pool,
+    caller: &Caller,
+    id: Arc<str>,
+    kind: Kind,
+    leave: Option<Duration>,
+) -> Outcome {
+    ledger.ask(&id, kind, &caller.organisation);
+    let limit = leave.unwrap_or(PATIENCE + PATIENCE_SLACK);
+    let outcome = match timeout(limit, answer(ledger, pool, caller, &id, kind)).await {
+        Ok(outcome) => outcome,
+        Err(_) => {
+            if leave.is_none() {
+                ledger.broken(format!("{id}: {kind:?} had no final answer within its time"));
+            }
+            Outcome::Left
+        }
+    };
+    ledger.told(&id, outcome);
+    outcome
+}
+
+async fn answer(
+    ledger: &Ledger,
+    pool: &Pool,
+    caller: &Caller,
+    id: &Arc<str>,
+    kind: Kind,
+) -> Outcome {
+    let method = if kind == Kind::Lookup { "GET" } else { "POST" };
+    let target = format!("/{}/{id}", kind.path());
+    let Ok(mut request) = request(method, &target, Bytes::new()) else { return Outcome::Unsent };
+    let patience = PATIENCE.as_millis().to_string();
+    let bearer = format!("Bearer {}", caller.key);
+    let mut headers = vec![
+        (HOST, ROUTE_HOST),
+        (AUTHORIZATION, &*bearer),
+        (HeaderName::from_static(REQUEST), &**id),
+        (HeaderName::from_static(DEADLINE), &*patience),
+    ];
+    if kind.is_stream() {
+        headers.push((HeaderName::from_static(TOKENS), "50,50"));
+    }
+    for (name, value) in headers {
+        match HeaderValue::from_str(value) {
+            Ok(value) => drop(request.headers_mut().insert(name, value)),
+            Err(_) => return Outcome::Unsent,
+        }
+    }
+    let response = match pool.open(request, PATIENCE + PATIENCE_SLACK).await {
+        Ok(response) => response,
+        Err(Error::Connect(..) | Error::Request(_)) => return Outcome::Unsent,
+        Err(_) => return Outcome::Broken,
+    };
+    let (head, mut stream) = response.into_parts();
+    let status = head.status.as_u16();
+    let body = stream.read(ANSWER_BYTES).await;
+    match (status, body) {
+        (200, Ok(body)) => whole(ledger, id, kind, &body),
+        (200, Err(_)) => Outcome::Broken,
+        (429 | 503, _) => Outcome::NotRun,
+        (status, _) => Outcome::Failed(status),
+    }
+}
+
+/// Checks an answer that came whole.
+fn whole(ledger: &Ledger, id: &str, kind: Kind, body: &[u8]) -> Outcome {
+    let expected = match kind.is_stream() {
+        true => (1..=backend::events(id)).map(|number| backend::event(id, number)).collect(),
+        false => backend::body(id),
+    };
+    if body != expected.as_bytes() {
+        let body = String::from_utf8_lossy(body);
+        ledger.broken(format!("{id}: {kind:?} was answered as whole by {body:?}"));
+    }
+    Outcome::Whole
+}
--- /dev/null
+++ b/crates/soak/src/fault/mod.rs
@@ -0,0 +1,282 @@
+//! Faults, drawn from a seed; they overlap, and each is mended after a while.
+
+use crate::backend::Mood;
+use crate::caller::{self, Caller};
+use crate::fleet::{Error, Fleet, route};
+use crate::ledger::{Kind, Outcome};
+use chestnutrack_core::dispatch::Stage;
+use chestnutrack_forward::config;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Longest time that a graceful shutdown may take, in which the process ends by itself.
+const SHUTDOWN_WITHIN: Duration = Duration::from_secs(15);
+/// Time after which a withdrawn key, a dropped route or a leaving server counts nowhere any more.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
+/// How long a server that left looks out for requests that should not come.
+const AFTER_LEAVING: Duration = Duration::from_millis(1_000);
+/// Servers whose numbers were never used begin here.
+const FIRST_NEW: u8 = 20;
+/// Key that is given and withdrawn, of the organisation without a limit.
+const GUEST: &str = "key-of-a-guest";
+
+/// One fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// A host's process is killed and started again.
+    Kill(usize),
+    /// A host's process stands still.
+    Stop(usize),
+    /// A host is shut down gracefully and started again.
+    Terminate(usize),
+    /// A host's process is told that its settings changed.
+    HangUp(usize),
+    /// A host's connections to the store are cut, silent, reset, slow, or carry one way only.
+    Store(usize, Harm),
+    /// All connections to a server are.
+    Server(usize, Harm),
+    /// A server behaves badly.
+    Mood(usize, Mood),
+    /// A server leaves, ends, and another takes its place.
+    Replace(usize),
+    /// The store is down for all, or its answers to writes are lost, or it is slow, or shows old things.
+    Down,
+    /// Answers to writes are lost.
+    Lose,
+    /// The store is slow.
+    Slow,
+    /// A key is given and withdrawn again.
+    Key,
+    /// A route is added and dropped again.
+    Route,
+}
+
+/// What is done to connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Harm {
+    /// Closed, and new ones refused.
+    Cut,
+    /// Open ones carry nothing more.
+    Silent,
+    /// Open ones are reset.
+    Reset,
+    /// Each part is held back for a while.
+    Slow,
+    /// Nothing passes towards the called end.
+    OneWay,
+}
+
+const HARMS: [Harm; 5] = [Harm::Cut, Harm::Silent, Harm::Reset, Harm::Slow, Harm::OneWay];
+const MOODS: [Mood; 4] = [Mood::Hangs, Mood::Breaks, Mood::Fails, Mood::Full];
+
+/// Draws a fault, and for how long it lasts.
+pub fn draw(rng: &mut ChaCha8Rng, hosts: usize, servers: usize) -> (Fault, Duration) {
+    let (host, server) = (rng.random_range(0..hosts), rng.random_range(0..servers));
+    let harm = HARMS[rng.random_range(0..HARMS.len())];
+    let fault = match rng.random_range(0..16) {
+        0 | 1 => Fault::Kill(host),
+        2 | 3 => Fault::Stop(host),
+        4 | 5 => Fault::Terminate(host),
+        6 => Fault::HangUp(host),
+        7 => Fault::Store(host, harm),
+        8 => Fault::Server(server, harm),
+        9 => Fault::Mood(server, MOODS[rng.random_range(0..MOODS.len())]),
+        10 => Fault::Replace(server),
+        11 => Fault::Down,
+        12 => Fault::Lose,
+        13 => Fault::Slow,
+        14 => Fault::Key,
+        _ => Fault::Route,
+    };
+    (fault, Duration::from_millis(rng.random_range(200..2_500)))
+}
+
+/// Brings a fault about, waits, and mends it.
+///
+/// # Errors
+///
+/// When the run can't go on.
+pub async fn play(
+    fleet: Arc<Fleet>,
+    fault: Fault,
+    lasts: Duration,
+    number: u8,
+) -> Result<(), Error> {
+    match fault {
+        Fault::Kill(host) => kill(&fleet, host, lasts).await,
+        Fault::Stop(host) => stop(&fleet, host, lasts).await,
+        Fault::Terminate(host) => terminate(&fleet, host).await,
+        Fault::HangUp(host) => {
+            // Held while another fault of the process goes on: then there is none to tell.
+            if let Ok(process) = fleet.hosts[host].process.try_lock() {
+                process.hang_up()?;
+            }
+            Ok(())
+        }
+        Fault::Store(host, harm) => {
+            let disturbed = fleet.disturb_store();
+            harm_link(&fleet.hosts[host].store, harm, lasts).await;
+            drop(disturbed);
+            Ok(())
+        }
+        Fault::Server(server, harm) => {
+            let servers = fleet.servers.lock().await;
+            let Some(server) = servers.get(server) else { return Ok(()) };
+            let link = server.link.clone();
+            drop(servers);
+            harm_link(&link, harm, lasts).await;
+            Ok(())
+        }
+        Fault::Mood(server, mood) => {
+            set_mood(&fleet, server, mood).await;
+            sleep(lasts).await;
+            set_mood(&fleet, server, Mood::Sound).await;
+            Ok(())
+        }
+        Fault::Replace(server) => replace(&fleet, server, number).await,
+        Fault::Down => {
+            store(&fleet, json!({ "down": true }), json!({ "down": false }), lasts).await
+        }
+        Fault::Lose => {
+            store(&fleet, json!({ "lose_answers": 3 }), json!({ "lose_answers": 0 }), lasts).await
+        }
+        Fault::Slow => {
+            store(&fleet, json!({ "delay_ms": 300 }), json!({ "delay_ms": 0 }), lasts).await
+        }
+        Fault::Key => key(&fleet, number).await,
+        Fault::Route => extra_route(&fleet, number).await,
+    }
+}
+
+async fn kill(fleet: &Fleet, host: usize, lasts: Duration) -> Result<(), Error> {
+    let Ok(mut process) = fleet.hosts[host].process.try_lock() else { return Ok(()) };
+    process.kill().await;
+    sleep(lasts).await;
+    Ok(process.restart()?)
+}
+
+async fn stop(fleet: &Fleet, host: usize, lasts: Duration) -> Result<(), Error> {
+    let Ok(process) = fleet.hosts[host].process.try_lock() else { return Ok(()) };
+    process.stop()?;
+    sleep(lasts).await;
+    Ok(process.resume()?)
+}
+
+async fn terminate(fleet: &Fleet, host: usize) -> Result<(), Error> {
+    let Ok(mut process) = fleet.hosts[host].process.try_lock() else { return Ok(()) };
+    process.terminate()?;
+    match process.wait(SHUTDOWN_WITHIN).await {
+        Some(0) => {}
+        code => {
+            fleet.ledger.broken(format!("entry-{host} ended with {code:?} after SIGTERM"));
+            process.kill().await;
+        }
+    }
+    Ok(process.restart()?)
+}
+
+async fn harm_link(link: &chestnutrack_harness::Link, harm: Harm, lasts: Duration) {
+    /// How long a slow link holds each part.
+    const HELD: Duration = Duration::from_millis(80);
+    match harm {
+        Harm::Cut => link.cut(),
+        Harm::Silent => link.silence_open(),
+        Harm::Reset => link.reset_open(),
+        Harm::Slow => link.slow(HELD),
+        Harm::OneWay => link.cut_one_way(),
+    }
+    sleep(lasts).await;
+    link.mend();
+}
+
+async fn set_mood(fleet: &Fleet, server: usize, mood: Mood) {
+    if let Some(server) = fleet.servers.lock().await.get(server) {
+        server.backend.set(mood);
+    }
+}
+
+async fn store(
+    fleet: &Fleet,
+    errs: serde_json::Value,
+    mended: serde_json::Value,
+    lasts: Duration,
+) -> Result<(), Error> {
+    let _disturbed = fleet.disturb_store();
+    fleet.set_store(&errs).await?;
+    sleep(lasts).await;
+    fleet.set_store(&mended).await
+}
+
+/// A server is listed as leaving, goes on for a while, ends, and another one comes.
+async fn replace(fleet: &Fleet, server: usize, number: u8) -> Result<(), Error> {
+    let (mut entry, stage): (_, Option<Stage>) = {
+        let servers = fleet.servers.lock().await;
+        let Some(server) = servers.get(server).filter(|server| !server.entry.leaving) else {
+            return Ok(());
+        };
+        (server.entry.clone(), server.entry.stage)
+    };
+    fleet.add_server(FIRST_NEW + number, stage).await?;
+    entry.leaving = true;
+    let name = entry.name.clone();
+    fleet.write("backends", &name, &json!(entry)).await?;
+    sleep(IN_FORCE_WITHIN).await;
+    if fleet.store_calm_for() >= IN_FORCE_WITHIN {
+        set_left(fleet, &name).await;
+        sleep(AFTER_LEAVING).await;
+    }
+    fleet.servers.lock().await.retain(|server| server.entry.name != name);
+    fleet.remove("backends", &name).await
+}
+
+async fn set_left(fleet: &Fleet, name: &str) {
+    let servers = fleet.servers.lock().await;
+    if let Some(server) = servers.iter().find(|server| &*server.entry.name == name) {
+        server.backend.set(Mood::Left);
+    }
+}
+
+/// A key is given, withdrawn, and tried at all hosts.
+async fn key(fleet: &Fleet, number: u8) -> Result<(), Error> {
+    let guest: Arc<str> = format!("{GUEST}-{number}").into();
+    let given = guest.clone();
+    fleet.write_config(|config| config.organisations[0].keys.push(given)).await?;
+    sleep(Duration::from_millis(500)).await;
+    fleet.write_config(|config| config.organisations[0].keys.retain(|key| *key != guest)).await?;
+    let caller = Caller { key: guest.clone(), ..crate::fleet::callers().0 };
+    probe(fleet, &caller, Kind::Lookup, &format!("guest-{number}"), 401).await;
+    Ok(())
+}
+
+/// A route is added and dropped; nothing may be served on it once that is in force.
+async fn extra_route(fleet: &Fleet, number: u8) -> Result<(), Error> {
+    let path = format!("extra-{number}");
+    let added = route(&path, config::Kind::Idempotent, "app", 1);
+    fleet.write_config(|config| config.routes.push(added)).await?;
+    sleep(Duration::from_millis(500)).await;
+    fleet.write_config(|config| config.routes.retain(|route| *route.name != *path)).await
+}
+
+/// Asks each host something that it must not serve any more, unless a fault of its process or of the
+/// store goes on.
+async fn probe(fleet: &Fleet, caller: &Caller, kind: Kind, name: &str, status: u16) {
+    sleep(IN_FORCE_WITHIN).await;
+    if fleet.store_calm_for() < IN_FORCE_WITHIN {
+        return;
+    }
+    for (number, host) in fleet.hosts.iter().enumerate() {
+        let Ok(process) = host.process.try_lock() else { continue };
+        let pool = caller::connections(host.callers);
+        let id: Arc<str> = format!("{name}-at-{number}").into();
+        let outcome = caller::call(&fleet.ledger, &pool, caller, id, kind, None).await;
+        let expected = [Outcome::Failed(status), Outcome::NotRun, Outcome::Unsent, Outcome::Broken];
+        if !expected.contains(&outcome) {
+            fleet.ledger.broken(format!("entry-{number}: {name} got {outcome:?}, not {status}"));
+        }
+        drop(process);
+    }
+}
