First lists of servers and hosts may be old; a page refused for the rate is asked for again

A list that may be seconds old doesn't count towards the rate, and the watch from its version tells what came since; after that only newest lists are read. Refused pages are asked for again (test).

--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -4,6 +4,7 @@
 use crate::mesh::Mesh;
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_store::client::Client;
+use chestnutrack_store::dialect::Age;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::object::Object;
 use chestnutrack_store::watcher::{self, Event};
@@ -30,7 +31,7 @@
 
 /// Follows the other hosts until the process ends.
 pub async fn follow_hosts(client: Client, kind: &'static str, mesh: Arc<Mesh>) {
-    let mut events = watcher::start(client, kind, watching(PAUSE));
+    let mut events = watcher::start(client, kind, watching(PAUSE, Age::Any));
     while let Some(event) = events.recv().await {
         let Event::Updated(update) = event else { continue };
         mesh.learn(update.objects.into_iter().filter_map(read));
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -12,6 +12,7 @@
 use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_store::client::Client;
+use chestnutrack_store::dialect::Age;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::watcher::{self, Control, Event, Update};
 use chestnutrack_wire::frame::ServerNews;
@@ -89,9 +90,10 @@
 }
 
 /// How the store is watched, with a pause after each answer in which changes are gathered: each
-/// answer is a call of every host.
-pub fn watching(pause: Duration) -> watcher::Settings {
+/// answer is a call of every host; and how old the first list may be.
+pub fn watching(pause: Duration, first: Age) -> watcher::Settings {
     watcher::Settings {
+        first,
         wait: WATCH_MAX,
         pause,
         retry_min: RETRY.0,
@@ -223,7 +225,8 @@
     /// Follows the configuration until the process ends.
     pub async fn follow_config(self: Arc<Follower>, client: Client) {
         let (kind, control) = (self.directory.config_kind, self.config_watch.subscribe());
-        let mut events = watcher::start_controlled(client, kind, watching(CONFIG_PAUSE), control);
+        let mut events =
+            watcher::start_controlled(client, kind, watching(CONFIG_PAUSE, Age::Newest), control);
         while let Some(event) = events.recv().await {
             self.state().config_sent = clock::now();
             let update = match event {
@@ -272,7 +275,8 @@
     /// Follows the backend servers until the process ends.
     pub async fn follow_servers(self: Arc<Follower>, client: Client, timer: Timer) {
         let (kind, control) = (self.directory.servers_kind, self.servers_watch.subscribe());
-        let mut events = watcher::start_controlled(client, kind, watching(SERVERS_PAUSE), control);
+        let mut events =
+            watcher::start_controlled(client, kind, watching(SERVERS_PAUSE, Age::Any), control);
         let mut looks = None;
         loop {
             tokio::select! {
--- a/crates/standin/tests/platform_client.rs
+++ b/crates/standin/tests/platform_client.rs
@@ -53,6 +53,20 @@
     assert_eq!(client.list("claims").await.unwrap().objects, vec![]);
 }
 
+#[tokio::test]
+async fn a_list_beyond_the_rate_is_asked_for_again_and_not_begun_anew() {
+    let settings = platform::Settings { reads_per_s: 2, ..platform::Settings::default() };
+    let address = support::platform(settings).await;
+    let client = client(address);
+    client.create("claims", "a", &mark("x")).await.unwrap();
+    // Until the rate is used up.
+    while client.read("claims", "a").await.is_ok() {}
+
+    let list = client.list("claims").await.unwrap();
+
+    assert_eq!(list.objects.len(), 1);
+}
+
 #[tokio::test]
 async fn a_write_under_another_version_is_a_conflict() {
     let client = client(stand_in().await);
--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -3,7 +3,8 @@
 mod count;
 mod update;
 
-use crate::dialect::{Dialect, OWN};
+use crate::backoff::Backoff;
+use crate::dialect::{Age, Dialect, OWN, Page};
 use crate::error::Error;
 use crate::host;
 use crate::object::{List, Object, VALUE_BYTES_MAX};
@@ -17,11 +18,18 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::sleep;
 
 pub use count::{Call, Count};
 
 /// Longest name of a kind or an object, in bytes.
 pub const NAME_BYTES_MAX: usize = 200;
+/// Status of a call beyond the interface's rate.
+const TOO_MANY: u16 = 429;
+/// How often a page that is refused for the rate is asked for.
+const PAGE_TRIES: u32 = 5;
+/// First and longest pause before it is asked for again: the rate is counted by the second.
+const PAGE_RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Longest text of a refusal that is kept, in bytes.
 const TEXT_BYTES_MAX: usize = 200;
 
@@ -110,19 +118,26 @@
         Ok(object)
     }
 
-    /// Reads all objects of a kind.
+    /// Reads all objects of a kind, as they are now.
     ///
     /// # Errors
     ///
     /// Any but [`Error::Conflict`] and [`Error::Missing`].
     pub async fn list(&self, kind: &str) -> Result<List, Error> {
+        self.list_aged(kind, Age::Newest).await
+    }
+
+    /// Reads all objects of a kind, page by page.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Client::list`].
+    pub async fn list_aged(&self, kind: &str, age: Age) -> Result<List, Error> {
         let kind = checked("kind", kind)?;
         let mut list = List { version: u64::MAX, objects: Vec::new() };
         loop {
             let after = list.objects.last().map(|object| object.name.clone());
-            let call = (self.dialect.list)(kind, after.as_deref())?;
-            let answer = self.call(Call::List, call, self.settings.read).await?;
-            let page = (self.dialect.page)(&accept(answer)?)?;
+            let page = self.page(kind, after.as_deref(), age).await?;
             let stuck = page.list.objects.is_empty();
             // A watch from the first page's version tells what changed while the others were read.
             list.version = list.version.min(page.list.version);
@@ -133,6 +148,28 @@
         }
     }
 
+    /// Reads a page. One that is refused for the interface's rate is asked for again, so that a long
+    /// list of which one page is refused isn't read from its start.
+    async fn page(&self, kind: &str, after: Option<&str>, age: Age) -> Result<Page, Error> {
+        let mut backoff = Backoff::new(PAGE_RETRY.0, PAGE_RETRY.1);
+        for _ in 1..PAGE_TRIES {
+            match self.page_once(kind, after, age).await {
+                Err(Error::Refused(TOO_MANY, _)) => {
+                    backoff.failed();
+                    sleep(backoff.pause()).await;
+                }
+                page => return page,
+            }
+        }
+        self.page_once(kind, after, age).await
+    }
+
+    async fn page_once(&self, kind: &str, after: Option<&str>, age: Age) -> Result<Page, Error> {
+        let call = (self.dialect.list)(kind, after, age)?;
+        let answer = self.call(Call::List, call, self.settings.read).await?;
+        (self.dialect.page)(&accept(answer)?)
+    }
+
     /// Writes an object that must not exist yet; returns its version.
     ///
     /// # Errors
--- a/crates/store/src/dialect/mod.rs
+++ b/crates/store/src/dialect/mod.rs
@@ -18,6 +18,16 @@
 /// A call, ready to be sent.
 pub type Call = Request<Full<Bytes>>;
 
+/// How old a list may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Age {
+    /// It shows all that was acknowledged before.
+    Newest,
+    /// It may be seconds old, where that is cheaper for the interface. A watch from its version on
+    /// tells what came since.
+    Any,
+}
+
 /// One page of a list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Page {
@@ -35,8 +45,8 @@
 pub struct Dialect {
     /// Reads the object of a kind and name.
     pub read: fn(&str, &str) -> Result<Call, Error>,
-    /// Lists a kind, from the start or after a name.
-    pub list: fn(&str, Option<&str>) -> Result<Call, Error>,
+    /// Lists a kind, from the start or after a name, of an age.
+    pub list: fn(&str, Option<&str>, Age) -> Result<Call, Error>,
     /// Waits so long for changes of a kind after a version.
     pub watch: fn(&str, u64, Duration) -> Result<Call, Error>,
     /// Writes the value of a kind and name that has a version; 0 where it must not exist.
--- a/crates/store/src/dialect/own.rs
+++ b/crates/store/src/dialect/own.rs
@@ -1,6 +1,6 @@
 //! The project's own dialect, which its stand-in speaks.
 
-use super::{Call, Dialect, Page};
+use super::{Age, Call, Dialect, Page};
 use crate::error::Error;
 use crate::object::{Conflict, List, Object, Written};
 use bytes::Bytes;
@@ -18,7 +18,7 @@
     get(&target(kind, name))
 }
 
-fn list(kind: &str, _: Option<&str>) -> Result<Call, Error> {
+fn list(kind: &str, _: Option<&str>, _: Age) -> Result<Call, Error> {
     get(&format!("/v1/objects/{kind}"))
 }
 
--- a/crates/store/src/watcher/mod.rs
+++ b/crates/store/src/watcher/mod.rs
@@ -7,6 +7,7 @@
 
 use crate::backoff::Backoff;
 use crate::client::Client;
+use crate::dialect::Age;
 use crate::error::Error;
 use crate::object::{List, Object};
 use chestnutrack_core::time::Instant;
@@ -37,6 +38,8 @@
     /// Whether a watch that failed is followed by a list. An interface that forgets its changes may
     /// leave a watch from a forgotten version waiting for the next one.
     pub list_after_failure: bool,
+    /// How old the first list may be; the watch that follows tells what came since.
+    pub first: Age,
 }
 
 impl Default for Settings {
@@ -47,6 +50,7 @@
             retry_min: Duration::from_millis(100),
             retry_max: Duration::from_millis(2_000),
             list_after_failure: false,
+            first: Age::Newest,
         }
     }
 }
@@ -126,17 +130,20 @@
 ) {
     let mut table = Table::default();
     let mut backoff = Backoff::new(settings.retry_min, settings.retry_max);
+    let mut age = settings.first;
     loop {
         let sent = clock::now();
         let whole = table.needs_list();
         let now = *control.borrow_and_update();
         let answer = tokio::select! {
-            answer = ask(client, kind, now.wait, &table) => answer,
+            answer = ask(client, kind, age, now.wait, &table) => answer,
             () = doubted(&mut control, now.doubts) => {
                 table.forget_version();
                 continue;
             }
         };
+        // After the first list, one follows only where something may have been missed.
+        age = Age::Newest;
         let taken = answer.and_then(|list| table.take(list, whole, sent));
         let (event, pause) = match taken {
             Ok(update) => {
@@ -170,9 +177,15 @@
     }
 }
 
-async fn ask(client: &Client, kind: &str, wait: Duration, table: &Table) -> Result<List, Error> {
+async fn ask(
+    client: &Client,
+    kind: &str,
+    age: Age,
+    wait: Duration,
+    table: &Table,
+) -> Result<List, Error> {
     if table.needs_list() {
-        client.list(kind).await
+        client.list_aged(kind, age).await
     } else {
         client.watch(kind, table.version(), wait).await
     }
