--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -92,6 +92,8 @@
 pub enum Met {
     /// It answered, be it with an error or a refusal.
     Answer,
+    /// It said that it has no room, though it seemed to.
+    Refusal,
     /// It did not answer, or broke an answer off.
     Failure,
     /// It can't be reached: its address refuses connections or does not answer.
@@ -263,6 +265,7 @@
         let Some(server) = self.servers.get_mut(key) else { return };
         match met {
             Met::Answer => server.health.note_answered(),
+            Met::Refusal => server.health.note_refused(now),
             Met::Failure => server.health.note_failed(now),
             Met::Nothing => server.health.note_unreachable(now),
         }
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -253,6 +253,21 @@
     }
 }
 
+#[test]
+fn an_engine_that_has_no_room_though_it_seems_to_is_passed_over() {
+    // Pattern: hosts that were restarted don't know that an engine changes its stage. It runs nothing, so
+    // that it seems to have the most room.
+    let mut dispatch = dispatch(3, 1);
+    let first = go(&mut dispatch, ask()).unwrap();
+    dispatch.ended(first.run, false);
+
+    dispatch.note(NOW, first.decode, Met::Refusal);
+    let next: Vec<_> = (0..4).filter_map(|_| go(&mut dispatch, ask())).collect();
+
+    assert_eq!(next.len(), 4);
+    assert!(next.iter().all(|placement| placement.decode != first.decode), "{next:?}");
+}
+
 #[test]
 fn a_plain_service_that_is_passed_over_or_full_is_not_chosen_beside_others() {
     let mut dispatch: Dispatch<u32> = Dispatch::new(Settings::default(), "a".into());
--- a/crates/core/src/health/mod.rs
+++ b/crates/core/src/health/mod.rs
@@ -12,6 +12,9 @@
 /// How long a server that can't be reached is passed over: at first, and at most.
 pub const UNREACHABLE_FOR: (Duration, Duration) =
     (Duration::from_millis(1_000), Duration::from_millis(4_000));
+/// How long a server is passed over that has no room though it seemed to: at first, and at most.
+pub const REFUSING_FOR: (Duration, Duration) =
+    (Duration::from_millis(500), Duration::from_millis(4_000));
 /// How long others wait for what a request meets that tries a failing server.
 const TRIAL: Duration = Duration::from_millis(500);
 
@@ -54,6 +57,13 @@
         self.fail(now, UNREACHABLE_FOR);
     }
 
+    /// Notes that it has no room, though it seemed to: what is known of it is wrong, and it is passed
+    /// over at once.
+    pub fn note_refused(&mut self, now: Instant) {
+        self.failures = self.failures.max(FAILURES_MAX - 1);
+        self.fail(now, REFUSING_FOR);
+    }
+
     fn fail(&mut self, now: Instant, (first, most): (Duration, Duration)) {
         self.failures = self.failures.saturating_add(1);
         let doublings = self.failures.saturating_sub(FAILURES_MAX).min(16);
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -231,6 +231,10 @@
             Err(Failure::Misdirected) => self.app.note_replaced(target),
             Err(Failure::Refused | Failure::Unsent) => self.app.note(target, Met::Nothing),
             Err(Failure::Unknown | Failure::TimedOut) => self.app.note(target, Met::Failure),
+            // Plain services are told full by their places.
+            Err(Failure::NotRun) if target.entry.stage.is_some() => {
+                self.app.note(target, Met::Refusal)
+            }
             Ok(_) | Err(Failure::NotRun) => self.app.note(target, Met::Answer),
         }
         sent
