--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -34,6 +34,8 @@
 const DOUBT_TOLD: Duration = Duration::from_secs(3);
 /// How long another host may know other servers before this host doubts what it knows.
 const DIFFERS_FOR: Duration = Duration::from_millis(800);
+/// How long a list of the servers may take before it is doubted like a watch.
+const LIST_WITHIN: Duration = Duration::from_secs(5);
 /// Pause after an answer about the configuration; a change is in force well within two seconds.
 const CONFIG_PAUSE: Duration = Duration::from_millis(150);
 /// Pause after an answer about the backend servers; one that leaves gets nothing new well within two
@@ -83,6 +85,8 @@
     /// When the calls under way were sent, at the earliest.
     config_sent: Instant,
     servers_sent: Instant,
+    /// Since when the servers are being listed; absent while they are watched.
+    listed_since: Option<Instant>,
     /// When a call of this host last went unanswered.
     doubted_at: Option<Instant>,
     /// Since when a peer to which the store answers knows other servers.
@@ -94,6 +98,7 @@
 pub fn watching(pause: Duration, first: Age) -> watcher::Settings {
     watcher::Settings {
         first,
+        pages: false,
         wait: WATCH_MAX,
         pause,
         retry_min: RETRY.0,
@@ -106,10 +111,11 @@
     /// Follows nothing yet.
     pub fn new(app: Arc<App>, directory: Directory) -> Arc<Follower> {
         let control = Control { wait: WATCH_PER_HOST, doubts: 0 };
+        let state = State { listed_since: Some(clock::now()), ..State::default() };
         Arc::new(Follower {
             app,
             directory,
-            state: Mutex::default(),
+            state: Mutex::new(state),
             config_watch: watch::Sender::new(control),
             servers_watch: watch::Sender::new(control),
         })
@@ -132,21 +138,23 @@
         }
     }
 
-    /// Doubts calls that were sent before a moment at which the store did not answer.
+    /// Doubts calls that were sent before a moment at which the store did not answer. A list under way
+    /// is left alone for a while: in a large fleet it takes long, and would never end.
     fn doubt(&self, at: Instant, why: &str) {
+        let now = clock::now();
         let mut state = self.state();
-        for (kind, sent, watch) in [
-            (self.directory.config_kind, state.config_sent, &self.config_watch),
-            (self.directory.servers_kind, state.servers_sent, &self.servers_watch),
-        ] {
-            if sent < at {
-                tracing::info!(kind, why, "watch doubted");
-                watch.send_modify(|control| control.doubts += 1);
-            }
+        if state.config_sent < at {
+            tracing::info!(kind = self.directory.config_kind, why, "watch doubted");
+            state.config_sent = state.config_sent.max(now);
+            self.config_watch.send_modify(|control| control.doubts += 1);
+        }
+        let is_listed = state.listed_since.is_some_and(|since| now.since(since) < LIST_WITHIN);
+        if state.servers_sent < at && !is_listed {
+            tracing::info!(kind = self.directory.servers_kind, why, "watch doubted");
+            state.servers_sent = state.servers_sent.max(now);
+            state.listed_since = Some(now);
+            self.servers_watch.send_modify(|control| control.doubts += 1);
         }
-        let now = clock::now();
-        state.config_sent = state.config_sent.max(now);
-        state.servers_sent = state.servers_sent.max(now);
     }
 
     /// Notes that a call of this host failed, and whether the one before did not: only that says
@@ -299,6 +307,8 @@
     fn note_failed(&self, error: &Error) {
         let mut state = self.state();
         state.servers_sent = clock::now();
+        // The watcher lists after a failure.
+        state.listed_since = Some(clock::now());
         let was_up = state.listing.is_up();
         if !is_answer(error) {
             state.listing.note_failed();
@@ -308,7 +318,10 @@
     }
 
     fn take_update(&self, update: Update) {
-        self.state().servers_sent = clock::now();
+        let mut state = self.state();
+        state.servers_sent = clock::now();
+        state.listed_since = state.listed_since.filter(|_| update.is_part);
+        drop(state);
         let entries = update.objects.into_iter().map(|o| (o.name, o.version, o.value)).collect();
         self.take_entries(update.whole, entries);
     }
--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -124,21 +124,29 @@
     ///
     /// Any but [`Error::Conflict`] and [`Error::Missing`].
     pub async fn list(&self, kind: &str) -> Result<List, Error> {
-        self.list_aged(kind, Age::Newest).await
+        self.list_aged(kind, Age::Newest, |_| {}).await
     }
 
-    /// Reads all objects of a kind, page by page.
+    /// Reads all objects of a kind, page by page; pages that others follow are handed out as they come.
     ///
     /// # Errors
     ///
     /// As for [`Client::list`].
-    pub async fn list_aged(&self, kind: &str, age: Age) -> Result<List, Error> {
+    pub async fn list_aged(
+        &self,
+        kind: &str,
+        age: Age,
+        hand_out: impl Fn(&List),
+    ) -> Result<List, Error> {
         let kind = checked("kind", kind)?;
         let mut list = List { version: u64::MAX, objects: Vec::new() };
         loop {
             let after = list.objects.last().map(|object| object.name.clone());
             let page = self.page(kind, after.as_deref(), age).await?;
             let stuck = page.list.objects.is_empty();
+            if page.more && !stuck {
+                hand_out(&page.list);
+            }
             // A watch from the first page's version tells what changed while the others were read.
             list.version = list.version.min(page.list.version);
             list.objects.extend(page.list.objects);
--- a/crates/store/src/watcher/mod.rs
+++ b/crates/store/src/watcher/mod.rs
@@ -40,6 +40,8 @@
     pub list_after_failure: bool,
     /// How old the first list may be; the watch that follows tells what came since.
     pub first: Age,
+    /// Whether pages of the first list are handed out as they come.
+    pub pages: bool,
 }
 
 impl Default for Settings {
@@ -51,6 +53,7 @@
             retry_max: Duration::from_millis(2_000),
             list_after_failure: false,
             first: Age::Newest,
+            pages: false,
         }
     }
 }
@@ -84,6 +87,8 @@
     /// Whether the objects are all that there are; those handed out earlier and not among them
     /// were deleted.
     pub whole: bool,
+    /// Whether it is a page of the first list, of which more are to come.
+    pub is_part: bool,
     /// Objects that changed; none when the answer only confirms what was known.
     pub objects: Vec<Object>,
     /// Version up to which changes are known.
@@ -135,8 +140,9 @@
         let sent = clock::now();
         let whole = table.needs_list();
         let now = *control.borrow_and_update();
+        let pages = (settings.pages && table.is_empty()).then_some(events);
         let answer = tokio::select! {
-            answer = ask(client, kind, age, now.wait, &table) => answer,
+            answer = ask(client, kind, (age, now.wait), &table, pages) => answer,
             () = doubted(&mut control, now.doubts) => {
                 table.forget_version();
                 continue;
@@ -180,13 +186,20 @@
 async fn ask(
     client: &Client,
     kind: &str,
-    age: Age,
-    wait: Duration,
+    (age, wait): (Age, Duration),
     table: &Table,
+    pages: Option<&mpsc::Sender<Event>>,
 ) -> Result<List, Error> {
-    if table.needs_list() {
-        client.list_aged(kind, age).await
-    } else {
-        client.watch(kind, table.version(), wait).await
+    if !table.needs_list() {
+        return client.watch(kind, table.version(), wait).await;
     }
+    let sent = clock::now();
+    let hand_out = |page: &List| {
+        let Some(events) = pages else { return };
+        let (objects, version) = (page.objects.clone(), page.version);
+        let update = Update { whole: false, is_part: true, objects, version, sent };
+        // A reader that is behind gets the whole list soon.
+        drop(events.try_send(Event::Updated(update)));
+    };
+    client.list_aged(kind, age, hand_out).await
 }
--- a/crates/store/src/watcher/table.rs
+++ b/crates/store/src/watcher/table.rs
@@ -30,6 +30,11 @@
         self.version
     }
 
+    /// Whether nothing was handed out yet.
+    pub fn is_empty(&self) -> bool {
+        self.version == 0
+    }
+
     /// Whether all objects have to be listed next.
     pub fn needs_list(&self) -> bool {
         !self.listed
@@ -55,7 +60,7 @@
         let objects = if whole { self.take_whole(list)? } else { self.take_changes(list) };
         let newest = objects.iter().map(|object| object.version).max().unwrap_or(0);
         self.version = version.max(newest);
-        Ok(Update { whole, objects, version: self.version, sent })
+        Ok(Update { whole, is_part: false, objects, version: self.version, sent })
     }
 
     fn take_whole(&mut self, list: List) -> Result<Vec<Object>, Error> {
