Headers are passed on by one function; proofs of the direct path

Cause: two dialects had the same filter of headers, and the project's own let headers pass that the caller's connection names as its own (test).

--- a/crates/forward/src/own/headers.rs
+++ b/crates/forward/src/own/headers.rs
@@ -1,10 +1,9 @@
 //! Headers of requests and answers.
 
 use crate::dialect::{Ask, Generation, Onward, Step, Verdict};
-use chestnutrack_process::header::is_of_connection;
+use chestnutrack_process::header::{self, number, text};
 use hyper::StatusCode;
-use hyper::header::{AUTHORIZATION, CONTENT_ENCODING, CONTENT_LENGTH, HOST};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONTENT_ENCODING, HeaderMap};
 use std::time::Duration;
 
 /// The request.
@@ -61,21 +60,12 @@
 }
 
 pub(super) fn onward(headers: &HeaderMap, onward: &Onward) -> HeaderMap {
-    let passes = |name: &HeaderName| {
-        let name = name.as_str();
-        let own = name.starts_with(OWN) && !CALLERS.contains(&name);
-        !own && !is_of_connection(name) && name != AUTHORIZATION && name != CONTENT_LENGTH
-    };
-    let mut out: HeaderMap = headers
-        .iter()
-        .filter(|(name, _)| passes(name) || *name == HOST)
-        .map(|(name, value)| (name.clone(), value.clone()))
-        .collect();
-    let mut set = |name: &'static str, value: &str| {
-        if let Ok(value) = HeaderValue::from_str(value) {
-            out.insert(HeaderName::from_static(name), value);
-        }
+    let passes = |name: &str| {
+        let is_own = name.starts_with(OWN) && !CALLERS.contains(&name);
+        !is_own && name != AUTHORIZATION.as_str()
     };
+    let mut out = header::passing(headers, passes, CALLERS);
+    let mut set = |name, value: &str| header::set(&mut out, name, value);
     set(SERVER, &onward.server);
     set(DEADLINE, &onward.deadline.as_millis().to_string());
     if let Some(organisation) = &onward.organisation {
@@ -101,11 +91,3 @@
         signed: true,
     }
 }
-
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
-fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
-    text(headers, name)?.trim().parse().ok()
-}
--- a/crates/forward/tests/forward/plain.rs
+++ b/crates/forward/tests/forward/plain.rs
@@ -25,6 +25,19 @@
     assert!(!seen.head.contains("key-of-orchard"), "{}", seen.head);
 }
 
+#[tokio::test]
+async fn headers_that_the_connection_names_stay_behind_but_for_the_request_s_own() {
+    let backend = Backend::start(fine).await;
+    let host = host(vec![plain("app-1", &backend)]).await;
+    let headers = "connection: x-hop, x-chestnutrack-request\r\nx-hop: 1\r\nx-end: 2\r\n";
+
+    call(host.address, &request("GET", "/look/7", headers, "")).await;
+
+    let seen = &backend.seen()[0];
+    assert_eq!((seen.header("x-hop"), seen.header("x-end")), (None, Some("2")));
+    assert_eq!(seen.header("x-chestnutrack-request"), Some("r1"));
+}
+
 #[tokio::test]
 async fn a_body_in_chunks_is_the_same_body() {
     let backend = Backend::start(fine).await;
