Servers' connections are shared among hosts; servers are asked of one peer at a time; lists under way are left alone

Each host now opens its part of four fifths of what a server takes; a request waits 150 ms for one to be free, then another server is tried, and nothing was sent. A list under way is left alone (its pages are bounded), a host counts as answered by the store once it has listed whole, and one peer is asked at a time. The digest of the servers is kept, not made anew three times a news.

--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -33,6 +33,10 @@
 /// all it knew exceeds a window by no more than the platform tolerates.
 pub const ALLOWANCE_SAVED: Duration = Duration::from_secs(1);
 
+/// Part of the connections that a server takes which hosts share, in per cent: hosts that start or are
+/// about to end hold some beside the others'.
+const CONNECTIONS_PART: usize = 80;
+
 /// Who this process is, and what bounds it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -76,6 +80,7 @@
                 idle_max: 256,
                 silence: Some(Duration::from_millis(3_000)),
                 distrust: false,
+                ..pool::Settings::default()
             },
             dispatch: dispatch::Settings::default(),
         }
@@ -113,6 +118,8 @@
     /// Bytes of requests' bodies that are held now.
     bodies: Arc<AtomicUsize>,
     draining: AtomicBool,
+    /// Hosts that share servers' connections, and the version by which they were shared last.
+    sharing: Mutex<(usize, u64)>,
     started: Instant,
 }
 
@@ -151,6 +158,7 @@
             in_force: Mutex::default(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
+            sharing: Mutex::new((1, 0)),
             started: clock::now(),
         }
     }
@@ -212,13 +220,16 @@
         match change {
             Change::Put(name, entry) => {
                 let (leaving, address, stage) = (entry.leaving, entry.address, entry.stage);
+                let service = entry.service.clone();
                 let (key, changed) = state.dispatch.put(entry);
                 if changed {
                     let stage = stage.map(Stage::name);
                     tracing::info!(server = %name, %address, leaving, stage, "server listed");
                 }
                 if !state.pools.contains_key(key) {
-                    state.pools.insert(key, Pool::new(address, self.settings.pool));
+                    let pool = Pool::new(address, self.settings.pool);
+                    pool.set_open_max(self.connection_share(&service));
+                    state.pools.insert(key, pool);
                 }
             }
             Change::Remove(name) => {
@@ -232,6 +243,33 @@
         self.give_turns();
     }
 
+    /// Shares the connections that servers take among so many hosts.
+    pub fn share_connections(&self, hosts: usize) {
+        let sharing = (hosts.max(1), self.version());
+        if std::mem::replace(&mut *self.sharing(), sharing) == sharing {
+            return;
+        }
+        let state = self.state();
+        for (key, pool) in &state.pools {
+            if let Some(entry) = state.dispatch.entry(key) {
+                pool.set_open_max(self.connection_share(&entry.service));
+            }
+        }
+    }
+
+    fn sharing(&self) -> MutexGuard<'_, (usize, u64)> {
+        self.sharing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Connections that this host may open to a server of a service.
+    fn connection_share(&self, service: &str) -> usize {
+        let in_force = self.in_force();
+        let most = in_force.and_then(|now| now.table.service(service).map(|s| s.connections));
+        let most = most.map_or(pool::OPEN_MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
+        let part = most.min(pool::OPEN_MAX) * CONNECTIONS_PART / 100 / self.sharing().0;
+        part.max(1)
+    }
+
     /// Whether a server may still be given a new request.
     pub fn is_open(&self, target: &Target) -> bool {
         self.state().dispatch.is_open(target.key)
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -55,6 +55,8 @@
     Unsent,
     /// Nothing was sent, since the address refuses connections.
     Refused,
+    /// Nothing was sent, since all connections that this host may open are in use.
+    Crowded,
     /// The server says that it did not run the request and never will.
     NotRun,
     /// Another server stands at the address; it did not run the request.
@@ -72,6 +74,7 @@
         match self {
             Failure::Unsent => "unsent",
             Failure::Refused => "refused",
+            Failure::Crowded => "crowded",
             Failure::NotRun => "not_run",
             Failure::Misdirected => "misdirected",
             Failure::Unknown => "unknown",
@@ -81,7 +84,7 @@
     }
 
     fn is_unsent(self) -> bool {
-        matches!(self, Failure::Unsent | Failure::Refused)
+        matches!(self, Failure::Unsent | Failure::Refused | Failure::Crowded)
     }
 
     /// Whether the server may have run the request.
@@ -91,11 +94,9 @@
 
     fn refusal(self) -> Refusal {
         match self {
-            Failure::Unsent | Failure::Refused | Failure::NotRun | Failure::Misdirected => {
-                Refusal::until(Cause::Full, FULL_RETRY)
-            }
             Failure::Unknown | Failure::Silent => Refusal::new(Cause::Lost),
             Failure::TimedOut => Refusal::new(Cause::TimedOut),
+            _ => Refusal::until(Cause::Full, FULL_RETRY),
         }
     }
 }
@@ -135,9 +136,9 @@
         self.sent += 1;
         self.may_have_run |= failure.may_have_run();
         let harmless = match failure {
-            Failure::Unsent | Failure::Refused | Failure::NotRun | Failure::Misdirected => true,
             Failure::Unknown | Failure::Silent => job.route.kind.may_repeat(),
             Failure::TimedOut => false,
+            _ => true,
         };
         let again = harmless && self.sent < job.route.attempts && self.spend(job);
         self.note(job, failure, again);
@@ -242,6 +243,8 @@
             Err(Failure::NotRun) if target.entry.stage.is_some() => {
                 self.app.note(target, Met::Refusal)
             }
+            // It says nothing of the server.
+            Err(Failure::Crowded) => {}
             Ok(_) | Err(Failure::NotRun) => self.app.note(target, Met::Answer),
         }
         sent
@@ -258,6 +261,7 @@
         let response = match target.pool.open(request, left).await {
             Ok(response) => response,
             Err(Error::Connect(_, Unreachable::Refused)) => return Err(Failure::Refused),
+            Err(Error::Connect(_, Unreachable::Crowded)) => return Err(Failure::Crowded),
             Err(Error::Connect(..) | Error::Request(_)) => return Err(Failure::Unsent),
             Err(Error::Timeout(_)) => return Err(Failure::TimedOut),
             Err(_) => return Err(Failure::Unknown),
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -34,8 +34,6 @@
 const DOUBT_TOLD: Duration = Duration::from_secs(3);
 /// How long another host may know other servers before this host doubts what it knows.
 const DIFFERS_FOR: Duration = Duration::from_millis(800);
-/// How long a list of the servers may take before it is doubted like a watch.
-const LIST_WITHIN: Duration = Duration::from_secs(5);
 /// Pause after an answer about the configuration; a change is in force well within two seconds.
 const CONFIG_PAUSE: Duration = Duration::from_millis(150);
 /// Pause after an answer about the backend servers; one that leaves gets nothing new well within two
@@ -85,8 +83,12 @@
     /// When the calls under way were sent, at the earliest.
     config_sent: Instant,
     servers_sent: Instant,
-    /// Since when the servers are being listed; absent while they are watched.
-    listed_since: Option<Instant>,
+    /// Whether the servers are being listed, not watched.
+    is_listing: bool,
+    /// Whether the servers were listed whole once.
+    was_listed: bool,
+    /// Digest of the servers that are known.
+    digest: u64,
     /// When a call of this host last went unanswered.
     doubted_at: Option<Instant>,
     /// Since when a peer to which the store answers knows other servers.
@@ -111,7 +113,7 @@
     /// Follows nothing yet.
     pub fn new(app: Arc<App>, directory: Directory) -> Arc<Follower> {
         let control = Control { wait: WATCH_PER_HOST, doubts: 0 };
-        let state = State { listed_since: Some(clock::now()), ..State::default() };
+        let state = State { is_listing: true, ..State::default() };
         Arc::new(Follower {
             app,
             directory,
@@ -139,7 +141,8 @@
     }
 
     /// Doubts calls that were sent before a moment at which the store did not answer. A list under way
-    /// is left alone for a while: in a large fleet it takes long, and would never end.
+    /// is left alone: in a large fleet it takes long, its pages are bounded in time, and while it goes
+    /// on this host knows other servers than its peers.
     fn doubt(&self, at: Instant, why: &str) {
         let now = clock::now();
         let mut state = self.state();
@@ -148,11 +151,10 @@
             state.config_sent = state.config_sent.max(now);
             self.config_watch.send_modify(|control| control.doubts += 1);
         }
-        let is_listed = state.listed_since.is_some_and(|since| now.since(since) < LIST_WITHIN);
-        if state.servers_sent < at && !is_listed {
+        if state.servers_sent < at && !state.is_listing {
             tracing::info!(kind = self.directory.servers_kind, why, "watch doubted");
             state.servers_sent = state.servers_sent.max(now);
-            state.listed_since = Some(now);
+            state.is_listing = true;
             self.servers_watch.send_modify(|control| control.doubts += 1);
         }
     }
@@ -201,17 +203,12 @@
     /// Whether the store answers this host.
     pub fn is_up(&self) -> bool {
         let state = self.state();
-        state.config_up && state.listing.is_up()
+        state.config_up && state.was_listed && state.listing.is_up()
     }
 
     /// Digest of the servers that are known.
     pub fn digest(&self) -> u64 {
-        let state = self.state();
-        let mut hasher = DefaultHasher::new();
-        for (name, version) in state.listing.versions() {
-            (name, version).hash(&mut hasher);
-        }
-        hasher.finish()
+        self.state().digest
     }
 
     /// Whether no server is known.
@@ -308,7 +305,7 @@
         let mut state = self.state();
         state.servers_sent = clock::now();
         // The watcher lists after a failure.
-        state.listed_since = Some(clock::now());
+        state.is_listing = true;
         let was_up = state.listing.is_up();
         if !is_answer(error) {
             state.listing.note_failed();
@@ -320,7 +317,8 @@
     fn take_update(&self, update: Update) {
         let mut state = self.state();
         state.servers_sent = clock::now();
-        state.listed_since = state.listed_since.filter(|_| update.is_part);
+        state.is_listing = update.is_part;
+        state.was_listed |= update.whole;
         drop(state);
         let entries = update.objects.into_iter().map(|o| (o.name, o.version, o.value)).collect();
         self.take_entries(update.whole, entries);
@@ -342,6 +340,7 @@
         }
         let changes = state.listing.take(clock::now(), whole, listed);
         let known = state.listing.versions().count();
+        state.digest = digest(&state.listing);
         drop(state);
         self.app.metrics.servers.set(i64::try_from(known).unwrap_or(i64::MAX));
         changes.into_iter().for_each(|change| self.app.change(change));
@@ -381,6 +380,14 @@
     }
 }
 
+fn digest(listing: &Listing) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for (name, version) in listing.versions() {
+        (name, version).hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
 /// Whether a failed call was answered by the store itself: history that is gone, for instance.
 fn is_answer(error: &Error) -> bool {
     /// History that is gone.
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -34,6 +34,9 @@
 const GATHER_PER_PEER: Duration = Duration::from_millis(5);
 /// Silence after which a peer counts as one that can't be heard.
 const SILENT: Duration = Duration::from_millis(1_500);
+/// How long a peer's servers are waited for before another peer is asked for its own: in a large fleet
+/// each answer is more than a megabyte.
+const SERVERS_WITHIN: Duration = Duration::from_millis(500);
 /// Pause after a connection could not be taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -46,6 +49,8 @@
     /// The newest news, encoded. Each connection sends it once the one before has gone, so that
     /// none waits for a slow peer.
     newest: watch::Sender<Bytes>,
+    /// When a peer was asked for its servers that has not told them yet.
+    asked_servers: Mutex<Option<Instant>>,
     /// All other hosts.
     hosts: Mutex<BTreeMap<Arc<str>, Host>>,
     /// Those of this host's cell.
@@ -75,8 +80,15 @@
     /// Without peers; every host listens on the same port for them.
     pub fn new(app: Arc<App>, follower: Arc<Follower>, port: u16) -> Arc<Mesh> {
         let newest = watch::Sender::new(Bytes::new());
-        let (hosts, peers) = (Mutex::default(), Mutex::default());
-        Arc::new(Mesh { app, follower, port, newest, hosts, peers })
+        Arc::new(Mesh {
+            app,
+            follower,
+            port,
+            newest,
+            asked_servers: Mutex::default(),
+            hosts: Mutex::default(),
+            peers: Mutex::default(),
+        })
     }
 
     fn peers(&self) -> MutexGuard<'_, HashMap<Arc<str>, Peer>> {
@@ -213,6 +225,7 @@
                 None
             }
             Frame::Servers(servers) => {
+                *self.asked_servers.lock().unwrap_or_else(PoisonError::into_inner) = None;
                 self.follower.hear_servers(name, servers);
                 None
             }
@@ -254,7 +267,7 @@
         let (configuration, servers) = (self.app.version(), self.follower.digest());
         let newer = news.configuration > configuration;
         let better = news.store && !self.follower.is_up() || self.follower.knows_none();
-        let others = better && news.servers != servers;
+        let others = better && news.servers != servers && self.may_ask_servers();
         let accounts = configuration > 0 && !self.app.knows_accounts();
         // One that knows the peer's servers is told none.
         let servers = if others { servers } else { news.servers };
@@ -262,6 +275,17 @@
         wants.then_some(Frame::Want { configuration, servers, accounts })
     }
 
+    /// Whether a peer may be asked for its servers now, which then counts as done.
+    fn may_ask_servers(&self) -> bool {
+        let now = clock::now();
+        let mut asked = self.asked_servers.lock().unwrap_or_else(PoisonError::into_inner);
+        let may = asked.is_none_or(|at| now.since(at) >= SERVERS_WITHIN);
+        if may {
+            *asked = Some(now);
+        }
+        may
+    }
+
     /// What a peer that asks is told.
     fn tell(&self, configuration: u64, servers: u64, accounts: bool) -> Option<Frame> {
         let in_force = self.app.in_force();
@@ -312,6 +336,7 @@
                     }
                     self.look_for_silent();
                     self.follower.set_hosts(self.others() + 1);
+                    self.app.share_connections(self.connected() + 1);
                     self.follower.show_ages();
                 }
             }
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -53,6 +53,8 @@
 pub enum Unreachable {
     /// the address refuses connections
     Refused,
+    /// all connections that may be open are in use
+    Crowded,
     /// {0}
     Other(String),
 }
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
 
@@ -29,6 +30,10 @@
     /// How long a connection may be silent before it counts as broken; absent for as long as the
     /// system lets it.
     pub silence: Option<Duration>,
+    /// Most connections that may be open, in use or not.
+    pub open_max: usize,
+    /// How long a call waits for one of these to be free.
+    pub open_wait: Duration,
     /// Whether a call that fails ends the trust in every connection that was open then.
     pub distrust: bool,
 }
@@ -40,6 +45,8 @@
             idle: Duration::from_millis(5_000),
             idle_max: 64,
             silence: None,
+            open_max: OPEN_MAX,
+            open_wait: Duration::from_millis(150),
             distrust: true,
         }
     }
@@ -70,6 +77,8 @@
     }
 }
 
+/// Connections that are open at most where nothing bounds them.
+pub const OPEN_MAX: usize = 1 << 16;
 /// How much sooner than a server a connection is given up, so that no call crosses its end.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_000);
 
@@ -99,6 +108,11 @@
     settings: Settings,
     idle: Mutex<Idle>,
     opened: AtomicU64,
+    /// A permit for each call; a connection is opened only where none is unused, so that as many are
+    /// open as calls were made at once.
+    calls: Arc<Semaphore>,
+    /// Permits that there are.
+    open_max: Mutex<usize>,
 }
 
 /// Connections to one address; cheap to clone.
@@ -111,6 +125,7 @@
     connection: Option<Connection>,
     epoch: u64,
     pool: Pool,
+    permit: Option<OwnedSemaphorePermit>,
 }
 
 impl Pool {
@@ -121,6 +136,8 @@
             settings,
             idle: Mutex::default(),
             opened: AtomicU64::new(0),
+            calls: Arc::new(Semaphore::new(settings.open_max)),
+            open_max: Mutex::new(settings.open_max),
         }))
     }
 
@@ -134,6 +151,26 @@
         self.0.address
     }
 
+    /// Changes how many connections may be open; those in use beyond it end by themselves.
+    pub fn set_open_max(&self, most: usize) {
+        let mut permits = self.0.open_max.lock().unwrap_or_else(PoisonError::into_inner);
+        match most.checked_sub(*permits) {
+            Some(more) => {
+                self.0.calls.add_permits(more);
+                *permits = most;
+            }
+            // Those in use can't be taken back now; the next change sees them.
+            None => *permits -= self.0.calls.forget_permits(*permits - most),
+        }
+    }
+
+    async fn permit(&self, end: Instant) -> Result<OwnedSemaphorePermit, Error> {
+        let until = end.min(Instant::now() + self.0.settings.open_wait);
+        let permit = timeout_at(until, self.0.calls.clone().acquire_owned()).await;
+        let crowded = Error::Connect(self.0.address, Unreachable::Crowded);
+        permit.map_err(|_| crowded.clone())?.map_err(|_| crowded)
+    }
+
     /// Makes one call and returns the answer's head with its body still open.
     ///
     /// # Errors
@@ -146,13 +183,15 @@
         limit: Duration,
     ) -> Result<Response<Stream>, Error> {
         let end = Instant::now() + limit;
+        let permit = Some(self.permit(end).await?);
         let epoch = self.epoch();
         let answer = timeout_at(end, self.send(request, end)).await;
         let answer = answer.unwrap_or(Err(Error::Timeout(millis(limit))));
         let (response, mut connection) = answer.inspect_err(|_| self.distrust())?;
         let (head, body) = response.into_parts();
         connection.note_keep_alive(&head.headers);
-        let stream = Stream { body, connection: Some(connection), epoch, pool: self.clone() };
+        let (connection, pool) = (Some(connection), self.clone());
+        let stream = Stream { body, connection, epoch, pool, permit };
         Ok(Response::from_parts(head, stream))
     }
 
@@ -307,6 +346,7 @@
     /// Closes the connection, and lets no other that is open now be used again.
     pub fn fail(&mut self) {
         self.connection = None;
+        self.permit = None;
         self.pool.distrust();
     }
 
@@ -315,6 +355,7 @@
         if connection.sender.ready().await.is_ok() {
             self.pool.keep(connection, self.epoch);
         }
+        self.permit = None;
     }
 }
 
--- a/crates/process/tests/pool.rs
+++ b/crates/process/tests/pool.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 use bytes::Bytes;
-use chestnutrack_process::http::{self, Error};
+use chestnutrack_process::http::{self, Error, Unreachable};
 use chestnutrack_process::pool::{Pool, Settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -79,6 +79,40 @@
     assert_eq!((server.connections(), server.calls()), (1, 3));
 }
 
+#[tokio::test]
+async fn no_more_connections_are_open_than_may_be() {
+    let server = server(&[ANSWER; 3]).await;
+    let wait = Duration::from_millis(20);
+    let settings = Settings { open_max: 1, open_wait: wait, ..Settings::default() };
+    let pool = Pool::new(server.address, settings);
+    let request = || http::request("GET", "/", Bytes::new()).unwrap();
+
+    let mut held = pool.open(request(), PATIENCE).await.unwrap();
+    let crowded = call(&pool, PATIENCE).await;
+    held.body_mut().read(100).await.unwrap();
+    let after = call(&pool, PATIENCE).await;
+
+    assert_eq!(crowded, Err(Error::Connect(server.address, Unreachable::Crowded)));
+    assert_eq!((after.unwrap(), server.connections()), ("ok".into(), 1));
+}
+
+#[tokio::test]
+async fn the_connections_that_may_be_open_change() {
+    let server = server(&[ANSWER; 4]).await;
+    let pool = Pool::new(server.address, Settings { open_max: 4, ..Settings::default() });
+    let request = || http::request("GET", "/", Bytes::new()).unwrap();
+    let held = pool.open(request(), PATIENCE).await.unwrap();
+
+    pool.set_open_max(1);
+    let none_left = call(&pool, PATIENCE).await;
+    pool.set_open_max(2);
+    let one_left = call(&pool, PATIENCE).await;
+
+    drop(held);
+    assert!(none_left.is_err());
+    assert!(one_left.is_ok());
+}
+
 #[tokio::test]
 async fn a_connection_that_the_server_closed_is_replaced() {
     let server =
