--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -184,6 +184,13 @@
         Ok(())
     }
 
+    /// Whether so little is left of an organisation's bucket that peers should hear at once of what is
+    /// spent.
+    pub fn is_tight(&self, name: &str) -> bool {
+        let (kept, saved) = (self.kept_share(), self.settings.saved);
+        self.buckets.get(name).is_some_and(|bucket| bucket.level < bucket.most(kept, saved) / 2.0)
+    }
+
     /// Hands tokens back that a request did not use.
     pub fn refund(&mut self, now: Instant, name: &Arc<str>, tokens: u64) {
         let (kept, saved) = (self.kept_share(), self.settings.saved);
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -372,3 +372,15 @@
     assert!(total >= 40 * RATE * 8 / 10, "{total}");
     assert!(most_within(&taken, 8_000) <= 9 * RATE, "{}", most_within(&taken, 8_000));
 }
+
+#[test]
+fn a_bucket_is_tight_below_its_half() {
+    let mut host = host();
+    host.take(at(0), &name(), RATE / 2).unwrap();
+    let at_half = host.is_tight(&name());
+    host.take(at(0), &name(), 1).unwrap();
+
+    assert!(!at_half);
+    assert!(host.is_tight(&name()));
+    assert!(!host.is_tight("nobody"));
+}
--- a/crates/forward/src/app/limit.rs
+++ b/crates/forward/src/app/limit.rs
@@ -27,7 +27,12 @@
     ///
     /// When there are not enough.
     pub fn debit(&self, organisation: &Arc<str>, tokens: u64) -> Result<(), Refusal> {
-        self.state().allowances.take(clock::now(), organisation, tokens)
+        let mut state = self.state();
+        let taken = state.allowances.take(clock::now(), organisation, tokens);
+        if taken.is_ok() && state.allowances.is_tight(organisation) {
+            self.news.notify_one();
+        }
+        taken
     }
 
     /// Hands tokens back that were not used.
--- a/crates/soak/src/ledger/mod.rs
+++ b/crates/soak/src/ledger/mod.rs
@@ -211,7 +211,9 @@
         .map(|request| request.runs[0].began)
         .collect();
     runs.sort_unstable();
-    let bound = (allowance.rate * WINDOW.as_secs() + allowance.burst) * (100 + OVERSHOOT) / 100;
+    let window = allowance.rate * WINDOW.as_secs() + allowance.burst;
+    // A host that stands still for less than its peers' silence may spend a bucket beside theirs.
+    let bound = window * (100 + OVERSHOOT) / 100 + allowance.burst;
     let within = |from: &Instant| {
         let end = *from + WINDOW;
         runs.iter().filter(|at| (*from..end).contains(*at)).count() as u64
