Hosts that shut down take themselves out of the list

One that ends gracefully now deletes its object, within 0.3 s of its grace. Ways weighed: taking the part over after a time (a cut host may go on spending), a majority (any number of hosts may be lost), a lease confirmed in the store (right, not built).

--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -13,13 +13,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Pause after an answer about the hosts; until then a new one is heard by those it calls itself.
 const PAUSE: Duration = Duration::from_millis(1_000);
 /// First and longest pause after a write that failed.
 const RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(2_000));
 
+/// Longest time for the store to take the end of a host; within what is left of its grace.
+const DEREGISTER_WITHIN: Duration = Duration::from_millis(300);
+
 /// What a host tells of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Host {
@@ -45,13 +48,13 @@
     Some((object.name.clone(), host.ok()?))
 }
 
-/// Tells the other hosts where this one is, until the store has taken it.
-pub async fn register(client: Client, kind: &'static str, name: Arc<str>, host: Host) {
+/// Tells the other hosts where this one is, until the store has taken it; returns its version there.
+pub async fn register(client: Client, kind: &'static str, name: Arc<str>, host: Host) -> u64 {
     let mut backoff = Backoff::new(RETRY.0, RETRY.1);
     let value = json!(host);
     loop {
         let version = match client.read(kind, &name).await {
-            Ok(object) if object.value.as_ref() == Some(&value) => return,
+            Ok(object) if object.value.as_ref() == Some(&value) => return object.version,
             Ok(object) => Ok(object.version),
             Err(Error::Missing) => Ok(0),
             Err(error) => Err(error),
@@ -63,7 +66,7 @@
         match written {
             Ok(version) => {
                 tracing::info!(%name, version, "registered");
-                return;
+                return version;
             }
             Err(error) => {
                 if backoff.failed() {
@@ -74,3 +77,12 @@
         }
     }
 }
+
+/// Tells the other hosts that this one ends, so that they don't keep its part of allowances back.
+pub async fn deregister(client: &Client, kind: &str, name: &str, version: u64) {
+    match timeout(DEREGISTER_WITHIN, client.delete(kind, name, version)).await {
+        Ok(Ok(_)) => tracing::info!(name, "deregistered"),
+        Ok(Err(error)) => tracing::warn!(name, %error, "not deregistered"),
+        Err(_) => tracing::warn!(name, "not deregistered: the store did not answer in time"),
+    }
+}
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -2,7 +2,7 @@
 
 mod hosts;
 
-pub use hosts::{Host, follow_hosts, register};
+pub use hosts::{Host, deregister, follow_hosts, register};
 
 use crate::app::App;
 use crate::config::Config;
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -13,6 +13,7 @@
 use chestnutrack_process::{admin, pool};
 use chestnutrack_store::client::{self, Client};
 use displaydoc::Display;
+use futures_util::FutureExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prometheus::Registry;
@@ -111,17 +112,20 @@
     tokio::spawn(follower.clone().follow_config(client.clone()));
     tokio::spawn(follower.clone().follow_servers(client.clone(), timer.clone()));
     let host = Host { incarnation, address: settings.peers };
-    let kind = speech.directory.hosts_kind;
-    tokio::spawn(follow::register(client.clone(), kind, name.clone(), host));
-    tokio::spawn(follow::follow_hosts(client.clone(), kind, mesh.clone()));
+    let hosts = speech.directory.hosts_kind;
+    let registered = tokio::spawn(follow::register(client.clone(), hosts, name.clone(), host));
+    tokio::spawn(follow::follow_hosts(client.clone(), hosts, mesh.clone()));
     let kind = speech.directory.leases_kind;
-    tokio::spawn(Orders::new(app.clone(), mesh.clone(), client, kind).run(timer.clone()));
+    tokio::spawn(Orders::new(app.clone(), mesh.clone(), client.clone(), kind).run(timer.clone()));
     tokio::spawn(mesh.clone().accept(peers));
     tokio::spawn(mesh.publish(timer.clone()));
     tokio::spawn(app.clone().look_after_waiting(timer.clone()));
     let (drain, drains) = watch::channel(settings.drain);
     tokio::spawn(follow_settings(reload, hangup, timer, app.clone(), drain));
     listener::serve(callers, app, shutdown, drains).await;
+    if let Some(Ok(version)) = registered.now_or_never() {
+        follow::deregister(&client, hosts, &name, version).await;
+    }
     tracing::info!(%name, "stopped");
     Ok(())
 }
--- a/crates/soak/src/fault/mod.rs
+++ b/crates/soak/src/fault/mod.rs
@@ -17,6 +17,8 @@
 const SHUTDOWN_WITHIN: Duration = Duration::from_secs(15);
 /// Time after which a withdrawn key, a dropped route or a leaving server counts nowhere any more.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
+/// Time after a fault of the store in which a host that ends may not have told it.
+const TOLD_WITHIN: Duration = Duration::from_secs(1);
 /// How long a server that left looks out for requests that should not come.
 const AFTER_LEAVING: Duration = Duration::from_millis(1_000);
 /// Servers whose numbers were never used begin here.
@@ -171,7 +173,7 @@
     let Ok(mut process) = fleet.hosts[host].process.try_lock() else { return Ok(()) };
     process.terminate()?;
     match process.wait(SHUTDOWN_WITHIN).await {
-        Some(0) => {}
+        Some(0) => check_deregistered(fleet, &process.name).await,
         code => {
             fleet.ledger.broken(format!("entry-{host} ended with {code:?} after SIGTERM"));
             process.kill().await;
@@ -180,6 +182,14 @@
     Ok(process.restart()?)
 }
 
+/// A host that has shut down is no longer in the hosts' list, unless the store could not be told.
+async fn check_deregistered(fleet: &Fleet, name: &str) {
+    let calm = fleet.store_calm_for() >= TOLD_WITHIN;
+    if calm && fleet.store.read("entry-hosts", name).await.is_ok() {
+        fleet.ledger.broken(format!("{name} is listed though it has shut down"));
+    }
+}
+
 async fn harm_link(link: &chestnutrack_harness::Link, harm: Harm, lasts: Duration) {
     /// How long a slow link holds each part.
     const HELD: Duration = Duration::from_millis(80);
