A server's connections are shared without holding two locks in two orders

Cause (reading the change): putting a configuration in force locks it, then the servers; listing a server locked the servers, then the configuration. On one thread nothing can wait for itself so, but on more it could.

--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -221,6 +221,7 @@
 
     /// Puts a change of the listed servers in force.
     pub fn change(self: &Arc<App>, change: Change) {
+        let (in_force, hosts) = (self.in_force(), self.sharing().0);
         let mut state = self.state();
         match change {
             Change::Put(name, entry) => {
@@ -233,7 +234,7 @@
                 }
                 if !state.pools.contains_key(key) {
                     let pool = Pool::new(address, self.settings.pool);
-                    pool.set_open_max(self.connection_share(&service));
+                    pool.set_open_max(share(in_force.as_deref(), &service, hosts));
                     state.pools.insert(key, pool);
                 }
             }
@@ -254,10 +255,11 @@
         if std::mem::replace(&mut *self.sharing(), sharing) == sharing {
             return;
         }
+        let in_force = self.in_force();
         let state = self.state();
         for (key, pool) in &state.pools {
             if let Some(entry) = state.dispatch.entry(key) {
-                pool.set_open_max(self.connection_share(&entry.service));
+                pool.set_open_max(share(in_force.as_deref(), &entry.service, sharing.0));
             }
         }
     }
@@ -266,15 +268,6 @@
         self.sharing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Connections that this host may open to a server of a service.
-    fn connection_share(&self, service: &str) -> usize {
-        let in_force = self.in_force();
-        let most = in_force.and_then(|now| now.table.service(service).map(|s| s.connections));
-        let most = most.map_or(pool::OPEN_MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
-        let part = most.min(pool::OPEN_MAX) * CONNECTIONS_PART / 100 / self.sharing().0;
-        part.max(1)
-    }
-
     /// Whether a server may still be given a new request.
     pub fn is_open(&self, target: &Target) -> bool {
         self.state().dispatch.is_open(target.key)
@@ -330,6 +323,13 @@
     }
 }
 
+/// Connections that one of so many hosts may open to a server of a service.
+fn share(in_force: Option<&InForce>, service: &str, hosts: usize) -> usize {
+    let most = in_force.and_then(|now| now.table.service(service).map(|s| s.connections));
+    let most = most.map_or(pool::OPEN_MAX, |most| usize::try_from(most).unwrap_or(usize::MAX));
+    (most.min(pool::OPEN_MAX) * CONNECTIONS_PART / 100 / hosts).max(1)
+}
+
 fn terms(config: &Config) -> Vec<Terms> {
     let terms = config.organisations.iter().map(|organisation| Terms {
         name: organisation.name.clone(),
