--- a/crates/core/src/dispatch/news.rs
+++ b/crates/core/src/dispatch/news.rs
@@ -155,9 +155,10 @@
         self.peers.remove(peer);
     }
 
-    /// Servers that this host passes over.
+    /// Servers that this host passes over: they fail, or others stand at their addresses.
     pub fn failing(&self, now: Instant) -> Vec<Arc<str>> {
-        let failing = self.servers.values().filter(|server| server.health.is_failing(now));
+        let fails = |server: &&Server| server.health.is_failing(now) || server.replaced;
+        let failing = self.servers.values().filter(fails);
         failing.map(|server| server.entry.name.clone()).collect()
     }
 
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -133,6 +133,20 @@
     assert_eq!(chosen, ["e0", "e0", "e0", "e1"]);
 }
 
+#[test]
+fn peers_hear_of_a_server_at_whose_address_another_stands() {
+    // Pattern: engines that crashed stay listed for seconds, and new ones stand at their addresses.
+    let mut dispatch = dispatch(2, 1);
+    let (key, _) = dispatch.put(entry(0, true));
+
+    dispatch.note_replaced(key);
+    let told = dispatch.failing(NOW);
+    dispatch.put(Entry { born: Some(2), ..entry(0, true) });
+
+    assert_eq!(told, ["e0".into()]);
+    assert!(dispatch.failing(NOW).is_empty());
+}
+
 #[test]
 fn an_engine_that_failed_once_is_the_last_choice_for_a_second_also_beside_running_generations() {
     let mut dispatch = dispatch(2, 1);
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -282,6 +282,7 @@
     pub fn note_replaced(&self, target: &Target) {
         tracing::info!(server = %target.entry.name, address = %target.entry.address, "server replaced");
         self.state().dispatch.note_replaced(target.key);
+        self.news.notify_one();
     }
 
     /// Changes the repeats that the fleet may send; whether they differ from those before.
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -112,8 +112,10 @@
             // The last one that may be asked has all the time that is left.
             let is_last = tries.prefills + 1 >= PREFILLS_MAX;
             let limit = if is_last { job.left() } else { patience(&turn).min(job.left()) };
-            kept = match prefill(job, &turn, last_event, limit).await {
+            kept = match prefill(job, &turn, tries, last_event, limit).await {
                 Ok(kept) => kept,
+                // Another one was taken from the budget already.
+                Err(Failure::Silent) => continue,
                 Err(failure) if tries.prefill_again(job, failure) => continue,
                 // A prefill is no run.
                 Err(_) => return Err(Failure::NotRun.refusal()),
@@ -212,23 +214,32 @@
     sent.map(Response::into_parts)
 }
 
-/// Has the prompt prefilled where the turn says; nothing where the engine that generates does it.
+/// Has the prompt prefilled where the turn says; nothing where the engine that generates does it. One that
+/// is overdue is given up only where another may be asked.
 async fn prefill(
     job: &Arc<Job>,
     turn: &Turn,
+    tries: &mut Tries,
     last_event: Option<u64>,
     limit: Duration,
 ) -> Result<Option<Kept>, Failure> {
     let Some(target) = &turn.prefill else { return Ok(None) };
     let started = clock::now();
-    let kept = match timeout(limit, prefill_once(job, target, last_event)).await {
+    let answer = prefill_once(job, target, last_event);
+    tokio::pin!(answer);
+    let kept = match timeout(limit, answer.as_mut()).await {
         Ok(kept) => kept,
+        Err(_) if job.left().is_zero() => Err(Failure::TimedOut),
         Err(_) => {
+            job.app.note(target, Met::Failure);
+            let again = tries.prefill_again(job, Failure::Silent);
             let (id, server) = (job.ask.id.as_deref(), &target.entry.name);
             let limit_ms = limit.as_millis() as u64;
-            tracing::info!(id, %server, limit_ms, after_ms = job.age_ms(), "prefill overdue");
-            job.app.note(target, Met::Failure);
-            Err(if job.left().is_zero() { Failure::TimedOut } else { Failure::Silent })
+            tracing::info!(id, %server, limit_ms, again, after_ms = job.age_ms(), "prefill overdue");
+            match again {
+                true => Err(Failure::Silent),
+                false => answer.await,
+            }
         }
     };
     let took = clock::now().since(started);
--- a/crates/forward/tests/forward/streams.rs
+++ b/crates/forward/tests/forward/streams.rs
@@ -195,6 +195,23 @@
     }
 }
 
+#[tokio::test]
+async fn a_prefill_that_is_overdue_is_waited_for_where_no_repeat_is_left() {
+    let slow = Backend::start(|seen| {
+        let mut steps = vec![Step::Wait(Duration::from_millis(900))];
+        steps.extend(prefills(seen));
+        steps
+    })
+    .await;
+    let made = Backend::start(whole).await;
+    let host = engines(&slow, &[&made]).await;
+    host.app.set_repeats(0);
+
+    let answer = call(host.address, &generation("/digest/7")).await;
+
+    assert_eq!((answer.status, answer.whole, slow.count()), (200, true, 1));
+}
+
 #[tokio::test]
 async fn a_stream_that_may_be_resumed_begins_elsewhere_where_its_engine_is_silent() {
     let read = Backend::start(prefills).await;
