A request whose server was replaced goes to another, with what was prefilled for it

The server that it was meant for has ended and never saw it; the request goes on, with the same memory, within the budget of repeats (test failed first).

--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -206,8 +206,11 @@
         false => Err(Failure::Unsent),
     };
     // A handle is spent, unless the engine surely never saw it or says that it had no room.
-    let taken =
-        !matches!(&sent, Err(failure) if failure.is_unsent() || *failure == Failure::NotRun);
+    let taken = match &sent {
+        Ok(_) => true,
+        Err(Failure::NotRun | Failure::Misdirected) => false,
+        Err(failure) => !failure.is_unsent(),
+    };
     if let Some(kept) = kept {
         kept.taken = taken;
     }
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -133,6 +133,13 @@
             self.unsent += 1;
             return self.unsent < UNSENT_MAX;
         }
+        if failure == Failure::Misdirected {
+            // The server that it was meant for has ended, and never saw it.
+            self.unsent += 1;
+            let again = self.unsent < UNSENT_MAX && self.spend(job);
+            self.note(job, failure, again);
+            return again;
+        }
         self.sent += 1;
         self.may_have_run |= failure.may_have_run();
         let harmless = match failure {
--- a/crates/forward/tests/forward/streams.rs
+++ b/crates/forward/tests/forward/streams.rs
@@ -225,6 +225,24 @@
     }
 }
 
+#[tokio::test]
+async fn a_prompt_whose_engine_was_replaced_is_generated_at_another_from_the_same_memory() {
+    let read = Backend::start(prefills).await;
+    let stranger =
+        Backend::start(|_| vec![send("HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n")]).await;
+    let made = Backend::start(whole).await;
+    let host = engines(&read, &[&stranger, &made]).await;
+
+    let mut calls = 0;
+    while stranger.count() == 0 {
+        let answer = call(host.address, &generation("/digest/7")).await;
+        calls += 1;
+
+        assert_eq!((answer.status, answer.whole), (200, true));
+    }
+    assert_eq!((read.count(), made.count()), (calls, calls));
+}
+
 #[tokio::test]
 async fn a_server_that_another_replaced_is_asked_once() {
     let read = Backend::start(prefills).await;
