Pages of the servers' first list are used as they come; a lost page doesn't begin the list anew

(2) After a first list that failed the next one had to be of now, which counts towards the store's rate: 18,000 calls of 298 hosts. (3) One lost page began the list anew. (4) Taking a whole list in compared each name with each other one.

Failed first: the new tests in crates/store/tests/pages.rs (2) and crates/forward/tests/forward/directory.rs; (4) changes no behaviour.

--- a/crates/core/src/listing/mod.rs
+++ b/crates/core/src/listing/mod.rs
@@ -8,7 +8,7 @@
 mod tests;
 
 use crate::time::Instant;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -77,8 +77,8 @@
         }
         let mut missing: Vec<Arc<str>> = Vec::new();
         if whole {
-            let listed = |name: &Arc<str>| entries.iter().any(|(other, ..)| other == name);
-            missing.extend(self.known.keys().filter(|name| !listed(name)).cloned());
+            let listed: HashSet<&Arc<str>> = entries.iter().map(|(name, ..)| name).collect();
+            missing.extend(self.known.keys().filter(|name| !listed.contains(name)).cloned());
         }
         let mut changes = Vec::new();
         for (name, version, entry) in entries {
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -280,8 +280,8 @@
     /// Follows the backend servers until the process ends.
     pub async fn follow_servers(self: Arc<Follower>, client: Client, timer: Timer) {
         let (kind, control) = (self.directory.servers_kind, self.servers_watch.subscribe());
-        let mut events =
-            watcher::start_controlled(client, kind, watching(SERVERS_PAUSE, Age::Any), control);
+        let settings = watcher::Settings { pages: true, ..watching(SERVERS_PAUSE, Age::Any) };
+        let mut events = watcher::start_controlled(client, kind, settings, control);
         let mut looks = None;
         loop {
             tokio::select! {
--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -26,7 +26,7 @@
 pub const NAME_BYTES_MAX: usize = 200;
 /// Status of a call beyond the interface's rate.
 const TOO_MANY: u16 = 429;
-/// How often a page that is refused for the rate is asked for.
+/// How often a page that is refused for the rate, or lost after others had come, is asked for.
 const PAGE_TRIES: u32 = 5;
 /// First and longest pause before it is asked for again: the rate is counted by the second.
 const PAGE_RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
@@ -156,18 +156,20 @@
         }
     }
 
-    /// Reads a page. One that is refused for the interface's rate is asked for again, so that a long
-    /// list of which one page is refused isn't read from its start.
+    /// Reads a page. One that is refused for the interface's rate is asked for again, and so is one that
+    /// is lost after others had come, so that a long list isn't read from its start for one page.
     async fn page(&self, kind: &str, after: Option<&str>, age: Age) -> Result<Page, Error> {
         let mut backoff = Backoff::new(PAGE_RETRY.0, PAGE_RETRY.1);
         for _ in 1..PAGE_TRIES {
-            match self.page_once(kind, after, age).await {
-                Err(Error::Refused(TOO_MANY, _)) => {
-                    backoff.failed();
-                    sleep(backoff.pause()).await;
-                }
-                page => return page,
-            }
+            let page = self.page_once(kind, after, age).await;
+            let error = match &page {
+                Err(error @ Error::Refused(TOO_MANY, _)) => error,
+                Err(error @ (Error::Unknown(_) | Error::NotSent(_))) if after.is_some() => error,
+                _ => return page,
+            };
+            tracing::info!(kind, after, %error, "page asked for again");
+            backoff.failed();
+            sleep(backoff.pause()).await;
         }
         self.page_once(kind, after, age).await
     }
--- a/crates/store/src/watcher/mod.rs
+++ b/crates/store/src/watcher/mod.rs
@@ -135,9 +135,10 @@
 ) {
     let mut table = Table::default();
     let mut backoff = Backoff::new(settings.retry_min, settings.retry_max);
-    let mut age = settings.first;
     loop {
         let sent = clock::now();
+        // After the first list, one follows only where something may have been missed.
+        let age = if table.is_empty() { settings.first } else { Age::Newest };
         let whole = table.needs_list();
         let now = *control.borrow_and_update();
         let pages = (settings.pages && table.is_empty()).then_some(events);
@@ -148,8 +149,6 @@
                 continue;
             }
         };
-        // After the first list, one follows only where something may have been missed.
-        age = Age::Newest;
         let taken = answer.and_then(|list| table.take(list, whole, sent));
         let (event, pause) = match taken {
             Ok(update) => {
--- a/crates/store/tests/pages.rs
+++ b/crates/store/tests/pages.rs
@@ -9,17 +9,19 @@
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
 
 const PAGED: Dialect = Dialect { list, page, ..OWN };
 
-fn list(kind: &str, after: Option<&str>, _: Age) -> Result<Call, Error> {
+fn list(kind: &str, after: Option<&str>, age: Age) -> Result<Call, Error> {
     let target = match after {
         Some(after) => format!("/{kind}/after/{after}"),
         None => format!("/{kind}"),
     };
-    Ok(http::request("GET", &target, "")?)
+    let age = if age == Age::Any { "?old" } else { "" };
+    Ok(http::request("GET", &format!("{target}{age}"), "")?)
 }
 
 /// The page of `a` is followed by that of `b`.
@@ -77,3 +79,58 @@
     assert_eq!((first.whole, first.is_part, names(&first)), (false, true, vec!["a"]));
     assert_eq!((second.whole, second.is_part, names(&second)), (true, false, vec!["a", "b"]));
 }
+
+/// An interface that fails the first calls for the page of `path`, and lists `a` and `b` otherwise, where
+/// an old list will do.
+async fn failing(path: &'static str, failures: u32) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let failed = Arc::new(AtomicU32::new(0));
+    tokio::spawn(http::serve(listener, move |request: hyper::Request<hyper::body::Incoming>| {
+        let fails =
+            request.uri().path() == path && failed.fetch_add(1, Ordering::SeqCst) < failures;
+        let name = match (request.uri().path(), request.uri().query()) {
+            ("/servers", Some("old")) => Some("a"),
+            ("/servers/after/a", Some("old")) => Some("b"),
+            _ => None,
+        };
+        async move {
+            match name {
+                Some(name) if !fails => hyper::Response::new(http::full(name)),
+                Some(_) => {
+                    let mut response = hyper::Response::new(http::full("cut"));
+                    *response.status_mut() = hyper::StatusCode::BAD_GATEWAY;
+                    response
+                }
+                // A list of now, as a watch, waits for good.
+                None => std::future::pending().await,
+            }
+        }
+    }));
+    address
+}
+
+#[tokio::test]
+async fn a_first_list_that_failed_may_be_as_old_when_it_is_asked_for_again() {
+    let address = failing("/servers", 1).await;
+    let client = Client::speaking(PAGED, address, Settings::default(), None);
+    let settings = watcher::Settings { first: Age::Any, ..watcher::Settings::default() };
+
+    let mut events = watcher::start(client, "servers", settings);
+    let failed = events.recv().await;
+    let listed = update(&mut events).await;
+
+    assert!(matches!(failed, Some(Event::Failed { .. })), "{failed:?}");
+    assert_eq!((listed.whole, names(&listed)), (true, vec!["a", "b"]));
+}
+
+#[tokio::test]
+async fn a_list_goes_on_after_a_page_whose_answer_was_lost() {
+    let address = failing("/servers/after/a", 2).await;
+    let client = Client::speaking(PAGED, address, Settings::default(), None);
+
+    let list = client.list_aged("servers", Age::Any, |_| {}).await.expect("a list");
+
+    let names: Vec<&str> = list.objects.iter().map(|object| &*object.name).collect();
+    assert_eq!(names, ["a", "b"]);
+}
