A host that is lost for good gives its part of allowances back

Ruled out: taking the part over after some silence alone (the host may only be cut off and go on spending); leaving it to the store alone (a host that the store doesn't answer would stop in every outage).

Change: core::roster. A host that hears less than half of the fleet, or is heard by less, spends nothing after 5 s unless the store confirmed within 2 s that it is listed. One that neither the first host nor any that it hears has heard for 7.5 s is marked as lost in its entry, under the entry's version, and deleted 3 s later under the mark's version; a live host that sees the mark writes its entry anew. Fleets of two do neither: there is no half.

Tests: core::roster (10, without network), crates/forward/tests/forward/hosts.rs (3, against the stand-in store).

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -29,6 +29,9 @@
 
 /// Shortest time after which a caller that was refused is asked to come back.
 const RETRY_MIN: Duration = Duration::from_millis(100);
+/// Time after which a caller is asked to come back whom a host refused that is cut off: it then meets
+/// another host, or this one has heard the others again.
+const RETRY_CUT_OFF: Duration = Duration::from_millis(1_000);
 
 /// How allowances are counted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -92,6 +95,8 @@
     /// Whether it is known what was spent in the window.
     known: bool,
     started: Instant,
+    /// Until when this host may spend, unless it hears more of the others.
+    until: Option<Instant>,
 }
 
 /// What an organisation has spent lately.
@@ -129,6 +134,7 @@
             full: first_start,
             known: first_start,
             started: now,
+            until: None,
         }
     }
 
@@ -169,6 +175,10 @@
         let (kept, settings) = (self.kept_share(), self.settings);
         let may_owe = self.others > 0 && self.is_known(now);
         let Some(bucket) = self.buckets.get_mut(name) else { return Ok(()) };
+        if self.until.is_some_and(|until| until <= now) {
+            let (rate, burst) = (bucket.rate, bucket.burst);
+            return Err(Refusal { left: 0, rate, burst, kept: 1.0, retry_after: RETRY_CUT_OFF });
+        }
         bucket.refill(now, kept, settings.saved);
         let wanted = tokens as f64;
         let left = bucket.left(now, kept, &settings);
@@ -290,6 +300,12 @@
         }
     }
 
+    /// Sets until when this host may spend, if not for good: one that is cut off may have lost its part
+    /// to the others.
+    pub fn set_until(&mut self, until: Option<Instant>) {
+        self.until = until;
+    }
+
     /// Sets how many hosts belong to other cells: they spend their own part of each allowance.
     pub fn set_others(&mut self, now: Instant, others: usize) {
         let before = self.kept_share();
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -45,6 +45,21 @@
     assert_eq!(later, Ok(()));
 }
 
+#[test]
+fn a_host_that_is_cut_off_spends_nothing_after_its_time_and_asks_callers_back_soon() {
+    let mut host = host();
+
+    host.set_until(Some(at(5)));
+    let before = host.take(at(4), &name(), 10);
+    let after = host.take(at(5), &name(), 10);
+    host.set_until(Some(at(9)));
+
+    assert_eq!(before, Ok(()));
+    let refusal = after.expect_err("it may spend nothing");
+    assert_eq!((refusal.kept, refusal.retry_after), (1.0, Duration::from_secs(1)));
+    assert_eq!(host.take(at(6), &name(), 10), Ok(()));
+}
+
 #[test]
 fn what_a_peer_has_spent_is_gone_here_too_and_counts_once() {
     let mut host = host();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod plan;
 pub mod queue;
 pub mod retry;
+pub mod roster;
 pub mod server;
 pub mod subset;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/roster/mod.rs
@@ -0,0 +1,237 @@
+//! The other hosts: which of them can be heard, and which are lost for good.
+//!
+//! What a host that can't be heard spends is unknown, so its part of each allowance is kept back. One that
+//! never comes back must not keep it for ever. Nobody can tell from outside whether it has ended or is
+//! only cut off, so both sides keep to a time. A host that hears less than half of the fleet, and to which
+//! the platform's store does not confirm that it is still listed, stops spending. One that most of the fleet
+//! has not heard for longer is marked as lost in the store and, when the last confirmation that it may have
+//! got has run out, taken off the list. Then its part is free.
+
+#[cfg(test)]
+mod tests;
+
+use crate::time::Instant;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Silence after which a host counts as one that can't be heard: three heartbeats.
+pub const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Times after which hosts count as silent and as lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Silence after which a host counts as one that can't be heard.
+    pub silence: Duration,
+    /// How long a host goes on spending that hears less than half of the fleet.
+    pub alone: Duration,
+    /// How long it goes on after the store confirmed that it is listed: two reads of its entry.
+    pub confirmed: Duration,
+    /// Silence after which a host is marked as lost. A host that is alone has stopped by then: it hears
+    /// that others do not hear it `silence` and a heartbeat after they do no longer.
+    pub lost: Duration,
+    /// Time between the mark and the end of the entry; longer than `confirmed`.
+    pub parting: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            silence: SILENCE,
+            alone: Duration::from_millis(5_000),
+            confirmed: Duration::from_millis(2_000),
+            lost: Duration::from_millis(7_500),
+            parting: Duration::from_millis(3_000),
+        }
+    }
+}
+
+/// What is done about a host that is lost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Its entry of this version is marked.
+    Mark(Arc<str>, u64),
+    /// Its entry of this version, which was marked long enough, is deleted.
+    Remove(Arc<str>, u64),
+}
+
+/// What a host tells of those that it hears.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Whether the platform's store answers it.
+    pub store: bool,
+    /// Hosts that it does not hear, and for how long.
+    pub unheard: Vec<(Arc<str>, Duration)>,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    heard: Instant,
+    /// When it was last heard and did not say that it can't hear this host.
+    near: Instant,
+    told: Told,
+    /// It is known to be silent.
+    silent: bool,
+    /// Its process is surely gone: its address refuses connections.
+    gone: bool,
+    /// Version of its entry in the store; 0 while unknown.
+    version: u64,
+    /// Since when this host knows that its entry of that version is marked.
+    marked: Option<Instant>,
+}
+
+/// The other hosts of a fleet, as one of them sees them.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    settings: Settings,
+    name: Arc<str>,
+    peers: BTreeMap<Arc<str>, Peer>,
+    /// When the store was asked that last confirmed that this host is listed.
+    confirmed: Option<Instant>,
+}
+
+impl Roster {
+    /// A host that knows no other.
+    pub fn new(name: Arc<str>, settings: Settings) -> Roster {
+        Roster { settings, name, peers: BTreeMap::new(), confirmed: None }
+    }
+
+    /// Notes that there is a host, or another process of it.
+    pub fn meet(&mut self, now: Instant, name: &Arc<str>) {
+        let told = Told::default();
+        let version = self.peers.get(name).map_or(0, |peer| peer.version);
+        let peer =
+            Peer { heard: now, near: now, told, silent: false, gone: false, version, marked: None };
+        self.peers.insert(name.clone(), peer);
+    }
+
+    /// Forgets a host.
+    pub fn part(&mut self, name: &str) {
+        self.peers.remove(name);
+    }
+
+    /// Notes the version of a host's entry, and whether it is marked as lost.
+    pub fn note_entry(&mut self, now: Instant, name: &str, version: u64, marked: bool) {
+        let Some(peer) = self.peers.get_mut(name) else { return };
+        let known = peer.marked.filter(|_| peer.version == version);
+        peer.version = version;
+        peer.marked = marked.then_some(known.unwrap_or(now));
+    }
+
+    /// Takes in what a host tells; whether it could not be heard before.
+    pub fn hear(&mut self, now: Instant, name: &str, told: Told) -> bool {
+        let Some(peer) = self.peers.get_mut(name) else { return false };
+        if told.unheard.iter().all(|(unheard, _)| *unheard != self.name) {
+            peer.near = now;
+        }
+        (peer.heard, peer.told, peer.gone) = (now, told, false);
+        std::mem::take(&mut peer.silent)
+    }
+
+    /// Notes that a host's address refuses connections; whether that is new.
+    pub fn refused(&mut self, name: &str) -> bool {
+        self.peers.get_mut(name).is_some_and(|peer| !std::mem::replace(&mut peer.gone, true))
+    }
+
+    /// Looks for hosts that are silent; those of which that is new.
+    pub fn look(&mut self, now: Instant) -> Vec<Arc<str>> {
+        let silence = self.settings.silence;
+        let silent = self.peers.iter_mut().filter_map(|(name, peer)| {
+            let is_new = !peer.gone && !peer.silent && now.since(peer.heard) >= silence;
+            peer.silent |= is_new;
+            is_new.then(|| name.clone())
+        });
+        silent.collect()
+    }
+
+    /// Hosts that can't be heard and whose processes may go on.
+    pub fn silent(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.peers.iter().filter(|(_, peer)| peer.silent && !peer.gone).map(|(name, _)| name)
+    }
+
+    /// Hosts that are heard.
+    pub fn heard(&self) -> usize {
+        self.peers.values().filter(|peer| !peer.silent && !peer.gone).count()
+    }
+
+    /// Hosts that this one does not hear, and for how long, for the others.
+    pub fn unheard(&self, now: Instant) -> Vec<(Arc<str>, Duration)> {
+        let silent = self.peers.iter().filter(|(_, peer)| peer.silent);
+        silent.map(|(name, peer)| (name.clone(), now.since(peer.heard))).collect()
+    }
+
+    /// How many hosts come before this one, by name, of those that can be heard and that the store
+    /// answers.
+    pub fn rank(&self) -> usize {
+        let able = self.peers.iter().filter(|(_, peer)| peer.is_heard() && peer.told.store);
+        able.filter(|(name, _)| **name < self.name).count()
+    }
+
+    /// Notes that the store, asked at a time, confirmed that this host is listed.
+    pub fn confirm(&mut self, asked: Instant) {
+        self.confirmed = self.confirmed.max(Some(asked));
+    }
+
+    /// When this host last heard, and was heard by, more than half of the fleet, itself included;
+    /// absent where there is no such half. Processes that are surely gone count as heard.
+    fn with_most_at(&self, now: Instant) -> Option<Instant> {
+        let hosts = self.peers.len() + 1;
+        // Of two hosts neither can know which one is cut off.
+        if hosts <= 2 {
+            return None;
+        }
+        let near = |peer: &Peer| if peer.gone { now } else { peer.near };
+        let mut near: Vec<Instant> = self.peers.values().map(near).collect();
+        near.sort_unstable();
+        // The last one that is needed for more than half.
+        near.get(near.len() - hosts / 2).copied()
+    }
+
+    /// Whether this host hears less than half of the fleet, so that it needs the store to confirm that it
+    /// is listed.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        self.with_most_at(now).is_some_and(|at| now.since(at) >= self.settings.silence)
+    }
+
+    /// Until when this host may spend if it hears nothing more; absent where nobody else may take its
+    /// part.
+    pub fn may_spend_until(&self, now: Instant) -> Option<Instant> {
+        let heard = self.with_most_at(now)? + self.settings.alone;
+        let confirmed = self.confirmed.map(|asked| asked + self.settings.confirmed);
+        Some(confirmed.map_or(heard, |until| until.max(heard)))
+    }
+
+    /// What this host, if it is the one to do it, does about hosts that are lost.
+    pub fn steps(&self, now: Instant) -> Vec<Step> {
+        if self.rank() > 0 || self.is_alone(now) || self.peers.len() < 2 {
+            return Vec::new();
+        }
+        let lost = self.peers.iter().filter(|(name, peer)| self.is_lost(now, name, peer));
+        let steps = lost.filter_map(|(name, peer)| match peer.marked {
+            None => Some(Step::Mark(name.clone(), peer.version)),
+            Some(since) => (now.since(since) >= self.settings.parting)
+                .then(|| Step::Remove(name.clone(), peer.version)),
+        });
+        steps.collect()
+    }
+
+    /// Whether neither this host nor any that it hears has heard a host for long.
+    fn is_lost(&self, now: Instant, name: &Arc<str>, peer: &Peer) -> bool {
+        let lost = self.settings.lost;
+        let unheard_by = |other: &Peer| {
+            other.told.unheard.iter().any(|(unheard, time)| unheard == name && *time >= lost)
+        };
+        let mut others = self.peers.values().filter(|other| other.is_heard());
+        peer.silent
+            && !peer.gone
+            && peer.version > 0
+            && now.since(peer.heard) >= lost
+            && others.all(unheard_by)
+    }
+}
+
+impl Peer {
+    fn is_heard(&self) -> bool {
+        !self.silent && !self.gone
+    }
+}
--- /dev/null
+++ b/crates/core/src/roster/tests.rs
@@ -0,0 +1,187 @@
+//! Hosts that are lost for good, cut off, or standing still.
+
+use super::{Roster, Settings, Step, Told};
+use crate::time::Instant;
+use std::sync::Arc;
+use std::time::Duration;
+
+const SETTINGS: Settings = Settings {
+    silence: Duration::from_millis(1_500),
+    alone: Duration::from_millis(5_000),
+    confirmed: Duration::from_millis(2_000),
+    lost: Duration::from_millis(7_500),
+    parting: Duration::from_millis(3_000),
+};
+/// Time between what hosts tell.
+const BEAT: u64 = 500;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(100_000 + millis)
+}
+
+fn name(host: usize) -> Arc<str> {
+    format!("host-{host}").into()
+}
+
+/// A fleet of hosts that have met, each with an entry.
+fn fleet(hosts: usize) -> Vec<Roster> {
+    let roster = |host: usize| {
+        let mut roster = Roster::new(name(host), SETTINGS);
+        for other in (0..hosts).filter(|other| *other != host) {
+            roster.meet(at(0), &name(other));
+            roster.note_entry(at(0), &name(other), 10, false);
+        }
+        roster
+    };
+    (0..hosts).map(roster).collect()
+}
+
+/// Lets hosts tell each other what they hear from one time to another, where `hears(to, from)` holds.
+fn play(fleet: &mut [Roster], millis: (u64, u64), hears: impl Fn(usize, usize) -> bool) {
+    for millis in (millis.0..=millis.1).step_by(BEAT as usize) {
+        let now = at(millis);
+        let told: Vec<Told> = fleet
+            .iter_mut()
+            .map(|roster| {
+                roster.look(now);
+                Told { store: true, unheard: roster.unheard(now) }
+            })
+            .collect();
+        for (to, roster) in fleet.iter_mut().enumerate() {
+            for (from, told) in told.iter().enumerate() {
+                if from != to && hears(to, from) {
+                    roster.hear(now, &name(from), told.clone());
+                }
+            }
+        }
+    }
+}
+
+fn may_spend(roster: &Roster, millis: u64) -> bool {
+    roster.may_spend_until(at(millis)).is_none_or(|until| until > at(millis))
+}
+
+fn without(lost: usize) -> impl Fn(usize, usize) -> bool {
+    move |to, from| to != lost && from != lost
+}
+
+#[test]
+fn a_host_that_nobody_hears_is_marked_and_then_taken_off_the_list() {
+    let mut fleet = fleet(4);
+
+    play(&mut fleet, (0, 6_000), without(3));
+    let early = fleet[0].steps(at(6_000));
+    play(&mut fleet, (6_500, 8_500), without(3));
+    let mark = fleet[0].steps(at(8_500));
+    fleet[0].note_entry(at(9_000), &name(3), 12, true);
+    play(&mut fleet, (9_000, 11_500), without(3));
+    let waiting = fleet[0].steps(at(11_500));
+    play(&mut fleet, (12_000, 12_500), without(3));
+    let removal = fleet[0].steps(at(12_500));
+
+    assert_eq!((early, waiting), (vec![], vec![]));
+    assert_eq!(mark, [Step::Mark(name(3), 10)]);
+    assert_eq!(removal, [Step::Remove(name(3), 12)]);
+}
+
+#[test]
+fn only_the_first_host_that_the_store_answers_takes_others_off_the_list() {
+    let mut fleet = fleet(4);
+
+    play(&mut fleet, (0, 10_000), without(3));
+
+    let steps: Vec<usize> = fleet.iter().map(|roster| roster.steps(at(10_000)).len()).collect();
+    assert_eq!(steps[..3], [1, 0, 0]);
+}
+
+#[test]
+fn a_host_that_another_still_hears_is_not_lost() {
+    let mut fleet = fleet(4);
+    let only_by_two = |to: usize, from: usize| {
+        let pair = (to.min(from), to.max(from));
+        pair.1 != 3 || pair.0 == 2
+    };
+
+    play(&mut fleet, (0, 20_000), only_by_two);
+
+    assert_eq!(fleet[0].steps(at(20_000)), []);
+}
+
+#[test]
+fn a_host_that_was_marked_anew_waits_anew() {
+    let mut fleet = fleet(4);
+    play(&mut fleet, (0, 9_000), without(3));
+
+    fleet[0].note_entry(at(9_000), &name(3), 12, true);
+    fleet[0].note_entry(at(11_000), &name(3), 14, true);
+    play(&mut fleet, (9_500, 12_500), without(3));
+
+    assert_eq!(fleet[0].steps(at(12_500)), []);
+}
+
+#[test]
+fn a_host_that_is_cut_off_stops_spending_before_the_others_take_its_part() {
+    let mut fleet = fleet(4);
+
+    play(&mut fleet, (0, 500), |_, _| true);
+    play(&mut fleet, (1_000, 8_500), without(3));
+
+    let stops = fleet[3].may_spend_until(at(8_500)).expect("a time");
+    let marked = (1_000..=20_000u64).step_by(BEAT as usize).find(|millis| {
+        play(&mut fleet, (*millis, *millis), without(3));
+        !fleet[0].steps(at(*millis)).is_empty()
+    });
+    assert!(stops <= at(marked.expect("it is marked")), "{stops:?} {marked:?}");
+}
+
+#[test]
+fn a_host_that_others_do_not_hear_stops_though_it_hears_them() {
+    let mut fleet = fleet(4);
+
+    play(&mut fleet, (0, 10_000), |_, from| from != 3);
+
+    assert!(fleet[3].is_alone(at(10_000)));
+    assert!(!may_spend(&fleet[3], 10_000));
+}
+
+#[test]
+fn a_host_that_the_store_confirms_goes_on_and_one_that_stood_still_does_not() {
+    let mut fleet = fleet(4);
+
+    play(&mut fleet, (0, 500), |_, _| true);
+    fleet[3].confirm(at(7_000));
+
+    assert_eq!(fleet[3].may_spend_until(at(8_500)), Some(at(9_000)));
+    assert!(!may_spend(&fleet[3], 30_000));
+}
+
+#[test]
+fn hosts_that_hear_most_of_the_fleet_go_on_without_the_store() {
+    let mut fleet = fleet(5);
+
+    play(&mut fleet, (0, 60_000), |to, from| to < 3 && from < 3);
+
+    assert!((0..3).all(|host| may_spend(&fleet[host], 60_000)));
+    assert!((3..5).all(|host| !may_spend(&fleet[host], 60_000)));
+}
+
+#[test]
+fn processes_that_are_surely_gone_do_not_count_against_a_host() {
+    let mut fleet = fleet(5);
+
+    let new: Vec<bool> = (1..5).map(|other| fleet[0].refused(&name(other))).collect();
+
+    assert_eq!(new, [true; 4]);
+    assert!(!fleet[0].is_alone(at(60_000)));
+    assert_eq!(fleet[0].steps(at(60_000)), []);
+}
+
+#[test]
+fn of_two_hosts_neither_stops_and_neither_is_taken_off() {
+    let mut fleet = fleet(2);
+
+    play(&mut fleet, (0, 60_000), |_, _| false);
+
+    assert!(may_spend(&fleet[0], 60_000));
+    assert_eq!(fleet[0].steps(at(60_000)), []);
+}
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -17,6 +17,7 @@
 use chestnutrack_core::dispatch::{self, Callers, Change, Dispatch, Key, Met, Stage};
 use chestnutrack_core::limit::Terms;
 use chestnutrack_core::retry::Budget;
+use chestnutrack_core::roster;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::admin::Ready;
 use chestnutrack_process::clock;
@@ -33,8 +34,6 @@
 /// all it knew exceeds a window by no more than the platform tolerates.
 pub const ALLOWANCE_SAVED: Duration = Duration::from_secs(1);
 
-/// Silence after which a peer counts as one that can't be heard: three heartbeats.
-pub const PEER_SILENCE: Duration = Duration::from_millis(1_500);
 /// Part of the connections that a server takes which hosts share, in per cent: hosts that start or are
 /// about to end hold some beside the others'.
 const CONNECTIONS_PART: usize = 80;
@@ -57,6 +56,8 @@
     pub lease: Duration,
     /// How organisations' allowances are counted.
     pub allowance: allowance::Settings,
+    /// When other hosts count as silent and as lost.
+    pub roster: roster::Settings,
     /// Bytes of requests' bodies that are held at once.
     pub body_bytes: usize,
     /// Connections to backend servers.
@@ -75,9 +76,10 @@
             repeats: 20,
             lease: Duration::from_secs(3),
             allowance: allowance::Settings {
-                silence: Some(PEER_SILENCE),
+                silence: Some(roster::SILENCE),
                 ..allowance::Settings::default()
             },
+            roster: roster::Settings::default(),
             body_bytes: 32 << 20,
             pool: pool::Settings {
                 connect: Duration::from_millis(300),
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -2,7 +2,7 @@
 
 mod hosts;
 
-pub use hosts::{Host, deregister, follow_hosts, register};
+pub use hosts::{Host, Registration};
 
 use crate::app::App;
 use crate::config::Config;
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -6,11 +6,12 @@
 
 mod link;
 
-use crate::app::{App, PEER_SILENCE};
+use crate::app::App;
 use crate::follow::{Follower, Host};
 use bytes::Bytes;
 use chestnutrack_core::allowance::Told;
 use chestnutrack_core::cell::Cell;
+use chestnutrack_core::roster::{self, Roster, Step};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
@@ -18,6 +19,7 @@
 use chestnutrack_wire::{Connection, codec};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -53,19 +55,16 @@
     hosts: Mutex<BTreeMap<Arc<str>, Host>>,
     /// Those of this host's cell.
     peers: Mutex<HashMap<Arc<str>, Peer>>,
+    /// Which of those are heard. It is locked after `peers` where both are.
+    roster: Mutex<Roster>,
+    /// Whether this host hears less than half of them, as was last logged.
+    alone: AtomicBool,
 }
 
 struct Peer {
     host: Host,
     /// Ends the task that keeps the connection to it.
     keeper: AbortHandle,
-    heard: Option<Instant>,
-    met: Instant,
-    silent: bool,
-    /// Whether the platform's store answered it when it told last.
-    store: bool,
-    /// Its process is surely gone: its address refuses connections.
-    gone: bool,
 }
 
 impl Drop for Peer {
@@ -78,6 +77,7 @@
     /// Without peers; every host listens on the same port for them.
     pub fn new(app: Arc<App>, follower: Arc<Follower>, port: u16) -> Arc<Mesh> {
         let newest = watch::Sender::new(Bytes::new());
+        let roster = Roster::new(app.settings.name.clone(), app.settings.roster);
         Arc::new(Mesh {
             app,
             follower,
@@ -86,9 +86,15 @@
             asked_servers: Mutex::default(),
             hosts: Mutex::default(),
             peers: Mutex::default(),
+            roster: Mutex::new(roster),
+            alone: AtomicBool::new(false),
         })
     }
 
+    fn roster(&self) -> MutexGuard<'_, Roster> {
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn peers(&self) -> MutexGuard<'_, HashMap<Arc<str>, Peer>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -139,16 +145,14 @@
         }
         tracing::info!(peer = %name, address = %host.address, "peer met");
         let keeper = tokio::spawn(link::keep(self.clone(), name.clone(), host.address));
-        let peer = Peer {
-            host: host.clone(),
-            keeper: keeper.abort_handle(),
-            heard: None,
-            met: clock::now(),
-            silent: false,
-            store: false,
-            gone: false,
-        };
+        let peer = Peer { host: host.clone(), keeper: keeper.abort_handle() };
         peers.insert(name.clone(), peer);
+        self.roster().meet(clock::now(), name);
+    }
+
+    /// Notes the version of a host's entry in the store, and whether it is marked as lost.
+    pub(crate) fn note_entry(&self, name: &str, version: u64, marked: bool) {
+        self.roster().note_entry(clock::now(), name, version, marked);
     }
 
     /// Takes in a host that opened a connection before the store told of it. All hosts listen on the
@@ -165,6 +169,7 @@
     fn part(&self, name: &str) {
         if self.peers().remove(name).is_some() {
             tracing::info!(peer = name, "peer forgotten");
+            self.roster().part(name);
             self.note_gone(name);
         }
     }
@@ -187,11 +192,9 @@
 
     /// Notes that a peer's address refuses connections: its process is gone, and spends nothing.
     fn refused(&self, name: &str) {
-        let mut peers = self.peers();
-        let Some(peer) = peers.get_mut(name) else { return };
-        if !std::mem::replace(&mut peer.gone, true) {
+        let is_new = self.roster().refused(name);
+        if is_new {
             tracing::warn!(peer = name, "peer's process is gone");
-            drop(peers);
             self.note_gone(name);
         }
     }
@@ -199,12 +202,35 @@
     /// How many hosts come before this one, by name, of those that can be heard and that the store
     /// answers; nothing where the store doesn't answer this one.
     pub fn rank(&self) -> Option<usize> {
+        self.follower.is_up().then(|| self.roster().rank())
+    }
+
+    /// What this host does now about hosts that are lost for good.
+    pub(crate) fn steps(&self) -> Vec<Step> {
         if !self.follower.is_up() {
-            return None;
+            return Vec::new();
         }
-        let peers = self.peers();
-        let able = peers.iter().filter(|(_, peer)| !peer.silent && !peer.gone && peer.store);
-        Some(able.filter(|(name, _)| **name < self.app.settings.name).count())
+        self.roster().steps(clock::now())
+    }
+
+    /// Where a host is.
+    pub(crate) fn host(&self, name: &str) -> Option<Host> {
+        self.hosts().get(name).cloned()
+    }
+
+    /// Whether this host hears less than half of its peers, so that it needs the store's confirmation.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.roster().is_alone(clock::now())
+    }
+
+    /// Notes that the store, asked at a time, confirmed that this host is listed.
+    pub(crate) fn confirm(&self, asked: Instant) {
+        let until = {
+            let mut roster = self.roster();
+            roster.confirm(asked);
+            roster.may_spend_until(clock::now())
+        };
+        self.app.state().allowances.set_until(until);
     }
 
     /// Takes in a frame of a peer; the answer, where there is one, goes back on its connection.
@@ -233,13 +259,15 @@
 
     fn hear_news(self: &Arc<Mesh>, name: &Arc<str>, incarnation: u64, news: News) -> Option<Frame> {
         let now = clock::now();
-        if let Some(peer) = self.peers().get_mut(name) {
-            peer.heard = Some(now);
-            peer.gone = false;
-            peer.store = news.store;
-            if std::mem::take(&mut peer.silent) {
-                tracing::info!(peer = %name, "peer heard again");
-            }
+        let millis = |ms: u32| Duration::from_millis(u64::from(ms));
+        let unheard = news.unheard.iter().map(|(name, ms)| (name.clone(), millis(*ms))).collect();
+        let told = roster::Told { store: news.store, unheard };
+        let (is_again, until) = {
+            let mut roster = self.roster();
+            (roster.hear(now, name, told), roster.may_spend_until(now))
+        };
+        if is_again {
+            tracing::info!(peer = %name, "peer heard again");
         }
         let differs = news.store && news.servers != self.follower.digest();
         self.follower.hear_doubt(news.doubted_ms, differs);
@@ -248,12 +276,12 @@
             let mut state = self.app.state();
             state.dispatch.heard(now, name, &news);
             for (server, left_ms) in &news.changing {
-                let left = Duration::from_millis(u64::from(*left_ms));
-                state.dispatch.note_changing(now, server, left);
+                state.dispatch.note_changing(now, server, millis(*left_ms));
             }
             let age = Duration::from_millis(news.age_ms);
             let spent = news.spent.into_iter().collect();
             state.allowances.heard(now, name, Told { incarnation, age, spent });
+            state.allowances.set_until(until);
         }
         self.app.hear_refused(&news.refused);
         wanted
@@ -300,6 +328,8 @@
 
     fn news(&self) -> News {
         let refused = self.app.refused_lately();
+        let unheard = self.roster().unheard(clock::now());
+        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
         let (servers, store) = (self.follower.digest(), self.follower.is_up());
         let configuration = self.app.version();
         let state = self.app.state();
@@ -318,6 +348,7 @@
             changing: state.dispatch.changing(clock::now()),
             demand: state.dispatch.demand(),
             refused,
+            unheard: unheard.into_iter().map(|(name, time)| (name, millis(time))).collect(),
         }
     }
 
@@ -356,23 +387,28 @@
 
     fn look_for_silent(&self) {
         let now = clock::now();
-        let mut silent: Vec<Arc<str>> = Vec::new();
-        let mut heard = 0;
-        for (name, peer) in self.peers().iter_mut() {
-            let is_silent = now.since(peer.heard.unwrap_or(peer.met)) >= PEER_SILENCE;
-            heard += i64::from(!is_silent);
-            if is_silent && !peer.gone {
-                if !std::mem::replace(&mut peer.silent, true) {
-                    tracing::warn!(peer = %name, "peer can't be heard");
-                }
-                silent.push(name.clone());
-            }
+        let (new, silent, heard, until, alone) = {
+            let mut roster = self.roster();
+            let new = roster.look(now);
+            let silent: Vec<Arc<str>> = roster.silent().cloned().collect();
+            let alone = roster.is_alone(now);
+            (new, silent, roster.heard(), roster.may_spend_until(now), alone)
+        };
+        new.iter().for_each(|name| tracing::warn!(peer = %name, "peer can't be heard"));
+        if self.alone.swap(alone, Ordering::Relaxed) != alone {
+            tracing::warn!(
+                alone,
+                heard,
+                silent = silent.len(),
+                "whether most hosts can't be heard"
+            );
         }
         let mut state = self.app.state();
         silent.iter().for_each(|name| state.allowances.silent(now, name));
+        state.allowances.set_until(until);
         let kept = (state.allowances.kept_share() * 1_000.0) as i64;
         drop(state);
-        self.app.metrics.peers.set(heard);
+        self.app.metrics.peers.set(i64::try_from(heard).unwrap_or(i64::MAX));
         self.app.metrics.kept_back.set(kept);
     }
 
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::app::{self, App};
 use crate::dialect::Dialect;
-use crate::follow::{self, Directory, Follower, Host};
+use crate::follow::{Directory, Follower, Host, Registration};
 use crate::listener::{self, Drain};
 use crate::mesh::Mesh;
 use crate::metric::Metrics;
@@ -13,7 +13,6 @@
 use chestnutrack_process::{admin, pool};
 use chestnutrack_store::client::{self, Client};
 use displaydoc::Display;
-use futures_util::FutureExt;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prometheus::Registry;
@@ -113,8 +112,9 @@
     tokio::spawn(follower.clone().follow_servers(client.clone(), timer.clone()));
     let host = Host { incarnation, address: settings.peers };
     let hosts = speech.directory.hosts_kind;
-    let registered = tokio::spawn(follow::register(client.clone(), hosts, name.clone(), host));
-    tokio::spawn(follow::follow_hosts(client.clone(), hosts, mesh.clone()));
+    let registration = Registration::new(client.clone(), hosts, name.clone(), host, mesh.clone());
+    let keeper = tokio::spawn(registration.clone().keep(timer.clone()));
+    tokio::spawn(registration.clone().follow());
     let kind = speech.directory.leases_kind;
     tokio::spawn(Orders::new(app.clone(), mesh.clone(), client.clone(), kind).run(timer.clone()));
     tokio::spawn(mesh.clone().accept(peers));
@@ -123,9 +123,8 @@
     let (drain, drains) = watch::channel(settings.drain);
     tokio::spawn(follow_settings(reload, hangup, timer, app.clone(), drain));
     listener::serve(callers, app, shutdown, drains).await;
-    if let Some(Ok(version)) = registered.now_or_never() {
-        follow::deregister(&client, hosts, &name, version).await;
-    }
+    keeper.abort();
+    registration.end().await;
     tracing::info!(%name, "stopped");
     Ok(())
 }
--- /dev/null
+++ b/crates/forward/tests/forward/hosts.rs
@@ -0,0 +1,118 @@
+//! Hosts that tell in the platform's store where they are, and one that is lost for good.
+
+use crate::fixture::{app_with, config, settings, until};
+use chestnutrack_core::roster;
+use chestnutrack_forward::app::{self, App};
+use chestnutrack_forward::follow::{Follower, Host, Registration};
+use chestnutrack_forward::mesh::Mesh;
+use chestnutrack_forward::own;
+use chestnutrack_process::timer::Timer;
+use chestnutrack_standin::platform;
+use chestnutrack_store::client::{self, Client};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Kind of the hosts' entries.
+const HOSTS: &str = own::DIRECTORY.hosts_kind;
+
+async fn store() -> Client {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(platform::serve(listener, platform::Settings::default()));
+    let client = Client::new(address, client::Settings::default(), None);
+    let value = serde_json::to_value(config()).unwrap();
+    client.create(own::DIRECTORY.config_kind, "main", &value).await.unwrap();
+    client
+}
+
+/// A host that is listed, follows the others and takes those off the list that are lost.
+async fn listed(name: &str, client: &Client) -> (Arc<App>, Arc<Registration>) {
+    let roster = roster::Settings {
+        lost: Duration::from_millis(2_500),
+        parting: Duration::from_millis(500),
+        ..roster::Settings::default()
+    };
+    let app = app_with(app::Settings { roster, ..settings(name) });
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let follower = Follower::new(app.clone(), own::DIRECTORY);
+    tokio::spawn(follower.clone().follow_config(client.clone()));
+    tokio::spawn(follower.clone().follow_servers(client.clone(), Timer::start()));
+    let mesh = Mesh::new(app.clone(), follower, address.port());
+    tokio::spawn(mesh.clone().accept(listener));
+    tokio::spawn(mesh.clone().publish(Timer::start()));
+    let registration = Registration::new(client.clone(), HOSTS, name.into(), at(address), mesh);
+    tokio::spawn(registration.clone().keep(Timer::start()));
+    tokio::spawn(registration.clone().follow());
+    (app, registration)
+}
+
+fn at(address: SocketAddr) -> Host {
+    Host { incarnation: 1, address }
+}
+
+async fn entry(client: &Client, name: &str) -> Option<Value> {
+    client.read(HOSTS, name).await.ok()?.value
+}
+
+/// Waits until the entry of a host is there, or is not.
+async fn until_listed(client: &Client, name: &str, is_listed: bool) {
+    let waiting = async {
+        while entry(client, name).await.is_some() != is_listed {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), waiting).await.expect("as listed in time");
+}
+
+#[tokio::test]
+async fn a_host_that_is_lost_for_good_gives_its_part_of_allowances_back() {
+    let client = store().await;
+    // It takes connections and says nothing.
+    let lost = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = lost.local_addr().unwrap();
+    client.create(HOSTS, "lost", &json!(at(address))).await.unwrap();
+
+    let (first, _one) = listed("first", &client).await;
+    let (second, _two) = listed("second", &client).await;
+    until(|| first.metrics.kept_back.get() == 333 && second.metrics.kept_back.get() == 333).await;
+    until_listed(&client, "lost", false).await;
+
+    until(|| first.metrics.kept_back.get() == 0 && second.metrics.kept_back.get() == 0).await;
+    assert!(entry(&client, "first").await.is_some() && entry(&client, "second").await.is_some());
+}
+
+#[tokio::test]
+async fn a_host_that_others_took_for_lost_lists_itself_again() {
+    let client = store().await;
+    let (_app, _registration) = listed("here", &client).await;
+    until_listed(&client, "here", true).await;
+    let before = client.read(HOSTS, "here").await.unwrap();
+    let mut marked = before.value.clone().unwrap();
+    marked["lost"] = json!(true);
+
+    client.replace(HOSTS, "here", before.version, &marked).await.unwrap();
+
+    let back = async {
+        while entry(&client, "here").await != before.value {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), back).await.expect("listed again in time");
+}
+
+#[tokio::test]
+async fn a_host_that_ends_takes_itself_off_the_list() {
+    let client = store().await;
+    let (_app, registration) = listed("here", &client).await;
+    until_listed(&client, "here", true).await;
+    // The write has come back to the host.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+
+    registration.end().await;
+
+    assert_eq!(entry(&client, "here").await, None);
+}
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -4,6 +4,7 @@
 
 mod directory;
 mod fixture;
+mod hosts;
 mod limits;
 mod peers;
 mod plain;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -415,6 +415,9 @@
     /// Callers that were refused lately: a hash of what they asked for, and how long ago they came
     /// first, in milliseconds.
     pub refused: Vec<(u64, u32)>,
+    /// Hosts that the host does not hear, and for how long, in milliseconds.
+    #[serde(default)]
+    pub unheard: Vec<(Arc<str>, u32)>,
 }
 
 /// What an organisation has spent lately.
