A host without the store asks peers only for servers as new as those that it knows

A host without the store asked whichever peer knew others than itself, so it went to and fro between peers that had heard of a change and peers that had not, each time with the whole list.

Ruled out: an answer that is late (each was taken within the time); hosts that start (none did).

Change: core::listing::Inquiry. News say up to which version of the store a host knows all servers; older lists are not asked for, and others of the same version at most each 500 ms.

Hosts of the version before tell no version, and are asked for nothing while they run beside this one: a fleet is brought to this version while the store is up.

--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -7,7 +7,7 @@
 use crate::app::App;
 use crate::config::Config;
 use chestnutrack_core::dispatch::Entry;
-use chestnutrack_core::listing::Listing;
+use chestnutrack_core::listing::{Inquiry, Listing};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
@@ -75,6 +75,7 @@
 #[derive(Default)]
 struct State {
     listing: Listing,
+    inquiry: Inquiry,
     /// Entries as the store holds them, with their versions.
     raw: BTreeMap<Arc<str>, (u64, Value)>,
     /// When the store answered last about the configuration.
@@ -216,6 +217,16 @@
         self.state().raw.is_empty()
     }
 
+    /// Version of the store up to which all servers are known; 0 where they are not.
+    pub fn servers_version(&self) -> u64 {
+        self.state().inquiry.known()
+    }
+
+    /// Whether a peer is asked now for the servers that it knows as of a version.
+    pub fn ask_servers(&self, version: u64) -> bool {
+        self.state().inquiry.ask(clock::now(), version)
+    }
+
     /// The servers that are known, for a peer.
     pub fn servers(&self) -> Vec<ServerNews> {
         let state = self.state();
@@ -319,6 +330,9 @@
         state.servers_sent = clock::now();
         state.is_listing = update.is_part;
         state.was_listed |= update.whole;
+        if !update.is_part {
+            state.inquiry.note(update.version);
+        }
         drop(state);
         let entries = update.objects.into_iter().map(|o| (o.name, o.version, o.value)).collect();
         self.take_entries(update.whole, entries);
@@ -358,6 +372,7 @@
 
     /// Takes in the servers that a peer knows, while the store doesn't answer this host.
     pub fn hear_servers(&self, peer: &str, servers: Vec<ServerNews>) {
+        self.state().inquiry.answered();
         if self.is_up() && !self.knows_none() {
             return;
         }
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -34,9 +34,6 @@
 /// the shortest time, since others may choose the same engine meanwhile.
 const GATHER_MIN: Duration = Duration::from_millis(4);
 const GATHER_PER_PEER: Duration = Duration::from_millis(5);
-/// How long a peer's servers are waited for before another peer is asked for its own: in a large fleet
-/// each answer is more than a megabyte.
-const SERVERS_WITHIN: Duration = Duration::from_millis(500);
 /// Pause after a connection could not be taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -49,8 +46,6 @@
     /// The newest news, encoded. Each connection sends it once the one before has gone, so that
     /// none waits for a slow peer.
     newest: watch::Sender<Bytes>,
-    /// When a peer was asked for its servers that has not told them yet.
-    asked_servers: Mutex<Option<Instant>>,
     /// All other hosts.
     hosts: Mutex<BTreeMap<Arc<str>, Host>>,
     /// Those of this host's cell.
@@ -83,7 +78,6 @@
             follower,
             port,
             newest,
-            asked_servers: Mutex::default(),
             hosts: Mutex::default(),
             peers: Mutex::default(),
             roster: Mutex::new(roster),
@@ -249,7 +243,6 @@
                 None
             }
             Frame::Servers(servers) => {
-                *self.asked_servers.lock().unwrap_or_else(PoisonError::into_inner) = None;
                 self.follower.hear_servers(name, servers);
                 None
             }
@@ -293,7 +286,8 @@
         let (configuration, servers) = (self.app.version(), self.follower.digest());
         let newer = news.configuration > configuration;
         let better = news.store && !self.follower.is_up() || self.follower.knows_none();
-        let others = better && news.servers != servers && self.may_ask_servers();
+        let differs = news.servers != servers;
+        let others = better && differs && self.follower.ask_servers(news.servers_version);
         let accounts = configuration > 0 && !self.app.knows_accounts();
         // One that knows the peer's servers is told none.
         let servers = if others { servers } else { news.servers };
@@ -301,17 +295,6 @@
         wants.then_some(Frame::Want { configuration, servers, accounts })
     }
 
-    /// Whether a peer may be asked for its servers now, which then counts as done.
-    fn may_ask_servers(&self) -> bool {
-        let now = clock::now();
-        let mut asked = self.asked_servers.lock().unwrap_or_else(PoisonError::into_inner);
-        let may = asked.is_none_or(|at| now.since(at) >= SERVERS_WITHIN);
-        if may {
-            *asked = Some(now);
-        }
-        may
-    }
-
     /// What a peer that asks is told.
     fn tell(&self, configuration: u64, servers: u64, accounts: bool) -> Option<Frame> {
         let in_force = self.app.in_force();
@@ -339,6 +322,7 @@
             store,
             doubted_ms: self.follower.doubted_ms(),
             servers,
+            servers_version: self.follower.servers_version(),
             age_ms: self.app.age().as_millis() as u64,
             spent: spent.map(|(name, tokens)| (name.clone(), *tokens)).collect(),
             engines: state.dispatch.engines(),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -396,6 +396,9 @@
     pub doubted_ms: Option<u32>,
     /// Digest of the backend servers that this host knows.
     pub servers: u64,
+    /// Version of the store up to which it knows all of them; 0 where it doesn't.
+    #[serde(default)]
+    pub servers_version: u64,
     /// How long the host's process has run, in milliseconds.
     pub age_ms: u64,
     /// Tokens spent since the host started, by organisation, less those handed back.
