--- a/crates/core/src/listing/inquiry.rs
+++ b/crates/core/src/listing/inquiry.rs
@@ -34,7 +34,7 @@
     pub fn ask(&mut self, now: Instant, told: u64) -> bool {
         let is_long = self.asked.is_none_or(|(at, _)| now.since(at) >= ANSWER_WITHIN);
         let is_open = !self.waiting || is_long;
-        let asks = is_open && (told > self.known || told == self.known && told > 0 && is_long);
+        let asks = is_open && (told > self.known || told == self.known && is_long);
         if asks {
             (self.asked, self.waiting) = (Some((now, told)), true);
         }
--- a/crates/core/src/listing/tests.rs
+++ b/crates/core/src/listing/tests.rs
@@ -125,3 +125,12 @@
     assert!(!inquiry.ask(at(0), 29));
     assert_eq!(inquiry.known(), 30);
 }
+
+#[test]
+fn a_host_that_knows_no_list_asks_also_a_peer_that_tells_no_version() {
+    let mut inquiry = Inquiry::default();
+
+    assert!(inquiry.ask(at(0), 0));
+    inquiry.note(5);
+    assert!(!inquiry.ask(at(1_000), 0));
+}
