In an outage of the store one watcher of each host tries, and pauses grow with the fleet

Change: the watcher of the configuration tries for the other two; its longest pause is 100 ms a host, from 0.5 to 2 s; a peer that the store answers again ends it at once.

Tests: crates/standin/tests/watcher.rs (2), core::roster (1).

--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -64,6 +64,15 @@
     pub unheard: Vec<(Arc<str>, Duration)>,
 }
 
+/// What is new in what a host tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// It could not be heard before.
+    pub again: bool,
+    /// The platform's store answers it, and did not before.
+    pub store_back: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     heard: Instant,
@@ -118,14 +127,15 @@
         peer.marked = marked.then_some(known.unwrap_or(now));
     }
 
-    /// Takes in what a host tells; whether it could not be heard before.
-    pub fn hear(&mut self, now: Instant, name: &str, told: Told) -> bool {
-        let Some(peer) = self.peers.get_mut(name) else { return false };
+    /// Takes in what a host tells, and says what is new in it.
+    pub fn hear(&mut self, now: Instant, name: &str, told: Told) -> Heard {
+        let Some(peer) = self.peers.get_mut(name) else { return Heard::default() };
         if told.unheard.iter().all(|(unheard, _)| *unheard != self.name) {
             peer.near = now;
         }
+        let store_back = told.store && !peer.told.store;
         (peer.heard, peer.told, peer.gone) = (now, told, false);
-        std::mem::take(&mut peer.silent)
+        Heard { again: std::mem::take(&mut peer.silent), store_back }
     }
 
     /// Notes that a host's address refuses connections; whether that is new.
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -185,3 +185,13 @@
     assert!(may_spend(&fleet[0], 60_000));
     assert_eq!(fleet[0].steps(at(60_000)), []);
 }
+
+#[test]
+fn that_the_store_answers_a_host_again_is_news_once() {
+    let mut roster = fleet(3).remove(0);
+    let told = |store: bool| Told { store, unheard: vec![] };
+
+    let heard = [true, true, false, true].map(|store| roster.hear(at(0), &name(1), told(store)));
+
+    assert_eq!(heard.map(|heard| heard.store_back), [true, false, false, true]);
+}
--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -10,7 +10,7 @@
 use chestnutrack_store::dialect::Age;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::object::Object;
-use chestnutrack_store::watcher::{self, Event};
+use chestnutrack_store::watcher::{self, Event, Retry};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -77,7 +77,7 @@
 
     /// Follows the other hosts until the process ends.
     pub async fn follow(self: Arc<Registration>) {
-        let settings = watching(PAUSE, Age::Any);
+        let settings = watching(PAUSE, Age::Any, Retry::Follows);
         let mut events = watcher::start(self.client.clone(), self.kind, settings);
         while let Some(event) = events.recv().await {
             let Event::Updated(update) = event else { continue };
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -14,7 +14,7 @@
 use chestnutrack_store::client::Client;
 use chestnutrack_store::dialect::Age;
 use chestnutrack_store::error::Error;
-use chestnutrack_store::watcher::{self, Control, Event, Update};
+use chestnutrack_store::watcher::{self, Control, Event, Retry, Update};
 use chestnutrack_wire::frame::ServerNews;
 use rand::Rng;
 use serde_json::Value;
@@ -40,7 +40,11 @@
 /// seconds.
 const SERVERS_PAUSE: Duration = Duration::from_millis(300);
 /// First and longest pause after a call that failed.
-const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(2_000));
+/// Longest pause for each host of the fleet, and at least. All hosts call a store that is away: their calls
+/// do not grow with the hosts, and the first that is answered tells the others.
+const RETRY_PER_HOST: Duration = Duration::from_millis(100);
+const RETRY_LEAST: Duration = Duration::from_millis(500);
 /// Time between looks at servers that are missing and may come back.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
@@ -98,9 +102,10 @@
 
 /// How the store is watched, with a pause after each answer in which changes are gathered: each
 /// answer is a call of every host; and how old the first list may be.
-pub fn watching(pause: Duration, first: Age) -> watcher::Settings {
+pub fn watching(pause: Duration, first: Age, retry: Retry) -> watcher::Settings {
     watcher::Settings {
         first,
+        retry,
         pages: false,
         wait: WATCH_MAX,
         pause,
@@ -113,7 +118,7 @@
 impl Follower {
     /// Follows nothing yet.
     pub fn new(app: Arc<App>, directory: Directory) -> Arc<Follower> {
-        let control = Control { wait: WATCH_PER_HOST, doubts: 0 };
+        let control = Control { wait: WATCH_PER_HOST, doubts: 0, hints: 0, retry_max: RETRY_LEAST };
         let state = State { is_listing: true, ..State::default() };
         Arc::new(Follower {
             app,
@@ -128,10 +133,12 @@
     pub fn set_hosts(&self, hosts: usize) {
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
         let longest = WATCH_PER_HOST.saturating_mul(hosts).min(WATCH_MAX);
+        let retry_max = RETRY_PER_HOST.saturating_mul(hosts).clamp(RETRY_LEAST, RETRY.1);
         for watch in [&self.config_watch, &self.servers_watch] {
             // Between half of the longest and all of it, so that hosts' watches end at different
             // times.
             watch.send_if_modified(|control| {
+                control.retry_max = retry_max;
                 let other = control.wait > longest || control.wait < longest / 2;
                 if other {
                     control.wait = longest.mul_f64(rand::rng().random_range(0.5..=1.0));
@@ -141,6 +148,17 @@
         }
     }
 
+    /// Takes in that the store answers a peer again that it did not answer before.
+    pub fn hear_back(&self, peer: &str) {
+        if self.is_up() {
+            return;
+        }
+        tracing::info!(peer, "a peer was answered, so the store is tried");
+        for watch in [&self.config_watch, &self.servers_watch] {
+            watch.send_modify(|control| control.hints += 1);
+        }
+    }
+
     /// Doubts calls that were sent before a moment at which the store did not answer. A list under way
     /// is left alone: in a large fleet it takes long, its pages are bounded in time, and while it goes
     /// on this host knows other servers than its peers.
@@ -241,14 +259,14 @@
     /// Follows the configuration until the process ends.
     pub async fn follow_config(self: Arc<Follower>, client: Client) {
         let (kind, control) = (self.directory.config_kind, self.config_watch.subscribe());
-        let mut events =
-            watcher::start_controlled(client, kind, watching(CONFIG_PAUSE, Age::Newest), control);
+        let settings = watching(CONFIG_PAUSE, Age::Newest, Retry::Leads);
+        let mut events = watcher::start_controlled(client, kind, settings, control);
         while let Some(event) = events.recv().await {
             self.state().config_sent = clock::now();
             let update = match event {
                 Event::Updated(update) => update,
                 Event::Failed { error, .. } => {
-                    let up = is_answer(&error);
+                    let up = error.is_answer();
                     let was_up = std::mem::replace(&mut self.state().config_up, up);
                     self.note_doubt(&error, was_up);
                     continue;
@@ -291,7 +309,8 @@
     /// Follows the backend servers until the process ends.
     pub async fn follow_servers(self: Arc<Follower>, client: Client, timer: Timer) {
         let (kind, control) = (self.directory.servers_kind, self.servers_watch.subscribe());
-        let settings = watcher::Settings { pages: true, ..watching(SERVERS_PAUSE, Age::Any) };
+        let settings = watching(SERVERS_PAUSE, Age::Any, Retry::Follows);
+        let settings = watcher::Settings { pages: true, ..settings };
         let mut events = watcher::start_controlled(client, kind, settings, control);
         let mut looks = None;
         loop {
@@ -318,7 +337,7 @@
         // The watcher lists after a failure.
         state.is_listing = true;
         let was_up = state.listing.is_up();
-        if !is_answer(error) {
+        if !error.is_answer() {
             state.listing.note_failed();
         }
         drop(state);
@@ -403,13 +422,6 @@
     hasher.finish()
 }
 
-/// Whether a failed call was answered by the store itself: history that is gone, for instance.
-fn is_answer(error: &Error) -> bool {
-    /// History that is gone.
-    const GONE: u16 = 410;
-    matches!(error, Error::Refused(GONE, _))
-}
-
 async fn next<T>(ticks: &mut Option<tokio::sync::mpsc::Receiver<T>>) -> Option<T> {
     match ticks {
         Some(ticks) => ticks.recv().await,
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -255,13 +255,16 @@
         let millis = |ms: u32| Duration::from_millis(u64::from(ms));
         let unheard = news.unheard.iter().map(|(name, ms)| (name.clone(), millis(*ms))).collect();
         let told = roster::Told { store: news.store, unheard };
-        let (is_again, until) = {
+        let (heard, until) = {
             let mut roster = self.roster();
             (roster.hear(now, name, told), roster.may_spend_until(now))
         };
-        if is_again {
+        if heard.again {
             tracing::info!(peer = %name, "peer heard again");
         }
+        if heard.store_back {
+            self.follower.hear_back(name);
+        }
         let differs = news.store && news.servers != self.follower.digest();
         self.follower.hear_doubt(news.doubted_ms, differs);
         let wanted = self.wanted(&news);
--- a/crates/standin/tests/watcher.rs
+++ b/crates/standin/tests/watcher.rs
@@ -9,7 +9,7 @@
 use chestnutrack_store::error::Error;
 use chestnutrack_store::host::{Host, List, State};
 use chestnutrack_store::poller;
-use chestnutrack_store::watcher::{self, Event, Update};
+use chestnutrack_store::watcher::{self, Event, Retry, Update};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -182,7 +182,8 @@
     let acts = vec![Act::Keep(list(5)), Act::Hold(""), Act::Keep(list(9)), Act::Hold("")];
     let client = client(scripted(acts).await);
     let wait = Duration::from_secs(60);
-    let (control, controlled) = tokio::sync::watch::channel(watcher::Control { wait, doubts: 0 });
+    let control = watcher::Control { wait, ..settings().control() };
+    let (control, controlled) = tokio::sync::watch::channel(control);
     let mut events = watcher::start_controlled(client.clone(), "sides", settings(), controlled);
     let first = update(&mut events).await;
     support::until(async || client.count().calls(Call::Watch) > 0).await;
@@ -193,6 +194,57 @@
     assert_eq!((first.version, second.version, second.whole), (5, 9, true));
 }
 
+/// The next failure.
+async fn failure(events: &mut mpsc::Receiver<Event>) {
+    while matches!(timeout(PATIENCE, events.recv()).await.unwrap().unwrap(), Event::Updated(_)) {}
+}
+
+#[tokio::test]
+async fn in_an_outage_one_watcher_tries_for_the_others_of_its_client() {
+    let address = stand_in().await;
+    let client = client(address);
+    let leads = watcher::Settings { retry: Retry::Leads, ..settings() };
+    let follows = watcher::Settings { retry: Retry::Follows, ..settings() };
+    let mut leader = watcher::start(client.clone(), "config", leads);
+    let mut follower = watcher::start(client.clone(), "sides", follows);
+    update(&mut leader).await;
+    update(&mut follower).await;
+
+    control(address, "faults", json!({ "down": true })).await;
+    failure(&mut leader).await;
+    failure(&mut follower).await;
+    let (mut tries, mut follows) = (0, 0);
+    while tries < 8 {
+        tokio::select! {
+            () = failure(&mut leader) => tries += 1,
+            () = failure(&mut follower) => follows += 1,
+        }
+    }
+    control(address, "faults", json!({ "down": false })).await;
+    update(&mut follower).await;
+
+    // Its call may have failed once more before the one that leads did.
+    assert!(follows <= 1, "{follows}");
+}
+
+#[tokio::test]
+async fn a_hint_ends_the_pause_after_a_failure() {
+    let address = stand_in().await;
+    let client = client(address);
+    let hour = Duration::from_secs(3_600);
+    let patient = watcher::Settings { retry_min: hour, retry_max: hour, ..settings() };
+    let (control_of, controlled) = tokio::sync::watch::channel(patient.control());
+    let mut events = watcher::start_controlled(client, "sides", patient, controlled);
+    update(&mut events).await;
+    control(address, "faults", json!({ "down": true })).await;
+    failure(&mut events).await;
+    control(address, "faults", json!({ "down": false })).await;
+
+    control_of.send_modify(|control| control.hints += 1);
+
+    update(&mut events).await;
+}
+
 #[tokio::test]
 async fn a_watcher_ends_with_its_reader() {
     let client = client(stand_in().await);
--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -18,6 +18,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 pub use count::{Call, Count};
@@ -76,6 +77,8 @@
     settings: Settings,
     dialect: Dialect,
     count: Count,
+    /// Whether the interface answers, as the watcher says that tries for the others.
+    up: watch::Sender<bool>,
 }
 
 impl Client {
@@ -94,7 +97,18 @@
     ) -> Client {
         let pool = Pool::new(address, settings.pool);
         let writes = Pool::new(address, settings.pool.unshared());
-        Client { pool, writes, settings, dialect, count: Count::new(registry) }
+        let up = watch::Sender::new(true);
+        Client { pool, writes, settings, dialect, count: Count::new(registry), up }
+    }
+
+    /// Notes whether the interface answers.
+    pub(crate) fn set_up(&self, up: bool) {
+        self.up.send_if_modified(|now| std::mem::replace(now, up) != up);
+    }
+
+    /// Whether the interface answers, and changes of that.
+    pub(crate) fn up(&self) -> watch::Receiver<bool> {
+        self.up.subscribe()
     }
 
     /// How many calls of each kind were made.
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -22,6 +22,15 @@
 
 impl std::error::Error for Error {}
 
+impl Error {
+    /// Whether the interface itself answered, if only to say that its history is gone.
+    pub fn is_answer(&self) -> bool {
+        /// Status of a watch whose changes are forgotten.
+        const GONE: u16 = 410;
+        matches!(self, Error::Refused(GONE, _))
+    }
+}
+
 impl From<http::Error> for Error {
     fn from(error: http::Error) -> Error {
         match error {
--- a/crates/store/src/watcher/mod.rs
+++ b/crates/store/src/watcher/mod.rs
@@ -19,11 +19,24 @@
 
 pub use table::Table;
 
-/// Status of a watch whose changes are forgotten.
-const GONE: u16 = 410;
 /// Events that wait for their reader.
 const EVENTS_MAX: usize = 16;
 
+/// Longest time for which a watcher waits for the one that tries for it.
+const FOLLOW_MAX: Duration = Duration::from_millis(5_000);
+
+/// How a watcher tries again while the interface doesn't answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Retry {
+    /// By itself.
+    #[default]
+    Alone,
+    /// By itself, and for the others of its client that follow it.
+    Leads,
+    /// Once the one that leads was answered. While that one is answered, it tries by itself.
+    Follows,
+}
+
 /// Settings of a watcher.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -35,6 +48,8 @@
     pub retry_min: Duration,
     /// Longest pause after a failure.
     pub retry_max: Duration,
+    /// How it tries again.
+    pub retry: Retry,
     /// Whether a watch that failed is followed by a list. An interface that forgets its changes may
     /// leave a watch from a forgotten version waiting for the next one.
     pub list_after_failure: bool,
@@ -51,6 +66,7 @@
             pause: Duration::from_millis(10),
             retry_min: Duration::from_millis(100),
             retry_max: Duration::from_millis(2_000),
+            retry: Retry::default(),
             list_after_failure: false,
             first: Age::Newest,
             pages: false,
@@ -65,6 +81,17 @@
     pub wait: Duration,
     /// Grows when the call under way is doubted: it is given up, and a list follows.
     pub doubts: u64,
+    /// Grows when there is a ground to try again now, and not after the pause.
+    pub hints: u64,
+    /// Longest pause after a failure.
+    pub retry_max: Duration,
+}
+
+impl Settings {
+    /// Control that leaves the settings as they are.
+    pub fn control(&self) -> Control {
+        Control { wait: self.wait, doubts: 0, hints: 0, retry_max: self.retry_max }
+    }
 }
 
 /// What became of one call.
@@ -103,7 +130,7 @@
     kind: impl Into<Arc<str>>,
     settings: Settings,
 ) -> mpsc::Receiver<Event> {
-    let (_, control) = watch::channel(Control { wait: settings.wait, doubts: 0 });
+    let (_, control) = watch::channel(settings.control());
     start_controlled(client, kind, settings, control)
 }
 
@@ -155,22 +182,58 @@
                 if backoff.succeeded() {
                     tracing::info!(kind, update.version, "object interface answers again");
                 }
-                (Event::Updated(update), settings.pause)
+                client.set_up(true);
+                (Event::Updated(update), None)
             }
             Err(error) => {
-                if settings.list_after_failure || matches!(error, Error::Refused(GONE, _)) {
+                if settings.list_after_failure || error.is_answer() {
                     table.forget_version();
                 }
                 if backoff.failed() {
                     tracing::warn!(kind, %error, "object interface doesn't answer");
                 }
-                (Event::Failed { sent, error }, backoff.pause())
+                let down = !error.is_answer() && !matches!(error, Error::Malformed(..));
+                if down && settings.retry == Retry::Leads {
+                    client.set_up(false);
+                }
+                (Event::Failed { sent, error }, Some(backoff.pause().min(now.retry_max)))
             }
         };
         if events.send(event).await.is_err() {
             return;
         }
-        sleep(pause).await;
+        match pause {
+            None => sleep(settings.pause).await,
+            Some(pause) => wait(client, settings.retry, &mut control, (pause, now.hints)).await,
+        }
+    }
+}
+
+/// Waits after a failure until it is time to try again.
+async fn wait(
+    client: &Client,
+    retry: Retry,
+    control: &mut watch::Receiver<Control>,
+    (pause, hints): (Duration, u64),
+) {
+    let mut up = client.up();
+    if retry == Retry::Follows && !*up.borrow() {
+        tokio::select! {
+            () = sleep(FOLLOW_MAX) => {}
+            // The client lives as long as this call.
+            _ = up.wait_for(|up| *up) => {}
+        }
+        return;
+    }
+    let hinted = async {
+        if control.wait_for(|now| now.hints != hints).await.is_err() {
+            // Nobody is left to give hints.
+            std::future::pending::<()>().await;
+        }
+    };
+    tokio::select! {
+        () = sleep(pause) => {}
+        () = hinted => {}
     }
 }
 
