A prefill that fails or is overdue is asked of another engine while the generation keeps its place

And a prefill that was overdue was given up before it was known whether another engine could take it: late ones that were ready were thrown away.

Change: Dispatch::prefill_elsewhere keeps the run and its memory, and moves only the prompt; where no other engine is, the overdue one is waited for and no repeat is spent; where one is, the first answer counts.

Tests: core choice (2: pattern named), forward streams (2, which failed first).

--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -59,6 +59,17 @@
     pub queued: bool,
 }
 
+/// A prompt's place at an engine that prefills it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prefill {
+    /// The engine.
+    pub engine: Key,
+    /// When the prompt is expected to be prefilled, from the placement on.
+    pub done_in: Duration,
+    /// Other prompts were known to wait before it.
+    pub queued: bool,
+}
+
 /// How a prompt comes into the memory of the engine that generates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Path {
@@ -129,6 +140,13 @@
     }
 }
 
+impl Pool {
+    /// How long so many prompt tokens take.
+    fn prefills_in(&self, tokens: f64) -> Duration {
+        Duration::from_secs_f64(tokens / self.prefill_per_ms / 1_000.0)
+    }
+}
+
 /// A generation of this host.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Running {
@@ -227,19 +245,20 @@
         Some((key, Basis { runs, peak, news_age: self.news_age(now), ..Basis::default() }))
     }
 
-    /// The engine that prefills a prompt: the one that will be done first, where a transfer between
-    /// failure domains counts as time.
-    pub(super) fn prefill_for(
+    /// The engine that prefills a prompt, but for those that have it under way: the one that will be done
+    /// first, where a transfer between failure domains counts as time.
+    fn prefill_for(
         &self,
         now: Instant,
-        ask: &Ask,
+        service: &str,
         decode: Key,
         draw: u64,
+        under_way: &[Key],
     ) -> Option<Key> {
-        let per_ms = self.pools.get(&ask.service)?.prefill_per_ms;
+        let per_ms = self.pools.get(service)?.prefill_per_ms;
         let domain = self.servers.get(decode).map(|server| server.entry.failure_domain.clone());
-        let candidates = self.usable(now, &ask.service, Stage::Prefill).into_iter();
-        let ranked = candidates.map(|(key, server)| {
+        let candidates = self.usable(now, service, Stage::Prefill).into_iter();
+        let ranked = candidates.filter(|(key, _)| !under_way.contains(key)).map(|(key, server)| {
             let far = Some(&server.entry.failure_domain) != domain.as_ref();
             let transfer = if far { TRANSFER_MS } else { 0.0 };
             let doubts = self.doubts(now, server);
@@ -305,19 +324,16 @@
     pub(super) fn place(&mut self, now: Instant, ask: &Ask, way: Way) -> Placement {
         let (draw, decode) = (self.draw(), way.decode);
         let prefill = match way.path {
-            Path::Apart => self.prefill_for(now, ask, decode, draw),
+            Path::Apart => self.prefill_for(now, &ask.service, decode, draw, &[]),
             Path::Whole | Path::Kept => None,
         };
         let pool = self.pools.get(&ask.service).copied().unwrap_or_default();
-        let ahead = prefill.and_then(|key| self.servers.get(key));
-        let ahead = ahead.map(|server| self.prefilling(now, server, pool.prefill_per_ms));
-        let tokens = ahead.unwrap_or_default() + ask.prompt_tokens as f64;
-        let prefilled_in = Duration::from_secs_f64(tokens / pool.prefill_per_ms / 1_000.0);
+        let prefill = prefill.map(|key| self.expect_prefill(now, key, &pool, ask.prompt_tokens));
         let run = self.runs.insert(Running {
             decode,
-            prefill,
+            prefill: None,
             prompt: ask.prompt_tokens,
-            alone: ahead == Some(0.0),
+            alone: false,
             memory: ask.memory(&pool.length),
             at: None,
         });
@@ -329,13 +345,60 @@
             let memory = self.runs[run].memory;
             pool.known.note(memory.context, memory.expected, self.servers[decode].tokens_per_ms);
         }
-        if let Some(server) = prefill.and_then(|key| self.servers.get_mut(key)) {
-            server.running += 1;
-            server.health.note_tried(now);
-            server.prefilling += ask.prompt_tokens;
+        let done_in = prefill.map_or(pool.prefills_in(ask.prompt_tokens as f64), |p| p.done_in);
+        let queued = prefill.is_some_and(|prefill| prefill.queued);
+        if let Some(prefill) = prefill {
+            self.begin_prefill(now, run, prefill);
         }
-        let queued = ahead.is_some_and(|ahead| ahead > 0.0);
-        Placement { decode, prefill, run, basis: Basis { prefilled_in, queued, ..way.basis } }
+        let prefill = prefill.map(|prefill| prefill.engine);
+        let basis = Basis { prefilled_in: done_in, queued, ..way.basis };
+        Placement { decode, prefill, run, basis }
+    }
+
+    /// What a prefill at an engine can be expected to be.
+    fn expect_prefill(&self, now: Instant, engine: Key, pool: &Pool, prompt: u64) -> Prefill {
+        let server = self.servers.get(engine);
+        let ahead = server.map_or(0.0, |server| self.prefilling(now, server, pool.prefill_per_ms));
+        let done_in = pool.prefills_in(ahead + prompt as f64);
+        Prefill { engine, done_in, queued: ahead > 0.0 }
+    }
+
+    /// Takes a place for a generation's prompt at an engine.
+    fn begin_prefill(&mut self, now: Instant, run: Run, prefill: Prefill) {
+        let Some(running) = self.runs.get_mut(run) else { return };
+        let Some(server) = self.servers.get_mut(prefill.engine) else { return };
+        (running.prefill, running.alone) = (Some(prefill.engine), !prefill.queued);
+        server.running += 1;
+        server.health.note_tried(now);
+        server.prefilling += running.prompt;
+    }
+
+    /// Has a generation's prompt prefilled at another engine than those that have it under way; the place
+    /// where it is generated stays. `took` says how long the last one has taken, as for
+    /// [`Dispatch::prefilled`]. Where there is no other engine nothing changes.
+    pub fn prefill_elsewhere(
+        &mut self,
+        now: Instant,
+        run: Run,
+        took: Option<Duration>,
+        under_way: &[Key],
+    ) -> Option<Prefill> {
+        let running = *self.runs.get(run)?;
+        let service = self.servers.get(running.decode)?.entry.service.clone();
+        let draw = self.draw();
+        let engine = self.prefill_for(now, &service, running.decode, draw, under_way)?;
+        self.prefilled(run, took);
+        let pool = self.pools.get(&service).copied().unwrap_or_default();
+        let prefill = self.expect_prefill(now, engine, &pool, running.prompt);
+        self.begin_prefill(now, run, prefill);
+        Some(prefill)
+    }
+
+    /// Whether a generation's prompt may be prefilled at another engine than those that have it under way.
+    pub fn may_prefill_elsewhere(&self, now: Instant, run: Run, under_way: &[Key]) -> bool {
+        let Some(decode) = self.runs.get(run).map(|running| running.decode) else { return false };
+        let Some(server) = self.servers.get(decode) else { return false };
+        self.prefill_for(now, &server.entry.service, decode, 0, under_way).is_some()
     }
 
     /// Notes that a generation's prompt was prefilled, or that its prefill is given up.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -16,7 +16,7 @@
 mod turn;
 
 pub use callers::Callers;
-pub use engine::{Basis, Length, Placement};
+pub use engine::{Basis, Length, Placement, Prefill};
 pub use plain::{Choice, Ended};
 pub use turn::{Ask, Effect, Refusal, Wait};
 
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -338,3 +338,34 @@
     assert!(changes.iter().all(|(_, stage)| *stage == Stage::Decode), "{changes:?}");
     assert_eq!(at_once, []);
 }
+
+#[test]
+fn a_prompt_whose_prefill_fails_is_prefilled_elsewhere_and_keeps_its_place() {
+    // Pattern: an engine that prefills loses its answers while those that generate are full: a request that
+    // gave its place up with the prefill would find none.
+    let mut dispatch = dispatch(1, 2);
+    let placed: Vec<_> = (0..3).filter_map(|_| go(&mut dispatch, ask())).collect();
+    let lost = placed[0];
+    let first = lost.prefill.unwrap();
+    dispatch.note(NOW, first, Met::Failure);
+
+    let again = dispatch.prefill_elsewhere(NOW, lost.run, None, &[]).unwrap();
+    let next = go(&mut dispatch, ask());
+
+    assert_eq!((placed.len(), next), (3, None));
+    assert_ne!(again.engine, first);
+    assert!(again.queued, "others wait there: {again:?}");
+}
+
+#[test]
+fn a_prompt_that_every_engine_has_under_way_is_prefilled_nowhere_else() {
+    let mut dispatch = dispatch(1, 2);
+    let placed = go(&mut dispatch, ask()).unwrap();
+    let first = placed.prefill.unwrap();
+
+    let other = dispatch.prefill_elsewhere(NOW, placed.run, None, &[first]).unwrap().engine;
+    let both = [first, other];
+
+    assert!(!dispatch.may_prefill_elsewhere(NOW, placed.run, &both));
+    assert_eq!(dispatch.prefill_elsewhere(NOW, placed.run, None, &both), None);
+}
--- a/crates/forward/src/app/turn.rs
+++ b/crates/forward/src/app/turn.rs
@@ -49,6 +49,30 @@
         self.app.news.notify_one();
     }
 
+    /// Whether the prompt may be prefilled at another engine than those that have it under way.
+    pub fn may_prefill_elsewhere(&self, under_way: &[Key]) -> bool {
+        let state = self.app.state();
+        state.dispatch.may_prefill_elsewhere(clock::now(), self.placement.run, under_way)
+    }
+
+    /// Has the prompt prefilled at another engine, where there is one: the last took so long, or is given
+    /// up.
+    pub fn prefill_elsewhere(
+        &mut self,
+        took: Option<Duration>,
+        under_way: &[Key],
+    ) -> Option<Target> {
+        let mut state = self.app.state();
+        let run = self.placement.run;
+        let prefill = state.dispatch.prefill_elsewhere(clock::now(), run, took, under_way)?;
+        self.prefill = state.target(prefill.engine);
+        drop(state);
+        let basis = &mut self.placement.basis;
+        (basis.prefilled_in, basis.queued) = (prefill.done_in, prefill.queued);
+        self.app.urgent_news.notify_one();
+        self.prefill.clone()
+    }
+
     /// Notes that the answer has so many tokens.
     pub fn made(&self, tokens: u64) {
         self.app.state().dispatch.made(clock::now(), self.placement.run, tokens);
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -6,10 +6,12 @@
 use crate::config::Engine;
 use crate::dialect::{Handle, Onward, Step};
 use bytes::Bytes;
-use chestnutrack_core::dispatch::{self, Basis, Met};
+use chestnutrack_core::dispatch::{self, Basis, Key, Met};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::pool::Stream;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hyper::Response;
 use hyper::http::response;
 use std::sync::Arc;
@@ -107,18 +109,13 @@
     let mut kept: Option<Kept> = None;
     loop {
         kept = kept.filter(|kept| kept.is_fresh(engine));
-        let turn = turn(job, made, kept.is_some()).await?;
+        let mut turn = turn(job, made, kept.is_some()).await?;
         if kept.is_none() {
-            // The last one that may be asked has all the time that is left.
-            let is_last = tries.prefills + 1 >= PREFILLS_MAX;
-            let limit = if is_last { job.left() } else { patience(&turn).min(job.left()) };
-            kept = match prefill(job, &turn, tries, last_event, limit).await {
+            kept = match prefill(job, &mut turn, tries, last_event).await {
                 Ok(kept) => kept,
-                // Another one was taken from the budget already.
-                Err(Failure::Silent) => continue,
-                Err(failure) if tries.prefill_again(job, failure) => continue,
+                Err(Prefilling::Again) => continue,
                 // A prefill is no run.
-                Err(_) => return Err(Failure::NotRun.refusal()),
+                Err(Prefilling::Failed) => return Err(Failure::NotRun.refusal()),
             };
         }
         match generate(job, &turn, kept.as_mut(), last_event).await {
@@ -217,43 +214,96 @@
     sent.map(Response::into_parts)
 }
 
+/// Why a prompt is not prefilled.
+enum Prefilling {
+    /// It may be tried with a new turn.
+    Again,
+    /// No more may be tried.
+    Failed,
+}
+
 /// Has the prompt prefilled where the turn says; nothing where the engine that generates does it. One that
-/// is overdue is given up only where another may be asked.
+/// fails or is overdue is asked of another engine while the turn stays. The first that comes counts: one
+/// that is overdue may still come before another, and is waited for where there is no other.
 async fn prefill(
     job: &Arc<Job>,
-    turn: &Turn,
+    turn: &mut Turn,
     tries: &mut Tries,
     last_event: Option<u64>,
-    limit: Duration,
-) -> Result<Option<Kept>, Failure> {
-    let Some(target) = &turn.prefill else { return Ok(None) };
-    let started = clock::now();
-    let answer = prefill_once(job, target, last_event);
-    tokio::pin!(answer);
-    let kept = match timeout(limit, answer.as_mut()).await {
-        Ok(kept) => kept,
-        Err(_) if job.left().is_zero() => Err(Failure::TimedOut),
-        Err(_) => {
-            // Behind others it may just be slow; peers would crowd the engines that are left.
-            if !turn.basis().queued {
-                job.app.note(target, Met::Failure);
+) -> Result<Option<Kept>, Prefilling> {
+    let Some(first) = turn.prefill.clone() else { return Ok(None) };
+    let mut asked = FuturesUnordered::new();
+    let mut under_way = vec![first.key];
+    asked.push(prefill_timed(job, first, last_event));
+    // The last one that may be asked has all the time that is left.
+    let mut may_repeat = tries.prefills + 1 < PREFILLS_MAX;
+    loop {
+        let limit = if may_repeat { patience(turn).min(job.left()) } else { job.left() };
+        let (failure, took) = match timeout(limit, asked.next()).await {
+            Ok(Some((key, took, Ok(kept)))) => {
+                let is_last = turn.prefill.as_ref().is_some_and(|target| target.key == key);
+                turn.prefilled(is_last.then_some(took));
+                job.app.metrics.stages.with_label_values(&["prefill"]).observe(took.as_secs_f64());
+                return Ok(Some(kept));
             }
-            let again = tries.prefill_again(job, Failure::Silent);
-            let (id, server) = (job.ask.id.as_deref(), &target.entry.name);
-            let limit_ms = limit.as_millis() as u64;
-            tracing::info!(id, %server, limit_ms, again, after_ms = job.age_ms(), "prefill overdue");
-            match again {
-                true => Err(Failure::Silent),
-                false => answer.await,
+            Ok(Some((key, _, Err(failure)))) => {
+                under_way.retain(|other| *other != key);
+                if !under_way.is_empty() {
+                    continue;
+                }
+                (failure, None)
+            }
+            Ok(None) => (Failure::Unknown, None),
+            Err(_) if job.left().is_zero() => (Failure::TimedOut, None),
+            Err(_) => {
+                note_overdue(job, turn, limit);
+                may_repeat = turn.may_prefill_elsewhere(&under_way);
+                if !may_repeat {
+                    continue;
+                }
+                // One that is overdue took at least so long.
+                (Failure::Silent, Some(limit))
+            }
+        };
+        let again = tries.prefill_again(job, failure);
+        may_repeat = again && tries.prefills + 1 < PREFILLS_MAX;
+        let other = if again { turn.prefill_elsewhere(took, &under_way) } else { None };
+        match other {
+            Some(other) => {
+                let (id, server) = (job.ask.id.as_deref(), &other.entry.name);
+                let prefilled_ms = turn.basis().prefilled_in.as_millis() as u64;
+                tracing::info!(id, %server, prefilled_ms, after_ms = job.age_ms(), "prefilled elsewhere");
+                under_way.push(other.key);
+                asked.push(prefill_timed(job, other, last_event));
+            }
+            None if !under_way.is_empty() => {}
+            None => {
+                turn.prefilled(None);
+                return Err(if again { Prefilling::Again } else { Prefilling::Failed });
             }
         }
-    };
-    let took = clock::now().since(started);
-    // One that is overdue took at least so long.
-    let told = matches!(kept, Ok(_) | Err(Failure::Silent));
-    turn.prefilled(told.then_some(took));
-    job.app.metrics.stages.with_label_values(&["prefill"]).observe(took.as_secs_f64());
-    kept.map(Some)
+    }
+}
+
+fn note_overdue(job: &Job, turn: &Turn, limit: Duration) {
+    let Some(target) = &turn.prefill else { return };
+    // Behind others it may just be slow; peers would crowd the engines that are left.
+    if !turn.basis().queued {
+        job.app.note(target, Met::Failure);
+    }
+    let (id, server, limit_ms) = (job.ask.id.as_deref(), &target.entry.name, limit.as_millis());
+    tracing::info!(id, %server, limit_ms = limit_ms as u64, after_ms = job.age_ms(), "prefill overdue");
+}
+
+/// As [`prefill_once`], with the engine and the time that it took.
+async fn prefill_timed(
+    job: &Arc<Job>,
+    target: Target,
+    last_event: Option<u64>,
+) -> (Key, Duration, Result<Kept, Failure>) {
+    let started = clock::now();
+    let kept = prefill_once(job, &target, last_event).await;
+    (target.key, clock::now().since(started), kept)
 }
 
 async fn prefill_once(
--- a/crates/forward/tests/forward/streams.rs
+++ b/crates/forward/tests/forward/streams.rs
@@ -212,6 +212,40 @@
     assert_eq!((answer.status, answer.whole, slow.count()), (200, true, 1));
 }
 
+#[tokio::test]
+async fn a_prefill_that_is_overdue_is_waited_for_where_no_other_engine_is() {
+    let slow = Backend::start(|seen| {
+        let mut steps = vec![Step::Wait(Duration::from_millis(900))];
+        steps.extend(prefills(seen));
+        steps
+    })
+    .await;
+    let made = Backend::start(whole).await;
+    let host = engines(&slow, &[&made]).await;
+
+    let answer = call(host.address, &generation("/digest/7")).await;
+
+    assert_eq!((answer.status, answer.whole, slow.count()), (200, true, 1));
+}
+
+#[tokio::test]
+async fn an_overdue_prefill_that_comes_before_the_repeated_one_is_used() {
+    let late = Backend::start(|seen| {
+        let mut steps = vec![Step::Wait(Duration::from_millis(900))];
+        steps.extend(prefills(seen));
+        steps
+    })
+    .await;
+    let (mute, made) = (Backend::start(|_| vec![Step::Hang]).await, Backend::start(whole).await);
+    let servers = vec![prefill("prefill-1", &late), prefill("prefill-2", &mute)];
+    let host = host(servers.into_iter().chain([decode("decode-1", &made)]).collect()).await;
+
+    let answer = call(host.address, &generation("/digest/7")).await;
+
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!((late.count(), made.count()), (1, 1));
+}
+
 #[tokio::test]
 async fn a_stream_that_may_be_resumed_begins_elsewhere_where_its_engine_is_silent() {
     let read = Backend::start(prefills).await;
