A new configuration is asked of one peer, and given time to come from the store

Each host asked every peer whose news told of the new version, before the first answer came: 21 copies of some hundred kilobytes each on links of 10 Mbit/s.

Ruled out: engines (the prefills were overdue at all of them at once, and only for hosts on slow links); the store (the hosts that it served were late too).

Change: core::inquiry, which the servers' list had, also for the configuration: one peer at a time, a second for its answer; where the store answers the host, 600 ms for the version to come from there. A host that asks a peer for servers or accounts is no longer sent the configuration as well.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod forecast;
 pub mod health;
+pub mod inquiry;
 pub mod limit;
 pub mod listing;
 pub mod member;
--- a/crates/core/src/listing/mod.rs
+++ b/crates/core/src/listing/mod.rs
@@ -4,12 +4,9 @@
 //! lapse while the store is down, though their servers are alive; these come back soon after its
 //! return. So what is missing then, or vanishes together with many others, is kept for a while.
 
-mod inquiry;
 #[cfg(test)]
 mod tests;
 
-pub use inquiry::Inquiry;
-
 use crate::time::Instant;
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -7,7 +7,8 @@
 use crate::app::App;
 use crate::config::Config;
 use chestnutrack_core::dispatch::Entry;
-use chestnutrack_core::listing::{Inquiry, Listing};
+use chestnutrack_core::inquiry::Inquiry;
+use chestnutrack_core::listing::Listing;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
@@ -39,6 +40,13 @@
 /// Pause after an answer about the backend servers; one that leaves gets nothing new well within two
 /// seconds.
 const SERVERS_PAUSE: Duration = Duration::from_millis(300);
+/// How long a peer's answer is waited for before another peer is asked: a large configuration takes a link of
+/// 10 Mbit/s some hundred milliseconds, and so does a list of some thousand servers.
+const CONFIG_WITHIN: Duration = Duration::from_millis(1_000);
+const SERVERS_WITHIN: Duration = Duration::from_millis(500);
+/// Time that a new configuration is given to come from the store before a peer is asked for it; it has to be
+/// in force within two seconds.
+const CONFIG_BY_ITSELF: Duration = Duration::from_millis(600);
 /// First and longest pause after a call that failed.
 const RETRY: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(2_000));
 /// Longest pause for each host of the fleet, and at least. All hosts call a store that is away: their calls
@@ -76,10 +84,11 @@
     servers_watch: watch::Sender<Control>,
 }
 
-#[derive(Default)]
 struct State {
     listing: Listing,
-    inquiry: Inquiry,
+    /// Peers that are asked for the configuration and for the servers.
+    config_inquiry: Inquiry,
+    servers_inquiry: Inquiry,
     /// Entries as the store holds them, with their versions.
     raw: BTreeMap<Arc<str>, (u64, Value)>,
     /// When the store answered last about the configuration.
@@ -119,7 +128,21 @@
     /// Follows nothing yet.
     pub fn new(app: Arc<App>, directory: Directory) -> Arc<Follower> {
         let control = Control { wait: WATCH_PER_HOST, doubts: 0, hints: 0, retry_max: RETRY_LEAST };
-        let state = State { is_listing: true, ..State::default() };
+        let state = State {
+            listing: Listing::default(),
+            config_inquiry: Inquiry::new(CONFIG_WITHIN),
+            servers_inquiry: Inquiry::new(SERVERS_WITHIN),
+            raw: BTreeMap::new(),
+            config_at: None,
+            config_up: false,
+            config_sent: Instant::default(),
+            servers_sent: Instant::default(),
+            is_listing: true,
+            was_listed: false,
+            digest: 0,
+            doubted_at: None,
+            differs_since: None,
+        };
         Arc::new(Follower {
             app,
             directory,
@@ -237,12 +260,22 @@
 
     /// Version of the store up to which all servers are known; 0 where they are not.
     pub fn servers_version(&self) -> u64 {
-        self.state().inquiry.known()
+        self.state().servers_inquiry.known()
     }
 
     /// Whether a peer is asked now for the servers that it knows as of a version.
     pub fn ask_servers(&self, version: u64) -> bool {
-        self.state().inquiry.ask(clock::now(), version)
+        self.state().servers_inquiry.ask(clock::now(), version, Duration::ZERO)
+    }
+
+    /// Whether a peer is asked now for a newer configuration that it has. Where the store answers this
+    /// host, it comes from there.
+    pub fn ask_config(&self, version: u64) -> bool {
+        let by_itself = if self.is_up() { CONFIG_BY_ITSELF } else { Duration::ZERO };
+        let mut state = self.state();
+        state.config_inquiry.note(self.app.version());
+        let newer = version > state.config_inquiry.known();
+        newer && state.config_inquiry.ask(clock::now(), version, by_itself)
     }
 
     /// The servers that are known, for a peer.
@@ -297,6 +330,7 @@
 
     /// Takes in a configuration that a peer has.
     pub fn hear_config(&self, peer: &str, version: u64, document: &[u8]) {
+        self.state().config_inquiry.answered();
         if version <= self.app.version() {
             return;
         }
@@ -350,7 +384,7 @@
         state.is_listing = update.is_part;
         state.was_listed |= update.whole;
         if !update.is_part {
-            state.inquiry.note(update.version);
+            state.servers_inquiry.note(update.version);
         }
         drop(state);
         let entries = update.objects.into_iter().map(|o| (o.name, o.version, o.value)).collect();
@@ -391,7 +425,12 @@
 
     /// Takes in the servers that a peer knows, while the store doesn't answer this host.
     pub fn hear_servers(&self, peer: &str, servers: Vec<ServerNews>) {
-        self.state().inquiry.answered();
+        {
+            let inquiry = &mut self.state().servers_inquiry;
+            if let Some(version) = inquiry.answered() {
+                inquiry.note(version);
+            }
+        }
         if self.is_up() && !self.knows_none() {
             return;
         }
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -287,13 +287,15 @@
     /// peer but not this host, and where this host has just started, servers and accounts.
     fn wanted(&self, news: &News) -> Option<Frame> {
         let (configuration, servers) = (self.app.version(), self.follower.digest());
-        let newer = news.configuration > configuration;
+        let newer =
+            news.configuration > configuration && self.follower.ask_config(news.configuration);
         let better = news.store && !self.follower.is_up() || self.follower.knows_none();
         let differs = news.servers != servers;
         let others = better && differs && self.follower.ask_servers(news.servers_version);
         let accounts = configuration > 0 && !self.app.knows_accounts();
-        // One that knows the peer's servers is told none.
+        // One that knows what the peer does is told nothing of it.
         let servers = if others { servers } else { news.servers };
+        let configuration = if newer { configuration } else { news.configuration };
         let wants = newer || others || accounts;
         wants.then_some(Frame::Want { configuration, servers, accounts })
     }
