--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -10,7 +10,8 @@
 //! at once: it holds the burst and what a short time at the rate gives.
 //!
 //! In a fleet of several cells, each spends its part. A request that is larger than the part's bucket is
-//! let in once and paid for later, within the part's window.
+//! let in once and paid for later, within the part's window; after a start that knows nothing, once the rate
+//! has given as much.
 //!
 //! A bucket starts full only when the whole fleet starts for the first time. A host that starts beside
 //! others takes their accounts over. Where nobody knows what was spent, the bucket starts empty: a window
@@ -174,6 +175,7 @@
         self.look_for_silent(now);
         let (kept, settings) = (self.kept_share(), self.settings);
         let may_owe = self.others > 0 && self.is_known(now);
+        let earning = now.since(self.started);
         let Some(bucket) = self.buckets.get_mut(name) else { return Ok(()) };
         if self.until.is_some_and(|until| until <= now) {
             let (rate, burst) = (bucket.rate, bucket.burst);
@@ -182,7 +184,10 @@
         bucket.refill(now, kept, settings.saved);
         let wanted = tokens as f64;
         let left = bucket.left(now, kept, &settings);
-        let owes = may_owe && bucket.may_owe(now, wanted, kept, &settings);
+        let owes = match may_owe {
+            true => bucket.may_owe(now, wanted, kept, &settings),
+            false => self.others > 0 && bucket.has_earned(now, earning, wanted, kept),
+        };
         if left < wanted && !owes {
             let needed = if may_owe { wanted.min(1.0) } else { wanted };
             let retry_after = bucket.room_in(now, (needed, wanted), kept, &settings).max(RETRY_MIN);
@@ -387,6 +392,13 @@
         !settings.window.is_zero() && self.level > 0.0 && fits
     }
 
+    /// Whether the rate has given as much since the start as a request wants, beside what was spent: a
+    /// host that does not know what was spent before may let it in, though the bucket never holds so much.
+    fn has_earned(&mut self, now: Instant, since: Duration, wanted: f64, kept: f64) -> bool {
+        let earned = self.rate * (1.0 - kept) * since.as_secs_f64();
+        self.window.spent(now) + wanted <= earned
+    }
+
     /// How long until a request may be let in that needs so many tokens of the bucket and spends so
     /// many, if nobody else spends any.
     fn room_in(
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -388,6 +388,21 @@
     assert!(most_within(&taken, 8_000) <= 9 * RATE, "{}", most_within(&taken, 8_000));
 }
 
+#[test]
+fn a_large_fleet_that_has_lost_all_it_knew_lets_large_requests_in_before_its_window_is_over() {
+    // Pattern: 16 cells whose hosts were all killed, and requests larger than a cell's bucket ever holds.
+    let mut host = Allowances::new(at(0), false, WINDOWED);
+    host.configure(at(0), &terms(16 * RATE));
+    host.set_others(at(0), 15);
+    let larger = 3 * RATE;
+
+    let second = (0..8).find(|second| host.take(at(*second), &name(), larger).is_ok());
+    let next = (second.unwrap()..8).find(|second| host.take(at(*second), &name(), larger).is_ok());
+
+    // Its part of the rate has given as much by then, and no more.
+    assert_eq!((second, next), (Some(3), Some(6)));
+}
+
 #[test]
 fn a_bucket_is_tight_below_its_half() {
     let mut host = host();
