A deletion that the store confirmed is not taken for one that may have taken effect

The store's answer to a deletion is no object, and its page does not say what it is. A lost host that was taken off the list would have been logged as not taken off.

Test: platform store (failed first to compile: the dialect read it as a write). Ruled out: lost answers (every one of 12).

--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -226,7 +226,8 @@
         self.write(Call::Write, call).await
     }
 
-    /// Deletes an object that must have a version; returns the version of the deletion.
+    /// Deletes an object that must have a version; returns the version of the deletion, 0 where the
+    /// interface does not say it.
     ///
     /// # Errors
     ///
@@ -270,7 +271,11 @@
         }
         // The write took effect; only its version is lost.
         let body = accept(answer)?;
-        (self.dialect.written)(&body).map_err(|error| Error::Unknown(error.to_string()))
+        let version = match kind {
+            Call::Delete => self.dialect.deleted,
+            _ => self.dialect.written,
+        };
+        version(&body).map_err(|error| Error::Unknown(error.to_string()))
     }
 
     async fn call(
--- a/crates/store/src/dialect/mod.rs
+++ b/crates/store/src/dialect/mod.rs
@@ -59,8 +59,10 @@
     pub page: fn(&[u8]) -> Result<Page, Error>,
     /// Objects that changed, each once, from the answer to a watch.
     pub changes: fn(&[u8]) -> Result<List, Error>,
-    /// The version written, from the answer to a write or deletion that took effect.
+    /// The version written, from the answer to a write that took effect.
     pub written: fn(&[u8]) -> Result<u64, Error>,
+    /// The version of a deletion, from the answer to one that took effect; 0 where it does not say.
+    pub deleted: fn(&[u8]) -> Result<u64, Error>,
     /// The version found, from the answer to one that did not.
     pub conflict: fn(&[u8]) -> Result<u64, Error>,
 }
--- a/crates/store/src/dialect/own.rs
+++ b/crates/store/src/dialect/own.rs
@@ -11,8 +11,19 @@
 use std::time::Duration;
 
 /// The project's own dialect.
-pub const OWN: Dialect =
-    Dialect { read, list, watch, write, delete, object, page, changes, written, conflict };
+pub const OWN: Dialect = Dialect {
+    read,
+    list,
+    watch,
+    write,
+    delete,
+    object,
+    page,
+    changes,
+    written,
+    deleted: written,
+    conflict,
+};
 
 fn read(kind: &str, name: &str) -> Result<Call, Error> {
     get(&target(kind, name))
