Orders to engines are left to the host that is about to give them

The host that took the lease over waits 4.5 s for orders of the holder before; the next in line waits 4 s from when it found the change due, and took the lease meanwhile, and so on: seven times among four hosts, each time the one before found its lease gone.

Ruled out: the store (it answered each of them), reports of engines that were busy (none).

Change: a host tells in its news that it is about to give orders; those that hear it do not begin, and begin to count anew. One that falls silent counts no longer. The lease in the store decides as before.

Test: core::roster, pattern named.

--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -62,6 +62,8 @@
     pub store: bool,
     /// Hosts that it does not hear, and for how long.
     pub unheard: Vec<(Arc<str>, Duration)>,
+    /// Whether it is about to give orders to engines.
+    pub ordering: bool,
 }
 
 /// What is new in what a host tells.
@@ -177,6 +179,12 @@
         able.filter(|(name, _)| **name < self.name).count()
     }
 
+    /// Whether a host that is heard is about to give orders. Others then leave the lease to it: it waits for
+    /// the orders of the holder before, and would lose the lease meanwhile to one that has waited as long.
+    pub fn is_ordered_elsewhere(&self) -> bool {
+        self.peers.values().any(|peer| peer.is_heard() && peer.told.ordering)
+    }
+
     /// Notes that the store, asked at a time, confirmed that this host is listed.
     pub fn confirm(&mut self, asked: Instant) {
         self.confirmed = self.confirmed.max(Some(asked));
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -44,7 +44,7 @@
             .iter_mut()
             .map(|roster| {
                 roster.look(now);
-                Told { store: true, unheard: roster.unheard(now) }
+                Told { store: true, unheard: roster.unheard(now), ordering: false }
             })
             .collect();
         for (to, roster) in fleet.iter_mut().enumerate() {
@@ -189,9 +189,25 @@
 #[test]
 fn that_the_store_answers_a_host_again_is_news_once() {
     let mut roster = fleet(3).remove(0);
-    let told = |store: bool| Told { store, unheard: vec![] };
+    let told = |store: bool| Told { store, ..Told::default() };
 
     let heard = [true, true, false, true].map(|store| roster.hear(at(0), &name(1), told(store)));
 
     assert_eq!(heard.map(|heard| heard.store_back), [true, false, false, true]);
 }
+
+#[test]
+fn orders_are_left_to_a_host_that_is_about_to_give_them_while_it_is_heard() {
+    // Pattern: after a kill of all hosts three of them found the same change due, and each took the lease from
+    // the one before while that one waited, for fifteen seconds.
+    let mut roster = fleet(3).remove(0);
+    let told = |ordering: bool| Told { store: true, ordering, ..Told::default() };
+
+    roster.hear(at(0), &name(1), told(true));
+    let at_work = roster.is_ordered_elsewhere();
+    roster.look(at(2_000));
+    let silent = roster.is_ordered_elsewhere();
+    roster.hear(at(2_500), &name(1), told(false));
+
+    assert_eq!((at_work, silent, roster.is_ordered_elsewhere()), (true, false, false));
+}
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -119,6 +119,8 @@
     pub urgent_news: Notify,
     /// Requests have begun to wait.
     pub waits: Notify,
+    /// This host is about to give orders to engines.
+    pub ordering: AtomicBool,
     in_force: Mutex<Option<Arc<InForce>>>,
     state: Mutex<State>,
     repeats: AtomicU32,
@@ -168,6 +170,7 @@
             in_force: Mutex::default(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
+            ordering: AtomicBool::new(false),
             sharing: Mutex::new((1, 0)),
             started: clock::now(),
         }
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -199,6 +199,11 @@
         self.follower.is_up().then(|| self.roster().rank())
     }
 
+    /// Whether another host is about to give orders to engines.
+    pub fn is_ordered_elsewhere(&self) -> bool {
+        self.roster().is_ordered_elsewhere()
+    }
+
     /// What this host does now about hosts that are lost for good.
     pub(crate) fn steps(&self) -> Vec<Step> {
         if !self.follower.is_up() {
@@ -254,7 +259,7 @@
         let now = clock::now();
         let millis = |ms: u32| Duration::from_millis(u64::from(ms));
         let unheard = news.unheard.iter().map(|(name, ms)| (name.clone(), millis(*ms))).collect();
-        let told = roster::Told { store: news.store, unheard };
+        let told = roster::Told { store: news.store, unheard, ordering: news.ordering };
         let (heard, until) = {
             let mut roster = self.roster();
             (roster.hear(now, name, told), roster.may_spend_until(now))
@@ -337,6 +342,7 @@
             changing: state.dispatch.changing(clock::now()),
             demand: state.dispatch.demand(),
             refused,
+            ordering: self.app.ordering.load(Ordering::Relaxed),
             unheard: unheard.into_iter().map(|(name, time)| (name, millis(time))).collect(),
         }
     }
--- a/crates/forward/src/stage/mod.rs
+++ b/crates/forward/src/stage/mod.rs
@@ -18,6 +18,7 @@
 use chestnutrack_store::client::Client;
 use lease::{Held, Lease};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Time between looks at the split of engines.
@@ -58,7 +59,7 @@
         let mut looks = timer.subscribe(LOOK_EVERY);
         while looks.recv().await.is_some() {
             let changes = self.due();
-            if changes.is_empty() {
+            if changes.is_empty() || self.mesh.is_ordered_elsewhere() {
                 self.due_since = None;
                 continue;
             }
@@ -67,12 +68,20 @@
             let Some(rank) = self.mesh.rank() else { continue };
             let rank = u32::try_from(rank).unwrap_or(u32::MAX);
             if now.since(since) >= STEP.saturating_mul(rank) && !self.app.is_draining() {
+                self.set_ordering(true);
                 self.give(changes).await;
+                self.set_ordering(false);
                 self.due_since = None;
             }
         }
     }
 
+    /// Tells the other hosts whether this one is at it.
+    fn set_ordering(&self, ordering: bool) {
+        self.app.ordering.store(ordering, Ordering::Relaxed);
+        self.app.urgent_news.notify_one();
+    }
+
     /// Changes that are due, by service.
     fn due(&self) -> Vec<(Target, Stage)> {
         let now = clock::now();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -418,6 +418,9 @@
     /// Callers that were refused lately: a hash of what they asked for, and how long ago they came
     /// first, in milliseconds.
     pub refused: Vec<(u64, u32)>,
+    /// Whether the host is about to give orders to engines.
+    #[serde(default)]
+    pub ordering: bool,
     /// Hosts that the host does not hear, and for how long, in milliseconds.
     #[serde(default)]
     pub unheard: Vec<(Arc<str>, u32)>,
