--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -27,7 +27,7 @@
 pub const NAME_BYTES_MAX: usize = 200;
 /// Status of a call beyond the interface's rate.
 const TOO_MANY: u16 = 429;
-/// How often a page that is refused for the rate, or lost after others had come, is asked for.
+/// How often a list that is refused for the rate, or a page that is lost after others had come, is asked for.
 const PAGE_TRIES: u32 = 5;
 /// First and longest pause before it is asked for again: the rate is counted by the second.
 const PAGE_RETRY: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
@@ -132,12 +132,23 @@
         Ok(object)
     }
 
-    /// Reads all objects of a kind, as they are now.
+    /// Reads all objects of a kind, as they are now. A list that is refused for the interface's rate is
+    /// asked for again.
     ///
     /// # Errors
     ///
     /// Any but [`Error::Conflict`] and [`Error::Missing`].
     pub async fn list(&self, kind: &str) -> Result<List, Error> {
+        let mut backoff = Backoff::new(PAGE_RETRY.0, PAGE_RETRY.1);
+        for _ in 1..PAGE_TRIES {
+            match self.list_aged(kind, Age::Newest, |_| {}).await {
+                Err(Error::Refused(TOO_MANY, _)) => {
+                    backoff.failed();
+                    sleep(backoff.pause()).await;
+                }
+                list => return list,
+            }
+        }
         self.list_aged(kind, Age::Newest, |_| {}).await
     }
 
@@ -170,15 +181,17 @@
         }
     }
 
-    /// Reads a page. One that is refused for the interface's rate is asked for again, and so is one that
-    /// is lost after others had come, so that a long list isn't read from its start for one page.
+    /// Reads a page. One that is refused for the interface's rate or lost after others had come is asked for
+    /// again, so that a long list isn't read from its start for one page.
     async fn page(&self, kind: &str, after: Option<&str>, age: Age) -> Result<Page, Error> {
         let mut backoff = Backoff::new(PAGE_RETRY.0, PAGE_RETRY.1);
         for _ in 1..PAGE_TRIES {
             let page = self.page_once(kind, after, age).await;
+            let passing = |error: &Error| {
+                matches!(error, Error::Refused(TOO_MANY, _) | Error::Unknown(_) | Error::NotSent(_))
+            };
             let error = match &page {
-                Err(error @ Error::Refused(TOO_MANY, _)) => error,
-                Err(error @ (Error::Unknown(_) | Error::NotSent(_))) if after.is_some() => error,
+                Err(error) if after.is_some() && passing(error) => error,
                 _ => return page,
             };
             tracing::info!(kind, after, %error, "page asked for again");
