A prefill that no other engine may take over is not waited for until the request's time

Cause (own reading of the change before; a test shows it): with one engine that prefills, or with none left of the budget, an overdue prefill was waited for until the route's time was over, so that a lost answer held the caller for ten seconds.

Change: where no other engine may be asked the answer counts as lost after 1.2 s, and a new turn is taken, which may prefill where the answer is generated; the last prefill that may be asked is given up after 3 s, with when to come back. Before the same engine was asked again at once, and the last one was waited for until the request's time too.

Tests: forward streams (2): the first failed before (answered 503 after ten seconds).

--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -1,6 +1,6 @@
 //! Requests to model engines: prefilled at one, generated at another.
 
-use super::{Failure, Job, PREFILLS_MAX, RESUME_SILENCE, Tries, passed_on, relay};
+use super::{Failure, Job, RESUME_SILENCE, Tries, passed_on, relay};
 use crate::answer::{self, Body, Cause, Refusal};
 use crate::app::{Target, Turn};
 use crate::config::Engine;
@@ -31,6 +31,12 @@
 /// so much beyond that. Its answer may be lost, and it is no run. Of the prompts prefilled in a burst
 /// 98 in 100 take less.
 const PREFILL_LATE: (f64, Duration) = (1.5, Duration::from_millis(150));
+/// Time for which a prefill that is overdue is waited for where no other engine may be asked, after which its
+/// answer counts as lost: that of the silence of a stream.
+const PREFILL_LOST: Duration = RESUME_SILENCE;
+/// Time for which the last prefill that may be asked is waited for: callers with a target of 0.9 s leave
+/// after four times as long.
+const PREFILL_GIVEN_UP: Duration = Duration::from_millis(3_000);
 /// Part of a handle's lifetime that its way to the next engine may take.
 const HANDLE_MARGIN: Duration = Duration::from_millis(100);
 
@@ -222,6 +228,27 @@
     Failed,
 }
 
+/// How long the next answer to a prefill is waited for, and what follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wait {
+    /// Until it is overdue; then another engine may be asked.
+    Patient,
+    /// No other engine may be asked: until its answer counts as lost, and the same one is asked again.
+    Only,
+    /// No more may be asked: until the request is given up.
+    Last,
+}
+
+impl Wait {
+    fn limit(self, turn: &Turn) -> Duration {
+        match self {
+            Wait::Patient => patience(turn),
+            Wait::Only => PREFILL_LOST,
+            Wait::Last => patience(turn).max(PREFILL_GIVEN_UP),
+        }
+    }
+}
+
 /// Has the prompt prefilled where the turn says; nothing where the engine that generates does it. One that
 /// fails or is overdue is asked of another engine while the turn stays. The first that comes counts: one
 /// that is overdue may still come before another, and is waited for where there is no other.
@@ -235,10 +262,9 @@
     let mut asked = FuturesUnordered::new();
     let mut under_way = vec![first.key];
     asked.push(prefill_timed(job, first, last_event));
-    // The last one that may be asked has all the time that is left.
-    let mut may_repeat = tries.prefills + 1 < PREFILLS_MAX;
+    let mut wait = if tries.may_prefill() { Wait::Patient } else { Wait::Last };
     loop {
-        let limit = if may_repeat { patience(turn).min(job.left()) } else { job.left() };
+        let limit = wait.limit(turn).min(job.left());
         let (failure, took) = match timeout(limit, asked.next()).await {
             Ok(Some((key, took, Ok(kept)))) => {
                 let is_last = turn.prefill.as_ref().is_some_and(|target| target.key == key);
@@ -254,19 +280,31 @@
                 (failure, None)
             }
             Ok(None) => (Failure::Unknown, None),
-            Err(_) if job.left().is_zero() => (Failure::TimedOut, None),
             Err(_) => {
                 note_overdue(job, turn, limit);
-                may_repeat = turn.may_prefill_elsewhere(&under_way);
-                if !may_repeat {
-                    continue;
-                }
                 // One that is overdue took at least so long.
-                (Failure::Silent, Some(limit))
+                match wait {
+                    _ if job.left().is_zero() => (Failure::TimedOut, None),
+                    Wait::Patient if turn.may_prefill_elsewhere(&under_way) => {
+                        (Failure::Silent, Some(limit))
+                    }
+                    Wait::Patient => {
+                        wait = Wait::Only;
+                        continue;
+                    }
+                    Wait::Only => {
+                        under_way.clear();
+                        (Failure::Silent, Some(limit))
+                    }
+                    Wait::Last => {
+                        turn.prefilled(None);
+                        return Err(Prefilling::Failed);
+                    }
+                }
             }
         };
         let again = tries.prefill_again(job, failure);
-        may_repeat = again && tries.prefills + 1 < PREFILLS_MAX;
+        wait = if again && tries.may_prefill() { Wait::Patient } else { Wait::Last };
         let other = if again { turn.prefill_elsewhere(took, &under_way) } else { None };
         match other {
             Some(other) => {
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -158,6 +158,11 @@
         tracing::info!(id, failure, sent, attempts, repeats, again, "whether to send again");
     }
 
+    /// Whether another prefill may be tried after the one under way.
+    fn may_prefill(&self) -> bool {
+        self.prefills + 1 < PREFILLS_MAX
+    }
+
     /// Notes a prefill that failed, which is no run, and whether another may be tried.
     fn prefill_again(&mut self, job: &Job, failure: Failure) -> bool {
         if failure.is_unsent() {
--- a/crates/forward/tests/forward/streams.rs
+++ b/crates/forward/tests/forward/streams.rs
@@ -228,6 +228,36 @@
     assert_eq!((answer.status, answer.whole, slow.count()), (200, true, 1));
 }
 
+#[tokio::test]
+async fn a_prompt_that_the_only_engine_does_not_prefill_is_served_well_before_the_request_s_time() {
+    let mute = Backend::start(|_| vec![Step::Hang]).await;
+    let made = Backend::start(whole).await;
+    let host = engines(&mute, &[&made]).await;
+
+    // Its route gives it ten seconds.
+    let within = Duration::from_secs(8);
+    let answer = tokio::time::timeout(within, call(host.address, &generation("/digest/7"))).await;
+
+    // The engine that generates prefills it.
+    let answer = answer.expect("an answer before the time is over");
+    assert_eq!((answer.status, answer.whole, made.count()), (200, true, 1));
+}
+
+#[tokio::test]
+async fn a_prefill_that_never_comes_is_given_up_with_a_time_to_come_back() {
+    let mute = Backend::start(|_| vec![Step::Hang]).await;
+    let made = Backend::start(whole).await;
+    let host = engines(&mute, &[&made]).await;
+    host.app.set_repeats(0);
+
+    let within = Duration::from_secs(8);
+    let answer = tokio::time::timeout(within, call(host.address, &generation("/digest/7"))).await;
+
+    let answer = answer.expect("an answer before the time is over");
+    assert_eq!((answer.status, mute.count(), made.count()), (503, 1, 0));
+    assert!(answer.header("retry-after").is_some());
+}
+
 #[tokio::test]
 async fn an_overdue_prefill_that_comes_before_the_repeated_one_is_used() {
     let late = Backend::start(|seen| {
