Hosts that left while the store was away are forgotten

Cause (own reading of the list of hosts): a whole list, which follows a broken watch, only added hosts. One that left meanwhile stayed, could not be heard, and its part of each allowance was kept back at that host for good. A host whose own entry was gone from such a list did not write it anew either.

--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -13,6 +13,7 @@
 use chestnutrack_store::watcher::{self, Event, Retry};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -79,8 +80,12 @@
     pub async fn follow(self: Arc<Registration>) {
         let settings = watching(PAUSE, Age::Any, Retry::Follows);
         let mut events = watcher::start(self.client.clone(), self.kind, settings);
+        let mut listed = BTreeSet::new();
         while let Some(event) = events.recv().await {
             let Event::Updated(update) = event else { continue };
+            if update.whole {
+                self.forget_all_but(&mut listed, &update.objects);
+            }
             let (own, others): (Vec<Object>, Vec<Object>) =
                 update.objects.into_iter().partition(|object| object.name == self.name);
             own.into_iter().for_each(|object| self.look_at_own(object));
@@ -90,12 +95,29 @@
             });
             self.mesh.learn(hosts);
             for (name, version, entry) in others {
-                let lost = entry.is_some_and(|entry| entry.lost);
+                let lost = entry.as_ref().is_some_and(|entry| entry.lost);
                 self.mesh.note_entry(&name, version, lost);
+                match entry {
+                    Some(_) => drop(listed.insert(name)),
+                    None => drop(listed.remove(&name)),
+                }
             }
         }
     }
 
+    /// Forgets the hosts that were listed and that a whole list lacks: they left while the store was not
+    /// heard. Hosts that only called this one stay.
+    fn forget_all_but(&self, listed: &mut BTreeSet<Arc<str>>, objects: &[Object]) {
+        let there: BTreeSet<&Arc<str>> = objects.iter().map(|object| &object.name).collect();
+        let gone: Vec<Arc<str>> =
+            listed.iter().filter(|name| !there.contains(name)).cloned().collect();
+        listed.retain(|name| there.contains(name));
+        self.mesh.learn(gone.into_iter().map(|name| (name, None)));
+        if !there.contains(&self.name) && self.version.load(Ordering::Relaxed) > 0 {
+            self.again.notify_one();
+        }
+    }
+
     /// Writes the entry anew where others have marked or deleted it.
     fn look_at_own(&self, object: Object) {
         if object.version <= self.version.load(Ordering::Relaxed) {
--- a/crates/forward/tests/forward/hosts.rs
+++ b/crates/forward/tests/forward/hosts.rs
@@ -1,5 +1,6 @@
 //! Hosts that tell in the platform's store where they are, and one that is lost for good.
 
+use crate::fixture::caller::{call, request};
 use crate::fixture::{app_with, config, settings, until};
 use chestnutrack_core::roster;
 use chestnutrack_forward::app::{self, App};
@@ -19,13 +20,25 @@
 const HOSTS: &str = own::DIRECTORY.hosts_kind;
 
 async fn store() -> Client {
+    store_at().await.0
+}
+
+/// A store with a configuration, and its address.
+async fn store_at() -> (Client, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(platform::serve(listener, platform::Settings::default()));
     let client = Client::new(address, client::Settings::default(), None);
     let value = serde_json::to_value(config()).unwrap();
     client.create(own::DIRECTORY.config_kind, "main", &value).await.unwrap();
-    client
+    (client, address)
+}
+
+/// Has the store cut all calls, or answer again.
+async fn set_down(store: SocketAddr, down: bool) {
+    let body = json!({ "down": down }).to_string();
+    let answer = call(store, &request("POST", "/control/faults", "", &body)).await;
+    assert_eq!(answer.status, 200);
 }
 
 /// A host that is listed, follows the others and takes those off the list that are lost.
@@ -116,3 +129,21 @@
 
     assert_eq!(entry(&client, "here").await, None);
 }
+
+#[tokio::test]
+async fn a_host_that_left_while_the_store_was_away_is_forgotten() {
+    let (client, address) = store_at().await;
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let entry = json!(at(silent.local_addr().unwrap()));
+    let version = client.create(HOSTS, "left", &entry).await.unwrap();
+    let (here, _registration) = listed("here", &client).await;
+    until(|| here.metrics.kept_back.get() == 500).await;
+
+    set_down(address, true).await;
+    // Longer than the pause between two calls: the host's watches are cut.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    set_down(address, false).await;
+    client.delete(HOSTS, "left", version).await.unwrap();
+
+    until(|| here.metrics.kept_back.get() == 0).await;
+}
