Read as a newcomer: one late engine for three tests, one pause before a page is asked for again

Cause: three tests spelled the same late engine; two loops of the store's client paused in the same way, and the one of whole lists did so without a log line. Both log now. Behaviour, bounds and assertions stay.

--- a/crates/forward/tests/forward/streams.rs
+++ b/crates/forward/tests/forward/streams.rs
@@ -29,6 +29,13 @@
     steps
 }
 
+/// An engine that prefills long after it was expected to.
+fn prefills_late(seen: &Seen) -> Vec<Step> {
+    let mut steps = vec![Step::Wait(Duration::from_millis(900))];
+    steps.extend(prefills(seen));
+    steps
+}
+
 fn events(from: u64, to: u64) -> String {
     (from..=to).map(|id| format!("id: {id}\ndata: event {id}\n\n")).collect()
 }
@@ -197,12 +204,7 @@
 
 #[tokio::test]
 async fn a_prefill_that_is_overdue_is_waited_for_where_no_repeat_is_left() {
-    let slow = Backend::start(|seen| {
-        let mut steps = vec![Step::Wait(Duration::from_millis(900))];
-        steps.extend(prefills(seen));
-        steps
-    })
-    .await;
+    let slow = Backend::start(prefills_late).await;
     let made = Backend::start(whole).await;
     let host = engines(&slow, &[&made]).await;
     host.app.set_repeats(0);
@@ -214,12 +216,7 @@
 
 #[tokio::test]
 async fn a_prefill_that_is_overdue_is_waited_for_where_no_other_engine_is() {
-    let slow = Backend::start(|seen| {
-        let mut steps = vec![Step::Wait(Duration::from_millis(900))];
-        steps.extend(prefills(seen));
-        steps
-    })
-    .await;
+    let slow = Backend::start(prefills_late).await;
     let made = Backend::start(whole).await;
     let host = engines(&slow, &[&made]).await;
 
@@ -260,12 +257,7 @@
 
 #[tokio::test]
 async fn an_overdue_prefill_that_comes_before_the_repeated_one_is_used() {
-    let late = Backend::start(|seen| {
-        let mut steps = vec![Step::Wait(Duration::from_millis(900))];
-        steps.extend(prefills(seen));
-        steps
-    })
-    .await;
+    let late = Backend::start(prefills_late).await;
     let (mute, made) = (Backend::start(|_| vec![Step::Hang]).await, Backend::start(whole).await);
     let servers = vec![prefill("prefill-1", &late), prefill("prefill-2", &mute)];
     let host = host(servers.into_iter().chain([decode("decode-1", &made)]).collect()).await;
--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -142,9 +142,8 @@
         let mut backoff = Backoff::new(PAGE_RETRY.0, PAGE_RETRY.1);
         for _ in 1..PAGE_TRIES {
             match self.list_aged(kind, Age::Newest, |_| {}).await {
-                Err(Error::Refused(TOO_MANY, _)) => {
-                    backoff.failed();
-                    sleep(backoff.pause()).await;
+                Err(error @ Error::Refused(TOO_MANY, _)) => {
+                    pause_before_again(&mut backoff, kind, None, &error).await;
                 }
                 list => return list,
             }
@@ -194,9 +193,7 @@
                 Err(error) if after.is_some() && passing(error) => error,
                 _ => return page,
             };
-            tracing::info!(kind, after, %error, "page asked for again");
-            backoff.failed();
-            sleep(backoff.pause()).await;
+            pause_before_again(&mut backoff, kind, after, error).await;
         }
         self.page_once(kind, after, age).await
     }
@@ -308,6 +305,12 @@
     }
 }
 
+async fn pause_before_again(backoff: &mut Backoff, kind: &str, after: Option<&str>, error: &Error) {
+    tracing::info!(kind, after, %error, "page asked for again");
+    backoff.failed();
+    sleep(backoff.pause()).await;
+}
+
 /// The body of an answer that says yes.
 fn accept(answer: Response<Bytes>) -> Result<Bytes, Error> {
     match answer.status().as_u16() {
