Split engines by observed demand, and measure decode speed over time

The log showed one host ordering 15 of 31 decode engines to prefill at second 2. What the plan was fed: a memory demand seven times too low. Engines there take 7 ms a token; a host assumed 1 token/ms for each engine until it had measured it, and then averaged the rates between single events, so that events which arrive together counted as 20 tokens/ms. One estimate moved a third of the pool, and nothing looked afterwards whether that helped.

Change: the speed is tokens over at least 200 ms of a generation, averaged over the service and then the engine, and 50 ms an event until one is known. The demand is bounded by the memory and the generations observed for each generation placed. At most a sixth of the engines change at a time, and the load is observed again before the next. A stage without engines gets some. Stage demand is reported as tokens, so that each host applies its own speed.

The new simulations fail on the code before: 3 of 5 (15 and 49 engines sent to prefill). The test of one plan in choice.rs is replaced by one that holds the same and the time between two changes.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -24,6 +24,7 @@
 pub use callers::RefusedCallers;
 pub use engine::{LengthEstimate, Placement, PlacementBasis, Prefill};
 pub use plain::{Choice, PlainOutcome};
+pub use stage::SplitChange;
 
 use crate::cell::Cell;
 use crate::forecast;
@@ -146,8 +147,8 @@
     in_flight: u32,
     /// Prompt tokens of this host that the server has been asked to prefill and has not finished.
     prefill_tokens: u64,
-    /// Decode speed of a generation, in tokens per millisecond.
-    tokens_per_ms: f64,
+    /// Decode speed of a generation.
+    speed: engine::SpeedEstimate,
     /// Whether another server answered at this server's address. The server counts as gone until
     /// its entry changes.
     replaced: bool,
@@ -177,6 +178,8 @@
     generations: SlotMap<GenerationKey, engine::ActiveGeneration>,
     /// State shared by all engines of a service, by service.
     pools: HashMap<Arc<str>, engine::Pool>,
+    /// Observed load of the engines, by service.
+    loads: HashMap<Arc<str>, stage::Load>,
     queue: Queue<(Request, T)>,
     /// Ordered by name, so that runs are reproducible.
     peers: BTreeMap<Arc<str>, Peer>,
@@ -196,6 +199,7 @@
             keys_by_name: HashMap::new(),
             generations: SlotMap::with_key(),
             pools: HashMap::new(),
+            loads: HashMap::new(),
             queue: Queue::new(settings.queue),
             peers: BTreeMap::new(),
             pending_retries: admission::PendingRetries::default(),
@@ -243,7 +247,7 @@
             stats: plain::Stats::default(),
             in_flight: 0,
             prefill_tokens: 0,
-            tokens_per_ms: engine::DEFAULT_TOKENS_PER_MS,
+            speed: engine::SpeedEstimate::default(),
             replaced: false,
             stage_change_until: Instant::default(),
             in_cell,
--- a/crates/core/src/dispatch/peer.rs
+++ b/crates/core/src/dispatch/peer.rs
@@ -52,7 +52,7 @@
         let mut generations = Vec::new();
         for engine in &self.engines {
             let Some(&key) = dispatch.keys_by_name.get(&engine.server) else { continue };
-            let generated = age_ms * dispatch.servers[key].tokens_per_ms;
+            let generated = age_ms * dispatch.tokens_per_ms(&dispatch.servers[key]);
             generations.extend(
                 engine.runs.iter().map(|run| (key, forecast_generation(*run).grown_by(generated))),
             );
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -1,8 +1,8 @@
-//! Tests of single admission, placement and planning decisions.
+//! Tests of single admission and placement decisions.
 
 use super::simulation::{entry, service};
 use crate::dispatch::{
-    Dispatch, Effect, Entry, Outcome, Placement, PlainOutcome, Request, Settings, Stage,
+    Dispatch, Effect, Entry, Outcome, Placement, PlainOutcome, Request, Settings,
 };
 use crate::time::Instant;
 use chestnutrack_wire::frame::{EngineReport, GenerationReport, News};
@@ -325,39 +325,6 @@
     assert!(chosen.iter().all(|key| *key == Some(keys[2])), "{chosen:?}");
 }
 
-#[test]
-fn engines_change_stage_once_enough_requests_were_seen() {
-    let mut dispatch = dispatch(4, 4);
-    dispatch.configure_engines(&service(), 75_461, 59);
-    let before = dispatch.plan_stage_changes(NOW, &service());
-    let long = Request {
-        prompt_tokens: 5_200,
-        length_hint: Some(4_100),
-        output_tokens: 7_670,
-        ..request()
-    };
-    let later = NOW + Duration::from_secs(1);
-    for _ in 0..20 {
-        let request =
-            Request { first_token_by: Some(NOW + Duration::from_secs(20)), ..long.clone() };
-        if let Some(placement) = place(&mut dispatch, request) {
-            dispatch.finish_prefill(placement.generation, Some(Duration::from_millis(100)));
-        }
-    }
-
-    let changes = dispatch.plan_stage_changes(later, &service());
-    for (key, _) in &changes {
-        let name = dispatch.entry(*key).unwrap().name.clone();
-        dispatch.record_stage_change(later, &name, Duration::from_secs(6));
-    }
-    let at_once = dispatch.plan_stage_changes(later, &service());
-
-    assert_eq!(before, []);
-    assert!(!changes.is_empty());
-    assert!(changes.iter().all(|(_, stage)| *stage == Stage::Decode), "{changes:?}");
-    assert_eq!(at_once, []);
-}
-
 #[test]
 fn a_failed_prefill_moves_to_another_engine_and_keeps_its_decode_placement() {
     // A prefill engine loses its answers while all decode engines are full. If the request gave up
--- a/crates/core/src/dispatch/tests/load.rs
+++ b/crates/core/src/dispatch/tests/load.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// Returns the sum of the totals over four seeds.
-fn run(scenario: Scenario) -> Totals {
+pub(super) fn run(scenario: Scenario) -> Totals {
     let totals = (1..=4).map(|seed| Simulation::new(Scenario { seed, ..scenario }).run());
     totals.fold(Totals::default(), |sum, totals| Totals {
         submitted: sum.submitted + totals.submitted,
@@ -15,11 +15,15 @@
         preempted: sum.preempted + totals.preempted,
         lost: sum.lost + totals.lost,
         worst_host_refused: sum.worst_host_refused.max(totals.worst_host_refused),
+        stage_changes: sum.stage_changes + totals.stage_changes,
+        to_prefill: sum.to_prefill + totals.to_prefill,
+        most_changing: sum.most_changing.max(totals.most_changing),
+        most_prefill: sum.most_prefill.max(totals.most_prefill),
     })
 }
 
 /// Returns `count` as a percentage of the submitted requests.
-fn percent(count: u32, totals: &Totals) -> f64 {
+pub(super) fn percent(count: u32, totals: &Totals) -> f64 {
     f64::from(count) * 100.0 / f64::from(totals.submitted)
 }
 
@@ -52,7 +56,7 @@
 
 #[test]
 fn after_two_of_five_engines_are_lost_admitted_requests_stay_in_time() {
-    let totals = run(Scenario { engine_loss: (10.0, 2), ..Scenario::default() });
+    let totals = run(Scenario { engine_loss: (10.0, 0, 2), ..Scenario::default() });
 
     assert!(percent(totals.late, &totals) <= 0.3, "{totals:?}");
     assert!(percent(totals.in_time, &totals) >= 78.0, "{totals:?}");
--- a/crates/core/src/dispatch/tests/mod.rs
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -1,3 +1,4 @@
 mod choice;
 mod load;
 mod simulation;
+mod stage;
--- a/crates/core/src/dispatch/tests/simulation.rs
+++ b/crates/core/src/dispatch/tests/simulation.rs
@@ -13,12 +13,10 @@
 pub(super) const STEP: Duration = Duration::from_millis(5);
 /// Latency target of the first token.
 const TARGET: Duration = Duration::from_millis(900);
-/// Decode speed of a generation, in tokens per millisecond.
-const TOKENS_PER_MS: f64 = 1.1;
-/// Prefill speed of an engine, in prompt tokens per millisecond.
-const PREFILL_PER_MS: f64 = 55.0;
-/// Maximum length of an answer, in tokens.
-const OUTPUT_MAX: u64 = 7_670;
+/// Interval at which the first host checks whether engines should change their stage.
+const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which an engine that changes its stage is unavailable.
+const STAGE_SWITCH_TIME: Duration = Duration::from_secs(6);
 
 /// The load and the engines of one simulation.
 #[derive(Clone, Copy, Debug)]
@@ -28,12 +26,31 @@
     pub(super) prefill: usize,
     /// Memory of an engine, in tokens.
     pub(super) kv_tokens: u64,
+    /// Maximum number of generations on an engine.
+    pub(super) slots: u32,
+    /// Decode speed of a generation, in tokens per millisecond.
+    pub(super) tokens_per_ms: f64,
+    /// Prefill speed of an engine, in prompt tokens per millisecond.
+    pub(super) prefill_per_ms: f64,
+    /// Tokens in one event of a stream.
+    pub(super) tokens_per_event: u32,
+    /// Median length of a prompt, in tokens.
+    pub(super) prompt_tokens: f64,
+    /// Median and maximum length of an answer, in tokens.
+    pub(super) answer_tokens: (f64, u64),
+    /// Factor by which callers' length hints are off.
+    pub(super) hint_factor: f64,
+    /// When the lengths change, in seconds, and the factors on prompts and answers from then on.
+    pub(super) length_shift: (f64, f64, f64),
+    /// Whether engines change their stage as planned.
+    pub(super) stage_changes: bool,
     /// Mean arrivals per second outside the burst.
     pub(super) arrivals_per_s: f64,
     /// Start and end of a burst in seconds, and the factor on arrivals meanwhile.
     pub(super) burst: (f64, f64, f64),
-    /// When decode engines are lost, in seconds, and how many.
-    pub(super) engine_loss: (f64, usize),
+    /// When engines are lost, in seconds, and the numbers of the first and of how many. The decode
+    /// engines have the lowest numbers at first.
+    pub(super) engine_loss: (f64, usize, usize),
     /// Interval at which hosts report to each other.
     pub(super) report_interval: Duration,
     pub(super) duration_s: f64,
@@ -48,9 +65,18 @@
             decode: 5,
             prefill: 3,
             kv_tokens: 75_461,
+            slots: 64,
+            tokens_per_ms: 1.1,
+            prefill_per_ms: 55.0,
+            tokens_per_event: 59,
+            prompt_tokens: 5_200.0,
+            answer_tokens: (4_130.0, 7_670),
+            hint_factor: 1.0,
+            length_shift: (f64::MAX, 1.0, 1.0),
+            stage_changes: false,
             arrivals_per_s: 7.8,
             burst: (0.0, 0.0, 1.0),
-            engine_loss: (f64::MAX, 0),
+            engine_loss: (f64::MAX, 0, 0),
             report_interval: Duration::from_millis(30),
             duration_s: 40.0,
             seed: 1,
@@ -74,6 +100,13 @@
     pub(super) lost: u32,
     /// Largest percentage of its requests that any one host refused.
     pub(super) worst_host_refused: u32,
+    /// Engines that changed their stage, and how many of them became prefill engines.
+    pub(super) stage_changes: u32,
+    pub(super) to_prefill: u32,
+    /// Most engines that were changing their stage at once.
+    pub(super) most_changing: u32,
+    /// Most prefill engines at once, those that were becoming prefill engines included.
+    pub(super) most_prefill: u32,
 }
 
 struct Generation {
@@ -105,6 +138,10 @@
     next_item: u32,
     /// Submitted and refused requests, by host.
     requests_by_host: Vec<(u32, u32)>,
+    /// Stage of each engine; `None` once it is lost.
+    stages: Vec<Option<Stage>>,
+    /// Engines that are changing their stage: number, new stage, and when they are available again.
+    changing: Vec<(usize, Stage, Instant)>,
     totals: Totals,
 }
 
@@ -114,11 +151,14 @@
             (0..scenario.hosts).map(|_| Dispatch::new(scenario.settings, "a".into())).collect();
         let mut keys = vec![HashMap::new(); scenario.hosts];
         for (host, keys) in hosts.iter_mut().zip(&mut keys) {
-            host.configure_engines(&service(), scenario.kv_tokens, 59);
+            host.configure_engines(&service(), scenario.kv_tokens, scenario.tokens_per_event);
             for engine in 0..scenario.decode + scenario.prefill {
-                keys.insert(host.put(entry(engine, engine < scenario.decode)).0, engine);
+                let entry =
+                    Entry { slots: scenario.slots, ..entry(engine, engine < scenario.decode) };
+                keys.insert(host.put(entry).0, engine);
             }
         }
+        let stage = |engine| if engine < scenario.decode { Stage::Decode } else { Stage::Prefill };
         Simulation {
             scenario,
             now: Instant::from_millis(1_000_000),
@@ -130,6 +170,10 @@
             running: Vec::new(),
             waiting: HashMap::new(),
             next_item: 0,
+            stages: (0..scenario.decode + scenario.prefill)
+                .map(|engine| Some(stage(engine)))
+                .collect(),
+            changing: Vec::new(),
             totals: Totals::default(),
         }
     }
@@ -144,6 +188,7 @@
             self.generate_arrival(seconds);
             self.advance_generations();
             self.exchange_reports(step);
+            self.change_stages(step);
             self.tick_hosts();
         }
         let share = |(submitted, refused): &(u32, u32)| refused * 100 / (*submitted).max(1);
@@ -152,18 +197,20 @@
     }
 
     fn fail_engines(&mut self, seconds: f64) {
-        let (at, count) = self.scenario.engine_loss;
+        let (at, first, count) = self.scenario.engine_loss;
         if seconds < at || seconds >= at + STEP.as_secs_f64() {
             return;
         }
+        let lost = first..first + count;
         for host in &mut self.hosts {
-            for engine in 0..count {
+            for engine in lost.clone() {
                 host.remove(&name(engine));
             }
         }
+        self.stages[lost.clone()].fill(None);
         let (failed, remaining): (Vec<_>, Vec<_>) = std::mem::take(&mut self.running)
             .into_iter()
-            .partition(|generation| generation.engine < count);
+            .partition(|generation| lost.contains(&generation.engine));
         self.running = remaining;
         for generation in failed {
             self.hosts[generation.host].finish_generation(generation.placement.generation, false);
@@ -179,15 +226,22 @@
             return;
         }
         let host = self.rng.random_range(0..self.scenario.hosts);
-        let prompt = (5_200.0 * self.log_normal_factor(0.5)).min(11_000.0);
-        let answer_tokens = (4_130.0 * self.log_normal_factor(0.5)).clamp(59.0, OUTPUT_MAX as f64);
-        let hint = (answer_tokens * self.log_normal_factor(0.5)) as u64;
+        let (shift_at, prompt_factor, answer_factor) = self.scenario.length_shift;
+        let (prompt_factor, answer_factor) =
+            if seconds >= shift_at { (prompt_factor, answer_factor) } else { (1.0, 1.0) };
+        let (median, output_tokens) = self.scenario.answer_tokens;
+        let shortest = f64::from(self.scenario.tokens_per_event);
+        let prompt = (self.scenario.prompt_tokens * prompt_factor * self.log_normal_factor(0.5))
+            .min(11_000.0);
+        let answer_tokens = (median * answer_factor * self.log_normal_factor(0.5))
+            .clamp(shortest, output_tokens as f64);
+        let hint = answer_tokens * self.log_normal_factor(0.5) * self.scenario.hint_factor;
         let request = Request {
             service: service(),
             organisation: format!("o{}", self.rng.random_range(0..5)).into(),
             prompt_tokens: prompt as u64,
-            output_tokens: OUTPUT_MAX,
-            length_hint: Some(hint),
+            output_tokens,
+            length_hint: Some(hint as u64),
             arrived: self.now,
             first_token_by: Some(self.now + TARGET),
             deadline: self.now + Duration::from_secs(14),
@@ -247,8 +301,9 @@
                 self.waiting.remove(&item);
                 self.totals.refused += 1;
                 self.requests_by_host[host].1 += 1;
-                let fullest = (0..self.scenario.decode).map(|engine| self.held_tokens(engine));
-                let fullest = fullest.fold(0.0, f64::max);
+                let decode = (0..self.stages.len())
+                    .filter(|engine| self.stages[*engine] == Some(Stage::Decode));
+                let fullest = decode.map(|engine| self.held_tokens(engine)).fold(0.0, f64::max);
                 if fullest < self.scenario.kv_tokens as f64 / 2.0 {
                     self.totals.refused_below_half_load += 1;
                 }
@@ -270,7 +325,7 @@
             let generation = &mut self.running[index];
             let (host, key) = (generation.host, generation.placement.generation);
             if generation.prefill > 0.0 {
-                generation.prefill -= PREFILL_PER_MS * millis;
+                generation.prefill -= self.scenario.prefill_per_ms * millis;
                 if generation.prefill <= 0.0 {
                     let took = self.now.since(generation.placed);
                     self.hosts[host].finish_prefill(key, Some(took));
@@ -283,7 +338,7 @@
                     false => self.totals.late += 1,
                 }
             }
-            generation.generated += TOKENS_PER_MS * millis;
+            generation.generated += self.scenario.tokens_per_ms * millis;
             let tokens = generation.generated as u64;
             self.hosts[host].record_tokens(self.now, key, tokens);
         }
@@ -294,7 +349,7 @@
         for generation in ended {
             self.hosts[generation.host].finish_generation(generation.placement.generation, true);
         }
-        for engine in 0..self.scenario.decode {
+        for engine in 0..self.stages.len() {
             while self.held_tokens(engine) > self.scenario.kv_tokens as f64 {
                 let newest = self
                     .running
@@ -318,6 +373,7 @@
                 let news = News {
                     engines: host.engine_reports(),
                     waiting: host.waiting_ages_ms(self.now),
+                    demand: host.demand_reports(),
                     ..News::default()
                 };
                 self.reports_in_transit.push((self.now + Duration::from_millis(3), index, news));
@@ -333,6 +389,38 @@
         }
     }
 
+    /// Carries out the stage changes that the first host plans, and ends those that are due.
+    fn change_stages(&mut self, step: u64) {
+        for (engine, stage, _) in self.changing.extract_if(.., |(.., until)| *until <= self.now) {
+            self.stages[engine] = Some(stage);
+            for host in &mut self.hosts {
+                host.put(Entry {
+                    slots: self.scenario.slots,
+                    ..entry(engine, stage == Stage::Decode)
+                });
+            }
+        }
+        let steps_per_plan = (PLAN_INTERVAL.as_millis() / STEP.as_millis()) as u64;
+        if !self.scenario.stage_changes || !step.is_multiple_of(steps_per_plan) {
+            return;
+        }
+        let change = self.hosts[0].plan_stage_changes(self.now, &service());
+        for (key, stage) in change.map(|change| change.engines).unwrap_or_default() {
+            let engine = self.keys[0][&key];
+            self.hosts.iter_mut().for_each(|host| {
+                host.record_stage_change(self.now, &name(engine), STAGE_SWITCH_TIME)
+            });
+            self.stages[engine] = None;
+            self.changing.push((engine, stage, self.now + STAGE_SWITCH_TIME));
+            self.totals.stage_changes += 1;
+            self.totals.to_prefill += u32::from(stage == Stage::Prefill);
+        }
+        let prefill = self.stages.iter().filter(|stage| **stage == Some(Stage::Prefill)).count()
+            + self.changing.iter().filter(|(_, stage, _)| *stage == Stage::Prefill).count();
+        self.totals.most_prefill = self.totals.most_prefill.max(prefill as u32);
+        self.totals.most_changing = self.totals.most_changing.max(self.changing.len() as u32);
+    }
+
     fn tick_hosts(&mut self) {
         for host in 0..self.hosts.len() {
             for effect in self.hosts[host].tick(self.now) {
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -70,6 +70,8 @@
     pub unreachable_hosts: Vec<(Arc<str>, Duration)>,
     /// Whether the host that reports is about to send orders (commands) to engines.
     pub orders_pending: bool,
+    /// Whether the host that reports is shutting down.
+    pub draining: bool,
 }
 
 /// What has become available again, according to a report.
@@ -195,12 +197,11 @@
     }
 
     /// Returns this host's rank, in the order of names, among itself and the reachable hosts to which the
-    /// store answers. Only the host of rank 0 removes lost hosts; see [`Roster::steps`].
+    /// store answers and that aren't shutting down. Only the host of rank 0 removes lost hosts; see [`Roster::steps`].
     pub fn rank(&self) -> usize {
-        let ranked_peers = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| peer.is_reachable() && peer.report.store_reachable);
+        let ranked_peers = self.peers.iter().filter(|(_, peer)| {
+            peer.is_reachable() && peer.report.store_reachable && !peer.report.draining
+        });
         ranked_peers.filter(|(name, _)| **name < self.name).count()
     }
 
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -51,6 +51,7 @@
                 roster.check_timeouts(now);
                 Report {
                     store_reachable: true,
+                    draining: false,
                     unreachable_hosts: roster.unreachable_durations(now),
                     orders_pending: false,
                 }
@@ -235,3 +236,17 @@
         (true, false, false)
     );
 }
+
+#[test]
+fn a_host_that_shuts_down_leaves_its_duties_to_the_next() {
+    // All hosts were stopped and started in turn. The first by name had seven seconds of its
+    // shutdown left, and the second waited for it to order a change that was due.
+    let mut roster = fleet(3).remove(1);
+    let report = |draining| Report { store_reachable: true, draining, ..Report::default() };
+
+    roster.record_report(at(0), &name(0), report(false));
+    let before = roster.rank();
+    roster.record_report(at(500), &name(0), report(true));
+
+    assert_eq!((before, roster.rank()), (1, 0));
+}
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -349,6 +349,7 @@
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
         self.set_ready(false);
+        self.gossip_due.notify_one();
     }
 }
 
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -294,6 +294,7 @@
             store_reachable: news.store,
             unreachable_hosts,
             orders_pending: news.ordering,
+            draining: news.draining,
         };
         let (recovery, spend_until) = {
             let mut roster = self.roster();
@@ -391,6 +392,7 @@
             demand: state.dispatch.demand_reports(),
             refused,
             ordering: self.app.orders_pending.load(Ordering::Relaxed),
+            draining: self.app.is_draining(),
             unheard: unreachable.into_iter().map(|(name, time)| (name, millis(time))).collect(),
         }
     }
--- a/crates/forward/src/stage/mod.rs
+++ b/crates/forward/src/stage/mod.rs
@@ -14,7 +14,7 @@
 use crate::dialect::{Order, Report};
 use crate::mesh::Mesh;
 use bytes::Bytes;
-use chestnutrack_core::dispatch::Stage;
+use chestnutrack_core::dispatch::{SplitChange, Stage};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_process::{clock, http};
@@ -50,6 +50,35 @@
     due_since: Option<Instant>,
 }
 
+/// A change of the split of a service's engines that is due.
+struct DueChange {
+    service: Arc<str>,
+    change: SplitChange,
+    /// Engines that change their stage, with their new stage.
+    targets: Vec<(Target, Stage)>,
+}
+
+impl DueChange {
+    /// Logs the change with the estimates that it is based on.
+    fn log(&self) {
+        let SplitChange { before, demand, observed, split, .. } = &self.change;
+        tracing::info!(
+            service = %self.service,
+            prefill = before.prefill,
+            decode = before.decode,
+            next = split.next,
+            best = split.best,
+            prompt_tokens = demand.prompt_tokens as u64,
+            token_ms = demand.token_ms as u64,
+            duration_ms = demand.duration_ms as u64,
+            observed_token_ms = observed.token_ms as u64,
+            prefill_per_s = (before.prefill_per_ms * 1e3) as u64,
+            placed_per_s = before.placed_per_ms * 1e3,
+            "split changes"
+        );
+    }
+}
+
 impl Controller {
     /// Creates a controller; `kind` is the store's kind of object for leases.
     pub fn new(app: Arc<App>, mesh: Arc<Mesh>, client: Client, kind: &'static str) -> Controller {
@@ -87,20 +116,24 @@
         self.app.urgent_gossip_due.notify_one();
     }
 
-    /// Returns the engines of all services that are due to change their stage, with the stage to change to.
-    fn due_changes(&self) -> Vec<(Target, Stage)> {
+    /// Returns the changes of the split that are due, of all services.
+    fn due_changes(&self) -> Vec<DueChange> {
         let now = clock::now();
-        let state = self.app.state();
+        let mut state = self.app.state();
         let services = state.dispatch.services();
-        let changes =
-            services.iter().flat_map(|service| state.dispatch.plan_stage_changes(now, service));
-        let targets = changes.filter_map(|(key, stage)| Some((state.target(key)?, stage)));
-        targets.collect()
+        let changes = services.into_iter().filter_map(|service| {
+            let change = state.dispatch.plan_stage_changes(now, &service)?;
+            let targets = change.engines.iter();
+            let targets =
+                targets.filter_map(|(key, stage)| Some((state.target(*key)?, *stage))).collect();
+            Some(DueChange { service, change, targets })
+        });
+        changes.collect()
     }
 
     /// Acquires the lease and orders the changes one after another. If the lease was taken over, first waits until all
     /// orders of the previous holder must have arrived.
-    async fn apply(&mut self, changes: Vec<(Target, Stage)>) {
+    async fn apply(&mut self, changes: Vec<DueChange>) {
         self.lease.set_cell(self.app.cell());
         let lease = match self.lease.acquire().await {
             Ok(lease) => lease,
@@ -114,8 +147,11 @@
             tokio::time::sleep(self.app.settings.lease + CONFIRMATION_TIMEOUT + ANSWER_TIMEOUT)
                 .await;
         }
-        for (target, stage) in changes {
-            self.change_stage(&target, stage).await;
+        for due in changes {
+            due.log();
+            for (target, stage) in &due.targets {
+                self.change_stage(target, *stage).await;
+            }
         }
     }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -393,8 +393,10 @@
     pub seen: u32,
     /// Prompt length, in tokens.
     pub prompt_tokens: u32,
-    /// Memory held over the time of the generation, in token-milliseconds.
-    pub token_ms: u64,
+    /// Answer length, in tokens.
+    pub answer_tokens: u32,
+    /// Product of the tokens held and the tokens generated, over a generation.
+    pub held_by_generated: u64,
 }
 
 /// Gossip state that a host sends to its peers; each message replaces the previous one.
@@ -435,6 +437,9 @@
     /// Whether the host is about to send orders to engines.
     #[serde(default)]
     pub ordering: bool,
+    /// Whether the host is shutting down.
+    #[serde(default)]
+    pub draining: bool,
     /// Hosts that are unreachable from this host, and for how long, in milliseconds.
     #[serde(default)]
     pub unheard: Vec<(Arc<str>, u32)>,
