--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -2,7 +2,7 @@
 //! decode engine, and on a prefill engine if its prompt needs one.
 
 use super::engine::{Assignment, GenerationsByEngine, LengthEstimate};
-use super::{Dispatch, Placement};
+use super::{Dispatch, Placement, Stage};
 use crate::forecast;
 use crate::queue::{self, Waiting};
 use crate::time::Instant;
@@ -94,7 +94,8 @@
     ///
     /// A request is admitted at once only if none waits on this host or it is urgent. It is refused
     /// if too few known generations are expected to end in time to make room for all requests that
-    /// wait on this host and its peers and for itself, or if a limit of the queue is reached.
+    /// wait on this host and its peers and for itself, if all decode engines have asked for no requests,
+    /// or if a limit of the queue is reached.
     pub fn submit(&mut self, now: Instant, request: Request, item: T) -> Result<Ticket, Effect<T>> {
         let (generations_by_engine, shuffle_seed) =
             (self.known_generations(now), self.next_shuffle_seed());
@@ -104,6 +105,10 @@
         {
             return Err(Effect::Admit(item, self.place(now, &request, assignment)));
         }
+        if self.backoff_left(now, &request.service, Some(Stage::Decode)).is_some() {
+            let refusal = self.refuse(now, &request);
+            return Err(Effect::Refuse(item, refusal));
+        }
         let admit_by = self.admit_by(now, &request).min(request.deadline);
         let requests_ahead = self.total_waiting();
         let expected_wait = self.time_until_completions(now, &request.service, requests_ahead + 1);
@@ -223,7 +228,8 @@
 
     /// Refuses a request. The retry time is when capacity is expected after all waiting requests
     /// and all refused callers that were asked to retry before this one. The latter are estimated
-    /// as this host's number times the number of hosts.
+    /// as this host's number times the number of hosts. It is later if all decode engines have asked
+    /// for no requests until then.
     fn refuse(&mut self, now: Instant, request: &Request) -> Refusal {
         let ahead = self.total_waiting();
         let hosts = self.peers.len() + 1;
@@ -232,7 +238,8 @@
         let wait = self
             .time_until_completions(now, &request.service, ahead_with_retries + 1)
             .unwrap_or(shortest);
-        let retry_after = wait.clamp(shortest, longest);
+        let quiet = self.backoff_left(now, &request.service, Some(Stage::Decode));
+        let retry_after = quiet.unwrap_or_default().max(wait.clamp(shortest, longest));
         self.pending_retries.0.push_back(now + retry_after);
         Refusal { ahead, retry_after }
     }
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -219,11 +219,11 @@
 pub(super) type GenerationsByEngine = BTreeMap<ServerKey, Vec<forecast::Generation>>;
 
 impl Server {
-    /// Returns whether the server may get a new request of `service` as an engine of `stage`: it is
-    /// open, is not changing its stage, and is not avoided after failures.
+    /// Returns whether the server may get a new request of `service` as an engine of `stage`: it
+    /// accepts requests, is not changing its stage, and is not avoided after failures.
     fn can_serve(&self, now: Instant, service: &str, stage: Stage) -> bool {
         let is_in_pool = self.entry.stage == Some(stage) && &*self.entry.service == service;
-        let is_usable = self.is_open() && self.stage_change_until <= now;
+        let is_usable = self.accepts(now) && self.stage_change_until <= now;
         is_in_pool && is_usable && self.health.may_try(now)
     }
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod admission;
 mod callers;
 mod engine;
+mod leaving;
 mod peer;
 mod plain;
 mod stage;
@@ -152,6 +153,10 @@
     /// Whether another server answered at this server's address. The server counts as gone until
     /// its entry changes.
     replaced: bool,
+    /// Whether the server itself has said in an answer that it is shutting down.
+    says_leaving: bool,
+    /// Until when the server has asked this host for no requests.
+    backoff_until: Instant,
     /// When the current stage change ends. Until then the engine gets no new requests.
     stage_change_until: Instant,
     /// Whether the server belongs to this host's cell.
@@ -162,7 +167,12 @@
     /// Returns `true` if the server is open, so that it may get new requests: it is not leaving and
     /// was not replaced.
     fn is_open(&self) -> bool {
-        !self.entry.leaving && !self.replaced
+        !self.entry.leaving && !self.says_leaving && !self.replaced
+    }
+
+    /// Returns `true` if the server is open and has not asked this host for no requests.
+    fn accepts(&self, now: Instant) -> bool {
+        self.is_open() && self.backoff_until <= now
     }
 }
 
@@ -181,6 +191,8 @@
     /// Observed load of the engines, by service.
     loads: HashMap<Arc<str>, stage::Load>,
     queue: Queue<(Request, T)>,
+    /// Servers that have left, which a restored store may list again.
+    departed: leaving::Departed,
     /// Ordered by name, so that runs are reproducible.
     peers: BTreeMap<Arc<str>, Peer>,
     pending_retries: admission::PendingRetries,
@@ -201,6 +213,7 @@
             pools: HashMap::new(),
             loads: HashMap::new(),
             queue: Queue::new(settings.queue),
+            departed: leaving::Departed::default(),
             peers: BTreeMap::new(),
             pending_retries: admission::PendingRetries::default(),
             seed_state: 0,
@@ -224,7 +237,10 @@
     ///
     /// A server that is listed under the same name but with another address or start time has
     /// restarted: the former server is removed, and the new one gets a new key and no history.
-    pub fn put(&mut self, entry: Entry) -> (ServerKey, bool) {
+    ///
+    /// A server that has left stays out though a store that was restored from a copy lists it again.
+    pub fn put(&mut self, now: Instant, mut entry: Entry) -> (ServerKey, bool) {
+        entry.leaving |= self.is_departed(now, &entry);
         if let Some(&key) = self.keys_by_name.get(&entry.name) {
             let server = &mut self.servers[key];
             if server.entry.address == entry.address && server.entry.born == entry.born {
@@ -237,7 +253,7 @@
                 server.entry = entry;
                 return (key, changed);
             }
-            self.remove(&entry.name);
+            self.remove(now, &entry.name);
         }
         let name = entry.name.clone();
         let in_cell = self.cell.contains(&name);
@@ -249,6 +265,8 @@
             prefill_tokens: 0,
             speed: engine::SpeedEstimate::default(),
             replaced: false,
+            says_leaving: false,
+            backoff_until: Instant::default(),
             stage_change_until: Instant::default(),
             in_cell,
         };
@@ -258,9 +276,11 @@
     }
 
     /// Removes a server. Returns its key, or `None` if the name is unknown.
-    pub fn remove(&mut self, name: &str) -> Option<ServerKey> {
+    pub fn remove(&mut self, now: Instant, name: &str) -> Option<ServerKey> {
         let key = self.keys_by_name.remove(name)?;
-        self.servers.remove(key);
+        if let Some(server) = self.servers.remove(key) {
+            self.departed.record(now, &server.entry);
+        }
         Some(key)
     }
 
@@ -274,9 +294,9 @@
         self.servers.get(key).map(|server| &server.entry)
     }
 
-    /// Returns whether a server is known and may get new requests.
-    pub fn is_open(&self, key: ServerKey) -> bool {
-        self.servers.get(key).is_some_and(Server::is_open)
+    /// Returns whether a server is known and may get new requests from this host now.
+    pub fn accepts(&self, now: Instant, key: ServerKey) -> bool {
+        self.servers.get(key).is_some_and(|server| server.accepts(now))
     }
 
     /// Records the outcome of a connection or request to a server.
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -96,7 +96,7 @@
     ) -> Option<Choice> {
         let shuffle_seed = self.next_shuffle_seed();
         let candidates = self.servers.iter().filter(|(key, server)| {
-            &*server.entry.service == service && server.is_open() && !excluded.contains(key)
+            &*server.entry.service == service && server.accepts(now) && !excluded.contains(key)
         });
         let preference = |server: &Server| {
             let is_failing = !server.health.may_try(now);
--- a/crates/core/src/dispatch/stage.rs
+++ b/crates/core/src/dispatch/stage.rs
@@ -83,7 +83,7 @@
 /// Observed load of a service's engines.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Load {
-    /// When the observation began.
+    /// When the observation began: with the first generation.
     since: Option<Instant>,
     /// When the last sample was taken.
     sampled_at: Instant,
@@ -122,15 +122,15 @@
         if elapsed < LOAD_SAMPLE_TIME {
             return;
         }
-        // Hosts without an earlier count, or that have restarted, count from the next sample on.
+        // Hosts that were not known before, or that have restarted, count from the next sample on.
         let placed_since =
             |(host, placed): (&Arc<str>, &u32)| placed.checked_sub(*self.placed_by_host.get(host)?);
         let placed: u32 = placed_by_host.iter().filter_map(placed_since).sum();
         (self.placed_by_host, self.sampled_at) = (placed_by_host, now);
-        if self.since.is_none() {
-            self.since = Some(now);
+        if placed == 0 && self.since.is_none() {
             return;
         }
+        self.since.get_or_insert(now - elapsed);
         let elapsed_ms = elapsed.as_secs_f64() * 1_000.0;
         let kept = (-elapsed.as_secs_f64() / LOAD_WINDOW.as_secs_f64()).exp();
         self.sums = Sums {
@@ -267,8 +267,8 @@
     /// known. The empty name is this host's.
     fn generations_placed(&self, service: &str) -> HashMap<Arc<str>, u32> {
         let own = self.pools.get(service).map(|pool| ("".into(), pool.demand.seen));
-        let by_peers = self.peers.iter().filter_map(|(name, peer)| {
-            peer.demand(service).map(|demand| (name.clone(), demand.seen))
+        let by_peers = self.peers.iter().map(|(name, peer)| {
+            (name.clone(), peer.demand(service).map_or(0, |demand| demand.seen))
         });
         own.into_iter().chain(by_peers).collect()
     }
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -15,7 +15,7 @@
     let mut dispatch = Dispatch::new(Settings::default(), "a".into());
     dispatch.configure_engines(&service(), KV_TOKENS, 59);
     for engine in 0..decode + prefill {
-        dispatch.put(entry(engine, engine < decode));
+        dispatch.put(NOW, entry(engine, engine < decode));
     }
     dispatch
 }
@@ -76,19 +76,19 @@
     type Change = fn(&mut Dispatch<u32>);
     let changes: [Change; 5] = [
         |dispatch| {
-            dispatch.put(Entry { leaving: true, ..entry(0, true) });
+            dispatch.put(NOW, Entry { leaving: true, ..entry(0, true) });
         },
         |dispatch| dispatch.record_stage_change(NOW, "e0", Duration::from_secs(6)),
         |dispatch| {
-            let (key, _) = dispatch.put(entry(0, true));
+            let (key, _) = dispatch.put(NOW, entry(0, true));
             dispatch.mark_replaced(key);
         },
         |dispatch| {
-            let (key, _) = dispatch.put(entry(0, true));
+            let (key, _) = dispatch.put(NOW, entry(0, true));
             dispatch.record_outcome(NOW, key, Outcome::Unreachable);
         },
         |dispatch| {
-            dispatch.remove("e0");
+            dispatch.remove(NOW, "e0");
         },
     ];
     for change in changes {
@@ -109,11 +109,11 @@
 #[test]
 fn a_changed_entry_clears_the_replaced_mark() {
     let mut dispatch = dispatch(1, 1);
-    let (key, _) = dispatch.put(entry(0, true));
+    let (key, _) = dispatch.put(NOW, entry(0, true));
     dispatch.mark_replaced(key);
     let before = place(&mut dispatch, request());
 
-    dispatch.put(Entry { born: Some(2), ..entry(0, true) });
+    dispatch.put(NOW, Entry { born: Some(2), ..entry(0, true) });
 
     assert_eq!(before, None);
     assert!(place(&mut dispatch, request()).is_some());
@@ -140,11 +140,11 @@
     // Engines that crashed stay listed for seconds, while new engines already answer at their
     // addresses.
     let mut dispatch = dispatch(2, 1);
-    let (key, _) = dispatch.put(entry(0, true));
+    let (key, _) = dispatch.put(NOW, entry(0, true));
 
     dispatch.mark_replaced(key);
     let reported = dispatch.failing_servers(NOW);
-    dispatch.put(Entry { born: Some(2), ..entry(0, true) });
+    dispatch.put(NOW, Entry { born: Some(2), ..entry(0, true) });
 
     assert_eq!(reported, ["e0".into()]);
     assert!(dispatch.failing_servers(NOW).is_empty());
@@ -168,7 +168,7 @@
 #[test]
 fn an_engine_that_failed_is_chosen_last_for_one_second_even_when_others_are_busy() {
     let mut dispatch = dispatch(2, 1);
-    let (key, _) = dispatch.put(entry(0, true));
+    let (key, _) = dispatch.put(NOW, entry(0, true));
     while place(&mut dispatch, request()).is_some_and(|placement| placement.decode != key) {}
     dispatch.record_outcome(NOW, key, Outcome::Failure);
     let at_once = place(&mut dispatch, request()).unwrap();
@@ -278,7 +278,7 @@
     {
         let mut dispatch: Dispatch<u32> = Dispatch::new(Settings::default(), "a".into());
         for server in 0..4 {
-            dispatch.put(Entry { stage: None, ..entry(server, false) });
+            dispatch.put(NOW, Entry { stage: None, ..entry(server, false) });
         }
         let mut to_bad = 0;
         for request in 0..400 {
@@ -313,7 +313,7 @@
 fn an_excluded_or_full_plain_server_is_not_chosen_beside_others() {
     let mut dispatch: Dispatch<u32> = Dispatch::new(Settings::default(), "a".into());
     let keys: Vec<_> = (0..3)
-        .map(|server| dispatch.put(Entry { stage: None, ..entry(server, false) }).0)
+        .map(|server| dispatch.put(NOW, Entry { stage: None, ..entry(server, false) }).0)
         .collect();
     while dispatch.place_plain(NOW, &service(), &[keys[0], keys[2]]).is_none() {}
     dispatch.finish_plain(NOW, keys[1], PlainOutcome::Full);
--- a/crates/core/src/dispatch/tests/mod.rs
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -1,4 +1,5 @@
 mod choice;
+mod leaving;
 mod load;
 mod simulation;
 mod stage;
--- a/crates/core/src/dispatch/tests/simulation.rs
+++ b/crates/core/src/dispatch/tests/simulation.rs
@@ -11,6 +11,8 @@
 
 /// Simulated time per step.
 pub(super) const STEP: Duration = Duration::from_millis(5);
+/// Start of the simulated time.
+const START: Instant = Instant::from_millis(1_000_000);
 /// Latency target of the first token.
 const TARGET: Duration = Duration::from_millis(900);
 /// Interval at which the first host checks whether engines should change their stage.
@@ -155,13 +157,13 @@
             for engine in 0..scenario.decode + scenario.prefill {
                 let entry =
                     Entry { slots: scenario.slots, ..entry(engine, engine < scenario.decode) };
-                keys.insert(host.put(entry).0, engine);
+                keys.insert(host.put(START, entry).0, engine);
             }
         }
         let stage = |engine| if engine < scenario.decode { Stage::Decode } else { Stage::Prefill };
         Simulation {
             scenario,
-            now: Instant::from_millis(1_000_000),
+            now: START,
             rng: ChaCha8Rng::seed_from_u64(scenario.seed),
             requests_by_host: vec![(0, 0); scenario.hosts],
             hosts,
@@ -204,7 +206,7 @@
         let lost = first..first + count;
         for host in &mut self.hosts {
             for engine in lost.clone() {
-                host.remove(&name(engine));
+                host.remove(self.now, &name(engine));
             }
         }
         self.stages[lost.clone()].fill(None);
@@ -394,10 +396,8 @@
         for (engine, stage, _) in self.changing.extract_if(.., |(.., until)| *until <= self.now) {
             self.stages[engine] = Some(stage);
             for host in &mut self.hosts {
-                host.put(Entry {
-                    slots: self.scenario.slots,
-                    ..entry(engine, stage == Stage::Decode)
-                });
+                let entry = entry(engine, stage == Stage::Decode);
+                host.put(self.now, Entry { slots: self.scenario.slots, ..entry });
             }
         }
         let steps_per_plan = (PLAN_INTERVAL.as_millis() / STEP.as_millis()) as u64;
--- a/crates/core/src/dispatch/tests/stage.rs
+++ b/crates/core/src/dispatch/tests/stage.rs
@@ -108,7 +108,7 @@
     let mut dispatch: Dispatch<u32> = Dispatch::new(Settings::default(), "a".into());
     dispatch.configure_engines(&service(), 58_266, 7);
     for engine in 0..4 {
-        dispatch.put(entry(engine, true));
+        dispatch.put(lost_at, entry(engine, true));
     }
 
     let at_once = dispatch.plan_stage_changes(lost_at, &service());
@@ -127,7 +127,7 @@
     let mut dispatch: Dispatch<u32> = Dispatch::new(Settings::default(), "a".into());
     dispatch.configure_engines(&service(), 58_266, 7);
     for engine in 0..12 {
-        dispatch.put(entry(engine, engine < 6));
+        dispatch.put(start, entry(engine, engine < 6));
     }
     let place = |dispatch: &mut Dispatch<u32>, now: Instant| {
         let request = Request {
--- a/crates/core/src/listing/mod.rs
+++ b/crates/core/src/listing/mod.rs
@@ -3,7 +3,8 @@
 //! Each server is listed by an entry in the store. If an entry is deleted while the store answers, its server
 //! is removed. Entries may also expire during an outage of the store although their servers are alive; these
 //! entries reappear soon after the store recovers. So servers whose entries are missing after an outage, or
-//! disappear together with many others (a mass loss), are kept for a grace period.
+//! disappear together with many others (a mass loss), are kept for a grace period. The same goes for a store
+//! that was restored from a copy.
 
 #[cfg(test)]
 mod tests;
@@ -58,6 +59,12 @@
         self.down = true;
     }
 
+    /// Records that the store was restored from a copy, which may lack entries that were written since.
+    /// Like entries that expire in an outage, they are written again soon.
+    pub fn record_restore(&mut self, now: Instant) {
+        self.recovered_at = Some(now);
+    }
+
     /// Returns `true` if the store answered the last call.
     pub fn is_up(&self) -> bool {
         !self.down
--- a/crates/core/src/plan/mod.rs
+++ b/crates/core/src/plan/mod.rs
@@ -76,10 +76,10 @@
 /// Parameters of the split.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
-    /// Fraction of its time for which a prefill engine can work without prompts queueing for long.
+    /// Fraction of its time for which a prefill engine works in an overload.
     pub prefill_capacity: f64,
-    /// Fraction of an engine's memory and slots that generations can hold on average: the rest is
-    /// left for their growth and for fluctuations of the load.
+    /// Fraction of an engine's memory and slots that generations hold in an overload; the rest is left
+    /// for their growth.
     pub decode_capacity: f64,
     /// Smallest factor by which the requests served per second must grow for the split to change.
     pub min_gain: f64,
@@ -92,8 +92,8 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            prefill_capacity: 0.9,
-            decode_capacity: 0.65,
+            prefill_capacity: 0.95,
+            decode_capacity: 0.85,
             min_gain: 1.1,
             min_used: 0.2,
             step_divisor: 6,
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -15,7 +15,7 @@
 pub use place::PlainPlacement;
 
 use crate::config::{Config, Table};
-use crate::dialect::Dialect;
+use crate::dialect::{Dialect, ResponseHead};
 use crate::metric::Metrics;
 use chestnutrack_core::allowance::{self, Allowances};
 use chestnutrack_core::cell::Cell;
@@ -29,6 +29,7 @@
 use chestnutrack_process::admin::Readiness;
 use chestnutrack_process::clock;
 use chestnutrack_process::pool::{self, Pool};
+use chestnutrack_wire::frame::LeavingReport;
 use slotmap::SecondaryMap;
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
@@ -254,7 +255,7 @@
             Change::Put(name, entry) => {
                 let (leaving, address, stage) = (entry.leaving, entry.address, entry.stage);
                 let service = entry.service.clone();
-                let (key, changed) = state.dispatch.put(entry);
+                let (key, changed) = state.dispatch.put(clock::now(), entry);
                 if changed {
                     let stage = stage.map(Stage::name);
                     tracing::info!(server = %name, %address, leaving, stage, "server listed");
@@ -267,7 +268,7 @@
             }
             Change::Remove(name) => {
                 tracing::info!(server = %name, "server gone");
-                if let Some(key) = state.dispatch.remove(&name) {
+                if let Some(key) = state.dispatch.remove(clock::now(), &name) {
                     state.pools.remove(key);
                 }
             }
@@ -276,6 +277,12 @@
         self.admit_waiting();
     }
 
+    /// Records that the platform's store was restored from a copy, whose list of servers is older than
+    /// what this host knows.
+    pub fn record_restore(&self) {
+        self.state().dispatch.record_restore(clock::now());
+    }
+
     /// Divides the connections that servers accept among `hosts` hosts. Does nothing unless the
     /// number of hosts or the configuration has changed since the last division.
     pub fn divide_connections(&self, hosts: usize) {
@@ -301,9 +308,45 @@
         self.connection_division.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns `true` if a server may be sent another request.
-    pub fn is_open(&self, target: &Target) -> bool {
-        self.state().dispatch.is_open(target.key)
+    /// Returns `true` if a server may be sent another request now.
+    pub fn accepts(&self, target: &Target) -> bool {
+        self.state().dispatch.accepts(clock::now(), target.key)
+    }
+
+    /// Records what a server says of itself in the head of an answer: that it is shutting down, or
+    /// that it wants no requests from this host for some time. `id` names the request that was
+    /// answered, if it was a caller's.
+    pub fn record_notices(&self, target: &Target, head: &ResponseHead, id: Option<&str>) {
+        if head.misdirected {
+            // Another server has the address.
+            return;
+        }
+        let server = &target.entry.name;
+        if head.leaving && self.state().dispatch.record_leaving(target.key) {
+            tracing::info!(%server, id, "server says that it is leaving");
+            self.metrics.notices.with_label_values(&["leaving"]).inc();
+            self.gossip_due.notify_one();
+        }
+        if let Some(asked) = head.backoff {
+            let backoff = self.state().dispatch.record_backoff(clock::now(), target.key, asked);
+            let (asked_s, backoff_ms) = (asked.as_secs_f64(), backoff.as_millis() as u64);
+            tracing::info!(%server, id, asked_s, backoff_ms, "server asks for quiet");
+            self.metrics.notices.with_label_values(&["quiet"]).inc();
+        }
+    }
+
+    /// Records the servers of which a peer reports that they have said that they are shutting down.
+    pub fn record_peer_leaving(&self, peer: &str, reports: &[LeavingReport]) {
+        let new = self.state().dispatch.record_peer_leaving(reports);
+        for server in new {
+            tracing::info!(%server, peer, "server says that it is leaving, to a peer");
+        }
+    }
+
+    /// Returns the time until the first server of a plain service accepts requests, if all of them have
+    /// asked for quiet.
+    pub fn backoff_left(&self, service: &str) -> Option<Duration> {
+        self.state().dispatch.backoff_left(clock::now(), service, None)
     }
 
     /// Records the outcome of an attempt at a server.
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -88,11 +88,22 @@
         let Ok(request) = chestnutrack_process::http::request(method, &path, Bytes::new()) else {
             return;
         };
-        let (pool, job) = (self.target.pool.clone(), self.job.clone());
+        let (target, job) = (self.target.clone(), self.job.clone());
         tokio::spawn(async move {
-            if let Err(error) = pool.call(request, FREE_TIMEOUT, MAX_HANDLE_BYTES).await {
-                let id = job.head.id.as_deref();
-                tracing::warn!(id, %error, "failed to free a handle; it will expire");
+            let id = job.head.id.as_deref();
+            if !job.app.accepts(&target) {
+                tracing::info!(id, server = %target.entry.name, "handle not freed: the server takes no requests");
+                return;
+            }
+            match target.pool.call(request, FREE_TIMEOUT, MAX_HANDLE_BYTES).await {
+                Ok(answer) => {
+                    let head =
+                        (job.app.dialect.parse_response_head)(answer.status(), answer.headers());
+                    job.app.record_notices(&target, &head, id);
+                }
+                Err(error) => {
+                    tracing::warn!(id, %error, "failed to free a handle; it will expire");
+                }
             }
         });
     }
@@ -227,9 +238,8 @@
 ) -> Result<(response::Parts, Stream), Failure> {
     let step = cache.as_ref().map_or(Step::Whole, |cache| Step::Generate(cache.handle.clone()));
     let added_values = AddedValues { step, last_event, ..job.added_values(&admission.decode) };
-    // The engine may have started to drain while the prompt was prefilled.
-    let result = match job.app.is_open(&admission.decode) {
-        true if job.route.kind.may_repeat() => {
+    let result = match job.route.kind.may_repeat() {
+        true => {
             let response =
                 timeout(RESUME_TIMEOUT, job.send(&admission.decode, &added_values)).await;
             response.unwrap_or_else(|_| {
@@ -237,8 +247,7 @@
                 Err(Failure::Silent)
             })
         }
-        true => job.send(&admission.decode, &added_values).await,
-        false => Err(Failure::Unsent),
+        false => job.send(&admission.decode, &added_values).await,
     };
     // The handle counts as consumed unless the engine certainly never received it or states that it had no
     // room for the request.
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -62,6 +62,8 @@
     Refused,
     /// Nothing was sent: all connections that this host may open to the server are in use.
     Crowded,
+    /// Nothing was sent: the server is leaving, or has asked for no requests for now.
+    Closed,
     /// The server states that it did not run the request and never will.
     NotRun,
     /// Another server has taken over the address; it did not run the request.
@@ -81,6 +83,7 @@
             Failure::Unsent => "unsent",
             Failure::Refused => "refused",
             Failure::Crowded => "crowded",
+            Failure::Closed => "closed",
             Failure::NotRun => "not_run",
             Failure::Misdirected => "misdirected",
             Failure::Unknown => "unknown",
@@ -91,7 +94,7 @@
 
     /// Returns `true` if nothing was sent to the server.
     fn is_unsent(self) -> bool {
-        matches!(self, Failure::Unsent | Failure::Refused | Failure::Crowded)
+        matches!(self, Failure::Unsent | Failure::Refused | Failure::Crowded | Failure::Closed)
     }
 
     /// Returns `true` if the server may have run the request.
@@ -259,7 +262,10 @@
         if self.left().is_zero() {
             return Err(Failure::Unsent);
         }
-        let result = self.exchange(target, added_values).await;
+        let result = match self.app.accepts(target) {
+            true => self.exchange(target, added_values).await,
+            false => Err(Failure::Closed),
+        };
         if let Err(failure) = &result {
             let (server, failure) = (&target.entry.name, failure.name());
             tracing::info!(id = self.head.id.as_deref(), %server, failure, after_ms = self.age_ms(), "attempt failed");
@@ -278,8 +284,9 @@
             Err(Failure::NotRun) if target.entry.stage.is_some() => {
                 self.app.record_outcome(target, Outcome::Refusal)
             }
-            // A full connection pool of this host says nothing about the server.
-            Err(Failure::Crowded) => {}
+            // Neither a full connection pool of this host nor a request that was not tried says
+            // anything about the server.
+            Err(Failure::Crowded | Failure::Closed) => {}
             Ok(_) | Err(Failure::NotRun) => self.app.record_outcome(target, Outcome::Answer),
         }
         result
@@ -310,6 +317,7 @@
             tracing::warn!(id = self.head.id.as_deref(), server = %target.entry.name, answers, encoded = answer.encoded, "answer rejected: wrong request identifier or encoded body");
             return Err(Failure::Unknown);
         }
+        self.app.record_notices(target, &answer, self.head.id.as_deref());
         match answer {
             ResponseHead { misdirected: true, .. } => Err(Failure::Misdirected),
             ResponseHead { not_run: true, .. } => Err(Failure::NotRun),
--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -9,7 +9,7 @@
 use hyper::Response;
 
 /// Sends a request to the servers of a plain service, one after another and each at most once, until one answers or
-/// no retry is left. Records each attempt's outcome with the time it took, on which later choices of a server are
+/// no retry is left. If all servers have asked for quiet, refuses at once until the first accepts requests. Records each attempt's outcome with the time it took, on which later choices of a server are
 /// based. An answer with a status of 500 or more is passed to the caller, but counts as a failure of the server.
 pub(super) async fn run(job: &Job) -> Result<Response<Body>, Refusal> {
     let mut tried = Vec::new();
@@ -17,7 +17,8 @@
     let mut retry_state = RetryState::default();
     loop {
         let Some(placement) = job.app.place_plain(&job.service, &tried) else {
-            return Err(refusal);
+            let quiet = job.app.backoff_left(&job.service).filter(|_| tried.is_empty());
+            return Err(quiet.map_or(refusal, |left| Refusal::with_retry_after(Cause::Full, left)));
         };
         log_placement(job, &placement);
         tried.push(placement.target.key);
--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -104,6 +104,10 @@
     pub id: Option<Arc<str>>,
     /// The body has a content encoding, so it is not what the server produced.
     pub encoded: bool,
+    /// The server says that it is shutting down.
+    pub leaving: bool,
+    /// Time for which the server, which refused the request, wants no requests from this host.
+    pub backoff: Option<Duration>,
     /// Whether the response bears the server's signature; `true` in a dialect without signatures.
     pub signed: bool,
 }
--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -7,20 +7,22 @@
 //! still listed before it goes on spending, and a host whose entry was marked or deleted writes it
 //! again.
 
-use super::watch_settings;
+use super::{next_tick, watch_settings};
 use crate::mesh::Mesh;
 use chestnutrack_core::roster::Step;
+use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_store::client::Client;
 use chestnutrack_store::dialect::Freshness;
+use chestnutrack_store::epoch;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::object::Object;
-use chestnutrack_store::watcher::{self, Event, RetryMode};
+use chestnutrack_store::watcher::{self, Event, RetryMode, Update};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -38,6 +40,8 @@
 /// Time between two checks for lost hosts, and for whether this host is still listed while it is
 /// isolated.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for hosts to write their entries again after the store was restored from a copy without them.
+const REWRITE_GRACE: Duration = Duration::from_secs(5);
 /// Longest wait for the store to delete the entry of a host that shuts down. It has to fit into
 /// what remains of the host's grace period.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -75,6 +79,64 @@
     rewrite_needed: Notify,
 }
 
+/// Hosts that the store lists or has listed. Hosts that are known only because they connected to this
+/// one are not among them.
+#[derive(Debug, Default)]
+struct ListedHosts {
+    names: BTreeSet<Arc<str>>,
+    /// Those whose entries a restored store has lost, and when they are removed unless they write them
+    /// again.
+    missing: BTreeMap<Arc<str>, Instant>,
+    /// Epoch of the store at the last complete list.
+    epoch: u64,
+}
+
+impl ListedHosts {
+    /// Records that a host's entry was written, or deleted.
+    fn record(&mut self, name: Arc<str>, exists: bool) {
+        self.missing.remove(&name);
+        match exists {
+            true => drop(self.names.insert(name)),
+            false => drop(self.names.remove(&name)),
+        }
+    }
+
+    /// Applies a complete list, which names the hosts in `present`, and returns the hosts to be removed:
+    /// they left while the store did not answer this host. In the first list of a new epoch, hosts may be
+    /// missing that are alive; they are given time to write their entries again.
+    fn apply_snapshot(
+        &mut self,
+        now: Instant,
+        epoch: u64,
+        present: &BTreeSet<Arc<str>>,
+    ) -> Vec<Arc<str>> {
+        let is_restored = epoch > std::mem::replace(&mut self.epoch, epoch);
+        self.missing.retain(|name, _| !present.contains(name));
+        let absent: Vec<Arc<str>> =
+            self.names.iter().filter(|name| !present.contains(*name)).cloned().collect();
+        if is_restored {
+            let removed_at = now + REWRITE_GRACE;
+            self.missing.extend(absent.into_iter().map(|name| (name, removed_at)));
+            return Vec::new();
+        }
+        let removed: Vec<Arc<str>> =
+            absent.into_iter().filter(|name| !self.missing.contains_key(name)).collect();
+        self.names.retain(|name| present.contains(name) || self.missing.contains_key(name));
+        removed
+    }
+
+    /// Removes the missing hosts whose time has passed, and returns them.
+    fn remove_expired(&mut self, now: Instant) -> Vec<Arc<str>> {
+        let expired = self.missing.iter().filter(|(_, removed_at)| **removed_at <= now);
+        let removed: Vec<Arc<str>> = expired.map(|(name, _)| name.clone()).collect();
+        for name in &removed {
+            self.missing.remove(name);
+            self.names.remove(name);
+        }
+        removed
+    }
+}
+
 impl Registration {
     /// Creates a registration that is not written yet.
     pub fn new(
@@ -90,59 +152,71 @@
 
     /// Watches the entries of all hosts for the lifetime of the process. Passes the changes to the
     /// mesh, and has this host's entry written again if necessary.
-    pub async fn follow(self: Arc<Registration>) {
+    pub async fn follow(self: Arc<Registration>, timer: Timer) {
         let settings = watch_settings(WATCH_PAUSE, Freshness::Any, RetryMode::Follower);
         let mut events = watcher::start(self.client.clone(), self.kind, settings);
-        let mut listed_names = BTreeSet::new();
-        while let Some(event) = events.recv().await {
-            let Event::Updated(update) = event else { continue };
-            if update.is_snapshot {
-                self.remove_unlisted(&mut listed_names, &update.objects);
-            }
-            let (own, others): (Vec<Object>, Vec<Object>) =
-                update.objects.into_iter().partition(|object| object.name == self.name);
-            own.into_iter().for_each(|object| self.check_own_entry(object));
-            let others: Vec<_> = others.into_iter().filter_map(decode_entry).collect();
-            let hosts = others.iter().map(|(name, _, entry)| {
-                (name.clone(), entry.as_ref().map(|entry| entry.host.clone()))
-            });
-            self.mesh.update_hosts(hosts);
-            for (name, version, entry) in others {
-                let is_lost = entry.as_ref().is_some_and(|entry| entry.lost);
-                self.mesh.record_entry(&name, version, is_lost);
-                match entry {
-                    Some(_) => drop(listed_names.insert(name)),
-                    None => drop(listed_names.remove(&name)),
+        let mut listed = ListedHosts::default();
+        let mut ticks = None;
+        loop {
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(Event::Updated(update)) => self.apply_update(&mut listed, update),
+                    Some(Event::Failed { .. }) => {}
+                    None => return,
+                },
+                Some(_) = next_tick(&mut ticks) => {
+                    let removed = listed.remove_expired(clock::now());
+                    self.mesh.update_hosts(removed.into_iter().map(|name| (name, None)));
                 }
             }
+            ticks = match (listed.missing.is_empty(), ticks) {
+                (true, _) => None,
+                (false, None) => Some(timer.subscribe(CHECK_INTERVAL)),
+                (false, ticks) => ticks,
+            };
         }
     }
 
-    /// Removes the hosts that were listed and are missing from a complete list: they left while the
-    /// store did not answer this host. Hosts that are known only because they connected to this one
-    /// stay.
-    fn remove_unlisted(&self, listed_names: &mut BTreeSet<Arc<str>>, objects: &[Object]) {
-        let present_names: BTreeSet<&Arc<str>> =
-            objects.iter().map(|object| &object.name).collect();
-        let removed_names: Vec<Arc<str>> =
-            listed_names.iter().filter(|name| !present_names.contains(name)).cloned().collect();
-        listed_names.retain(|name| present_names.contains(name));
-        self.mesh.update_hosts(removed_names.into_iter().map(|name| (name, None)));
-        if !present_names.contains(&self.name) && self.version.load(Ordering::Relaxed) > 0 {
-            self.rewrite_needed.notify_one();
+    /// Applies the store's answer about the hosts.
+    fn apply_update(&self, listed: &mut ListedHosts, update: Update) {
+        if update.is_snapshot {
+            let present: BTreeSet<Arc<str>> =
+                update.objects.iter().map(|object| object.name.clone()).collect();
+            if !present.contains(&self.name) && self.version.load(Ordering::Relaxed) > 0 {
+                self.rewrite_needed.notify_one();
+            }
+            let removed = listed.apply_snapshot(clock::now(), epoch::of(update.version), &present);
+            self.mesh.update_hosts(removed.into_iter().map(|name| (name, None)));
+        }
+        let (own, others): (Vec<Object>, Vec<Object>) =
+            update.objects.into_iter().partition(|object| object.name == self.name);
+        own.into_iter().for_each(|object| self.check_own_entry(object));
+        let others: Vec<_> = others.into_iter().filter_map(decode_entry).collect();
+        let hosts = others
+            .iter()
+            .map(|(name, _, entry)| (name.clone(), entry.as_ref().map(|entry| entry.host.clone())));
+        self.mesh.update_hosts(hosts);
+        for (name, version, entry) in others {
+            let is_lost = entry.as_ref().is_some_and(|entry| entry.lost);
+            self.mesh.record_entry(&name, version, is_lost);
+            listed.record(name, entry.is_some());
         }
     }
 
-    /// Requests that this host's entry be written again if other hosts have marked or deleted it.
-    /// Ignores versions up to the one that this host wrote.
+    /// Requests that this host's entry be written again if other hosts have marked or deleted it, or if
+    /// a restored store holds that of an earlier process. Ignores versions up to the one that this host
+    /// wrote.
     fn check_own_entry(&self, object: Object) {
-        if object.version <= self.version.load(Ordering::Relaxed) {
+        let own_version = self.version.load(Ordering::Relaxed);
+        if object.version <= own_version {
             return;
         }
         let (version, gone) = (object.version, object.value.is_none());
-        let is_lost =
-            decode_entry(object).and_then(|(.., entry)| entry).is_some_and(|entry| entry.lost);
-        if gone || is_lost {
+        let is_restored = own_version > 0 && epoch::of(version) > epoch::of(own_version);
+        let entry = decode_entry(object).and_then(|(.., entry)| entry);
+        let is_lost = entry.as_ref().is_some_and(|entry| entry.lost);
+        let is_outdated = is_restored && entry.is_none_or(|entry| entry.host != self.host);
+        if gone || is_lost || is_outdated {
             tracing::warn!(name = %self.name, version, gone, "own entry marked as lost or deleted");
             self.rewrite_needed.notify_one();
         }
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -20,6 +20,7 @@
 use chestnutrack_process::timer::Timer;
 use chestnutrack_store::client::Client;
 use chestnutrack_store::dialect::Freshness;
+use chestnutrack_store::epoch;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::watcher::{self, Control, Event, RetryMode, Update};
 use chestnutrack_wire::frame::ServerRecord;
@@ -110,6 +111,10 @@
     /// Earliest time at which the calls in flight can have been sent.
     config_sent_at: Instant,
     servers_sent_at: Instant,
+    /// Epoch of the store, which rises when the store is restored from a copy.
+    epoch: u64,
+    /// Epoch of the store at the last answer about the servers.
+    listed_epoch: u64,
     /// Whether the servers are being listed rather than watched.
     is_listing: bool,
     /// Whether the list of servers has been read completely at least once.
@@ -155,6 +160,8 @@
             is_config_up: false,
             config_sent_at: Instant::default(),
             servers_sent_at: Instant::default(),
+            epoch: 0,
+            listed_epoch: 0,
             is_listing: true,
             was_listed: false,
             digest: 0,
@@ -265,6 +272,22 @@
         }
     }
 
+    /// Returns the epoch of the store, as far as this host knows it.
+    pub fn epoch(&self) -> u64 {
+        self.state().epoch
+    }
+
+    /// Doubts the calls in flight if a peer knows a higher epoch of the store: they may wait for
+    /// versions that were given out again.
+    pub fn apply_peer_epoch(&self, peer: &str, epoch: u64) {
+        let known = self.epoch();
+        if epoch > known {
+            tracing::info!(peer, epoch, known, "a peer knows a higher epoch of the store");
+            self.state().epoch = epoch;
+            self.doubt(clock::now(), "a peer knows a higher epoch");
+        }
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -415,11 +438,22 @@
         let mut state = self.state();
         state.servers_sent_at = clock::now();
         state.is_listing = update.is_page;
+        let is_first = !state.was_listed;
         state.was_listed |= update.is_snapshot;
         if !update.is_page {
             state.servers_fetch.record_version(update.version);
         }
+        let epoch = epoch::of(update.version);
+        let is_restored = epoch > state.listed_epoch && !is_first;
+        state.listed_epoch = state.listed_epoch.max(epoch);
+        state.epoch = state.epoch.max(epoch);
+        if is_restored {
+            state.listing.record_restore(clock::now());
+        }
         drop(state);
+        if is_restored {
+            self.app.record_restore();
+        }
         let entries = update.objects.into_iter().map(|o| (o.name, o.version, o.value)).collect();
         self.apply_entries(update.is_snapshot, entries);
     }
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -308,6 +308,8 @@
         }
         let servers_differ = news.store && news.servers != self.follower.digest();
         self.follower.apply_peer_doubt(news.doubted_ms, servers_differ);
+        self.follower.apply_peer_epoch(name, news.store_epoch);
+        self.app.record_peer_leaving(name, &news.leaving);
         let request = self.request_missing(&news);
         {
             let mut state = self.app.state();
@@ -393,6 +395,8 @@
             refused,
             ordering: self.app.orders_pending.load(Ordering::Relaxed),
             draining: self.app.is_draining(),
+            leaving: state.dispatch.leaving_reports(),
+            store_epoch: self.follower.epoch(),
             unheard: unreachable.into_iter().map(|(name, time)| (name, millis(time))).collect(),
         }
     }
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -27,6 +27,8 @@
     pub retries: IntCounter,
     /// Retries that the budget denied.
     pub retries_denied: IntCounter,
+    /// Servers that said in an answer that they are shutting down, and requests of servers for quiet.
+    pub notices: IntCounterVec,
     /// Prefilled prompt tokens that no generation used.
     pub prefill_wasted: IntCounter,
     /// Time of each stage of a request, in seconds.
@@ -78,6 +80,7 @@
             streams: counters("streams_total", "Streams", &["end"])?,
             retries: counter("repeats_total", "Repeats that were sent")?,
             retries_denied: counter("repeats_denied_total", "Repeats beyond the budget")?,
+            notices: counters("notices_total", "What servers said of themselves", &["notice"])?,
             prefill_wasted: counter("prefill_wasted_tokens_total", "Prompt tokens in vain")?,
             stages: register(registry, HistogramVec::new(stages, &["stage"])?)?,
             configuration: gauge("configuration_version", "Version in force")?,
--- a/crates/forward/src/native/headers.rs
+++ b/crates/forward/src/native/headers.rs
@@ -25,6 +25,9 @@
 /// Whether the server ran the request.
 pub const RAN: &str = "x-chestnutrack-ran";
 
+/// Says that the server is shutting down.
+pub const LEAVING: &str = "x-chestnutrack-leaving";
+
 const LAST_EVENT: &str = "last-event-id";
 /// Prefix of the headers that are removed from callers' requests, except those in [`CALLER_HEADERS`].
 const RESERVED_PREFIX: &str = "x-chestnutrack-";
@@ -95,6 +98,10 @@
         misdirected: status == StatusCode::MISDIRECTED_REQUEST,
         id: text(headers, REQUEST).map(Into::into),
         encoded: headers.contains_key(CONTENT_ENCODING),
+        leaving: headers.contains_key(LEAVING),
+        backoff: (status == StatusCode::SERVICE_UNAVAILABLE)
+            .then(|| header::retry_after(headers))
+            .flatten(),
         signed: true,
     }
 }
--- a/crates/forward/src/native/mod.rs
+++ b/crates/forward/src/native/mod.rs
@@ -34,7 +34,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-pub use headers::{DEADLINE, EXPECTED, KV, ORGANISATION, RAN, REQUEST, SERVER, STEP, TOKENS};
+pub use headers::{
+    DEADLINE, EXPECTED, KV, LEAVING, ORGANISATION, RAN, REQUEST, SERVER, STEP, TOKENS,
+};
 
 /// The native dialect of callers, directory and store.
 pub const PROTOCOL: Protocol =
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -117,7 +117,7 @@
     let registration =
         Registration::new(client.clone(), hosts_kind, name.clone(), host, mesh.clone());
     let registration_task = tokio::spawn(registration.clone().maintain(timer.clone()));
-    tokio::spawn(registration.clone().follow());
+    tokio::spawn(registration.clone().follow(timer.clone()));
     let leases_kind = protocol.directory.leases_kind;
     tokio::spawn(
         Controller::new(app.clone(), mesh.clone(), client.clone(), leases_kind).run(timer.clone()),
--- a/crates/forward/src/stage/lease.rs
+++ b/crates/forward/src/stage/lease.rs
@@ -5,16 +5,20 @@
 //! small fleet is a single cell.
 //!
 //! The epoch, or fencing number, lets engines refuse the orders of earlier holders. It is derived from the version of
-//! the whole store. It therefore also grows between the leases of different divisions of the fleet into cells.
+//! the whole store. It therefore also grows between the leases of different divisions of the fleet into cells, and
+//! when the store comes back from a copy and has lost the lease: the client orders versions across that.
 
+use crate::app;
 use chestnutrack_core::cell::Cell;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_store::client::Client;
+use chestnutrack_store::epoch as store_epoch;
 use chestnutrack_store::error::Error;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Returns the name of a cell's lease in the store. It begins with `orders`, since the lease permits orders to engines.
 /// The number of cells is part of the name, so that each division of the fleet into cells has its own leases.
@@ -57,25 +61,31 @@
     name: Arc<str>,
     holder: Arc<str>,
     incarnation: u64,
+    /// Time after which all orders of an earlier holder have arrived.
+    takeover_time: Duration,
+    /// Whether the whole fleet starts for the first time, so that there is no earlier holder.
+    is_fleet_first_start: bool,
     /// This process's last write and the version it was given; `None` unless that write succeeded.
     last_write: Option<(u64, Record)>,
 }
 
 impl Lease {
     /// Creates a client of the whole fleet's lease, which this process doesn't hold yet. `kind` is the store's kind of
-    /// object for leases, `holder` the name of this host.
+    /// object for leases; an earlier holder's orders arrive within `takeover_time`.
     pub(super) fn new(
         client: Client,
         kind: &'static str,
-        holder: Arc<str>,
-        incarnation: u64,
+        settings: &app::Settings,
+        takeover_time: Duration,
     ) -> Lease {
         Lease {
             client,
             kind,
             name: lease_name(Cell::default()),
-            holder,
-            incarnation,
+            holder: settings.name.clone(),
+            incarnation: settings.incarnation,
+            takeover_time,
+            is_fleet_first_start: settings.is_fleet_first_start,
             last_write: None,
         }
     }
@@ -88,6 +98,14 @@
         }
     }
 
+    /// Returns `true` if another process may have held a lease that the store has forgotten: the store
+    /// may have come back from a copy so recently that orders under that lease still arrive.
+    fn may_be_forgotten(&self) -> bool {
+        let since = self.client.epoch_since();
+        let is_first_epoch = self.is_fleet_first_start && self.client.counters().restores() == 0;
+        !is_first_epoch && since.is_none_or(|since| clock::now().since(since) < self.takeover_time)
+    }
+
     /// Confirms the lease if this process holds it, otherwise takes it over from its holder, with a higher epoch.
     pub(super) async fn acquire(&mut self) -> Result<HeldLease, Error> {
         if self.last_write.is_some()
@@ -100,7 +118,8 @@
         let version = current_object.map_or(0, |object| object.version);
         // Any object counts as another holder: an earlier process of this host may have sent orders under the
         // same name, and so may the host of a cell that the engines belonged to before.
-        let taken_over = list.objects.iter().any(|object| object.value.is_some());
+        let taken_over =
+            list.objects.iter().any(|object| object.value.is_some()) || self.may_be_forgotten();
         self.write(version, list.version + 1, taken_over).await
     }
 
@@ -124,6 +143,11 @@
         let confirmed_at = clock::now();
         let new_version =
             self.client.replace_confirmed(self.kind, &self.name, version, &json!(record)).await?;
+        if store_epoch::of(new_version) != store_epoch::of(record.epoch) {
+            // The store came back from a copy meanwhile. Others may have held the lease there under a
+            // higher epoch.
+            return Err(Error::Unknown("lease written in a later epoch of the store".to_owned()));
+        }
         self.last_write = Some((new_version, record));
         Ok(HeldLease { epoch, confirmed_at, taken_over })
     }
--- a/crates/forward/src/stage/mod.rs
+++ b/crates/forward/src/stage/mod.rs
@@ -19,6 +19,8 @@
 use chestnutrack_process::timer::Timer;
 use chestnutrack_process::{clock, http};
 use chestnutrack_store::client::Client;
+use http_body_util::Full;
+use hyper::{Request, Response};
 use lease::{HeldLease, Lease};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -46,6 +48,8 @@
     app: Arc<App>,
     mesh: Arc<Mesh>,
     lease: Lease,
+    /// Time after which all orders of an earlier holder of the lease have arrived.
+    takeover_time: Duration,
     /// Since when a change has been due without interruption.
     due_since: Option<Instant>,
 }
@@ -82,8 +86,9 @@
 impl Controller {
     /// Creates a controller; `kind` is the store's kind of object for leases.
     pub fn new(app: Arc<App>, mesh: Arc<Mesh>, client: Client, kind: &'static str) -> Controller {
-        let lease = Lease::new(client, kind, app.settings.name.clone(), app.settings.incarnation);
-        Controller { app, mesh, lease, due_since: None }
+        let takeover_time = app.settings.lease + CONFIRMATION_TIMEOUT + ANSWER_TIMEOUT;
+        let lease = Lease::new(client, kind, &app.settings, takeover_time);
+        Controller { app, mesh, lease, takeover_time, due_since: None }
     }
 
     /// Checks for due changes at each tick and orders them, for the lifetime of the process. Hosts act in the order of their ranks: rank 0 at once,
@@ -144,8 +149,7 @@
         };
         if lease.taken_over {
             tracing::info!(epoch = lease.epoch, "lease for orders taken over");
-            tokio::time::sleep(self.app.settings.lease + CONFIRMATION_TIMEOUT + ANSWER_TIMEOUT)
-                .await;
+            tokio::time::sleep(self.takeover_time).await;
         }
         for due in changes {
             due.log();
@@ -160,6 +164,10 @@
     /// the engine refuses it if another order came first.
     async fn change_stage(&mut self, target: &Target, stage: Stage) {
         let server = target.entry.name.clone();
+        if !self.app.accepts(target) {
+            tracing::info!(%server, "order not sent: the server takes no requests");
+            return;
+        }
         let report = match self.fetch_report(target).await {
             Ok(report) => report,
             Err(error) => {
@@ -198,7 +206,11 @@
         }
         let duration = self.stage_switch_time(&target.entry.service) + STAGE_CHANGE_MARGIN;
         self.record_stage_change(&order.server, duration);
-        let answer = target.pool.call(request, ANSWER_TIMEOUT, MAX_ANSWER_BYTES).await;
+        if !self.app.accepts(target) {
+            tracing::info!(server = %order.server, "order not sent: the server takes no requests");
+            return;
+        }
+        let answer = self.call(target, request).await;
         let status = answer.as_ref().ok().map(|answer| answer.status().as_u16());
         let error = answer.as_ref().err().map(ToString::to_string);
         // The names of these variables are keys in the log.
@@ -225,10 +237,22 @@
         engine.map_or(Duration::ZERO, |engine| engine.stage_switch_time)
     }
 
+    /// Makes a call to an engine, and records what the engine says of itself.
+    async fn call(
+        &self,
+        target: &Target,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, http::Error> {
+        let answer = target.pool.call(request, ANSWER_TIMEOUT, MAX_ANSWER_BYTES).await?;
+        let head = (self.app.dialect.parse_response_head)(answer.status(), answer.headers());
+        self.app.record_notices(target, &head, None);
+        Ok(answer)
+    }
+
     /// Requests an engine's report.
     async fn fetch_report(&self, target: &Target) -> Result<Report, http::Error> {
         let request = http::request("GET", self.app.dialect.report_path, Bytes::new())?;
-        let answer = target.pool.call(request, ANSWER_TIMEOUT, MAX_ANSWER_BYTES).await?;
+        let answer = self.call(target, request).await?;
         let report = (self.app.dialect.parse_report)(answer.body());
         report.ok_or_else(|| http::Error::Broken("report can't be read".to_owned()))
     }
--- a/crates/forward/tests/forward/hosts.rs
+++ b/crates/forward/tests/forward/hosts.rs
@@ -4,6 +4,7 @@
 use crate::fixture::{app_with, config, settings, wait_until};
 use chestnutrack_core::roster;
 use chestnutrack_forward::app::{self, App};
+use chestnutrack_forward::config::Config;
 use chestnutrack_forward::follow::{Follower, Host, Registration};
 use chestnutrack_forward::mesh::Mesh;
 use chestnutrack_forward::native;
@@ -42,6 +43,12 @@
     assert_eq!(answer.status, 200);
 }
 
+/// Copies the store, or restores the copy.
+async fn control(store: SocketAddr, page: &str) {
+    let answer = call(store, &request("POST", &format!("/control/{page}"), "", "{}")).await;
+    assert_eq!(answer.status, 200);
+}
+
 /// Starts a host that registers itself, watches the other hosts and removes lost ones.
 async fn start_listed_host(name: &str, client: &Client) -> (Arc<App>, Arc<Registration>) {
     let roster = roster::Settings {
@@ -61,7 +68,7 @@
     let registration =
         Registration::new(client.clone(), HOSTS, name.into(), host_at(address), mesh);
     tokio::spawn(registration.clone().maintain(Timer::start()));
-    tokio::spawn(registration.clone().follow());
+    tokio::spawn(registration.clone().follow(Timer::start()));
     (app, registration)
 }
 
@@ -159,3 +166,72 @@
 
     wait_until(|| app.metrics.reserved_per_mille.get() == 0).await;
 }
+
+#[tokio::test]
+async fn hosts_whose_entries_a_restored_store_has_lost_are_written_again_and_kept() {
+    // If the hosts took each other for gone meanwhile, each would spend the whole of an allowance.
+    let (client, address) = start_store_with_address().await;
+    let (first, _first_registration) = start_listed_host("first", &client).await;
+    control(address, "copy").await;
+    let (second, _second_registration) = start_listed_host("second", &client).await;
+    wait_until(|| first.metrics.peers.get() == 1 && second.metrics.peers.get() == 1).await;
+
+    control(address, "restore").await;
+    let lost = entry(&client, "second").await;
+    until_listed(&client, "second", true).await;
+
+    assert_eq!(lost, None);
+    assert_eq!((first.metrics.peers.get(), second.metrics.peers.get()), (1, 1));
+}
+
+#[tokio::test]
+async fn a_host_replaces_the_entry_of_an_earlier_process_that_a_restored_store_holds() {
+    let (client, address) = start_store_with_address().await;
+    let earlier = Host { incarnation: 7, ..host_at(address) };
+    client.create(HOSTS, "here", &json!(earlier)).await.unwrap();
+    control(address, "copy").await;
+    let (_app, _registration) = start_listed_host("here", &client).await;
+    let own = async {
+        loop {
+            let found = entry(&client, "here").await.unwrap();
+            if found != json!(earlier) {
+                return found;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let own = tokio::time::timeout(Duration::from_secs(20), own).await.expect("registered");
+
+    control(address, "restore").await;
+    let restored = entry(&client, "here").await;
+    let written_again = async {
+        while entry(&client, "here").await.as_ref() != Some(&own) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+
+    assert_eq!(restored, Some(json!(earlier)));
+    tokio::time::timeout(Duration::from_secs(20), written_again).await.expect("written again");
+}
+
+#[tokio::test]
+async fn a_configuration_that_a_restored_store_has_lost_stays_in_force() {
+    let (client, address) = start_store_with_address().await;
+    control(address, "copy").await;
+    let (app, _registration) = start_listed_host("here", &client).await;
+    let kind = native::DIRECTORY.config_kind;
+    let version = client.read(kind, "main").await.unwrap().version;
+    let newer = Config { version: 2, ..config() };
+    client.replace(kind, "main", version, &serde_json::to_value(&newer).unwrap()).await.unwrap();
+    wait_until(|| app.version() == 2).await;
+
+    control(address, "restore").await;
+    let version = client.read(kind, "main").await.unwrap().version;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let meanwhile = app.version();
+    let newest = Config { version: 3, ..config() };
+    client.replace(kind, "main", version, &serde_json::to_value(&newest).unwrap()).await.unwrap();
+
+    assert_eq!(meanwhile, 2);
+    wait_until(|| app.version() == 3).await;
+}
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -6,6 +6,7 @@
 mod fixture;
 mod hosts;
 mod limits;
+mod notices;
 mod peers;
 mod plain;
 mod shutdown;
--- a/crates/process/src/header.rs
+++ b/crates/process/src/header.rs
@@ -1,7 +1,10 @@
 //! Helpers to read HTTP headers and to forward them without the hop-by-hop ones, which apply to a single
 //! connection only.
 
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
+};
+use std::time::Duration;
 
 /// Names of headers that apply to a single connection and aren't forwarded, in lower case.
 const HOP_BY_HOP: &[&str] = &[
@@ -33,6 +36,23 @@
     text(headers, name)?.trim().parse().ok()
 }
 
+/// Returns the time in the `retry-after` header, in seconds with an optional fraction. A value that is
+/// too large counts as the longest time. One that is no positive number, such as a date, is logged and
+/// counts as absent.
+pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let value = text(headers, RETRY_AFTER.as_str())?;
+    match value.trim().parse::<f64>() {
+        Ok(seconds) if seconds > 0.0 => {
+            Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+        }
+        Ok(0.0) => None,
+        _ => {
+            tracing::warn!(value, "retry-after can't be read");
+            None
+        }
+    }
+}
+
 /// Sets a header. Does nothing if `value` is not a valid header value.
 pub fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/soak/src/backend/mod.rs
+++ b/crates/soak/src/backend/mod.rs
@@ -5,9 +5,11 @@
 use chestnutrack_core::dispatch::Stage;
 use chestnutrack_forward::answer::{self, Body};
 use chestnutrack_forward::dialect::Report;
-use chestnutrack_forward::native::{KV, ORGANISATION, Prefilled, RAN, REQUEST, SERVER, STEP};
+use chestnutrack_forward::native::{
+    KV, LEAVING, ORGANISATION, Prefilled, RAN, REQUEST, SERVER, STEP,
+};
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, CONNECTION, HeaderValue};
+use hyper::header::{AUTHORIZATION, CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -46,6 +48,10 @@
     Fails,
     /// Rejects requests for lack of capacity, with status 503 and the header for "not run".
     Full,
+    /// Rejects requests like `Full`, and asks for a second without requests.
+    Quiet,
+    /// Serves requests, and says in all its answers that it is leaving.
+    Leaving,
     /// Has left so long ago that a request to it is a violation. Rejects requests like `Full`.
     Left,
 }
@@ -174,13 +180,21 @@
         if behaviour == Behaviour::Left {
             self.ledger.record_violation(format!("{} got {id} long after it left", self.name));
         }
-        if matches!(behaviour, Behaviour::Full | Behaviour::Left) {
-            return Ok(not_run(id));
-        }
-        if header(&request, STEP).is_some() {
-            return Ok(self.prefill(id));
+        let mut response = match behaviour {
+            Behaviour::Full | Behaviour::Quiet | Behaviour::Left => not_run(id),
+            _ if header(&request, STEP).is_some() => self.prefill(id),
+            _ => self.run(&request, id, behaviour).await?,
+        };
+        match behaviour {
+            Behaviour::Quiet => {
+                response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+            }
+            Behaviour::Leaving => {
+                response.headers_mut().insert(LEAVING, HeaderValue::from_static("1"));
+            }
+            _ => {}
         }
-        self.run(&request, id, behaviour).await
+        Ok(response)
     }
 
     fn report(&self) -> Response<Body> {
@@ -222,14 +236,14 @@
         let organisation = header(request, ORGANISATION).map(Arc::from);
         self.ledger.record_start(&id, organisation, &self.name);
         let run_guard = RunGuard { ledger: self.ledger.clone(), id: id.clone() };
-        // `answer` has already rejected requests to servers that are `Full` or `Left`.
+        // `answer` has already rejected the requests that are not run.
         match behaviour {
             Behaviour::Hangs => std::future::pending().await,
             Behaviour::Breaks => Err(ConnectionClosed),
             Behaviour::Fails => {
                 Ok(with_id(status(StatusCode::INTERNAL_SERVER_ERROR, "failed"), &id))
             }
-            Behaviour::Sound | Behaviour::Full | Behaviour::Left if self.stage.is_some() => {
+            _ if self.stage.is_some() => {
                 let last_event_id =
                     header(request, "last-event-id").and_then(|value| value.parse().ok());
                 let (parts_sender, parts) = mpsc::channel(STREAM_BUFFER_PARTS);
@@ -241,7 +255,7 @@
                 ));
                 Ok(with_id(Response::new(answer::streaming(parts)), &id))
             }
-            Behaviour::Sound | Behaviour::Full | Behaviour::Left => {
+            _ => {
                 sleep(PLAIN_DURATION).await;
                 Ok(with_id(status(StatusCode::OK, body(&id)), &id))
             }
--- a/crates/soak/src/fault/mod.rs
+++ b/crates/soak/src/fault/mod.rs
@@ -51,6 +51,8 @@
     Lose,
     /// The store is slow.
     Slow,
+    /// The store comes back from a copy.
+    Restore,
     /// A key is added and withdrawn again.
     Key,
     /// A route is added and removed again.
@@ -101,6 +103,15 @@
     (fault, Duration::from_millis(rng.random_range(200..2_500)))
 }
 
+/// Draws one of the faults that are injected beside those of [`draw`], and its duration.
+pub fn draw_drill(rng: &mut ChaCha8Rng, servers: usize) -> (Fault, Duration) {
+    let fault = match rng.random_range(0..3) {
+        0 | 1 => Fault::Restore,
+        _ => Fault::Mood(rng.random_range(0..servers), Behaviour::Quiet),
+    };
+    (fault, Duration::from_millis(rng.random_range(200..2_500)))
+}
+
 /// Injects a fault, waits for its duration, and ends it.
 ///
 /// # Errors
@@ -160,6 +171,7 @@
             disrupt_store(&fleet, json!({ "delay_ms": 300 }), json!({ "delay_ms": 0 }), duration)
                 .await
         }
+        Fault::Restore => fleet.lose_writes(duration).await,
         Fault::Key => add_and_withdraw_key(&fleet, number).await,
         Fault::Route => add_and_remove_route(&fleet, number).await,
     }
@@ -245,7 +257,7 @@
     fleet.set_store_faults(&restored).await
 }
 
-/// Starts a replacement server, lists the old one as leaving, and removes it once its leaving must be
+/// Starts a replacement server, lists the old one as leaving, has it say so in its answers, and removes it once its leaving must be
 /// in force on all hosts.
 async fn replace(fleet: &Fleet, server: usize, number: u8) -> Result<(), Error> {
     let (mut entry, stage): (_, Option<Stage>) = {
@@ -258,21 +270,23 @@
     fleet.add_server(FIRST_REPLACEMENT + number, stage).await?;
     entry.leaving = true;
     let name = entry.name.clone();
+    set_named(fleet, &name, Behaviour::Leaving).await;
     fleet.write("backends", &name, &json!(entry)).await?;
     sleep(IN_FORCE_WITHIN).await;
     if fleet.time_since_store_fault() >= IN_FORCE_WITHIN {
-        set_left(fleet, &name).await;
+        // Each further request is then a violation.
+        set_named(fleet, &name, Behaviour::Left).await;
         sleep(LEFT_OBSERVATION).await;
     }
     fleet.servers.lock().await.retain(|server| server.entry.name != name);
     fleet.remove("backends", &name).await
 }
 
-/// Makes a server record each further request as a violation.
-async fn set_left(fleet: &Fleet, name: &str) {
+/// Sets the behaviour of the server with a name.
+async fn set_named(fleet: &Fleet, name: &str, behaviour: Behaviour) {
     let servers = fleet.servers.lock().await;
     if let Some(server) = servers.iter().find(|server| &*server.entry.name == name) {
-        server.backend.set(Behaviour::Left);
+        server.backend.set(behaviour);
     }
 }
 
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 use chestnutrack_process::http;
 use chestnutrack_process::pool::{self, Pool};
 use chestnutrack_store::client::{self, Client};
+use chestnutrack_store::object::Object;
 use displaydoc::Display;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -128,6 +129,8 @@
     pub store: Client,
     block: AddressBlock,
     platform: SocketAddr,
+    /// Held while an object is written, and while a restored store is brought up to date.
+    writing: Mutex<()>,
     store_faults: Arc<std::sync::Mutex<StoreFaults>>,
     _platform_process: Process,
     _folder: TempDir,
@@ -159,6 +162,7 @@
             store,
             block,
             platform,
+            writing: Mutex::default(),
             store_faults: Arc::default(),
             _platform_process: process,
             _folder: folder,
@@ -232,6 +236,11 @@
     ///
     /// Returns the error of the store if it persists for [`READY_TIMEOUT`].
     pub async fn write(&self, kind: &str, name: &str, value: &Value) -> Result<(), Error> {
+        let _writing = self.writing.lock().await;
+        self.write_unlocked(kind, name, value).await
+    }
+
+    async fn write_unlocked(&self, kind: &str, name: &str, value: &Value) -> Result<(), Error> {
         let deadline = Instant::now() + READY_TIMEOUT;
         loop {
             let version = match self.store.read(kind, name).await {
@@ -298,6 +307,60 @@
     ///
     /// Returns the error of the store if it persists for [`READY_TIMEOUT`].
     pub async fn remove(&self, kind: &str, name: &str) -> Result<(), Error> {
+        let _writing = self.writing.lock().await;
+        self.remove_unlocked(kind, name).await
+    }
+
+    /// Copies the store, waits, and restores the copy, so that all writes in between are lost. Then
+    /// writes again what operators and servers had written, as they do.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::NotReady`] if the store does not answer, and its error if a write fails for
+    /// [`READY_TIMEOUT`].
+    pub async fn lose_writes(&self, duration: Duration) -> Result<(), Error> {
+        let _store_fault = self.begin_store_fault();
+        self.control("copy").await?;
+        sleep(duration).await;
+        let _writing = self.writing.lock().await;
+        let mut lists = Vec::new();
+        for kind in ["routing", "backends"] {
+            lists.push((kind, self.list(kind).await?));
+        }
+        self.control("restore").await?;
+        for (kind, before) in lists {
+            for object in self.list(kind).await? {
+                if before.iter().all(|kept| kept.name != object.name) {
+                    self.remove_unlocked(kind, &object.name).await?;
+                }
+            }
+            for object in before {
+                let value = object.value.unwrap_or_default();
+                self.write_unlocked(kind, &object.name, &value).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Lists the objects of a kind; retries while the store returns errors.
+    async fn list(&self, kind: &str) -> Result<Vec<Object>, Error> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        loop {
+            match self.store.list(kind).await {
+                Ok(list) => return Ok(list.objects),
+                Err(error) if Instant::now() > deadline => return Err(error.into()),
+                Err(_) => sleep(POLL_INTERVAL).await,
+            }
+        }
+    }
+
+    /// Calls a control page of the stand-in store.
+    async fn control(&self, page: &str) -> Result<(), Error> {
+        let request = http::request("POST", &format!("/control/{page}"), "{}");
+        self.call("platform", self.platform, request).await
+    }
+
+    async fn remove_unlocked(&self, kind: &str, name: &str) -> Result<(), Error> {
         let deadline = Instant::now() + READY_TIMEOUT;
         loop {
             let deleted = match self.store.read(kind, name).await {
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -19,6 +19,10 @@
 const REQUEST_INTERVAL_MS: std::ops::Range<u64> = 5..40;
 /// On average, callers disconnect from one in this many requests.
 const DISCONNECT_ONE_IN: u32 = 12;
+/// Time between two drills, in milliseconds.
+const DRILL_INTERVAL_MS: std::ops::Range<u64> = 1_000..4_000;
+/// Added to the seed of a run for its drills.
+const DRILL_SEED_OFFSET: u64 = 1 << 32;
 /// Time between the starts of two faults, in milliseconds.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 50..900;
 /// Longest time for all faults to end.
@@ -74,7 +78,9 @@
         next_id: AtomicU64::new(0),
     });
     let callers = start_callers(&shared, settings.seed);
-    let faults = inject_faults(&fleet, settings).await?;
+    let (faults, drills) =
+        tokio::join!(inject_faults(&fleet, settings), inject_drills(&fleet, settings));
+    let faults = [faults?, drills?].concat();
     for host in 0..fleet.hosts.len() {
         fleet.wait_ready(host).await?;
     }
@@ -111,6 +117,30 @@
         running.spawn(fault::inject(fleet.clone(), fault, duration, number));
         number += 1;
     }
+    wait_until_ended(running).await?;
+    Ok(descriptions)
+}
+
+/// Injects drills of the store, and servers that ask for quiet, beside the other faults. They have a
+/// sequence of their own, so that a seed's other faults stay the same.
+async fn inject_drills(fleet: &Arc<Fleet>, settings: Settings) -> Result<Vec<String>, Error> {
+    let mut rng = ChaCha8Rng::seed_from_u64(settings.seed.wrapping_add(DRILL_SEED_OFFSET));
+    let mut descriptions = Vec::new();
+    let deadline = Instant::now() + settings.length;
+    loop {
+        sleep(Duration::from_millis(rng.random_range(DRILL_INTERVAL_MS))).await;
+        if Instant::now() >= deadline {
+            return Ok(descriptions);
+        }
+        let servers = fleet.servers.lock().await.len();
+        let (fault, duration) = fault::draw_drill(&mut rng, servers);
+        descriptions.push(format!("{fault:?} for {} ms", duration.as_millis()));
+        fault::inject(fleet.clone(), fault, duration, 0).await?;
+    }
+}
+
+/// Waits until all faults have ended.
+async fn wait_until_ended(mut running: JoinSet<Result<(), Error>>) -> Result<(), Error> {
     let all_ended = async {
         while let Some(result) = running.join_next().await {
             if let Ok(Err(error)) = result {
@@ -120,8 +150,7 @@
         Ok(())
     };
     let not_restored = Error::NotReady("a fault".to_owned(), "it did not end in time".to_owned());
-    timeout(RECOVERY_TIMEOUT, all_ended).await.unwrap_or(Err(not_restored))?;
-    Ok(descriptions)
+    timeout(RECOVERY_TIMEOUT, all_ended).await.unwrap_or(Err(not_restored))
 }
 
 /// Starts the callers without a limit and those that exceed their allowance.
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -158,7 +158,7 @@
 
 /// Converts the outcome of a call to a response; [`Failure::Cut`] becomes an error, on which the
 /// HTTP server closes the connection without a response.
-fn into_response(reply: Reply) -> Result<Response<Body>, Cut> {
+pub fn into_response(reply: Reply) -> Result<Response<Body>, Cut> {
     match reply {
         Ok(response) => Ok(response),
         Err(Failure::Cut) => Err(Cut),
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -10,11 +10,14 @@
 use crate::faults;
 use crate::http::{self, Failure, Reply, failure};
 use bytes::Bytes;
+use chestnutrack_store::dialect::EPOCH_HEADER;
 use chestnutrack_store::host;
 use chestnutrack_store::object::{Conflict, VALUE_BYTES_MAX, Written};
 use control::Control;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use store::{Outcome, Store};
@@ -52,6 +55,10 @@
 struct Platform {
     settings: Settings,
     store: Mutex<Store>,
+    /// Copy of the store that is restored on request.
+    copy: Mutex<Store>,
+    /// Times that the store was restored; stated in each response.
+    epoch: AtomicU64,
     control: Mutex<Control>,
     /// Newest version; wakes waiting watches.
     newest_version: watch::Sender<u64>,
@@ -64,6 +71,8 @@
     let platform = Arc::new(Platform {
         settings,
         store: Mutex::default(),
+        copy: Mutex::default(),
+        epoch: AtomicU64::new(0),
         control: Mutex::new(Control::new(&settings)),
         newest_version: watch::Sender::new(0),
         down: watch::Sender::new(false),
@@ -100,10 +109,27 @@
         tokio::select! {
             biased;
             _ = down_receiver.wait_for(|is_down| *is_down) => Err(Failure::Cut),
-            reply = answering => reply,
+            reply = answering => self.state_epoch(reply),
         }
     }
 
+    /// Adds the epoch to a response, also to one that tells of an error.
+    fn state_epoch(&self, reply: Reply) -> Reply {
+        let epoch = HeaderValue::from(self.epoch.load(Ordering::Relaxed));
+        let mut response = http::into_response(reply).map_err(|http::Cut| Failure::Cut)?;
+        response.headers_mut().insert(EPOCH_HEADER, epoch);
+        Ok(response)
+    }
+
+    /// Replaces the store by the copy, and so loses all writes since the copy was made.
+    fn restore(&self) {
+        let copy = locked(&self.copy).clone();
+        let version = copy.version();
+        *locked(&self.store) = copy;
+        self.epoch.fetch_add(1, Ordering::Relaxed);
+        self.newest_version.send_replace(version);
+    }
+
     /// Sleeps for half of the injected delay. Each call sleeps twice: before it takes effect and
     /// after that.
     async fn sleep_half_delay(&self) {
@@ -185,7 +211,7 @@
         }
     }
 
-    /// Reads or sets the faults, sets the host list, or returns the counters or the log of calls.
+    /// Reads or sets the faults, sets the host list, copies or restores the store, or returns the counters or the log of calls.
     fn control_page(&self, method: &str, page: &str, body: &Bytes) -> Reply {
         match (method, page) {
             ("POST", "faults") => {
@@ -200,6 +226,14 @@
                 locked(&self.store).set_hosts(list.clone());
                 http::json(&list)
             }
+            ("POST", "copy") => {
+                *locked(&self.copy) = locked(&self.store).clone();
+                http::json(&locked(&self.store).version())
+            }
+            ("POST", "restore") => {
+                self.restore();
+                http::json(&self.epoch.load(Ordering::Relaxed))
+            }
             ("GET", "faults") => http::json(&locked(&self.control).faults),
             ("GET", "counts") => http::json(&locked(&self.control).counts),
             ("GET", "seen") => http::json(&locked(&self.control).log),
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -41,7 +41,7 @@
 type Objects = BTreeMap<Arc<str>, VecDeque<Change>>;
 
 /// Objects with their recent changes, and the recent host lists.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(super) struct Store {
     /// Version of the newest change.
     version: u64,
@@ -77,10 +77,15 @@
         List { version: all.map(|change| change.version).max().unwrap_or(0), objects }
     }
 
+    /// Returns the version of the newest change.
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns the objects of a kind that changed after a version, or `None` if deletions after
-    /// that version are no longer held.
+    /// that version are no longer held, or the store has not reached that version.
     pub(super) fn changes(&self, kind: &str, after_version: u64) -> Option<List> {
-        if after_version < self.compacted_version {
+        if after_version < self.compacted_version || after_version > self.version {
             return None;
         }
         let changed = |(name, changes)| {
--- a/crates/store/src/client/counters.rs
+++ b/crates/store/src/client/counters.rs
@@ -34,7 +34,11 @@
 
 /// Counts calls made and calls failed, by kind. Clones share the counters.
 #[derive(Clone, Debug)]
-pub struct CallCounters(Arc<[KindCounters]>);
+pub struct CallCounters {
+    kinds: Arc<[KindCounters]>,
+    /// Times that the interface's epoch has risen.
+    restores: IntCounter,
+}
 
 #[derive(Debug)]
 struct KindCounters {
@@ -54,25 +58,43 @@
             made: made.with_label_values(&[label]),
             failed: failed.with_label_values(&[label]),
         };
-        CallCounters(CALL_KINDS.iter().map(kind_counters).collect())
+        let restores = IntCounter::new(
+            "chestnutrack_platform_restores_total",
+            "Times that the object interface came back from a copy.",
+        );
+        let restores = restores.expect("name is constant and well formed");
+        if let Some(registry) = registry {
+            // As for the other counters: those of a second client aren't exported.
+            let _ = registry.register(Box::new(restores.clone()));
+        }
+        CallCounters { kinds: CALL_KINDS.iter().map(kind_counters).collect(), restores }
     }
 
     pub(super) fn record_call(&self, call: CallKind) {
-        self.0[call as usize].made.inc();
+        self.kinds[call as usize].made.inc();
     }
 
     pub(super) fn record_failure(&self, call: CallKind) {
-        self.0[call as usize].failed.inc();
+        self.kinds[call as usize].failed.inc();
+    }
+
+    pub(super) fn record_restore(&self) {
+        self.restores.inc();
+    }
+
+    /// Returns how often the interface's epoch has risen.
+    pub fn restores(&self) -> u64 {
+        self.restores.get()
     }
 
     /// Returns how many calls of a kind were made.
     pub fn calls(&self, call: CallKind) -> u64 {
-        self.0[call as usize].made.get()
+        self.kinds[call as usize].made.get()
     }
 
     /// Returns how many calls of a kind got no response.
     pub fn failures(&self, call: CallKind) -> u64 {
-        self.0[call as usize].failed.get()
+        self.kinds[call as usize].failed.get()
     }
 }
 
--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -6,10 +6,12 @@
 
 use crate::backoff::Backoff;
 use crate::dialect::{Dialect, Freshness, OWN, Page};
+use crate::epoch::{self, Known, Stated};
 use crate::error::Error;
 use crate::host;
 use crate::object::{List, Object, VALUE_BYTES_MAX};
 use bytes::Bytes;
+use chestnutrack_core::time::Instant;
 use chestnutrack_process::http;
 use chestnutrack_process::pool::{self, Pool};
 use http_body_util::Full;
@@ -85,6 +87,8 @@
     /// Whether the interface is reachable: cleared by a failed call of a watcher in
     /// [`crate::watcher::RetryMode::Leader`], set by a response to any watcher.
     reachable: watch::Sender<bool>,
+    /// Epoch of the interface.
+    epoch: Known,
 }
 
 impl Client {
@@ -112,9 +116,26 @@
             dialect,
             counters: CallCounters::new(registry),
             reachable,
+            epoch: Known::new(),
         }
     }
 
+    /// Returns the epoch of the interface, as far as known; see [`crate::epoch`].
+    pub fn epoch(&self) -> u64 {
+        self.epoch.get()
+    }
+
+    /// Returns when the epoch of the interface was first stated to this client; `None` before the
+    /// first response.
+    pub fn epoch_since(&self) -> Option<Instant> {
+        self.epoch.since()
+    }
+
+    /// Returns a receiver that is notified when the epoch has risen.
+    pub(crate) fn epoch_changes(&self) -> watch::Receiver<Option<(u64, Instant)>> {
+        self.epoch.subscribe()
+    }
+
     /// Records whether the interface is reachable, and notifies the subscribers if that changed.
     pub(crate) fn set_reachable(&self, reachable: bool) {
         self.reachable
@@ -140,8 +161,10 @@
     pub async fn read(&self, kind: &str, name: &str) -> Result<Object, Error> {
         let request =
             (self.dialect.read)(validate_name("kind", kind)?, validate_name("name", name)?)?;
-        let response = self.call(CallKind::Read, request, self.settings.read_timeout).await?;
+        let (epoch, response) =
+            self.call(CallKind::Read, request, self.settings.read_timeout).await?;
         let object = (self.dialect.object)(&success_body(response)?)?;
+        let object = in_epoch(epoch, object)?;
         if &*object.name != name {
             let text = format!("`{}` in place of `{name}`", object.name);
             return Err(Error::Malformed("read".to_owned(), text));
@@ -184,6 +207,9 @@
         loop {
             let last_name = list.objects.last().map(|object| object.name.clone());
             let page = self.page(kind, last_name.as_deref(), freshness).await?;
+            if !list.objects.is_empty() && epoch::of(page.list.version) != epoch::of(list.version) {
+                return Err(Error::Unknown("pages of two epochs".to_owned()));
+            }
             // Without an object there is no name to continue after.
             let has_no_objects = page.list.objects.is_empty();
             if page.more && !has_no_objects {
@@ -234,8 +260,10 @@
         freshness: Freshness,
     ) -> Result<Page, Error> {
         let request = (self.dialect.list)(kind, after_name, freshness)?;
-        let response = self.call(CallKind::List, request, self.settings.read_timeout).await?;
-        (self.dialect.page)(&success_body(response)?)
+        let (epoch, response) =
+            self.call(CallKind::List, request, self.settings.read_timeout).await?;
+        let page = (self.dialect.page)(&success_body(response)?)?;
+        Ok(Page { list: list_in_epoch(epoch, page.list)?, more: page.more })
     }
 
     /// Writes an object that must not exist yet and returns its version.
@@ -254,7 +282,8 @@
     /// # Errors
     ///
     /// [`Error::Conflict`] if the object has another version, and [`Error::Unknown`] if the write may
-    /// have taken effect.
+    /// have taken effect. A version of an earlier epoch conflicts, without a call and with version 0
+    /// in the error.
     pub async fn replace(
         &self,
         kind: &str,
@@ -263,13 +292,14 @@
         value: &Value,
     ) -> Result<u64, Error> {
         let (kind, name) = (validate_name("kind", kind)?, validate_name("name", name)?);
-        let request = (self.dialect.write)(kind, name, version, value)?;
+        self.check_epoch(version)?;
+        let request = (self.dialect.write)(kind, name, epoch::own_version(version), value)?;
         let length = request.body().size_hint().upper().unwrap_or(0);
         if length > VALUE_BYTES_MAX as u64 {
             let text = format!("value of {length} bytes is larger than {VALUE_BYTES_MAX}");
             return Err(Error::NotSent(text));
         }
-        self.write(CallKind::Write, request).await
+        self.write(CallKind::Write, version, request).await
     }
 
     /// Deletes an object if its current version is `version`. Returns the version of the deletion,
@@ -280,8 +310,9 @@
     /// [`Error::Conflict`] if the object has another version, [`Error::Missing`] if it doesn't exist.
     pub async fn delete(&self, kind: &str, name: &str, version: u64) -> Result<u64, Error> {
         let (kind, name) = (validate_name("kind", kind)?, validate_name("name", name)?);
-        let request = (self.dialect.delete)(kind, name, version)?;
-        self.write(CallKind::Delete, request).await
+        self.check_epoch(version)?;
+        let request = (self.dialect.delete)(kind, name, epoch::own_version(version))?;
+        self.write(CallKind::Delete, version, request).await
     }
 
     /// Waits up to `wait` for changes to objects of a kind after the version `after_version`. The list
@@ -290,17 +321,26 @@
     /// # Errors
     ///
     /// [`Error::Refused`] with status 410 if the interface no longer holds the changes after that
-    /// version.
+    /// version, or has risen to another epoch since.
     pub async fn watch(
         &self,
         kind: &str,
         after_version: u64,
         wait: Duration,
     ) -> Result<List, Error> {
-        let request = (self.dialect.watch)(validate_name("kind", kind)?, after_version, wait)?;
-        let response =
+        let epoch = epoch::of(after_version);
+        if epoch != self.epoch() {
+            return Err(Error::history_gone());
+        }
+        let own_version = epoch::own_version(after_version);
+        let request = (self.dialect.watch)(validate_name("kind", kind)?, own_version, wait)?;
+        let (stated, response) =
             self.call(CallKind::Watch, request, wait + self.settings.watch_grace).await?;
-        (self.dialect.changes)(&success_body(response)?)
+        if stated != epoch {
+            // The interface may have given the version out again, for another change.
+            return Err(Error::history_gone());
+        }
+        list_in_epoch(epoch, (self.dialect.changes)(&success_body(response)?)?)
     }
 
     /// Reads the host list.
@@ -310,36 +350,61 @@
     /// Any error except [`Error::Conflict`] and [`Error::Missing`].
     pub async fn hosts(&self) -> Result<host::List, Error> {
         let request = http::request("GET", "/v1/hosts", Bytes::new())?;
-        let response = self.call(CallKind::Hosts, request, self.settings.read_timeout).await?;
+        let (_, response) = self.call(CallKind::Hosts, request, self.settings.read_timeout).await?;
         serde_json::from_slice(&success_body(response)?)
             .map_err(|error| Error::Malformed("hosts".to_owned(), error.to_string()))
     }
 
-    /// Sends a conditional write or deletion and returns the version that it gave the object.
-    async fn write(&self, kind: CallKind, request: Request<Full<Bytes>>) -> Result<u64, Error> {
-        let response = self.call(kind, request, self.settings.write_timeout).await?;
+    /// Fails with a conflict if `version` is of an earlier epoch. The interface may have given it
+    /// out again.
+    fn check_epoch(&self, version: u64) -> Result<(), Error> {
+        match version == 0 || epoch::of(version) == self.epoch() {
+            true => Ok(()),
+            false => Err(Error::Conflict(0)),
+        }
+    }
+
+    /// Sends a write or deletion on condition of `version`, and returns the version that it gave the
+    /// object.
+    async fn write(
+        &self,
+        kind: CallKind,
+        version: u64,
+        request: Request<Full<Bytes>>,
+    ) -> Result<u64, Error> {
+        let (epoch, response) = self.call(kind, request, self.settings.write_timeout).await?;
+        let malformed = || Error::Unknown("version does not fit".to_owned());
         if response.status().as_u16() == 409 {
             let refused = |_| Error::Refused(409, excerpt(response.body()));
             let found = (self.dialect.conflict)(response.body()).map_err(refused)?;
-            return Err(Error::Conflict(found));
+            return Err(Error::Conflict(epoch::join_existing(epoch, found).ok_or_else(malformed)?));
         }
         let body = success_body(response)?;
-        let version = match kind {
+        let parse = match kind {
             CallKind::Delete => self.dialect.deleted,
             _ => self.dialect.written,
         };
         // The write took effect. If the body can't be parsed, only its version is lost.
-        version(&body).map_err(|error| Error::Unknown(error.to_string()))
+        let written = parse(&body).map_err(|error| Error::Unknown(error.to_string()))?;
+        if version != 0 && epoch::of(version) != epoch {
+            // The condition held for a version that was given out again, of a state that this client
+            // does not know.
+            return Err(Error::Unknown("written in a later epoch".to_owned()));
+        }
+        epoch::join_existing(epoch, written).ok_or_else(malformed)
     }
 
     /// Makes a call within `call_timeout` and counts it. Reads and lists are idempotent and repeated once
     /// if their connection breaks. Writes and deletions use new connections.
+    ///
+    /// Returns the epoch of the response, and the response. One of an earlier epoch than is known
+    /// is discarded.
     async fn call(
         &self,
         kind: CallKind,
         request: Request<Full<Bytes>>,
         call_timeout: Duration,
-    ) -> Result<Response<Bytes>, Error> {
+    ) -> Result<(u64, Response<Bytes>), Error> {
         self.counters.record_call(kind);
         let body_bytes_max = self.settings.response_bytes_max;
         let response = match kind {
@@ -351,10 +416,41 @@
                 self.write_pool.call(request, call_timeout, body_bytes_max).await
             }
         };
-        response.inspect_err(|_| self.counters.record_failure(kind)).map_err(Error::from)
+        let response = response.inspect_err(|_| self.counters.record_failure(kind))?;
+        let epoch = match self.epoch.record((self.dialect.epoch)(response.headers())) {
+            Stated::Current(epoch) => epoch,
+            Stated::Earlier(epoch) => {
+                tracing::info!(epoch, known = self.epoch(), "response of an earlier epoch ignored");
+                return Err(Error::Unknown(format!("response of epoch {epoch}")));
+            }
+            Stated::Risen(before, epoch) => {
+                tracing::warn!(epoch, before, "object interface was restored from a copy");
+                self.counters.record_restore();
+                epoch
+            }
+        };
+        Ok((epoch, response))
     }
 }
 
+/// Returns an object of a response with its version in an epoch.
+fn in_epoch(epoch: u64, object: Object) -> Result<Object, Error> {
+    let version = epoch::join(epoch, object.version).ok_or_else(|| too_large(&object.name))?;
+    Ok(Object { version, ..object })
+}
+
+/// Returns a list of a response with its versions in an epoch.
+fn list_in_epoch(epoch: u64, list: List) -> Result<List, Error> {
+    let version = epoch::join(epoch, list.version).ok_or_else(|| too_large("list"))?;
+    let objects = list.objects.into_iter().map(|object| in_epoch(epoch, object));
+    Ok(List { version, objects: objects.collect::<Result<_, _>>()? })
+}
+
+/// Returns the error for a version that does not fit beside an epoch.
+fn too_large(place: &str) -> Error {
+    Error::Malformed(place.to_owned(), "version is too large".to_owned())
+}
+
 /// Records a failed attempt at a page and waits before the next one.
 async fn pause_before_retry(backoff: &mut Backoff, kind: &str, after: Option<&str>, error: &Error) {
     tracing::info!(kind, after, %error, "retrying list page");
--- a/crates/store/src/dialect/mod.rs
+++ b/crates/store/src/dialect/mod.rs
@@ -5,13 +5,13 @@
 
 mod own;
 
-pub use own::OWN;
+pub use own::{EPOCH_HEADER, OWN};
 
 use crate::error::Error;
 use crate::object::{List, Object};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
+use hyper::{HeaderMap, Request};
 use serde_json::Value;
 use std::time::Duration;
 
@@ -43,6 +43,8 @@
 /// function that parses a response returns [`Error::Malformed`] for a body that it can't parse.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
+    /// Returns the epoch that the headers of a response state, if any. See [`crate::epoch`].
+    pub epoch: fn(&HeaderMap) -> Option<u64>,
     /// Builds a read of the object with a kind and name.
     pub read: fn(&str, &str) -> Result<HttpRequest, Error>,
     /// Builds a list of a kind, from the start or after a name, with the given freshness.
--- a/crates/store/src/dialect/own.rs
+++ b/crates/store/src/dialect/own.rs
@@ -5,6 +5,7 @@
 use crate::object::{Conflict, List, Object, Written};
 use bytes::Bytes;
 use chestnutrack_process::http;
+use hyper::HeaderMap;
 use hyper::header::{HeaderValue, IF_MATCH};
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -12,6 +13,7 @@
 
 /// The project's own dialect.
 pub const OWN: Dialect = Dialect {
+    epoch,
     read,
     list,
     watch,
@@ -25,6 +27,13 @@
     conflict,
 };
 
+/// Header that states the epoch.
+pub const EPOCH_HEADER: &str = "x-store-epoch";
+
+fn epoch(headers: &HeaderMap) -> Option<u64> {
+    crate::epoch::parse(headers, EPOCH_HEADER)
+}
+
 fn read(kind: &str, name: &str) -> Result<HttpRequest, Error> {
     get(&target(kind, name))
 }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -25,12 +25,18 @@
 
 impl std::error::Error for Error {}
 
+/// Status of a watch from a version whose later changes are no longer held.
+const GONE: u16 = 410;
+
 impl Error {
+    /// Returns the error of a watch from a version whose later changes are no longer held.
+    pub(crate) fn history_gone() -> Error {
+        Error::Refused(GONE, "the version is of another epoch".to_owned())
+    }
+
     /// Returns `true` if the interface responded to a watch that it no longer holds the changes after
     /// the watched version. The interface is reachable then, and the kind has to be listed again.
     pub fn is_history_gone(&self) -> bool {
-        /// Status of a watch from a version whose later changes are no longer held.
-        const GONE: u16 = 410;
         matches!(self, Error::Refused(GONE, _))
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod backoff;
 pub mod client;
 pub mod dialect;
+pub mod epoch;
 pub mod error;
 pub mod host;
 pub mod object;
--- a/crates/store/src/watcher/mod.rs
+++ b/crates/store/src/watcher/mod.rs
@@ -178,7 +178,9 @@
 ) {
     let mut table = Table::default();
     let mut backoff = Backoff::new(settings.retry_min, settings.retry_max);
+    let mut epoch = client.epoch_changes();
     loop {
+        epoch.borrow_and_update();
         let sent = clock::now();
         // Once a response was applied, a list is made only where changes may have been missed, so it has
         // to be up to date.
@@ -187,6 +189,7 @@
         let current_control = *control.borrow_and_update();
         let page_events = (settings.emit_pages && table.is_empty()).then_some(events);
         let response = tokio::select! {
+            biased;
             response =
                 list_or_watch(
                     client,
@@ -199,6 +202,11 @@
                 table.require_list();
                 continue;
             }
+            () = epoch_risen(&mut epoch) => {
+                // The call in flight may wait for a version that was given out again.
+                table.require_list();
+                continue;
+            }
         };
         let applied = response.and_then(|list| table.apply(list, is_snapshot, sent));
         let (event, retry_pause) = match applied {
@@ -275,6 +283,14 @@
     }
 }
 
+/// Waits until another call finds that the epoch of the interface has risen.
+async fn epoch_risen(epoch: &mut watch::Receiver<Option<(u64, Instant)>>) {
+    if epoch.changed().await.is_err() {
+        // The sender is gone with the client.
+        std::future::pending().await
+    }
+}
+
 /// Waits until the reader's number of requests to list again is no longer `relist_requests`.
 async fn relist_requested(control: &mut watch::Receiver<Control>, relist_requests: u64) {
     if control.wait_for(|current| current.relist_requests != relist_requests).await.is_err() {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -399,6 +399,15 @@
     pub held_by_generated: u64,
 }
 
+/// A server that has said in an answer that it is shutting down.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingReport {
+    /// Name of the server.
+    pub server: Arc<str>,
+    /// When it started, in milliseconds since 1970; absent if it doesn't say.
+    pub born: Option<u64>,
+}
+
 /// Gossip state that a host sends to its peers; each message replaces the previous one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -440,6 +449,12 @@
     /// Whether the host is shutting down.
     #[serde(default)]
     pub draining: bool,
+    /// Servers that have told the host that they are shutting down.
+    #[serde(default)]
+    pub leaving: Vec<LeavingReport>,
+    /// Epoch of the platform's store; it rises when the store comes back from a copy.
+    #[serde(default)]
+    pub store_epoch: u64,
     /// Hosts that are unreachable from this host, and for how long, in milliseconds.
     #[serde(default)]
     pub unheard: Vec<(Arc<str>, u32)>,
