Take over the version of a host's entry in a restored store

The host knew its entry's version of before the restore; a deletion on that condition fails, as it must. Its own list names the version of the new epoch, but only entries that were lost, deleted or of an earlier process were looked at.

Change: the version is taken over from the list. The test fails without it.

--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -205,7 +205,7 @@
 
     /// Requests that this host's entry be written again if other hosts have marked or deleted it, or if
     /// a restored store holds that of an earlier process. Ignores versions up to the one that this host
-    /// wrote.
+    /// wrote. Takes over the version that its entry has in a restored store.
     fn check_own_entry(&self, object: Object) {
         let own_version = self.version.load(Ordering::Relaxed);
         if object.version <= own_version {
@@ -216,6 +216,10 @@
         let entry = decode_entry(object).and_then(|(.., entry)| entry);
         let is_lost = entry.as_ref().is_some_and(|entry| entry.lost);
         let is_outdated = is_restored && entry.is_none_or(|entry| entry.host != self.host);
+        if is_restored && !(gone || is_lost || is_outdated) {
+            // The copy holds the entry, under a version of the new epoch.
+            self.version.store(version, Ordering::Relaxed);
+        }
         if gone || is_lost || is_outdated {
             tracing::warn!(name = %self.name, version, gone, "own entry marked as lost or deleted");
             self.rewrite_needed.notify_one();
--- a/crates/forward/tests/forward/hosts.rs
+++ b/crates/forward/tests/forward/hosts.rs
@@ -235,3 +235,27 @@
     assert_eq!(meanwhile, 2);
     wait_until(|| app.version() == 3).await;
 }
+
+#[tokio::test]
+async fn a_host_whose_entry_a_restored_store_has_kept_deletes_it_at_its_shutdown() {
+    let (client, address) = start_store_with_address().await;
+    let (app, registration) = start_listed_host("here", &client).await;
+    until_listed(&client, "here", true).await;
+    control(address, "copy").await;
+    control(address, "restore").await;
+    // A change in the new epoch, after which the host knows it.
+    let kind = native::DIRECTORY.config_kind;
+    let version = client.read(kind, "main").await.unwrap().version;
+    let newer = Config { version: 2, ..config() };
+    client.replace(kind, "main", version, &serde_json::to_value(&newer).unwrap()).await.unwrap();
+    wait_until(|| app.version() == 2).await;
+    // The host reads the hosts' list again after its pause between two answers.
+    let deleted = async {
+        while entry(&client, "here").await.is_some() {
+            registration.deregister().await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    };
+
+    tokio::time::timeout(Duration::from_secs(20), deleted).await.expect("deleted in time");
+}
