Log why a broken stream is not resumed

Change: each of them is a `cause` of the line `stream not resumed`, with the attempts made and allowed.

--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -149,15 +149,31 @@
         self.job.route.kind == Kind::Stream { resumable: true }
     }
 
+    /// Returns why the stream may not be sent to another engine, or `None` if it may. In that case a retry is
+    /// charged to the service's retry budget.
+    fn resume_obstacle(&self, retry_state: &mut RetryState) -> Option<&'static str> {
+        if !self.may_resume() {
+            Some("route")
+        } else if self.job.left().is_zero() {
+            Some("deadline")
+        } else if retry_state.sent >= self.job.route.attempts {
+            Some("attempts")
+        } else if !retry_state.spend_retry(&self.job) {
+            Some("retry_budget")
+        } else {
+            None
+        }
+    }
+
     /// Resumes the stream at another engine after the last forwarded event. Returns `None` if the route, its number
     /// of attempts or the retry budget doesn't allow it, the caller disconnects, no engine begins to answer, or
     /// the engine's status is not a success.
     async fn resume(&mut self, retry_state: &mut RetryState) -> Option<EngineResponse> {
-        if !self.may_resume() || self.job.left().is_zero() {
-            return None;
-        }
         retry_state.sent += 1;
-        if retry_state.sent >= self.job.route.attempts || !retry_state.spend_retry(&self.job) {
+        if let Some(cause) = self.resume_obstacle(retry_state) {
+            let (id, sent, attempts) =
+                (self.job.head.id.as_deref(), retry_state.sent, self.job.route.attempts);
+            tracing::info!(id, cause, sent, attempts, "stream not resumed");
             return None;
         }
         self.events.clear();
