--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -10,4 +10,5 @@
 mod peers;
 mod plain;
 mod shutdown;
+mod silence;
 mod streams;
--- a/crates/forward/tests/forward/streams.rs
+++ b/crates/forward/tests/forward/streams.rs
@@ -1,31 +1,14 @@
 //! Tests of requests to model engines: prefill, generation, streams and their resumption.
 
 use crate::fixture::backend::{
-    Backend, ReceivedRequest, Step, answer_prefill, chunk, event, refuse_as_not_run, send,
-    stream_end, stream_head,
+    Backend, ReceivedRequest, Step, answer_prefill, chunk, complete_stream, event, events,
+    refuse_as_not_run, send, stream_end, stream_events, stream_head,
 };
 use crate::fixture::caller::{call, connect, generation};
-use crate::fixture::{Host, decode, host, prefill, wait_until};
+use crate::fixture::{decode, engines, host, prefill, wait_until};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 
-/// Returns the steps that send a stream's head and its events up to `last`, starting after the request's
-/// `last-event-id`.
-fn stream_events(request: &ReceivedRequest, last: u64) -> Vec<Step> {
-    let last_event: u64 =
-        request.header("last-event-id").map_or(0, |last_event| last_event.parse().unwrap());
-    let mut steps = vec![stream_head(request)];
-    steps.extend((last_event + 1..=last).map(event));
-    steps
-}
-
-/// Sends a stream of four events and ends it.
-fn complete_stream(request: &ReceivedRequest) -> Vec<Step> {
-    let mut steps = stream_events(request, 4);
-    steps.push(stream_end());
-    steps
-}
-
 /// Sends two events and a part of the third, then resets the connection.
 fn break_stream(request: &ReceivedRequest) -> Vec<Step> {
     let mut steps = stream_events(request, 2);
@@ -40,20 +23,6 @@
     steps
 }
 
-/// Returns the bytes of the events from one identifier to another.
-fn events(first_id: u64, last_id: u64) -> String {
-    (first_id..=last_id).map(|id| format!("id: {id}\ndata: event {id}\n\n")).collect()
-}
-
-/// Starts a host with one prefill engine and some decode engines.
-async fn engines(prefiller: &Backend, decoders: &[&Backend]) -> Host {
-    let mut servers = vec![prefill("prefill-1", prefiller)];
-    servers.extend(
-        decoders.iter().enumerate().map(|(n, decoder)| decode(&format!("decode-{n}"), decoder)),
-    );
-    host(servers).await
-}
-
 #[tokio::test]
 async fn a_prompt_is_prefilled_at_one_engine_and_generated_at_another() {
     let (prefiller, decoder) =
