Keep a silent engine until another one has the request

Cause: a resumable stream whose engine was silent for 1.2 s was given up at once, before it was known whether another engine could continue it. Where none could (attempts used up, retry budget empty, no room, the other engine full or silent as well), nothing was left to answer with. Class: a timeout taken for a failure before its replacement is certain.

Change: `attempt::takeover`. After 1.2 s of silence another engine is looked for while the silent one is still read. The silent one keeps the request if it goes on first or if no other engine may or can take it. Otherwise its connection is closed as soon as the other one begins to answer, 0.3 s after the request was sent there at the latest, so that no two engines work on it. The same before the head, which was answered 502. An engine that goes on counts as sound again.

Why this works: no step gives up what the caller has before something better is there, and the only step without both engines is after the request was sent to the second one, which is then waited for until the deadline.

--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -4,6 +4,7 @@
 //! as well, at a prefill engine. The prefill engine keeps the KV cache under a handle, which the decode engine uses
 //! to fetch it.
 
+use super::takeover::{self, Takeover};
 use super::{Failure, Job, RESUME_TIMEOUT, RetryState, relay, response_headers};
 use crate::answer::{self, Body, Cause, Refusal};
 use crate::app::{Admission, Target};
@@ -15,6 +16,7 @@
 use chestnutrack_process::clock;
 use chestnutrack_process::pool::Stream;
 use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
 use hyper::Response;
 use hyper::http::response;
@@ -45,6 +47,15 @@
 /// KV cache that the engine which prefilled it keeps for a limited time.
 const HANDLE_TRANSFER_MARGIN: Duration = Duration::from_millis(100);
 
+/// Where a generation begins: at its start, or after the part of its stream that the caller has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct StartPoint {
+    /// Identifier of the last event that the caller has.
+    pub(super) last_event: Option<u64>,
+    /// Length of that part, in tokens.
+    pub(super) generated_tokens: u64,
+}
+
 /// Response of an engine that has begun to answer a generation.
 pub(super) struct EngineResponse {
     /// Head of the response.
@@ -55,9 +66,70 @@
     pub(super) admission: Admission,
 }
 
+/// A generation that was sent to an engine whose response has not begun. Dropping it closes the connection to the
+/// engine and releases the reservations.
+pub(super) struct PendingAttempt {
+    admission: Admission,
+    cache: Option<PrefilledCache>,
+    response: BoxFuture<'static, Result<Response<Stream>, Failure>>,
+    /// Result of `response` that was awaited but not yet taken.
+    result: Option<Result<Response<Stream>, Failure>>,
+}
+
+impl PendingAttempt {
+    /// Sends the request to the admitted decode engine, with the handle of its KV cache if there is one.
+    pub(super) fn send(
+        job: &Arc<Job>,
+        prepared: PreparedGeneration,
+        last_event: Option<u64>,
+    ) -> PendingAttempt {
+        let PreparedGeneration { admission, cache } = prepared;
+        let step = cache.as_ref().map_or(Step::Whole, |cache| Step::Generate(cache.handle.clone()));
+        let (job, target) = (job.clone(), admission.decode.clone());
+        let response = Box::pin(async move {
+            let added_values = AddedValues { step, last_event, ..job.added_values(&target) };
+            job.send(&target, &added_values).await
+        });
+        PendingAttempt { admission, cache, response, result: None }
+    }
+
+    /// Waits for the head of the response and returns it with the body.
+    async fn response(&mut self) -> Result<Response<Stream>, Failure> {
+        let result = match self.result.take() {
+            Some(result) => result,
+            None => (&mut self.response).await,
+        };
+        // The handle counts as consumed unless the engine certainly never received it or states that it had no
+        // room for the request.
+        let consumed = match &result {
+            Ok(_) => true,
+            Err(Failure::NotRun | Failure::Misdirected) => false,
+            Err(failure) => !failure.is_unsent(),
+        };
+        if let Some(cache) = &mut self.cache {
+            cache.consumed = consumed;
+        }
+        result
+    }
+
+    /// Waits until the response begins or the attempt fails, and returns the failure. The response can be awaited
+    /// afterwards.
+    pub(super) async fn failure(&mut self) -> Option<Failure> {
+        let result = self.response().await;
+        let failure = result.as_ref().err().copied();
+        self.result = Some(result);
+        failure
+    }
+
+    /// Returns the engine that generates.
+    pub(super) fn engine(&self) -> &Target {
+        &self.admission.decode
+    }
+}
+
 /// A KV cache that a prefill engine keeps for this request. Dropping it frees the handle unless another engine
 /// consumed it.
-struct PrefilledCache {
+pub(super) struct PrefilledCache {
     job: Arc<Job>,
     /// Engine that keeps the cache.
     target: Target,
@@ -109,12 +181,19 @@
     }
 }
 
+/// A generation that is ready to be sent to an engine: admitted, and its prompt prefilled.
+pub(super) struct PreparedGeneration {
+    pub(super) admission: Admission,
+    /// KV cache of the prompt; `None` if the engine that generates also prefills.
+    pub(super) cache: Option<PrefilledCache>,
+}
+
 /// Prefills the prompt and starts the generation. Returns the head of the engine's response with a body that a
 /// background task fills with the engine's stream.
 pub(super) async fn run(job: Arc<Job>, engine: Engine) -> Result<Response<Body>, Refusal> {
     let mut retry_state = RetryState::default();
-    let last_event = job.head.last_event;
-    let engine_response = start_generation(&job, &engine, &mut retry_state, last_event, 0).await;
+    let start = StartPoint { last_event: job.head.last_event, ..StartPoint::default() };
+    let engine_response = start_generation(&job, &engine, &mut retry_state, start).await;
     let engine_response = engine_response.map_err(|refusal| retry_state.refusal(refusal))?;
     job.record_answer(&engine_response.admission.decode, engine_response.head.status.as_u16());
     let mut response = Response::new(());
@@ -125,33 +204,89 @@
     Ok(response.map(|()| answer::streaming(receiver)))
 }
 
-/// Admits and prefills the request and sends it to engines until one begins to answer. Also resumes a stream
-/// after `last_event`, the last event that the caller has; `generated_tokens` is the length of that stream so
-/// far.
+/// Admits and prefills the request and sends it to engines until one begins to answer. Also resumes a stream that
+/// broke off.
 pub(super) async fn start_generation(
     job: &Arc<Job>,
     engine: &Engine,
     retry_state: &mut RetryState,
-    last_event: Option<u64>,
-    generated_tokens: u64,
+    start: StartPoint,
 ) -> Result<EngineResponse, Refusal> {
-    let mut cache: Option<PrefilledCache> = None;
+    let attempt = send_generation(job, engine, retry_state, start, None).await?;
+    await_response(job, engine, retry_state, start, attempt).await
+}
+
+/// Admits and prefills the request and sends it to an engine. `cache` is the KV cache of an attempt that did not use
+/// it.
+async fn send_generation(
+    job: &Arc<Job>,
+    engine: &Engine,
+    retry_state: &mut RetryState,
+    start: StartPoint,
+    mut cache: Option<PrefilledCache>,
+) -> Result<PendingAttempt, Refusal> {
     loop {
         cache = cache.filter(|cache| cache.is_fresh(engine));
-        let mut admission = admit(job, generated_tokens, cache.is_some()).await?;
+        let mut admission = admit(job, start.generated_tokens, cache.is_some()).await?;
         if cache.is_none() {
-            cache = match prefill(job, &mut admission, retry_state, last_event).await {
+            cache = match prefill(job, &mut admission, retry_state, start.last_event).await {
                 Ok(cache) => cache,
                 Err(PrefillError::Retry) => continue,
                 // A prefill is not a run of the request.
                 Err(PrefillError::Failed) => return Err(Failure::NotRun.refusal()),
             };
         }
-        match generate(job, &admission, cache.as_mut(), last_event).await {
-            Ok((head, stream)) => return Ok(EngineResponse { head, stream, admission }),
-            Err(failure) if retry_state.record_failure(job, failure) => {}
-            Err(failure) => return Err(failure.refusal()),
+        let prepared = PreparedGeneration { admission, cache };
+        return Ok(PendingAttempt::send(job, prepared, start.last_event));
+    }
+}
+
+/// Waits until the engine of an attempt begins to answer, or another one after it failed or fell silent.
+pub(super) async fn await_response(
+    job: &Arc<Job>,
+    engine: &Engine,
+    retry_state: &mut RetryState,
+    start: StartPoint,
+    mut attempt: PendingAttempt,
+) -> Result<EngineResponse, Refusal> {
+    loop {
+        let result = match job.silence_limit() {
+            None => attempt.response().await,
+            Some(limit) => match timeout(limit, attempt.response()).await {
+                Ok(result) => result,
+                Err(_) => {
+                    let silent = attempt.engine().clone();
+                    let next = async |attempt: &mut PendingAttempt| attempt.response().await;
+                    match takeover::run(job, retry_state, start, &silent, attempt, next).await {
+                        Takeover::Continued(old, result) => {
+                            attempt = old;
+                            result
+                        }
+                        Takeover::Kept(old) => {
+                            attempt = old;
+                            continue;
+                        }
+                        Takeover::Replaced(new) => {
+                            attempt = *new;
+                            continue;
+                        }
+                    }
+                }
+            },
+        };
+        let PendingAttempt { admission, cache, .. } = attempt;
+        let failure = match result {
+            Ok(response) => {
+                let (head, stream) = response.into_parts();
+                return Ok(EngineResponse { head, stream, admission });
+            }
+            Err(failure) => failure,
+        };
+        if !retry_state.record_failure(job, failure) {
+            return Err(failure.refusal());
         }
+        drop(admission);
+        attempt = send_generation(job, engine, retry_state, start, cache).await?;
     }
 }
 
@@ -167,7 +302,7 @@
 ///
 /// A request that is prefilled or resumed is urgent: work already done for it would be lost if it had to wait. It
 /// waits for at most [`URGENT_ADMISSION_TIMEOUT`], whatever its latency target.
-async fn admit(
+pub(super) async fn admit(
     job: &Arc<Job>,
     generated_tokens: u64,
     prefilled: bool,
@@ -228,42 +363,8 @@
     }
 }
 
-/// Sends the request to the engine that generates, with the handle of its KV cache if there is one. Returns the
-/// head and the body of the engine's response. Records in `cache` whether the engine may have consumed the handle.
-async fn generate(
-    job: &Arc<Job>,
-    admission: &Admission,
-    cache: Option<&mut PrefilledCache>,
-    last_event: Option<u64>,
-) -> Result<(response::Parts, Stream), Failure> {
-    let step = cache.as_ref().map_or(Step::Whole, |cache| Step::Generate(cache.handle.clone()));
-    let added_values = AddedValues { step, last_event, ..job.added_values(&admission.decode) };
-    let result = match job.route.kind.may_repeat() {
-        true => {
-            let response =
-                timeout(RESUME_TIMEOUT, job.send(&admission.decode, &added_values)).await;
-            response.unwrap_or_else(|_| {
-                job.app.record_outcome(&admission.decode, Outcome::Failure);
-                Err(Failure::Silent)
-            })
-        }
-        false => job.send(&admission.decode, &added_values).await,
-    };
-    // The handle counts as consumed unless the engine certainly never received it or states that it had no
-    // room for the request.
-    let consumed = match &result {
-        Ok(_) => true,
-        Err(Failure::NotRun | Failure::Misdirected) => false,
-        Err(failure) => !failure.is_unsent(),
-    };
-    if let Some(cache) = cache {
-        cache.consumed = consumed;
-    }
-    result.map(Response::into_parts)
-}
-
 /// What to do after a prompt could not be prefilled.
-enum PrefillError {
+pub(super) enum PrefillError {
     /// Request a new admission and try again.
     Retry,
     /// Give up: no further prefill may be tried.
@@ -298,7 +399,7 @@
 /// A prefill that fails or is overdue is sent to another engine under the same admission. The first answer is
 /// used: an overdue prefill may still complete before its retry, and is waited for if no other engine can be
 /// tried.
-async fn prefill(
+pub(super) async fn prefill(
     job: &Arc<Job>,
     admission: &mut Admission,
     retry_state: &mut RetryState,
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -8,6 +8,7 @@
 mod generation;
 mod plain;
 mod relay;
+mod takeover;
 #[cfg(test)]
 mod tests;
 
@@ -117,7 +118,7 @@
 /// Highest number of servers tried for one request while nothing could be sent to any of them.
 const MAX_UNSENT: u32 = 3;
 
-/// Longest silence of a resumable stream, also before its head, before it is resumed at another engine.
+/// Longest silence of a resumable stream, also before its head, before another engine is looked for.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Highest number of prefill attempts for one request.
 const MAX_PREFILLS: u32 = 3;
@@ -155,8 +156,7 @@
             self.log_decision(job, failure, may_retry);
             return may_retry;
         }
-        self.sent += 1;
-        self.may_have_run |= failure.may_have_run();
+        self.record_sent(failure);
         let may_repeat = match failure {
             Failure::Unknown | Failure::Silent => job.route.kind.may_repeat(),
             Failure::TimedOut => false,
@@ -167,6 +167,25 @@
         may_retry
     }
 
+    /// Records that the request was sent to a server, which failed in this way.
+    fn record_sent(&mut self, failure: Failure) {
+        self.sent += 1;
+        self.may_have_run |= failure.may_have_run();
+    }
+
+    /// Returns why the request may not be sent to one more server than it is at now, or `None` if it may.
+    fn obstacle(&self, job: &Job) -> Option<&'static str> {
+        if !job.route.kind.may_repeat() {
+            Some("route")
+        } else if job.left().is_zero() {
+            Some("deadline")
+        } else if self.sent + 1 >= job.route.attempts {
+            Some("attempts")
+        } else {
+            None
+        }
+    }
+
     /// Logs whether a failed attempt is followed by another (`again`), and the counts that decided it.
     fn log_decision(&self, job: &Job, failure: Failure, again: bool) {
         let (id, failure) = (job.head.id.as_deref(), failure.name());
@@ -231,6 +250,12 @@
         self.deadline.since(clock::now())
     }
 
+    /// Returns how long an engine may be silent before another one is looked for; `None` if the request may not run
+    /// again, so that none can be.
+    fn silence_limit(&self) -> Option<Duration> {
+        self.route.kind.may_repeat().then_some(RESUME_TIMEOUT)
+    }
+
     /// Returns the version of the configuration under which the request was admitted.
     fn version(&self) -> u64 {
         self.active_config.table.config().version
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -2,11 +2,14 @@
 //! route allows that. Resuming starts a new generation that continues after the last forwarded event.
 
 use super::events::{Event, EventSplitter};
-use super::generation::{EngineResponse, start_generation};
-use super::{Job, RESUME_TIMEOUT, RetryState};
-use crate::config::{Engine, Kind};
+use super::generation::{EngineResponse, StartPoint, await_response, start_generation};
+use super::takeover::{self, Takeover};
+use super::{Failure, Job, RetryState};
+use crate::answer::Refusal;
+use crate::config::Engine;
 use bytes::Bytes;
 use chestnutrack_core::dispatch::Outcome;
+use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::http::Error;
 use std::sync::Arc;
@@ -20,6 +23,8 @@
     Whole,
     /// The stream broke off, or an event was out of order.
     Broken,
+    /// The engine has been silent for so long that another one is looked for.
+    Silent,
     /// The caller disconnected.
     CallerGone,
 }
@@ -34,6 +39,10 @@
     last_event: Option<u64>,
     /// Events forwarded to the caller.
     forwarded_events: u64,
+    /// Whether the current engine's stream has ended.
+    is_ended: bool,
+    /// How often another engine has continued the stream.
+    resumed: u32,
 }
 
 /// Forwards a stream, resuming it where possible, until it ends or the caller disconnects, and records how it ended.
@@ -53,30 +62,33 @@
         events: EventSplitter::default(),
         last_event,
         forwarded_events: 0,
+        is_ended: false,
+        resumed: 0,
     };
-    let mut resumed = 0;
     let end = loop {
         let end = relay.forward(&mut response).await;
-        match end {
+        let next = match end {
             End::Whole => {
                 response.admission.complete();
                 break end;
             }
             End::CallerGone => break end,
-            End::Broken => {}
-        }
-        drop(response);
-        match relay.resume(&mut retry_state).await {
+            End::Silent => relay.replace_silent(&mut retry_state, response).await,
+            End::Broken => {
+                drop(response);
+                relay.resume(&mut retry_state).await
+            }
+        };
+        match next {
             Some(next) => response = next,
-            None => break end,
+            None => break End::Broken,
         }
-        resumed += 1;
     };
-    relay.record_end(end, resumed).await;
+    relay.record_end(end).await;
 }
 
 impl Relay {
-    /// Forwards the events of one engine's stream until it ends or breaks, or the caller disconnects.
+    /// Forwards the events of one engine's stream until it ends, breaks or falls silent, or the caller disconnects.
     async fn forward(&mut self, response: &mut EngineResponse) -> End {
         loop {
             while let Some(event) = self.events.next() {
@@ -85,44 +97,56 @@
                     Some(end) => return end,
                 }
             }
-            match self.next_chunk(response).await {
-                Some(Ok(Some(bytes))) => self.events.push(&bytes),
-                Some(Ok(None)) if !self.events.has_partial_event() => return End::Whole,
-                Some(Ok(None)) => return End::Broken,
-                Some(Err(error)) => {
-                    response.stream.discard();
-                    self.job.app.record_outcome(&response.admission.decode, Outcome::Failure);
-                    let (id, server) =
-                        (self.job.head.id.as_deref(), &response.admission.decode.entry.name);
-                    tracing::info!(id, %server, %error, passed = self.forwarded_events, "stream broke");
-                    return End::Broken;
-                }
-                None => {
-                    response.stream.discard();
-                    return End::CallerGone;
-                }
+            match self.is_ended {
+                true if self.events.has_partial_event() => return End::Broken,
+                true => return End::Whole,
+                false => {}
+            }
+            if let Some(end) = self.receive(response).await {
+                return end;
             }
         }
     }
 
-    /// Returns the next bytes from an engine (`Some(Ok(None))` at the end of its stream), or `None` if the
-    /// caller disconnected. A resumable stream fails after a short silence, since another engine can continue it; any
-    /// other stream may be silent until the deadline.
-    async fn next_chunk(
-        &self,
-        response: &mut EngineResponse,
-    ) -> Option<Result<Option<Bytes>, Error>> {
-        let chunk_timeout = match self.may_resume() {
-            true => RESUME_TIMEOUT,
-            false => self.job.left(),
+    /// Waits for the next bytes from an engine. Returns why there are none: the stream broke off, the engine of a
+    /// resumable stream is silent, or the caller disconnected. The engine of any other stream may be silent until
+    /// the deadline.
+    async fn receive(&mut self, response: &mut EngineResponse) -> Option<End> {
+        let left = self.job.left();
+        let limit = self.job.silence_limit().map_or(left, |limit| limit.min(left));
+        let chunk = tokio::select! {
+            chunk = timeout(limit, response.stream.chunk()) => chunk,
+            () = self.caller.closed() => {
+                response.stream.discard();
+                return Some(End::CallerGone);
+            }
         };
-        tokio::select! {
-            chunk = timeout(chunk_timeout, response.stream.chunk()) => {
-                let timeout_error = Error::Timeout(chunk_timeout.as_millis() as u64);
-                Some(chunk.unwrap_or(Err(timeout_error)))
+        match chunk {
+            Ok(chunk) => self.push(response, chunk),
+            Err(_) if limit < left => Some(End::Silent),
+            Err(_) => self.push(response, Err(Error::Timeout(self.job.age_ms()))),
+        }
+    }
+
+    /// Adds what an engine sent to the events. Returns [`End::Broken`] if its stream broke off.
+    fn push(
+        &mut self,
+        response: &mut EngineResponse,
+        chunk: Result<Option<Bytes>, Error>,
+    ) -> Option<End> {
+        match chunk {
+            Ok(Some(bytes)) => self.events.push(&bytes),
+            Ok(None) => self.is_ended = true,
+            Err(error) => {
+                response.stream.discard();
+                self.job.app.record_outcome(&response.admission.decode, Outcome::Failure);
+                let (id, server) =
+                    (self.job.head.id.as_deref(), &response.admission.decode.entry.name);
+                tracing::info!(id, %server, %error, passed = self.forwarded_events, "stream broke");
+                return Some(End::Broken);
             }
-            () = self.caller.closed() => None,
         }
+        None
     }
 
     /// Forwards one event if its identifier follows the last one. Returns `None` if it was forwarded, otherwise why
@@ -144,24 +168,49 @@
         self.caller.send(event.bytes).await.is_err().then_some(End::CallerGone)
     }
 
-    /// Returns `true` if the route allows streams to be resumed.
-    fn may_resume(&self) -> bool {
-        self.job.route.kind == Kind::Stream { resumable: true }
+    /// Returns where another engine has to continue the stream.
+    fn start_point(&self) -> StartPoint {
+        StartPoint {
+            last_event: self.last_event,
+            generated_tokens: self.forwarded_events * u64::from(self.engine.tokens_per_event),
+        }
     }
 
-    /// Returns why the stream may not be sent to another engine, or `None` if it may. In that case a retry is
-    /// charged to the service's retry budget.
-    fn resume_obstacle(&self, retry_state: &mut RetryState) -> Option<&'static str> {
-        if !self.may_resume() {
-            Some("route")
-        } else if self.job.left().is_zero() {
-            Some("deadline")
-        } else if retry_state.sent >= self.job.route.attempts {
-            Some("attempts")
-        } else if !retry_state.spend_retry(&self.job) {
-            Some("retry_budget")
-        } else {
-            None
+    /// Looks for another engine for a stream whose engine is silent. Returns the response to go on with: of the silent
+    /// engine if it went on or no other engine took over, otherwise of the other one. Returns `None` if the caller
+    /// disconnects or the other engine fails.
+    async fn replace_silent(
+        &mut self,
+        retry_state: &mut RetryState,
+        response: EngineResponse,
+    ) -> Option<EngineResponse> {
+        let (job, start, caller) = (self.job.clone(), self.start_point(), self.caller.clone());
+        let silent = response.admission.decode.clone();
+        let next = async |response: &mut EngineResponse| response.stream.chunk().await;
+        let takeover = tokio::select! {
+            takeover = takeover::run(&job, retry_state, start, &silent, response, next) => takeover,
+            () = caller.closed() => return None,
+        };
+        match takeover {
+            Takeover::Kept(response) => Some(response),
+            Takeover::Continued(mut response, chunk) => match self.push(&mut response, chunk) {
+                None => {
+                    job.app.record_outcome(&silent, Outcome::Answer);
+                    Some(response)
+                }
+                Some(_) => {
+                    drop(response);
+                    self.resume(retry_state).await
+                }
+            },
+            Takeover::Replaced(attempt) => {
+                let started_at = clock::now();
+                let response = tokio::select! {
+                    response = await_response(&job, &self.engine, retry_state, start, *attempt) => response,
+                    () = caller.closed() => return None,
+                };
+                self.record_resumed(started_at, response)
+            }
         }
     }
 
@@ -169,27 +218,42 @@
     /// of attempts or the retry budget doesn't allow it, the caller disconnects, no engine begins to answer, or
     /// the engine's status is not a success.
     async fn resume(&mut self, retry_state: &mut RetryState) -> Option<EngineResponse> {
-        retry_state.sent += 1;
-        if let Some(cause) = self.resume_obstacle(retry_state) {
+        let obstacle = match retry_state.obstacle(&self.job) {
+            None if !retry_state.spend_retry(&self.job) => Some("retry_budget"),
+            obstacle => obstacle,
+        };
+        retry_state.record_sent(Failure::Unknown);
+        if let Some(cause) = obstacle {
             let (id, sent, attempts) =
                 (self.job.head.id.as_deref(), retry_state.sent, self.job.route.attempts);
             tracing::info!(id, cause, sent, attempts, "stream not resumed");
             return None;
         }
-        self.events.clear();
-        let generated_tokens = self.forwarded_events * u64::from(self.engine.tokens_per_event);
         let started_at = clock::now();
-        let caller = self.caller.clone();
-        let resumed = tokio::select! {
-            resumed = start_generation(&self.job, &self.engine, retry_state, self.last_event, generated_tokens) => resumed,
+        let (job, start, caller) = (self.job.clone(), self.start_point(), self.caller.clone());
+        let response = tokio::select! {
+            response = start_generation(&job, &self.engine, retry_state, start) => response,
             () = caller.closed() => return None,
         };
+        self.record_resumed(started_at, response)
+    }
+
+    /// Prepares for the events of another engine, which began to answer, and returns its response; `None` if no
+    /// engine did or its status is not a success.
+    fn record_resumed(
+        &mut self,
+        started_at: Instant,
+        response: Result<EngineResponse, Refusal>,
+    ) -> Option<EngineResponse> {
         let id = self.job.head.id.as_deref();
         let after_ms = clock::now().since(started_at).as_millis() as u64;
-        match resumed {
+        match response {
             Ok(response) if response.head.status.is_success() => {
                 let server = &response.admission.decode.entry.name;
                 tracing::info!(id, %server, last = self.last_event, after_ms, "stream resumed");
+                self.events.clear();
+                self.is_ended = false;
+                self.resumed += 1;
                 Some(response)
             }
             Ok(response) => {
@@ -204,12 +268,11 @@
         }
     }
 
-    /// Ends the caller's body, and counts and logs how the stream ended. `resumed` is the number of times that it was
-    /// resumed.
-    async fn record_end(&self, end: End, resumed: u32) {
+    /// Ends the caller's body, and counts and logs how the stream ended.
+    async fn record_end(&self, end: End) {
         let name = match end {
             End::Whole => "whole",
-            End::Broken => "broken",
+            End::Broken | End::Silent => "broken",
             End::CallerGone => "caller_gone",
         };
         if end == End::Whole {
@@ -223,7 +286,7 @@
             id,
             end = name,
             events = self.forwarded_events,
-            resumed,
+            resumed = self.resumed,
             after_ms,
             "stream ended"
         );
--- /dev/null
+++ b/crates/forward/src/attempt/takeover.rs
@@ -0,0 +1,102 @@
+//! Replaces an engine that has fallen silent.
+//!
+//! A silent engine may be sound and go on. So its connection stays open until another engine has the request, and
+//! whichever of the two goes on first is used.
+
+use super::generation::{PendingAttempt, PreparedGeneration, StartPoint, admit, prefill};
+use super::{Failure, Job, RetryState};
+use crate::app::Target;
+use chestnutrack_core::dispatch::Outcome;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Longest time for which a silent engine keeps the request after it was sent to another one. If that one refuses
+/// it within this time, the silent engine can still go on; beyond it, two engines could work on the request.
+const OVERLAP_MAX: Duration = Duration::from_millis(300);
+
+/// Which engine has the request after one has fallen silent.
+pub(super) enum Takeover<Old, T> {
+    /// The silent engine has gone on.
+    Continued(Old, T),
+    /// No other engine has taken the request; the silent one may still go on.
+    Kept(Old),
+    /// Another engine has the request, and the connection to the silent one is closed.
+    Replaced(Box<PendingAttempt>),
+}
+
+/// Looks for another engine for the request that the engine `silent` has. `old` is what holds the connection to
+/// that engine, and `next` waits for what comes from it.
+pub(super) async fn run<Old, T>(
+    job: &Arc<Job>,
+    retry_state: &mut RetryState,
+    start: StartPoint,
+    silent: &Target,
+    mut old: Old,
+    mut next: impl AsyncFnMut(&mut Old) -> T,
+) -> Takeover<Old, T> {
+    job.app.record_outcome(silent, Outcome::Failure);
+    job.app.metrics.failures.with_label_values(&[Failure::Silent.name()]).inc();
+    let prepared = tokio::select! {
+        output = next(&mut old) => {
+            let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
+            tracing::info!(id, %server, after_ms = job.age_ms(), "silent engine went on");
+            return Takeover::Continued(old, output);
+        }
+        prepared = prepare(job, retry_state, start, silent) => prepared,
+    };
+    let prepared = match prepared {
+        Ok(prepared) => prepared,
+        Err(cause) => {
+            log_kept(job, retry_state, silent, cause);
+            return Takeover::Kept(old);
+        }
+    };
+    let mut attempt = PendingAttempt::send(job, prepared, start.last_event);
+    if let Ok(Some(failure)) = timeout(OVERLAP_MAX, attempt.failure()).await {
+        if !failure.is_unsent() {
+            retry_state.record_sent(failure);
+        }
+        log_kept(job, retry_state, silent, failure.name());
+        return Takeover::Kept(old);
+    }
+    retry_state.record_sent(Failure::Silent);
+    let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
+    let (by, sent) = (&attempt.engine().entry.name, retry_state.sent);
+    tracing::info!(id, %server, %by, sent, after_ms = job.age_ms(), "silent engine replaced");
+    Takeover::Replaced(Box::new(attempt))
+}
+
+/// Prepares the generation at an engine other than `silent`: reserves places and prefills the prompt.
+///
+/// # Errors
+///
+/// Returns why that is not possible.
+async fn prepare(
+    job: &Arc<Job>,
+    retry_state: &mut RetryState,
+    start: StartPoint,
+    silent: &Target,
+) -> Result<PreparedGeneration, &'static str> {
+    if let Some(obstacle) = retry_state.obstacle(job) {
+        return Err(obstacle);
+    }
+    let admission = admit(job, start.generated_tokens, false).await;
+    let mut admission = admission.map_err(|refusal| refusal.cause.name())?;
+    if admission.decode.key == silent.key {
+        return Err("no_other_engine");
+    }
+    if !retry_state.spend_retry(job) {
+        return Err("retry_budget");
+    }
+    let cache = prefill(job, &mut admission, retry_state, start.last_event).await;
+    let cache = cache.map_err(|_| "prefill")?;
+    Ok(PreparedGeneration { admission, cache })
+}
+
+/// Logs why a silent engine keeps the request.
+fn log_kept(job: &Job, retry_state: &RetryState, silent: &Target, cause: &str) {
+    let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
+    let (sent, attempts) = (retry_state.sent, job.route.attempts);
+    tracing::info!(id, %server, cause, sent, attempts, after_ms = job.age_ms(), "silent engine kept");
+}
