Log the shared parts of a prompt where it is placed

Change: `placed` lists the identifiers of all parts but the last, which belongs to the request alone. They are hashes; no text of a prompt is logged.

--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -346,9 +346,10 @@
             } = admission.basis();
             let (version, news_ms) = (job.version(), news_age.as_millis() as u64);
             let prefilled_ms = expected_prefill_time.as_millis() as u64;
+            let parts = generation.shared_parts().map(|part| &**part).collect::<Vec<_>>().join(",");
             tracing::info!(
                 id, %decode, prefill, waited_ms, tokens, urgent, runs, peak, prefilled_ms,
-                news_ms, version,
+                news_ms, version, parts,
                 "placed"
             );
             job.app.metrics.stages.with_label_values(&["turn"]).observe(waited_ms as f64 / 1e3);
--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -46,6 +46,14 @@
     pub parts: Vec<Part>,
 }
 
+impl Generation {
+    /// Returns the identifiers of the parts that other requests may have too: all but the last one.
+    pub fn shared_parts(&self) -> impl Iterator<Item = &Arc<str>> {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| &part.id)
+    }
+}
+
 /// A part of a prompt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Part {
