--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -63,6 +63,15 @@
     pub tokens: u64,
 }
 
+/// Parses the parts of a prompt from `ID:TOKENS` entries separated by commas. Malformed entries are left out.
+pub fn parse_parts(text: &str) -> Vec<Part> {
+    let parts = text.split(',').filter_map(|part| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some(Part { id: id.into(), tokens: tokens.parse().ok()? })
+    });
+    parts.collect()
+}
+
 /// Values that the router adds to a request for a backend server.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AddedValues {
--- a/crates/forward/src/native/headers.rs
+++ b/crates/forward/src/native/headers.rs
@@ -1,6 +1,6 @@
 //! Headers of requests and answers in the native dialect.
 
-use crate::dialect::{AddedValues, Generation, RequestHead, ResponseHead, Step};
+use crate::dialect::{AddedValues, Generation, RequestHead, ResponseHead, Step, parse_parts};
 use chestnutrack_process::header::{self, number, text};
 use hyper::StatusCode;
 use hyper::header::{AUTHORIZATION, CONTENT_ENCODING, HeaderMap};
@@ -12,6 +12,8 @@
 pub const DEADLINE: &str = "x-chestnutrack-deadline-ms";
 /// Number of tokens in the prompt and highest number in the answer, separated by a comma.
 pub const TOKENS: &str = "x-chestnutrack-tokens";
+/// Parts of the prompt in order, as `ID:TOKENS` entries separated by commas.
+pub const PARTS: &str = "x-chestnutrack-parts";
 /// Number of tokens that the caller expects in the answer.
 pub const EXPECTED: &str = "x-chestnutrack-expected";
 /// Name of the intended server of a request.
@@ -32,7 +34,7 @@
 /// Prefix of the headers that are removed from callers' requests, except those in [`CALLER_HEADERS`].
 const RESERVED_PREFIX: &str = "x-chestnutrack-";
 /// Headers with that prefix that callers may set.
-const CALLER_HEADERS: &[&str] = &[REQUEST, TOKENS, EXPECTED];
+const CALLER_HEADERS: &[&str] = &[REQUEST, TOKENS, PARTS, EXPECTED];
 /// Value of [`RAN`] for a request that did not run and never will.
 const NOT_RUN: &str = "not-run";
 
@@ -54,13 +56,15 @@
     })
 }
 
-/// Parses the generation's parameters from the value of the [`TOKENS`] header and from the [`EXPECTED`] header.
+/// Parses the generation's parameters from the value of the [`TOKENS`] header and from the [`PARTS`] and [`EXPECTED`]
+/// headers.
 fn parse_generation(headers: &HeaderMap, tokens: &str) -> Result<Generation, &'static str> {
     let (prompt, output) = tokens.split_once(',').ok_or(TOKENS)?;
     Ok(Generation {
         prompt_tokens: prompt.trim().parse().map_err(|_| TOKENS)?,
         output_tokens: output.trim().parse().map_err(|_| TOKENS)?,
         hint: number(headers, EXPECTED),
+        parts: text(headers, PARTS).map(parse_parts).unwrap_or_default(),
         ..Generation::default()
     })
 }
--- a/crates/forward/src/native/mod.rs
+++ b/crates/forward/src/native/mod.rs
@@ -6,6 +6,7 @@
 //! | `x-chestnutrack-deadline-ms` | caller, router | time left until the deadline |
 //! | `authorization: Bearer KEY` | caller | key that authenticates the caller; never forwarded |
 //! | `x-chestnutrack-tokens: PROMPT,OUTPUT` | caller | number of tokens in the prompt, and highest number in the answer |
+//! | `x-chestnutrack-parts: ID:TOKENS,...` | caller | parts of the prompt in order; the last belongs to the request alone |
 //! | `x-chestnutrack-expected` | caller | number of tokens expected in the answer |
 //! | `last-event-id` | caller, router | resume the stream after this event |
 //! | `x-chestnutrack-server` | router | name of the intended server |
@@ -35,7 +36,7 @@
 use std::sync::Arc;
 
 pub use headers::{
-    DEADLINE, EXPECTED, KV, LEAVING, ORGANISATION, RAN, REQUEST, SERVER, STEP, TOKENS,
+    DEADLINE, EXPECTED, KV, LEAVING, ORGANISATION, PARTS, RAN, REQUEST, SERVER, STEP, TOKENS,
 };
 
 /// The native dialect of callers, directory and store.
