--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -13,3 +13,4 @@
 mod shutdown;
 mod silence;
 mod streams;
+mod takeover;
