Read a silent engine until another one has begun to answer

What callers saw (in tests): a stream was cut, or an error came in place of an answer, though the silent engine was sound and went on.

Cause: once the request was sent to another engine, the silent one was no longer read for 0.3 s and then closed, whatever the other one did. That time began before there was a connection to the other engine, and an error of it counted as an answer.

Change: in the overlap both are awaited; the first that goes on is used. A head without a success is a failure of the other engine. The overlap begins when the request is about to be sent on a connection, which the pool tells.

--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -22,7 +22,7 @@
 use hyper::http::response;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 /// Highest number of body parts that are queued for a slow caller.
@@ -72,6 +72,8 @@
     admission: Admission,
     cache: Option<PrefilledCache>,
     response: BoxFuture<'static, Result<Response<Stream>, Failure>>,
+    /// Becomes `true` when there is a connection and the request is about to be sent on it.
+    sent: watch::Receiver<bool>,
     /// Result of `response` that was awaited but not yet taken.
     result: Option<Result<Response<Stream>, Failure>>,
 }
@@ -86,11 +88,15 @@
         let PreparedGeneration { admission, cache } = prepared;
         let step = cache.as_ref().map_or(Step::Whole, |cache| Step::Generate(cache.handle.clone()));
         let (job, target) = (job.clone(), admission.decode.clone());
+        let (sent_sender, sent) = watch::channel(false);
         let response = Box::pin(async move {
             let added_values = AddedValues { step, last_event, ..job.added_values(&target) };
-            job.send(&target, &added_values).await
+            let on_send = || {
+                sent_sender.send_replace(true);
+            };
+            job.send_observed(&target, &added_values, &on_send).await
         });
-        PendingAttempt { admission, cache, response, result: None }
+        PendingAttempt { admission, cache, response, sent, result: None }
     }
 
     /// Waits for the head of the response and returns it with the body.
@@ -112,13 +118,25 @@
         result
     }
 
-    /// Waits until the response begins or the attempt fails, and returns the failure. The response can be awaited
-    /// afterwards.
-    pub(super) async fn failure(&mut self) -> Option<Failure> {
+    /// Waits until the response begins. It can be awaited afterwards.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none, or [`Failure::Unknown`] if its status is not a success.
+    pub(super) async fn begun(&mut self) -> Result<(), Failure> {
         let result = self.response().await;
-        let failure = result.as_ref().err().copied();
+        let outcome = match &result {
+            Ok(response) if response.status().is_success() => Ok(()),
+            Ok(_) => Err(Failure::Unknown),
+            Err(failure) => Err(*failure),
+        };
         self.result = Some(result);
-        failure
+        outcome
+    }
+
+    /// Returns what tells whether the request has been sent.
+    pub(super) fn sent(&self) -> watch::Receiver<bool> {
+        self.sent.clone()
     }
 
     /// Returns the engine that generates.
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -283,12 +283,23 @@
         &self,
         target: &Target,
         added_values: &AddedValues,
+    ) -> Result<Response<pool::Stream>, Failure> {
+        self.send_observed(target, added_values, &|| {}).await
+    }
+
+    /// Sends the request as [`Job::send`] does. Calls `on_send` when there is a connection and the request is about to
+    /// be sent on it.
+    async fn send_observed(
+        &self,
+        target: &Target,
+        added_values: &AddedValues,
+        on_send: &(dyn Fn() + Send + Sync),
     ) -> Result<Response<pool::Stream>, Failure> {
         if self.left().is_zero() {
             return Err(Failure::Unsent);
         }
         let result = match self.app.accepts(target) {
-            true => self.exchange(target, added_values).await,
+            true => self.exchange(target, added_values, on_send).await,
             false => Err(Failure::Closed),
         };
         if let Err(failure) = &result {
@@ -323,11 +334,12 @@
         &self,
         target: &Target,
         added_values: &AddedValues,
+        on_send: &(dyn Fn() + Send + Sync),
     ) -> Result<Response<pool::Stream>, Failure> {
         let left = self.left();
         let headers = (self.app.dialect.forward_headers)(&self.parts.headers, added_values);
         let request = self.build_request(headers).ok_or(Failure::Unsent)?;
-        let response = match target.pool.call_streaming(request, left).await {
+        let response = match target.pool.call_streaming_observed(request, left, on_send).await {
             Ok(response) => response,
             Err(Error::Connect(_, ConnectError::Refused)) => return Err(Failure::Refused),
             Err(Error::Connect(_, ConnectError::PoolExhausted)) => return Err(Failure::Crowded),
--- a/crates/forward/src/attempt/takeover.rs
+++ b/crates/forward/src/attempt/takeover.rs
@@ -9,10 +9,10 @@
 use chestnutrack_core::dispatch::Outcome;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::sleep;
 
-/// Longest time for which a silent engine keeps the request after it was sent to another one. If that one refuses
-/// it within this time, the silent engine can still go on; beyond it, two engines could work on the request.
+/// Longest time for which a silent engine keeps the request after it was sent to another one. Within it the silent
+/// engine can still go on, or keep the request if the other one fails; beyond it, two engines could work on the request.
 const OVERLAP_MAX: Duration = Duration::from_millis(300);
 
 /// Which engine has the request after one has fallen silent.
@@ -39,8 +39,7 @@
     job.app.metrics.failures.with_label_values(&[Failure::Silent.name()]).inc();
     let prepared = tokio::select! {
         output = next(&mut old) => {
-            let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
-            tracing::info!(id, %server, after_ms = job.age_ms(), "silent engine went on");
+            log_went_on(job, silent);
             return Takeover::Continued(old, output);
         }
         prepared = prepare(job, retry_state, start, silent) => prepared,
@@ -53,12 +52,29 @@
         }
     };
     let mut attempt = PendingAttempt::send(job, prepared, start.last_event);
-    if let Ok(Some(failure)) = timeout(OVERLAP_MAX, attempt.failure()).await {
-        if !failure.is_unsent() {
-            retry_state.record_sent(failure);
+    let mut sent = attempt.sent();
+    let mut overlap_sent = sent.clone();
+    let overlap = async {
+        // An attempt whose sender is gone has ended.
+        drop(overlap_sent.wait_for(|is_sent| *is_sent).await);
+        sleep(OVERLAP_MAX).await;
+    };
+    tokio::select! {
+        output = next(&mut old) => {
+            if *sent.borrow_and_update() {
+                retry_state.record_sent(Failure::Silent);
+            }
+            log_went_on(job, silent);
+            return Takeover::Continued(old, output);
         }
-        log_kept(job, retry_state, silent, failure.name());
-        return Takeover::Kept(old);
+        begun = attempt.begun() => if let Err(failure) = begun {
+            if !failure.is_unsent() {
+                retry_state.record_sent(failure);
+            }
+            log_kept(job, retry_state, silent, failure.name());
+            return Takeover::Kept(old);
+        },
+        () = overlap => {}
     }
     retry_state.record_sent(Failure::Silent);
     let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
@@ -94,6 +110,12 @@
     Ok(PreparedGeneration { admission, cache })
 }
 
+/// Logs that a silent engine has gone on before another one took over.
+fn log_went_on(job: &Job, silent: &Target) {
+    let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
+    tracing::info!(id, %server, after_ms = job.age_ms(), "silent engine went on");
+}
+
 /// Logs why a silent engine keeps the request.
 fn log_kept(job: &Job, retry_state: &RetryState, silent: &Target, cause: &str) {
     let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -192,11 +192,26 @@
         &self,
         request: Request<Full<Bytes>>,
         call_timeout: Duration,
+    ) -> Result<Response<Stream>, Error> {
+        self.call_streaming_observed(request, call_timeout, &|| {}).await
+    }
+
+    /// Makes one call as [`Pool::call_streaming`] does. Calls `on_send` when there is a connection and the request is
+    /// about to be sent on it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Pool::call_streaming`].
+    pub async fn call_streaming_observed(
+        &self,
+        request: Request<Full<Bytes>>,
+        call_timeout: Duration,
+        on_send: &(dyn Fn() + Send + Sync),
     ) -> Result<Response<Stream>, Error> {
         let deadline = Instant::now() + call_timeout;
         let permit = Some(self.acquire(deadline).await?);
         let epoch = self.epoch();
-        let outcome = timeout_at(deadline, self.send(request, deadline)).await;
+        let outcome = timeout_at(deadline, self.send(request, deadline, on_send)).await;
         let outcome = outcome.unwrap_or(Err(Error::Timeout(millis(call_timeout))));
         let (response, mut connection) = outcome.inspect_err(|_| self.discard_connections())?;
         let (head, body) = response.into_parts();
@@ -259,15 +274,19 @@
         &self,
         request: Request<Full<Bytes>>,
         deadline: Instant,
+        on_send: &(dyn Fn() + Send + Sync),
     ) -> Result<(Response<Incoming>, Connection), Error> {
         let mut request = request;
         while let Some(connection) = self.take_idle() {
+            on_send();
             match attempt(connection, request).await? {
                 Attempt::Answered(response, connection) => return Ok((response, connection)),
                 Attempt::Unsent(unsent, _) => request = unsent,
             }
         }
-        match attempt(self.connect(deadline).await?, request).await? {
+        let connection = self.connect(deadline).await?;
+        on_send();
+        match attempt(connection, request).await? {
             Attempt::Answered(response, connection) => Ok((response, connection)),
             Attempt::Unsent(_, error) => {
                 Err(Error::Connect(self.0.address, ConnectError::Other(error)))
