Use the engine prepared for a silent one if that one breaks off

What callers saw (in a test): a stream was cut though a retry had been spent and another engine was about to have the prompt prefilled.

Cause: whatever came from the silent engine ended the search for another one, also an error. The stream was then resumed from scratch, with one more retry, which the budget may not have.

Change: an error of the silent engine leaves the search running; the engine found takes over at once, without an overlap. Only if none is found the stream is resumed as after any break.

Before: the test fails.

--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -268,30 +268,7 @@
     mut attempt: PendingAttempt,
 ) -> Result<EngineResponse, Refusal> {
     loop {
-        let result = match job.silence_limit() {
-            None => attempt.response().await,
-            Some(limit) => match timeout(limit, attempt.response()).await {
-                Ok(result) => result,
-                Err(_) => {
-                    let silent = attempt.engine().clone();
-                    let next = async |attempt: &mut PendingAttempt| attempt.response().await;
-                    match takeover::run(job, retry_state, start, &silent, attempt, next).await {
-                        Takeover::Continued(old, result) => {
-                            attempt = old;
-                            result
-                        }
-                        Takeover::Kept(old) => {
-                            attempt = old;
-                            continue;
-                        }
-                        Takeover::Replaced(new) => {
-                            attempt = *new;
-                            continue;
-                        }
-                    }
-                }
-            },
-        };
+        let result = next_result(job, retry_state, start, &mut attempt).await;
         let PendingAttempt { admission, cache, .. } = attempt;
         let failure = match result {
             Ok(response) => {
@@ -308,6 +285,29 @@
     }
 }
 
+/// Waits for the response to an attempt. If its engine is silent, `attempt` may become one at another engine.
+async fn next_result(
+    job: &Arc<Job>,
+    retry_state: &mut RetryState,
+    start: StartPoint,
+    attempt: &mut PendingAttempt,
+) -> Result<Response<Stream>, Failure> {
+    let Some(limit) = job.silence_limit() else { return attempt.response().await };
+    loop {
+        if let Ok(result) = timeout(limit, attempt.response()).await {
+            return result;
+        }
+        let silent = attempt.engine().clone();
+        let next = async |attempt: &mut &mut PendingAttempt| attempt.response().await;
+        match takeover::run(job, retry_state, start, &silent, &mut *attempt, next).await {
+            Takeover::Continued(_, response) => return Ok(response),
+            Takeover::Failed(_, failure) => return Err(failure),
+            Takeover::Kept(_) => {}
+            Takeover::Replaced(other) => *attempt = *other,
+        }
+    }
+}
+
 /// Returns the time after which the admitted prefill is overdue, from the forecast on which its engine was chosen.
 fn overdue_after(admission: &Admission) -> Duration {
     let (factor, extra) = PREFILL_OVERDUE;
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -193,16 +193,16 @@
         };
         match takeover {
             Takeover::Kept(response) => Some(response),
-            Takeover::Continued(mut response, chunk) => match self.push(&mut response, chunk) {
-                None => {
-                    job.app.record_outcome(&silent, Outcome::Answer);
-                    Some(response)
-                }
-                Some(_) => {
-                    drop(response);
-                    self.resume(retry_state).await
-                }
-            },
+            Takeover::Continued(mut response, chunk) => {
+                self.push(&mut response, Ok(chunk));
+                job.app.record_outcome(&silent, Outcome::Answer);
+                Some(response)
+            }
+            Takeover::Failed(mut response, error) => {
+                self.push(&mut response, Err(error));
+                drop(response);
+                self.resume(retry_state).await
+            }
             Takeover::Replaced(attempt) => {
                 let started_at = clock::now();
                 let response = tokio::select! {
--- a/crates/forward/src/attempt/takeover.rs
+++ b/crates/forward/src/attempt/takeover.rs
@@ -16,40 +16,59 @@
 const OVERLAP_MAX: Duration = Duration::from_millis(300);
 
 /// Which engine has the request after one has fallen silent.
-pub(super) enum Takeover<Old, T> {
+pub(super) enum Takeover<Old, T, E> {
     /// The silent engine has gone on.
     Continued(Old, T),
     /// No other engine has taken the request; the silent one may still go on.
     Kept(Old),
     /// Another engine has the request, and the connection to the silent one is closed.
     Replaced(Box<PendingAttempt>),
+    /// The silent engine has failed, and no other one has taken the request.
+    Failed(Old, E),
 }
 
 /// Looks for another engine for the request that the engine `silent` has. `old` is what holds the connection to
-/// that engine, and `next` waits for what comes from it.
-pub(super) async fn run<Old, T>(
+/// that engine, and `next` waits for what comes from it. If the silent engine fails meanwhile, the other one is
+/// still used.
+pub(super) async fn run<Old, T, E>(
     job: &Arc<Job>,
     retry_state: &mut RetryState,
     start: StartPoint,
     silent: &Target,
     mut old: Old,
-    mut next: impl AsyncFnMut(&mut Old) -> T,
-) -> Takeover<Old, T> {
+    mut next: impl AsyncFnMut(&mut Old) -> Result<T, E>,
+) -> Takeover<Old, T, E> {
     job.app.record_outcome(silent, Outcome::Failure);
     job.app.metrics.failures.with_label_values(&[Failure::Silent.name()]).inc();
-    let prepared = tokio::select! {
-        output = next(&mut old) => {
-            log_went_on(job, silent);
-            return Takeover::Continued(old, output);
+    let mut error = None;
+    let prepared = {
+        let prepared = prepare(job, retry_state, start, silent);
+        tokio::pin!(prepared);
+        tokio::select! {
+            progress = next(&mut old) => match progress {
+                Ok(progress) => {
+                    log_went_on(job, silent);
+                    return Takeover::Continued(old, progress);
+                }
+                Err(failed) => {
+                    error = Some(failed);
+                    prepared.await
+                }
+            },
+            prepared = &mut prepared => prepared,
         }
-        prepared = prepare(job, retry_state, start, silent) => prepared,
     };
-    let prepared = match prepared {
-        Ok(prepared) => prepared,
-        Err(cause) => {
+    let prepared = match (prepared, error) {
+        (Ok(prepared), None) => prepared,
+        (Ok(prepared), Some(_)) => {
+            let attempt = PendingAttempt::send(job, prepared, start.last_event);
+            return replaced(job, retry_state, silent, attempt);
+        }
+        (Err(cause), None) => {
             log_kept(job, retry_state, silent, cause);
             return Takeover::Kept(old);
         }
+        (Err(_), Some(error)) => return Takeover::Failed(old, error),
     };
     let mut attempt = PendingAttempt::send(job, prepared, start.last_event);
     let mut sent = attempt.sent();
@@ -60,13 +79,13 @@
         sleep(OVERLAP_MAX).await;
     };
     tokio::select! {
-        output = next(&mut old) => {
+        progress = next(&mut old) => if let Ok(progress) = progress {
             if *sent.borrow_and_update() {
                 retry_state.record_sent(Failure::Silent);
             }
             log_went_on(job, silent);
-            return Takeover::Continued(old, output);
-        }
+            return Takeover::Continued(old, progress);
+        },
         begun = attempt.begun() => if let Err(failure) = begun {
             if !failure.is_unsent() {
                 retry_state.record_sent(failure);
@@ -76,6 +95,16 @@
         },
         () = overlap => {}
     }
+    replaced(job, retry_state, silent, attempt)
+}
+
+/// Records that another engine has the request of a silent one.
+fn replaced<Old, T, E>(
+    job: &Job,
+    retry_state: &mut RetryState,
+    silent: &Target,
+    attempt: PendingAttempt,
+) -> Takeover<Old, T, E> {
     retry_state.record_sent(Failure::Silent);
     let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
     let (by, sent) = (&attempt.engine().entry.name, retry_state.sent);
