Count an attempt at a replaced server as unsent wherever it is counted

What callers saw (in a test): a stream was cut although its route allowed one more engine.

Cause: the attempt to replace a silent engine counted the answer that another server has the address as an attempt at an engine; the decision on a retry counts it as not sent, since the intended server never received the request.

Change: one function counts failed attempts, for both.

Before: the test fails.

--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -145,30 +145,30 @@
     /// [`MAX_UNSENT`] servers. All other retries are charged. A request that may have run is sent again only if
     /// its route allows that.
     fn record_failure(&mut self, job: &Job, failure: Failure) -> bool {
+        self.count(failure);
         if failure.is_unsent() {
-            self.unsent += 1;
             return self.unsent < MAX_UNSENT;
         }
-        if failure == Failure::Misdirected {
-            // The intended server is gone and never received the request.
-            self.unsent += 1;
-            let may_retry = self.unsent < MAX_UNSENT && self.spend_retry(job);
-            self.log_decision(job, failure, may_retry);
-            return may_retry;
-        }
-        self.record_sent(failure);
         let may_repeat = match failure {
             Failure::Unknown | Failure::Silent => job.route.kind.may_repeat(),
             Failure::TimedOut => false,
             _ => true,
         };
-        let may_retry = may_repeat && self.sent < job.route.attempts && self.spend_retry(job);
+        let is_left = match failure {
+            Failure::Misdirected => self.unsent < MAX_UNSENT,
+            _ => self.sent < job.route.attempts,
+        };
+        let may_retry = may_repeat && is_left && self.spend_retry(job);
         self.log_decision(job, failure, may_retry);
         may_retry
     }
 
-    /// Records that the request was sent to a server, which failed in this way.
-    fn record_sent(&mut self, failure: Failure) {
+    /// Counts a failed attempt: as sent, or as unsent if the intended server certainly never received the request.
+    fn count(&mut self, failure: Failure) {
+        if failure.is_unsent() || failure == Failure::Misdirected {
+            self.unsent += 1;
+            return;
+        }
         self.sent += 1;
         self.may_have_run |= failure.may_have_run();
     }
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -222,7 +222,7 @@
             None if !retry_state.spend_retry(&self.job) => Some("retry_budget"),
             obstacle => obstacle,
         };
-        retry_state.record_sent(Failure::Unknown);
+        retry_state.count(Failure::Unknown);
         if let Some(cause) = obstacle {
             let (id, sent, attempts) =
                 (self.job.head.id.as_deref(), retry_state.sent, self.job.route.attempts);
--- a/crates/forward/src/attempt/takeover.rs
+++ b/crates/forward/src/attempt/takeover.rs
@@ -81,15 +81,13 @@
     tokio::select! {
         progress = next(&mut old) => if let Ok(progress) = progress {
             if *sent.borrow_and_update() {
-                retry_state.record_sent(Failure::Silent);
+                retry_state.count(Failure::Silent);
             }
             log_went_on(job, silent);
             return Takeover::Continued(old, progress);
         },
         begun = attempt.begun() => if let Err(failure) = begun {
-            if !failure.is_unsent() {
-                retry_state.record_sent(failure);
-            }
+            retry_state.count(failure);
             log_kept(job, retry_state, silent, failure.name());
             return Takeover::Kept(old);
         },
@@ -105,7 +103,7 @@
     silent: &Target,
     attempt: PendingAttempt,
 ) -> Takeover<Old, T, E> {
-    retry_state.record_sent(Failure::Silent);
+    retry_state.count(Failure::Silent);
     let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
     let (by, sent) = (&attempt.engine().entry.name, retry_state.sent);
     tracing::info!(id, %server, %by, sent, after_ms = job.age_ms(), "silent engine replaced");
