Count each silence of an engine once, and its end as an answer

What callers saw (in tests): 503 for new requests at once, though the engine had gone on; a stream cut at a real break, since pauses before it had used up the retries.

Cause: a silence was recorded as a failure every 1.2 s, and its end as an answer only if another engine was being looked for just then. Each pause over 1.2 s also spent a retry and a prefill.

Change: the state of a request says whether its engine is silent; a silence counts as one failure, and the first bytes after it as an answer. The time that is waited doubles with each silence that ended by itself, up to eight times. The retry budget is looked at before places are reserved at another engine.

--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -53,15 +53,21 @@
         self.milli_retries = (self.milli_retries + u64::from(self.settings.per_mille)).min(max);
     }
 
+    /// Returns whether a request that was already retried `retries_so_far` times may be retried: the
+    /// budget is not exhausted, and the request was retried less than [`Settings::per_request`]
+    /// times.
+    pub fn allows(&self, retries_so_far: u32) -> bool {
+        retries_so_far < self.settings.per_request && self.milli_retries >= MILLI_PER_RETRY
+    }
+
     /// Spends one retry for a request that was already retried `retries_so_far` times. Returns
-    /// `false`, and spends nothing, if the budget is exhausted or the request was retried
-    /// [`Settings::per_request`] times.
+    /// `false`, and spends nothing, unless the budget allows it.
     pub fn spend(&mut self, retries_so_far: u32) -> bool {
-        if retries_so_far >= self.settings.per_request || self.milli_retries < MILLI_PER_RETRY {
-            return false;
+        let allowed = self.allows(retries_so_far);
+        if allowed {
+            self.milli_retries -= MILLI_PER_RETRY;
         }
-        self.milli_retries -= MILLI_PER_RETRY;
-        true
+        allowed
     }
 }
 
--- a/crates/forward/src/app/limit.rs
+++ b/crates/forward/src/app/limit.rs
@@ -106,6 +106,11 @@
         granted
     }
 
+    /// Returns `true` if the budget allows a retry of a request that was retried `retries_so_far` times before.
+    pub fn allows_retry(&self, service: &Arc<str>, retries_so_far: u32) -> bool {
+        self.with_retry_budget(service, |budget| budget.allows(retries_so_far))
+    }
+
     /// Runs `action` on a service's retry budget, after adapting it to the current burst and number
     /// of hosts.
     fn with_retry_budget<R>(&self, service: &Arc<str>, action: impl FnOnce(&mut Budget) -> R) -> R {
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -5,7 +5,7 @@
 //! to fetch it.
 
 use super::takeover::{self, Takeover};
-use super::{Failure, Job, RESUME_TIMEOUT, RetryState, relay, response_headers};
+use super::{Failure, Job, RetryState, SILENCE_LIMIT, relay, response_headers};
 use crate::answer::{self, Body, Cause, Refusal};
 use crate::app::{Admission, Target};
 use crate::config::Engine;
@@ -39,7 +39,7 @@
 const PREFILL_OVERDUE: (f64, Duration) = (1.5, Duration::from_millis(150));
 /// Longest further wait for an overdue prefill that no other engine may take, after which its answer counts
 /// as lost. Equals the longest silence of a resumable stream.
-const LOST_PREFILL_TIMEOUT: Duration = RESUME_TIMEOUT;
+const LOST_PREFILL_TIMEOUT: Duration = SILENCE_LIMIT;
 /// Shortest wait for the last prefill that may be tried before the request is given up. Callers with a
 /// latency target of 0.9 s disconnect after four times that target.
 const MIN_LAST_PREFILL_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -292,9 +292,14 @@
     start: StartPoint,
     attempt: &mut PendingAttempt,
 ) -> Result<Response<Stream>, Failure> {
-    let Some(limit) = job.silence_limit() else { return attempt.response().await };
+    if !job.route.kind.may_repeat() {
+        return attempt.response().await;
+    }
     loop {
-        if let Ok(result) = timeout(limit, attempt.response()).await {
+        if let Ok(result) = timeout(retry_state.silence_limit(), attempt.response()).await {
+            if result.is_ok() {
+                retry_state.record_progress(job, attempt.engine());
+            }
             return result;
         }
         let silent = attempt.engine().clone();
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -119,7 +119,9 @@
 const MAX_UNSENT: u32 = 3;
 
 /// Longest silence of a resumable stream, also before its head, before another engine is looked for.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1_200);
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+/// How often that time is doubled at most.
+const SILENCE_DOUBLINGS_MAX: u32 = 3;
 /// Highest number of prefill attempts for one request.
 const MAX_PREFILLS: u32 = 3;
 
@@ -136,6 +138,10 @@
     retries: u32,
     /// Whether one of the servers may have run the request.
     may_have_run: bool,
+    /// Whether the engine that has the request is silent.
+    is_silent: bool,
+    /// Silences after which the engine went on.
+    ended_silences: u32,
 }
 
 impl RetryState {
@@ -173,6 +179,32 @@
         self.may_have_run |= failure.may_have_run();
     }
 
+    /// Returns how long the engine that has the request may be silent before another one is looked for. The time doubles
+    /// with each silence after which the engine went on, so that an engine that pauses often does not use up the
+    /// retries.
+    fn silence_limit(&self) -> Duration {
+        SILENCE_LIMIT * (1 << self.ended_silences.min(SILENCE_DOUBLINGS_MAX))
+    }
+
+    /// Records that the engine `silent` has been silent for the limit: once for each silence, as a failure.
+    fn record_silence(&mut self, job: &Job, silent: &Target) {
+        if !std::mem::replace(&mut self.is_silent, true) {
+            job.app.record_outcome(silent, Outcome::Failure);
+            job.app.metrics.failures.with_label_values(&[Failure::Silent.name()]).inc();
+        }
+    }
+
+    /// Records that an engine has sent something. If it was silent, it counts as sound again.
+    fn record_progress(&mut self, job: &Job, target: &Target) {
+        if !std::mem::replace(&mut self.is_silent, false) {
+            return;
+        }
+        self.ended_silences += 1;
+        job.app.record_outcome(target, Outcome::Answer);
+        let (id, server) = (job.head.id.as_deref(), &target.entry.name);
+        tracing::info!(id, %server, after_ms = job.age_ms(), "silent engine went on");
+    }
+
     /// Returns why the request may not be sent to one more server than it is at now, or `None` if it may.
     fn obstacle(&self, job: &Job) -> Option<&'static str> {
         if !job.route.kind.may_repeat() {
@@ -222,6 +254,11 @@
         }
     }
 
+    /// Returns `true` if the service's retry budget allows a retry.
+    fn has_retry(&self, job: &Job) -> bool {
+        job.app.allows_retry(&job.service, self.retries)
+    }
+
     /// Takes a retry from the service's retry budget, which bounds retries by a share of its requests and a
     /// burst. Returns `false` if the budget doesn't allow it.
     fn spend_retry(&mut self, job: &Job) -> bool {
@@ -250,12 +287,6 @@
         self.deadline.since(clock::now())
     }
 
-    /// Returns how long an engine may be silent before another one is looked for; `None` if the request may not run
-    /// again, so that none can be.
-    fn silence_limit(&self) -> Option<Duration> {
-        self.route.kind.may_repeat().then_some(RESUME_TIMEOUT)
-    }
-
     /// Returns the version of the configuration under which the request was admitted.
     fn version(&self) -> u64 {
         self.active_config.table.config().version
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -33,6 +33,7 @@
 struct Relay {
     job: Arc<Job>,
     engine: Engine,
+    retry_state: RetryState,
     caller: mpsc::Sender<Bytes>,
     events: EventSplitter,
     /// Identifier of the last event that the caller has.
@@ -40,7 +41,7 @@
     /// Events forwarded to the caller.
     forwarded_events: u64,
     /// Whether the current engine's stream has ended.
-    is_ended: bool,
+    engine_ended: bool,
     /// How often another engine has continued the stream.
     resumed: u32,
 }
@@ -50,7 +51,7 @@
 pub(super) async fn run(
     job: Arc<Job>,
     engine: Engine,
-    mut retry_state: RetryState,
+    retry_state: RetryState,
     mut response: EngineResponse,
     caller: mpsc::Sender<Bytes>,
 ) {
@@ -58,11 +59,12 @@
     let mut relay = Relay {
         job,
         engine,
+        retry_state,
         caller,
         events: EventSplitter::default(),
         last_event,
         forwarded_events: 0,
-        is_ended: false,
+        engine_ended: false,
         resumed: 0,
     };
     let end = loop {
@@ -73,10 +75,10 @@
                 break end;
             }
             End::CallerGone => break end,
-            End::Silent => relay.replace_silent(&mut retry_state, response).await,
+            End::Silent => relay.replace_silent(response).await,
             End::Broken => {
                 drop(response);
-                relay.resume(&mut retry_state).await
+                relay.resume().await
             }
         };
         match next {
@@ -97,7 +99,7 @@
                     Some(end) => return end,
                 }
             }
-            match self.is_ended {
+            match self.engine_ended {
                 true if self.events.has_partial_event() => return End::Broken,
                 true => return End::Whole,
                 false => {}
@@ -113,7 +115,10 @@
     /// the deadline.
     async fn receive(&mut self, response: &mut EngineResponse) -> Option<End> {
         let left = self.job.left();
-        let limit = self.job.silence_limit().map_or(left, |limit| limit.min(left));
+        let limit = match self.job.route.kind.may_repeat() {
+            true => self.retry_state.silence_limit().min(left),
+            false => left,
+        };
         let chunk = tokio::select! {
             chunk = timeout(limit, response.stream.chunk()) => chunk,
             () = self.caller.closed() => {
@@ -135,8 +140,13 @@
         chunk: Result<Option<Bytes>, Error>,
     ) -> Option<End> {
         match chunk {
-            Ok(Some(bytes)) => self.events.push(&bytes),
-            Ok(None) => self.is_ended = true,
+            Ok(chunk) => {
+                self.retry_state.record_progress(&self.job, &response.admission.decode);
+                match chunk {
+                    Some(bytes) => self.events.push(&bytes),
+                    None => self.engine_ended = true,
+                }
+            }
             Err(error) => {
                 response.stream.discard();
                 self.job.app.record_outcome(&response.admission.decode, Outcome::Failure);
@@ -179,14 +189,11 @@
     /// Looks for another engine for a stream whose engine is silent. Returns the response to go on with: of the silent
     /// engine if it went on or no other engine took over, otherwise of the other one. Returns `None` if the caller
     /// disconnects or the other engine fails.
-    async fn replace_silent(
-        &mut self,
-        retry_state: &mut RetryState,
-        response: EngineResponse,
-    ) -> Option<EngineResponse> {
+    async fn replace_silent(&mut self, response: EngineResponse) -> Option<EngineResponse> {
         let (job, start, caller) = (self.job.clone(), self.start_point(), self.caller.clone());
         let silent = response.admission.decode.clone();
         let next = async |response: &mut EngineResponse| response.stream.chunk().await;
+        let retry_state = &mut self.retry_state;
         let takeover = tokio::select! {
             takeover = takeover::run(&job, retry_state, start, &silent, response, next) => takeover,
             () = caller.closed() => return None,
@@ -195,13 +202,12 @@
             Takeover::Kept(response) => Some(response),
             Takeover::Continued(mut response, chunk) => {
                 self.push(&mut response, Ok(chunk));
-                job.app.record_outcome(&silent, Outcome::Answer);
                 Some(response)
             }
             Takeover::Failed(mut response, error) => {
                 self.push(&mut response, Err(error));
                 drop(response);
-                self.resume(retry_state).await
+                self.resume().await
             }
             Takeover::Replaced(attempt) => {
                 let started_at = clock::now();
@@ -217,20 +223,21 @@
     /// Resumes the stream at another engine after the last forwarded event. Returns `None` if the route, its number
     /// of attempts or the retry budget doesn't allow it, the caller disconnects, no engine begins to answer, or
     /// the engine's status is not a success.
-    async fn resume(&mut self, retry_state: &mut RetryState) -> Option<EngineResponse> {
-        let obstacle = match retry_state.obstacle(&self.job) {
-            None if !retry_state.spend_retry(&self.job) => Some("retry_budget"),
+    async fn resume(&mut self) -> Option<EngineResponse> {
+        let (job, start, caller) = (self.job.clone(), self.start_point(), self.caller.clone());
+        let retry_state = &mut self.retry_state;
+        let obstacle = match retry_state.obstacle(&job) {
+            None if !retry_state.spend_retry(&job) => Some("retry_budget"),
             obstacle => obstacle,
         };
         retry_state.count(Failure::Unknown);
         if let Some(cause) = obstacle {
             let (id, sent, attempts) =
-                (self.job.head.id.as_deref(), retry_state.sent, self.job.route.attempts);
+                (job.head.id.as_deref(), retry_state.sent, job.route.attempts);
             tracing::info!(id, cause, sent, attempts, "stream not resumed");
             return None;
         }
         let started_at = clock::now();
-        let (job, start, caller) = (self.job.clone(), self.start_point(), self.caller.clone());
         let response = tokio::select! {
             response = start_generation(&job, &self.engine, retry_state, start) => response,
             () = caller.closed() => return None,
@@ -252,7 +259,7 @@
                 let server = &response.admission.decode.entry.name;
                 tracing::info!(id, %server, last = self.last_event, after_ms, "stream resumed");
                 self.events.clear();
-                self.is_ended = false;
+                self.engine_ended = false;
                 self.resumed += 1;
                 Some(response)
             }
--- a/crates/forward/src/attempt/takeover.rs
+++ b/crates/forward/src/attempt/takeover.rs
@@ -6,7 +6,7 @@
 use super::generation::{PendingAttempt, PreparedGeneration, StartPoint, admit, prefill};
 use super::{Failure, Job, RetryState};
 use crate::app::Target;
-use chestnutrack_core::dispatch::Outcome;
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -38,24 +38,27 @@
     mut old: Old,
     mut next: impl AsyncFnMut(&mut Old) -> Result<T, E>,
 ) -> Takeover<Old, T, E> {
-    job.app.record_outcome(silent, Outcome::Failure);
-    job.app.metrics.failures.with_label_values(&[Failure::Silent.name()]).inc();
+    retry_state.record_silence(job, silent);
     let mut error = None;
-    let prepared = {
+    let search = {
         let prepared = prepare(job, retry_state, start, silent);
         tokio::pin!(prepared);
         tokio::select! {
             progress = next(&mut old) => match progress {
-                Ok(progress) => {
-                    log_went_on(job, silent);
-                    return Takeover::Continued(old, progress);
-                }
+                Ok(progress) => ControlFlow::Break(progress),
                 Err(failed) => {
                     error = Some(failed);
-                    prepared.await
+                    ControlFlow::Continue(prepared.await)
                 }
             },
-            prepared = &mut prepared => prepared,
+            prepared = &mut prepared => ControlFlow::Continue(prepared),
+        }
+    };
+    let prepared = match search {
+        ControlFlow::Continue(prepared) => prepared,
+        ControlFlow::Break(progress) => {
+            retry_state.record_progress(job, silent);
+            return Takeover::Continued(old, progress);
         }
     };
     let prepared = match (prepared, error) {
@@ -83,7 +86,7 @@
             if *sent.borrow_and_update() {
                 retry_state.count(Failure::Silent);
             }
-            log_went_on(job, silent);
+            retry_state.record_progress(job, silent);
             return Takeover::Continued(old, progress);
         },
         begun = attempt.begun() => if let Err(failure) = begun {
@@ -104,6 +107,7 @@
     attempt: PendingAttempt,
 ) -> Takeover<Old, T, E> {
     retry_state.count(Failure::Silent);
+    retry_state.is_silent = false;
     let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
     let (by, sent) = (&attempt.engine().entry.name, retry_state.sent);
     tracing::info!(id, %server, %by, sent, after_ms = job.age_ms(), "silent engine replaced");
@@ -124,6 +128,9 @@
     if let Some(obstacle) = retry_state.obstacle(job) {
         return Err(obstacle);
     }
+    if !retry_state.has_retry(job) {
+        return Err("retry_budget");
+    }
     let admission = admit(job, start.generated_tokens, false).await;
     let mut admission = admission.map_err(|refusal| refusal.cause.name())?;
     if admission.decode.key == silent.key {
@@ -137,12 +144,6 @@
     Ok(PreparedGeneration { admission, cache })
 }
 
-/// Logs that a silent engine has gone on before another one took over.
-fn log_went_on(job: &Job, silent: &Target) {
-    let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
-    tracing::info!(id, %server, after_ms = job.age_ms(), "silent engine went on");
-}
-
 /// Logs why a silent engine keeps the request.
 fn log_kept(job: &Job, retry_state: &RetryState, silent: &Target, cause: &str) {
     let (id, server) = (job.head.id.as_deref(), &silent.entry.name);
