Resume only streams that may be resumed, not all that may be repeated

What callers saw (in a test): the events of two runs in one answer.

Cause: replaced the relay's own condition, that the route allows streams to be resumed, by the one under which a request may be sent again. On an idempotent route to a model service a second run begins anew.

Change: `Kind::may_resume`, used where a stream that has begun is continued. Also: a caller that leaves while a stream is resumed is logged as gone, not as broken.

Before: the test fails.

--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -155,7 +155,8 @@
     /// Length of the prompt.
     tokens: u64,
     prefilled_at: Instant,
-    /// Whether an engine may have fetched the cache. The handle is then neither used again nor freed.
+    /// Whether the engine that got the handle has answered or failed in a way that it may have fetched the cache. The
+    /// handle is then neither used again nor freed.
     consumed: bool,
 }
 
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -82,8 +82,8 @@
             }
         };
         match next {
-            Some(next) => response = next,
-            None => break End::Broken,
+            Ok(next) => response = next,
+            Err(end) => break end,
         }
     };
     relay.record_end(end).await;
@@ -115,7 +115,7 @@
     /// the deadline.
     async fn receive(&mut self, response: &mut EngineResponse) -> Option<End> {
         let left = self.job.left();
-        let limit = match self.job.route.kind.may_repeat() {
+        let limit = match self.job.route.kind.may_resume() {
             true => self.retry_state.silence_limit().min(left),
             false => left,
         };
@@ -187,22 +187,25 @@
     }
 
     /// Looks for another engine for a stream whose engine is silent. Returns the response to go on with: of the silent
-    /// engine if it went on or no other engine took over, otherwise of the other one. Returns `None` if the caller
-    /// disconnects or the other engine fails.
-    async fn replace_silent(&mut self, response: EngineResponse) -> Option<EngineResponse> {
+    /// engine if it went on or no other engine took over, otherwise of the other one.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the stream ends if the caller disconnects or the other engine fails.
+    async fn replace_silent(&mut self, response: EngineResponse) -> Result<EngineResponse, End> {
         let (job, start, caller) = (self.job.clone(), self.start_point(), self.caller.clone());
         let silent = response.admission.decode.clone();
         let next = async |response: &mut EngineResponse| response.stream.chunk().await;
         let retry_state = &mut self.retry_state;
         let takeover = tokio::select! {
             takeover = takeover::run(&job, retry_state, start, &silent, response, next) => takeover,
-            () = caller.closed() => return None,
+            () = caller.closed() => return Err(End::CallerGone),
         };
         match takeover {
-            Takeover::Kept(response) => Some(response),
+            Takeover::Kept(response) => Ok(response),
             Takeover::Continued(mut response, chunk) => {
                 self.push(&mut response, Ok(chunk));
-                Some(response)
+                Ok(response)
             }
             Takeover::Failed(mut response, error) => {
                 self.push(&mut response, Err(error));
@@ -213,20 +216,24 @@
                 let started_at = clock::now();
                 let response = tokio::select! {
                     response = await_response(&job, &self.engine, retry_state, start, *attempt) => response,
-                    () = caller.closed() => return None,
+                    () = caller.closed() => return Err(End::CallerGone),
                 };
                 self.record_resumed(started_at, response)
             }
         }
     }
 
-    /// Resumes the stream at another engine after the last forwarded event. Returns `None` if the route, its number
-    /// of attempts or the retry budget doesn't allow it, the caller disconnects, no engine begins to answer, or
-    /// the engine's status is not a success.
-    async fn resume(&mut self) -> Option<EngineResponse> {
+    /// Resumes the stream at another engine after the last forwarded event.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the stream ends if the route, its number of attempts or the retry budget doesn't allow it, the
+    /// caller disconnects, no engine begins to answer, or the engine's status is not a success.
+    async fn resume(&mut self) -> Result<EngineResponse, End> {
         let (job, start, caller) = (self.job.clone(), self.start_point(), self.caller.clone());
         let retry_state = &mut self.retry_state;
         let obstacle = match retry_state.obstacle(&job) {
+            None if !job.route.kind.may_resume() => Some("route"),
             None if !retry_state.spend_retry(&job) => Some("retry_budget"),
             obstacle => obstacle,
         };
@@ -235,23 +242,26 @@
             let (id, sent, attempts) =
                 (job.head.id.as_deref(), retry_state.sent, job.route.attempts);
             tracing::info!(id, cause, sent, attempts, "stream not resumed");
-            return None;
+            return Err(End::Broken);
         }
         let started_at = clock::now();
         let response = tokio::select! {
             response = start_generation(&job, &self.engine, retry_state, start) => response,
-            () = caller.closed() => return None,
+            () = caller.closed() => return Err(End::CallerGone),
         };
         self.record_resumed(started_at, response)
     }
 
-    /// Prepares for the events of another engine, which began to answer, and returns its response; `None` if no
-    /// engine did or its status is not a success.
+    /// Prepares for the events of another engine, which began to answer, and returns its response.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`End::Broken`] if no engine did or its status is not a success.
     fn record_resumed(
         &mut self,
         started_at: Instant,
         response: Result<EngineResponse, Refusal>,
-    ) -> Option<EngineResponse> {
+    ) -> Result<EngineResponse, End> {
         let id = self.job.head.id.as_deref();
         let after_ms = clock::now().since(started_at).as_millis() as u64;
         match response {
@@ -261,16 +271,16 @@
                 self.events.clear();
                 self.engine_ended = false;
                 self.resumed += 1;
-                Some(response)
+                Ok(response)
             }
             Ok(response) => {
                 let status = response.head.status.as_u16();
                 tracing::info!(id, status, after_ms, "stream not resumed");
-                None
+                Err(End::Broken)
             }
             Err(refusal) => {
                 tracing::info!(id, cause = refusal.cause.name(), after_ms, "stream not resumed");
-                None
+                Err(End::Broken)
             }
         }
     }
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -47,7 +47,12 @@
 impl Kind {
     /// Returns `true` if a request may run more than once.
     pub fn may_repeat(self) -> bool {
-        matches!(self, Kind::Idempotent | Kind::Stream { resumable: true })
+        self == Kind::Idempotent || self.may_resume()
+    }
+
+    /// Returns `true` if another server may continue an answer that broke off.
+    pub fn may_resume(self) -> bool {
+        self == Kind::Stream { resumable: true }
     }
 
     /// Returns `true` if the answer is a stream of events.
