Count a connection's idle time from the end of its last answer

Cause: the idle time of a caller's connection was counted from the head of its last answer. If the body took longer than the idle timeout (a stream, or an answer that the caller reads slowly), the connection was told to close while it was in use: the body was finished, but the connection was closed with its last byte, without `connection: close`. A caller that reused the connection at once found it closed.

Change: the connection counts as in use until the body of the answer has ended and its last bytes have been written to the socket.

Before: the two new tests failed; the second request got no answer, (status, complete) = (0, false) instead of (200, true). After: both pass, as do all 68 tests of tests/forward.

Conclusion: the fault costs callers a reconnection, on all routes whose answers outlast the idle timeout. The request that meets it was not read, so this does not explain a request that was read whole and got no answer.

--- a/crates/forward/src/listener/mod.rs
+++ b/crates/forward/src/listener/mod.rs
@@ -1,11 +1,11 @@
 //! Serves callers' connections, and drains them at shutdown: new requests are accepted for a notice
 //! period, then those in flight are finished.
 
-use crate::answer::Body;
+mod monitor;
+
 use crate::app::App;
 use crate::config::Limits;
 use crate::request;
-use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::shutdown::Shutdown;
 use hyper::body::Incoming;
@@ -14,8 +14,9 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use monitor::{Activity, Monitor, MonitoredBody, MonitoredStream};
 use std::convert::Infallible;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -78,30 +79,24 @@
     }
 }
 
-/// Whether a connection has a request in flight.
-#[derive(Clone, Copy, Debug)]
-enum Activity {
-    Busy,
-    IdleSince(Instant),
-}
-
 /// Serves one connection until the caller closes it, the listener is closing, or it has been idle
 /// for too long. In the last two cases, a request in flight is finished first.
 async fn serve_connection(tcp: TcpStream, app: Arc<App>, mut closing: watch::Receiver<bool>) {
-    let activity = Arc::new(Mutex::new(Activity::IdleSince(clock::now())));
-    let (shared_app, shared_activity) = (app.clone(), activity.clone());
+    let monitor = Monitor::new();
+    let (shared_app, shared_monitor) = (app.clone(), monitor.clone());
     let service = service_fn(move |request| {
-        let (app, activity) = (shared_app.clone(), shared_activity.clone());
-        async move { Ok::<_, Infallible>(handle(app, request, &activity).await) }
+        let (app, monitor) = (shared_app.clone(), shared_monitor.clone());
+        async move { Ok::<_, Infallible>(handle(app, request, monitor).await) }
     });
     let _ = tcp.set_nodelay(true);
+    let stream = MonitoredStream::new(tcp, monitor.clone());
     let limits = limits(&app);
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN))
-        .serve_connection(TokioIo::new(tcp), service);
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let idle_timeout_passed = wait_until_idle(&app, &activity);
+    let idle_timeout_passed = wait_until_idle(&app, &monitor);
     tokio::select! {
         _ = connection.as_mut() => return,
         _ = closing.wait_for(|is_closing| *is_closing) => {}
@@ -117,12 +112,11 @@
 }
 
 /// Returns when a connection has been idle for longer than the configuration in force allows.
-async fn wait_until_idle(app: &App, activity: &Mutex<Activity>) {
+async fn wait_until_idle(app: &App, monitor: &Monitor) {
     loop {
         let idle_timeout = limits(app).idle_timeout;
-        let current = *activity.lock().unwrap_or_else(PoisonError::into_inner);
-        let remaining = match current {
-            Activity::Busy => idle_timeout,
+        let remaining = match monitor.activity() {
+            Activity::Busy | Activity::Flushing => idle_timeout,
             Activity::IdleSince(idle_since) => (idle_since + idle_timeout).since(clock::now()),
         };
         if remaining.is_zero() {
@@ -132,19 +126,17 @@
     }
 }
 
-/// Handles a request and records when the connection is busy and idle. While the process drains,
-/// the answer asks the caller to close the connection.
+/// Handles a request and records that the connection is in use until its answer has been sent. While the
+/// process drains, the answer asks the caller to close the connection.
 async fn handle(
     app: Arc<App>,
     request: Request<Incoming>,
-    activity: &Mutex<Activity>,
-) -> Response<Body> {
-    let set_activity = |value| *activity.lock().unwrap_or_else(PoisonError::into_inner) = value;
-    set_activity(Activity::Busy);
+    monitor: Monitor,
+) -> Response<MonitoredBody> {
+    monitor.record_request();
     let mut response = request::handle(app.clone(), request).await;
-    set_activity(Activity::IdleSince(clock::now()));
     if app.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    response.map(|body| MonitoredBody::new(body, monitor))
 }
--- a/crates/forward/tests/forward/connections.rs
+++ b/crates/forward/tests/forward/connections.rs
@@ -88,6 +88,43 @@
     assert_eq!((answer.status, answer.complete), (200, true));
 }
 
+// Guards against a connection that is closed, without notice, with the end of a stream that lasted longer than the
+// idle timeout.
+#[tokio::test]
+async fn a_connection_is_kept_after_a_stream_that_lasts_longer_than_the_idle_timeout() {
+    let (prefiller, decoder) =
+        (Backend::start(answer_prefill).await, Backend::start(answer_slow_stream).await);
+    let host = stream_host(&prefiller, &decoder).await;
+    let mut connection = connect(host.address).await;
+
+    let first = exchange(&mut connection, &generation("/digest/7")).await;
+    sleep(IDLE_TIMEOUT / 4).await;
+    let second = exchange(&mut connection, &generation("/digest/7")).await;
+
+    assert_eq!((first.header("connection"), first.complete), (None, true));
+    assert_eq!((second.status, second.complete), (200, true));
+}
+
+// Guards against a connection that is closed, without notice, once its caller has read an answer for longer than the
+// idle timeout.
+#[tokio::test]
+async fn a_connection_is_kept_after_an_answer_that_is_read_for_longer_than_the_idle_timeout() {
+    let backend = Backend::start(answer_large).await;
+    let host = plain_host(&backend).await;
+    let mut connection = connect_with_small_buffer(host.address).await;
+    let text = request("POST", "/pay/7", "", "");
+    connection.write_all(text.as_bytes()).await.unwrap();
+    wait_until(|| backend.request_count() == 1).await;
+
+    sleep(IDLE_TIMEOUT * 2).await;
+    let first = read(&mut connection).await;
+    sleep(IDLE_TIMEOUT / 4).await;
+    let second = exchange(&mut connection, &text).await;
+
+    assert_eq!((first.status, first.complete), (200, true));
+    assert_eq!((second.status, second.complete), (200, true));
+}
+
 // Guards against an answer that is cut at the idle timeout while its caller still reads it.
 #[tokio::test]
 async fn an_answer_that_is_read_for_longer_than_the_idle_timeout_is_complete() {
