Keep a connection open while the head of a request arrives

Cause: hyper closes a connection that has answered a request and then received a part of the next head, if it is told to shut down: such a connection counts as idle, and the part is discarded. The idle timeout and the shutdown did that; so a request whose head arrived in pieces around either was dropped unanswered.

Ruled out: a head that arrives in one piece; it is parsed as it is read, and the connection is then busy (tests of crossing requests).

Change: bytes received on an idle connection mark the start of a head. The idle timeout and the shutdown wait for its rest, until the head timeout; then the connection is closed.

Before: three new tests failed. A head in two pieces around the idle timeout, (status, complete) = (0, false) instead of (200, true); around a shutdown, status 0 instead of 200; a head that is never completed, connection still open after 20 s with a head timeout of 1 s. After: the three pass, as do all 71 tests of tests/forward.

Conclusion: a request can be lost this way only while its head is incomplete, so this does not explain a request that was read whole and got no answer.

--- a/crates/forward/src/listener/mod.rs
+++ b/crates/forward/src/listener/mod.rs
@@ -21,7 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Smallest buffer for the head of a request that hyper accepts, in bytes.
 const HEAD_BUFFER_MIN: usize = 8 << 10;
@@ -74,13 +74,14 @@
     let all_ended = async { while connections.join_next().await.is_some() {} };
     let final_times = *drain_times.borrow();
     let remaining = final_times.timeout.saturating_sub(final_times.notice);
-    if tokio::time::timeout(remaining, all_ended).await.is_err() {
+    if timeout(remaining, all_ended).await.is_err() {
         tracing::warn!("requests still in flight at the end of the shutdown");
     }
 }
 
 /// Serves one connection until the caller closes it, the listener is closing, or it has been idle
-/// for too long. In the last two cases, a request in flight is finished first.
+/// for too long. In the last two cases, a request in flight, or whose head has begun to arrive, is
+/// finished first. Closes the connection without an answer if a head does not arrive in time.
 async fn serve_connection(tcp: TcpStream, app: Arc<App>, mut closing: watch::Receiver<bool>) {
     let monitor = Monitor::new();
     let (shared_app, shared_monitor) = (app.clone(), monitor.clone());
@@ -96,11 +97,15 @@
         .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let idle_timeout_passed = wait_until_idle(&app, &monitor);
-    tokio::select! {
+    let timeout_passed = wait_for_timeout(&app, &monitor);
+    let closing = wait_for_closing(&app, &monitor, &mut closing);
+    let close = tokio::select! {
         _ = connection.as_mut() => return,
-        _ = closing.wait_for(|is_closing| *is_closing) => {}
-        () = idle_timeout_passed => {}
+        close = closing => close,
+        close = timeout_passed => close,
+    };
+    if close == Close::Now {
+        return;
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
@@ -111,16 +116,48 @@
     app.active_config().map(|active| active.table.config().limits).unwrap_or_default()
 }
 
-/// Returns when a connection has been idle for longer than the configuration in force allows.
-async fn wait_until_idle(app: &App, monitor: &Monitor) {
+/// When a connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Close {
+    /// Once the request in flight, if any, has been answered.
+    Answered,
+    /// At once, since the head of a request did not arrive in time.
+    Now,
+}
+
+/// Waits until the listener is closing and a head that has begun to arrive is complete, or has not
+/// arrived in time.
+async fn wait_for_closing(
+    app: &App,
+    monitor: &Monitor,
+    closing: &mut watch::Receiver<bool>,
+) -> Close {
+    let _ = closing.wait_for(|is_closing| *is_closing).await;
+    match timeout(limits(app).head_timeout, monitor.wait_for_head()).await {
+        Ok(()) => Close::Answered,
+        Err(_) => Close::Now,
+    }
+}
+
+/// Returns when a connection has been idle, or a head has been arriving, for longer than the
+/// configuration in force allows.
+async fn wait_for_timeout(app: &App, monitor: &Monitor) -> Close {
     loop {
-        let idle_timeout = limits(app).idle_timeout;
-        let remaining = match monitor.activity() {
-            Activity::Busy | Activity::Flushing => idle_timeout,
-            Activity::IdleSince(idle_since) => (idle_since + idle_timeout).since(clock::now()),
+        let Limits { idle_timeout, head_timeout, .. } = limits(app);
+        let (remaining, close) = match monitor.activity() {
+            Activity::Busy | Activity::Flushing => (idle_timeout, Close::Answered),
+            Activity::IdleSince(idle_since) => {
+                ((idle_since + idle_timeout).since(clock::now()), Close::Answered)
+            }
+            Activity::ReadingHead { idle_since, begun_at } => {
+                // An empty line between two requests counts as the start of a head, and must not
+                // shorten the idle timeout.
+                let closes_at = (begun_at + head_timeout).max(idle_since + idle_timeout);
+                (closes_at.since(clock::now()), Close::Now)
+            }
         };
         if remaining.is_zero() {
-            return;
+            return close;
         }
         sleep(remaining).await;
     }
--- a/crates/forward/src/listener/monitor.rs
+++ b/crates/forward/src/listener/monitor.rs
@@ -7,16 +7,23 @@
 use hyper::body::{Frame, SizeHint};
 use std::io;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 /// Use of a connection.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Activity {
     /// No request is in flight.
     IdleSince(Instant),
+    /// The head of a request has begun to arrive.
+    ReadingHead {
+        /// When the connection became idle before that.
+        idle_since: Instant,
+        /// When the first bytes of the head arrived.
+        begun_at: Instant,
+    },
     /// A request is being handled, or its answer is being produced.
     Busy,
     /// An answer has ended, and its last bytes have yet to be written to the socket.
@@ -25,36 +32,54 @@
 
 /// Current use of one connection. Clones share it.
 #[derive(Clone, Debug)]
-pub(super) struct Monitor(Arc<Mutex<Activity>>);
+pub(super) struct Monitor(watch::Sender<Activity>);
 
 impl Monitor {
     /// Creates the monitor of a connection that has just been opened.
     pub(super) fn new() -> Monitor {
-        Monitor(Arc::new(Mutex::new(Activity::IdleSince(clock::now()))))
+        Monitor(watch::Sender::new(Activity::IdleSince(clock::now())))
     }
 
     /// Returns the current use of the connection.
     pub(super) fn activity(&self) -> Activity {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        *self.0.borrow()
+    }
+
+    /// Waits until no part of a head has arrived without the rest.
+    pub(super) async fn wait_for_head(&self) {
+        let is_reading = |activity: &Activity| matches!(activity, Activity::ReadingHead { .. });
+        // The sender is not dropped while it is borrowed here.
+        let _ = self.0.subscribe().wait_for(|activity| !is_reading(activity)).await;
     }
 
     /// Records that the connection is busy with a request.
     pub(super) fn record_request(&self) {
-        self.update(|_| Activity::Busy);
+        self.0.send_replace(Activity::Busy);
     }
 
-    /// Records that everything written so far has reached the socket.
-    fn record_flush(&self) {
-        self.update(|activity| match activity {
-            Activity::Flushing => Activity::IdleSince(clock::now()),
-            other => other,
+    /// Records that bytes were received. On an idle connection they are the start of a head.
+    fn record_received(&self) {
+        self.0.send_if_modified(|activity| {
+            let &mut Activity::IdleSince(idle_since) = activity else { return false };
+            *activity = Activity::ReadingHead { idle_since, begun_at: clock::now() };
+            true
         });
     }
 
-    /// Replaces the activity by what `next` returns for it.
-    fn update(&self, next: impl FnOnce(Activity) -> Activity) {
-        let mut activity = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *activity = next(*activity);
+    /// Records that an answer has ended.
+    fn record_answer_end(&self) {
+        self.0.send_replace(Activity::Flushing);
+    }
+
+    /// Records that everything written so far has reached the socket.
+    fn record_flush(&self) {
+        self.0.send_if_modified(|activity| {
+            let is_answered = matches!(activity, Activity::Flushing);
+            if is_answered {
+                *activity = Activity::IdleSince(clock::now());
+            }
+            is_answered
+        });
     }
 }
 
@@ -73,7 +98,7 @@
 
 impl Drop for MonitoredBody {
     fn drop(&mut self) {
-        self.monitor.update(|_| Activity::Flushing);
+        self.monitor.record_answer_end();
     }
 }
 
@@ -97,7 +122,8 @@
     }
 }
 
-/// Socket of a connection. A flush, which hyper does only once it has written all bytes, is recorded.
+/// Socket of a connection. Records the arrival of bytes, and each flush, which hyper does only once it has written
+/// all bytes.
 pub(super) struct MonitoredStream {
     tcp: TcpStream,
     monitor: Monitor,
@@ -116,7 +142,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_read(context, buffer)
+        let filled_before = buffer.filled().len();
+        let result = ready!(Pin::new(&mut self.tcp).poll_read(context, buffer));
+        if buffer.filled().len() > filled_before {
+            self.monitor.record_received();
+        }
+        Poll::Ready(result)
     }
 }
 
--- a/crates/forward/tests/forward/connections.rs
+++ b/crates/forward/tests/forward/connections.rs
@@ -8,9 +8,9 @@
 use chestnutrack_forward::config::{Config, Limits};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Idle timeout of callers' connections in these tests.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -23,13 +23,18 @@
 /// Longest time by which these requests are sent before or after that time.
 const CROSSING_SPREAD: Duration = Duration::from_millis(4);
 
-/// Puts a configuration in force that differs from the one before only in its version and idle timeout.
-fn set_idle_timeout(host: &Host, version: u64, idle_timeout: Duration) {
-    let limits = Limits { body_bytes: 2 * LARGE_ANSWER_BYTES, idle_timeout, ..Limits::default() };
+/// Puts a configuration in force that differs from the one before only in its version and limits.
+fn set_limits(host: &Host, version: u64, limits: Limits) {
     let config = Config { version, limits, ..config() };
     assert!(host.app.configure(config, b"{}".to_vec()));
 }
 
+/// Puts a configuration in force with another idle timeout.
+fn set_idle_timeout(host: &Host, version: u64, idle_timeout: Duration) {
+    let body_bytes = 2 * LARGE_ANSWER_BYTES;
+    set_limits(host, version, Limits { body_bytes, idle_timeout, ..Limits::default() });
+}
+
 /// Answers a request with status 200.
 fn answer_ok(request: &ReceivedRequest) -> Vec<Step> {
     vec![answer(request, "200 OK", "fine")]
@@ -158,6 +163,61 @@
     assert_eq!((answer.status, answer.complete), (200, true));
 }
 
+// Guards against a request that is dropped because the idle timeout passes while its head arrives.
+#[tokio::test]
+async fn a_request_whose_head_has_begun_to_arrive_before_the_idle_timeout_is_answered() {
+    let backend = Backend::start(answer_ok).await;
+    let host = plain_host(&backend).await;
+    let mut connection = connect(host.address).await;
+    let text = request("POST", "/pay/7", "", "");
+    let (start, rest) = text.split_at(20);
+    exchange(&mut connection, &text).await;
+
+    connection.write_all(start.as_bytes()).await.unwrap();
+    sleep(IDLE_TIMEOUT * 2).await;
+    let answer = exchange(&mut connection, rest).await;
+
+    assert_eq!((answer.status, answer.complete), (200, true));
+}
+
+// Guards against a request that is dropped because the host stops while its head arrives.
+#[tokio::test]
+async fn a_request_whose_head_has_begun_to_arrive_before_a_shutdown_is_answered() {
+    let backend = Backend::start(answer_ok).await;
+    let host = plain_host(&backend).await;
+    set_idle_timeout(&host, 3, TEST_TIMEOUT);
+    let mut connection = connect(host.address).await;
+    let text = request("POST", "/pay/7", "", "");
+    let (start, rest) = text.split_at(20);
+    exchange(&mut connection, &text).await;
+
+    connection.write_all(start.as_bytes()).await.unwrap();
+    sleep(DRAIN.notice / 2).await;
+    host.stop.set();
+    sleep(DRAIN.notice * 3).await;
+    let answer = exchange(&mut connection, rest).await;
+
+    assert_eq!((answer.status, answer.header("connection")), (200, Some("close")));
+    timeout(TEST_TIMEOUT, host.serving).await.unwrap().unwrap();
+}
+
+// Guards against a connection that is kept open for a head that never arrives.
+#[tokio::test]
+async fn a_connection_whose_caller_never_completes_a_head_is_closed() {
+    let backend = Backend::start(answer_ok).await;
+    let host = plain_host(&backend).await;
+    let head_timeout = IDLE_TIMEOUT * 2;
+    set_limits(&host, 3, Limits { idle_timeout: IDLE_TIMEOUT, head_timeout, ..Limits::default() });
+    let mut connection = connect(host.address).await;
+
+    connection.write_all(b"POST /pay/7 HTTP/1.1\r\n").await.unwrap();
+    let started_at = Instant::now();
+    let closed = timeout(TEST_TIMEOUT, connection.read_u8()).await;
+
+    assert!(closed.is_ok_and(|read| read.is_err()), "the connection is closed");
+    assert!(started_at.elapsed() >= head_timeout / 2, "{:?}", started_at.elapsed());
+}
+
 /// Opens [`CROSSING_CALLERS`] connections and makes one request on every other of them. Returns the
 /// connections, each with the time since when it is idle.
 async fn open_idle_connections(host: &Host) -> Vec<(TcpStream, Instant)> {
