Apply a lowered idle timeout to a connection from its next answer

Cause: the idle timeout was read from the configuration in force at the time of the check. When a new configuration lowered it, a connection was closed that its caller had used under the longer timeout and might still reuse.

Ruled out: a request that crosses the close is not forwarded (tests of crossing requests), and a raised timeout took effect at once before, as it does now.

Change: an idle connection is kept for the longer of two timeouts: the one in force now, and the one in force when its last answer was sent.

Before: the new test failed. Timeout 1.5 s, lowered to 0.25 s; a connection reused 1.25 s after its last answer: (status, complete) = (0, false) instead of (200, true). After: it passes, as do all 72 tests of tests/forward.

Conclusion: beside a change of the configuration this fault closed connections that callers still counted on; their requests were not read, so it does not explain a request that was read whole and got no answer.

--- a/crates/forward/src/listener/mod.rs
+++ b/crates/forward/src/listener/mod.rs
@@ -83,7 +83,8 @@
 /// for too long. In the last two cases, a request in flight, or whose head has begun to arrive, is
 /// finished first. Closes the connection without an answer if a head does not arrive in time.
 async fn serve_connection(tcp: TcpStream, app: Arc<App>, mut closing: watch::Receiver<bool>) {
-    let monitor = Monitor::new();
+    let limits = limits(&app);
+    let monitor = Monitor::new(limits.idle_timeout);
     let (shared_app, shared_monitor) = (app.clone(), monitor.clone());
     let service = service_fn(move |request| {
         let (app, monitor) = (shared_app.clone(), shared_monitor.clone());
@@ -91,7 +92,6 @@
     });
     let _ = tcp.set_nodelay(true);
     let stream = MonitoredStream::new(tcp, monitor.clone());
-    let limits = limits(&app);
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN))
@@ -140,19 +140,20 @@
 }
 
 /// Returns when a connection has been idle, or a head has been arriving, for longer than the
-/// configuration in force allows.
+/// configuration in force allows. An idle connection is kept for at least the time that was allowed
+/// when its last answer was sent.
 async fn wait_for_timeout(app: &App, monitor: &Monitor) -> Close {
     loop {
         let Limits { idle_timeout, head_timeout, .. } = limits(app);
         let (remaining, close) = match monitor.activity() {
-            Activity::Busy | Activity::Flushing => (idle_timeout, Close::Answered),
-            Activity::IdleSince(idle_since) => {
-                ((idle_since + idle_timeout).since(clock::now()), Close::Answered)
+            Activity::Busy | Activity::Flushing { .. } => (idle_timeout, Close::Answered),
+            Activity::Idle(idle) => {
+                (idle.ends_at(idle_timeout).since(clock::now()), Close::Answered)
             }
-            Activity::ReadingHead { idle_since, begun_at } => {
+            Activity::ReadingHead { idle, begun_at } => {
                 // An empty line between two requests counts as the start of a head, and must not
                 // shorten the idle timeout.
-                let closes_at = (begun_at + head_timeout).max(idle_since + idle_timeout);
+                let closes_at = (begun_at + head_timeout).max(idle.ends_at(idle_timeout));
                 (closes_at.since(clock::now()), Close::Now)
             }
         };
@@ -175,5 +176,6 @@
     if app.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response.map(|body| MonitoredBody::new(body, monitor))
+    let idle_timeout = limits(&app).idle_timeout;
+    response.map(|body| MonitoredBody::new(body, monitor, idle_timeout))
 }
--- a/crates/forward/src/listener/monitor.rs
+++ b/crates/forward/src/listener/monitor.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -16,18 +17,37 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Activity {
     /// No request is in flight.
-    IdleSince(Instant),
+    Idle(Idle),
     /// The head of a request has begun to arrive.
     ReadingHead {
-        /// When the connection became idle before that.
-        idle_since: Instant,
+        /// State of the connection before that.
+        idle: Idle,
         /// When the first bytes of the head arrived.
         begun_at: Instant,
     },
     /// A request is being handled, or its answer is being produced.
     Busy,
     /// An answer has ended, and its last bytes have yet to be written to the socket.
-    Flushing,
+    Flushing {
+        /// Idle timeout in force when the answer was sent.
+        idle_timeout: Duration,
+    },
+}
+
+/// State of a connection without a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Idle {
+    since: Instant,
+    /// Idle timeout in force when the last answer was sent, or when the connection was opened. Its caller
+    /// may rely on it, though a new configuration lowers the timeout.
+    min_timeout: Duration,
+}
+
+impl Idle {
+    /// Returns when the connection has been idle for too long under `idle_timeout`, the timeout now in force.
+    pub(super) fn ends_at(self, idle_timeout: Duration) -> Instant {
+        self.since + idle_timeout.max(self.min_timeout)
+    }
 }
 
 /// Current use of one connection. Clones share it.
@@ -35,9 +55,10 @@
 pub(super) struct Monitor(watch::Sender<Activity>);
 
 impl Monitor {
-    /// Creates the monitor of a connection that has just been opened.
-    pub(super) fn new() -> Monitor {
-        Monitor(watch::Sender::new(Activity::IdleSince(clock::now())))
+    /// Creates the monitor of a connection that has just been opened, under an idle timeout.
+    pub(super) fn new(idle_timeout: Duration) -> Monitor {
+        let idle = Idle { since: clock::now(), min_timeout: idle_timeout };
+        Monitor(watch::Sender::new(Activity::Idle(idle)))
     }
 
     /// Returns the current use of the connection.
@@ -60,25 +81,23 @@
     /// Records that bytes were received. On an idle connection they are the start of a head.
     fn record_received(&self) {
         self.0.send_if_modified(|activity| {
-            let &mut Activity::IdleSince(idle_since) = activity else { return false };
-            *activity = Activity::ReadingHead { idle_since, begun_at: clock::now() };
+            let &mut Activity::Idle(idle) = activity else { return false };
+            *activity = Activity::ReadingHead { idle, begun_at: clock::now() };
             true
         });
     }
 
-    /// Records that an answer has ended.
-    fn record_answer_end(&self) {
-        self.0.send_replace(Activity::Flushing);
+    /// Records that an answer, sent under an idle timeout, has ended.
+    fn record_answer_end(&self, idle_timeout: Duration) {
+        self.0.send_replace(Activity::Flushing { idle_timeout });
     }
 
     /// Records that everything written so far has reached the socket.
     fn record_flush(&self) {
         self.0.send_if_modified(|activity| {
-            let is_answered = matches!(activity, Activity::Flushing);
-            if is_answered {
-                *activity = Activity::IdleSince(clock::now());
-            }
-            is_answered
+            let &mut Activity::Flushing { idle_timeout } = activity else { return false };
+            *activity = Activity::Idle(Idle { since: clock::now(), min_timeout: idle_timeout });
+            true
         });
     }
 }
@@ -87,18 +106,19 @@
 pub(super) struct MonitoredBody {
     body: Body,
     monitor: Monitor,
+    idle_timeout: Duration,
 }
 
 impl MonitoredBody {
-    /// Monitors the body of an answer.
-    pub(super) fn new(body: Body, monitor: Monitor) -> MonitoredBody {
-        MonitoredBody { body, monitor }
+    /// Monitors the body of an answer that is sent under an idle timeout.
+    pub(super) fn new(body: Body, monitor: Monitor, idle_timeout: Duration) -> MonitoredBody {
+        MonitoredBody { body, monitor, idle_timeout }
     }
 }
 
 impl Drop for MonitoredBody {
     fn drop(&mut self) {
-        self.monitor.record_answer_end();
+        self.monitor.record_answer_end(self.idle_timeout);
     }
 }
 
--- a/crates/forward/tests/forward/connections.rs
+++ b/crates/forward/tests/forward/connections.rs
@@ -218,6 +218,27 @@
     assert!(started_at.elapsed() >= head_timeout / 2, "{:?}", started_at.elapsed());
 }
 
+// Guards against a caller that reuses a connection within the idle timeout that it knows, and finds it closed.
+#[tokio::test]
+async fn a_lowered_idle_timeout_holds_for_a_connection_from_its_next_answer() {
+    let backend = Backend::start(answer_ok).await;
+    let host = plain_host(&backend).await;
+    set_idle_timeout(&host, 3, IDLE_TIMEOUT * 3);
+    let text = request("POST", "/pay/7", "", "");
+    let mut connection = connect(host.address).await;
+    exchange(&mut connection, &text).await;
+
+    sleep(IDLE_TIMEOUT).await;
+    exchange(&mut connection, &text).await;
+    set_idle_timeout(&host, 4, IDLE_TIMEOUT / 2);
+    sleep(IDLE_TIMEOUT * 5 / 2).await;
+    let answer = exchange(&mut connection, &text).await;
+    let closed = timeout(IDLE_TIMEOUT * 4, connection.read_u8()).await;
+
+    assert_eq!((answer.status, answer.complete), (200, true));
+    assert!(closed.is_ok_and(|read| read.is_err()), "the connection is closed");
+}
+
 /// Opens [`CROSSING_CALLERS`] connections and makes one request on every other of them. Returns the
 /// connections, each with the time since when it is idle.
 async fn open_idle_connections(host: &Host) -> Vec<(TcpStream, Instant)> {
