Count 0 tokens per event of an engine's stream as 1

Cause: until the decode speed of a service's engines has been measured, it is estimated from the tokens per event that the configuration states. With 0, the time until a running generation ends was infinite, and its conversion to a duration panicked. That happened to each generation that had to wait behind another: its connection was closed without an answer.

Change: the dispatcher counts 0 tokens per event as 1.

Before: the new test failed: `cannot convert float seconds to Duration: value is either too big or NaN`, then status 0 for the second request. After: it passes, as do all 73 tests of tests/forward and those of chestnutrack-core.

Conclusion: a panic does close a connection without an answer, but this one needs a configuration that states 0; where it states none, 1 applies. So it explains the incident only if such a configuration was in force.

--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -230,10 +230,11 @@
 
 impl<T> Dispatch<T> {
     /// Sets the memory of a service's engines in tokens and the maximum number of tokens per stream
-    /// event.
+    /// event; 0 counts as 1.
     pub fn configure_engines(&mut self, service: &Arc<str>, kv_tokens: u64, tokens_per_event: u32) {
         let pool = self.pools.entry(service.clone()).or_default();
-        (pool.kv_tokens, pool.tokens_per_event) = (kv_tokens, tokens_per_event);
+        // Times are estimated by dividing by the decode speed, which must not be 0.
+        (pool.kv_tokens, pool.tokens_per_event) = (kv_tokens, tokens_per_event.max(1));
     }
 
     /// Returns the decode speed of a generation on an engine, in tokens per millisecond: the
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+mod configurations;
 mod connections;
 mod directory;
 mod fixture;
