Saturate sums of token counts that callers state

Cause: the prompt and output tokens that a caller states were added unchecked. Where overflow is checked, as in tests, the task of such a request panicked and its connection was closed without an answer; elsewhere the sum wraps around (not run).

Change: these sums saturate. That of the queue (dispatch/admission.rs) is changed with the others; no test reaches it with such a count.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -119,7 +119,7 @@
         let waiting = Waiting {
             organisation: request.organisation.clone(),
             may_wait: false,
-            tokens: request.prompt_tokens + request.output_tokens,
+            tokens: request.prompt_tokens.saturating_add(request.output_tokens),
             arrived: request.arrived,
             target: if request.first_token_by.is_some() { admit_by } else { now },
             deadline: admit_by,
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -376,7 +376,7 @@
             (self.failure_rank(now, server), self.queued_prefill_tokens(now, server, per_ms) as u64)
         });
         let (_, tokens_ahead) = ranked.min()?;
-        let tokens = (tokens_ahead + request.prompt_tokens) as f64;
+        let tokens = tokens_ahead.saturating_add(request.prompt_tokens) as f64;
         Some(FIRST_TOKEN_AFTER_PREFILL + Duration::from_secs_f64(tokens / per_ms / 1_000.0))
     }
 
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -181,7 +181,7 @@
 /// a generation, or the organisation's fixed number for a request to a plain service, which states none.
 fn token_cost(head: &RequestHead, organisation: Option<&Organisation>) -> u64 {
     match (&head.generation, organisation) {
-        (Some(generation), _) => generation.prompt_tokens + generation.output_tokens,
+        (Some(generation), _) => generation.prompt_tokens.saturating_add(generation.output_tokens),
         (None, Some(organisation)) => organisation.plain_tokens,
         (None, None) => 0,
     }
--- a/crates/forward/tests/forward/limits.rs
+++ b/crates/forward/tests/forward/limits.rs
@@ -30,6 +30,18 @@
     assert_eq!((first.status, second.status), (503, 503));
 }
 
+// Guards against a sum of token counts that overflows: the request then costs few tokens, or its task panics.
+#[tokio::test]
+async fn a_request_with_the_highest_token_count_is_over_the_allowance() {
+    let backend = Backend::start(|request| vec![answer(request, "200 OK", "fine")]).await;
+    let host = host(vec![plain("app-1", &backend)]).await;
+    let tokens = format!("x-chestnutrack-tokens: {},2\r\n", u64::MAX);
+
+    let answer = call(host.address, &request("POST", "/pay/7", &tokens, "")).await;
+
+    assert_eq!((answer.status, backend.request_count()), (429, 0));
+}
+
 #[tokio::test]
 async fn a_body_over_the_limit_is_refused() {
     let backend = Backend::start(|request| vec![answer(request, "200 OK", "fine")]).await;
--- a/crates/forward/tests/forward/streams.rs
+++ b/crates/forward/tests/forward/streams.rs
@@ -4,8 +4,9 @@
     Backend, ReceivedRequest, Step, answer_prefill, chunk, event, refuse_as_not_run, send,
     stream_end, stream_head,
 };
-use crate::fixture::caller::{call, connect, generation};
-use crate::fixture::{Host, decode, host, prefill, wait_until};
+use crate::fixture::caller::{call, connect, generation, request};
+use crate::fixture::{Host, config, decode, host, prefill, wait_until};
+use chestnutrack_forward::config::Config;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 
@@ -338,3 +339,20 @@
 
     assert!(replaced.request_count() <= 1, "{}", replaced.request_count());
 }
+
+// Guards against a sum of token counts that overflows, so that the task of a request panics.
+#[tokio::test]
+async fn a_generation_with_the_highest_token_count_is_refused_as_without_room() {
+    let prefiller = Backend::start(|_| vec![Step::Hang]).await;
+    let decoder = Backend::start(complete_stream).await;
+    let host = engines(&prefiller, &[&decoder]).await;
+    host.app.configure(Config { version: 2, organisations: Vec::new(), ..config() }, Vec::new());
+    let mut connection = connect(host.address).await;
+    connection.write_all(generation("/digest/7").as_bytes()).await.unwrap();
+    wait_until(|| prefiller.request_count() == 1).await;
+    let tokens = format!("x-chestnutrack-tokens: {},2\r\n", u64::MAX);
+
+    let answer = call(host.address, &request("POST", "/digest/7", &tokens, "prompt")).await;
+
+    assert_eq!((answer.status, decoder.request_count()), (503, 0));
+}
