--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -342,7 +342,7 @@
         service: job.service.clone(),
         organisation: job.organisation.as_ref().map(|owner| owner.name.clone()).unwrap_or_default(),
         // The tokens generated so far are part of the prompt of the engine that resumes the stream.
-        prompt_tokens: generation.prompt_tokens + generated_tokens,
+        prompt_tokens: generation.prompt_tokens.saturating_add(generated_tokens),
         output_tokens: generation.output_tokens.saturating_sub(generated_tokens),
         length_hint: generation.hint.map(|hint| hint.saturating_sub(generated_tokens)),
         arrived: job.arrived_at,
--- a/crates/forward/src/listener/mod.rs
+++ b/crates/forward/src/listener/mod.rs
@@ -1,11 +1,11 @@
 //! Serves callers' connections, and drains them at shutdown: new requests are accepted for a notice
 //! period, then those in flight are finished.
 
-use crate::answer::Body;
+mod monitor;
+
 use crate::app::App;
 use crate::config::Limits;
 use crate::request;
-use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::shutdown::Shutdown;
 use hyper::body::Incoming;
@@ -14,13 +14,14 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use monitor::{Activity, Monitor, MonitoredBody, MonitoredStream};
 use std::convert::Infallible;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Smallest buffer for the head of a request that hyper accepts, in bytes.
 const HEAD_BUFFER_MIN: usize = 8 << 10;
@@ -73,39 +74,38 @@
     let all_ended = async { while connections.join_next().await.is_some() {} };
     let final_times = *drain_times.borrow();
     let remaining = final_times.timeout.saturating_sub(final_times.notice);
-    if tokio::time::timeout(remaining, all_ended).await.is_err() {
+    if timeout(remaining, all_ended).await.is_err() {
         tracing::warn!("requests still in flight at the end of the shutdown");
     }
 }
 
-/// Whether a connection has a request in flight.
-#[derive(Clone, Copy, Debug)]
-enum Activity {
-    Busy,
-    IdleSince(Instant),
-}
-
 /// Serves one connection until the caller closes it, the listener is closing, or it has been idle
-/// for too long. In the last two cases, a request in flight is finished first.
+/// for too long. In the last two cases, a request in flight, or whose head has begun to arrive, is
+/// finished first. Closes the connection without an answer if a head does not arrive in time.
 async fn serve_connection(tcp: TcpStream, app: Arc<App>, mut closing: watch::Receiver<bool>) {
-    let activity = Arc::new(Mutex::new(Activity::IdleSince(clock::now())));
-    let (shared_app, shared_activity) = (app.clone(), activity.clone());
+    let limits = limits(&app);
+    let monitor = Monitor::new(limits.idle_timeout);
+    let (shared_app, shared_monitor) = (app.clone(), monitor.clone());
     let service = service_fn(move |request| {
-        let (app, activity) = (shared_app.clone(), shared_activity.clone());
-        async move { Ok::<_, Infallible>(handle(app, request, &activity).await) }
+        let (app, monitor) = (shared_app.clone(), shared_monitor.clone());
+        async move { Ok::<_, Infallible>(handle(app, request, monitor).await) }
     });
     let _ = tcp.set_nodelay(true);
-    let limits = limits(&app);
+    let stream = MonitoredStream::new(tcp, monitor.clone());
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN))
-        .serve_connection(TokioIo::new(tcp), service);
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let idle_timeout_passed = wait_until_idle(&app, &activity);
-    tokio::select! {
+    let timeout_passed = wait_for_timeout(&app, &monitor);
+    let closing = wait_for_closing(&app, &monitor, &mut closing);
+    let close = tokio::select! {
         _ = connection.as_mut() => return,
-        _ = closing.wait_for(|is_closing| *is_closing) => {}
-        () = idle_timeout_passed => {}
+        close = closing => close,
+        close = timeout_passed => close,
+    };
+    if close == Close::Now {
+        return;
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
@@ -116,35 +116,66 @@
     app.active_config().map(|active| active.table.config().limits).unwrap_or_default()
 }
 
-/// Returns when a connection has been idle for longer than the configuration in force allows.
-async fn wait_until_idle(app: &App, activity: &Mutex<Activity>) {
+/// When a connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Close {
+    /// Once the request in flight, if any, has been answered.
+    Answered,
+    /// At once, since the head of a request did not arrive in time.
+    Now,
+}
+
+/// Waits until the listener is closing and a head that has begun to arrive is complete, or has not
+/// arrived in time.
+async fn wait_for_closing(
+    app: &App,
+    monitor: &Monitor,
+    closing: &mut watch::Receiver<bool>,
+) -> Close {
+    let _ = closing.wait_for(|is_closing| *is_closing).await;
+    match timeout(limits(app).head_timeout, monitor.wait_for_head()).await {
+        Ok(()) => Close::Answered,
+        Err(_) => Close::Now,
+    }
+}
+
+/// Returns when a connection has been idle, or a head has been arriving, for longer than the
+/// configuration in force allows. An idle connection is kept for at least the time that was allowed
+/// when its last answer was sent.
+async fn wait_for_timeout(app: &App, monitor: &Monitor) -> Close {
     loop {
-        let idle_timeout = limits(app).idle_timeout;
-        let current = *activity.lock().unwrap_or_else(PoisonError::into_inner);
-        let remaining = match current {
-            Activity::Busy => idle_timeout,
-            Activity::IdleSince(idle_since) => (idle_since + idle_timeout).since(clock::now()),
+        let Limits { idle_timeout, head_timeout, .. } = limits(app);
+        let (remaining, close) = match monitor.activity() {
+            Activity::Busy | Activity::Flushing { .. } => (idle_timeout, Close::Answered),
+            Activity::Idle(idle) => {
+                (idle.ends_at(idle_timeout).since(clock::now()), Close::Answered)
+            }
+            Activity::ReadingHead { idle, begun_at } => {
+                // An empty line between two requests counts as the start of a head, and must not
+                // shorten the idle timeout.
+                let closes_at = (begun_at + head_timeout).max(idle.ends_at(idle_timeout));
+                (closes_at.since(clock::now()), Close::Now)
+            }
         };
         if remaining.is_zero() {
-            return;
+            return close;
         }
         sleep(remaining).await;
     }
 }
 
-/// Handles a request and records when the connection is busy and idle. While the process drains,
-/// the answer asks the caller to close the connection.
+/// Handles a request and records that the connection is in use until its answer has been sent. While the
+/// process drains, the answer asks the caller to close the connection.
 async fn handle(
     app: Arc<App>,
     request: Request<Incoming>,
-    activity: &Mutex<Activity>,
-) -> Response<Body> {
-    let set_activity = |value| *activity.lock().unwrap_or_else(PoisonError::into_inner) = value;
-    set_activity(Activity::Busy);
+    monitor: Monitor,
+) -> Response<MonitoredBody> {
+    monitor.record_request();
     let mut response = request::handle(app.clone(), request).await;
-    set_activity(Activity::IdleSince(clock::now()));
     if app.is_draining() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response
+    let idle_timeout = limits(&app).idle_timeout;
+    response.map(|body| MonitoredBody::new(body, monitor, idle_timeout))
 }
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+mod configurations;
+mod connections;
 mod crashes;
 mod directory;
 mod fixture;
