Log a connection whose task panicked

Cause: a panic while a request is served ends its connection without an answer.

Change: the listener logs the end of such a connection, and the request is no longer counted as abandoned.

--- a/crates/forward/src/listener/mod.rs
+++ b/crates/forward/src/listener/mod.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{JoinError, JoinSet};
 use tokio::time::{sleep, timeout};
 
 /// Smallest buffer for the head of a request that hyper accepts, in bytes.
@@ -66,12 +66,16 @@
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
-            Some(_) = connections.join_next() => {}
+            Some(ended) = connections.join_next() => log_panic(ended),
         }
     }
     drop(listener);
     closing_sender.send_replace(true);
-    let all_ended = async { while connections.join_next().await.is_some() {} };
+    let all_ended = async {
+        while let Some(ended) = connections.join_next().await {
+            log_panic(ended);
+        }
+    };
     let final_times = *drain_times.borrow();
     let remaining = final_times.timeout.saturating_sub(final_times.notice);
     if timeout(remaining, all_ended).await.is_err() {
@@ -79,6 +83,13 @@
     }
 }
 
+/// Logs a connection whose task panicked: a request on it got no answer.
+fn log_panic(ended: Result<(), JoinError>) {
+    if let Err(error) = ended {
+        tracing::error!(%error, "connection ended without an answer");
+    }
+}
+
 /// Serves one connection until the caller closes it, the listener is closing, or it has been idle
 /// for too long. In the last two cases, a request in flight, or whose head has begun to arrive, is
 /// finished first. Closes the connection without an answer if a head does not arrive in time.
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -75,9 +75,10 @@
 }
 
 impl Drop for AbandonGuard {
-    /// Logs and counts the request as abandoned, unless it was answered.
+    /// Logs and counts the request as abandoned, unless it was answered. After a panic, the listener logs the end of the
+    /// connection.
     fn drop(&mut self) {
-        if self.is_answered {
+        if self.is_answered || std::thread::panicking() {
             return;
         }
         let after_ms = clock::now().since(self.arrived_at).as_millis() as u64;
