Forward: tests of answers whose framing has no end, or ends with the connection

A faulty server may send bytes that are no answer without end, in a head or a body, until its caller closes. A sound one may send an answer or a stream with neither a length nor chunks, which ends with its connection. Neither was tested on the direct request path.

The limits that hold are hyper's for a head (about 400 KiB, 100 headers), chunk extensions and trailers (16 KiB each), the largest body of the configuration, the largest answer to a prefill, and the request's deadline. A connection whose answer was not read to its end is closed when the answer is dropped.

Conclusion: on these paths nothing had to change.

--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -4,6 +4,7 @@
 
 mod directory;
 mod fixture;
+mod framing;
 mod hosts;
 mod limits;
 mod notices;
