Forward: an event of a stream is bounded in size

Cause: EventSplitter buffers a stream until the blank line that ends an event. A server that never sends one fills this host's memory, up to the deadline of the request, or without end where the stream may be resumed and bytes keep coming.

Ruled out: a limit by hyper. Its limits apply to heads, chunk extensions and trailers, not to data.

Change: an event may have 64 KiB (MAX_EVENT_BYTES). A stream with a larger one counts as broken like one whose connection breaks: its connection is closed, the failure is recorded, and it is resumed where its route allows that. The search for an event's end stops at the bound, so that it doesn't matter how the stream is cut.

The decisions on retries and on resuming are as they were.

Conclusion: a stream holds at most one event and the bytes last read.

--- a/crates/forward/src/attempt/events.rs
+++ b/crates/forward/src/attempt/events.rs
@@ -11,8 +11,8 @@
     pub(super) bytes: Bytes,
 }
 
-/// Buffers bytes of a stream and splits them into events. Bytes that remain at the end of a stream are a
-/// partial event.
+/// Buffers bytes of a stream and splits them into events of at most [`MAX_EVENT_BYTES`]. Bytes that remain at the end
+/// of a stream are a partial event.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     buffer: BytesMut,
@@ -20,6 +20,8 @@
     searched_bytes: usize,
 }
 
+/// Largest event with the blank line that ends it, in bytes.
+pub(super) const MAX_EVENT_BYTES: usize = 64 << 10;
 /// Blank line that ends an event.
 const EVENT_END: &[u8] = b"\n\n";
 /// Start of the line that holds an event's identifier.
@@ -31,15 +33,17 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Removes and returns the next whole event, or `None` if more bytes are needed. Continues the search for the
-    /// event's end where the last call stopped, less the bytes in which an end may have begun.
+    /// Removes and returns the next whole event, or `None` if more bytes are needed or the event is too large.
+    /// Continues the search for the event's end where the last call stopped, less the bytes in which an end may have
+    /// begun.
     pub(super) fn next(&mut self) -> Option<Event> {
         let search_start = self.searched_bytes.saturating_sub(EVENT_END.len() - 1);
-        let end_offset = self.buffer[search_start..]
+        let search_end = self.buffer.len().min(MAX_EVENT_BYTES);
+        let end_offset = self.buffer[search_start..search_end]
             .windows(EVENT_END.len())
             .position(|window| window == EVENT_END);
         let Some(end_offset) = end_offset else {
-            self.searched_bytes = self.buffer.len();
+            self.searched_bytes = search_end;
             return None;
         };
         self.searched_bytes = 0;
@@ -47,6 +51,12 @@
         Some(Event { id: parse_id(&bytes), bytes })
     }
 
+    /// Returns `true` if the last call of [`EventSplitter::next`] found that the next event is larger than
+    /// [`MAX_EVENT_BYTES`].
+    pub(super) fn is_oversized(&self) -> bool {
+        self.searched_bytes == MAX_EVENT_BYTES
+    }
+
     /// Returns `true` if the buffer holds bytes that are not a whole event.
     pub(super) fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -1,7 +1,7 @@
 //! Forwards an engine's stream of events to the caller, and resumes it at another engine if it breaks and its
 //! route allows that. Resuming starts a new generation that continues after the last forwarded event.
 
-use super::events::{Event, EventSplitter};
+use super::events::{Event, EventSplitter, MAX_EVENT_BYTES};
 use super::generation::{EngineResponse, start_generation};
 use super::{Job, RESUME_TIMEOUT, RetryState};
 use crate::config::{Engine, Kind};
@@ -85,7 +85,7 @@
                     Some(end) => return end,
                 }
             }
-            match self.next_chunk(response).await {
+            match self.next_checked_chunk(response).await {
                 Some(Ok(Some(bytes))) => self.events.push(&bytes),
                 Some(Ok(None)) if !self.events.has_partial_event() => return End::Whole,
                 Some(Ok(None)) => return End::Broken,
@@ -105,6 +105,18 @@
         }
     }
 
+    /// Returns the next bytes from an engine as [`Relay::next_chunk`] does, or an error if the event that is being read
+    /// is too large.
+    async fn next_checked_chunk(
+        &self,
+        response: &mut EngineResponse,
+    ) -> Option<Result<Option<Bytes>, Error>> {
+        if self.events.is_oversized() {
+            return Some(Err(Error::TooLarge(MAX_EVENT_BYTES)));
+        }
+        self.next_chunk(response).await
+    }
+
     /// Returns the next bytes from an engine (`Some(Ok(None))` at the end of its stream), or `None` if the
     /// caller disconnected. A resumable stream fails after a short silence, since another engine can continue it; any
     /// other stream may be silent until the deadline.
--- a/crates/forward/src/attempt/tests.rs
+++ b/crates/forward/src/attempt/tests.rs
@@ -1,4 +1,4 @@
-use super::events::EventSplitter;
+use super::events::{EventSplitter, MAX_EVENT_BYTES};
 use quickcheck::quickcheck;
 
 fn sample_stream() -> Vec<u8> {
@@ -32,3 +32,42 @@
     assert_eq!(events.next(), None);
     assert!(events.has_partial_event());
 }
+
+/// Returns the bytes of an event of the given length.
+fn event_of(length: usize) -> Vec<u8> {
+    let mut event = vec![b'a'; length];
+    event[length - 2..].copy_from_slice(b"\n\n");
+    event
+}
+
+// Guards against a limit that refuses the largest event, or depends on how the stream is cut.
+#[test]
+fn the_largest_event_is_whole_and_a_larger_one_is_oversized_wherever_they_are_cut() {
+    for cut in [1, 2, MAX_EVENT_BYTES - 1, MAX_EVENT_BYTES] {
+        let (mut largest, mut larger) = (EventSplitter::default(), EventSplitter::default());
+
+        for part in event_of(MAX_EVENT_BYTES).chunks(cut) {
+            assert_eq!((largest.next(), largest.is_oversized()), (None, false));
+            largest.push(part);
+        }
+        for part in event_of(MAX_EVENT_BYTES + 1).chunks(cut) {
+            larger.push(part);
+            assert_eq!(larger.next(), None);
+        }
+
+        assert_eq!(largest.next().map(|event| event.bytes.len()), Some(MAX_EVENT_BYTES));
+        assert_eq!((largest.is_oversized(), larger.is_oversized()), (false, true));
+    }
+}
+
+#[test]
+fn an_oversized_event_is_forgotten_when_the_buffer_is_cleared() {
+    let mut events = EventSplitter::default();
+    events.push(&event_of(MAX_EVENT_BYTES + 1));
+    assert_eq!((events.next(), events.is_oversized()), (None, true));
+
+    events.clear();
+    events.push(b"id: 1\n\n");
+
+    assert_eq!((events.next().and_then(|event| event.id), events.is_oversized()), (Some(1), false));
+}
--- a/crates/forward/tests/forward/framing.rs
+++ b/crates/forward/tests/forward/framing.rs
@@ -315,6 +315,24 @@
 
 // Streams that never end.
 
+// Guards against buffering an event without an end until memory runs out.
+#[tokio::test]
+async fn a_stream_in_chunks_with_an_endless_event_is_cut_off_and_broken() {
+    assert_stream_is_cut_off(|request| stream_then(request, flood("4\r\nfill\r\n"))).await;
+}
+
+// Guards against buffering an event without an end until memory runs out, in a stream without a length.
+#[tokio::test]
+async fn a_stream_without_length_or_chunks_with_an_endless_event_is_cut_off_and_broken() {
+    assert_stream_is_cut_off(|request| unframed_stream(request, vec![flood("fill")])).await;
+}
+
+// Guards against buffering an event of endless lines until memory runs out.
+#[tokio::test]
+async fn a_stream_with_an_event_of_endless_lines_is_cut_off_and_broken() {
+    assert_stream_is_cut_off(|request| unframed_stream(request, vec![flood("data: a\n")])).await;
+}
+
 // Guards against endless chunk extensions, which carry no event.
 #[tokio::test]
 async fn a_stream_with_an_endless_chunk_extension_is_cut_off_and_broken() {
@@ -347,6 +365,27 @@
     assert_stream_is_cut_off(steps).await;
 }
 
+// Guards against a stream that may be resumed being lost, or joined wrongly, where an event has no end.
+#[tokio::test]
+async fn a_resumable_stream_with_an_endless_event_goes_on_elsewhere_without_a_gap_or_a_repeat() {
+    let endless = Backend::start(|request| unframed_stream(request, vec![flood("fill")])).await;
+    let (prefiller, healthy) =
+        (Backend::start(answer_prefill).await, Backend::start(complete_stream).await);
+    let engines = [&endless, &healthy];
+    let mut servers = vec![prefill("prefill-1", &prefiller)];
+    servers.extend(
+        engines.iter().enumerate().map(|(n, engine)| decode(&format!("decode-{n}"), engine)),
+    );
+    let host = host(servers).await;
+
+    while endless.request_count() == 0 {
+        let answer = call(host.address, &generation("/recap/7")).await;
+
+        assert_eq!((&*answer.body, answer.complete), (&*events(1, 4), true));
+    }
+    assert_cut_off(&endless).await;
+}
+
 // Guards against an event that arrives slowly and so outlasts the time limit.
 #[tokio::test]
 async fn a_stream_whose_event_arrives_slowly_ends_broken_at_the_time_limit() {
