Forward: a stream of endless events ends at the deadline

Cause: a stream's deadline was checked only as a limit on its silence. A stream of endless events outlasted it: one that may be resumed since it was never silent for 1.2 s, any other one where the next bytes were always there when the expired limit was set. The caller got no end, and the engine's places and connection were never released.

Ruled out: a limit on the number or the bytes of all events. Streams are bounded in time, and their memory is bounded by the size of an event.

Change: a stream that has outlasted its deadline by more than 200 ms (MAX_OVERRUN) counts as broken, and its connection is closed. An engine stops at the deadline that it is given, and its last events arrive a little later, so those still pass. Nothing is resumed after the deadline, as before.

Conclusion: every stream ends within its time limit, unless its caller reads nothing: then the wait for that caller has no limit. That is not covered here.

--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -10,9 +10,13 @@
 use chestnutrack_process::clock;
 use chestnutrack_process::http::Error;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+/// Time after the deadline in which the last events of a stream may still arrive: engines stop at the deadline.
+const MAX_OVERRUN: Duration = Duration::from_millis(200);
+
 /// How a stream from one engine ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
@@ -106,7 +110,7 @@
     }
 
     /// Returns the next bytes from an engine as [`Relay::next_chunk`] does, or an error if the event that is being read
-    /// is too large.
+    /// is too large or the stream has outlasted the deadline by more than [`MAX_OVERRUN`].
     async fn next_checked_chunk(
         &self,
         response: &mut EngineResponse,
@@ -114,6 +118,9 @@
         if self.events.is_oversized() {
             return Some(Err(Error::TooLarge(MAX_EVENT_BYTES)));
         }
+        if clock::now().since(self.job.deadline) > MAX_OVERRUN {
+            return Some(Err(Error::Timeout(self.job.age_ms())));
+        }
         self.next_chunk(response).await
     }
 
--- a/crates/forward/tests/forward/framing.rs
+++ b/crates/forward/tests/forward/framing.rs
@@ -399,6 +399,31 @@
     assert!(took <= TIME_LIMIT + LATENESS_MAX, "{took:?}");
 }
 
+/// Asserts that a stream of endless events, each of them whole and in time, ends broken for the caller at the time
+/// limit, and that its connection is closed.
+async fn assert_endless_events_end(path: &str, events: Step) {
+    let steps = move |request: &ReceivedRequest| unframed_stream(request, vec![events.clone()]);
+    let (host, _prefiller, decoder) = engine_host(answer_prefill, steps).await;
+
+    let (answer, took) = timed_call(&host, &with_time_limit(&generation(path))).await;
+    wait_until(|| decoder.disconnects() == 1).await;
+
+    assert_eq!((answer.status, answer.complete, decoder.request_count()), (200, false, 1));
+    assert!(took <= TIME_LIMIT + LATENESS_MAX, "{took:?}");
+}
+
+// Guards against a stream that outlasts the time limit, since an event is always there to be read.
+#[tokio::test]
+async fn a_stream_of_endless_events_ends_broken_at_the_time_limit() {
+    assert_endless_events_end("/digest/7", flood(": still here\n\n")).await;
+}
+
+// Guards against a stream that outlasts the time limit, since it is never silent for long.
+#[tokio::test]
+async fn a_resumable_stream_of_endless_events_ends_broken_at_the_time_limit() {
+    assert_endless_events_end("/recap/7", drip(": still here\n\n")).await;
+}
+
 // Answers with neither a length nor chunks.
 
 // Guards against losing a part of an answer that ends with its connection, or using that connection again.
