Forward: an engine whose stream ends inside an event has failed

Cause: a stream with neither a length nor chunks that ends inside an event, or one in chunks whose last event is not whole, counted as broken for the caller but not as a failure of its engine. A stream whose connection is reset counts as both. So the stream could be resumed at the engine that had just broken it off, and that used up its attempts.

Ruled out: excluding the engine in the decision to resume. A recorded failure already leads the next placement elsewhere, as it does after a reset.

Change: a stream of a successful answer that ends inside an event is handled as one that is reset: the engine's failure is recorded. The bodies of engines' failures are left out, since they hold no events. The decisions on retries and on resuming are as they were.

Conclusion: how a broken stream's connection ended makes no difference any more.

--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -110,7 +110,7 @@
     }
 
     /// Returns the next bytes from an engine as [`Relay::next_chunk`] does, or an error if the event that is being read
-    /// is too large or the stream has outlasted the deadline by more than [`MAX_OVERRUN`].
+    /// is too large, the stream has outlasted the deadline by more than [`MAX_OVERRUN`] or it ended inside an event.
     async fn next_checked_chunk(
         &self,
         response: &mut EngineResponse,
@@ -121,7 +121,14 @@
         if clock::now().since(self.job.deadline) > MAX_OVERRUN {
             return Some(Err(Error::Timeout(self.job.age_ms())));
         }
-        self.next_chunk(response).await
+        // The body of an engine's failure has no events and says nothing about how it ended.
+        let has_events = response.head.status.is_success();
+        match self.next_chunk(response).await {
+            Some(Ok(None)) if has_events && self.events.has_partial_event() => {
+                Some(Err(Error::Broken("stream ended inside an event".to_owned())))
+            }
+            chunk => chunk,
+        }
     }
 
     /// Returns the next bytes from an engine (`Some(Ok(None))` at the end of its stream), or `None` if the
--- a/crates/forward/tests/forward/framing.rs
+++ b/crates/forward/tests/forward/framing.rs
@@ -533,6 +533,31 @@
     assert_eq!((&*answer.body, answer.complete), (&*events(1, 2), false));
 }
 
+// Guards against a gap or a repeat where a stream that may be resumed ends inside an event.
+#[tokio::test]
+async fn a_resumable_stream_that_ends_inside_an_event_goes_on_elsewhere() {
+    let broken = Backend::start(|request| {
+        unframed_stream(request, vec![send("id: 3\ndata: ev"), Step::Close])
+    })
+    .await;
+    let (prefiller, healthy) =
+        (Backend::start(answer_prefill).await, Backend::start(complete_stream).await);
+    let host = host(vec![
+        prefill("prefill-1", &prefiller),
+        decode("decode-0", &broken),
+        decode("decode-1", &healthy),
+    ])
+    .await;
+
+    // Repeat until the broken engine was chosen.
+    while broken.request_count() == 0 {
+        let answer = call(host.address, &generation("/recap/7")).await;
+
+        assert_eq!((&*answer.body, answer.complete), (&*events(1, 4), true));
+    }
+    assert_eq!(broken.request_count(), 1);
+}
+
 // Guards against taking a reset for the end of a stream without a length.
 #[tokio::test]
 async fn a_stream_without_length_or_chunks_whose_connection_is_reset_is_broken() {
