Process: a body in tiny chunks occupies no more memory than its bytes

Cause: read_body collected the chunks of a body and joined them at its end. A chunk that is kept costs a descriptor of its own and the buffer that it was read into, so an answer in chunks of one byte took many times its size.

Ruled out: a smaller limit on bodies. It holds for what callers may send too, and the cost is one per chunk.

Change: read_body copies each chunk into one buffer and drops it.

Conclusion: the memory of an answer that is read whole is bounded by the limit on its bytes, within the factor of two by which its buffer grows.

--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -1,7 +1,7 @@
 //! A small HTTP/1.1 server and client based on `hyper`, with limits on time and size.
 
 use crate::socket;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -14,6 +14,7 @@
 use std::convert::Infallible;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -74,7 +75,8 @@
     response
 }
 
-/// Reads a complete body of at most `body_bytes_max` bytes.
+/// Reads a complete body of at most `body_bytes_max` bytes. Copies each chunk, since a chunk that is kept occupies far
+/// more memory than its bytes if it is small.
 ///
 /// # Errors
 ///
@@ -84,11 +86,18 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    match Limited::new(body, body_bytes_max).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Error::TooLarge(body_bytes_max)),
-        Err(error) => Err(Error::Broken(error.to_string())),
+    let mut body = pin!(Limited::new(body, body_bytes_max));
+    let mut buffer = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => buffer.extend_from_slice(frame.data_ref().map_or(&[], |bytes| bytes)),
+            Err(error) if error.is::<LengthLimitError>() => {
+                return Err(Error::TooLarge(body_bytes_max));
+            }
+            Err(error) => return Err(Error::Broken(error.to_string())),
+        }
     }
+    Ok(buffer.freeze())
 }
 
 /// Serves the requests of one connection with `handle` until it is closed.
