Process: tests of calls whose answers never end, or end with the connection

Calls for engines' reports, orders to them and the freeing of handles go through Pool::call, with a limit on the answer's bytes and a timeout. Neither was tested against a server that sends bytes until its caller closes.

Change: tests of endless bodies, with and without chunks, which end at the limit; of an endless header, interim responses and chunk size, which end at the timeout; and of an answer with neither a length nor chunks. Each failed call closes its connection.

That stage/mod.rs makes all its calls to engines in this way was read, not run.

Conclusion: nothing had to change.

--- a/crates/process/tests/pool.rs
+++ b/crates/process/tests/pool.rs
@@ -169,6 +169,98 @@
     assert_eq!(server.connections(), 2);
 }
 
+/// Server that sends a text to each caller, and then a part of it repeatedly until the caller closes the connection.
+struct EndlessServer {
+    address: SocketAddr,
+    accepted: Arc<AtomicUsize>,
+    closed: Arc<AtomicUsize>,
+}
+
+impl EndlessServer {
+    /// Waits until the callers have closed all connections.
+    async fn wait_until_closed(&self) {
+        let closed = async {
+            while self.closed.load(Ordering::SeqCst) < self.accepted.load(Ordering::SeqCst) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(CALL_TIMEOUT, closed).await.expect("connections close in time");
+    }
+}
+
+/// Starts a server that sends `start` and then `part` repeatedly, a millisecond apart.
+async fn endless_server(start: &'static str, part: &'static str) -> EndlessServer {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = EndlessServer { address, accepted: Arc::default(), closed: Arc::default() };
+    let (accepted, closed) = (Arc::clone(&server.accepted), Arc::clone(&server.closed));
+    tokio::spawn(async move {
+        while let Ok((mut tcp, _)) = listener.accept().await {
+            accepted.fetch_add(1, Ordering::SeqCst);
+            let closed = Arc::clone(&closed);
+            tokio::spawn(async move {
+                let _ = tcp.read(&mut [0; 1_000]).await;
+                tcp.write_all(start.as_bytes()).await.unwrap();
+                while tcp.write_all(part.as_bytes()).await.is_ok() {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                closed.fetch_add(1, Ordering::SeqCst);
+            });
+        }
+    });
+    server
+}
+
+// Guards against a call for a report, an order or the freeing of a handle that reads an endless body.
+#[tokio::test]
+async fn a_call_answered_with_an_endless_body_fails_and_closes_its_connection() {
+    let unframed = endless_server("HTTP/1.1 200 OK\r\n\r\n", "fill").await;
+    let chunked =
+        endless_server("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "4\r\nfill\r\n")
+            .await;
+
+    for server in [unframed, chunked] {
+        let pool = Pool::new(server.address, Settings::default());
+
+        let outcome = call(&pool, CALL_TIMEOUT).await;
+
+        assert_eq!(outcome, Err(Error::TooLarge(100)));
+        server.wait_until_closed().await;
+    }
+}
+
+// Guards against a call whose answer always makes progress and so outlasts the call's timeout.
+#[tokio::test]
+async fn a_call_whose_answer_outlasts_its_timeout_fails_and_closes_its_connection() {
+    let timeout = Duration::from_millis(300);
+    let header = endless_server("HTTP/1.1 200 OK\r\nx-fill: ", "a").await;
+    let interim = endless_server("", "HTTP/1.1 100 Continue\r\n\r\n").await;
+    let chunk_size =
+        endless_server("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0").await;
+
+    for server in [header, interim, chunk_size] {
+        let pool = Pool::new(server.address, Settings::default());
+
+        let outcome = call(&pool, timeout).await;
+
+        assert_eq!(outcome, Err(Error::Timeout(300)));
+        server.wait_until_closed().await;
+    }
+}
+
+// Guards against an answer without a length that is taken for broken, or whose connection is used again.
+#[tokio::test]
+async fn an_answer_without_a_length_ends_with_its_connection() {
+    let server = server(&["HTTP/1.1 200 OK\r\n\r\nok"]).await;
+    let pool = Pool::new(server.address, Settings::default());
+
+    for _ in 0..2 {
+        assert_eq!(call(&pool, CALL_TIMEOUT).await.unwrap(), "ok");
+    }
+
+    assert_eq!((server.connections(), server.calls()), (2, 2));
+}
+
 #[tokio::test]
 async fn a_call_to_a_closed_port_is_reported_as_not_sent() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
