Forward: the answers of plain services are bounded together, not only each

Cause: an answer of a plain service is read whole, up to the largest body that the configuration allows, 4 MiB by default. Nothing limited what all of them hold at once. A server whose answers don't end takes that many bytes for each request that waits for it.

Ruled out: counting answers with the bodies of requests, whose sum is limited. A faulty server would then make this host refuse sound requests. Passing a plain answer on as it arrives: an answer that breaks off is still retried now.

Change: bytes of answers are counted while they are read, over all requests of the process, against 16 MiB (answer_bytes). An answer that exceeds the limit is lost like one that breaks off, and its connection is closed. Which answer that is depends on which next receives bytes. An answer that was read whole is no longer counted while it is sent to its caller.

Conclusion: endless answers of plain services hold a bounded part of a host's memory, however many there are.

--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -69,6 +69,8 @@
     pub roster: roster::Settings,
     /// Limit of the bytes that all request bodies hold at once.
     pub body_bytes: usize,
+    /// Limit of the bytes that all answers of plain services hold at once while they are read.
+    pub answer_bytes: usize,
     /// Settings of the connection pools to backend servers.
     pub pool: pool::Settings,
     /// Settings of admission and placement.
@@ -91,6 +93,7 @@
             },
             roster: roster::Settings::default(),
             body_bytes: 32 << 20,
+            answer_bytes: 16 << 20,
             pool: pool::Settings {
                 connect_timeout: Duration::from_millis(300),
                 idle_timeout: Duration::from_millis(9_000),
@@ -136,6 +139,8 @@
     retry_burst: AtomicU32,
     /// Bytes held by all request bodies.
     body_bytes: Arc<AtomicUsize>,
+    /// Bytes held by all answers of plain services that are being read.
+    answer_bytes: Arc<AtomicUsize>,
     draining: AtomicBool,
     /// Number of hosts among which the connections to servers are divided, and version of the
     /// configuration under which they were last divided; 1 and 0 until the first division.
@@ -177,6 +182,7 @@
         App {
             retry_burst: AtomicU32::new(settings.retry_burst),
             body_bytes: Arc::default(),
+            answer_bytes: Arc::default(),
             settings,
             dialect,
             metrics,
--- a/crates/forward/tests/forward/limits.rs
+++ b/crates/forward/tests/forward/limits.rs
@@ -1,8 +1,10 @@
 //! Tests of allowances, body limits and retry budgets.
 
-use crate::fixture::backend::{Backend, Step, answer, refuse_as_not_run};
+use crate::fixture::backend::{Backend, Step, answer, refuse_as_not_run, send, unframed_head};
 use crate::fixture::caller::{call, request};
-use crate::fixture::{host, plain};
+use crate::fixture::{Host, host, host_with, plain, settings};
+use chestnutrack_forward::app;
+use std::time::Duration;
 
 #[tokio::test]
 async fn an_organisation_over_its_allowance_gets_a_retry_time() {
@@ -42,6 +44,43 @@
     assert_eq!((refused.status, accepted.status, backend.request_count()), (413, 200, 1));
 }
 
+/// Starts a host that may hold 64 KiB of answers, with a server that answers with 40 KiB over a second.
+async fn host_of_large_answers() -> (Host, Backend) {
+    let backend = Backend::start(|request| {
+        let (start, end) = ("x".repeat((40 << 10) - 1), "x");
+        let pause = Step::Wait(Duration::from_millis(1_000));
+        vec![unframed_head(request, "200 OK", ""), send(start), pause, send(end), Step::Close]
+    })
+    .await;
+    let settings = app::Settings { answer_bytes: 64 << 10, ..settings("host") };
+    (host_with(settings, vec![plain("app-1", &backend)]).await, backend)
+}
+
+// Guards against many answers without an end that together take more memory than the host has.
+#[tokio::test]
+async fn answers_that_exceed_the_limit_together_are_lost_but_for_those_within_it() {
+    let (host, backend) = host_of_large_answers().await;
+    let text = request("POST", "/pay/7", "", "");
+
+    let answers = tokio::join!(call(host.address, &text), call(host.address, &text));
+
+    let mut statuses = [answers.0.status, answers.1.status];
+    statuses.sort_unstable();
+    assert_eq!((statuses, backend.request_count()), ([200, 502], 2));
+}
+
+// Guards against memory that is not released after an answer.
+#[tokio::test]
+async fn answers_one_after_another_do_not_add_up_to_the_limit() {
+    let (host, _backend) = host_of_large_answers().await;
+
+    for _ in 0..3 {
+        let answer = call(host.address, &request("POST", "/pay/7", "", "")).await;
+
+        assert_eq!((answer.status, answer.body.len(), answer.complete), (200, 40 << 10, true));
+    }
+}
+
 #[tokio::test]
 async fn retries_end_when_their_budget_is_spent() {
     let broken = Backend::start(|_| vec![Step::Reset]).await;
