Process: the head of a response to a call is limited to 64 KiB

Cause: connections of the client side had hyper's default buffer, about 400 KiB. A server that sends a head without end takes that much on each of its connections before the call fails.

Ruled out: the limit on requests' heads, 16 KiB. Servers' heads are passed on to callers and have had no such limit yet.

Change: RESPONSE_HEAD_BYTES_MAX, 64 KiB, is the buffer's limit. It also limits what is read from a connection at once.

What smaller reads cost in processor time was not measured.

--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -21,6 +21,8 @@
 
 /// Largest request head, in bytes.
 pub const HEAD_BYTES_MAX: usize = 16 << 10;
+/// Largest head of a response to a call, in bytes. A connection's read buffer is no larger either.
+pub const RESPONSE_HEAD_BYTES_MAX: usize = 64 << 10;
 /// Longest time that the server waits for a request's head, in milliseconds.
 pub const HEAD_READ_MS: u64 = 10_000;
 
@@ -154,7 +156,11 @@
     if let Some(peer_timeout) = peer_timeout {
         socket::set_peer_timeout(&tcp, peer_timeout).map_err(|error| failed(error.to_string()))?;
     }
-    client::handshake(TokioIo::new(tcp)).await.map_err(|error| failed(error.to_string()))
+    client::Builder::new()
+        .max_buf_size(RESPONSE_HEAD_BYTES_MAX)
+        .handshake(TokioIo::new(tcp))
+        .await
+        .map_err(|error| failed(error.to_string()))
 }
 
 /// Makes one call on a new connection and returns the response without reading its body. Opening
--- a/crates/process/tests/pool.rs
+++ b/crates/process/tests/pool.rs
@@ -172,6 +172,8 @@
 /// Server that sends a text to each caller, and then a part of it repeatedly until the caller closes the connection.
 struct EndlessServer {
     address: SocketAddr,
+    /// Bytes sent after the start, on all connections.
+    sent: Arc<AtomicUsize>,
     accepted: Arc<AtomicUsize>,
     closed: Arc<AtomicUsize>,
 }
@@ -192,16 +194,23 @@
 async fn endless_server(start: &'static str, part: &'static str) -> EndlessServer {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let server = EndlessServer { address, accepted: Arc::default(), closed: Arc::default() };
-    let (accepted, closed) = (Arc::clone(&server.accepted), Arc::clone(&server.closed));
+    let (accepted, closed, sent) =
+        <(Arc<AtomicUsize>, Arc<AtomicUsize>, Arc<AtomicUsize>)>::default();
+    let server = EndlessServer {
+        address,
+        sent: Arc::clone(&sent),
+        accepted: Arc::clone(&accepted),
+        closed: Arc::clone(&closed),
+    };
     tokio::spawn(async move {
         while let Ok((mut tcp, _)) = listener.accept().await {
             accepted.fetch_add(1, Ordering::SeqCst);
-            let closed = Arc::clone(&closed);
+            let (closed, sent) = (Arc::clone(&closed), Arc::clone(&sent));
             tokio::spawn(async move {
                 let _ = tcp.read(&mut [0; 1_000]).await;
                 tcp.write_all(start.as_bytes()).await.unwrap();
                 while tcp.write_all(part.as_bytes()).await.is_ok() {
+                    sent.fetch_add(part.len(), Ordering::SeqCst);
                     tokio::time::sleep(Duration::from_millis(1)).await;
                 }
                 closed.fetch_add(1, Ordering::SeqCst);
@@ -229,6 +238,22 @@
     }
 }
 
+// Guards against endless heads that take hundreds of kilobytes each.
+#[tokio::test]
+async fn a_call_answered_with_an_endless_head_fails_at_the_limit_and_closes_its_connection() {
+    let part: &'static str = "a".repeat(1 << 10).leak();
+    let server = endless_server("HTTP/1.1 200 OK\r\nx-fill: ", part).await;
+    let pool = Pool::new(server.address, Settings::default());
+
+    let outcome = call(&pool, CALL_TIMEOUT).await;
+    server.wait_until_closed().await;
+
+    assert!(matches!(outcome, Err(Error::Broken(_))), "{outcome:?}");
+    // The system's buffers take some bytes more.
+    let sent = server.sent.load(Ordering::SeqCst);
+    assert!(sent <= 3 * http::RESPONSE_HEAD_BYTES_MAX, "{sent} bytes sent");
+}
+
 // Guards against a call whose answer always makes progress and so outlasts the call's timeout.
 #[tokio::test]
 async fn a_call_whose_answer_outlasts_its_timeout_fails_and_closes_its_connection() {
