--- a/crates/forward/tests/forward/framing.rs
+++ b/crates/forward/tests/forward/framing.rs
@@ -605,3 +605,23 @@
 
     assert_eq!((answer.status, decoder.request_count()), (503, 0));
 }
+
+// Guards against an engine's failure that is cut short since its body is no event.
+#[tokio::test]
+async fn a_failure_of_an_engine_is_passed_on_whole() {
+    for path in ["/digest/7", "/recap/7"] {
+        let (host, _prefiller, decoder) = engine_host(answer_prefill, |request| {
+            vec![unframed_head(request, "500 Failed", ""), send("out of order"), Step::Close]
+        })
+        .await;
+
+        let answer = call(host.address, &generation(path)).await;
+
+        assert_eq!(
+            (answer.status, &*answer.body, answer.complete),
+            (500, "out of order", true),
+            "{path}"
+        );
+        assert_eq!(decoder.request_count(), 1, "{path}");
+    }
+}
