--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -1,7 +1,7 @@
 //! Forwards an engine's stream of events to the caller, and resumes it at another engine if it breaks and its
 //! route allows that. Resuming starts a new generation that continues after the last forwarded event.
 
-use super::events::{Event, EventSplitter};
+use super::events::{Event, EventSplitter, MAX_EVENT_BYTES};
 use super::generation::{EngineResponse, StartPoint, await_response, start_generation};
 use super::takeover::{self, Takeover};
 use super::{Failure, Job, RetryState};
@@ -13,9 +13,13 @@
 use chestnutrack_process::clock;
 use chestnutrack_process::http::Error;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+/// Time after the deadline in which the last events of a stream may still arrive: engines stop at the deadline.
+const MAX_OVERRUN: Duration = Duration::from_millis(200);
+
 /// How a stream from one engine ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
@@ -100,7 +104,14 @@
                 }
             }
             match self.engine_ended {
-                true if self.events.has_partial_event() => return End::Broken,
+                // The body of an engine's failure has no events and says nothing about how it ended.
+                true if self.events.has_partial_event() && !response.head.status.is_success() => {
+                    return End::Broken;
+                }
+                true if self.events.has_partial_event() => {
+                    let error = Error::Broken("stream ended inside an event".to_owned());
+                    return self.record_break(response, &error);
+                }
                 true => return End::Whole,
                 false => {}
             }
@@ -112,8 +123,15 @@
 
     /// Waits for the next bytes from an engine. Returns why there are none: the stream broke off, the engine of a
     /// resumable stream is silent, or the caller disconnected. The engine of any other stream may be silent until
-    /// the deadline.
+    /// the deadline. A stream counts as broken if the event that is being read is too large, or if it has outlasted the
+    /// deadline by more than [`MAX_OVERRUN`].
     async fn receive(&mut self, response: &mut EngineResponse) -> Option<End> {
+        if self.events.is_oversized() {
+            return Some(self.record_break(response, &Error::TooLarge(MAX_EVENT_BYTES)));
+        }
+        if clock::now().since(self.job.deadline) > MAX_OVERRUN {
+            return Some(self.record_break(response, &Error::Timeout(self.job.age_ms())));
+        }
         let left = self.job.left();
         let limit = match self.job.route.kind.may_resume() {
             true => self.retry_state.silence_limit().min(left),
@@ -127,36 +145,32 @@
             }
         };
         match chunk {
-            Ok(chunk) => self.push(response, chunk),
+            Ok(Ok(chunk)) => {
+                self.push(response, chunk);
+                None
+            }
+            Ok(Err(error)) => Some(self.record_break(response, &error)),
             Err(_) if limit < left => Some(End::Silent),
-            Err(_) => self.push(response, Err(Error::Timeout(self.job.age_ms()))),
+            Err(_) => Some(self.record_break(response, &Error::Timeout(self.job.age_ms()))),
         }
     }
 
-    /// Adds what an engine sent to the events. Returns [`End::Broken`] if its stream broke off.
-    fn push(
-        &mut self,
-        response: &mut EngineResponse,
-        chunk: Result<Option<Bytes>, Error>,
-    ) -> Option<End> {
+    /// Adds what an engine sent to the events; `None` is the end of its stream.
+    fn push(&mut self, response: &EngineResponse, chunk: Option<Bytes>) {
+        self.retry_state.record_progress(&self.job, &response.admission.decode);
         match chunk {
-            Ok(chunk) => {
-                self.retry_state.record_progress(&self.job, &response.admission.decode);
-                match chunk {
-                    Some(bytes) => self.events.push(&bytes),
-                    None => self.engine_ended = true,
-                }
-            }
-            Err(error) => {
-                response.stream.discard();
-                self.job.app.record_outcome(&response.admission.decode, Outcome::Failure);
-                let (id, server) =
-                    (self.job.head.id.as_deref(), &response.admission.decode.entry.name);
-                tracing::info!(id, %server, %error, passed = self.forwarded_events, "stream broke");
-                return Some(End::Broken);
-            }
+            Some(bytes) => self.events.push(&bytes),
+            None => self.engine_ended = true,
         }
-        None
+    }
+
+    /// Records that an engine's stream broke off and closes the connection. Returns how the stream ended.
+    fn record_break(&self, response: &mut EngineResponse, error: &Error) -> End {
+        response.stream.discard();
+        self.job.app.record_outcome(&response.admission.decode, Outcome::Failure);
+        let (id, server) = (self.job.head.id.as_deref(), &response.admission.decode.entry.name);
+        tracing::info!(id, %server, %error, passed = self.forwarded_events, "stream broke");
+        End::Broken
     }
 
     /// Forwards one event if its identifier follows the last one. Returns `None` if it was forwarded, otherwise why
@@ -203,12 +217,12 @@
         };
         match takeover {
             Takeover::Kept(response) => Ok(response),
-            Takeover::Continued(mut response, chunk) => {
-                self.push(&mut response, Ok(chunk));
+            Takeover::Continued(response, chunk) => {
+                self.push(&response, chunk);
                 Ok(response)
             }
             Takeover::Failed(mut response, error) => {
-                self.push(&mut response, Err(error));
+                self.record_break(&mut response, &error);
                 drop(response);
                 self.resume().await
             }
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod directory;
 mod fixture;
+mod framing;
 mod hosts;
 mod limits;
 mod notices;
