Pass an engine's failure on whole

What callers saw (in a test): the head of an engine's 500 and no body, on a connection that was cut; on a route that may be resumed the request was also sent a second time, and events of another engine could have followed.

Cause: every answer of an engine went through the relay of event streams, which passes on whole events only. Class: an answer that is whole ends as broken.

Change: the body of an answer without a success is read whole, as that of a plain service is, with the same limits; both use one function.

--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -4,6 +4,7 @@
 //! as well, at a prefill engine. The prefill engine keeps the KV cache under a handle, which the decode engine uses
 //! to fetch it.
 
+use super::body::read_whole;
 use super::takeover::{self, Takeover};
 use super::{Failure, Job, RetryState, SILENCE_LIMIT, relay, response_headers};
 use crate::answer::{self, Body, Cause, Refusal};
@@ -213,11 +214,17 @@
     let mut retry_state = RetryState::default();
     let start = StartPoint { last_event: job.head.last_event, ..StartPoint::default() };
     let engine_response = start_generation(&job, &engine, &mut retry_state, start).await;
-    let engine_response = engine_response.map_err(|refusal| retry_state.refusal(refusal))?;
+    let mut engine_response = engine_response.map_err(|refusal| retry_state.refusal(refusal))?;
     job.record_answer(&engine_response.admission.decode, engine_response.head.status.as_u16());
     let mut response = Response::new(());
     *response.status_mut() = engine_response.head.status;
     *response.headers_mut() = response_headers(&engine_response.head.headers);
+    if !engine_response.head.status.is_success() {
+        // The body of a failure has no events, and is not resumed.
+        let target = engine_response.admission.decode.clone();
+        let body = read_whole(&job, &target, &mut engine_response.stream).await;
+        return body.map(|body| response.map(|()| answer::full(body))).map_err(Failure::refusal);
+    }
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
     tokio::spawn(relay::run(job, engine, retry_state, engine_response, sender));
     Ok(response.map(|()| answer::streaming(receiver)))
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -4,6 +4,7 @@
 //! backend server. `plain` serves plain services, whose servers run no model. `generation` and `relay` serve model
 //! engines. `RetryState` decides whether another server may be tried after a failure.
 
+mod body;
 mod events;
 mod generation;
 mod plain;
--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -1,14 +1,12 @@
 //! Serves requests to plain services, whose servers run no model: one exchange with one server at a time, with
 //! retries.
 
+use super::body::read_whole;
 use super::{FULL_RETRY_AFTER, Failure, Job, RetryState, response_headers};
 use crate::answer::{self, Body, Cause, Refusal};
 use crate::app::{PlainPlacement, Target};
-use bytes::{Bytes, BytesMut};
 use chestnutrack_core::dispatch::{Choice, PlainOutcome};
 use chestnutrack_process::clock;
-use chestnutrack_process::http::Error;
-use chestnutrack_process::pool::Stream;
 use hyper::Response;
 
 /// Sends a request to the servers of a plain service, one after another and each at most once, until one answers or
@@ -60,37 +58,10 @@
 async fn send_once(job: &Job, target: &Target) -> Result<Response<Body>, Failure> {
     let response = job.send(target, &job.added_values(target)).await?;
     let (head, mut stream) = response.into_parts();
-    let max_bytes = job.active_config.table.config().limits.body_bytes;
-    let body = match tokio::time::timeout(job.left(), read_answer(job, &mut stream, max_bytes))
-        .await
-    {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => {
-            let server = &target.entry.name;
-            tracing::info!(id = job.head.id.as_deref(), %server, %error, "failed to read the answer");
-            return Err(Failure::Unknown);
-        }
-        Err(_) => return Err(Failure::TimedOut),
-    };
+    let body = read_whole(job, target, &mut stream).await?;
     job.record_answer(target, head.status.as_u16());
     let mut response = Response::new(answer::full(body));
     *response.status_mut() = head.status;
     *response.headers_mut() = response_headers(&head.headers);
     Ok(response)
 }
-
-/// Reads an answer of at most `max_bytes` bytes whole. Fails while the answers that are being read exceed the limit of
-/// this host. Closes the connection of an answer that is not read to its end.
-async fn read_answer(job: &Job, stream: &mut Stream, max_bytes: usize) -> Result<Bytes, Error> {
-    let mut memory = job.app.answer_memory();
-    let mut buffer = BytesMut::new();
-    while let Some(chunk) = stream.chunk().await? {
-        let has_room = memory.grow(chunk.len(), job.app.settings.answer_bytes);
-        if !has_room || buffer.len() + chunk.len() > max_bytes {
-            stream.discard();
-            return Err(Error::TooLarge(buffer.len()));
-        }
-        buffer.extend_from_slice(&chunk);
-    }
-    Ok(buffer.freeze())
-}
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -104,10 +104,6 @@
                 }
             }
             match self.engine_ended {
-                // The body of an engine's failure has no events and says nothing about how it ended.
-                true if self.events.has_partial_event() && !response.head.status.is_success() => {
-                    return End::Broken;
-                }
                 true if self.events.has_partial_event() => {
                     let error = Error::Broken("stream ended inside an event".to_owned());
                     return self.record_break(response, &error);
