Side: reserve the address of the unreachable service in its test

Cause: a fault of the fixture. The test of a call to an unreachable service took the port of a listener that it had closed. The system may assign that port to a listener of another test in the same file, of which each opens ten.

Ruled out: a fault of the product.

Change: the test keeps a socket that is bound but doesn't listen, so its address refuses connections and can't be assigned again. The assertion is the same.

Conclusion: the port was assigned again.

--- a/crates/side/tests/plain.rs
+++ b/crates/side/tests/plain.rs
@@ -7,7 +7,8 @@
 use chestnutrack_wire::frame::{Cause, Failure, Forward, Ran};
 use chestnutrack_wire::{Frame, Request};
 use fixture::{
-    ATTEMPT, Cluster, EntryHost, bind, configure, forward, get, post, start_side, wait_until,
+    ATTEMPT, Cluster, EntryHost, bind, configure, forward, get, post, reserve_refusing_address,
+    start_side, wait_until,
 };
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -90,8 +91,7 @@
 #[tokio::test]
 async fn a_call_to_an_unreachable_service_has_not_run() {
     let cluster = start_cluster().await;
-    let (closed, address) = bind().await;
-    drop(closed);
+    let (_reserved, address) = reserve_refusing_address();
     let side = start_side(cluster.platform, "plain-1", cluster.plain.role, address).await;
     configure(&side, 1, &cluster.document()).await;
     let mut host = EntryHost::connect(side.program.listen, "entry-1", 1).await;
