Side: let the program under test bind its own ports

Cause: a fault of the fixture. It bound a listener to find a free address, closed it and passed the address to the program. Another test of the file that started its program meanwhile had a copy of that listener in its child between clone and execve, which closes the copy. A system call trace of a failed run shows it: the listener was open for 3.5 ms, another thread's clone fell into that time, and that child's execve ended 22 ms later. In between the fixture's check for the operators' address reached the copy, so the program seemed to listen; its address for entry hosts refused; and the program ended with "could not listen on ...: Address already in use".

Ruled out: another test's listener at that address; the trace has no other bind of it. The order in which the program binds its listeners: it is as documented.

Change: the program gets port 0 for both listeners, and the fixture reads the addresses in the line that the program logs once it has started. The tests' assertions are the same.

--- a/crates/side/tests/process.rs
+++ b/crates/side/tests/process.rs
@@ -7,6 +7,7 @@
 
 use chestnutrack_document::model::{Document, Role};
 use chestnutrack_harness::Process;
+use chestnutrack_side::settings::LOOPBACK_ANY_PORT;
 use chestnutrack_standin::engine::Settings;
 use chestnutrack_wire::frame::{Cause, Ran};
 use chestnutrack_wire::{Frame, Request};
@@ -24,32 +25,36 @@
     _log: TempDir,
 }
 
-/// Returns an address that was free a moment ago, on a random loopback host so that other tests are
-/// unlikely to use it.
-async fn free_address() -> SocketAddr {
-    let host = format!("127.{}.{}.7:0", rand::random_range(1..250), rand::random_range(1..250));
-    let listener = tokio::net::TcpListener::bind(host).await.unwrap();
-    listener.local_addr().unwrap()
+/// Returns the addresses for entry hosts and for operators that a process has logged, or `None` if
+/// it has not started yet.
+fn read_addresses(process: &Process) -> Option<(SocketAddr, SocketAddr)> {
+    let log = process.log();
+    let mut lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let started = lines.find(|line| line["fields"]["message"] == json!("started"))?;
+    let address = |name: &str| started["fields"][name].as_str()?.parse().ok();
+    Some((address("listen")?, address("admin")?))
 }
 
+/// Starts the program on ports that the system assigns to it. A port that the test had reserved and
+/// released could still be open in a child process that another test starts, or be assigned again.
 async fn start_child(cluster: &Cluster) -> ChildProcess {
-    let (listen, admin) = (free_address().await, free_address().await);
     let log = TempDir::new().unwrap();
     let arguments = [
         ("--name", "decode-1".to_owned()),
         ("--service", fixture::SERVICE.to_owned()),
-        ("--listen", listen.to_string()),
-        ("--admin", admin.to_string()),
+        ("--listen", LOOPBACK_ANY_PORT.to_string()),
+        ("--admin", LOOPBACK_ANY_PORT.to_string()),
         ("--platform", cluster.platform.to_string()),
         ("--kind", "engine".to_owned()),
         ("--backend", cluster.decode.backend.to_string()),
+        ("--log", "json".to_owned()),
     ];
     let arguments = arguments.into_iter().flat_map(|(flag, value)| [flag.to_owned(), value]);
     let program = Path::new(env!("CARGO_BIN_EXE_chestnutrack-side"));
     let file = log.path().join("log");
     let process = Process::start("decode-1", program, arguments.collect(), file).unwrap();
-    wait_until("the process listens", async || tokio::net::TcpStream::connect(admin).await.is_ok())
-        .await;
+    wait_until("the process listens", async || read_addresses(&process).is_some()).await;
+    let (listen, admin) = read_addresses(&process).unwrap();
     ChildProcess { process, listen, admin, _log: log }
 }
 
