Side: claim the server for the cluster's process before the program under test

Cause: a fault of the fixture. The cluster starts its own process for decode-1, and the tests start the program for the same server without waiting for that process's claim. If the program claims first, the cluster's process is its successor and asks it to step down, before or while the test pauses it. The program then rightly reads its claim, has lost it and refuses the prefill with (Fenced, NotRun).

Ruled out: the request to step down of the process that the test starts during the pause.

Change: the fixture waits until the cluster's process has authority before it starts the program, which then always takes over from it. The tests' assertions are the same.

--- a/crates/side/tests/process.rs
+++ b/crates/side/tests/process.rs
@@ -11,7 +11,9 @@
 use chestnutrack_standin::engine::Settings;
 use chestnutrack_wire::frame::{Cause, Ran};
 use chestnutrack_wire::{Frame, Request};
-use fixture::{ATTEMPT, Cluster, EntryHost, TIMEOUT, configure, get, start_side, wait_until};
+use fixture::{
+    ATTEMPT, Cluster, EntryHost, TIMEOUT, configure, get, start_side, state, wait_until,
+};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -37,7 +39,14 @@
 
 /// Starts the program on ports that the system assigns to it. A port that the test had reserved and
 /// released could still be open in a child process that another test starts, or be assigned again.
+///
+/// The cluster's own process for `decode-1` claims the server first. If it claimed the server after
+/// the program, it would take over from the program.
 async fn start_child(cluster: &Cluster) -> ChildProcess {
+    wait_until("the cluster's process has authority", async || {
+        state(&cluster.decode).await["epoch"].is_u64()
+    })
+    .await;
     let log = TempDir::new().unwrap();
     let arguments = [
         ("--name", "decode-1".to_owned()),
