Refuse prompts with parts under which engines crash one after the other

Cause: nothing remembered what an engine had been doing when it ended. A broken generation was resumed at the next engine, and new requests with the part were placed like any other. Class: a retry that carries the cause of the failure along.

Change: - `core::quarantine` records young answers that broke off, with the parts of their prompts but the last. A part at four crashes, in two different requests at least, with next to no answers completed since, is held responsible; the parts that all its requests had in common go into quarantine together, so that requests which share only some are served and show by their answers which part is sound. Almost simultaneous crashes count as one; a peer that stopped responding has not crashed. - Hosts exchange breaks, completed answers and patterns by gossip. The store holds the patterns, among the hosts' entries, which each host watches anyway: for hosts that start, other cells, and a store that comes back from a copy. Deleting the object releases the parts. - A request in quarantine is refused on arrival, before its tokens are debited, and before each send to an engine, with 503 and the time left.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod member;
 pub mod place;
 pub mod plan;
+pub mod quarantine;
 pub mod queue;
 pub mod retry;
 pub mod roster;
--- a/crates/forward/src/answer/mod.rs
+++ b/crates/forward/src/answer/mod.rs
@@ -74,6 +74,9 @@
     // No server had room in time, or none of those that were tried ran the request.
     /// no backend server has room in time
     Full,
+    // Engines have crashed under requests with the same parts of the prompt.
+    /// backend servers fail under a part of the prompt
+    Quarantined,
     // The route leads to no service, or the service has no server that may be tried.
     /// no backend server is known
     NoServer,
@@ -98,6 +101,7 @@
             Cause::Crowded => "crowded",
             Cause::OverRate => "over_rate",
             Cause::Full => "full",
+            Cause::Quarantined => "quarantined",
             Cause::NoServer => "no_server",
             Cause::Lost => "lost",
             Cause::TimedOut => "timed_out",
@@ -140,9 +144,11 @@
             Cause::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Cause::BodyLate => StatusCode::REQUEST_TIMEOUT,
             Cause::OverRate => StatusCode::TOO_MANY_REQUESTS,
-            Cause::Unconfigured | Cause::Crowded | Cause::Full | Cause::NoServer => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Cause::Unconfigured
+            | Cause::Crowded
+            | Cause::Full
+            | Cause::Quarantined
+            | Cause::NoServer => StatusCode::SERVICE_UNAVAILABLE,
             Cause::Lost => StatusCode::BAD_GATEWAY,
             Cause::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod limit;
 mod place;
+mod quarantine;
 
 pub use admission::{Admission, Target};
 pub use body::BodyMemory;
@@ -23,6 +24,7 @@
     self, Change, Dispatch, Outcome, RefusedCallers, ServerKey, Stage,
 };
 use chestnutrack_core::limit::Quota;
+use chestnutrack_core::quarantine::Quarantine;
 use chestnutrack_core::retry::Budget;
 use chestnutrack_core::roster;
 use chestnutrack_core::time::Instant;
@@ -130,6 +132,8 @@
     pub gossip_due: Notify,
     /// Notified when peers should receive a state change as gossip without delay.
     pub urgent_gossip_due: Notify,
+    /// Notified when parts of prompts were put into quarantine.
+    pub quarantine_changed: Notify,
     /// Notified when a request is queued.
     pub request_queued: Notify,
     /// Whether this host is about to give orders to engines.
@@ -152,6 +156,8 @@
 pub(crate) struct State {
     pub(crate) dispatch: Dispatch<admission::Waiter>,
     pub(crate) allowances: Allowances,
+    /// Parts of prompts that crash engines.
+    pub(crate) quarantine: Quarantine,
     pools: SecondaryMap<ServerKey, Pool>,
     retry_budgets: HashMap<Arc<str>, Budget>,
     refused_callers: RefusedCallers,
@@ -173,6 +179,7 @@
                 settings.is_fleet_first_start,
                 settings.allowance,
             ),
+            quarantine: Quarantine::default(),
             pools: SecondaryMap::new(),
             retry_budgets: HashMap::new(),
             refused_callers: RefusedCallers::default(),
@@ -189,6 +196,7 @@
             ready: Readiness::default(),
             gossip_due: Notify::new(),
             urgent_gossip_due: Notify::new(),
+            quarantine_changed: Notify::new(),
             request_queued: Notify::new(),
             active_config: Mutex::default(),
             state: Mutex::new(state),
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -65,6 +65,8 @@
     pub(super) stream: Stream,
     /// Reservations at the engines, released when dropped.
     pub(super) admission: Admission,
+    /// When the head arrived.
+    pub(super) began_at: Instant,
 }
 
 /// A generation that was sent to an engine whose response has not begun. Dropping it closes the connection to the
@@ -258,8 +260,7 @@
             cache = match prefill(job, &mut admission, retry_state, start.last_event).await {
                 Ok(cache) => cache,
                 Err(PrefillError::Retry) => continue,
-                // A prefill is not a run of the request.
-                Err(PrefillError::Failed) => return Err(Failure::NotRun.refusal()),
+                Err(PrefillError::Failed(refusal)) => return Err(refusal),
             };
         }
         let prepared = PreparedGeneration { admission, cache };
@@ -281,7 +282,7 @@
         let failure = match result {
             Ok(response) => {
                 let (head, stream) = response.into_parts();
-                return Ok(EngineResponse { head, stream, admission });
+                return Ok(EngineResponse { head, stream, admission, began_at: clock::now() });
             }
             Err(failure) => failure,
         };
@@ -399,8 +400,8 @@
 pub(super) enum PrefillError {
     /// Request a new admission and try again.
     Retry,
-    /// Give up: no further prefill may be tried.
-    Failed,
+    /// Give up with this refusal: no further prefill may be tried.
+    Failed(Refusal),
 }
 
 /// Event until which the next answer to a prefill is awaited.
@@ -480,7 +481,7 @@
                     }
                     PrefillWait::GivenUp => {
                         admission.finish_prefill(None);
-                        return Err(PrefillError::Failed);
+                        return Err(PrefillError::Failed(prefill_refusal(Failure::Silent)));
                     }
                 }
             }
@@ -504,12 +505,23 @@
             None if !in_flight.is_empty() => {}
             None => {
                 admission.finish_prefill(None);
-                return Err(if may_retry { PrefillError::Retry } else { PrefillError::Failed });
+                return Err(match may_retry {
+                    true => PrefillError::Retry,
+                    false => PrefillError::Failed(prefill_refusal(failure)),
+                });
             }
         }
     }
 }
 
+/// Returns the refusal for a caller whose last prefill failed in this way. A prefill is not a run of the request.
+fn prefill_refusal(failure: Failure) -> Refusal {
+    match failure {
+        Failure::Quarantined(_) => failure.refusal(),
+        _ => Failure::NotRun.refusal(),
+    }
+}
+
 /// Logs a prefill that was not answered within `limit`, and records a failure of its engine if no other prompts were
 /// queued ahead.
 fn record_overdue(job: &Job, admission: &Admission, limit: Duration) {
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -16,7 +16,7 @@
 use crate::answer::{Body, Cause, Refusal};
 use crate::app::{ActiveConfig, App, Target};
 use crate::config::{Organisation, Route};
-use crate::dialect::{AddedValues, RequestHead, ResponseHead};
+use crate::dialect::{AddedValues, RequestHead, ResponseHead, Step};
 use bytes::Bytes;
 use chestnutrack_core::dispatch::Outcome;
 use chestnutrack_core::time::Instant;
@@ -66,6 +66,8 @@
     Crowded,
     /// Nothing was sent: the server is leaving, or has asked for no requests for now.
     Closed,
+    /// Nothing was sent: a part of the prompt crashes engines, and is in quarantine for this time.
+    Quarantined(Duration),
     /// The server states that it did not run the request and never will.
     NotRun,
     /// Another server has taken over the address; it did not run the request.
@@ -86,6 +88,7 @@
             Failure::Refused => "refused",
             Failure::Crowded => "crowded",
             Failure::Closed => "closed",
+            Failure::Quarantined(_) => "quarantined",
             Failure::NotRun => "not_run",
             Failure::Misdirected => "misdirected",
             Failure::Unknown => "unknown",
@@ -96,7 +99,14 @@
 
     /// Returns `true` if nothing was sent to the server.
     fn is_unsent(self) -> bool {
-        matches!(self, Failure::Unsent | Failure::Refused | Failure::Crowded | Failure::Closed)
+        matches!(
+            self,
+            Failure::Unsent
+                | Failure::Refused
+                | Failure::Crowded
+                | Failure::Closed
+                | Failure::Quarantined(_)
+        )
     }
 
     /// Returns `true` if the server may have run the request.
@@ -109,6 +119,7 @@
         match self {
             Failure::Unknown | Failure::Silent => Refusal::new(Cause::Lost),
             Failure::TimedOut => Refusal::new(Cause::TimedOut),
+            Failure::Quarantined(left) => Refusal::with_retry_after(Cause::Quarantined, left),
             _ => Refusal::with_retry_after(Cause::Full, FULL_RETRY_AFTER),
         }
     }
@@ -153,6 +164,9 @@
     /// its route allows that.
     fn record_failure(&mut self, job: &Job, failure: Failure) -> bool {
         self.count(failure);
+        if matches!(failure, Failure::Quarantined(_)) {
+            return false;
+        }
         if failure.is_unsent() {
             return self.unsent < MAX_UNSENT;
         }
@@ -234,6 +248,9 @@
     /// Records a failed prefill. Returns `true` if another may be tried. A prefill never counts as a run of
     /// the request.
     fn record_prefill_failure(&mut self, job: &Job, failure: Failure) -> bool {
+        if matches!(failure, Failure::Quarantined(_)) {
+            return false;
+        }
         if failure.is_unsent() {
             self.unsent += 1;
             return self.unsent < MAX_UNSENT;
@@ -288,6 +305,26 @@
         self.deadline.since(clock::now())
     }
 
+    /// Returns how long the request's prompt remains in quarantine; `None` if it is not.
+    fn quarantine_left(&self) -> Option<Duration> {
+        self.app.quarantine_left(self.head.generation.as_ref()?)
+    }
+
+    /// Records that an answer broke off at an engine, which began to write it at `began_at`, or had not begun. An engine
+    /// that has become unresponsive has not crashed.
+    fn record_break(&self, target: &Target, began_at: Option<Instant>, error: &Error) {
+        if let (Some(generation), Error::Broken(_)) = (&self.head.generation, error) {
+            self.app.record_break(target, began_at, generation, self.head.id.as_deref());
+        }
+    }
+
+    /// Records that an answer was completed, and that its engine began to write it at `began_at`.
+    fn record_completed(&self, began_at: Instant) {
+        if let Some(generation) = &self.head.generation {
+            self.app.record_completed(generation, began_at);
+        }
+    }
+
     /// Returns the version of the configuration under which the request was admitted.
     fn version(&self) -> u64 {
         self.active_config.table.config().version
@@ -330,9 +367,10 @@
         if self.left().is_zero() {
             return Err(Failure::Unsent);
         }
-        let result = match self.app.accepts(target) {
-            true => self.exchange(target, added_values, on_send).await,
-            false => Err(Failure::Closed),
+        let result = match self.quarantine_left() {
+            Some(left) => Err(Failure::Quarantined(left)),
+            None if !self.app.accepts(target) => Err(Failure::Closed),
+            None => self.exchange(target, added_values, on_send).await,
         };
         if let Err(failure) = &result {
             let (server, failure) = (&target.entry.name, failure.name());
@@ -354,7 +392,7 @@
             }
             // Neither a full connection pool of this host nor a request that was not tried says
             // anything about the server.
-            Err(Failure::Crowded | Failure::Closed) => {}
+            Err(Failure::Crowded | Failure::Closed | Failure::Quarantined(_)) => {}
             Ok(_) | Err(Failure::NotRun) => self.app.record_outcome(target, Outcome::Answer),
         }
         result
@@ -377,7 +415,12 @@
             Err(Error::Connect(_, ConnectError::PoolExhausted)) => return Err(Failure::Crowded),
             Err(Error::Connect(..) | Error::Request(_)) => return Err(Failure::Unsent),
             Err(Error::Timeout(_)) => return Err(Failure::TimedOut),
-            Err(_) => return Err(Failure::Unknown),
+            Err(error) => {
+                if added_values.step != Step::Prefill {
+                    self.record_break(target, None, &error);
+                }
+                return Err(Failure::Unknown);
+            }
         };
         let answer = (self.app.dialect.parse_response_head)(response.status(), response.headers());
         if answer.id.is_some() && answer.id != self.head.id || answer.encoded {
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -75,6 +75,7 @@
         let end = relay.forward(&mut response).await;
         let next = match end {
             End::Whole => {
+                relay.job.record_completed(response.began_at);
                 response.admission.complete();
                 break end;
             }
@@ -166,6 +167,7 @@
         self.job.app.record_outcome(&response.admission.decode, Outcome::Failure);
         let (id, server) = (self.job.head.id.as_deref(), &response.admission.decode.entry.name);
         tracing::info!(id, %server, %error, passed = self.forwarded_events, "stream broke");
+        self.job.record_break(&response.admission.decode, Some(response.began_at), error);
         End::Broken
     }
 
--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -7,6 +7,7 @@
 //! still listed before it goes on spending, and a host whose entry was marked or deleted writes it
 //! again.
 
+use super::patterns::{Patterns, is_pattern};
 use super::{next_tick, watch_settings};
 use crate::mesh::Mesh;
 use chestnutrack_core::roster::Step;
@@ -73,6 +74,7 @@
     name: Arc<str>,
     host: Host,
     mesh: Arc<Mesh>,
+    patterns: Patterns,
     /// Version of the entry once it is written; 0 before.
     version: AtomicU64,
     /// Notified when the entry has to be written again.
@@ -146,8 +148,9 @@
         host: Host,
         mesh: Arc<Mesh>,
     ) -> Arc<Registration> {
+        let patterns = Patterns::new(client.clone(), kind, mesh.clone());
         let (version, rewrite_needed) = (AtomicU64::new(0), Notify::new());
-        Arc::new(Registration { client, kind, name, host, mesh, version, rewrite_needed })
+        Arc::new(Registration { client, kind, name, host, mesh, patterns, version, rewrite_needed })
     }
 
     /// Watches the entries of all hosts for the lifetime of the process. Passes the changes to the
@@ -182,14 +185,19 @@
         if update.is_snapshot {
             let present: BTreeSet<Arc<str>> =
                 update.objects.iter().map(|object| object.name.clone()).collect();
+            let is_restored = epoch::of(update.version) > listed.epoch;
+            self.patterns.apply_snapshot(is_restored, &present);
             if !present.contains(&self.name) && self.version.load(Ordering::Relaxed) > 0 {
                 self.rewrite_needed.notify_one();
             }
             let removed = listed.apply_snapshot(clock::now(), epoch::of(update.version), &present);
             self.mesh.update_hosts(removed.into_iter().map(|name| (name, None)));
         }
+        let (patterns, entries): (Vec<Object>, Vec<Object>) =
+            update.objects.into_iter().partition(is_pattern);
+        self.patterns.apply(patterns);
         let (own, others): (Vec<Object>, Vec<Object>) =
-            update.objects.into_iter().partition(|object| object.name == self.name);
+            entries.into_iter().partition(|object| object.name == self.name);
         own.into_iter().for_each(|object| self.check_own_entry(object));
         let others: Vec<_> = others.into_iter().filter_map(decode_entry).collect();
         let hosts = others
@@ -226,14 +234,17 @@
         }
     }
 
-    /// Keeps this host listed, and marks and deletes the entries of lost hosts, for the lifetime of
-    /// the process.
+    /// Keeps this host listed, marks and deletes the entries of lost hosts, and writes patterns of
+    /// prompts in quarantine, for the lifetime of the process.
     pub async fn maintain(self: Arc<Registration>, timer: Timer) {
         self.register().await;
         let mut ticks = timer.subscribe(CHECK_INTERVAL);
         loop {
             tokio::select! {
                 () = self.rewrite_needed.notified() => self.register().await,
+                () = self.mesh.app().quarantine_changed.notified() => {
+                    self.patterns.write_changes().await;
+                }
                 tick = ticks.recv() => {
                     if tick.is_none() {
                         return;
@@ -244,6 +255,7 @@
                     for step in self.mesh.steps() {
                         self.apply_step(step).await;
                     }
+                    self.patterns.write_changes().await;
                 }
             }
         }
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -7,6 +7,7 @@
 //! store lists, kept through outages of the store.
 
 mod hosts;
+mod patterns;
 
 pub use hosts::{Host, Registration};
 
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -91,6 +91,11 @@
         })
     }
 
+    /// Returns the state of this process.
+    pub(crate) fn app(&self) -> &Arc<App> {
+        &self.app
+    }
+
     fn roster(&self) -> MutexGuard<'_, Roster> {
         self.roster.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -195,6 +200,7 @@
     fn mark_gone(&self, name: &str) {
         let mut state = self.app.state();
         state.dispatch.remove_peer(name);
+        state.quarantine.remove_peer(name);
         state.allowances.remove_peer(clock::now(), &name.into());
     }
 
@@ -310,6 +316,7 @@
         self.follower.apply_peer_doubt(news.doubted_ms, servers_differ);
         self.follower.apply_peer_epoch(name, news.store_epoch);
         self.app.record_peer_leaving(name, &news.leaving);
+        self.app.record_peer_quarantine(name, news.quarantine.clone());
         let request = self.request_missing(&news);
         {
             let mut state = self.app.state();
@@ -371,6 +378,7 @@
         let unreachable = self.roster().unreachable_durations(clock::now());
         let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
         let (servers, store) = (self.follower.digest(), self.follower.is_up());
+        let quarantine = self.app.quarantine_report();
         let configuration = self.app.version();
         let state = self.app.state();
         let spent = state.allowances.spent().iter();
@@ -397,6 +405,7 @@
             draining: self.app.is_draining(),
             leaving: state.dispatch.leaving_reports(),
             store_epoch: self.follower.epoch(),
+            quarantine,
             unheard: unreachable.into_iter().map(|(name, time)| (name, millis(time))).collect(),
         }
     }
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -37,6 +37,8 @@
     pub configuration: IntGauge,
     /// Time since the platform's store last answered, in milliseconds, by kind of object.
     pub store_age: prometheus::IntGaugeVec,
+    /// Patterns of prompts in quarantine.
+    pub quarantined: IntGauge,
     /// Backend servers listed.
     pub servers: IntGauge,
     /// Reachable peers.
@@ -85,6 +87,7 @@
             stages: register(registry, HistogramVec::new(stages, &["stage"])?)?,
             configuration: gauge("configuration_version", "Version in force")?,
             store_age: register(registry, prometheus::IntGaugeVec::new(store_age, &["kind"])?)?,
+            quarantined: gauge("quarantined", "Patterns of prompts in quarantine")?,
             servers: gauge("servers", "Backend servers listed")?,
             peers: gauge("peers", "Peers heard lately")?,
             reserved_per_mille: gauge(
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -106,6 +106,11 @@
     // The shorter of the caller's and the route's time limit.
     let time_limit = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let (body, _memory) = read_body(&app, body, &table.config().limits, time_limit).await?;
+    let quarantine_left =
+        head.generation.as_ref().and_then(|generation| app.quarantine_left(generation));
+    if let Some(left) = quarantine_left {
+        return Err(Refusal::with_retry_after(Cause::Quarantined, left));
+    }
     let service = route.service(rand::random()).cloned().ok_or(Refusal::new(Cause::NoServer))?;
     let fingerprint = head.generation.as_ref().and_then(caller_fingerprint);
     let first_arrived_at =
--- a/crates/forward/tests/forward/crashes.rs
+++ b/crates/forward/tests/forward/crashes.rs
@@ -4,9 +4,16 @@
     Backend, ReceivedRequest, Step, answer_prefill, complete_stream, stream_head,
 };
 use crate::fixture::caller::{Answer, call, request};
-use crate::fixture::{Host, decode, engines};
+use crate::fixture::store::{HOSTS, control, register, start_store, start_store_with_address};
+use crate::fixture::{
+    Host, TEST_TIMEOUT, config, decode, host_with_settings, prefill, settings, wait_until,
+};
 use chestnutrack_core::dispatch::{Change, Entry};
-use std::time::Duration;
+use chestnutrack_store::client::Client;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::{sleep, timeout};
 
 /// Crashes after which a part of a prompt has to be known.
 const CRASHES_MAX: usize = 5;
@@ -47,8 +54,11 @@
         Engines { prefiller, decoders }
     }
 
-    async fn host(&self) -> Host {
-        engines(&self.prefiller, &self.decoders.iter().collect::<Vec<_>>()).await
+    async fn host(&self, name: &str) -> Host {
+        let decoders = self.decoders.iter().enumerate();
+        let decoders = decoders.map(|(n, decoder)| decode(&format!("decode-{n}"), decoder));
+        let servers = [prefill("prefill-1", &self.prefiller)].into_iter().chain(decoders);
+        host_with_settings(settings(name), servers.collect()).await
     }
 
     /// Lists all engines as processes that started at `born`.
@@ -66,24 +76,64 @@
     }
 }
 
-/// Sends requests with the part `bad` one after the other, no two alike, and returns the last answer.
-async fn send_bad_requests(engines: &Engines, host: &Host, count: u64) -> Answer {
+/// Sends requests with the part `bad` one after the other to each host in turn, no two alike, and returns the last
+/// answer.
+async fn send_bad_requests(engines: &Engines, hosts: &[&Host], count: u64) -> Answer {
     let mut answer = Answer::default();
     for n in 0..count {
-        engines.restart(host, n + 2);
-        let parts = format!("family:20,bad:30,own{n}:50");
-        answer = call(host.address, &generation_of("/recap/7", &parts)).await;
+        let host = hosts[n as usize % hosts.len()];
+        hosts.iter().for_each(|host| engines.restart(host, n + 2));
+        answer = send(host, &format!("family:20,bad:30,own{n}:50")).await;
     }
     answer
 }
 
+/// Sends a request whose prompt has the given parts.
+async fn send(host: &Host, parts: &str) -> Answer {
+    call(host.address, &generation_of("/recap/7", parts)).await
+}
+
+/// Waits until a request with the part `bad` gets an answer with the given status.
+async fn until_answered(host: &Host, status: u16) {
+    let waiting = async {
+        while send(host, "family:20,bad:30,own:50").await.status != status {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, waiting).await.expect("that status in time");
+}
+
+/// Waits until the store holds one pattern, and returns its name and version.
+async fn stored_pattern(client: &Client) -> (Arc<str>, u64) {
+    let waiting = async {
+        loop {
+            let objects = client.list(HOSTS).await.unwrap().objects;
+            let mut patterns =
+                objects.into_iter().filter(|object| object.name.starts_with("quarantine-"));
+            match (patterns.next(), patterns.next()) {
+                (Some(object), None) => return (object.name, object.version),
+                _ => sleep(Duration::from_millis(50)).await,
+            }
+        }
+    };
+    timeout(TEST_TIMEOUT, waiting).await.expect("one pattern in time")
+}
+
+/// Writes a pattern of the part `bad` to the store, and returns its version.
+async fn store_pattern(client: &Client) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let until_ms = (now + Duration::from_secs(60)).as_millis() as u64;
+    let value = json!({ "parts": ["bad"], "until_ms": until_ms });
+    client.create(HOSTS, "quarantine-1", &value).await.unwrap()
+}
+
 // Guards against a part of a prompt that ends one engine after the other.
 #[tokio::test]
 async fn a_part_of_a_prompt_under_which_engines_end_reaches_no_more_of_them() {
     let engines = Engines::start().await;
-    let host = engines.host().await;
+    let host = engines.host("host").await;
 
-    let answer = send_bad_requests(&engines, &host, 12).await;
+    let answer = send_bad_requests(&engines, &[&host], 12).await;
 
     let arrivals = engines.bad_arrivals();
     assert!(arrivals <= CRASHES_MAX + REACH_MAX, "{arrivals} requests reached engines");
@@ -95,15 +145,87 @@
 #[tokio::test]
 async fn sound_requests_with_the_other_parts_are_served() {
     let engines = Engines::start().await;
-    let host = engines.host().await;
+    let host = engines.host("host").await;
 
-    send_bad_requests(&engines, &host, 12).await;
+    send_bad_requests(&engines, &[&host], 12).await;
     engines.restart(&host, 100);
 
     for n in 0..4 {
-        let parts = format!("family:20,good:30,own{n}:50");
-        let answer = call(host.address, &generation_of("/recap/7", &parts)).await;
+        let answer = send(&host, &format!("family:20,good:30,own{n}:50")).await;
 
         assert_eq!((answer.status, answer.complete), (200, true));
     }
 }
+
+// Guards against hosts of which each has to see all crashes itself.
+#[tokio::test]
+async fn crashes_at_two_hosts_are_put_together() {
+    let engines = Engines::start().await;
+    let client = start_store().await;
+    let (first, second) = (engines.host("first").await, engines.host("second").await);
+    let _first = register(&first.app, &client).await;
+    let _second = register(&second.app, &client).await;
+    for host in [&first, &second] {
+        wait_until(|| host.app.metrics.peers.get() == 1).await;
+    }
+
+    send_bad_requests(&engines, &[&first, &second], 16).await;
+
+    let arrivals = engines.bad_arrivals();
+    assert!(arrivals <= CRASHES_MAX + REACH_MAX, "{arrivals} requests reached engines");
+    stored_pattern(&client).await;
+}
+
+// Guards against forgetting the part when all hosts are killed at once.
+#[tokio::test]
+async fn a_host_that_starts_refuses_a_part_that_the_store_holds_in_quarantine() {
+    let engines = Engines::start().await;
+    let client = start_store().await;
+    store_pattern(&client).await;
+    let host = engines.host("host").await;
+
+    let _registration = register(&host.app, &client).await;
+
+    until_answered(&host, 503).await;
+    assert_eq!(send(&host, "family:20,good:30,own:50").await.status, 200);
+}
+
+// Guards against a part that stays in quarantine though the operator released it.
+#[tokio::test]
+async fn a_part_whose_object_is_deleted_from_the_store_is_released() {
+    let engines = Engines::start().await;
+    let client = start_store().await;
+    let version = store_pattern(&client).await;
+    let hosts = [engines.host("first").await, engines.host("second").await];
+    let _first = register(&hosts[0].app, &client).await;
+    let _second = register(&hosts[1].app, &client).await;
+    for host in &hosts {
+        until_answered(host, 503).await;
+    }
+
+    client.delete(HOSTS, "quarantine-1", version).await.unwrap();
+
+    for host in &hosts {
+        until_answered(host, 200).await;
+    }
+}
+
+// Guards against losing the part with what a restored store has lost.
+#[tokio::test]
+async fn a_pattern_that_a_restored_store_has_lost_is_written_again() {
+    let engines = Engines::start().await;
+    let (client, address) = start_store_with_address().await;
+    let host = engines.host("host").await;
+    let _registration = register(&host.app, &client).await;
+    wait_until(|| host.app.version() == config().version).await;
+    control(address, "copy").await;
+    send_bad_requests(&engines, &[&host], 8).await;
+    let (name, version) = stored_pattern(&client).await;
+
+    control(address, "restore").await;
+
+    let (name_again, version_again) = stored_pattern(&client).await;
+    assert_eq!(name, name_again);
+    assert_ne!(version, version_again);
+    until_answered(&host, 503).await;
+}
--- a/crates/forward/tests/forward/hosts.rs
+++ b/crates/forward/tests/forward/hosts.rs
@@ -1,54 +1,20 @@
 //! Registration of hosts in the platform's store, and removal of a host that is lost.
 
-use crate::fixture::caller::{call, request};
+use crate::fixture::store::{
+    HOSTS, control, host_at, register, set_down, start_store, start_store_with_address,
+};
 use crate::fixture::{app_with, config, settings, wait_until};
 use chestnutrack_core::roster;
 use chestnutrack_forward::app::{self, App};
 use chestnutrack_forward::config::Config;
-use chestnutrack_forward::follow::{Follower, Host, Registration};
-use chestnutrack_forward::mesh::Mesh;
+use chestnutrack_forward::follow::{Host, Registration};
 use chestnutrack_forward::native;
-use chestnutrack_process::timer::Timer;
-use chestnutrack_standin::platform;
-use chestnutrack_store::client::{self, Client};
+use chestnutrack_store::client::Client;
 use serde_json::{Value, json};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-/// Kind of the hosts' entries.
-const HOSTS: &str = native::DIRECTORY.hosts_kind;
-
-/// Starts a store with a configuration, and returns a client.
-async fn start_store() -> Client {
-    start_store_with_address().await.0
-}
-
-/// Starts a store with a configuration, and returns a client and its address.
-async fn start_store_with_address() -> (Client, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(platform::serve(listener, platform::Settings::default()));
-    let client = Client::new(address, client::Settings::default(), None);
-    let value = serde_json::to_value(config()).unwrap();
-    client.create(native::DIRECTORY.config_kind, "main", &value).await.unwrap();
-    (client, address)
-}
-
-/// Makes the store cut all calls, or answer again.
-async fn set_down(store: SocketAddr, down: bool) {
-    let body = json!({ "down": down }).to_string();
-    let answer = call(store, &request("POST", "/control/faults", "", &body)).await;
-    assert_eq!(answer.status, 200);
-}
-
-/// Copies the store, or restores the copy.
-async fn control(store: SocketAddr, page: &str) {
-    let answer = call(store, &request("POST", &format!("/control/{page}"), "", "{}")).await;
-    assert_eq!(answer.status, 200);
-}
-
 /// Starts a host that registers itself, watches the other hosts and removes lost ones.
 async fn start_listed_host(name: &str, client: &Client) -> (Arc<App>, Arc<Registration>) {
     let roster = roster::Settings {
@@ -57,25 +23,10 @@
         ..roster::Settings::default()
     };
     let app = app_with(app::Settings { roster, ..settings(name) });
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let follower = Follower::new(app.clone(), native::DIRECTORY);
-    tokio::spawn(follower.clone().follow_config(client.clone()));
-    tokio::spawn(follower.clone().follow_servers(client.clone(), Timer::start()));
-    let mesh = Mesh::new(app.clone(), follower, address.port());
-    tokio::spawn(mesh.clone().accept(listener));
-    tokio::spawn(mesh.clone().run_gossip(Timer::start()));
-    let registration =
-        Registration::new(client.clone(), HOSTS, name.into(), host_at(address), mesh);
-    tokio::spawn(registration.clone().maintain(Timer::start()));
-    tokio::spawn(registration.clone().follow(Timer::start()));
+    let registration = register(&app, client).await;
     (app, registration)
 }
 
-fn host_at(address: SocketAddr) -> Host {
-    Host { incarnation: 1, address }
-}
-
 /// Returns the entry of a host in the store, if there is one.
 async fn entry(client: &Client, name: &str) -> Option<Value> {
     client.read(HOSTS, name).await.ok()?.value
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -1,5 +1,8 @@
 //! A small HTTP/1.1 server and client based on `hyper`, with limits on time and size.
 
+#[cfg(test)]
+mod tests;
+
 use crate::socket;
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
@@ -41,6 +44,8 @@
     Connect(SocketAddr, ConnectError),
     /// call failed after it was sent: {0}
     Broken(String),
+    /// peer stopped responding after the call was sent: {0}
+    Unresponsive(String),
     /// no answer within {0} ms
     Timeout(u64),
     /// body is larger than {0} bytes
@@ -62,6 +67,23 @@
     Other(String),
 }
 
+/// Returns the error of a connection that failed after a call was sent: [`Error::Unresponsive`] if the system gave up
+/// on the peer, or [`Error::Broken`] if the peer closed or reset the connection.
+pub(crate) fn connection_error(error: &(dyn std::error::Error + 'static)) -> Error {
+    let causes = std::iter::successors(Some(error), |error| error.source());
+    let kinds = causes.filter_map(|cause| cause.downcast_ref::<std::io::Error>());
+    let is_unresponsive = kinds.map(std::io::Error::kind).any(|kind| {
+        matches!(
+            kind,
+            ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
+        )
+    });
+    match is_unresponsive {
+        true => Error::Unresponsive(error.to_string()),
+        false => Error::Broken(error.to_string()),
+    }
+}
+
 /// Returns a body that consists of `bytes`.
 pub fn full(bytes: impl Into<Bytes>) -> ResponseBody {
     Full::new(bytes.into()).boxed()
@@ -82,7 +104,7 @@
 ///
 /// # Errors
 ///
-/// [`Error::TooLarge`] or [`Error::Broken`].
+/// [`Error::TooLarge`], [`Error::Broken`] or [`Error::Unresponsive`].
 pub async fn read_body<B>(body: B, body_bytes_max: usize) -> Result<Bytes, Error>
 where
     B: Body<Data = Bytes>,
@@ -96,7 +118,7 @@
             Err(error) if error.is::<LengthLimitError>() => {
                 return Err(Error::TooLarge(body_bytes_max));
             }
-            Err(error) => return Err(Error::Broken(error.to_string())),
+            Err(error) => return Err(connection_error(&*error)),
         }
     }
     Ok(buffer.freeze())
@@ -179,7 +201,7 @@
     let timed_out = Error::Timeout(u64::try_from(step_timeout.as_millis()).unwrap_or(u64::MAX));
     let response =
         timeout(step_timeout, sender.send_request(request)).await.map_err(|_| timed_out)?;
-    response.map_err(|error| Error::Broken(error.to_string()))
+    response.map_err(|error| connection_error(&error))
 }
 
 /// Makes one call within `call_timeout` on a new connection and reads the response with a body of at most
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -260,7 +260,7 @@
     ) -> Result<Response<Bytes>, Error> {
         let deadline = Instant::now() + call_timeout;
         match self.call(request.clone(), call_timeout, body_bytes_max).await {
-            Err(Error::Broken(_)) => {
+            Err(Error::Broken(_) | Error::Unresponsive(_)) => {
                 let remaining = deadline.saturating_duration_since(Instant::now());
                 self.call(request, remaining, body_bytes_max).await
             }
@@ -359,7 +359,7 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Broken`] if the connection breaks before the end of the body.
+    /// [`Error::Broken`] or [`Error::Unresponsive`] if the connection fails before the end of the body.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
             match self.body.frame().await {
@@ -374,7 +374,7 @@
                 }
                 Some(Err(error)) => {
                     self.discard();
-                    return Err(Error::Broken(error.to_string()));
+                    return Err(http::connection_error(&error));
                 }
             }
         }
@@ -384,7 +384,7 @@
     ///
     /// # Errors
     ///
-    /// [`Error::TooLarge`] or [`Error::Broken`].
+    /// [`Error::TooLarge`], [`Error::Broken`] or [`Error::Unresponsive`].
     pub async fn read(&mut self, body_bytes_max: usize) -> Result<Bytes, Error> {
         let read = http::read_body(&mut self.body, body_bytes_max).await;
         match read {
@@ -428,7 +428,7 @@
         Ok(response) => Ok(Attempt::Answered(response, connection)),
         Err(mut error) => match error.take_message() {
             Some(unsent) => Ok(Attempt::Unsent(unsent, error.into_error().to_string())),
-            None => Err(Error::Broken(error.into_error().to_string())),
+            None => Err(http::connection_error(&error.into_error())),
         },
     }
 }
--- a/crates/side/src/plain.rs
+++ b/crates/side/src/plain.rs
@@ -37,7 +37,9 @@
 fn ran(error: &Error) -> Ran {
     match error {
         Error::Connect(..) | Error::Request(_) => Ran::NotRun,
-        Error::Broken(_) | Error::Timeout(_) | Error::TooLarge(_) => Ran::Unknown,
+        Error::Broken(_) | Error::Unresponsive(_) | Error::Timeout(_) | Error::TooLarge(_) => {
+            Ran::Unknown
+        }
     }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -8,6 +8,7 @@
 
 use crate::id::{Attempt, Request};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Version of the frame format; a peer with a higher major version is refused with a typed error.
@@ -408,6 +409,37 @@
     pub born: Option<u64>,
 }
 
+/// An answer that broke off while an engine was writing it, or before.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Break {
+    /// Name of the engine.
+    pub engine: Arc<str>,
+    /// When the engine's process started, in milliseconds since 1970; absent if it doesn't say.
+    pub born: Option<u64>,
+    /// Hash that tells the request from others.
+    pub request: u64,
+    /// Parts of the request's prompt that other requests may have too, in order.
+    pub parts: Vec<Arc<str>>,
+}
+
+/// What a host knows of parts of prompts that crash engines.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineReport {
+    /// Answers that broke off at the host lately, with the time since, in milliseconds.
+    pub breaks: Vec<(u32, Break)>,
+    /// Answers that the host completed to requests with parts of answers that broke off, by part.
+    pub completed: Vec<(Arc<str>, u32)>,
+    /// Parts that are in quarantine together, with the time left, in milliseconds.
+    pub held: Vec<(BTreeSet<Arc<str>>, u32)>,
+}
+
+impl QuarantineReport {
+    /// Returns `true` if the report says nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == QuarantineReport::default()
+    }
+}
+
 /// Gossip state that a host sends to its peers; each message replaces the previous one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -455,6 +487,9 @@
     /// Epoch of the platform's store; it rises when the store comes back from a copy.
     #[serde(default)]
     pub store_epoch: u64,
+    /// Parts of prompts that crash engines.
+    #[serde(default, skip_serializing_if = "QuarantineReport::is_empty")]
+    pub quarantine: QuarantineReport,
     /// Hosts that are unreachable from this host, and for how long, in milliseconds.
     #[serde(default)]
     pub unheard: Vec<(Arc<str>, u32)>,
