Judge prompt parts by the answers that engines survive, and share crashes among cells

Breaks at leaving engines don't count. - Two of several simultaneous crashes count, not one. - Lists and deletions older than a pattern's object released it. - Hosts prolonged each other's pattern at its end, and lost how long it had been held. - Reports preferred the newest answers to those that had just begun; parts of a prompt were not bounded in number and length. - A stream that breaks spends no retry if its part is in quarantine; callers refused come back spread over a tenth of the time.

Failed try: a release by the age of the decision; a report that was delayed by 0.7 s put the pattern back. Decisions have identifiers now.

--- a/crates/core/src/dispatch/leaving.rs
+++ b/crates/core/src/dispatch/leaving.rs
@@ -75,6 +75,11 @@
         server.is_some_and(|server| !std::mem::replace(&mut server.says_leaving, true))
     }
 
+    /// Returns whether a server is leaving, by its entry or by its own word, or is no longer listed.
+    pub fn is_leaving(&self, key: ServerKey) -> bool {
+        self.servers.get(key).is_none_or(|server| server.entry.leaving || server.says_leaving)
+    }
+
     /// Records that a server has asked for no requests for `duration` from now, of which at most
     /// [`BACKOFF_MAX`] count. Returns the time that counts.
     pub fn record_backoff(&mut self, now: Instant, key: ServerKey, duration: Duration) -> Duration {
--- /dev/null
+++ b/crates/core/src/quarantine/evidence.rs
@@ -0,0 +1,388 @@
+//! What speaks against parts of prompts and for them: answers that broke off, and answers that their engines survived.
+
+use super::Pattern;
+use crate::time::Instant;
+use chestnutrack_wire::frame::Break;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Engine crashes that a part must have been at to be held responsible.
+const CRASHES_MIN: usize = 4;
+/// Crashes among them that no pattern in quarantine accounts for.
+const UNEXPLAINED_MIN: usize = 2;
+/// Different requests with the part that must have been at these crashes. A single request that was sent again is no
+/// sign of its shared parts.
+const REQUESTS_MIN: usize = 2;
+/// Crashes for which one sound answer makes up: a part at more of them is held responsible.
+const CRASHES_PER_SOUND: usize = 4;
+/// Time within which crashes count as simultaneous. Engines that fail together may have a cause of their own.
+const SIMULTANEOUS: Duration = Duration::from_millis(20);
+/// Simultaneous crashes that count at most.
+const SIMULTANEOUS_MAX: usize = 2;
+/// Sound answers that began less than this time before the first crash count as well, until [`PRIOR_TIME`] after it.
+const PRIOR_PERIOD: Duration = Duration::from_secs(4);
+/// Time after the first crash from which on earlier sound answers no longer count: a part that was sound until then may
+/// crash engines now.
+const PRIOR_TIME: Duration = Duration::from_secs(3);
+/// Time after which an answer that broke off is taken into account. Other hosts' reports have arrived by then, unless
+/// they are delayed.
+pub(super) const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// How long an answer that broke off is remembered.
+const RETENTION: Duration = Duration::from_secs(60);
+/// How long an answer that broke off is reported to peers.
+const REPORT_PERIOD: Duration = Duration::from_secs(2);
+/// Maximum number of answers that broke off that are remembered.
+const BREAKS_MAX: usize = 512;
+/// Maximum number of answers that broke off in one report.
+const REPORTED_BREAKS_MAX: usize = 16;
+/// Maximum number of sound answers that are remembered for a part.
+const SOUND_MAX: usize = 8;
+/// Maximum number of parts with sound answers that are remembered.
+const PARTS_MAX: usize = 4_096;
+/// Shortest time between two removals of parts that were not used lately.
+const EVICTION_INTERVAL: Duration = Duration::from_secs(1);
+/// Crashes that a part was at for its sound answers to be reported.
+const REPORTED_CRASHES_MIN: usize = 2;
+/// Maximum number of parts in one report whose sound answers are reported.
+const REPORTED_PARTS_MAX: usize = 16;
+
+/// Maximum number of answers that broke off that a cell reports to others.
+const CELL_BREAKS_MAX: usize = 64;
+
+/// When sound answers began, by part.
+type SoundAnswers = BTreeMap<Arc<str>, Vec<Instant>>;
+
+/// Identifies the process of an engine: its name and start time.
+type Engine<'a> = (&'a Arc<str>, Option<u64>);
+
+/// An answer that broke off, with when and where.
+#[derive(Clone, Debug)]
+struct Record {
+    at: Instant,
+    origin: Origin,
+    answer: Break,
+}
+
+/// Where an answer broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Origin {
+    /// At this host.
+    Host,
+    /// At a peer, a host of the same cell.
+    Peer,
+    /// At a host of another cell.
+    OtherCell,
+}
+
+impl Record {
+    fn engine(&self) -> Engine<'_> {
+        (&self.answer.engine, self.answer.born)
+    }
+
+    /// Returns whether the answer is taken into account.
+    fn is_settled(&self, now: Instant) -> bool {
+        now.since(self.at) >= SETTLE_TIME
+    }
+}
+
+/// What speaks against and for some parts.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Suspicions {
+    /// Answers that broke off, with the time since.
+    pub(super) breaks: Vec<(Duration, Break)>,
+    /// When sound answers began, by part.
+    pub(super) sound: Vec<(Arc<str>, Vec<Instant>)>,
+}
+
+/// Latest crashes that a part was at, with few sound answers since.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    /// First of the crashes.
+    since: Instant,
+    crashes: usize,
+    /// Crashes that no pattern in quarantine accounts for.
+    unexplained: usize,
+    sound: usize,
+}
+
+/// Answers that broke off, of all hosts, and sound ones: those that their engines survived.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Evidence {
+    records: VecDeque<Record>,
+    /// When sound answers at this host began, by part, the newest last.
+    sound: HashMap<Arc<str>, VecDeque<Instant>>,
+    /// The same of peers and other cells, by their names, as they report it.
+    reported_sound: BTreeMap<(Origin, Arc<str>), SoundAnswers>,
+    evicted_at: Instant,
+}
+
+impl Evidence {
+    /// Remembers an answer that broke off at `at`. Returns `false` if it is known already, or its prompt has no parts
+    /// that other requests may have too.
+    pub(super) fn insert(&mut self, at: Instant, origin: Origin, answer: Break) -> bool {
+        let record = Record { at, origin, answer };
+        let is_known = |known: &Record| {
+            known.engine() == record.engine() && known.answer.request == record.answer.request
+        };
+        if record.answer.parts.is_empty() || self.records.iter().any(is_known) {
+            return false;
+        }
+        if self.records.len() >= BREAKS_MAX {
+            self.remove_oldest_answer();
+        }
+        self.records.push_back(record);
+        true
+    }
+
+    /// Removes the record of the answer that had been written for longest, which is least likely to have crashed its
+    /// engine.
+    fn remove_oldest_answer(&mut self) {
+        let records = self.records.iter().enumerate();
+        let oldest =
+            records.max_by_key(|(index, record)| (record.answer.written_ms, Reverse(*index)));
+        if let Some((index, _)) = oldest {
+            self.records.remove(index);
+        }
+    }
+
+    /// Records that an answer to a request with the given parts, which its engine began to write at `began_at`, did not
+    /// crash the engine.
+    pub(super) fn record_sound<'a>(
+        &mut self,
+        now: Instant,
+        began_at: Instant,
+        parts: impl Iterator<Item = &'a Arc<str>>,
+    ) {
+        if self.sound.len() >= PARTS_MAX && now.since(self.evicted_at) >= EVICTION_INTERVAL {
+            self.evicted_at = now;
+            self.sound.retain(|_, began| {
+                began.back().is_some_and(|began_at| now.since(*began_at) < PRIOR_PERIOD)
+            });
+        }
+        for part in parts {
+            if self.sound.len() >= PARTS_MAX && !self.sound.contains_key(part) {
+                continue;
+            }
+            let began = self.sound.entry(part.clone()).or_default();
+            if began.len() >= SOUND_MAX {
+                began.pop_front();
+            }
+            began.push_back(began_at);
+        }
+    }
+
+    /// Replaces what a peer or another cell reports as sound.
+    pub(super) fn set_reported_sound(
+        &mut self,
+        origin: Origin,
+        source: &Arc<str>,
+        sound: SoundAnswers,
+    ) {
+        let key = (origin, source.clone());
+        if sound.is_empty() {
+            self.reported_sound.remove(&key);
+        } else {
+            self.reported_sound.insert(key, sound);
+        }
+    }
+
+    /// Forgets what a peer has reported as sound.
+    pub(super) fn remove_peer(&mut self, peer: &str) {
+        self.reported_sound.remove(&(Origin::Peer, peer.into()));
+    }
+
+    /// Forgets the crash of an engine that has answered a request sent at `sent_at`: it is alive.
+    pub(super) fn record_alive(&mut self, engine: &Arc<str>, born: Option<u64>, sent_at: Instant) {
+        self.records.retain(|record| record.engine() != (engine, born) || record.at >= sent_at);
+    }
+
+    /// Forgets the answers that broke off for which a pattern accounts.
+    pub(super) fn forget(&mut self, pattern: &Pattern) {
+        self.records.retain(|record| !accounts_for(pattern, &record.answer));
+    }
+
+    /// Forgets answers that broke off long ago. Returns when the first of those left that are not taken into account
+    /// yet will be.
+    pub(super) fn expire(&mut self, now: Instant) -> Option<Instant> {
+        self.records.retain(|record| now.since(record.at) < RETENTION);
+        let unsettled = self.records.iter().filter(|record| !record.is_settled(now));
+        unsettled.map(|record| record.at + SETTLE_TIME).min()
+    }
+
+    /// Returns the answers that broke off at this host lately, with the time since. If there are many, those that their
+    /// engines had been writing for the shortest time.
+    pub(super) fn recent_breaks(&self, now: Instant) -> Vec<(Duration, Break)> {
+        let is_recent = |record: &&Record| {
+            record.origin == Origin::Host && now.since(record.at) < REPORT_PERIOD
+        };
+        let mut recent: Vec<&Record> = self.records.iter().filter(is_recent).collect();
+        recent.sort_by_key(|record| (record.answer.written_ms, Reverse(record.at)));
+        recent.truncate(REPORTED_BREAKS_MAX);
+        recent.into_iter().map(|record| (now.since(record.at), record.answer.clone())).collect()
+    }
+
+    /// Returns when sound answers at this host began, for the parts that were at most crashes.
+    pub(super) fn suspects_sound(&self) -> Vec<(Arc<str>, Vec<Instant>)> {
+        let suspects = suspects(self.records.iter(), REPORTED_CRASHES_MIN).into_iter();
+        let sound = suspects.filter_map(|part| {
+            let began = self.sound.get(part)?;
+            Some((part.clone(), began.iter().copied().collect()))
+        });
+        sound.take(REPORTED_PARTS_MAX).collect()
+    }
+
+    /// Returns what speaks against and for the parts that were at `crashes_min` crashes or more, as the hosts of this cell
+    /// have seen it: all answers that broke off at these crashes, with the time since, and when sound answers began.
+    pub(super) fn cell_suspicions(&self, now: Instant, crashes_min: usize) -> Suspicions {
+        let of_cell = || self.records.iter().filter(|record| record.origin != Origin::OtherCell);
+        let parts = suspects(of_cell(), crashes_min);
+        let has_suspect =
+            |record: &&Record| record.answer.parts.iter().any(|part| parts.contains(&part));
+        let engines: BTreeSet<Engine<'_>> =
+            of_cell().filter(has_suspect).map(Record::engine).collect();
+        let breaks = of_cell().filter(|record| engines.contains(&record.engine()));
+        let breaks = breaks.map(|record| (now.since(record.at), record.answer.clone()));
+        let sound = parts.iter().map(|part| {
+            let peers =
+                self.reported_sound.iter().filter(|((origin, _), _)| *origin == Origin::Peer);
+            let peers = peers.filter_map(|(_, sound)| sound.get(*part)).flatten();
+            let mut began: Vec<Instant> =
+                self.sound.get(*part).into_iter().flatten().chain(peers).copied().collect();
+            began.sort_unstable_by_key(|began_at| Reverse(*began_at));
+            began.truncate(SOUND_MAX);
+            ((*part).clone(), began)
+        });
+        Suspicions {
+            breaks: breaks.take(CELL_BREAKS_MAX).collect(),
+            sound: sound.take(REPORTED_PARTS_MAX).collect(),
+        }
+    }
+
+    /// Returns the pattern of a part that is held responsible for crashes for which none of `patterns` accounts, and the
+    /// time of the first of these crashes. Of several parts, the one is chosen that was at most crashes, then the one
+    /// with fewest sound answers, then the one furthest back in prompts, which fewer requests share.
+    pub(super) fn responsible_pattern(
+        &self,
+        now: Instant,
+        patterns: &[&Pattern],
+    ) -> Option<(Pattern, Instant)> {
+        let settled: Vec<&Record> =
+            self.records.iter().filter(|record| record.is_settled(now)).collect();
+        let explained: BTreeSet<Engine<'_>> = settled
+            .iter()
+            .filter(|record| patterns.iter().any(|pattern| accounts_for(pattern, &record.answer)))
+            .map(|record| record.engine())
+            .collect();
+        let mut by_part: BTreeMap<&Arc<str>, (usize, Vec<&Record>)> = BTreeMap::new();
+        for record in &settled {
+            for (position, part) in record.answer.parts.iter().enumerate() {
+                let (last_position, records) = by_part.entry(part).or_default();
+                *last_position = position.max(*last_position);
+                records.push(record);
+            }
+        }
+        let suspicions: BTreeMap<&Arc<str>, Suspicion> = by_part
+            .iter()
+            .filter_map(|(part, (_, records))| {
+                Some((*part, self.suspicion(now, part, records, &explained)?))
+            })
+            .collect();
+        let responsible = suspicions.iter().filter(|(part, suspicion)| {
+            let requests = by_part[**part].1.iter().filter(|record| record.at >= suspicion.since);
+            let requests: BTreeSet<u64> = requests.map(|record| record.answer.request).collect();
+            suspicion.unexplained >= UNEXPLAINED_MIN && requests.len() >= REQUESTS_MIN
+        });
+        let (part, suspicion) = responsible.max_by_key(|(part, suspicion)| {
+            (suspicion.crashes, Reverse(suspicion.sound), by_part[**part].0)
+        })?;
+        let prompts = by_part[*part].1.iter().filter(|record| record.at >= suspicion.since);
+        let prompts = prompts.map(|record| record.answer.parts.iter().collect::<BTreeSet<_>>());
+        let common = prompts.reduce(|common, parts| &common & &parts)?;
+        let pattern = common.into_iter().filter(|other| suspicions.contains_key(other)).cloned();
+        Some((pattern.collect(), suspicion.since))
+    }
+
+    /// Returns the longest run of latest crashes that a part was at for which there are too few sound answers since, or
+    /// `None` if there are enough for all.
+    fn suspicion(
+        &self,
+        now: Instant,
+        part: &Arc<str>,
+        records: &[&Record],
+        explained: &BTreeSet<Engine<'_>>,
+    ) -> Option<Suspicion> {
+        let crashes = list_crashes(records, explained);
+        let runs = (0..=crashes.len().checked_sub(CRASHES_MIN)?).map(|first| &crashes[first..]);
+        let suspicions = runs.map(|run| {
+            let since = run[0].0;
+            let unexplained = run.iter().filter(|(_, is_explained)| !is_explained).count();
+            let sound = self.sound_since(part, count_from(now, since));
+            Suspicion { since, crashes: run.len(), unexplained, sound }
+        });
+        suspicions.into_iter().find(|run| run.sound * CRASHES_PER_SOUND < run.crashes)
+    }
+
+    /// Returns the number of sound answers to requests with a part that began since `start`, at all hosts.
+    fn sound_since(&self, part: &Arc<str>, start: Instant) -> usize {
+        let own = self.sound.get(part).into_iter().flatten();
+        let reported = self.reported_sound.values();
+        let reported = reported.filter_map(|parts| parts.get(part)).flatten();
+        own.chain(reported).filter(|began_at| **began_at >= start).count()
+    }
+}
+
+/// Returns the parts that were at `crashes_min` crashes or more, those at most crashes first.
+fn suspects<'a>(
+    records: impl Iterator<Item = &'a Record>,
+    crashes_min: usize,
+) -> Vec<&'a Arc<str>> {
+    let mut crashes: BTreeMap<&Arc<str>, BTreeSet<Engine<'_>>> = BTreeMap::new();
+    for record in records {
+        for part in &record.answer.parts {
+            crashes.entry(part).or_default().insert(record.engine());
+        }
+    }
+    let mut suspects: Vec<(usize, &Arc<str>)> =
+        crashes.iter().map(|(part, engines)| (engines.len(), *part)).collect();
+    suspects.retain(|(crashes, _)| *crashes >= crashes_min);
+    suspects.sort_by_key(|(crashes, _)| Reverse(*crashes));
+    suspects.into_iter().map(|(_, part)| part).collect()
+}
+
+/// Returns the time from which on sound answers count for crashes of which the first was at `first_crash`.
+fn count_from(now: Instant, first_crash: Instant) -> Instant {
+    match now.since(first_crash) < PRIOR_TIME {
+        true => first_crash - PRIOR_PERIOD,
+        false => first_crash,
+    }
+}
+
+/// Returns the crashes at which answers broke off, in order, and whether they are explained. Of simultaneous ones at
+/// most [`SIMULTANEOUS_MAX`].
+fn list_crashes(records: &[&Record], explained: &BTreeSet<Engine<'_>>) -> Vec<(Instant, bool)> {
+    let mut crashes: BTreeMap<Engine<'_>, Instant> = BTreeMap::new();
+    for record in records {
+        let at = crashes.entry(record.engine()).or_insert(record.at);
+        *at = record.at.min(*at);
+    }
+    let mut crashes: Vec<(Instant, bool)> =
+        crashes.into_iter().map(|(engine, at)| (at, explained.contains(&engine))).collect();
+    crashes.sort_unstable();
+    let mut group: Option<(Instant, usize)> = None;
+    crashes.retain(|(at, _)| {
+        let counted = match group {
+            Some((first, counted)) if at.since(first) < SIMULTANEOUS => (first, counted + 1),
+            _ => (*at, 1),
+        };
+        group = Some(counted);
+        counted.1 <= SIMULTANEOUS_MAX
+    });
+    crashes
+}
+
+/// Returns `true` if a pattern accounts for an answer that broke off: its prompt had all parts of the pattern.
+fn accounts_for(pattern: &Pattern, answer: &Break) -> bool {
+    pattern.iter().all(|part| answer.parts.contains(part))
+}
--- a/crates/forward/src/app/quarantine.rs
+++ b/crates/forward/src/app/quarantine.rs
@@ -6,20 +6,30 @@
 use chestnutrack_core::quarantine::Pattern;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
-use chestnutrack_wire::frame::{Break, QuarantineReport};
+use chestnutrack_wire::frame::{Break, HeldPattern, QuarantineReport};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Parts of a prompt that are considered: the first ones that other requests may have too.
+const PARTS_MAX: usize = 16;
+/// Longest identifier of a part that is considered, in bytes.
+const PART_ID_BYTES_MAX: usize = 64;
+/// Share of the time left in quarantine by which retry times are spread at most, so that the callers refused don't all
+/// return at once.
+const RETRY_SPREAD: f64 = 0.1;
+
 impl App {
-    /// Returns how long a generation's prompt remains in quarantine; `None` if it is not.
+    /// Returns the time after which a generation is worth retrying if its prompt is in quarantine; `None` if it is not.
     pub fn quarantine_left(&self, generation: &Generation) -> Option<Duration> {
         self.poll_quarantine();
-        self.state().quarantine.time_left(clock::now(), generation.shared_parts())
+        let state = self.state();
+        let left = state.quarantine.time_left(clock::now(), &considered_parts(generation))?;
+        Some(left.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>()))
     }
 
-    /// Records an answer that broke off at an engine, which began to write it at `began_at`, or had not begun. `id`
-    /// names the request.
+    /// Records an answer that broke off at an engine, which began to write it at `began_at`, or had not begun. Does
+    /// nothing if the engine is leaving. `id` names the request.
     pub fn record_break(
         &self,
         target: &Target,
@@ -27,23 +37,36 @@
         generation: &Generation,
         id: Option<&str>,
     ) {
+        let now = clock::now();
+        let written = began_at.map_or(Duration::ZERO, |began_at| now.since(began_at));
         let answer = Break {
             engine: target.entry.name.clone(),
             born: target.entry.born,
             request: request_hash(generation),
-            parts: generation.shared_parts().cloned().collect(),
+            parts: considered_parts(generation),
+            written_ms: u32::try_from(written.as_millis()).unwrap_or(u32::MAX),
         };
         let (server, parts) = (&target.entry.name, answer.parts.join(","));
-        if self.state().quarantine.record_break(clock::now(), began_at, answer) {
+        let mut state = self.state();
+        let counts =
+            !state.dispatch.is_leaving(target.key) && state.quarantine.record_break(now, answer);
+        drop(state);
+        if counts {
             tracing::info!(id, %server, parts, "engine may have crashed under a request");
             self.urgent_gossip_due.notify_one();
         }
     }
 
-    /// Records an answer that was completed, and that its engine began to write at `began_at`.
-    pub fn record_completed(&self, generation: &Generation, began_at: Instant) {
-        let mut state = self.state();
-        state.quarantine.record_completed(clock::now(), began_at, generation.shared_parts());
+    /// Records that an engine survived a request whose answer it began to write at `began_at`.
+    pub fn record_sound(&self, generation: &Generation, began_at: Instant) {
+        let parts = considered_parts(generation);
+        let released = self.state().quarantine.record_sound(clock::now(), began_at, &parts);
+        self.announce(&[], &released, "an engine survived");
+    }
+
+    /// Records that an engine has answered a request sent at `sent_at`.
+    pub fn record_alive(&self, target: &Target, sent_at: Instant) {
+        self.state().quarantine.record_alive(&target.entry.name, target.entry.born, sent_at);
     }
 
     /// Returns what this host reports to its peers about parts of prompts that crash engines.
@@ -55,60 +78,76 @@
     }
 
     /// Applies a peer's report about parts of prompts that crash engines.
-    pub(crate) fn record_peer_quarantine(&self, peer: &Arc<str>, report: QuarantineReport) {
-        let new = self.state().quarantine.record_report(clock::now(), peer, report);
-        self.announce_patterns(&new, peer);
+    pub(crate) fn record_quarantine_report(&self, peer: &Arc<str>, report: QuarantineReport) {
+        let changes = self.state().quarantine.record_report(clock::now(), peer, report);
+        self.announce(&changes.held, &changes.released, peer);
+    }
+
+    /// Returns what the hosts of this cell know of parts that were at `crashes_min` crashes or more.
+    pub(crate) fn cell_report(&self, crashes_min: usize) -> QuarantineReport {
+        self.state().quarantine.cell_report(clock::now(), crashes_min)
+    }
+
+    /// Applies the report of another cell, which it made `age` ago.
+    pub(crate) fn record_cell_report(
+        &self,
+        cell: &Arc<str>,
+        age: Duration,
+        report: QuarantineReport,
+    ) {
+        self.state().quarantine.record_cell_report(clock::now(), cell, age, report);
     }
 
-    /// Returns the patterns in quarantine, with the time left.
-    pub(crate) fn quarantine_patterns(&self) -> Vec<(Pattern, Duration)> {
-        self.state().quarantine.patterns(clock::now())
+    /// Returns the patterns in quarantine.
+    pub(crate) fn held_patterns(&self) -> Vec<HeldPattern> {
+        self.state().quarantine.report(clock::now()).held
     }
 
     /// Puts a pattern into quarantine that the platform's store holds.
-    pub(crate) fn hold_pattern(&self, pattern: Pattern, left: Duration) {
-        if self.state().quarantine.hold(clock::now(), &pattern, left) {
-            self.announce_patterns(&[pattern], "store");
+    pub(crate) fn hold_pattern(&self, held: &HeldPattern) {
+        if self.state().quarantine.hold(clock::now(), held) {
+            self.announce(std::slice::from_ref(&held.parts), &[], "store");
         }
     }
 
     /// Releases a pattern that was deleted from the platform's store.
     pub(crate) fn release_pattern(&self, pattern: &Pattern) {
         if self.state().quarantine.release(clock::now(), pattern) {
-            tracing::warn!(parts = join(pattern), "prompt parts released from quarantine");
-            self.gossip_due.notify_one();
+            self.announce(&[], std::slice::from_ref(pattern), "store");
         }
     }
 
     /// Puts patterns into quarantine that are due by what this host knows.
     fn poll_quarantine(&self) {
         let new = self.state().quarantine.poll(clock::now());
-        self.announce_patterns(&new, &self.settings.name);
+        self.announce(&new, &[], &self.settings.name);
     }
 
-    /// Logs patterns that are new in quarantine, and has them passed on. `source` is the host that decided, or the
-    /// store.
-    fn announce_patterns(&self, new: &[Pattern], source: &str) {
-        for pattern in new {
-            let left = self.state().quarantine.time_left(clock::now(), pattern);
+    /// Logs patterns that are new in quarantine or were released, and has them passed on. `source` says who decided, or
+    /// why.
+    fn announce(&self, held: &[Pattern], released: &[Pattern], source: &str) {
+        for pattern in held {
+            let parts: Vec<Arc<str>> = pattern.iter().cloned().collect();
+            let left = self.state().quarantine.time_left(clock::now(), &parts);
             let left_ms = left.unwrap_or_default().as_millis() as u64;
-            tracing::warn!(
-                parts = join(pattern),
-                source,
-                left_ms,
-                "prompt parts put into quarantine"
-            );
+            let parts = parts.join(",");
+            tracing::warn!(parts, source, left_ms, "prompt parts put into quarantine");
+        }
+        for pattern in released {
+            let parts = pattern.iter().map(|part| &**part).collect::<Vec<_>>().join(",");
+            tracing::warn!(parts, source, "prompt parts released from quarantine");
         }
-        if !new.is_empty() {
+        if !held.is_empty() || !released.is_empty() {
             self.urgent_gossip_due.notify_one();
             self.quarantine_changed.notify_one();
         }
     }
 }
 
-/// Returns the parts of a pattern as a text for logs.
-fn join(pattern: &Pattern) -> String {
-    pattern.iter().map(|part| &**part).collect::<Vec<_>>().join(",")
+/// Returns the parts of a prompt that other requests may have too, as far as they are considered.
+fn considered_parts(generation: &Generation) -> Vec<Arc<str>> {
+    let parts = generation.shared_parts().filter(|part| part.len() <= PART_ID_BYTES_MAX);
+    parts.take(PARTS_MAX).cloned().collect()
 }
 
 /// Returns a hash that tells a request from others by the last part of its prompt, which no other request has.
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -65,8 +65,6 @@
     pub(super) stream: Stream,
     /// Reservations at the engines, released when dropped.
     pub(super) admission: Admission,
-    /// When the head arrived.
-    pub(super) began_at: Instant,
 }
 
 /// A generation that was sent to an engine whose response has not begun. Dropping it closes the connection to the
@@ -282,7 +280,7 @@
         let failure = match result {
             Ok(response) => {
                 let (head, stream) = response.into_parts();
-                return Ok(EngineResponse { head, stream, admission, began_at: clock::now() });
+                return Ok(EngineResponse { head, stream, admission });
             }
             Err(failure) => failure,
         };
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -222,7 +222,9 @@
 
     /// Returns why the request may not be sent to one more server than it is at now, or `None` if it may.
     fn obstacle(&self, job: &Job) -> Option<&'static str> {
-        if !job.route.kind.may_repeat() {
+        if job.quarantine_left().is_some() {
+            Some("quarantined")
+        } else if !job.route.kind.may_repeat() {
             Some("route")
         } else if job.left().is_zero() {
             Some("deadline")
@@ -318,10 +320,10 @@
         }
     }
 
-    /// Records that an answer was completed, and that its engine began to write it at `began_at`.
-    fn record_completed(&self, began_at: Instant) {
+    /// Records that an engine survived the request, whose answer it began to write at `began_at`.
+    fn record_sound(&self, began_at: Instant) {
         if let Some(generation) = &self.head.generation {
-            self.app.record_completed(generation, began_at);
+            self.app.record_sound(generation, began_at);
         }
     }
 
@@ -367,6 +369,7 @@
         if self.left().is_zero() {
             return Err(Failure::Unsent);
         }
+        let sent_at = clock::now();
         let result = match self.quarantine_left() {
             Some(left) => Err(Failure::Quarantined(left)),
             None if !self.app.accepts(target) => Err(Failure::Closed),
@@ -395,6 +398,9 @@
             Err(Failure::Crowded | Failure::Closed | Failure::Quarantined(_)) => {}
             Ok(_) | Err(Failure::NotRun) => self.app.record_outcome(target, Outcome::Answer),
         }
+        if result.is_ok() && target.entry.stage.is_some() {
+            self.app.record_alive(target, sent_at);
+        }
         result
     }
 
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -9,6 +9,7 @@
 use crate::config::Engine;
 use bytes::Bytes;
 use chestnutrack_core::dispatch::Outcome;
+use chestnutrack_core::quarantine::CRASH_DELAY_MAX;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::http::Error;
@@ -46,6 +47,10 @@
     forwarded_events: u64,
     /// Whether the current engine's stream has ended.
     engine_ended: bool,
+    /// When the first event of the current engine arrived.
+    began_at: Option<Instant>,
+    /// Whether it is recorded that the current engine survived the request.
+    is_sound: bool,
     /// How often another engine has continued the stream.
     resumed: u32,
 }
@@ -69,13 +74,14 @@
         last_event,
         forwarded_events: 0,
         engine_ended: false,
+        began_at: None,
+        is_sound: false,
         resumed: 0,
     };
     let end = loop {
         let end = relay.forward(&mut response).await;
         let next = match end {
             End::Whole => {
-                relay.job.record_completed(response.began_at);
                 response.admission.complete();
                 break end;
             }
@@ -109,7 +115,15 @@
                     let error = Error::Broken("stream ended inside an event".to_owned());
                     return self.record_break(response, &error);
                 }
-                true => return End::Whole,
+                // A stream that another engine continues may have no event left.
+                true if self.forwarded_events == 0 && self.last_event.is_none() => {
+                    let error = Error::Broken("stream ended without an event".to_owned());
+                    return self.record_break(response, &error);
+                }
+                true => {
+                    self.record_sound();
+                    return End::Whole;
+                }
                 false => {}
             }
             if let Some(end) = self.receive(response).await {
@@ -167,10 +181,19 @@
         self.job.app.record_outcome(&response.admission.decode, Outcome::Failure);
         let (id, server) = (self.job.head.id.as_deref(), &response.admission.decode.entry.name);
         tracing::info!(id, %server, %error, passed = self.forwarded_events, "stream broke");
-        self.job.record_break(&response.admission.decode, Some(response.began_at), error);
+        self.job.record_break(&response.admission.decode, self.began_at, error);
         End::Broken
     }
 
+    /// Records, once for each engine, that it survived the request.
+    fn record_sound(&mut self) {
+        if let Some(began_at) = self.began_at
+            && !std::mem::replace(&mut self.is_sound, true)
+        {
+            self.job.record_sound(began_at);
+        }
+    }
+
     /// Forwards one event if its identifier follows the last one. Returns `None` if it was forwarded, otherwise why
     /// this engine's stream ends: its events are out of order, or the caller disconnected.
     async fn forward_event(&mut self, event: Event, response: &EngineResponse) -> Option<End> {
@@ -184,6 +207,10 @@
         }
         self.last_event = event.id.or(self.last_event);
         self.forwarded_events += 1;
+        let began_at = *self.began_at.get_or_insert(clock::now());
+        if clock::now().since(began_at) > CRASH_DELAY_MAX {
+            self.record_sound();
+        }
         response
             .admission
             .record_tokens(self.forwarded_events * u64::from(self.engine.tokens_per_event));
@@ -282,6 +309,8 @@
                 tracing::info!(id, %server, last = self.last_event, after_ms, "stream resumed");
                 self.events.clear();
                 self.engine_ended = false;
+                self.began_at = None;
+                self.is_sound = false;
                 self.resumed += 1;
                 Ok(response)
             }
--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -7,7 +7,7 @@
 //! still listed before it goes on spending, and a host whose entry was marked or deleted writes it
 //! again.
 
-use super::patterns::{Patterns, is_pattern};
+use super::patterns::{Patterns, is_quarantine};
 use super::{next_tick, watch_settings};
 use crate::mesh::Mesh;
 use chestnutrack_core::roster::Step;
@@ -186,7 +186,7 @@
             let present: BTreeSet<Arc<str>> =
                 update.objects.iter().map(|object| object.name.clone()).collect();
             let is_restored = epoch::of(update.version) > listed.epoch;
-            self.patterns.apply_snapshot(is_restored, &present);
+            self.patterns.apply_snapshot(update.version, is_restored, &present);
             if !present.contains(&self.name) && self.version.load(Ordering::Relaxed) > 0 {
                 self.rewrite_needed.notify_one();
             }
@@ -194,7 +194,7 @@
             self.mesh.update_hosts(removed.into_iter().map(|name| (name, None)));
         }
         let (patterns, entries): (Vec<Object>, Vec<Object>) =
-            update.objects.into_iter().partition(is_pattern);
+            update.objects.into_iter().partition(is_quarantine);
         self.patterns.apply(patterns);
         let (own, others): (Vec<Object>, Vec<Object>) =
             entries.into_iter().partition(|object| object.name == self.name);
--- a/crates/forward/src/follow/patterns.rs
+++ b/crates/forward/src/follow/patterns.rs
@@ -1,13 +1,19 @@
-//! Patterns of prompts in quarantine, as the platform's store holds them.
+//! Prompts in quarantine, as the platform's store holds them: patterns, and what each cell knows of parts that may crash
+//! engines.
 //!
-//! Hosts that start, and those of other cells, learn of patterns there. The objects are of the kind of the hosts'
+//! Hosts that start learn of patterns there, and hosts of other cells of both. The objects are of the kind of the hosts'
 //! entries, which every host watches already. An operator releases a pattern by deleting its object.
 
+#[cfg(test)]
+mod tests;
+
 use crate::mesh::Mesh;
-use chestnutrack_core::quarantine::Pattern;
+use chestnutrack_core::cell::Cell;
+use chestnutrack_core::quarantine::{ADOPTED_LEFT_MIN, Pattern};
 use chestnutrack_store::client::Client;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::object::Object;
+use chestnutrack_wire::frame::{Break, HeldPattern, QuarantineReport};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,111 +21,212 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Beginning of the objects' names.
+/// Beginning of the names of all these objects.
 const NAME_PREFIX: &str = "quarantine-";
+/// Beginning of the names of cells' reports.
+const CELL_PREFIX: &str = "quarantine-cell-";
+/// Crashes of a part from which on a cell reports it to others, in fleets of up to [`FEW_CELLS`] and of more. Each
+/// report is read by every host of the fleet.
+const REPORTED_CRASHES_MIN: (usize, usize) = (2, 1);
+/// See [`REPORTED_CRASHES_MIN`].
+const FEW_CELLS: u64 = 4;
 
 /// The object that holds a pattern.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Entry {
     /// Parts that the prompts have in common.
     parts: Pattern,
+    /// Identifies the decisions that put them into quarantine; empty in an object that an operator wrote.
+    #[serde(default)]
+    decisions: BTreeSet<u64>,
+    /// When the first of these was made, in milliseconds since 1970; absent in an object that an operator wrote.
+    #[serde(default)]
+    decided_ms: Option<u64>,
     /// When the pattern leaves quarantine, in milliseconds since 1970.
     until_ms: u64,
 }
 
 impl Entry {
+    fn new(held: &HeldPattern) -> Entry {
+        let now_ms = unix_ms();
+        Entry {
+            parts: held.parts.clone(),
+            decisions: held.decisions.clone(),
+            decided_ms: Some(now_ms.saturating_sub(held.age_ms.into())),
+            until_ms: now_ms.saturating_add(held.left_ms.into()),
+        }
+    }
+
+    fn held(&self) -> HeldPattern {
+        let now_ms = unix_ms();
+        let decided_ms = self.decided_ms.unwrap_or(now_ms);
+        let age_ms = u32::try_from(now_ms.saturating_sub(decided_ms)).unwrap_or(u32::MAX);
+        let left_ms = u32::try_from(self.until_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX);
+        let decisions = match self.decisions.is_empty() {
+            true => BTreeSet::from([self.until_ms]),
+            false => self.decisions.clone(),
+        };
+        let parts = self.parts.clone();
+        HeldPattern { parts, decisions, left_ms, age_ms, first_crash_ms: age_ms }
+    }
+
     /// Returns the time that the pattern stays in quarantine.
     fn left(&self) -> Duration {
         Duration::from_millis(self.until_ms.saturating_sub(unix_ms()))
     }
 }
 
+/// The object that holds a cell's report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct CellEntry {
+    /// When it was written, in milliseconds since 1970.
+    written_ms: u64,
+    report: QuarantineReport,
+}
+
 /// Patterns in the store.
+#[derive(Default)]
+struct Stored {
+    /// Their entries with their versions, by name.
+    patterns: BTreeMap<Arc<str>, (u64, Entry)>,
+    /// Version of the report of this host's cell; 0 if there is none.
+    cell_version: u64,
+    /// Answers that broke off in the last report that this host wrote.
+    reported: Vec<Break>,
+}
+
+/// Exchanges patterns and cells' reports with the store.
 pub(super) struct Patterns {
     client: Client,
     kind: &'static str,
     mesh: Arc<Mesh>,
-    /// Entries that the store holds, with their versions, by name.
-    stored: Mutex<BTreeMap<Arc<str>, (u64, Entry)>>,
+    stored: Mutex<Stored>,
 }
 
 impl Patterns {
-    /// Creates the record of a store that has not been read.
+    /// Creates the state of a host that has read nothing from the store.
     pub(super) fn new(client: Client, kind: &'static str, mesh: Arc<Mesh>) -> Patterns {
         Patterns { client, kind, mesh, stored: Mutex::default() }
     }
 
-    fn stored(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, (u64, Entry)>> {
+    fn stored(&self) -> MutexGuard<'_, Stored> {
         self.stored.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Puts the patterns of new objects into quarantine, and releases those whose objects were deleted before their
-    /// time.
+    /// Applies objects that were written or deleted.
     pub(super) fn apply(&self, objects: Vec<Object>) {
         for object in objects {
-            match object.value.map(serde_json::from_value::<Entry>).transpose() {
-                Ok(Some(entry)) => {
-                    self.stored().insert(object.name, (object.version, entry.clone()));
-                    let left = entry.left();
-                    if !left.is_zero() {
-                        self.mesh.app().hold_pattern(entry.parts, left);
-                    }
-                }
-                Ok(None) => self.remove(&object.name),
-                Err(error) => {
-                    tracing::warn!(name = %object.name, %error, "pattern can't be read");
-                }
+            match object.name.starts_with(CELL_PREFIX) {
+                true => self.apply_cell_report(object),
+                false => self.apply_pattern(object),
+            }
+        }
+    }
+
+    /// Puts a pattern into quarantine whose object was written, or releases one whose object was deleted. Ignores what
+    /// is older than the object that is known.
+    fn apply_pattern(&self, object: Object) {
+        let Object { name, version, value, .. } = object;
+        let known = self.stored().patterns.get(&name).map(|(version, _)| *version);
+        if known.is_some_and(|known| version < known) {
+            return;
+        }
+        match value.map(serde_json::from_value::<Entry>).transpose() {
+            Ok(Some(entry)) => {
+                self.mesh.app().hold_pattern(&entry.held());
+                self.stored().patterns.insert(name, (version, entry));
             }
+            Ok(None) => self.remove(&name),
+            Err(error) => tracing::warn!(%name, %error, "pattern can't be read"),
         }
     }
 
-    /// Applies which objects a complete list names. Those missing from a store that was restored from a copy are written
-    /// again; those missing otherwise were deleted.
-    pub(super) fn apply_snapshot(&self, is_restored: bool, present: &BTreeSet<Arc<str>>) {
-        let absent: Vec<Arc<str>> =
-            self.stored().keys().filter(|name| !present.contains(*name)).cloned().collect();
+    /// Applies what another cell knows of parts that may crash engines.
+    fn apply_cell_report(&self, object: Object) {
+        let own_name = cell_name(self.mesh.app().cell());
+        if object.name == own_name {
+            let version = object.value.is_some().then_some(object.version);
+            self.stored().cell_version = version.unwrap_or_default();
+            return;
+        }
+        match object.value.map(serde_json::from_value::<CellEntry>).transpose() {
+            Ok(Some(CellEntry { written_ms, report })) => {
+                let age = Duration::from_millis(unix_ms().saturating_sub(written_ms));
+                self.mesh.app().record_cell_report(&object.name, age, report);
+            }
+            Ok(None) => {}
+            Err(error) => {
+                tracing::warn!(name = %object.name, %error, "cell's report can't be read");
+            }
+        }
+    }
+
+    /// Applies which objects a complete list of the given version names. Those missing from a store that was restored
+    /// from a copy are written again; those missing otherwise were deleted, unless they are newer than the list.
+    pub(super) fn apply_snapshot(
+        &self,
+        version: u64,
+        is_restored: bool,
+        present: &BTreeSet<Arc<str>>,
+    ) {
+        let is_absent = |name: &Arc<str>, entry_version: u64| {
+            !present.contains(name) && (is_restored || entry_version <= version)
+        };
+        let absent: Vec<Arc<str>> = self
+            .stored()
+            .patterns
+            .iter()
+            .filter(|(name, (entry_version, _))| is_absent(name, *entry_version))
+            .map(|(name, _)| name.clone())
+            .collect();
         for name in absent {
             match is_restored {
-                true => drop(self.stored().remove(&name)),
+                true => drop(self.stored().patterns.remove(&name)),
                 false => self.remove(&name),
             }
         }
+        if is_restored {
+            let mut stored = self.stored();
+            (stored.cell_version, stored.reported) = (0, Vec::new());
+        }
     }
 
-    /// Releases the pattern of an object that was deleted, unless its time has passed.
+    /// Releases the pattern of an object that was deleted, unless it leaves quarantine soon: hosts' clocks differ.
     fn remove(&self, name: &str) {
-        let removed = self.stored().remove(name);
-        if let Some((_, entry)) = removed.filter(|(_, entry)| !entry.left().is_zero()) {
+        let removed = self.stored().patterns.remove(name);
+        if let Some((_, entry)) = removed.filter(|(_, entry)| entry.left() >= ADOPTED_LEFT_MIN) {
             self.mesh.app().release_pattern(&entry.parts);
         }
     }
 
-    /// Writes the patterns that the store lacks, and deletes those whose time has passed, if this host is the first of
-    /// those that the store answers.
+    /// Writes the patterns that the store lacks, deletes those that have left quarantine, and writes the cell's report, if
+    /// this host is the first of its cell that the store answers.
     pub(super) async fn write_changes(&self) {
         if self.mesh.rank() != Some(0) {
             return;
         }
-        for (pattern, left) in self.mesh.app().quarantine_patterns() {
-            let name = name_of(&pattern);
-            if !self.stored().contains_key(&name) {
-                let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
-                let until_ms = unix_ms().saturating_add(left_ms);
-                self.create(name, Entry { parts: pattern, until_ms }).await;
+        let held = self.mesh.app().held_patterns();
+        for held in &held {
+            let name = pattern_name(&held.parts);
+            if !self.stored().patterns.contains_key(&name) {
+                self.create(name, Entry::new(held)).await;
             }
         }
-        let expired: Vec<(Arc<str>, u64)> = self
+        let is_held = |entry: &Entry| held.iter().any(|held| held.parts == entry.parts);
+        let ended: Vec<(Arc<str>, u64)> = self
             .stored()
+            .patterns
             .iter()
-            .filter(|(_, (_, entry))| entry.left().is_zero())
+            .filter(|(_, (_, entry))| !is_held(entry))
             .map(|(name, (version, _))| (name.clone(), *version))
             .collect();
-        for (name, version) in expired {
+        for (name, version) in ended {
             match self.client.delete(self.kind, &name, version).await {
-                Ok(_) | Err(Error::Missing) => drop(self.stored().remove(&name)),
-                Err(error) => tracing::warn!(%name, %error, "expired pattern not deleted"),
+                Ok(_) | Err(Error::Missing) => drop(self.stored().patterns.remove(&name)),
+                Err(error) => tracing::warn!(%name, %error, "pattern not deleted"),
             }
         }
+        self.write_cell_report().await;
     }
 
     /// Writes the object of a pattern. One that exists already is read by the watch.
@@ -127,26 +234,58 @@
         match self.client.create(self.kind, &name, &json!(entry)).await {
             Ok(version) => {
                 tracing::info!(%name, version, "pattern written");
-                self.stored().insert(name, (version, entry));
+                self.stored().patterns.insert(name, (version, entry));
             }
             Err(Error::Conflict(_)) => {}
             Err(error) => tracing::warn!(%name, %error, "pattern not written"),
         }
     }
+
+    /// Writes what this cell knows of parts that may crash engines, if that has changed and there are other cells.
+    async fn write_cell_report(&self) {
+        let cell = self.mesh.app().cell();
+        let (_, cells) = cell.index_and_count();
+        if cells < 2 {
+            return;
+        }
+        let (few, many) = REPORTED_CRASHES_MIN;
+        let crashes_min = if cells <= FEW_CELLS { few } else { many };
+        let report = self.mesh.app().cell_report(crashes_min);
+        let reported: Vec<Break> = report.breaks.iter().map(|(_, answer)| answer.clone()).collect();
+        if reported.iter().all(|answer| self.stored().reported.contains(answer)) {
+            return;
+        }
+        let (name, version) = (cell_name(cell), self.stored().cell_version);
+        let entry = CellEntry { written_ms: unix_ms(), report };
+        match self.client.replace(self.kind, &name, version, &json!(entry)).await {
+            Ok(version) => {
+                tracing::info!(%name, version, breaks = reported.len(), "cell's report written");
+                let mut stored = self.stored();
+                (stored.cell_version, stored.reported) = (version, reported);
+            }
+            Err(error) => tracing::warn!(%name, %error, "cell's report not written"),
+        }
+    }
 }
 
-/// Returns whether an object holds a pattern rather than a host's entry.
-pub(super) fn is_pattern(object: &Object) -> bool {
+/// Returns whether an object is one of these rather than a host's entry.
+pub(super) fn is_quarantine(object: &Object) -> bool {
     object.name.starts_with(NAME_PREFIX)
 }
 
 /// Returns the name of a pattern's object.
-fn name_of(pattern: &Pattern) -> Arc<str> {
+fn pattern_name(pattern: &Pattern) -> Arc<str> {
     let mut hasher = DefaultHasher::new();
     pattern.hash(&mut hasher);
     format!("{NAME_PREFIX}{:016x}", hasher.finish()).into()
 }
 
+/// Returns the name of the object with a cell's report.
+fn cell_name(cell: Cell) -> Arc<str> {
+    let (index, count) = cell.index_and_count();
+    format!("{CELL_PREFIX}{index}-of-{count}").into()
+}
+
 /// Returns the time of day in milliseconds since 1970.
 fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -290,7 +290,7 @@
         self: &Arc<Mesh>,
         name: &Arc<str>,
         incarnation: u64,
-        news: News,
+        mut news: News,
     ) -> Option<Frame> {
         let now = clock::now();
         let millis = |ms: u32| Duration::from_millis(u64::from(ms));
@@ -316,7 +316,7 @@
         self.follower.apply_peer_doubt(news.doubted_ms, servers_differ);
         self.follower.apply_peer_epoch(name, news.store_epoch);
         self.app.record_peer_leaving(name, &news.leaving);
-        self.app.record_peer_quarantine(name, news.quarantine.clone());
+        self.app.record_quarantine_report(name, std::mem::take(&mut news.quarantine));
         let request = self.request_missing(&news);
         {
             let mut state = self.app.state();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -420,6 +420,23 @@
     pub request: u64,
     /// Parts of the request's prompt that other requests may have too, in order.
     pub parts: Vec<Arc<str>>,
+    /// Time for which the engine had been writing the answer, in milliseconds; 0 if it had not begun.
+    pub written_ms: u32,
+}
+
+/// Parts of prompts that are in quarantine together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldPattern {
+    /// Identifiers of the parts.
+    pub parts: BTreeSet<Arc<str>>,
+    /// Identifies the decisions that put them there. Hosts may decide independently.
+    pub decisions: BTreeSet<u64>,
+    /// Time left in quarantine, in milliseconds.
+    pub left_ms: u32,
+    /// Time since the first of these decisions, in milliseconds.
+    pub age_ms: u32,
+    /// Time since the first crash that the parts account for, in milliseconds.
+    pub first_crash_ms: u32,
 }
 
 /// What a host knows of parts of prompts that crash engines.
@@ -427,10 +444,12 @@
 pub struct QuarantineReport {
     /// Answers that broke off at the host lately, with the time since, in milliseconds.
     pub breaks: Vec<(u32, Break)>,
-    /// Answers that the host completed to requests with parts of answers that broke off, by part.
-    pub completed: Vec<(Arc<str>, u32)>,
-    /// Parts that are in quarantine together, with the time left, in milliseconds.
-    pub held: Vec<(BTreeSet<Arc<str>>, u32)>,
+    /// Answers at the host that their engines survived, by part: the times since they began, in milliseconds.
+    pub sound: Vec<(Arc<str>, Vec<u32>)>,
+    /// Patterns in quarantine.
+    pub held: Vec<HeldPattern>,
+    /// Decisions that were revoked lately.
+    pub revoked: Vec<u64>,
 }
 
 impl QuarantineReport {
