Split the takeover into search and hand-over, and end a silence with its engine

Cause: the function did both in sixty lines. Seen by reading: if the silent engine failed and no other one was found, the request still counted as silent, so that the first answer of the engine that resumed it was logged as the end of that silence and doubled the time that is waited. No test shows this: the effect is a log line and a longer wait at a third silence.

Change: two functions; the state is reset.

--- a/crates/forward/src/attempt/takeover.rs
+++ b/crates/forward/src/attempt/takeover.rs
@@ -54,26 +54,40 @@
             prepared = &mut prepared => ControlFlow::Continue(prepared),
         }
     };
-    let prepared = match search {
-        ControlFlow::Continue(prepared) => prepared,
-        ControlFlow::Break(progress) => {
+    match (search, error) {
+        (ControlFlow::Break(progress), _) => {
             retry_state.record_progress(job, silent);
-            return Takeover::Continued(old, progress);
+            Takeover::Continued(old, progress)
         }
-    };
-    let prepared = match (prepared, error) {
-        (Ok(prepared), None) => prepared,
-        (Ok(prepared), Some(_)) => {
+        (ControlFlow::Continue(Ok(prepared)), None) => {
+            let attempt = PendingAttempt::send(job, prepared, start.last_event);
+            hand_over(job, retry_state, silent, old, next, attempt).await
+        }
+        (ControlFlow::Continue(Ok(prepared)), Some(_)) => {
             let attempt = PendingAttempt::send(job, prepared, start.last_event);
-            return replaced(job, retry_state, silent, attempt);
+            replaced(job, retry_state, silent, attempt)
         }
-        (Err(cause), None) => {
+        (ControlFlow::Continue(Err(cause)), None) => {
             log_kept(job, retry_state, silent, cause);
-            return Takeover::Kept(old);
+            Takeover::Kept(old)
         }
-        (Err(_), Some(error)) => return Takeover::Failed(old, error),
-    };
-    let mut attempt = PendingAttempt::send(job, prepared, start.last_event);
+        (ControlFlow::Continue(Err(_)), Some(error)) => {
+            retry_state.is_silent = false;
+            Takeover::Failed(old, error)
+        }
+    }
+}
+
+/// Waits until the silent engine or the one that gets the request by `attempt` goes on. The connection to the silent one
+/// is closed at the latest [`OVERLAP_MAX`] after the request was sent.
+async fn hand_over<Old, T, E>(
+    job: &Job,
+    retry_state: &mut RetryState,
+    silent: &Target,
+    mut old: Old,
+    mut next: impl AsyncFnMut(&mut Old) -> Result<T, E>,
+    mut attempt: PendingAttempt,
+) -> Takeover<Old, T, E> {
     let mut sent = attempt.sent();
     let mut overlap_sent = sent.clone();
     let overlap = async {
