Soak: end a server's behaviour at the server that has it

Cause: a misbehaving server was found by its number when its fault began and again when it ended. If a server before it had been removed meanwhile, another one was set right, and the misbehaving one stayed so for the rest of the run.

Ruled out: the router, which passed on what it got.

Change: the server is found by its name at the end of the fault.

Conclusion: a fault of the soak, not of the router.

--- a/crates/soak/src/fault/mod.rs
+++ b/crates/soak/src/fault/mod.rs
@@ -149,9 +149,7 @@
             Ok(())
         }
         Fault::Mood(server, behaviour) => {
-            set_behaviour(&fleet, server, behaviour).await;
-            sleep(duration).await;
-            set_behaviour(&fleet, server, Behaviour::Sound).await;
+            misbehave(&fleet, server, behaviour, duration).await;
             Ok(())
         }
         Fault::Replace(server) => replace(&fleet, server, number).await,
@@ -238,10 +236,14 @@
     link.restore();
 }
 
-async fn set_behaviour(fleet: &Fleet, server: usize, behaviour: Behaviour) {
-    if let Some(server) = fleet.servers.lock().await.get(server) {
-        server.backend.set(behaviour);
-    }
+/// Sets the behaviour of a server for a while. The server is found by its name at the end, since its number changes
+/// when others are removed.
+async fn misbehave(fleet: &Fleet, server: usize, behaviour: Behaviour, duration: Duration) {
+    let name = fleet.servers.lock().await.get(server).map(|server| server.entry.name.clone());
+    let Some(name) = name else { return };
+    set_named(fleet, &name, behaviour).await;
+    sleep(duration).await;
+    set_named(fleet, &name, Behaviour::Sound).await;
 }
 
 /// Sets faults of the store for a while.
