Use a server again that a restored store had lost

Cause: for 10 s after a restore, an entry of a process that was removed from the list counts as that of a server which has left and is only named by the old copy. That held also for removals after the restore. An engine that started after the copy is missing from the restored list, so it is removed; when it has written its entry again, it counted as leaving, and stayed so, since its entry did not change any more.

Evidence: the host's log says `server gone` for three engines 3.1 s after `object interface was restored from a copy`, `server listed` 0.3 s later, and from then on `split changes` with `"decode": 0` and only `no room in time`. The two other hosts restarted after the restore and knew nothing of the removal. Ruled out: load (two hosts placed at the same engines meanwhile), quarantine (the refused streams say `full`), and the engines (sound at the end of the run).

Change: only a process that was removed before the restore counts as having left.

Conclusion: mended for one restore. By reading, a server that is lost by one restore and listed only after another within 10 s still counts as having left; no run shows it.

--- a/crates/core/src/dispatch/leaving.rs
+++ b/crates/core/src/dispatch/leaving.rs
@@ -51,20 +51,20 @@
     }
 
     /// Returns whether an entry is that of a server that has left, listed by a store that was restored
-    /// from a copy: the same process was removed or known to be leaving.
+    /// from a copy: the same process was known to be leaving, or removed before. One that was removed since may only be
+    /// missing from the copy, and has written its entry again.
     pub(super) fn is_departed(&self, now: Instant, entry: &Entry) -> bool {
-        let is_restored = self
-            .departed
-            .restored_at
-            .is_some_and(|restored_at| now.since(restored_at) < RESTORED_LIST_EXPIRY);
-        if !is_restored {
-            return false;
-        }
+        let restored_at = self.departed.restored_at;
+        let restored_at =
+            restored_at.filter(|restored_at| now.since(*restored_at) < RESTORED_LIST_EXPIRY);
+        let Some(restored_at) = restored_at else { return false };
         let known = self.keys_by_name.get(&entry.name).map(|key| &self.servers[*key].entry);
         let is_known_leaving = known.is_some_and(|known| known.born == entry.born && known.leaving);
         let was_removed = known.is_none()
             && self.departed.servers.get(&entry.name).is_some_and(|(born, removed_at)| {
-                *born == entry.born && now.since(*removed_at) < DEPARTED_RETENTION
+                *born == entry.born
+                    && *removed_at < restored_at
+                    && now.since(*removed_at) < DEPARTED_RETENTION
             });
         is_known_leaving || was_removed
     }
--- a/crates/core/src/dispatch/tests/leaving.rs
+++ b/crates/core/src/dispatch/tests/leaving.rs
@@ -177,3 +177,15 @@
 
     assert!(dispatch.accepts(NOW + seconds(5), key));
 }
+
+#[test]
+fn a_server_that_a_restored_store_had_lost_is_used_when_it_is_listed_again() {
+    let (mut dispatch, _) = plain_servers();
+    dispatch.record_restore(NOW);
+    dispatch.remove(NOW + seconds(3), "e0");
+
+    // The server has written its entry again.
+    let (key, _) = dispatch.put(NOW + seconds(4), plain(0));
+
+    assert!(dispatch.accepts(NOW + seconds(4), key));
+}
