Forward: known red, the highest burst of retries overflows

The share of the burst that clients' retries may use is computed in 32 bits: from 61,356,676 on the product with 70 overflows. A debug build panics in the task of the first request that is retried; a release build wraps.

--- a/crates/forward/tests/forward/limits.rs
+++ b/crates/forward/tests/forward/limits.rs
@@ -44,6 +44,16 @@
     assert_eq!((answer.status, backend.request_count()), (429, 0));
 }
 
+// Guards against a share of the burst that overflows: requests then have fewer retries, or their tasks panic.
+#[tokio::test]
+async fn the_highest_burst_of_retries_allows_a_retry() {
+    let host = host(Vec::new()).await;
+
+    host.app.set_retry_burst(u32::MAX);
+
+    assert!(host.app.spend_retry(&"app".into(), 0));
+}
+
 #[tokio::test]
 async fn a_body_over_the_limit_is_refused() {
     let backend = Backend::start(|request| vec![answer(request, "200 OK", "fine")]).await;
