Compute the share of a retry burst in 64 bits

Cause: the burst times 70 percent was computed in 32 bits and overflowed from 61,356,676 on. The share is now computed in 64 bits. It is at most 70 percent of the 32-bit burst, so the conversion back does not saturate.

Before: the_highest_burst_of_retries_allows_a_retry panics. After: it passes, as do the 8 tests of limits.

--- a/crates/forward/src/app/limit.rs
+++ b/crates/forward/src/app/limit.rs
@@ -19,7 +19,7 @@
 /// each host counts its requests on its own.
 const RETRIES_PER_MILLE: u32 = 150;
 /// Part of the fleet's burst of retries that hosts share, in per cent.
-const RETRY_BURST_SHARE_PERCENT: u32 = 70;
+const RETRY_BURST_SHARE_PERCENT: u64 = 70;
 /// Highest number of retries of one request.
 const RETRIES_PER_REQUEST: u32 = 3;
 /// Shortest time between two gossip messages that are sent only because tokens were spent, for each
@@ -116,11 +116,11 @@
     fn with_retry_budget<R>(&self, service: &Arc<str>, action: impl FnOnce(&mut Budget) -> R) -> R {
         let mut state = self.state();
         let hosts = u32::try_from(state.allowances.host_count()).unwrap_or(u32::MAX);
+        let burst = u64::from(self.retry_burst.load(Ordering::Relaxed));
+        let share = burst * RETRY_BURST_SHARE_PERCENT / 100 / u64::from(hosts);
         let settings = retry::Settings {
             per_mille: RETRIES_PER_MILLE,
-            burst: self.retry_burst.load(Ordering::Relaxed) * RETRY_BURST_SHARE_PERCENT
-                / 100
-                / hosts,
+            burst: u32::try_from(share).unwrap_or(u32::MAX),
             per_request: RETRIES_PER_REQUEST,
         };
         let budget =
