Forward: known red, a server gets far more requests than the limit that it names

Two hosts that report to each other, a server that names 4 requests a second in each answer, and one that names none.

--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -17,3 +17,4 @@
 mod silence;
 mod streams;
 mod takeover;
+mod throttling;
