Allowance: a window of no length holds nothing

Where allowances have no window, each request that spends added a slot to it, and nothing removed them unless a peer asked for the accounts: the memory of a host grew with its requests. On the users' platform the window is 8 s long, so only the product's own interface was affected. Found while the same buckets were about to be used for servers' limits.

The test fails without the change: 10 slots after 10 requests.

--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -1,3 +1,4 @@
+use super::window::Window;
 use super::{Account, Allowances, Refusal, Report, Settings, Spent};
 use crate::limit::Quota;
 use crate::time::Instant;
@@ -432,3 +433,13 @@
     assert!(host.is_below_half(&organisation()));
     assert!(!host.is_below_half("nobody"));
 }
+
+// Guards against a host whose memory grows with each request where allowances have no window.
+#[test]
+fn a_window_of_no_length_holds_nothing() {
+    let mut window = Window::new(Duration::ZERO);
+
+    (0..10).for_each(|second| window.add(at(second), 1.0));
+
+    assert_eq!(window.slots(at(10)).count(), 0);
+}
--- a/crates/core/src/allowance/window.rs
+++ b/crates/core/src/allowance/window.rs
@@ -28,8 +28,12 @@
         self.length / SLOTS
     }
 
-    /// Adds tokens that were spent now to the latest slot, or to a new one if that has ended.
+    /// Adds tokens that were spent now to the latest slot, or to a new one if that has ended. A window of no length holds
+    /// nothing.
     pub(super) fn add(&mut self, now: Instant, tokens: f64) {
+        if self.length.is_zero() {
+            return;
+        }
         let slot_length = self.slot_length();
         match self.slots.back_mut().filter(|(slot_start, _)| now.since(*slot_start) < slot_length) {
             Some((_, spent)) => *spent += tokens,
