Hold servers to the requests a second that they name, over all hosts

The name was not read at all.

Ruled out by the hosts' logs: hosts that each hold the limit (no host sent less than before), repeats (each was a first attempt).

Change: core::dispatch::throttle reads a server's limit from any of its answers and shares it among the hosts as core::allowance shares an organisation's rate: each host counts what it places, peers report what they sent, unreachable hosts and other cells keep their share. A server whose rate is used up is passed over; a plain request that no server takes is refused at once with the time, one caller after the other; a generation waits while its first token can come in time. Prefills, generations, repeats, freed handles, reports and orders all count. Hosts tell each other what servers told them themselves, so that a limit can't return with another age. It ends by an answer to a later request that names none.

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -15,6 +15,9 @@
 //! bucket, within the part's window. A host that doesn't know the spending before its start admits such a
 //! request once that many tokens have accrued.
 //!
+//! Backend servers that limit the requests that they take from all hosts together have allowances too (see
+//! [`crate::dispatch`]): the server then stands for the organisation, and its requests are the tokens.
+//!
 //! A bucket starts full only when the whole fleet starts for the first time. A host that joins a running
 //! fleet copies the accounts of a peer. If no host knows what was spent, the bucket starts empty; the
 //! spending in a window may then exceed the limit by the tokens that accrue beyond the burst.
@@ -47,6 +50,9 @@
     /// Time without a report after which a peer counts as unreachable, even if this process itself was
     /// paused in that time. If `None`, peers become unreachable only by [`Allowances::mark_unreachable`].
     pub unreachable_after: Option<Duration>,
+    /// Whether any request may overdraw a bucket that holds some tokens, since this host's part of an allowance may
+    /// be less than one request costs.
+    pub overdraw: bool,
 }
 
 /// A request refused because too few tokens remain.
@@ -215,13 +221,14 @@
         let cost = tokens as f64;
         let remaining = bucket.available(now, reserved_share, &settings);
         let overdraws = match may_overdraw {
+            _ if settings.overdraw => remaining > 0.0,
             true => bucket.may_overdraw(now, cost, reserved_share, &settings),
             false => {
                 self.other_cell_hosts > 0 && bucket.has_accrued(now, uptime, cost, reserved_share)
             }
         };
         if remaining < cost && !overdraws {
-            let min_level = if may_overdraw { cost.min(1.0) } else { cost };
+            let min_level = if may_overdraw || settings.overdraw { cost.min(1.0) } else { cost };
             let retry_after = bucket
                 .time_until_available(now, (min_level, cost), reserved_share, &settings)
                 .max(RETRY_MIN);
@@ -233,6 +240,33 @@
         Ok(())
     }
 
+    /// Returns the time until an organisation's bucket holds some tokens, and a fraction of its capacity, if nobody spends
+    /// any: zero if it does now, or there is no limit.
+    pub fn time_until_filled(&self, now: Instant, organisation: &str, fraction: f64) -> Duration {
+        let Some(bucket) = self.buckets.get(organisation) else { return Duration::ZERO };
+        let (reserved_share, accrual_time) = (self.reserved_share(), self.settings.accrual_time);
+        let level = bucket.level_at(now, reserved_share, accrual_time);
+        let due = bucket.capacity(reserved_share, accrual_time) * fraction;
+        let missing = if level > 0.0 { due - level } else { due.max(1.0) - level };
+        refill_time(missing, bucket.rate * (1.0 - reserved_share))
+    }
+
+    /// Returns an organisation's rate without the share that is reserved for others, in tokens per second; `None` if it
+    /// has no limit.
+    pub fn rate(&self, organisation: &str) -> Option<f64> {
+        self.buckets.get(organisation).map(|bucket| bucket.rate * (1.0 - self.reserved_share()))
+    }
+
+    /// Returns the tokens of an organisation that a peer has spent according to its last report.
+    pub fn peer_spent(&self, peer: &str, organisation: &str) -> Option<i64> {
+        self.peers.get(peer)?.spent.get(organisation).copied()
+    }
+
+    /// Forgets what this host has spent of an allowance that will not come back.
+    pub fn forget(&mut self, organisation: &str) {
+        self.own_spent.remove(organisation);
+    }
+
     /// Returns `true` if an organisation's bucket is less than half full, so that spending should be
     /// reported to peers at once.
     pub fn is_below_half(&self, organisation: &str) -> bool {
@@ -319,6 +353,7 @@
             };
         }
         (peer.unreachable, peer.last_report) = (false, now);
+        peer.spent.retain(|organisation, _| report.spent.contains_key(organisation));
         for (organisation, total) in report.spent {
             let previous_total = peer.spent.insert(organisation.clone(), total).unwrap_or(0);
             if let Some(bucket) = self.buckets.get_mut(&organisation) {
@@ -405,15 +440,19 @@
         (self.burst + self.rate * accrual_time.as_secs_f64()) * (1.0 - reserved_share)
     }
 
-    /// Adds the tokens that have accrued since the last refill, up to the capacity. A level above the capacity
-    /// stays.
+    /// Adds the tokens that have accrued since the last refill.
     fn refill(&mut self, now: Instant, reserved_share: f64, accrual_time: Duration) {
-        let seconds = now.since(self.refilled_at).as_secs_f64();
+        self.level = self.level_at(now, reserved_share, accrual_time);
         self.refilled_at = self.refilled_at.max(now);
+    }
+
+    /// Returns the level with the tokens that have accrued since the last refill, up to the capacity. A level above the
+    /// capacity stays.
+    fn level_at(&self, now: Instant, reserved_share: f64, accrual_time: Duration) -> f64 {
+        let seconds = now.since(self.refilled_at).as_secs_f64();
+        let accrued = seconds * self.rate * (1.0 - reserved_share);
         let capacity = self.capacity(reserved_share, accrual_time);
-        if self.level < capacity {
-            self.level = (self.level + seconds * self.rate * (1.0 - reserved_share)).min(capacity);
-        }
+        if self.level < capacity { (self.level + accrued).min(capacity) } else { self.level }
     }
 
     /// Debits tokens, also if the bucket holds fewer: its level is then negative.
@@ -481,10 +520,7 @@
         reserved_share: f64,
         settings: &Settings,
     ) -> Duration {
-        /// Longest time for which the refill is awaited, in seconds.
-        const MAX_RETRY_S: f64 = 3_600.0;
-        let seconds = (min_level - self.level) / (self.rate * (1.0 - reserved_share)).max(1.0);
-        let refill_time = Duration::from_secs_f64(seconds.clamp(0.0, MAX_RETRY_S));
+        let refill_time = refill_time(min_level - self.level, self.rate * (1.0 - reserved_share));
         if settings.window.is_zero() {
             return refill_time;
         }
@@ -496,3 +532,10 @@
         }
     }
 }
+
+/// Returns the time in which `tokens` accrue at a rate in tokens per second.
+fn refill_time(tokens: f64, rate: f64) -> Duration {
+    /// Longest time for which the refill is awaited, in seconds.
+    const MAX_RETRY_S: f64 = 3_600.0;
+    Duration::from_secs_f64((tokens / rate.max(1.0)).clamp(0.0, MAX_RETRY_S))
+}
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -178,6 +178,7 @@
 }
 
 const WINDOWED: Settings = Settings {
+    overdraw: false,
     window: Duration::from_secs(8),
     accrual_time: Duration::from_secs(1),
     unreachable_after: None,
--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -82,10 +82,15 @@
 
 impl PendingRetries {
     /// Returns how many refused callers have not reached their retry time, and forgets the others.
-    fn pending(&mut self, now: Instant) -> usize {
+    pub(super) fn pending(&mut self, now: Instant) -> usize {
         self.0.retain(|retry_at| now < *retry_at);
         self.0.len()
     }
+
+    /// Records that a refused caller was asked to retry at `retry_at`.
+    pub(super) fn add(&mut self, retry_at: Instant) {
+        self.0.push_back(retry_at);
+    }
 }
 
 impl<T> Dispatch<T> {
@@ -94,8 +99,8 @@
     ///
     /// A request is admitted at once only if none waits on this host or it is urgent. It is refused
     /// if too few known generations are expected to end in time to make room for all requests that
-    /// wait on this host and its peers and for itself, if all decode engines have asked for no requests,
-    /// or if a limit of the queue is reached.
+    /// wait on this host and its peers and for itself, or the limits of the decode engines don't allow them in time, if
+    /// all decode engines have asked for no requests, or if a limit of the queue is reached.
     pub fn submit(&mut self, now: Instant, request: Request, item: T) -> Result<Ticket, Effect<T>> {
         let (generations_by_engine, shuffle_seed) =
             (self.known_generations(now), self.next_shuffle_seed());
@@ -111,7 +116,10 @@
         }
         let admit_by = self.admit_by(now, &request).min(request.deadline);
         let requests_ahead = self.total_waiting();
-        let expected_wait = self.time_until_completions(now, &request.service, requests_ahead + 1);
+        let throttled_for =
+            self.throttled_for(now, &request.service, Some(Stage::Decode), requests_ahead);
+        let expected_wait = throttled_for
+            .or_else(|| self.time_until_completions(now, &request.service, requests_ahead + 1));
         if expected_wait.is_none_or(|wait| now + wait > admit_by) {
             let refusal = self.refuse(now, &request);
             return Err(Effect::Refuse(item, refusal));
@@ -229,7 +237,7 @@
     /// Refuses a request. The retry time is when capacity is expected after all waiting requests
     /// and all refused callers that were asked to retry before this one. The latter are estimated
     /// as this host's number times the number of hosts. It is later if all decode engines have asked
-    /// for no requests until then.
+    /// for no requests until then, or their limits allow none before.
     fn refuse(&mut self, now: Instant, request: &Request) -> Refusal {
         let ahead = self.total_waiting();
         let hosts = self.peers.len() + 1;
@@ -239,8 +247,11 @@
             .time_until_completions(now, &request.service, ahead_with_retries + 1)
             .unwrap_or(shortest);
         let quiet = self.backoff_left(now, &request.service, Some(Stage::Decode));
+        let decode = Some(Stage::Decode);
+        let throttled = self.throttled_for(now, &request.service, decode, ahead_with_retries);
+        let wait = wait.max(throttled.unwrap_or_default());
         let retry_after = quiet.unwrap_or_default().max(wait.clamp(shortest, longest));
-        self.pending_retries.0.push_back(now + retry_after);
+        self.pending_retries.add(now + retry_after);
         Refusal { ahead, retry_after }
     }
 }
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -252,7 +252,9 @@
         service: &str,
         stage: Stage,
     ) -> Vec<(ServerKey, &Server)> {
-        let serving = |(_, server): &(ServerKey, &Server)| server.can_serve(now, service, stage);
+        let serving = |(_, server): &(ServerKey, &Server)| {
+            server.can_serve(now, service, stage) && self.throttle.has_room(now, &server.entry.name)
+        };
         let in_cell = self.servers.iter().filter(|(_, server)| server.in_cell).filter(serving);
         let in_cell: Vec<_> = in_cell.collect();
         if !in_cell.is_empty() || self.cell.is_whole_fleet() {
@@ -464,6 +466,7 @@
         });
         self.servers[decode].in_flight += 1;
         self.servers[decode].health.record_request(now);
+        self.throttle.take(now, &self.servers[decode].entry.name);
         if let Some(pool) = self.pools.get_mut(&request.service)
             && !request.urgent
         {
@@ -508,6 +511,7 @@
         server.in_flight += 1;
         server.health.record_request(now);
         server.prefill_tokens += active.prompt_tokens;
+        self.throttle.take(now, &server.entry.name);
     }
 
     /// Moves a generation's prompt to a prefill engine that is not in `in_progress`, the engines
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -20,12 +20,14 @@
 mod stage;
 #[cfg(test)]
 mod tests;
+mod throttle;
 
 pub use admission::{Effect, Refusal, Request, Ticket};
 pub use callers::RefusedCallers;
 pub use engine::{LengthEstimate, Placement, PlacementBasis, Prefill};
 pub use plain::{Choice, PlainOutcome};
 pub use stage::SplitChange;
+pub use throttle::LimitChange;
 
 use crate::cell::Cell;
 use crate::forecast;
@@ -196,6 +198,8 @@
     /// Ordered by name, so that runs are reproducible.
     peers: BTreeMap<Arc<str>, Peer>,
     pending_retries: admission::PendingRetries,
+    /// Limits that servers state for their requests.
+    throttle: throttle::Throttle,
     /// Last number returned by [`Dispatch::next_shuffle_seed`].
     seed_state: u64,
 }
@@ -216,6 +220,7 @@
             departed: leaving::Departed::default(),
             peers: BTreeMap::new(),
             pending_retries: admission::PendingRetries::default(),
+            throttle: throttle::Throttle::default(),
             seed_state: 0,
         }
     }
@@ -270,6 +275,7 @@
             stage_change_until: Instant::default(),
             in_cell,
         };
+        self.throttle.record_start(now, &name, server.entry.born);
         let key = self.servers.insert(server);
         self.keys_by_name.insert(name, key);
         (key, true)
--- a/crates/core/src/dispatch/peer.rs
+++ b/crates/core/src/dispatch/peer.rs
@@ -13,7 +13,7 @@
 const REPORT_EXPIRY: Duration = Duration::from_secs(10);
 
 /// Age from which a peer's report is overdue; longer than the heartbeat interval.
-const REPORT_OVERDUE_AFTER: Duration = Duration::from_millis(600);
+pub(super) const REPORT_OVERDUE_AFTER: Duration = Duration::from_millis(600);
 
 /// Time after a failure during which a server is chosen last.
 const RECENT_FAILURE_WINDOW: Duration = Duration::from_millis(1_000);
@@ -164,9 +164,10 @@
     }
 
     /// Removes a peer whose process has ended. Its connections to engines are closed, so its
-    /// generations have ended too.
-    pub fn remove_peer(&mut self, peer: &str) {
+    /// generations have ended too, and it sends nothing more.
+    pub fn remove_peer(&mut self, now: Instant, peer: &Arc<str>) {
         self.peers.remove(peer);
+        self.throttle.remove_peer(now, peer);
     }
 
     /// Returns the servers that this host avoids because they are failing or were replaced at their
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -96,7 +96,8 @@
     ) -> Option<Choice> {
         let shuffle_seed = self.next_shuffle_seed();
         let candidates = self.servers.iter().filter(|(key, server)| {
-            &*server.entry.service == service && server.accepts(now) && !excluded.contains(key)
+            let may_get_it = server.accepts(now) && self.throttle.has_room(now, &server.entry.name);
+            &*server.entry.service == service && may_get_it && !excluded.contains(key)
         });
         let preference = |server: &Server| {
             let is_failing = !server.health.may_try(now);
@@ -121,6 +122,7 @@
         let (in_flight, cost_ms) = (chosen.in_flight, cost(chosen) as u32);
         self.servers[key].in_flight += 1;
         self.servers[key].health.record_request(now);
+        self.throttle.take(now, &self.servers[key].entry.name);
         Some(Choice { key, in_flight, cost_ms, candidates: count })
     }
 
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -67,7 +67,7 @@
     dispatch.update_peer(NOW, &"peer".into(), &News { engines, ..News::default() });
 
     assert_eq!(place(&mut dispatch, request()), None);
-    dispatch.remove_peer("peer");
+    dispatch.remove_peer(NOW, &"peer".into());
     assert!(place(&mut dispatch, request()).is_some());
 }
 
--- a/crates/core/src/dispatch/tests/mod.rs
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -3,3 +3,4 @@
 mod load;
 mod simulation;
 mod stage;
+mod throttle;
--- a/crates/forward/src/answer/mod.rs
+++ b/crates/forward/src/answer/mod.rs
@@ -74,6 +74,9 @@
     // No server had room in time, or none of those that were tried ran the request.
     /// no backend server has room in time
     Full,
+    // The servers state how many requests they take, and have got as many.
+    /// the backend servers take no more requests now
+    Throttled,
     // Engines have crashed under requests with the same parts of the prompt.
     /// backend servers fail under a part of the prompt
     Quarantined,
@@ -101,6 +104,7 @@
             Cause::Crowded => "crowded",
             Cause::OverRate => "over_rate",
             Cause::Full => "full",
+            Cause::Throttled => "throttled",
             Cause::Quarantined => "quarantined",
             Cause::NoServer => "no_server",
             Cause::Lost => "lost",
@@ -147,6 +151,7 @@
             Cause::Unconfigured
             | Cause::Crowded
             | Cause::Full
+            | Cause::Throttled
             | Cause::Quarantined
             | Cause::NoServer => StatusCode::SERVICE_UNAVAILABLE,
             Cause::Lost => StatusCode::BAD_GATEWAY,
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -21,7 +21,7 @@
 use chestnutrack_core::allowance::{self, Allowances};
 use chestnutrack_core::cell::Cell;
 use chestnutrack_core::dispatch::{
-    self, Change, Dispatch, Outcome, RefusedCallers, ServerKey, Stage,
+    self, Change, Dispatch, LimitChange, Outcome, RefusedCallers, ServerKey, Stage,
 };
 use chestnutrack_core::limit::Quota;
 use chestnutrack_core::quarantine::Quarantine;
@@ -31,7 +31,7 @@
 use chestnutrack_process::admin::Readiness;
 use chestnutrack_process::clock;
 use chestnutrack_process::pool::{self, Pool};
-use chestnutrack_wire::frame::LeavingReport;
+use chestnutrack_wire::frame::{LeavingReport, LimitReport};
 use slotmap::SecondaryMap;
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
@@ -172,8 +172,10 @@
     /// Creates the shared state of a process that knows no configuration and no servers yet, and so
     /// is not ready.
     pub fn new(settings: Settings, dialect: Dialect, metrics: Metrics) -> App {
+        let mut dispatch = Dispatch::new(settings.dispatch, settings.failure_domain.clone());
+        dispatch.set_seed(settings.incarnation);
         let state = State {
-            dispatch: Dispatch::new(settings.dispatch, settings.failure_domain.clone()),
+            dispatch,
             allowances: Allowances::new(
                 clock::now(),
                 settings.is_fleet_first_start,
@@ -327,10 +329,21 @@
         self.state().dispatch.accepts(clock::now(), target.key)
     }
 
-    /// Records what a server says of itself in the head of an answer: that it is shutting down, or
-    /// that it wants no requests from this host for some time. `id` names the request that was
-    /// answered, if it was a caller's.
-    pub fn record_notices(&self, target: &Target, head: &ResponseHead, id: Option<&str>) {
+    /// Counts a call of the router's own to a server. Returns `false` if the server must not get it now.
+    pub fn admit_call(&self, target: &Target) -> bool {
+        self.state().dispatch.admit_call(clock::now(), target.key)
+    }
+
+    /// Records what a server says of itself in the head of an answer to a request sent at `sent_at`:
+    /// that it is shutting down, that it wants no requests from this host for some time, or how many
+    /// it takes from all hosts. `id` names the request that was answered, if it was a caller's.
+    pub fn record_notices(
+        &self,
+        target: &Target,
+        sent_at: Instant,
+        head: &ResponseHead,
+        id: Option<&str>,
+    ) {
         if head.misdirected {
             // Another server has the address.
             return;
@@ -347,6 +360,33 @@
             tracing::info!(%server, id, asked_s, backoff_ms, "server asks for quiet");
             self.metrics.notices.with_label_values(&["quiet"]).inc();
         }
+        let now = clock::now();
+        let change = self.state().dispatch.record_limit(now, target.key, sent_at, head.limit);
+        if let Some(LimitChange { server, limit }) = change {
+            tracing::info!(%server, id, limit, "server changes its limit of requests per second");
+            self.metrics.notices.with_label_values(&["limit"]).inc();
+            self.urgent_gossip_due.notify_one();
+        }
+    }
+
+    /// Records what a peer's process reports of servers' limits.
+    pub(crate) fn record_peer_limits(
+        &self,
+        peer: &Arc<str>,
+        incarnation: u64,
+        reports: &[LimitReport],
+    ) {
+        let now = clock::now();
+        let changes = self.state().dispatch.record_peer_limits(now, peer, incarnation, reports);
+        for LimitChange { server, limit } in changes {
+            tracing::info!(%server, %peer, limit, "server changes its limit of requests per second, by a peer");
+        }
+    }
+
+    /// Returns the time after which a refused caller of a plain service is worth retrying, if all servers
+    /// have reached their limits.
+    pub fn throttled_retry_after(&self, service: &Arc<str>) -> Option<Duration> {
+        self.state().dispatch.throttled_retry_after(clock::now(), service)
     }
 
     /// Records the servers of which a peer reports that they have said that they are shutting down.
--- a/crates/forward/src/app/place.rs
+++ b/crates/forward/src/app/place.rs
@@ -42,6 +42,9 @@
         let mut state = self.state();
         let choice = state.dispatch.place_plain(clock::now(), service, excluded)?;
         let key = choice.key;
+        if state.dispatch.is_limited(key) {
+            self.gossip_due.notify_one();
+        }
         let target = state.target(key);
         if target.is_none() {
             state.dispatch.finish_plain(clock::now(), key, PlainOutcome::Abandoned);
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -183,15 +183,16 @@
         let (target, job) = (self.target.clone(), self.job.clone());
         tokio::spawn(async move {
             let id = job.head.id.as_deref();
-            if !job.app.accepts(&target) {
+            if !job.app.admit_call(&target) {
                 tracing::info!(id, server = %target.entry.name, "handle not freed: the server takes no requests");
                 return;
             }
+            let sent_at = clock::now();
             match target.pool.call(request, FREE_TIMEOUT, MAX_HANDLE_BYTES).await {
                 Ok(answer) => {
                     let head =
                         (job.app.dialect.parse_response_head)(answer.status(), answer.headers());
-                    job.app.record_notices(&target, &head, id);
+                    job.app.record_notices(&target, sent_at, &head, id);
                 }
                 Err(error) => {
                     tracing::warn!(id, %error, "failed to free a handle; it will expire");
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -412,7 +412,7 @@
         added_values: &AddedValues,
         on_send: &(dyn Fn() + Send + Sync),
     ) -> Result<Response<pool::Stream>, Failure> {
-        let left = self.left();
+        let (left, sent_at) = (self.left(), clock::now());
         let headers = (self.app.dialect.forward_headers)(&self.parts.headers, added_values);
         let request = self.build_request(headers).ok_or(Failure::Unsent)?;
         let response = match target.pool.call_streaming_observed(request, left, on_send).await {
@@ -435,7 +435,7 @@
             tracing::warn!(id = self.head.id.as_deref(), server = %target.entry.name, answers, encoded = answer.encoded, "answer rejected: wrong request identifier or encoded body");
             return Err(Failure::Unknown);
         }
-        self.app.record_notices(target, &answer, self.head.id.as_deref());
+        self.app.record_notices(target, sent_at, &answer, self.head.id.as_deref());
         match answer {
             ResponseHead { misdirected: true, .. } => Err(Failure::Misdirected),
             ResponseHead { not_run: true, .. } => Err(Failure::NotRun),
--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -10,16 +10,16 @@
 use hyper::Response;
 
 /// Sends a request to the servers of a plain service, one after another and each at most once, until one answers or
-/// no retry is left. If all servers have asked for quiet, refuses at once until the first accepts requests. Records each attempt's outcome with the time it took, on which later choices of a server are
+/// no retry is left. If all servers have asked for quiet or have reached the limits that they state, refuses at once until
+/// the first accepts requests. Records each attempt's outcome with the time it took, on which later choices of a server are
 /// based. An answer with a status of 500 or more is passed to the caller, but counts as a failure of the server.
 pub(super) async fn run(job: &Job) -> Result<Response<Body>, Refusal> {
     let mut tried = Vec::new();
-    let mut refusal = Refusal::with_retry_after(Cause::NoServer, FULL_RETRY_AFTER);
+    let mut last_refusal = None;
     let mut retry_state = RetryState::default();
     loop {
         let Some(placement) = job.app.place_plain(&job.service, &tried) else {
-            let quiet = job.app.backoff_left(&job.service).filter(|_| tried.is_empty());
-            return Err(quiet.map_or(refusal, |left| Refusal::with_retry_after(Cause::Full, left)));
+            return Err(last_refusal.unwrap_or_else(|| refusal_of_all(job)));
         };
         log_placement(job, &placement);
         tried.push(placement.target.key);
@@ -37,10 +37,22 @@
             Err(failure) => failure,
         };
         let may_retry = retry_state.record_failure(job, failure);
-        refusal = retry_state.refusal(failure.refusal());
+        let refusal = retry_state.refusal(failure.refusal());
         if !may_retry {
             return Err(refusal);
         }
+        last_refusal = Some(refusal);
+    }
+}
+
+/// Returns the refusal for a request that no server may get now.
+fn refusal_of_all(job: &Job) -> Refusal {
+    if let Some(left) = job.app.backoff_left(&job.service) {
+        return Refusal::with_retry_after(Cause::Full, left);
+    }
+    match job.app.throttled_retry_after(&job.service) {
+        Some(retry_after) => Refusal::with_retry_after(Cause::Throttled, retry_after),
+        None => Refusal::with_retry_after(Cause::NoServer, FULL_RETRY_AFTER),
     }
 }
 
--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -111,7 +111,7 @@
 }
 
 /// Values parsed from the head of a backend server's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// The server states that the request did not run and never will.
     pub not_run: bool,
@@ -125,6 +125,8 @@
     pub leaving: bool,
     /// Time for which the server, which refused the request, wants no requests from this host.
     pub backoff: Option<Duration>,
+    /// Requests per second that the server takes from all hosts together, if it limits them.
+    pub limit: Option<f64>,
     /// Whether the response bears the server's signature; `true` in a dialect without signatures.
     pub signed: bool,
 }
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -143,7 +143,9 @@
         let cell_hosts = hosts.iter().filter(|(name, _)| cell.contains(name));
         cell_hosts.for_each(|(name, host)| self.connect(name, host));
         let other_cell_hosts = hosts.keys().filter(|name| !cell.contains(name)).count();
-        self.app.state().allowances.set_other_cell_hosts(clock::now(), other_cell_hosts);
+        let (now, mut state) = (clock::now(), self.app.state());
+        state.allowances.set_other_cell_hosts(now, other_cell_hosts);
+        state.dispatch.set_other_cell_hosts(now, other_cell_hosts);
     }
 
     /// Starts to maintain a connection to a host, unless there is one already to the same
@@ -198,10 +200,10 @@
     /// Forgets the reports of a host that has ended or left, and no longer reserves a share of
     /// allowances for it.
     fn mark_gone(&self, name: &str) {
-        let mut state = self.app.state();
-        state.dispatch.remove_peer(name);
+        let (now, peer, mut state) = (clock::now(), Arc::from(name), self.app.state());
+        state.dispatch.remove_peer(now, &peer);
         state.quarantine.remove_peer(name);
-        state.allowances.remove_peer(clock::now(), &name.into());
+        state.allowances.remove_peer(now, &peer);
     }
 
     /// Records that a peer's address refuses connections: its process has ended, and spends
@@ -316,6 +318,7 @@
         self.follower.apply_peer_doubt(news.doubted_ms, servers_differ);
         self.follower.apply_peer_epoch(name, news.store_epoch);
         self.app.record_peer_leaving(name, &news.leaving);
+        self.app.record_peer_limits(name, incarnation, &news.limits);
         self.app.record_quarantine_report(name, std::mem::take(&mut news.quarantine));
         let request = self.request_missing(&news);
         {
@@ -380,7 +383,8 @@
         let (servers, store) = (self.follower.digest(), self.follower.is_up());
         let quarantine = self.app.quarantine_report();
         let configuration = self.app.version();
-        let state = self.app.state();
+        let mut state = self.app.state();
+        let limits = state.dispatch.limit_reports(clock::now());
         let spent = state.allowances.spent().iter();
         // The fields have the names of the wire format: `store` says whether the store answers this
         // host, `doubted_ms` how long ago a call to it went unanswered, `doubtful` lists the servers
@@ -404,6 +408,7 @@
             ordering: self.app.orders_pending.load(Ordering::Relaxed),
             draining: self.app.is_draining(),
             leaving: state.dispatch.leaving_reports(),
+            limits,
             store_epoch: self.follower.epoch(),
             quarantine,
             unheard: unreachable.into_iter().map(|(name, time)| (name, millis(time))).collect(),
@@ -475,7 +480,10 @@
             );
         }
         let mut state = self.app.state();
-        unreachable.iter().for_each(|name| state.allowances.mark_unreachable(now, name));
+        for name in &unreachable {
+            state.allowances.mark_unreachable(now, name);
+            state.dispatch.mark_unreachable(now, name);
+        }
         state.allowances.set_spend_until(spend_until);
         let reserved = (state.allowances.reserved_share() * 1_000.0) as i64;
         drop(state);
--- a/crates/forward/src/native/headers.rs
+++ b/crates/forward/src/native/headers.rs
@@ -29,6 +29,8 @@
 
 /// Says that the server is shutting down.
 pub const LEAVING: &str = "x-chestnutrack-leaving";
+/// Requests per second that the server takes from all hosts together.
+pub const LIMIT: &str = "x-chestnutrack-limit";
 
 const LAST_EVENT: &str = "last-event-id";
 /// Prefix of the headers that are removed from callers' requests, except those in [`CALLER_HEADERS`].
@@ -106,6 +108,7 @@
         backoff: (status == StatusCode::SERVICE_UNAVAILABLE)
             .then(|| header::retry_after(headers))
             .flatten(),
+        limit: header::rate(headers, LIMIT),
         signed: true,
     }
 }
--- a/crates/forward/src/native/mod.rs
+++ b/crates/forward/src/native/mod.rs
@@ -36,7 +36,7 @@
 use std::sync::Arc;
 
 pub use headers::{
-    DEADLINE, EXPECTED, KV, LEAVING, ORGANISATION, PARTS, RAN, REQUEST, SERVER, STEP, TOKENS,
+    DEADLINE, EXPECTED, KV, LEAVING, LIMIT, ORGANISATION, PARTS, RAN, REQUEST, SERVER, STEP, TOKENS,
 };
 
 /// The native dialect of callers, directory and store.
--- a/crates/forward/src/stage/mod.rs
+++ b/crates/forward/src/stage/mod.rs
@@ -164,7 +164,7 @@
     /// the engine refuses it if another order came first.
     async fn change_stage(&mut self, target: &Target, stage: Stage) {
         let server = target.entry.name.clone();
-        if !self.app.accepts(target) {
+        if !self.app.admit_call(target) {
             tracing::info!(%server, "order not sent: the server takes no requests");
             return;
         }
@@ -206,7 +206,7 @@
         }
         let duration = self.stage_switch_time(&target.entry.service) + STAGE_CHANGE_MARGIN;
         self.record_stage_change(&order.server, duration);
-        if !self.app.accepts(target) {
+        if !self.app.admit_call(target) {
             tracing::info!(server = %order.server, "order not sent: the server takes no requests");
             return;
         }
@@ -243,9 +243,10 @@
         target: &Target,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, http::Error> {
+        let sent_at = clock::now();
         let answer = target.pool.call(request, ANSWER_TIMEOUT, MAX_ANSWER_BYTES).await?;
         let head = (self.app.dialect.parse_response_head)(answer.status(), answer.headers());
-        self.app.record_notices(target, &head, None);
+        self.app.record_notices(target, sent_at, &head, None);
         Ok(answer)
     }
 
--- a/crates/process/src/header.rs
+++ b/crates/process/src/header.rs
@@ -53,6 +53,17 @@
     }
 }
 
+/// Returns a header's value as a rate: a decimal number that is not negative. Any other value is logged and counts as
+/// absent.
+pub fn rate(headers: &HeaderMap, name: &str) -> Option<f64> {
+    let value = text(headers, name)?;
+    let rate = value.trim().parse::<f64>().ok().filter(|rate| *rate >= 0.0);
+    if rate.is_none() {
+        tracing::warn!(name, value, "rate can't be read");
+    }
+    rate
+}
+
 /// Sets a header. Does nothing if `value` is not a valid header value.
 pub fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -409,6 +409,28 @@
     pub born: Option<u64>,
 }
 
+/// What a host knows of the limit that a server states for the requests that it takes from all hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Name of the server.
+    pub server: Arc<str>,
+    /// When it started, in milliseconds since 1970; absent if it doesn't say.
+    pub born: Option<u64>,
+    /// What the server last told the host itself, if it did.
+    pub statement: Option<LimitStatement>,
+    /// What the host has sent under limits of the server, in thousandths of a request.
+    pub sent: i64,
+}
+
+/// What a server has said of its limit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitStatement {
+    /// Thousandths of a request per second; absent if the server states no limit any more.
+    pub rate: Option<u64>,
+    /// Time since the server said so, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// An answer that broke off while an engine was writing it, or before.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Break {
@@ -503,6 +525,9 @@
     /// Servers that have told the host that they are shutting down.
     #[serde(default)]
     pub leaving: Vec<LeavingReport>,
+    /// Limits of servers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitReport>,
     /// Epoch of the platform's store; it rises when the store comes back from a copy.
     #[serde(default)]
     pub store_epoch: u64,
