Forward: known red, a request that ends each server is sent to one after the other

A request that comes again with the same path, caller and body, twelve times, while the servers that it ended restart: 12 requests reach servers where each caller's attempt goes to one, 24 where it may be sent again; 6 are allowed (three crashes and three retries). Plain services and engines, with and without parts of prompts, one host and three.

--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -5,6 +5,7 @@
 mod configurations;
 mod connections;
 mod crashes;
+mod crashing_requests;
 mod directory;
 mod fixture;
 mod framing;
