Quarantine a request that crashes each server that runs it

Cause: quarantine looked at parts that prompts share. A request to a plain service has none, and one request that came again was left out on purpose. Evidence on whole requests was never kept.

Change: each request has a part that stands for itself, a hash of its method, host, path, organisation, body and prompt. Answers that break off at plain services are recorded like those of engines, and complete ones as sound. A request is held after three crashes with no sound answer since, unless another request was at all of them as well; then after the next crash that tells them apart, or five. Requests in flight beside it are sent on at once and meet it at the next server: with the rule taken away (trial) the test of two such requests fails. Everything else is as for parts: gossip, the store, other cells, release by a sound answer or an operator.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -1,6 +1,6 @@
 //! What speaks against parts of prompts and for them: answers that broke off, and answers that their engines survived.
 
-use super::Pattern;
+use super::{Pattern, REQUEST_PREFIX};
 use crate::time::Instant;
 use chestnutrack_wire::frame::Break;
 use std::cmp::Reverse;
@@ -10,6 +10,10 @@
 
 /// Engine crashes that a part must have been at to be held responsible.
 const CRASHES_MIN: usize = 4;
+/// Crashes that a request must have been at, and no other one with it at all of them, to be held responsible.
+const REQUEST_CRASHES_MIN: usize = 3;
+/// Crashes at which it is held responsible though another request was at all of them as well.
+const AMBIGUOUS_CRASHES_MIN: usize = 5;
 /// Crashes among them that no pattern in quarantine accounts for.
 const UNEXPLAINED_MIN: usize = 2;
 /// Different requests with the part that must have been at these crashes. A single request that was sent again is no
@@ -162,6 +166,10 @@
             });
         }
         for part in parts {
+            // Most requests come once. Their sound answers matter only while servers crash.
+            if is_request(part) && self.records.is_empty() {
+                continue;
+            }
             if self.sound.len() >= PARTS_MAX && !self.sound.contains_key(part) {
                 continue;
             }
@@ -292,7 +300,14 @@
         let responsible = suspicions.iter().filter(|(part, suspicion)| {
             let requests = by_part[**part].1.iter().filter(|record| record.at >= suspicion.since);
             let requests: BTreeSet<u64> = requests.map(|record| record.answer.request).collect();
-            suspicion.unexplained >= UNEXPLAINED_MIN && requests.len() >= REQUESTS_MIN
+            let is_told_apart = match is_request(part) {
+                true => {
+                    suspicion.crashes >= AMBIGUOUS_CRASHES_MIN
+                        || !has_rival(part, suspicion, &suspicions, &by_part)
+                }
+                false => requests.len() >= REQUESTS_MIN,
+            };
+            suspicion.unexplained >= UNEXPLAINED_MIN && is_told_apart
         });
         let (part, suspicion) = responsible.max_by_key(|(part, suspicion)| {
             (suspicion.crashes, Reverse(suspicion.sound), by_part[**part].0)
@@ -314,7 +329,8 @@
         explained: &BTreeSet<Engine<'_>>,
     ) -> Option<Suspicion> {
         let crashes = list_crashes(records, explained);
-        let runs = (0..=crashes.len().checked_sub(CRASHES_MIN)?).map(|first| &crashes[first..]);
+        let crashes_min = if is_request(part) { REQUEST_CRASHES_MIN } else { CRASHES_MIN };
+        let runs = (0..=crashes.len().checked_sub(crashes_min)?).map(|first| &crashes[first..]);
         let suspicions = runs.map(|run| {
             let since = run[0].0;
             let unexplained = run.iter().filter(|(_, is_explained)| !is_explained).count();
@@ -333,6 +349,27 @@
     }
 }
 
+/// Returns `true` if a part stands for a request as a whole.
+fn is_request(part: &str) -> bool {
+    part.starts_with(REQUEST_PREFIX)
+}
+
+/// Returns `true` if another request than the one that `part` stands for is suspected of all the crashes as well.
+fn has_rival(
+    part: &Arc<str>,
+    suspicion: &Suspicion,
+    suspicions: &BTreeMap<&Arc<str>, Suspicion>,
+    by_part: &BTreeMap<&Arc<str>, (usize, Vec<&Record>)>,
+) -> bool {
+    let engines = |part: &Arc<str>| -> BTreeSet<Engine<'_>> {
+        let records = by_part[part].1.iter().filter(|record| record.at >= suspicion.since);
+        records.map(|record| record.engine()).collect()
+    };
+    let own = engines(part);
+    let rivals = suspicions.keys().filter(|other| is_request(other) && **other != part);
+    rivals.into_iter().any(|other| engines(other).is_superset(&own))
+}
+
 /// Returns the parts that were at `crashes_min` crashes or more, those at most crashes first.
 fn suspects<'a>(
     records: impl Iterator<Item = &'a Record>,
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -1,4 +1,4 @@
-//! Finds parts of prompts that crash engines, and tells which requests must not be sent to further engines.
+//! Finds requests and parts of prompts that crash servers, and tells which requests must not be sent to further servers.
 //!
 //! When an engine crashes, all answers that it was writing break off, and the request that crashed it is one of
 //! them: it had just begun. So each young answer that broke off is recorded with the parts of its prompt. A part is
@@ -8,6 +8,11 @@
 //! only some of them are served, and show by their answers which part is sound. A pattern is released when an
 //! engine survives a request with all its parts.
 //!
+//! A request that crashes its server whatever else it has in common with others comes again as a whole. So each request has
+//! a part that stands for itself ([`request_part`]), also where it has no prompt. It is held responsible after fewer crashes, but
+//! not while another request was at all of them as well: requests that were in flight beside it are sent on, and may
+//! meet it at the next server.
+//!
 //! Hosts exchange what they record, since each of them serves only some of the requests.
 
 mod evidence;
@@ -36,6 +41,14 @@
 /// Maximum number of patterns in quarantine.
 const PATTERNS_MAX: usize = 64;
 
+/// Beginning of the parts that stand for requests as a whole.
+const REQUEST_PREFIX: &str = "request:";
+
+/// Returns the part that stands for a request as a whole, by a hash of the request.
+pub fn request_part(hash: u128) -> Arc<str> {
+    format!("{REQUEST_PREFIX}{hash:032x}").into()
+}
+
 /// Parts of a prompt that are in quarantine together: a request with all of them must not be sent to an engine.
 pub type Pattern = BTreeSet<Arc<str>>;
 
--- a/crates/core/src/quarantine/tests/mod.rs
+++ b/crates/core/src/quarantine/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod decision;
 mod exchange;
+mod requests;
 mod simulation;
 
 use super::evidence::SETTLE_TIME;
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -14,6 +14,7 @@
 pub use admission::{Admission, Target};
 pub use body::BodyMemory;
 pub use place::PlainPlacement;
+pub use quarantine::Identity;
 
 use crate::config::{Config, Table};
 use crate::dialect::{Dialect, ResponseHead};
--- a/crates/forward/src/app/quarantine.rs
+++ b/crates/forward/src/app/quarantine.rs
@@ -1,13 +1,14 @@
-//! Parts of prompts that crash engines: which requests are refused because of them, and what is recorded and
-//! exchanged with peers to find them.
+//! Requests and parts of prompts that crash servers: which requests are refused because of them, and what is recorded
+//! and exchanged with peers to find them.
 
 use super::{App, Target};
 use crate::dialect::Generation;
-use chestnutrack_core::quarantine::Pattern;
+use chestnutrack_core::quarantine::{Pattern, request_part};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_wire::frame::{Break, HeldPattern, QuarantineReport};
-use std::hash::{DefaultHasher, Hash, Hasher};
+use hyper::header::{HOST, HeaderValue};
+use hyper::http::request::Parts;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,22 +20,57 @@
 /// return at once.
 const RETRY_SPREAD: f64 = 0.1;
 
+/// By what a request is recognised when it, or another one with parts of its prompt, crashes servers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Identity {
+    /// Considered parts of the prompt, and last the one that stands for the request as a whole.
+    parts: Vec<Arc<str>>,
+    /// Hash that tells the request from others.
+    request: u64,
+}
+
+impl Identity {
+    /// Returns the identity of a request of an organisation. It is the same when the request comes again: with the same
+    /// method, host, path, body and prompt.
+    pub fn new(
+        head: &Parts,
+        organisation: Option<&str>,
+        generation: Option<&Generation>,
+        body: &[u8],
+    ) -> Identity {
+        let host = head.headers.get(HOST).map(HeaderValue::as_bytes).unwrap_or_default();
+        let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+        let (method, organisation) = (head.method.as_str(), organisation.unwrap_or_default());
+        let fields = [method.as_bytes(), host, target.as_bytes(), organisation.as_bytes(), body];
+        let parts = generation.map_or(&[][..], |generation| &generation.parts);
+        let mut hasher = blake3::Hasher::new();
+        for field in fields.into_iter().chain(parts.iter().map(|part| part.id.as_bytes())) {
+            hasher.update(&(field.len() as u64).to_le_bytes()).update(field);
+        }
+        let hash =
+            u128::from_le_bytes(hasher.finalize().as_bytes()[..16].try_into().unwrap_or_default());
+        let mut parts = generation.map(considered_parts).unwrap_or_default();
+        parts.push(request_part(hash));
+        Identity { parts, request: hash as u64 }
+    }
+}
+
 impl App {
-    /// Returns the time after which a generation is worth retrying if its prompt is in quarantine; `None` if it is not.
-    pub fn quarantine_left(&self, generation: &Generation) -> Option<Duration> {
+    /// Returns the time after which a request is worth retrying if it is in quarantine; `None` if it is not.
+    pub fn quarantine_left(&self, identity: &Identity) -> Option<Duration> {
         self.poll_quarantine();
         let state = self.state();
-        let left = state.quarantine.time_left(clock::now(), &considered_parts(generation))?;
+        let left = state.quarantine.time_left(clock::now(), &identity.parts)?;
         Some(left.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>()))
     }
 
-    /// Records an answer that broke off at an engine, which began to write it at `began_at`, or had not begun. Does
-    /// nothing if the engine is leaving. `id` names the request.
+    /// Records an answer that broke off at a server, which began to write it at `began_at`, or had not begun. Does
+    /// nothing if the server is leaving. `id` names the request.
     pub fn record_break(
         &self,
         target: &Target,
         began_at: Option<Instant>,
-        generation: &Generation,
+        identity: &Identity,
         id: Option<&str>,
     ) {
         let now = clock::now();
@@ -42,8 +78,8 @@
         let answer = Break {
             engine: target.entry.name.clone(),
             born: target.entry.born,
-            request: request_hash(generation),
-            parts: considered_parts(generation),
+            request: identity.request,
+            parts: identity.parts.clone(),
             written_ms: u32::try_from(written.as_millis()).unwrap_or(u32::MAX),
         };
         let (server, parts) = (&target.entry.name, answer.parts.join(","));
@@ -52,24 +88,24 @@
             !state.dispatch.is_leaving(target.key) && state.quarantine.record_break(now, answer);
         drop(state);
         if counts {
-            tracing::info!(id, %server, parts, "engine may have crashed under a request");
+            tracing::info!(id, %server, parts, "server may have crashed under a request");
             self.urgent_gossip_due.notify_one();
         }
     }
 
-    /// Records that an engine survived a request whose answer it began to write at `began_at`.
-    pub fn record_sound(&self, generation: &Generation, began_at: Instant) {
-        let parts = considered_parts(generation);
-        let released = self.state().quarantine.record_sound(clock::now(), began_at, &parts);
-        self.announce(&[], &released, "an engine survived");
+    /// Records that a server survived a request whose answer it began to write at `began_at`.
+    pub fn record_sound(&self, identity: &Identity, began_at: Instant) {
+        let now = clock::now();
+        let released = self.state().quarantine.record_sound(now, began_at, &identity.parts);
+        self.announce(&[], &released, "a server survived");
     }
 
-    /// Records that an engine has answered a request sent at `sent_at`.
+    /// Records that a server has answered a request sent at `sent_at`.
     pub fn record_alive(&self, target: &Target, sent_at: Instant) {
         self.state().quarantine.record_alive(&target.entry.name, target.entry.born, sent_at);
     }
 
-    /// Returns what this host reports to its peers about parts of prompts that crash engines.
+    /// Returns what this host reports to its peers about what crashes servers.
     pub(crate) fn quarantine_report(&self) -> QuarantineReport {
         self.poll_quarantine();
         let report = self.state().quarantine.report(clock::now());
@@ -77,7 +113,7 @@
         report
     }
 
-    /// Applies a peer's report about parts of prompts that crash engines.
+    /// Applies a peer's report about what crashes servers.
     pub(crate) fn record_quarantine_report(&self, peer: &Arc<str>, report: QuarantineReport) {
         let changes = self.state().quarantine.record_report(clock::now(), peer, report);
         self.announce(&changes.held, &changes.released, peer);
@@ -149,10 +185,3 @@
     let parts = generation.shared_parts().filter(|part| part.len() <= PART_ID_BYTES_MAX);
     parts.take(PARTS_MAX).cloned().collect()
 }
-
-/// Returns a hash that tells a request from others by the last part of its prompt, which no other request has.
-fn request_hash(generation: &Generation) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    generation.parts.last().map(|part| &part.id).hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/forward/src/attempt/body.rs
+++ b/crates/forward/src/attempt/body.rs
@@ -22,6 +22,7 @@
         Ok(Err(error)) => {
             let server = &target.entry.name;
             tracing::info!(id = job.head.id.as_deref(), %server, %error, "failed to read the answer");
+            job.record_break(target, None, &error);
             Err(Failure::Unknown)
         }
         Err(_) => Err(Failure::TimedOut),
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -14,7 +14,7 @@
 mod tests;
 
 use crate::answer::{Body, Cause, Refusal};
-use crate::app::{ActiveConfig, App, Target};
+use crate::app::{ActiveConfig, App, Identity, Target};
 use crate::config::{Organisation, Route};
 use crate::dialect::{AddedValues, RequestHead, ResponseHead, Step};
 use bytes::Bytes;
@@ -47,6 +47,8 @@
     pub body: Bytes,
     /// Values that the dialect parsed from the headers.
     pub head: RequestHead,
+    /// By what the request is recognised when it comes again.
+    pub identity: Identity,
     /// When the request arrived.
     pub arrived_at: Instant,
     /// When the caller sent this request for the first time: before `arrived_at` if it was refused before.
@@ -66,7 +68,7 @@
     Crowded,
     /// Nothing was sent: the server is leaving, or has asked for no requests for now.
     Closed,
-    /// Nothing was sent: a part of the prompt crashes engines, and is in quarantine for this time.
+    /// Nothing was sent: the request, or a part of its prompt, crashes servers and is in quarantine for this time.
     Quarantined(Duration),
     /// The server states that it did not run the request and never will.
     NotRun,
@@ -307,24 +309,22 @@
         self.deadline.since(clock::now())
     }
 
-    /// Returns how long the request's prompt remains in quarantine; `None` if it is not.
+    /// Returns how long the request remains in quarantine; `None` if it is not.
     fn quarantine_left(&self) -> Option<Duration> {
-        self.app.quarantine_left(self.head.generation.as_ref()?)
+        self.app.quarantine_left(&self.identity)
     }
 
-    /// Records that an answer broke off at an engine, which began to write it at `began_at`, or had not begun. An engine
+    /// Records that an answer broke off at a server, which began to write it at `began_at`, or had not begun. A server
     /// that has become unresponsive has not crashed.
     fn record_break(&self, target: &Target, began_at: Option<Instant>, error: &Error) {
-        if let (Some(generation), Error::Broken(_)) = (&self.head.generation, error) {
-            self.app.record_break(target, began_at, generation, self.head.id.as_deref());
+        if let Error::Broken(_) = error {
+            self.app.record_break(target, began_at, &self.identity, self.head.id.as_deref());
         }
     }
 
-    /// Records that an engine survived the request, whose answer it began to write at `began_at`.
+    /// Records that a server survived the request, whose answer it began to write at `began_at`.
     fn record_sound(&self, began_at: Instant) {
-        if let Some(generation) = &self.head.generation {
-            self.app.record_sound(generation, began_at);
-        }
+        self.app.record_sound(&self.identity, began_at);
     }
 
     /// Returns the version of the configuration under which the request was admitted.
@@ -398,7 +398,7 @@
             Err(Failure::Crowded | Failure::Closed | Failure::Quarantined(_)) => {}
             Ok(_) | Err(Failure::NotRun) => self.app.record_outcome(target, Outcome::Answer),
         }
-        if result.is_ok() && target.entry.stage.is_some() {
+        if result.is_ok() {
             self.app.record_alive(target, sent_at);
         }
         result
--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -68,9 +68,11 @@
 /// Sends the request to one server and returns the answer after reading it whole, so that an answer that breaks off
 /// is still a failed attempt.
 async fn send_once(job: &Job, target: &Target) -> Result<Response<Body>, Failure> {
+    let sent_at = clock::now();
     let response = job.send(target, &job.added_values(target)).await?;
     let (head, mut stream) = response.into_parts();
     let body = read_whole(job, target, &mut stream).await?;
+    job.record_sound(sent_at);
     job.record_answer(target, head.status.as_u16());
     let mut response = Response::new(answer::full(body));
     *response.status_mut() = head.status;
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -5,7 +5,7 @@
 //! the fingerprint of its request when it retries, so that the latency target counts from its first request.
 
 use crate::answer::{Body, Cause, Refusal};
-use crate::app::{App, BodyMemory};
+use crate::app::{App, BodyMemory, Identity};
 use crate::attempt::{self, Job};
 use crate::config::{Limits, Organisation, Route, Table};
 use crate::dialect::{Generation, RequestHead};
@@ -106,9 +106,9 @@
     // The shorter of the caller's and the route's time limit.
     let time_limit = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let (body, _memory) = read_body(&app, body, &table.config().limits, time_limit).await?;
-    let quarantine_left =
-        head.generation.as_ref().and_then(|generation| app.quarantine_left(generation));
-    if let Some(left) = quarantine_left {
+    let owner = organisation.as_ref().map(|owner| &*owner.name);
+    let identity = Identity::new(&parts, owner, head.generation.as_ref(), &body);
+    if let Some(left) = app.quarantine_left(&identity) {
         return Err(Refusal::with_retry_after(Cause::Quarantined, left));
     }
     let service = route.service(rand::random()).cloned().ok_or(Refusal::new(Cause::NoServer))?;
@@ -141,6 +141,7 @@
         parts,
         body,
         head,
+        identity,
         arrived_at,
         first_arrived_at,
         deadline: arrived_at + time_limit,
--- a/crates/forward/tests/forward/crashing_requests.rs
+++ b/crates/forward/tests/forward/crashing_requests.rs
@@ -10,11 +10,14 @@
 use chestnutrack_forward::follow::Registration;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::sleep;
 
 /// Crashes after which a request has to be known.
 const CRASHES_MAX: usize = 3;
 /// Retries of it that may reach servers afterwards.
 const RETRIES_MAX: usize = 3;
+/// Pause between two requests. Hosts report to each other meanwhile.
+const PACE: Duration = Duration::from_millis(100);
 /// Time from when a server begins to run a request to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 
@@ -89,12 +92,13 @@
         }
     }
 
-    /// Sends a request `count` times, to the hosts in turn, and returns the last answer.
+    /// Sends a request `count` times, [`PACE`] apart and to the hosts in turn, and returns the last answer.
     async fn send(&self, text: &str, count: usize) -> Answer {
         let mut answer = Answer::default();
         for n in 0..count {
             self.restart(n as u64 + 2);
             answer = call(self.hosts[n % self.hosts.len()].address, text).await;
+            sleep(PACE).await;
         }
         answer
     }
