Count prefills of generations that are sent again as retries

Cause: a stream that is resumed, or a generation that is sent again after its cache was used up, was charged one retry, and reached two servers more: one that prefilled the prompt anew, and one that generated. Ruled out as another cause: the share of requests that earn retries (15 in 100 against the platform's 20) and the burst (70 in 100 of it) are within the bound when each arrival is charged.

Change: the first prefill of a request is free, and each further one that may have reached an engine is charged where it is sent. A request may use six retries instead of three: as many generations as before, each with its prefill.

--- a/crates/forward/src/app/limit.rs
+++ b/crates/forward/src/app/limit.rs
@@ -20,8 +20,8 @@
 const RETRIES_PER_MILLE: u32 = 150;
 /// Part of the fleet's burst of retries that hosts share, in per cent.
 const RETRY_BURST_SHARE_PERCENT: u64 = 70;
-/// Highest number of retries of one request.
-const RETRIES_PER_REQUEST: u32 = 3;
+/// Highest number of retries of one request: a generation may be sent again three times, each with a new prefill.
+const RETRIES_PER_REQUEST: u32 = 6;
 /// Shortest time between two gossip messages that are sent only because tokens were spent, for each
 /// host of the fleet. Twenty hosts on links of 10 Mbit/s have no bandwidth to spare for more; they
 /// report spending with their heartbeats.
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -438,6 +438,10 @@
     last_event: Option<u64>,
 ) -> Result<Option<PrefilledCache>, PrefillError> {
     let Some(first_target) = admission.prefill.clone() else { return Ok(None) };
+    if !retry_state.begin_prefill(job) {
+        admission.finish_prefill(None);
+        return Err(PrefillError::Failed(prefill_refusal(Failure::NotRun)));
+    }
     let mut prefills = FuturesUnordered::new();
     let mut in_flight = vec![first_target.key];
     prefills.push(timed_prefill(job, first_target, last_event));
@@ -498,6 +502,7 @@
                 let (id, server) = (job.head.id.as_deref(), &other_target.entry.name);
                 let prefilled_ms = admission.basis().expected_prefill_time.as_millis() as u64;
                 tracing::info!(id, %server, prefilled_ms, after_ms = job.age_ms(), "prefill sent to another engine");
+                retry_state.begin_prefill(job);
                 in_flight.push(other_target.key);
                 prefills.push(timed_prefill(job, other_target, last_event));
             }
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -148,6 +148,8 @@
     unsent: u32,
     /// Failed prefills.
     failed_prefills: u32,
+    /// Whether the next prefill repeats one that may have reached an engine, and is not charged to the retry budget yet.
+    is_prefill_repeated: bool,
     /// Retries taken from the service's retry budget.
     retries: u32,
     /// Whether one of the servers may have run the request.
@@ -244,18 +246,31 @@
         tracing::info!(id, failure, sent, attempts, repeats, again, "retry decision");
     }
 
+    /// Begins a prefill. One that repeats another, as for a stream that is resumed, is charged to the retry budget.
+    /// Returns `false` if the budget doesn't allow it.
+    fn begin_prefill(&mut self, job: &Job) -> bool {
+        let allowed = !self.is_prefill_repeated || self.spend_retry(job);
+        if !allowed {
+            let (id, repeats) = (job.head.id.as_deref(), self.retries);
+            tracing::info!(id, repeats, "prefill not repeated: retry budget");
+        }
+        self.is_prefill_repeated = true;
+        allowed
+    }
+
     /// Returns `true` if one more prefill may be tried if the one in flight fails.
     fn may_retry_prefill(&self) -> bool {
         self.failed_prefills + 1 < MAX_PREFILLS
     }
 
-    /// Records a failed prefill. Returns `true` if another may be tried. A prefill never counts as a run of
-    /// the request.
+    /// Records a failed prefill. Returns `true` if another may be tried, which is charged to the retry budget unless the
+    /// failed one was not sent. A prefill never counts as a run of the request.
     fn record_prefill_failure(&mut self, job: &Job, failure: Failure) -> bool {
         if matches!(failure, Failure::Quarantined(_)) {
             return false;
         }
         if failure.is_unsent() {
+            self.is_prefill_repeated = false;
             self.unsent += 1;
             return self.unsent < MAX_UNSENT;
         }
@@ -263,6 +278,7 @@
         let may_retry = failure != Failure::TimedOut
             && self.failed_prefills < MAX_PREFILLS
             && self.spend_retry(job);
+        self.is_prefill_repeated = !may_retry;
         self.log_decision(job, failure, may_retry);
         may_retry
     }
--- a/crates/forward/tests/forward/limits.rs
+++ b/crates/forward/tests/forward/limits.rs
@@ -1,8 +1,11 @@
 //! Tests of allowances, body limits and retry budgets.
 
-use crate::fixture::backend::{Backend, Step, answer, refuse_as_not_run, send, unframed_head};
-use crate::fixture::caller::{call, request};
-use crate::fixture::{Host, host, host_with_settings, plain, settings};
+use crate::fixture::backend::{
+    Backend, ReceivedRequest, Step, answer, answer_prefill, event, refuse_as_not_run, send,
+    stream_head, unframed_head,
+};
+use crate::fixture::caller::{call, generation, request};
+use crate::fixture::{Host, engines, host, host_with_settings, plain, settings};
 use chestnutrack_forward::app;
 use std::time::Duration;
 
@@ -118,3 +121,24 @@
     // A burst of 14 (70 % of the fleet's budget of 20), and 15 retries per 100 requests.
     assert!(retries <= 14 + REQUESTS * 15 / 100, "{retries}");
 }
+
+// Guards against prefills of resumed streams that are left out of the retry budget.
+#[tokio::test]
+async fn retries_of_streams_end_when_their_budget_is_spent() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let script = |request: &_| vec![stream_head(request), event(1), Step::Reset];
+    let (broken, other) = (Backend::start(script).await, Backend::start(script).await);
+    let host = engines(&prefiller, &[&broken, &other]).await;
+    const REQUESTS: usize = 60;
+
+    for _ in 0..REQUESTS {
+        call(host.address, &generation("/recap/7")).await;
+    }
+
+    let is_prefill = |request: &ReceivedRequest| request.header("x-chestnutrack-step").is_some();
+    let prefills = prefiller.received().into_iter().filter(is_prefill).count();
+    let arrivals = prefills + broken.request_count() + other.request_count();
+    let retries = arrivals - 2 * REQUESTS;
+    // A burst of 14 (70 % of the fleet's budget of 20), and 15 retries per 100 requests.
+    assert!(retries <= 14 + REQUESTS * 15 / 100, "{retries}");
+}
