--- a/crates/core/src/quarantine/tests/requests.rs
+++ b/crates/core/src/quarantine/tests/requests.rs
@@ -103,6 +103,21 @@
     assert!(quarantine.time_left(now, &parts(&["family"])).is_none());
 }
 
+// Guards against cells of a large fleet of which each has to see three crashes itself.
+#[test]
+fn crashes_of_one_request_in_two_cells_are_put_together() {
+    let [mut first, mut second] = [Quarantine::default(), Quarantine::default()];
+    let now = crash_under(&mut first, &[&[1, 2], &[1, 3]]);
+    crash(&mut second, now, vec![broken_request(7, 1)]);
+
+    let report = first.cell_report(now, 2);
+    second.record_cell_report(now + millis(900), &"cell-0".into(), millis(900), report);
+    second.poll(now + millis(1_000));
+
+    assert!(is_held(&second, now + millis(1_000), 1));
+    assert!(!is_held(&second, now + millis(1_000), 2));
+}
+
 /// A fleet in front of a few servers, and callers of whom one sends a deadly request again and again.
 #[derive(Clone, Copy, Debug)]
 struct Scenario {
