--- a/crates/soak/src/backend/mod.rs
+++ b/crates/soak/src/backend/mod.rs
@@ -6,7 +6,7 @@
 use chestnutrack_forward::answer::{self, Body};
 use chestnutrack_forward::dialect::Report;
 use chestnutrack_forward::native::{
-    KV, LEAVING, ORGANISATION, PARTS, Prefilled, RAN, REQUEST, SERVER, STEP,
+    KV, LEAVING, LIMIT, ORGANISATION, PARTS, Prefilled, RAN, REQUEST, SERVER, STEP,
 };
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HeaderValue, RETRY_AFTER};
@@ -36,6 +36,8 @@
 pub const LONG_PREFIX: &str = "long-";
 /// Prefix of the parts of prompts that crash engines.
 pub const CRASHING_PREFIX: &str = "crashing-";
+/// Prefix of the last segment of the paths of requests that crash servers of plain services.
+pub const DEADLY_PREFIX: &str = "deadly-";
 /// Shortest time from the head of an answer to the crash that its request causes, and the number of different times, in
 /// milliseconds.
 const CRASH_DELAY_MS: (u64, u64) = (5, 100);
@@ -77,13 +79,13 @@
     is_total: bool,
 }
 
-/// An engine that crashes.
+/// A server that crashes.
 #[derive(Clone, Debug)]
 pub struct Crash {
-    /// Name of the engine.
+    /// Name of the server.
     pub server: Arc<str>,
-    /// Part of the prompt that crashes it.
-    pub part: Arc<str>,
+    /// Part of the prompt that crashes it, or last segment of the path of the request that does.
+    pub cause: Arc<str>,
 }
 
 /// State shared by the connections of a server.
@@ -93,6 +95,8 @@
     ledger: Arc<Ledger>,
     behaviour: watch::Receiver<Behaviour>,
     silence: watch::Receiver<Silence>,
+    /// Requests per second that the server takes, if it names them.
+    limit: watch::Receiver<Option<u32>>,
     crashes: mpsc::UnboundedSender<Crash>,
     /// Stored KV caches, by handle, each with the request that it was prefilled for.
     kv_caches: Mutex<HashMap<Arc<str>, Arc<str>>>,
@@ -104,6 +108,7 @@
     pub address: SocketAddr,
     behaviour: watch::Sender<Behaviour>,
     silence: watch::Sender<Silence>,
+    limit: watch::Sender<Option<u32>>,
     accept_task: JoinHandle<()>,
 }
 
@@ -132,6 +137,7 @@
         let (behaviour, behaviour_receiver) = watch::channel(Behaviour::default());
         let (silence, silence_receiver) =
             watch::channel(Silence { until: Instant::now() - SILENCE_PAUSE, is_total: false });
+        let (limit, limit_receiver) = watch::channel(None);
         let kv_caches = Mutex::default();
         let server = Arc::new(Server {
             name: name.into(),
@@ -139,6 +145,7 @@
             ledger,
             behaviour: behaviour_receiver,
             silence: silence_receiver,
+            limit: limit_receiver,
             crashes,
             kv_caches,
         });
@@ -147,7 +154,7 @@
                 tokio::spawn(serve(tcp, server.clone()));
             }
         });
-        Ok(Backend { address, behaviour, silence, accept_task })
+        Ok(Backend { address, behaviour, silence, limit, accept_task })
     }
 
     /// Sets the behaviour of the server.
@@ -155,6 +162,11 @@
         self.behaviour.send_replace(behaviour);
     }
 
+    /// Has the server name a limit of requests per second in all its answers, or none any more.
+    pub fn limit(&self, per_s: Option<u32>) {
+        self.limit.send_replace(per_s);
+    }
+
     /// Lets the server be silent for a while, unless it is or was just before. It then goes on where it was.
     pub fn fall_silent(&self, duration: Duration, is_total: bool) {
         let now = Instant::now();
@@ -215,10 +227,27 @@
 }
 
 impl Server {
-    /// Answers a request: a report, the release of a KV cache, or a request to prefill or run. Refuses
+    /// Answers a request, with the limit if the server names one.
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, ConnectionClosed> {
+        if self.limit.borrow().is_some()
+            && let Some(id) = header(&request, REQUEST)
+        {
+            self.ledger.record_limited_arrival(&self.name, id);
+        }
+        let mut response = self.respond(request).await?;
+        if let Some(per_s) = *self.limit.borrow() {
+            response.headers_mut().insert(LIMIT, per_s.into());
+        }
+        Ok(response)
+    }
+
+    /// Responds to a request: a report, the release of a KV cache, or a request to prefill or run. Refuses
     /// orders (changes of the stage). Records a violation if the request carries a caller's key or no
     /// identifier, or if the server left long ago.
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, ConnectionClosed> {
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, ConnectionClosed> {
         if !is_run(&request) {
             self.wait_while_all_silent().await;
         }
@@ -246,8 +275,8 @@
         if behaviour == Behaviour::Left {
             self.ledger.record_violation(format!("{} got {id} long after it left", self.name));
         }
-        if let Some(part) = crashing_part(&request) {
-            self.ledger.record_part_arrival(&part, &id, &self.name);
+        if let Some(cause) = crash_cause(&request) {
+            self.ledger.record_crashing_arrival(&cause, &id, &self.name);
         }
         let mut response = match behaviour {
             Behaviour::Full | Behaviour::Quiet | Behaviour::Left => {
@@ -316,7 +345,7 @@
         let organisation = header(request, ORGANISATION).map(Arc::from);
         let number = self.ledger.record_start(&id, organisation, &self.name);
         let run_guard = RunGuard { ledger: self.ledger.clone(), id: id.clone(), number };
-        // `answer` has already rejected the requests that are not run.
+        // `respond` has already rejected the requests that are not run.
         match behaviour {
             Behaviour::Hangs => std::future::pending().await,
             Behaviour::Breaks => Err(ConnectionClosed),
@@ -328,8 +357,8 @@
                 let last_event_id =
                     header(request, "last-event-id").and_then(|value| value.parse().ok());
                 let (parts_sender, parts) = mpsc::channel(STREAM_BUFFER_PARTS);
-                if let Some(part) = crashing_part(request) {
-                    let crash = Crash { server: self.name.clone(), part };
+                if let Some(cause) = crash_cause(request) {
+                    let crash = Crash { server: self.name.clone(), cause };
                     tokio::spawn(run_until_crash(
                         run_guard,
                         crash,
@@ -349,6 +378,11 @@
             }
             _ => {
                 sleep(PLAIN_DURATION).await;
+                if let Some(cause) = crash_cause(request) {
+                    // The receiver is gone at the end of the run.
+                    drop(self.crashes.send(Crash { server: self.name.clone(), cause }));
+                    std::future::pending::<()>().await;
+                }
                 let answer = match behaviour {
                     Behaviour::Unframed => unframed(body(&id)).await,
                     _ => status(StatusCode::OK, body(&id)),
@@ -406,8 +440,13 @@
     request.headers().contains_key(REQUEST) && !request.headers().contains_key(STEP)
 }
 
-/// Returns the part of a request's prompt that crashes engines.
-fn crashing_part<B>(request: &Request<B>) -> Option<Arc<str>> {
+/// Returns the part of a request's prompt that crashes engines, or the last segment of its path if it crashes servers of
+/// plain services.
+fn crash_cause<B>(request: &Request<B>) -> Option<Arc<str>> {
+    let segment = request.uri().path().rsplit('/').next().unwrap_or_default();
+    if segment.starts_with(DEADLY_PREFIX) {
+        return Some(segment.into());
+    }
     let mut ids = header(request, PARTS)?.split(',').filter_map(|part| part.split(':').next());
     ids.find(|id| id.starts_with(CRASHING_PREFIX)).map(Arc::from)
 }
--- a/crates/soak/src/caller/mod.rs
+++ b/crates/soak/src/caller/mod.rs
@@ -53,6 +53,8 @@
     pub id: Arc<str>,
     /// Kind of the request.
     pub kind: Kind,
+    /// Last segment of its path: what it asks for.
+    pub resource: Arc<str>,
     /// Name of the entry host that it is sent to.
     pub host: Arc<str>,
     /// Parts of the prompt before the request's own, in order.
@@ -67,7 +69,8 @@
     /// Returns a request that shares nothing with others and that is waited for.
     pub fn new(host: &Arc<str>, id: Arc<str>, kind: Kind) -> Call {
         let (host, shared_parts) = (host.clone(), Vec::new());
-        Call { id, kind, host, shared_parts, sharing: None, disconnect_after: None }
+        let resource = id.clone();
+        Call { id, kind, resource, host, shared_parts, sharing: None, disconnect_after: None }
     }
 
     /// Returns the time within which the caller needs the answer.
@@ -122,9 +125,9 @@
 
 /// Sends a request and returns its outcome. Statuses 429 and 503 mean that the request has not run.
 async fn answer(ledger: &Ledger, pool: &Pool, caller: &Caller, call: &Call) -> Outcome {
-    let Call { id, kind, .. } = call;
+    let Call { id, kind, resource, .. } = call;
     let method = if *kind == Kind::Lookup { "GET" } else { "POST" };
-    let target = format!("/{}/{id}", kind.path_segment());
+    let target = format!("/{}/{resource}", kind.path_segment());
     let Ok(mut request) = request(method, &target, Bytes::new()) else { return Outcome::Unsent };
     let deadline_ms = call.deadline().as_millis().to_string();
     let bearer = format!("Bearer {}", caller.key);
--- a/crates/soak/src/fault/crash.rs
+++ b/crates/soak/src/fault/crash.rs
@@ -1,4 +1,5 @@
-//! A part of a prompt under which each engine crashes that begins to write an answer, and the engines that come back.
+//! A part of a prompt under which each engine crashes that begins to write an answer, a request under which each server of a
+//! plain service does, and the servers that come back.
 
 use crate::fleet::{Error, Fleet};
 use crate::ledger::crash::{CRASHES_MAX, SERVICE_TIME};
@@ -50,14 +51,17 @@
             if !is_sent.send_replace(false) {
                 break;
             }
-            fleet.ledger.record_part_end(part);
+            fleet.ledger.record_cause_end(part);
             end = Instant::now() + LAST_CRASH_TIME;
             continue;
         };
         let Some(entry) = end_engine(fleet, &crash.server).await else { continue };
-        crashed = fleet.ledger.record_crash(part);
-        if crashed <= CRASHES_MAX && *is_sent.borrow() {
-            end = Instant::now() + SERVICE_TIME + OBSERVATION;
+        let count = fleet.ledger.record_crash(&crash.cause);
+        if crash.cause == *part {
+            crashed = count;
+            if crashed <= CRASHES_MAX && *is_sent.borrow() {
+                end = Instant::now() + SERVICE_TIME + OBSERVATION;
+            }
         }
         if !entry.leaving && number < RESTARTED_END {
             let gone = Duration::from_millis(rng.random_range(GONE_MS));
@@ -73,7 +77,7 @@
     Ok(format!("{part} crashed {crashed} engines"))
 }
 
-/// Ends the process of an engine: resets its connections and refuses new ones for good. Returns its entry in the store,
+/// Ends the process of a server: resets its connections and refuses new ones for good. Returns its entry in the store,
 /// or `None` if it has ended already.
 async fn end_engine(fleet: &Fleet, name: &Arc<str>) -> Option<Entry> {
     let mut servers = fleet.servers.lock().await;
@@ -85,7 +89,7 @@
     Some(server.entry.clone())
 }
 
-/// Starts an engine again as a new process, after a while.
+/// Starts a server again as a new process, after a while.
 async fn restart(
     fleet: Arc<Fleet>,
     crashed: Entry,
--- a/crates/soak/src/fault/mod.rs
+++ b/crates/soak/src/fault/mod.rs
@@ -1,6 +1,7 @@
 //! Faults, drawn at random from a seed. They overlap, and each ends after a while.
 
 pub mod crash;
+pub mod limit;
 
 use crate::backend::Behaviour;
 use crate::caller::{self, Call, Caller};
--- a/crates/soak/src/ledger/crash.rs
+++ b/crates/soak/src/ledger/crash.rs
@@ -1,14 +1,16 @@
-//! Checks of parts of prompts that crash engines: few further requests with the part reach engines, and sound requests
-//! that share other parts or the caller with them are served.
+//! Checks of parts of prompts that crash engines, and of requests that crash servers of plain services: few further requests
+//! with the cause reach servers, and sound requests that share other parts or the caller with them are served.
 
 use super::disturbance::Disturbances;
 use super::{Outcome, Request};
+use crate::backend::DEADLY_PREFIX;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Crashes after which a part must be known.
+/// Crashes after which a part of a prompt must be known, and after which a request.
 pub const CRASHES_MAX: usize = 5;
+const REQUEST_CRASHES_MAX: usize = 3;
 /// Time after the last of these crashes from which requests with the part are counted. A host that was started or went
 /// on less than this time ago is not in touch with the others.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -34,7 +36,7 @@
     FirstPart,
 }
 
-/// A request with a part that crashes engines has reached one, to be prefilled or run.
+/// A request that crashes servers has reached one, to be prefilled or run.
 #[derive(Clone, Debug)]
 pub(super) struct Arrival {
     pub(super) id: Arc<str>,
@@ -42,19 +44,21 @@
     pub(super) at: Instant,
 }
 
-/// What happened with a part that crashes engines.
+/// What happened with a part of prompts, or with a request, that crashes servers.
 #[derive(Clone, Debug, Default)]
-pub(super) struct CrashingPart {
+pub(super) struct CrashCause {
     pub(super) crashes: Vec<Instant>,
     pub(super) arrivals: Vec<Arrival>,
-    /// When the last request with the part had been sent.
+    /// When the last request with it had been sent.
     pub(super) ended_at: Option<Instant>,
 }
 
-impl CrashingPart {
-    /// Returns when the part had crashed [`CRASHES_MAX`] engines.
-    fn known_at(&self) -> Option<Instant> {
-        self.crashes.get(CRASHES_MAX - 1).copied()
+impl CrashCause {
+    /// Returns when the cause had crashed as many servers as it must be known by.
+    fn known_at(&self, name: &str) -> Option<Instant> {
+        let crashes_max =
+            if name.starts_with(DEADLY_PREFIX) { REQUEST_CRASHES_MAX } else { CRASHES_MAX };
+        self.crashes.get(crashes_max - 1).copied()
     }
 
     /// Returns the period in which sound requests must be served: from [`SERVICE_TIME`] after the crash by which the part
@@ -65,30 +69,31 @@
     }
 }
 
-/// Returns a finding if too many requests with a part reached engines after it had to be known.
+/// Returns a finding if too many requests with a cause of crashes reached servers after it had to be known.
 pub(super) fn check_budget(
     name: &str,
-    part: &CrashingPart,
+    part: &CrashCause,
     requests: &HashMap<Arc<str>, Request>,
     disturbances: &Disturbances,
 ) -> Option<String> {
-    let reached = late_arrivals(part, requests, disturbances);
+    let reached = late_arrivals(name, part, requests, disturbances);
     (reached.len() > REACH_MAX).then(|| {
         let crashes = part.crashes.len();
         format!(
-            "{crashes} crashes under {name}, and after the time for it {reached:?} reached engines"
+            "{crashes} crashes under {name}, and after the time for it {reached:?} reached servers"
         )
     })
 }
 
-/// Returns the requests that reached engines [`CONTACT_TIME`] after the part had crashed [`CRASHES_MAX`] engines, from
+/// Returns the requests that reached servers [`CONTACT_TIME`] after the cause had to be known, from
 /// hosts in touch, each with the time of its first arrival since then in milliseconds.
 fn late_arrivals(
-    part: &CrashingPart,
+    name: &str,
+    part: &CrashCause,
     requests: &HashMap<Arc<str>, Request>,
     disturbances: &Disturbances,
 ) -> BTreeMap<Arc<str>, u128> {
-    let Some(known_at) = part.known_at() else { return BTreeMap::new() };
+    let Some(known_at) = part.known_at(name) else { return BTreeMap::new() };
     let mut reached = BTreeMap::new();
     for Arrival { id, server, at } in &part.arrivals {
         let Some(request) = requests.get(id) else { continue };
@@ -107,10 +112,12 @@
 /// than half as often as others at the same time, while requests with the part were still sent.
 pub(super) fn check_service(
     name: &str,
-    part: &CrashingPart,
+    part: &CrashCause,
     requests: &HashMap<Arc<str>, Request>,
 ) -> Vec<String> {
-    let Some(period) = part.service_period() else { return Vec::new() };
+    let Some(period) = part.service_period().filter(|_| !name.starts_with(DEADLY_PREFIX)) else {
+        return Vec::new();
+    };
     let (served, sent) = service(Sharing::Nothing, period, requests);
     let check = |sharing| {
         let (served_here, sent_here) = service(sharing, period, requests);
@@ -146,12 +153,17 @@
 /// Returns the numbers of crashes under a part, of requests with it that reached engines, in all and after it had to be
 /// known, and of sound requests that were sent and served while it was.
 pub(super) fn measures(
-    part: &CrashingPart,
+    name: &str,
+    part: &CrashCause,
     requests: &HashMap<Arc<str>, Request>,
     disturbances: &Disturbances,
 ) -> Vec<(String, u32)> {
     let ids: BTreeSet<&Arc<str>> = part.arrivals.iter().map(|arrival| &arrival.id).collect();
-    let late = late_arrivals(part, requests, disturbances).len();
+    let late = late_arrivals(name, part, requests, disturbances).len();
+    if name.starts_with(DEADLY_PREFIX) {
+        let crashes = u32::try_from(part.crashes.len()).unwrap_or(u32::MAX);
+        return vec![("crashes under a request".to_owned(), crashes)];
+    }
     let mut measures = vec![
         ("crashes".to_owned(), part.crashes.len()),
         ("requests with the part at engines".to_owned(), ids.len()),
--- a/crates/soak/src/ledger/mod.rs
+++ b/crates/soak/src/ledger/mod.rs
@@ -7,14 +7,15 @@
 //! - is answered whole if it is a stream and no fault but silence affected its engines ([`silence`]);
 //! - is not worked on by two engines for long ([`silence`]),
 //!
-//! that parts of prompts that crash engines are kept from them ([`crash`]), and that an organisation does not exceed
-//! its allowance. Other modules record further violations.
+//! that what crashes servers is kept from them ([`crash`]), that servers get no more requests than they name
+//! ([`limit`]), and that an organisation does not exceed its allowance. Other modules record further violations.
 
 pub mod crash;
 pub mod disturbance;
+mod limit;
 pub mod silence;
 
-use crash::{CrashingPart, Sharing};
+use crash::{CrashCause, Sharing};
 use disturbance::{Disturbances, Guard, Scope};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -140,7 +141,8 @@
     requests: Mutex<HashMap<Arc<str>, Request>>,
     violations: Mutex<Vec<String>>,
     disturbances: Arc<Mutex<Disturbances>>,
-    crashing_parts: Mutex<BTreeMap<Arc<str>, CrashingPart>>,
+    crash_causes: Mutex<BTreeMap<Arc<str>, CrashCause>>,
+    limits: Mutex<BTreeMap<Arc<str>, limit::Limited>>,
 }
 
 impl Default for Ledger {
@@ -150,7 +152,8 @@
             requests: Mutex::default(),
             violations: Mutex::default(),
             disturbances: Arc::default(),
-            crashing_parts: Mutex::default(),
+            crash_causes: Mutex::default(),
+            limits: Mutex::default(),
         }
     }
 }
@@ -233,28 +236,51 @@
         }
     }
 
-    /// Records that a request with a part that crashes engines has reached one.
-    pub fn record_part_arrival(&self, part: &Arc<str>, id: &Arc<str>, server: &Arc<str>) {
+    /// Records that a request that crashes servers has reached one.
+    pub fn record_crashing_arrival(&self, cause: &Arc<str>, id: &Arc<str>, server: &Arc<str>) {
         let arrival = crash::Arrival { id: id.clone(), server: server.clone(), at: Instant::now() };
-        self.crashing_part(part, |part| part.arrivals.push(arrival));
+        self.change_cause(cause, |cause| cause.arrivals.push(arrival));
     }
 
-    /// Records that a part has crashed an engine, and returns how often it has.
-    pub fn record_crash(&self, part: &Arc<str>) -> usize {
-        self.crashing_part(part, |part| {
-            part.crashes.push(Instant::now());
-            part.crashes.len()
+    /// Records that a cause has crashed a server, and returns how often it has.
+    pub fn record_crash(&self, cause: &Arc<str>) -> usize {
+        self.change_cause(cause, |cause| {
+            cause.crashes.push(Instant::now());
+            cause.crashes.len()
         })
     }
 
-    /// Records that no more requests with a part that crashes engines are sent.
-    pub fn record_part_end(&self, part: &Arc<str>) {
-        self.crashing_part(part, |part| part.ended_at = Some(Instant::now()));
+    /// Records that no more requests with a cause of crashes are sent.
+    pub fn record_cause_end(&self, cause: &Arc<str>) {
+        self.change_cause(cause, |cause| cause.ended_at = Some(Instant::now()));
     }
 
-    fn crashing_part<T>(&self, part: &Arc<str>, change: impl FnOnce(&mut CrashingPart) -> T) -> T {
-        let mut parts = self.crashing_parts.lock().unwrap_or_else(PoisonError::into_inner);
-        change(parts.entry(part.clone()).or_default())
+    fn change_cause<T>(&self, cause: &Arc<str>, change: impl FnOnce(&mut CrashCause) -> T) -> T {
+        let mut causes = self.crash_causes.lock().unwrap_or_else(PoisonError::into_inner);
+        change(causes.entry(cause.clone()).or_default())
+    }
+
+    /// Records that a server begins to name a limit, in requests per second.
+    pub fn record_limit(&self, server: &Arc<str>, per_s: u32) {
+        self.limits().insert(server.clone(), limit::Limited::new(per_s));
+    }
+
+    /// Records that a server names no limit any more.
+    pub fn record_limit_end(&self, server: &Arc<str>) {
+        if let Some(limited) = self.limits().get_mut(server) {
+            limited.ended_at = Some(Instant::now());
+        }
+    }
+
+    /// Records that a request has reached a server that names a limit.
+    pub fn record_limited_arrival(&self, server: &Arc<str>, id: &str) {
+        if let Some(limited) = self.limits().get_mut(server) {
+            limited.arrivals.push((id.into(), Instant::now()));
+        }
+    }
+
+    fn limits(&self) -> MutexGuard<'_, BTreeMap<Arc<str>, limit::Limited>> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the number of requests by kind and outcome.
@@ -273,9 +299,15 @@
         let requests = self.requests();
         let disturbances = self.disturbances.lock().unwrap_or_else(PoisonError::into_inner);
         let mut measures = silence::measures(&requests, &disturbances);
-        let crashing_parts = self.crashing_parts.lock().unwrap_or_else(PoisonError::into_inner);
-        for part in crashing_parts.values() {
-            measures.extend(crash::measures(part, &requests, &disturbances));
+        let causes = self.crash_causes.lock().unwrap_or_else(PoisonError::into_inner);
+        for (name, cause) in causes.iter() {
+            measures.extend(crash::measures(name, cause, &requests, &disturbances));
+        }
+        for limited in self.limits().values() {
+            measures.insert(
+                "most requests at a limited server".to_owned(),
+                limited.most(&requests, &disturbances),
+            );
         }
         measures
     }
@@ -295,10 +327,13 @@
                 of_request.map(|finding| format!("{id}: {finding} (sent at {sent_ms} ms)")),
             );
         }
-        let crashing_parts = self.crashing_parts.lock().unwrap_or_else(PoisonError::into_inner);
-        for (name, part) in crashing_parts.iter() {
-            findings.extend(crash::check_budget(name, part, &requests, &disturbances));
-            findings.extend(crash::check_service(name, part, &requests));
+        let causes = self.crash_causes.lock().unwrap_or_else(PoisonError::into_inner);
+        for (name, cause) in causes.iter() {
+            findings.extend(crash::check_budget(name, cause, &requests, &disturbances));
+            findings.extend(crash::check_service(name, cause, &requests));
+        }
+        for (server, limited) in self.limits().iter() {
+            findings.extend(limited.check(server, &requests, &disturbances));
         }
         findings.extend(
             allowances.iter().filter_map(|allowance| check_allowance(&requests, allowance)),
--- a/crates/soak/src/ledger/tests.rs
+++ b/crates/soak/src/ledger/tests.rs
@@ -1,5 +1,6 @@
-use super::crash::{Arrival, CrashingPart, Sharing, check_budget, check_service};
+use super::crash::{Arrival, CrashCause, Sharing, check_budget, check_service};
 use super::disturbance::{Disturbances, Guard, Scope};
+use super::limit::Limited;
 use super::silence::{check_overlap, check_whole};
 use super::{Allowance, Kind, Ledger, Outcome, Request, Run, Sent};
 use std::collections::HashMap;
@@ -164,7 +165,7 @@
 
 /// Returns a part that crashed five engines from `first_crash` on, and of which `late` requests reached another engine more
 /// than three seconds later, with the requests.
-fn crashing_part(first_crash: Instant, late: u64) -> (CrashingPart, HashMap<Arc<str>, Request>) {
+fn crashing_part(first_crash: Instant, late: u64) -> (CrashCause, HashMap<Arc<str>, Request>) {
     let crashes: Vec<Instant> = (0..5).map(|n| first_crash + millis(n * 100)).collect();
     let late_at = first_crash + millis(3_500);
     let ids: Vec<Arc<str>> = (0..late).map(|n| format!("r{n}").into()).collect();
@@ -172,7 +173,7 @@
     let requests = ids.iter().map(|id| (id.clone(), stream(late_at, Outcome::Broken, millis(9))));
     let arrivals = ids.iter().map(arrival).collect();
     let ended_at = Some(first_crash + millis(20_000));
-    (CrashingPart { crashes, arrivals, ended_at }, requests.collect())
+    (CrashCause { crashes, arrivals, ended_at }, requests.collect())
 }
 
 #[test]
@@ -219,3 +220,37 @@
     // Before the time from which they must be served.
     assert_eq!(check(0, millis(6_300)), 0);
 }
+
+#[test]
+fn a_server_that_gets_more_than_its_limit_allows_is_found() {
+    let began_at = Instant::now();
+    let check = |count: u64, first_after: Duration, disturbances: &Disturbances| {
+        let ids: Vec<Arc<str>> = (0..count).map(|n| format!("r{n}").into()).collect();
+        let requests =
+            ids.iter().map(|id| (id.clone(), stream(began_at, Outcome::Whole, millis(9))));
+        let mut limited = Limited::new(2);
+        let at = |n: usize| began_at + first_after + millis(n as u64);
+        limited.arrivals = ids.iter().enumerate().map(|(n, id)| (id.clone(), at(n))).collect();
+        limited.check("app-1", &requests.collect(), disturbances).is_some()
+    };
+    let undisturbed = Disturbances::default();
+    let restarted = disturbed("entry-0", Scope::Connections);
+
+    // One and a half times 2 a second in 4 s, and 5 more.
+    assert!(check(18, millis(3_100), &undisturbed));
+    assert!(!check(17, millis(3_100), &undisturbed));
+    assert!(!check(18, millis(2_000), &undisturbed));
+    assert!(!check(18, millis(3_100), &restarted.lock().unwrap()));
+}
+
+#[test]
+fn a_request_must_be_known_by_three_crashes() {
+    let now = Instant::now();
+    let (mut cause, requests) = crashing_part(now, 4);
+    cause.crashes.truncate(3);
+
+    let [as_request, as_part] = ["deadly-1", "crashing-1"]
+        .map(|name| check_budget(name, &cause, &requests, &Disturbances::default()).is_some());
+
+    assert!(as_request && !as_part);
+}
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -1,6 +1,6 @@
 //! One soak run: starts callers, injects faults, and reports the findings.
 
-use crate::backend::{CRASHING_PREFIX, LONG_PREFIX};
+use crate::backend::{CRASHING_PREFIX, DEADLY_PREFIX, LONG_PREFIX};
 use crate::caller::{self, Call, Caller};
 use crate::fault::{self, Fault};
 use crate::fleet::{self, Error, Fleet};
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// Number of callers of each role.
-const CALLERS: [(Role, usize); 7] = [
+const CALLERS: [(Role, usize); 8] = [
     (Role::Any, 12),
     (Role::Flood, 3),
     (Role::LongStreams, 4),
@@ -25,6 +25,7 @@
     (Role::Sound(Sharing::Caller), 4),
     (Role::Sound(Sharing::FirstPart), 4),
     (Role::Crashing, 3),
+    (Role::Deadly, 1),
 ];
 /// Pause of a caller between two requests, in milliseconds.
 const REQUEST_INTERVAL_MS: std::ops::Range<u64> = 5..40;
@@ -43,6 +44,8 @@
 /// Added to the seed of a run for the faults that sound servers may have, and for the part that crashes engines.
 const SOUND_FAULT_SEED_OFFSET: u64 = 2 << 32;
 const CRASH_SEED_OFFSET: u64 = 3 << 32;
+/// Added to the seed of a run for the server that names a limit.
+const LIMIT_SEED_OFFSET: u64 = 4 << 32;
 /// Time between the starts of two faults, in milliseconds.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 50..900;
 /// Longest time for all faults to end.
@@ -93,6 +96,8 @@
     Sound(Sharing),
     /// Requests that crash engines, at times.
     Crashing,
+    /// One request that crashes servers of the plain service, again and again at the same times.
+    Deadly,
 }
 
 /// State shared by the callers.
@@ -102,7 +107,9 @@
     next_id: AtomicU64,
     /// Part of the prompt that crashes engines.
     crashing_part: Arc<str>,
-    /// Whether requests with that part are sent.
+    /// What the request that crashes servers of the plain service asks for.
+    deadly_resource: Arc<str>,
+    /// Whether requests that crash servers are sent.
     crashing: watch::Sender<bool>,
 }
 
@@ -118,17 +125,20 @@
         finished: AtomicBool::new(false),
         next_id: AtomicU64::new(0),
         crashing_part: format!("{CRASHING_PREFIX}{}", settings.seed).into(),
+        deadly_resource: format!("{DEADLY_PREFIX}{}", settings.seed).into(),
         crashing: watch::Sender::new(false),
     });
     let callers = start_callers(&shared, settings.seed);
     let rng = ChaCha8Rng::seed_from_u64(settings.seed.wrapping_add(CRASH_SEED_OFFSET));
-    let (faults, drills, sound_faults, crashes) = tokio::join!(
+    let limit_rng = ChaCha8Rng::seed_from_u64(settings.seed.wrapping_add(LIMIT_SEED_OFFSET));
+    let (faults, drills, sound_faults, crashes, limit) = tokio::join!(
         inject_faults(&fleet, settings),
         inject_drills(&fleet, settings),
         inject_sound_faults(&fleet, settings),
         fault::crash::inject(&fleet, rng, &shared.crashing_part, &shared.crashing),
+        fault::limit::inject(&fleet, limit_rng),
     );
-    let faults = [faults?, drills?, sound_faults?, vec![crashes?]].concat();
+    let faults = [faults?, drills?, sound_faults?, vec![crashes?, limit]].concat();
     for host in 0..fleet.hosts.len() {
         fleet.wait_ready(host).await?;
     }
@@ -257,7 +267,7 @@
     /// Returns the next request, to a random host.
     fn next_call(self, shared: &Shared, host: usize, rng: &mut ChaCha8Rng) -> Call {
         let kind = match self {
-            Role::Flood => Kind::Lookup,
+            Role::Flood | Role::Deadly => Kind::Lookup,
             Role::Any => Kind::ALL[rng.random_range(0..Kind::ALL.len())],
             Role::LongStreams | Role::Crashing => {
                 if rng.random_bool(0.25) {
@@ -278,6 +288,7 @@
                     disconnects.then(|| Duration::from_millis(rng.random_range(1..150)));
             }
             Role::Sound(sharing) => call.sharing = Some(sharing),
+            Role::Deadly => call.resource = shared.deadly_resource.clone(),
             Role::Crashing => {
                 call.shared_parts = vec![FIRST_PART.into(), shared.crashing_part.clone()];
             }
@@ -294,10 +305,10 @@
     let hosts = &shared.fleet.hosts;
     let pools: Vec<_> = hosts.iter().map(|host| caller::connections(host.caller_address)).collect();
     let (caller, ledger) = (role.caller(), &shared.fleet.ledger);
-    let interval_ms =
-        if role == Role::Crashing { CRASHING_INTERVAL_MS } else { REQUEST_INTERVAL_MS };
+    let crashes_servers = matches!(role, Role::Crashing | Role::Deadly);
+    let interval_ms = if crashes_servers { CRASHING_INTERVAL_MS } else { REQUEST_INTERVAL_MS };
     while !shared.finished.load(Ordering::Relaxed) {
-        if role == Role::Crashing && !*shared.crashing.borrow() {
+        if crashes_servers && !*shared.crashing.borrow() {
             sleep(Duration::from_millis(interval_ms.start)).await;
             continue;
         }
