Quarantine: a server's failure is no sign that it survived the request

Its second attempt was answered 500 by a server that failed everything, which counted as sound, and a sound answer makes up for four crashes.

Change: answers with a status of 500 or more are no longer sound; they still show that the server is alive.

--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -72,7 +72,10 @@
     let response = job.send(target, &job.added_values(target)).await?;
     let (head, mut stream) = response.into_parts();
     let body = read_whole(job, target, &mut stream).await?;
-    job.record_sound(sent_at);
+    // A server that fails may not have run the request.
+    if !head.status.is_server_error() {
+        job.record_sound(sent_at);
+    }
     job.record_answer(target, head.status.as_u16());
     let mut response = Response::new(answer::full(body));
     *response.status_mut() = head.status;
--- a/crates/forward/tests/forward/crashing_requests.rs
+++ b/crates/forward/tests/forward/crashing_requests.rs
@@ -33,6 +33,11 @@
     }
 }
 
+/// Fails each request at once, without running it.
+fn fail_plain(received: &ReceivedRequest) -> Vec<Step> {
+    vec![answer(received, "500 Broken", "")]
+}
+
 /// Ends the connection after the head if the request is deadly, otherwise generates.
 fn serve_stream(received: &ReceivedRequest) -> Vec<Step> {
     match is_deadly(received) {
@@ -51,10 +56,15 @@
 
 impl Fleet {
     async fn start(hosts: usize) -> Fleet {
+        Fleet::start_with(hosts, [serve_plain; 3]).await
+    }
+
+    /// Starts a fleet whose servers of the plain service run the given scripts.
+    async fn start_with(hosts: usize, scripts: [fn(&ReceivedRequest) -> Vec<Step>; 3]) -> Fleet {
         let prefiller = Backend::start(answer_prefill).await;
         let mut servers = Vec::new();
-        for _ in 0..3 {
-            servers.push(Backend::start(serve_plain).await);
+        for script in scripts {
+            servers.push(Backend::start(script).await);
         }
         for _ in 0..3 {
             servers.push(Backend::start(serve_stream).await);
@@ -166,3 +176,15 @@
 
     assert_stopped(&fleet, &answer);
 }
+
+// Guards against taking the failure of a server for a sign that it survived the request.
+#[tokio::test]
+async fn a_request_that_a_failing_server_answers_is_no_less_suspect() {
+    let fleet = Fleet::start_with(1, [serve_plain, serve_plain, fail_plain]).await;
+
+    let answer = fleet.send(&request("GET", "/look/deadly", "", ""), 16).await;
+
+    let crashes: usize = fleet.servers[..2].iter().map(Backend::request_count).sum();
+    assert!(crashes <= CRASHES_MAX + 1, "{crashes} crashes");
+    assert_eq!(answer.status, 503);
+}
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -24,7 +24,7 @@
 
         assert_eq!(report.findings, Vec::<String>::new(), "seed {seed}: {:#?}", report.faults);
         assert!(report.faults.len() >= 5, "seed {seed}: {:?}", report.faults);
-        for measure in ["crashes", "streams silenced"] {
+        for measure in ["crashes", "crashes under a request", "streams silenced"] {
             assert!(report.counts[measure] > 0, "seed {seed}: {:?}", report.counts);
         }
     }
