Quarantine: report first what was at most crashes

Change: a report that can't hold all answers that broke off lately names first those with a part that was at most crashes. The test failed before (0 of 2 named, 50 others) and passes.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -219,15 +219,21 @@
         unsettled.map(|record| record.at + SETTLE_TIME).min()
     }
 
-    /// Returns the answers that broke off at this host lately, with the time since. If there are many, those that their
-    /// engines had been writing for the shortest time.
+    /// Returns the answers that broke off at this host lately, with the time since. If there are many, those with a part that
+    /// was at most crashes, and then those that their engines had been writing for the shortest time.
     pub(super) fn recent_breaks(&self, now: Instant) -> Vec<(Duration, Break)> {
         let is_recent = |record: &&Record| {
             record.origin == Origin::Host && now.since(record.at) < REPORT_PERIOD
         };
         let mut recent: Vec<&Record> = self.records.iter().filter(is_recent).collect();
-        recent.sort_by_key(|record| (record.answer.written_ms, Reverse(record.at)));
-        recent.truncate(REPORTED_BREAKS_MAX);
+        if recent.len() > REPORTED_BREAKS_MAX {
+            let crashes = count_crashes(self.records.iter());
+            let most = |record: &Record| record.answer.parts.iter().map(|part| crashes[part]).max();
+            recent.sort_by_cached_key(|record| {
+                (Reverse(most(record)), record.answer.written_ms, Reverse(record.at))
+            });
+            recent.truncate(REPORTED_BREAKS_MAX);
+        }
         recent.into_iter().map(|record| (now.since(record.at), record.answer.clone())).collect()
     }
 
@@ -375,19 +381,24 @@
     records: impl Iterator<Item = &'a Record>,
     crashes_min: usize,
 ) -> Vec<&'a Arc<str>> {
-    let mut crashes: BTreeMap<&Arc<str>, BTreeSet<Engine<'_>>> = BTreeMap::new();
-    for record in records {
-        for part in &record.answer.parts {
-            crashes.entry(part).or_default().insert(record.engine());
-        }
-    }
     let mut suspects: Vec<(usize, &Arc<str>)> =
-        crashes.iter().map(|(part, engines)| (engines.len(), *part)).collect();
+        count_crashes(records).into_iter().map(|(part, crashes)| (crashes, part)).collect();
     suspects.retain(|(crashes, _)| *crashes >= crashes_min);
     suspects.sort_by_key(|(crashes, _)| Reverse(*crashes));
     suspects.into_iter().map(|(_, part)| part).collect()
 }
 
+/// Returns the number of crashes that each part was at.
+fn count_crashes<'a>(records: impl Iterator<Item = &'a Record>) -> BTreeMap<&'a Arc<str>, usize> {
+    let mut engines: BTreeMap<&Arc<str>, BTreeSet<Engine<'_>>> = BTreeMap::new();
+    for record in records {
+        for part in &record.answer.parts {
+            engines.entry(part).or_default().insert(record.engine());
+        }
+    }
+    engines.into_iter().map(|(part, engines)| (part, engines.len())).collect()
+}
+
 /// Returns the time from which on sound answers count for crashes of which the first was at `first_crash`.
 fn count_from(now: Instant, first_crash: Instant) -> Instant {
     match now.since(first_crash) < PRIOR_TIME {
--- a/crates/core/src/quarantine/tests/requests.rs
+++ b/crates/core/src/quarantine/tests/requests.rs
@@ -103,6 +103,22 @@
     assert!(quarantine.time_left(now, &parts(&["family"])).is_none());
 }
 
+// Guards against a request that peers don't hear of, since many others broke off at a server that fails.
+#[test]
+fn a_report_names_requests_at_several_crashes_first() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_break(START, broken_request(1, 1));
+    quarantine.record_break(START + millis(10), broken_request(2, 1));
+    for request in 10..60 {
+        quarantine.record_break(START + millis(request), broken_request(3, request));
+    }
+
+    let report = quarantine.report(START + millis(100));
+
+    let engines = report.breaks.iter().filter(|(_, answer)| answer.request == 1);
+    assert_eq!(engines.count(), 2);
+}
+
 // Guards against cells of a large fleet of which each has to see three crashes itself.
 #[test]
 fn crashes_of_one_request_in_two_cells_are_put_together() {
