Forward: known red, a stream whose silent engine was closed for one that refuses later

Not mended: keeping the first one instead would lose the streams of engines that are dead and send no reset, whenever the second one takes more than 0.3 s to begin. The test is deterministic.

--- a/crates/forward/tests/forward/takeover.rs
+++ b/crates/forward/tests/forward/takeover.rs
@@ -199,6 +199,30 @@
     assert_eq!((&*answer.body, answer.complete), (&*events(1, 4), true));
 }
 
+// Guards against closing a silent engine, which goes on later, for one that is silent too and then refuses.
+#[tokio::test]
+async fn a_silent_engine_is_kept_if_the_other_one_is_silent_and_then_refuses() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let script = |request: &ReceivedRequest| match is_resumed(request) {
+        true => [Step::Wait(millis(500))].into_iter().chain(refuse_as_not_run(request)).collect(),
+        false => pause_in_stream(request, millis(2_200)),
+    };
+    let (one, other) = (Backend::start(script).await, Backend::start(script).await);
+    let servers = vec![
+        prefill("prefill-1", &prefiller),
+        decode("decode-0", &one),
+        decode("decode-1", &other),
+    ];
+    let config = changed_config(|config| config.routes[5].attempts = 3);
+    let host = host_with(config, servers).await;
+    // The host's share is two retries: those of one prefill and one generation.
+    host.app.set_retry_burst(3);
+
+    let answer = call(host.address, &generation("/recap/7")).await;
+
+    assert_eq!((&*answer.body, answer.complete), (&*events(1, 4), true));
+}
+
 // Guards against retries and prefills in vain for an engine that falls silent again and again.
 #[tokio::test]
 async fn silences_that_end_do_not_use_up_the_retries_of_a_stream() {
