Quarantine: a part is found though requests with it are held one by one

Requests that are sent to three engines each were held as whole requests after three crashes; these crashes then counted as accounted for, and the part that all of them share was left with too few.

Change: crashes that only held requests account for still count for the parts that requests share. A part is left alone if one single request was at all its crashes, as before.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -16,9 +16,6 @@
 const AMBIGUOUS_CRASHES_MIN: usize = 5;
 /// Crashes among them that no pattern in quarantine accounts for.
 const UNEXPLAINED_MIN: usize = 2;
-/// Different requests with the part that must have been at these crashes. A single request that was sent again is no
-/// sign of its shared parts.
-const REQUESTS_MIN: usize = 2;
 /// Crashes for which one sound answer makes up: a part at more of them is held responsible.
 const CRASHES_PER_SOUND: usize = 4;
 /// Time within which crashes count as simultaneous. Engines that fail together may have a cause of their own.
@@ -284,11 +281,17 @@
     ) -> Option<(Pattern, Instant)> {
         let settled: Vec<&Record> =
             self.records.iter().filter(|record| record.is_settled(now)).collect();
-        let explained: BTreeSet<Engine<'_>> = settled
-            .iter()
-            .filter(|record| patterns.iter().any(|pattern| accounts_for(pattern, &record.answer)))
-            .map(|record| record.engine())
-            .collect();
+        let explained_by = |patterns: &[&Pattern]| -> BTreeSet<Engine<'_>> {
+            let is_explained =
+                |answer: &Break| patterns.iter().any(|pattern| accounts_for(pattern, answer));
+            let explained = settled.iter().filter(|record| is_explained(&record.answer));
+            explained.map(|record| record.engine()).collect()
+        };
+        let explained = explained_by(patterns);
+        // Crashes under several requests may be those of a part that they share, though each request is held.
+        let of_parts =
+            patterns.iter().filter(|pattern| !pattern.iter().any(|part| is_request(part)));
+        let explained_by_parts = explained_by(&of_parts.copied().collect::<Vec<_>>());
         let mut by_part: BTreeMap<&Arc<str>, (usize, Vec<&Record>)> = BTreeMap::new();
         for record in &settled {
             for (position, part) in record.answer.parts.iter().enumerate() {
@@ -300,18 +303,17 @@
         let suspicions: BTreeMap<&Arc<str>, Suspicion> = by_part
             .iter()
             .filter_map(|(part, (_, records))| {
-                Some((*part, self.suspicion(now, part, records, &explained)?))
+                let explained = if is_request(part) { &explained } else { &explained_by_parts };
+                Some((*part, self.suspicion(now, part, records, explained)?))
             })
             .collect();
         let responsible = suspicions.iter().filter(|(part, suspicion)| {
-            let requests = by_part[**part].1.iter().filter(|record| record.at >= suspicion.since);
-            let requests: BTreeSet<u64> = requests.map(|record| record.answer.request).collect();
             let is_told_apart = match is_request(part) {
                 true => {
                     suspicion.crashes >= AMBIGUOUS_CRASHES_MIN
                         || !has_rival(part, suspicion, &suspicions, &by_part)
                 }
-                false => requests.len() >= REQUESTS_MIN,
+                false => !is_one_request(suspicion, &by_part[**part].1),
             };
             suspicion.unexplained >= UNEXPLAINED_MIN && is_told_apart
         });
@@ -360,6 +362,16 @@
     part.starts_with(REQUEST_PREFIX)
 }
 
+/// Returns `true` if one request was at all crashes that a part is suspected of. A single request that was sent again is no
+/// sign of its shared parts.
+fn is_one_request(suspicion: &Suspicion, records: &[&Record]) -> bool {
+    let mut engines: BTreeMap<u64, BTreeSet<Engine<'_>>> = BTreeMap::new();
+    for record in records.iter().filter(|record| record.at >= suspicion.since) {
+        engines.entry(record.answer.request).or_default().insert(record.engine());
+    }
+    engines.values().any(|engines| engines.len() >= suspicion.crashes)
+}
+
 /// Returns `true` if another request than the one that `part` stands for is suspected of all the crashes as well.
 fn has_rival(
     part: &Arc<str>,
--- a/crates/core/src/quarantine/tests/requests.rs
+++ b/crates/core/src/quarantine/tests/requests.rs
@@ -103,6 +103,23 @@
     assert!(quarantine.time_left(now, &parts(&["family"])).is_none());
 }
 
+// Guards against crashes that are put down to each request by itself, so that the part that they share is never found.
+#[test]
+fn a_part_is_found_though_a_request_with_it_is_held() {
+    let mut quarantine = Quarantine::default();
+    let answer =
+        |engine, request: u64| broken(engine, request, &["bad", &request_part(request.into())]);
+    for engine in 0..3 {
+        crash(&mut quarantine, START + millis(100 * engine), vec![answer(engine, 1)]);
+    }
+    let is_held_whole = is_held(&quarantine, START + millis(400), 1);
+
+    crash(&mut quarantine, START + millis(500), vec![answer(3, 2)]);
+
+    assert!(is_held_whole);
+    assert!(quarantine.time_left(START + millis(600), &parts(&["bad"])).is_some());
+}
+
 // Guards against a request that peers don't hear of, since many others broke off at a server that fails.
 #[test]
 fn a_report_names_requests_at_several_crashes_first() {
--- a/crates/core/src/quarantine/tests/simulation.rs
+++ b/crates/core/src/quarantine/tests/simulation.rs
@@ -1,7 +1,7 @@
 //! Fleets of hosts that report to each other, with engines that crash.
 
 use super::{START, exchange_reports, millis, parts};
-use crate::quarantine::{CRASH_DELAY_MAX, Quarantine};
+use crate::quarantine::{CRASH_DELAY_MAX, Quarantine, request_part};
 use crate::time::Instant;
 use chestnutrack_wire::frame::{Break, QuarantineReport};
 use rand::{Rng, SeedableRng};
@@ -48,6 +48,8 @@
     families: usize,
     /// Time between requests.
     request_interval: Duration,
+    /// Engines that a request with the part [`BAD`] is sent to, one after the other.
+    attempts: u32,
     /// Cells into which the hosts are divided. Hosts of different cells learn of each other through the store.
     cells: usize,
 }
@@ -60,6 +62,7 @@
             answer_time: Duration::from_millis(1_500),
             families: 3,
             request_interval: Duration::from_millis(60),
+            attempts: 1,
             cells: 1,
         }
     }
@@ -75,6 +78,20 @@
     is_sound: bool,
 }
 
+impl Request {
+    /// Returns the answer to the request that broke off at an engine.
+    fn broken_at(&self, engine: &str, crashed_at: Instant) -> Break {
+        let written = crashed_at.since(self.began_at).as_millis();
+        Break {
+            engine: engine.into(),
+            born: None,
+            request: self.id.into(),
+            parts: self.parts.clone(),
+            written_ms: u32::try_from(written).unwrap(),
+        }
+    }
+}
+
 /// What came of a run.
 #[derive(Clone, Debug)]
 struct Outcome {
@@ -106,10 +123,26 @@
     let mut cells_reported_at = START;
     let mut outcome = Outcome { crashes: Vec::new(), sound: vec![(0, 0); scenario.families] };
     let mut running: Vec<Request> = Vec::new();
+    // Requests that are sent again, after the attempts so far.
+    let mut resent: Vec<(u32, Request)> = Vec::new();
     for id in 0..REQUESTS {
         let now = START + scenario.request_interval * id;
+        for (attempt, request) in std::mem::take(&mut resent) {
+            hosts[request.host].poll(now);
+            if hosts[request.host].time_left(now, &request.parts).is_none() {
+                let crashed_at = now + millis(30);
+                outcome.crashes.push(crashed_at);
+                let engine = format!("engine-{}-{attempt}", request.id);
+                hosts[request.host]
+                    .record_break(crashed_at, request.broken_at(&engine, crashed_at));
+                if attempt + 1 < scenario.attempts {
+                    resent.push((attempt + 1, request));
+                }
+            }
+        }
         let (family, middle) = (rng.random_range(0..scenario.families), rng.random_range(0..20));
-        let parts = parts(&[&format!("family-{family}"), &format!("middle-{middle}")]);
+        let mut parts = parts(&[&format!("family-{family}"), &format!("middle-{middle}")]);
+        parts.push(request_part(id.into()));
         let host = rng.random_range(0..host_count);
         hosts[host].poll(now);
         let is_refused = hosts[host].time_left(now, &parts).is_some();
@@ -132,15 +165,11 @@
             let is_broken =
                 |other: &mut Request| other.id % ENGINES == engine || is_bad && other.id == id;
             for request in running.extract_if(.., is_broken) {
-                let written = crashed_at.since(request.began_at).as_millis();
-                let answer = Break {
-                    engine: format!("engine-{id}").into(),
-                    born: None,
-                    request: request.id.into(),
-                    parts: request.parts,
-                    written_ms: u32::try_from(written).unwrap(),
-                };
+                let answer = request.broken_at(&format!("engine-{id}"), crashed_at);
                 hosts[request.host].record_break(crashed_at, answer);
+                if request.id == id && scenario.attempts > 1 {
+                    resent.push((1, request));
+                }
             }
         }
         for request in running.iter_mut().filter(|request| !request.is_sound) {
@@ -211,6 +240,17 @@
     }
 }
 
+// Guards against requests that are held one by one, each after three crashes, in place of the part that they share.
+#[test]
+fn a_part_that_crashes_engines_is_found_though_each_request_is_sent_to_several() {
+    for (seed, attempts) in (0..RUNS).flat_map(|seed| [(seed, 2), (seed, 3)]) {
+        let outcome = play(seed, Scenario { attempts, ..Scenario::default() });
+
+        assert!(outcome.late_crashes() <= CRASH_LIMIT.2, "seed {seed}, {attempts}: {outcome:?}");
+        assert!(outcome.are_sound_served(), "seed {seed}, {attempts}: {outcome:?}");
+    }
+}
+
 #[test]
 fn crashes_without_a_common_part_leave_requests_served() {
     for (seed, answer_ms) in
