Quarantine: what a host reported as sound counts after its process has ended

Two of three hosts restarted within two seconds; with each, what it knew to be sound was forgotten by the third, which then held the part that all requests share.

Change: reports of sound answers are added up, whichever process made them, and forgotten a minute after the answers began. They were replaced by each report, and dropped when a peer had ended.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -30,7 +30,9 @@
 /// Time after which an answer that broke off is taken into account. Other hosts' reports have arrived by then, unless
 /// they are delayed.
 pub(super) const SETTLE_TIME: Duration = Duration::from_millis(50);
-/// How long an answer that broke off is remembered.
+/// Largest difference between the times at which a host takes the same event of another one to have been, by two reports.
+const REPORT_JITTER: Duration = Duration::from_millis(200);
+/// How long an answer that broke off, or a sound one of another host, is remembered.
 const RETENTION: Duration = Duration::from_secs(60);
 /// How long an answer that broke off is reported to peers.
 const REPORT_PERIOD: Duration = Duration::from_secs(2);
@@ -178,24 +180,34 @@
         }
     }
 
-    /// Replaces what a peer or another cell reports as sound.
-    pub(super) fn set_reported_sound(
+    /// Adds what a peer or another cell reports as sound to what it has reported before. It stays when its process has
+    /// ended, so that a restart of hosts does not make a sound part look as if none had survived it.
+    pub(super) fn add_reported_sound(
         &mut self,
+        now: Instant,
         origin: Origin,
         source: &Arc<str>,
         sound: SoundAnswers,
     ) {
-        let key = (origin, source.clone());
-        if sound.is_empty() {
-            self.reported_sound.remove(&key);
-        } else {
-            self.reported_sound.insert(key, sound);
+        if !sound.is_empty() {
+            let known = self.reported_sound.entry((origin, source.clone())).or_default();
+            for (part, began) in sound {
+                let Some(oldest) = began.iter().min().copied() else { continue };
+                let times = known.entry(part).or_default();
+                // The newer ones are reported again, at times that differ by the delay of a report.
+                times.retain(|began_at| *began_at + REPORT_JITTER < oldest);
+                times.extend(began);
+                times.sort_unstable_by_key(|began_at| Reverse(*began_at));
+                times.truncate(SOUND_MAX);
+            }
         }
-    }
-
-    /// Forgets what a peer has reported as sound.
-    pub(super) fn remove_peer(&mut self, peer: &str) {
-        self.reported_sound.remove(&(Origin::Peer, peer.into()));
+        self.reported_sound.retain(|_, parts| {
+            parts.retain(|_, times| {
+                times.retain(|began_at| now.since(*began_at) < RETENTION);
+                !times.is_empty()
+            });
+            !parts.is_empty()
+        });
     }
 
     /// Forgets the crash of an engine that has answered a request sent at `sent_at`: it is alive.
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -220,7 +220,7 @@
         let before = |age_ms: u32| reported_at - Duration::from_millis(age_ms.into());
         let sound =
             sound.into_iter().map(|(part, ages)| (part, ages.into_iter().map(before).collect()));
-        self.evidence.set_reported_sound(origin, source, sound.collect());
+        self.evidence.add_reported_sound(now, origin, source, sound.collect());
         for (age_ms, answer) in breaks {
             if self.evidence.insert(before(age_ms), origin, answer) {
                 self.require_decision(now);
@@ -228,11 +228,6 @@
         }
     }
 
-    /// Forgets what a peer has reported.
-    pub fn remove_peer(&mut self, peer: &str) {
-        self.evidence.remove_peer(peer);
-    }
-
     /// Puts a pattern into quarantine on which another host has decided. Returns `false` if it is in quarantine already, the
     /// decision was revoked, or it leaves quarantine soon.
     pub fn hold(&mut self, now: Instant, held: &HeldPattern) -> bool {
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -202,7 +202,6 @@
     fn mark_gone(&self, name: &str) {
         let (now, peer, mut state) = (clock::now(), Arc::from(name), self.app.state());
         state.dispatch.remove_peer(now, &peer);
-        state.quarantine.remove_peer(name);
         state.allowances.remove_peer(now, &peer);
     }
 
