Quarantine: a crash counts once no more answers break off by it

Of an engine's crash the answers of one host broke off 32 ms before those of the others, and the decision fell between them: the sound part that all requests share had been at one crash more than the part that caused them.

Change: the crash of an engine is taken into account 50 ms after the last answer that broke off by it, and 200 ms after the first one at the latest; each answer was taken into account 50 ms after it broke off. The test failed before (the sound part was held) and passes.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -27,9 +27,11 @@
 /// Time after the first crash from which on earlier sound answers no longer count: a part that was sound until then may
 /// crash engines now.
 const PRIOR_TIME: Duration = Duration::from_secs(3);
-/// Time after which an answer that broke off is taken into account. Other hosts' reports have arrived by then, unless
-/// they are delayed.
+/// Time without another answer that breaks off at an engine after which its crash is taken into account. Other hosts' reports
+/// have arrived by then, unless they are delayed.
 pub(super) const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// Time after the first answer that broke off at an engine after which its crash is taken into account in any case.
+const SETTLE_TIME_MAX: Duration = Duration::from_millis(200);
 /// Largest difference between the times at which a host takes the same event of another one to have been, by two reports.
 const REPORT_JITTER: Duration = Duration::from_millis(200);
 /// How long an answer that broke off, or a sound one of another host, is remembered.
@@ -83,11 +85,6 @@
     fn engine(&self) -> Engine<'_> {
         (&self.answer.engine, self.answer.born)
     }
-
-    /// Returns whether the answer is taken into account.
-    fn is_settled(&self, now: Instant) -> bool {
-        now.since(self.at) >= SETTLE_TIME
-    }
 }
 
 /// What speaks against and for some parts.
@@ -220,12 +217,23 @@
         self.records.retain(|record| !accounts_for(pattern, &record.answer));
     }
 
-    /// Forgets answers that broke off long ago. Returns when the first of those left that are not taken into account
+    /// Forgets answers that broke off long ago. Returns when the first of the crashes that are not taken into account
     /// yet will be.
     pub(super) fn expire(&mut self, now: Instant) -> Option<Instant> {
         self.records.retain(|record| now.since(record.at) < RETENTION);
-        let unsettled = self.records.iter().filter(|record| !record.is_settled(now));
-        unsettled.map(|record| record.at + SETTLE_TIME).min()
+        self.settled_at().into_values().filter(|settled_at| *settled_at > now).min()
+    }
+
+    /// Returns when the crash of each engine is taken into account.
+    fn settled_at(&self) -> BTreeMap<Engine<'_>, Instant> {
+        let mut breaks: BTreeMap<Engine<'_>, (Instant, Instant)> = BTreeMap::new();
+        for record in &self.records {
+            let (first, last) = breaks.entry(record.engine()).or_insert((record.at, record.at));
+            (*first, *last) = (record.at.min(*first), record.at.max(*last));
+        }
+        let settled_at =
+            |(first, last): (Instant, Instant)| (last + SETTLE_TIME).min(first + SETTLE_TIME_MAX);
+        breaks.into_iter().map(|(engine, breaks)| (engine, settled_at(breaks))).collect()
     }
 
     /// Returns the answers that broke off at this host lately, with the time since. If there are many, those with a part that
@@ -291,8 +299,9 @@
         now: Instant,
         patterns: &[&Pattern],
     ) -> Option<(Pattern, Instant)> {
-        let settled: Vec<&Record> =
-            self.records.iter().filter(|record| record.is_settled(now)).collect();
+        let settled_at = self.settled_at();
+        let is_settled = |record: &&Record| settled_at[&record.engine()] <= now;
+        let settled: Vec<&Record> = self.records.iter().filter(is_settled).collect();
         let explained_by = |patterns: &[&Pattern]| -> BTreeSet<Engine<'_>> {
             let is_explained =
                 |answer: &Break| patterns.iter().any(|pattern| accounts_for(pattern, answer));
--- a/crates/core/src/quarantine/tests/decision.rs
+++ b/crates/core/src/quarantine/tests/decision.rs
@@ -357,3 +357,39 @@
 
     assert_eq!((held, later), (PATTERNS_MAX, true));
 }
+
+// Guards against deciding between the first answers that a crash breaks off and the one that caused it.
+#[test]
+fn a_crash_counts_once_no_more_answers_break_off_by_it() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..3 {
+        crash(&mut quarantine, START + millis(100 * n), vec![broken(n, n, &["family", "bad"])]);
+    }
+    let crashed_at = START + millis(500);
+    quarantine.record_break(crashed_at, broken(9, 90, &["family"]));
+    quarantine.poll(crashed_at + millis(30));
+    quarantine.record_break(crashed_at + millis(40), broken(9, 91, &["family", "bad"]));
+
+    let early = quarantine.poll(crashed_at + millis(60));
+    let late = quarantine.poll(crashed_at + millis(100));
+
+    assert_eq!((early, late), (vec![], vec![pattern(&["family", "bad"])]));
+}
+
+#[test]
+fn a_crash_counts_though_answers_break_off_by_it_for_long() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..3 {
+        crash(&mut quarantine, START + millis(100 * n), vec![broken(n, n, &["bad"])]);
+    }
+    let crashed_at = START + millis(500);
+
+    let mut held = Vec::new();
+    for n in 0..10 {
+        let now = crashed_at + millis(30 * n);
+        quarantine.record_break(now, broken(9, 90 + n, &["bad"]));
+        held.extend(quarantine.poll(now));
+    }
+
+    assert_eq!(held, [pattern(&["bad"])]);
+}
