Mesh: a host does not count itself among its peers

In each failing run one host reserved a fourth instead of a third of the allowances: it counted four hosts, of which there are three.

Cause: a host that connects before its entry was read is added at the address of its connection, with the port on which all hosts listen. In the test all hosts have one address and different ports, so this led back to the host itself; its own reports then counted as those of a peer, for good. On the platform ports are the same and addresses differ; there the address of a host that is gone may be given out anew and lead back. Ruled out: that the lost host is removed before the second one is listed (the metrics over time show all three known).

Change: a connection whose sender has this host's own name is refused, with a log line.

A new test of one host failed before (share 333 in thousandths, 500 expected) and passes; the test of the lost host passed in 180 of 180 copies, 60 at once.

--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -522,6 +522,11 @@
     let mut sender: Option<frame::Sender> = None;
     while let Ok(frame) = connection.receiver.receive().await {
         match (frame, &sender) {
+            // An address of another host may lead here: it is given out anew, or guessed from a connection.
+            (Frame::Hello { sender: from, .. }, _) if from.name == mesh.app.settings.name => {
+                tracing::warn!(name = %from.name, peer = %connection.peer, "connection from a host of the same name refused");
+                return;
+            }
             (Frame::Hello { sender: from, .. }, _) => {
                 mesh.add_connecting_host(&from, connection.peer);
                 sender = Some(from);
--- a/crates/forward/tests/forward/peers.rs
+++ b/crates/forward/tests/forward/peers.rs
@@ -90,6 +90,19 @@
     wait_until(|| new.debit(&"orchard".into(), 9_000).is_ok()).await;
 }
 
+// Guards against a share of allowances that is reserved for nobody, when another host's address leads back to this one.
+#[tokio::test]
+async fn a_host_that_reaches_itself_does_not_count_itself_among_its_peers() {
+    let app = fixture::app("host");
+    app.configure(config(), b"{}".to_vec());
+    let (mesh, own_address) = start_mesh(&app).await;
+
+    mesh.update_hosts([("other".into(), Some(peer_host(own_address)))]);
+
+    wait_until(|| app.metrics.reserved_per_mille.get() > 0).await;
+    assert_eq!(app.metrics.reserved_per_mille.get(), 500);
+}
+
 #[tokio::test]
 async fn a_fleet_of_more_than_one_cell_keeps_connections_to_its_own_cell_only() {
     let app = fixture::app("host-0");
