Quarantine: a part that was sound waits for one that never was

No engine answered anything for 3.5 s, so that sound answers from before the first crash counted no more.

Change: a part that engines have survived is not held while another one, which none is known to have survived, was at all but one of the same crashes at least; that one is found with the next crash. A part that turned bad is held once it is at two crashes more than any such part.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -334,7 +334,10 @@
                     suspicion.crashes >= AMBIGUOUS_CRASHES_MIN
                         || !has_rival(part, suspicion, &suspicions, &by_part)
                 }
-                false => !is_one_request(suspicion, &by_part[**part].1),
+                false => {
+                    !is_one_request(suspicion, &by_part[**part].1)
+                        && !self.has_unsound_companion(part, suspicion, &by_part)
+                }
             };
             suspicion.unexplained >= UNEXPLAINED_MIN && is_told_apart
         });
@@ -348,6 +351,32 @@
         Some((pattern.collect(), suspicion.since))
     }
 
+    /// Returns `true` if engines are known to have survived requests with a part, and none to have survived those with another
+    /// part that was at all but one of the crashes at least. The part may then only accompany the other one, which has to
+    /// be found instead.
+    fn has_unsound_companion(
+        &self,
+        part: &Arc<str>,
+        suspicion: &Suspicion,
+        by_part: &BTreeMap<&Arc<str>, (usize, Vec<&Record>)>,
+    ) -> bool {
+        let own = engines_since(&by_part[part].1, suspicion.since);
+        let may_cause = |(other, (_, records)): (&&Arc<str>, &(usize, Vec<&Record>))| {
+            let engines = engines_since(records, suspicion.since);
+            !is_request(other)
+                && engines.len() + 1 >= own.len()
+                && engines.is_subset(&own)
+                && !self.is_known_sound(other)
+        };
+        self.is_known_sound(part) && by_part.iter().any(may_cause)
+    }
+
+    /// Returns `true` if an engine is known to have survived a request with a part, however long ago.
+    fn is_known_sound(&self, part: &Arc<str>) -> bool {
+        self.sound.contains_key(part)
+            || self.reported_sound.values().any(|parts| parts.contains_key(part))
+    }
+
     /// Returns the longest run of latest crashes that a part was at for which there are too few sound answers since, or
     /// `None` if there are enough for all.
     fn suspicion(
@@ -400,13 +429,16 @@
     suspicions: &BTreeMap<&Arc<str>, Suspicion>,
     by_part: &BTreeMap<&Arc<str>, (usize, Vec<&Record>)>,
 ) -> bool {
-    let engines = |part: &Arc<str>| -> BTreeSet<Engine<'_>> {
-        let records = by_part[part].1.iter().filter(|record| record.at >= suspicion.since);
-        records.map(|record| record.engine()).collect()
-    };
+    let engines = |part: &Arc<str>| engines_since(&by_part[part].1, suspicion.since);
     let own = engines(part);
-    let rivals = suspicions.keys().filter(|other| is_request(other) && **other != part);
-    rivals.into_iter().any(|other| engines(other).is_superset(&own))
+    let mut rivals = suspicions.keys().filter(|other| is_request(other) && **other != part);
+    rivals.any(|other| engines(other).is_superset(&own))
+}
+
+/// Returns the engines at which answers have broken off since a time.
+fn engines_since<'a>(records: &[&'a Record], since: Instant) -> BTreeSet<Engine<'a>> {
+    let records = records.iter().filter(|record| record.at >= since);
+    records.map(|record| record.engine()).collect()
 }
 
 /// Returns the parts that were at `crashes_min` crashes or more, those at most crashes first.
--- a/crates/core/src/quarantine/tests/decision.rs
+++ b/crates/core/src/quarantine/tests/decision.rs
@@ -393,3 +393,36 @@
 
     assert_eq!(held, [pattern(&["bad"])]);
 }
+
+// Guards against holding a popular part that was at one crash more than the part that causes them, at a time when no engine
+// answers anything.
+#[test]
+fn a_part_that_was_sound_is_not_held_while_one_that_never_was_is_at_nearly_all_its_crashes() {
+    let mut quarantine = Quarantine::default();
+    record_sound(&mut quarantine, START, 8, &["family"]);
+    let prompts =
+        [["family", "bad"].as_slice(), &["family", "bad"], &["family"], &["family", "bad"]];
+    for (n, names) in (0..).zip(prompts) {
+        crash(&mut quarantine, START + millis(1_200 * n), vec![broken(n, n, names)]);
+    }
+    let early = is_refused(&quarantine, START + millis(4_000), &["family"]);
+
+    let new = crash(&mut quarantine, START + millis(4_500), vec![broken(9, 9, &["family", "bad"])]);
+
+    assert!(!early);
+    assert_eq!(new, [pattern(&["family", "bad"])]);
+}
+
+#[test]
+fn a_part_that_was_sound_is_held_once_it_is_at_two_crashes_more_than_any_other() {
+    let mut quarantine = Quarantine::default();
+    record_sound(&mut quarantine, START, 8, &["bad"]);
+    let prompts =
+        [["bad", "rare"].as_slice(), &["bad", "rare"], &["bad"], &["bad", "rare"], &["bad"]];
+    let mut new = Vec::new();
+    for (n, names) in (0..).zip(prompts) {
+        new.extend(crash(&mut quarantine, START + millis(1_200 * n), vec![broken(n, n, names)]));
+    }
+
+    assert_eq!(new, [pattern(&["bad"])]);
+}
