--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -103,7 +103,7 @@
     /// all decode engines have asked for no requests, or if a limit of the queue is reached.
     pub fn submit(&mut self, now: Instant, request: Request, item: T) -> Result<Ticket, Effect<T>> {
         let (generations_by_engine, shuffle_seed) =
-            (self.known_generations(now), self.next_shuffle_seed());
+            (self.known_generations(now), self.shuffle_seeds.next());
         if (self.queue.is_empty() || request.urgent)
             && let Some(assignment) =
                 self.assign(now, &request, &generations_by_engine, shuffle_seed)
@@ -175,7 +175,7 @@
             return None;
         }
         let (generations_by_engine, shuffle_seed) =
-            (self.known_generations(now), self.next_shuffle_seed());
+            (self.known_generations(now), self.shuffle_seeds.next());
         let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
         let dequeued = queue.dequeue(now, |waiting| {
             self.assign(now, &waiting.item.0, &generations_by_engine, shuffle_seed)
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -4,7 +4,7 @@
 //! A generation is a request's answer in the making. It occupies memory on its decode engine for
 //! its prompt and for the tokens generated so far.
 
-use super::{Dispatch, GenerationKey, Request, Server, ServerKey, Stage, stage};
+use super::{Dispatch, GenerationKey, Request, Server, ServerKey, Stage, shuffle, stage};
 use crate::forecast::{self, forecast_peak};
 use crate::time::Instant;
 use std::collections::BTreeMap;
@@ -206,15 +206,6 @@
     measured_from: Option<(Instant, f64)>,
 }
 
-/// Returns a pseudorandom rank of a server, by which candidates are shuffled. Each `shuffle_seed`
-/// gives another order.
-pub(super) fn shuffle_rank(key: ServerKey, shuffle_seed: u64) -> u64 {
-    /// Odd multiplier with well-mixed bits.
-    const MIX: u64 = 0xff51_afd7_ed55_8ccd;
-    let mixed = (slotmap::Key::data(&key).as_ffi() ^ shuffle_seed).wrapping_mul(MIX);
-    (mixed ^ (mixed >> 32)).wrapping_mul(MIX)
-}
-
 /// Generations of this host and its peers, by their decode engine.
 pub(super) type GenerationsByEngine = BTreeMap<ServerKey, Vec<forecast::Generation>>;
 
@@ -298,7 +289,7 @@
         let capacity = pool.kv_tokens as f64 * self.settings.memory_fraction;
         let incoming = request.forecast_generation(&pool.length);
         let mut candidates = self.usable_engines(now, &request.service, Stage::Decode);
-        candidates.sort_by_key(|(key, _)| shuffle_rank(*key, shuffle_seed));
+        candidates.sort_by_key(|(key, _)| shuffle::rank(*key, shuffle_seed));
         let fitting = candidates.into_iter().filter_map(|(key, server)| {
             let mut generations = generations_by_engine.get(&key).cloned().unwrap_or_default();
             if generations.len() >= server.entry.slots as usize {
@@ -350,7 +341,7 @@
                 let failure_rank = self.failure_rank(now, server);
                 let expected_ms =
                     self.queued_prefill_tokens(now, server, per_ms) / per_ms + transfer_ms;
-                ((failure_rank, expected_ms as u64, shuffle_rank(key, shuffle_seed)), key)
+                ((failure_rank, expected_ms as u64, shuffle::rank(key, shuffle_seed)), key)
             });
         ranked.min().map(|(_, key)| key)
     }
@@ -446,7 +437,7 @@
         request: &Request,
         assignment: Assignment,
     ) -> Placement {
-        let (shuffle_seed, decode) = (self.next_shuffle_seed(), assignment.decode);
+        let (shuffle_seed, decode) = (self.shuffle_seeds.next(), assignment.decode);
         let prefill_engine = match assignment.prefill_mode {
             PrefillMode::Disaggregated => {
                 self.choose_prefill(now, &request.service, decode, shuffle_seed, &[])
@@ -528,7 +519,7 @@
     ) -> Option<Prefill> {
         let active = *self.generations.get(generation)?;
         let service = self.servers.get(active.decode)?.entry.service.clone();
-        let shuffle_seed = self.next_shuffle_seed();
+        let shuffle_seed = self.shuffle_seeds.next();
         let engine =
             self.choose_prefill(now, &service, active.decode, shuffle_seed, in_progress)?;
         self.finish_prefill(generation, prefill_time);
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod leaving;
 mod peer;
 mod plain;
+mod shuffle;
 mod stage;
 #[cfg(test)]
 mod tests;
@@ -200,8 +201,8 @@
     pending_retries: admission::PendingRetries,
     /// Limits that servers state for their requests.
     throttle: throttle::Throttle,
-    /// Last number returned by [`Dispatch::next_shuffle_seed`].
-    seed_state: u64,
+    /// Numbers by which candidates are shuffled to break ties.
+    shuffle_seeds: shuffle::Sequence,
 }
 
 impl<T> Dispatch<T> {
@@ -221,7 +222,7 @@
             peers: BTreeMap::new(),
             pending_retries: admission::PendingRetries::default(),
             throttle: throttle::Throttle::default(),
-            seed_state: 0,
+            shuffle_seeds: shuffle::Sequence::default(),
         }
     }
 
@@ -322,13 +323,4 @@
             server.replaced = true;
         }
     }
-
-    /// Returns the next number of an evenly spread sequence, by which candidates are shuffled to
-    /// break ties.
-    fn next_shuffle_seed(&mut self) -> u64 {
-        /// 2^64 divided by the golden ratio.
-        const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
-        self.seed_state = self.seed_state.wrapping_add(STEP);
-        self.seed_state
-    }
 }
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -4,8 +4,7 @@
 //! by the recent answers it got from a server and its own requests in flight to it. It compares
 //! only two random servers, because hosts that all chose the best one would overload it.
 
-use super::engine::shuffle_rank;
-use super::{Dispatch, Server, ServerKey};
+use super::{Dispatch, Server, ServerKey, shuffle};
 use crate::time::Instant;
 use std::time::Duration;
 
@@ -94,7 +93,7 @@
         service: &str,
         excluded: &[ServerKey],
     ) -> Option<Choice> {
-        let shuffle_seed = self.next_shuffle_seed();
+        let shuffle_seed = self.shuffle_seeds.next();
         let candidates = self.servers.iter().filter(|(key, server)| {
             let may_get_it = server.accepts(now) && self.throttle.has_room(now, &server.entry.name);
             &*server.entry.service == service && may_get_it && !excluded.contains(key)
@@ -106,7 +105,7 @@
         };
         let mut candidates: Vec<(ServerKey, &Server)> = candidates.collect();
         candidates
-            .sort_by_key(|(key, server)| (preference(server), shuffle_rank(*key, shuffle_seed)));
+            .sort_by_key(|(key, server)| (preference(server), shuffle::rank(*key, shuffle_seed)));
         let best = preference(candidates.first()?.1);
         let measured_ms: Vec<f64> =
             candidates.iter().filter_map(|(_, s)| s.stats.answer_ms).collect();
--- a/crates/core/src/dispatch/throttle.rs
+++ b/crates/core/src/dispatch/throttle.rs
@@ -8,7 +8,7 @@
 
 use super::admission::PendingRetries;
 use super::peer::REPORT_OVERDUE_AFTER;
-use super::{Dispatch, ServerKey, Stage};
+use super::{Dispatch, ServerKey, Stage, shuffle};
 use crate::allowance::{self, Allowances, Report};
 use crate::limit::Quota;
 use crate::time::Instant;
@@ -27,8 +27,6 @@
 const ACCRUAL_TIME: Duration = Duration::from_secs(1);
 /// How long a limit is remembered that has ended, or whose server has left.
 const RETENTION: Duration = Duration::from_secs(60);
-/// Step of the pseudorandom sequence: 2^64 divided by the golden ratio.
-const SEED_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Longest retry time given to callers refused because of limits.
 const RETRY_MAX: Duration = Duration::from_secs(8);
 
@@ -74,8 +72,8 @@
     allowances: Allowances,
     /// When callers refused because of limits were asked to retry, by service.
     pending_retries: HashMap<Arc<str>, PendingRetries>,
-    /// State of the pseudorandom sequence of thresholds.
-    seed_state: u64,
+    /// Numbers from which thresholds are drawn. They differ between hosts.
+    thresholds: shuffle::Sequence,
 }
 
 impl Default for Throttle {
@@ -91,7 +89,7 @@
             // A server that states a limit has room for a few requests, or refuses them.
             allowances: Allowances::new(Instant::default(), true, settings),
             pending_retries: HashMap::new(),
-            seed_state: 0,
+            thresholds: shuffle::Sequence::default(),
         }
     }
 }
@@ -117,8 +115,7 @@
     /// Draws anew which part of a server's accrued requests this host waits for.
     fn draw_threshold(&mut self, server: &str) {
         let Some(limit) = self.limits.get_mut(server) else { return };
-        self.seed_state = self.seed_state.wrapping_add(SEED_STEP);
-        limit.threshold = mix(self.seed_state) as f64 / u64::MAX as f64;
+        limit.threshold = shuffle::mix(self.thresholds.next()) as f64 / u64::MAX as f64;
     }
 
     /// Replaces the limit of a server. Returns whether its rate has changed.
@@ -180,13 +177,6 @@
     }
 }
 
-/// Returns a number whose bits all depend on all bits of `value`.
-fn mix(value: u64) -> u64 {
-    const FACTOR: u64 = 0xff51_afd7_ed55_8ccd;
-    let value = (value ^ (value >> 33)).wrapping_mul(FACTOR);
-    value ^ (value >> 33)
-}
-
 /// Returns a limit in tokens per second. `limit` is in requests per second.
 fn to_rate(limit: f64) -> u64 {
     let (lowest, highest) = LIMIT_RANGE;
@@ -201,7 +191,7 @@
 impl<T> Dispatch<T> {
     /// Sets the seed of the decisions in which hosts must differ.
     pub fn set_seed(&mut self, seed: u64) {
-        self.throttle.seed_state = seed;
+        self.throttle.thresholds = shuffle::Sequence::new(seed);
     }
 
     /// Records the limit that a server stated in its answer to a request sent at `sent_at`, in requests per second, or that
--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -362,11 +362,11 @@
     ) -> bool {
         let own = engines_since(&by_part[part].1, suspicion.since);
         let may_cause = |(other, (_, records)): (&&Arc<str>, &(usize, Vec<&Record>))| {
+            if is_request(other) || self.is_known_sound(other) {
+                return false;
+            }
             let engines = engines_since(records, suspicion.since);
-            !is_request(other)
-                && engines.len() + 1 >= own.len()
-                && engines.is_subset(&own)
-                && !self.is_known_sound(other)
+            engines.len() + 1 >= own.len() && engines.is_subset(&own)
         };
         self.is_known_sound(part) && by_part.iter().any(may_cause)
     }
--- a/crates/core/src/quarantine/tests/requests.rs
+++ b/crates/core/src/quarantine/tests/requests.rs
@@ -167,6 +167,19 @@
 
 /// The request under which servers crash.
 const DEADLY: u64 = u64::MAX;
+impl Default for Scenario {
+    fn default() -> Scenario {
+        Scenario {
+            hosts: 5,
+            servers: 3,
+            demand: 47.0,
+            variety: 2_000,
+            deadly_interval: Duration::from_millis(500),
+            seed: 1,
+        }
+    }
+}
+
 const STEP: Duration = Duration::from_millis(5);
 const LENGTH: Duration = Duration::from_secs(40);
 /// When the deadly request first comes.
@@ -330,16 +343,7 @@
 #[test]
 fn a_deadly_request_is_stopped_and_sound_ones_are_not_refused() {
     for seed in 1..=40 {
-        let scenario = Scenario {
-            hosts: 5,
-            servers: 3,
-            demand: 47.0,
-            variety: 2_000,
-            deadly_interval: Duration::from_millis(500),
-            seed,
-        };
-
-        let outcome = play(scenario);
+        let outcome = play(Scenario { seed, ..Scenario::default() });
 
         assert!(outcome.crashes >= 3, "seed {seed}: {outcome:?}");
         assert!(outcome.late_retries <= RETRIES_MAX, "seed {seed}: {outcome:?}");
@@ -350,14 +354,8 @@
 #[test]
 fn a_deadly_request_is_stopped_among_a_few_popular_ones() {
     for seed in 1..=40 {
-        let scenario = Scenario {
-            hosts: 5,
-            servers: 3,
-            demand: 100.0,
-            variety: 30,
-            deadly_interval: Duration::from_millis(2_000),
-            seed,
-        };
+        let (demand, variety, deadly_interval) = (100.0, 30, Duration::from_secs(2));
+        let scenario = Scenario { demand, variety, deadly_interval, seed, ..Scenario::default() };
 
         let outcome = play(scenario);
 
