Takeover: keep a silent engine if the other one is silent too and no retry is left

Change: when both are silent 0.3 s after the request was sent on, and the retry budget is spent, the second one is closed instead of the first: it can't be followed by another if it refuses, and the first may go on. A stream whose first engine is dead without a reset is lost then, where it was not if the second one was only slow; with a retry left nothing changes.

--- a/crates/forward/src/attempt/takeover.rs
+++ b/crates/forward/src/attempt/takeover.rs
@@ -78,8 +78,9 @@
     }
 }
 
-/// Waits until the silent engine or the one that gets the request by `attempt` goes on. The connection to the silent one
-/// is closed at the latest [`OVERLAP_MAX`] after the request was sent.
+/// Waits until the silent engine or the one that gets the request by `attempt` goes on. The connection to one of them is
+/// closed at the latest [`OVERLAP_MAX`] after the request was sent: to the silent one, unless no retry is left with which
+/// the request could be sent on if the other one, which is silent as well, refuses it.
 async fn hand_over<Old, T, E>(
     job: &Job,
     retry_state: &mut RetryState,
@@ -108,7 +109,11 @@
             log_kept(job, retry_state, silent, failure.name());
             return Takeover::Kept(old);
         },
-        () = overlap => {}
+        () = overlap => if !retry_state.has_retry(job) {
+            retry_state.count(Failure::Silent);
+            log_kept(job, retry_state, silent, "both_silent");
+            return Takeover::Kept(old);
+        },
     }
     replaced(job, retry_state, silent, attempt)
 }
