Soak: excuse a host that stands still, and connections that were stalled since a run began

The close of such a connection never reaches the engine.

So the first check excuses a host that is disturbed between the caller's leaving and the time by which the work must end, the second an engine whose connections were disturbed since its run began. Both get a test that they still find the same without the disturbance.

--- a/crates/soak/src/fault/mod.rs
+++ b/crates/soak/src/fault/mod.rs
@@ -66,6 +66,18 @@
     Route,
 }
 
+impl Fault {
+    /// Returns the number of the server that the fault affects, if it is one.
+    pub fn server(self) -> Option<usize> {
+        match self {
+            Fault::Server(server, _) | Fault::Mood(server, _) | Fault::Replace(server) => {
+                Some(server)
+            }
+            _ => None,
+        }
+    }
+}
+
 /// Disruption of the connections of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Disruption {
--- a/crates/soak/src/ledger/mod.rs
+++ b/crates/soak/src/ledger/mod.rs
@@ -318,7 +318,7 @@
         let requests = self.requests();
         let disturbances = self.disturbances.lock().unwrap_or_else(PoisonError::into_inner);
         for (id, request) in requests.iter() {
-            let mut of_request = check_request(request);
+            let mut of_request = check_request(request, &disturbances);
             of_request.extend(silence::check_whole(request, &disturbances));
             of_request.extend(silence::check_overlap(request, &disturbances));
             let sent_ms = request.sent_at.saturating_duration_since(self.began_at).as_millis();
@@ -343,7 +343,7 @@
 }
 
 /// Returns the violations by one request; the guarantees are listed at the head of this module.
-fn check_request(request: &Request) -> Vec<String> {
+fn check_request(request: &Request, disturbances: &Disturbances) -> Vec<String> {
     let (kind, runs) = (request.sent.kind, request.runs.len());
     let mut findings = Vec::new();
     if kind.runs_once() && runs > 1 {
@@ -366,7 +366,11 @@
                 Some(ended_at) => ended_at > must_end_by,
                 None => Instant::now() > must_end_by,
             };
-            if request.runs.iter().any(|run| run.began_at > must_end_by || ended_late(run)) {
+            // A host that stands still can't see its caller leave.
+            let is_excused =
+                disturbances.any_of_connections(&request.sent.host, (left_at, must_end_by));
+            let is_late = |run: &Run| run.began_at > must_end_by || ended_late(run);
+            if !is_excused && request.runs.iter().any(is_late) {
                 findings.push(format!("{kind:?} was worked on after its caller had left"));
             }
         }
--- a/crates/soak/src/ledger/silence.rs
+++ b/crates/soak/src/ledger/silence.rs
@@ -76,15 +76,22 @@
         && !servers.any(|server| disturbances.any(server, period))
 }
 
-/// Returns the longest time for which two engines worked on a request, while nothing affected the host or their
-/// connections.
+/// Returns the longest time for which two engines worked on a request, while nothing affected the host, or their
+/// connections since they began: a connection that stalls does so for good, and the engine never learns that it was closed.
 fn longest_overlap(request: &Request, disturbances: &Disturbances) -> Duration {
     let mut longest = Duration::ZERO;
     for (number, run) in request.runs.iter().enumerate() {
         for other in &request.runs[number + 1..] {
             let period = (run.began_at.max(other.began_at), end(run).min(end(other)));
-            let names = [&request.sent.host, &run.server, &other.server];
-            if !names.iter().any(|name| disturbances.any_of_connections(name, period)) {
+            let affected = [
+                (&request.sent.host, period.0),
+                (&run.server, run.began_at),
+                (&other.server, other.began_at),
+            ];
+            let is_affected = affected
+                .into_iter()
+                .any(|(name, from)| disturbances.any_of_connections(name, (from, period.1)));
+            if !is_affected {
                 longest = longest.max(period.1.saturating_duration_since(period.0));
             }
         }
--- a/crates/soak/src/ledger/tests.rs
+++ b/crates/soak/src/ledger/tests.rs
@@ -2,7 +2,7 @@
 use super::disturbance::{Disturbances, Guard, Scope};
 use super::limit::Limited;
 use super::silence::{check_overlap, check_whole};
-use super::{Allowance, Kind, Ledger, Outcome, Request, Run, Sent};
+use super::{Allowance, Kind, Ledger, Outcome, Request, Run, Sent, check_request};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -163,6 +163,38 @@
     assert!(check_overlap(&overlapping(millis(1_901)), &cut.lock().unwrap()).is_none());
 }
 
+// A connection that stalls does so for good, also when the fault has ended.
+#[test]
+fn two_engines_are_excused_if_a_connection_was_disturbed_since_its_run_began() {
+    let check = |began_before: bool| {
+        let disturbances = Arc::default();
+        drop(Guard::new(&disturbances, &"llm-1".into(), Scope::Connections));
+        let began_at = match began_before {
+            true => Instant::now() - millis(1_000),
+            false => Instant::now() + millis(1_000),
+        };
+        let mut request = stream(began_at, Outcome::Whole, millis(9_000));
+        request.runs.push(run("llm-2", began_at + millis(3_000), began_at + millis(9_000)));
+        check_overlap(&request, &disturbances.lock().unwrap()).is_some()
+    };
+
+    assert!(!check(true) && check(false));
+}
+
+#[test]
+fn work_after_a_caller_left_is_excused_while_its_host_stands_still() {
+    let left_at = Instant::now();
+    let mut request = stream(left_at, Outcome::Left, Duration::ZERO);
+    let organisation = Some("orchard".into());
+    request.runs = vec![Run { organisation, ..run("llm-1", left_at, left_at + millis(2_500)) }];
+    let stopped = disturbed("entry-0", Scope::Connections);
+
+    let [undisturbed, at_stopped_host] = [&Disturbances::default(), &*stopped.lock().unwrap()]
+        .map(|d| check_request(&request, d).len());
+
+    assert_eq!((undisturbed, at_stopped_host), (1, 0));
+}
+
 /// Returns a part that crashed five engines from `first_crash` on, and of which `late` requests reached another engine more
 /// than three seconds later, with the requests.
 fn crashing_part(first_crash: Instant, late: u64) -> (CrashCause, HashMap<Arc<str>, Request>) {
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -175,9 +175,9 @@
     let mut number = 0;
     while Instant::now() < deadline {
         sleep(Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS))).await;
-        let servers = fleet.servers.lock().await.len();
-        let (fault, duration) = fault::draw(&mut rng, fleet.hosts.len(), servers);
-        descriptions.push(describe(fleet, fault, duration));
+        let servers = server_names(fleet).await;
+        let (fault, duration) = fault::draw(&mut rng, fleet.hosts.len(), servers.len());
+        descriptions.push(describe(fleet, &servers, fault, duration));
         running.spawn(fault::inject(fleet.clone(), fault, duration, number));
         number += 1;
     }
@@ -196,9 +196,9 @@
         if Instant::now() >= deadline {
             return Ok(descriptions);
         }
-        let servers = fleet.servers.lock().await.len();
-        let (fault, duration) = fault::draw_drill(&mut rng, servers);
-        descriptions.push(describe(fleet, fault, duration));
+        let servers = server_names(fleet).await;
+        let (fault, duration) = fault::draw_drill(&mut rng, servers.len());
+        descriptions.push(describe(fleet, &servers, fault, duration));
         fault::inject(fleet.clone(), fault, duration, 0).await?;
     }
 }
@@ -214,19 +214,26 @@
         if Instant::now() >= deadline {
             break;
         }
-        let servers = fleet.servers.lock().await.len();
-        let (fault, duration) = fault::draw_sound(&mut rng, servers);
-        descriptions.push(describe(fleet, fault, duration));
+        let servers = server_names(fleet).await;
+        let (fault, duration) = fault::draw_sound(&mut rng, servers.len());
+        descriptions.push(describe(fleet, &servers, fault, duration));
         running.spawn(fault::inject(fleet.clone(), fault, duration, 0));
     }
     wait_until_ended(running).await?;
     Ok(descriptions)
 }
 
-/// Returns a line about a fault that begins.
-fn describe(fleet: &Fleet, fault: Fault, duration: Duration) -> String {
+/// Returns the names of all servers, in the order in which faults number them.
+async fn server_names(fleet: &Fleet) -> Vec<Arc<str>> {
+    fleet.servers.lock().await.iter().map(|server| server.entry.name.clone()).collect()
+}
+
+/// Returns a line about a fault that begins. `servers` are the names of the servers that it may affect.
+fn describe(fleet: &Fleet, servers: &[Arc<str>], fault: Fault, duration: Duration) -> String {
     let at_ms = fleet.ledger.elapsed().as_millis();
-    format!("{fault:?} from {at_ms} ms on for {} ms", duration.as_millis())
+    let name = fault.server().and_then(|server| servers.get(server));
+    let name = name.map(|name| format!(" ({name})")).unwrap_or_default();
+    format!("{fault:?}{name} from {at_ms} ms on for {} ms", duration.as_millis())
 }
 
 /// Waits until all faults have ended.
