Logs tell the build of engines, and streams that their callers resume

Cause: no log line could tell the hypotheses on streams that go on at another version of a back end's software apart. The version of an entry was not decoded, and a request that resumes a stream was logged like a new one.

Change: entries are read with the version of the server's software (`build` here, since `version` is that of objects and configurations), and a caller's request with the identifier of the one that brought the stream's first event. No decision changes.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -80,6 +80,9 @@
     /// When the server started, in milliseconds since 1970 by its own clock. Distinguishes restarts
     /// under the same name.
     pub born: Option<u64>,
+    /// Version of the server's software; empty if it states none.
+    #[serde(default)]
+    pub build: Arc<str>,
     /// Service that the server belongs to.
     pub service: Arc<str>,
     /// Address of the server.
--- a/crates/core/src/dispatch/tests/simulation.rs
+++ b/crates/core/src/dispatch/tests/simulation.rs
@@ -442,6 +442,7 @@
     Entry {
         name: name(engine),
         born: Some(1),
+        build: "v1".into(),
         service: service(),
         address: ([10, 0, 0, engine as u8], 80).into(),
         failure_domain: if engine.is_multiple_of(2) { "a" } else { "b" }.into(),
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -271,11 +271,11 @@
         match change {
             Change::Put(name, entry) => {
                 let (leaving, address, stage) = (entry.leaving, entry.address, entry.stage);
-                let service = entry.service.clone();
+                let (service, build) = (entry.service.clone(), entry.build.clone());
                 let (key, changed) = state.dispatch.put(clock::now(), entry);
                 if changed {
                     let stage = stage.map(Stage::name);
-                    tracing::info!(server = %name, %address, leaving, stage, "server listed");
+                    tracing::info!(server = %name, %address, %build, leaving, stage, "server listed");
                 }
                 if !state.pools.contains_key(key) {
                     let pool = Pool::new(address, self.settings.pool);
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -364,7 +364,7 @@
     let (id, tokens) = (job.head.id.as_deref(), generation.prompt_tokens);
     match admission {
         Ok(admission) => {
-            let decode = &admission.decode.entry.name;
+            let (decode, build) = (&admission.decode.entry.name, &admission.decode.entry.build);
             let prefill = admission.prefill.as_ref().map(|target| &*target.entry.name);
             // The names of these variables are keys in the log. `prefilled_ms` is the forecast of the time until
             // the prompt is prefilled.
@@ -379,7 +379,7 @@
             let prefilled_ms = expected_prefill_time.as_millis() as u64;
             let parts = generation.shared_parts().map(|part| &**part).collect::<Vec<_>>().join(",");
             tracing::info!(
-                id, %decode, prefill, waited_ms, tokens, urgent, runs, peak, prefilled_ms,
+                id, %decode, %build, prefill, waited_ms, tokens, urgent, runs, peak, prefilled_ms,
                 news_ms, version, parts,
                 "placed"
             );
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -179,8 +179,9 @@
     fn record_break(&self, response: &mut EngineResponse, error: &Error) -> End {
         response.stream.discard();
         self.job.app.record_outcome(&response.admission.decode, Outcome::Failure);
-        let (id, server) = (self.job.head.id.as_deref(), &response.admission.decode.entry.name);
-        tracing::info!(id, %server, %error, passed = self.forwarded_events, "stream broke");
+        let (id, entry) = (self.job.head.id.as_deref(), &response.admission.decode.entry);
+        let (server, build) = (&entry.name, &entry.build);
+        tracing::info!(id, %server, %build, %error, passed = self.forwarded_events, "stream broke");
         self.job.record_break(&response.admission.decode, self.began_at, error);
         End::Broken
     }
@@ -305,8 +306,9 @@
         let after_ms = clock::now().since(started_at).as_millis() as u64;
         match response {
             Ok(response) if response.head.status.is_success() => {
-                let server = &response.admission.decode.entry.name;
-                tracing::info!(id, %server, last = self.last_event, after_ms, "stream resumed");
+                let entry = &response.admission.decode.entry;
+                let (server, build) = (&entry.name, &entry.build);
+                tracing::info!(id, %server, %build, last = self.last_event, after_ms, "stream resumed");
                 self.events.clear();
                 self.engine_ended = false;
                 self.began_at = None;
--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -29,6 +29,8 @@
     pub generation: Option<Generation>,
     /// Identifier of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Identifier of the request that brought the caller the first event of the stream that it resumes.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// Parameters of a request for a generation by a model.
--- a/crates/forward/src/native/headers.rs
+++ b/crates/forward/src/native/headers.rs
@@ -16,6 +16,8 @@
 pub const PARTS: &str = "x-chestnutrack-parts";
 /// Number of tokens that the caller expects in the answer.
 pub const EXPECTED: &str = "x-chestnutrack-expected";
+/// Identifier of the request that brought the first event of the stream that is resumed.
+pub const RESUMES: &str = "x-chestnutrack-resumes";
 /// Name of the intended server of a request.
 pub const SERVER: &str = "x-chestnutrack-server";
 /// Organisation that the caller's key belongs to.
@@ -36,7 +38,7 @@
 /// Prefix of the headers that are removed from callers' requests, except those in [`CALLER_HEADERS`].
 const RESERVED_PREFIX: &str = "x-chestnutrack-";
 /// Headers with that prefix that callers may set.
-const CALLER_HEADERS: &[&str] = &[REQUEST, TOKENS, PARTS, EXPECTED];
+const CALLER_HEADERS: &[&str] = &[REQUEST, TOKENS, PARTS, EXPECTED, RESUMES];
 /// Value of [`RAN`] for a request that did not run and never will.
 const NOT_RUN: &str = "not-run";
 
@@ -55,6 +57,7 @@
             .map(Into::into),
         generation,
         last_event: number(headers, LAST_EVENT),
+        resumes: text(headers, RESUMES).map(Into::into),
     })
 }
 
--- a/crates/forward/src/native/mod.rs
+++ b/crates/forward/src/native/mod.rs
@@ -9,6 +9,7 @@
 //! | `x-chestnutrack-parts: ID:TOKENS,...` | caller | parts of the prompt in order; the last belongs to the request alone |
 //! | `x-chestnutrack-expected` | caller | number of tokens expected in the answer |
 //! | `last-event-id` | caller, router | resume the stream after this event |
+//! | `x-chestnutrack-resumes` | caller | identifier of the request that brought the first event of that stream |
 //! | `x-chestnutrack-server` | router | name of the intended server |
 //! | `x-chestnutrack-organisation` | router | organisation that the caller's key belongs to |
 //! | `x-chestnutrack-step: prefill` | router | only prefill the prompt |
@@ -36,7 +37,8 @@
 use std::sync::Arc;
 
 pub use headers::{
-    DEADLINE, EXPECTED, KV, LEAVING, LIMIT, ORGANISATION, PARTS, RAN, REQUEST, SERVER, STEP, TOKENS,
+    DEADLINE, EXPECTED, KV, LEAVING, LIMIT, ORGANISATION, PARTS, RAN, REQUEST, RESUMES, SERVER,
+    STEP, TOKENS,
 };
 
 /// The native dialect of callers, directory and store.
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -264,6 +264,7 @@
         let entry = Entry {
             name: name.clone(),
             born: Some(u64::from(number)),
+            build: "v1".into(),
             service: if stage.is_some() { "llm" } else { "app" }.into(),
             address: link.address,
             failure_domain: format!("domain-{}", number % 2).into(),
