Placement: a stream that a host resumes goes on at the build that began it

Callers saw streams whose first events were written by one version of the engines' software and the rest by another.

Cause: a stream that breaks off, or whose engine is silent, is admitted anew like any request, at whichever engine has room.

Change: the relay remembers the build of the engine that wrote the first event, and the admission of what follows names it (`dispatch::Request::build`). Only decode engines of that build are chosen, of other cells too if the own one has none; if none is listed the stream is not resumed. A request that waits for its build holds up no other: neither one that comes later and could be admitted at once, nor those behind it in its organisation's queue. New streams begin at any build, but rather at one with a second engine that could go on with them, since the first engine of a new build and the last one of an old build can't be replaced.

Ruled out: binding the prefill to the build as well. Only what is generated was reported to be different; that stays a question.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -43,6 +43,8 @@
     pub urgent: bool,
     /// Whether the prompt is already prefilled.
     pub prefilled: bool,
+    /// Build whose engines may generate, or `None` if any may: what two builds write does not fit together.
+    pub build: Option<Arc<str>>,
 }
 
 impl Request {
@@ -97,20 +99,25 @@
     /// Submits a request. Returns a ticket if the request has to wait, or the effect if it is
     /// admitted or refused at once.
     ///
-    /// A request is admitted at once only if none waits on this host or it is urgent. It is refused
+    /// A request is admitted at once only if none waits on this host, except for an engine of its build, or it is urgent. It is refused
     /// if too few known generations are expected to end in time to make room for all requests that
     /// wait on this host and its peers and for itself, or the limits of the decode engines don't allow them in time, if
-    /// all decode engines have asked for no requests, or if a limit of the queue is reached.
+    /// all decode engines have asked for no requests, if it needs a build that has none, or if a limit of the queue is
+    /// reached.
     pub fn submit(&mut self, now: Instant, request: Request, item: T) -> Result<Ticket, Effect<T>> {
         let (generations_by_engine, shuffle_seed) =
             (self.known_generations(now), self.shuffle_seeds.next());
-        if (self.queue.is_empty() || request.urgent)
+        // One that waits for an engine of its build holds up no other.
+        let is_next = !self.queue.any(|waiting| waiting.item.0.build.is_none());
+        if (is_next || request.urgent)
             && let Some(assignment) =
                 self.assign(now, &request, &generations_by_engine, shuffle_seed)
         {
             return Err(Effect::Admit(item, self.place(now, &request, assignment)));
         }
-        if self.backoff_left(now, &request.service, Some(Stage::Decode)).is_some() {
+        if self.backoff_left(now, &request.service, Some(Stage::Decode)).is_some()
+            || request.build.as_ref().is_some_and(|build| !self.has_build(&request.service, build))
+        {
             let refusal = self.refuse(now, &request);
             return Err(Effect::Refuse(item, refusal));
         }
@@ -177,9 +184,11 @@
         let (generations_by_engine, shuffle_seed) =
             (self.known_generations(now), self.shuffle_seeds.next());
         let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
-        let dequeued = queue.dequeue(now, |waiting| {
-            self.assign(now, &waiting.item.0, &generations_by_engine, shuffle_seed)
-        });
+        let dequeued = queue.dequeue_passing(
+            now,
+            |waiting| waiting.item.0.build.is_some(),
+            |waiting| self.assign(now, &waiting.item.0, &generations_by_engine, shuffle_seed),
+        );
         self.queue = queue;
         let (waiting, assignment) = dequeued?;
         let (request, item) = waiting.item;
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -210,12 +210,16 @@
 pub(super) type GenerationsByEngine = BTreeMap<ServerKey, Vec<forecast::Generation>>;
 
 impl Server {
+    /// Returns whether the server is an engine of `service` and `stage`.
+    fn is_engine(&self, service: &str, stage: Stage) -> bool {
+        self.entry.stage == Some(stage) && &*self.entry.service == service
+    }
+
     /// Returns whether the server may get a new request of `service` as an engine of `stage`: it
     /// accepts requests, is not changing its stage, and is not avoided after failures.
     fn can_serve(&self, now: Instant, service: &str, stage: Stage) -> bool {
-        let is_in_pool = self.entry.stage == Some(stage) && &*self.entry.service == service;
         let is_usable = self.accepts(now) && self.stage_change_until <= now;
-        is_in_pool && is_usable && self.health.may_try(now)
+        self.is_engine(service, stage) && is_usable && self.health.may_try(now)
     }
 }
 
@@ -235,16 +239,19 @@
         server.speed.0.or_else(pool_speed).unwrap_or(Pool::default().tokens_per_ms())
     }
 
-    /// Returns the engines of a stage that may get a new request: those in this host's cell, or all
-    /// engines if none in the cell is usable.
+    /// Returns the engines of a stage, and of a build if one is given, that may get a new request: those in this host's
+    /// cell, or all engines if none in the cell is usable.
     fn usable_engines(
         &self,
         now: Instant,
         service: &str,
         stage: Stage,
+        build: Option<&Arc<str>>,
     ) -> Vec<(ServerKey, &Server)> {
         let serving = |(_, server): &(ServerKey, &Server)| {
-            server.can_serve(now, service, stage) && self.throttle.has_room(now, &server.entry.name)
+            server.can_serve(now, service, stage)
+                && build.is_none_or(|build| server.entry.build == *build)
+                && self.throttle.has_room(now, &server.entry.name)
         };
         let in_cell = self.servers.iter().filter(|(_, server)| server.in_cell).filter(serving);
         let in_cell: Vec<_> = in_cell.collect();
@@ -276,8 +283,8 @@
     ///
     /// Engines have room if they have a free slot and the forecast peak of their memory, with the
     /// new generation, is within the limit. Of [`CANDIDATES`] such engines from a shuffled list,
-    /// the best is chosen: without failures first, then by the bucket of the peak, then in this
-    /// host's failure domain, then by the peak itself.
+    /// the best is chosen: without failures first, then of a build by which another engine could resume the stream, then
+    /// by the bucket of the peak, then in this host's failure domain, then by the peak itself.
     pub(super) fn choose_decode(
         &self,
         now: Instant,
@@ -288,8 +295,10 @@
         let pool = self.pools.get(&request.service)?;
         let capacity = pool.kv_tokens as f64 * self.settings.memory_fraction;
         let incoming = request.forecast_generation(&pool.length);
-        let mut candidates = self.usable_engines(now, &request.service, Stage::Decode);
+        let build = request.build.as_ref();
+        let mut candidates = self.usable_engines(now, &request.service, Stage::Decode, build);
         candidates.sort_by_key(|(key, _)| shuffle::rank(*key, shuffle_seed));
+        let engines_by_build = self.engines_by_build(&request.service);
         let fitting = candidates.into_iter().filter_map(|(key, server)| {
             let mut generations = generations_by_engine.get(&key).cloned().unwrap_or_default();
             if generations.len() >= server.entry.slots as usize {
@@ -301,8 +310,9 @@
             let load_bucket = (peak / capacity * LOAD_BUCKETS) as u32;
             let is_remote = server.entry.failure_domain != self.failure_domain;
             let failure_rank = self.failure_rank(now, server);
+            let is_alone = engines_by_build.get(&server.entry.build).is_none_or(|count| *count < 2);
             (peak <= capacity).then_some((
-                (failure_rank, load_bucket, is_remote, peak as u64),
+                (failure_rank, is_alone, load_bucket, is_remote, peak as u64),
                 key,
                 // Without the new generation, which was added for the forecast.
                 generations.len() - 1,
@@ -320,6 +330,22 @@
         ))
     }
 
+    /// Returns the number of decode engines of each build of a service that take new requests.
+    fn engines_by_build(&self, service: &str) -> BTreeMap<Arc<str>, usize> {
+        let mut counts = BTreeMap::new();
+        for server in self.servers.values() {
+            if server.is_open() && server.is_engine(service, Stage::Decode) {
+                *counts.entry(server.entry.build.clone()).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Returns whether a decode engine of a build of a service takes new requests.
+    pub fn has_build(&self, service: &str, build: &str) -> bool {
+        self.engines_by_build(service).contains_key(build)
+    }
+
     /// Chooses the prefill engine that is expected to finish first, excluding those in
     /// `in_progress`, which are already prefilling the prompt. Engines without failures are
     /// preferred. A transfer to a decode engine in another failure domain counts as time.
@@ -333,7 +359,7 @@
     ) -> Option<ServerKey> {
         let per_ms = self.pools.get(service)?.prefill_per_ms;
         let domain = self.servers.get(decode).map(|server| server.entry.failure_domain.clone());
-        let candidates = self.usable_engines(now, service, Stage::Prefill).into_iter();
+        let candidates = self.usable_engines(now, service, Stage::Prefill, None).into_iter();
         let ranked =
             candidates.filter(|(key, _)| !in_progress.contains(key)).map(|(key, server)| {
                 let is_remote = Some(&server.entry.failure_domain) != domain.as_ref();
@@ -364,7 +390,7 @@
         let per_ms = self.pools.get(&request.service)?.prefill_per_ms;
         // Ranks like `choose_prefill`: an engine without failures is preferred, even if a failing
         // one has a shorter queue.
-        let engines = self.usable_engines(now, &request.service, Stage::Prefill).into_iter();
+        let engines = self.usable_engines(now, &request.service, Stage::Prefill, None).into_iter();
         let ranked = engines.map(|(_, server)| {
             (self.failure_rank(now, server), self.queued_prefill_tokens(now, server, per_ms) as u64)
         });
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -8,10 +8,10 @@
 use chestnutrack_wire::frame::{EngineReport, GenerationReport, News};
 use std::time::Duration;
 
-const NOW: Instant = Instant::from_millis(1_000_000);
+pub(super) const NOW: Instant = Instant::from_millis(1_000_000);
 const KV_TOKENS: u64 = 20_000;
 
-fn dispatch(decode: usize, prefill: usize) -> Dispatch<u32> {
+pub(super) fn dispatch(decode: usize, prefill: usize) -> Dispatch<u32> {
     let mut dispatch = Dispatch::new(Settings::default(), "a".into());
     dispatch.configure_engines(&service(), KV_TOKENS, 59);
     for engine in 0..decode + prefill {
@@ -20,7 +20,7 @@
     dispatch
 }
 
-fn request() -> Request {
+pub(super) fn request() -> Request {
     Request {
         service: service(),
         organisation: "orchard".into(),
@@ -33,17 +33,18 @@
         max_pause: Some(Duration::from_millis(300)),
         urgent: false,
         prefilled: false,
+        build: None,
     }
 }
 
-fn place(dispatch: &mut Dispatch<u32>, request: Request) -> Option<Placement> {
+pub(super) fn place(dispatch: &mut Dispatch<u32>, request: Request) -> Option<Placement> {
     match dispatch.submit(NOW, request, 0) {
         Err(Effect::Admit(_, placement)) => Some(placement),
         _ => None,
     }
 }
 
-fn decode_name(dispatch: &Dispatch<u32>, placement: Option<Placement>) -> String {
+pub(super) fn decode_name(dispatch: &Dispatch<u32>, placement: Option<Placement>) -> String {
     let entry = placement.and_then(|placement| dispatch.entry(placement.decode));
     entry.map(|entry| entry.name.to_string()).unwrap_or_default()
 }
--- a/crates/core/src/dispatch/tests/leaving.rs
+++ b/crates/core/src/dispatch/tests/leaving.rs
@@ -120,6 +120,7 @@
         max_pause: None,
         urgent: false,
         prefilled: false,
+        build: None,
     };
 
     let result = dispatch.submit(NOW, request, 7);
--- a/crates/core/src/dispatch/tests/mod.rs
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -1,3 +1,4 @@
+mod builds;
 mod choice;
 mod leaving;
 mod load;
--- a/crates/core/src/dispatch/tests/simulation.rs
+++ b/crates/core/src/dispatch/tests/simulation.rs
@@ -250,6 +250,7 @@
             max_pause: Some(Duration::from_millis(300)),
             urgent: false,
             prefilled: false,
+            build: None,
         };
         self.totals.submitted += 1;
         self.requests_by_host[host].0 += 1;
--- a/crates/core/src/dispatch/tests/stage.rs
+++ b/crates/core/src/dispatch/tests/stage.rs
@@ -142,6 +142,7 @@
             max_pause: None,
             urgent: false,
             prefilled: false,
+            build: None,
         };
         drop(dispatch.submit(now, request, 0));
     };
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -165,6 +165,11 @@
         self.entries.is_empty()
     }
 
+    /// Returns whether any waiting request satisfies a condition.
+    pub fn any(&self, condition: impl FnMut(&Waiting<T>) -> bool) -> bool {
+        self.entries.values().any(condition)
+    }
+
     /// Returns the arrival times of all waiting requests, in no particular order.
     pub fn arrivals(&self) -> impl Iterator<Item = Instant> {
         self.entries.values().map(|waiting| waiting.arrived)
@@ -239,14 +244,31 @@
     pub fn dequeue<R>(
         &mut self,
         now: Instant,
+        place: impl FnMut(&Waiting<T>) -> Option<R>,
+    ) -> Option<(Waiting<T>, R)> {
+        self.dequeue_passing(now, |_| false, place)
+    }
+
+    /// Removes and returns a request as [`Queue::dequeue`] does. A request that `may_pass` names and that is not accepted
+    /// does not hold up the ones behind it.
+    pub fn dequeue_passing<R>(
+        &mut self,
+        now: Instant,
+        may_pass: impl Fn(&Waiting<T>) -> bool,
         mut place: impl FnMut(&Waiting<T>) -> Option<R>,
     ) -> Option<(Waiting<T>, R)> {
         self.demote_late(now);
         for class in self.class_order() {
             for organisation in self.organisations_by_virtual_time(class) {
-                let first = self.lanes[&organisation].class(class).front().copied();
-                let Some(key) = first else { continue };
-                if let Some(placed) = place(&self.entries[key]) {
+                let mut accepted = None;
+                for key in self.lanes[&organisation].class(class) {
+                    let waiting = &self.entries[*key];
+                    accepted = place(waiting).map(|placed| (*key, placed));
+                    if accepted.is_some() || !may_pass(waiting) {
+                        break;
+                    }
+                }
+                if let Some((key, placed)) = accepted {
                     return self.serve(now, class, key).map(|waiting| (waiting, placed));
                 }
             }
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -49,12 +49,14 @@
 const HANDLE_TRANSFER_MARGIN: Duration = Duration::from_millis(100);
 
 /// Where a generation begins: at its start, or after the part of its stream that the caller has.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct StartPoint {
     /// Identifier of the last event that the caller has.
     pub(super) last_event: Option<u64>,
     /// Length of that part, in tokens.
     pub(super) generated_tokens: u64,
+    /// Build that began the stream, whose engines alone may go on with it; `None` for a stream that has not begun.
+    pub(super) build: Option<Arc<str>>,
 }
 
 /// Response of an engine that has begun to answer a generation.
@@ -214,7 +216,7 @@
 pub(super) async fn run(job: Arc<Job>, engine: Engine) -> Result<Response<Body>, Refusal> {
     let mut retry_state = RetryState::default();
     let start = StartPoint { last_event: job.head.last_event, ..StartPoint::default() };
-    let engine_response = start_generation(&job, &engine, &mut retry_state, start).await;
+    let engine_response = start_generation(&job, &engine, &mut retry_state, &start).await;
     let mut engine_response = engine_response.map_err(|refusal| retry_state.refusal(refusal))?;
     job.record_answer(&engine_response.admission.decode, engine_response.head.status.as_u16());
     let mut response = Response::new(());
@@ -227,7 +229,7 @@
         return body.map(|body| response.map(|()| answer::full(body))).map_err(Failure::refusal);
     }
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
-    tokio::spawn(relay::run(job, engine, retry_state, engine_response, sender));
+    tokio::spawn(relay::run(job, engine, retry_state, start, engine_response, sender));
     Ok(response.map(|()| answer::streaming(receiver)))
 }
 
@@ -237,7 +239,7 @@
     job: &Arc<Job>,
     engine: &Engine,
     retry_state: &mut RetryState,
-    start: StartPoint,
+    start: &StartPoint,
 ) -> Result<EngineResponse, Refusal> {
     let attempt = send_generation(job, engine, retry_state, start, None).await?;
     await_response(job, engine, retry_state, start, attempt).await
@@ -249,12 +251,12 @@
     job: &Arc<Job>,
     engine: &Engine,
     retry_state: &mut RetryState,
-    start: StartPoint,
+    start: &StartPoint,
     mut cache: Option<PrefilledCache>,
 ) -> Result<PendingAttempt, Refusal> {
     loop {
         cache = cache.filter(|cache| cache.is_fresh(engine));
-        let mut admission = admit(job, start.generated_tokens, cache.is_some()).await?;
+        let mut admission = admit(job, start, cache.is_some()).await?;
         if cache.is_none() {
             cache = match prefill(job, &mut admission, retry_state, start.last_event).await {
                 Ok(cache) => cache,
@@ -272,7 +274,7 @@
     job: &Arc<Job>,
     engine: &Engine,
     retry_state: &mut RetryState,
-    start: StartPoint,
+    start: &StartPoint,
     mut attempt: PendingAttempt,
 ) -> Result<EngineResponse, Refusal> {
     loop {
@@ -297,7 +299,7 @@
 async fn next_result(
     job: &Arc<Job>,
     retry_state: &mut RetryState,
-    start: StartPoint,
+    start: &StartPoint,
     attempt: &mut PendingAttempt,
 ) -> Result<Response<Stream>, Failure> {
     if !job.route.kind.may_repeat() {
@@ -328,18 +330,18 @@
 }
 
 /// Waits until a request is admitted, which reserves places at its engines, and logs the result.
-/// `generated_tokens` is the length of its stream so far, and `prefilled` says whether its prompt is prefilled
-/// already.
+/// `start` is where its stream goes on, and `prefilled` says whether its prompt is prefilled already.
 ///
 /// A request that is prefilled or resumed is urgent: work already done for it would be lost if it had to wait. It
 /// waits for at most [`URGENT_ADMISSION_TIMEOUT`], whatever its latency target.
 pub(super) async fn admit(
     job: &Arc<Job>,
-    generated_tokens: u64,
+    start: &StartPoint,
     prefilled: bool,
 ) -> Result<Admission, Refusal> {
     let generation = job.head.generation.clone().unwrap_or_default();
     let now = clock::now();
+    let generated_tokens = start.generated_tokens;
     let urgent = generated_tokens > 0 || prefilled;
     let first_token_by = match urgent {
         true => now + URGENT_ADMISSION_TIMEOUT,
@@ -358,6 +360,7 @@
         max_pause: job.route.max_pause,
         urgent,
         prefilled,
+        build: start.build.clone(),
     };
     let admission = job.app.admit(request).await;
     let waited_ms = clock::now().since(now).as_millis() as u64;
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -43,6 +43,8 @@
     events: EventSplitter,
     /// Identifier of the last event that the caller has.
     last_event: Option<u64>,
+    /// Build that wrote the events that the caller has; `None` if it has none.
+    build: Option<Arc<str>>,
     /// Events forwarded to the caller.
     forwarded_events: u64,
     /// Whether the current engine's stream has ended.
@@ -61,10 +63,11 @@
     job: Arc<Job>,
     engine: Engine,
     retry_state: RetryState,
+    start: StartPoint,
     mut response: EngineResponse,
     caller: mpsc::Sender<Bytes>,
 ) {
-    let last_event = job.head.last_event;
+    let StartPoint { last_event, build, .. } = start;
     let mut relay = Relay {
         job,
         engine,
@@ -72,6 +75,7 @@
         caller,
         events: EventSplitter::default(),
         last_event,
+        build,
         forwarded_events: 0,
         engine_ended: false,
         began_at: None,
@@ -207,6 +211,7 @@
             return Some(End::Broken);
         }
         self.last_event = event.id.or(self.last_event);
+        self.build.get_or_insert_with(|| response.admission.decode.entry.build.clone());
         self.forwarded_events += 1;
         let began_at = *self.began_at.get_or_insert(clock::now());
         if clock::now().since(began_at) > CRASH_DELAY_MAX {
@@ -223,6 +228,7 @@
         StartPoint {
             last_event: self.last_event,
             generated_tokens: self.forwarded_events * u64::from(self.engine.tokens_per_event),
+            build: self.build.clone(),
         }
     }
 
@@ -238,7 +244,7 @@
         let next = async |response: &mut EngineResponse| response.stream.chunk().await;
         let retry_state = &mut self.retry_state;
         let takeover = tokio::select! {
-            takeover = takeover::run(&job, retry_state, start, &silent, response, next) => takeover,
+            takeover = takeover::run(&job, retry_state, &start, &silent, response, next) => takeover,
             () = caller.closed() => return Err(End::CallerGone),
         };
         match takeover {
@@ -255,7 +261,7 @@
             Takeover::Replaced(attempt) => {
                 let started_at = clock::now();
                 let response = tokio::select! {
-                    response = await_response(&job, &self.engine, retry_state, start, *attempt) => response,
+                    response = await_response(&job, &self.engine, retry_state, &start, *attempt) => response,
                     () = caller.closed() => return Err(End::CallerGone),
                 };
                 self.record_resumed(started_at, response)
@@ -286,7 +292,7 @@
         }
         let started_at = clock::now();
         let response = tokio::select! {
-            response = start_generation(&job, &self.engine, retry_state, start) => response,
+            response = start_generation(&job, &self.engine, retry_state, &start) => response,
             () = caller.closed() => return Err(End::CallerGone),
         };
         self.record_resumed(started_at, response)
--- a/crates/forward/src/attempt/takeover.rs
+++ b/crates/forward/src/attempt/takeover.rs
@@ -33,7 +33,7 @@
 pub(super) async fn run<Old, T, E>(
     job: &Arc<Job>,
     retry_state: &mut RetryState,
-    start: StartPoint,
+    start: &StartPoint,
     silent: &Target,
     mut old: Old,
     mut next: impl AsyncFnMut(&mut Old) -> Result<T, E>,
@@ -141,7 +141,7 @@
 async fn prepare(
     job: &Arc<Job>,
     retry_state: &mut RetryState,
-    start: StartPoint,
+    start: &StartPoint,
     silent: &Target,
 ) -> Result<PreparedGeneration, &'static str> {
     if let Some(obstacle) = retry_state.obstacle(job) {
@@ -150,7 +150,7 @@
     if !retry_state.has_retry(job) {
         return Err("retry_budget");
     }
-    let admission = admit(job, start.generated_tokens, false).await;
+    let admission = admit(job, start, false).await;
     let mut admission = admission.map_err(|refusal| refusal.cause.name())?;
     if admission.decode.key == silent.key {
         return Err("no_other_engine");
