Streams that their callers resume go on at the build that began them

Cause: only the host that relays a stream knows which build began it, and that host is gone when its caller comes to another one. Resuming was decided like a new placement, by each host for itself.

Change: `core::origin`. While engines of several builds may have begun streams that have not ended, a host tells three keepers of each stream, among all hosts of the fleet and found from the stream's identifier, which build began it, when it forwards the first event. A host at which a caller resumes a stream uses its own record, or asks the keepers. If nobody knows, the caller is refused at once with a time (`build_unknown`); if the build has no engine, the same (`build_gone`). A host that starts again is told all that it keeps. No question is left while only one build has served for as long as a stream can last: then nothing is told or asked. To know that also after a restart, hosts tell each other which builds have served, and the store holds them for a fleet of which every host has restarted (one write when a build comes and one when its last streams have ended). A host that has read no whole list, or that is isolated without the store, does not rely on it. Streams that are resumed by their callers are admitted like those that their hosts resume, before new ones.

Found by the tests while writing: builds that two hosts report to each other grew younger with each message; a host that asked before it had read the list of hosts took one that had just restarted for the only keeper; a record whose connection failed was lost.

Before the wait for all keepers was added to two tests, one of them failed in 1 of 17 runs: a host that is killed within the few milliseconds in which it tells a stream's keepers takes the knowledge with it, and the stream is refused.

--- a/crates/core/src/cell/mod.rs
+++ b/crates/core/src/cell/mod.rs
@@ -9,6 +9,8 @@
 #[cfg(test)]
 mod tests;
 
+use crate::mix::hash;
+
 /// Largest average number of hosts per cell.
 pub const HOSTS_PER_CELL: usize = 32;
 
@@ -51,11 +53,3 @@
         (self.index, self.count)
     }
 }
-
-/// Hashes a name. The result must be the same on every host and in every version of the program, so that all
-/// hosts agree on the cells.
-fn hash(name: &str) -> u64 {
-    let mut prefix = [0; 8];
-    prefix.copy_from_slice(&blake3::hash(name.as_bytes()).as_bytes()[..8]);
-    u64::from_le_bytes(prefix)
-}
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -346,6 +346,12 @@
         self.engines_by_build(service).contains_key(build)
     }
 
+    /// Returns service and build of each listed engine.
+    pub fn listed_builds(&self) -> impl Iterator<Item = (Arc<str>, Arc<str>)> {
+        let engines = self.servers.values().filter(|server| server.entry.stage.is_some());
+        engines.map(|server| (server.entry.service.clone(), server.entry.build.clone()))
+    }
+
     /// Chooses the prefill engine that is expected to finish first, excluding those in
     /// `in_progress`, which are already prefilling the prompt. Engines without failures are
     /// preferred. A transfer to a decode engine in another failure domain counts as time.
--- a/crates/core/src/dispatch/shuffle.rs
+++ b/crates/core/src/dispatch/shuffle.rs
@@ -1,6 +1,7 @@
 //! Pseudorandom numbers by which ties between servers are broken, and in which hosts differ.
 
 use super::ServerKey;
+use crate::mix::mix;
 
 /// An evenly spread sequence of numbers.
 #[derive(Clone, Copy, Debug, Default)]
@@ -26,11 +27,3 @@
 pub(super) fn rank(key: ServerKey, shuffle_seed: u64) -> u64 {
     mix(slotmap::Key::data(&key).as_ffi() ^ shuffle_seed)
 }
-
-/// Returns a number whose bits all depend on all bits of `value`.
-pub(super) fn mix(value: u64) -> u64 {
-    /// Odd multiplier with well-mixed bits.
-    const FACTOR: u64 = 0xff51_afd7_ed55_8ccd;
-    let mixed = value.wrapping_mul(FACTOR);
-    (mixed ^ (mixed >> 32)).wrapping_mul(FACTOR)
-}
--- a/crates/core/src/dispatch/throttle.rs
+++ b/crates/core/src/dispatch/throttle.rs
@@ -11,6 +11,7 @@
 use super::{Dispatch, ServerKey, Stage, shuffle};
 use crate::allowance::{self, Allowances, Report};
 use crate::limit::Quota;
+use crate::mix::mix;
 use crate::time::Instant;
 use chestnutrack_wire::frame::{LimitReport, LimitStatement};
 use std::collections::{BTreeMap, HashMap};
@@ -115,7 +116,7 @@
     /// Draws anew which part of a server's accrued requests this host waits for.
     fn draw_threshold(&mut self, server: &str) {
         let Some(limit) = self.limits.get_mut(server) else { return };
-        limit.threshold = shuffle::mix(self.thresholds.next()) as f64 / u64::MAX as f64;
+        limit.threshold = mix(self.thresholds.next()) as f64 / u64::MAX as f64;
     }
 
     /// Replaces the limit of a server. Returns whether its rate has changed.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod limit;
 pub mod listing;
 pub mod member;
+pub mod mix;
+pub mod origin;
 pub mod place;
 pub mod plan;
 pub mod quarantine;
--- /dev/null
+++ b/crates/core/src/origin/mod.rs
@@ -0,0 +1,53 @@
+//! Which build began a stream, so that it goes on at that build only.
+//!
+//! A build is a version of the software of a service's engines. Engines of several builds may serve side by side, and
+//! what two of them write does not fit together. A stream that breaks off is resumed by its host, which knows the build,
+//! or by its caller, at any host. So while several builds serve, each host tells a few others, the keepers of
+//! the stream, which build began it: [`keepers`] are found from the stream's identifier by any host. [`Origins`] is what a
+//! host knows of streams, [`Builds`] what it knows of the builds that may have begun one.
+
+mod builds;
+mod registry;
+#[cfg(test)]
+mod tests;
+
+pub use builds::{Builds, Possible};
+pub use registry::{Known, Origins};
+
+use crate::mix::{hash, mix};
+use std::cmp::Reverse;
+use std::sync::Arc;
+
+/// Number of hosts that are told which build began a stream.
+pub const KEEPERS: usize = 3;
+
+/// Identifies a stream on all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Stream(u64);
+
+impl Stream {
+    /// Returns the stream whose first event was brought by the request with an identifier.
+    pub fn begun_by(request: &str) -> Stream {
+        Stream(hash(request))
+    }
+
+    /// Returns the number by which a stream is named between hosts.
+    pub fn number(self) -> u64 {
+        self.0
+    }
+}
+
+impl From<u64> for Stream {
+    fn from(number: u64) -> Stream {
+        Stream(number)
+    }
+}
+
+/// Returns the hosts that are told which build began a stream, up to [`KEEPERS`] of `hosts`. If a host comes or goes, at most
+/// one of them changes.
+pub fn keepers(stream: Stream, hosts: impl IntoIterator<Item = Arc<str>>) -> Vec<Arc<str>> {
+    let mut ranked: Vec<(u64, Arc<str>)> =
+        hosts.into_iter().map(|host| (mix(hash(&host) ^ stream.0), host)).collect();
+    ranked.sort_unstable_by_key(|(rank, _)| Reverse(*rank));
+    ranked.into_iter().take(KEEPERS).map(|(_, host)| host).collect()
+}
--- /dev/null
+++ b/crates/core/src/origin/registry.rs
@@ -0,0 +1,161 @@
+//! What a host knows of which build began which stream.
+
+use super::Stream;
+use crate::time::Instant;
+use chestnutrack_wire::frame::OriginReport;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Maximum number of streams that are remembered. The build of a further one is not known to other hosts.
+const STREAMS_MAX: usize = 1 << 16;
+/// Number of streams from which on those that have ended are removed.
+const PRUNE_MIN: usize = 1 << 10;
+/// Time for which the result of a search for a stream is kept.
+const SEARCH_RETENTION: Duration = Duration::from_secs(2);
+
+/// The build that began a stream.
+#[derive(Clone, Debug)]
+struct Origin {
+    build: Arc<str>,
+    /// When the stream must have ended.
+    until: Instant,
+}
+
+/// A search for the build of a stream at its keepers.
+#[derive(Clone, Copy, Debug)]
+struct Search {
+    began_at: Instant,
+    /// Keepers that have not answered; `None` until they are asked.
+    outstanding: Option<usize>,
+}
+
+/// Result of looking for the build that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Known {
+    /// The stream was begun by this build.
+    Build(Arc<str>),
+    /// The keepers are being asked.
+    Pending,
+    /// No host that could be asked knows.
+    Nowhere,
+}
+
+/// Builds that began streams, as far as this host knows, and what is to be told to and asked of other hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Origins {
+    streams: HashMap<Stream, Origin>,
+    searches: HashMap<Stream, Search>,
+    /// Streams whose keepers are to be told.
+    untold: Vec<Stream>,
+    prune_at: usize,
+}
+
+impl Origins {
+    /// Records that `build` began a stream that ends by `until`. The build that was recorded first counts. If `tell` is
+    /// `true`, the keepers of the stream are told.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        stream: Stream,
+        build: &Arc<str>,
+        until: Instant,
+        tell: bool,
+    ) {
+        self.prune(now);
+        let is_full = self.streams.len() >= STREAMS_MAX;
+        match self.streams.get_mut(&stream) {
+            Some(origin) if origin.until > now => origin.until = origin.until.max(until),
+            None if is_full => return,
+            _ => drop(self.streams.insert(stream, Origin { build: build.clone(), until })),
+        }
+        if tell {
+            self.untold.push(stream);
+        }
+    }
+
+    /// Records what a keeper told.
+    pub fn record_reports(&mut self, now: Instant, reports: &[OriginReport]) {
+        for report in reports {
+            let until = now + Duration::from_millis(report.left_ms.into());
+            self.record(now, report.stream.into(), &report.build, until, false);
+        }
+    }
+
+    /// Returns the build that began a stream, if this host knows it.
+    pub fn build(&self, now: Instant, stream: Stream) -> Option<Arc<str>> {
+        let origin = self.streams.get(&stream).filter(|origin| origin.until > now)?;
+        Some(origin.build.clone())
+    }
+
+    /// Looks for the build that began a stream, and has the keepers asked if this host does not know it.
+    pub fn find(&mut self, now: Instant, stream: Stream) -> Known {
+        if let Some(build) = self.build(now, stream) {
+            return Known::Build(build);
+        }
+        self.searches.retain(|_, search| now.since(search.began_at) < SEARCH_RETENTION);
+        let search =
+            self.searches.entry(stream).or_insert(Search { began_at: now, outstanding: None });
+        match search.outstanding {
+            Some(0) => Known::Nowhere,
+            _ => Known::Pending,
+        }
+    }
+
+    /// Has the keepers of all streams told.
+    pub fn tell_all(&mut self) {
+        self.untold = self.streams.keys().copied().collect();
+    }
+
+    /// Returns the streams whose keepers are to be told, and does not return them again.
+    pub fn take_untold(&mut self) -> Vec<Stream> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Returns the streams whose keepers are to be asked.
+    pub fn unasked(&self) -> Vec<Stream> {
+        let unasked = self.searches.iter().filter(|(_, search)| search.outstanding.is_none());
+        unasked.map(|(stream, _)| *stream).collect()
+    }
+
+    /// Records that a number of keepers is asked for the build of a stream.
+    pub fn record_asked(&mut self, stream: Stream, keepers: usize) {
+        if let Some(search) = self.searches.get_mut(&stream) {
+            search.outstanding = Some(keepers);
+        }
+    }
+
+    /// Records that a keeper does not know the build of a stream, or did not answer.
+    pub fn record_unknown(&mut self, stream: Stream) {
+        if let Some(search) = self.searches.get_mut(&stream) {
+            search.outstanding = search.outstanding.map(|count| count.saturating_sub(1));
+        }
+    }
+
+    /// Returns the reports on the given streams, as far as this host knows them.
+    pub fn reports(
+        &self,
+        now: Instant,
+        streams: impl IntoIterator<Item = Stream>,
+    ) -> Vec<OriginReport> {
+        let report = |stream: Stream| {
+            let origin = self.streams.get(&stream).filter(|origin| origin.until > now)?;
+            let left_ms = u32::try_from(now.millis_until(origin.until)).unwrap_or(u32::MAX);
+            Some(OriginReport { stream: stream.number(), build: origin.build.clone(), left_ms })
+        };
+        streams.into_iter().filter_map(report).collect()
+    }
+
+    /// Returns all streams that are known, also those that have ended and are not removed yet.
+    pub fn streams(&self) -> impl ExactSizeIterator<Item = Stream> {
+        self.streams.keys().copied()
+    }
+
+    /// Removes streams that have ended, whenever their number has doubled.
+    fn prune(&mut self, now: Instant) {
+        if self.streams.len() >= self.prune_at.max(PRUNE_MIN) {
+            self.streams.retain(|_, origin| origin.until > now);
+            self.prune_at = self.streams.len() * 2;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/origin/tests.rs
@@ -0,0 +1,219 @@
+use super::{Builds, Known, Origins, Possible, Stream, keepers};
+use crate::time::Instant;
+use chestnutrack_wire::frame::{BuildReport, OriginReport};
+use quickcheck::quickcheck;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+const NOW: Instant = Instant::from_millis(1_000_000);
+const LIFE: Duration = Duration::from_secs(33);
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn hosts(count: usize) -> Vec<Arc<str>> {
+    (0..count).map(|n| format!("host-{n}").into()).collect()
+}
+
+fn stream(n: u64) -> Stream {
+    Stream::begun_by(&format!("request-{n}"))
+}
+
+/// Returns what a host knows that started long after its fleet and lists the given builds now.
+fn builds_of_later_host(listed: &[&str]) -> Builds {
+    let mut builds = Builds::new(false);
+    builds.set_stream_life(&"llm".into(), LIFE);
+    list(&mut builds, NOW, listed);
+    builds
+}
+
+fn list(builds: &mut Builds, now: Instant, listed: &[&str]) {
+    builds.record_listed(now, listed.iter().map(|build| ("llm".into(), (*build).into())));
+}
+
+fn report(build: &str, age_ms: u32) -> BuildReport {
+    BuildReport { service: "llm".into(), build: build.into(), age_ms }
+}
+
+#[test]
+fn a_stream_has_as_many_keepers_as_there_are_hosts_up_to_three() {
+    for (count, expected) in [(0, 0), (1, 1), (2, 2), (3, 3), (103, 3)] {
+        let found: BTreeSet<Arc<str>> = keepers(stream(1), hosts(count)).into_iter().collect();
+
+        assert_eq!(found.len(), expected);
+    }
+}
+
+// Guards against a stream that nobody knows since a host has come or gone.
+#[test]
+fn a_host_that_comes_or_goes_changes_at_most_one_keeper_of_a_stream() {
+    fn is_stable(number: u64, count: usize, gone: usize) -> bool {
+        let all = hosts(count % 100 + 1);
+        let others = all.iter().enumerate().filter(|(n, _)| *n != gone % all.len());
+        let others: Vec<Arc<str>> = others.map(|(_, host)| host.clone()).collect();
+        let before: BTreeSet<Arc<str>> = keepers(stream(number), all).into_iter().collect();
+        let after: BTreeSet<Arc<str>> = keepers(stream(number), others).into_iter().collect();
+        before.difference(&after).count() <= 1 && after.difference(&before).count() <= 1
+    }
+    quickcheck(is_stable as fn(u64, usize, usize) -> bool);
+}
+
+// Guards against a keeper that is asked and was never told: the host that begins a stream and the one at which its caller
+// resumes it each leave themselves out.
+#[test]
+fn the_host_that_is_asked_about_a_stream_is_one_that_was_told() {
+    let all = hosts(5);
+    let others = |own: usize| all.iter().enumerate().filter(move |(n, _)| *n != own);
+    for number in 0..200 {
+        for (begun, resumed) in [(0, 1), (1, 2), (2, 4), (4, 3)] {
+            let told = keepers(stream(number), others(begun).map(|(_, host)| host.clone()));
+            let asked = keepers(stream(number), others(resumed).map(|(_, host)| host.clone()));
+
+            let knows =
+                told.contains(&all[resumed]) || asked.iter().any(|host| told.contains(host));
+            assert!(knows, "{number}");
+        }
+    }
+}
+
+#[test]
+fn keepers_are_spread_over_all_hosts() {
+    let mut counts = std::collections::BTreeMap::<Arc<str>, u32>::new();
+    for number in 0..3_000 {
+        for keeper in keepers(stream(number), hosts(30)) {
+            *counts.entry(keeper).or_default() += 1;
+        }
+    }
+
+    // 300 each on average.
+    assert!(counts.values().all(|count| (200..400).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn the_build_that_was_recorded_first_counts_until_the_stream_must_have_ended() {
+    let mut origins = Origins::default();
+    origins.record(NOW, stream(1), &"v1".into(), NOW + seconds(10), true);
+    origins.record(NOW, stream(1), &"v2".into(), NOW + seconds(12), true);
+
+    assert_eq!(origins.build(NOW + seconds(11), stream(1)).as_deref(), Some("v1"));
+    assert_eq!(origins.build(NOW + seconds(12), stream(1)), None);
+}
+
+#[test]
+fn streams_that_have_ended_do_not_fill_the_memory() {
+    let mut origins = Origins::default();
+    for number in 0..100_000 {
+        let now = NOW + Duration::from_millis(number);
+        origins.record(now, stream(number), &"v1".into(), now + seconds(2), false);
+    }
+
+    // About 2,000 have not ended.
+    assert!(origins.streams().count() <= 4_500, "{}", origins.streams().count());
+}
+
+#[test]
+fn a_search_ends_when_a_keeper_knows_or_all_have_answered() {
+    let mut origins = Origins::default();
+    let known = OriginReport { stream: stream(2).number(), build: "v1".into(), left_ms: 5_000 };
+    assert_eq!(origins.find(NOW, stream(1)), Known::Pending);
+    assert_eq!(origins.find(NOW, stream(2)), Known::Pending);
+    assert_eq!(origins.unasked().len(), 2);
+
+    for number in 1..=2 {
+        origins.record_asked(stream(number), 2);
+        origins.record_unknown(stream(number));
+        assert_eq!(origins.find(NOW, stream(number)), Known::Pending);
+    }
+    origins.record_unknown(stream(1));
+    origins.record_reports(NOW, &[known]);
+
+    assert_eq!(origins.unasked(), []);
+    assert_eq!(origins.find(NOW, stream(1)), Known::Nowhere);
+    assert_eq!(origins.find(NOW, stream(2)), Known::Build("v1".into()));
+    // A caller that comes later has the keepers asked again.
+    assert_eq!(origins.find(NOW + seconds(3), stream(1)), Known::Pending);
+}
+
+#[test]
+fn what_keepers_are_told_is_told_once_and_again_when_that_is_required() {
+    let mut origins = Origins::default();
+    origins.record(NOW, stream(1), &"v1".into(), NOW + seconds(10), true);
+    origins.record(NOW, stream(2), &"v1".into(), NOW + seconds(10), false);
+
+    assert_eq!(origins.take_untold(), [stream(1)]);
+    assert_eq!(origins.take_untold(), []);
+    origins.tell_all();
+    assert_eq!(origins.take_untold().len(), 2);
+}
+
+// Guards against a stream that goes on at the only build that is listed, though another one has just left.
+#[test]
+fn a_build_that_is_no_longer_listed_may_have_begun_a_stream_for_as_long_as_one_lasts() {
+    let mut builds = Builds::new(true);
+    builds.set_stream_life(&"llm".into(), LIFE);
+    list(&mut builds, NOW, &["v1"]);
+    assert_eq!(builds.possible(NOW, "llm"), Possible::One("v1".into()));
+
+    list(&mut builds, NOW + seconds(5), &["v1", "v2"]);
+    list(&mut builds, NOW + seconds(50), &["v2"]);
+
+    assert_eq!(builds.possible(NOW + seconds(37), "llm"), Possible::Several);
+    assert_eq!(builds.possible(NOW + seconds(38), "llm"), Possible::One("v2".into()));
+}
+
+// Guards against a host that has just started and takes the only build that it lists for the only one that has served.
+#[test]
+fn a_host_that_starts_later_knows_no_former_build_until_it_is_told_or_has_listed_for_long() {
+    let fresh = builds_of_later_host(&["v2"]);
+    let mut told = fresh.clone();
+    told.record_former(NOW, &[]);
+    told.record_former_known();
+    let mut told_another = told.clone();
+    told_another.record_former(NOW, &[report("v1", 3_000)]);
+
+    assert_eq!(fresh.possible(NOW + seconds(32), "llm"), Possible::Unknown);
+    assert_eq!(fresh.possible(NOW + seconds(33), "llm"), Possible::Unknown);
+    assert_eq!(told.possible(NOW, "llm"), Possible::One("v2".into()));
+    assert_eq!(told_another.possible(NOW, "llm"), Possible::Several);
+    let mut listing = fresh;
+    list(&mut listing, NOW + seconds(33), &["v2"]);
+    assert_eq!(listing.possible(NOW + seconds(33), "llm"), Possible::One("v2".into()));
+}
+
+#[test]
+fn a_host_that_would_not_know_of_a_listed_build_knows_none() {
+    let mut builds = Builds::new(true);
+    list(&mut builds, NOW, &["v1"]);
+
+    assert!(builds.set_current(false) && !builds.set_current(false));
+
+    assert_eq!(builds.possible(NOW, "llm"), Possible::Unknown);
+    assert!(builds.set_current(true));
+    assert_eq!(builds.possible(NOW, "llm"), Possible::One("v1".into()));
+}
+
+// Guards against a build that two hosts report to each other for ever, each time a little younger.
+#[test]
+fn what_another_host_reported_is_not_reported_further() {
+    let mut builds = builds_of_later_host(&["v2"]);
+
+    builds.record_former(NOW, &[report("v1", 1_000)]);
+
+    assert_eq!(builds.reports(NOW), [report("v2", 0)]);
+}
+
+// Guards against a host that relies on one that was itself only told.
+#[test]
+fn only_a_host_that_has_listed_for_as_long_as_a_stream_lasts_vouches_for_its_reports() {
+    let mut told = builds_of_later_host(&["v1"]);
+    told.record_former_known();
+    let mut first = Builds::new(true);
+
+    assert!(!first.has_listed_all(NOW) && !first.is_known(NOW));
+    list(&mut first, NOW, &["v1"]);
+    assert!(first.has_listed_all(NOW));
+    assert!(told.is_known(NOW) && !told.has_listed_all(NOW));
+    assert!(told.has_listed_all(NOW + LIFE));
+}
--- a/crates/forward/src/answer/mod.rs
+++ b/crates/forward/src/answer/mod.rs
@@ -83,6 +83,12 @@
     // The route leads to no service, or the service has no server that may be tried.
     /// no backend server is known
     NoServer,
+    // What two builds write does not fit together, so the stream goes on nowhere rather than at any.
+    /// it is not known which version of the backend servers began the stream
+    BuildUnknown,
+    // No engine of the build that began the stream takes requests.
+    /// no backend server of the version that began the stream is known
+    BuildGone,
     // An answer was lost, unusable or overdue, and the request may not be sent again.
     /// a backend server may have run the request, and its answer is lost
     Lost,
@@ -107,6 +113,8 @@
             Cause::Throttled => "throttled",
             Cause::Quarantined => "quarantined",
             Cause::NoServer => "no_server",
+            Cause::BuildUnknown => "build_unknown",
+            Cause::BuildGone => "build_gone",
             Cause::Lost => "lost",
             Cause::TimedOut => "timed_out",
         }
@@ -153,7 +161,9 @@
             | Cause::Full
             | Cause::Throttled
             | Cause::Quarantined
-            | Cause::NoServer => StatusCode::SERVICE_UNAVAILABLE,
+            | Cause::NoServer
+            | Cause::BuildUnknown
+            | Cause::BuildGone => StatusCode::SERVICE_UNAVAILABLE,
             Cause::Lost => StatusCode::BAD_GATEWAY,
             Cause::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -8,11 +8,13 @@
 mod admission;
 mod body;
 mod limit;
+mod origin;
 mod place;
 mod quarantine;
 
 pub use admission::{Admission, Target};
 pub use body::BodyMemory;
+pub(crate) use origin::ServiceBuilds;
 pub use place::PlainPlacement;
 pub use quarantine::Identity;
 
@@ -25,6 +27,7 @@
     self, Change, Dispatch, LimitChange, Outcome, RefusedCallers, ServerKey, Stage,
 };
 use chestnutrack_core::limit::Quota;
+use chestnutrack_core::origin::{Builds, Origins};
 use chestnutrack_core::quarantine::Quarantine;
 use chestnutrack_core::retry::Budget;
 use chestnutrack_core::roster;
@@ -137,6 +140,10 @@
     pub quarantine_changed: Notify,
     /// Notified when a request is queued.
     pub request_queued: Notify,
+    /// Notified when other hosts are to be told or asked which build began a stream.
+    pub(crate) origins_due: Notify,
+    /// Wakes those that wait to know which build began a stream.
+    origins_changed: Notify,
     /// Whether this host is about to give orders to engines.
     pub orders_pending: AtomicBool,
     active_config: Mutex<Option<Arc<ActiveConfig>>>,
@@ -159,6 +166,10 @@
     pub(crate) allowances: Allowances,
     /// Parts of prompts that crash engines.
     pub(crate) quarantine: Quarantine,
+    /// Builds that may have begun streams.
+    builds: Builds,
+    /// Builds that began streams.
+    origins: Origins,
     pools: SecondaryMap<ServerKey, Pool>,
     retry_budgets: HashMap<Arc<str>, Budget>,
     refused_callers: RefusedCallers,
@@ -183,6 +194,8 @@
                 settings.allowance,
             ),
             quarantine: Quarantine::default(),
+            builds: Builds::new(settings.is_fleet_first_start),
+            origins: Origins::default(),
             pools: SecondaryMap::new(),
             retry_budgets: HashMap::new(),
             refused_callers: RefusedCallers::default(),
@@ -201,6 +214,8 @@
             urgent_gossip_due: Notify::new(),
             quarantine_changed: Notify::new(),
             request_queued: Notify::new(),
+            origins_due: Notify::new(),
+            origins_changed: Notify::new(),
             active_config: Mutex::default(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
@@ -239,6 +254,7 @@
             if active.is_some() && current >= version {
                 return false;
             }
+            self.configure_builds(&config);
             let mut state = self.state();
             state.allowances.configure(clock::now(), &quotas(&config));
             for service in &config.services {
@@ -268,6 +284,8 @@
     pub fn apply_change(self: &Arc<App>, change: Change) {
         let (active_config, hosts) = (self.active_config(), self.connection_division().0);
         let mut state = self.state();
+        // The builds that are listed until now.
+        state.record_listed_builds(clock::now());
         match change {
             Change::Put(name, entry) => {
                 let (leaving, address, stage) = (entry.leaving, entry.address, entry.stage);
@@ -277,6 +295,9 @@
                     let stage = stage.map(Stage::name);
                     tracing::info!(server = %name, %address, %build, leaving, stage, "server listed");
                 }
+                if stage.is_some() {
+                    state.update_builds(clock::now(), &service);
+                }
                 if !state.pools.contains_key(key) {
                     let pool = Pool::new(address, self.settings.pool);
                     pool.set_open_max(connection_share(active_config.as_deref(), &service, hosts));
--- /dev/null
+++ b/crates/forward/src/app/origin.rs
@@ -0,0 +1,228 @@
+//! Which build began a stream: what this host knows, records, and asks of other hosts.
+
+use super::{App, State};
+use crate::config::{Config, Kind};
+use chestnutrack_core::origin::{Known, Possible, Stream};
+use chestnutrack_core::time::Instant;
+use chestnutrack_process::clock;
+use chestnutrack_wire::frame::{BuildReport, OriginReport};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout_at;
+
+/// Longest time that a stream may last over all tries of its caller, as a multiple of the timeout of its route, plus a
+/// duration.
+const STREAM_LIFE: (u32, Duration) = (2, Duration::from_secs(5));
+
+/// Builds of each service.
+pub(crate) type ServiceBuilds = BTreeMap<Arc<str>, BTreeSet<Arc<str>>>;
+
+/// What the other hosts are to be told and asked about streams.
+#[derive(Debug, Default)]
+pub(crate) struct OriginRequests {
+    /// Streams of which the keepers are told the build.
+    pub(crate) told: Vec<OriginReport>,
+    /// Streams of which the keepers are asked the build.
+    pub(crate) asked: Vec<Stream>,
+}
+
+impl State {
+    /// Records the builds that are listed now.
+    pub(super) fn record_listed_builds(&mut self, now: Instant) {
+        self.builds.record_listed(now, self.dispatch.listed_builds());
+    }
+
+    /// Records the builds that are listed now. If several may have begun streams from now on, has the keepers of all
+    /// streams told.
+    pub(super) fn update_builds(&mut self, now: Instant, service: &str) {
+        let was_one = matches!(self.builds.possible(now, service), Possible::One(_));
+        self.record_listed_builds(now);
+        if was_one && !matches!(self.builds.possible(now, service), Possible::One(_)) {
+            tracing::info!(service, "engines of several builds serve");
+            self.origins.tell_all();
+        }
+    }
+
+    /// Returns the build that began a stream of a service.
+    fn find_build(&mut self, now: Instant, service: &str, stream: Option<Stream>) -> Known {
+        let recorded = stream.and_then(|stream| self.origins.build(now, stream));
+        if let Some(build) = recorded {
+            return Known::Build(build);
+        }
+        self.record_listed_builds(now);
+        match (self.builds.possible(now, service), stream) {
+            (Possible::One(build), _) => Known::Build(build),
+            (Possible::Several, None) => Known::Nowhere,
+            (Possible::Several, Some(stream)) => self.origins.find(now, stream),
+            // The keepers may know, or this host learns that there was only one build.
+            (Possible::Unknown, stream) => {
+                match stream.map(|stream| self.origins.find(now, stream)) {
+                    Some(Known::Build(build)) => Known::Build(build),
+                    _ => Known::Pending,
+                }
+            }
+        }
+    }
+}
+
+impl App {
+    /// Sets how long streams may last, by the routes of a configuration.
+    pub(super) fn configure_builds(&self, config: &Config) {
+        let (factor, margin) = STREAM_LIFE;
+        let mut state = self.state();
+        for service in config.services.iter().filter(|service| service.engine.is_some()) {
+            let routes = config.routes.iter().filter(|route| {
+                matches!(route.kind, Kind::Stream { .. })
+                    && route.split.iter().any(|(name, _)| *name == service.name)
+            });
+            if let Some(timeout) = routes.map(|route| route.timeout).max() {
+                state.builds.set_stream_life(&service.name, timeout * factor + margin);
+            }
+        }
+    }
+
+    /// Returns the build that began a stream of a service, if it can be found within `limit`. `stream` is `None` if its
+    /// caller doesn't say which it is.
+    pub async fn find_build(
+        &self,
+        service: &Arc<str>,
+        stream: Option<Stream>,
+        limit: Duration,
+    ) -> Option<Arc<str>> {
+        let deadline = tokio::time::Instant::now() + limit;
+        loop {
+            let changed = self.origins_changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let known = self.state().find_build(clock::now(), service, stream);
+            match known {
+                Known::Build(build) => return Some(build),
+                Known::Nowhere => return None,
+                Known::Pending => self.origins_due.notify_one(),
+            }
+            timeout_at(deadline, changed).await.ok()?;
+        }
+    }
+
+    /// Returns whether an engine that generates and takes new requests is of a build.
+    pub fn has_build(&self, service: &str, build: &str) -> bool {
+        self.state().dispatch.has_build(service, build)
+    }
+
+    /// Records that a build began a stream of a service, which ends by `until`. The keepers are told if another build may
+    /// be taken for it.
+    pub fn record_origin(&self, service: &str, stream: Stream, build: &Arc<str>, until: Instant) {
+        let now = clock::now();
+        let mut state = self.state();
+        let tell = !matches!(state.builds.possible(now, service), Possible::One(_));
+        state.origins.record(now, stream, build, until, tell);
+        self.count_origins(&state);
+        drop(state);
+        if tell {
+            self.origins_due.notify_one();
+        }
+    }
+
+    fn count_origins(&self, state: &State) {
+        let count = state.origins.streams().len();
+        self.metrics.origins.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    /// Returns what the keepers of streams are to be told and asked, and does not return the former again.
+    pub(crate) fn take_origin_requests(&self) -> OriginRequests {
+        let now = clock::now();
+        let mut state = self.state();
+        let untold = state.origins.take_untold();
+        let told = state.origins.reports(now, untold);
+        OriginRequests { told, asked: state.origins.unasked() }
+    }
+
+    /// Records that a number of keepers is asked for the build of a stream.
+    pub(crate) fn record_origin_asked(&self, stream: Stream, keepers: usize) {
+        self.state().origins.record_asked(stream, keepers);
+        if keepers == 0 {
+            self.origins_changed.notify_waiters();
+        }
+    }
+
+    /// Records what a host told of the builds of streams. `unknown` are those that it was asked for and does not know.
+    pub(crate) fn record_origins(&self, known: &[OriginReport], unknown: &[u64]) {
+        let now = clock::now();
+        let mut state = self.state();
+        state.origins.record_reports(now, known);
+        self.count_origins(&state);
+        for stream in unknown {
+            state.origins.record_unknown((*stream).into());
+        }
+        drop(state);
+        self.origins_changed.notify_waiters();
+    }
+
+    /// Returns the builds of streams, as far as this host knows them, and the others.
+    pub(crate) fn origins(&self, streams: &[u64]) -> (Vec<OriginReport>, Vec<u64>) {
+        let asked = streams.iter().map(|stream| Stream::from(*stream));
+        let known = self.state().origins.reports(clock::now(), asked);
+        let is_known = |stream: &&u64| known.iter().any(|report| report.stream == **stream);
+        let unknown = streams.iter().filter(|stream| !is_known(stream)).copied().collect();
+        (known, unknown)
+    }
+
+    /// Returns the builds of all streams that this host knows and that `is_kept` names.
+    pub(crate) fn kept_origins(&self, is_kept: impl Fn(Stream) -> bool) -> Vec<OriginReport> {
+        let state = self.state();
+        let kept = state.origins.streams().filter(|stream| is_kept(*stream));
+        state.origins.reports(clock::now(), kept)
+    }
+
+    /// Returns whether other hosts are told of builds: several may have begun streams of a service, or this host does not
+    /// know all.
+    pub(crate) fn shares_origins(&self) -> bool {
+        let (now, state) = (clock::now(), self.state());
+        let services = state.dispatch.services();
+        services
+            .iter()
+            .any(|service| !matches!(state.builds.possible(now, service), Possible::One(_)))
+    }
+
+    /// Returns what this host reports on builds, and whether it has listed all that may have begun a stream.
+    pub(crate) fn build_reports(&self) -> (Vec<BuildReport>, bool) {
+        let (now, state) = (clock::now(), self.state());
+        (state.builds.reports(now), state.builds.has_listed_all(now))
+    }
+
+    /// Records what a peer, or the store, reports on builds that serve or have served; `is_known` says whether these, and
+    /// those that are listed, are all.
+    pub(crate) fn record_builds(&self, reports: &[BuildReport], is_known: bool) {
+        if reports.is_empty() && !is_known {
+            return;
+        }
+        let mut state = self.state();
+        state.builds.record_former(clock::now(), reports);
+        if is_known {
+            state.builds.record_former_known();
+        }
+        drop(state);
+        self.origins_changed.notify_waiters();
+    }
+
+    /// Records the builds that are listed now, and whether this host would know of another one that is.
+    pub(crate) fn refresh_builds(&self, is_current: bool) {
+        let mut state = self.state();
+        state.record_listed_builds(clock::now());
+        let changed = state.builds.set_current(is_current);
+        drop(state);
+        if changed {
+            tracing::info!(is_current, "knowledge of builds changed");
+            self.origins_changed.notify_waiters();
+        }
+    }
+
+    /// Returns the builds that may have begun a stream, for hosts that start later; `None` if this host does not know all.
+    pub(crate) fn recent_builds(&self) -> Option<ServiceBuilds> {
+        let now = clock::now();
+        let mut state = self.state();
+        state.record_listed_builds(now);
+        state.builds.is_known(now).then(|| state.builds.recent(now))
+    }
+}
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -6,7 +6,7 @@
 
 use super::body::read_whole;
 use super::takeover::{self, Takeover};
-use super::{Failure, Job, RetryState, SILENCE_LIMIT, relay, response_headers};
+use super::{Failure, Job, RetryState, SILENCE_LIMIT, origin, relay, response_headers};
 use crate::answer::{self, Body, Cause, Refusal};
 use crate::app::{Admission, Target};
 use crate::config::Engine;
@@ -215,7 +215,8 @@
 /// background task fills with the engine's stream.
 pub(super) async fn run(job: Arc<Job>, engine: Engine) -> Result<Response<Body>, Refusal> {
     let mut retry_state = RetryState::default();
-    let start = StartPoint { last_event: job.head.last_event, ..StartPoint::default() };
+    let build = origin::resolve(&job).await?;
+    let start = StartPoint { last_event: job.head.last_event, build, ..StartPoint::default() };
     let engine_response = start_generation(&job, &engine, &mut retry_state, &start).await;
     let mut engine_response = engine_response.map_err(|refusal| retry_state.refusal(refusal))?;
     job.record_answer(&engine_response.admission.decode, engine_response.head.status.as_u16());
@@ -342,7 +343,7 @@
     let generation = job.head.generation.clone().unwrap_or_default();
     let now = clock::now();
     let generated_tokens = start.generated_tokens;
-    let urgent = generated_tokens > 0 || prefilled;
+    let urgent = start.last_event.is_some() || generated_tokens > 0 || prefilled;
     let first_token_by = match urgent {
         true => now + URGENT_ADMISSION_TIMEOUT,
         false => job.first_arrived_at + job.route.target_latency,
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -7,6 +7,7 @@
 mod body;
 mod events;
 mod generation;
+mod origin;
 mod plain;
 mod relay;
 mod takeover;
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -4,7 +4,7 @@
 use super::events::{Event, EventSplitter, MAX_EVENT_BYTES};
 use super::generation::{EngineResponse, StartPoint, await_response, start_generation};
 use super::takeover::{self, Takeover};
-use super::{Failure, Job, RetryState};
+use super::{Failure, Job, RetryState, origin};
 use crate::answer::Refusal;
 use crate::config::Engine;
 use bytes::Bytes;
@@ -211,7 +211,10 @@
             return Some(End::Broken);
         }
         self.last_event = event.id.or(self.last_event);
-        self.build.get_or_insert_with(|| response.admission.decode.entry.build.clone());
+        if self.forwarded_events == 0 {
+            let build = self.build.get_or_insert(response.admission.decode.entry.build.clone());
+            origin::record(&self.job, build);
+        }
         self.forwarded_events += 1;
         let began_at = *self.began_at.get_or_insert(clock::now());
         if clock::now().since(began_at) > CRASH_DELAY_MAX {
--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -7,6 +7,7 @@
 //! still listed before it goes on spending, and a host whose entry was marked or deleted writes it
 //! again.
 
+use super::builds::{self, BuildHistory};
 use super::patterns::{Patterns, is_quarantine};
 use super::{next_tick, watch_settings};
 use crate::mesh::Mesh;
@@ -75,6 +76,7 @@
     host: Host,
     mesh: Arc<Mesh>,
     patterns: Patterns,
+    builds: BuildHistory,
     /// Version of the entry once it is written; 0 before.
     version: AtomicU64,
     /// Notified when the entry has to be written again.
@@ -149,8 +151,19 @@
         mesh: Arc<Mesh>,
     ) -> Arc<Registration> {
         let patterns = Patterns::new(client.clone(), kind, mesh.clone());
+        let builds = BuildHistory::new(client.clone(), kind, mesh.clone());
         let (version, rewrite_needed) = (AtomicU64::new(0), Notify::new());
-        Arc::new(Registration { client, kind, name, host, mesh, patterns, version, rewrite_needed })
+        Arc::new(Registration {
+            client,
+            kind,
+            name,
+            host,
+            mesh,
+            patterns,
+            builds,
+            version,
+            rewrite_needed,
+        })
     }
 
     /// Watches the entries of all hosts for the lifetime of the process. Passes the changes to the
@@ -196,6 +209,9 @@
         let (patterns, entries): (Vec<Object>, Vec<Object>) =
             update.objects.into_iter().partition(is_quarantine);
         self.patterns.apply(patterns);
+        let (histories, entries): (Vec<Object>, Vec<Object>) =
+            entries.into_iter().partition(|object| *object.name == *builds::NAME);
+        self.builds.apply(update.is_snapshot, histories.into_iter().next());
         let (own, others): (Vec<Object>, Vec<Object>) =
             entries.into_iter().partition(|object| object.name == self.name);
         own.into_iter().for_each(|object| self.check_own_entry(object));
@@ -204,6 +220,9 @@
             .iter()
             .map(|(name, _, entry)| (name.clone(), entry.as_ref().map(|entry| entry.host.clone())));
         self.mesh.update_hosts(hosts);
+        if update.is_snapshot {
+            self.mesh.record_hosts_known();
+        }
         for (name, version, entry) in others {
             let is_lost = entry.as_ref().is_some_and(|entry| entry.lost);
             self.mesh.record_entry(&name, version, is_lost);
@@ -256,6 +275,7 @@
                         self.apply_step(step).await;
                     }
                     self.patterns.write_changes().await;
+                    self.builds.write_changes().await;
                 }
             }
         }
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -6,6 +6,7 @@
 //! watch, and lists the objects again. The listing ([`Listing`]) is the set of servers that the
 //! store lists, kept through outages of the store.
 
+mod builds;
 mod hosts;
 mod patterns;
 
@@ -120,6 +121,8 @@
     is_listing: bool,
     /// Whether the list of servers has been read completely at least once.
     was_listed: bool,
+    /// Whether that list was read, or was received from a peer.
+    is_list_whole: bool,
     /// Digest of the known servers.
     digest: u64,
     /// When a call of this host last went unanswered.
@@ -146,6 +149,7 @@
 impl Follower {
     /// Creates a follower that has not read anything from the store yet.
     pub fn new(app: Arc<App>, directory: Directory) -> Arc<Follower> {
+        app.refresh_builds(false);
         let control = Control {
             watch_timeout: WATCH_TIMEOUT_PER_HOST,
             relist_requests: 0,
@@ -165,6 +169,7 @@
             listed_epoch: 0,
             is_listing: true,
             was_listed: false,
+            is_list_whole: false,
             digest: 0,
             doubted_at: None,
             differs_since: None,
@@ -304,6 +309,11 @@
         self.state().digest
     }
 
+    /// Returns `true` if the whole list of servers is known, from the store or a peer.
+    pub fn is_list_whole(&self) -> bool {
+        self.state().is_list_whole
+    }
+
     /// Returns `true` if no server is known.
     pub fn has_no_servers(&self) -> bool {
         self.state().stored_entries.is_empty()
@@ -465,6 +475,7 @@
         let mut state = self.state();
         if is_snapshot {
             state.stored_entries.clear();
+            state.is_list_whole = true;
         }
         let mut decoded_entries = Vec::new();
         for (name, version, value) in entries {
--- a/crates/forward/src/mesh/link.rs
+++ b/crates/forward/src/mesh/link.rs
@@ -45,10 +45,10 @@
 
 /// Error of a failed connection attempt. The field is `true` if the address refuses connections, and `false`
 /// for any other cause.
-struct ConnectError(bool);
+pub(super) struct ConnectError(bool);
 
 /// Opens a connection to a peer and exchanges the handshake.
-async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
+pub(super) async fn connect(address: SocketAddr) -> Result<Connection, ConnectError> {
     let tcp = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(tcp)) => tcp,
         Ok(Err(error)) => {
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -10,6 +10,7 @@
 //! started lacks the accounts and requests them from a peer.
 
 mod link;
+mod origins;
 
 use crate::app::App;
 use crate::follow::{Follower, Host};
@@ -39,6 +40,8 @@
 /// reported after the shortest time, since other hosts may choose the same engine meanwhile.
 const COALESCE_MIN: Duration = Duration::from_millis(4);
 const COALESCE_PER_PEER: Duration = Duration::from_millis(5);
+/// Time from the start of a host within which all others connect to it, if the store does not list them.
+const CONNECTING_TIME: Duration = Duration::from_secs(3);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -59,6 +62,10 @@
     roster: Mutex<Roster>,
     /// Whether this host was isolated when that was last logged.
     was_isolated: AtomicBool,
+    /// Whether the list of hosts has been read, or this host has run for [`CONNECTING_TIME`].
+    knows_hosts: AtomicBool,
+    /// What tells other hosts which builds began streams.
+    couriers: Mutex<origins::Couriers>,
 }
 
 /// A host of this host's cell, with the connection to it.
@@ -88,6 +95,8 @@
             peers: Mutex::default(),
             roster: Mutex::new(roster),
             was_isolated: AtomicBool::new(false),
+            knows_hosts: AtomicBool::new(false),
+            couriers: Mutex::default(),
         })
     }
 
@@ -114,9 +123,13 @@
         changes: impl IntoIterator<Item = (Arc<str>, Option<Host>)>,
     ) {
         let mut hosts = self.hosts();
+        let mut present = Vec::new();
         for (name, host) in changes {
             match host {
-                Some(host) if name != self.app.settings.name => drop(hosts.insert(name, host)),
+                Some(host) if name != self.app.settings.name => {
+                    present.push((name.clone(), host.incarnation));
+                    hosts.insert(name, host);
+                }
                 Some(_) => {}
                 None => {
                     hosts.remove(&name);
@@ -126,6 +139,21 @@
         }
         drop(hosts);
         self.connect_cell();
+        for (name, incarnation) in present {
+            self.inform_keeper(&name, incarnation);
+        }
+    }
+
+    /// Records that all hosts that the store lists are known. Before, a stream's keepers can't be told from other hosts.
+    pub(crate) fn record_hosts_known(&self) {
+        if !self.knows_hosts.swap(true, Ordering::Relaxed) {
+            self.app.origins_due.notify_one();
+        }
+    }
+
+    /// Returns whether all other hosts are known.
+    fn knows_hosts(&self) -> bool {
+        self.knows_hosts.load(Ordering::Relaxed)
     }
 
     /// Determines this host's cell from the number of hosts, connects to the hosts of the cell, and
@@ -281,6 +309,14 @@
                 self.follower.apply_peer_servers(name, servers);
                 None
             }
+            Frame::Origins { known, unknown } => {
+                self.app.record_origins(&known, &unknown);
+                None
+            }
+            Frame::WantOrigins(streams) => {
+                let (known, unknown) = self.app.origins(&streams);
+                Some(Frame::Origins { known, unknown })
+            }
             _ => None,
         }
     }
@@ -332,6 +368,7 @@
             state.allowances.set_spend_until(spend_until);
         }
         self.app.record_peer_refusals(&news.refused);
+        self.app.record_builds(&news.builds, news.builds_known);
         request
     }
 
@@ -382,6 +419,7 @@
         let (servers, store) = (self.follower.digest(), self.follower.is_up());
         let quarantine = self.app.quarantine_report();
         let configuration = self.app.version();
+        let (builds, builds_known) = self.app.build_reports();
         let mut state = self.app.state();
         let limits = state.dispatch.limit_reports(clock::now());
         let spent = state.allowances.spent().iter();
@@ -410,15 +448,22 @@
             limits,
             store_epoch: self.follower.epoch(),
             quarantine,
+            builds,
+            builds_known,
             unheard: unreachable.into_iter().map(|(name, time)| (name, millis(time))).collect(),
         }
     }
 
-    /// Sends gossip for the lifetime of the process: builds a message when a change is due to be
+    /// Exchanges this host's state with the others for the lifetime of the process.
+    pub async fn run_gossip(self: Arc<Mesh>, timer: Timer) {
+        tokio::join!(self.clone().exchange_origins(), self.send_gossip(timer));
+    }
+
+    /// Sends gossip: builds a message when a change is due to be
     /// reported and at each heartbeat, and passes it to the connections. Each heartbeat also does
     /// periodic maintenance: it checks which peers are reachable, adapts the watches of the store,
     /// divides the connections to servers among the hosts, and updates a metric.
-    pub async fn run_gossip(self: Arc<Mesh>, timer: Timer) {
+    async fn send_gossip(self: Arc<Mesh>, timer: Timer) {
         let mut ticks = timer.subscribe(HEARTBEAT_INTERVAL);
         loop {
             tokio::select! {
@@ -486,6 +531,11 @@
         state.allowances.set_spend_until(spend_until);
         let reserved = (state.allowances.reserved_share() * 1_000.0) as i64;
         drop(state);
+        if self.app.uptime() >= CONNECTING_TIME {
+            self.record_hosts_known();
+        }
+        let is_current = self.follower.is_list_whole() && (self.follower.is_up() || !is_isolated);
+        self.app.refresh_builds(is_current);
         self.app.metrics.peers.set(i64::try_from(reachable).unwrap_or(i64::MAX));
         self.app.metrics.reserved_per_mille.set(reserved);
     }
@@ -529,6 +579,7 @@
             }
             (Frame::Hello { sender: from, .. }, _) => {
                 mesh.add_connecting_host(&from, connection.peer);
+                mesh.inform_keeper(&from.name, from.incarnation);
                 sender = Some(from);
             }
             (frame, Some(from)) => {
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -39,6 +39,8 @@
     pub store_age: prometheus::IntGaugeVec,
     /// Patterns of prompts in quarantine.
     pub quarantined: IntGauge,
+    /// Streams of which this host knows the build.
+    pub origins: IntGauge,
     /// Backend servers listed.
     pub servers: IntGauge,
     /// Reachable peers.
@@ -88,6 +90,7 @@
             configuration: gauge("configuration_version", "Version in force")?,
             store_age: register(registry, prometheus::IntGaugeVec::new(store_age, &["kind"])?)?,
             quarantined: gauge("quarantined", "Patterns of prompts in quarantine")?,
+            origins: gauge("stream_builds", "Streams of which this host knows the build")?,
             servers: gauge("servers", "Backend servers listed")?,
             peers: gauge("peers", "Peers heard lately")?,
             reserved_per_mille: gauge(
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -131,10 +131,6 @@
             Refusal::with_retry_after(Cause::OverRate, refusal.retry_after)
         })?;
     }
-    if head.last_event.is_some() {
-        let (id, resumes, last) = (head.id.as_deref(), head.resumes.as_deref(), head.last_event);
-        tracing::info!(id, resumes, last, "caller resumes a stream");
-    }
     app.earn_retry(&service);
     let job = Arc::new(Job {
         app: app.clone(),
--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -197,6 +197,7 @@
     for n in 0..8 {
         begun.push(begin(fleet.address(0), &format!("a{n}")).await);
     }
+    fleet.until_told(begun.len()).await;
 
     fleet.members[0].kill();
 
@@ -223,6 +224,7 @@
     for n in 0..8 {
         begun.push(begin(fleet.address(0), &format!("a{n}")).await);
     }
+    fleet.until_told(begun.len()).await;
 
     fleet.restart(0..2).await;
 
@@ -246,6 +248,7 @@
     ];
     let mut fleet = Fleet::start(3, &servers).await;
     let (_, connection) = begin(fleet.address(0), "a1").await;
+    fleet.until_told(1).await;
     fleet.restart(0..3).await;
     fleet.until_connected().await;
     drop(connection);
@@ -268,6 +271,7 @@
         decode_of("v1", "decode-2", &second),
     ];
     let mut fleet = Fleet::start(3, &servers).await;
+    fleet.until_builds_are_stored().await;
     let (_, connection) = begin(fleet.address(0), "a1").await;
     fleet.restart(0..3).await;
     drop(connection);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -345,6 +345,37 @@
     Servers(Vec<ServerRecord>),
     /// Recent spending of organisations.
     Accounts(Vec<AccountReport>),
+    /// Which builds began streams.
+    Origins {
+        /// Streams that the sender knows.
+        known: Vec<OriginReport>,
+        /// Streams that were asked for and that the sender does not know.
+        unknown: Vec<u64>,
+    },
+    /// Asks which builds began the streams with these numbers; answered by `Origins`.
+    WantOrigins(Vec<u64>),
+}
+
+/// Which build began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginReport {
+    /// Number of the stream: a hash of the identifier of the request that brought its first event.
+    pub stream: u64,
+    /// Version of the software of the engine that began it.
+    pub build: Arc<str>,
+    /// Time within which the stream ends, in milliseconds.
+    pub left_ms: u32,
+}
+
+/// A build whose engines serve or have served.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BuildReport {
+    /// Service of the engines.
+    pub service: Arc<str>,
+    /// Version of their software.
+    pub build: Arc<str>,
+    /// Time since one of them was listed, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// A running generation as its host reports it to peers. All counts are in tokens. It is encoded
@@ -537,6 +568,12 @@
     /// Hosts that are unreachable from this host, and for how long, in milliseconds.
     #[serde(default)]
     pub unheard: Vec<(Arc<str>, u32)>,
+    /// Builds of the services that have had several within the life of a stream.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub builds: Vec<BuildReport>,
+    /// Whether the host knows all builds that may have begun a stream.
+    #[serde(default)]
+    pub builds_known: bool,
 }
 
 /// Recent spending of an organisation.
