Connections to engines: check that the process behind them is the listed one

Cause: an engine may start again under the name that it had, with other software, and accepts requests that are meant for the process before. Until its entry changes, which the store's absence may put off for long, its streams count as begun by the former build, and streams of that build go on there.

Change: the first connection to an engine while none is open begins with a call for its report, which says when its process started. If that is not what its entry says, nothing is sent, and the engine counts as replaced until its entry changes. A process that starts again closes all connections, so the others need no check (`pool::Probe`). An entry of the same name with another build is another process too.

Ruled out: a call on each connection; a check only while several builds serve, or only after a failure, since a host need not notice a crash of an engine that has none of its requests.

The scripted servers of the tests answer calls for reports by themselves and don't count them as requests.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -97,6 +97,13 @@
     pub stage: Option<Stage>,
 }
 
+impl Entry {
+    /// Returns whether two entries are of one process.
+    fn is_same_process(&self, other: &Entry) -> bool {
+        (self.address, self.born, &self.build) == (other.address, other.born, &other.build)
+    }
+}
+
 /// A change to the list of servers.
 pub type Change = listing::Change<Entry>;
 
@@ -244,7 +251,7 @@
 
     /// Adds or updates a server. Returns its key, and whether anything changed.
     ///
-    /// A server that is listed under the same name but with another address or start time has
+    /// A server that is listed under the same name but with another address, start time or build has
     /// restarted: the former server is removed, and the new one gets a new key and no history.
     ///
     /// A server that has left stays out though a store that was restored from a copy lists it again.
@@ -252,7 +259,7 @@
         entry.leaving |= self.is_departed(now, &entry);
         if let Some(&key) = self.keys_by_name.get(&entry.name) {
             let server = &mut self.servers[key];
-            if server.entry.address == entry.address && server.entry.born == entry.born {
+            if server.entry.is_same_process(&entry) {
                 let changed = server.entry != entry;
                 // Once its entry has changed, the server no longer counts as replaced.
                 server.replaced &= !changed;
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -21,6 +21,7 @@
 use crate::config::{Config, Table};
 use crate::dialect::{Dialect, ResponseHead};
 use crate::metric::Metrics;
+use bytes::Bytes;
 use chestnutrack_core::allowance::{self, Allowances};
 use chestnutrack_core::cell::Cell;
 use chestnutrack_core::dispatch::{
@@ -34,7 +35,8 @@
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::admin::Readiness;
 use chestnutrack_process::clock;
-use chestnutrack_process::pool::{self, Pool};
+use chestnutrack_process::http;
+use chestnutrack_process::pool::{self, Pool, Probe};
 use chestnutrack_wire::frame::{LeavingReport, LimitReport};
 use slotmap::SecondaryMap;
 use std::collections::{HashMap, VecDeque};
@@ -289,7 +291,8 @@
         match change {
             Change::Put(name, entry) => {
                 let (leaving, address, stage) = (entry.leaving, entry.address, entry.stage);
-                let (service, build) = (entry.service.clone(), entry.build.clone());
+                let (service, build, born) =
+                    (entry.service.clone(), entry.build.clone(), entry.born);
                 let (key, changed) = state.dispatch.put(clock::now(), entry);
                 if changed {
                     let stage = stage.map(Stage::name);
@@ -299,7 +302,8 @@
                     state.update_builds(clock::now(), &service);
                 }
                 if !state.pools.contains_key(key) {
-                    let pool = Pool::new(address, self.settings.pool);
+                    let probe = stage.and(born).map(|born| self.probe(born));
+                    let pool = Pool::with_probe(address, self.settings.pool, probe);
                     pool.set_open_max(connection_share(active_config.as_deref(), &service, hosts));
                     state.pools.insert(key, pool);
                 }
@@ -315,6 +319,17 @@
         self.admit_waiting();
     }
 
+    /// Returns the probe that finds out whether an engine's process is the one that started at `born`.
+    fn probe(&self, born: u64) -> Probe {
+        let Dialect { report_path, parse_report, .. } = self.dialect;
+        let request = move || http::request("GET", report_path, "");
+        let accepts = move |body: &Bytes| {
+            let stated = parse_report(body).and_then(|report| report.born);
+            stated.is_none_or(|stated| stated == born)
+        };
+        Probe { request: Box::new(request), accepts: Box::new(accepts) }
+    }
+
     /// Records that the platform's store was restored from a copy, whose list of servers is older than
     /// what this host knows.
     pub fn record_restore(&self) {
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -436,6 +436,7 @@
             Ok(response) => response,
             Err(Error::Connect(_, ConnectError::Refused)) => return Err(Failure::Refused),
             Err(Error::Connect(_, ConnectError::PoolExhausted)) => return Err(Failure::Crowded),
+            Err(Error::Connect(_, ConnectError::WrongProcess)) => return Err(Failure::Misdirected),
             Err(Error::Connect(..) | Error::Request(_)) => return Err(Failure::Unsent),
             Err(Error::Timeout(_)) => return Err(Failure::TimedOut),
             Err(error) => {
--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -142,6 +142,9 @@
     pub busy: bool,
     /// Number of orders that the engine accepted since it started.
     pub orders: u64,
+    /// When the engine's process started, in milliseconds since 1970, if it says so.
+    #[serde(default)]
+    pub born: Option<u64>,
 }
 
 /// An order to an engine to change its stage.
--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -339,3 +339,46 @@
     assert!(answers.iter().all(|answer| answer.complete));
     assert!(first.request_count() > 0 && second.request_count() > 0);
 }
+
+// Guards against a process that has started again under its name, with another build than its entry still says.
+#[tokio::test]
+async fn an_engine_that_has_started_again_gets_no_stream_until_its_entry_says_so() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let (restarted, sound) =
+        (engine("v2", Begin::Complete).await, engine("v1", Begin::Complete).await);
+    restarted.set_born(2);
+    let servers = vec![
+        prefill("prefill-1", &prefiller),
+        decode_of("v1", "decode-1", &restarted),
+        decode_of("v1", "decode-2", &sound),
+    ];
+    let host = host(servers).await;
+
+    let calls = (0..CALLS).map(|_| async { call(host.address, &beginning("r1")).await });
+    let before = join_all(calls).await;
+    let arrived_before = restarted.request_count();
+    list(&host, Entry { born: Some(2), ..decode_of("v2", "decode-1", &restarted) });
+    let calls = (0..CALLS).map(|_| async { call(host.address, &beginning("r1")).await });
+    let after = join_all(calls).await;
+
+    assert!(before.iter().chain(&after).all(|answer| answer.complete));
+    assert_eq!(arrived_before, 0);
+    assert!(restarted.request_count() > 0);
+}
+
+// Guards against reports that are asked for with each connection.
+#[tokio::test]
+async fn an_engine_is_asked_once_for_its_report_while_a_connection_to_it_is_open() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let decoder = engine("v1", Begin::Complete).await;
+    let servers = vec![prefill("prefill-1", &prefiller), decode_of("v1", "decode-1", &decoder)];
+    let host = host(servers).await;
+
+    call(host.address, &beginning("r1")).await;
+    let calls = (0..CALLS).map(|_| async { call(host.address, &beginning("r1")).await });
+    let answers = join_all(calls).await;
+
+    assert!(answers.iter().all(|answer| answer.complete));
+    assert!(decoder.connections() > 1);
+    assert_eq!((decoder.reports(), prefiller.reports()), (1, 1));
+}
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -63,6 +63,8 @@
     Refused,
     /// connection pool is exhausted
     PoolExhausted,
+    /// another process than the intended one has the address
+    WrongProcess,
     /// {0}
     Other(String),
 }
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -14,11 +14,11 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Settings of a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -63,6 +63,16 @@
     }
 }
 
+/// Checks that the process behind an address is the intended one: a call that is made on a new connection before any
+/// other, unless an older connection is open. A process that has started again has closed all connections to the one
+/// before.
+pub struct Probe {
+    /// Builds the call.
+    pub request: Box<dyn Fn() -> Result<Request<Full<Bytes>>, Error> + Send + Sync>,
+    /// Returns `false` if the body of a successful response shows that another process has the address.
+    pub accepts: Box<dyn Fn(&Bytes) -> bool + Send + Sync>,
+}
+
 struct Connection {
     sender: http::Sender,
     /// Task that drives the connection.
@@ -81,6 +91,8 @@
     }
 }
 
+/// Largest body of the response to a [`Probe`], in bytes.
+const PROBE_BYTES_MAX: usize = 64 << 10;
 /// Default of [`Settings::open_max`].
 pub const OPEN_MAX: usize = 1 << 16;
 /// How much earlier than the server the client closes an idle connection, so that no call is sent
@@ -120,6 +132,9 @@
     permits: Arc<Semaphore>,
     /// Total number of permits, in use or not.
     open_max: Mutex<usize>,
+    probe: Option<Probe>,
+    /// Tasks that drive the connections to the process that the probe has accepted.
+    probed: Mutex<Vec<AbortHandle>>,
 }
 
 /// Pool of connections to one address. Clones share the connections.
@@ -138,6 +153,11 @@
 impl Pool {
     /// Creates a pool without connections. They are opened as calls need them.
     pub fn new(address: SocketAddr, settings: Settings) -> Pool {
+        Pool::with_probe(address, settings, None)
+    }
+
+    /// Creates a pool as [`Pool::new`] does, which checks the process behind the address.
+    pub fn with_probe(address: SocketAddr, settings: Settings, probe: Option<Probe>) -> Pool {
         Pool(Arc::new(Shared {
             address,
             settings,
@@ -145,6 +165,8 @@
             opened: AtomicU64::new(0),
             permits: Arc::new(Semaphore::new(settings.open_max)),
             open_max: Mutex::new(settings.open_max),
+            probe,
+            probed: Mutex::default(),
         }))
     }
 
@@ -161,7 +183,7 @@
     /// Changes how many connections may be open. Calls in flight over the new limit aren't
     /// interrupted.
     pub fn set_open_max(&self, open_max: usize) {
-        let mut permit_count = self.0.open_max.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut permit_count = lock(&self.0.open_max);
         match open_max.checked_sub(*permit_count) {
             Some(added) => {
                 self.0.permits.add_permits(added);
@@ -300,6 +322,23 @@
         // Times out shortly before the call does, so that a slow connect is reported as not sent.
         let remaining = deadline.saturating_duration_since(Instant::now()).mul_f64(0.9);
         let connect_timeout = self.0.settings.connect_timeout.min(remaining);
+        let mut connection = self.open(connect_timeout).await?;
+        let Some(probe) = &self.0.probe else { return Ok(connection) };
+        if !self.is_probed() {
+            let timed_out =
+                || Error::Connect(self.0.address, ConnectError::Other("probe timed out".into()));
+            let probed = timeout(connect_timeout, self.probe(probe, &mut connection)).await;
+            probed.map_err(|_| timed_out())??;
+            if connection.sender.ready().await.is_err() {
+                connection = self.open(connect_timeout).await?;
+            }
+        }
+        lock(&self.0.probed).push(connection.task.clone());
+        Ok(connection)
+    }
+
+    /// Opens a connection without a check of the process behind the address.
+    async fn open(&self, connect_timeout: Duration) -> Result<Connection, Error> {
         let settings = &self.0.settings;
         let (sender, connection) =
             http::connect(self.0.address, connect_timeout, settings.peer_timeout).await?;
@@ -313,10 +352,36 @@
         })
     }
 
+    /// Returns whether a connection is open to the process that the probe has accepted.
+    fn is_probed(&self) -> bool {
+        let mut probed = lock(&self.0.probed);
+        probed.retain(|task| !task.is_finished());
+        !probed.is_empty()
+    }
+
+    /// Makes the call of a probe on a new connection.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Connect`] if the call fails, with [`ConnectError::WrongProcess`] if another process than the intended one
+    /// responds.
+    async fn probe(&self, probe: &Probe, connection: &mut Connection) -> Result<(), Error> {
+        let failed = |error: String| Error::Connect(self.0.address, ConnectError::Other(error));
+        let request = (probe.request)()?;
+        let response = connection.sender.send_request(request).await;
+        let (head, body) = response.map_err(|error| failed(error.to_string()))?.into_parts();
+        let body = http::read_body(body, PROBE_BYTES_MAX).await;
+        let body = body.map_err(|error| failed(error.to_string()))?;
+        match !head.status.is_success() || (probe.accepts)(&body) {
+            true => Ok(()),
+            false => Err(Error::Connect(self.0.address, ConnectError::WrongProcess)),
+        }
+    }
+
     /// Drops idle connections that are closed or timed out, and removes and returns the one of the others
     /// that was idle longest.
     fn take_idle(&self) -> Option<Connection> {
-        let mut idle = self.0.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.0.idle);
         idle.connections.retain(|connection| {
             connection.last_used.elapsed() < connection.idle_timeout
                 && !connection.sender.is_closed()
@@ -330,7 +395,7 @@
     /// of its epoch were discarded or there are enough idle ones.
     fn put_idle(&self, mut connection: Connection, epoch: u64) {
         connection.last_used = Instant::now();
-        let mut idle = self.0.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.0.idle);
         let is_reusable = idle.epoch == epoch && !connection.sender.is_closed();
         if is_reusable && idle.connections.len() < self.0.settings.idle_max {
             idle.connections.push_back(connection);
@@ -339,7 +404,7 @@
 
     /// Returns the current epoch; see [`Idle::epoch`].
     fn epoch(&self) -> u64 {
-        self.0.idle.lock().unwrap_or_else(PoisonError::into_inner).epoch
+        lock(&self.0.idle).epoch
     }
 
     /// Closes the idle connections now, and those in use when their calls end, if
@@ -348,7 +413,7 @@
         if !self.0.settings.discard_all_on_error {
             return;
         }
-        let mut idle = self.0.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.0.idle);
         idle.epoch += 1;
         idle.connections.clear();
     }
@@ -433,6 +498,11 @@
     }
 }
 
+/// Locks a mutex, also if a holder panicked.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns a duration in whole milliseconds.
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/process/tests/pool.rs
+++ b/crates/process/tests/pool.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnutrack_process::http::{self, ConnectError, Error};
-use chestnutrack_process::pool::{Pool, Settings};
+use chestnutrack_process::pool::{Pool, Probe, Settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -339,3 +339,58 @@
     assert_eq!(repeated.unwrap(), "ok");
     assert!(matches!(broken, Err(Error::Broken(_))), "{broken:?}");
 }
+
+/// Returns a pool whose probe accepts a process that answers `ok`.
+fn probing_pool(address: SocketAddr) -> Pool {
+    let request = Box::new(|| http::request("GET", "/report", Bytes::new()));
+    let accepts = Box::new(|body: &Bytes| *body == "ok");
+    Pool::with_probe(address, Settings::default(), Some(Probe { request, accepts }))
+}
+
+#[tokio::test]
+async fn the_process_is_checked_once_while_a_connection_is_open() {
+    let server = server(&[RESPONSE; 8]).await;
+    let pool = probing_pool(server.address);
+    let request = || http::request("GET", "/", Bytes::new()).unwrap();
+
+    let first = pool.call_streaming(request(), CALL_TIMEOUT).await.unwrap();
+    let second = pool.call_streaming(request(), CALL_TIMEOUT).await.unwrap();
+
+    assert_eq!((server.connections(), server.calls()), (2, 3));
+    drop((first, second));
+}
+
+#[tokio::test]
+async fn the_process_is_checked_again_once_no_connection_is_open() {
+    let server = server(&[RESPONSE; 2]).await;
+    let pool = probing_pool(server.address);
+
+    for _ in 0..3 {
+        call(&pool, CALL_TIMEOUT).await.unwrap();
+        // The server closes the connection after two calls, of which the first is the probe.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+
+    assert_eq!((server.connections(), server.calls()), (3, 6));
+}
+
+#[tokio::test]
+async fn nothing_is_sent_to_another_process_than_the_intended_one() {
+    let server = server(&["HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno", RESPONSE]).await;
+    let pool = probing_pool(server.address);
+
+    let outcome = call(&pool, CALL_TIMEOUT).await;
+
+    assert_eq!(outcome, Err(Error::Connect(server.address, ConnectError::WrongProcess)));
+    assert_eq!(server.calls(), 1);
+}
+
+#[tokio::test]
+async fn a_process_that_ends_the_connection_with_the_answer_to_the_probe_is_used() {
+    let server = server(&[RESPONSE]).await;
+    let pool = probing_pool(server.address);
+
+    let outcome = call(&pool, CALL_TIMEOUT).await;
+
+    assert_eq!((outcome.unwrap(), server.connections()), ("ok".into(), 2));
+}
--- a/crates/soak/src/backend/mod.rs
+++ b/crates/soak/src/backend/mod.rs
@@ -307,7 +307,7 @@
     }
 
     fn report(&self) -> Response<Body> {
-        let report = Report { stage: self.stage, busy: false, orders: 0 };
+        let report = Report { stage: self.stage, ..Report::default() };
         status(StatusCode::OK, serde_json::json!(report).to_string())
     }
 
