Soak: engines of three builds, engines that start again under their names, callers that resume streams

Change: each event names the build that wrote it, and a caller accepts events of one build only, over all its tries. Callers of resumable streams that break off resume them at random hosts, twice at most. From 12 resumed streams on at hosts in touch whose build has two engines, they have to go on at least half as often as new ones begin.

--- a/crates/soak/src/backend/mod.rs
+++ b/crates/soak/src/backend/mod.rs
@@ -6,7 +6,7 @@
 use chestnutrack_forward::answer::{self, Body};
 use chestnutrack_forward::dialect::Report;
 use chestnutrack_forward::native::{
-    KV, LEAVING, LIMIT, ORGANISATION, PARTS, Prefilled, RAN, REQUEST, SERVER, STEP,
+    KV, LEAVING, LIMIT, ORGANISATION, PARTS, Prefilled, RAN, REQUEST, RESUMES, SERVER, STEP,
 };
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HeaderValue, RETRY_AFTER};
@@ -46,6 +46,18 @@
 /// Capacity of the channel to the response body, in parts.
 const STREAM_BUFFER_PARTS: usize = 4;
 
+/// Versions of the engines' software. What two of them write does not fit together.
+pub const BUILDS: [&str; 3] = ["v1", "v1.1", "v1.2"];
+
+/// The process of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Process {
+    /// Version of its software.
+    pub build: &'static str,
+    /// When it started, in milliseconds since 1970; here only a number that differs.
+    pub born: u64,
+}
+
 /// Behaviour of a server. A run that began keeps its behaviour, except that [`Behaviour::Breaks`] also
 /// cuts streams off.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -92,6 +104,7 @@
 struct Server {
     name: Arc<str>,
     stage: Option<Stage>,
+    process: watch::Receiver<Process>,
     ledger: Arc<Ledger>,
     behaviour: watch::Receiver<Behaviour>,
     silence: watch::Receiver<Silence>,
@@ -106,6 +119,7 @@
 pub struct Backend {
     /// Address that the server listens on.
     pub address: SocketAddr,
+    process: watch::Sender<Process>,
     behaviour: watch::Sender<Behaviour>,
     silence: watch::Sender<Silence>,
     limit: watch::Sender<Option<u32>>,
@@ -128,12 +142,14 @@
     pub async fn start(
         name: &str,
         stage: Option<Stage>,
+        process: Process,
         listen: SocketAddr,
         ledger: Arc<Ledger>,
         crashes: mpsc::UnboundedSender<Crash>,
     ) -> std::io::Result<Backend> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
+        let (process, process_receiver) = watch::channel(process);
         let (behaviour, behaviour_receiver) = watch::channel(Behaviour::default());
         let (silence, silence_receiver) =
             watch::channel(Silence { until: Instant::now() - SILENCE_PAUSE, is_total: false });
@@ -142,6 +158,7 @@
         let server = Arc::new(Server {
             name: name.into(),
             stage,
+            process: process_receiver,
             ledger,
             behaviour: behaviour_receiver,
             silence: silence_receiver,
@@ -154,7 +171,7 @@
                 tokio::spawn(serve(tcp, server.clone()));
             }
         });
-        Ok(Backend { address, behaviour, silence, limit, accept_task })
+        Ok(Backend { address, process, behaviour, silence, limit, accept_task })
     }
 
     /// Sets the behaviour of the server.
@@ -162,6 +179,11 @@
         self.behaviour.send_replace(behaviour);
     }
 
+    /// Has the server answer as another process. The caller resets its connections.
+    pub fn start_again(&self, process: Process) {
+        self.process.send_replace(process);
+    }
+
     /// Has the server name a limit of requests per second in all its answers, or none any more.
     pub fn limit(&self, per_s: Option<u32>) {
         self.limit.send_replace(per_s);
@@ -307,7 +329,8 @@
     }
 
     fn report(&self) -> Response<Body> {
-        let report = Report { stage: self.stage, ..Report::default() };
+        let born = Some(self.process.borrow().born);
+        let report = Report { stage: self.stage, born, ..Report::default() };
         status(StatusCode::OK, serde_json::json!(report).to_string())
     }
 
@@ -366,8 +389,13 @@
                         parts_sender,
                     ));
                 } else {
+                    let written = Written {
+                        stream: header(request, RESUMES).map_or(id.clone(), Arc::from),
+                        build: self.process.borrow().build,
+                    };
                     tokio::spawn(stream(
                         run_guard,
+                        written,
                         last_event_id.unwrap_or(0),
                         self.behaviour.clone(),
                         self.silence.clone(),
@@ -393,23 +421,32 @@
     }
 }
 
+/// What a run writes.
+struct Written {
+    /// Identifier of the request that began the stream.
+    stream: Arc<str>,
+    build: &'static str,
+}
+
 /// Sends the events of a stream until it is complete, its caller is gone, or the server is set to
 /// [`Behaviour::Breaks`].
 async fn stream(
     run_guard: RunGuard,
+    written: Written,
     last_event_id: u64,
     behaviour: watch::Receiver<Behaviour>,
     silence: watch::Receiver<Silence>,
     parts_sender: mpsc::Sender<Bytes>,
 ) {
-    for number in last_event_id + 1..=events(&run_guard.id) {
+    let Written { stream, build } = written;
+    for number in last_event_id + 1..=events(&stream) {
         sleep(EVENT_INTERVAL).await;
         tokio::select! {
             () = run_guard.wait_while_silent(&silence) => {}
             () = parts_sender.closed() => return,
         }
         if *behaviour.borrow() == Behaviour::Breaks
-            || parts_sender.send(event(&run_guard.id, number).into()).await.is_err()
+            || parts_sender.send(event(&stream, number, build).into()).await.is_err()
         {
             return;
         }
@@ -507,9 +544,9 @@
     hasher.finish()
 }
 
-/// Returns one event of the stream of a request.
-pub fn event(id: &str, number: u64) -> String {
-    format!("id: {number}\ndata: {number} of {id}\n\n")
+/// Returns one event of the stream of a request, as a build writes it.
+pub fn event(id: &str, number: u64, build: &str) -> String {
+    format!("id: {number}\ndata: {number} of {id} by {build}\n\n")
 }
 
 #[cfg(test)]
--- a/crates/soak/src/backend/tests.rs
+++ b/crates/soak/src/backend/tests.rs
@@ -1,4 +1,4 @@
-use super::{Backend, Behaviour, body};
+use super::{BUILDS, Backend, Behaviour, Process, body};
 use crate::ledger::Ledger;
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -10,7 +10,8 @@
     let (crashes, _receiver) = mpsc::unbounded_channel();
     let ledger = Arc::new(Ledger::default());
     let listen = "127.0.0.1:0".parse().unwrap();
-    let backend = Backend::start("app-1", None, listen, ledger, crashes).await.unwrap();
+    let process = Process { build: BUILDS[0], born: 1 };
+    let backend = Backend::start("app-1", None, process, listen, ledger, crashes).await.unwrap();
     backend.set(Behaviour::Unframed);
     let mut connection = TcpStream::connect(backend.address).await.unwrap();
     let request = "GET /look/r1 HTTP/1.1\r\nhost: h\r\nx-chestnutrack-server: app-1\r\n\
--- a/crates/soak/src/caller/mod.rs
+++ b/crates/soak/src/caller/mod.rs
@@ -1,10 +1,10 @@
 //! Callers that keep connections open, check their answers and record them.
 
-use crate::backend;
+use crate::backend::{self, BUILDS};
 use crate::ledger::crash::Sharing;
 use crate::ledger::{Kind, Ledger, Outcome, Sent};
 use bytes::Bytes;
-use chestnutrack_forward::native::{DEADLINE, PARTS, REQUEST, TOKENS};
+use chestnutrack_forward::native::{DEADLINE, PARTS, REQUEST, RESUMES, TOKENS};
 use chestnutrack_process::http::{Error, request};
 use chestnutrack_process::pool::{self, Pool, Stream};
 use hyper::header::{AUTHORIZATION, HOST, HeaderName, HeaderValue};
@@ -63,6 +63,26 @@
     pub sharing: Option<Sharing>,
     /// Time after which the caller disconnects.
     pub disconnect_after: Option<Duration>,
+    /// Stream that is resumed, if it is one.
+    pub resumed: Option<Resumed>,
+}
+
+/// Part of a stream that its caller has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// Number of its events.
+    pub events: u64,
+    /// Build that wrote them.
+    pub build: Option<&'static str>,
+}
+
+/// A stream that is resumed.
+#[derive(Clone, Debug)]
+pub struct Resumed {
+    /// Identifier of the request that brought its first event.
+    pub stream: Arc<str>,
+    /// What the caller has of it.
+    pub progress: Progress,
 }
 
 impl Call {
@@ -70,12 +90,31 @@
     pub fn new(host: &Arc<str>, id: Arc<str>, kind: Kind) -> Call {
         let (host, shared_parts) = (host.clone(), Vec::new());
         let resource = id.clone();
-        Call { id, kind, resource, host, shared_parts, sharing: None, disconnect_after: None }
+        Call {
+            id,
+            kind,
+            resource,
+            host,
+            shared_parts,
+            sharing: None,
+            disconnect_after: None,
+            resumed: None,
+        }
+    }
+
+    /// Returns the identifier of the request that began the stream.
+    fn stream(&self) -> &Arc<str> {
+        self.resumed.as_ref().map_or(&self.id, |resumed| &resumed.stream)
+    }
+
+    /// Returns what the caller has of the stream before the request.
+    fn progress(&self) -> Progress {
+        self.resumed.as_ref().map(|resumed| resumed.progress).unwrap_or_default()
     }
 
     /// Returns the time within which the caller needs the answer.
     fn answer_timeout(&self) -> Duration {
-        match self.kind.is_stream() && backend::is_long(&self.id) {
+        match self.kind.is_stream() && backend::is_long(self.stream()) {
             true => ANSWER_TIMEOUTS.1,
             false => ANSWER_TIMEOUTS.0,
         }
@@ -98,6 +137,16 @@
 
 /// Sends a request, checks and records its outcome, and disconnects early if a time is given.
 pub async fn call(ledger: &Ledger, pool: &Pool, caller: &Caller, call: &Call) -> Outcome {
+    call_stream(ledger, pool, caller, call).await.0
+}
+
+/// Sends a request as [`call`] does, and also returns what the caller then has of the stream, if it is one.
+pub async fn call_stream(
+    ledger: &Ledger,
+    pool: &Pool,
+    caller: &Caller,
+    call: &Call,
+) -> (Outcome, Progress) {
     let Call { id, kind, host, sharing, disconnect_after, .. } = call;
     let sent = Sent {
         kind: *kind,
@@ -108,7 +157,8 @@
     };
     ledger.record_request(id, sent);
     let limit = disconnect_after.unwrap_or(call.answer_timeout() + ANSWER_SLACK);
-    let outcome = match timeout(limit, answer(ledger, pool, caller, call)).await {
+    let mut progress = call.progress();
+    let outcome = match timeout(limit, answer(ledger, pool, caller, call, &mut progress)).await {
         Ok(outcome) => outcome,
         Err(_) => {
             if disconnect_after.is_none() {
@@ -120,11 +170,17 @@
         }
     };
     ledger.record_outcome(id, outcome);
-    outcome
+    (outcome, progress)
 }
 
 /// Sends a request and returns its outcome. Statuses 429 and 503 mean that the request has not run.
-async fn answer(ledger: &Ledger, pool: &Pool, caller: &Caller, call: &Call) -> Outcome {
+async fn answer(
+    ledger: &Ledger,
+    pool: &Pool,
+    caller: &Caller,
+    call: &Call,
+    progress: &mut Progress,
+) -> Outcome {
     let Call { id, kind, resource, .. } = call;
     let method = if *kind == Kind::Lookup { "GET" } else { "POST" };
     let target = format!("/{}/{resource}", kind.path_segment());
@@ -144,6 +200,11 @@
     if let Some(parts) = &parts {
         headers.push((HeaderName::from_static(PARTS), parts));
     }
+    let last_event = progress.events.to_string();
+    if let Some(resumed) = &call.resumed {
+        headers.push((HeaderName::from_static("last-event-id"), &last_event));
+        headers.push((HeaderName::from_static(RESUMES), &resumed.stream));
+    }
     for (name, value) in headers {
         match HeaderValue::from_str(value) {
             Ok(value) => drop(request.headers_mut().insert(name, value)),
@@ -157,7 +218,7 @@
     };
     let (head, mut stream) = response.into_parts();
     match head.status.as_u16() {
-        200 => read_answer(ledger, call, &mut stream).await,
+        200 => read_answer(ledger, call, &mut stream, progress).await,
         status => {
             // Read so that the connection can be used again.
             drop(stream.read(MAX_FAILURE_BYTES).await);
@@ -170,31 +231,63 @@
 }
 
 /// Reads the body of an answer, and records a violation if it is not what was to be answered: from its start, in order,
-/// and up to its end if it is complete.
-async fn read_answer(ledger: &Ledger, call: &Call, stream: &mut Stream) -> Outcome {
+/// of one build, and up to its end if it is complete. Sets `progress` to what the caller then has of a stream.
+async fn read_answer(
+    ledger: &Ledger,
+    call: &Call,
+    stream: &mut Stream,
+    progress: &mut Progress,
+) -> Outcome {
     let Call { id, kind, .. } = call;
-    let expected: String = match kind.is_stream() {
-        true => (1..=backend::events(id)).map(|number| backend::event(id, number)).collect(),
-        false => backend::body(id),
+    let before = *progress;
+    // Any build may begin a stream, and only the one that began it may go on.
+    let mut expected: Vec<(Option<&str>, String)> = match kind.is_stream() {
+        true => BUILDS
+            .into_iter()
+            .filter(|build| before.build.is_none_or(|began| began == *build))
+            .map(|build| (Some(build), events(call.stream(), before.events, build)))
+            .collect(),
+        false => vec![(None, backend::body(id))],
     };
     let mut body = Vec::new();
     loop {
-        let (outcome, is_right) = match stream.chunk().await {
+        let outcome = match stream.chunk().await {
             Ok(Some(bytes)) => {
                 body.extend_from_slice(&bytes);
-                (None, expected.as_bytes().starts_with(&body))
+                None
             }
-            Ok(None) => (Some(Outcome::Whole), expected.as_bytes() == body),
-            Err(_) => (Some(Outcome::Broken), true),
+            Ok(None) => Some(Outcome::Whole),
+            Err(_) => Some(Outcome::Broken),
         };
-        if !is_right {
-            let body = String::from_utf8_lossy(&body);
-            let end = if outcome.is_some() { "as whole " } else { "" };
-            ledger.record_violation(format!("{id}: {kind:?} was answered {end}by {body:?}"));
+        let is_whole = outcome == Some(Outcome::Whole);
+        expected.retain(|(_, text)| match is_whole {
+            true => text.as_bytes() == body,
+            false => text.as_bytes().starts_with(&body),
+        });
+        let Some((build, _)) = expected.first() else {
+            let (body, began) = (String::from_utf8_lossy(&body), before.build);
+            let end = if is_whole { "as whole " } else { "" };
+            ledger.record_violation(format!(
+                "{id}: {kind:?}, begun by {began:?}, was answered {end}by {body:?}"
+            ));
             return outcome.unwrap_or(Outcome::Broken);
+        };
+        let ended = body.windows(2).filter(|pair| pair == b"\n\n").count() as u64;
+        if kind.is_stream() && ended > 0 {
+            *progress = Progress {
+                events: before.events + ended,
+                build: BUILDS.into_iter().find(|known| Some(*known) == *build),
+            };
         }
         if let Some(outcome) = outcome {
             return outcome;
         }
     }
 }
+
+/// Returns the events of a stream after the first `last` ones, as a build writes them.
+fn events(stream: &str, last: u64, build: &str) -> String {
+    (last + 1..=backend::events(stream))
+        .map(|number| backend::event(stream, number, build))
+        .collect()
+}
--- a/crates/soak/src/fault/mod.rs
+++ b/crates/soak/src/fault/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod crash;
 pub mod limit;
+pub mod restart;
 
 use crate::backend::Behaviour;
 use crate::caller::{self, Call, Caller};
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -1,6 +1,6 @@
 //! Starts the processes of a run and the relays between them, and writes the configuration.
 
-use crate::backend::{Backend, Crash};
+use crate::backend::{BUILDS, Backend, Crash, Process as ServerProcess};
 use crate::caller::{Caller, ROUTE_HOST};
 use crate::ledger::{Allowance, Ledger};
 use chestnutrack_core::dispatch::{Entry, Stage};
@@ -259,12 +259,16 @@
         let address = |port| self.block.address(FIRST_HOST_NUMBERS.1 + number, port);
         let name: Arc<str> = format!("server-{number}").into();
         let (ledger, crashes) = (self.ledger.clone(), self.crash_sender.clone());
-        let backend = Backend::start(&name, stage, address(BACKEND_PORT), ledger, crashes).await?;
+        // Two servers that start one after the other are of the same build.
+        let build = BUILDS[usize::from(number) / 2 % BUILDS.len()];
+        let process = ServerProcess { build, born: number.into() };
+        let listen = address(BACKEND_PORT);
+        let backend = Backend::start(&name, stage, process, listen, ledger, crashes).await?;
         let link = Link::start(address(LINK_PORTS.1), backend.address).await?;
         let entry = Entry {
             name: name.clone(),
             born: Some(u64::from(number)),
-            build: "v1".into(),
+            build: build.into(),
             service: if stage.is_some() { "llm" } else { "app" }.into(),
             address: link.address,
             failure_domain: format!("domain-{}", number % 2).into(),
@@ -337,6 +341,18 @@
         StoreFaultGuard(self.store_faults.clone())
     }
 
+    /// Returns the number of engines of a build that generate, and neither leave nor have crashed.
+    pub async fn engines_of(&self, build: Option<&str>) -> usize {
+        let servers = self.servers.lock().await;
+        let serving = servers.iter().filter(|server| {
+            server.entry.stage == Some(Stage::Decode)
+                && Some(&*server.entry.build) == build
+                && !server.entry.leaving
+                && !server.is_crashed
+        });
+        serving.count()
+    }
+
     /// Returns how long the store and all links to it have been without a fault.
     pub fn time_since_store_fault(&self) -> Duration {
         let store_faults = self.store_faults.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/soak/src/ledger/mod.rs
+++ b/crates/soak/src/ledger/mod.rs
@@ -7,12 +7,13 @@
 //! - is answered whole if it is a stream and no fault but silence affected its engines ([`silence`]);
 //! - is not worked on by two engines for long ([`silence`]),
 //!
-//! that what crashes servers is kept from them ([`crash`]), that servers get no more requests than they name
+//! that streams that their callers resume go on ([`resume`]), that what crashes servers is kept from them ([`crash`]), that servers get no more requests than they name
 //! ([`limit`]), and that an organisation does not exceed its allowance. Other modules record further violations.
 
 pub mod crash;
 pub mod disturbance;
 mod limit;
+pub mod resume;
 pub mod silence;
 
 use crash::{CrashCause, Sharing};
@@ -143,6 +144,7 @@
     disturbances: Arc<Mutex<Disturbances>>,
     crash_causes: Mutex<BTreeMap<Arc<str>, CrashCause>>,
     limits: Mutex<BTreeMap<Arc<str>, limit::Limited>>,
+    tries: Mutex<Vec<resume::Try>>,
 }
 
 impl Default for Ledger {
@@ -154,6 +156,7 @@
             disturbances: Arc::default(),
             crash_causes: Mutex::default(),
             limits: Mutex::default(),
+            tries: Mutex::default(),
         }
     }
 }
@@ -283,6 +286,15 @@
         self.limits.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records a request for a resumable stream.
+    pub fn record_try(&self, one: resume::Try) {
+        self.tries().push(one);
+    }
+
+    fn tries(&self) -> MutexGuard<'_, Vec<resume::Try>> {
+        self.tries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the number of requests by kind and outcome.
     pub fn counts(&self) -> HashMap<(Kind, Outcome), u32> {
         let mut counts = HashMap::new();
@@ -299,6 +311,7 @@
         let requests = self.requests();
         let disturbances = self.disturbances.lock().unwrap_or_else(PoisonError::into_inner);
         let mut measures = silence::measures(&requests, &disturbances);
+        measures.extend(resume::measures(&self.tries(), &disturbances));
         let causes = self.crash_causes.lock().unwrap_or_else(PoisonError::into_inner);
         for (name, cause) in causes.iter() {
             measures.extend(crash::measures(name, cause, &requests, &disturbances));
@@ -332,6 +345,7 @@
             findings.extend(crash::check_budget(name, cause, &requests, &disturbances));
             findings.extend(crash::check_service(name, cause, &requests));
         }
+        findings.extend(resume::check(&self.tries(), &disturbances));
         for (server, limited) in self.limits().iter() {
             findings.extend(limited.check(server, &requests, &disturbances));
         }
--- a/crates/soak/src/ledger/tests.rs
+++ b/crates/soak/src/ledger/tests.rs
@@ -1,6 +1,7 @@
 use super::crash::{Arrival, CrashCause, Sharing, check_budget, check_service};
 use super::disturbance::{Disturbances, Guard, Scope};
 use super::limit::Limited;
+use super::resume::{self, Try};
 use super::silence::{check_overlap, check_whole};
 use super::{Allowance, Kind, Ledger, Outcome, Request, Run, Sent, check_request};
 use std::collections::HashMap;
@@ -286,3 +287,35 @@
 
     assert!(as_request && !as_part);
 }
+
+/// Returns requests for resumable streams, each with whether it went on.
+fn tries(is_resumed: bool, outcomes: impl IntoIterator<Item = bool>) -> Vec<Try> {
+    let sent_at = Instant::now();
+    let outcomes = outcomes.into_iter();
+    let tries = outcomes.map(|has_gone_on| Try {
+        host: "entry-0".into(),
+        is_resumed,
+        sent_at,
+        has_gone_on,
+        is_judged: true,
+    });
+    tries.collect()
+}
+
+#[test]
+fn resumed_streams_that_go_on_less_than_half_as_often_as_new_ones_begin_are_found() {
+    let new = tries(false, (0..20).map(|n| n < 18));
+    let resumed = |went_on, all| tries(true, (0..all).map(|n| n < went_on));
+    let check = |resumed: Vec<Try>, disturbances: &Disturbances| {
+        resume::check(&[new.clone(), resumed].concat(), disturbances)
+    };
+    let disturbances = Arc::new(Mutex::new(Disturbances::default()));
+    let calm = Disturbances::default();
+
+    assert!(check(resumed(5, 12), &calm).is_some());
+    assert_eq!(check(resumed(6, 12), &calm), None);
+    assert_eq!(check(resumed(0, 11), &calm), None);
+    // A host that was not in touch is not judged.
+    let _fault = Guard::new(&disturbances, &"entry-0".into(), Scope::Connections);
+    assert_eq!(check(resumed(0, 12), &disturbances.lock().unwrap()), None);
+}
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -1,11 +1,13 @@
 //! One soak run: starts callers, injects faults, and reports the findings.
 
 use crate::backend::{CRASHING_PREFIX, DEADLY_PREFIX, LONG_PREFIX};
-use crate::caller::{self, Call, Caller};
+use crate::caller::{self, Call, Caller, Progress, Resumed};
 use crate::fault::{self, Fault};
 use crate::fleet::{self, Error, Fleet};
 use crate::ledger::crash::Sharing;
+use crate::ledger::resume::{ENGINES_MIN, Try};
 use crate::ledger::{Kind, Outcome};
+use chestnutrack_process::pool::Pool;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -46,6 +48,13 @@
 const CRASH_SEED_OFFSET: u64 = 3 << 32;
 /// Added to the seed of a run for the server that names a limit.
 const LIMIT_SEED_OFFSET: u64 = 4 << 32;
+/// Added to the seed of a run for the engines that start again.
+const RESTART_SEED_OFFSET: u64 = 5 << 32;
+/// Tries of a caller to resume a stream that has broken off, and the time before each, in milliseconds.
+const RESUMES_MAX: u32 = 2;
+const RESUME_DELAY_MS: std::ops::Range<u64> = 5..300;
+/// Time without a fault after which the store counts as stable.
+const STORE_CALM: Duration = Duration::from_secs(3);
 /// Time between the starts of two faults, in milliseconds.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 50..900;
 /// Longest time for all faults to end.
@@ -131,14 +140,16 @@
     let callers = start_callers(&shared, settings.seed);
     let rng = ChaCha8Rng::seed_from_u64(settings.seed.wrapping_add(CRASH_SEED_OFFSET));
     let limit_rng = ChaCha8Rng::seed_from_u64(settings.seed.wrapping_add(LIMIT_SEED_OFFSET));
-    let (faults, drills, sound_faults, crashes, limit) = tokio::join!(
+    let restart_rng = ChaCha8Rng::seed_from_u64(settings.seed.wrapping_add(RESTART_SEED_OFFSET));
+    let (faults, drills, sound_faults, crashes, limit, restarts) = tokio::join!(
         inject_faults(&fleet, settings),
         inject_drills(&fleet, settings),
         inject_sound_faults(&fleet, settings),
         fault::crash::inject(&fleet, rng, &shared.crashing_part, &shared.crashing),
         fault::limit::inject(&fleet, limit_rng),
+        fault::restart::inject(&fleet, restart_rng, settings.length),
     );
-    let faults = [faults?, drills?, sound_faults?, vec![crashes?, limit]].concat();
+    let faults = [faults?, drills?, sound_faults?, vec![crashes?, limit], restarts?].concat();
     for host in 0..fleet.hosts.len() {
         fleet.wait_ready(host).await?;
     }
@@ -321,7 +332,14 @@
         }
         let host = rng.random_range(0..pools.len());
         let call = role.next_call(&shared, host, &mut rng);
-        let outcome = caller::call(ledger, &pools[host], &caller, &call).await;
+        let sent_at = std::time::Instant::now();
+        let (outcome, progress) = caller::call_stream(ledger, &pools[host], &caller, &call).await;
+        if call.kind == Kind::Recap && !crashes_servers && outcome != Outcome::Left {
+            record_try(&shared, &call, sent_at, (outcome, progress), true);
+            if outcome == Outcome::Broken && progress.events > 0 {
+                resume(&shared, &pools, &caller, (&call, progress), &mut rng).await;
+            }
+        }
         if let Outcome::Failed(status @ (400..500)) = outcome {
             // The routes and keys of the callers exist during the whole run.
             let Call { id, kind, .. } = &call;
@@ -331,6 +349,55 @@
     }
 }
 
+/// Resumes a stream that has broken off, at random hosts, until it is whole or no try is left.
+async fn resume(
+    shared: &Shared,
+    pools: &[Pool],
+    caller: &Caller,
+    (begun, mut progress): (&Call, Progress),
+    rng: &mut ChaCha8Rng,
+) {
+    let (fleet, ledger) = (&shared.fleet, &shared.fleet.ledger);
+    for _ in 0..RESUMES_MAX {
+        sleep(Duration::from_millis(rng.random_range(RESUME_DELAY_MS))).await;
+        let host = rng.random_range(0..pools.len());
+        let id = format!("r{}", shared.next_id.fetch_add(1, Ordering::Relaxed)).into();
+        let mut call = Call::new(&fleet.hosts[host].name, id, Kind::Recap);
+        call.shared_parts = begun.shared_parts.clone();
+        call.resumed = Some(Resumed { stream: begun.id.clone(), progress });
+        let engines_before = fleet.engines_of(progress.build).await;
+        let sent_at = std::time::Instant::now();
+        let (outcome, after) = caller::call_stream(ledger, &pools[host], caller, &call).await;
+        let engines = engines_before.min(fleet.engines_of(progress.build).await);
+        let is_judged = engines >= ENGINES_MIN;
+        record_try(shared, &call, sent_at, (outcome, after), is_judged);
+        progress = after;
+        if outcome == Outcome::Whole {
+            return;
+        }
+    }
+}
+
+/// Records whether a request for a resumable stream went on with it.
+fn record_try(
+    shared: &Shared,
+    call: &Call,
+    sent_at: std::time::Instant,
+    (outcome, progress): (Outcome, Progress),
+    is_judged: bool,
+) {
+    let before = call.resumed.as_ref().map(|resumed| resumed.progress).unwrap_or_default();
+    shared.fleet.ledger.record_try(Try {
+        host: call.host.clone(),
+        is_resumed: call.resumed.is_some(),
+        sent_at,
+        has_gone_on: outcome == Outcome::Whole || progress.events > before.events,
+        is_judged: is_judged
+            && outcome != Outcome::Unsent
+            && shared.fleet.time_since_store_fault() >= STORE_CALM + sent_at.elapsed(),
+    });
+}
+
 /// Checks that each host serves each kind of request again once all faults have ended.
 async fn check_recovery(fleet: &Fleet) {
     let (caller, _) = fleet::callers();
