Engines that start again under their names serve before their entries say so

While the store is away that may be long, and if it is many engines, nobody serves.

Change: an engine whose report states another start than its entry is used at once, as of a build of its own, named by the server and its start on all hosts alike. Its new streams may go on at it alone; those of the build that its entry names go on elsewhere. When the entry says which build it is, what is known of the former name holds for that build. A new entry records the builds of the server that it changes instead of those of all servers, which took a list of n servers n times over them.

Tests: builds::an_engine_that_has_started_again_serves_and_goes_on_with_no_stream_of_the_process_before (without the change it got no stream at all, as the test that it replaces demanded; it is as strict on what goes on where) and a_stream_of_an_engine_that_has_started_again_goes_on_at_its_build_once_its_entry_says_so.

--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -310,7 +310,8 @@
             let load_bucket = (peak / capacity * LOAD_BUCKETS) as u32;
             let is_remote = server.entry.failure_domain != self.failure_domain;
             let failure_rank = self.failure_rank(now, server);
-            let is_alone = engines_by_build.get(&server.entry.build).is_none_or(|count| *count < 2);
+            let is_alone =
+                engines_by_build.get(&*server.entry.build).is_none_or(|count| *count < 2);
             (peak <= capacity).then_some((
                 (failure_rank, is_alone, load_bucket, is_remote, peak as u64),
                 key,
@@ -331,11 +332,11 @@
     }
 
     /// Returns the number of decode engines of each build of a service that take new requests.
-    fn engines_by_build(&self, service: &str) -> BTreeMap<Arc<str>, usize> {
+    fn engines_by_build(&self, service: &str) -> BTreeMap<&str, usize> {
         let mut counts = BTreeMap::new();
         for server in self.servers.values() {
             if server.is_open() && server.is_engine(service, Stage::Decode) {
-                *counts.entry(server.entry.build.clone()).or_default() += 1;
+                *counts.entry(&*server.entry.build).or_default() += 1;
             }
         }
         counts
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -311,6 +311,11 @@
         self.servers.get(key).map(|server| &server.entry)
     }
 
+    /// Returns the platform's entry for the server with a name.
+    pub fn entry_of(&self, name: &str) -> Option<&Entry> {
+        self.keys_by_name.get(name).map(|key| &self.servers[*key].entry)
+    }
+
     /// Returns whether a server is known and may get new requests from this host now.
     pub fn accepts(&self, now: Instant, key: ServerKey) -> bool {
         self.servers.get(key).is_some_and(|server| server.accepts(now))
--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -80,6 +80,14 @@
         }
     }
 
+    /// Forgets a build of a service that is known by another name now.
+    pub fn forget(&mut self, service: &str, build: &str) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.listed_at.remove(build);
+            service.told_at.remove(build);
+        }
+    }
+
     /// Records builds of which another host, or the store, knows that they have served, and how long ago.
     pub fn record_former(&mut self, now: Instant, reports: &[BuildReport]) {
         for report in reports {
--- a/crates/core/src/origin/mod.rs
+++ b/crates/core/src/origin/mod.rs
@@ -43,6 +43,12 @@
     }
 }
 
+/// Returns what stands for the build of a process that started at `born` under the name of a server, until the server's
+/// entry says which it is. It is the same on all hosts.
+pub fn unlisted_build(server: &str, born: u64) -> Arc<str> {
+    format!("{server}@{born}").into()
+}
+
 /// Returns the hosts that are told which build began a stream, up to [`KEEPERS`] of `hosts`. If a host comes or goes, at most
 /// one of them changes.
 pub fn keepers(stream: Stream, hosts: impl IntoIterator<Item = Arc<str>>) -> Vec<Arc<str>> {
--- a/crates/core/src/origin/registry.rs
+++ b/crates/core/src/origin/registry.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Records that a build is known by another name now.
+    pub fn rename_build(&mut self, former: &str, build: &Arc<str>) {
+        for origin in self.streams.values_mut().filter(|origin| &*origin.build == former) {
+            origin.build = build.clone();
+        }
+    }
+
     /// Returns the build that began a stream, if this host knows it.
     pub fn build(&self, now: Instant, stream: Stream) -> Option<Arc<str>> {
         let origin = self.streams.get(&stream).filter(|origin| origin.until > now)?;
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -25,10 +25,10 @@
 use chestnutrack_core::allowance::{self, Allowances};
 use chestnutrack_core::cell::Cell;
 use chestnutrack_core::dispatch::{
-    self, Change, Dispatch, LimitChange, Outcome, RefusedCallers, ServerKey, Stage,
+    self, Change, Dispatch, Entry, LimitChange, Outcome, RefusedCallers, ServerKey, Stage,
 };
 use chestnutrack_core::limit::Quota;
-use chestnutrack_core::origin::{Builds, Origins};
+use chestnutrack_core::origin::{Builds, Origins, unlisted_build};
 use chestnutrack_core::quarantine::Quarantine;
 use chestnutrack_core::retry::Budget;
 use chestnutrack_core::roster;
@@ -286,23 +286,22 @@
     pub fn apply_change(self: &Arc<App>, change: Change) {
         let (active_config, hosts) = (self.active_config(), self.connection_division().0);
         let mut state = self.state();
-        // The builds that are listed until now.
-        state.record_listed_builds(clock::now());
         match change {
             Change::Put(name, entry) => {
                 let (leaving, address, stage) = (entry.leaving, entry.address, entry.stage);
                 let (service, build, born) =
                     (entry.service.clone(), entry.build.clone(), entry.born);
+                state.record_build_of(clock::now(), &name);
                 let (key, changed) = state.dispatch.put(clock::now(), entry);
                 if changed {
                     let stage = stage.map(Stage::name);
                     tracing::info!(server = %name, %address, %build, leaving, stage, "server listed");
                 }
-                if stage.is_some() {
-                    state.update_builds(clock::now(), &service);
+                if changed && stage.is_some() {
+                    state.record_process(clock::now(), &name);
                 }
                 if !state.pools.contains_key(key) {
-                    let probe = stage.and(born).map(|born| self.probe(born));
+                    let probe = stage.and(born).map(|born| self.probe(&name, born));
                     let pool = Pool::with_probe(address, self.settings.pool, probe);
                     pool.set_open_max(connection_share(active_config.as_deref(), &service, hosts));
                     state.pools.insert(key, pool);
@@ -310,6 +309,7 @@
             }
             Change::Remove(name) => {
                 tracing::info!(server = %name, "server gone");
+                state.record_build_of(clock::now(), &name);
                 if let Some(key) = state.dispatch.remove(clock::now(), &name) {
                     state.pools.remove(key);
                 }
@@ -319,17 +319,32 @@
         self.admit_waiting();
     }
 
-    /// Returns the probe that finds out whether an engine's process is the one that started at `born`.
-    fn probe(&self, born: u64) -> Probe {
+    /// Returns the probe that finds out whether the process of an engine is the one that started at `born`.
+    fn probe(self: &Arc<App>, name: &Arc<str>, born: u64) -> Probe {
         let Dialect { report_path, parse_report, .. } = self.dialect;
+        let (app, name) = (Arc::downgrade(self), name.clone());
         let request = move || http::request("GET", report_path, "");
         let accepts = move |body: &Bytes| {
             let stated = parse_report(body).and_then(|report| report.born);
-            stated.is_none_or(|stated| stated == born)
+            let Some(stated) = stated.filter(|stated| *stated != born) else { return true };
+            if let Some(app) = app.upgrade() {
+                app.record_restart(&name, born, stated);
+            }
+            false
         };
         Probe { request: Box::new(request), accepts: Box::new(accepts) }
     }
 
+    /// Records that the process of an engine, which is listed as started at `listed`, started at `born`. It serves, but
+    /// which build it is of is not known until its entry changes.
+    fn record_restart(self: &Arc<App>, name: &Arc<str>, listed: u64, born: u64) {
+        let entry = self.state().dispatch.entry_of(name).cloned();
+        let Some(entry) = entry.filter(|entry| entry.born == Some(listed)) else { return };
+        tracing::info!(server = %name, listed, born, "server has started again, and its entry is older");
+        let build = unlisted_build(name, born);
+        self.apply_change(Change::Put(name.clone(), Entry { born: Some(born), build, ..entry }));
+    }
+
     /// Records that the platform's store was restored from a copy, whose list of servers is older than
     /// what this host knows.
     pub fn record_restore(&self) {
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -2,7 +2,7 @@
 
 use super::{App, State};
 use crate::config::{Config, Kind};
-use chestnutrack_core::origin::{Known, Possible, Stream};
+use chestnutrack_core::origin::{Known, Possible, Stream, unlisted_build};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_wire::frame::{BuildReport, OriginReport};
@@ -33,13 +33,27 @@
         self.builds.record_listed(now, self.dispatch.listed_builds());
     }
 
-    /// Records the builds that are listed now. If several may have begun streams from now on, has the keepers of all
-    /// streams told.
-    pub(super) fn update_builds(&mut self, now: Instant, service: &str) {
+    /// Records that a server is listed until now, as far as it is an engine.
+    pub(super) fn record_build_of(&mut self, now: Instant, name: &str) {
+        let entry = self.dispatch.entry_of(name).filter(|entry| entry.stage.is_some());
+        let build = entry.map(|entry| (entry.service.clone(), entry.build.clone()));
+        self.builds.record_listed(now, build);
+    }
+
+    /// Records the process of an engine that is listed from now on. If several builds may have begun streams from now on,
+    /// has the keepers of all streams told.
+    pub(super) fn record_process(&mut self, now: Instant, name: &str) {
+        let Some(entry) = self.dispatch.entry_of(name).cloned() else { return };
+        let (service, build) = (&entry.service, &entry.build);
         let was_one = matches!(self.builds.possible(now, service), Possible::One(_));
-        self.record_listed_builds(now);
+        self.builds.record_listed(now, [(service.clone(), build.clone())]);
+        let unlisted = entry.born.map(|born| unlisted_build(name, born));
+        if let Some(unlisted) = unlisted.filter(|unlisted| unlisted != build) {
+            self.builds.forget(service, &unlisted);
+            self.origins.rename_build(&unlisted, build);
+        }
         if was_one && !matches!(self.builds.possible(now, service), Possible::One(_)) {
-            tracing::info!(service, "engines of several builds serve");
+            tracing::info!(%service, %build, "engines of several builds serve");
             self.origins.tell_all();
         }
     }
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -69,6 +69,8 @@
     Crowded,
     /// Nothing was sent: the server is leaving, or has asked for no requests for now.
     Closed,
+    /// Nothing was sent: another process has started under the server's name.
+    Restarted,
     /// Nothing was sent: the request, or a part of its prompt, crashes servers and is in quarantine for this time.
     Quarantined(Duration),
     /// The server states that it did not run the request and never will.
@@ -91,6 +93,7 @@
             Failure::Refused => "refused",
             Failure::Crowded => "crowded",
             Failure::Closed => "closed",
+            Failure::Restarted => "restarted",
             Failure::Quarantined(_) => "quarantined",
             Failure::NotRun => "not_run",
             Failure::Misdirected => "misdirected",
@@ -108,6 +111,7 @@
                 | Failure::Refused
                 | Failure::Crowded
                 | Failure::Closed
+                | Failure::Restarted
                 | Failure::Quarantined(_)
         )
     }
@@ -412,7 +416,9 @@
             }
             // Neither a full connection pool of this host nor a request that was not tried says
             // anything about the server.
-            Err(Failure::Crowded | Failure::Closed | Failure::Quarantined(_)) => {}
+            Err(
+                Failure::Crowded | Failure::Closed | Failure::Restarted | Failure::Quarantined(_),
+            ) => {}
             Ok(_) | Err(Failure::NotRun) => self.app.record_outcome(target, Outcome::Answer),
         }
         if result.is_ok() {
@@ -436,7 +442,7 @@
             Ok(response) => response,
             Err(Error::Connect(_, ConnectError::Refused)) => return Err(Failure::Refused),
             Err(Error::Connect(_, ConnectError::PoolExhausted)) => return Err(Failure::Crowded),
-            Err(Error::Connect(_, ConnectError::WrongProcess)) => return Err(Failure::Misdirected),
+            Err(Error::Connect(_, ConnectError::WrongProcess)) => return Err(Failure::Restarted),
             Err(Error::Connect(..) | Error::Request(_)) => return Err(Failure::Unsent),
             Err(Error::Timeout(_)) => return Err(Failure::TimedOut),
             Err(error) => {
--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -340,30 +340,53 @@
     assert!(first.request_count() > 0 && second.request_count() > 0);
 }
 
-// Guards against a process that has started again under its name, with another build than its entry still says.
+// Guards against a process that has started again under its name, and whose streams count as those of the build before.
 #[tokio::test]
-async fn an_engine_that_has_started_again_gets_no_stream_until_its_entry_says_so() {
+async fn an_engine_that_has_started_again_serves_and_goes_on_with_no_stream_of_the_process_before()
+{
     let prefiller = Backend::start(answer_prefill).await;
-    let (restarted, sound) =
-        (engine("v2", Begin::Complete).await, engine("v1", Begin::Complete).await);
-    restarted.set_born(2);
+    let (restarted, sound) = (engine("v2", Begin::Hang).await, engine("v1", Begin::Hang).await);
     let servers = vec![
         prefill("prefill-1", &prefiller),
         decode_of("v1", "decode-1", &restarted),
         decode_of("v1", "decode-2", &sound),
     ];
+    restarted.set_born(2);
     let host = host(servers).await;
 
-    let calls = (0..CALLS).map(|_| async { call(host.address, &beginning("r1")).await });
-    let before = join_all(calls).await;
-    let arrived_before = restarted.request_count();
+    let mut begun = Vec::new();
+    for n in 0..8 {
+        begun.push(begin(host.address, &format!("a{n}")).await);
+    }
+    let mut answers = Vec::new();
+    for n in 0..8 {
+        answers.push(call(host.address, &resuming(&format!("b{n}"), &format!("a{n}"))).await);
+    }
+
+    for ((build, _), answer) in begun.iter().zip(&answers) {
+        assert_eq!((answer.status, builds(answer)), (200, BTreeSet::from([&**build])));
+    }
+    assert!(begun.iter().any(|(build, _)| build == "v2"), "it got no new stream");
+}
+
+// Guards against streams that can't go on, though the entry of the engine that began them has said by now what it is.
+#[tokio::test]
+async fn a_stream_of_an_engine_that_has_started_again_goes_on_at_its_build_once_its_entry_says_so()
+{
+    let prefiller = Backend::start(answer_prefill).await;
+    let (restarted, other) = (engine("v2", Begin::Hang).await, engine("v2", Begin::Hang).await);
+    restarted.set_born(2);
+    let servers = vec![prefill("prefill-1", &prefiller), decode_of("v1", "decode-1", &restarted)];
+    let host = host(servers).await;
+    let (_, connection) = begin(host.address, "a1").await;
+
     list(&host, Entry { born: Some(2), ..decode_of("v2", "decode-1", &restarted) });
-    let calls = (0..CALLS).map(|_| async { call(host.address, &beginning("r1")).await });
-    let after = join_all(calls).await;
+    list(&host, decode_of("v2", "decode-2", &other));
+    host.app.apply_change(Change::Remove("decode-1".into()));
+    drop(connection);
+    let answer = call(host.address, &resuming("b1", "a1")).await;
 
-    assert!(before.iter().chain(&after).all(|answer| answer.complete));
-    assert_eq!(arrived_before, 0);
-    assert!(restarted.request_count() > 0);
+    assert_eq!((answer.status, other.request_count()), (200, 1), "{answer:?}");
 }
 
 // Guards against reports that are asked for with each connection.
