Streams: find keepers by hashes that are computed once

Cause: telling a host of all that it keeps hashed every host's name for every stream: 3,400 streams and 103 hosts are 350,000 hashes, once for each host that is told. Names are hashed when the list of hosts changes, and a first connection carries only what is due.

--- a/crates/core/src/origin/mod.rs
+++ b/crates/core/src/origin/mod.rs
@@ -3,7 +3,7 @@
 //! A build is a version of the software of a service's engines. Engines of several builds may serve side by side, and
 //! what two of them write does not fit together. A stream that breaks off is resumed by its host, which knows the build,
 //! or by its caller, at any host. So while several builds serve, each host tells a few others, the keepers of
-//! the stream, which build began it: [`keepers`] are found from the stream's identifier by any host. [`Origins`] is what a
+//! the stream, which build began it: [`Keepers`] finds them from the stream's identifier at any host. [`Origins`] is what a
 //! host knows of streams, [`Builds`] what it knows of the builds that may have begun one.
 
 mod builds;
@@ -49,11 +49,22 @@
     format!("{server}@{born}").into()
 }
 
-/// Returns the hosts that are told which build began a stream, up to [`KEEPERS`] of `hosts`. If a host comes or goes, at most
-/// one of them changes.
-pub fn keepers(stream: Stream, hosts: impl IntoIterator<Item = Arc<str>>) -> Vec<Arc<str>> {
-    let mut ranked: Vec<(u64, Arc<str>)> =
-        hosts.into_iter().map(|host| (mix(hash(&host) ^ stream.0), host)).collect();
-    ranked.sort_unstable_by_key(|(rank, _)| Reverse(*rank));
-    ranked.into_iter().take(KEEPERS).map(|(_, host)| host).collect()
+/// The hosts among which the keepers of streams are found.
+#[derive(Clone, Debug, Default)]
+pub struct Keepers(Vec<(u64, Arc<str>)>);
+
+impl Keepers {
+    /// Creates the keepers of a host that knows the other hosts `hosts`.
+    pub fn new(hosts: impl IntoIterator<Item = Arc<str>>) -> Keepers {
+        Keepers(hosts.into_iter().map(|host| (hash(&host), host)).collect())
+    }
+
+    /// Returns the hosts that are told which build began a stream, up to [`KEEPERS`]. If a host comes or goes, at most one
+    /// of them changes.
+    pub fn of(&self, stream: Stream) -> impl Iterator<Item = &Arc<str>> {
+        let ranked = self.0.iter().map(|(hash, host)| (Reverse(mix(hash ^ stream.0)), host));
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_unstable();
+        ranked.into_iter().take(KEEPERS).map(|(_, host)| host)
+    }
 }
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -1,4 +1,4 @@
-use super::{Builds, Known, Origins, Possible, Stream, keepers};
+use super::{Builds, Keepers, Known, Origins, Possible, Stream};
 use crate::time::Instant;
 use chestnutrack_wire::frame::{BuildReport, OriginReport};
 use quickcheck::quickcheck;
@@ -17,6 +17,10 @@
     (0..count).map(|n| format!("host-{n}").into()).collect()
 }
 
+fn keepers(stream: Stream, hosts: impl IntoIterator<Item = Arc<str>>) -> Vec<Arc<str>> {
+    Keepers::new(hosts).of(stream).cloned().collect()
+}
+
 fn stream(n: u64) -> Stream {
     Stream::begun_by(&format!("request-{n}"))
 }
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use chestnutrack_core::allowance::Report;
 use chestnutrack_core::cell::Cell;
+use chestnutrack_core::origin::Keepers;
 use chestnutrack_core::roster::{self, Roster, Step};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
@@ -56,6 +57,8 @@
     newest_gossip: watch::Sender<Bytes>,
     /// All other hosts.
     hosts: Mutex<BTreeMap<Arc<str>, Host>>,
+    /// All other hosts, as keepers of streams.
+    keepers: Mutex<Arc<Keepers>>,
     /// The hosts of this host's cell, to which it keeps connections.
     peers: Mutex<HashMap<Arc<str>, Peer>>,
     /// Which peers are reachable. Where both are locked, `peers` is locked first.
@@ -92,6 +95,7 @@
             port,
             newest_gossip,
             hosts: Mutex::default(),
+            keepers: Mutex::default(),
             peers: Mutex::default(),
             roster: Mutex::new(roster),
             was_isolated: AtomicBool::new(false),
@@ -123,12 +127,14 @@
         changes: impl IntoIterator<Item = (Arc<str>, Option<Host>)>,
     ) {
         let mut hosts = self.hosts();
+        let known = hosts.len();
+        let mut is_changed = false;
         let mut present = Vec::new();
         for (name, host) in changes {
             match host {
                 Some(host) if name != self.app.settings.name => {
                     present.push((name.clone(), host.incarnation));
-                    hosts.insert(name, host);
+                    is_changed |= hosts.insert(name, host).is_none();
                 }
                 Some(_) => {}
                 None => {
@@ -137,6 +143,9 @@
                 }
             }
         }
+        if is_changed || hosts.len() != known {
+            self.set_keepers(Keepers::new(hosts.keys().cloned()));
+        }
         drop(hosts);
         self.connect_cell();
         for (name, incarnation) in present {
--- a/crates/forward/src/mesh/origins.rs
+++ b/crates/forward/src/mesh/origins.rs
@@ -4,7 +4,7 @@
 //! it has something to tell or to ask.
 
 use super::{Mesh, link};
-use chestnutrack_core::origin::{Stream, keepers};
+use chestnutrack_core::origin::{Keepers, Stream};
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_wire::Connection;
 use chestnutrack_wire::frame::{Frame, OriginReport};
@@ -55,9 +55,13 @@
         }
     }
 
-    /// Returns the keepers of a stream among the other hosts.
-    fn keepers(&self, stream: Stream) -> Vec<Arc<str>> {
-        keepers(stream, self.hosts().keys().cloned())
+    /// Sets the hosts among which the keepers of streams are found.
+    pub(super) fn set_keepers(&self, keepers: Keepers) {
+        *self.keepers.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(keepers);
+    }
+
+    fn keepers(&self) -> Arc<Keepers> {
+        self.keepers.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Returns items by the keepers of their streams.
@@ -66,10 +70,11 @@
         items: &[T],
         stream: impl Fn(&T) -> Stream,
     ) -> BTreeMap<Arc<str>, Vec<T>> {
+        let keepers = self.keepers();
         let mut by_keeper: BTreeMap<Arc<str>, Vec<T>> = BTreeMap::new();
         for item in items {
-            for keeper in self.keepers(stream(item)) {
-                by_keeper.entry(keeper).or_default().push(item.clone());
+            for keeper in keepers.of(stream(item)) {
+                by_keeper.entry(keeper.clone()).or_default().push(item.clone());
             }
         }
         by_keeper
@@ -88,17 +93,18 @@
         if informed == Some(incarnation) || !self.app.shares_origins() {
             return;
         }
-        // A new connection begins with all that the host keeps.
+        // The connection to the process before is of no use.
         self.couriers().messages.remove(name);
         let kept = self.kept_by(name);
         if !kept.is_empty() {
-            self.send_origins(name, Vec::new());
+            self.send_origins(name, kept);
         }
     }
 
     /// Returns what this host knows of the streams that a host keeps.
     fn kept_by(&self, name: &Arc<str>) -> Vec<OriginReport> {
-        self.app.kept_origins(|stream| self.keepers(stream).contains(name))
+        let keepers = self.keepers();
+        self.app.kept_origins(|stream| keepers.of(stream).any(|keeper| keeper == name))
     }
 
     /// Sends reports to a host, and connects to it if necessary. They are dropped if the connection is not fast enough.
@@ -132,15 +138,17 @@
     }
 }
 
-/// Tells a host of the streams that it keeps, and connects to it again whenever the connection ends, until there has been
-/// nothing to tell for [`IDLE_TIMEOUT`] or the host is gone.
+/// Tells a host of the streams that it keeps by the messages, and connects to it again whenever the connection ends, until
+/// there has been nothing to tell for [`IDLE_TIMEOUT`] or the host is gone. A further connection begins with all streams
+/// that the host keeps.
 async fn deliver(mesh: Arc<Mesh>, name: Arc<str>, mut messages: mpsc::Receiver<Vec<OriginReport>>) {
     let mut backoff = Backoff::new(RETRY_PAUSE_RANGE.0, RETRY_PAUSE_RANGE.1);
+    let mut first = Vec::new();
     while let Some(host) = mesh.host(&name) {
         match link::connect(host.address).await {
             Ok(connection) => {
                 backoff.record_success();
-                if deliver_on(&mesh, &name, connection, &mut messages).await.is_break() {
+                if deliver_on(&mesh, connection, first, &mut messages).await.is_break() {
                     return;
                 }
             }
@@ -148,20 +156,21 @@
         }
         backoff.record_failure();
         sleep(backoff.pause()).await;
-        // A new connection begins with all that the host keeps.
+        // What the host keeps includes the messages that wait.
         while messages.try_recv().is_ok() {}
-        if messages.is_closed() || mesh.kept_by(&name).is_empty() {
+        first = mesh.kept_by(&name);
+        if messages.is_closed() || first.is_empty() {
             return;
         }
     }
 }
 
-/// Tells a host of the streams that it keeps, first of all and then by the messages, until the connection ends. Returns
+/// Tells a host of streams, of `first` and then by the messages, until the connection ends. Returns
 /// [`ControlFlow::Break`] if there is nothing more to tell.
 async fn deliver_on(
     mesh: &Arc<Mesh>,
-    name: &Arc<str>,
     connection: Connection,
+    first: Vec<OriginReport>,
     messages: &mut mpsc::Receiver<Vec<OriginReport>>,
 ) -> ControlFlow<()> {
     let (sender, mut receiver) = (connection.sender, connection.receiver);
@@ -170,7 +179,7 @@
             sender.send(&Frame::Origins { known: reports.to_vec(), unknown: Vec::new() })
         })
     };
-    if sender.send(&mesh.hello()).is_err() || send(&mesh.kept_by(name)).is_err() {
+    if sender.send(&mesh.hello()).is_err() || send(&first).is_err() {
         return ControlFlow::Continue(());
     }
     loop {
