Test: a stream goes on at a host of another cell

The host that begins a stream reports nothing to hosts of other cells but what the keepers of the stream are told.

--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -6,10 +6,14 @@
 };
 use crate::fixture::caller::{Answer, call, connect, generation};
 use crate::fixture::fleet::Fleet;
-use crate::fixture::{Host, decode, host, prefill, wait_until};
+use crate::fixture::store::{HOSTS, host_at, register, start_store};
+use crate::fixture::{Host, decode, host, host_with_settings, prefill, settings, wait_until};
 use chestnutrack_core::dispatch::{Change, Entry};
+use chestnutrack_core::origin::{Keepers, Stream};
 use futures_util::future::join_all;
+use serde_json::json;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -236,6 +240,52 @@
     }
 }
 
+// Guards against a stream that goes on at any build at hosts of another cell, which the host that began it reports nothing to.
+#[tokio::test]
+async fn a_stream_goes_on_at_a_host_of_another_cell_at_the_build_that_began_it() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let (first, second) = (engine("v1", Begin::Hang).await, engine("v2", Begin::Hang).await);
+    let servers = vec![
+        prefill("prefill-1", &prefiller),
+        decode_of("v1", "decode-1", &first),
+        decode_of("v2", "decode-2", &second),
+    ];
+    let client = start_store().await;
+    // The other hosts of the fleet are listed, but don't run.
+    let others: Vec<Arc<str>> = (0..32).map(|n| format!("z-host-{n}").into()).collect();
+    for other in &others {
+        let entry = json!(host_at(([127, 0, 0, 1], 9).into()));
+        client.create(HOSTS, other, &entry).await.unwrap();
+    }
+    let names: Vec<Arc<str>> = ["begins", "resumes", "keeps"].map(Arc::from).into();
+    let mut hosts = Vec::new();
+    for name in &names {
+        let host = host_with_settings(settings(name), servers.clone()).await;
+        let registration = register(&host.app, &client).await;
+        hosts.push((host, registration));
+    }
+    for (host, _) in &hosts {
+        wait_until(|| host.app.cell().index_and_count().1 == 2).await;
+    }
+    // A stream whose keepers, as both hosts see them, include the third one.
+    let all = || others.iter().chain(&names).cloned();
+    let keeps = |id: &String, host: usize| {
+        let keepers = Keepers::new(all().filter(|name| *name != names[host]));
+        keepers.of(Stream::begun_by(id)).any(|keeper| *keeper == names[2])
+    };
+    let mut ids = (0..).map(|n| format!("a{n}")).filter(|id| keeps(id, 0) && keeps(id, 1));
+    let began = ids.next().unwrap();
+    let cells = [0, 1].map(|n: usize| hosts[n].0.app.cell().index_and_count().0);
+
+    let (build, connection) = begin(hosts[0].0.address, &began).await;
+    wait_until(|| hosts[2].0.app.metrics.origins.get() == 1).await;
+    drop(connection);
+    let answer = call(hosts[1].0.address, &resuming("b1", &began)).await;
+
+    assert_ne!(cells[0], cells[1]);
+    assert_eq!((answer.status, builds(&answer)), (200, BTreeSet::from([&*build])), "{answer:?}");
+}
+
 // Guards against a stream of which no host knows which build began it, and that goes on at any.
 #[tokio::test]
 async fn a_stream_of_which_nobody_knows_the_build_is_refused_at_once_while_several_serve() {
