Streams: tell keepers at once when a second build comes, also by a peer's word; ask again when a caller comes back

Found while reading the change: when a second build came, the keepers of streams under way were told only with the next stream that began, and not at all if a peer, not the store, said that the build serves. The result of a search was kept for 2 s, so that a caller that came back after the second that it was given was refused by it.

Tests: builds::the_keepers_of_streams_under_way_are_told_when_a_second_build_comes (3 hosts, the first one killed).

--- a/crates/core/src/origin/registry.rs
+++ b/crates/core/src/origin/registry.rs
@@ -11,8 +11,8 @@
 const STREAMS_MAX: usize = 1 << 16;
 /// Number of streams from which on those that have ended are removed.
 const PRUNE_MIN: usize = 1 << 10;
-/// Time for which the result of a search for a stream is kept.
-const SEARCH_RETENTION: Duration = Duration::from_secs(2);
+/// Time for which the result of a search for a stream is kept: less than the time after which its caller comes back.
+const SEARCH_RETENTION: Duration = Duration::from_millis(900);
 
 /// The build that began a stream.
 #[derive(Clone, Debug)]
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -137,7 +137,7 @@
     assert_eq!(origins.find(NOW, stream(1)), Known::Nowhere);
     assert_eq!(origins.find(NOW, stream(2)), Known::Build("v1".into()));
     // A caller that comes later has the keepers asked again.
-    assert_eq!(origins.find(NOW + seconds(3), stream(1)), Known::Pending);
+    assert_eq!(origins.find(NOW + seconds(1), stream(1)), Known::Pending);
 }
 
 #[test]
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -316,6 +316,7 @@
             }
         }
         drop(state);
+        self.origins_due.notify_one();
         self.admit_waiting();
     }
 
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -40,24 +40,31 @@
         self.builds.record_listed(now, build);
     }
 
-    /// Records the process of an engine that is listed from now on. If several builds may have begun streams from now on,
-    /// has the keepers of all streams told.
-    pub(super) fn record_process(&mut self, now: Instant, name: &str) {
-        let Some(entry) = self.dispatch.entry_of(name).cloned() else { return };
-        let (service, build) = (&entry.service, &entry.build);
+    /// Changes what is known of the builds of a service. If several may have begun streams since, has the keepers of all
+    /// streams told.
+    fn change_builds(&mut self, now: Instant, service: &str, change: impl FnOnce(&mut State)) {
         let was_one = matches!(self.builds.possible(now, service), Possible::One(_));
-        self.builds.record_listed(now, [(service.clone(), build.clone())]);
-        let unlisted = entry.born.map(|born| unlisted_build(name, born));
-        if let Some(unlisted) = unlisted.filter(|unlisted| unlisted != build) {
-            self.builds.forget(service, &unlisted);
-            self.origins.rename_build(&unlisted, build);
-        }
+        change(self);
         if was_one && !matches!(self.builds.possible(now, service), Possible::One(_)) {
-            tracing::info!(%service, %build, "engines of several builds serve");
+            tracing::info!(service, "engines of several builds serve");
             self.origins.tell_all();
         }
     }
 
+    /// Records the process of an engine that is listed from now on.
+    pub(super) fn record_process(&mut self, now: Instant, name: &str) {
+        let Some(entry) = self.dispatch.entry_of(name).cloned() else { return };
+        let (service, build) = (&entry.service, &entry.build);
+        self.change_builds(now, service, |state| {
+            state.builds.record_listed(now, [(service.clone(), build.clone())]);
+            let unlisted = entry.born.map(|born| unlisted_build(name, born));
+            if let Some(unlisted) = unlisted.filter(|unlisted| unlisted != build) {
+                state.builds.forget(service, &unlisted);
+                state.origins.rename_build(&unlisted, build);
+            }
+        });
+    }
+
     /// Returns the build that began a stream of a service.
     fn find_build(&mut self, now: Instant, service: &str, stream: Option<Stream>) -> Known {
         let recorded = stream.and_then(|stream| self.origins.build(now, stream));
@@ -211,12 +218,18 @@
         if reports.is_empty() && !is_known {
             return;
         }
+        let now = clock::now();
         let mut state = self.state();
-        state.builds.record_former(clock::now(), reports);
+        for report in reports {
+            state.change_builds(now, &report.service, |state| {
+                state.builds.record_former(now, std::slice::from_ref(report));
+            });
+        }
         if is_known {
             state.builds.record_former_known();
         }
         drop(state);
+        self.origins_due.notify_one();
         self.origins_changed.notify_waiters();
     }
 
--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -17,6 +17,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// Number of events of a stream.
 const EVENTS: u64 = 4;
@@ -257,30 +258,34 @@
         let entry = json!(host_at(([127, 0, 0, 1], 9).into()));
         client.create(HOSTS, other, &entry).await.unwrap();
     }
-    let names: Vec<Arc<str>> = ["begins", "resumes", "keeps"].map(Arc::from).into();
+    let names: Vec<Arc<str>> = ["keeps", "begins", "resumes"].map(Arc::from).into();
     let mut hosts = Vec::new();
     for name in &names {
         let host = host_with_settings(settings(name), servers.clone()).await;
         let registration = register(&host.app, &client).await;
+        // The hosts that start later read its entry with their first list.
+        while client.read(HOSTS, name).await.is_err() {
+            sleep(Duration::from_millis(5)).await;
+        }
         hosts.push((host, registration));
     }
     for (host, _) in &hosts {
         wait_until(|| host.app.cell().index_and_count().1 == 2).await;
     }
-    // A stream whose keepers, as both hosts see them, include the third one.
+    // A stream whose keepers, as both hosts see them, include the first one.
     let all = || others.iter().chain(&names).cloned();
     let keeps = |id: &String, host: usize| {
         let keepers = Keepers::new(all().filter(|name| *name != names[host]));
-        keepers.of(Stream::begun_by(id)).any(|keeper| *keeper == names[2])
+        keepers.of(Stream::begun_by(id)).any(|keeper| *keeper == names[0])
     };
-    let mut ids = (0..).map(|n| format!("a{n}")).filter(|id| keeps(id, 0) && keeps(id, 1));
+    let mut ids = (0..).map(|n| format!("a{n}")).filter(|id| keeps(id, 1) && keeps(id, 2));
     let began = ids.next().unwrap();
-    let cells = [0, 1].map(|n: usize| hosts[n].0.app.cell().index_and_count().0);
+    let cells = [1, 2].map(|n: usize| hosts[n].0.app.cell().index_and_count().0);
 
-    let (build, connection) = begin(hosts[0].0.address, &began).await;
-    wait_until(|| hosts[2].0.app.metrics.origins.get() == 1).await;
+    let (build, connection) = begin(hosts[1].0.address, &began).await;
+    wait_until(|| hosts[0].0.app.metrics.origins.get() == 1).await;
     drop(connection);
-    let answer = call(hosts[1].0.address, &resuming("b1", &began)).await;
+    let answer = call(hosts[2].0.address, &resuming("b1", &began)).await;
 
     assert_ne!(cells[0], cells[1]);
     assert_eq!((answer.status, builds(&answer)), (200, BTreeSet::from([&*build])), "{answer:?}");
@@ -455,3 +460,21 @@
     assert!(decoder.connections() > 1);
     assert_eq!((decoder.reports(), prefiller.reports()), (1, 1));
 }
+
+// Guards against streams that began while one build served, and of which no other host is told when a second one comes.
+#[tokio::test]
+async fn the_keepers_of_streams_under_way_are_told_when_a_second_build_comes() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let (first, second) = (engine("v1", Begin::Hang).await, engine("v2", Begin::Hang).await);
+    let servers = [prefill("prefill-1", &prefiller), decode_of("v1", "decode-1", &first)];
+    let mut fleet = Fleet::start(3, &servers).await;
+    let (build, connection) = begin(fleet.address(0), "a1").await;
+
+    fleet.put(&decode_of("v2", "decode-2", &second));
+    fleet.until_told(1).await;
+    fleet.members[0].kill();
+    drop(connection);
+    let answer = call(fleet.address(1), &resuming("b1", "a1")).await;
+
+    assert_eq!((answer.status, builds(&answer)), (200, BTreeSet::from([&*build])), "{answer:?}");
+}
