--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -59,6 +59,18 @@
     Entry { build: build.into(), ..decode(name, backend) }
 }
 
+/// Starts a prefill engine and a decode engine of each of two builds, whose streams hang, and returns their entries.
+async fn two_builds() -> ([Backend; 3], [Entry; 3]) {
+    let prefiller = Backend::start(answer_prefill).await;
+    let (first, second) = (engine("v1", Begin::Hang).await, engine("v2", Begin::Hang).await);
+    let servers = [
+        prefill("prefill-1", &prefiller),
+        decode_of("v1", "decode-1", &first),
+        decode_of("v2", "decode-2", &second),
+    ];
+    ([prefiller, first, second], servers)
+}
+
 /// Adds a server to the list of a host.
 fn list(host: &Host, entry: Entry) {
     host.app.apply_change(Change::Put(entry.name.clone(), entry));
@@ -190,13 +202,7 @@
 // Guards against a stream whose host is killed, and that its caller resumes at another host where it goes on at another build.
 #[tokio::test]
 async fn a_stream_of_a_killed_host_goes_on_elsewhere_at_the_build_that_began_it() {
-    let prefiller = Backend::start(answer_prefill).await;
-    let (first, second) = (engine("v1", Begin::Hang).await, engine("v2", Begin::Hang).await);
-    let servers = [
-        prefill("prefill-1", &prefiller),
-        decode_of("v1", "decode-1", &first),
-        decode_of("v2", "decode-2", &second),
-    ];
+    let (_backends, servers) = two_builds().await;
     let mut fleet = Fleet::start(4, &servers).await;
     let mut begun = Vec::new();
     for n in 0..8 {
@@ -217,13 +223,7 @@
 // Guards against a host that has just started, knows no stream, and has one go on at any build.
 #[tokio::test]
 async fn a_host_that_has_restarted_asks_the_others_which_build_began_a_stream() {
-    let prefiller = Backend::start(answer_prefill).await;
-    let (first, second) = (engine("v1", Begin::Hang).await, engine("v2", Begin::Hang).await);
-    let servers = [
-        prefill("prefill-1", &prefiller),
-        decode_of("v1", "decode-1", &first),
-        decode_of("v2", "decode-2", &second),
-    ];
+    let (_backends, servers) = two_builds().await;
     let mut fleet = Fleet::start(4, &servers).await;
     let mut begun = Vec::new();
     for n in 0..8 {
@@ -244,13 +244,7 @@
 // Guards against a stream that goes on at any build at hosts of another cell, which the host that began it reports nothing to.
 #[tokio::test]
 async fn a_stream_goes_on_at_a_host_of_another_cell_at_the_build_that_began_it() {
-    let prefiller = Backend::start(answer_prefill).await;
-    let (first, second) = (engine("v1", Begin::Hang).await, engine("v2", Begin::Hang).await);
-    let servers = vec![
-        prefill("prefill-1", &prefiller),
-        decode_of("v1", "decode-1", &first),
-        decode_of("v2", "decode-2", &second),
-    ];
+    let (_backends, servers) = two_builds().await;
     let client = start_store().await;
     // The other hosts of the fleet are listed, but don't run.
     let others: Vec<Arc<str>> = (0..32).map(|n| format!("z-host-{n}").into()).collect();
@@ -261,7 +255,7 @@
     let names: Vec<Arc<str>> = ["keeps", "begins", "resumes"].map(Arc::from).into();
     let mut hosts = Vec::new();
     for name in &names {
-        let host = host_with_settings(settings(name), servers.clone()).await;
+        let host = host_with_settings(settings(name), servers.to_vec()).await;
         let registration = register(&host.app, &client).await;
         // The hosts that start later read its entry with their first list.
         while client.read(HOSTS, name).await.is_err() {
@@ -294,13 +288,7 @@
 // Guards against a stream of which no host knows which build began it, and that goes on at any.
 #[tokio::test]
 async fn a_stream_of_which_nobody_knows_the_build_is_refused_at_once_while_several_serve() {
-    let prefiller = Backend::start(answer_prefill).await;
-    let (first, second) = (engine("v1", Begin::Hang).await, engine("v2", Begin::Hang).await);
-    let servers = [
-        prefill("prefill-1", &prefiller),
-        decode_of("v1", "decode-1", &first),
-        decode_of("v2", "decode-2", &second),
-    ];
+    let (_backends, servers) = two_builds().await;
     let mut fleet = Fleet::start(3, &servers).await;
     let (_, connection) = begin(fleet.address(0), "a1").await;
     fleet.until_told(1).await;
