Soak: hosts that have just started are not in touch

By the hosts' logs all 14 came within half a second of the start of the run, after a host was killed at 259 ms: the other two had not read each other's entries yet, so nobody had been told which build began the streams, and they were refused at once (build_unknown). The users' rule counts machines that have run for three seconds. The check excused hosts that were disturbed, but not those that had just started.

The check counts from 3 s after the start; a test shows that it still finds the same after it.

--- a/crates/soak/src/ledger/mod.rs
+++ b/crates/soak/src/ledger/mod.rs
@@ -144,19 +144,20 @@
     disturbances: Arc<Mutex<Disturbances>>,
     crash_causes: Mutex<BTreeMap<Arc<str>, CrashCause>>,
     limits: Mutex<BTreeMap<Arc<str>, limit::Limited>>,
-    tries: Mutex<Vec<resume::Try>>,
+    tries: Mutex<resume::Tries>,
 }
 
 impl Default for Ledger {
     fn default() -> Ledger {
+        let began_at = Instant::now();
         Ledger {
-            began_at: Instant::now(),
+            began_at,
             requests: Mutex::default(),
             violations: Mutex::default(),
             disturbances: Arc::default(),
             crash_causes: Mutex::default(),
             limits: Mutex::default(),
-            tries: Mutex::default(),
+            tries: Mutex::new(resume::Tries { began_at, tries: Vec::new() }),
         }
     }
 }
@@ -288,10 +289,10 @@
 
     /// Records a request for a resumable stream.
     pub fn record_try(&self, one: resume::Try) {
-        self.tries().push(one);
+        self.tries().tries.push(one);
     }
 
-    fn tries(&self) -> MutexGuard<'_, Vec<resume::Try>> {
+    fn tries(&self) -> MutexGuard<'_, resume::Tries> {
         self.tries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -311,7 +312,7 @@
         let requests = self.requests();
         let disturbances = self.disturbances.lock().unwrap_or_else(PoisonError::into_inner);
         let mut measures = silence::measures(&requests, &disturbances);
-        measures.extend(resume::measures(&self.tries(), &disturbances));
+        measures.extend(self.tries().measures(&disturbances));
         let causes = self.crash_causes.lock().unwrap_or_else(PoisonError::into_inner);
         for (name, cause) in causes.iter() {
             measures.extend(crash::measures(name, cause, &requests, &disturbances));
@@ -345,7 +346,7 @@
             findings.extend(crash::check_budget(name, cause, &requests, &disturbances));
             findings.extend(crash::check_service(name, cause, &requests));
         }
-        findings.extend(resume::check(&self.tries(), &disturbances));
+        findings.extend(self.tries().check(&disturbances));
         for (server, limited) in self.limits().iter() {
             findings.extend(limited.check(server, &requests, &disturbances));
         }
--- a/crates/soak/src/ledger/tests.rs
+++ b/crates/soak/src/ledger/tests.rs
@@ -1,7 +1,7 @@
 use super::crash::{Arrival, CrashCause, Sharing, check_budget, check_service};
 use super::disturbance::{Disturbances, Guard, Scope};
 use super::limit::Limited;
-use super::resume::{self, Try};
+use super::resume::{Tries, Try};
 use super::silence::{check_overlap, check_whole};
 use super::{Allowance, Kind, Ledger, Outcome, Request, Run, Sent, check_request};
 use std::collections::HashMap;
@@ -306,16 +306,19 @@
 fn resumed_streams_that_go_on_less_than_half_as_often_as_new_ones_begin_are_found() {
     let new = tries(false, (0..20).map(|n| n < 18));
     let resumed = |went_on, all| tries(true, (0..all).map(|n| n < went_on));
-    let check = |resumed: Vec<Try>, disturbances: &Disturbances| {
-        resume::check(&[new.clone(), resumed].concat(), disturbances)
+    let check_after = |run_s, resumed: Vec<Try>, disturbances: &Disturbances| {
+        let began_at = Instant::now() - Duration::from_secs(run_s);
+        Tries { began_at, tries: [new.clone(), resumed].concat() }.check(disturbances)
     };
+    let check = |resumed, disturbances: &Disturbances| check_after(60, resumed, disturbances);
     let disturbances = Arc::new(Mutex::new(Disturbances::default()));
     let calm = Disturbances::default();
 
     assert!(check(resumed(5, 12), &calm).is_some());
     assert_eq!(check(resumed(6, 12), &calm), None);
     assert_eq!(check(resumed(0, 11), &calm), None);
-    // A host that was not in touch is not judged.
+    // Hosts that have just started, or were disturbed, were not in touch.
+    assert_eq!(check_after(2, resumed(0, 12), &calm), None);
     let _fault = Guard::new(&disturbances, &"entry-0".into(), Scope::Connections);
     assert_eq!(check(resumed(0, 12), &disturbances.lock().unwrap()), None);
 }
