--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -136,11 +136,13 @@
     slots: usize,
     queue: usize,
     work: Duration,
+    /// Route's `timeoutMs`.
+    timeout_ms: u64,
 }
 
-fn config() -> String {
+fn config(timeout_ms: u64) -> String {
     format!(
-        r#"{{"version":7,"routes":[{{"name":"r-deposit","host":"shop.example","pathPrefix":"/deposit/","kind":"non_idempotent","timeoutMs":1500,"targetLatencyMs":300,"priority":2,"service":"{SERVICE}","maxAttempts":1,"public":false,"sticky":false,"resumable":false}}],"services":[{{"name":"{SERVICE}","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"{TENANT}","apiKeys":["{KEY}"],"priority":1,"unit":"token_count","plainTokens":200,"ratePerS":0,"burst":0}}]}}"#
+        r#"{{"version":7,"routes":[{{"name":"r-deposit","host":"shop.example","pathPrefix":"/deposit/","kind":"non_idempotent","timeoutMs":{timeout_ms},"targetLatencyMs":300,"priority":2,"service":"{SERVICE}","maxAttempts":1,"public":false,"sticky":false,"resumable":false}}],"services":[{{"name":"{SERVICE}","healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"{TENANT}","apiKeys":["{KEY}"],"priority":1,"unit":"token_count","plainTokens":200,"ratePerS":0,"burst":0}}]}}"#
     )
 }
 
@@ -155,7 +157,7 @@
         let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
         let mut deployment =
             Deployment { store, hosts: Vec::new(), replicas: Vec::new(), runs, ip };
-        deployment.store.put("config", "main", &config());
+        deployment.store.put("config", "main", &config(shape.timeout_ms));
         for number in 0..shape.replicas {
             let replica = deployment.replica(&format!("i-{number:02}"), shape)?;
             deployment.replicas.push(replica);
@@ -206,6 +208,7 @@
         "signature" => signature(trouble, folder),
         "unreadable" => unreadable(trouble, folder),
         "pages" => pages(trouble, folder),
+        "stop" => stop(trouble, folder),
         _ => Err(format!("no case {case}")),
     }
 }
@@ -238,7 +241,8 @@
 
 /// MIXED: a success without the receipt, or with a body that isn't the replica's answer to the request.
 fn signature(trouble: bool, folder: &Path) -> Result<Verdict, String> {
-    let shape = Shape { hosts: 2, replicas: 3, slots: 6, queue: 24, work: ms(30) };
+    let shape =
+        Shape { hosts: 2, replicas: 3, slots: 6, queue: 24, work: ms(30), timeout_ms: 1_500 };
     let (attempts, deployment) = spoiled(&shape, (12, ms(20)), trouble, folder)?;
     let successes: Vec<&Attempt> = attempts
         .iter()
@@ -313,7 +317,8 @@
 
 /// DRAIN, after an entry of another writer that can't be read: the replicas of the service are replaced.
 fn unreadable(trouble: bool, folder: &Path) -> Result<Verdict, String> {
-    let shape = Shape { hosts: 2, replicas: 4, slots: 6, queue: 24, work: ms(60) };
+    let shape =
+        Shape { hosts: 2, replicas: 4, slots: 6, queue: 24, work: ms(60), timeout_ms: 1_500 };
     let mut deployment = Deployment::new(folder, &shape)?;
     let frontends = deployment.start_hosts(folder)?;
     sleep(CONTACT);
@@ -353,7 +358,8 @@
 /// DRAIN, after all hosts were killed while replicas were replaced: the list of replicas that they read when they start
 /// again has two pages, of which the second one comes from a copy of the store that is 2 s behind.
 fn pages(trouble: bool, folder: &Path) -> Result<Verdict, String> {
-    let shape = Shape { hosts: 2, replicas: 4, slots: 6, queue: 24, work: ms(60) };
+    let shape =
+        Shape { hosts: 2, replicas: 4, slots: 6, queue: 24, work: ms(60), timeout_ms: 1_500 };
     let mut deployment = Deployment::new(folder, &shape)?;
     // 520 replicas of another service, which gets no requests here. They share a process. By name they come before
     // those of the service that gets requests, which so are on the second page.
@@ -402,3 +408,110 @@
     });
     drain_verdict(&attempts, &runs, &[Leaving { replica, confirmed }])
 }
+
+/// A request that was sent no later than this after SIGTERM may be cut off at the end of `graceS`, by the rule LOST.
+const EXCUSED: Duration = Duration::from_millis(3_000);
+/// Bound `graceS` of the settings.
+const GRACE: Duration = Duration::from_millis(8_000);
+
+/// LOST, at a planned stop: consumers whose heads take up to 2.6 s, within `headerTimeoutMs`, and whose requests take 4 s.
+fn stop(trouble: bool, folder: &Path) -> Result<Verdict, String> {
+    let shape =
+        Shape { hosts: 2, replicas: 3, slots: 6, queue: 24, work: ms(4_000), timeout_ms: 14_000 };
+    let mut deployment = Deployment::new(folder, &shape)?;
+    let frontends = deployment.start_hosts(folder)?;
+    sleep(CONTACT);
+    // Each consumer has a channel from before, and begins its request 1.0 to 2.3 s after SIGTERM.
+    let stop_at = Instant::now() + ms(1_000);
+    let threads: Vec<JoinHandle<SlowAttempt>> = (0..6)
+        .map(|number| {
+            let frontend = frontends[0];
+            thread::spawn(move || {
+                let begin = stop_at + ms(1_000 + number * 260);
+                slow_request(frontend, &format!("{number:08x}a0"), begin, ms(2_600))
+            })
+        })
+        .collect();
+    sleep(stop_at.saturating_duration_since(Instant::now()));
+    if trouble {
+        deployment.hosts[0].terminate();
+        note(&format!("{} gets SIGTERM", deployment.hosts[0].name));
+        let ended = deployment.hosts[0].wait_for_end(GRACE);
+        note(&format!(
+            "{} {}",
+            deployment.hosts[0].name,
+            if ended { "has ended" } else { "is killed" }
+        ));
+        deployment.hosts[0].kill();
+    }
+    let attempts: Vec<SlowAttempt> =
+        threads.into_iter().filter_map(|thread| thread.join().ok()).collect();
+    let runs = deployment.runs.lock().unwrap().clone();
+    let mut lost = 0;
+    for attempt in &attempts {
+        let ran = runs.iter().any(|run| run.id == attempt.id);
+        let sent = attempt.sent.saturating_duration_since(stop_at);
+        let is_complete = attempt.status == 200;
+        let is_lost = ran && !is_complete && sent > EXCUSED;
+        lost += usize::from(is_lost);
+        note(&format!(
+            "{}{}: its last byte was sent {:.0} ms after SIGTERM; it {}; answer {}",
+            if is_lost { "LOST: " } else { "" },
+            attempt.id,
+            sent.as_secs_f64() * 1e3,
+            if ran { "ran at a replica" } else { "didn't run" },
+            attempt.status
+        ));
+    }
+    if !trouble && attempts.iter().any(|attempt| attempt.status != 200) {
+        return Err("not all requests were answered without the stop".into());
+    }
+    let text = format!(
+        "{lost} of {} requests that were complete later than 3000 ms after the time of the SIGTERM were passed on and cut off",
+        attempts.len()
+    );
+    Ok(if lost == 0 { Verdict::Held(text) } else { Verdict::Broken(text) })
+}
+
+struct SlowAttempt {
+    id: String,
+    /// When its last byte was sent.
+    sent: Instant,
+    /// Status of the complete answer; 0 if the channel ended without one.
+    status: u16,
+}
+
+/// Sends a request whose head takes some time, on a channel that has served one before.
+fn slow_request(frontend: SocketAddr, id: &str, begin: Instant, takes: Duration) -> SlowAttempt {
+    let mut attempt = SlowAttempt { id: id.to_owned(), sent: begin, status: 0 };
+    let Ok(mut channel) = Channel::open(frontend) else { return attempt };
+    // A request for a route that doesn't exist shows that the channel is kept.
+    let first = channel.call("GET /none/ HTTP/1.1\r\nHost: shop.example\r\n\r\n", b"");
+    note(&format!(
+        "consumer: {id}: channel open, answer {}",
+        first.map_or(0, |answer| answer.status())
+    ));
+    sleep(begin.saturating_duration_since(Instant::now()));
+    let order = format!("order-{id}");
+    let first_part = "POST /deposit/2f HTTP/1.1\r\nHost: shop.example\r\n".to_owned();
+    let rest = format!(
+        "Attempt-Id: {id}\r\nDeadline-Ms: 14000\r\nAuthorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n{order}",
+        order.len()
+    );
+    if channel.write(first_part.as_bytes()).is_err() {
+        return attempt;
+    }
+    note(&format!("consumer: {id}: the head begins"));
+    sleep(takes);
+    attempt.sent = Instant::now();
+    let answer = channel.call(&rest, b"");
+    attempt.status = answer.as_ref().map_or(0, Message::status);
+    note(&format!(
+        "consumer: {id}: answer {}",
+        answer.map_or_else(
+            |error| error.to_string(),
+            |answer| format!("{} {:?}", answer.status(), answer.text())
+        )
+    ));
+    attempt
+}
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -116,6 +116,29 @@
         Err(format!("{} isn't ready", self.name))
     }
 
+    /// Sends SIGTERM, with the shell's own `kill`: the standard library has no call for it.
+    pub fn terminate(&self) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", child.id())).status();
+        }
+    }
+
+    /// Waits until the process has ended by itself, and returns whether it has within `limit`.
+    pub fn wait_for_end(&mut self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if self
+                .child
+                .as_mut()
+                .is_none_or(|child| child.try_wait().is_ok_and(|ended| ended.is_some()))
+            {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        false
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -114,6 +114,11 @@
         Ok(Channel { reader: BufReader::new(tcp) })
     }
 
+    /// Sends part of a request.
+    pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.reader.get_mut().write_all(bytes)
+    }
+
     pub fn call(&mut self, head: &str, body: &[u8]) -> io::Result<Message> {
         let mut bytes = head.as_bytes().to_vec();
         bytes.extend(body);
