--- a/crates/store/src/watcher/table.rs
+++ b/crates/store/src/watcher/table.rs
@@ -65,13 +65,13 @@
             return Err(stale("version", list.version, self.version));
         }
         check_unique(&list.objects)?;
+        // An object may have a newer version than the list: a list of several pages has the lowest version
+        // of its pages. The watch must not continue from the newer one, since changes of objects on older
+        // pages may lie between the two.
         let version = list.version;
         let objects =
             if is_snapshot { self.apply_snapshot(list)? } else { self.apply_changes(list) };
-        // An object may have a newer version than the list: a list of several pages has the lowest version
-        // of its pages.
-        let newest = objects.iter().map(|object| object.version).max().unwrap_or(0);
-        self.version = version.max(newest);
+        self.version = version;
         Ok(Update { is_snapshot, is_page: false, objects, version: self.version, sent })
     }
 
@@ -87,11 +87,15 @@
         Ok(list.objects)
     }
 
-    /// Applies the changes from a watch and returns those that are newer than the table's version.
+    /// Applies the changes from a watch and returns those that are newer than the table's version and than
+    /// the last emitted state of their objects.
     fn apply_changes(&mut self, list: List) -> Vec<Object> {
-        let after = self.version;
-        let newer = list.objects.into_iter().filter(|object| object.version > after);
-        let newer: Vec<Object> = newer.collect();
+        let is_newer = |object: &Object| {
+            let emitted = self.emitted.get(&object.name);
+            object.version > self.version
+                && emitted.is_none_or(|emitted| object.version > emitted.version)
+        };
+        let newer: Vec<Object> = list.objects.into_iter().filter(is_newer).collect();
         self.record(&newer);
         newer
     }
--- a/crates/store/tests/watcher.rs
+++ b/crates/store/tests/watcher.rs
@@ -146,6 +146,21 @@
     assert_eq!(update.version, 7);
 }
 
+/// Guards against a watch that begins at the newest object of a list of several pages: changes of objects on older pages
+/// would be missed.
+#[test]
+fn a_watch_after_a_list_of_pages_returns_what_changed_between_the_pages() {
+    let mut table = Table::default();
+    let pages = list(8, vec![object("a", 10), object("b", 7)]);
+    let listed = table.apply(pages, true, Instant::default()).expect("newer");
+
+    let changes = list(12, vec![deleted("b", 9), object("a", 10), object("c", 11)]);
+    let update = table.apply(changes, false, Instant::default()).expect("newer");
+
+    assert_eq!(listed.version, 8);
+    assert_eq!(update.objects, [deleted("b", 9), object("c", 11)]);
+}
+
 #[test]
 fn a_response_that_contains_an_object_twice_changes_nothing() {
     let mut table = Table::default();
