Answers without identifier or signature are rejected; a stopping host refuses what could outlast it

Cause (answers): an identifier was compared only where an answer stated one, and nobody looked at the signature, so that a faulty server's second copy of an answer went out as the success of the next request on its connection. An answer now counts only with the request's identifier, a success of a request that ran only with the signature; a refusal that states that nothing ran may lack the identifier, since its channel is not used again. Reports and orders, whose answers name no call, have a connection of their own.

Cause (shutdown): a head that had begun before connections are closed was waited for and its request passed on, with less time left than it could take. Such a request is now passed on only if its deadline comes before the end of the process, and is refused as not run otherwise.

--- a/crates/forward/src/answer/mod.rs
+++ b/crates/forward/src/answer/mod.rs
@@ -69,6 +69,9 @@
     // The request bodies in the memory of this host exceed its limit.
     /// this host holds too many bodies
     Crowded,
+    // This host is shutting down, and the request could outlast its process.
+    /// this host is shutting down
+    ShuttingDown,
     /// the organisation's allowance is spent
     OverRate,
     // No server had room in time, or none of those that were tried ran the request.
@@ -108,6 +111,7 @@
             Cause::TooLarge => "too_large",
             Cause::BodyLate => "body_late",
             Cause::Crowded => "crowded",
+            Cause::ShuttingDown => "shutting_down",
             Cause::OverRate => "over_rate",
             Cause::Full => "full",
             Cause::Throttled => "throttled",
@@ -158,6 +162,7 @@
             Cause::OverRate => StatusCode::TOO_MANY_REQUESTS,
             Cause::Unconfigured
             | Cause::Crowded
+            | Cause::ShuttingDown
             | Cause::Full
             | Cause::Throttled
             | Cause::Quarantined
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -41,7 +41,7 @@
 use slotmap::SecondaryMap;
 use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -156,6 +156,8 @@
     /// Bytes held by all answers of plain services that are being read.
     answer_bytes: Arc<AtomicUsize>,
     draining: AtomicBool,
+    /// When the process ends, once it closes connections; set at the end of the notice period of a shutdown.
+    ends_at: OnceLock<Instant>,
     /// Number of hosts among which the connections to servers are divided, and version of the
     /// configuration under which they were last divided; 1 and 0 until the first division.
     connection_division: Mutex<(usize, u64)>,
@@ -221,6 +223,7 @@
             active_config: Mutex::default(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
+            ends_at: OnceLock::new(),
             orders_pending: AtomicBool::new(false),
             connection_division: Mutex::new((1, 0)),
             started_at: clock::now(),
@@ -495,6 +498,17 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Records that connections are being closed, and that the process ends at `ends_at`.
+    pub fn close(&self, ends_at: Instant) {
+        self.ends_at.get_or_init(|| ends_at);
+    }
+
+    /// Returns `true` if a request with a deadline certainly ends before the process does, or if connections are not being
+    /// closed yet.
+    pub fn may_begin(&self, deadline: Instant) -> bool {
+        self.ends_at.get().is_none_or(|ends_at| deadline <= *ends_at)
+    }
+
     /// Begins the shutdown: this host no longer counts as ready.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -25,7 +25,7 @@
 use chestnutrack_process::{clock, pool};
 use http_body_util::Full;
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request, Response, Uri};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -427,7 +427,7 @@
         result
     }
 
-    /// Sends the request to a server and checks the head of the answer: that it belongs to this request, is not
+    /// Sends the request to a server and checks the head of the answer: that it belongs to this request, is signed, is not
     /// encoded, comes from the intended server and doesn't state that the request was not run.
     async fn exchange(
         &self,
@@ -453,10 +453,12 @@
             }
         };
         let answer = (self.app.dialect.parse_response_head)(response.status(), response.headers());
-        if answer.id.is_some() && answer.id != self.head.id || answer.encoded {
-            // A key in the log: the request that the server answered.
-            let answers = answer.id.as_deref();
-            tracing::warn!(id = self.head.id.as_deref(), server = %target.entry.name, answers, encoded = answer.encoded, "answer rejected: wrong request identifier or encoded body");
+        if let Some(reason) = self.mismatch(&answer, response.status(), &added_values.step) {
+            // Keys in the log: `answers` is the request that the server answered.
+            let (server, answers, status) =
+                (&target.entry.name, answer.id.as_deref(), response.status().as_u16());
+            tracing::warn!(id = self.head.id.as_deref(), %server, answers, status, reason, "answer rejected");
+            self.app.metrics.rejected_answers.with_label_values(&[reason]).inc();
             return Err(Failure::Unknown);
         }
         self.app.record_notices(target, sent_at, &answer, self.head.id.as_deref());
@@ -467,6 +469,29 @@
         }
     }
 
+    /// Returns why an answer can't be the one to this request, or `None` if it can.
+    ///
+    /// A faulty server may send a second answer, or other bytes, where the next answer on a connection is due. So an
+    /// answer counts only with the identifier of the request, and a success only with the server's signature, which the
+    /// answer to a prefill doesn't bear. A refusal that states that the server did not run the request may lack the identifier.
+    fn mismatch(
+        &self,
+        answer: &ResponseHead,
+        status: StatusCode,
+        step: &Step,
+    ) -> Option<&'static str> {
+        let is_refusal = answer.not_run || answer.misdirected;
+        if answer.encoded {
+            Some("encoded")
+        } else if answer.id != self.head.id && !(answer.id.is_none() && is_refusal) {
+            Some("identifier")
+        } else if status.is_success() && !answer.signed && *step != Step::Prefill {
+            Some("signature")
+        } else {
+            None
+        }
+    }
+
     /// Builds the request for a server from the method, path, query and body received and the given headers. Returns
     /// `None` if the caller's URI has no path.
     fn build_request(&self, headers: HeaderMap) -> Option<Request<Full<Bytes>>> {
--- a/crates/forward/src/listener/mod.rs
+++ b/crates/forward/src/listener/mod.rs
@@ -70,14 +70,15 @@
         }
     }
     drop(listener);
+    let final_times = *drain_times.borrow();
+    let remaining = final_times.timeout.saturating_sub(final_times.notice);
+    app.close(clock::now() + remaining);
     closing_sender.send_replace(true);
     let all_ended = async {
         while let Some(ended) = connections.join_next().await {
             log_panic(ended);
         }
     };
-    let final_times = *drain_times.borrow();
-    let remaining = final_times.timeout.saturating_sub(final_times.notice);
     if timeout(remaining, all_ended).await.is_err() {
         tracing::warn!("requests still in flight at the end of the shutdown");
     }
@@ -91,8 +92,8 @@
 }
 
 /// Serves one connection until the caller closes it, the listener is closing, or it has been idle
-/// for too long. In the last two cases, a request in flight, or whose head has begun to arrive, is
-/// finished first. Closes the connection without an answer if a head does not arrive in time.
+/// for too long. In the last two cases, a request in flight is finished first, and one whose head has begun to
+/// arrive is answered: with a refusal if it could outlast the process. Closes the connection without an answer if a head does not arrive in time.
 async fn serve_connection(tcp: TcpStream, app: Arc<App>, mut closing: watch::Receiver<bool>) {
     let limits = limits(&app);
     let monitor = Monitor::new(limits.idle_timeout);
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -21,6 +21,8 @@
     pub abandoned: IntCounter,
     /// Failed attempts at backend servers, by kind of failure.
     pub failures: IntCounterVec,
+    /// Answers that can't be those to the requests they came for, by reason.
+    pub rejected_answers: IntCounterVec,
     /// Streams, by how they ended.
     pub streams: IntCounterVec,
     /// Retries that were sent.
@@ -81,6 +83,11 @@
             refusals: counters("refusals_total", "Answers of the router's own", &["cause"])?,
             abandoned: counter("abandoned_total", "Callers that left before an answer")?,
             failures: counters("failures_total", "Attempts that failed", &["failure"])?,
+            rejected_answers: counters(
+                "rejected_answers_total",
+                "Answers that belong to no request",
+                &["reason"],
+            )?,
             streams: counters("streams_total", "Streams", &["end"])?,
             retries: counter("repeats_total", "Repeats that were sent")?,
             retries_denied: counter("repeats_denied_total", "Repeats beyond the budget")?,
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -26,6 +26,8 @@
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry time given to callers while the request bodies in memory exceed this host's limit.
 const CROWDED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry time given to callers of a host that is shutting down: they reach another host.
+const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Logged in place of the identifier of a request that has none.
 const MISSING_ID: &str = "-";
 
@@ -105,7 +107,11 @@
     let organisation = authenticate(table, &route, head.key.as_deref())?.cloned();
     // The shorter of the caller's and the route's time limit.
     let time_limit = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived_at + time_limit;
+    check_shutdown(&app, deadline)?;
     let (body, _memory) = read_body(&app, body, &table.config().limits, time_limit).await?;
+    // The body may have arrived slowly.
+    check_shutdown(&app, deadline)?;
     let owner = organisation.as_ref().map(|owner| &*owner.name);
     let identity = Identity::new(&parts, owner, head.generation.as_ref(), &body);
     if let Some(left) = app.quarantine_left(&identity) {
@@ -144,7 +150,7 @@
         identity,
         arrived_at,
         first_arrived_at,
-        deadline: arrived_at + time_limit,
+        deadline,
     });
     let answer = attempt::run(job.clone()).await;
     if let Err(refusal) = &answer
@@ -160,6 +166,12 @@
     answer
 }
 
+/// Refuses a request that could be cut off by the end of the process.
+fn check_shutdown(app: &App, deadline: Instant) -> Result<(), Refusal> {
+    let refusal = Refusal::with_retry_after(Cause::ShuttingDown, SHUTDOWN_RETRY_AFTER);
+    if app.may_begin(deadline) { Ok(()) } else { Err(refusal) }
+}
+
 /// Returns the route for the request's host and path.
 fn find_route<'a>(table: &'a Table, parts: &Parts) -> Result<&'a Route, Refusal> {
     let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
--- a/crates/forward/src/stage/mod.rs
+++ b/crates/forward/src/stage/mod.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use chestnutrack_core::dispatch::{SplitChange, Stage};
 use chestnutrack_core::time::Instant;
+use chestnutrack_process::pool::Pool;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_process::{clock, http};
 use chestnutrack_store::client::Client;
@@ -237,14 +238,16 @@
         engine.map_or(Duration::ZERO, |engine| engine.stage_switch_time)
     }
 
-    /// Makes a call to an engine, and records what the engine says of itself.
+    /// Makes a call to an engine, and records what the engine says of itself. Reports and orders don't state which call they
+    /// answer, so each call has a connection of its own, on which no other answer can come.
     async fn call(
         &self,
         target: &Target,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, http::Error> {
         let sent_at = clock::now();
-        let answer = target.pool.call(request, ANSWER_TIMEOUT, MAX_ANSWER_BYTES).await?;
+        let pool = Pool::new(target.pool.address(), self.app.settings.pool.without_reuse());
+        let answer = pool.call(request, ANSWER_TIMEOUT, MAX_ANSWER_BYTES).await?;
         let head = (self.app.dialect.parse_response_head)(answer.status(), answer.headers());
         self.app.record_notices(target, sent_at, &head, None);
         Ok(answer)
--- a/crates/forward/tests/forward/plain.rs
+++ b/crates/forward/tests/forward/plain.rs
@@ -2,7 +2,10 @@
 
 use crate::fixture::backend::{Backend, ReceivedRequest, Step, answer, refuse_as_not_run, send};
 use crate::fixture::caller::{Answer, call, connect, read, request};
-use crate::fixture::{host, plain, unconfigured_host, wait_until};
+use crate::fixture::{host, host_with_dialect, plain, unconfigured_host, wait_until};
+use chestnutrack_forward::dialect::{Dialect, ResponseHead};
+use chestnutrack_forward::native;
+use hyper::{HeaderMap, StatusCode};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -134,6 +137,52 @@
     assert!(!answer.body.contains("secret"));
 }
 
+/// Guards against an answer without an identifier, such as a second copy of another one, that is taken for the answer to
+/// the request that is next on its connection.
+#[tokio::test]
+async fn an_answer_without_an_identifier_is_not_forwarded() {
+    for status in ["200 OK", "404 Not Found", "500 Failed"] {
+        let anonymous = Backend::start(move |_| {
+            vec![send(format!("HTTP/1.1 {status}\r\ncontent-length: 6\r\n\r\nsecret"))]
+        })
+        .await;
+        let host = host(vec![plain("app-1", &anonymous)]).await;
+
+        let answer = call(host.address, &request("POST", "/pay/7", "", "")).await;
+
+        assert_eq!(answer.status, 502, "{status}");
+        assert!(!answer.body.contains("secret"));
+    }
+}
+
+/// Parses the head of an answer in a dialect whose servers sign their answers.
+fn parse_signed_head(status: StatusCode, headers: &HeaderMap) -> ResponseHead {
+    let head = (native::DIALECT.parse_response_head)(status, headers);
+    ResponseHead { signed: headers.contains_key("x-signature"), ..head }
+}
+
+/// Guards against a success that its server did not sign, which is no answer of that server.
+#[tokio::test]
+async fn a_success_without_a_signature_is_not_forwarded() {
+    let dialect = Dialect { parse_response_head: parse_signed_head, ..native::DIALECT };
+    let unsigned = Backend::start(answer_ok).await;
+    let signed = Backend::start(|_| {
+        vec![send(
+            "HTTP/1.1 200 OK\r\nx-chestnutrack-request: r1\r\nx-signature: s\r\ncontent-length: 4\r\n\r\nfine",
+        )]
+    })
+    .await;
+    let hosts = [
+        host_with_dialect(dialect, vec![plain("app-1", &unsigned)]).await,
+        host_with_dialect(dialect, vec![plain("app-1", &signed)]).await,
+    ];
+
+    let unsigned = call(hosts[0].address, &request("POST", "/pay/7", "", "")).await;
+    let signed = call(hosts[1].address, &request("POST", "/pay/7", "", "")).await;
+
+    assert_eq!((unsigned.status, signed.status), (502, 200));
+}
+
 #[tokio::test]
 async fn a_second_answer_on_a_connection_is_not_given_to_another_request() {
     let doubled = Backend::start(|request| {
