Dispatch: prefill engines are chosen by the prefixes that they are expected to hold

Change: one index (`core::prefix`) for both paths, with an estimate of what was evicted since; the expected saving counts as time against the queue and the transfer for each request, on routes that are `sticky`. Hosts report prefills to their peers with heartbeats.

Ruled out: following the engines' cache events (a waiting call for each engine and host), a fixed mapping of prefixes to engines (a popular prefix would queue).

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -4,6 +4,7 @@
 use super::engine::{Assignment, GenerationsByEngine, LengthEstimate};
 use super::{Dispatch, Placement, Stage};
 use crate::forecast;
+use crate::prefix::Prefix;
 use crate::queue::{self, Waiting};
 use crate::time::Instant;
 use std::collections::VecDeque;
@@ -43,6 +44,8 @@
     pub urgent: bool,
     /// Whether the prompt is already prefilled.
     pub prefilled: bool,
+    /// Prefixes of the prompt, shortest first, that engines may hold; empty if its parts are unknown or not shared.
+    pub prefixes: Arc<[Prefix]>,
     /// Build whose engines may generate, or `None` if any may: what two builds write does not fit together.
     pub build: Option<Arc<str>>,
 }
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod leaving;
 mod peer;
 mod plain;
+mod prefix;
 mod shuffle;
 mod stage;
 #[cfg(test)]
@@ -35,11 +36,12 @@
 use crate::health::Health;
 use crate::listing;
 use crate::plan;
+use crate::prefix::Index;
 use crate::queue::{self, Queue};
 use crate::time::Instant;
 use peer::Peer;
 use serde::{Deserialize, Serialize};
-use slotmap::{SlotMap, new_key_type};
+use slotmap::{SecondaryMap, SlotMap, new_key_type};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -204,6 +206,11 @@
     /// Observed load of the engines, by service.
     loads: HashMap<Arc<str>, stage::Load>,
     queue: Queue<(Request, T)>,
+    /// Prefixes that prefill engines are believed to hold, and what is to be reported of them.
+    prefixes: Index<ServerKey>,
+    unreported_prefixes: Vec<prefix::Record>,
+    /// Prefixes of the prompts of this host's generations.
+    prompts: SecondaryMap<GenerationKey, prefix::Prompt>,
     /// Servers that have left, which a restored store may list again.
     departed: leaving::Departed,
     /// Ordered by name, so that runs are reproducible.
@@ -228,6 +235,9 @@
             pools: HashMap::new(),
             loads: HashMap::new(),
             queue: Queue::new(settings.queue),
+            prefixes: Index::default(),
+            unreported_prefixes: Vec::new(),
+            prompts: SecondaryMap::new(),
             departed: leaving::Departed::default(),
             peers: BTreeMap::new(),
             pending_retries: admission::PendingRetries::default(),
@@ -298,6 +308,7 @@
         if let Some(server) = self.servers.remove(key) {
             self.departed.record(now, &server.entry);
         }
+        self.prefixes.forget(key);
         Some(key)
     }
 
--- a/crates/core/src/dispatch/stage.rs
+++ b/crates/core/src/dispatch/stage.rs
@@ -279,6 +279,7 @@
         let Some(&key) = self.keys_by_name.get(name) else { return };
         if let Some(server) = self.servers.get_mut(key) {
             let available_at = now + duration;
+            self.prefixes.forget(key);
             server.stage_change_until = server.stage_change_until.max(available_at);
             let settles_at = available_at + OBSERVATION_TIME;
             let pool = self.pools.entry(server.entry.service.clone()).or_default();
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -6,6 +6,7 @@
 };
 use crate::time::Instant;
 use chestnutrack_wire::frame::{EngineReport, GenerationReport, News};
+use std::sync::Arc;
 use std::time::Duration;
 
 pub(super) const NOW: Instant = Instant::from_millis(1_000_000);
@@ -33,6 +34,7 @@
         max_pause: Some(Duration::from_millis(300)),
         urgent: false,
         prefilled: false,
+        prefixes: Arc::default(),
         build: None,
     }
 }
--- a/crates/core/src/dispatch/tests/leaving.rs
+++ b/crates/core/src/dispatch/tests/leaving.rs
@@ -4,6 +4,7 @@
 use super::simulation::{entry, service};
 use crate::dispatch::{Dispatch, Effect, Entry, Request, ServerKey, Settings};
 use crate::time::Instant;
+use std::sync::Arc;
 use std::time::Duration;
 
 const NOW: Instant = Instant::from_millis(1_000_000);
@@ -120,6 +121,7 @@
         max_pause: None,
         urgent: false,
         prefilled: false,
+        prefixes: Arc::default(),
         build: None,
     };
 
--- a/crates/core/src/dispatch/tests/simulation.rs
+++ b/crates/core/src/dispatch/tests/simulation.rs
@@ -250,6 +250,7 @@
             max_pause: Some(Duration::from_millis(300)),
             urgent: false,
             prefilled: false,
+            prefixes: Arc::default(),
             build: None,
         };
         self.totals.submitted += 1;
--- a/crates/core/src/dispatch/tests/stage.rs
+++ b/crates/core/src/dispatch/tests/stage.rs
@@ -4,6 +4,7 @@
 use super::simulation::{Scenario, entry, service};
 use crate::dispatch::{Dispatch, Request, Settings, Stage};
 use crate::time::Instant;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Engines that generate slowly: a token takes 7 ms, and an event holds seven tokens. A third of the
@@ -142,6 +143,7 @@
             max_pause: None,
             urgent: false,
             prefilled: false,
+            prefixes: Arc::default(),
             build: None,
         };
         drop(dispatch.submit(now, request, 0));
--- a/crates/core/src/dispatch/tests/throttle.rs
+++ b/crates/core/src/dispatch/tests/throttle.rs
@@ -201,6 +201,7 @@
         max_pause: Some(millis(300)),
         urgent: false,
         prefilled: false,
+        prefixes: Arc::default(),
         build: None,
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod origin;
 pub mod place;
 pub mod plan;
+pub mod prefix;
 pub mod quarantine;
 pub mod queue;
 pub mod retry;
--- a/crates/core/src/place/choose.rs
+++ b/crates/core/src/place/choose.rs
@@ -3,8 +3,9 @@
 //! A piece is a part of a prompt of fixed size. A server that still holds the KV cache of a prompt's first
 //! pieces, its prefix, needn't compute them again.
 
-use super::prefix::PrefixIndex;
+use super::PrefixIndex;
 use super::table::{Key, Server, Table};
+use crate::prefix::Prefix;
 use crate::time::Instant;
 use chestnutrack_document::model::Role;
 use rand::Rng;
@@ -34,8 +35,8 @@
     pub kv_tokens: u64,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u64,
-    /// Hashes of the prompt's pieces; see [`super::prefix::pieces`].
-    pub pieces: Vec<u64>,
+    /// Prefixes of the prompt, up to the end of each piece; see [`super::prefix::pieces`].
+    pub pieces: Vec<Prefix>,
     /// Failure domain that is preferred between equal candidates.
     pub preferred_domain: Arc<str>,
     /// Servers that failed this request; they are chosen only if no other server is available.
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -15,5 +15,7 @@
 mod tests;
 
 pub use choose::{Query, choose_decode, choose_plain, choose_prefill, prefill_work};
-pub use prefix::PrefixIndex;
 pub use table::{Key, Load, Server, Table};
+
+/// Prefixes of prompts that each server in the table is believed to hold.
+pub type PrefixIndex = crate::prefix::Index<Key>;
--- a/crates/core/src/place/tests.rs
+++ b/crates/core/src/place/tests.rs
@@ -1,6 +1,7 @@
 use super::prefix::{PIECE_BYTES, pieces};
 use super::table::FAILURE_BACKOFF;
 use super::{Key, Load, PrefixIndex, Query, Server, Table, choose_decode, choose_prefill};
+use crate::prefix::Prefix;
 use crate::time::Instant;
 use chestnutrack_document::model::Role;
 use quickcheck::quickcheck;
@@ -65,7 +66,8 @@
         let key = table.insert(server("p", Role::Prefill));
         let mut prefixes = PrefixIndex::default();
         for (second, piece) in &records {
-            prefixes.record(key, &[*piece], NOW + std::time::Duration::from_secs(u64::from(*second)));
+            let now = NOW + std::time::Duration::from_secs(u64::from(*second));
+            prefixes.record(key, &[Prefix { hash: *piece, tokens: 1_024 }], now, now);
         }
         prefixes.len() <= records.len()
     }
@@ -122,7 +124,7 @@
     let holder = table.keys().nth(9).unwrap();
     let mut prefixes = PrefixIndex::default();
     let pieces = pieces(&"x".repeat(4 * PIECE_BYTES));
-    prefixes.record(holder, &pieces, NOW);
+    prefixes.record(holder, &pieces, NOW, NOW);
 
     let chosen = choose_prefill(&table, &prefixes, &Query { pieces, ..query() }, NOW, &mut rng(3));
 
@@ -137,7 +139,7 @@
     table[holder].load.queued_tokens = 50_000;
     let mut prefixes = PrefixIndex::default();
     let pieces = pieces(&"x".repeat(4 * PIECE_BYTES));
-    prefixes.record(holder, &pieces, NOW);
+    prefixes.record(holder, &pieces, NOW, NOW);
 
     let chosen = choose_prefill(&table, &prefixes, &Query { pieces, ..query() }, NOW, &mut rng(3));
 
@@ -149,10 +151,11 @@
     let mut table = Table::with_key();
     let key = table.insert(server("p", Role::Prefill));
     let mut prefixes = PrefixIndex::default();
-    prefixes.record(key, &[1, 2], NOW);
+    let prompt = [Prefix { hash: 1, tokens: 1_024 }, Prefix { hash: 2, tokens: 2_048 }];
+    prefixes.record(key, &prompt, NOW, NOW);
 
-    let held_tokens = prefixes.holders(&[1, 2], NOW).get(&key).copied();
-    let later_holders = prefixes.holders(&[1, 2], NOW + std::time::Duration::from_secs(60));
+    let held_tokens = prefixes.holders(&prompt, NOW).get(&key).copied();
+    let later_holders = prefixes.holders(&prompt, NOW + std::time::Duration::from_secs(60));
 
     assert_eq!(held_tokens, Some(2_048));
     assert_eq!(later_holders.get(&key).copied().unwrap_or(0), 0);
--- a/crates/entry/src/scheduler/state.rs
+++ b/crates/entry/src/scheduler/state.rs
@@ -154,7 +154,7 @@
             let queued_tokens = self.servers.table[key].expected_queue_tokens();
             let prefill_work = queued_tokens + query.prompt_tokens.saturating_sub(held_tokens);
             self.servers.table[key].record_sent(query.prompt_tokens);
-            self.prefixes.record(key, &query.pieces, now);
+            self.prefixes.record(key, &query.pieces, now, now);
             Some(self.placement(key, link, reason.into(), Some(prefill_work)))
         });
         let _ = reply.send(placement);
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -361,6 +361,7 @@
         max_pause: job.route.max_pause,
         urgent,
         prefilled,
+        prefixes: if job.route.sticky { generation.prefixes() } else { Arc::default() },
         build: start.build.clone(),
     };
     let admission = job.app.admit(request).await;
@@ -377,6 +378,7 @@
                 peak,
                 report_age: news_age,
                 expected_prefill_time,
+                cached_tokens: cached,
                 ..
             } = admission.basis();
             let (version, news_ms) = (job.version(), news_age.as_millis() as u64);
@@ -384,9 +386,10 @@
             let parts = generation.shared_parts().map(|part| &**part).collect::<Vec<_>>().join(",");
             tracing::info!(
                 id, %decode, %build, prefill, waited_ms, tokens, urgent, runs, peak, prefilled_ms,
-                news_ms, version, parts,
+                news_ms, version, parts, cached,
                 "placed"
             );
+            job.app.metrics.prefix_tokens.inc_by(cached);
             job.app.metrics.stages.with_label_values(&["turn"]).observe(waited_ms as f64 / 1e3);
             Ok(admission)
         }
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -90,6 +90,9 @@
     pub attempts: u32,
     /// Whether the route is open to callers without a key.
     pub open: bool,
+    /// Whether its requests share parts of their prompts, so that engines that hold them are preferred.
+    #[serde(default)]
+    pub sticky: bool,
 }
 
 /// A service.
--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -8,6 +8,8 @@
 
 use bytes::Bytes;
 use chestnutrack_core::dispatch::Stage;
+use chestnutrack_core::mix::{hash, mix};
+use chestnutrack_core::prefix::Prefix;
 use chestnutrack_process::http;
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode};
@@ -16,6 +18,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Maximum number of prefixes of a prompt that are looked up. Longer ones are rarely shared.
+const PREFIXES_MAX: usize = 16;
+
 /// Values parsed from the headers of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestHead {
@@ -49,6 +54,18 @@
 }
 
 impl Generation {
+    /// Returns the prefixes of the prompt, up to the end of each of its first parts, shortest first. Only requests for the
+    /// same model share prefixes.
+    pub fn prefixes(&self) -> Arc<[Prefix]> {
+        let mut prefix = Prefix { hash: hash(&self.model), tokens: 0 };
+        let prefixes = self.parts.iter().take(PREFIXES_MAX).map(|part| {
+            let tokens = prefix.tokens.saturating_add(part.tokens).min(self.prompt_tokens);
+            prefix = Prefix { hash: mix(prefix.hash ^ hash(&part.id)), tokens };
+            prefix
+        });
+        prefixes.collect()
+    }
+
     /// Returns the identifiers of the parts that other requests may have too: all but the last one.
     pub fn shared_parts(&self) -> impl Iterator<Item = &Arc<str>> {
         let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -368,6 +368,7 @@
         {
             let mut state = self.app.state();
             state.dispatch.update_peer(now, name, &news);
+            state.dispatch.record_peer_prefixes(now, &news.prefixes);
             for (server, left_ms) in &news.changing {
                 state.dispatch.record_stage_change(now, server, millis(*left_ms));
             }
@@ -459,6 +460,7 @@
             quarantine,
             builds,
             builds_known,
+            prefixes: Vec::new(),
             unheard: unreachable.into_iter().map(|(name, time)| (name, millis(time))).collect(),
         }
     }
@@ -475,6 +477,8 @@
     async fn send_gossip(self: Arc<Mesh>, timer: Timer) {
         let mut ticks = timer.subscribe(HEARTBEAT_INTERVAL);
         loop {
+            // Prefixes are reported with heartbeats only, since they are many and need not be new.
+            let mut prefixes = Vec::new();
             tokio::select! {
                 () = self.app.urgent_gossip_due.notified() => sleep(COALESCE_MIN).await,
                 () = self.app.gossip_due.notified() => self.coalesce().await,
@@ -486,9 +490,12 @@
                     self.follower.set_hosts(self.other_host_count() + 1);
                     self.app.divide_connections(self.peer_count() + 1);
                     self.follower.update_age_metric();
+                    prefixes = self.app.state().dispatch.take_prefix_reports(clock::now());
                 }
             }
-            match codec::encode(&Frame::News(Box::new(self.build_gossip()))) {
+            let mut news = self.build_gossip();
+            news.prefixes = prefixes;
+            match codec::encode(&Frame::News(Box::new(news))) {
                 Ok(bytes) => drop(self.newest_gossip.send_replace(bytes.into())),
                 Err(error) => tracing::error!(%error, "gossip message can't be encoded"),
             }
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -33,6 +33,8 @@
     pub notices: IntCounterVec,
     /// Prefilled prompt tokens that no generation used.
     pub prefill_wasted: IntCounter,
+    /// Prompt tokens that the chosen prefill engines were expected to hold already.
+    pub prefix_tokens: IntCounter,
     /// Time of each stage of a request, in seconds.
     pub stages: HistogramVec,
     /// Version of the configuration in force.
@@ -93,6 +95,10 @@
             retries_denied: counter("repeats_denied_total", "Repeats beyond the budget")?,
             notices: counters("notices_total", "What servers said of themselves", &["notice"])?,
             prefill_wasted: counter("prefill_wasted_tokens_total", "Prompt tokens in vain")?,
+            prefix_tokens: counter(
+                "prefix_expected_tokens_total",
+                "Prompt tokens that the chosen engines were expected to hold",
+            )?,
             stages: register(registry, HistogramVec::new(stages, &["stage"])?)?,
             configuration: gauge("configuration_version", "Version in force")?,
             store_age: register(registry, prometheus::IntGaugeVec::new(store_age, &["kind"])?)?,
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -559,6 +559,7 @@
         split: vec![(service.into(), 1)],
         attempts,
         open: false,
+        sticky: false,
     }
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -574,6 +574,22 @@
     /// Whether the host knows all builds that may have begun a stream.
     #[serde(default)]
     pub builds_known: bool,
+    /// Prompts that engines have prefilled for the host since its last heartbeat.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub prefixes: Vec<PrefixReport>,
+}
+
+/// A prompt that an engine has prefilled, by its prefixes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PrefixReport {
+    /// Name of the engine.
+    pub server: Arc<str>,
+    /// When the engine's process started, in milliseconds since 1970.
+    pub born: Option<u64>,
+    /// Hash and length in tokens of each prefix, shortest first.
+    pub prefixes: Vec<(u64, u32)>,
+    /// Time since the prompt was prefilled, in milliseconds.
+    pub age_ms: u32,
 }
 
 /// Recent spending of an organisation.
