Servers of an evacuated failure domain get no new requests

Cause: nothing kept requests from a failure domain as a whole. An operator who empties one could only wait for each server to say that it leaves.

Ruled out: changing the entries of the domain's servers to leaving, which is what the servers state of themselves and does not end with the evacuation; and giving up the list of a restored store at once, which would end evacuations that nobody has removed.

Change: hosts whose settings state `evacuationMs` watch the objects of kind `evacuations` as they watch the servers, with the same doubts and retries, and report the list with its version to their peers. `core::dispatch::evacuation` keeps the list of the highest version and marks the servers of its domains; `Server::is_open` takes the mark into account, so every choice, count and look right before a send does. A host that starts uses no server, and is not ready, until it knows a list, for `evacuationMs` plus `stretchMaxMs` at most. Requests are refused at once with a retry time if evacuations have left no server; generations in evacuated domains make no room.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -102,8 +102,8 @@
     /// A request is admitted at once only if none waits on this host, except for an engine of its build, or it is urgent. It is refused
     /// if too few known generations are expected to end in time to make room for all requests that
     /// wait on this host and its peers and for itself, or the limits of the decode engines don't allow them in time, if
-    /// all decode engines have asked for no requests, if it needs a build that has none, or if a limit of the queue is
-    /// reached.
+    /// all decode engines have asked for no requests or are in evacuated failure domains, if it needs a build that has
+    /// none, or if a limit of the queue is reached.
     pub fn submit(&mut self, now: Instant, request: Request, item: T) -> Result<Ticket, Effect<T>> {
         let (generations_by_engine, shuffle_seed) =
             (self.known_generations(now), self.shuffle_seeds.next());
@@ -116,6 +116,7 @@
             return Err(Effect::Admit(item, self.place(now, &request, assignment)));
         }
         if self.backoff_left(now, &request.service, Some(Stage::Decode)).is_some()
+            || self.is_stranded(&request)
             || request.build.as_ref().is_some_and(|build| !self.has_build(&request.service, build))
         {
             let refusal = self.refuse(now, &request);
@@ -168,7 +169,7 @@
         while let Some((item, placement)) = self.admit_next(now) {
             effects.push(Effect::Admit(item, placement));
         }
-        for waiting in self.queue.expire(now, |_| false) {
+        for waiting in self.take_expired(now) {
             let (request, item) = waiting.item;
             let refusal = self.refuse(now, &request);
             effects.push(Effect::Refuse(item, refusal));
@@ -176,6 +177,15 @@
         effects
     }
 
+    /// Removes and returns the waiting requests that can no longer be served in time, or for which evacuations have left
+    /// no engine.
+    fn take_expired(&mut self, now: Instant) -> Vec<Waiting<(Request, T)>> {
+        let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
+        let expired = queue.expire(now, |waiting| self.is_stranded(&waiting.item.0));
+        self.queue = queue;
+        expired
+    }
+
     /// Admits the first waiting request that can be placed now, in the order of the queue.
     fn admit_next(&mut self, now: Instant) -> Option<(T, Placement)> {
         if self.queue.is_empty() {
@@ -246,9 +256,13 @@
     /// Refuses a request. The retry time is when capacity is expected after all waiting requests
     /// and all refused callers that were asked to retry before this one. The latter are estimated
     /// as this host's number times the number of hosts. It is later if all decode engines have asked
-    /// for no requests until then, or their limits allow none before.
+    /// for no requests until then, their limits allow none before, or all are in evacuated failure domains.
     fn refuse(&mut self, now: Instant, request: &Request) -> Refusal {
         let ahead = self.total_waiting();
+        let evacuated = self.evacuated_retry_after(&request.service, Some(Stage::Decode));
+        if let Some(retry_after) = evacuated {
+            return Refusal { ahead, retry_after };
+        }
         let hosts = self.peers.len() + 1;
         let ahead_with_retries = ahead + self.pending_retries.pending(now) * hosts;
         let (shortest, longest) = self.settings.retry_after;
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -632,7 +632,7 @@
 
     /// Estimates the time until `count` generations of a service have ended, from their median
     /// remaining lengths. If fewer are known, extrapolates from the last one's end. Returns `None`
-    /// if the service has no known generation.
+    /// if the service has no known generation in a failure domain that is not evacuated.
     pub(super) fn time_until_completions(
         &self,
         now: Instant,
@@ -643,7 +643,8 @@
         let mut completions_ms: Vec<f64> = Vec::new();
         for (key, generations) in self.known_generations(now) {
             let Some(server) = self.servers.get(key) else { continue };
-            if &*server.entry.service == service {
+            // An engine whose failure domain is evacuated takes no request in place of one that has ended.
+            if &*server.entry.service == service && !server.evacuated {
                 let tokens_per_ms = self.tokens_per_ms(server);
                 completions_ms.extend(
                     generations
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod admission;
 mod callers;
 mod engine;
+mod evacuation;
 mod leaving;
 mod peer;
 mod plain;
@@ -26,6 +27,7 @@
 pub use admission::{Effect, Refusal, Request, Ticket};
 pub use callers::RefusedCallers;
 pub use engine::{LengthEstimate, Placement, PlacementBasis, Prefill};
+pub use evacuation::{EvacuationChange, EvacuationList, EvacuationState};
 pub use plain::{Choice, PlainOutcome};
 pub use stage::SplitChange;
 pub use throttle::LimitChange;
@@ -174,13 +176,15 @@
     stage_change_until: Instant,
     /// Whether the server belongs to this host's cell.
     in_cell: bool,
+    /// Whether the server's failure domain is evacuated.
+    evacuated: bool,
 }
 
 impl Server {
-    /// Returns `true` if the server is open, so that it may get new requests: it is not leaving and
-    /// was not replaced.
+    /// Returns `true` if the server is open, so that it may get new requests: it is not leaving, was
+    /// not replaced, and its failure domain is not evacuated.
     fn is_open(&self) -> bool {
-        !self.entry.leaving && !self.says_leaving && !self.replaced
+        !self.entry.leaving && !self.says_leaving && !self.replaced && !self.evacuated
     }
 
     /// Returns `true` if the server is open and has not asked this host for no requests.
@@ -206,6 +210,8 @@
     queue: Queue<(Request, T)>,
     /// Servers that have left, which a restored store may list again.
     departed: leaving::Departed,
+    /// Failure domains whose servers get no new requests.
+    evacuations: evacuation::Evacuations,
     /// Ordered by name, so that runs are reproducible.
     peers: BTreeMap<Arc<str>, Peer>,
     pending_retries: admission::PendingRetries,
@@ -229,6 +235,7 @@
             loads: HashMap::new(),
             queue: Queue::new(settings.queue),
             departed: leaving::Departed::default(),
+            evacuations: evacuation::Evacuations::default(),
             peers: BTreeMap::new(),
             pending_retries: admission::PendingRetries::default(),
             throttle: throttle::Throttle::default(),
@@ -257,6 +264,7 @@
     /// A server that has left stays out though a store that was restored from a copy lists it again.
     pub fn put(&mut self, now: Instant, mut entry: Entry) -> (ServerKey, bool) {
         entry.leaving |= self.is_departed(now, &entry);
+        let evacuated = self.evacuations.covers(&entry.failure_domain);
         if let Some(&key) = self.keys_by_name.get(&entry.name) {
             let server = &mut self.servers[key];
             if server.entry.is_same_process(&entry) {
@@ -266,7 +274,7 @@
                 if server.entry.stage != entry.stage {
                     server.stage_change_until = Instant::default();
                 }
-                server.entry = entry;
+                (server.entry, server.evacuated) = (entry, evacuated);
                 return (key, changed);
             }
             self.remove(now, &entry.name);
@@ -285,6 +293,7 @@
             backoff_until: Instant::default(),
             stage_change_until: Instant::default(),
             in_cell,
+            evacuated,
         };
         self.throttle.record_start(now, &name, server.entry.born);
         let key = self.servers.insert(server);
--- a/crates/core/src/dispatch/stage.rs
+++ b/crates/core/src/dispatch/stage.rs
@@ -246,7 +246,7 @@
     }
 
     /// Returns the engines of a stage in this host's cell that take new requests.
-    fn cell_engines(&self, service: &str, stage: Stage) -> Vec<ServerKey> {
+    pub(super) fn cell_engines(&self, service: &str, stage: Stage) -> Vec<ServerKey> {
         let engines = self.servers.iter().filter(|(_, server)| {
             &*server.entry.service == service
                 && server.entry.stage == Some(stage)
--- a/crates/forward/src/answer/mod.rs
+++ b/crates/forward/src/answer/mod.rs
@@ -80,6 +80,9 @@
     // The servers state how many requests they take, and have got as many.
     /// the backend servers take no more requests now
     Throttled,
+    // Or it has just started, and does not know yet which domains are evacuated.
+    /// the failure domains of the backend servers are evacuated
+    Evacuated,
     // Engines have crashed under requests with the same parts of the prompt.
     /// backend servers fail under a part of the prompt
     Quarantined,
@@ -115,6 +118,7 @@
             Cause::OverRate => "over_rate",
             Cause::Full => "full",
             Cause::Throttled => "throttled",
+            Cause::Evacuated => "evacuated",
             Cause::Quarantined => "quarantined",
             Cause::NoServer => "no_server",
             Cause::BuildUnknown => "build_unknown",
@@ -165,6 +169,7 @@
             | Cause::ShuttingDown
             | Cause::Full
             | Cause::Throttled
+            | Cause::Evacuated
             | Cause::Quarantined
             | Cause::NoServer
             | Cause::BuildUnknown
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod body;
+mod evacuation;
 mod limit;
 mod origin;
 mod place;
@@ -14,6 +15,7 @@
 
 pub use admission::{Admission, Target};
 pub use body::BodyMemory;
+pub use evacuation::EvacuationBounds;
 pub(crate) use origin::ServiceBuilds;
 pub use place::PlainPlacement;
 pub use quarantine::Identity;
@@ -75,6 +77,8 @@
     pub allowance: allowance::Settings,
     /// Timeouts after which other hosts count as unreachable and as lost.
     pub roster: roster::Settings,
+    /// Bounds of evacuations of failure domains; `None` if evacuations are not followed.
+    pub evacuation: Option<EvacuationBounds>,
     /// Limit of the bytes that all request bodies hold at once.
     pub body_bytes: usize,
     /// Limit of the bytes that all answers of plain services hold at once while they are read.
@@ -100,6 +104,7 @@
                 ..allowance::Settings::default()
             },
             roster: roster::Settings::default(),
+            evacuation: None,
             body_bytes: 32 << 20,
             answer_bytes: 16 << 20,
             pool: pool::Settings {
@@ -190,6 +195,9 @@
     pub fn new(settings: Settings, dialect: Dialect, metrics: Metrics) -> App {
         let mut dispatch = Dispatch::new(settings.dispatch, settings.failure_domain.clone());
         dispatch.set_seed(settings.incarnation);
+        if let Some(bounds) = settings.evacuation {
+            dispatch.wait_for_evacuations(clock::now(), bounds.start_wait());
+        }
         let state = State {
             dispatch,
             allowances: Allowances::new(
@@ -272,12 +280,15 @@
         }
         self.metrics.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.gossip_due.notify_one();
-        self.set_ready(!self.is_draining());
+        self.update_readiness();
         true
     }
 
-    /// Sets whether this host is ready, and logs a change.
-    fn set_ready(&self, ready: bool) {
+    /// Updates whether this host is ready, and logs a change: it has a configuration, is not shutting down, and does not wait
+    /// for the evacuated failure domains.
+    fn update_readiness(&self) {
+        let is_waiting = self.state().dispatch.waits_for_evacuations();
+        let ready = self.active_config().is_some() && !self.is_draining() && !is_waiting;
         if self.ready.get() != ready {
             tracing::info!(ready, version = self.version(), "readiness changed");
             self.ready.set(ready);
@@ -327,7 +338,14 @@
     fn probe(self: &Arc<App>, name: &Arc<str>, born: u64) -> Probe {
         let Dialect { report_path, parse_report, .. } = self.dialect;
         let (app, name) = (Arc::downgrade(self), name.clone());
-        let request = move || http::request("GET", report_path, "");
+        let (probing, server) = (app.clone(), name.clone());
+        let request = move || match probing.upgrade() {
+            Some(app) if app.is_withheld(&server) => {
+                app.record_withheld("call");
+                Err(http::Error::Request("the failure domain is evacuated".to_owned()))
+            }
+            _ => http::request("GET", report_path, ""),
+        };
         let accepts = move |body: &Bytes| {
             let stated = parse_report(body).and_then(|report| report.born);
             let Some(stated) = stated.filter(|stated| *stated != born) else { return true };
@@ -385,9 +403,18 @@
         self.state().dispatch.accepts(clock::now(), target.key)
     }
 
+    /// Returns `true` if a server gets no requests because its failure domain is evacuated.
+    pub fn is_evacuated(&self, target: &Target) -> bool {
+        self.state().dispatch.is_evacuated(target.key)
+    }
+
     /// Counts a call of the router's own to a server. Returns `false` if the server must not get it now.
     pub fn admit_call(&self, target: &Target) -> bool {
-        self.state().dispatch.admit_call(clock::now(), target.key)
+        let is_admitted = self.state().dispatch.admit_call(clock::now(), target.key);
+        if !is_admitted && self.is_evacuated(target) {
+            self.record_withheld("call");
+        }
+        is_admitted
     }
 
     /// Records what a server says of itself in the head of an answer to a request sent at `sent_at`:
@@ -512,7 +539,7 @@
     /// Begins the shutdown: this host no longer counts as ready.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
-        self.set_ready(false);
+        self.update_readiness();
         self.gossip_due.notify_one();
     }
 }
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -12,7 +12,7 @@
 use crate::config::Engine;
 use crate::dialect::{AddedValues, Handle, Step};
 use bytes::Bytes;
-use chestnutrack_core::dispatch::{self, Outcome, PlacementBasis, ServerKey};
+use chestnutrack_core::dispatch::{self, Outcome, PlacementBasis, ServerKey, Stage};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::pool::Stream;
@@ -394,7 +394,9 @@
             // `late` is `true` if the first token was due before the wait began.
             let (ahead, late) = (refusal.ahead, first_token_by <= now);
             tracing::info!(id, ahead, late, waited_ms, tokens, urgent, "no room in time");
-            Err(Refusal::with_retry_after(Cause::Full, refusal.retry_after))
+            let evacuated = job.app.evacuated_retry_after(&job.service, Some(Stage::Decode));
+            let cause = evacuated.map_or(Cause::Full, |_| Cause::Evacuated);
+            Err(Refusal::with_retry_after(cause, refusal.retry_after))
         }
     }
 }
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -69,6 +69,8 @@
     Crowded,
     /// Nothing was sent: the server is leaving, or has asked for no requests for now.
     Closed,
+    /// Nothing was sent: the server's failure domain is evacuated.
+    Evacuated,
     /// Nothing was sent: another process has started under the server's name.
     Restarted,
     /// Nothing was sent: the request, or a part of its prompt, crashes servers and is in quarantine for this time.
@@ -93,6 +95,7 @@
             Failure::Refused => "refused",
             Failure::Crowded => "crowded",
             Failure::Closed => "closed",
+            Failure::Evacuated => "evacuated",
             Failure::Restarted => "restarted",
             Failure::Quarantined(_) => "quarantined",
             Failure::NotRun => "not_run",
@@ -111,6 +114,7 @@
                 | Failure::Refused
                 | Failure::Crowded
                 | Failure::Closed
+                | Failure::Evacuated
                 | Failure::Restarted
                 | Failure::Quarantined(_)
         )
@@ -393,6 +397,7 @@
         let sent_at = clock::now();
         let result = match self.quarantine_left() {
             Some(left) => Err(Failure::Quarantined(left)),
+            None if self.app.is_evacuated(target) => Err(Failure::Evacuated),
             None if !self.app.accepts(target) => Err(Failure::Closed),
             None => self.exchange(target, added_values, on_send).await,
         };
@@ -402,6 +407,7 @@
             self.app.metrics.failures.with_label_values(&[failure]).inc();
         }
         match &result {
+            Err(Failure::Evacuated) => self.app.record_withheld("request"),
             Err(Failure::Misdirected) => self.app.mark_replaced(target),
             Err(Failure::Refused | Failure::Unsent) => {
                 self.app.record_outcome(target, Outcome::Unreachable)
@@ -443,6 +449,10 @@
             Err(Error::Connect(_, ConnectError::Refused)) => return Err(Failure::Refused),
             Err(Error::Connect(_, ConnectError::PoolExhausted)) => return Err(Failure::Crowded),
             Err(Error::Connect(_, ConnectError::WrongProcess)) => return Err(Failure::Restarted),
+            Err(Error::Request(_)) if self.app.is_evacuated(target) => {
+                // The evacuation began while the connection was opened.
+                return Err(Failure::Evacuated);
+            }
             Err(Error::Connect(..) | Error::Request(_)) => return Err(Failure::Unsent),
             Err(Error::Timeout(_)) => return Err(Failure::TimedOut),
             Err(error) => {
--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -47,6 +47,9 @@
 
 /// Returns the refusal for a request that no server may get now.
 fn refusal_of_all(job: &Job) -> Refusal {
+    if let Some(retry_after) = job.app.evacuated_retry_after(&job.service, None) {
+        return Refusal::with_retry_after(Cause::Evacuated, retry_after);
+    }
     if let Some(left) = job.app.backoff_left(&job.service) {
         return Refusal::with_retry_after(Cause::Full, left);
     }
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -1,5 +1,5 @@
-//! Watches the configuration and the backend servers in the platform's store, and exchanges them
-//! with peers.
+//! Watches the configuration, the backend servers and the evacuated failure domains in the
+//! platform's store, and exchanges them with peers.
 //!
 //! A watch is a call to the store that is answered when something changes or after a timeout. The
 //! store may drop a watch without an answer; a host that has reason to suspect that doubts its
@@ -7,6 +7,7 @@
 //! store lists, kept through outages of the store.
 
 mod builds;
+mod evacuations;
 mod hosts;
 mod patterns;
 
@@ -87,6 +88,8 @@
     pub hosts_kind: &'static str,
     /// Kind of the objects that hold the leases for giving orders to engines.
     pub leases_kind: &'static str,
+    /// Kind of the objects that evacuate the failure domains whose names they have.
+    pub evacuations_kind: &'static str,
 }
 
 /// Keeps the configuration and the list of backend servers up to date, and answers peers about
@@ -97,6 +100,7 @@
     state: Mutex<State>,
     config_watch: watch::Sender<Control>,
     servers_watch: watch::Sender<Control>,
+    evacuations_watch: watch::Sender<Control>,
 }
 
 /// What is known from the store, and the state of the calls to it.
@@ -113,6 +117,8 @@
     /// Earliest time at which the calls in flight can have been sent.
     config_sent_at: Instant,
     servers_sent_at: Instant,
+    /// The evacuated failure domains.
+    evacuations: evacuations::Evacuations,
     /// Epoch of the store, which rises when the store is restored from a copy.
     epoch: u64,
     /// Epoch of the store at the last answer about the servers.
@@ -165,6 +171,7 @@
             is_config_up: false,
             config_sent_at: Instant::default(),
             servers_sent_at: Instant::default(),
+            evacuations: evacuations::Evacuations::default(),
             epoch: 0,
             listed_epoch: 0,
             is_listing: true,
@@ -180,6 +187,7 @@
             state: Mutex::new(state),
             config_watch: watch::Sender::new(control),
             servers_watch: watch::Sender::new(control),
+            evacuations_watch: watch::Sender::new(control),
         })
     }
 
@@ -191,7 +199,7 @@
         let retry_max = RETRY_PAUSE_PER_HOST
             .saturating_mul(hosts)
             .clamp(RETRY_PAUSE_MAX_FLOOR, RETRY_PAUSE_RANGE.1);
-        for watch in [&self.config_watch, &self.servers_watch] {
+        for watch in self.watches() {
             // A random wait between half of the longest one and all of it, so that the hosts'
             // watches end at different times.
             watch.send_if_modified(|control| {
@@ -213,11 +221,16 @@
             return;
         }
         tracing::info!(peer, "store answers a peer, retrying");
-        for watch in [&self.config_watch, &self.servers_watch] {
+        for watch in self.watches() {
             watch.send_modify(|control| control.retry_requests += 1);
         }
     }
 
+    /// Returns what controls the watches.
+    fn watches(&self) -> [&watch::Sender<Control>; 3] {
+        [&self.config_watch, &self.servers_watch, &self.evacuations_watch]
+    }
+
     /// Lists objects again whose call in flight was sent before `unanswered_at`, a time at which the
     /// store did not answer. A list in progress is not restarted: in a large fleet it takes long,
     /// its pages have timeouts, and until it ends this host necessarily knows other servers than
@@ -236,6 +249,10 @@
             state.is_listing = true;
             self.servers_watch.send_modify(|control| control.relist_requests += 1);
         }
+        if self.follows_evacuations() && state.evacuations.doubt(now, unanswered_at) {
+            tracing::info!(kind = self.directory.evacuations_kind, why, "watch doubted");
+            self.evacuations_watch.send_modify(|control| control.relist_requests += 1);
+        }
     }
 
     /// Records that a call of this host failed, and doubts the calls in flight if the call went
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -364,6 +364,9 @@
         self.app.record_peer_leaving(name, &news.leaving);
         self.app.record_peer_limits(name, incarnation, &news.limits);
         self.app.record_quarantine_report(name, std::mem::take(&mut news.quarantine));
+        if let Some(report) = news.evacuations.take() {
+            self.app.apply_evacuations(name, report, &[]);
+        }
         let request = self.request_missing(&news);
         {
             let mut state = self.app.state();
@@ -429,6 +432,7 @@
         let quarantine = self.app.quarantine_report();
         let configuration = self.app.version();
         let (builds, builds_known) = self.app.build_reports();
+        let evacuations = self.app.evacuation_report();
         let mut state = self.app.state();
         let limits = state.dispatch.limit_reports(clock::now());
         let spent = state.allowances.spent().iter();
@@ -459,6 +463,7 @@
             quarantine,
             builds,
             builds_known,
+            evacuations,
             unheard: unreachable.into_iter().map(|(name, time)| (name, millis(time))).collect(),
         }
     }
@@ -486,6 +491,7 @@
                     self.follower.set_hosts(self.other_host_count() + 1);
                     self.app.divide_connections(self.peer_count() + 1);
                     self.follower.update_age_metric();
+                    self.app.check_evacuations();
                 }
             }
             match codec::encode(&Frame::News(Box::new(self.build_gossip()))) {
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -43,6 +43,12 @@
     pub quarantined: IntGauge,
     /// Streams of which this host knows the build.
     pub origins: IntGauge,
+    /// Requests and calls that were kept from evacuated failure domains, by what was kept.
+    pub evacuation_withheld: IntCounterVec,
+    /// Evacuated failure domains.
+    pub evacuated_domains: IntGauge,
+    /// Requests of this host in flight at servers of evacuated failure domains.
+    pub evacuated_in_flight: IntGauge,
     /// Backend servers listed.
     pub servers: IntGauge,
     /// Reachable peers.
@@ -98,6 +104,16 @@
             store_age: register(registry, prometheus::IntGaugeVec::new(store_age, &["kind"])?)?,
             quarantined: gauge("quarantined", "Patterns of prompts in quarantine")?,
             origins: gauge("stream_builds", "Streams of which this host knows the build")?,
+            evacuation_withheld: counters(
+                "evacuation_withheld_total",
+                "Requests and calls kept from evacuated failure domains",
+                &["what"],
+            )?,
+            evacuated_domains: gauge("evacuated_domains", "Evacuated failure domains")?,
+            evacuated_in_flight: gauge(
+                "evacuated_in_flight",
+                "Requests in flight at servers of evacuated failure domains",
+            )?,
             servers: gauge("servers", "Backend servers listed")?,
             peers: gauge("peers", "Peers heard lately")?,
             reserved_per_mille: gauge(
--- a/crates/forward/src/native/mod.rs
+++ b/crates/forward/src/native/mod.rs
@@ -18,7 +18,8 @@
 //!
 //! A prefill is answered with `{"handle": "..."}`, `DELETE /v1/handles/HANDLE` frees it, `GET /v1/report`
 //! returns an engine's report with its stage, and `POST /v1/orders` changes the stage. The configuration is the
-//! object `routing/main`, backend servers are the objects of kind `backends`.
+//! object `routing/main`, backend servers are the objects of kind `backends`, and an object of kind `evacuations` has the
+//! name of an evacuated failure domain.
 
 mod headers;
 
@@ -67,6 +68,7 @@
     server,
     hosts_kind: "entry-hosts",
     leases_kind: "entry-leases",
+    evacuations_kind: "evacuations",
 };
 
 /// Body of an engine's answer to a prefill.
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -112,6 +112,7 @@
     tokio::spawn(admin::serve(operators, registry, ready, Arc::new(|_, _| None)));
     tokio::spawn(follower.clone().follow_config(client.clone()));
     tokio::spawn(follower.clone().follow_servers(client.clone(), timer.clone()));
+    tokio::spawn(follower.clone().follow_evacuations(client.clone()));
     let host = Host { incarnation, address: settings.peers };
     let hosts_kind = protocol.directory.hosts_kind;
     let registration =
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod crashing_requests;
 mod directory;
+mod evacuations;
 mod fixture;
 mod framing;
 mod hosts;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -574,6 +574,18 @@
     /// Whether the host knows all builds that may have begun a stream.
     #[serde(default)]
     pub builds_known: bool,
+    /// Evacuated failure domains; absent if the host does not follow them or knows no list yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<EvacuationReport>,
+}
+
+/// The evacuated failure domains that the platform's store listed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationReport {
+    /// Version of the store up to which the list is known. The list of the highest version is in force.
+    pub version: u64,
+    /// The evacuated domains.
+    pub domains: Vec<Arc<str>>,
 }
 
 /// Recent spending of an organisation.
