--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -364,6 +364,9 @@
         self.app.record_peer_leaving(name, &news.leaving);
         self.app.record_peer_limits(name, incarnation, &news.limits);
         self.app.record_quarantine_report(name, std::mem::take(&mut news.quarantine));
+        if let Some(report) = news.evacuations.take() {
+            self.app.apply_evacuations(name, report, &[]);
+        }
         let request = self.request_missing(&news);
         {
             let mut state = self.app.state();
@@ -430,6 +433,7 @@
         let quarantine = self.app.quarantine_report();
         let configuration = self.app.version();
         let (builds, builds_known) = self.app.build_reports();
+        let evacuations = self.app.evacuation_report();
         let mut state = self.app.state();
         let limits = state.dispatch.limit_reports(clock::now());
         let spent = state.allowances.spent().iter();
@@ -461,6 +465,7 @@
             builds,
             builds_known,
             prefixes: Vec::new(),
+            evacuations,
             unheard: unreachable.into_iter().map(|(name, time)| (name, millis(time))).collect(),
         }
     }
@@ -491,6 +496,7 @@
                     self.app.divide_connections(self.peer_count() + 1);
                     self.follower.update_age_metric();
                     prefixes = self.app.state().dispatch.take_prefix_reports(clock::now());
+                    self.app.check_evacuations();
                 }
             }
             let mut news = self.build_gossip();
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -577,6 +577,9 @@
     /// Prompts that engines have prefilled for the host since its last heartbeat.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub prefixes: Vec<PrefixReport>,
+    /// Evacuated failure domains; absent if the host does not follow them or knows no list yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<EvacuationReport>,
 }
 
 /// A prompt that an engine has prefilled, by its prefixes.
@@ -592,6 +595,15 @@
     pub age_ms: u32,
 }
 
+/// The evacuated failure domains that the platform's store listed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationReport {
+    /// Version of the store up to which the list is known. The list of the highest version is in force.
+    pub version: u64,
+    /// The evacuated domains.
+    pub domains: Vec<Arc<str>>,
+}
+
 /// Recent spending of an organisation.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AccountReport {
