Connections of callers and what their requests hold are bounded

Cause: connections at the four listeners were unbounded, buffers of the system were left to its own sizing, a body that stopped short of its end kept its memory until the time limit of its route, parsed heads and answers that callers had not taken were not counted, and a head whose first bytes arrived on a new connection had the idle timeout.

Ruled out: refusing the newest connection (a crowd that stays open locks out ordinary callers), and a limit for each address alone (all callers may come through one balancer). hyper already limits a head to 100 fields and reads at most one buffer ahead of a request in progress, so nothing was added for that.

Change: core::intake decides which connection is closed and which body is given up, without a network; process::intake wakes the tasks concerned. The bounds are derived from memoryMb and fileDescriptors. Buffers of the system are bounded on the listening sockets. A body whose length is over the limit is refused before it is read. Memory of answers is counted until they have been written.

No measurement under load yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fetch;
 pub mod forecast;
 pub mod health;
+pub mod intake;
 pub mod limit;
 pub mod listing;
 pub mod member;
--- a/crates/entry/src/settings/mod.rs
+++ b/crates/entry/src/settings/mod.rs
@@ -14,6 +14,11 @@
 /// Time that the load balancer has to notice a shutdown, in milliseconds.
 const DRAIN_MS_DEFAULT: u64 = 1_000;
 
+/// Memory of the machine where no setting states it, in MiB.
+const MEMORY_MB_DEFAULT: usize = 110;
+/// File descriptors of the process where no setting states them.
+const FILE_DESCRIPTORS_DEFAULT: usize = 4_096;
+
 /// Time that requests have to end at the shutdown of a host that calls backend servers directly.
 const DIRECT_DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -56,6 +61,15 @@
     /// form of the log lines: text or json
     #[argh(option)]
     pub log: Option<String>,
+    /// address for readiness checks; with --direct
+    #[argh(option)]
+    pub readiness: Option<String>,
+    /// memory of the machine in MiB, from which bounds are derived; with --direct (default 110)
+    #[argh(option)]
+    pub memory_mb: Option<String>,
+    /// file descriptors of the process, from which bounds are derived; with --direct (default 4096)
+    #[argh(option)]
+    pub file_descriptors: Option<String>,
     /// call backend servers directly, without side processes; requests pass unchanged
     #[argh(switch)]
     pub direct: bool,
@@ -108,6 +122,11 @@
     setting("--failure-domain", "CHESTNUTRACK_FAILURE_DOMAIN", NAME);
 const SETTING_DRAIN: Setting<'_> =
     setting("--drain-ms", "CHESTNUTRACK_DRAIN_MS", "a number of milliseconds");
+const SETTING_READINESS: Setting<'_> = setting("--readiness", "CHESTNUTRACK_READINESS", ADDRESS);
+const SETTING_MEMORY: Setting<'_> =
+    setting("--memory-mb", "CHESTNUTRACK_MEMORY_MB", "a number of MiB");
+const SETTING_DESCRIPTORS: Setting<'_> =
+    setting("--file-descriptors", "CHESTNUTRACK_FILE_DESCRIPTORS", "a number of descriptors");
 const SETTING_LOG: Setting<'_> = setting("--log", "CHESTNUTRACK_LOG_FORM", "`text` or `json`");
 
 /// Reads the settings of a host that reaches backend servers through side processes.
@@ -160,7 +179,15 @@
     let placeholder = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let drain_notice_ms =
         reader.with_default(SETTING_DRAIN, flags.drain_ms.as_deref(), DRAIN_MS_DEFAULT);
-    let settings = program::Settings {
+    let memory_mb: usize =
+        reader.with_default(SETTING_MEMORY, flags.memory_mb.as_deref(), MEMORY_MB_DEFAULT);
+    let file_descriptors: usize = reader.with_default(
+        SETTING_DESCRIPTORS,
+        flags.file_descriptors.as_deref(),
+        FILE_DESCRIPTORS_DEFAULT,
+    );
+    let readiness = reader.optional(SETTING_READINESS, flags.readiness.as_deref());
+    let mut settings = program::Settings {
         app: app::Settings {
             name: required_text(&mut reader, SETTING_NAME, flags.name.as_deref()),
             incarnation,
@@ -174,7 +201,7 @@
             ..app::Settings::default()
         },
         callers: reader.required(SETTING_LISTEN, flags.listen.as_deref(), placeholder),
-        readiness: None,
+        readiness,
         peers: reader.required(SETTING_PEER, flags.peer_listen.as_deref(), placeholder),
         operators: reader.required(SETTING_ADMIN, flags.admin.as_deref(), placeholder),
         store: reader.required(SETTING_PLATFORM, flags.platform.as_deref(), placeholder),
@@ -183,6 +210,7 @@
             timeout: DIRECT_DRAIN_TIMEOUT,
         },
     };
+    settings.app.set_resources(memory_mb.saturating_mul(1 << 20), file_descriptors);
     reader.finish(settings)
 }
 
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -13,7 +13,7 @@
 mod quarantine;
 
 pub use admission::{Admission, Target};
-pub use body::BodyMemory;
+pub use body::{AnswerMemory, Counted};
 pub(crate) use origin::ServiceBuilds;
 pub use place::PlainPlacement;
 pub use quarantine::Identity;
@@ -27,6 +27,7 @@
 use chestnutrack_core::dispatch::{
     self, Change, Dispatch, Entry, LimitChange, Outcome, RefusedCallers, ServerKey, Stage,
 };
+use chestnutrack_core::intake;
 use chestnutrack_core::limit::Quota;
 use chestnutrack_core::origin::{Builds, Origins, unlisted_build};
 use chestnutrack_core::quarantine::Quarantine;
@@ -36,6 +37,7 @@
 use chestnutrack_process::admin::Readiness;
 use chestnutrack_process::clock;
 use chestnutrack_process::http;
+use chestnutrack_process::intake::Intake;
 use chestnutrack_process::pool::{self, Pool, Probe};
 use chestnutrack_wire::frame::{LeavingReport, LimitReport};
 use slotmap::SecondaryMap;
@@ -55,6 +57,41 @@
 /// or shut down and hold connections besides the others'.
 const CONNECTION_SHARE_PERCENT: usize = 80;
 
+/// Most connections at the address for readiness checks. The platform's checks need a few.
+const READINESS_CONNECTIONS_MAX: usize = 64;
+/// Most connections that peers have opened to this host. Each host of a cell opens one, and a restarted one another
+/// before the first has ended.
+const PEER_CONNECTIONS_MAX: usize = 512;
+/// Memory of the machine for each connection of a caller, in bytes. A connection holds two buffers of the system of up to
+/// 32 KiB, a head of 16 KiB, its parsed form and the state of its request; most hold far less at a time.
+const MACHINE_BYTES_PER_CONNECTION: usize = 128 << 10;
+/// Share of the machine's memory for request bodies: one part in this many.
+const BODY_MEMORY_DIVISOR: usize = 4;
+/// Share of the machine's memory for answers that are being read or have not been taken: one part in this many.
+const ANSWER_MEMORY_DIVISOR: usize = 8;
+/// File descriptors that the platform reserves for files.
+const FILE_DESCRIPTORS_RESERVED: usize = 200;
+/// Share of the other file descriptors for connections of callers: one part in this many. The rest is for connections
+/// to backend servers, peers and the store.
+const CALLER_DESCRIPTOR_DIVISOR: usize = 2;
+/// Share of these file descriptors for connections that peers have opened: one part in this many.
+const PEER_DESCRIPTOR_DIVISOR: usize = 8;
+
+impl Settings {
+    /// Derives the bounds of connections and of what requests and answers hold from the machine's memory and file
+    /// descriptors.
+    pub fn set_resources(&mut self, memory_bytes: usize, file_descriptors: usize) {
+        let descriptors = file_descriptors.saturating_sub(FILE_DESCRIPTORS_RESERVED);
+        self.body_bytes = memory_bytes / BODY_MEMORY_DIVISOR;
+        self.answer_bytes = self.answer_bytes.min(memory_bytes / ANSWER_MEMORY_DIVISOR);
+        self.caller_connections = (memory_bytes / MACHINE_BYTES_PER_CONNECTION)
+            .min(descriptors / CALLER_DESCRIPTOR_DIVISOR)
+            .max(1);
+        self.peer_connections =
+            PEER_CONNECTIONS_MAX.min(descriptors / PEER_DESCRIPTOR_DIVISOR).max(1);
+    }
+}
+
 /// Identity and limits of this process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -79,6 +116,12 @@
     pub body_bytes: usize,
     /// Limit of the bytes that all answers of plain services hold at once while they are read.
     pub answer_bytes: usize,
+    /// Most connections of callers that are open at once.
+    pub caller_connections: usize,
+    /// Most connections at the address for readiness checks that are open at once.
+    pub readiness_connections: usize,
+    /// Most connections that peers have opened to this host at once.
+    pub peer_connections: usize,
     /// Settings of the connection pools to backend servers.
     pub pool: pool::Settings,
     /// Settings of admission and placement.
@@ -102,6 +145,9 @@
             roster: roster::Settings::default(),
             body_bytes: 32 << 20,
             answer_bytes: 16 << 20,
+            caller_connections: 1_024,
+            readiness_connections: READINESS_CONNECTIONS_MAX,
+            peer_connections: PEER_CONNECTIONS_MAX,
             pool: pool::Settings {
                 connect_timeout: Duration::from_millis(300),
                 idle_timeout: Duration::from_millis(9_000),
@@ -151,8 +197,8 @@
     active_config: Mutex<Option<Arc<ActiveConfig>>>,
     state: Mutex<State>,
     retry_burst: AtomicU32,
-    /// Bytes held by all request bodies.
-    body_bytes: Arc<AtomicUsize>,
+    /// Connections of callers, and what their requests hold.
+    pub callers: Intake,
     /// Bytes held by all answers of plain services that are being read.
     answer_bytes: Arc<AtomicUsize>,
     draining: AtomicBool,
@@ -206,9 +252,14 @@
             spending_reported_at: Instant::default(),
             recent_refusals: VecDeque::new(),
         };
+        let bounds = intake::Settings {
+            connections: settings.caller_connections,
+            request_bytes: settings.body_bytes,
+        };
+        let callers = Intake::new("callers", bounds, Some(metrics.evictions.clone()));
         App {
             retry_burst: AtomicU32::new(settings.retry_burst),
-            body_bytes: Arc::default(),
+            callers,
             answer_bytes: Arc::default(),
             settings,
             dialect,
--- a/crates/forward/src/attempt/body.rs
+++ b/crates/forward/src/attempt/body.rs
@@ -1,12 +1,16 @@
 //! Reads answers that are passed on as a whole.
 
 use super::{Failure, Job};
-use crate::app::Target;
-use bytes::{Bytes, BytesMut};
+use crate::app::{Counted, Target};
+use bytes::Bytes;
 use chestnutrack_process::http::Error;
 use chestnutrack_process::pool::Stream;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
+/// Callers whose answers may be given up for one answer. Their answers are mostly no smaller than it.
+const READERS_EVICTED_MAX: u32 = 4;
+
 /// Reads an answer whole, before the deadline of its request. Logs why it could not be read.
 ///
 /// # Errors
@@ -29,19 +33,28 @@
     }
 }
 
-/// Reads an answer no larger than a request body may be. Fails while the answers that are being read exceed the
-/// limit of this host. Closes the connection of an answer that is not read to its end.
+/// Reads an answer no larger than a request body may be. The memory of its bytes is counted until they have been written.
+/// Where answers exceed the limit of this host, callers that don't take theirs are disconnected; fails if there are none.
+/// Closes the connection of an answer that is not read to its end.
 async fn read_bounded(job: &Job, stream: &mut Stream) -> Result<Bytes, Error> {
     let max_bytes = job.active_config.table.config().limits.body_bytes;
     let mut memory = job.app.answer_memory();
-    let mut buffer = BytesMut::new();
+    let mut bytes = Vec::new();
     while let Some(chunk) = stream.chunk().await? {
-        let has_room = memory.grow(chunk.len(), job.app.settings.answer_bytes);
-        if !has_room || buffer.len() + chunk.len() > max_bytes {
+        let mut has_room = memory.grow(chunk.len(), job.app.settings.answer_bytes);
+        for _ in 0..READERS_EVICTED_MAX {
+            if has_room || !job.app.callers.evict_reader() {
+                break;
+            }
+            // The evicted caller's task releases the memory of its answer.
+            yield_now().await;
+            has_room = memory.grow(chunk.len(), job.app.settings.answer_bytes);
+        }
+        if !has_room || bytes.len() + chunk.len() > max_bytes {
             stream.discard();
-            return Err(Error::TooLarge(buffer.len()));
+            return Err(Error::TooLarge(bytes.len()));
         }
-        buffer.extend_from_slice(&chunk);
+        bytes.extend_from_slice(&chunk);
     }
-    Ok(buffer.freeze())
+    Ok(Counted { bytes, memory }.into_bytes())
 }
--- a/crates/forward/src/listener/mod.rs
+++ b/crates/forward/src/listener/mod.rs
@@ -7,6 +7,7 @@
 use crate::config::Limits;
 use crate::request;
 use chestnutrack_process::clock;
+use chestnutrack_process::intake::Connection;
 use chestnutrack_process::shutdown::Shutdown;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -21,12 +22,17 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{JoinError, JoinSet};
-use tokio::time::{sleep, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 /// Smallest buffer for the head of a request that hyper accepts, in bytes.
 const HEAD_BUFFER_MIN: usize = 8 << 10;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Time between two searches for callers that have taken nothing of their answers and for slow bodies.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Bytes that may arrive on an idle connection without being the start of a head: an empty line, which some callers send
+/// after a request.
+const EMPTY_LINE_BYTES: usize = 2;
 
 /// Times of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,12 +60,18 @@
         sleep(notice).await;
     };
     tokio::pin!(notice_period);
+    app.callers.bound_buffers(&listener);
+    let mut sweeps = interval(SWEEP_INTERVAL);
+    sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             () = &mut notice_period => break,
             accepted = listener.accept() => match accepted {
-                Ok((tcp, _)) => {
-                    connections.spawn(serve_connection(tcp, app.clone(), closing_receiver.clone()));
+                Ok((tcp, peer)) => {
+                    let connection = app.callers.open(peer.ip());
+                    let served =
+                        serve_connection(tcp, connection, app.clone(), closing_receiver.clone());
+                    connections.spawn(served);
                 }
                 Err(error) => {
                     tracing::warn!(%error, "connection not accepted");
@@ -67,6 +79,7 @@
                 }
             },
             Some(ended) = connections.join_next() => log_panic(ended),
+            _ = sweeps.tick() => sweep(&app),
         }
     }
     drop(listener);
@@ -75,8 +88,14 @@
     app.close(clock::now() + remaining);
     closing_sender.send_replace(true);
     let all_ended = async {
-        while let Some(ended) = connections.join_next().await {
-            log_panic(ended);
+        loop {
+            tokio::select! {
+                ended = connections.join_next() => match ended {
+                    Some(ended) => log_panic(ended),
+                    None => break,
+                },
+                _ = sweeps.tick() => sweep(&app),
+            }
         }
     };
     if timeout(remaining, all_ended).await.is_err() {
@@ -84,6 +103,14 @@
     }
 }
 
+/// Gives up what has made no progress, and updates the gauges.
+fn sweep(app: &App) {
+    app.callers.sweep();
+    let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+    app.metrics.connections.set(gauge(app.callers.connections()));
+    app.metrics.request_bytes.set(gauge(app.callers.held()));
+}
+
 /// Logs a connection whose task panicked: a request on it got no answer.
 fn log_panic(ended: Result<(), JoinError>) {
     if let Err(error) = ended {
@@ -91,12 +118,30 @@
     }
 }
 
-/// Serves one connection until the caller closes it, the listener is closing, or it has been idle
+/// Serves one connection until the caller closes it, it is evicted, the listener is closing, or it has been idle
 /// for too long. In the last two cases, a request in flight is finished first, and one whose head has begun to
 /// arrive is answered: with a refusal if it could outlast the process. Closes the connection without an answer if a head does not arrive in time.
-async fn serve_connection(tcp: TcpStream, app: Arc<App>, mut closing: watch::Receiver<bool>) {
+async fn serve_connection(
+    tcp: TcpStream,
+    connection: Connection,
+    app: Arc<App>,
+    closing: watch::Receiver<bool>,
+) {
+    tokio::select! {
+        () = connection.wait_for_eviction() => {}
+        () = serve_requests(tcp, connection.clone(), app, closing) => {}
+    }
+}
+
+/// Serves the requests of one connection.
+async fn serve_requests(
+    tcp: TcpStream,
+    observed: Connection,
+    app: Arc<App>,
+    mut closing: watch::Receiver<bool>,
+) {
     let limits = limits(&app);
-    let monitor = Monitor::new(limits.idle_timeout);
+    let monitor = Monitor::new(limits.idle_timeout, observed);
     let (shared_app, shared_monitor) = (app.clone(), monitor.clone());
     let service = service_fn(move |request| {
         let (app, monitor) = (shared_app.clone(), shared_monitor.clone());
@@ -162,10 +207,12 @@
             Activity::Idle(idle) => {
                 (idle.ends_at(idle_timeout).since(clock::now()), Close::Answered)
             }
-            Activity::ReadingHead { idle, begun_at } => {
+            Activity::ReadingHead { idle, begun_at, bytes } => {
                 // An empty line between two requests counts as the start of a head, and must not
                 // shorten the idle timeout.
-                let closes_at = (begun_at + head_timeout).max(idle.ends_at(idle_timeout));
+                let is_empty_line = bytes <= EMPTY_LINE_BYTES;
+                let idle_end = if is_empty_line { idle.ends_at(idle_timeout) } else { begun_at };
+                let closes_at = (begun_at + head_timeout).max(idle_end);
                 (closes_at.since(clock::now()), Close::Now)
             }
         };
@@ -184,8 +231,9 @@
     monitor: Monitor,
 ) -> Response<MonitoredBody> {
     monitor.record_request();
-    let mut response = request::handle(app.clone(), request).await;
-    if app.is_draining() {
+    let mut response = request::handle(app.clone(), request, monitor.connection()).await;
+    // A connection whose body was given up holds the rest of it.
+    if app.is_draining() || monitor.connection().is_evicted() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     let idle_timeout = limits(&app).idle_timeout;
--- a/crates/forward/src/listener/monitor.rs
+++ b/crates/forward/src/listener/monitor.rs
@@ -2,8 +2,10 @@
 
 use crate::answer::{Body, Incomplete};
 use bytes::Bytes;
+use chestnutrack_core::intake::Phase;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
+use chestnutrack_process::intake::Connection;
 use hyper::body::{Frame, SizeHint};
 use std::io;
 use std::pin::Pin;
@@ -24,6 +26,8 @@
         idle: Idle,
         /// When the first bytes of the head arrived.
         begun_at: Instant,
+        /// Bytes of it that have arrived.
+        bytes: usize,
     },
     /// A request is being handled, or its answer is being produced.
     Busy,
@@ -51,51 +55,80 @@
 }
 
 /// Current use of one connection. Clones share it.
-#[derive(Clone, Debug)]
-pub(super) struct Monitor(watch::Sender<Activity>);
+#[derive(Clone)]
+pub(super) struct Monitor {
+    activity: watch::Sender<Activity>,
+    /// The connection, whose phase is recorded for the decision which connections are closed.
+    connection: Connection,
+}
 
 impl Monitor {
     /// Creates the monitor of a connection that has just been opened, under an idle timeout.
-    pub(super) fn new(idle_timeout: Duration) -> Monitor {
+    pub(super) fn new(idle_timeout: Duration, connection: Connection) -> Monitor {
         let idle = Idle { since: clock::now(), min_timeout: idle_timeout };
-        Monitor(watch::Sender::new(Activity::Idle(idle)))
+        Monitor { activity: watch::Sender::new(Activity::Idle(idle)), connection }
+    }
+
+    /// Returns the connection.
+    pub(super) fn connection(&self) -> &Connection {
+        &self.connection
     }
 
     /// Returns the current use of the connection.
     pub(super) fn activity(&self) -> Activity {
-        *self.0.borrow()
+        *self.activity.borrow()
     }
 
     /// Waits until no part of a head has arrived without the rest.
     pub(super) async fn wait_for_head(&self) {
         let is_reading = |activity: &Activity| matches!(activity, Activity::ReadingHead { .. });
         // The sender is not dropped while it is borrowed here.
-        let _ = self.0.subscribe().wait_for(|activity| !is_reading(activity)).await;
+        let _ = self.activity.subscribe().wait_for(|activity| !is_reading(activity)).await;
     }
 
     /// Records that the connection is busy with a request.
     pub(super) fn record_request(&self) {
-        self.0.send_replace(Activity::Busy);
+        self.activity.send_replace(Activity::Busy);
+        self.connection.set_phase(Phase::Running);
     }
 
     /// Records that bytes were received. On an idle connection they are the start of a head.
-    fn record_received(&self) {
-        self.0.send_if_modified(|activity| {
-            let &mut Activity::Idle(idle) = activity else { return false };
-            *activity = Activity::ReadingHead { idle, begun_at: clock::now() };
-            true
+    fn record_received(&self, received: usize) {
+        self.activity.send_if_modified(|activity| match activity {
+            &mut Activity::Idle(idle) => {
+                let begun_at = clock::now();
+                *activity = Activity::ReadingHead { idle, begun_at, bytes: received };
+                self.connection.set_phase(Phase::Head);
+                true
+            }
+            Activity::ReadingHead { bytes, .. } => {
+                *bytes += received;
+                false
+            }
+            Activity::Busy | Activity::Flushing { .. } => false,
         });
     }
 
+    /// Records that the system takes no more bytes of an answer for now.
+    fn record_blocked(&self) {
+        self.connection.set_phase(Phase::Blocked);
+    }
+
+    /// Records that the system took bytes of an answer.
+    fn record_taken(&self) {
+        self.connection.record_taken();
+    }
+
     /// Records that an answer, sent under an idle timeout, has ended.
     fn record_answer_end(&self, idle_timeout: Duration) {
-        self.0.send_replace(Activity::Flushing { idle_timeout });
+        self.activity.send_replace(Activity::Flushing { idle_timeout });
     }
 
     /// Records that everything written so far has reached the socket.
     fn record_flush(&self) {
-        self.0.send_if_modified(|activity| {
+        self.activity.send_if_modified(|activity| {
             let &mut Activity::Flushing { idle_timeout } = activity else { return false };
+            self.connection.set_phase(Phase::Idle);
             *activity = Activity::Idle(Idle { since: clock::now(), min_timeout: idle_timeout });
             true
         });
@@ -147,12 +180,24 @@
 pub(super) struct MonitoredStream {
     tcp: TcpStream,
     monitor: Monitor,
+    /// Whether the system has not taken all bytes of an answer.
+    is_blocked: bool,
 }
 
 impl MonitoredStream {
     /// Monitors the socket of a connection.
     pub(super) fn new(tcp: TcpStream, monitor: Monitor) -> MonitoredStream {
-        MonitoredStream { tcp, monitor }
+        MonitoredStream { tcp, monitor, is_blocked: false }
+    }
+
+    /// Records whether the system took bytes of an answer.
+    fn record_write(&mut self, written: &Poll<io::Result<usize>>) {
+        if written.is_pending() {
+            self.is_blocked = true;
+            self.monitor.record_blocked();
+        } else if self.is_blocked {
+            self.monitor.record_taken();
+        }
     }
 }
 
@@ -164,8 +209,9 @@
     ) -> Poll<io::Result<()>> {
         let filled_before = buffer.filled().len();
         let result = ready!(Pin::new(&mut self.tcp).poll_read(context, buffer));
-        if buffer.filled().len() > filled_before {
-            self.monitor.record_received();
+        let received = buffer.filled().len() - filled_before;
+        if received > 0 {
+            self.monitor.record_received(received);
         }
         Poll::Ready(result)
     }
@@ -177,11 +223,16 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write(context, bytes)
+        let written = Pin::new(&mut self.tcp).poll_write(context, bytes);
+        self.record_write(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let result = ready!(Pin::new(&mut self.tcp).poll_flush(context));
+        if std::mem::take(&mut self.is_blocked) {
+            self.monitor.connection().set_phase(Phase::Running);
+        }
         self.monitor.record_flush();
         Poll::Ready(result)
     }
@@ -195,7 +246,9 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.tcp).poll_write_vectored(context, buffers);
+        self.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/forward/src/mesh/link.rs
+++ b/crates/forward/src/mesh/link.rs
@@ -2,7 +2,7 @@
 //! messages with its state.
 
 use super::{Mesh, read_frames};
-use chestnutrack_process::socket;
+use chestnutrack_process::{intake, socket};
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_wire::Connection;
 use chestnutrack_wire::connection::{self, Error, Receiver, Sender};
@@ -88,12 +88,23 @@
 }
 
 /// Accepts a connection that a peer opened, and reads it until it ends.
-pub(super) async fn accept(mesh: Arc<Mesh>, tcp: TcpStream, address: SocketAddr) {
+pub(super) async fn accept(
+    mesh: Arc<Mesh>,
+    tcp: TcpStream,
+    address: SocketAddr,
+    opened: intake::Connection,
+) {
     if let Err(error) = socket::set_peer_timeout(&tcp, PEER_TIMEOUT) {
         tracing::warn!(%address, %error, "timeout of a peer connection can't be set");
     }
-    match connection::accept(tcp, address, None).await {
-        Ok(connection) => read_frames(&mesh, connection).await,
-        Err(error) => tracing::warn!(%address, %error, "peer connection not accepted"),
+    let reading = async {
+        match connection::accept(tcp, address, None).await {
+            Ok(connection) => read_frames(&mesh, connection, &opened).await,
+            Err(error) => tracing::warn!(%address, %error, "peer connection not accepted"),
+        }
+    };
+    tokio::select! {
+        () = opened.wait_for_eviction() => {}
+        () = reading => {}
     }
 }
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -17,10 +17,12 @@
 use bytes::Bytes;
 use chestnutrack_core::allowance::Report;
 use chestnutrack_core::cell::Cell;
+use chestnutrack_core::intake;
 use chestnutrack_core::origin::Keepers;
 use chestnutrack_core::roster::{self, Roster, Step};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
+use chestnutrack_process::intake::Intake;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_wire::frame::{self, Frame, News};
 use chestnutrack_wire::{Connection, codec};
@@ -551,10 +553,14 @@
 
     /// Accepts peers' connections for the lifetime of the process.
     pub async fn accept(self: Arc<Mesh>, listener: TcpListener) {
+        let bounds =
+            intake::Settings { connections: self.app.settings.peer_connections, request_bytes: 0 };
+        let intake = Intake::new("peers", bounds, Some(self.app.metrics.evictions.clone()));
         loop {
             match listener.accept().await {
                 Ok((tcp, address)) => {
-                    tokio::spawn(link::accept(self.clone(), tcp, address));
+                    let opened = intake.open(address.ip());
+                    tokio::spawn(link::accept(self.clone(), tcp, address, opened));
                 }
                 Err(error) => {
                     tracing::warn!(%error, "peer connection not accepted");
@@ -577,7 +583,11 @@
 
 /// Reads and handles frames from a connection that a peer opened, until it ends. The peer
 /// identifies itself in the first frame.
-async fn read_frames(mesh: &Arc<Mesh>, mut connection: Connection) {
+async fn read_frames(
+    mesh: &Arc<Mesh>,
+    mut connection: Connection,
+    opened: &chestnutrack_process::intake::Connection,
+) {
     let mut sender: Option<frame::Sender> = None;
     while let Ok(frame) = connection.receiver.receive().await {
         match (frame, &sender) {
@@ -589,6 +599,8 @@
             (Frame::Hello { sender: from, .. }, _) => {
                 mesh.add_connecting_host(&from, connection.peer);
                 mesh.inform_keeper(&from.name, from.incarnation);
+                // A peer that has identified itself is not one of a crowd of silent connections.
+                opened.record_served();
                 sender = Some(from);
             }
             (frame, Some(from)) => {
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -17,6 +17,10 @@
     pub requests: IntCounterVec,
     /// Refusals and failures that the router itself answered, by cause.
     pub refusals: IntCounterVec,
+    /// Connections closed, and bodies refused, to keep within this host's resources, by listener and reason.
+    pub evictions: IntCounterVec,
+    /// Bytes that requests of callers hold.
+    pub request_bytes: IntGauge,
     /// Requests whose callers disconnected before an answer.
     pub abandoned: IntCounter,
     /// Failed attempts at backend servers, by kind of failure.
@@ -81,6 +85,12 @@
         Ok(Metrics {
             requests: counters("requests_total", "Requests", &["kind", "status"])?,
             refusals: counters("refusals_total", "Answers of the router's own", &["cause"])?,
+            evictions: counters(
+                "evictions_total",
+                "Connections closed and bodies refused for lack of resources",
+                &["listener", "reason"],
+            )?,
+            request_bytes: gauge("request_bytes", "Bytes that requests of callers hold")?,
             abandoned: counter("abandoned_total", "Callers that left before an answer")?,
             failures: counters("failures_total", "Attempts that failed", &["failure"])?,
             rejected_answers: counters(
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -8,7 +8,9 @@
 use crate::mesh::Mesh;
 use crate::metric::Metrics;
 use crate::stage::Controller;
+use chestnutrack_core::intake;
 use chestnutrack_process::http::{self, ResponseBody};
+use chestnutrack_process::intake::Intake;
 use chestnutrack_process::shutdown;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_process::{admin, pool};
@@ -189,11 +191,16 @@
 
 /// Answers the platform's readiness checks.
 async fn serve_readiness(listener: TcpListener, app: Arc<App>) {
+    let shared_app = app.clone();
     let handle = move |request: Request<Incoming>| {
+        let app = &shared_app;
         let response = answer_readiness(&request, app.dialect.ready_path, app.ready.get());
         async move { response }
     };
-    http::serve(listener, handle).await;
+    let bounds =
+        intake::Settings { connections: app.settings.readiness_connections, request_bytes: 0 };
+    let intake = Intake::new("readiness", bounds, Some(app.metrics.evictions.clone()));
+    http::serve_bounded(listener, intake, handle).await;
 }
 
 /// Returns the answer to a readiness check.
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -5,18 +5,20 @@
 //! the fingerprint of its request when it retries, so that the latency target counts from its first request.
 
 use crate::answer::{Body, Cause, Refusal};
-use crate::app::{App, BodyMemory, Identity};
+use crate::app::{App, Counted, Identity};
 use crate::attempt::{self, Job};
 use crate::config::{Limits, Organisation, Route, Table};
 use crate::dialect::{Generation, RequestHead};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use chestnutrack_core::intake::Phase;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
+use chestnutrack_process::intake::{Connection, Memory};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,12 +30,21 @@
 const CROWDED_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Retry time given to callers of a host that is shutting down: they reach another host.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Memory of one field of a parsed head besides its bytes: an entry of a hash table, and its share of the table's spare
+/// room.
+const FIELD_BYTES: usize = 160;
+/// Smallest capacity for a body that grows, in bytes.
+const BODY_CAPACITY_MIN: usize = 1 << 10;
 /// Logged in place of the identifier of a request that has none.
 const MISSING_ID: &str = "-";
 
 /// Answers a request, with a refusal if no backend server answers it. Logs and counts refusals, and requests whose
 /// callers disconnect.
-pub async fn handle(app: Arc<App>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(
+    app: Arc<App>,
+    request: Request<Incoming>,
+    connection: &Connection,
+) -> Response<Body> {
     let arrived_at = clock::now();
     let (parts, body) = request.into_parts();
     let head = (app.dialect.parse_request_head)(&parts.headers);
@@ -42,13 +53,16 @@
     let version = app.version();
     let guard = AbandonGuard { app: app.clone(), id: id.clone(), arrived_at, is_answered: false };
     let answer = match head {
-        Ok(head) => check_and_serve(app.clone(), arrived_at, parts, body, head).await,
+        Ok(head) => check_and_serve(app.clone(), arrived_at, parts, body, head, connection).await,
         Err(header) => {
             tracing::info!(%id, header, "request header can't be parsed");
             Err(Refusal::new(Cause::BadHead))
         }
     };
     guard.disarm();
+    if answer.is_ok() {
+        connection.record_served();
+    }
     answer.unwrap_or_else(|refusal| {
         let (status, retry_after_ms) =
             (refusal.status().as_u16(), refusal.retry_after.map(|after| after.as_millis() as u64));
@@ -98,6 +112,7 @@
     parts: Parts,
     body: Incoming,
     head: RequestHead,
+    connection: &Connection,
 ) -> Result<Response<Body>, Refusal> {
     let Some(active_config) = app.active_config() else {
         return Err(Refusal::with_retry_after(Cause::Unconfigured, UNCONFIGURED_RETRY_AFTER));
@@ -109,7 +124,8 @@
     let time_limit = head.deadline.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived_at + time_limit;
     check_shutdown(&app, deadline)?;
-    let (body, _memory) = read_body(&app, body, &table.config().limits, time_limit).await?;
+    let body =
+        read_body(connection, &parts.headers, body, &table.config().limits, time_limit).await?;
     // The body may have arrived slowly.
     check_shutdown(&app, deadline)?;
     let owner = organisation.as_ref().map(|owner| &*owner.name);
@@ -215,36 +231,70 @@
     Some(hasher.finish())
 }
 
-/// Reads a request's body within a time limit. Returns it with the reservation for the memory it occupies.
+/// Reads a request's body within a time limit, or until its memory is needed for others. The memory of the body and of
+/// the head is counted until the body is dropped. Refuses a body that states a length over the limit without reading it.
 async fn read_body(
-    app: &App,
+    connection: &Connection,
+    headers: &HeaderMap,
     body: Incoming,
     limits: &Limits,
     time_limit: Duration,
-) -> Result<(Bytes, BodyMemory), Refusal> {
-    let result = timeout(time_limit, collect_body(app, body, limits.body_bytes)).await;
-    result.unwrap_or(Err(Refusal::new(Cause::BodyLate)))
+) -> Result<Bytes, Refusal> {
+    let crowded = || Refusal::with_retry_after(Cause::Crowded, CROWDED_RETRY_AFTER);
+    if body.size_hint().lower() > limits.body_bytes as u64 {
+        return Err(Refusal::new(Cause::TooLarge));
+    }
+    let mut memory = connection.memory();
+    connection.set_phase(Phase::Body);
+    let head_bytes = head_memory(headers);
+    let result = match memory.hold(head_bytes, head_bytes) {
+        true => tokio::select! {
+            biased;
+            () = connection.wait_for_refusal() => Err(crowded()),
+            body = timeout(time_limit, collect_body(memory, body, limits.body_bytes)) => {
+                body.unwrap_or(Err(Refusal::new(Cause::BodyLate)))
+            }
+        },
+        false => Err(crowded()),
+    };
+    connection.set_phase(Phase::Running);
+    result
+}
+
+/// Returns the bytes that the parsed head of a request holds. Short fields take far more memory than they have bytes.
+fn head_memory(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| FIELD_BYTES + name.as_str().len() + value.len()).sum()
 }
 
 /// Reads a body, and reserves memory for each part before it is stored. Refuses a body larger than `max_bytes`, and
-/// any body while the bodies of all requests exceed the limit of this host.
+/// one for which there is no memory.
 async fn collect_body(
-    app: &App,
+    mut memory: Memory,
     mut body: Incoming,
     max_bytes: usize,
-) -> Result<(Bytes, BodyMemory), Refusal> {
-    let mut memory = app.body_memory();
-    let mut buffer = BytesMut::new();
+) -> Result<Bytes, Refusal> {
+    let expected = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
+    let capacity_max = expected.unwrap_or(max_bytes);
+    let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::new(Cause::BodyLate))?;
-        let Ok(bytes) = frame.into_data() else { continue };
-        if buffer.len() + bytes.len() > max_bytes {
+        let Ok(part) = frame.into_data() else { continue };
+        let length = bytes.len() + part.len();
+        if length > max_bytes {
             return Err(Refusal::new(Cause::TooLarge));
         }
-        if !memory.grow(bytes.len(), app.settings.body_bytes) {
+        let mut growth = 0;
+        if length > bytes.capacity() {
+            let doubled = (bytes.capacity() * 2).max(BODY_CAPACITY_MIN);
+            growth = length.max(doubled.min(capacity_max)) - bytes.capacity();
+        }
+        if !memory.hold(part.len(), growth) {
             return Err(Refusal::with_retry_after(Cause::Crowded, CROWDED_RETRY_AFTER));
         }
-        buffer.extend_from_slice(&bytes);
+        if growth > 0 {
+            bytes.reserve_exact(bytes.capacity() + growth - bytes.len());
+        }
+        bytes.extend_from_slice(&part);
     }
-    Ok((buffer.freeze(), memory))
+    Ok(Counted { bytes, memory }.into_bytes())
 }
--- a/crates/process/src/admin.rs
+++ b/crates/process/src/admin.rs
@@ -1,6 +1,8 @@
 //! HTTP server of the admin port: `/livez`, `/readyz`, `/metrics` and the program's own pages.
 
 use crate::http::{self, ResponseBody};
+use crate::intake::Intake;
+use chestnutrack_core::intake;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -8,6 +10,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::net::TcpListener;
 
+/// Most connections of operators that are open at once. Operators and the collector of metrics need a few.
+const CONNECTIONS_MAX: usize = 64;
+
 /// Whether the process is ready to serve. Clones share the state.
 #[derive(Clone, Debug, Default)]
 pub struct Readiness(Arc<AtomicBool>);
@@ -39,7 +44,9 @@
         let response = respond(&request, &registry, &readiness, &page_json);
         async move { response }
     };
-    http::serve(listener, handle).await;
+    let settings = intake::Settings { connections: CONNECTIONS_MAX, request_bytes: 0 };
+    let intake = Intake::new("operators", settings, None);
+    http::serve_bounded(listener, intake, handle).await;
 }
 
 /// Returns the response to a request to the admin port. Paths that this module doesn't serve itself are
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -3,8 +3,10 @@
 #[cfg(test)]
 mod tests;
 
+use crate::intake::Intake;
 use crate::socket;
 use bytes::{Bytes, BytesMut};
+use chestnutrack_core::intake::Phase;
 use displaydoc::Display;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -161,6 +163,41 @@
     }
 }
 
+/// Accepts connections and serves them with `handle` until the process ends. Of too many connections, those that `intake`
+/// evicts are closed.
+pub async fn serve_bounded<H, R>(listener: TcpListener, intake: Intake, handle: H)
+where
+    H: Fn(Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
+    intake.bound_buffers(&listener);
+    loop {
+        let Ok((tcp, peer)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let connection = intake.open(peer.ip());
+        let (handle, observed) = (handle.clone(), connection.clone());
+        let handle = move |request| {
+            observed.set_phase(Phase::Running);
+            let (response, observed) = (handle(request), observed.clone());
+            async move {
+                let response = response.await;
+                // From here the connection counts as idle, though its response may not have been read yet.
+                observed.record_served();
+                observed.set_phase(Phase::Idle);
+                response
+            }
+        };
+        tokio::spawn(async move {
+            tokio::select! {
+                () = connection.wait_for_eviction() => {}
+                () = serve_connection(tcp, handle) => {}
+            }
+        });
+    }
+}
+
 /// Opens a connection within `connect_timeout` and returns its sender with the future that drives it. The
 /// system closes the connection if the peer doesn't respond for `peer_timeout`, if given.
 pub(crate) async fn connect(
--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod header;
 pub mod http;
+pub mod intake;
 pub mod log;
 pub mod pool;
 pub mod settings;
--- a/crates/process/src/socket.rs
+++ b/crates/process/src/socket.rs
@@ -24,3 +24,14 @@
     setsockopt(socket, sockopt::TcpKeepCount, &PROBES)?;
     setsockopt(socket, sockopt::TcpUserTimeout, &millis)
 }
+
+/// Bounds the system's buffers for received and for sent bytes of a socket, or of the connections that a listening
+/// socket accepts. The system may double the size for its own bookkeeping.
+///
+/// # Errors
+///
+/// The system's error if an option can't be set.
+pub fn set_buffers(socket: &impl AsFd, bytes: usize) -> nix::Result<()> {
+    setsockopt(socket, sockopt::RcvBuf, &bytes)?;
+    setsockopt(socket, sockopt::SndBuf, &bytes)
+}
