Streams: records in the store name the build of a stream after all hosts were killed

Cause: which build began a stream was known to hosts only. After all of them were killed at once, each stream that a caller resumed while several builds serve was refused as build_unknown.

Ruled out: one write for each host (780 hosts at 20 writes a second write every 39 s), and one object that is replaced with each batch (1 MiB four times a second). A build derived from the identifier of a stream binds placement.

Change: while several builds may have begun streams, each host tells one of four recorders, found by hash, of its streams. A recorder writes batches of 250 ms to segments, objects of the kind stream-origins, which nobody watches, and uses or deletes them when their streams must have ended. A host reads the records if no keeper knows a stream; searches share a list. The object engine-builds names the epoch of the store in which it was written; in a later epoch its builds are known, but not taken for all.

The test of a stream that nobody knows now loses the record with a restored copy: without that, the stream goes on.

Conclusion: streams of three builds go on after a kill of all hosts, also at a single host, in other cells, after two kills, and with the store away in between; without a record they are refused with a time.

--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -6,6 +6,7 @@
 
 use super::{Dispatch, GenerationKey, Request, Server, ServerKey, Stage, shuffle, stage};
 use crate::forecast::{self, forecast_peak};
+use crate::origin::unlisted_build;
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -353,6 +354,15 @@
         engines.map(|server| (server.entry.service.clone(), server.entry.build.clone()))
     }
 
+    /// Returns the builds of all engines that are listed, with what stood for each until it was listed.
+    pub fn builds_while_unlisted(&self) -> impl Iterator<Item = (Arc<str>, Arc<str>)> {
+        let engines = self.servers.values().filter(|server| server.entry.stage.is_some());
+        engines.filter_map(|server| {
+            let unlisted = unlisted_build(&server.entry.name, server.entry.born?);
+            Some((unlisted, server.entry.build.clone()))
+        })
+    }
+
     /// Chooses the prefill engine that is expected to finish first, excluding those in
     /// `in_progress`, which are already prefilling the prompt. Engines without failures are
     /// preferred. A transfer to a decode engine in another failure domain counts as time.
--- a/crates/core/src/origin/mod.rs
+++ b/crates/core/src/origin/mod.rs
@@ -7,11 +7,15 @@
 //! host knows of streams, [`Builds`] what it knows of the builds that may have begun one.
 
 mod builds;
+#[cfg(test)]
+mod record_tests;
+mod records;
 mod registry;
 #[cfg(test)]
 mod tests;
 
 pub use builds::{Builds, Possible};
+pub use records::{Contents, Record, Recorder, Recorders, Step, StepResult};
 pub use registry::{Known, Origins};
 
 use crate::mix::{hash, mix};
--- a/crates/core/src/origin/registry.rs
+++ b/crates/core/src/origin/registry.rs
@@ -13,6 +13,8 @@
 const PRUNE_MIN: usize = 1 << 10;
 /// Time for which the result of a search for a stream is kept: less than the time after which its caller comes back.
 const SEARCH_RETENTION: Duration = Duration::from_millis(900);
+/// Time for which the store's records are not read again for a stream that they lack.
+const RECORDS_RETENTION: Duration = Duration::from_millis(900);
 
 /// The build that began a stream.
 #[derive(Clone, Debug)]
@@ -28,6 +30,8 @@
     began_at: Instant,
     /// Keepers that have not answered; `None` until they are asked.
     outstanding: Option<usize>,
+    /// Whether the store's records were read, or could not be read, after the keepers had answered.
+    is_read: bool,
 }
 
 /// Result of looking for the build that began a stream.
@@ -48,6 +52,10 @@
     searches: HashMap<Stream, Search>,
     /// Streams whose keepers are to be told.
     untold: Vec<Stream>,
+    /// Whether the store's records are read for streams that no keeper knows.
+    reads_records: bool,
+    /// When the store's records were last read.
+    read_at: Option<Instant>,
     prune_at: usize,
 }
 
@@ -101,14 +109,52 @@
             return Known::Build(build);
         }
         self.searches.retain(|_, search| now.since(search.began_at) < SEARCH_RETENTION);
-        let search =
-            self.searches.entry(stream).or_insert(Search { began_at: now, outstanding: None });
+        let unasked = Search { began_at: now, outstanding: None, is_read: false };
+        let search = *self.searches.entry(stream).or_insert(unasked);
         match search.outstanding {
-            Some(0) => Known::Nowhere,
+            Some(0) if !self.awaits_records(now, search) => Known::Nowhere,
             _ => Known::Pending,
         }
     }
 
+    /// Has the store's records read for streams that no keeper knows.
+    pub fn read_records(&mut self) {
+        self.reads_records = true;
+    }
+
+    /// Returns whether streams are searched for that no keeper knows, so that the store's records are to be read.
+    pub fn needs_records(&self, now: Instant) -> bool {
+        self.searches
+            .values()
+            .any(|search| search.outstanding == Some(0) && self.awaits_records(now, *search))
+    }
+
+    /// Records what the store's records say, as of a list that was requested at `requested_at`; `None` if they could not be
+    /// read. Records that disagree on a stream say nothing of it.
+    pub fn record_stored(&mut self, now: Instant, stored: Option<(Instant, &[OriginReport])>) {
+        for search in self.searches.values_mut().filter(|search| search.outstanding == Some(0)) {
+            search.is_read = true;
+        }
+        let Some((requested_at, reports)) = stored else { return };
+        self.read_at = Some(requested_at);
+        let mut by_stream: HashMap<u64, Option<&OriginReport>> = HashMap::new();
+        for report in reports {
+            by_stream
+                .entry(report.stream)
+                .and_modify(|first| *first = first.filter(|first| first.build == report.build))
+                .or_insert(Some(report));
+        }
+        for report in by_stream.into_values().flatten() {
+            self.record_reports(now, std::slice::from_ref(report));
+        }
+    }
+
+    /// Returns whether the result of a search depends on records that are still to be read.
+    fn awaits_records(&self, now: Instant, search: Search) -> bool {
+        let is_fresh = self.read_at.is_some_and(|at| now.since(at) < RECORDS_RETENTION);
+        self.reads_records && !search.is_read && !is_fresh
+    }
+
     /// Has the keepers of all streams told.
     pub fn tell_all(&mut self) {
         self.untold = self.streams.keys().copied().collect();
@@ -148,7 +194,8 @@
         let report = |stream: Stream| {
             let origin = self.streams.get(&stream).filter(|origin| origin.until > now)?;
             let left_ms = u32::try_from(now.millis_until(origin.until)).unwrap_or(u32::MAX);
-            Some(OriginReport { stream: stream.number(), build: origin.build.clone(), left_ms })
+            let build = origin.build.clone();
+            Some(OriginReport { stream: stream.number(), build, left_ms, record: false })
         };
         streams.into_iter().filter_map(report).collect()
     }
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -120,7 +120,12 @@
 #[test]
 fn a_search_ends_when_a_keeper_knows_or_all_have_answered() {
     let mut origins = Origins::default();
-    let known = OriginReport { stream: stream(2).number(), build: "v1".into(), left_ms: 5_000 };
+    let known = OriginReport {
+        stream: stream(2).number(),
+        build: "v1".into(),
+        left_ms: 5_000,
+        record: false,
+    };
     assert_eq!(origins.find(NOW, stream(1)), Known::Pending);
     assert_eq!(origins.find(NOW, stream(2)), Known::Pending);
     assert_eq!(origins.unasked().len(), 2);
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -11,6 +11,7 @@
 mod origin;
 mod place;
 mod quarantine;
+pub(crate) mod records;
 
 pub use admission::{Admission, Target};
 pub use body::BodyMemory;
@@ -28,7 +29,7 @@
     self, Change, Dispatch, Entry, LimitChange, Outcome, RefusedCallers, ServerKey, Stage,
 };
 use chestnutrack_core::limit::Quota;
-use chestnutrack_core::origin::{Builds, Origins, unlisted_build};
+use chestnutrack_core::origin::{Builds, Origins, Recorder, unlisted_build};
 use chestnutrack_core::quarantine::Quarantine;
 use chestnutrack_core::retry::Budget;
 use chestnutrack_core::roster;
@@ -146,6 +147,10 @@
     pub(crate) origins_due: Notify,
     /// Wakes those that wait to know which build began a stream.
     origins_changed: Notify,
+    /// Notified when this host has builds of streams to write to the store.
+    pub(crate) records_due: Notify,
+    /// Notified when builds of streams may have to be read from the store.
+    pub(crate) records_wanted: Notify,
     /// Whether this host is about to give orders to engines.
     pub orders_pending: AtomicBool,
     active_config: Mutex<Option<Arc<ActiveConfig>>>,
@@ -174,6 +179,8 @@
     builds: Builds,
     /// Builds that began streams.
     origins: Origins,
+    /// Builds of streams that this host writes to the store.
+    recorder: Recorder,
     pools: SecondaryMap<ServerKey, Pool>,
     retry_budgets: HashMap<Arc<str>, Budget>,
     refused_callers: RefusedCallers,
@@ -200,6 +207,7 @@
             quarantine: Quarantine::default(),
             builds: Builds::new(settings.is_fleet_first_start),
             origins: Origins::default(),
+            recorder: Recorder::default(),
             pools: SecondaryMap::new(),
             retry_budgets: HashMap::new(),
             refused_callers: RefusedCallers::default(),
@@ -220,6 +228,8 @@
             request_queued: Notify::new(),
             origins_due: Notify::new(),
             origins_changed: Notify::new(),
+            records_due: Notify::new(),
+            records_wanted: Notify::new(),
             active_config: Mutex::default(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -120,7 +120,10 @@
             match known {
                 Known::Build(build) => return Some(build),
                 Known::Nowhere => return None,
-                Known::Pending => self.origins_due.notify_one(),
+                Known::Pending => {
+                    self.origins_due.notify_one();
+                    self.records_wanted.notify_one();
+                }
             }
             timeout_at(deadline, changed).await.ok()?;
         }
@@ -145,7 +148,7 @@
         }
     }
 
-    fn count_origins(&self, state: &State) {
+    pub(super) fn count_origins(&self, state: &State) {
         let count = state.origins.streams().len();
         self.metrics.origins.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
--- a/crates/forward/src/follow/builds.rs
+++ b/crates/forward/src/follow/builds.rs
@@ -2,11 +2,12 @@
 //! them.
 //!
 //! The object is of the kind of the hosts' entries, which every host watches already. It is written when a build is listed
-//! for the first time, and when the last streams of one that is no longer listed must have ended.
+//! for the first time, after the store was restored from a copy, and when the last streams of one that is no longer listed must have ended.
 
 use crate::app::ServiceBuilds;
 use crate::mesh::Mesh;
 use chestnutrack_store::client::Client;
+use chestnutrack_store::epoch;
 use chestnutrack_store::object::Object;
 use chestnutrack_wire::frame::BuildReport;
 use serde::{Deserialize, Serialize};
@@ -21,6 +22,10 @@
 struct Entry {
     /// Builds of each service.
     services: ServiceBuilds,
+    /// Epoch of the store in which the object was written. In a store that was restored from a copy since, it may lack
+    /// builds that have begun streams.
+    #[serde(default)]
+    epoch: u64,
 }
 
 /// The object in the store as this host last read or wrote it, with its version; 0 if there is none.
@@ -58,7 +63,7 @@
         };
         match value.map(serde_json::from_value::<Entry>).transpose() {
             Ok(Some(entry)) => {
-                self.record(&entry);
+                self.record(&entry, epoch::of(version));
                 *self.stored() = Stored { version, entry };
             }
             Ok(None) => *self.stored() = Stored::default(),
@@ -69,8 +74,9 @@
         }
     }
 
-    /// Records builds that served before this host started, unless it knows them.
-    fn record(&self, entry: &Entry) {
+    /// Records builds that served before this host started, unless it knows them. `store_epoch` is the epoch in which the
+    /// object was read.
+    fn record(&self, entry: &Entry, store_epoch: u64) {
         if self.mesh.app().recent_builds().is_some() {
             return;
         }
@@ -84,20 +90,24 @@
             builds.iter().map(report)
         });
         let reports: Vec<BuildReport> = reports.collect();
-        tracing::info!(builds = reports.len(), "builds read from the store");
-        self.mesh.app().record_builds(&reports, true);
+        let is_complete = entry.epoch == store_epoch;
+        let builds = reports.len();
+        tracing::info!(builds, is_complete, epoch = entry.epoch, "builds read from the store");
+        self.mesh.app().record_builds(&reports, is_complete);
     }
 
     /// Writes the object if it lacks a build or names one whose streams have ended, and this host is the first of the
     /// fleet's first cell that the store answers.
     pub(super) async fn write_changes(&self) {
         let (cell, _) = self.mesh.app().cell().index_and_count();
-        let Some(services) = self.mesh.app().recent_builds().filter(|services| {
-            cell == 0 && self.mesh.rank() == Some(0) && *services != self.stored().entry.services
+        let epoch = self.client.epoch();
+        let recent = self.mesh.app().recent_builds().map(|services| Entry { services, epoch });
+        let Some(entry) = recent.filter(|entry| {
+            cell == 0 && self.mesh.rank() == Some(0) && *entry != self.stored().entry
         }) else {
             return;
         };
-        let (version, entry) = (self.stored().version, Entry { services });
+        let version = self.stored().version;
         match self.client.replace(self.kind, NAME, version, &json!(entry)).await {
             Ok(version) => {
                 tracing::info!(name = NAME, version, "builds written");
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -9,8 +9,10 @@
 mod builds;
 mod hosts;
 mod patterns;
+mod records;
 
 pub use hosts::{Host, Registration};
+pub use records::OriginRecords;
 
 use crate::app::App;
 use crate::config::Config;
@@ -87,6 +89,8 @@
     pub hosts_kind: &'static str,
     /// Kind of the objects that hold the leases for giving orders to engines.
     pub leases_kind: &'static str,
+    /// Kind of the objects that hold which builds began streams. No host watches it.
+    pub origins_kind: &'static str,
 }
 
 /// Keeps the configuration and the list of backend servers up to date, and answers peers about
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use chestnutrack_core::allowance::Report;
 use chestnutrack_core::cell::Cell;
-use chestnutrack_core::origin::Keepers;
+use chestnutrack_core::origin::{Keepers, Recorders};
 use chestnutrack_core::roster::{self, Roster, Step};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
@@ -57,8 +57,8 @@
     newest_gossip: watch::Sender<Bytes>,
     /// All other hosts.
     hosts: Mutex<BTreeMap<Arc<str>, Host>>,
-    /// All other hosts, as keepers of streams.
-    keepers: Mutex<Arc<Keepers>>,
+    /// All other hosts, as keepers of streams, and all hosts, as recorders.
+    keepers: Mutex<Arc<(Keepers, Recorders)>>,
     /// The hosts of this host's cell, to which it keeps connections.
     peers: Mutex<HashMap<Arc<str>, Peer>>,
     /// Which peers are reachable. Where both are locked, `peers` is locked first.
@@ -88,6 +88,7 @@
     /// Creates a mesh without peers. Every host listens for its peers on the same port.
     pub fn new(app: Arc<App>, follower: Arc<Follower>, port: u16) -> Arc<Mesh> {
         let newest_gossip = watch::Sender::new(Bytes::new());
+        let recorders = Recorders::new([app.settings.name.clone()]);
         let roster = Roster::new(app.settings.name.clone(), app.settings.roster);
         Arc::new(Mesh {
             app,
@@ -95,7 +96,7 @@
             port,
             newest_gossip,
             hosts: Mutex::default(),
-            keepers: Mutex::default(),
+            keepers: Mutex::new(Arc::new((Keepers::default(), recorders))),
             peers: Mutex::default(),
             roster: Mutex::new(roster),
             was_isolated: AtomicBool::new(false),
@@ -144,7 +145,8 @@
             }
         }
         if is_changed || hosts.len() != known {
-            self.set_keepers(Keepers::new(hosts.keys().cloned()));
+            let all = hosts.keys().cloned().chain([self.app.settings.name.clone()]);
+            self.set_keepers(Keepers::new(hosts.keys().cloned()), Recorders::new(all));
         }
         drop(hosts);
         self.connect_cell();
@@ -320,6 +322,7 @@
             }
             Frame::Origins { known, unknown } => {
                 self.app.record_origins(&known, &unknown);
+                self.app.record_for_store(&known);
                 None
             }
             Frame::WantOrigins(streams) => {
--- a/crates/forward/src/mesh/origins.rs
+++ b/crates/forward/src/mesh/origins.rs
@@ -4,7 +4,7 @@
 //! it has something to tell or to ask.
 
 use super::{Mesh, link};
-use chestnutrack_core::origin::{Keepers, Stream};
+use chestnutrack_core::origin::{Keepers, Recorders, Stream};
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_wire::Connection;
 use chestnutrack_wire::frame::{Frame, OriginReport};
@@ -23,6 +23,9 @@
 /// First and longest pause before a connection to a keeper is retried.
 const RETRY_PAUSE_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(2_000));
+/// Time for which reports are gathered for the hosts that write records to the store, for each host of the fleet: each of
+/// them gets at most 1,000 messages a second, whatever the size of the fleet.
+const RECORDER_PAUSE_PER_HOST: Duration = Duration::from_millis(1);
 /// Messages that wait for a connection to a keeper at most.
 const QUEUED_MAX: usize = 64;
 /// Largest number of streams in a frame.
@@ -33,6 +36,8 @@
 pub(super) struct Couriers {
     /// Messages for each host that is connected or being connected to.
     messages: HashMap<Arc<str>, mpsc::Sender<Vec<OriginReport>>>,
+    /// Reports that the hosts which write records to the store have not been told.
+    unrecorded: Vec<OriginReport>,
     /// Process of each host that was told all that it keeps.
     informed: HashMap<Arc<str>, u64>,
 }
@@ -55,12 +60,13 @@
         }
     }
 
-    /// Sets the hosts among which the keepers of streams are found.
-    pub(super) fn set_keepers(&self, keepers: Keepers) {
-        *self.keepers.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(keepers);
+    /// Sets the hosts among which the keepers of streams are found, and those that write them to the store.
+    pub(super) fn set_keepers(&self, keepers: Keepers, recorders: Recorders) {
+        let keepers = Arc::new((keepers, recorders));
+        *self.keepers.lock().unwrap_or_else(PoisonError::into_inner) = keepers;
     }
 
-    fn keepers(&self) -> Arc<Keepers> {
+    fn keepers(&self) -> Arc<(Keepers, Recorders)> {
         self.keepers.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
@@ -73,18 +79,54 @@
         let keepers = self.keepers();
         let mut by_keeper: BTreeMap<Arc<str>, Vec<T>> = BTreeMap::new();
         for item in items {
-            for keeper in keepers.of(stream(item)) {
+            for keeper in keepers.0.of(stream(item)) {
                 by_keeper.entry(keeper.clone()).or_default().push(item.clone());
             }
         }
         by_keeper
     }
 
-    /// Tells the keepers of streams which builds began them.
+    /// Tells the keepers of streams which builds began them, and has them written to the store.
     fn tell_keepers(self: &Arc<Mesh>, reports: Vec<OriginReport>) {
+        if reports.is_empty() {
+            return;
+        }
         for (keeper, reports) in self.by_keeper(&reports, |report| report.stream.into()) {
             self.send_origins(&keeper, reports);
         }
+        let is_first = {
+            let mut couriers = self.couriers();
+            let is_first = couriers.unrecorded.is_empty();
+            couriers.unrecorded.extend(reports);
+            is_first
+        };
+        if is_first {
+            tokio::spawn(self.clone().tell_recorders());
+        }
+    }
+
+    /// Tells the hosts that write records to the store of the streams that are gathered until then.
+    async fn tell_recorders(self: Arc<Mesh>) {
+        let hosts = u32::try_from(self.other_host_count() + 1).unwrap_or(u32::MAX);
+        let gathering_time = RECORDER_PAUSE_PER_HOST.saturating_mul(hosts);
+        sleep(gathering_time).await;
+        let reports = std::mem::take(&mut self.couriers().unrecorded);
+        let gathering_ms = u32::try_from(gathering_time.as_millis()).unwrap_or(u32::MAX);
+        let keepers = self.keepers();
+        let mut by_recorder: BTreeMap<&Arc<str>, Vec<OriginReport>> = BTreeMap::new();
+        for report in reports {
+            let Some(recorder) = keepers.1.of(report.stream.into()) else { continue };
+            let left_ms = report.left_ms.saturating_sub(gathering_ms);
+            let report = OriginReport { left_ms, record: true, ..report };
+            by_recorder.entry(recorder).or_default().push(report);
+        }
+        for (recorder, reports) in by_recorder {
+            if *recorder == self.app.settings.name {
+                self.app.record_for_store(&reports);
+            } else {
+                self.send_origins(recorder, reports);
+            }
+        }
     }
 
     /// Tells a host whose process `incarnation` has not been seen before of all streams that it keeps.
@@ -101,10 +143,16 @@
         }
     }
 
-    /// Returns what this host knows of the streams that a host keeps.
+    /// Returns what this host knows of the streams that a host keeps or writes to the store.
     fn kept_by(&self, name: &Arc<str>) -> Vec<OriginReport> {
         let keepers = self.keepers();
-        self.app.kept_origins(|stream| keepers.of(stream).any(|keeper| keeper == name))
+        let (keepers, recorders) = &*keepers;
+        let is_recorder = |stream| recorders.of(stream) == Some(name);
+        let is_kept =
+            |stream| is_recorder(stream) || keepers.of(stream).any(|keeper| keeper == name);
+        let mut kept = self.app.kept_origins(is_kept);
+        kept.iter_mut().for_each(|report| report.record = is_recorder(report.stream.into()));
+        kept
     }
 
     /// Sends reports to a host, and connects to it if necessary. They are dropped if the connection is not fast enough.
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -43,6 +43,10 @@
     pub quarantined: IntGauge,
     /// Streams of which this host knows the build.
     pub origins: IntGauge,
+    /// Calls to the store about the builds of streams, by outcome.
+    pub record_calls: IntCounterVec,
+    /// Streams whose builds were not written to the store, since there were too many.
+    pub records_dropped: IntCounter,
     /// Backend servers listed.
     pub servers: IntGauge,
     /// Reachable peers.
@@ -98,6 +102,15 @@
             store_age: register(registry, prometheus::IntGaugeVec::new(store_age, &["kind"])?)?,
             quarantined: gauge("quarantined", "Patterns of prompts in quarantine")?,
             origins: gauge("stream_builds", "Streams of which this host knows the build")?,
+            record_calls: counters(
+                "stream_build_records_total",
+                "Calls to the store about the builds of streams",
+                &["outcome"],
+            )?,
+            records_dropped: counter(
+                "stream_build_records_dropped_total",
+                "Builds of streams not written, beyond the limit",
+            )?,
             servers: gauge("servers", "Backend servers listed")?,
             peers: gauge("peers", "Peers heard lately")?,
             reserved_per_mille: gauge(
--- a/crates/forward/src/native/mod.rs
+++ b/crates/forward/src/native/mod.rs
@@ -67,6 +67,7 @@
     server,
     hosts_kind: "entry-hosts",
     leases_kind: "entry-leases",
+    origins_kind: "stream-origins",
 };
 
 /// Body of an engine's answer to a prefill.
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -3,7 +3,7 @@
 
 use crate::app::{self, App};
 use crate::dialect::Dialect;
-use crate::follow::{Directory, Follower, Host, Registration};
+use crate::follow::{Directory, Follower, Host, OriginRecords, Registration};
 use crate::listener::{self, DrainTimes};
 use crate::mesh::Mesh;
 use crate::metric::Metrics;
@@ -118,6 +118,8 @@
         Registration::new(client.clone(), hosts_kind, name.clone(), host, mesh.clone());
     let registration_task = tokio::spawn(registration.clone().maintain(timer.clone()));
     tokio::spawn(registration.clone().follow(timer.clone()));
+    let origins_kind = protocol.directory.origins_kind;
+    tokio::spawn(OriginRecords::new(client.clone(), origins_kind, mesh.clone()).run());
     let leases_kind = protocol.directory.leases_kind;
     tokio::spawn(
         Controller::new(app.clone(), mesh.clone(), client.clone(), leases_kind).run(timer.clone()),
--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -6,7 +6,7 @@
 };
 use crate::fixture::caller::{Answer, call, connect, generation};
 use crate::fixture::fleet::Fleet;
-use crate::fixture::store::{HOSTS, host_at, register, start_store};
+use crate::fixture::store::{HOSTS, control, host_at, register, start_store};
 use crate::fixture::{Host, decode, host, host_with_settings, prefill, settings, wait_until};
 use chestnutrack_core::dispatch::{Change, Entry};
 use chestnutrack_core::origin::{Keepers, Stream};
@@ -26,7 +26,7 @@
 
 /// What an engine does with a stream that it begins. One that it continues it completes.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Begin {
+pub(crate) enum Begin {
     Complete,
     /// Resets the connection after two events.
     Break,
@@ -35,7 +35,7 @@
 }
 
 /// Starts an engine whose events name its build.
-async fn engine(build: &'static str, begin: Begin) -> Backend {
+pub(crate) async fn engine(build: &'static str, begin: Begin) -> Backend {
     Backend::start(move |request| stream(request, build, begin)).await
 }
 
@@ -55,12 +55,12 @@
 }
 
 /// Returns the entry of a decode engine of a build.
-fn decode_of(build: &str, name: &str, backend: &Backend) -> Entry {
+pub(crate) fn decode_of(build: &str, name: &str, backend: &Backend) -> Entry {
     Entry { build: build.into(), ..decode(name, backend) }
 }
 
 /// Starts a prefill engine and a decode engine of each of two builds, whose streams hang, and returns their entries.
-async fn two_builds() -> ([Backend; 3], [Entry; 3]) {
+pub(crate) async fn two_builds() -> ([Backend; 3], [Entry; 3]) {
     let prefiller = Backend::start(answer_prefill).await;
     let (first, second) = (engine("v1", Begin::Hang).await, engine("v2", Begin::Hang).await);
     let servers = [
@@ -77,24 +77,24 @@
 }
 
 /// Returns the builds that wrote the events of an answer.
-fn builds(answer: &Answer) -> BTreeSet<&str> {
+pub(crate) fn builds(answer: &Answer) -> BTreeSet<&str> {
     let lines = answer.body.lines().filter_map(|line| line.strip_prefix("data: "));
     lines.filter_map(|data| data.split(' ').next()).collect()
 }
 
 /// Returns a request for a stream.
-fn beginning(id: &str) -> String {
+pub(crate) fn beginning(id: &str) -> String {
     generation("/recap/7").replace("request: r1", &format!("request: {id}"))
 }
 
 /// Returns a request that resumes the stream that request `began` began, after its second event.
-fn resuming(id: &str, began: &str) -> String {
+pub(crate) fn resuming(id: &str, began: &str) -> String {
     let headers = format!("last-event-id: 2\r\nx-chestnutrack-resumes: {began}\r\ncontent-length");
     beginning(id).replacen("content-length", &headers, 1)
 }
 
 /// Begins a stream at a host and reads until its second event. Returns its build, and the connection.
-async fn begin(address: std::net::SocketAddr, id: &str) -> (String, TcpStream) {
+pub(crate) async fn begin(address: std::net::SocketAddr, id: &str) -> (String, TcpStream) {
     let mut connection = connect(address).await;
     connection.write_all(beginning(id).as_bytes()).await.unwrap();
     let mut bytes = Vec::new();
@@ -109,7 +109,7 @@
     }
 }
 
-fn is_refused_with_time(answer: &Answer) -> bool {
+pub(crate) fn is_refused_with_time(answer: &Answer) -> bool {
     answer.status == 503 && answer.header("retry-after").is_some()
 }
 
@@ -285,13 +285,17 @@
     assert_eq!((answer.status, builds(&answer)), (200, BTreeSet::from([&*build])), "{answer:?}");
 }
 
-// Guards against a stream of which no host knows which build began it, and that goes on at any.
+// Guards against a stream of which neither a host nor the store knows which build began it, and that goes on at any.
 #[tokio::test]
 async fn a_stream_of_which_nobody_knows_the_build_is_refused_at_once_while_several_serve() {
     let (_backends, servers) = two_builds().await;
     let mut fleet = Fleet::start(3, &servers).await;
+    control(fleet.store, "copy").await;
     let (_, connection) = begin(fleet.address(0), "a1").await;
     fleet.until_told(1).await;
+    (0..3).for_each(|host| fleet.members[host].kill());
+    // A record that was written in time is lost.
+    control(fleet.store, "restore").await;
     fleet.restart(0..3).await;
     fleet.until_connected().await;
     drop(connection);
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -17,6 +17,7 @@
 mod plain;
 mod shutdown;
 mod silence;
+mod stored_builds;
 mod streams;
 mod takeover;
 mod throttling;
--- a/crates/forward/tests/forward/peers.rs
+++ b/crates/forward/tests/forward/peers.rs
@@ -22,6 +22,7 @@
     server: |_, _| Err("none".to_owned()),
     hosts_kind: "hosts",
     leases_kind: "leases",
+    origins_kind: "origins",
 };
 
 /// Starts a mesh without peers that never calls the store. Returns it and its address.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -365,6 +365,9 @@
     pub build: Arc<str>,
     /// Time within which the stream ends, in milliseconds.
     pub left_ms: u32,
+    /// Whether the receiver is to write the report to the store.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub record: bool,
 }
 
 /// A build whose engines serve or have served.
