--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -10,8 +10,10 @@
 mod evacuations;
 mod hosts;
 mod patterns;
+mod records;
 
 pub use hosts::{Host, Registration};
+pub use records::OriginRecords;
 
 use crate::app::App;
 use crate::config::Config;
@@ -90,6 +92,8 @@
     pub leases_kind: &'static str,
     /// Kind of the objects that evacuate the failure domains whose names they have.
     pub evacuations_kind: &'static str,
+    /// Kind of the objects that hold which builds began streams. No host watches it.
+    pub origins_kind: &'static str,
 }
 
 /// Keeps the configuration and the list of backend servers up to date, and answers peers about
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -55,6 +55,10 @@
     pub evacuated_domains: IntGauge,
     /// Requests of this host in flight at servers of evacuated failure domains.
     pub evacuated_in_flight: IntGauge,
+    /// Calls to the store about the builds of streams, by outcome.
+    pub record_calls: IntCounterVec,
+    /// Streams whose builds were not written to the store, since there were too many.
+    pub records_dropped: IntCounter,
     /// Backend servers listed.
     pub servers: IntGauge,
     /// Reachable peers.
@@ -130,6 +134,15 @@
                 "evacuated_in_flight",
                 "Requests in flight at servers of evacuated failure domains",
             )?,
+            record_calls: counters(
+                "stream_build_records_total",
+                "Calls to the store about the builds of streams",
+                &["outcome"],
+            )?,
+            records_dropped: counter(
+                "stream_build_records_dropped_total",
+                "Builds of streams not written, beyond the limit",
+            )?,
             servers: gauge("servers", "Backend servers listed")?,
             peers: gauge("peers", "Peers heard lately")?,
             reserved_per_mille: gauge(
--- a/crates/forward/src/native/mod.rs
+++ b/crates/forward/src/native/mod.rs
@@ -69,6 +69,7 @@
     hosts_kind: "entry-hosts",
     leases_kind: "entry-leases",
     evacuations_kind: "evacuations",
+    origins_kind: "stream-origins",
 };
 
 /// Body of an engine's answer to a prefill.
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -18,6 +18,7 @@
 mod plain;
 mod shutdown;
 mod silence;
+mod stored_builds;
 mod streams;
 mod takeover;
 mod throttling;
--- a/crates/forward/tests/forward/peers.rs
+++ b/crates/forward/tests/forward/peers.rs
@@ -23,6 +23,7 @@
     hosts_kind: "hosts",
     leases_kind: "leases",
     evacuations_kind: "evacuations",
+    origins_kind: "origins",
 };
 
 /// Starts a mesh without peers that never calls the store. Returns it and its address.
