Roster, allowances: a refused connection proves nothing, and nothing is debited twice

Cause: the mesh took a refused connection for the end of the peer's process and reserved nothing for it, and the roster counted such a peer as contacted. A partition that answers with resets therefore left both sides the whole allowance. Removing a peer also forgot what had been debited of it, so that all its spending since its start was debited again when it came back; and what it spent while its share was reserved was debited beside the reserve.

Ruled out: marking a peer unreachable as soon as its address refuses. Its gossip may still arrive on its own connection, and the silent partition of 1.5 s is within the tolerance already. Removal by a host that all others refuse: they may be the majority, which spends without the store.

Change: a refused connection only moves duties (orders, removal of lost hosts) to others and forgets the reported load; the share stays reserved until a restart, the end of the entry, or removal as lost. Exactly half of the hosts may remove the other half while the store confirms it, since those need the confirmation too. The test that took refused connections for contact is replaced by its opposite.

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -4,7 +4,8 @@
 //! spending of its peers (the other hosts of its cell) when their reports arrive, so a request is refused only
 //! when the fleet as a whole has no tokens left. The spending of an unreachable peer is unknown: until the
 //! peer is reachable again, an equal share of the rate is reserved for it, and the burst is reduced by the
-//! same share.
+//! same share. When it reports again, what it has spent is set off against what was reserved, and only the rest
+//! is debited.
 //!
 //! An allowance is also bounded by a sliding window, in which no more is spent than the rate and the burst
 //! allow. Within the window, the bucket admits bursts of requests but keeps an organisation from spending
@@ -22,12 +23,14 @@
 //! fleet copies the accounts of a peer. If no host knows what was spent, the bucket starts empty; the
 //! spending in a window may then exceed the limit by the tokens that accrue beyond the burst.
 
+mod ledger;
 #[cfg(test)]
 mod tests;
 mod window;
 
 use crate::limit::Quota;
 use crate::time::Instant;
+use ledger::Ledgers;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -87,14 +90,13 @@
     window: Window,
 }
 
-/// What this host knows of a peer's spending.
+/// Another host that spends.
 #[derive(Clone, Debug, Default)]
 struct Peer {
-    incarnation: u64,
-    /// The peer's total spending according to its last report. Only changes of it are debited or refunded.
-    spent: Spent,
-    /// Whether the peer's reports don't arrive, so that its share is reserved.
-    unreachable: bool,
+    /// Incarnation of the process that reported last; `None` before the first report.
+    incarnation: Option<u64>,
+    /// Since when the peer's reports haven't arrived, so that its share is reserved, and that share of each rate.
+    reserved_since: Option<(Instant, f64)>,
     last_report: Instant,
 }
 
@@ -105,6 +107,8 @@
     buckets: HashMap<Arc<str>, Bucket>,
     own_spent: Spent,
     peers: HashMap<Arc<str>, Peer>,
+    /// What has been debited of the spending of peers' processes, also of those that have left.
+    ledgers: Ledgers,
     /// Number of hosts in other cells, which spend their own part.
     other_cell_hosts: usize,
     /// Whether new buckets start full.
@@ -148,6 +152,7 @@
             buckets: HashMap::new(),
             own_spent: Spent::new(),
             peers: HashMap::new(),
+            ledgers: Ledgers::default(),
             other_cell_hosts: 0,
             starts_full: first_start,
             history_known: first_start,
@@ -259,7 +264,8 @@
 
     /// Returns the tokens of an organisation that a peer has spent according to its last report.
     pub fn peer_spent(&self, peer: &str, organisation: &str) -> Option<i64> {
-        self.peers.get(peer)?.spent.get(organisation).copied()
+        let (name, peer) = self.peers.get_key_value(peer)?;
+        self.ledgers.get(name, peer.incarnation?)?.debited.get(organisation).copied()
     }
 
     /// Forgets what this host has spent of an allowance that will not come back.
@@ -336,32 +342,37 @@
     }
 
     /// Records a peer's report, debits what the peer has spent since its previous report, and marks the peer
-    /// reachable.
+    /// reachable. A report that was overtaken by a later one changes nothing.
     pub fn record_report(&mut self, now: Instant, peer_name: &Arc<str>, report: Report) {
-        let (reserved_share, accrual_time) = (self.reserved_share(), self.settings.accrual_time);
-        let started_earlier = now - report.age < self.started;
-        let peer = self.peers.entry(peer_name.clone()).or_default();
-        if peer.incarnation != report.incarnation {
-            // The earlier spending of a peer that started before this host doesn't concern a bucket that
-            // started empty.
-            let spent = if started_earlier { report.spent.clone() } else { Spent::new() };
-            *peer = Peer {
-                incarnation: report.incarnation,
-                spent,
-                unreachable: false,
-                last_report: now,
-            };
+        let (reserved_share, settings) = (self.reserved_share(), self.settings);
+        let Report { incarnation, age, spent } = report;
+        let is_known = self.ledgers.get(peer_name, incarnation).is_some();
+        // The earlier spending of a peer that started before this host doesn't concern a bucket that
+        // started empty.
+        let started_earlier = now - age < self.started;
+        let initial = || if started_earlier { spent.clone() } else { Spent::new() };
+        if self.ledgers.record(now, (peer_name, incarnation), age, initial).is_none() {
+            return;
         }
-        (peer.unreachable, peer.last_report) = (false, now);
-        peer.spent.retain(|organisation, _| report.spent.contains_key(organisation));
-        for (organisation, total) in report.spent {
-            let previous_total = peer.spent.insert(organisation.clone(), total).unwrap_or(0);
-            if let Some(bucket) = self.buckets.get_mut(&organisation) {
-                bucket.refill(now, reserved_share, accrual_time);
-                match total - previous_total {
-                    increase @ 0.. => bucket.spend(now, increase as f64),
-                    decrease => bucket.refund(-decrease as f64, accrual_time),
-                }
+        self.stop_reserving(now, peer_name);
+        let peer = self.peers.entry(peer_name.clone()).or_default();
+        (peer.incarnation, peer.last_report) = (Some(incarnation), now);
+        let Some(ledger) = self.ledgers.get_mut(peer_name, incarnation) else { return };
+        let reserved_s = ledger.take_reserved_seconds();
+        let spent_since = if is_known { ledger.last_report } else { now - age };
+        ledger.last_report = now;
+        ledger.debited.retain(|organisation, _| spent.contains_key(organisation));
+        for (organisation, total) in spent {
+            let previous_total = ledger.debited.insert(organisation.clone(), total).unwrap_or(0);
+            let Some(bucket) = self.buckets.get_mut(&organisation) else { continue };
+            bucket.refill(now, reserved_share, settings.accrual_time);
+            let change = total.saturating_sub(previous_total);
+            if change < 0 {
+                bucket.refund(change.unsigned_abs() as f64, settings.accrual_time);
+            } else if is_known && reserved_s <= 0.0 {
+                bucket.spend(now, change as f64);
+            } else {
+                bucket.debit_unheard(now, change as f64, reserved_s, spent_since, &settings);
             }
         }
     }
@@ -369,7 +380,11 @@
     /// Marks a peer as unreachable. It may still be spending, so its share is reserved.
     pub fn mark_unreachable(&mut self, now: Instant, peer_name: &Arc<str>) {
         let reserved_before = self.reserved_share();
-        self.peers.entry(peer_name.clone()).or_default().unreachable = true;
+        self.peers.entry(peer_name.clone()).or_default();
+        let share = 1.0 / self.host_count() as f64;
+        if let Some(peer) = self.peers.get_mut(peer_name) {
+            peer.reserved_since.get_or_insert((now, share));
+        }
         self.cap_levels(now, reserved_before);
     }
 
@@ -378,14 +393,30 @@
     fn mark_timed_out_peers(&mut self, now: Instant) {
         let Some(unreachable_after) = self.settings.unreachable_after else { return };
         let reserved_before = self.reserved_share();
+        let share = 1.0 / self.host_count() as f64;
         for peer in self.peers.values_mut() {
-            peer.unreachable |= now.since(peer.last_report) >= unreachable_after;
+            if now.since(peer.last_report) >= unreachable_after {
+                peer.reserved_since.get_or_insert((now, share));
+            }
         }
         if self.reserved_share() > reserved_before {
             self.cap_levels(now, reserved_before);
         }
     }
 
+    /// Stops to reserve a peer's share, and records for how long it was reserved.
+    fn stop_reserving(&mut self, now: Instant, peer_name: &Arc<str>) {
+        let host_count = self.host_count() as f64;
+        let Some(peer) = self.peers.get_mut(peer_name) else { return };
+        let (Some((since, share)), incarnation) = (peer.reserved_since.take(), peer.incarnation)
+        else {
+            return;
+        };
+        if let Some(ledger) = incarnation.and_then(|it| self.ledgers.get_mut(peer_name, it)) {
+            ledger.add_reserved_time(now.since(since), share.min(1.0 / host_count));
+        }
+    }
+
     /// Sets when this host must stop spending; `None` for never. The other hosts may have taken over the
     /// share of a host that is isolated.
     pub fn set_spend_until(&mut self, spend_until: Option<Instant>) {
@@ -409,12 +440,14 @@
         }
     }
 
-    /// Removes a peer whose process is known to be gone, so that it spends nothing.
+    /// Removes a peer that is known to spend nothing more. What has been debited of its spending is kept for when it
+    /// comes back.
     pub fn remove_peer(&mut self, now: Instant, peer_name: &Arc<str>) {
         let (reserved_share, accrual_time) = (self.reserved_share(), self.settings.accrual_time);
         self.buckets
             .values_mut()
             .for_each(|bucket| bucket.refill(now, reserved_share, accrual_time));
+        self.stop_reserving(now, peer_name);
         self.peers.remove(peer_name);
     }
 
@@ -427,8 +460,8 @@
     /// Returns the share of each rate that is reserved for unreachable hosts and hosts of other cells, from
     /// 0 to 1.
     pub fn reserved_share(&self) -> f64 {
-        let unreachable =
-            self.peers.values().filter(|peer| peer.unreachable).count() + self.other_cell_hosts;
+        let unreachable = self.peers.values().filter(|peer| peer.reserved_since.is_some()).count()
+            + self.other_cell_hosts;
         unreachable as f64 / self.host_count() as f64
     }
 }
@@ -461,6 +494,28 @@
         self.window.add(now, tokens);
     }
 
+    /// Debits tokens that a peer spent since `spent_since`, while its reports did not arrive. Of the rate of this time,
+    /// `reserved_s` seconds were reserved for them and have not accrued here; only the rest lowers the level. No more is
+    /// debited than can have been spent in a window: earlier spending has accrued again.
+    fn debit_unheard(
+        &mut self,
+        now: Instant,
+        tokens: f64,
+        reserved_s: f64,
+        spent_since: Instant,
+        settings: &Settings,
+    ) {
+        let mut span = now.since(spent_since);
+        if !settings.window.is_zero() {
+            span = span.min(settings.window);
+        }
+        let most = self.capacity(0.0, settings.accrual_time) + self.rate * span.as_secs_f64();
+        self.level -= (tokens - self.rate * reserved_s).clamp(0.0, most);
+        let whole = now.since(spent_since).as_secs_f64().max(span.as_secs_f64());
+        let in_window = if whole > 0.0 { tokens * span.as_secs_f64() / whole } else { tokens };
+        self.window.add_evenly(now - span, now, in_window.min(most));
+    }
+
     /// Adds refunded tokens, up to the capacity without any reserved share.
     fn refund(&mut self, tokens: f64, accrual_time: Duration) {
         self.level = (self.level + tokens).min(self.capacity(0.0, accrual_time));
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -1,3 +1,4 @@
+use super::ledger::{PROCESSES_MAX, RETENTION};
 use super::window::Window;
 use super::{Account, Allowances, Refusal, Report, Settings, Spent};
 use crate::limit::Quota;
@@ -204,6 +205,132 @@
     assert!(host.debit(at(2), &organisation(), 1).is_err());
 }
 
+/// A report of a peer's process that has run for a time.
+fn report_at_age(incarnation: u64, age_s: u64, tokens: i64) -> Report {
+    Report { age: Duration::from_secs(age_s), ..report(incarnation, tokens) }
+}
+
+// Guards against a peer that was removed as lost and comes back: all it has spent since its start was debited again,
+// and requests within the rate were refused for as long as the fleet had run.
+#[test]
+fn the_spending_of_a_peer_that_comes_back_after_its_removal_is_debited_once() {
+    let mut host = host();
+    host.record_report(at(0), &"peer".into(), report_at_age(1, 0, 600));
+    host.mark_unreachable(at(1), &"peer".into());
+    host.remove_peer(at(2), &"peer".into());
+
+    host.record_report(at(60), &"peer".into(), report_at_age(1, 60, 600));
+
+    assert_eq!(host.debit(at(60), &organisation(), RATE), Ok(()));
+}
+
+// Guards against two processes of one name, one of which is cut off: each report of one forgot the other's total.
+#[test]
+fn the_spending_of_two_processes_of_a_name_is_debited_once_each() {
+    let mut host = host();
+
+    for _ in 0..3 {
+        host.record_report(at(0), &"peer".into(), report(1, 300));
+        host.record_report(at(0), &"peer".into(), report(2, 200));
+    }
+
+    assert_eq!(host.debit(at(0), &organisation(), 500), Ok(()));
+    assert!(host.debit(at(0), &organisation(), 1).is_err());
+}
+
+// Guards against a share that is paid for twice: it was reserved for the peer, and is debited when the peer is back.
+#[test]
+fn what_a_peer_spent_of_its_reserved_share_is_not_debited_again() {
+    let mut host = Allowances::new(at(0), true, WINDOWED);
+    host.configure(at(0), &quotas(RATE));
+    host.record_report(at(0), &"peer".into(), report_at_age(1, 0, 0));
+    host.mark_unreachable(at(0), &"peer".into());
+    let mut own = 0;
+    for second in 0..40 {
+        while host.debit(at(second), &organisation(), 100).is_ok() {
+            own += 100;
+        }
+    }
+
+    let peer_spent = 20 * RATE as i64;
+    host.record_report(at(40), &"peer".into(), report_at_age(1, 40, peer_spent));
+
+    assert!(own <= 21 * RATE, "{own}");
+    let refused = (41..44).find(|second| host.debit(at(*second), &organisation(), 800).is_err());
+    assert_eq!(refused, None);
+}
+
+// Guards against a peer that spent more than its share while it could not be heard and is not debited for it.
+#[test]
+fn what_a_peer_spent_beyond_its_reserved_share_is_debited() {
+    let mut host = host();
+    host.record_report(at(0), &"peer".into(), report_at_age(1, 0, 0));
+    host.mark_unreachable(at(0), &"peer".into());
+
+    host.record_report(at(1), &"peer".into(), report_at_age(1, 1, 500 + 400));
+
+    assert_eq!(host.debit(at(1), &organisation(), 100), Ok(()));
+    assert!(host.debit(at(1), &organisation(), 1).is_err());
+}
+
+// Guards against a process that this host has never heard, or has forgotten: all it has spent was debited at once.
+#[test]
+fn of_a_process_heard_for_the_first_time_no_more_is_debited_than_a_window_holds() {
+    let mut host = Allowances::new(at(0), true, WINDOWED);
+    host.configure(at(0), &quotas(RATE));
+
+    host.record_report(at(3_000), &"peer".into(), report_at_age(1, 2_999, 2_000_000));
+
+    let admitted_at =
+        (3_000..3_100).find(|second| host.debit(at(*second), &organisation(), 1).is_ok());
+    assert!(admitted_at.is_some_and(|second| second <= 3_010), "{admitted_at:?}");
+}
+
+// Guards against a report that was overtaken by a later one on another connection and refunds what was spent since.
+#[test]
+fn an_outdated_report_changes_nothing() {
+    let mut host = host();
+    host.record_report(at(2), &"peer".into(), report_at_age(1, 2, 600));
+
+    host.record_report(at(2), &"peer".into(), report_at_age(1, 1, 100));
+
+    assert!(host.debit(at(2), &organisation(), 401).is_err());
+    assert_eq!(host.debit(at(2), &organisation(), 400), Ok(()));
+}
+
+// Guards against a table that grows with each restart of a peer, and one that forgets a peer that may come back.
+#[test]
+fn a_bounded_number_of_processes_is_remembered_for_a_bounded_time() {
+    let mut host = host();
+    host.record_report(at(0), &"peer".into(), report(1, 600));
+    host.remove_peer(at(0), &"peer".into());
+    let later = at(0) + RETENTION - Duration::from_secs(1);
+
+    host.record_report(later, &"other".into(), report(1, 0));
+    host.record_report(later, &"peer".into(), report_at_age(1, 3_599, 600));
+    let debit = host.debit(later, &organisation(), RATE);
+    for incarnation in 2..1_000 {
+        host.record_report(later, &"peer".into(), report(incarnation, 0));
+    }
+    let remembered = host.ledgers.len();
+    host.record_report(later + RETENTION, &"peer".into(), report(1_000, 0));
+
+    assert_eq!((debit, remembered), (Ok(()), PROCESSES_MAX));
+    assert_eq!(host.ledgers.len(), 1);
+}
+
+// Guards against totals out of range, which must not end the process.
+#[test]
+fn totals_out_of_range_are_debited_within_bounds() {
+    let mut host = host();
+
+    for total in [i64::MIN, i64::MAX, i64::MIN, 0] {
+        host.record_report(at(0), &"peer".into(), report(1, total));
+    }
+
+    assert!(host.debit(at(3_600), &organisation(), u64::MAX).is_err());
+}
+
 /// Sends requests, given as time in milliseconds and tokens, and returns those that were admitted.
 fn admitted(settings: Settings, requests: impl Iterator<Item = (u64, u64)>) -> Vec<(u64, u64)> {
     let mut host = Allowances::new(at(0), true, settings);
--- a/crates/core/src/allowance/window.rs
+++ b/crates/core/src/allowance/window.rs
@@ -42,6 +42,26 @@
         self.total += tokens;
     }
 
+    /// Adds tokens that were spent evenly from one time until now.
+    pub(super) fn add_evenly(&mut self, from: Instant, now: Instant, tokens: f64) {
+        let slot_length = self.slot_length();
+        if self.length.is_zero() || now.since(from) < slot_length {
+            return self.add(now, tokens);
+        }
+        let parts = (now.since(from).as_micros() / slot_length.as_micros().max(1))
+            .clamp(1, u128::from(SLOTS)) as u32;
+        for part in 0..parts {
+            let spent_at = now - slot_length * (parts - 1 - part);
+            let next = self.slots.partition_point(|(slot_start, _)| *slot_start <= spent_at);
+            let slot = next.checked_sub(1).and_then(|index| self.slots.get_mut(index));
+            match slot.filter(|(slot_start, _)| spent_at.since(*slot_start) < slot_length) {
+                Some((_, spent)) => *spent += tokens / f64::from(parts),
+                None => self.slots.insert(next, (spent_at, tokens / f64::from(parts))),
+            }
+        }
+        self.total += tokens;
+    }
+
     /// Removes refunded tokens, beginning with those spent last.
     pub(super) fn refund(&mut self, tokens: f64) {
         let mut remaining = tokens;
--- a/crates/core/src/dispatch/peer.rs
+++ b/crates/core/src/dispatch/peer.rs
@@ -163,6 +163,12 @@
         ages.filter(|age| *age < REPORT_EXPIRY).max().unwrap_or_default()
     }
 
+    /// Forgets the reported load of a peer that probably has ended, until it reports again. Its share of servers'
+    /// limits stays reserved.
+    pub fn forget_load(&mut self, peer: &str) {
+        self.peers.remove(peer);
+    }
+
     /// Removes a peer whose process has ended. Its connections to engines are closed, so its
     /// generations have ended too, and it sends nothing more.
     pub fn remove_peer(&mut self, now: Instant, peer: &Arc<str>) {
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -2,14 +2,17 @@
 //!
 //! The spending of an unreachable host is unknown, so its share of each allowance stays reserved. A host
 //! that never returns must not hold its share forever. Its peers can't tell whether it has ended or is only
-//! isolated, so both sides follow timeouts. A host without contact to more than half of the fleet stops
+//! isolated, also if its address refuses connections, as a partition may answer with resets. So both sides follow
+//! timeouts. A host without contact to more than half of the fleet stops
 //! spending unless the platform's store confirms that it is still listed. If a host with contact to more than
-//! half of the fleet, and all hosts that it can reach, have been unable to reach some host for a longer time,
+//! half of the fleet (or to exactly half of it, while the store confirms that it is listed), and all hosts that it can
+//! reach, have been unable to reach some host for a longer time,
 //! the entry of that host in the store is marked as lost. The entry is deleted when the last confirmation that
 //! the lost host may have received has expired; its share is then free.
 //!
-//! A peer is another host of the fleet. A host is unreachable if its heartbeats have timed out, and gone if its
-//! process is known to have ended, because its address refuses connections.
+//! A peer is another host of the fleet. A host is unreachable if its heartbeats have timed out. A host whose address
+//! refuses connections has probably ended: others take over its duties at once, such as orders to engines, which are
+//! safe if two hosts do them. Nothing else follows from a refused connection.
 
 #[cfg(test)]
 mod tests;
@@ -92,8 +95,8 @@
     report: Report,
     /// Whether the peer was found unreachable and has not reported since.
     unreachable: bool,
-    /// Whether the peer's process is known to have ended: its address refuses connections.
-    process_gone: bool,
+    /// Whether the peer's address has refused a connection since its last report.
+    refuses_connections: bool,
     /// Version of the peer's entry in the store; 0 while unknown.
     entry_version: u64,
     /// When this host learned that the entry of that version is marked as lost.
@@ -125,7 +128,7 @@
             last_mutual_heartbeat: now,
             report,
             unreachable: false,
-            process_gone: false,
+            refuses_connections: false,
             entry_version,
             marked_at: None,
         };
@@ -152,42 +155,38 @@
             peer.last_mutual_heartbeat = now;
         }
         let store_reachable_again = report.store_reachable && !peer.report.store_reachable;
-        (peer.last_heartbeat, peer.report, peer.process_gone) = (now, report, false);
+        (peer.last_heartbeat, peer.report, peer.refuses_connections) = (now, report, false);
         Recovery { reachable_again: std::mem::take(&mut peer.unreachable), store_reachable_again }
     }
 
-    /// Records that a host's address refuses connections. Returns `true` if that was not recorded before.
+    /// Records that a host's address refuses connections. Returns `true` if that was not recorded since its last
+    /// report.
     pub fn record_connection_refused(&mut self, name: &str) -> bool {
         self.peers
             .get_mut(name)
-            .is_some_and(|peer| !std::mem::replace(&mut peer.process_gone, true))
+            .is_some_and(|peer| !std::mem::replace(&mut peer.refuses_connections, true))
     }
 
-    /// Marks the hosts whose heartbeats have timed out as unreachable, and returns those newly marked. Hosts
-    /// whose processes have ended are left out.
+    /// Marks the hosts whose heartbeats have timed out as unreachable, and returns those newly marked.
     pub fn check_timeouts(&mut self, now: Instant) -> Vec<Arc<str>> {
         let unreachable_after = self.settings.unreachable_after;
         let unreachable = self.peers.iter_mut().filter_map(|(name, peer)| {
-            let is_newly_unreachable = !peer.process_gone
-                && !peer.unreachable
-                && now.since(peer.last_heartbeat) >= unreachable_after;
+            let is_newly_unreachable =
+                !peer.unreachable && now.since(peer.last_heartbeat) >= unreachable_after;
             peer.unreachable |= is_newly_unreachable;
             is_newly_unreachable.then(|| name.clone())
         });
         unreachable.collect()
     }
 
-    /// Returns the unreachable hosts whose processes may still be running.
+    /// Returns the unreachable hosts. Their processes may still be running.
     pub fn unreachable_peers(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.peers
-            .iter()
-            .filter(|(_, peer)| peer.unreachable && !peer.process_gone)
-            .map(|(name, _)| name)
+        self.peers.iter().filter(|(_, peer)| peer.unreachable).map(|(name, _)| name)
     }
 
     /// Returns the number of reachable hosts, without this one.
     pub fn reachable_count(&self) -> usize {
-        self.peers.values().filter(|peer| !peer.unreachable && !peer.process_gone).count()
+        self.peers.values().filter(|peer| !peer.unreachable).count()
     }
 
     /// Returns the hosts that are unreachable for this one, and for how long, for its report to the others.
@@ -200,7 +199,7 @@
     /// store answers and that aren't shutting down. Only the host of rank 0 removes lost hosts; see [`Roster::steps`].
     pub fn rank(&self) -> usize {
         let ranked_peers = self.peers.iter().filter(|(_, peer)| {
-            peer.is_reachable() && peer.report.store_reachable && !peer.report.draining
+            peer.takes_duties() && peer.report.store_reachable && !peer.report.draining
         });
         ranked_peers.filter(|(name, _)| **name < self.name).count()
     }
@@ -209,7 +208,7 @@
     /// it waits for the orders of the previous holder, and would otherwise lose the lease to a host that
     /// has waited as long.
     pub fn is_other_host_ordering(&self) -> bool {
-        self.peers.values().any(|peer| peer.is_reachable() && peer.report.orders_pending)
+        self.peers.values().any(|peer| peer.takes_duties() && peer.report.orders_pending)
     }
 
     /// Records that the store, in reply to a read sent at `requested_at`, confirmed that this host is
@@ -219,34 +218,46 @@
     }
 
     /// Returns when this host last had contact in both directions with more than half of the fleet, itself
-    /// included. Hosts whose processes are known to be gone count as contacted. Returns `None` in a fleet
-    /// of at most two hosts.
-    fn majority_contact_at(&self, now: Instant) -> Option<Instant> {
+    /// included. Returns `None` in a fleet of at most two hosts.
+    fn majority_contact_at(&self) -> Option<Instant> {
         let hosts = self.peers.len() + 1;
         // Neither of two hosts can know which one is isolated.
-        if hosts <= 2 {
-            return None;
-        }
-        let last_contact_at =
-            |peer: &Peer| if peer.process_gone { now } else { peer.last_mutual_heartbeat };
-        let mut contacts: Vec<Instant> = self.peers.values().map(last_contact_at).collect();
+        (hosts > 2).then(|| self.contact_at(hosts / 2)).flatten()
+    }
+
+    /// Returns when this host last had contact in both directions with `peers` other hosts.
+    fn contact_at(&self, peers: usize) -> Option<Instant> {
+        let mut contacts: Vec<Instant> =
+            self.peers.values().map(|peer| peer.last_mutual_heartbeat).collect();
         contacts.sort_unstable();
-        // The oldest contact that is needed for a majority.
-        contacts.get(contacts.len() - hosts / 2).copied()
+        // The oldest contact that is needed.
+        contacts.get(contacts.len().checked_sub(peers)?).copied()
+    }
+
+    /// Returns `true` if this host is in contact with at least half of the fleet, itself included, and may remove the
+    /// others. Of exactly half of the fleet, each host needs the store's confirmation, which those that are removed would
+    /// have needed too: they have no majority either.
+    fn may_remove(&self, now: Instant) -> bool {
+        let Settings { unreachable_after, confirmation_lease, .. } = self.settings;
+        let is_recent = |contact_at: Instant| now.since(contact_at) < unreachable_after;
+        let hosts = self.peers.len() + 1;
+        let is_confirmed = self.confirmed_at.is_some_and(|at| now.since(at) < confirmation_lease);
+        let is_half = hosts > 2 && self.contact_at(hosts.div_ceil(2) - 1).is_some_and(is_recent);
+        hosts > 2 && (!self.is_isolated(now) || is_half && is_confirmed)
     }
 
     /// Returns `true` if this host has no contact with more than half of the fleet, so that it needs the
     /// store to confirm that it is listed.
     pub fn is_isolated(&self, now: Instant) -> bool {
-        self.majority_contact_at(now)
+        self.majority_contact_at()
             .is_some_and(|contact_at| now.since(contact_at) >= self.settings.unreachable_after)
     }
 
     /// Returns when this host must stop spending if it receives nothing more. Returns `None` for a host that
     /// needs no contact with a majority, since no other host may take over its share: its fleet has at most
     /// two hosts.
-    pub fn may_spend_until(&self, now: Instant) -> Option<Instant> {
-        let contact_until = self.majority_contact_at(now)? + self.settings.isolation_grace;
+    pub fn may_spend_until(&self) -> Option<Instant> {
+        let contact_until = self.majority_contact_at()? + self.settings.isolation_grace;
         let confirmed_until =
             self.confirmed_at.map(|confirmed_at| confirmed_at + self.settings.confirmation_lease);
         Some(
@@ -256,10 +267,10 @@
     }
 
     /// Returns the steps now due for the removal of lost hosts: an entry is first marked and, after
-    /// `removal_delay`, deleted. Returns none unless this host has rank 0, has contact with a majority, and
-    /// has at least two peers.
+    /// `removal_delay`, deleted. Returns none unless this host has rank 0, has contact with a majority, or with
+    /// half of the fleet and the store's confirmation, and has at least two peers.
     pub fn steps(&self, now: Instant) -> Vec<Step> {
-        if self.rank() > 0 || self.is_isolated(now) || self.peers.len() < 2 {
+        if self.rank() > 0 || !self.may_remove(now) {
             return Vec::new();
         }
         let lost = self.peers.iter().filter(|(name, peer)| self.is_lost(now, name, peer));
@@ -282,9 +293,8 @@
                 .iter()
                 .any(|(host, duration)| host == name && *duration >= lost_after)
         };
-        let mut reporters = self.peers.values().filter(|reporter| reporter.is_reachable());
+        let mut reporters = self.peers.values().filter(|reporter| !reporter.unreachable);
         peer.unreachable
-            && !peer.process_gone
             && peer.entry_version > 0
             && now.since(peer.last_heartbeat) >= lost_after
             && reporters.all(reports_lost)
@@ -292,8 +302,8 @@
 }
 
 impl Peer {
-    /// Returns `true` if the peer's heartbeats arrive and its process isn't known to have ended.
-    fn is_reachable(&self) -> bool {
-        !self.unreachable && !self.process_gone
+    /// Returns `true` if the peer's heartbeats arrive and its address hasn't refused a connection since.
+    fn takes_duties(&self) -> bool {
+        !self.unreachable && !self.refuses_connections
     }
 }
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -68,7 +68,7 @@
 }
 
 fn may_spend(roster: &Roster, millis: u64) -> bool {
-    roster.may_spend_until(at(millis)).is_none_or(|until| until > at(millis))
+    roster.may_spend_until().is_none_or(|until| until > at(millis))
 }
 
 fn without(lost: usize) -> impl Fn(usize, usize) -> bool {
@@ -136,7 +136,7 @@
     exchange_reports(&mut fleet, (0, 500), |_, _| true);
     exchange_reports(&mut fleet, (1_000, 8_500), without(3));
 
-    let spend_until = fleet[3].may_spend_until(at(8_500)).expect("a time");
+    let spend_until = fleet[3].may_spend_until().expect("a time");
     let marked_at_ms = (1_000..=20_000u64).step_by(HEARTBEAT_MS as usize).find(|millis| {
         exchange_reports(&mut fleet, (*millis, *millis), without(3));
         !fleet[0].steps(at(*millis)).is_empty()
@@ -164,7 +164,7 @@
     exchange_reports(&mut fleet, (0, 500), |_, _| true);
     fleet[3].record_confirmation(at(7_000));
 
-    assert_eq!(fleet[3].may_spend_until(at(8_500)), Some(at(9_000)));
+    assert_eq!(fleet[3].may_spend_until(), Some(at(9_000)));
     assert!(!may_spend(&fleet[3], 30_000));
 }
 
@@ -178,18 +178,120 @@
     assert!((3..5).all(|host| !may_spend(&fleet[host], 60_000)));
 }
 
+/// Lets the connections that one side of a partition opens to the other be refused, in both directions.
+fn refuse_connections(fleet: &mut [Roster], side: std::ops::Range<usize>) {
+    for (host, roster) in fleet.iter_mut().enumerate() {
+        for other in (0..5).filter(|other| side.contains(other) != side.contains(&host)) {
+            roster.record_connection_refused(&name(other));
+        }
+    }
+}
+
+// Guards against a partition that responds with resets: the refused connections counted as contact, so that a host cut
+// off from all others never stopped spending.
 #[test]
-fn a_host_whose_peers_processes_are_gone_is_not_isolated() {
+fn a_host_whose_connections_are_all_refused_is_isolated() {
     let mut fleet = fleet(5);
 
     let newly_refused: Vec<bool> =
         (1..5).map(|other| fleet[0].record_connection_refused(&name(other))).collect();
 
     assert_eq!(newly_refused, [true; 4]);
-    assert!(!fleet[0].is_isolated(at(60_000)));
+    assert!(fleet[0].is_isolated(at(1_500)));
+    assert!(!may_spend(&fleet[0], 5_000));
     assert_eq!(fleet[0].steps(at(60_000)), []);
 }
 
+// Guards against review/5: two of five hosts are cut off by resets, and nothing is reserved for the other side.
+#[test]
+fn both_sides_of_a_partition_with_resets_reserve_the_others_shares() {
+    let mut fleet = fleet(5);
+    exchange_reports(&mut fleet, (0, 500), |_, _| true);
+
+    refuse_connections(&mut fleet, 0..3);
+    exchange_reports(&mut fleet, (1_000, 8_000), |to, from| (to < 3) == (from < 3));
+
+    let unreachable: Vec<usize> =
+        fleet.iter().map(|roster| roster.unreachable_peers().count()).collect();
+    assert_eq!(unreachable, [2, 2, 2, 3, 3]);
+    let spending: Vec<bool> = fleet.iter().map(|roster| may_spend(roster, 8_000)).collect();
+    assert_eq!(spending, [true, true, true, false, false]);
+}
+
+// Guards against the share of a killed host that stays reserved since its address refuses connections.
+#[test]
+fn a_killed_host_whose_address_refuses_connections_is_removed_as_lost() {
+    let mut fleet = fleet(5);
+    exchange_reports(&mut fleet, (0, 500), |_, _| true);
+
+    for roster in &mut fleet[..4] {
+        roster.record_connection_refused(&name(4));
+    }
+    exchange_reports(&mut fleet, (1_000, 8_500), without(4));
+    let marking = fleet[0].steps(at(8_500));
+    fleet[0].record_entry(at(8_500), &name(4), 12, true);
+    exchange_reports(&mut fleet, (9_000, 11_500), without(4));
+
+    assert_eq!(marking, [Step::Mark(name(4), 10)]);
+    assert_eq!(fleet[0].steps(at(11_500)), [Step::Remove(name(4), 12)]);
+}
+
+// Guards against a host that is removed though another one hears it, since only connections to that one are refused.
+#[test]
+fn a_host_whose_connections_are_refused_one_way_still_vouches_for_others() {
+    let mut fleet = fleet(4);
+    let only_by_two = |to: usize, from: usize| {
+        let pair = (to.min(from), to.max(from));
+        pair.1 != 3 || pair.0 == 2
+    };
+    exchange_reports(&mut fleet, (0, 20_000), only_by_two);
+
+    fleet[0].record_connection_refused(&name(2));
+
+    assert_eq!(fleet[0].steps(at(20_000)), []);
+}
+
+// Guards against duties, such as orders, that wait for the timeout of a killed host: these are safe without it.
+#[test]
+fn duties_pass_at_once_from_a_host_that_refuses_connections() {
+    let mut roster = fleet(3).remove(1);
+    let report = Report { store_reachable: true, orders_pending: true, ..Report::default() };
+    roster.record_report(at(0), &name(0), report);
+    let before = (roster.rank(), roster.is_other_host_ordering());
+
+    roster.record_connection_refused(&name(0));
+
+    assert_eq!(before, (1, true));
+    assert_eq!((roster.rank(), roster.is_other_host_ordering()), (0, false));
+}
+
+// Guards against shares that stay reserved when half of the hosts are killed for good. The other half, if it were alive,
+// would have no majority either and would have stopped, or written its entries again.
+#[test]
+fn half_of_the_hosts_removes_the_other_half_while_the_store_confirms_it() {
+    let mut fleet = fleet(4);
+    let halves = |to: usize, from: usize| (to < 2) == (from < 2);
+
+    exchange_reports(&mut fleet, (0, 9_000), halves);
+    let unconfirmed = fleet[0].steps(at(9_000));
+    fleet[0].record_confirmation(at(8_500));
+
+    assert_eq!(unconfirmed, []);
+    assert_eq!(fleet[0].steps(at(9_000)), [Step::Mark(name(2), 10), Step::Mark(name(3), 10)]);
+    assert!(!may_spend(&fleet[2], 9_000));
+}
+
+// Guards against removal by a minority: the majority goes on spending without the store.
+#[test]
+fn less_than_half_of_the_hosts_removes_nobody() {
+    let mut fleet = fleet(5);
+
+    exchange_reports(&mut fleet, (0, 9_000), |to, from| (to < 2) == (from < 2));
+    fleet[0].record_confirmation(at(8_500));
+
+    assert_eq!(fleet[0].steps(at(9_000)), []);
+}
+
 #[test]
 fn neither_of_two_hosts_stops_or_is_removed() {
     let mut fleet = fleet(2);
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -242,13 +242,14 @@
         state.allowances.remove_peer(now, &peer);
     }
 
-    /// Records that a peer's address refuses connections: its process has ended, and spends
-    /// nothing.
+    /// Records that a peer's address refuses connections. Its process has probably ended, so its load is forgotten.
+    /// Its share of allowances and limits stays reserved, since a partition may refuse connections too.
     fn record_connection_refused(&self, name: &str) {
         let is_new = self.roster().record_connection_refused(name);
         if is_new {
-            tracing::warn!(peer = name, "peer's process is gone");
-            self.mark_gone(name);
+            tracing::warn!(peer = name, "peer refuses connections; its share stays reserved");
+            self.app.metrics.refused_peers.inc();
+            self.app.state().dispatch.forget_load(name);
         }
     }
 
@@ -289,7 +290,7 @@
         let spend_until = {
             let mut roster = self.roster();
             roster.record_confirmation(requested_at);
-            roster.may_spend_until(clock::now())
+            roster.may_spend_until()
         };
         self.app.state().allowances.set_spend_until(spend_until);
     }
@@ -350,7 +351,7 @@
         };
         let (recovery, spend_until) = {
             let mut roster = self.roster();
-            (roster.record_report(now, name, report), roster.may_spend_until(now))
+            (roster.record_report(now, name, report), roster.may_spend_until())
         };
         if recovery.reachable_again {
             tracing::info!(peer = %name, "peer heard again");
@@ -517,7 +518,7 @@
                 newly_unreachable,
                 unreachable,
                 roster.reachable_count(),
-                roster.may_spend_until(now),
+                roster.may_spend_until(),
                 is_isolated,
             )
         };
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -47,6 +47,8 @@
     pub servers: IntGauge,
     /// Reachable peers.
     pub peers: IntGauge,
+    /// Peers whose addresses began to refuse connections.
+    pub refused_peers: IntCounter,
     /// Share of each allowance that is reserved for unreachable peers, in thousandths.
     pub reserved_per_mille: IntGauge,
     /// Requests that wait for admission.
@@ -100,6 +102,10 @@
             origins: gauge("stream_builds", "Streams of which this host knows the build")?,
             servers: gauge("servers", "Backend servers listed")?,
             peers: gauge("peers", "Peers heard lately")?,
+            refused_peers: counter(
+                "refused_peers_total",
+                "Peers that began to refuse connections",
+            )?,
             reserved_per_mille: gauge(
                 "kept_back_per_mille",
                 "Allowances kept back for silent peers",
--- a/crates/forward/tests/forward/peers.rs
+++ b/crates/forward/tests/forward/peers.rs
@@ -136,3 +136,63 @@
 
     assert_eq!(mesh.rank(), None);
 }
+
+/// Returns an address that refuses connections.
+async fn refusing_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+}
+
+// Guards against a partition that answers with resets: each side took refused connections for the end of the other, and
+// spent the whole allowance. A restart under the same name is what shows that the earlier process has ended.
+#[tokio::test]
+async fn the_share_of_a_peer_that_refuses_connections_stays_reserved_until_it_has_restarted() {
+    let app = fixture::app("host");
+    app.configure(config(), b"{}".to_vec());
+    let (mesh, address) = start_mesh(&app).await;
+
+    mesh.update_hosts([("other".into(), Some(peer_host(refusing_address().await)))]);
+    wait_until(|| app.metrics.reserved_per_mille.get() == 500).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let reserved_later = app.metrics.reserved_per_mille.get();
+    let restarted = app_with(app::Settings { incarnation: 2, ..settings("other") });
+    let (restarted_mesh, _) = start_mesh(&restarted).await;
+    restarted_mesh.update_hosts([("host".into(), Some(peer_host(address)))]);
+
+    assert_eq!((reserved_later, app.metrics.refused_peers.get()), (500, 1));
+    wait_until(|| app.metrics.reserved_per_mille.get() == 0).await;
+}
+
+// Guards against spending that is debited again when a peer is removed and comes back: requests within the rate were
+// refused for as long as the peer had run.
+#[tokio::test]
+async fn the_spending_of_a_peer_that_is_removed_and_comes_back_is_debited_once() {
+    let mut slow = config();
+    slow.organisations[0].rate = 10;
+    let (here, other) = (fixture::app("here"), fixture::app("other"));
+    here.configure(slow.clone(), b"{}".to_vec());
+    other.configure(slow, b"{}".to_vec());
+    let (mesh, here_address) = start_mesh(&here).await;
+    let (other_mesh, address) = start_mesh(&other).await;
+    mesh.update_hosts([("other".into(), Some(peer_host(address)))]);
+    other_mesh.update_hosts([("here".into(), Some(peer_host(here_address)))]);
+    wait_until(|| here.metrics.peers.get() == 1).await;
+    other.debit(&"orchard".into(), 6_000).unwrap();
+    // Only 4,000 tokens, and those accrued since, are left here once the report has arrived.
+    wait_until(|| {
+        let is_reported = here.debit(&"orchard".into(), 5_000).is_err();
+        if !is_reported {
+            here.refund(&"orchard".into(), 5_000);
+        }
+        is_reported
+    })
+    .await;
+
+    for _ in 0..2 {
+        mesh.update_hosts([("other".into(), None)]);
+        mesh.update_hosts([("other".into(), Some(peer_host(address)))]);
+        wait_until(|| here.metrics.peers.get() == 1).await;
+        tokio::time::sleep(Duration::from_millis(1_100)).await;
+    }
+
+    assert_eq!(here.debit(&"orchard".into(), 3_800), Ok(()));
+}
