--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -6,8 +6,8 @@
 
 use super::{Dispatch, GenerationKey, Request, Server, ServerKey, Stage, prefix, shuffle, stage};
 use crate::forecast::{self, forecast_peak};
-use crate::prefix::Prefix;
 use crate::origin::unlisted_build;
+use crate::prefix::Prefix;
 use crate::time::Instant;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -57,6 +57,9 @@
     pub prefill: Option<ServerKey>,
     /// Key of the generation.
     pub generation: GenerationKey,
+    /// Priority of the request at its engines, or `None` if all requests of the service have the
+    /// same.
+    pub engine_priority: Option<u8>,
     /// Estimates that the placement is based on.
     pub basis: PlacementBasis,
 }
@@ -545,7 +548,8 @@
             cached_tokens,
             ..assignment.basis
         };
-        Placement { decode, prefill, generation, basis }
+        let engine_priority = self.priorities.engine_priority(request);
+        Placement { decode, prefill, generation, engine_priority, basis }
     }
 
     /// Estimates how long it takes from now until an engine has prefilled a prompt, behind the
--- a/crates/core/src/dispatch/tests/mod.rs
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -4,6 +4,7 @@
 mod leaving;
 mod load;
 mod prefix;
+mod priority;
 mod simulation;
 mod stage;
 mod throttle;
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -21,6 +21,8 @@
     pub evictions: IntCounterVec,
     /// Bytes that requests of callers hold.
     pub request_bytes: IntGauge,
+    /// Generations that were refused admission or evicted from the queue, by priority and reason.
+    pub admission_refusals: IntCounterVec,
     /// Requests whose callers disconnected before an answer.
     pub abandoned: IntCounter,
     /// Failed attempts at backend servers, by kind of failure.
@@ -105,6 +107,11 @@
                 &["listener", "reason"],
             )?,
             request_bytes: gauge("request_bytes", "Bytes that requests of callers hold")?,
+            admission_refusals: counters(
+                "admission_refusals_total",
+                "Generations refused admission",
+                &["priority", "reason"],
+            )?,
             abandoned: counter("abandoned_total", "Callers that left before an answer")?,
             failures: counters("failures_total", "Attempts that failed", &["failure"])?,
             rejected_answers: counters(
