Mesh: hosts name each other in gossip, join with a small share, and say when they stop

Cause: hosts found each other by the store's list and by connections to themselves alone. Hosts that were added just before an outage of the store knew the older hosts but not each other, and each spent beside the others. A planned stop freed its share by the deletion of its entry only, which needs the store.

Ruled out: naming all hosts in every message (2 KB for a cell of 32, several times a second), and an answer to `Want` in a frame of its own, which earlier versions could not decode. Naming hosts that are not heard, which would bring back hosts that have ended.

Change: the first message of a connection names the sender and the hosts that it hears; later ones those that it has heard for less than 5 s. A host that joins a running fleet leaves the share of each host that it knows and has not heard, and all but 1/32 until it knows any. `fleet_size` tells it of other cells. A restarted process that connects replaces the earlier one. The last message of a shutdown says `stopped`, and peers release the share. All new fields of `News` are optional.

Conclusion: the new tests of core::roster, core::allowance and forward::peers pass.

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -28,6 +28,7 @@
 mod tests;
 mod window;
 
+use crate::cell::HOSTS_PER_CELL;
 use crate::limit::Quota;
 use crate::time::Instant;
 use ledger::Ledgers;
@@ -42,6 +43,11 @@
 /// host has contact with the others again.
 const RETRY_ISOLATED: Duration = Duration::from_millis(1_000);
 
+/// Share that is reserved while the other hosts are not known: all but that of one host in a cell of average size.
+const UNKNOWN_FLEET_RESERVE: f64 = 1.0 - 1.0 / HOSTS_PER_CELL as f64;
+/// Time after its start for which a host counts as joining the fleet, if there is no window.
+const JOINING_TIME_MIN: Duration = Duration::from_secs(1);
+
 /// Parameters of the accounting.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Settings {
@@ -111,6 +117,10 @@
     ledgers: Ledgers,
     /// Number of hosts in other cells, which spend their own part.
     other_cell_hosts: usize,
+    /// Whether other hosts may have been spending when this host's process started.
+    joins_fleet: bool,
+    /// Whether this host knows which other hosts there are.
+    fleet_known: bool,
     /// Whether new buckets start full.
     starts_full: bool,
     /// Whether the spending of the whole window is known from the fleet's first start or a peer's accounts.
@@ -154,6 +164,8 @@
             peers: HashMap::new(),
             ledgers: Ledgers::default(),
             other_cell_hosts: 0,
+            joins_fleet: !first_start,
+            fleet_known: true,
             starts_full: first_start,
             history_known: first_start,
             started: now,
@@ -294,9 +306,12 @@
     /// Returns `true` if the spending of the whole window is known: since the fleet's first start, from a
     /// peer's accounts, or because this host has run for at least a window.
     pub fn is_history_known(&self, now: Instant) -> bool {
-        /// Required run time if there is no window.
-        const MIN_RUN_TIME: Duration = Duration::from_secs(1);
-        self.history_known || now.since(self.started) >= self.settings.window.max(MIN_RUN_TIME)
+        self.history_known || !self.is_joining(now)
+    }
+
+    /// Returns `true` if this host has run for less than a window.
+    fn is_joining(&self, now: Instant) -> bool {
+        now.since(self.started) < self.settings.window.max(JOINING_TIME_MIN)
     }
 
     /// Returns the organisations' recent spending, for a host that starts.
@@ -388,6 +403,25 @@
         self.cap_levels(now, reserved_before);
     }
 
+    /// Reserves the share of a host that was just learned of until its first report, if this host joins a running fleet.
+    /// Its buckets start empty then, so that this costs little. A host that has run for longer reserves a share once
+    /// the peer counts as unreachable: until then a peer that starts spends little itself.
+    pub fn expect_peer(&mut self, now: Instant, peer_name: &Arc<str>) {
+        if self.joins_fleet && self.is_joining(now) && !self.peers.contains_key(peer_name) {
+            self.mark_unreachable(now, peer_name);
+        }
+    }
+
+    /// Sets whether this host knows which other hosts there are. While a host that joins a running fleet doesn't, it
+    /// spends no more than the share of one host of a cell.
+    pub fn set_fleet_known(&mut self, now: Instant, is_known: bool) {
+        let reserved_before = self.reserved_share();
+        let is_known = is_known || !self.joins_fleet;
+        if std::mem::replace(&mut self.fleet_known, is_known) != is_known {
+            self.cap_levels(now, reserved_before);
+        }
+    }
+
     /// Marks the peers whose last reports are too old as unreachable. After a long pause of this process these
     /// are all peers: it doesn't know what they spent in the meantime.
     fn mark_timed_out_peers(&mut self, now: Instant) {
@@ -462,7 +496,8 @@
     pub fn reserved_share(&self) -> f64 {
         let unreachable = self.peers.values().filter(|peer| peer.reserved_since.is_some()).count()
             + self.other_cell_hosts;
-        unreachable as f64 / self.host_count() as f64
+        let share = unreachable as f64 / self.host_count() as f64;
+        if self.fleet_known { share } else { share.max(UNKNOWN_FLEET_RESERVE) }
     }
 }
 
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -319,6 +319,56 @@
     assert_eq!(host.ledgers.len(), 1);
 }
 
+/// Debits single tokens until the host refuses one, and returns their number.
+fn spend_all(host: &mut Allowances, seconds: u64) -> u64 {
+    (0..2 * RATE).take_while(|_| host.debit(at(seconds), &organisation(), 1).is_ok()).count() as u64
+}
+
+// Guards against hosts that are added together and spend the whole rate each until they hear each other.
+#[test]
+fn a_host_that_joins_a_fleet_spends_its_share_until_it_hears_the_others() {
+    let mut host = restarted();
+    for peer in ["second", "third", "fourth"] {
+        host.expect_peer(at(0), &peer.into());
+    }
+
+    let unheard = spend_all(&mut host, 1);
+    for peer in ["second", "third", "fourth"] {
+        host.record_report(at(1), &peer.into(), report(1, 0));
+    }
+    let heard = spend_all(&mut host, 2);
+
+    assert!((RATE / 4 - 5..=RATE / 4).contains(&unheard), "{unheard}");
+    assert!((RATE - 5..=RATE).contains(&heard), "{heard}");
+}
+
+// Guards against a host that has read no list of hosts before an outage of the store, and spends as if it were alone.
+#[test]
+fn a_host_that_joins_a_fleet_spends_little_until_it_knows_the_others() {
+    let mut host = restarted();
+    host.set_fleet_known(at(0), false);
+
+    let unknown = spend_all(&mut host, 1);
+    host.set_fleet_known(at(1), true);
+    let known = spend_all(&mut host, 2);
+
+    assert!((1..=RATE / 25).contains(&unknown), "{unknown}");
+    assert!((RATE - 5..=RATE).contains(&known), "{known}");
+}
+
+// Guards against tokens that a running host, or a fleet that starts for the first time, loses when hosts are added.
+#[test]
+fn a_host_that_does_not_join_reserves_nothing_for_hosts_that_are_added() {
+    let mut running = restarted();
+    let mut first = Allowances::new(at(0), true, WINDOWED);
+
+    running.expect_peer(at(8), &"new".into());
+    first.expect_peer(at(0), &"new".into());
+    first.set_fleet_known(at(0), false);
+
+    assert_eq!((running.reserved_share(), first.reserved_share()), (0.0, 0.0));
+}
+
 // Guards against totals out of range, which must not end the process.
 #[test]
 fn totals_out_of_range_are_debited_within_bounds() {
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -80,6 +80,8 @@
 /// What has become available again, according to a report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Recovery {
+    /// The host that reports was not heard before.
+    pub is_first_report: bool,
     /// The host that reports was unreachable before.
     pub reachable_again: bool,
     /// The platform's store answers the host, and did not according to its previous report.
@@ -90,6 +92,8 @@
 #[derive(Clone, Debug)]
 struct Peer {
     last_heartbeat: Instant,
+    /// When the peer's first report arrived.
+    first_heartbeat: Option<Instant>,
     /// When the peer's last report arrived that did not list this host as unreachable.
     last_mutual_heartbeat: Instant,
     report: Report,
@@ -125,6 +129,7 @@
         let entry_version = self.peers.get(name).map_or(0, |peer| peer.entry_version);
         let peer = Peer {
             last_heartbeat: now,
+            first_heartbeat: None,
             last_mutual_heartbeat: now,
             report,
             unreachable: false,
@@ -156,7 +161,10 @@
         }
         let store_reachable_again = report.store_reachable && !peer.report.store_reachable;
         (peer.last_heartbeat, peer.report, peer.refuses_connections) = (now, report, false);
-        Recovery { reachable_again: std::mem::take(&mut peer.unreachable), store_reachable_again }
+        let is_first_report = peer.first_heartbeat.is_none();
+        peer.first_heartbeat.get_or_insert(now);
+        let reachable_again = std::mem::take(&mut peer.unreachable);
+        Recovery { is_first_report, reachable_again, store_reachable_again }
     }
 
     /// Records that a host's address refuses connections. Returns `true` if that was not recorded since its last
@@ -189,6 +197,30 @@
         self.peers.values().filter(|peer| !peer.unreachable).count()
     }
 
+    /// Returns the hosts that this one hears, to be named to others; with `within`, only those that it has heard for less
+    /// than that time. A host that is only named by others is not among them, so that a host that has ended isn't
+    /// named for longer than it takes to become unreachable.
+    pub fn heard_peers(&self, now: Instant, within: Option<Duration>) -> Vec<Arc<str>> {
+        let is_recent = |first: Instant| within.is_none_or(|within| now.since(first) < within);
+        let heard = self.peers.iter().filter(|(_, peer)| {
+            peer.takes_duties()
+                && now.since(peer.last_heartbeat) < self.settings.unreachable_after
+                && peer.first_heartbeat.is_some_and(is_recent)
+        });
+        heard.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Returns whether to connect to the process `incarnation` of a host that a peer names. `known` is the process that is
+    /// known under that name; it is replaced only if it isn't heard.
+    pub fn accepts_named(&self, name: &str, incarnation: u64, known: Option<u64>) -> bool {
+        let is_heard = || {
+            self.peers
+                .get(name)
+                .is_some_and(|peer| peer.takes_duties() && peer.first_heartbeat.is_some())
+        };
+        *name != *self.name && known.is_none_or(|known| known != incarnation && !is_heard())
+    }
+
     /// Returns the hosts that are unreachable for this one, and for how long, for its report to the others.
     pub fn unreachable_durations(&self, now: Instant) -> Vec<(Arc<str>, Duration)> {
         let unreachable = self.peers.iter().filter(|(_, peer)| peer.unreachable);
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -281,6 +281,39 @@
     assert!(!may_spend(&fleet[2], 9_000));
 }
 
+// Guards against a host that has ended, or was only named by others, and is named on and on.
+#[test]
+fn only_hosts_that_are_heard_are_named_and_for_long_only_to_new_connections() {
+    let mut fleet = fleet(4);
+    fleet[0].add_peer(at(0), &"unheard".into());
+    exchange_reports(&mut fleet, (500, 2_000), without(3));
+    let naming = Duration::from_secs(5);
+    let named_at_first = fleet[0].heard_peers(at(2_000), Some(naming));
+    exchange_reports(&mut fleet, (2_500, 8_000), |to, from| without(3)(to, from) && from != 2);
+    fleet[0].record_connection_refused(&name(2));
+
+    assert_eq!(named_at_first, [name(1), name(2)]);
+    assert_eq!(fleet[0].heard_peers(at(8_000), Some(naming)), []);
+    assert_eq!(fleet[0].heard_peers(at(8_000), None), [name(1)]);
+}
+
+// Guards against a peer's outdated knowledge that displaces a process which this host hears.
+#[test]
+fn a_named_process_replaces_a_known_one_only_if_that_is_not_heard() {
+    let mut fleet = fleet(3);
+    exchange_reports(&mut fleet, (0, 500), |_, _| true);
+    let accepts = |roster: &Roster, known| roster.accepts_named(&name(1), 2, known);
+
+    let unknown = accepts(&fleet[0], None);
+    let same = accepts(&fleet[0], Some(2));
+    let other_heard = accepts(&fleet[0], Some(1));
+    fleet[0].check_timeouts(at(2_500));
+    let other_unheard = accepts(&fleet[0], Some(1));
+
+    assert_eq!((unknown, same, other_heard, other_unheard), (true, false, false, true));
+    assert!(!fleet[0].accepts_named(&name(0), 2, None));
+}
+
 // Guards against removal by a minority: the majority goes on spending without the store.
 #[test]
 fn less_than_half_of_the_hosts_removes_nobody() {
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -156,6 +156,8 @@
     /// Bytes held by all answers of plain services that are being read.
     answer_bytes: Arc<AtomicUsize>,
     draining: AtomicBool,
+    /// Whether the last request has ended.
+    stopped: AtomicBool,
     /// When the process ends, once it closes connections; set at the end of the notice period of a shutdown.
     ends_at: OnceLock<Instant>,
     /// Number of hosts among which the connections to servers are divided, and version of the
@@ -223,6 +225,7 @@
             active_config: Mutex::default(),
             state: Mutex::new(state),
             draining: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
             ends_at: OnceLock::new(),
             orders_pending: AtomicBool::new(false),
             connection_division: Mutex::new((1, 0)),
@@ -498,6 +501,16 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Returns `true` if the last request has ended, so that this host spends nothing more.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    /// Records that the last request has ended.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
     /// Records that connections are being closed, and that the process ends at `ends_at`.
     pub fn close(&self, ends_at: Instant) {
         self.ends_at.get_or_init(|| ends_at);
--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -221,7 +221,7 @@
             .map(|(name, _, entry)| (name.clone(), entry.as_ref().map(|entry| entry.host.clone())));
         self.mesh.update_hosts(hosts);
         if update.is_snapshot {
-            self.mesh.record_hosts_known();
+            self.mesh.record_hosts_listed();
         }
         for (name, version, entry) in others {
             let is_lost = entry.as_ref().is_some_and(|entry| entry.lost);
--- a/crates/forward/src/follow/patterns/tests.rs
+++ b/crates/forward/src/follow/patterns/tests.rs
@@ -28,8 +28,11 @@
     let settings = Settings { name: "host".into(), ..Settings::default() };
     let app = Arc::new(App::new(settings, native::DIALECT, metrics));
     let follower = Follower::new(app.clone(), native::DIRECTORY);
-    let patterns =
-        Patterns::new(client, native::DIRECTORY.hosts_kind, Mesh::new(app.clone(), follower, 1));
+    let patterns = Patterns::new(
+        client,
+        native::DIRECTORY.hosts_kind,
+        Mesh::new(app.clone(), follower, ([127, 0, 0, 1], 1).into()),
+    );
     let entry = Entry {
         parts: [Arc::from("bad")].into(),
         decisions: [7].into(),
--- a/crates/forward/src/mesh/link.rs
+++ b/crates/forward/src/mesh/link.rs
@@ -6,6 +6,7 @@
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_wire::Connection;
 use chestnutrack_wire::connection::{self, Error, Receiver, Sender};
+use chestnutrack_wire::frame::Frame;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -62,11 +63,13 @@
     connection::client_handshake(tcp, address, None).await.map_err(|_: Error| ConnectError(false))
 }
 
-/// Sends the newest gossip message whenever there is one, each after the previous one has been
-/// written. Returns when the connection fails.
+/// Sends a gossip message that names all hosts that this one hears, and then the newest one whenever there is one, each
+/// after the previous one has been written. Returns when the connection fails.
 async fn send_gossip(mesh: &Arc<Mesh>, sender: &Sender) {
     let mut newest_gossip = mesh.newest_gossip.subscribe();
-    newest_gossip.mark_changed();
+    if sender.send(&Frame::News(Box::new(mesh.build_gossip(None)))).is_err() {
+        return;
+    }
     while newest_gossip.changed().await.is_ok() {
         let gossip = newest_gossip.borrow_and_update().clone();
         if !gossip.is_empty() && sender.send_when_empty(gossip).await.is_err() {
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -10,6 +10,7 @@
 //! started lacks the accounts and requests them from a peer.
 
 mod link;
+mod membership;
 mod origins;
 
 use crate::app::App;
@@ -24,9 +25,10 @@
 use chestnutrack_process::timer::Timer;
 use chestnutrack_wire::frame::{self, Frame, News};
 use chestnutrack_wire::{Connection, codec};
+use membership::StoppedProcesses;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -43,6 +45,8 @@
 const COALESCE_PER_PEER: Duration = Duration::from_millis(5);
 /// Time from the start of a host within which all others connect to it, if the store does not list them.
 const CONNECTING_TIME: Duration = Duration::from_secs(3);
+/// Time for which gossip names a host after it was first heard. It spans ten heartbeats.
+const NAMING_TIME: Duration = Duration::from_secs(5);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -50,8 +54,8 @@
 pub struct Mesh {
     app: Arc<App>,
     follower: Arc<Follower>,
-    /// Port on which every host listens for its peers.
-    port: u16,
+    /// Address at which peers connect to this host. All hosts listen on the same port.
+    address: SocketAddr,
     /// The newest gossip message, encoded. Each connection sends it once the previous one has been
     /// written, so that no connection waits for a slow peer.
     newest_gossip: watch::Sender<Bytes>,
@@ -67,6 +71,12 @@
     was_isolated: AtomicBool,
     /// Whether the list of hosts has been read, or this host has run for [`CONNECTING_TIME`].
     knows_hosts: AtomicBool,
+    /// Whether the list of hosts has been read from the store.
+    is_fleet_listed: AtomicBool,
+    /// Number of hosts of all cells by the reports of peers.
+    reported_fleet_size: AtomicUsize,
+    /// Processes that have announced their end.
+    stopped_processes: Mutex<StoppedProcesses>,
     /// What tells other hosts which builds began streams.
     couriers: Mutex<origins::Couriers>,
 }
@@ -85,14 +95,15 @@
 }
 
 impl Mesh {
-    /// Creates a mesh without peers. Every host listens for its peers on the same port.
-    pub fn new(app: Arc<App>, follower: Arc<Follower>, port: u16) -> Arc<Mesh> {
+    /// Creates a mesh without peers, which connect to this host at `address`.
+    pub fn new(app: Arc<App>, follower: Arc<Follower>, address: SocketAddr) -> Arc<Mesh> {
         let newest_gossip = watch::Sender::new(Bytes::new());
         let roster = Roster::new(app.settings.name.clone(), app.settings.roster);
+        app.state().allowances.set_fleet_known(clock::now(), false);
         Arc::new(Mesh {
             app,
             follower,
-            port,
+            address,
             newest_gossip,
             hosts: Mutex::default(),
             keepers: Mutex::default(),
@@ -100,6 +111,9 @@
             roster: Mutex::new(roster),
             was_isolated: AtomicBool::new(false),
             knows_hosts: AtomicBool::new(false),
+            is_fleet_listed: AtomicBool::new(false),
+            reported_fleet_size: AtomicUsize::new(0),
+            stopped_processes: Mutex::default(),
             couriers: Mutex::default(),
         })
     }
@@ -132,6 +146,7 @@
         let mut present = Vec::new();
         for (name, host) in changes {
             match host {
+                Some(host) if self.is_stopped(&name, host.incarnation) => {}
                 Some(host) if name != self.app.settings.name => {
                     present.push((name.clone(), host.incarnation));
                     is_changed |= hosts.insert(name, host).is_none();
@@ -169,17 +184,19 @@
     /// disconnects from all others.
     fn connect_cell(self: &Arc<Mesh>) {
         let hosts = self.hosts();
-        let cell = Cell::of(&self.app.settings.name, hosts.len() + 1);
+        let fleet_size = self.fleet_size(hosts.len());
+        let cell = Cell::of(&self.app.settings.name, fleet_size);
         if self.app.set_cell(cell) {
             let (index, count) = cell.index_and_count();
-            tracing::info!(index, count, hosts = hosts.len() + 1, "cell changed");
+            tracing::info!(index, count, hosts = fleet_size, "cell changed");
         }
         let removed_peers: Vec<Arc<str>> =
             self.peers().keys().filter(|name| !cell.contains(name)).cloned().collect();
         removed_peers.iter().for_each(|name| self.remove_peer(name));
         let cell_hosts = hosts.iter().filter(|(name, _)| cell.contains(name));
         cell_hosts.for_each(|(name, host)| self.connect(name, host));
-        let other_cell_hosts = hosts.keys().filter(|name| !cell.contains(name)).count();
+        let own_cell_hosts = hosts.keys().filter(|name| cell.contains(name)).count();
+        let other_cell_hosts = fleet_size - 1 - own_cell_hosts;
         let (now, mut state) = (clock::now(), self.app.state());
         state.allowances.set_other_cell_hosts(now, other_cell_hosts);
         state.dispatch.set_other_cell_hosts(now, other_cell_hosts);
@@ -198,6 +215,7 @@
         let peer = Peer { host: host.clone(), connection_task: connection_task.abort_handle() };
         peers.insert(name.clone(), peer);
         self.roster().add_peer(clock::now(), name);
+        self.app.state().allowances.expect_peer(clock::now(), name);
     }
 
     /// Records the version of a host's entry in the store, and whether it is marked as lost.
@@ -205,16 +223,6 @@
         self.roster().record_entry(clock::now(), name, version, marked);
     }
 
-    /// Adds a host that connected to this one before its entry in the store was read. Its address
-    /// is that of the connection, with the port on which all hosts listen.
-    fn add_connecting_host(self: &Arc<Mesh>, sender: &frame::Sender, peer_address: SocketAddr) {
-        if !self.hosts().contains_key(&sender.name) {
-            let address = SocketAddr::new(peer_address.ip(), self.port);
-            let host = Host { incarnation: sender.incarnation, address };
-            self.update_hosts([(sender.name.clone(), Some(host))]);
-        }
-    }
-
     /// Ends the connection to a host.
     fn remove_peer(&self, name: &str) {
         if self.peers().remove(name).is_some() {
@@ -247,7 +255,7 @@
     fn record_connection_refused(&self, name: &str) {
         let is_new = self.roster().record_connection_refused(name);
         if is_new {
-            tracing::warn!(peer = name, "peer refuses connections; its share stays reserved");
+            tracing::warn!(peer = name, "peer refuses connections");
             self.app.metrics.refused_peers.inc();
             self.app.state().dispatch.forget_load(name);
         }
@@ -339,8 +347,12 @@
         incarnation: u64,
         mut news: News,
     ) -> Option<Frame> {
+        if self.is_stopped(name, incarnation) {
+            return None;
+        }
         let now = clock::now();
         let millis = |ms: u32| Duration::from_millis(u64::from(ms));
+        self.apply_named_hosts(name, incarnation, &news);
         let unreachable_hosts =
             news.unheard.iter().map(|(name, ms)| (name.clone(), millis(*ms))).collect();
         let report = roster::Report {
@@ -356,6 +368,10 @@
         if recovery.reachable_again {
             tracing::info!(peer = %name, "peer heard again");
         }
+        if recovery.is_first_report {
+            // The others learn of the peer from this host.
+            self.app.gossip_due.notify_one();
+        }
         if recovery.store_reachable_again {
             self.follower.retry_store(name);
         }
@@ -379,6 +395,9 @@
         }
         self.app.record_peer_refusals(&news.refused);
         self.app.record_builds(&news.builds, news.builds_known);
+        if news.stopped {
+            self.record_stop(name, incarnation);
+        }
         request
     }
 
@@ -421,8 +440,11 @@
         servers_differ.then(|| Frame::Servers(self.follower.servers()))
     }
 
-    /// Builds the gossip message with this host's current state.
-    fn build_gossip(&self) -> News {
+    /// Builds the gossip message with this host's current state. Of the hosts that this one hears, it names those that it
+    /// has heard for less than `named_within`; all if that is `None`.
+    fn build_gossip(&self, named_within: Option<Duration>) -> News {
+        let hosts = self.named_hosts(named_within);
+        let fleet_size = u32::try_from(self.fleet_size(self.hosts().len())).unwrap_or(u32::MAX);
         let refused = self.app.recent_refusals();
         let unreachable = self.roster().unreachable_durations(clock::now());
         let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
@@ -461,6 +483,9 @@
             builds,
             builds_known,
             unheard: unreachable.into_iter().map(|(name, time)| (name, millis(time))).collect(),
+            hosts,
+            fleet_size,
+            stopped: self.app.is_stopped(),
         }
     }
 
@@ -489,10 +514,15 @@
                     self.follower.update_age_metric();
                 }
             }
-            match codec::encode(&Frame::News(Box::new(self.build_gossip()))) {
-                Ok(bytes) => drop(self.newest_gossip.send_replace(bytes.into())),
-                Err(error) => tracing::error!(%error, "gossip message can't be encoded"),
-            }
+            self.publish_gossip();
+        }
+    }
+
+    /// Builds a gossip message and passes it to the connections.
+    fn publish_gossip(&self) {
+        match codec::encode(&Frame::News(Box::new(self.build_gossip(Some(NAMING_TIME))))) {
+            Ok(bytes) => drop(self.newest_gossip.send_replace(bytes.into())),
+            Err(error) => tracing::error!(%error, "gossip message can't be encoded"),
         }
     }
 
@@ -593,6 +623,10 @@
                 sender = Some(from);
             }
             (frame, Some(from)) => {
+                if matches!(frame, Frame::News(_)) && mesh.host(&from.name).is_none() {
+                    // A host that was removed as lost, and whose connection is still open.
+                    mesh.add_connecting_host(from, connection.peer);
+                }
                 let answer = mesh.handle_frame(&from.name, from.incarnation, frame);
                 if answer.is_some_and(|answer| connection.sender.send(&answer).is_err()) {
                     return;
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -49,6 +49,8 @@
     pub peers: IntGauge,
     /// Peers whose addresses began to refuse connections.
     pub refused_peers: IntCounter,
+    /// Changes of the hosts that this host learned of without the store, by change.
+    pub host_changes: IntCounterVec,
     /// Share of each allowance that is reserved for unreachable peers, in thousandths.
     pub reserved_per_mille: IntGauge,
     /// Requests that wait for admission.
@@ -106,6 +108,11 @@
                 "refused_peers_total",
                 "Peers that began to refuse connections",
             )?,
+            host_changes: counters(
+                "host_changes_total",
+                "Hosts that connected, were named by a peer, restarted or stopped",
+                &["change"],
+            )?,
             reserved_per_mille: gauge(
                 "kept_back_per_mille",
                 "Allowances kept back for silent peers",
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -104,7 +104,7 @@
     let app = Arc::new(App::new(settings.app, protocol.callers, metrics));
     let client = store_client(protocol.store, settings.store, &registry);
     let follower = Follower::new(app.clone(), protocol.directory);
-    let mesh = Mesh::new(app.clone(), follower.clone(), settings.peers.port());
+    let mesh = Mesh::new(app.clone(), follower.clone(), settings.peers);
     if let Some(readiness) = readiness {
         tokio::spawn(serve_readiness(readiness, app.clone()));
     }
@@ -123,13 +123,13 @@
         Controller::new(app.clone(), mesh.clone(), client.clone(), leases_kind).run(timer.clone()),
     );
     tokio::spawn(mesh.clone().accept(peers));
-    tokio::spawn(mesh.run_gossip(timer.clone()));
+    tokio::spawn(mesh.clone().run_gossip(timer.clone()));
     tokio::spawn(app.clone().run_admission(timer.clone()));
     let (drain_sender, drain_receiver) = watch::channel(settings.drain);
     tokio::spawn(follow_settings(reload, hangups, timer, app.clone(), drain_sender));
     listener::serve(callers, app, shutdown, drain_receiver).await;
     registration_task.abort();
-    registration.deregister().await;
+    tokio::join!(mesh.announce_stop(), registration.deregister());
     tracing::info!(%name, "stopped");
     Ok(())
 }
--- a/crates/forward/tests/forward/peers.rs
+++ b/crates/forward/tests/forward/peers.rs
@@ -9,6 +9,8 @@
 use chestnutrack_forward::follow::{Directory, Follower, Host as PeerHost};
 use chestnutrack_forward::mesh::Mesh;
 use chestnutrack_process::timer::Timer;
+use chestnutrack_wire::connection;
+use chestnutrack_wire::frame::{self, Frame, HostReport, News};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,7 +31,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let follower = Follower::new(app.clone(), DIRECTORY);
-    let mesh = Mesh::new(app.clone(), follower, address.port());
+    let mesh = Mesh::new(app.clone(), follower, address);
     tokio::spawn(mesh.clone().accept(listener));
     tokio::spawn(mesh.clone().run_gossip(Timer::start()));
     (mesh, address)
@@ -196,3 +198,93 @@
 
     assert_eq!(here.debit(&"orchard".into(), 3_800), Ok(()));
 }
+
+/// Returns the state of a host that joins a running fleet.
+fn joining(name: &str) -> Arc<app::App> {
+    let app = app_with(app::Settings { is_fleet_first_start: false, ..settings(name) });
+    app.configure(config(), b"{}".to_vec());
+    app
+}
+
+// Guards against hosts that are added just before an outage of the store: they knew the older hosts, but not each other,
+// and each spent beside the others.
+#[tokio::test]
+async fn hosts_that_are_added_without_the_store_find_each_other_through_a_common_peer() {
+    let old = fixture::app("old");
+    old.configure(config(), b"{}".to_vec());
+    let (old_mesh, _) = start_mesh(&old).await;
+    let added = [joining("new-1"), joining("new-2"), joining("new-3")];
+    let mut meshes = Vec::new();
+    for (app, name) in added.iter().zip(["new-1", "new-2", "new-3"]) {
+        let (mesh, address) = start_mesh(app).await;
+        old_mesh.update_hosts([(name.into(), Some(peer_host(address)))]);
+        meshes.push(mesh);
+    }
+
+    // The test's hosts listen on different ports, so that none can connect to `old`, which is counted too.
+    wait_until(|| meshes.iter().all(|mesh| mesh.peer_count() == 3)).await;
+    wait_until(|| added.iter().all(|app| app.metrics.peers.get() == 3)).await;
+    wait_until(|| added.iter().all(|app| app.metrics.reserved_per_mille.get() == 0)).await;
+}
+
+// Guards against a host without the list of hosts that spends before it has heard any other one.
+#[tokio::test]
+async fn a_host_that_joins_spends_little_before_it_hears_another() {
+    let app = joining("new");
+    let (_mesh, address) = start_mesh(&app).await;
+    wait_until(|| app.metrics.reserved_per_mille.get() > 900).await;
+
+    let (other_mesh, _) = start_mesh(&fixture::app("other")).await;
+    other_mesh.update_hosts([("new".into(), Some(peer_host(address)))]);
+
+    wait_until(|| app.metrics.reserved_per_mille.get() == 0).await;
+}
+
+// Guards against a share that stays reserved for ten seconds after a planned stop, and against a list of hosts that
+// brings the stopped process back.
+#[tokio::test]
+async fn a_host_that_stops_in_order_releases_its_share_at_once() {
+    let (here, stopping) = (fixture::app("here"), fixture::app("stopping"));
+    let (mesh, here_address) = start_mesh(&here).await;
+    let (stopping_mesh, address) = start_mesh(&stopping).await;
+    mesh.update_hosts([("stopping".into(), Some(peer_host(address)))]);
+    stopping_mesh.update_hosts([("here".into(), Some(peer_host(here_address)))]);
+    wait_until(|| here.metrics.peers.get() == 1).await;
+
+    stopping_mesh.announce_stop().await;
+    wait_until(|| mesh.peer_count() == 0).await;
+    mesh.update_hosts([("stopping".into(), Some(peer_host(address)))]);
+    let listed_again = mesh.peer_count();
+    let restarted = PeerHost { incarnation: 2, address };
+    mesh.update_hosts([("stopping".into(), Some(restarted))]);
+
+    assert_eq!((listed_again, mesh.peer_count()), (0, 1));
+}
+
+// Guards against a malformed address in gossip that ends the connection or adds a host.
+#[tokio::test]
+async fn a_host_that_is_named_with_an_unreadable_address_is_ignored() {
+    let app = fixture::app("here");
+    let (mesh, address) = start_mesh(&app).await;
+    let connection = connection::connect(address, None).await.unwrap();
+    let sender = frame::Sender { name: "other".into(), incarnation: 1 };
+    let hello = Frame::Hello { version: frame::VERSION, sender, configuration: 0 };
+    let named = |name: &str, address: &str| HostReport {
+        name: name.into(),
+        incarnation: 1,
+        address: address.into(),
+    };
+    let hosts = vec![
+        named("bad", "no address"),
+        named("here", "127.0.0.1:9"),
+        named("good", "127.0.0.1:9"),
+        named("none", ""),
+    ];
+    let news = News { hosts, fleet_size: u32::MAX, ..News::default() };
+
+    connection.sender.send(&hello).unwrap();
+    connection.sender.send(&Frame::News(Box::new(news))).unwrap();
+
+    wait_until(|| mesh.other_host_count() == 2).await;
+    assert_eq!(app.metrics.host_changes.with_label_values(&["named"]).get(), 1);
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -512,6 +512,17 @@
     }
 }
 
+/// A host from which the sender hears.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostReport {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Incarnation of its process.
+    pub incarnation: u64,
+    /// Address at which peers connect to it.
+    pub address: Arc<str>,
+}
+
 /// Gossip state that a host sends to its peers; each message replaces the previous one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -574,6 +585,16 @@
     /// Whether the host knows all builds that may have begun a stream.
     #[serde(default)]
     pub builds_known: bool,
+    /// Hosts of the same cell that the host hears: all of them in the first message of a connection, and afterwards those
+    /// that it has heard for a short time.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub hosts: Vec<HostReport>,
+    /// Number of hosts of all cells that the host knows, with itself; 0 if it doesn't say.
+    #[serde(default)]
+    pub fleet_size: u32,
+    /// Whether the host has ended its last request, so that it spends nothing more.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub stopped: bool,
 }
 
 /// Recent spending of an organisation.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -3,7 +3,9 @@
 #![allow(clippy::unwrap_used)]
 
 use chestnutrack_wire::codec::{self, Error};
-use chestnutrack_wire::frame::{Cause, Failure, Finish, Frame, Load, Ran, Reserve, Sender};
+use chestnutrack_wire::frame::{
+    Cause, Failure, Finish, Frame, HostReport, Load, News, Ran, Reserve, Sender,
+};
 use chestnutrack_wire::{Attempt, Request, decode, encode};
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 
@@ -117,3 +119,21 @@
         assert!(bytes <= share, "{bytes} bytes of {share}: {frame:?}");
     }
 }
+
+// Guards against hosts of adjacent versions that can't read each other's gossip: the earlier one names no hosts.
+#[test]
+fn gossip_without_the_fields_about_hosts_is_read() {
+    let host = HostReport { name: "host-1".into(), incarnation: 7, address: "127.0.0.1:9".into() };
+    let news = News { fleet_size: 3, stopped: true, hosts: vec![host], ..News::default() };
+    let mut value = ciborium::Value::serialized(&news).unwrap();
+    let fields = value.as_map_mut().unwrap();
+    let all = fields.len();
+    fields
+        .retain(|(name, _)| !["hosts", "fleet_size", "stopped"].contains(&name.as_text().unwrap()));
+
+    let read: News = value.deserialized().unwrap();
+
+    assert_eq!(value.as_map().unwrap().len(), all - 3);
+    assert_eq!(read, News::default());
+    assert_eq!(ciborium::Value::serialized(&news).unwrap().deserialized::<News>().unwrap(), news);
+}
