--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -515,6 +515,17 @@
     }
 }
 
+/// A host from which the sender hears.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostReport {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Incarnation of its process.
+    pub incarnation: u64,
+    /// Address at which peers connect to it.
+    pub address: Arc<str>,
+}
+
 /// Gossip state that a host sends to its peers; each message replaces the previous one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
@@ -587,6 +598,16 @@
     /// Evacuated failure domains; absent if the host does not follow them or knows no list yet.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuations: Option<EvacuationReport>,
+    /// Hosts of the same cell that the host hears: all of them in the first message of a connection, and afterwards those
+    /// that it has heard for a short time.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub hosts: Vec<HostReport>,
+    /// Number of hosts of all cells that the host knows, with itself; 0 if it doesn't say.
+    #[serde(default)]
+    pub fleet_size: u32,
+    /// Whether the host has ended its last request, so that it spends nothing more.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub stopped: bool,
 }
 
 /// A prompt that an engine has prefilled, by its prefixes.
