Cold servers: a share for each host of what a cold server takes

Cause: for some seconds after its start a server takes only a few requests a second from all hosts together, and crashes above that. Hosts sent it as much as any other.

Ruled out: only the limits that hosts share already. Each host follows the others' reports, which come 4 to 30 ms late or not at all, and a limit may be overdrawn by every host once, so the bound of a single second does not hold. A lease or a permission per request would need a round trip, and a coordinator.

Change: the rate of the configuration is one more source of the limits in core::dispatch::throttle, from the server's entry, an answer of it, or its first listing during traffic. In addition each host keeps to a number of whole requests in 1.2 s that follows from the names of the server and of all hosts, is half as many in the 1.8 s after a used server has become cold, and none for 2 s after a host has learned of the others. Prefills, generations, plain requests, the router's own calls and probes count when they are sent. Cold servers are chosen after warm ones with room. Speeds, answer times and timeouts that were measured while a server was cold don't count.

Conclusion: the property test plays 100 random fleets of up to 30 hosts in parts, with late entries, restarts and a host that nobody knows; no second exceeds the bound.

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -162,27 +162,8 @@
         let limited = quotas.iter().filter(|quota| quota.rate > 0);
         let mut buckets = HashMap::new();
         for quota in limited {
-            let (rate, burst) = (quota.rate as f64, quota.burst as f64);
-            let bucket = match self.buckets.remove(&quota.name) {
-                Some(mut bucket) => {
-                    bucket.refill(now, reserved_share, accrual_time);
-                    let bucket = Bucket { rate, burst, ..bucket };
-                    Bucket {
-                        level: bucket.level.min(bucket.capacity(reserved_share, accrual_time)),
-                        ..bucket
-                    }
-                }
-                None => {
-                    let window = Window::new(self.settings.window);
-                    let bucket = Bucket { rate, burst, level: 0.0, refilled_at: now, window };
-                    let level = if self.starts_full {
-                        bucket.capacity(reserved_share, accrual_time)
-                    } else {
-                        0.0
-                    };
-                    Bucket { level, ..bucket }
-                }
-            };
+            let bucket = self.buckets.remove(&quota.name);
+            let bucket = self.configured(now, quota, bucket, (reserved_share, accrual_time));
             buckets.insert(quota.name.clone(), bucket);
         }
         self.buckets = buckets;
@@ -190,6 +171,47 @@
         self.starts_full = true;
     }
 
+    /// Applies the quota of one organisation, and leaves the others. A rate of 0 means unlimited.
+    pub fn configure_one(&mut self, now: Instant, quota: &Quota) {
+        let bucket = self.buckets.remove(&quota.name);
+        if quota.rate > 0 {
+            let shares = (self.reserved_share(), self.settings.accrual_time);
+            let bucket = self.configured(now, quota, bucket, shares);
+            self.buckets.insert(quota.name.clone(), bucket);
+        }
+    }
+
+    /// Returns an organisation's bucket under a quota: the one that it has, or a new one.
+    fn configured(
+        &self,
+        now: Instant,
+        quota: &Quota,
+        bucket: Option<Bucket>,
+        (reserved_share, accrual_time): (f64, Duration),
+    ) -> Bucket {
+        let (rate, burst) = (quota.rate as f64, quota.burst as f64);
+        match bucket {
+            Some(mut bucket) => {
+                bucket.refill(now, reserved_share, accrual_time);
+                let bucket = Bucket { rate, burst, ..bucket };
+                Bucket {
+                    level: bucket.level.min(bucket.capacity(reserved_share, accrual_time)),
+                    ..bucket
+                }
+            }
+            None => {
+                let window = Window::new(self.settings.window);
+                let bucket = Bucket { rate, burst, level: 0.0, refilled_at: now, window };
+                let level = if self.starts_full {
+                    bucket.capacity(reserved_share, accrual_time)
+                } else {
+                    0.0
+                };
+                Bucket { level, ..bucket }
+            }
+        }
+    }
+
     /// Debits tokens of an organisation. Organisations without a limit are never refused.
     ///
     /// # Errors
--- a/crates/core/src/dispatch/leaving.rs
+++ b/crates/core/src/dispatch/leaving.rs
@@ -41,6 +41,13 @@
             self.servers.insert(entry.name.clone(), (entry.born, now));
         }
     }
+
+    /// Returns the start time of the process of a server that was removed a short time ago; `None` if there is none.
+    pub(super) fn born(&self, now: Instant, name: &str) -> Option<Option<u64>> {
+        let departed = self.servers.get(name);
+        let departed = departed.filter(|(_, at)| now.since(*at) < DEPARTED_RETENTION);
+        departed.map(|(born, _)| *born)
+    }
 }
 
 impl<T> Dispatch<T> {
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 
 mod admission;
 mod callers;
+mod cold;
 mod engine;
 mod leaving;
 mod peer;
@@ -25,6 +26,7 @@
 
 pub use admission::{Effect, Refusal, Request, Ticket};
 pub use callers::RefusedCallers;
+pub use cold::{COLD_MAX, ColdBound, ColdChange, ColdSource, ColdStart};
 pub use engine::{LengthEstimate, Placement, PlacementBasis, Prefill};
 pub use plain::{Choice, PlainOutcome};
 pub use stage::SplitChange;
@@ -95,6 +97,9 @@
     pub leaving: bool,
     /// Stage of an engine, or `None` for a server of a plain service.
     pub stage: Option<Stage>,
+    /// How much longer the server stays cold, in milliseconds; 0 if it is warm, `None` if the entry says nothing new of it.
+    #[serde(default)]
+    pub cold_ms: Option<u32>,
 }
 
 impl Entry {
@@ -115,8 +120,10 @@
     Answer,
     /// The server answered that it has no room, although it was expected to have room.
     Refusal,
-    /// The server did not answer a request, or broke off its answer.
+    /// The server broke off the connection before its answer was complete, or sent one that can't be right.
     Failure,
+    /// The server did not answer, or go on, in time.
+    Timeout,
     /// There is no connection: the server's address refuses connections or does not respond.
     Unreachable,
 }
@@ -174,6 +181,8 @@
     stage_change_until: Instant,
     /// Whether the server belongs to this host's cell.
     in_cell: bool,
+    /// Until when the server is cold. Meanwhile its speed says nothing about its health.
+    cold_until: Instant,
 }
 
 impl Server {
@@ -183,6 +192,11 @@
         !self.entry.leaving && !self.says_leaving && !self.replaced
     }
 
+    /// Returns `true` if the server is cold.
+    fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+
     /// Returns `true` if the server is open and has not asked this host for no requests.
     fn accepts(&self, now: Instant) -> bool {
         self.is_open() && self.backoff_until <= now
@@ -257,16 +271,22 @@
     /// A server that has left stays out though a store that was restored from a copy lists it again.
     pub fn put(&mut self, now: Instant, mut entry: Entry) -> (ServerKey, bool) {
         entry.leaving |= self.is_departed(now, &entry);
+        let departed_born = self.departed.born(now, &entry.name);
+        let is_new = departed_born != Some(entry.born);
+        let mut was_used = departed_born.is_some();
         if let Some(&key) = self.keys_by_name.get(&entry.name) {
+            was_used = true;
             let server = &mut self.servers[key];
             if server.entry.is_same_process(&entry) {
-                let changed = server.entry != entry;
+                // How long it stays cold changes with each entry.
+                let changed = Entry { cold_ms: entry.cold_ms, ..server.entry.clone() } != entry;
                 // Once its entry has changed, the server no longer counts as replaced.
                 server.replaced &= !changed;
                 if server.entry.stage != entry.stage {
                     server.stage_change_until = Instant::default();
                 }
                 server.entry = entry;
+                self.apply_cold_entry(now, key, false, true);
                 return (key, changed);
             }
             self.remove(now, &entry.name);
@@ -285,10 +305,12 @@
             backoff_until: Instant::default(),
             stage_change_until: Instant::default(),
             in_cell,
+            cold_until: Instant::default(),
         };
         self.throttle.record_start(now, &name, server.entry.born);
         let key = self.servers.insert(server);
         self.keys_by_name.insert(name, key);
+        self.apply_cold_entry(now, key, is_new, was_used);
         (key, true)
     }
 
@@ -326,8 +348,10 @@
         let Some(server) = self.servers.get_mut(key) else { return };
         match outcome {
             Outcome::Answer => server.health.record_success(),
+            // A cold server is slow.
+            Outcome::Timeout if server.is_cold(now) => {}
             Outcome::Refusal => server.health.record_refusal(now),
-            Outcome::Failure => server.health.record_failure(now),
+            Outcome::Failure | Outcome::Timeout => server.health.record_failure(now),
             Outcome::Unreachable => server.health.record_unreachable(now),
         }
     }
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -84,9 +84,10 @@
     /// Chooses a server of a plain service that is not in `excluded`, and counts a request in
     /// flight to it. Returns `None` if there is no such server.
     ///
-    /// Servers are preferred that are not failing, then those in this host's cell (the part of the
-    /// fleet that it uses first), then those that no peer avoids, then those that have not just
-    /// reported that they have no room. Two random servers of the best group are compared by cost.
+    /// Servers are preferred that are not failing, then warm ones if any has room, then those in this
+    /// host's cell (the part of the fleet that it uses first), then those that no peer avoids, then
+    /// those that have not just reported that they have no room. Two random servers of the best group
+    /// are compared by cost.
     pub fn place_plain(
         &mut self,
         now: Instant,
@@ -98,12 +99,19 @@
             let may_get_it = server.accepts(now) && self.throttle.has_room(now, &server.entry.name);
             &*server.entry.service == service && may_get_it && !excluded.contains(key)
         });
+        let mut candidates: Vec<(ServerKey, &Server)> = candidates.collect();
+        let is_warm_with_room = |server: &Server| {
+            !server.is_cold(now) && server.health.may_try(now) && server.stats.full_until <= now
+        };
+        let has_warm_room = candidates.iter().any(|(_, server)| is_warm_with_room(server));
         let preference = |server: &Server| {
             let is_failing = !server.health.may_try(now);
             let is_avoided_by_peer = self.is_avoided_by_peer(now, server);
-            (is_failing, !server.in_cell, is_avoided_by_peer, server.stats.full_until > now)
+            // Cold servers come after the warm ones with room, and before those without.
+            let is_second_choice = server.is_cold(now) == has_warm_room;
+            let is_full = server.stats.full_until > now;
+            (is_failing, is_second_choice, !server.in_cell, is_avoided_by_peer, is_full)
         };
-        let mut candidates: Vec<(ServerKey, &Server)> = candidates.collect();
         candidates
             .sort_by_key(|(key, server)| (preference(server), shuffle::rank(*key, shuffle_seed)));
         let best = preference(candidates.first()?.1);
@@ -130,6 +138,9 @@
         let Some(server) = self.servers.get_mut(key) else { return };
         server.in_flight -= 1;
         match outcome {
+            // A request that was answered by a cold server says nothing about its speed.
+            PlainOutcome::Answered(elapsed) | PlainOutcome::Failed(elapsed)
+                if server.is_cold(now - elapsed) => {}
             PlainOutcome::Answered(elapsed) => server.stats.record(now, elapsed, false),
             PlainOutcome::Failed(elapsed) => server.stats.record(now, elapsed, true),
             PlainOutcome::Full => server.stats.full_until = now + FULL_BACKOFF,
--- a/crates/core/src/dispatch/tests/mod.rs
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -1,5 +1,6 @@
 mod builds;
 mod choice;
+mod cold;
 mod leaving;
 mod load;
 mod simulation;
--- a/crates/core/src/dispatch/tests/simulation.rs
+++ b/crates/core/src/dispatch/tests/simulation.rs
@@ -450,5 +450,6 @@
         slots: 64,
         leaving: false,
         stage: Some(if decode { Stage::Decode } else { Stage::Prefill }),
+        cold_ms: None,
     }
 }
--- a/crates/core/src/dispatch/throttle.rs
+++ b/crates/core/src/dispatch/throttle.rs
@@ -5,8 +5,12 @@
 //! server, and those of its peers when they report them. A server whose rate is used up gets no requests until more has
 //! accrued. Since a report takes some time, each host waits for more or less of it, so that not all hosts send at once. The
 //! limit ends when the server answers a request without stating one that was sent after its last statement.
+//!
+//! A cold server has a limit too ([`super::cold`]), which comes from the configuration and ends with the cold time. If a
+//! server has both, the lower one holds.
 
 use super::admission::PendingRetries;
+use super::cold::ColdServers;
 use super::peer::REPORT_OVERDUE_AFTER;
 use super::{Dispatch, ServerKey, Stage, shuffle};
 use crate::allowance::{self, Allowances, Report};
@@ -75,6 +79,8 @@
     pending_retries: HashMap<Arc<str>, PendingRetries>,
     /// Numbers from which thresholds are drawn. They differ between hosts.
     thresholds: shuffle::Sequence,
+    /// Servers that are cold.
+    pub(super) cold: ColdServers,
 }
 
 impl Default for Throttle {
@@ -91,6 +97,7 @@
             allowances: Allowances::new(Instant::default(), true, settings),
             pending_retries: HashMap::new(),
             thresholds: shuffle::Sequence::default(),
+            cold: ColdServers::default(),
         }
     }
 }
@@ -98,8 +105,17 @@
 impl Throttle {
     /// Returns the time until a server may get a request; zero if it may get one now.
     fn wait(&self, now: Instant, server: &str) -> Duration {
-        let threshold = self.limits.get(server).map_or(0.0, |limit| limit.threshold);
-        self.allowances.time_until_filled(now, server, threshold)
+        let limit = self.limits.get(server);
+        let threshold = limit.map_or(0.0, |limit| limit.threshold);
+        let has_own = limit.is_some_and(|limit| limit.last.rate.is_some());
+        let shared = self.allowances.time_until_filled(now, server, threshold);
+        match self.cold.left(now, server) {
+            Some(left) if !has_own => shared.max(self.cold.wait(now, server)).min(left),
+            Some(_) => shared.max(self.cold.wait(now, server)),
+            // The cold time has ended since the limits were applied.
+            None if !has_own && self.cold.had_limit(server) => Duration::ZERO,
+            None => shared,
+        }
     }
 
     /// Returns whether a server may get a request now.
@@ -110,6 +126,11 @@
     /// Counts a request to a server. Returns `false`, and counts nothing, if the server may not get it now.
     pub(super) fn take(&mut self, now: Instant, server: &Arc<str>) -> bool {
         self.draw_threshold(server);
+        self.cold.record_placement(now, server);
+        if self.cold.left(now, server).is_none() && self.cold.had_limit(server) {
+            // The cold time may have ended since the limits were applied.
+            self.configure_one(now, server);
+        }
         self.allowances.debit(now, server, TOKENS_PER_REQUEST).is_ok()
     }
 
@@ -139,14 +160,28 @@
     }
 
     /// Applies the limits to the allowances.
-    fn configure(&mut self, now: Instant) {
-        let quotas = self.limits.iter().filter_map(|(name, limit)| {
-            Some(Quota { name: name.clone(), rate: limit.last.rate?, burst: 0 })
-        });
+    pub(super) fn configure(&mut self, now: Instant) {
+        let stated = self.limits.iter();
+        let stated = stated.filter_map(|(name, limit)| Some((name, limit.last.rate?)));
+        let mut rates: BTreeMap<&Arc<str>, u64> = stated.collect();
+        for (name, per_s) in self.cold.limits(now) {
+            let rate = to_rate(per_s);
+            rates.entry(name).and_modify(|stated| *stated = rate.min(*stated)).or_insert(rate);
+        }
+        let quotas = rates.into_iter();
+        let quotas = quotas.map(|(name, rate)| Quota { name: name.clone(), rate, burst: 0 });
         let quotas: Vec<Quota> = quotas.collect();
         self.allowances.configure(now, &quotas);
     }
 
+    /// Applies the limit of one server to the allowances.
+    pub(super) fn configure_one(&mut self, now: Instant, server: &Arc<str>) {
+        let stated = self.limits.get(server).and_then(|limit| limit.last.rate);
+        let cold = self.cold.limit(now, server).map(to_rate);
+        let rate = stated.into_iter().chain(cold).min().unwrap_or(0);
+        self.allowances.configure_one(now, &Quota { name: server.clone(), rate, burst: 0 });
+    }
+
     /// Forgets limits that ended long ago.
     fn forget_old(&mut self, now: Instant) {
         let is_old = |limit: &Limit| {
@@ -156,7 +191,14 @@
         let old: Vec<Arc<str>> = old.map(|(name, _)| name.clone()).collect();
         for name in old {
             self.limits.remove(&name);
-            self.allowances.forget(&name);
+            if !self.cold.had_limit(&name) {
+                self.allowances.forget(&name);
+            }
+        }
+        for name in self.cold.forget_old(now) {
+            if !self.limits.contains_key(&name) {
+                self.allowances.forget(&name);
+            }
         }
     }
 
@@ -225,7 +267,11 @@
     /// Counts a call of the router's own to a server. Returns `false` if the server must not get it now.
     pub fn admit_call(&mut self, now: Instant, key: ServerKey) -> bool {
         let Some(server) = self.servers.get(key) else { return false };
-        server.accepts(now) && self.throttle.take(now, &server.entry.name)
+        let name = &server.entry.name;
+        let may_send = server.accepts(now)
+            && self.throttle.cold.wait(now, name).is_zero()
+            && self.throttle.take(now, name);
+        may_send && self.throttle.cold.record_send(now, name, 1)
     }
 
     /// Returns whether a server limits its requests.
@@ -248,7 +294,12 @@
                 .map(|own| LimitStatement { rate: own.rate, age_ms: age_ms(own.received_at) }),
             sent: sent.get(server).copied().unwrap_or_default(),
         });
-        reports.collect()
+        // Of servers that are only cold, peers know the limit by themselves.
+        let sent_to_cold = self.throttle.cold.limited_servers().filter_map(|(server, born)| {
+            let sent = *sent.get(server).filter(|_| !self.throttle.limits.contains_key(server))?;
+            Some(LimitReport { server: server.clone(), born, statement: None, sent })
+        });
+        reports.chain(sent_to_cold).collect()
     }
 
     /// Records what a peer's process reports of servers' limits, and what it has sent under them. Returns the changes.
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod body;
+mod cold;
 mod limit;
 mod origin;
 mod place;
@@ -25,7 +26,8 @@
 use chestnutrack_core::allowance::{self, Allowances};
 use chestnutrack_core::cell::Cell;
 use chestnutrack_core::dispatch::{
-    self, Change, Dispatch, Entry, LimitChange, Outcome, RefusedCallers, ServerKey, Stage,
+    self, Change, ColdBound, ColdStart, Dispatch, Entry, LimitChange, Outcome, RefusedCallers,
+    ServerKey, Stage,
 };
 use chestnutrack_core::limit::Quota;
 use chestnutrack_core::origin::{Builds, Origins, unlisted_build};
@@ -83,6 +85,8 @@
     pub pool: pool::Settings,
     /// Settings of admission and placement.
     pub dispatch: dispatch::Settings,
+    /// Bound of the requests that a cold server may get from all hosts in any second.
+    pub cold_bound: ColdBound,
 }
 
 impl Default for Settings {
@@ -111,6 +115,7 @@
                 ..pool::Settings::default()
             },
             dispatch: dispatch::Settings::default(),
+            cold_bound: ColdBound::default(),
         }
     }
 }
@@ -190,6 +195,7 @@
     pub fn new(settings: Settings, dialect: Dialect, metrics: Metrics) -> App {
         let mut dispatch = Dispatch::new(settings.dispatch, settings.failure_domain.clone());
         dispatch.set_seed(settings.incarnation);
+        dispatch.set_cold_bound(settings.cold_bound);
         let state = State {
             dispatch,
             allowances: Allowances::new(
@@ -267,6 +273,11 @@
                     let (kv_tokens, per_event) = (engine.kv_tokens, engine.tokens_per_event);
                     state.dispatch.configure_engines(&service.name, kv_tokens, per_event);
                 }
+                let cold = service.cold_start;
+                let cold =
+                    cold.map(|cold| ColdStart { duration: cold.duration, per_s: cold.per_s });
+                let cold = cold.unwrap_or(ColdStart { duration: Duration::ZERO, per_s: None });
+                state.dispatch.configure_cold_start(clock::now(), &service.name, cold);
             }
             *active = Some(Arc::new(ActiveConfig { table: Table::new(config), raw }));
         }
@@ -319,6 +330,7 @@
             }
         }
         drop(state);
+        self.report_cold_servers();
         self.origins_due.notify_one();
         self.admit_waiting();
     }
@@ -346,7 +358,10 @@
         let Some(entry) = entry.filter(|entry| entry.born == Some(listed)) else { return };
         tracing::info!(server = %name, listed, born, "server has started again, and its entry is older");
         let build = unlisted_build(name, born);
-        self.apply_change(Change::Put(name.clone(), Entry { born: Some(born), build, ..entry }));
+        self.apply_change(Change::Put(
+            name.clone(),
+            Entry { born: Some(born), build, cold_ms: None, ..entry },
+        ));
     }
 
     /// Records that the platform's store was restored from a copy, whose list of servers is older than
@@ -385,9 +400,14 @@
         self.state().dispatch.accepts(clock::now(), target.key)
     }
 
-    /// Counts a call of the router's own to a server. Returns `false` if the server must not get it now.
+    /// Counts a call of the router's own to a server. Returns `false` if the server must not get it now: a cold server gets
+    /// none for which a new connection has to be opened, and so its process probed.
     pub fn admit_call(&self, target: &Target) -> bool {
-        self.state().dispatch.admit_call(clock::now(), target.key)
+        let (now, mut state) = (clock::now(), self.state());
+        if target.pool.needs_probe() && state.dispatch.is_cold(now, target.key) {
+            return false;
+        }
+        state.dispatch.admit_call(now, target.key)
     }
 
     /// Records what a server says of itself in the head of an answer to a request sent at `sent_at`:
@@ -416,6 +436,9 @@
             tracing::info!(%server, id, asked_s, backoff_ms, "server asks for quiet");
             self.metrics.notices.with_label_values(&["quiet"]).inc();
         }
+        if let Some(left) = head.cold {
+            self.record_cold(target, left);
+        }
         let now = clock::now();
         let change = self.state().dispatch.record_limit(now, target.key, sent_at, head.limit);
         if let Some(LimitChange { server, limit }) = change {
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -537,7 +537,7 @@
     // With other prompts queued ahead the engine may only be slow. Recording a failure would make the peers
     // overload the remaining engines.
     if !admission.basis().queued {
-        job.app.record_outcome(target, Outcome::Failure);
+        job.app.record_outcome(target, Outcome::Timeout);
     }
     let (id, server, limit_ms) = (job.head.id.as_deref(), &target.entry.name, limit.as_millis());
     tracing::info!(id, %server, limit_ms = limit_ms as u64, after_ms = job.age_ms(), "prefill overdue");
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -213,7 +213,7 @@
     /// Records that the engine `silent` has been silent for the limit: once for each silence, as a failure.
     fn record_silence(&mut self, job: &Job, silent: &Target) {
         if !std::mem::replace(&mut self.is_silent, true) {
-            job.app.record_outcome(silent, Outcome::Failure);
+            job.app.record_outcome(silent, Outcome::Timeout);
             job.app.metrics.failures.with_label_values(&[Failure::Silent.name()]).inc();
         }
     }
@@ -393,7 +393,7 @@
         let sent_at = clock::now();
         let result = match self.quarantine_left() {
             Some(left) => Err(Failure::Quarantined(left)),
-            None if !self.app.accepts(target) => Err(Failure::Closed),
+            None if !self.app.accepts(target) || !self.app.may_send(target) => Err(Failure::Closed),
             None => self.exchange(target, added_values, on_send).await,
         };
         if let Err(failure) = &result {
@@ -406,8 +406,9 @@
             Err(Failure::Refused | Failure::Unsent) => {
                 self.app.record_outcome(target, Outcome::Unreachable)
             }
-            Err(Failure::Unknown | Failure::Silent | Failure::TimedOut) => {
-                self.app.record_outcome(target, Outcome::Failure)
+            Err(Failure::Unknown) => self.app.record_outcome(target, Outcome::Failure),
+            Err(Failure::Silent | Failure::TimedOut) => {
+                self.app.record_outcome(target, Outcome::Timeout)
             }
             // For a plain service, this failure is recorded as an answer below: its lack of room is recorded
             // when its placement ends.
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -105,6 +105,20 @@
     pub connections: u32,
     /// Properties of its model engines; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// How its servers start, if they have a limit for the time after.
+    #[serde(default)]
+    pub cold_start: Option<ColdStart>,
+}
+
+/// How servers of a service start during traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStart {
+    /// Time for which a server is cold.
+    #[serde(rename = "duration_ms", with = "millis")]
+    pub duration: Duration,
+    /// Requests per second that a cold server sustains, from all hosts together; `None` if there is no such limit.
+    pub per_s: Option<f64>,
 }
 
 /// Properties of a service's model engines that the router needs.
--- a/crates/forward/src/dialect/mod.rs
+++ b/crates/forward/src/dialect/mod.rs
@@ -129,6 +129,8 @@
     pub backoff: Option<Duration>,
     /// Requests per second that the server takes from all hosts together, if it limits them.
     pub limit: Option<f64>,
+    /// How much longer the server stays cold, if it says so.
+    pub cold: Option<Duration>,
     /// Whether the response bears the server's signature; `true` in a dialect without signatures.
     pub signed: bool,
 }
--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -222,6 +222,7 @@
         self.mesh.update_hosts(hosts);
         if update.is_snapshot {
             self.mesh.record_hosts_known();
+            self.mesh.record_hosts_listed();
         }
         for (name, version, entry) in others {
             let is_lost = entry.as_ref().is_some_and(|entry| entry.lost);
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -473,13 +473,21 @@
     /// If `is_snapshot` is `true`, the entries are all that exist.
     fn apply_entries(&self, is_snapshot: bool, entries: Vec<(Arc<str>, u64, Option<Value>)>) {
         let mut state = self.state();
+        let mut listed_before = BTreeMap::new();
         if is_snapshot {
-            state.stored_entries.clear();
+            listed_before = std::mem::take(&mut state.stored_entries);
             state.is_list_whole = true;
         }
         let mut decoded_entries = Vec::new();
         for (name, version, value) in entries {
-            let entry = value.as_ref().map(|value| self.decode_entry(&name, value));
+            let mut entry = value.as_ref().map(|value| self.decode_entry(&name, value));
+            let known = listed_before.get(&name).or_else(|| state.stored_entries.get(&name));
+            if known.is_some_and(|(known, _)| *known == version)
+                && let Some(Some(entry)) = &mut entry
+            {
+                // An entry that is only listed again was written some time ago.
+                entry.cold_ms = None;
+            }
             match value {
                 Some(value) => drop(state.stored_entries.insert(name.clone(), (version, value))),
                 None => drop(state.stored_entries.remove(&name)),
@@ -492,6 +500,9 @@
         drop(state);
         self.app.metrics.servers.set(i64::try_from(server_count).unwrap_or(i64::MAX));
         changes.into_iter().for_each(|change| self.app.apply_change(change));
+        if is_snapshot {
+            self.app.record_servers_listed();
+        }
     }
 
     /// Decodes the entry of a backend server. Logs one that can't be read and returns `None`.
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -160,6 +160,13 @@
         }
     }
 
+    /// Records that the hosts known are all that the store lists. Before, this host can't know its share of what cold
+    /// servers take.
+    pub(crate) fn record_hosts_listed(&self) {
+        let (hosts, name) = (self.hosts(), &self.app.settings.name);
+        self.app.state().dispatch.set_hosts(clock::now(), name, hosts.keys(), true);
+    }
+
     /// Returns whether all other hosts are known.
     fn knows_hosts(&self) -> bool {
         self.knows_hosts.load(Ordering::Relaxed)
@@ -183,6 +190,7 @@
         let (now, mut state) = (clock::now(), self.app.state());
         state.allowances.set_other_cell_hosts(now, other_cell_hosts);
         state.dispatch.set_other_cell_hosts(now, other_cell_hosts);
+        state.dispatch.set_hosts(now, &self.app.settings.name, hosts.keys(), false);
     }
 
     /// Starts to maintain a connection to a host, unless there is one already to the same
@@ -291,7 +299,9 @@
             roster.record_confirmation(requested_at);
             roster.may_spend_until(clock::now())
         };
-        self.app.state().allowances.set_spend_until(spend_until);
+        let mut state = self.app.state();
+        state.allowances.set_spend_until(spend_until);
+        state.dispatch.set_cold_spend_until(spend_until);
     }
 
     /// Handles a frame of a peer. Returns the reply, if any, to be sent on the same connection.
@@ -375,6 +385,7 @@
             let spent = news.spent.into_iter().collect();
             state.allowances.record_report(now, name, Report { incarnation, age, spent });
             state.allowances.set_spend_until(spend_until);
+            state.dispatch.set_cold_spend_until(spend_until);
         }
         self.app.record_peer_refusals(&news.refused);
         self.app.record_builds(&news.builds, news.builds_known);
@@ -538,8 +549,10 @@
             state.dispatch.mark_unreachable(now, name);
         }
         state.allowances.set_spend_until(spend_until);
+        state.dispatch.set_cold_spend_until(spend_until);
         let reserved = (state.allowances.reserved_share() * 1_000.0) as i64;
         drop(state);
+        self.app.report_cold_servers();
         if self.app.uptime() >= CONNECTING_TIME {
             self.record_hosts_known();
         }
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -31,6 +31,12 @@
     pub retries_denied: IntCounter,
     /// Servers that said in an answer that they are shutting down, and requests of servers for quiet.
     pub notices: IntCounterVec,
+    /// Servers that have become cold, by source, and warm.
+    pub cold_changes: IntCounterVec,
+    /// Requests that were not sent to a cold server because this host's share of its limit was used up.
+    pub cold_withheld: IntCounter,
+    /// Backend servers that are cold.
+    pub cold_servers: IntGauge,
     /// Prefilled prompt tokens that no generation used.
     pub prefill_wasted: IntCounter,
     /// Time of each stage of a request, in seconds.
@@ -92,6 +98,13 @@
             retries: counter("repeats_total", "Repeats that were sent")?,
             retries_denied: counter("repeats_denied_total", "Repeats beyond the budget")?,
             notices: counters("notices_total", "What servers said of themselves", &["notice"])?,
+            cold_changes: counters(
+                "cold_changes_total",
+                "Servers cold, by source, or warm",
+                &["to"],
+            )?,
+            cold_withheld: counter("cold_withheld_total", "Requests beyond a cold server's share")?,
+            cold_servers: gauge("cold_servers", "Backend servers that are cold")?,
             prefill_wasted: counter("prefill_wasted_tokens_total", "Prompt tokens in vain")?,
             stages: register(registry, HistogramVec::new(stages, &["stage"])?)?,
             configuration: gauge("configuration_version", "Version in force")?,
--- a/crates/forward/src/native/headers.rs
+++ b/crates/forward/src/native/headers.rs
@@ -31,6 +31,8 @@
 
 /// Says that the server is shutting down.
 pub const LEAVING: &str = "x-chestnutrack-leaving";
+/// How much longer the server stays cold, in milliseconds.
+const COLD: &str = "x-chestnutrack-cold-ms";
 /// Requests per second that the server takes from all hosts together.
 pub const LIMIT: &str = "x-chestnutrack-limit";
 
@@ -112,6 +114,7 @@
             .then(|| header::retry_after(headers))
             .flatten(),
         limit: header::rate(headers, LIMIT),
+        cold: header::millis(headers, COLD),
         signed: true,
     }
 }
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -157,7 +157,9 @@
                 let drain_changed = drain_sender.send_if_modified(|current| {
                     std::mem::replace(current, settings.drain) != settings.drain
                 });
-                let changed = app.set_retry_burst(settings.app.retry_burst) || drain_changed;
+                let bound_changed = app.set_cold_bound(settings.app.cold_bound);
+                let changed =
+                    app.set_retry_burst(settings.app.retry_burst) || drain_changed || bound_changed;
                 if changed || signal {
                     tracing::info!(signal, changed, "settings read anew");
                 }
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod builds;
+mod cold;
 mod configurations;
 mod connections;
 mod crashes;
--- a/crates/process/src/header.rs
+++ b/crates/process/src/header.rs
@@ -64,6 +64,13 @@
     rate
 }
 
+/// Returns a header's value as a time in milliseconds: a decimal number that is not negative, with an optional fraction. A
+/// value that is too large counts as the longest time. Any other value is logged and counts as absent.
+pub fn millis(headers: &HeaderMap, name: &str) -> Option<Duration> {
+    let millis = rate(headers, name)?;
+    Some(Duration::try_from_secs_f64(millis / 1_000.0).unwrap_or(Duration::MAX))
+}
+
 /// Sets a header. Does nothing if `value` is not a valid header value.
 pub fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -352,6 +352,11 @@
         })
     }
 
+    /// Returns whether the next new connection begins with a probe.
+    pub fn needs_probe(&self) -> bool {
+        self.0.probe.is_some() && !self.is_probed()
+    }
+
     /// Returns whether a connection is open to the process that the probe has accepted.
     fn is_probed(&self) -> bool {
         let mut probed = lock(&self.0.probed);
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -275,6 +275,7 @@
             slots: 64,
             leaving: false,
             stage,
+            cold_ms: None,
         };
         self.write("backends", &name, &json!(entry)).await?;
         Ok(Server { entry, backend, link, is_crashed: false })
@@ -563,7 +564,13 @@
 }
 
 fn service(name: &str, engine: Option<Engine>) -> Service {
-    Service { name: name.into(), health_path: "/health".into(), connections: 100, engine }
+    Service {
+        name: name.into(),
+        health_path: "/health".into(),
+        connections: 100,
+        engine,
+        cold_start: None,
+    }
 }
 
 /// Returns the settings of the engines, which are the same in all runs.
