--- a/crates/forward/src/mesh/membership.rs
+++ b/crates/forward/src/mesh/membership.rs
@@ -49,8 +49,13 @@
         stopped.contains(name, incarnation)
     }
 
-    /// Records that all hosts that the store lists are known.
+    /// Records that all hosts that the store lists are known. Before, this host can't know its share of what cold servers
+    /// take.
     pub(crate) fn record_hosts_listed(self: &Arc<Mesh>) {
+        {
+            let (hosts, name) = (self.hosts(), &self.app.settings.name);
+            self.app.state().dispatch.set_hosts(clock::now(), name, hosts.keys(), true);
+        }
         if !self.is_fleet_listed.swap(true, Ordering::Relaxed) {
             self.record_fleet_known();
             self.connect_cell();
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -204,6 +204,7 @@
         let (now, mut state) = (clock::now(), self.app.state());
         state.allowances.set_other_cell_hosts(now, other_cell_hosts);
         state.dispatch.set_other_cell_hosts(now, other_cell_hosts);
+        state.dispatch.set_hosts(now, &self.app.settings.name, hosts.keys(), false);
     }
 
     /// Starts to maintain a connection to a host, unless there is one already to the same
@@ -304,7 +305,9 @@
             roster.record_confirmation(requested_at);
             roster.may_spend_until()
         };
-        self.app.state().allowances.set_spend_until(spend_until);
+        let mut state = self.app.state();
+        state.allowances.set_spend_until(spend_until);
+        state.dispatch.set_cold_spend_until(spend_until);
     }
 
     /// Handles a frame of a peer. Returns the reply, if any, to be sent on the same connection.
@@ -401,6 +404,7 @@
             let spent = news.spent.into_iter().collect();
             state.allowances.record_report(now, name, Report { incarnation, age, spent });
             state.allowances.set_spend_until(spend_until);
+            state.dispatch.set_cold_spend_until(spend_until);
         }
         self.app.record_peer_refusals(&news.refused);
         self.app.record_builds(&news.builds, news.builds_known);
@@ -588,8 +592,10 @@
             state.dispatch.mark_unreachable(now, name);
         }
         state.allowances.set_spend_until(spend_until);
+        state.dispatch.set_cold_spend_until(spend_until);
         let reserved = (state.allowances.reserved_share() * 1_000.0) as i64;
         drop(state);
+        self.app.report_cold_servers();
         if self.app.uptime() >= CONNECTING_TIME {
             self.record_hosts_known();
         }
