--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -650,10 +650,10 @@
         let (prompt, prefill_starts_at_once, prefill) =
             (active.prompt_tokens, active.prefill_starts_at_once, active.prefill.take());
         let computed = prompt - std::mem::take(&mut active.cached_tokens);
+        let began_at = active.prefill_began_at;
         if let (Some(key), Some(_)) = (prefill, prefill_time) {
             self.record_prefix(key, generation);
         }
-        let began_at = active.prefill_began_at;
         let Some(server) = prefill.and_then(|key| self.servers.get_mut(key)) else { return };
         server.in_flight -= 1;
         server.prefill_tokens -= prompt;
--- a/crates/forward/src/mesh/membership.rs
+++ b/crates/forward/src/mesh/membership.rs
@@ -171,7 +171,7 @@
     /// Tells the peers that this host spends nothing more, at the end of a shutdown.
     pub async fn announce_stop(&self) {
         self.app.stop();
-        self.publish_gossip();
+        self.publish_gossip(Vec::new());
         sleep(STOP_NOTICE_TIME).await;
     }
 
--- a/crates/forward/tests/forward/evacuations.rs
+++ b/crates/forward/tests/forward/evacuations.rs
@@ -138,7 +138,7 @@
     let follower = Follower::new(app.clone(), native::DIRECTORY);
     let client = Client::new(store, client::Settings::default(), None);
     tokio::spawn(follower.clone().follow_evacuations(client));
-    let mesh = Mesh::new(app.clone(), follower, address.port());
+    let mesh = Mesh::new(app.clone(), follower, address);
     tokio::spawn(mesh.clone().accept(listener));
     tokio::spawn(mesh.clone().run_gossip(Timer::start()));
     (mesh, address)
