Check of a configuration before it is sent: `chestnutrack check-config`

Errors, entries that can never match, limits that contradict each other and differences from the configuration in force, with their places, as text and JSON.

--- a/crates/cli/src/cmd/check.rs
+++ b/crates/cli/src/cmd/check.rs
@@ -141,6 +141,7 @@
     Output::ok(out)
 }
 
-fn pluralize(count: usize, noun: &str) -> String {
+/// Returns a count with its noun.
+pub(super) fn pluralize(count: usize, noun: &str) -> String {
     if count == 1 { format!("1 {noun}") } else { format!("{count} {noun}s") }
 }
--- a/crates/cli/src/cmd/mod.rs
+++ b/crates/cli/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one per module.
 
 mod check;
+mod config;
 mod explain;
 mod key;
 mod report;
@@ -29,6 +30,7 @@
 #[argh(subcommand)]
 enum Command {
     Check(check::Check),
+    CheckConfig(config::CheckConfig),
     Key(key::Key),
     Status(status::Status),
     Servers(servers::Servers),
@@ -38,7 +40,8 @@
 }
 
 /// Names of the subcommands.
-pub const NAMES: [&str; 7] = ["check", "key", "status", "servers", "usage", "explain", "report"];
+pub const NAMES: [&str; 8] =
+    ["check", "check-config", "key", "status", "servers", "usage", "explain", "report"];
 
 /// Parses the arguments, without the name of the program, and runs the subcommand.
 pub async fn run(args: &[String]) -> Output {
@@ -53,6 +56,7 @@
     };
     let result = match arguments.command {
         Command::Check(command) => command.run().await,
+        Command::CheckConfig(command) => command.run().await,
         Command::Key(command) => command.run(),
         Command::Status(command) => command.run().await,
         Command::Servers(command) => command.run().await,
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod common;
+mod config;
 mod logs;
 mod pages;
 mod report;
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -3,6 +3,7 @@
 //! A plain service's servers run no model; the others' are model engines. The allowance of an
 //! organisation is stated by its rate and burst.
 
+pub mod check;
 mod millis;
 mod table;
 
