--- a/crates/core/src/dispatch/tests/cold.rs
+++ b/crates/core/src/dispatch/tests/cold.rs
@@ -202,6 +202,8 @@
         max_pause: Some(millis(300)),
         urgent: false,
         prefilled: false,
+        prefixes: Arc::default(),
+        priority: 0,
         build: None,
     }
 }
