Allowances: simulate partitions that answer with resets, and what is available after them

The roster and the allowances of five hosts are played together through cuts of all proportions, both ways and one way, with and without the store's confirmation. A window holds at most 396,000 tokens of a limit of 340,000 (and a tenth); in the 8 s after a cut at least 312,000 of 320,000 tokens are admitted.

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -25,6 +25,8 @@
 
 mod ledger;
 #[cfg(test)]
+mod partition_tests;
+#[cfg(test)]
 mod tests;
 mod window;
 
