Streams: a build that the store does not name is not taken for none

Cause: the first host of the first cell names the builds in the store within a second. If all hosts were killed before, and the servers of the new build left during the kill, a host that restarted knew the former build only, and joined text of both: seen in the test a_stream_of_a_build_that_the_store_does_not_name_goes_on_at_no_other without this change (200, events of v1 in a stream of v2).

Change: a host that knows of a single build from the store alone reads the records once, when a caller resumes a stream. If they name a build that it does not know, the store's builds are not all. Builds that a host vouches for, or that this host has listed for as long as a stream lasts, need no reading.

A host that tells a recorder decides whether it is to write; the recorder wrote nothing of a process that only the other host had found out about. Segments are closed at 256 streams instead of 1,024: 2.7 KB a write instead of 8.7 KB at 30 hosts (worked out). Records that are searched for come first where there are more than a host has room for.

--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -47,6 +47,8 @@
     is_first: bool,
     /// Whether all builds that served before that time are known from the store or another host.
     knows_former: bool,
+    /// Whether another host that has listed all builds reported those that served before that time.
+    is_vouched: bool,
     /// Whether a build that is listed now would be known.
     is_current: bool,
 }
@@ -59,6 +61,7 @@
             known_since: None,
             is_first: is_fleet_first_start,
             knows_former: false,
+            is_vouched: false,
             is_current: true,
         }
     }
@@ -98,9 +101,28 @@
         }
     }
 
-    /// Records that all builds that served before this host started are known.
-    pub fn record_former_known(&mut self) {
+    /// Records that all builds that served before this host started are known: from the store, or from another host
+    /// (`is_vouched`).
+    pub fn record_former_known(&mut self, is_vouched: bool) {
         self.knows_former = true;
+        self.is_vouched |= is_vouched;
+    }
+
+    /// Records the builds that the store's records name. If one of them is not known, the builds that the store named may
+    /// not be all: a build may have been listed, begun streams and left before the store named it.
+    pub fn record_recorded<'a>(&mut self, now: Instant, builds: impl IntoIterator<Item = &'a str>) {
+        let known: BTreeSet<&str> =
+            self.services.values().flat_map(|service| service.recent(now)).map(|b| &**b).collect();
+        if builds.into_iter().any(|build| !known.contains(build)) {
+            self.knows_former &= self.is_vouched;
+        }
+    }
+
+    /// Returns whether that only one build can have begun a stream of a service is known only from the store's list of
+    /// builds, which may lack the last one.
+    pub fn relies_on_store(&self, now: Instant, service: &str) -> bool {
+        let service = self.services.get(service);
+        !self.is_vouched && !service.is_some_and(|service| self.has_listed_all_of(now, service))
     }
 
     /// Sets whether this host would know of a build that is listed now: it has read the whole list, and the store answers
--- a/crates/core/src/origin/record_tests.rs
+++ b/crates/core/src/origin/record_tests.rs
@@ -2,7 +2,8 @@
 
 use super::{Contents, Known, Origins, Record, Recorder, Recorders, Step, StepResult, Stream};
 use crate::time::Instant;
-use chestnutrack_wire::frame::OriginReport;
+use chestnutrack_wire::codec;
+use chestnutrack_wire::frame::{Frame, OriginReport};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -174,3 +175,54 @@
     assert_eq!(chosen.len(), super::records::RECORDERS);
     assert!((0..1_000).all(|n| recorders.of(stream(n)) == others.of(stream(n))));
 }
+
+// Guards against records that grow: the costs in docs/CAPACITY.md are worked out from these sizes.
+#[test]
+fn a_record_takes_16_bytes_beside_its_segment() {
+    let bytes = |streams: u64| {
+        let (mut recorder, mut store) = (Recorder::default(), BTreeMap::new());
+        for number in 0..streams {
+            recorder.add(record(number << 40, "vllm-0.9.2+build.1841", 1_790_000_060 + number % 2));
+        }
+        apply(&mut recorder, &mut store, 1_790_000_000, 0);
+        serde_json::to_string(&store[&0].1).unwrap().len()
+    };
+
+    assert_eq!(bytes(2), 103);
+    assert_eq!(bytes(1_024) - bytes(2), 16 * 1_022);
+}
+
+// Guards against messages that grow: the costs in docs/CAPACITY.md are worked out from these sizes.
+#[test]
+fn a_report_for_a_recorder_takes_64_bytes_beside_its_message() {
+    let bytes = |streams: u64| {
+        let report = |number: u64| OriginReport {
+            left_ms: 32_000,
+            record: true,
+            ..report(u64::MAX - number, "vllm-0.9.2+build.1841")
+        };
+        let known = (0..streams).map(report).collect();
+        codec::encode(&Frame::Origins { known, unknown: Vec::new() }).unwrap().len()
+    };
+
+    assert_eq!((bytes(1), bytes(8) - bytes(1)), (90, 7 * 64));
+}
+
+// Load pattern: after a kill of a large fleet, a host finds more records than it has room for. Guards against a stream that is
+// searched for and left out, and against a table so full that streams that begin have no room.
+#[test]
+fn streams_that_are_searched_for_come_first_among_many_records() {
+    let (mut origins, now) = (Origins::default(), Instant(10_000_000));
+    origins.read_records();
+    let searched: Vec<Stream> = (0..100).map(|number| stream(number * 1_000)).collect();
+    for stream in &searched {
+        origins.find(now, *stream);
+        origins.record_asked(*stream, 0);
+    }
+
+    let reports: Vec<OriginReport> = (0..100_000).map(|number| report(number, "v1")).collect();
+    origins.record_stored(now, Some((now, &reports)));
+
+    assert!(searched.iter().all(|stream| origins.build(now, *stream).is_some()));
+    assert!(origins.streams().len() <= (1 << 15) + searched.len());
+}
--- a/crates/core/src/origin/records.rs
+++ b/crates/core/src/origin/records.rs
@@ -9,7 +9,7 @@
 use crate::mix::{hash, mix};
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 /// Hosts that write records. Each makes at most one write per batch period of 250 ms, so the fleet makes at most 16 a second.
@@ -17,11 +17,11 @@
 /// Distinguishes the choice of recorders from other choices by hash of a host's name.
 const RECORDERS_SEED: u64 = 0x7265_636f_7264_6572;
 /// Streams from which on a segment takes no further batch.
-pub(super) const SEGMENT_STREAMS: usize = 1_024;
+pub(super) const SEGMENT_STREAMS: usize = 256;
 /// Largest number of streams in a segment: about 260 KB, while the store takes 1 MiB.
 const SEGMENT_STREAMS_MAX: usize = 16_384;
 /// Largest number of records that a recorder holds. Further ones are dropped.
-const RECORDS_MAX: usize = 1 << 16;
+const RECORDS_MAX: usize = 1 << 18;
 /// Digits of a stream's number in a segment.
 const STREAM_DIGITS: usize = 16;
 
@@ -174,8 +174,8 @@
     segments: Vec<Segment>,
     /// Segment that takes the next records.
     current: usize,
-    /// Number of records for each stream and build, so that one that is told again is not written again.
-    known: HashMap<Stream, Vec<Arc<str>>>,
+    /// Stream and build of each record, so that one that is told again is not written again.
+    known: HashSet<(Stream, Arc<str>)>,
     /// Epoch of the store at the last step. A store that was restored from a copy may lack all segments.
     epoch: u64,
     dropped: u64,
@@ -188,22 +188,13 @@
             self.dropped += 1;
             return false;
         }
-        let builds = self.known.entry(record.stream).or_default();
-        if builds.contains(&record.build) {
+        if !self.known.insert((record.stream, record.build.clone())) {
             return false;
         }
-        builds.push(record.build.clone());
         self.pending.push_back(record);
         true
     }
 
-    /// Forgets the records that are in no segment: only one build can have begun streams.
-    pub fn drop_pending(&mut self) {
-        for record in std::mem::take(&mut self.pending) {
-            self.forget(&record);
-        }
-    }
-
     /// Returns whether nothing is to be written or deleted, now or later.
     pub fn is_idle(&self) -> bool {
         self.pending.is_empty()
@@ -293,11 +284,6 @@
     }
 
     fn forget(&mut self, record: &Record) {
-        if let Some(builds) = self.known.get_mut(&record.stream) {
-            builds.retain(|build| *build != record.build);
-            if builds.is_empty() {
-                self.known.remove(&record.stream);
-            }
-        }
+        self.known.remove(&(record.stream, record.build.clone()));
     }
 }
--- a/crates/core/src/origin/registry.rs
+++ b/crates/core/src/origin/registry.rs
@@ -56,6 +56,8 @@
     reads_records: bool,
     /// When the store's records were last read.
     read_at: Option<Instant>,
+    /// Whether the store's records are to be read at least once.
+    is_check_wanted: bool,
     prune_at: usize,
 }
 
@@ -122,8 +124,19 @@
         self.reads_records = true;
     }
 
-    /// Returns whether streams are searched for that no keeper knows, so that the store's records are to be read.
+    /// Returns whether the store's records have been read since this host started, and has them read if not.
+    pub fn check_records(&mut self) -> bool {
+        let is_checked = self.read_at.is_some() || !self.reads_records;
+        self.is_check_wanted = !is_checked;
+        is_checked
+    }
+
+    /// Returns whether the store's records are to be read: streams are searched for that no keeper knows, or the records
+    /// have to be read once.
     pub fn needs_records(&self, now: Instant) -> bool {
+        if self.is_check_wanted {
+            return true;
+        }
         self.searches
             .values()
             .any(|search| search.outstanding == Some(0) && self.awaits_records(now, *search))
@@ -135,6 +148,7 @@
         for search in self.searches.values_mut().filter(|search| search.outstanding == Some(0)) {
             search.is_read = true;
         }
+        self.is_check_wanted = false;
         let Some((requested_at, reports)) = stored else { return };
         self.read_at = Some(requested_at);
         let mut by_stream: HashMap<u64, Option<&OriginReport>> = HashMap::new();
@@ -144,7 +158,12 @@
                 .and_modify(|first| *first = first.filter(|first| first.build == report.build))
                 .or_insert(Some(report));
         }
-        for report in by_stream.into_values().flatten() {
+        let reports = by_stream.into_values().flatten();
+        let (searched, others): (Vec<&OriginReport>, Vec<&OriginReport>) =
+            reports.partition(|report| self.searches.contains_key(&report.stream.into()));
+        // The others are kept for later searches, as long as room is left for streams that begin.
+        let room = (STREAMS_MAX / 2).saturating_sub(self.streams.len());
+        for report in searched.into_iter().chain(others.into_iter().take(room)) {
             self.record_reports(now, std::slice::from_ref(report));
         }
     }
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -178,7 +178,7 @@
     let fresh = builds_of_later_host(&["v2"]);
     let mut told = fresh.clone();
     told.record_former(NOW, &[]);
-    told.record_former_known();
+    told.record_former_known(false);
     let mut told_another = told.clone();
     told_another.record_former(NOW, &[report("v1", 3_000)]);
 
@@ -217,7 +217,7 @@
 #[test]
 fn only_a_host_that_has_listed_for_as_long_as_a_stream_lasts_vouches_for_its_reports() {
     let mut told = builds_of_later_host(&["v1"]);
-    told.record_former_known();
+    told.record_former_known(false);
     let mut first = Builds::new(true);
 
     assert!(!first.has_listed_all(NOW) && !first.is_known(NOW));
@@ -226,3 +226,33 @@
     assert!(told.is_known(NOW) && !told.has_listed_all(NOW));
     assert!(told.has_listed_all(NOW + LIFE));
 }
+
+// Guards against a build that is taken for the only one, since the store had not been told of another when all hosts were killed.
+#[test]
+fn builds_that_the_store_names_are_not_all_if_its_records_name_another() {
+    let mut builds = builds_of_later_host(&["v1"]);
+    builds.record_former_known(false);
+    assert!(builds.relies_on_store(NOW, "llm"));
+
+    builds.record_recorded(NOW, ["v1"]);
+    assert_eq!(builds.possible(NOW, "llm"), Possible::One("v1".into()));
+    builds.record_recorded(NOW, ["v1", "v2"]);
+
+    assert_eq!(builds.possible(NOW, "llm"), Possible::Unknown);
+    let later = NOW + LIFE;
+    list(&mut builds, later, &["v1"]);
+    assert_eq!(builds.possible(later, "llm"), Possible::One("v1".into()));
+    assert!(!builds.relies_on_store(later, "llm"));
+}
+
+// Guards against records of ended releases that make the hosts of a running fleet refuse.
+#[test]
+fn builds_that_another_host_vouches_for_are_all() {
+    let mut builds = builds_of_later_host(&["v1"]);
+    builds.record_former_known(true);
+
+    builds.record_recorded(NOW, ["v2"]);
+
+    assert_eq!(builds.possible(NOW, "llm"), Possible::One("v1".into()));
+    assert!(!builds.relies_on_store(NOW, "llm"));
+}
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -73,6 +73,12 @@
         }
         self.record_listed_builds(now);
         match (self.builds.possible(now, service), stream) {
+            // The store may not have been told of the last build when all hosts were killed.
+            (Possible::One(_), _)
+                if self.builds.relies_on_store(now, service) && !self.origins.check_records() =>
+            {
+                Known::Pending
+            }
             (Possible::One(build), _) => Known::Build(build),
             (Possible::Several, None) => Known::Nowhere,
             (Possible::Several, Some(stream)) => self.origins.find(now, stream),
@@ -215,9 +221,9 @@
         (state.builds.reports(now), state.builds.has_listed_all(now))
     }
 
-    /// Records what a peer, or the store, reports on builds that serve or have served; `is_known` says whether these, and
-    /// those that are listed, are all.
-    pub(crate) fn record_builds(&self, reports: &[BuildReport], is_known: bool) {
+    /// Records what a peer (`is_peer`), or the store, reports on builds that serve or have served; `is_known` says whether
+    /// these, and those that are listed, are all.
+    pub(crate) fn record_builds(&self, reports: &[BuildReport], is_known: bool, is_peer: bool) {
         if reports.is_empty() && !is_known {
             return;
         }
@@ -229,7 +235,7 @@
             });
         }
         if is_known {
-            state.builds.record_former_known();
+            state.builds.record_former_known(is_peer);
         }
         drop(state);
         self.origins_due.notify_one();
--- a/crates/forward/src/app/records.rs
+++ b/crates/forward/src/app/records.rs
@@ -37,14 +37,9 @@
         }
     }
 
-    /// Returns the call to the store by which records are to be written or deleted now. Records that are not written yet are
-    /// dropped while only one build can have begun streams.
+    /// Returns the call to the store by which records are to be written or deleted now.
     pub(crate) fn next_record_step(&self, store_epoch: u64) -> Option<Step> {
-        let shares = self.shares_origins();
         let mut state = self.state();
-        if !shares {
-            state.recorder.drop_pending();
-        }
         let step = state.recorder.next(wall_time().as_secs(), store_epoch);
         let dropped = state.recorder.dropped();
         drop(state);
@@ -95,6 +90,10 @@
             };
             records.iter().map(report).collect::<Vec<_>>()
         });
+        if let Some(reports) = &reports {
+            let recorded = reports.iter().map(|report| &*report.build);
+            state.builds.record_recorded(now, recorded);
+        }
         let stored = reports.as_deref().map(|reports| (requested_at, reports));
         state.origins.record_stored(now, stored);
         self.count_origins(&state);
--- a/crates/forward/src/follow/builds.rs
+++ b/crates/forward/src/follow/builds.rs
@@ -93,7 +93,7 @@
         let is_complete = entry.epoch == store_epoch;
         let builds = reports.len();
         tracing::info!(builds, is_complete, epoch = entry.epoch, "builds read from the store");
-        self.mesh.app().record_builds(&reports, is_complete);
+        self.mesh.app().record_builds(&reports, is_complete, false);
     }
 
     /// Writes the object if it lacks a build or names one whose streams have ended, and this host is the first of the
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -380,7 +380,7 @@
             state.allowances.set_spend_until(spend_until);
         }
         self.app.record_peer_refusals(&news.refused);
-        self.app.record_builds(&news.builds, news.builds_known);
+        self.app.record_builds(&news.builds, news.builds_known, true);
         request
     }
 
--- a/crates/forward/src/mesh/origins.rs
+++ b/crates/forward/src/mesh/origins.rs
@@ -26,6 +26,8 @@
 /// Time for which reports are gathered for the hosts that write records to the store, for each host of the fleet: each of
 /// them gets at most 1,000 messages a second, whatever the size of the fleet.
 const RECORDER_PAUSE_PER_HOST: Duration = Duration::from_millis(1);
+/// Least time for which they are gathered.
+const RECORDER_PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Messages that wait for a connection to a keeper at most.
 const QUEUED_MAX: usize = 64;
 /// Largest number of streams in a frame.
@@ -108,9 +110,14 @@
     /// Tells the hosts that write records to the store of the streams that are gathered until then.
     async fn tell_recorders(self: Arc<Mesh>) {
         let hosts = u32::try_from(self.other_host_count() + 1).unwrap_or(u32::MAX);
-        let gathering_time = RECORDER_PAUSE_PER_HOST.saturating_mul(hosts);
+        let gathering_time = RECORDER_PAUSE_PER_HOST.saturating_mul(hosts).max(RECORDER_PAUSE_MIN);
         sleep(gathering_time).await;
         let reports = std::mem::take(&mut self.couriers().unrecorded);
+        // A host that has just started may know by now that there was only one build. What this host knows counts, not what
+        // the recorder knows: a process that has started again under a server's name is known to those that called it.
+        if !self.app.shares_origins() {
+            return;
+        }
         let gathering_ms = u32::try_from(gathering_time.as_millis()).unwrap_or(u32::MAX);
         let keepers = self.keepers();
         let mut by_recorder: BTreeMap<&Arc<str>, Vec<OriginReport>> = BTreeMap::new();
--- a/crates/forward/tests/forward/stored_builds.rs
+++ b/crates/forward/tests/forward/stored_builds.rs
@@ -221,6 +221,41 @@
     assert_eq!(old.request_count(), requests);
 }
 
+// Guards against text of two builds in one stream: all hosts are killed before the store is told of a build that has begun
+// streams and whose servers leave during the kill.
+#[tokio::test]
+async fn a_stream_of_a_build_that_the_store_does_not_name_goes_on_at_no_other() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let (old, new) = (engine("v1", Begin::Hang).await, engine("v2", Begin::Hang).await);
+    let servers = [prefill("prefill-1", &prefiller), decode_of("v1", "decode-1", &old)];
+    let mut fleet = Fleet::start(3, &servers).await;
+    fleet.until_builds_are_stored().await;
+    let client = Client::new(fleet.store, client::Settings::default(), None);
+    let named = client.read(HOSTS, "engine-builds").await.unwrap().value.unwrap();
+    fleet.put(&decode_of("v2", "decode-2", &new));
+    fleet.remove("decode-1");
+    let (build, connection) = begin(fleet.address(0), "a1").await;
+    fleet.until_recorded(1).await;
+    let requests = old.request_count();
+
+    (0..3).for_each(|host| fleet.members[host].kill());
+    let version = client.read(HOSTS, "engine-builds").await.unwrap().version;
+    client.replace(HOSTS, "engine-builds", version, &named).await.unwrap();
+    fleet.put(&decode_of("v1", "decode-1", &old));
+    fleet.remove("decode-2");
+    fleet.restart(0..3).await;
+    fleet.until_connected().await;
+    drop(connection);
+    let named = call(fleet.address(1), &resuming("b1", "a1")).await;
+    let text = resuming("b2", "a1").replace("x-chestnutrack-resumes: a1\r\n", "");
+    let unnamed = call(fleet.address(2), &text).await;
+
+    assert_eq!(build, "v2");
+    assert!(is_refused_with_time(&named), "{named:?}");
+    assert!(is_refused_with_time(&unnamed), "{unnamed:?}");
+    assert_eq!(old.request_count(), requests);
+}
+
 // Guards against records that hosts of other cells don't find.
 #[tokio::test]
 async fn streams_go_on_at_hosts_of_another_cell_after_all_hosts_were_killed() {
