--- a/crates/core/src/origin/record_tests.rs
+++ b/crates/core/src/origin/record_tests.rs
@@ -226,3 +226,16 @@
     assert!(searched.iter().all(|stream| origins.build(now, *stream).is_some()));
     assert!(origins.streams().len() <= (1 << 15) + searched.len());
 }
+
+// Guards against hosts of an older version, which know no field `record`, and against a value of another type that is taken for one.
+#[test]
+fn a_report_of_an_older_host_is_not_for_the_store() {
+    let parse = |text: &str| serde_json::from_str::<OriginReport>(text);
+
+    assert_eq!(parse(r#"{"stream":1,"build":"v1","left_ms":5000}"#).unwrap(), report(1, "v1"));
+    assert!(!serde_json::to_string(&report(1, "v1")).unwrap().contains("record"));
+    for record in ["3", "\"yes\"", "null", "-1", "[]"] {
+        let text = format!(r#"{{"stream":1,"build":"v1","left_ms":5,"record":{record}}}"#);
+        assert!(parse(&text).is_err(), "{record}");
+    }
+}
--- a/crates/forward/tests/forward/stored_builds.rs
+++ b/crates/forward/tests/forward/stored_builds.rs
@@ -256,6 +256,30 @@
     assert_eq!(old.request_count(), requests);
 }
 
+// Guards against builds in the store whose epoch can't be read, or is another, and that are taken for all.
+#[tokio::test]
+async fn builds_of_an_unreadable_epoch_are_not_all() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let old = engine("v1", Begin::Complete).await;
+    let servers = [prefill("prefill-1", &prefiller), decode_of("v1", "decode-1", &old)];
+    let mut fleet = Fleet::start(1, &servers).await;
+    fleet.until_builds_are_stored().await;
+    let client = Client::new(fleet.store, client::Settings::default(), None);
+
+    for epoch in [json!(null), json!("x"), json!(-1), json!(u64::MAX), json!([])] {
+        fleet.members[0].kill();
+        let mut object = client.read(HOSTS, "engine-builds").await.unwrap();
+        let value = object.value.as_mut().unwrap();
+        value["epoch"] = epoch.clone();
+        client.replace(HOSTS, "engine-builds", object.version, value).await.unwrap();
+        fleet.restart(0..1).await;
+        let answer = call(fleet.address(0), &resuming("b1", "a1")).await;
+
+        assert!(is_refused_with_time(&answer), "{epoch}: {answer:?}");
+    }
+    assert_eq!(old.request_count(), 0);
+}
+
 // Guards against records that hosts of other cells don't find.
 #[tokio::test]
 async fn streams_go_on_at_hosts_of_another_cell_after_all_hosts_were_killed() {
