--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -407,7 +407,7 @@
             state.dispatch.set_cold_spend_until(spend_until);
         }
         self.app.record_peer_refusals(&news.refused);
-        self.app.record_builds(&news.builds, news.builds_known);
+        self.app.record_builds(&news.builds, news.builds_known, true);
         if news.stopped {
             self.record_stop(name, incarnation);
         }
