--- a/crates/forward/tests/forward/evacuations.rs
+++ b/crates/forward/tests/forward/evacuations.rs
@@ -13,11 +13,13 @@
 use chestnutrack_forward::follow::{Follower, Host as PeerHost, Registration};
 use chestnutrack_forward::mesh::Mesh;
 use chestnutrack_forward::native;
+use chestnutrack_process::http;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_store::client::{self, Client};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 
@@ -281,3 +283,47 @@
 
     assert_eq!((statuses, a.received().len()), (vec![200; 8], before));
 }
+
+/// Starts a store that lists no evacuation until `is_listed` is set, and the domain `a` then. It counts watches in
+/// `watches`, and answers none.
+async fn start_silent_store(is_listed: Arc<AtomicBool>, watches: Arc<AtomicU32>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(http::serve(listener, move |request: hyper::Request<hyper::body::Incoming>| {
+        let (is_listed, watches) = (is_listed.clone(), watches.clone());
+        async move {
+            if !request.uri().path().starts_with("/v1/objects/") {
+                watches.fetch_add(1, Ordering::Relaxed);
+                std::future::pending::<()>().await;
+            }
+            let object = json!({ "name": "a", "version": 6, "value": {}, "age_ms": 0 });
+            let (version, objects) = match is_listed.load(Ordering::Relaxed) {
+                true => (6, vec![object]),
+                false => (5, vec![]),
+            };
+            let list = json!({ "version": version, "objects": objects });
+            hyper::Response::new(http::full(list.to_string()))
+        }
+    }));
+    address
+}
+
+// Guards against a watch that the store has dropped silently, in a large fleet whose watches wait for long.
+#[tokio::test]
+async fn evacuations_are_listed_again_when_a_peer_s_call_to_the_store_went_unanswered() {
+    let (is_listed, watches) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)));
+    let store = start_silent_store(is_listed.clone(), watches.clone()).await;
+    let app = app_with(following("host"));
+    let follower = Follower::new(app.clone(), native::DIRECTORY);
+    follower.set_hosts(30);
+    let client = Client::new(store, client::Settings::default(), None);
+    tokio::spawn(follower.clone().follow_evacuations(client));
+    wait_until(|| watches.load(Ordering::Relaxed) == 1).await;
+
+    is_listed.store(true, Ordering::Relaxed);
+    tokio::time::sleep(PACE).await;
+    follower.apply_peer_doubt(Some(0), false);
+    let took = until_evacuated(&app, 1).await;
+
+    assert!(took < IN_FORCE, "{took:?}");
+}
