Requests reach the regions only that their route and organisation allow

Cause: no field kept requests of a route or an organisation in a region, so prompts and KV caches went to whichever server was the best.

Ruled out: refusing a whole configuration because of one malformed list, which would keep every other change out; pools of servers per region, of which two lists that both bind make too many.

`core::dispatch::residency` joins both lists, and every choice of a server asks it: decode, prefill, prefill elsewhere, plain services, with them resume, takeover and retries, and once more right before a send. A request whose regions have no server that accepts requests is refused at once with `region` and a retry time; one that waits for its region holds up no other. Requests without lists are chosen for as before.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -2,7 +2,7 @@
 //! decode engine, and on a prefill engine if its prompt needs one.
 
 use super::engine::{Assignment, GenerationsByEngine, LengthEstimate};
-use super::{Dispatch, Placement, Stage};
+use super::{Dispatch, Placement, Residency, Stage};
 use crate::forecast;
 use crate::queue::{self, Waiting};
 use crate::time::Instant;
@@ -45,9 +45,16 @@
     pub prefilled: bool,
     /// Build whose engines may generate, or `None` if any may: what two builds write does not fit together.
     pub build: Option<Arc<str>>,
+    /// Regions whose servers may get the request.
+    pub residency: Residency,
 }
 
 impl Request {
+    /// Returns whether only some engines may serve the request, so that others may pass it in the queue.
+    fn is_bound(&self) -> bool {
+        self.build.is_some() || self.residency.is_restricted()
+    }
+
     /// Returns the generation that the request would start, as the forecast of an engine's memory
     /// counts it.
     pub(super) fn forecast_generation(&self, length: &LengthEstimate) -> forecast::Generation {
@@ -99,16 +106,16 @@
     /// Submits a request. Returns a ticket if the request has to wait, or the effect if it is
     /// admitted or refused at once.
     ///
-    /// A request is admitted at once only if none waits on this host, except for an engine of its build, or it is urgent. It is refused
+    /// A request is admitted at once only if none waits on this host, except for an engine of its build or region, or it is urgent. It is refused
     /// if too few known generations are expected to end in time to make room for all requests that
     /// wait on this host and its peers and for itself, or the limits of the decode engines don't allow them in time, if
-    /// all decode engines have asked for no requests or are in evacuated failure domains, if it needs a build that has
-    /// none, or if a limit of the queue is reached.
+    /// all decode engines have asked for no requests or are in evacuated failure domains, if it needs a build or region that
+    /// has none, or if a limit of the queue is reached.
     pub fn submit(&mut self, now: Instant, request: Request, item: T) -> Result<Ticket, Effect<T>> {
         let (generations_by_engine, shuffle_seed) =
             (self.known_generations(now), self.shuffle_seeds.next());
-        // One that waits for an engine of its build holds up no other.
-        let is_next = !self.queue.any(|waiting| waiting.item.0.build.is_none());
+        // One that waits for an engine of its build or region holds up no other.
+        let is_next = !self.queue.any(|waiting| !waiting.item.0.is_bound());
         if (is_next || request.urgent)
             && let Some(assignment) =
                 self.assign(now, &request, &generations_by_engine, shuffle_seed)
@@ -117,6 +124,7 @@
         }
         if self.backoff_left(now, &request.service, Some(Stage::Decode)).is_some()
             || self.is_stranded(&request)
+            || self.excluded_for(now, &request).is_some()
             || request.build.as_ref().is_some_and(|build| !self.has_build(&request.service, build))
         {
             let refusal = self.refuse(now, &request);
@@ -127,7 +135,7 @@
         let throttled_for =
             self.throttled_for(now, &request.service, Some(Stage::Decode), requests_ahead);
         let expected_wait = throttled_for
-            .or_else(|| self.time_until_completions(now, &request.service, requests_ahead + 1));
+            .or_else(|| self.time_until_completions(now, &request, requests_ahead + 1));
         if expected_wait.is_none_or(|wait| now + wait > admit_by) {
             let refusal = self.refuse(now, &request);
             return Err(Effect::Refuse(item, refusal));
@@ -177,11 +185,20 @@
         effects
     }
 
-    /// Removes and returns the waiting requests that can no longer be served in time, or for which evacuations have left
-    /// no engine.
+    /// Returns the retry time of a request that must not wait, because its regions leave no engine that accepts requests.
+    fn excluded_for(&self, now: Instant, request: &Request) -> Option<Duration> {
+        let (service, stage) = (&request.service, Some(Stage::Decode));
+        self.excluded_retry_after(now, service, stage, &request.residency)
+    }
+
+    /// Removes and returns the waiting requests that can no longer be served in time, or for which evacuations or their
+    /// regions have left no engine.
     fn take_expired(&mut self, now: Instant) -> Vec<Waiting<(Request, T)>> {
         let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
-        let expired = queue.expire(now, |waiting| self.is_stranded(&waiting.item.0));
+        let expired = queue.expire(now, |waiting| {
+            let request = &waiting.item.0;
+            self.is_stranded(request) || self.excluded_for(now, request).is_some()
+        });
         self.queue = queue;
         expired
     }
@@ -196,7 +213,7 @@
         let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
         let dequeued = queue.dequeue_passing(
             now,
-            |waiting| waiting.item.0.build.is_some(),
+            |waiting| waiting.item.0.is_bound(),
             |waiting| self.assign(now, &waiting.item.0, &generations_by_engine, shuffle_seed),
         );
         self.queue = queue;
@@ -256,19 +273,19 @@
     /// Refuses a request. The retry time is when capacity is expected after all waiting requests
     /// and all refused callers that were asked to retry before this one. The latter are estimated
     /// as this host's number times the number of hosts. It is later if all decode engines have asked
-    /// for no requests until then, their limits allow none before, or all are in evacuated failure domains.
+    /// for no requests until then, their limits allow none before, or none is left outside evacuated
+    /// failure domains and in the regions that the request may reach.
     fn refuse(&mut self, now: Instant, request: &Request) -> Refusal {
         let ahead = self.total_waiting();
         let evacuated = self.evacuated_retry_after(&request.service, Some(Stage::Decode));
-        if let Some(retry_after) = evacuated {
+        if let Some(retry_after) = evacuated.or_else(|| self.excluded_for(now, request)) {
             return Refusal { ahead, retry_after };
         }
         let hosts = self.peers.len() + 1;
         let ahead_with_retries = ahead + self.pending_retries.pending(now) * hosts;
         let (shortest, longest) = self.settings.retry_after;
-        let wait = self
-            .time_until_completions(now, &request.service, ahead_with_retries + 1)
-            .unwrap_or(shortest);
+        let wait =
+            self.time_until_completions(now, request, ahead_with_retries + 1).unwrap_or(shortest);
         let quiet = self.backoff_left(now, &request.service, Some(Stage::Decode));
         let decode = Some(Stage::Decode);
         let throttled = self.throttled_for(now, &request.service, decode, ahead_with_retries);
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 mod leaving;
 mod peer;
 mod plain;
+mod residency;
 mod shuffle;
 mod stage;
 #[cfg(test)]
@@ -29,6 +30,7 @@
 pub use engine::{LengthEstimate, Placement, PlacementBasis, Prefill};
 pub use evacuation::{EvacuationChange, EvacuationList, EvacuationState};
 pub use plain::{Choice, PlainOutcome};
+pub use residency::Residency;
 pub use stage::SplitChange;
 pub use throttle::LimitChange;
 
@@ -178,6 +180,8 @@
     in_cell: bool,
     /// Whether the server's failure domain is evacuated.
     evacuated: bool,
+    /// Region of the server's failure domain, if the settings state it.
+    region: Option<Arc<str>>,
 }
 
 impl Server {
@@ -212,6 +216,8 @@
     departed: leaving::Departed,
     /// Failure domains whose servers get no new requests.
     evacuations: evacuation::Evacuations,
+    /// Region of each failure domain.
+    regions: BTreeMap<Arc<str>, Arc<str>>,
     /// Ordered by name, so that runs are reproducible.
     peers: BTreeMap<Arc<str>, Peer>,
     pending_retries: admission::PendingRetries,
@@ -236,6 +242,7 @@
             queue: Queue::new(settings.queue),
             departed: leaving::Departed::default(),
             evacuations: evacuation::Evacuations::default(),
+            regions: BTreeMap::new(),
             peers: BTreeMap::new(),
             pending_retries: admission::PendingRetries::default(),
             throttle: throttle::Throttle::default(),
@@ -265,6 +272,7 @@
     pub fn put(&mut self, now: Instant, mut entry: Entry) -> (ServerKey, bool) {
         entry.leaving |= self.is_departed(now, &entry);
         let evacuated = self.evacuations.covers(&entry.failure_domain);
+        let region = self.regions.get(&entry.failure_domain).cloned();
         if let Some(&key) = self.keys_by_name.get(&entry.name) {
             let server = &mut self.servers[key];
             if server.entry.is_same_process(&entry) {
@@ -274,7 +282,7 @@
                 if server.entry.stage != entry.stage {
                     server.stage_change_until = Instant::default();
                 }
-                (server.entry, server.evacuated) = (entry, evacuated);
+                (server.entry, server.evacuated, server.region) = (entry, evacuated, region);
                 return (key, changed);
             }
             self.remove(now, &entry.name);
@@ -294,6 +302,7 @@
             stage_change_until: Instant::default(),
             in_cell,
             evacuated,
+            region,
         };
         self.throttle.record_start(now, &name, server.entry.born);
         let key = self.servers.insert(server);
--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -4,7 +4,7 @@
 //! by the recent answers it got from a server and its own requests in flight to it. It compares
 //! only two random servers, because hosts that all chose the best one would overload it.
 
-use super::{Dispatch, Server, ServerKey, shuffle};
+use super::{Dispatch, Residency, Server, ServerKey, shuffle};
 use crate::time::Instant;
 use std::time::Duration;
 
@@ -81,21 +81,35 @@
 }
 
 impl<T> Dispatch<T> {
-    /// Chooses a server of a plain service that is not in `excluded`, and counts a request in
-    /// flight to it. Returns `None` if there is no such server.
+    /// Chooses a server of a plain service for a request that may go to any region, as
+    /// [`Dispatch::place_plain_within`] does.
+    pub fn place_plain(
+        &mut self,
+        now: Instant,
+        service: &str,
+        excluded: &[ServerKey],
+    ) -> Option<Choice> {
+        self.place_plain_within(now, service, excluded, &Residency::default())
+    }
+
+    /// Chooses a server of a plain service that is not in `excluded` and that a residency allows,
+    /// and counts a request in flight to it. Returns `None` if there is no such server.
     ///
     /// Servers are preferred that are not failing, then those in this host's cell (the part of the
     /// fleet that it uses first), then those that no peer avoids, then those that have not just
     /// reported that they have no room. Two random servers of the best group are compared by cost.
-    pub fn place_plain(
+    pub fn place_plain_within(
         &mut self,
         now: Instant,
         service: &str,
         excluded: &[ServerKey],
+        residency: &Residency,
     ) -> Option<Choice> {
         let shuffle_seed = self.shuffle_seeds.next();
         let candidates = self.servers.iter().filter(|(key, server)| {
-            let may_get_it = server.accepts(now) && self.throttle.has_room(now, &server.entry.name);
+            let may_get_it = server.accepts(now)
+                && residency.allows(server)
+                && self.throttle.has_room(now, &server.entry.name);
             &*server.entry.service == service && may_get_it && !excluded.contains(key)
         });
         let preference = |server: &Server| {
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -2,7 +2,7 @@
 
 use super::simulation::{entry, service};
 use crate::dispatch::{
-    Dispatch, Effect, Entry, Outcome, Placement, PlainOutcome, Request, Settings,
+    Dispatch, Effect, Entry, Outcome, Placement, PlainOutcome, Request, Residency, Settings,
 };
 use crate::time::Instant;
 use chestnutrack_wire::frame::{EngineReport, GenerationReport, News};
@@ -34,6 +34,7 @@
         urgent: false,
         prefilled: false,
         build: None,
+        residency: Residency::default(),
     }
 }
 
--- a/crates/core/src/dispatch/tests/evacuation.rs
+++ b/crates/core/src/dispatch/tests/evacuation.rs
@@ -178,7 +178,7 @@
     }
 
     assert!(there > 0);
-    assert_eq!(dispatch.time_until_completions(NOW, &service(), 1), None);
+    assert_eq!(dispatch.time_until_completions(NOW, &request(), 1), None);
     assert_eq!(dispatch.evacuated_in_flight(), there as u64);
 }
 
--- a/crates/core/src/dispatch/tests/leaving.rs
+++ b/crates/core/src/dispatch/tests/leaving.rs
@@ -2,7 +2,7 @@
 //! copy of the store.
 
 use super::simulation::{entry, service};
-use crate::dispatch::{Dispatch, Effect, Entry, Request, ServerKey, Settings};
+use crate::dispatch::{Dispatch, Effect, Entry, Request, Residency, ServerKey, Settings};
 use crate::time::Instant;
 use std::time::Duration;
 
@@ -121,6 +121,7 @@
         urgent: false,
         prefilled: false,
         build: None,
+        residency: Residency::default(),
     };
 
     let result = dispatch.submit(NOW, request, 7);
--- a/crates/core/src/dispatch/tests/mod.rs
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod evacuation;
 mod leaving;
 mod load;
+mod residency;
 mod simulation;
 mod stage;
 mod throttle;
--- a/crates/core/src/dispatch/tests/simulation.rs
+++ b/crates/core/src/dispatch/tests/simulation.rs
@@ -1,6 +1,6 @@
 //! Deterministic simulation of several hosts, their engines and callers, without a network.
 
-use crate::dispatch::{Dispatch, Effect, Entry, Placement, Request, Settings, Stage};
+use crate::dispatch::{Dispatch, Effect, Entry, Placement, Request, Residency, Settings, Stage};
 use crate::time::Instant;
 use chestnutrack_wire::frame::News;
 use rand::{Rng, SeedableRng};
@@ -251,6 +251,7 @@
             urgent: false,
             prefilled: false,
             build: None,
+            residency: Residency::default(),
         };
         self.totals.submitted += 1;
         self.requests_by_host[host].0 += 1;
--- a/crates/core/src/dispatch/tests/stage.rs
+++ b/crates/core/src/dispatch/tests/stage.rs
@@ -2,7 +2,7 @@
 
 use super::load::{percent, run};
 use super::simulation::{Scenario, entry, service};
-use crate::dispatch::{Dispatch, Request, Settings, Stage};
+use crate::dispatch::{Dispatch, Request, Residency, Settings, Stage};
 use crate::time::Instant;
 use std::time::Duration;
 
@@ -143,6 +143,7 @@
             urgent: false,
             prefilled: false,
             build: None,
+            residency: Residency::default(),
         };
         drop(dispatch.submit(now, request, 0));
     };
--- a/crates/core/src/dispatch/tests/throttle.rs
+++ b/crates/core/src/dispatch/tests/throttle.rs
@@ -5,7 +5,7 @@
 use crate::allowance;
 use crate::cell::Cell;
 use crate::dispatch::{
-    Dispatch, Effect, Entry, LimitChange, PlainOutcome, Request, ServerKey, Settings,
+    Dispatch, Effect, Entry, LimitChange, PlainOutcome, Request, Residency, ServerKey, Settings,
 };
 use crate::time::Instant;
 use chestnutrack_wire::frame::LimitReport;
@@ -202,6 +202,7 @@
         urgent: false,
         prefilled: false,
         build: None,
+        residency: Residency::default(),
     }
 }
 
--- a/crates/forward/src/answer/mod.rs
+++ b/crates/forward/src/answer/mod.rs
@@ -83,6 +83,9 @@
     // Or it has just started, and does not know yet which domains are evacuated.
     /// the failure domains of the backend servers are evacuated
     Evacuated,
+    // The route or the organisation allows certain regions only, and none of their servers accepts requests.
+    /// no backend server in an allowed region takes requests
+    Region,
     // Engines have crashed under requests with the same parts of the prompt.
     /// backend servers fail under a part of the prompt
     Quarantined,
@@ -119,6 +122,7 @@
             Cause::Full => "full",
             Cause::Throttled => "throttled",
             Cause::Evacuated => "evacuated",
+            Cause::Region => "region",
             Cause::Quarantined => "quarantined",
             Cause::NoServer => "no_server",
             Cause::BuildUnknown => "build_unknown",
@@ -170,6 +174,7 @@
             | Cause::Full
             | Cause::Throttled
             | Cause::Evacuated
+            | Cause::Region
             | Cause::Quarantined
             | Cause::NoServer
             | Cause::BuildUnknown
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -27,7 +27,8 @@
 use chestnutrack_core::allowance::{self, Allowances};
 use chestnutrack_core::cell::Cell;
 use chestnutrack_core::dispatch::{
-    self, Change, Dispatch, Entry, LimitChange, Outcome, RefusedCallers, ServerKey, Stage,
+    self, Change, Dispatch, Entry, LimitChange, Outcome, RefusedCallers, Residency, ServerKey,
+    Stage,
 };
 use chestnutrack_core::limit::Quota;
 use chestnutrack_core::origin::{Builds, Origins, unlisted_build};
@@ -41,7 +42,7 @@
 use chestnutrack_process::pool::{self, Pool, Probe};
 use chestnutrack_wire::frame::{LeavingReport, LimitReport};
 use slotmap::SecondaryMap;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -77,6 +78,8 @@
     pub allowance: allowance::Settings,
     /// Timeouts after which other hosts count as unreachable and as lost.
     pub roster: roster::Settings,
+    /// Region of each failure domain. A backend server whose domain has none gets no requests that are bound to regions.
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
     /// Bounds of evacuations of failure domains; `None` if evacuations are not followed.
     pub evacuation: Option<EvacuationBounds>,
     /// Limit of the bytes that all request bodies hold at once.
@@ -104,6 +107,7 @@
                 ..allowance::Settings::default()
             },
             roster: roster::Settings::default(),
+            regions: BTreeMap::new(),
             evacuation: None,
             body_bytes: 32 << 20,
             answer_bytes: 16 << 20,
@@ -195,6 +199,7 @@
     pub fn new(settings: Settings, dialect: Dialect, metrics: Metrics) -> App {
         let mut dispatch = Dispatch::new(settings.dispatch, settings.failure_domain.clone());
         dispatch.set_seed(settings.incarnation);
+        dispatch.set_regions(settings.regions.clone());
         if let Some(bounds) = settings.evacuation {
             dispatch.wait_for_evacuations(clock::now(), bounds.start_wait());
         }
@@ -403,6 +408,22 @@
         self.state().dispatch.accepts(clock::now(), target.key)
     }
 
+    /// Returns `true` if a server may get a request with a residency.
+    pub fn is_allowed(&self, target: &Target, residency: &Residency) -> bool {
+        self.state().dispatch.is_allowed(target.key, residency)
+    }
+
+    /// Returns the retry time for a refused caller if a residency leaves none of a service's servers, or of its engines of a
+    /// stage, that accepts requests.
+    pub fn excluded_retry_after(
+        &self,
+        service: &str,
+        stage: Option<Stage>,
+        residency: &Residency,
+    ) -> Option<Duration> {
+        self.state().dispatch.excluded_retry_after(clock::now(), service, stage, residency)
+    }
+
     /// Returns `true` if a server gets no requests because its failure domain is evacuated.
     pub fn is_evacuated(&self, target: &Target) -> bool {
         self.state().dispatch.is_evacuated(target.key)
--- a/crates/forward/src/app/place.rs
+++ b/crates/forward/src/app/place.rs
@@ -1,7 +1,7 @@
 //! Placement of requests to plain services, whose servers run no model.
 
 use super::{App, Target};
-use chestnutrack_core::dispatch::{Choice, PlainOutcome, ServerKey};
+use chestnutrack_core::dispatch::{Choice, PlainOutcome, Residency, ServerKey};
 use chestnutrack_process::clock;
 use std::sync::Arc;
 
@@ -32,15 +32,17 @@
 }
 
 impl App {
-    /// Reserves a place at a server of a plain service that is not in `excluded`. Returns `None`
-    /// if there is none.
+    /// Reserves a place at a server of a plain service that is not in `excluded` and that a residency
+    /// allows. Returns `None` if there is none.
     pub fn place_plain(
         self: &Arc<App>,
         service: &str,
         excluded: &[ServerKey],
+        residency: &Residency,
     ) -> Option<PlainPlacement> {
         let mut state = self.state();
-        let choice = state.dispatch.place_plain(clock::now(), service, excluded)?;
+        let choice =
+            state.dispatch.place_plain_within(clock::now(), service, excluded, residency)?;
         let key = choice.key;
         if state.dispatch.is_limited(key) {
             self.gossip_due.notify_one();
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -362,6 +362,7 @@
         urgent,
         prefilled,
         build: start.build.clone(),
+        residency: job.residency.clone(),
     };
     let admission = job.app.admit(request).await;
     let waited_ms = clock::now().since(now).as_millis() as u64;
@@ -395,7 +396,13 @@
             let (ahead, late) = (refusal.ahead, first_token_by <= now);
             tracing::info!(id, ahead, late, waited_ms, tokens, urgent, "no room in time");
             let evacuated = job.app.evacuated_retry_after(&job.service, Some(Stage::Decode));
-            let cause = evacuated.map_or(Cause::Full, |_| Cause::Evacuated);
+            let stage = Some(Stage::Decode);
+            let excluded = job.app.excluded_retry_after(&job.service, stage, &job.residency);
+            let cause = match (evacuated, excluded) {
+                (Some(_), _) => Cause::Evacuated,
+                (None, Some(_)) => Cause::Region,
+                (None, None) => Cause::Full,
+            };
             Err(Refusal::with_retry_after(cause, refusal.retry_after))
         }
     }
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -19,7 +19,7 @@
 use crate::config::{Organisation, Route};
 use crate::dialect::{AddedValues, RequestHead, ResponseHead, Step};
 use bytes::Bytes;
-use chestnutrack_core::dispatch::Outcome;
+use chestnutrack_core::dispatch::{Outcome, Residency};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::http::{ConnectError, Error};
 use chestnutrack_process::{clock, pool};
@@ -42,6 +42,8 @@
     pub service: Arc<str>,
     /// Organisation that the caller's key belongs to; `None` if no key was needed.
     pub organisation: Option<Organisation>,
+    /// Regions whose servers may get the request.
+    pub residency: Residency,
     /// Request line and headers as received.
     pub parts: Parts,
     /// Body as received.
@@ -399,6 +401,8 @@
             Some(left) => Err(Failure::Quarantined(left)),
             None if self.app.is_evacuated(target) => Err(Failure::Evacuated),
             None if !self.app.accepts(target) => Err(Failure::Closed),
+            // The server's entry may have changed since it was chosen.
+            None if !self.app.is_allowed(target, &self.residency) => Err(Failure::Closed),
             None => self.exchange(target, added_values, on_send).await,
         };
         if let Err(failure) = &result {
--- a/crates/forward/src/attempt/plain.rs
+++ b/crates/forward/src/attempt/plain.rs
@@ -18,7 +18,7 @@
     let mut last_refusal = None;
     let mut retry_state = RetryState::default();
     loop {
-        let Some(placement) = job.app.place_plain(&job.service, &tried) else {
+        let Some(placement) = job.app.place_plain(&job.service, &tried, &job.residency) else {
             return Err(last_refusal.unwrap_or_else(|| refusal_of_all(job)));
         };
         log_placement(job, &placement);
@@ -50,6 +50,9 @@
     if let Some(retry_after) = job.app.evacuated_retry_after(&job.service, None) {
         return Refusal::with_retry_after(Cause::Evacuated, retry_after);
     }
+    if let Some(retry_after) = job.app.excluded_retry_after(&job.service, None, &job.residency) {
+        return Refusal::with_retry_after(Cause::Region, retry_after);
+    }
     if let Some(left) = job.app.backoff_left(&job.service) {
         return Refusal::with_retry_after(Cause::Full, left);
     }
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -90,6 +90,9 @@
     pub attempts: u32,
     /// Whether the route is open to callers without a key.
     pub open: bool,
+    /// Regions whose backend servers may get requests; `None` for all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<Vec<Arc<str>>>,
 }
 
 /// A service.
@@ -143,6 +146,9 @@
     /// Tokens charged for a request that states no token count, as requests to plain services do
     /// not.
     pub plain_tokens: u64,
+    /// Regions whose backend servers may get requests; `None` for all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<Vec<Arc<str>>>,
 }
 
 /// Limits on what callers may send.
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -10,6 +10,7 @@
 use crate::config::{Limits, Organisation, Route, Table};
 use crate::dialect::{Generation, RequestHead};
 use bytes::{Bytes, BytesMut};
+use chestnutrack_core::dispatch::Residency;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use http_body_util::BodyExt;
@@ -138,12 +139,15 @@
         })?;
     }
     app.earn_retry(&service);
+    let owner_regions = organisation.as_ref().and_then(|owner| owner.regions.as_deref());
+    let residency = Residency::new([route.regions.as_deref(), owner_regions]);
     let job = Arc::new(Job {
         app: app.clone(),
         active_config: active_config.clone(),
         route,
         service,
         organisation,
+        residency,
         parts,
         body,
         head,
--- a/crates/forward/tests/forward/configurations.rs
+++ b/crates/forward/tests/forward/configurations.rs
@@ -113,6 +113,7 @@
         rate: choose(g, &[0, 1, 10_000, u64::MAX]),
         burst: choose(g, &[0, 1, 10_000, u64::MAX]),
         plain_tokens: choose(g, &[0, 1, 100, 1_000_000]),
+        regions: None,
     });
     Config {
         version: 0,
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -16,6 +16,7 @@
 mod notices;
 mod peers;
 mod plain;
+mod residency;
 mod shutdown;
 mod silence;
 mod streams;
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -522,6 +522,7 @@
         rate,
         burst,
         plain_tokens: PLAIN_TOKENS,
+        regions: None,
     };
     Config {
         version: 0,
@@ -559,6 +560,7 @@
         split: vec![(service.into(), 1)],
         attempts,
         open: false,
+        regions: None,
     }
 }
 
