--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -3,7 +3,9 @@
 #![allow(clippy::unwrap_used)]
 
 use chestnutrack_wire::codec::{self, Error};
-use chestnutrack_wire::frame::{Cause, Failure, Finish, Frame, Load, Ran, Reserve, Sender};
+use chestnutrack_wire::frame::{
+    Cause, EvacuationReport, Failure, Finish, Frame, Load, News, Ran, Reserve, Sender,
+};
 use chestnutrack_wire::{Attempt, Request, decode, encode};
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 
@@ -96,6 +98,23 @@
     assert_eq!(decode(&bytes), Err(Error::TooLarge(codec::FRAME_BYTES_MAX + 1)));
 }
 
+// Guards against a field of evacuations that hosts of adjacent versions, or without evacuations, can't read or pay for.
+#[test]
+fn gossip_has_evacuations_only_where_they_are_followed() {
+    let name = b"evacuations";
+    let has_field = |bytes: &[u8]| bytes.windows(name.len()).any(|part| part == name);
+    let report = EvacuationReport { version: 1 << 40, domains: vec!["gl-a".into()] };
+    let without = Frame::News(Box::default());
+    let with = Frame::News(Box::new(News { evacuations: Some(report), ..News::default() }));
+
+    let encoded = [without, with].map(|frame| (encode(&frame).unwrap(), frame));
+
+    assert_eq!(encoded.each_ref().map(|(bytes, _)| has_field(bytes)), [false, true]);
+    for (bytes, frame) in encoded {
+        assert_eq!(decode(&bytes), Ok(frame));
+    }
+}
+
 /// Control traffic allowed for each host, in bytes a second.
 const CONTROL_BYTES_PER_S: usize = 5_000;
 /// Requests a second in the largest deployment that the system is designed for.
