--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -2,7 +2,7 @@
 //! decode engine, and on a prefill engine if its prompt needs one.
 
 use super::engine::{Assignment, GenerationsByEngine, LengthEstimate};
-use super::{Dispatch, Placement, Stage};
+use super::{Dispatch, Placement, Residency, Stage};
 use crate::forecast;
 use crate::prefix::Prefix;
 use crate::queue::{self, Waiting};
@@ -51,9 +51,16 @@
     pub prefixes: Arc<[Prefix]>,
     /// Build whose engines may generate, or `None` if any may: what two builds write does not fit together.
     pub build: Option<Arc<str>>,
+    /// Regions whose servers may get the request.
+    pub residency: Residency,
 }
 
 impl Request {
+    /// Returns whether only some engines may serve the request, so that others may pass it in the queue.
+    fn is_bound(&self) -> bool {
+        self.build.is_some() || self.residency.is_restricted()
+    }
+
     /// Returns the generation that the request would start, as the forecast of an engine's memory
     /// counts it.
     pub(super) fn forecast_generation(&self, length: &LengthEstimate) -> forecast::Generation {
@@ -139,20 +146,20 @@
     /// Submits a request. Returns a ticket if the request has to wait, or the effect if it is
     /// admitted or refused at once.
     ///
-    /// A request is admitted at once only if none waits on this host, except for an engine of its build or less urgent
+    /// A request is admitted at once only if none waits on this host, except for an engine of its build or region, or less urgent
     /// ones of its service, or it is urgent. It is refused if too few known generations are expected to end in time to
     /// make room for itself and for all requests that wait on this host and its peers and are not less urgent, or the
     /// limits of the decode engines don't allow them in time, if all decode engines have asked for no requests or are in
-    /// evacuated failure domains, if it needs a build that has none, or if a limit of the queue is reached. A less urgent request that waits is refused
+    /// evacuated failure domains, if it needs a build or region that has none, or if a limit of the queue is reached. A less urgent request that waits is refused
     /// instead where it takes a place in the queue, with the next [`Dispatch::tick`].
     pub fn submit(&mut self, now: Instant, request: Request, item: T) -> Result<Ticket, Effect<T>> {
         let (generations_by_engine, shuffle_seed) =
             (self.known_generations(now), self.shuffle_seeds.next());
         let rank = self.draw_rank(&request);
-        // One that waits for an engine of its build holds up no other.
+        // One that waits for an engine of its build or region holds up no other.
         let is_next = !self.queue.any(|waiting| {
             let is_less_urgent = waiting.rank > rank && waiting.item.0.service == request.service;
-            waiting.item.0.build.is_none() && !is_less_urgent
+            !waiting.item.0.is_bound() && !is_less_urgent
         });
         if (is_next || request.urgent)
             && let Some(assignment) =
@@ -164,6 +171,7 @@
         let is_quiet = self.backoff_left(now, &request.service, Some(Stage::Decode)).is_some();
         if is_quiet
             || self.is_stranded(&request)
+            || self.excluded_for(now, &request).is_some()
             || request.build.as_ref().is_some_and(|build| !self.has_build(&request.service, build))
         {
             let reason = if is_quiet { RefusalReason::Quiet } else { RefusalReason::NoServer };
@@ -172,7 +180,7 @@
         }
         let admit_by = self.admit_by(now, &request).min(request.deadline);
         let expected_wait =
-            self.expected_wait(now, &request.service, self.waiting_up_to(&request.service, rank));
+            self.expected_wait(now, &request, self.waiting_up_to(&request.service, rank));
         if expected_wait.is_none_or(|wait| now + wait > admit_by) {
             let refusal = self.refuse(now, &request, rank, RefusalReason::Late);
             return Err(Effect::Refuse(item, refusal));
@@ -255,11 +263,20 @@
         effects
     }
 
-    /// Removes and returns the waiting requests that can no longer be served in time, or for which evacuations have left
-    /// no engine.
+    /// Returns the retry time of a request that must not wait, because its regions leave no engine that accepts requests.
+    fn excluded_for(&self, now: Instant, request: &Request) -> Option<Duration> {
+        let (service, stage) = (&request.service, Some(Stage::Decode));
+        self.excluded_retry_after(now, service, stage, &request.residency)
+    }
+
+    /// Removes and returns the waiting requests that can no longer be served in time, or for which evacuations or their
+    /// regions have left no engine.
     fn take_expired(&mut self, now: Instant) -> Vec<Waiting<(Request, T)>> {
         let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
-        let expired = queue.expire(now, |waiting| self.is_stranded(&waiting.item.0));
+        let expired = queue.expire(now, |waiting| {
+            let request = &waiting.item.0;
+            self.is_stranded(request) || self.excluded_for(now, request).is_some()
+        });
         self.queue = queue;
         expired
     }
@@ -274,7 +291,7 @@
         let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
         let dequeued = queue.dequeue_passing(
             now,
-            |waiting| waiting.item.0.build.is_some(),
+            |waiting| waiting.item.0.is_bound(),
             |waiting| {
                 let request = &waiting.item.0;
                 self.assign(now, request, waiting.rank, &generations_by_engine, shuffle_seed)
@@ -359,18 +376,18 @@
     pub(super) fn expected_wait(
         &self,
         now: Instant,
-        service: &str,
+        request: &Request,
         ahead: usize,
     ) -> Option<Duration> {
-        self.throttled_for(now, service, Some(Stage::Decode), ahead)
-            .or_else(|| self.time_until_completions(now, service, ahead + 1))
+        self.throttled_for(now, &request.service, Some(Stage::Decode), ahead)
+            .or_else(|| self.time_until_completions(now, request, ahead + 1))
     }
 
     /// Refuses a request. The retry time is when capacity is expected after all waiting requests that
     /// are not less urgent, and all refused callers that were asked to retry before this one. The
     /// latter are estimated as this host's number times the number of hosts. It is later if all decode
-    /// engines have asked for no requests until then, their limits allow none before, or all are in evacuated failure
-    /// domains.
+    /// engines have asked for no requests until then, their limits allow none before, or none is left outside evacuated
+    /// failure domains and in the regions that the request may reach.
     fn refuse(
         &mut self,
         now: Instant,
@@ -380,15 +397,14 @@
     ) -> Refusal {
         let ahead = self.waiting_up_to(&request.service, rank);
         let evacuated = self.evacuated_retry_after(&request.service, Some(Stage::Decode));
-        if let Some(retry_after) = evacuated {
+        if let Some(retry_after) = evacuated.or_else(|| self.excluded_for(now, request)) {
             return Refusal { reason, ahead, retry_after };
         }
         let hosts = self.peers.len() + 1;
         let ahead_with_retries = ahead + self.pending_retries.pending(now) * hosts;
         let (shortest, longest) = self.settings.retry_after;
-        let wait = self
-            .time_until_completions(now, &request.service, ahead_with_retries + 1)
-            .unwrap_or(shortest);
+        let wait =
+            self.time_until_completions(now, request, ahead_with_retries + 1).unwrap_or(shortest);
         let quiet = self.backoff_left(now, &request.service, Some(Stage::Decode));
         let decode = Some(Stage::Decode);
         let throttled = self.throttled_for(now, &request.service, decode, ahead_with_retries);
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -21,6 +21,7 @@
 mod plain;
 mod prefix;
 mod priority;
+mod residency;
 mod shuffle;
 mod stage;
 #[cfg(test)]
@@ -33,6 +34,7 @@
 pub use engine::{LengthEstimate, Placement, PlacementBasis, Prefill};
 pub use evacuation::{EvacuationChange, EvacuationList, EvacuationState};
 pub use plain::{Choice, PlainOutcome};
+pub use residency::Residency;
 pub use stage::SplitChange;
 pub use throttle::LimitChange;
 
@@ -190,6 +192,8 @@
     evacuated: bool,
     /// Until when the server is cold. Meanwhile its speed says nothing about its health.
     cold_until: Instant,
+    /// Region of the server's failure domain, if the settings state it.
+    region: Option<Arc<str>>,
 }
 
 impl Server {
@@ -234,6 +238,8 @@
     departed: leaving::Departed,
     /// Failure domains whose servers get no new requests.
     evacuations: evacuation::Evacuations,
+    /// Region of each failure domain.
+    regions: BTreeMap<Arc<str>, Arc<str>>,
     /// Ordered by name, so that runs are reproducible.
     peers: BTreeMap<Arc<str>, Peer>,
     pending_retries: admission::PendingRetries,
@@ -270,6 +276,7 @@
             prompts: SecondaryMap::new(),
             departed: leaving::Departed::default(),
             evacuations: evacuation::Evacuations::default(),
+            regions: BTreeMap::new(),
             peers: BTreeMap::new(),
             pending_retries: admission::PendingRetries::default(),
             priorities: priority::Priorities::default(),
@@ -306,6 +313,7 @@
         let departed_born = self.departed.born(now, &entry.name);
         let is_new = departed_born != Some(entry.born);
         let mut was_used = departed_born.is_some();
+        let region = self.regions.get(&entry.failure_domain).cloned();
         if let Some(&key) = self.keys_by_name.get(&entry.name) {
             was_used = true;
             let server = &mut self.servers[key];
@@ -317,7 +325,7 @@
                 if server.entry.stage != entry.stage {
                     server.stage_change_until = Instant::default();
                 }
-                (server.entry, server.evacuated) = (entry, evacuated);
+                (server.entry, server.evacuated, server.region) = (entry, evacuated, region);
                 self.apply_cold_entry(now, key, false, true);
                 return (key, changed);
             }
@@ -339,6 +347,7 @@
             in_cell,
             evacuated,
             cold_until: Instant::default(),
+            region,
         };
         self.throttle.record_start(now, &name, server.entry.born);
         let key = self.servers.insert(server);
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -2,7 +2,7 @@
 
 use super::simulation::{entry, service};
 use crate::dispatch::{
-    Dispatch, Effect, Entry, Outcome, Placement, PlainOutcome, Request, Settings,
+    Dispatch, Effect, Entry, Outcome, Placement, PlainOutcome, Request, Residency, Settings,
 };
 use crate::time::Instant;
 use chestnutrack_wire::frame::{EngineReport, GenerationReport, News};
@@ -37,6 +37,7 @@
         prefilled: false,
         prefixes: Arc::default(),
         build: None,
+        residency: Residency::default(),
     }
 }
 
--- a/crates/core/src/dispatch/tests/leaving.rs
+++ b/crates/core/src/dispatch/tests/leaving.rs
@@ -2,7 +2,7 @@
 //! copy of the store.
 
 use super::simulation::{entry, service};
-use crate::dispatch::{Dispatch, Effect, Entry, Request, ServerKey, Settings};
+use crate::dispatch::{Dispatch, Effect, Entry, Request, Residency, ServerKey, Settings};
 use crate::time::Instant;
 use std::sync::Arc;
 use std::time::Duration;
@@ -124,6 +124,7 @@
         prefilled: false,
         prefixes: Arc::default(),
         build: None,
+        residency: Residency::default(),
     };
 
     let result = dispatch.submit(NOW, request, 7);
--- a/crates/core/src/dispatch/tests/mod.rs
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -6,6 +6,7 @@
 mod load;
 mod prefix;
 mod priority;
+mod residency;
 mod simulation;
 mod stage;
 mod throttle;
--- a/crates/core/src/dispatch/tests/throttle.rs
+++ b/crates/core/src/dispatch/tests/throttle.rs
@@ -5,7 +5,7 @@
 use crate::allowance;
 use crate::cell::Cell;
 use crate::dispatch::{
-    Dispatch, Effect, Entry, LimitChange, PlainOutcome, Request, ServerKey, Settings,
+    Dispatch, Effect, Entry, LimitChange, PlainOutcome, Request, Residency, ServerKey, Settings,
 };
 use crate::time::Instant;
 use chestnutrack_wire::frame::LimitReport;
@@ -204,6 +204,7 @@
         prefilled: false,
         prefixes: Arc::default(),
         build: None,
+        residency: Residency::default(),
     }
 }
 
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -367,6 +367,7 @@
         prefilled,
         prefixes: if job.route.sticky { generation.prefixes() } else { Arc::default() },
         build: start.build.clone(),
+        residency: job.residency.clone(),
     };
     let admission = job.app.admit(request).await;
     let waited_ms = clock::now().since(now).as_millis() as u64;
@@ -415,7 +416,13 @@
             let labels = [&*priority.to_string(), reason];
             job.app.metrics.admission_refusals.with_label_values(&labels).inc();
             let evacuated = job.app.evacuated_retry_after(&job.service, Some(Stage::Decode));
-            let cause = evacuated.map_or(Cause::Full, |_| Cause::Evacuated);
+            let stage = Some(Stage::Decode);
+            let excluded = job.app.excluded_retry_after(&job.service, stage, &job.residency);
+            let cause = match (evacuated, excluded) {
+                (Some(_), _) => Cause::Evacuated,
+                (None, Some(_)) => Cause::Region,
+                (None, None) => Cause::Full,
+            };
             Err(Refusal::with_retry_after(cause, refusal.retry_after))
         }
     }
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -94,6 +94,9 @@
     /// Whether its requests share parts of their prompts, so that engines that hold them are preferred.
     #[serde(default)]
     pub sticky: bool,
+    /// Regions whose backend servers may get requests; `None` for all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<Vec<Arc<str>>>,
 }
 
 /// A service.
@@ -161,6 +164,9 @@
     /// Tokens charged for a request that states no token count, as requests to plain services do
     /// not.
     pub plain_tokens: u64,
+    /// Regions whose backend servers may get requests; `None` for all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub regions: Option<Vec<Arc<str>>>,
 }
 
 /// Limits on what callers may send.
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -17,6 +17,7 @@
 mod notices;
 mod peers;
 mod plain;
+mod residency;
 mod shutdown;
 mod silence;
 mod stored_builds;
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -523,6 +523,7 @@
         rate,
         burst,
         plain_tokens: PLAIN_TOKENS,
+        regions: None,
     };
     Config {
         version: 0,
@@ -561,6 +562,7 @@
         attempts,
         open: false,
         sticky: false,
+        regions: None,
     }
 }
 
