--- a/crates/bench/src/scripted/entry.rs
+++ b/crates/bench/src/scripted/entry.rs
@@ -120,6 +120,7 @@
             organisation: organisations(settings)[organisation].clone(),
             rank: 0,
             may_wait: false,
+            rank: 0,
             tokens: u64::from(arrival.prompt_tokens + arrival.output_tokens),
             arrived: arrival.at,
             target: admission_target(settings, arrival),
