--- a/crates/bench/src/scripted/entry.rs
+++ b/crates/bench/src/scripted/entry.rs
@@ -118,7 +118,6 @@
         let organisation = if fair { arrival.organisation } else { 0 };
         let waiting = Waiting {
             organisation: organisations(settings)[organisation].clone(),
-            rank: 0,
             may_wait: false,
             rank: 0,
             tokens: u64::from(arrival.prompt_tokens + arrival.output_tokens),
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -515,7 +515,8 @@
             return Some(mode);
         }
         let pool = self.pools.get(&request.service)?;
-        let engines = self.usable_engines(now, &request.service, Stage::Prefill, None);
+        let (service, residency) = (&request.service, &request.residency);
+        let engines = self.usable_engines(now, service, Stage::Prefill, None, residency);
         if engines.is_empty() {
             return Some(mode);
         }
@@ -542,7 +543,8 @@
         ahead: usize,
     ) -> Option<Duration> {
         let pool = self.pools.get(&request.service)?;
-        let engines = self.usable_engines(now, &request.service, Stage::Prefill, None);
+        let (service, residency) = (&request.service, &request.residency);
+        let engines = self.usable_engines(now, service, Stage::Prefill, None, residency);
         let queued = engines
             .iter()
             .map(|(_, server)| self.queued_prefill_tokens(now, server, pool.prefill_per_ms));
--- a/crates/core/src/dispatch/priority.rs
+++ b/crates/core/src/dispatch/priority.rs
@@ -135,7 +135,8 @@
         waiting.sort_unstable();
         while let Some((rank, arrived, key)) = waiting.pop() {
             let Some(entry) = self.queue.get(key).filter(|_| rank > 0) else { break };
-            let (deadline, service) = (entry.deadline, entry.item.0.service.clone());
+            let (deadline, request) = (entry.deadline, entry.item.0.clone());
+            let service = request.service.clone();
             let ahead = waiting.iter().filter_map(|(.., other)| self.queue.get(*other));
             let ahead = ahead.filter(|other| other.item.0.service == service);
             let is_displaced = ahead.clone().any(|other| other.arrived > arrived);
@@ -146,7 +147,7 @@
                 continue;
             }
             let ahead = ahead + self.waiting_before_at_peers(now, &service, rank, arrived);
-            let wait = self.expected_wait(now, &service, ahead);
+            let wait = self.expected_wait(now, &request, ahead);
             if wait.is_none_or(|wait| now + wait > deadline) {
                 effects.extend(self.refuse_waiting(now, key, RefusalReason::Displaced));
             }
--- a/crates/core/src/dispatch/tests/cold.rs
+++ b/crates/core/src/dispatch/tests/cold.rs
@@ -3,7 +3,7 @@
 use super::simulation::{entry, service};
 use crate::dispatch::{
     ColdBound, ColdSource, ColdStart, Dispatch, Effect, Entry, Outcome, PlainOutcome, Request,
-    ServerKey, Settings,
+    Residency, ServerKey, Settings,
 };
 use crate::time::Instant;
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
@@ -202,8 +202,10 @@
         max_pause: Some(millis(300)),
         urgent: false,
         prefilled: false,
+        leaves_at: JOINED + Duration::from_secs(14),
         prefixes: Arc::default(),
         priority: 0,
+        residency: Residency::default(),
         build: None,
     }
 }
--- a/crates/core/src/dispatch/tests/priority.rs
+++ b/crates/core/src/dispatch/tests/priority.rs
@@ -108,8 +108,8 @@
         first_token_by: Some(NOW + millis(wait)),
         ..with_priority(priority)
     };
-    let wait = dispatch.expected_wait(NOW, "model", 0).unwrap();
-    let after_next = dispatch.expected_wait(NOW, "model", 3).unwrap();
+    let wait = dispatch.expected_wait(NOW, &request(), 0).unwrap();
+    let after_next = dispatch.expected_wait(NOW, &request(), 3).unwrap();
     assert!(wait < after_next);
     let limit = u64::try_from(wait.as_millis()).unwrap() + 300;
     dispatch.submit(NOW, patience(2, limit), 1).unwrap();
