Crowds of misbehaving callers are played in tests and by chestnutrack-load

A search for the least useful connection was made for each accepted connection and each part of a body, accepted bursts evicted each other before they were read, and a caller that pipelines or sends without a pause kept the thread. A test also found that the timeout of a head did not begin while the connection waited for its idle timeout.

Ruled out: a longer queue of the system for connections (what waits there is received and not read).

Change: a search evicts a 64th of the connections or makes a 16th of the memory free; accepting, bodies and pipelined requests give way to others after a bounded amount; the start of a head ends the wait for the idle timeout. chestnutrack-load has the subcommand crowd, and tests/forward/crowds.rs has a test for each kind of crowd.

The large crowds have not been measured again yet.

--- a/crates/core/src/intake/mod.rs
+++ b/crates/core/src/intake/mod.rs
@@ -36,6 +36,13 @@
 /// Share of connections or memory in use from which they count as tight, as a fraction.
 const TIGHT_SHARE: (usize, usize) = (3, 4);
 
+/// Connections that are accepted at once while the bound is reached: one part in this many of it.
+const BURST_SHARE: usize = 16;
+/// Connections that are evicted at once: one part in this many of the bound.
+const EVICTED_AT_ONCE: usize = 64;
+/// Memory for requests that is made free beyond what is needed: one part in this many.
+const SPARE_SHARE: usize = 16;
+
 new_key_type! {
     /// Identifies a connection.
     pub struct Key;
@@ -222,14 +229,21 @@
         self.connections.is_empty()
     }
 
+    /// Returns how many connections may be accepted before those already accepted must have been read, so that a burst
+    /// does not evict connections of which nothing has been read.
+    pub fn burst(&self) -> usize {
+        let free = self.settings.connections.saturating_sub(self.remaining);
+        free.max(self.settings.connections / BURST_SHARE).max(1)
+    }
+
     /// Returns the bytes that requests hold.
     pub fn held(&self) -> usize {
         self.held
     }
 
-    /// Adds a connection from an address. Returns which one gives way for it, if the bound is exceeded. That may be
+    /// Adds a connection from an address. Returns which ones give way for it, if the bound is exceeded. That may be
     /// the new one, if requests run on all others.
-    pub fn open(&mut self, now: Instant, address: IpAddr) -> (Key, Option<Eviction>) {
+    pub fn open(&mut self, now: Instant, address: IpAddr) -> (Key, Vec<Eviction>) {
         let key = self.connections.insert(Connection {
             address,
             phase: Phase::Idle,
@@ -243,9 +257,9 @@
         self.addresses.entry(address).or_default().connections += 1;
         self.remaining += 1;
         if self.remaining <= self.settings.connections {
-            return (key, None);
+            return (key, Vec::new());
         }
-        (key, self.evict_connection(now))
+        (key, self.evict_connections(now))
     }
 
     /// Removes a connection that was closed, and releases what its request held.
@@ -310,9 +324,11 @@
             true => self.settings.request_bytes / whole * part,
             false => self.settings.request_bytes,
         };
-        while bytes > 0 && self.held + bytes > limit {
-            let Some(victim) = self.body_victim(now, key, held) else { return (false, evictions) };
-            evictions.extend(self.evict(now, victim, Reason::Memory));
+        if bytes > 0 && self.held + bytes > limit {
+            evictions = self.evict_bodies(now, key, held, bytes, limit);
+            if self.held + bytes > limit {
+                return (false, evictions);
+            }
         }
         self.held += bytes;
         if let Some(connection) = self.connections.get_mut(key) {
@@ -381,27 +397,43 @@
         self.evict(now, key, Reason::Memory)
     }
 
-    /// Evicts the least useful connection. Returns `None` if a request runs on each.
-    fn evict_connection(&mut self, now: Instant) -> Option<Eviction> {
-        let stalled = self.connections.iter().filter(|(_, connection)| connection.is_stalled(now));
-        let stalled = stalled.min_by_key(|(_, connection)| {
-            (Reverse(self.weight(connection)), connection.group(), connection.age_from())
-        });
-        if let Some((key, _)) = stalled {
-            return self.evict(now, key, Reason::Stalled);
+    /// Evicts the least useful connections: as many as [`EVICTED_AT_ONCE`] says, so that a burst does not cost a search for
+    /// each. Evicts none if a request runs on each.
+    fn evict_connections(&mut self, now: Instant) -> Vec<Eviction> {
+        let count = (self.settings.connections / EVICTED_AT_ONCE).max(1);
+        let mut stalled: Vec<_> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| connection.is_stalled(now))
+            .map(|(key, connection)| {
+                let weight = Reverse(self.weight(connection));
+                ((weight, connection.group(), connection.age_from()), key)
+            })
+            .collect();
+        if !stalled.is_empty() {
+            stalled.sort_unstable();
+            let keys = stalled.into_iter().take(count);
+            return keys.filter_map(|(_, key)| self.evict(now, key, Reason::Stalled)).collect();
         }
         let mut counts = [0_usize; GROUPS.len()];
         for group in self.connections.values().filter_map(Connection::group) {
             counts[group as usize] += 1;
         }
-        let largest =
-            GROUPS.into_iter().max_by_key(|group| (counts[*group as usize], Reverse(*group)))?;
-        let members =
-            self.connections.iter().filter(|(_, connection)| connection.group() == Some(largest));
-        let (key, _) = members.min_by_key(|(_, connection)| {
-            (Reverse(self.weight(connection)), connection.age_from())
-        })?;
-        self.evict(now, key, Reason::Crowded)
+        let order = |group: &Group| (counts[*group as usize], Reverse(*group));
+        let largest = GROUPS.into_iter().max_by_key(order).filter(|group| order(group).0 > 0);
+        let mut members: Vec<_> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| largest.is_some() && connection.group() == largest)
+            .map(|(key, connection)| {
+                ((Reverse(self.weight(connection)), connection.age_from()), key)
+            })
+            .collect();
+        members.sort_unstable();
+        // The newest of the group may only just have begun.
+        let count = count.min(members.len().div_ceil(2));
+        let keys = members.into_iter().take(count);
+        keys.filter_map(|(_, key)| self.evict(now, key, Reason::Crowded)).collect()
     }
 
     /// Returns the order of magnitude of the connections from the address of a connection. Between addresses that
@@ -411,24 +443,41 @@
         usage.connections.checked_ilog2().unwrap_or(0)
     }
 
-    /// Returns the body that gives way for one that needs to hold `held` bytes: one without progress, or otherwise
-    /// the largest of the address that holds most, if it is larger than the other. Returns `None` if the other is to
-    /// give way itself.
-    fn body_victim(&self, now: Instant, key: Key, held: usize) -> Option<Key> {
-        let bodies = self.connections.iter().filter(|(other, connection)| {
-            *other != key && connection.held > 0 && connection.group() == Some(Group::Body)
-        });
-        let order = |connection: &Connection| {
-            let usage = self.addresses.get(&connection.address).copied().unwrap_or_default();
-            (
-                connection.is_stalled(now),
-                usage.held.checked_ilog2(),
-                connection.held,
-                Reverse(connection.since),
-            )
-        };
-        let (victim, connection) = bodies.max_by_key(|(_, connection)| order(connection))?;
-        (connection.is_stalled(now) || connection.held > held).then_some(victim)
+    /// Gives up bodies for one of `held` bytes until `bytes` more fit into `limit`, with some room to spare so that a burst
+    /// does not cost a search for each part: those without progress first, then the largest of the addresses that hold most,
+    /// if they are larger than that one.
+    fn evict_bodies(
+        &mut self,
+        now: Instant,
+        key: Key,
+        held: usize,
+        bytes: usize,
+        limit: usize,
+    ) -> Vec<Eviction> {
+        let mut bodies: Vec<_> = self
+            .connections
+            .iter()
+            .filter(|(other, connection)| {
+                let is_body = connection.group() == Some(Group::Body);
+                let is_less_useful = connection.held > held || connection.is_stalled(now);
+                *other != key && is_body && connection.held > 0 && is_less_useful
+            })
+            .map(|(other, connection)| {
+                let usage = self.addresses.get(&connection.address).copied().unwrap_or_default();
+                let size = (usage.held.checked_ilog2(), connection.held);
+                (Reverse((connection.is_stalled(now), size, Reverse(connection.since))), other)
+            })
+            .collect();
+        bodies.sort_unstable();
+        let spare = self.settings.request_bytes / SPARE_SHARE;
+        let mut evictions = Vec::new();
+        for (_, other) in bodies {
+            if self.held + bytes + spare <= limit {
+                break;
+            }
+            evictions.extend(self.evict(now, other, Reason::Memory));
+        }
+        evictions
     }
 
     /// Marks a connection as one that is to be closed. What its request held counts as released.
--- a/crates/core/src/intake/tests.rs
+++ b/crates/core/src/intake/tests.rs
@@ -18,13 +18,14 @@
 
 /// Opens a connection from the balancer's address, through which all callers come.
 fn open(table: &mut Table, now: Instant) -> (Key, Option<Key>) {
-    let (key, eviction) = table.open(now, address(1));
-    (key, close(table, eviction))
+    let (key, evictions) = table.open(now, address(1));
+    (key, close(table, &evictions))
 }
 
 /// Closes the connection that gives way, as a listener does.
-fn close(table: &mut Table, eviction: Option<Eviction>) -> Option<Key> {
-    let key = eviction?.key;
+fn close(table: &mut Table, evictions: &[Eviction]) -> Option<Key> {
+    assert!(evictions.len() <= 1, "{evictions:?}");
+    let key = evictions.first()?.key;
     table.close(key);
     Some(key)
 }
@@ -184,6 +185,22 @@
     assert!(is_held);
 }
 
+#[test]
+fn a_burst_on_a_large_listener_costs_a_search_for_many_connections() {
+    let mut table = Table::new(Settings { connections: 640, ..SETTINGS });
+    let (mut searches, mut evicted) = (0, 0);
+    for n in 0..4_000 {
+        let (_, evictions) = table.open(at(n / 8), address(1));
+        searches += usize::from(!evictions.is_empty());
+        evicted += evictions.len();
+        for eviction in evictions {
+            table.close(eviction.key);
+        }
+    }
+    assert!(table.len() <= 640 && evicted >= 3_360);
+    assert!(searches <= 340, "{searches}");
+}
+
 #[test]
 fn bodies_of_running_requests_are_not_given_up() {
     let mut table = Table::new(SETTINGS);
--- a/crates/forward/src/listener/mod.rs
+++ b/crates/forward/src/listener/mod.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::task::{JoinError, JoinSet};
+use tokio::task::{JoinError, JoinSet, yield_now};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 /// Smallest buffer for the head of a request that hyper accepts, in bytes.
@@ -72,6 +72,7 @@
                     let served =
                         serve_connection(tcp, connection, app.clone(), closing_receiver.clone());
                     connections.spawn(served);
+                    app.callers.pause_accepting().await;
                 }
                 Err(error) => {
                     tracing::warn!(%error, "connection not accepted");
@@ -219,7 +220,13 @@
         if remaining.is_zero() {
             return close;
         }
-        sleep(remaining).await;
+        match close {
+            Close::Now => sleep(remaining).await,
+            // A head that begins to arrive has a timeout of its own, which may end before.
+            Close::Answered => {
+                let _ = timeout(remaining, monitor.wait_for_head_start()).await;
+            }
+        }
     }
 }
 
@@ -230,7 +237,10 @@
     request: Request<Incoming>,
     monitor: Monitor,
 ) -> Response<MonitoredBody> {
-    monitor.record_request();
+    if monitor.record_request() {
+        // Other connections have their turn between requests that were sent at once.
+        yield_now().await;
+    }
     let mut response = request::handle(app.clone(), request, monitor.connection()).await;
     // A connection whose body was given up holds the rest of it.
     if app.is_draining() || monitor.connection().is_evicted() {
--- a/crates/forward/src/listener/monitor.rs
+++ b/crates/forward/src/listener/monitor.rs
@@ -86,10 +86,19 @@
         let _ = self.activity.subscribe().wait_for(|activity| !is_reading(activity)).await;
     }
 
-    /// Records that the connection is busy with a request.
-    pub(super) fn record_request(&self) {
-        self.activity.send_replace(Activity::Busy);
+    /// Waits until a part of a head has arrived without the rest.
+    pub(super) async fn wait_for_head_start(&self) {
+        let is_reading = |activity: &Activity| matches!(activity, Activity::ReadingHead { .. });
+        // The sender is not dropped while it is borrowed here.
+        let _ = self.activity.subscribe().wait_for(is_reading).await;
+    }
+
+    /// Records that the connection is busy with a request. Returns `true` if the request was sent before the last one was
+    /// answered: no bytes have arrived since.
+    pub(super) fn record_request(&self) -> bool {
+        let previous = self.activity.send_replace(Activity::Busy);
         self.connection.set_phase(Phase::Running);
+        !matches!(previous, Activity::ReadingHead { .. })
     }
 
     /// Records that bytes were received. On an idle connection they are the start of a head.
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -557,6 +557,7 @@
             intake::Settings { connections: self.app.settings.peer_connections, request_bytes: 0 };
         let intake = Intake::new("peers", bounds, Some(self.app.metrics.evictions.clone()));
         loop {
+            intake.pause_accepting().await;
             match listener.accept().await {
                 Ok((tcp, address)) => {
                     let opened = intake.open(address.ip());
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -190,7 +190,7 @@
 }
 
 /// Answers the platform's readiness checks.
-async fn serve_readiness(listener: TcpListener, app: Arc<App>) {
+pub async fn serve_readiness(listener: TcpListener, app: Arc<App>) {
     let shared_app = app.clone();
     let handle = move |request: Request<Incoming>| {
         let app = &shared_app;
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -22,6 +22,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 
 /// Retry time given to callers while this host has no configuration.
@@ -33,6 +34,9 @@
 /// Memory of one field of a parsed head besides its bytes: an entry of a hash table, and its share of the table's spare
 /// room.
 const FIELD_BYTES: usize = 160;
+/// Bytes of a body that are read before other connections have their turn. A caller that sends without a pause would
+/// otherwise be read for milliseconds at a time.
+const TURN_BYTES: usize = 64 << 10;
 /// Smallest capacity for a body that grows, in bytes.
 const BODY_CAPACITY_MIN: usize = 1 << 10;
 /// Logged in place of the identifier of a request that has none.
@@ -275,7 +279,7 @@
 ) -> Result<Bytes, Refusal> {
     let expected = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
     let capacity_max = expected.unwrap_or(max_bytes);
-    let mut bytes = Vec::new();
+    let (mut bytes, mut turn) = (Vec::new(), 0);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::new(Cause::BodyLate))?;
         let Ok(part) = frame.into_data() else { continue };
@@ -295,6 +299,11 @@
             bytes.reserve_exact(bytes.capacity() + growth - bytes.len());
         }
         bytes.extend_from_slice(&part);
+        turn += part.len();
+        if turn >= TURN_BYTES {
+            turn = 0;
+            yield_now().await;
+        }
     }
     Ok(Counted { bytes, memory }.into_bytes())
 }
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod crashes;
 mod crashing_requests;
+mod crowds;
 mod directory;
 mod fixture;
 mod framing;
--- a/crates/load/src/cmd/mod.rs
+++ b/crates/load/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands of `chestnutrack-load`, each in its own module.
 
 mod compare;
+mod crowd;
 mod run;
 mod send;
 
@@ -8,7 +9,7 @@
 use chestnutrack_cli::output::{Output, USAGE};
 use std::io::Write;
 
-/// Send requests to entry hosts, run experiments on fleets of processes and compare their results.
+/// Send requests or crowds of misbehaving callers to entry hosts, run experiments on fleets of processes and compare their results.
 #[derive(FromArgs)]
 #[argh(
     error_code(1, "a check failed"),
@@ -23,6 +24,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Crowd(crowd::CrowdArguments),
     Send(send::Send),
     Run(run::Run),
     Compare(compare::Compare),
@@ -37,6 +39,7 @@
         Err(exit) => return Output::error(USAGE, exit.output.trim_end()),
     };
     let result = match arguments.command {
+        Command::Crowd(command) => command.run().await,
         Command::Send(command) => command.run().await,
         Command::Run(command) => command.run().await,
         Command::Compare(command) => command.run(),
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod call;
 pub mod cmd;
+pub mod crowd;
 pub mod experiment;
 pub mod measure;
 pub mod report;
--- a/crates/load/src/measure/latency.rs
+++ b/crates/load/src/measure/latency.rs
@@ -23,7 +23,8 @@
 }
 
 /// A histogram of latencies, with microsecond values.
-pub(super) struct Histogram(hdrhistogram::Histogram<u64>);
+#[derive(Clone)]
+pub(crate) struct Histogram(hdrhistogram::Histogram<u64>);
 
 impl Default for Histogram {
     fn default() -> Histogram {
@@ -33,12 +34,23 @@
 }
 
 impl Histogram {
-    pub(super) fn record(&mut self, time: Duration) {
+    pub(crate) fn record(&mut self, time: Duration) {
         let micros = u64::try_from(time.as_micros()).unwrap_or(LATENCY_MAX_US);
         self.0.saturating_record(micros);
     }
 
-    pub(super) fn percentiles(&self) -> Percentiles {
+    /// Adds the latencies of another histogram.
+    pub(crate) fn add(&mut self, other: &Histogram) {
+        // Both have the same bounds.
+        let _ = self.0.add(&other.0);
+    }
+
+    /// Returns the largest latency, in milliseconds.
+    pub(crate) fn max_ms(&self) -> f64 {
+        self.0.max() as f64 / 1_000.0
+    }
+
+    pub(crate) fn percentiles(&self) -> Percentiles {
         let at = |quantile: f64| self.0.value_at_quantile(quantile) as f64 / 1_000.0;
         Percentiles { count: self.0.len(), p50_ms: at(0.5), p95_ms: at(0.95), p99_ms: at(0.99) }
     }
--- a/crates/load/src/measure/mod.rs
+++ b/crates/load/src/measure/mod.rs
@@ -1,6 +1,6 @@
 //! Computes the results of a run: goodput and the other measures, latencies and violations.
 
-mod latency;
+pub(crate) mod latency;
 mod violation;
 
 pub use latency::Percentiles;
--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -172,6 +172,7 @@
 {
     intake.bound_buffers(&listener);
     loop {
+        intake.pause_accepting().await;
         let Ok((tcp, peer)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
--- a/crates/process/src/intake.rs
+++ b/crates/process/src/intake.rs
@@ -9,6 +9,7 @@
 use std::os::fd::AsFd;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 
 /// Size that is asked of the system for each of the two buffers of a connection, in bytes. What callers have sent and
 /// this host has not read is bounded by it.
@@ -27,6 +28,8 @@
 struct State {
     table: Table,
     wakers: SecondaryMap<Key, Arc<Wakers>>,
+    /// Connections accepted since the last pause.
+    accepted: usize,
 }
 
 /// The open connections of a listener. Clones share them.
@@ -47,7 +50,7 @@
         settings: Settings,
         evictions: Option<IntCounterVec>,
     ) -> Intake {
-        let state = State { table: Table::new(settings), wakers: SecondaryMap::new() };
+        let state = State { table: Table::new(settings), wakers: SecondaryMap::new(), accepted: 0 };
         Intake(Arc::new(Shared { listener, state: Mutex::new(state), evictions }))
     }
 
@@ -67,13 +70,28 @@
     pub fn open(&self, address: IpAddr) -> Connection {
         let wakers = Arc::new(Wakers::default());
         let mut state = self.state();
-        let (key, eviction) = state.table.open(clock::now(), address);
+        let (key, evictions) = state.table.open(clock::now(), address);
         state.wakers.insert(key, wakers.clone());
-        self.apply(&state, eviction);
+        self.apply(&state, evictions);
+        state.accepted += 1;
         drop(state);
         Connection(Arc::new(Guard { intake: self.clone(), key, wakers }))
     }
 
+    /// Lets accepted connections be read after a burst of them, which would otherwise evict each other before their
+    /// requests are read.
+    pub async fn pause_accepting(&self) {
+        let is_burst = {
+            let mut state = self.state();
+            let is_burst = state.accepted >= state.table.burst();
+            state.accepted = if is_burst { 0 } else { state.accepted };
+            is_burst
+        };
+        if is_burst {
+            yield_now().await;
+        }
+    }
+
     /// Evicts callers that have taken nothing of their answers for too long, and slow bodies while the process is short
     /// of connections or memory.
     pub fn sweep(&self) {
