--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -8,6 +8,7 @@
 mod connections;
 mod crashes;
 mod crashing_requests;
+mod crowds;
 mod directory;
 mod evacuations;
 mod fixture;
