--- a/crates/core/src/dispatch/cold.rs
+++ b/crates/core/src/dispatch/cold.rs
@@ -21,7 +21,9 @@
 const SHARE_WINDOW: Duration = Duration::from_millis(1_200);
 /// Time for which a server that was used before becomes cold gets half of the shares: 800 ms, in which the entry may
 /// reach other hosts, and the second in which the requests count that those sent at full speed until then.
-const LATE_ENTRY_TIME: Duration = Duration::from_millis(1_800);
+pub(super) const LATE_ENTRY_TIME: Duration = Duration::from_millis(1_800);
+/// Time after which most requests are sent that time out, or are sent to another engine since the first one is silent.
+pub(super) const TIMEOUT_MAX: Duration = Duration::from_millis(1_500);
 /// Time without a share after this host knows the other hosts. In it they learn of this host, and what an earlier process
 /// of the same name sent leaves the window.
 const JOIN_TIME: Duration = Duration::from_millis(2_000);
--- a/crates/core/src/dispatch/leaving.rs
+++ b/crates/core/src/dispatch/leaving.rs
@@ -42,11 +42,12 @@
         }
     }
 
-    /// Returns the start time of the process of a server that was removed a short time ago; `None` if there is none.
-    pub(super) fn born(&self, now: Instant, name: &str) -> Option<Option<u64>> {
-        let departed = self.servers.get(name);
-        let departed = departed.filter(|(_, at)| now.since(*at) < DEPARTED_RETENTION);
-        departed.map(|(born, _)| *born)
+    /// Returns the start time of the process of a server that was removed a short time ago, and how long ago that was;
+    /// `None` if there is none.
+    pub(super) fn process(&self, now: Instant, name: &str) -> Option<(Option<u64>, Duration)> {
+        let (born, removed_at) = self.servers.get(name)?;
+        let elapsed = now.since(*removed_at);
+        (elapsed < DEPARTED_RETENTION).then_some((*born, elapsed))
     }
 }
 
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -271,9 +271,9 @@
     /// A server that has left stays out though a store that was restored from a copy lists it again.
     pub fn put(&mut self, now: Instant, mut entry: Entry) -> (ServerKey, bool) {
         entry.leaving |= self.is_departed(now, &entry);
-        let departed_born = self.departed.born(now, &entry.name);
-        let is_new = departed_born != Some(entry.born);
-        let mut was_used = departed_born.is_some();
+        let departed = self.departed.process(now, &entry.name);
+        let is_new = departed.is_none_or(|(born, _)| born != entry.born);
+        let mut was_used = departed.is_some_and(|(_, elapsed)| elapsed < cold::LATE_ENTRY_TIME);
         if let Some(&key) = self.keys_by_name.get(&entry.name) {
             was_used = true;
             let server = &mut self.servers[key];
@@ -348,8 +348,8 @@
         let Some(server) = self.servers.get_mut(key) else { return };
         match outcome {
             Outcome::Answer => server.health.record_success(),
-            // A cold server is slow.
-            Outcome::Timeout if server.is_cold(now) => {}
+            // A cold server is slow. What was not in time may have been sent while it was cold.
+            Outcome::Timeout if server.is_cold(now - cold::TIMEOUT_MAX) => {}
             Outcome::Refusal => server.health.record_refusal(now),
             Outcome::Failure | Outcome::Timeout => server.health.record_failure(now),
             Outcome::Unreachable => server.health.record_unreachable(now),
--- a/crates/core/src/dispatch/tests/cold.rs
+++ b/crates/core/src/dispatch/tests/cold.rs
@@ -6,6 +6,7 @@
     ServerKey, Settings,
 };
 use crate::time::Instant;
+use chestnutrack_wire::frame::LimitReport;
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -344,6 +345,9 @@
     restarts: usize,
     /// Whether a host is added of which the others don't learn.
     adds_unknown: bool,
+    /// Whether the server is an engine: its process is probed on the first connection of each host, and generations are
+    /// sent some time after they were placed.
+    is_engine: bool,
     seed: u64,
 }
 
@@ -357,6 +361,7 @@
             parts: *random.choose(&[1, 2, hosts]).unwrap(),
             restarts: usize::arbitrary(random) % (hosts + 1),
             adds_unknown: bool::arbitrary(random),
+            is_engine: bool::arbitrary(random),
             seed: u64::arbitrary(random),
         }
     }
@@ -383,11 +388,18 @@
             hosts.push(host_at(NOW, self.hosts, self.hosts + 1, self.per_s));
         }
         let parts: Vec<usize> = hosts.iter().map(|_| rng.random_range(0..self.parts)).collect();
+        let listed = |cold_ms| match self.is_engine {
+            true => Entry { cold_ms: Some(cold_ms), ..entry(0, true) },
+            false => plain(0, Some(cold_ms)),
+        };
         if self.was_used {
             for host in &mut hosts {
-                host.put(NOW, plain(0, Some(0)));
+                host.put(NOW, listed(0));
             }
         }
+        // Hosts with a connection to the engine.
+        let mut connected = vec![self.was_used || !self.is_engine; hosts.len()];
+        let mut placed: Vec<(Instant, usize, u64, ServerKey)> = Vec::new();
         // A new process knows nothing, and counts as another peer.
         let mut incarnations = vec![1; hosts.len()];
         let learns_at: Vec<Instant> =
@@ -407,7 +419,7 @@
                 if !learned[number] && learns_at[number] <= now {
                     learned[number] = true;
                     let left = (cold_at + COLD).since(now) + millis(800);
-                    host.put(now, plain(0, Some(left.as_millis() as u32)));
+                    host.put(now, listed(left.as_millis() as u32));
                 }
             }
             restarts.retain(|(at, number)| {
@@ -418,7 +430,8 @@
                 incarnations[*number] += 1;
                 learned[*number] = true;
                 let left = (cold_at + COLD).since(now) + millis(800);
-                hosts[*number].put(now, plain(0, Some(left.as_millis() as u32)));
+                hosts[*number].put(now, listed(left.as_millis() as u32));
+                connected[*number] = !self.is_engine;
                 false
             });
             // Before a host learns of it, the server gets requests at the usual rate.
@@ -431,9 +444,13 @@
             }
             for (number, host) in hosts.iter_mut().enumerate() {
                 if learned[number] && rng.random_bool(0.2) {
-                    let count = sent(host, now, 3).len();
-                    let arrives_at = now + millis(rng.random_range(0..=100));
-                    arrivals.extend(std::iter::repeat_n(arrives_at, count));
+                    for _ in 0..3 {
+                        let Some(choice) = host.place_plain(now, &service(), &[]) else { continue };
+                        let prefilling =
+                            if self.is_engine { rng.random_range(0..1_500) } else { 0 };
+                        let sent_at = now + millis(prefilling);
+                        placed.push((sent_at, number, incarnations[number], choice.key));
+                    }
                 }
                 if rng.random_bool(0.1) {
                     let delay = millis(rng.random_range(4..=30));
@@ -445,6 +462,20 @@
                     ));
                 }
             }
+            placed.retain(|(at, number, incarnation, key)| {
+                if *at > now {
+                    return true;
+                }
+                let requests = if connected[*number] { 1 } else { 2 };
+                if incarnations[*number] == *incarnation
+                    && hosts[*number].record_send(now, *key, requests)
+                {
+                    connected[*number] = true;
+                    let arrives_at = now + millis(rng.random_range(0..=100));
+                    arrivals.extend(std::iter::repeat_n(arrives_at, requests));
+                }
+                false
+            });
             reports.retain(|(at, from, incarnation, content)| {
                 if *at > now {
                     return true;
@@ -492,7 +523,9 @@
         [(1, 32.0, 20.0), (5, 32.0, 26.0), (23, 32.0, 26.0), (23, 2.0, 1.5)]
     {
         let (was_used, parts, restarts, adds_unknown) = (false, 1, 0, false);
-        let case = Case { hosts, per_s, was_used, parts, restarts, adds_unknown, seed: 7 };
+        let is_engine = false;
+        let case =
+            Case { hosts, per_s, was_used, parts, restarts, adds_unknown, is_engine, seed: 7 };
 
         let mean = case.run().mean;
 
@@ -502,3 +535,59 @@
         assert!((least..=most).contains(&mean), "{hosts} hosts, {per_s}: {mean}");
     }
 }
+
+// Guards against a failure domain that comes back cold and is hardly used, or is overrun, while callers wait.
+#[test]
+fn a_domain_that_comes_back_cold_serves_up_to_its_limit_while_requests_wait() {
+    const SERVERS: usize = 8;
+    const HOSTS: usize = 40;
+    let mut hosts: Vec<Dispatch<u32>> =
+        (0..HOSTS).map(|number| host_at(NOW, number, HOSTS, 32.0)).collect();
+    for host in &mut hosts {
+        for server in 0..SERVERS {
+            host.put(JOINED, plain(server, None));
+        }
+    }
+    let mut sent_to = vec![Vec::new(); SERVERS];
+    let mut reports: Vec<(usize, Vec<LimitReport>)> = Vec::new();
+    for step in 0..300 {
+        let now = JOINED + millis(10 * step);
+        for host in &mut hosts {
+            for key in sent(host, now, 2) {
+                let name = &host.entry(key).unwrap().name;
+                let server: usize = name[1..].parse().unwrap();
+                sent_to[server].push(now);
+            }
+        }
+        for (from, content) in reports.drain(..) {
+            for (_, host) in hosts.iter_mut().enumerate().filter(|(to, _)| *to != from) {
+                host.record_peer_limits(now, &name(from), 1, &content);
+            }
+        }
+        reports.extend(hosts.iter_mut().enumerate().map(|(n, host)| (n, host.limit_reports(now))));
+    }
+
+    for times in sent_to {
+        let in_second = |start: &Instant| {
+            times.iter().filter(|at| **at >= *start && at.since(*start) < millis(1_000)).count()
+        };
+        let most = times.iter().map(in_second).max().unwrap_or(0);
+        assert!(most <= 53, "{most} requests in a second");
+        assert!(times.len() >= 75, "{} requests in 3 s", times.len());
+    }
+}
+
+// Guards against half of a domain's capacity that is left unused though nothing was sent there before it came back.
+#[test]
+fn a_server_that_was_gone_for_some_seconds_gets_the_whole_shares() {
+    let mut host = host();
+    for (gone_ms, share) in [(1_000, 13), (3_000, 26)] {
+        host.put(JOINED, plain(0, Some(0)));
+        host.remove(JOINED, "e0");
+        let back = JOINED + millis(gone_ms);
+        host.put(back, Entry { born: Some(gone_ms), ..plain(0, Some(3_000)) });
+
+        assert_eq!(host.throttle.cold.share(back, "e0"), Some(share));
+        host.remove(back, "e0");
+    }
+}
