Cold servers: fields that are absent stay absent on the wire; tests of relisted entries, calls and timeouts

Change: `cold_start` and `cold_ms` are left out where they are not stated. Tests that an entry that is only listed again is no news, that the router's own calls count, and that timeouts count again.

--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -98,7 +98,7 @@
     /// Stage of an engine, or `None` for a server of a plain service.
     pub stage: Option<Stage>,
     /// How much longer the server stays cold, in milliseconds; 0 if it is warm, `None` if the entry says nothing new of it.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cold_ms: Option<u32>,
 }
 
--- a/crates/core/src/dispatch/tests/cold.rs
+++ b/crates/core/src/dispatch/tests/cold.rs
@@ -252,6 +252,31 @@
     assert!(decode.health.may_try(JOINED) && !decode.health.failed_within(JOINED, millis(500)));
 }
 
+// Guards against a time-out that counts though its request was sent to a cold server, and against one that never counts.
+#[test]
+fn timeouts_count_again_when_their_requests_were_sent_to_a_warm_server() {
+    let (mut host, keys) = engines(&[1]);
+
+    host.record_outcome(JOINED + millis(4_000), keys[1], Outcome::Timeout);
+    let soon = host.servers[keys[1]].health.failed_within(JOINED + millis(4_000), millis(500));
+    host.record_outcome(JOINED + millis(4_600), keys[1], Outcome::Timeout);
+    let late = host.servers[keys[1]].health.failed_within(JOINED + millis(4_600), millis(500));
+
+    assert_eq!((soon, late), (false, true));
+}
+
+// Guards against orders, reports and freed handles that reach a cold server beyond the shares.
+#[test]
+fn the_router_s_own_calls_count_at_a_cold_server() {
+    let (mut host, keys) = engines(&[0]);
+
+    let admitted = (0..100).filter(|_| host.admit_call(JOINED, keys[0])).count();
+    let after = host.record_send(JOINED, keys[0], 1);
+
+    // Half of 53 as pairs is 13, of which a host that is not known yet may use 7.
+    assert_eq!((admitted, after), (12, false));
+}
+
 // Guards against a server that is judged, when it has become warm, by its answers while it was cold.
 #[test]
 fn a_server_that_has_become_warm_starts_from_the_average() {
--- a/crates/forward/src/config/mod.rs
+++ b/crates/forward/src/config/mod.rs
@@ -106,7 +106,7 @@
     /// Properties of its model engines; `None` for a plain service.
     pub engine: Option<Engine>,
     /// How its servers start, if they have a limit for the time after.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cold_start: Option<ColdStart>,
 }
 
--- a/crates/forward/tests/forward/cold.rs
+++ b/crates/forward/tests/forward/cold.rs
@@ -8,10 +8,11 @@
 };
 use chestnutrack_core::dispatch::{Change, Entry};
 use chestnutrack_forward::config::{ColdStart, Config};
-use chestnutrack_forward::follow::Registration;
+use chestnutrack_forward::follow::{Follower, Registration};
+use chestnutrack_forward::native;
+use chestnutrack_wire::frame::ServerRecord;
 use futures_util::future::join_all;
-use std::sync::Arc;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
@@ -229,3 +230,25 @@
     assert!(app.throttled_retry_after(&"app".into()).is_some());
     assert!(arrivals.lock().unwrap().is_empty());
 }
+
+// Guards against a list that is read again and makes servers cold whose entries were written long ago.
+#[tokio::test]
+async fn an_entry_that_is_only_listed_again_says_nothing_new() {
+    let (backend, _) = server(answer_ok).await;
+    let app = app_with(settings("host"));
+    app.configure(cold_config(), b"{}".to_vec());
+    let follower = Follower::new(app.clone(), native::DIRECTORY);
+    let list = |version| {
+        let entry = Entry { cold_ms: Some(300), ..plain("app-1", &backend) };
+        let entry = serde_json::to_vec(&entry).unwrap();
+        let record = ServerRecord { name: "app-1".into(), version, entry };
+        follower.apply_peer_servers("peer", vec![record]);
+        app.throttled_retry_after(&"app".into()).is_some()
+    };
+
+    let first = list(1);
+    sleep(Duration::from_millis(400)).await;
+    let (again, written_again) = (list(1), list(2));
+
+    assert_eq!((first, again, written_again), (true, false, true));
+}
