--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -105,7 +105,7 @@
     /// Stage of an engine, or `None` for a server of a plain service.
     pub stage: Option<Stage>,
     /// How much longer the server stays cold, in milliseconds; 0 if it is warm, `None` if the entry says nothing new of it.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cold_ms: Option<u32>,
 }
 
@@ -310,10 +310,10 @@
     pub fn put(&mut self, now: Instant, mut entry: Entry) -> (ServerKey, bool) {
         entry.leaving |= self.is_departed(now, &entry);
         let evacuated = self.evacuations.covers(&entry.failure_domain);
-        let departed_born = self.departed.born(now, &entry.name);
-        let is_new = departed_born != Some(entry.born);
-        let mut was_used = departed_born.is_some();
         let region = self.regions.get(&entry.failure_domain).cloned();
+        let departed = self.departed.process(now, &entry.name);
+        let is_new = departed.is_none_or(|(born, _)| born != entry.born);
+        let mut was_used = departed.is_some_and(|(_, elapsed)| elapsed < cold::LATE_ENTRY_TIME);
         if let Some(&key) = self.keys_by_name.get(&entry.name) {
             was_used = true;
             let server = &mut self.servers[key];
@@ -391,8 +391,8 @@
         let Some(server) = self.servers.get_mut(key) else { return };
         match outcome {
             Outcome::Answer => server.health.record_success(),
-            // A cold server is slow.
-            Outcome::Timeout if server.is_cold(now) => {}
+            // A cold server is slow. What was not in time may have been sent while it was cold.
+            Outcome::Timeout if server.is_cold(now - cold::TIMEOUT_MAX) => {}
             Outcome::Refusal => server.health.record_refusal(now),
             Outcome::Failure | Outcome::Timeout => server.health.record_failure(now),
             Outcome::Unreachable => server.health.record_unreachable(now),
