--- a/crates/cli/tests/cli/config.rs
+++ b/crates/cli/tests/cli/config.rs
@@ -76,7 +76,35 @@
     let output = run(&["check-config", &path]).await;
 
     let shown = output.out.replace(&path, "FILE") + &output.err;
-    expect![[r#""#]].assert_eq(&shown);
+    expect![[r#"
+        FILE: organisations[dairy]: another entry has the same name
+        FILE: routes[digest].target_ms: 20000 ms is longer than the timeout of 14000 ms
+        FILE: routes[deposit].pause_ms: 2000 ms is longer than the timeout of 1500 ms
+        FILE: routes[deposit].pause_ms: only a route for streams has pauses
+        FILE: routes[deposit].attempts: 0: no request can be sent
+        FILE: routes[deposit-2].pause_ms: 2000 ms is longer than the timeout of 1500 ms
+        FILE: routes[deposit-2].pause_ms: only a route for streams has pauses
+        FILE: routes[deposit-2].attempts: 0: no request can be sent
+        FILE: routes[deposit-2].split: no service is named `nowhere`
+        FILE: routes[status].host: `shop.example:80` matches no request: a host name without a port is needed
+        FILE: routes[status].prefix: `status` does not begin and end with a slash
+        FILE: routes[status].timeout_ms: 0: no request can be answered in time
+        FILE: routes[status].split: leads to no service: there is none with a weight
+        FILE: routes[status].split: `llm` has the weight 0 and gets no request
+        FILE: routes[status].split: `llm` only streams, which does not fit the kind of the route
+        FILE: routes[status].split: `app` has the weight 0 and gets no request
+        FILE: routes[deposit-2].prefix: never matches: `deposit` has the same host and prefix
+        FILE: services[llm].engine.slots: 0: no request can run
+        FILE: services[spare]: no route leads to it
+        FILE: services[spare].connections: 0: no request can be sent
+        FILE: organisations[orchard].plain_tokens: 2001 is more than the rate and the burst allow in 1 s (2000)
+        FILE: organisations[dairy].keys[0]: is held by `orchard` too; the last holder is used
+        FILE: organisations[dairy].keys[1]: is empty and matches no request
+        FILE: organisations[dairy].burst: has no effect without a rate
+        FILE: organisations[dairy].keys: there is no key, so no request can be of this organisation
+        FILE: limits.head_within_ms: 20000 ms is longer than the idle timeout of 15000 ms
+        error: 26 findings
+    "#]].assert_eq(&shown);
     assert_eq!(output.code, FINDING);
     assert!(!shown.contains("secret"), "{shown}");
 }
@@ -90,7 +118,34 @@
 
     let output = run(&["check-config", "--json", "--in-force", &in_force, &path]).await;
 
-    expect![[r#""#]].assert_eq(&output.out.replace(&path, "FILE"));
+    expect![[r#"
+        {
+          "file": "FILE",
+          "findings": [
+            {
+              "place": "routes[deposit].target_ms",
+              "message": "300 ms is longer than the timeout of 200 ms"
+            },
+            {
+              "place": "version",
+              "message": "7 is not above 7, the version in force"
+            }
+          ],
+          "changes": [
+            {
+              "place": "routes[deposit].timeoutMs",
+              "before": 1500,
+              "after": 200
+            },
+            {
+              "place": "tenants[orchard].apiKeys[0]",
+              "before": "(hidden)",
+              "after": "(hidden)"
+            }
+          ]
+        }
+    "#]]
+    .assert_eq(&output.out.replace(&path, "FILE"));
     assert_eq!(output.code, FINDING);
 }
 
@@ -105,7 +160,12 @@
 
     let output = run(&["check-config", "--platform", &platform.to_string(), &path]).await;
 
-    expect![[r#""#]].assert_eq(&output.out.replace(&path, "FILE"));
+    expect![[r#"
+        FILE: no findings
+        1 change from the version in force
+        version: 7 -> 8
+    "#]]
+    .assert_eq(&output.out.replace(&path, "FILE"));
     assert_eq!(output.code, OK);
 }
 
