--- a/crates/cli/tests/cli/config.rs
+++ b/crates/cli/tests/cli/config.rs
@@ -37,7 +37,7 @@
 /// Returns a configuration with an error of each kind that the check knows.
 fn inconsistent() -> Value {
     let mut value = configuration();
-    let routes = value["routes"].as_array_mut().unwrap();
+    let routes = value["routes"].as_array_mut().expect("a list");
     routes[0]["targetLatencyMs"] = json!(20_000);
     routes[1]["targetGapMs"] = json!(2_000);
     routes[1]["maxAttempts"] = json!(0);
@@ -50,10 +50,13 @@
         "name": "status", "host": "shop.example:80", "pathPrefix": "status", "kind": "idempotent",
         "timeoutMs": 0, "split": [{ "service": "llm", "weight": 0 }, { "service": "app", "weight": 0 }],
     }));
-    value["services"].as_array_mut().unwrap().push(json!({ "name": "spare", "maxConnections": 0 }));
+    value["services"]
+        .as_array_mut()
+        .expect("a list")
+        .push(json!({ "name": "spare", "maxConnections": 0 }));
     value["services"][0]["engine"]["slots"] = json!(0);
     value["limits"]["headerTimeoutMs"] = json!(20_000);
-    let organisations = value["tenants"].as_array_mut().unwrap();
+    let organisations = value["tenants"].as_array_mut().expect("a list");
     organisations[0]["plainTokens"] = json!(2_001);
     organisations.push(json!({ "name": "dairy", "apiKeys": ["secret-1", ""], "burst": 5 }));
     organisations.push(json!({ "name": "dairy" }));
