Priority in admission, queueing, shedding and at engines

Cause: routes and organisations state a priority, but admission, the queue, the reports between hosts and the requests to engines did not know it. Requests waited by age alone, and under overload every kind was refused alike.

Ruled out: an order of the queue alone.

Change: the configuration's priorities of a service are ranked. A service with one priority has rank 0 throughout, and nothing changes for it. The queue goes by class, rank, and the organisations' virtual time; peers report the ranks of waiting requests (an optional field). A waiting request that more urgent ones leave no time, or that stands in their way in a full queue, is refused at once. Log lines state priority and reason, and a counter counts refusals by both.

--- a/crates/bench/src/scripted/entry.rs
+++ b/crates/bench/src/scripted/entry.rs
@@ -119,6 +119,7 @@
         let waiting = Waiting {
             organisation: organisations(settings)[organisation].clone(),
             may_wait: false,
+            rank: 0,
             tokens: u64::from(arrival.prompt_tokens + arrival.output_tokens),
             arrived: arrival.at,
             target: admission_target(settings, arrival),
--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -24,6 +24,9 @@
     pub service: Arc<str>,
     /// Organisation that the request belongs to.
     pub organisation: Arc<str>,
+    /// Priority, that of the organisation if it states one, and else that of the route; 0 is the
+    /// most urgent.
+    pub priority: u8,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u64,
     /// Maximum length of the answer, in tokens.
@@ -60,9 +63,43 @@
     }
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// No server is available.
+    #[default]
+    NoServer,
+    /// All decode engines have asked for no requests.
+    Quiet,
+    /// Its first token is not expected in time.
+    Late,
+    /// It has waited until its first token could no longer come in time.
+    Expired,
+    /// The queue is full.
+    QueueFull,
+    /// It waited, and more urgent requests that came later leave no room for it in time.
+    Displaced,
+}
+
+impl RefusalReason {
+    /// Returns the name used in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalReason::NoServer => "no_server",
+            RefusalReason::Quiet => "quiet",
+            RefusalReason::Late => "late",
+            RefusalReason::Expired => "expired",
+            RefusalReason::QueueFull => "queue_full",
+            RefusalReason::Displaced => "displaced",
+        }
+    }
+}
+
 /// Refusal of a request that can't be served in time. No part of the request has run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Refusal {
+    /// Why the request is refused.
+    pub reason: RefusalReason,
     /// Requests that wait ahead of it, on this host and its peers.
     pub ahead: usize,
     /// Time after which capacity is expected.
@@ -99,41 +136,47 @@
     /// Submits a request. Returns a ticket if the request has to wait, or the effect if it is
     /// admitted or refused at once.
     ///
-    /// A request is admitted at once only if none waits on this host, except for an engine of its build, or it is urgent. It is refused
-    /// if too few known generations are expected to end in time to make room for all requests that
-    /// wait on this host and its peers and for itself, or the limits of the decode engines don't allow them in time, if
-    /// all decode engines have asked for no requests, if it needs a build that has none, or if a limit of the queue is
-    /// reached.
+    /// A request is admitted at once only if none waits on this host, except for an engine of its build or less urgent
+    /// ones of its service, or it is urgent. It is refused if too few known generations are expected to end in time to
+    /// make room for itself and for all requests that wait on this host and its peers and are not less urgent, or the
+    /// limits of the decode engines don't allow them in time, if all decode engines have asked for no requests, if it
+    /// needs a build that has none, or if a limit of the queue is reached. A less urgent request that waits is refused
+    /// instead where it takes a place in the queue, with the next [`Dispatch::tick`].
     pub fn submit(&mut self, now: Instant, request: Request, item: T) -> Result<Ticket, Effect<T>> {
         let (generations_by_engine, shuffle_seed) =
             (self.known_generations(now), self.shuffle_seeds.next());
+        let rank = self.draw_rank(&request);
         // One that waits for an engine of its build holds up no other.
-        let is_next = !self.queue.any(|waiting| waiting.item.0.build.is_none());
+        let is_next = !self.queue.any(|waiting| {
+            let is_less_urgent = waiting.rank > rank && waiting.item.0.service == request.service;
+            waiting.item.0.build.is_none() && !is_less_urgent
+        });
         if (is_next || request.urgent)
             && let Some(assignment) =
-                self.assign(now, &request, &generations_by_engine, shuffle_seed)
+                self.assign(now, &request, rank, &generations_by_engine, shuffle_seed)
         {
             return Err(Effect::Admit(item, self.place(now, &request, assignment)));
         }
-        if self.backoff_left(now, &request.service, Some(Stage::Decode)).is_some()
+        self.record_shortage(now, &request, rank);
+        let is_quiet = self.backoff_left(now, &request.service, Some(Stage::Decode)).is_some();
+        if is_quiet
             || request.build.as_ref().is_some_and(|build| !self.has_build(&request.service, build))
         {
-            let refusal = self.refuse(now, &request);
+            let reason = if is_quiet { RefusalReason::Quiet } else { RefusalReason::NoServer };
+            let refusal = self.refuse(now, &request, rank, reason);
             return Err(Effect::Refuse(item, refusal));
         }
         let admit_by = self.admit_by(now, &request).min(request.deadline);
-        let requests_ahead = self.total_waiting();
-        let throttled_for =
-            self.throttled_for(now, &request.service, Some(Stage::Decode), requests_ahead);
-        let expected_wait = throttled_for
-            .or_else(|| self.time_until_completions(now, &request.service, requests_ahead + 1));
+        let expected_wait =
+            self.expected_wait(now, &request.service, self.waiting_up_to(&request.service, rank));
         if expected_wait.is_none_or(|wait| now + wait > admit_by) {
-            let refusal = self.refuse(now, &request);
+            let refusal = self.refuse(now, &request, rank, RefusalReason::Late);
             return Err(Effect::Refuse(item, refusal));
         }
         let waiting = Waiting {
             organisation: request.organisation.clone(),
             may_wait: false,
+            rank,
             tokens: request.prompt_tokens.saturating_add(request.output_tokens),
             arrived: request.arrived,
             target: if request.first_token_by.is_some() { admit_by } else { now },
@@ -141,38 +184,70 @@
             returned: request.urgent,
             item: (request, item),
         };
+        self.make_room(now, &waiting);
         match self.queue.push(now, waiting) {
             Ok(ticket) => Ok(ticket),
             Err(refused) => {
                 let (request, item) = refused.item;
-                let refusal = self.refuse(now, &request);
+                let refusal = self.refuse(now, &request, rank, RefusalReason::QueueFull);
                 Err(Effect::Refuse(item, refusal))
             }
         }
     }
 
+    /// If a limit of the queue is reached, evicts the least urgent waiting request in favour of one that is more urgent:
+    /// one of the same organisation if the limit is that of the organisation.
+    fn make_room(&mut self, now: Instant, incoming: &Waiting<(Request, T)>) {
+        let organisation = match self.queue.full_for(incoming) {
+            None => return,
+            Some(queue::Refusal::OrganisationFull) => Some(&incoming.organisation),
+            Some(_) => None,
+        };
+        let evicted = self.queue.least_urgent(incoming.rank, |waiting| {
+            let is_same_service = waiting.item.0.service == incoming.item.0.service;
+            is_same_service && organisation.is_none_or(|name| waiting.organisation == *name)
+        });
+        if let Some(key) = evicted {
+            let effect = self.refuse_waiting(now, key, RefusalReason::Displaced);
+            self.evicted.extend(effect);
+        }
+    }
+
+    /// Removes a waiting request from the queue and refuses it. Returns `None` if it no longer waits.
+    pub(super) fn refuse_waiting(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        reason: RefusalReason,
+    ) -> Option<Effect<T>> {
+        let waiting = self.queue.remove(ticket)?;
+        let (request, item) = waiting.item;
+        Some(Effect::Refuse(item, self.refuse(now, &request, waiting.rank, reason)))
+    }
+
     /// Removes a waiting request whose caller has gone.
     pub fn cancel(&mut self, ticket: Ticket) {
         self.queue.remove(ticket);
     }
 
-    /// Returns whether requests are waiting.
+    /// Returns whether requests are waiting, or were evicted since the last [`Dispatch::tick`].
     pub fn has_waiting(&self) -> bool {
-        !self.queue.is_empty()
+        !self.queue.is_empty() || !self.evicted.is_empty()
     }
 
     /// Admits waiting requests that now fit, and refuses those that can no longer be served in
     /// time.
     pub fn tick(&mut self, now: Instant) -> Vec<Effect<T>> {
-        let mut effects = Vec::new();
+        let mut effects = std::mem::take(&mut self.evicted);
         while let Some((item, placement)) = self.admit_next(now) {
             effects.push(Effect::Admit(item, placement));
         }
         for waiting in self.queue.expire(now, |_| false) {
             let (request, item) = waiting.item;
-            let refusal = self.refuse(now, &request);
+            let refusal = self.refuse(now, &request, waiting.rank, RefusalReason::Expired);
             effects.push(Effect::Refuse(item, refusal));
         }
+        effects.extend(self.evict_displaced(now));
         effects
     }
 
@@ -187,7 +262,10 @@
         let dequeued = queue.dequeue_passing(
             now,
             |waiting| waiting.item.0.build.is_some(),
-            |waiting| self.assign(now, &waiting.item.0, &generations_by_engine, shuffle_seed),
+            |waiting| {
+                let request = &waiting.item.0;
+                self.assign(now, request, waiting.rank, &generations_by_engine, shuffle_seed)
+            },
         );
         self.queue = queue;
         let (waiting, assignment) = dequeued?;
@@ -207,28 +285,30 @@
     /// Chooses the decode engine and the prefill mode for a request. Returns `None` if the request
     /// can't be admitted now.
     ///
-    /// Older requests that wait at peers are admitted first: a request that is not urgent must
-    /// leave memory for up to [`MAX_OLDER_WAITING`] of them, which are assumed to be of its own
-    /// size.
+    /// More urgent requests that wait at peers, and older ones of the same rank, are admitted first:
+    /// a request that is not urgent must leave memory for up to [`MAX_OLDER_WAITING`] of them, which
+    /// are assumed to be of its own size. A less urgent request also leaves memory for more urgent
+    /// ones while such find none.
     fn assign(
         &self,
         now: Instant,
         request: &Request,
+        rank: u8,
         generations_by_engine: &GenerationsByEngine,
         shuffle_seed: u64,
     ) -> Option<Assignment> {
         let first_token_by = request.first_token_by.unwrap_or(now + self.settings.late_wait);
         let prefill_mode = self.prefill_mode(now, request, first_token_by)?;
-        let older_at_peers: usize =
-            self.peers.values().map(|peer| peer.older_waiting(now, request.arrived)).sum();
-        if older_at_peers == 0 || request.urgent {
+        let before = self.waiting_before_at_peers(now, &request.service, rank, request.arrived)
+            + self.room_to_leave(now, &request.service, rank);
+        if before == 0 || request.urgent {
             let (decode, basis) =
                 self.choose_decode(now, request, generations_by_engine, shuffle_seed)?;
             return Some(Assignment { decode, prefill_mode, basis });
         }
         let mut generations_by_engine = generations_by_engine.clone();
         let forecast = request.forecast_generation(&self.pools.get(&request.service)?.length);
-        for _ in 0..older_at_peers.min(MAX_OLDER_WAITING) {
+        for _ in 0..before.min(MAX_OLDER_WAITING) {
             let (decode, _) =
                 self.choose_decode(now, request, &generations_by_engine, shuffle_seed)?;
             generations_by_engine.entry(decode).or_default().push(forecast);
@@ -238,17 +318,53 @@
         Some(Assignment { decode, prefill_mode, basis })
     }
 
-    /// Returns the number of waiting requests of this host and its peers.
-    fn total_waiting(&self) -> usize {
-        self.queue.len() + self.peers.values().map(super::Peer::waiting).sum::<usize>()
+    /// Returns the number of waiting requests of this host and its peers that are not less urgent than
+    /// `rank`. Where peers state no ranks, this counts the requests of all services.
+    fn waiting_up_to(&self, service: &str, rank: u8) -> usize {
+        let own = self.queue.iter().filter(|(_, waiting)| {
+            waiting.rank <= rank
+                && (!self.priorities.is_any() || *waiting.item.0.service == *service)
+        });
+        let at_peers = self.peers.values().map(|peer| peer.waiting_up_to(service, rank));
+        own.count() + at_peers.sum::<usize>()
+    }
+
+    /// Returns the number of requests that wait at peers and are admitted before one of `rank` that
+    /// arrived at `arrived`.
+    pub(super) fn waiting_before_at_peers(
+        &self,
+        now: Instant,
+        service: &str,
+        rank: u8,
+        arrived: Instant,
+    ) -> usize {
+        self.peers.values().map(|peer| peer.waiting_before(now, service, rank, arrived)).sum()
+    }
+
+    /// Returns the time until there is room on the decode engines for a request after `ahead` others. Returns `None` if
+    /// that is not known to come.
+    pub(super) fn expected_wait(
+        &self,
+        now: Instant,
+        service: &str,
+        ahead: usize,
+    ) -> Option<Duration> {
+        self.throttled_for(now, service, Some(Stage::Decode), ahead)
+            .or_else(|| self.time_until_completions(now, service, ahead + 1))
     }
 
-    /// Refuses a request. The retry time is when capacity is expected after all waiting requests
-    /// and all refused callers that were asked to retry before this one. The latter are estimated
-    /// as this host's number times the number of hosts. It is later if all decode engines have asked
-    /// for no requests until then, or their limits allow none before.
-    fn refuse(&mut self, now: Instant, request: &Request) -> Refusal {
-        let ahead = self.total_waiting();
+    /// Refuses a request. The retry time is when capacity is expected after all waiting requests that
+    /// are not less urgent, and all refused callers that were asked to retry before this one. The
+    /// latter are estimated as this host's number times the number of hosts. It is later if all decode
+    /// engines have asked for no requests until then, or their limits allow none before.
+    fn refuse(
+        &mut self,
+        now: Instant,
+        request: &Request,
+        rank: u8,
+        reason: RefusalReason,
+    ) -> Refusal {
+        let ahead = self.waiting_up_to(&request.service, rank);
         let hosts = self.peers.len() + 1;
         let ahead_with_retries = ahead + self.pending_retries.pending(now) * hosts;
         let (shortest, longest) = self.settings.retry_after;
@@ -261,6 +377,6 @@
         let wait = wait.max(throttled.unwrap_or_default());
         let retry_after = quiet.unwrap_or_default().max(wait.clamp(shortest, longest));
         self.pending_retries.add(now + retry_after);
-        Refusal { ahead, retry_after }
+        Refusal { reason, ahead, retry_after }
     }
 }
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -55,6 +55,9 @@
     pub prefill: Option<ServerKey>,
     /// Key of the generation.
     pub generation: GenerationKey,
+    /// Priority of the request at its engines, or `None` if all requests of the service have the
+    /// same.
+    pub engine_priority: Option<u8>,
     /// Estimates that the placement is based on.
     pub basis: PlacementBasis,
 }
@@ -508,7 +511,8 @@
         let prefill = planned_prefill.map(|prefill| prefill.engine);
         let basis =
             PlacementBasis { expected_prefill_time: prefill_time, queued, ..assignment.basis };
-        Placement { decode, prefill, generation, basis }
+        let engine_priority = self.priorities.engine_priority(request);
+        Placement { decode, prefill, generation, engine_priority, basis }
     }
 
     /// Estimates how long it takes from now until an engine has prefilled a prompt, behind the
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -5,7 +5,7 @@
 //! without memory on a decode engine is wasted work. If no engine has room, the request waits as
 //! long as its first token can still come in time, and is otherwise refused at once. Each host
 //! decides on its own, using its peers' reports of their generations; waiting requests of all hosts
-//! are admitted in order of age.
+//! are admitted in order of priority, and then of age.
 //!
 //! Engines are backend servers that run a model, for prefill or for decode. Other backend servers
 //! belong to plain services, which have no engine. In a large fleet, hosts and servers are divided
@@ -17,13 +17,14 @@
 mod leaving;
 mod peer;
 mod plain;
+mod priority;
 mod shuffle;
 mod stage;
 #[cfg(test)]
 mod tests;
 mod throttle;
 
-pub use admission::{Effect, Refusal, Request, Ticket};
+pub use admission::{Effect, Refusal, RefusalReason, Request, Ticket};
 pub use callers::RefusedCallers;
 pub use engine::{LengthEstimate, Placement, PlacementBasis, Prefill};
 pub use plain::{Choice, PlainOutcome};
@@ -209,6 +210,15 @@
     /// Ordered by name, so that runs are reproducible.
     peers: BTreeMap<Arc<str>, Peer>,
     pending_retries: admission::PendingRetries,
+    /// Priorities of the services' requests.
+    priorities: priority::Priorities,
+    /// Numbers that decide which less urgent requests wait among the most urgent. They differ
+    /// between hosts.
+    floor_draws: shuffle::Sequence,
+    /// Requests that found no room when they came.
+    shortage: priority::Shortage,
+    /// Requests that were evicted while another was submitted, until the next tick.
+    evicted: Vec<Effect<T>>,
     /// Limits that servers state for their requests.
     throttle: throttle::Throttle,
     /// Numbers by which candidates are shuffled to break ties.
@@ -231,6 +241,10 @@
             departed: leaving::Departed::default(),
             peers: BTreeMap::new(),
             pending_retries: admission::PendingRetries::default(),
+            priorities: priority::Priorities::default(),
+            floor_draws: priority::floor_draws(0),
+            shortage: priority::Shortage::default(),
+            evicted: Vec::new(),
             throttle: throttle::Throttle::default(),
             shuffle_seeds: shuffle::Sequence::default(),
         }
--- a/crates/core/src/dispatch/peer.rs
+++ b/crates/core/src/dispatch/peer.rs
@@ -29,6 +29,8 @@
     engines: Vec<EngineReport>,
     /// Ages of the peer's oldest waiting requests at the time of the report, in milliseconds.
     waiting: Vec<u32>,
+    /// Services and ranks of these requests; empty or shorter if the peer states none.
+    waiting_ranks: Vec<(Arc<str>, u8)>,
     /// Servers that the peer avoids.
     failing: Vec<Arc<str>>,
     /// Servers that recently failed for the peer.
@@ -71,24 +73,47 @@
         reported.map_or(0.0, |engine| (f64::from(engine.prefilling) - prefilled_since).max(0.0))
     }
 
-    /// Returns the number of the peer's waiting requests that are older than one that arrived at
-    /// `arrived`.
-    pub(super) fn older_waiting(&self, now: Instant, arrived: Instant) -> usize {
+    /// Returns the number of the peer's waiting requests that are admitted before a request of `rank`
+    /// that arrived at `arrived`: those of its service of a lower rank, and older ones of the same.
+    pub(super) fn waiting_before(
+        &self,
+        now: Instant,
+        service: &str,
+        rank: u8,
+        arrived: Instant,
+    ) -> usize {
         let (own_age, report_age) = (now.since(arrived), now.since(self.received_at));
-        let is_older =
-            |reported: &&u32| Duration::from_millis(u64::from(**reported)) + report_age > own_age;
-        self.waiting.iter().filter(is_older).count()
+        let is_before = |(age_ms, reported_rank): &(u32, u8)| {
+            let is_older = Duration::from_millis(u64::from(*age_ms)) + report_age > own_age;
+            *reported_rank < rank || (*reported_rank == rank && is_older)
+        };
+        self.waiting_by_rank(service, rank).filter(is_before).count()
+    }
+
+    /// Returns the number of the peer's reported waiting requests of a service of at most `rank`. The
+    /// report is limited.
+    pub(super) fn waiting_up_to(&self, service: &str, rank: u8) -> usize {
+        let reported = self.waiting_by_rank(service, rank);
+        reported.filter(|(_, reported_rank)| *reported_rank <= rank).count()
+    }
+
+    /// Returns the ages and ranks of the peer's waiting requests of a service at the time of the
+    /// report. A request of which the peer states neither, since it knows one priority only or is of
+    /// an earlier version, counts as one of the service and of `default_rank`.
+    fn waiting_by_rank(&self, service: &str, default_rank: u8) -> impl Iterator<Item = (u32, u8)> {
+        let stated = self.waiting_ranks.iter().map(Some).chain(std::iter::repeat(None));
+        self.waiting.iter().zip(stated).filter_map(move |(age_ms, stated)| match stated {
+            Some((stated_service, rank)) => {
+                (**stated_service == *service).then_some((*age_ms, *rank))
+            }
+            None => Some((*age_ms, default_rank)),
+        })
     }
 
     /// Returns the peer's demand estimate for a service.
     pub(super) fn demand(&self, service: &str) -> Option<&DemandReport> {
         self.demand.iter().find(|demand| &*demand.service == service)
     }
-
-    /// Returns the number of waiting requests in the peer's report, which is limited.
-    pub(super) fn waiting(&self) -> usize {
-        self.waiting.len()
-    }
 }
 
 /// Converts a generation that a peer reports.
@@ -134,14 +159,19 @@
         reports
     }
 
-    /// Returns the ages of the oldest waiting requests, in milliseconds, oldest first. They are
-    /// reported to peers, up to a maximum number.
-    pub fn waiting_ages_ms(&self, now: Instant) -> Vec<u32> {
+    /// Returns the ages of the waiting requests that are admitted first, in milliseconds, and their
+    /// services and ranks, sorted by rank and then from the oldest. They are reported to peers, up to
+    /// a maximum number. Services and ranks are left out if the requests of each service have one
+    /// priority.
+    pub fn waiting_reports(&self, now: Instant) -> (Vec<u32>, Vec<(Arc<str>, u8)>) {
+        let mut waiting: Vec<_> = self.queue.iter().map(|(_, waiting)| waiting).collect();
+        waiting.sort_by_key(|waiting| (waiting.rank, waiting.arrived));
+        waiting.truncate(super::admission::MAX_OLDER_WAITING);
         let age = |arrived| u32::try_from(now.since(arrived).as_millis()).unwrap_or(u32::MAX);
-        let mut ages: Vec<u32> = self.queue.arrivals().map(age).collect();
-        ages.sort_unstable_by(|left, right| right.cmp(left));
-        ages.truncate(super::admission::MAX_OLDER_WAITING);
-        ages
+        let ages = waiting.iter().map(|waiting| age(waiting.arrived)).collect();
+        let stated = if self.priorities.is_any() { waiting } else { Vec::new() };
+        let ranks = stated.iter().map(|waiting| (waiting.item.0.service.clone(), waiting.rank));
+        (ages, ranks.collect())
     }
 
     /// Replaces the stored report of a peer.
@@ -150,6 +180,7 @@
             received_at: now,
             engines: news.engines.clone(),
             waiting: news.waiting.clone(),
+            waiting_ranks: news.waiting_ranks.clone(),
             failing: news.failing.clone(),
             doubtful: news.doubtful.clone(),
             demand: news.demand.clone(),
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -24,6 +24,7 @@
     Request {
         service: service(),
         organisation: "orchard".into(),
+        priority: 0,
         prompt_tokens: 5_000,
         output_tokens: 2_000,
         length_hint: Some(1_000),
--- a/crates/core/src/dispatch/tests/leaving.rs
+++ b/crates/core/src/dispatch/tests/leaving.rs
@@ -111,6 +111,7 @@
     let request = Request {
         service: service(),
         organisation: "orchard".into(),
+        priority: 0,
         prompt_tokens: 5_000,
         output_tokens: 2_000,
         length_hint: None,
--- a/crates/core/src/dispatch/tests/load.rs
+++ b/crates/core/src/dispatch/tests/load.rs
@@ -12,6 +12,11 @@
         late: sum.late + totals.late,
         refused: sum.refused + totals.refused,
         refused_below_half_load: sum.refused_below_half_load + totals.refused_below_half_load,
+        by_priority: [0, 1].map(|priority| {
+            let ((submitted, in_time), other) =
+                (sum.by_priority[priority], totals.by_priority[priority]);
+            (submitted + other.0, in_time + other.1)
+        }),
         preempted: sum.preempted + totals.preempted,
         lost: sum.lost + totals.lost,
         worst_host_refused: sum.worst_host_refused.max(totals.worst_host_refused),
--- a/crates/core/src/dispatch/tests/simulation.rs
+++ b/crates/core/src/dispatch/tests/simulation.rs
@@ -46,6 +46,8 @@
     pub(super) length_shift: (f64, f64, f64),
     /// Whether engines change their stage as planned.
     pub(super) stage_changes: bool,
+    /// Priorities that arrivals have with equal chances.
+    pub(super) priorities: &'static [u8],
     /// Mean arrivals per second outside the burst.
     pub(super) arrivals_per_s: f64,
     /// Start and end of a burst in seconds, and the factor on arrivals meanwhile.
@@ -76,6 +78,7 @@
             hint_factor: 1.0,
             length_shift: (f64::MAX, 1.0, 1.0),
             stage_changes: false,
+            priorities: &[0],
             arrivals_per_s: 7.8,
             burst: (0.0, 0.0, 1.0),
             engine_loss: (f64::MAX, 0, 0),
@@ -96,6 +99,9 @@
     pub(super) refused: u32,
     /// Requests refused while every engine was less than half full.
     pub(super) refused_below_half_load: u32,
+    /// Submitted requests, and those whose first token was in time, by the place of their priority
+    /// in [`Scenario::priorities`].
+    pub(super) by_priority: [(u32, u32); 2],
     /// Generations evicted because their engine ran out of memory.
     pub(super) preempted: u32,
     /// Generations lost with their engine.
@@ -121,6 +127,8 @@
     /// Prompt tokens still to be prefilled, including those queued ahead.
     prefill: f64,
     arrived: Instant,
+    /// Place of the priority in [`Scenario::priorities`].
+    priority: usize,
     placed: Instant,
     first_token_seen: bool,
 }
@@ -135,8 +143,9 @@
     /// Engine number of each server key, by host.
     keys: Vec<HashMap<crate::dispatch::ServerKey, usize>>,
     running: Vec<Generation>,
-    /// Prompt length, answer length and arrival time of waiting requests, by item.
-    waiting: HashMap<u32, (f64, f64, Instant)>,
+    /// Prompt length, answer length, arrival time and place of the priority of waiting requests, by
+    /// item.
+    waiting: HashMap<u32, (f64, f64, Instant, usize)>,
     next_item: u32,
     /// Submitted and refused requests, by host.
     requests_by_host: Vec<(u32, u32)>,
@@ -154,6 +163,7 @@
         let mut keys = vec![HashMap::new(); scenario.hosts];
         for (host, keys) in hosts.iter_mut().zip(&mut keys) {
             host.configure_engines(&service(), scenario.kv_tokens, scenario.tokens_per_event);
+            host.configure_priorities(&service(), scenario.priorities);
             for engine in 0..scenario.decode + scenario.prefill {
                 let entry =
                     Entry { slots: scenario.slots, ..entry(engine, engine < scenario.decode) };
@@ -238,9 +248,16 @@
         let answer_tokens = (median * answer_factor * self.log_normal_factor(0.5))
             .clamp(shortest, output_tokens as f64);
         let hint = answer_tokens * self.log_normal_factor(0.5) * self.scenario.hint_factor;
+        let priorities = self.scenario.priorities;
+        let priority = match priorities.len() {
+            0 | 1 => 0,
+            count => self.rng.random_range(0..count),
+        };
+        self.totals.by_priority[priority].0 += 1;
         let request = Request {
             service: service(),
             organisation: format!("o{}", self.rng.random_range(0..5)).into(),
+            priority: priorities[priority],
             prompt_tokens: prompt as u64,
             output_tokens,
             length_hint: Some(hint as u64),
@@ -256,7 +273,7 @@
         self.requests_by_host[host].0 += 1;
         let item = self.next_item;
         self.next_item += 1;
-        self.waiting.insert(item, (prompt, answer_tokens, self.now));
+        self.waiting.insert(item, (prompt, answer_tokens, self.now, priority));
         if let Err(effect) = self.hosts[host].submit(self.now, request, item) {
             self.apply(host, effect);
         }
@@ -272,7 +289,8 @@
     fn apply(&mut self, host: usize, effect: Effect<u32>) {
         match effect {
             Effect::Admit(item, placement) => {
-                let (prompt, answer_tokens, arrived) = self.waiting.remove(&item).unwrap();
+                let (prompt, answer_tokens, arrived, priority) =
+                    self.waiting.remove(&item).unwrap();
                 let engine = self.keys[host][&placement.decode];
                 let prefill_engine_of = |host: usize, placement: &Placement| {
                     placement.prefill.map(|key| self.keys[host][&key])
@@ -296,6 +314,7 @@
                     answer_tokens,
                     prefill: ahead + prompt_work,
                     arrived,
+                    priority,
                     placed: self.now,
                     first_token_seen: false,
                 });
@@ -337,7 +356,10 @@
             }
             if !std::mem::replace(&mut generation.first_token_seen, true) {
                 match self.now.since(generation.arrived) <= TARGET {
-                    true => self.totals.in_time += 1,
+                    true => {
+                        self.totals.in_time += 1;
+                        self.totals.by_priority[generation.priority].1 += 1;
+                    }
                     false => self.totals.late += 1,
                 }
             }
@@ -373,9 +395,11 @@
             (self.scenario.report_interval.as_millis() / STEP.as_millis()).max(1) as u64,
         ) {
             for (index, host) in self.hosts.iter().enumerate() {
+                let (waiting, waiting_ranks) = host.waiting_reports(self.now);
                 let news = News {
                     engines: host.engine_reports(),
-                    waiting: host.waiting_ages_ms(self.now),
+                    waiting,
+                    waiting_ranks,
                     demand: host.demand_reports(),
                     ..News::default()
                 };
--- a/crates/core/src/dispatch/tests/stage.rs
+++ b/crates/core/src/dispatch/tests/stage.rs
@@ -133,6 +133,7 @@
         let request = Request {
             service: service(),
             organisation: "orchard".into(),
+            priority: 0,
             prompt_tokens: 5_000,
             output_tokens: 1_260,
             length_hint: Some(500),
--- a/crates/core/src/dispatch/tests/throttle.rs
+++ b/crates/core/src/dispatch/tests/throttle.rs
@@ -192,6 +192,7 @@
     Request {
         service: service(),
         organisation: "orchard".into(),
+        priority: 0,
         prompt_tokens: 100,
         output_tokens: 50,
         length_hint: None,
--- a/crates/core/src/dispatch/throttle.rs
+++ b/crates/core/src/dispatch/throttle.rs
@@ -193,6 +193,7 @@
     /// Sets the seed of the decisions in which hosts must differ.
     pub fn set_seed(&mut self, seed: u64) {
         self.throttle.thresholds = shuffle::Sequence::new(seed);
+        self.floor_draws = super::priority::floor_draws(seed);
     }
 
     /// Records the limit that a server stated in its answer to a request sent at `sent_at`, in requests per second, or that
--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -10,13 +10,16 @@
 //! well. Every [`Settings::may_wait_every`]th dequeue is reserved for a request that may wait, and
 //! every [`Settings::late_every`]th for a late one; otherwise these are served only when no
 //! interactive request that is on time can be placed.
+//!
+//! Within each of these classes, requests of a lower rank go first, over all organisations.
+//! Organisations share the queue among requests of the same rank.
 
 #[cfg(test)]
 mod tests;
 
 use crate::time::Instant;
 use slotmap::SlotMap;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
 slotmap::new_key_type! {
@@ -50,6 +53,8 @@
     pub organisation: Arc<str>,
     /// Whether it may wait behind interactive requests.
     pub may_wait: bool,
+    /// Rank of its priority; requests of a lower rank are dequeued first.
+    pub rank: u8,
     /// Size of the request, in tokens.
     pub tokens: u64,
     /// When it arrived.
@@ -100,27 +105,35 @@
     const ALL: [Class; 3] = [Class::Interactive, Class::Late, Class::MayWait];
 }
 
-/// Waiting requests of one organisation by class, the next one first, and its virtual time.
+/// Waiting requests of one organisation by class and rank, the next one first, and its virtual time.
 #[derive(Debug, Default)]
 struct Lane {
-    classes: [VecDeque<Key>; 3],
+    /// A rank without waiting requests has no entry.
+    classes: [BTreeMap<u8, VecDeque<Key>>; 3],
     virtual_time: u64,
 }
 
 impl Lane {
-    /// Returns the waiting requests of a class, the next one first.
-    fn class(&self, class: Class) -> &VecDeque<Key> {
+    /// Returns the waiting requests of a class by rank, the next one of each rank first.
+    fn class(&self, class: Class) -> &BTreeMap<u8, VecDeque<Key>> {
         &self.classes[class as usize]
     }
 
-    /// Returns the waiting requests of a class, to change them.
-    fn class_mut(&mut self, class: Class) -> &mut VecDeque<Key> {
-        &mut self.classes[class as usize]
+    /// Returns the waiting requests of a class and rank, to add to them.
+    fn rank_mut(&mut self, class: Class, rank: u8) -> &mut VecDeque<Key> {
+        self.classes[class as usize].entry(rank).or_default()
     }
 
     /// Returns the number of the organisation's waiting requests.
     fn waiting_count(&self) -> usize {
-        self.classes.iter().map(VecDeque::len).sum()
+        self.classes.iter().flat_map(BTreeMap::values).map(VecDeque::len).sum()
+    }
+
+    /// Returns the number of the organisation's waiting requests that are not dequeued after one of
+    /// `rank`, over the given classes.
+    fn count_ahead(&self, classes: &[Class], rank: u8) -> usize {
+        let ranks = classes.iter().flat_map(|class| self.class(*class).range(..=rank));
+        ranks.map(|(_, keys)| keys.len()).sum()
     }
 }
 
@@ -170,9 +183,28 @@
         self.entries.values().any(condition)
     }
 
-    /// Returns the arrival times of all waiting requests, in no particular order.
-    pub fn arrivals(&self) -> impl Iterator<Item = Instant> {
-        self.entries.values().map(|waiting| waiting.arrived)
+    /// Returns a waiting request.
+    pub fn get(&self, key: Key) -> Option<&Waiting<T>> {
+        self.entries.get(key)
+    }
+
+    /// Returns all waiting requests, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Waiting<T>)> {
+        self.entries.iter()
+    }
+
+    /// Returns the request to refuse in favour of one of `rank`: of those of a higher rank that satisfy a condition, the
+    /// youngest of the highest rank.
+    pub fn least_urgent(
+        &self,
+        rank: u8,
+        mut condition: impl FnMut(&Waiting<T>) -> bool,
+    ) -> Option<Key> {
+        let less_urgent = self
+            .entries
+            .iter()
+            .filter(|(_, waiting)| waiting.rank > rank && !waiting.returned && condition(waiting));
+        less_urgent.max_by_key(|(_, waiting)| (waiting.rank, waiting.arrived)).map(|(key, _)| key)
     }
 
     /// Adds a request. A request that was dequeued before goes to the front without a check of the
@@ -190,17 +222,17 @@
         }
         let organisation = waiting.organisation.clone();
         let class = if waiting.may_wait { Class::MayWait } else { Class::Interactive };
-        let returned = waiting.returned;
+        let (returned, rank) = (waiting.returned, waiting.rank);
         let key = self.entries.insert(waiting);
         let lane = self.lanes.entry(organisation).or_default();
         if lane.waiting_count() == 0 && !returned {
             lane.virtual_time = lane.virtual_time.max(self.virtual_time);
         }
-        let class = lane.class_mut(class);
+        let keys = lane.rank_mut(class, rank);
         if returned {
-            class.push_front(key)
+            keys.push_front(key)
         } else {
-            class.push_back(key)
+            keys.push_back(key)
         }
         Ok(key)
     }
@@ -208,12 +240,8 @@
     /// Returns the reason to refuse a request if its organisation or the queue is full, or if its
     /// expected wait exceeds the time to its deadline.
     fn check_admission(&self, now: Instant, waiting: &Waiting<T>) -> Result<(), Refusal> {
-        let lane = self.lanes.get(&waiting.organisation);
-        if lane.map_or(0, Lane::waiting_count) >= self.settings.max_per_organisation {
-            return Err(Refusal::OrganisationFull);
-        }
-        if self.entries.len() >= self.settings.max_total {
-            return Err(Refusal::Full);
+        if let Some(reason) = self.full_for(waiting) {
+            return Err(reason);
         }
         let wait_ms = self.expected_wait_ms(waiting);
         if wait_ms > now.millis_until(waiting.deadline) {
@@ -222,15 +250,30 @@
         Ok(())
     }
 
+    /// Returns which limit on the number of waiting requests is reached for a request, if any. There is
+    /// none for a request that was dequeued before.
+    pub fn full_for(&self, waiting: &Waiting<T>) -> Option<Refusal> {
+        let lane = self.lanes.get(&waiting.organisation);
+        if waiting.returned {
+            None
+        } else if lane.map_or(0, Lane::waiting_count) >= self.settings.max_per_organisation {
+            Some(Refusal::OrganisationFull)
+        } else if self.entries.len() >= self.settings.max_total {
+            Some(Refusal::Full)
+        } else {
+            None
+        }
+    }
+
     /// Returns the expected wait of a request, in milliseconds: the requests of its organisation
     /// ahead of it, times the number of organisations with waiting requests, but at most all
     /// waiting requests, times the average time per dequeue. Ahead of an interactive request are
-    /// only interactive ones that are not late.
+    /// only interactive ones that are not late. Requests of a higher rank are not ahead.
     pub fn expected_wait_ms(&self, waiting: &Waiting<T>) -> u64 {
         let ahead =
             self.lanes.get(&waiting.organisation).map_or(0, |lane| match waiting.may_wait {
-                true => lane.waiting_count(),
-                false => lane.class(Class::Interactive).len(),
+                true => lane.count_ahead(&Class::ALL, waiting.rank),
+                false => lane.count_ahead(&[Class::Interactive], waiting.rank),
             });
         let active_organisations =
             self.lanes.values().filter(|lane| lane.waiting_count() > 0).count().max(1);
@@ -259,33 +302,45 @@
     ) -> Option<(Waiting<T>, R)> {
         self.demote_late(now);
         for class in self.class_order() {
-            for organisation in self.organisations_by_virtual_time(class) {
-                let mut accepted = None;
-                for key in self.lanes[&organisation].class(class) {
-                    let waiting = &self.entries[*key];
-                    accepted = place(waiting).map(|placed| (*key, placed));
-                    if accepted.is_some() || !may_pass(waiting) {
-                        break;
+            for rank in self.ranks(class) {
+                for organisation in self.organisations_by_virtual_time(class, rank) {
+                    let mut accepted = None;
+                    for key in
+                        self.lanes[&organisation].class(class).get(&rank).into_iter().flatten()
+                    {
+                        let waiting = &self.entries[*key];
+                        accepted = place(waiting).map(|placed| (*key, placed));
+                        if accepted.is_some() || !may_pass(waiting) {
+                            break;
+                        }
+                    }
+                    if let Some((key, placed)) = accepted {
+                        return self.serve(now, class, key).map(|waiting| (waiting, placed));
                     }
-                }
-                if let Some((key, placed)) = accepted {
-                    return self.serve(now, class, key).map(|waiting| (waiting, placed));
                 }
             }
         }
         None
     }
 
+    /// Returns the ranks of the waiting requests of a class, in the order in which they are served.
+    fn ranks(&self, class: Class) -> BTreeSet<u8> {
+        self.lanes.values().flat_map(|lane| lane.class(class).keys().copied()).collect()
+    }
+
     /// Moves requests that can no longer meet their latency target to the late class.
     fn demote_late(&mut self, now: Instant) {
         for lane in self.lanes.values_mut() {
-            while let Some(key) = lane.class(Class::Interactive).front().copied() {
-                if self.entries.get(key).is_some_and(|waiting| waiting.target > now) {
-                    break;
-                }
-                lane.class_mut(Class::Interactive).pop_front();
-                lane.class_mut(Class::Late).push_back(key);
+            let ranks: Vec<u8> = lane.class(Class::Interactive).keys().copied().collect();
+            for rank in ranks {
+                let is_late =
+                    |key: &Key| self.entries.get(*key).is_none_or(|waiting| waiting.target <= now);
+                let keys = lane.rank_mut(Class::Interactive, rank);
+                let late_count = keys.iter().take_while(|key| is_late(key)).count();
+                let late: Vec<Key> = keys.drain(..late_count).collect();
+                lane.rank_mut(Class::Late, rank).extend(late);
             }
+            lane.classes.iter_mut().for_each(|ranks| ranks.retain(|_, keys| !keys.is_empty()));
         }
     }
 
@@ -302,10 +357,10 @@
         order
     }
 
-    /// Returns the organisations with waiting requests of a class, in the order in which they are
-    /// served.
-    fn organisations_by_virtual_time(&self, class: Class) -> Vec<Arc<str>> {
-        let lanes = self.lanes.iter().filter(|(_, lane)| !lane.class(class).is_empty());
+    /// Returns the organisations with waiting requests of a class and rank, in the order in which
+    /// they are served.
+    fn organisations_by_virtual_time(&self, class: Class, rank: u8) -> Vec<Arc<str>> {
+        let lanes = self.lanes.iter().filter(|(_, lane)| lane.class(class).contains_key(&rank));
         let mut order: Vec<_> =
             lanes.map(|(name, lane)| (lane.virtual_time, name.clone())).collect();
         order.sort_unstable();
@@ -335,7 +390,12 @@
     pub fn remove(&mut self, key: Key) -> Option<Waiting<T>> {
         let waiting = self.entries.remove(key)?;
         if let Some(lane) = self.lanes.get_mut(&waiting.organisation) {
-            lane.classes.iter_mut().for_each(|class| class.retain(|other| *other != key));
+            for ranks in &mut lane.classes {
+                ranks.retain(|_, keys| {
+                    keys.retain(|other| *other != key);
+                    !keys.is_empty()
+                });
+            }
         }
         Some(waiting)
     }
--- a/crates/core/src/queue/tests.rs
+++ b/crates/core/src/queue/tests.rs
@@ -7,6 +7,7 @@
     Waiting {
         organisation: organisation.into(),
         may_wait,
+        rank: 0,
         tokens,
         arrived: Instant::default(),
         target: Instant::from_millis(30_000),
@@ -193,3 +194,52 @@
 
     assert_eq!(order, [0, 1]);
 }
+
+#[test]
+fn requests_of_a_lower_rank_go_first_and_organisations_share_within_a_rank() {
+    let mut queue = queue();
+    for (organisation, rank, item) in
+        [("a", 2, 1), ("a", 1, 2), ("a", 1, 3), ("b", 1, 4), ("b", 0, 5), ("a", 1, 6)]
+    {
+        let entry = Waiting { rank, item, ..waiting(organisation, 1, false) };
+        queue.push(Instant::default(), entry).unwrap();
+    }
+
+    let order: Vec<_> = std::iter::from_fn(|| dequeue(&mut queue)).map(|next| next.item).collect();
+
+    assert_eq!((order[0], order[5]), (5, 1));
+    let first_of_b = order.iter().position(|item| *item == 4).unwrap();
+    assert!(first_of_b <= 3, "{order:?}");
+}
+
+#[test]
+fn a_late_request_goes_after_one_in_time_of_any_rank_and_one_that_does_not_fit_holds_up_no_other_rank()
+ {
+    let mut queue = queue();
+    let late = Waiting { target: Instant::default(), item: 1, ..waiting("a", 1, false) };
+    queue.push(Instant::default(), late).unwrap();
+    for (rank, item) in [(0, 2), (0, 3), (1, 4)] {
+        queue.push(Instant::default(), Waiting { rank, item, ..waiting("a", 1, false) }).unwrap();
+    }
+
+    let fits = |waiting: &Waiting<u32>| (waiting.item != 2).then_some(());
+    let first = queue.dequeue(Instant::default(), fits).unwrap().0.item;
+    let others: Vec<_> = std::iter::from_fn(|| dequeue(&mut queue)).map(|next| next.item).collect();
+
+    assert_eq!((first, others), (4, vec![2, 3, 1]));
+}
+
+#[test]
+fn the_request_to_evict_is_the_youngest_of_the_highest_rank_above_the_incoming_one() {
+    let mut queue = queue();
+    let mut keys = Vec::new();
+    for (rank, arrived) in [(0, 9), (1, 3), (2, 1), (2, 5), (2, 2)] {
+        let arrived = Instant::from_millis(arrived);
+        let entry = Waiting { rank, arrived, ..waiting("a", 1, false) };
+        keys.push(queue.push(Instant::default(), entry).unwrap());
+    }
+
+    assert_eq!(queue.least_urgent(0, |_| true), Some(keys[3]));
+    assert_eq!(queue.least_urgent(2, |_| true), None);
+    assert_eq!(queue.least_urgent(0, |waiting| waiting.rank < 2), Some(keys[1]));
+}
--- a/crates/entry/src/attempt/mod.rs
+++ b/crates/entry/src/attempt/mod.rs
@@ -174,6 +174,7 @@
     let queue_entry = |reply| Waiting {
         organisation: admitted.organisation(),
         may_wait: admitted.route.may_wait,
+        rank: 0,
         tokens: query.kv_tokens.max(1),
         arrived: clock::now(),
         target: exchange.placement_deadline(app, admitted),
--- a/crates/forward/src/app/admission.rs
+++ b/crates/forward/src/app/admission.rs
@@ -49,6 +49,12 @@
         self.placement.basis
     }
 
+    /// Returns the priority of the request at its engines, or `None` if all requests of the service
+    /// have the same.
+    pub fn engine_priority(&self) -> Option<u8> {
+        self.placement.engine_priority
+    }
+
     /// Records how long the prefill of the prompt took, or with `None` that it was given up.
     pub fn finish_prefill(&self, took: Option<Duration>) {
         self.app.state().dispatch.finish_prefill(self.placement.generation, took);
@@ -127,6 +133,8 @@
             Ok(ticket) => {
                 self.request_queued.notify_one();
                 self.gossip_due.notify_one();
+                // Refuses less urgent requests that have lost their place to this one.
+                self.admit_waiting();
                 Some(WaitGuard { app: self, ticket })
             }
             Err(effect) => {
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -267,6 +267,8 @@
                     let (kv_tokens, per_event) = (engine.kv_tokens, engine.tokens_per_event);
                     state.dispatch.configure_engines(&service.name, kv_tokens, per_event);
                 }
+                let priorities = config.priorities(&service.name);
+                state.dispatch.configure_priorities(&service.name, &priorities);
             }
             *active = Some(Arc::new(ActiveConfig { table: Table::new(config), raw }));
         }
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -91,9 +91,11 @@
         let PreparedGeneration { admission, cache } = prepared;
         let step = cache.as_ref().map_or(Step::Whole, |cache| Step::Generate(cache.handle.clone()));
         let (job, target) = (job.clone(), admission.decode.clone());
+        let priority = admission.engine_priority();
         let (sent_sender, sent) = watch::channel(false);
         let response = Box::pin(async move {
-            let added_values = AddedValues { step, last_event, ..job.added_values(&target) };
+            let added = job.added_values(&target);
+            let added_values = AddedValues { step, last_event, priority, ..added };
             let on_send = || {
                 sent_sender.send_replace(true);
             };
@@ -348,9 +350,11 @@
         true => now + URGENT_ADMISSION_TIMEOUT,
         false => job.first_arrived_at + job.route.target_latency,
     };
+    let priority = job.route.priority(job.organisation.as_ref());
     let request = dispatch::Request {
         service: job.service.clone(),
         organisation: job.organisation.as_ref().map(|owner| owner.name.clone()).unwrap_or_default(),
+        priority,
         // The tokens generated so far are part of the prompt of the engine that resumes the stream.
         prompt_tokens: generation.prompt_tokens.saturating_add(generated_tokens),
         output_tokens: generation.output_tokens.saturating_sub(generated_tokens),
@@ -383,7 +387,7 @@
             let prefilled_ms = expected_prefill_time.as_millis() as u64;
             let parts = generation.shared_parts().map(|part| &**part).collect::<Vec<_>>().join(",");
             tracing::info!(
-                id, %decode, %build, prefill, waited_ms, tokens, urgent, runs, peak, prefilled_ms,
+                id, %decode, %build, prefill, waited_ms, tokens, priority, urgent, runs, peak, prefilled_ms,
                 news_ms, version, parts,
                 "placed"
             );
@@ -393,7 +397,20 @@
         Err(refusal) => {
             // `late` is `true` if the first token was due before the wait began.
             let (ahead, late) = (refusal.ahead, first_token_by <= now);
-            tracing::info!(id, ahead, late, waited_ms, tokens, urgent, "no room in time");
+            let reason = refusal.reason.name();
+            tracing::info!(
+                id,
+                priority,
+                reason,
+                ahead,
+                late,
+                waited_ms,
+                tokens,
+                urgent,
+                "no room in time"
+            );
+            let labels = [&*priority.to_string(), reason];
+            job.app.metrics.admission_refusals.with_label_values(&labels).inc();
             Err(Refusal::with_retry_after(Cause::Full, refusal.retry_after))
         }
     }
@@ -448,7 +465,7 @@
     }
     let mut prefills = FuturesUnordered::new();
     let mut in_flight = vec![first_target.key];
-    prefills.push(timed_prefill(job, first_target, last_event));
+    prefills.push(timed_prefill(job, first_target, last_event, admission.engine_priority()));
     let mut wait =
         if retry_state.may_retry_prefill() { PrefillWait::Overdue } else { PrefillWait::GivenUp };
     loop {
@@ -508,7 +525,12 @@
                 tracing::info!(id, %server, prefilled_ms, after_ms = job.age_ms(), "prefill sent to another engine");
                 retry_state.begin_prefill(job);
                 in_flight.push(other_target.key);
-                prefills.push(timed_prefill(job, other_target, last_event));
+                prefills.push(timed_prefill(
+                    job,
+                    other_target,
+                    last_event,
+                    admission.engine_priority(),
+                ));
             }
             None if !in_flight.is_empty() => {}
             None => {
@@ -549,9 +571,10 @@
     job: &Arc<Job>,
     target: Target,
     last_event: Option<u64>,
+    priority: Option<u8>,
 ) -> (ServerKey, Duration, Result<PrefilledCache, Failure>) {
     let started_at = clock::now();
-    let cache = send_prefill(job, &target, last_event).await;
+    let cache = send_prefill(job, &target, last_event, priority).await;
     (target.key, clock::now().since(started_at), cache)
 }
 
@@ -560,9 +583,10 @@
     job: &Arc<Job>,
     target: &Target,
     last_event: Option<u64>,
+    priority: Option<u8>,
 ) -> Result<PrefilledCache, Failure> {
     let step = Step::Prefill;
-    let added_values = AddedValues { step, last_event, ..job.added_values(target) };
+    let added_values = AddedValues { step, last_event, priority, ..job.added_values(target) };
     let response = job.send(target, &added_values).await?;
     let (head, mut stream) = response.into_parts();
     let read_result = timeout(job.left(), stream.read(MAX_HANDLE_BYTES)).await;
--- a/crates/forward/src/config/table.rs
+++ b/crates/forward/src/config/table.rs
@@ -65,7 +65,32 @@
     }
 }
 
+impl Config {
+    /// Returns the priorities that requests to a service may have, some of them possibly more than
+    /// once: those of the routes to it, and those that organisations state instead.
+    pub fn priorities(&self, service: &str) -> Vec<u8> {
+        let is_to_service = |route: &&Route| {
+            route.split.iter().any(|(name, weight)| **name == *service && *weight > 0)
+        };
+        let has_other_callers = |route: &Route| route.open || self.organisations.is_empty();
+        let of_route = |route: &Route| {
+            let own = has_other_callers(route).then_some(route.priority);
+            let priority = route.priority;
+            let of_callers =
+                self.organisations.iter().map(move |owner| owner.priority.unwrap_or(priority));
+            own.into_iter().chain(of_callers).collect::<Vec<u8>>()
+        };
+        self.routes.iter().filter(is_to_service).flat_map(of_route).collect()
+    }
+}
+
 impl Route {
+    /// Returns the priority of a request of an organisation: that of the organisation if it states
+    /// one, and else that of the route.
+    pub fn priority(&self, organisation: Option<&Organisation>) -> u8 {
+        organisation.and_then(|owner| owner.priority).unwrap_or(self.priority)
+    }
+
     /// Returns the service that the random number `draw` selects by weight. All values of `draw`
     /// must be equally likely.
     pub fn service(&self, draw: u32) -> Option<&Arc<str>> {
--- a/crates/forward/src/metric/mod.rs
+++ b/crates/forward/src/metric/mod.rs
@@ -17,6 +17,8 @@
     pub requests: IntCounterVec,
     /// Refusals and failures that the router itself answered, by cause.
     pub refusals: IntCounterVec,
+    /// Generations that were refused admission or evicted from the queue, by priority and reason.
+    pub admission_refusals: IntCounterVec,
     /// Requests whose callers disconnected before an answer.
     pub abandoned: IntCounter,
     /// Failed attempts at backend servers, by kind of failure.
@@ -81,6 +83,11 @@
         Ok(Metrics {
             requests: counters("requests_total", "Requests", &["kind", "status"])?,
             refusals: counters("refusals_total", "Answers of the router's own", &["cause"])?,
+            admission_refusals: counters(
+                "admission_refusals_total",
+                "Generations refused admission",
+                &["priority", "reason"],
+            )?,
             abandoned: counter("abandoned_total", "Callers that left before an answer")?,
             failures: counters("failures_total", "Attempts that failed", &["failure"])?,
             rejected_answers: counters(
