Recovery after a burst: late requests get only idle prefill engines

Cause: a caller that was refused in a burst returns, and its request is late from the start. Admission gave a late request two seconds of queue at a prefill engine, and its age put it before new requests at all hosts. So late prompts kept the queues longer than the latency target after the burst had ended, each new request was refused and became late as well, and many callers left while their prompts were prefilled.

Shown first: a simulated burst of long prompts for 5 s, whose callers return when they are refused and leave after 3.6 s.

Change: requests that can be in time go before late ones, on all hosts (peers report the place in the order of admission). A late request needs an idle prefill engine for itself and each one before it at peers, so hosts that see the same engine become idle don't all use it. A prompt of more than 400 ms leaves another engine idle, unless it has waited for a second. A request whose first token is not expected before its caller leaves is refused at once. The retry time counts the prefill queues and the callers refused before.

Ruled out: serving a request at once as late that can't be in time on an idle engine either. It is refused, as before, and served when its caller returns; a test of retry times relies on that refusal.

Run: all tests of chestnutrack-core, -wire and -forward.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -14,6 +14,9 @@
 /// is left before a younger request is admitted.
 pub(super) const MAX_OLDER_WAITING: usize = 8;
 
+/// Place of late requests of the first rank in the order of admission. Ranks are lower.
+const LATE_ORDER: u8 = 128;
+
 /// Identifies a waiting request.
 pub type Ticket = queue::Key;
 
@@ -37,6 +40,8 @@
     pub arrived: Instant,
     /// When the first token is due, or `None` if that time has already passed.
     pub first_token_by: Option<Instant>,
+    /// When the caller leaves if it has no first token.
+    pub leaves_at: Instant,
     /// When the request must have ended.
     pub deadline: Instant,
     /// Maximum pause between the events of a stream, or `None` if there is no limit.
@@ -51,6 +56,18 @@
 }
 
 impl Request {
+    /// Returns whether the first token can no longer be in time. Urgent requests have no latency
+    /// target.
+    pub(super) fn is_late(&self) -> bool {
+        self.first_token_by.is_none() && !self.urgent
+    }
+
+    /// Returns the request's place in the order of admission over all hosts, given the rank of its
+    /// priority: those that can be in time go before those that are late.
+    pub(super) fn order(&self, rank: u8) -> u8 {
+        if self.is_late() { rank.saturating_add(LATE_ORDER) } else { rank }
+    }
+
     /// Returns the generation that the request would start, as the forecast of an engine's memory
     /// counts it.
     pub(super) fn forecast_generation(&self, length: &LengthEstimate) -> forecast::Generation {
@@ -136,8 +153,8 @@
     /// Submits a request. Returns a ticket if the request has to wait, or the effect if it is
     /// admitted or refused at once.
     ///
-    /// A request is admitted at once only if none waits on this host, except for an engine of its build or less urgent
-    /// ones of its service, or it is urgent. It is refused if too few known generations are expected to end in time to
+    /// A request is admitted at once only if none waits on this host, except for an engine of its build or ones of its
+    /// service that go after it, or it is urgent. Less urgent ones go after it, and late ones after one that is in time. It is refused if too few known generations are expected to end in time to
     /// make room for itself and for all requests that wait on this host and its peers and are not less urgent, or the
     /// limits of the decode engines don't allow them in time, if all decode engines have asked for no requests, if it
     /// needs a build that has none, or if a limit of the queue is reached. A less urgent request that waits is refused
@@ -148,8 +165,9 @@
         let rank = self.draw_rank(&request);
         // One that waits for an engine of its build holds up no other.
         let is_next = !self.queue.any(|waiting| {
-            let is_less_urgent = waiting.rank > rank && waiting.item.0.service == request.service;
-            waiting.item.0.build.is_none() && !is_less_urgent
+            let goes_after = waiting.item.0.order(waiting.rank) > request.order(rank)
+                && waiting.item.0.service == request.service;
+            waiting.item.0.build.is_none() && !goes_after
         });
         if (is_next || request.urgent)
             && let Some(assignment) =
@@ -167,9 +185,12 @@
             return Err(Effect::Refuse(item, refusal));
         }
         let admit_by = self.admit_by(now, &request).min(request.deadline);
-        let expected_wait =
-            self.expected_wait(now, &request.service, self.waiting_up_to(&request.service, rank));
-        if expected_wait.is_none_or(|wait| now + wait > admit_by) {
+        let expected_wait = self.expected_wait(
+            now,
+            &request.service,
+            self.waiting_up_to(&request.service, request.order(rank)),
+        );
+        if expected_wait.is_none_or(|wait| now + wait > admit_by) || admit_by < now {
             let refusal = self.refuse(now, &request, rank, RefusalReason::Late);
             return Err(Effect::Refuse(item, refusal));
         }
@@ -274,11 +295,13 @@
     }
 
     /// Returns the time by which a request must be admitted for its first token to come in time. If
-    /// that is late already, the request may wait for [`super::Settings::late_wait`].
+    /// that is late already, the request may wait for [`super::Settings::late_wait`], but not so long
+    /// that its caller leaves before the first token.
     fn admit_by(&self, now: Instant, request: &Request) -> Instant {
+        let time_to_first_token = self.min_time_to_first_token(now, request);
         match request.first_token_by {
-            Some(first_token_by) => first_token_by - self.min_time_to_first_token(now, request),
-            None => now + self.settings.late_wait,
+            Some(first_token_by) => first_token_by - time_to_first_token,
+            None => (now + self.settings.late_wait).min(request.leaves_at - time_to_first_token),
         }
     }
 
@@ -288,7 +311,8 @@
     /// More urgent requests that wait at peers, and older ones of the same rank, are admitted first:
     /// a request that is not urgent must leave memory for up to [`MAX_OLDER_WAITING`] of them, which
     /// are assumed to be of its own size. A less urgent request also leaves memory for more urgent
-    /// ones while such find none.
+    /// ones while such find none. A late request goes after all that can be in time, and its prompt
+    /// only to an idle prefill engine.
     fn assign(
         &self,
         now: Instant,
@@ -297,10 +321,14 @@
         generations_by_engine: &GenerationsByEngine,
         shuffle_seed: u64,
     ) -> Option<Assignment> {
-        let first_token_by = request.first_token_by.unwrap_or(now + self.settings.late_wait);
-        let prefill_mode = self.prefill_mode(now, request, first_token_by)?;
-        let before = self.waiting_before_at_peers(now, &request.service, rank, request.arrived)
-            + self.room_to_leave(now, &request.service, rank);
+        let order = request.order(rank);
+        let waiting_before =
+            self.waiting_before_at_peers(now, &request.service, order, request.arrived);
+        let prefill_mode = match request.first_token_by {
+            Some(first_token_by) => self.prefill_mode(now, request, first_token_by),
+            None => self.late_prefill_mode(now, request, waiting_before),
+        }?;
+        let before = waiting_before + self.room_to_leave(now, &request.service, rank);
         if before == 0 || request.urgent {
             let (decode, basis) =
                 self.choose_decode(now, request, generations_by_engine, shuffle_seed)?;
@@ -318,27 +346,27 @@
         Some(Assignment { decode, prefill_mode, basis })
     }
 
-    /// Returns the number of waiting requests of this host and its peers that are not less urgent than
-    /// `rank`. Where peers state no ranks, this counts the requests of all services.
-    fn waiting_up_to(&self, service: &str, rank: u8) -> usize {
+    /// Returns the number of waiting requests of this host and its peers whose order of admission is
+    /// at most `order`. Those of peers that state no order count whatever their service.
+    fn waiting_up_to(&self, service: &str, order: u8) -> usize {
         let own = self.queue.iter().filter(|(_, waiting)| {
-            waiting.rank <= rank
-                && (!self.priorities.is_any() || *waiting.item.0.service == *service)
+            let request = &waiting.item.0;
+            request.order(waiting.rank) <= order && *request.service == *service
         });
-        let at_peers = self.peers.values().map(|peer| peer.waiting_up_to(service, rank));
+        let at_peers = self.peers.values().map(|peer| peer.waiting_up_to(service, order));
         own.count() + at_peers.sum::<usize>()
     }
 
-    /// Returns the number of requests that wait at peers and are admitted before one of `rank` that
+    /// Returns the number of requests that wait at peers and are admitted before one with `order` that
     /// arrived at `arrived`.
     pub(super) fn waiting_before_at_peers(
         &self,
         now: Instant,
         service: &str,
-        rank: u8,
+        order: u8,
         arrived: Instant,
     ) -> usize {
-        self.peers.values().map(|peer| peer.waiting_before(now, service, rank, arrived)).sum()
+        self.peers.values().map(|peer| peer.waiting_before(now, service, order, arrived)).sum()
     }
 
     /// Returns the time until there is room on the decode engines for a request after `ahead` others. Returns `None` if
@@ -356,7 +384,8 @@
     /// Refuses a request. The retry time is when capacity is expected after all waiting requests that
     /// are not less urgent, and all refused callers that were asked to retry before this one. The
     /// latter are estimated as this host's number times the number of hosts. It is later if all decode
-    /// engines have asked for no requests until then, or their limits allow none before.
+    /// engines have asked for no requests until then, their limits allow none before, or the prefill
+    /// engines are not expected to have prefilled the prompts ahead.
     fn refuse(
         &mut self,
         now: Instant,
@@ -364,7 +393,7 @@
         rank: u8,
         reason: RefusalReason,
     ) -> Refusal {
-        let ahead = self.waiting_up_to(&request.service, rank);
+        let ahead = self.waiting_up_to(&request.service, request.order(rank));
         let hosts = self.peers.len() + 1;
         let ahead_with_retries = ahead + self.pending_retries.pending(now) * hosts;
         let (shortest, longest) = self.settings.retry_after;
@@ -374,7 +403,8 @@
         let quiet = self.backoff_left(now, &request.service, Some(Stage::Decode));
         let decode = Some(Stage::Decode);
         let throttled = self.throttled_for(now, &request.service, decode, ahead_with_retries);
-        let wait = wait.max(throttled.unwrap_or_default());
+        let prefill = self.prefill_backlog(now, request, ahead_with_retries);
+        let wait = wait.max(throttled.unwrap_or_default()).max(prefill.unwrap_or_default());
         let retry_after = quiet.unwrap_or_default().max(wait.clamp(shortest, longest));
         self.pending_retries.add(now + retry_after);
         Refusal { reason, ahead, retry_after }
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -32,6 +32,9 @@
 /// Fraction of the maximum pause between stream events for which a colocated prefill may stall the
 /// engine's other generations.
 const MAX_PAUSE_FRACTION: f64 = 0.9;
+/// Longest prefill of a late request that may take the last idle engine. A prompt that comes meanwhile
+/// waits no longer than that, which is about half of an interactive latency target.
+const LATE_PREFILL_MAX: Duration = Duration::from_millis(400);
 /// Time from the end of prefill to the first token.
 const FIRST_TOKEN_AFTER_PREFILL: Duration = Duration::from_millis(60);
 /// Estimated extra cost of a transfer between failure domains over one within a domain, in
@@ -449,6 +452,60 @@
         (now + colocated <= first_token_by).then_some(PrefillMode::Colocated)
     }
 
+    /// Chooses where the prompt of a late request is prefilled, after `ahead` others that wait at peers.
+    /// Returns `None` if only capacity is left that others need who can still be in time, or if the
+    /// caller would leave before the first token.
+    ///
+    /// Only idle prefill engines are used, one for each request in the order of admission, so that many
+    /// hosts that see an engine become idle do not all send to it. A prompt that takes long leaves
+    /// another engine idle, unless it has waited for half of [`super::Settings::late_wait`].
+    pub(super) fn late_prefill_mode(
+        &self,
+        now: Instant,
+        request: &Request,
+        ahead: usize,
+    ) -> Option<PrefillMode> {
+        let leaves_at = request.leaves_at;
+        let mode = self.prefill_mode(now, request, leaves_at)?;
+        if request.prefilled || request.urgent {
+            return Some(mode);
+        }
+        let pool = self.pools.get(&request.service)?;
+        let engines = self.usable_engines(now, &request.service, Stage::Prefill, None);
+        if engines.is_empty() {
+            return Some(mode);
+        }
+        let is_idle = |(_, server): &&(ServerKey, &Server)| {
+            !self.failure_rank(now, server).1
+                && self.queued_prefill_tokens(now, server, pool.prefill_per_ms) == 0.0
+        };
+        let idle = engines.iter().filter(is_idle).count();
+        let duration = pool.prefill_duration(request.prompt_tokens as f64);
+        // Long prompts are not to be starved while short ones keep all engines but one busy.
+        let has_waited = now.since(request.arrived) * 2 >= self.settings.late_wait;
+        let may_take_last = duration <= LATE_PREFILL_MAX || engines.len() < 2 || has_waited;
+        let to_leave = usize::from(!may_take_last);
+        let is_in_time = now + duration + FIRST_TOKEN_AFTER_PREFILL <= leaves_at;
+        (idle > ahead + to_leave && is_in_time).then_some(PrefillMode::Disaggregated)
+    }
+
+    /// Returns the time until the prefill engines of a request's service have prefilled the prompts
+    /// queued there and those of `ahead` requests of its size. Returns `None` if it has no such engine.
+    pub(super) fn prefill_backlog(
+        &self,
+        now: Instant,
+        request: &Request,
+        ahead: usize,
+    ) -> Option<Duration> {
+        let pool = self.pools.get(&request.service)?;
+        let engines = self.usable_engines(now, &request.service, Stage::Prefill, None);
+        let queued = engines
+            .iter()
+            .map(|(_, server)| self.queued_prefill_tokens(now, server, pool.prefill_per_ms));
+        let tokens = queued.sum::<f64>() + ahead as f64 * request.prompt_tokens as f64;
+        (!engines.is_empty()).then(|| pool.prefill_duration(tokens / engines.len() as f64))
+    }
+
     /// Returns the shortest expected time from admission to the first token, over the places where
     /// the prompt can be prefilled.
     pub(super) fn min_time_to_first_token(&self, now: Instant, request: &Request) -> Duration {
--- a/crates/core/src/dispatch/peer.rs
+++ b/crates/core/src/dispatch/peer.rs
@@ -29,8 +29,9 @@
     engines: Vec<EngineReport>,
     /// Ages of the peer's oldest waiting requests at the time of the report, in milliseconds.
     waiting: Vec<u32>,
-    /// Services and ranks of these requests; empty or shorter if the peer states none.
-    waiting_ranks: Vec<(Arc<str>, u8)>,
+    /// Services of these requests and their places in the order of admission; empty or shorter if the
+    /// peer states none.
+    waiting_order: Vec<(Arc<str>, u8)>,
     /// Servers that the peer avoids.
     failing: Vec<Arc<str>>,
     /// Servers that recently failed for the peer.
@@ -73,40 +74,44 @@
         reported.map_or(0.0, |engine| (f64::from(engine.prefilling) - prefilled_since).max(0.0))
     }
 
-    /// Returns the number of the peer's waiting requests that are admitted before a request of `rank`
-    /// that arrived at `arrived`: those of its service of a lower rank, and older ones of the same.
+    /// Returns the number of the peer's waiting requests that are admitted before a request with `order`
+    /// that arrived at `arrived`: those of its service with a lower order, and older ones with the same.
     pub(super) fn waiting_before(
         &self,
         now: Instant,
         service: &str,
-        rank: u8,
+        order: u8,
         arrived: Instant,
     ) -> usize {
         let (own_age, report_age) = (now.since(arrived), now.since(self.received_at));
-        let is_before = |(age_ms, reported_rank): &(u32, u8)| {
+        let is_before = |(age_ms, reported): &(u32, u8)| {
             let is_older = Duration::from_millis(u64::from(*age_ms)) + report_age > own_age;
-            *reported_rank < rank || (*reported_rank == rank && is_older)
+            *reported < order || (*reported == order && is_older)
         };
-        self.waiting_by_rank(service, rank).filter(is_before).count()
+        self.waiting_by_order(service, order).filter(is_before).count()
     }
 
-    /// Returns the number of the peer's reported waiting requests of a service of at most `rank`. The
+    /// Returns the number of the peer's reported waiting requests of a service with at most `order`. The
     /// report is limited.
-    pub(super) fn waiting_up_to(&self, service: &str, rank: u8) -> usize {
-        let reported = self.waiting_by_rank(service, rank);
-        reported.filter(|(_, reported_rank)| *reported_rank <= rank).count()
+    pub(super) fn waiting_up_to(&self, service: &str, order: u8) -> usize {
+        let waiting = self.waiting_by_order(service, order);
+        waiting.filter(|(_, reported)| *reported <= order).count()
     }
 
-    /// Returns the ages and ranks of the peer's waiting requests of a service at the time of the
-    /// report. A request of which the peer states neither, since it knows one priority only or is of
-    /// an earlier version, counts as one of the service and of `default_rank`.
-    fn waiting_by_rank(&self, service: &str, default_rank: u8) -> impl Iterator<Item = (u32, u8)> {
-        let stated = self.waiting_ranks.iter().map(Some).chain(std::iter::repeat(None));
+    /// Returns the ages and the order of the peer's waiting requests of a service at the time of the
+    /// report. A request of which the peer states neither, since it is of an earlier version,
+    /// counts as one of the service and of `default_order`.
+    fn waiting_by_order(
+        &self,
+        service: &str,
+        default_order: u8,
+    ) -> impl Iterator<Item = (u32, u8)> {
+        let stated = self.waiting_order.iter().map(Some).chain(std::iter::repeat(None));
         self.waiting.iter().zip(stated).filter_map(move |(age_ms, stated)| match stated {
-            Some((stated_service, rank)) => {
-                (**stated_service == *service).then_some((*age_ms, *rank))
+            Some((stated_service, order)) => {
+                (**stated_service == *service).then_some((*age_ms, *order))
             }
-            None => Some((*age_ms, default_rank)),
+            None => Some((*age_ms, default_order)),
         })
     }
 
@@ -160,18 +165,21 @@
     }
 
     /// Returns the ages of the waiting requests that are admitted first, in milliseconds, and their
-    /// services and ranks, sorted by rank and then from the oldest. They are reported to peers, up to
-    /// a maximum number. Services and ranks are left out if the requests of each service have one
-    /// priority.
+    /// services and places in the order of admission, sorted by the latter and then from the oldest.
+    /// They are reported to peers, up to a maximum number.
     pub fn waiting_reports(&self, now: Instant) -> (Vec<u32>, Vec<(Arc<str>, u8)>) {
-        let mut waiting: Vec<_> = self.queue.iter().map(|(_, waiting)| waiting).collect();
-        waiting.sort_by_key(|waiting| (waiting.rank, waiting.arrived));
-        waiting.truncate(super::admission::MAX_OLDER_WAITING);
         let age = |arrived| u32::try_from(now.since(arrived).as_millis()).unwrap_or(u32::MAX);
-        let ages = waiting.iter().map(|waiting| age(waiting.arrived)).collect();
-        let stated = if self.priorities.is_any() { waiting } else { Vec::new() };
-        let ranks = stated.iter().map(|waiting| (waiting.item.0.service.clone(), waiting.rank));
-        (ages, ranks.collect())
+        let waiting = self.queue.iter().map(|(_, waiting)| {
+            let request = &waiting.item.0;
+            (request.order(waiting.rank), waiting.arrived, &request.service)
+        });
+        let mut waiting: Vec<_> = waiting.collect();
+        waiting.sort();
+        waiting.truncate(super::admission::MAX_OLDER_WAITING);
+        let reports = waiting
+            .into_iter()
+            .map(|(order, arrived, service)| (age(arrived), (service.clone(), order)));
+        reports.unzip()
     }
 
     /// Replaces the stored report of a peer.
@@ -180,7 +188,7 @@
             received_at: now,
             engines: news.engines.clone(),
             waiting: news.waiting.clone(),
-            waiting_ranks: news.waiting_ranks.clone(),
+            waiting_order: news.waiting_order.clone(),
             failing: news.failing.clone(),
             doubtful: news.doubtful.clone(),
             demand: news.demand.clone(),
--- a/crates/core/src/dispatch/priority.rs
+++ b/crates/core/src/dispatch/priority.rs
@@ -129,7 +129,7 @@
         let mut waiting: Vec<_> = self
             .queue
             .iter()
-            .filter(|(_, waiting)| !waiting.returned)
+            .filter(|(_, waiting)| !waiting.returned && !waiting.item.0.is_late())
             .map(|(key, waiting)| (waiting.rank, waiting.arrived, key))
             .collect();
         waiting.sort_unstable();
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -30,6 +30,7 @@
         length_hint: Some(1_000),
         arrived: NOW,
         first_token_by: Some(NOW + Duration::from_millis(900)),
+        leaves_at: NOW + Duration::from_secs(14),
         deadline: NOW + Duration::from_secs(14),
         max_pause: Some(Duration::from_millis(300)),
         urgent: false,
--- a/crates/core/src/dispatch/tests/leaving.rs
+++ b/crates/core/src/dispatch/tests/leaving.rs
@@ -117,6 +117,7 @@
         length_hint: None,
         arrived: NOW,
         first_token_by: Some(NOW + seconds(9)),
+        leaves_at: NOW + seconds(14),
         deadline: NOW + seconds(14),
         max_pause: None,
         urgent: false,
--- a/crates/core/src/dispatch/tests/load.rs
+++ b/crates/core/src/dispatch/tests/load.rs
@@ -17,6 +17,10 @@
                 (sum.by_priority[priority], totals.by_priority[priority]);
             (submitted + other.0, in_time + other.1)
         }),
+        window: (sum.window.0 + totals.window.0, sum.window.1 + totals.window.1),
+        abandoned: sum.abandoned + totals.abandoned,
+        wasted_prefill: sum.wasted_prefill + totals.wasted_prefill,
+        prefilled: sum.prefilled + totals.prefilled,
         preempted: sum.preempted + totals.preempted,
         lost: sum.lost + totals.lost,
         worst_host_refused: sum.worst_host_refused.max(totals.worst_host_refused),
@@ -121,3 +125,49 @@
     assert!(percent(totals.late, &totals) <= 1.0, "{totals:?}");
     assert!(percent(totals.in_time, &totals) >= 84.0, "{totals:?}");
 }
+
+/// Returns a scenario with a burst of long prompts from 10 to 15 s, far beyond what the engines can
+/// prefill meanwhile, whose callers return when they are refused and leave after 3.6 s.
+fn burst_of_long_prompts(hosts: usize) -> Scenario {
+    Scenario {
+        hosts,
+        decode: 12,
+        prefill: 4,
+        kv_tokens: 600_000,
+        answer_tokens: (400.0, 1_000),
+        prompt_tokens: 3_000.0,
+        tokens_per_event: 16,
+        arrivals_per_s: 40.0,
+        long_prompts: (10.0, 15.0, 7.0),
+        callers_return: true,
+        duration_s: 30.0,
+        ..Scenario::default()
+    }
+}
+
+/// Asserts that two seconds after a burst of long prompts first tokens are in time as before it, and
+/// that hardly any prompt was prefilled in vain.
+fn assert_recovers(scenario: Scenario) {
+    let before = run(Scenario { window: (3.0, 9.0), ..scenario });
+    let after = run(Scenario { window: (17.0, 24.0), ..scenario });
+
+    let share = |(submitted, in_time): (u32, u32)| f64::from(in_time) / f64::from(submitted);
+    let (level, level_after) = (share(before.window), share(after.window));
+    assert!(level >= 0.95, "{level} {before:?}");
+    assert!(level_after >= level - 0.03, "{level} {level_after} {after:?}");
+    assert!(f64::from(after.wasted_prefill) <= 0.01 * f64::from(after.prefilled), "{after:?}");
+}
+
+#[test]
+fn two_seconds_after_a_burst_of_long_prompts_first_tokens_are_in_time_again() {
+    // Guards against late callers that return and keep the prefill engines' queues so long that new
+    // requests become late as well, and against prompts prefilled after their callers have left.
+    assert_recovers(burst_of_long_prompts(6));
+}
+
+#[test]
+fn thirty_hosts_that_return_late_callers_to_idle_engines_at_once_recover_from_a_burst() {
+    // Guards against many hosts that each see the same idle prefill engine and send their late
+    // requests to it together.
+    assert_recovers(burst_of_long_prompts(30));
+}
--- a/crates/core/src/dispatch/tests/mod.rs
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -1,4 +1,5 @@
 mod builds;
+mod burst;
 mod choice;
 mod leaving;
 mod load;
--- a/crates/core/src/dispatch/tests/priority.rs
+++ b/crates/core/src/dispatch/tests/priority.rs
@@ -71,8 +71,8 @@
 fn a_request_passes_less_urgent_ones_that_wait_at_this_host_and_at_peers() {
     let (mut dispatch, placements) = full_dispatch(Settings::default());
     dispatch.submit(NOW, patient(2, NOW), 1).unwrap();
-    let waiting_ranks = vec![(service(), 1); 2];
-    let news = News { waiting: vec![500; 2], waiting_ranks, ..News::default() };
+    let waiting_order = vec![(service(), 1); 2];
+    let news = News { waiting: vec![500; 2], waiting_order, ..News::default() };
     dispatch.update_peer(NOW, &"peer".into(), &news);
     dispatch.finish_generation(placements[0].generation, false);
 
@@ -87,8 +87,8 @@
     let (mut dispatch, placements) = full_dispatch(Settings::default());
     dispatch.submit(NOW - millis(500), patient(2, NOW - millis(500)), 1).unwrap();
     let news = |service: &str| {
-        let waiting_ranks = vec![(service.into(), 0)];
-        News { waiting: vec![0], waiting_ranks, ..News::default() }
+        let waiting_order = vec![(service.into(), 0)];
+        News { waiting: vec![0], waiting_order, ..News::default() }
     };
     dispatch.finish_generation(placements[0].generation, false);
 
@@ -166,9 +166,9 @@
     let (mut dispatch, placements) = full_dispatch(Settings::default());
     dispatch.submit(NOW, patient(2, NOW), 1).unwrap();
     dispatch.finish_generation(placements[0].generation, false);
-    let more = News { waiting_ranks: vec![(service(), 0); 9], ..News::default() };
+    let more = News { waiting_order: vec![(service(), 0); 9], ..News::default() };
     let fewer =
-        News { waiting: vec![10; 2], waiting_ranks: vec![(service(), 255)], ..more.clone() };
+        News { waiting: vec![10; 2], waiting_order: vec![(service(), 255)], ..more.clone() };
 
     dispatch.update_peer(NOW, &"peer".into(), &fewer);
     let behind_fewer = admitted(dispatch.tick(NOW));
--- a/crates/core/src/dispatch/tests/simulation.rs
+++ b/crates/core/src/dispatch/tests/simulation.rs
@@ -1,11 +1,11 @@
 //! Deterministic simulation of several hosts, their engines and callers, without a network.
 
-use crate::dispatch::{Dispatch, Effect, Entry, Placement, Request, Settings, Stage};
+use crate::dispatch::{Dispatch, Effect, Entry, Placement, Request, Settings, Stage, Ticket};
 use crate::time::Instant;
 use chestnutrack_wire::frame::News;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +17,10 @@
 const TARGET: Duration = Duration::from_millis(900);
 /// Interval at which the first host checks whether engines should change their stage.
 const PLAN_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without a first token after which a caller leaves that [`Scenario::callers_return`].
+const PATIENCE: Duration = Duration::from_millis(3_600);
+/// Time after the first request of such a caller from which it no longer returns.
+const RETURN_LIMIT: Duration = Duration::from_secs(14);
 /// Time for which an engine that changes its stage is unavailable.
 const STAGE_SWITCH_TIME: Duration = Duration::from_secs(6);
 
@@ -52,6 +56,13 @@
     pub(super) arrivals_per_s: f64,
     /// Start and end of a burst in seconds, and the factor on arrivals meanwhile.
     pub(super) burst: (f64, f64, f64),
+    /// Start and end of a burst of long prompts in seconds, and the factor on their length meanwhile.
+    pub(super) long_prompts: (f64, f64, f64),
+    /// Whether callers return after a refusal when they are asked to, and leave if they get no first
+    /// token for long.
+    pub(super) callers_return: bool,
+    /// Start and end of the time in seconds whose first arrivals are counted in [`Totals::window`].
+    pub(super) window: (f64, f64),
     /// When engines are lost, in seconds, and the numbers of the first and of how many. The decode
     /// engines have the lowest numbers at first.
     pub(super) engine_loss: (f64, usize, usize),
@@ -81,6 +92,9 @@
             priorities: &[0],
             arrivals_per_s: 7.8,
             burst: (0.0, 0.0, 1.0),
+            long_prompts: (0.0, 0.0, 1.0),
+            callers_return: false,
+            window: (0.0, 0.0),
             engine_loss: (f64::MAX, 0, 0),
             report_interval: Duration::from_millis(30),
             duration_s: 40.0,
@@ -102,6 +116,15 @@
     /// Submitted requests, and those whose first token was in time, by the place of their priority
     /// in [`Scenario::priorities`].
     pub(super) by_priority: [(u32, u32); 2],
+    /// Callers who first came in [`Scenario::window`], and those of them whose first token was in
+    /// time.
+    pub(super) window: (u32, u32),
+    /// Callers who left because no first token came, and thousands of prompt tokens that were
+    /// prefilled for them.
+    pub(super) abandoned: u32,
+    pub(super) wasted_prefill: u32,
+    /// Thousands of prompt tokens that were prefilled.
+    pub(super) prefilled: u32,
     /// Generations evicted because their engine ran out of memory.
     pub(super) preempted: u32,
     /// Generations lost with their engine.
@@ -117,7 +140,23 @@
     pub(super) most_prefill: u32,
 }
 
+/// A caller and its request.
+#[derive(Clone, Copy, Debug)]
+struct Caller {
+    host: usize,
+    prompt: f64,
+    answer_tokens: f64,
+    hint: f64,
+    organisation: u32,
+    first_arrived: Instant,
+    arrived: Instant,
+    /// Place of the priority in [`Scenario::priorities`].
+    priority: usize,
+    ticket: Option<Ticket>,
+}
+
 struct Generation {
+    caller: Caller,
     host: usize,
     placement: Placement,
     engine: usize,
@@ -126,9 +165,6 @@
     answer_tokens: f64,
     /// Prompt tokens still to be prefilled, including those queued ahead.
     prefill: f64,
-    arrived: Instant,
-    /// Place of the priority in [`Scenario::priorities`].
-    priority: usize,
     placed: Instant,
     first_token_seen: bool,
 }
@@ -143,9 +179,10 @@
     /// Engine number of each server key, by host.
     keys: Vec<HashMap<crate::dispatch::ServerKey, usize>>,
     running: Vec<Generation>,
-    /// Prompt length, answer length, arrival time and place of the priority of waiting requests, by
-    /// item.
-    waiting: HashMap<u32, (f64, f64, Instant, usize)>,
+    /// Callers whose requests wait, by item. Ordered, so that runs are reproducible.
+    waiting: BTreeMap<u32, Caller>,
+    /// Refused callers, and when they return.
+    returning: Vec<(Instant, Caller)>,
     next_item: u32,
     /// Submitted and refused requests, by host.
     requests_by_host: Vec<(u32, u32)>,
@@ -180,7 +217,8 @@
             reports_in_transit: Vec::new(),
             keys,
             running: Vec::new(),
-            waiting: HashMap::new(),
+            waiting: BTreeMap::new(),
+            returning: Vec::new(),
             next_item: 0,
             stages: (0..scenario.decode + scenario.prefill)
                 .map(|engine| Some(stage(engine)))
@@ -198,7 +236,9 @@
             self.now = self.now + STEP;
             self.fail_engines(seconds);
             self.generate_arrival(seconds);
+            self.return_callers();
             self.advance_generations();
+            self.abandon();
             self.exchange_reports(step);
             self.change_stages(step);
             self.tick_hosts();
@@ -243,8 +283,11 @@
             if seconds >= shift_at { (prompt_factor, answer_factor) } else { (1.0, 1.0) };
         let (median, output_tokens) = self.scenario.answer_tokens;
         let shortest = f64::from(self.scenario.tokens_per_event);
+        let (from, to, factor) = self.scenario.long_prompts;
+        let long_factor = if (from..to).contains(&seconds) { factor } else { 1.0 };
         let prompt = (self.scenario.prompt_tokens * prompt_factor * self.log_normal_factor(0.5))
-            .min(11_000.0);
+            .min(11_000.0)
+            * long_factor;
         let answer_tokens = (median * answer_factor * self.log_normal_factor(0.5))
             .clamp(shortest, output_tokens as f64);
         let hint = answer_tokens * self.log_normal_factor(0.5) * self.scenario.hint_factor;
@@ -254,28 +297,78 @@
             count => self.rng.random_range(0..count),
         };
         self.totals.by_priority[priority].0 += 1;
+        let organisation = self.rng.random_range(0..5);
+        self.totals.submitted += 1;
+        let caller = Caller {
+            host,
+            prompt,
+            answer_tokens,
+            hint,
+            organisation,
+            first_arrived: self.now,
+            arrived: self.now,
+            priority,
+            ticket: None,
+        };
+        let (from, to) = self.scenario.window;
+        self.totals.window.0 += u32::from((from..to).contains(&seconds));
+        self.submit(caller);
+    }
+
+    fn submit(&mut self, caller: Caller) {
+        let caller = Caller { arrived: self.now, ticket: None, ..caller };
+        let first_token_by = caller.first_arrived + TARGET;
         let request = Request {
             service: service(),
-            organisation: format!("o{}", self.rng.random_range(0..5)).into(),
-            priority: priorities[priority],
-            prompt_tokens: prompt as u64,
-            output_tokens,
-            length_hint: Some(hint as u64),
+            organisation: format!("o{}", caller.organisation).into(),
+            priority: self.scenario.priorities[caller.priority],
+            prompt_tokens: caller.prompt as u64,
+            output_tokens: self.scenario.answer_tokens.1,
+            length_hint: Some(caller.hint as u64),
             arrived: self.now,
-            first_token_by: Some(self.now + TARGET),
+            first_token_by: (first_token_by > self.now).then_some(first_token_by),
+            leaves_at: self.now + PATIENCE,
             deadline: self.now + Duration::from_secs(14),
             max_pause: Some(Duration::from_millis(300)),
             urgent: false,
             prefilled: false,
             build: None,
         };
-        self.totals.submitted += 1;
-        self.requests_by_host[host].0 += 1;
+        self.requests_by_host[caller.host].0 += 1;
         let item = self.next_item;
         self.next_item += 1;
-        self.waiting.insert(item, (prompt, answer_tokens, self.now, priority));
-        if let Err(effect) = self.hosts[host].submit(self.now, request, item) {
-            self.apply(host, effect);
+        self.waiting.insert(item, caller);
+        match self.hosts[caller.host].submit(self.now, request, item) {
+            Ok(ticket) => self.waiting.get_mut(&item).unwrap().ticket = Some(ticket),
+            Err(effect) => self.apply(caller.host, effect),
+        }
+    }
+
+    fn return_callers(&mut self) {
+        let now = self.now;
+        for (_, caller) in self.returning.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>() {
+            self.submit(caller);
+        }
+    }
+
+    /// Lets the callers leave that have waited too long for a first token. What their prompts' engines
+    /// have begun, they finish.
+    fn abandon(&mut self) {
+        if !self.scenario.callers_return {
+            return;
+        }
+        let leaves = |caller: &Caller| self.now.since(caller.arrived) >= PATIENCE;
+        for (_, caller) in self.waiting.extract_if(.., |_, caller| leaves(caller)) {
+            self.totals.abandoned += 1;
+            caller.ticket.into_iter().for_each(|ticket| self.hosts[caller.host].cancel(ticket));
+        }
+        let left = self.running.extract_if(.., |generation| {
+            !generation.first_token_seen && leaves(&generation.caller)
+        });
+        for generation in left {
+            self.totals.abandoned += 1;
+            self.totals.wasted_prefill += (generation.prompt / 1_000.0) as u32;
+            self.hosts[generation.host].finish_generation(generation.placement.generation, false);
         }
     }
 
@@ -289,8 +382,9 @@
     fn apply(&mut self, host: usize, effect: Effect<u32>) {
         match effect {
             Effect::Admit(item, placement) => {
-                let (prompt, answer_tokens, arrived, priority) =
-                    self.waiting.remove(&item).unwrap();
+                let caller = self.waiting.remove(&item).unwrap();
+                let Caller { prompt, answer_tokens, .. } = caller;
+                self.totals.prefilled += (prompt / 1_000.0) as u32;
                 let engine = self.keys[host][&placement.decode];
                 let prefill_engine_of = |host: usize, placement: &Placement| {
                     placement.prefill.map(|key| self.keys[host][&key])
@@ -306,6 +400,7 @@
                 // An engine that generates prefills at half the speed.
                 let prompt_work = if prefill_engine.is_some() { prompt } else { 2.0 * prompt };
                 self.running.push(Generation {
+                    caller,
                     host,
                     placement,
                     engine,
@@ -313,14 +408,18 @@
                     generated: 0.0,
                     answer_tokens,
                     prefill: ahead + prompt_work,
-                    arrived,
-                    priority,
                     placed: self.now,
                     first_token_seen: false,
                 });
             }
-            Effect::Refuse(item, _) => {
-                self.waiting.remove(&item);
+            Effect::Refuse(item, refusal) => {
+                let caller = self.waiting.remove(&item).unwrap();
+                let return_at = self.now + refusal.retry_after;
+                if self.scenario.callers_return
+                    && return_at.since(caller.first_arrived) < RETURN_LIMIT
+                {
+                    self.returning.push((return_at, caller));
+                }
                 self.totals.refused += 1;
                 self.requests_by_host[host].1 += 1;
                 let decode = (0..self.stages.len())
@@ -355,10 +454,14 @@
                 continue;
             }
             if !std::mem::replace(&mut generation.first_token_seen, true) {
-                match self.now.since(generation.arrived) <= TARGET {
+                let caller = generation.caller;
+                match self.now.since(caller.first_arrived) <= TARGET {
                     true => {
                         self.totals.in_time += 1;
-                        self.totals.by_priority[generation.priority].1 += 1;
+                        self.totals.by_priority[caller.priority].1 += 1;
+                        let (from, to) = self.scenario.window;
+                        let first_arrived = caller.first_arrived.since(START).as_secs_f64();
+                        self.totals.window.1 += u32::from((from..to).contains(&first_arrived));
                     }
                     false => self.totals.late += 1,
                 }
@@ -395,11 +498,11 @@
             (self.scenario.report_interval.as_millis() / STEP.as_millis()).max(1) as u64,
         ) {
             for (index, host) in self.hosts.iter().enumerate() {
-                let (waiting, waiting_ranks) = host.waiting_reports(self.now);
+                let (waiting, waiting_order) = host.waiting_reports(self.now);
                 let news = News {
                     engines: host.engine_reports(),
                     waiting,
-                    waiting_ranks,
+                    waiting_order,
                     demand: host.demand_reports(),
                     ..News::default()
                 };
--- a/crates/core/src/dispatch/tests/stage.rs
+++ b/crates/core/src/dispatch/tests/stage.rs
@@ -139,6 +139,7 @@
             length_hint: Some(500),
             arrived: now,
             first_token_by: Some(now + Duration::from_millis(900)),
+            leaves_at: now + Duration::from_secs(14),
             deadline: now + Duration::from_secs(14),
             max_pause: None,
             urgent: false,
--- a/crates/core/src/dispatch/tests/throttle.rs
+++ b/crates/core/src/dispatch/tests/throttle.rs
@@ -198,6 +198,7 @@
         length_hint: None,
         arrived: NOW,
         first_token_by: Some(NOW + millis(900)),
+        leaves_at: NOW + Duration::from_secs(14),
         deadline: NOW + Duration::from_secs(14),
         max_pause: Some(millis(300)),
         urgent: false,
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -34,6 +34,9 @@
 const FREE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for the admission of a request whose prompt is prefilled or whose stream has begun.
 const URGENT_ADMISSION_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without a first event after which a caller leaves a stream: the duration, or the latency target multiplied by the
+/// factor if that is longer.
+const CALLER_PATIENCE: (Duration, u32) = (Duration::from_millis(2_000), 4);
 /// Time after which a prefill is overdue and may be sent to another engine: the expected time multiplied by
 /// the factor, plus the duration. The answer may be lost, and retrying is safe since a prefill is not a run
 /// of the request. In a burst, 98 in 100 prefills take less.
@@ -332,6 +335,15 @@
     admission.basis().expected_prefill_time.mul_f64(factor) + extra
 }
 
+/// Returns when the caller leaves if it has no first token. Only callers of streams leave before the deadline.
+fn leaves_at(job: &Job) -> Instant {
+    if !job.route.kind.is_stream() {
+        return job.deadline;
+    }
+    let (shortest, factor) = CALLER_PATIENCE;
+    job.deadline.min(job.arrived_at + shortest.max(job.route.target_latency * factor))
+}
+
 /// Waits until a request is admitted, which reserves places at its engines, and logs the result.
 /// `start` is where its stream goes on, and `prefilled` says whether its prompt is prefilled already.
 ///
@@ -361,6 +373,7 @@
         length_hint: generation.hint.map(|hint| hint.saturating_sub(generated_tokens)),
         arrived: job.arrived_at,
         first_token_by: (first_token_by > now).then_some(first_token_by),
+        leaves_at: leaves_at(job),
         deadline: job.deadline,
         max_pause: job.route.max_pause,
         urgent,
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -432,7 +432,7 @@
         let mut state = self.app.state();
         let limits = state.dispatch.limit_reports(clock::now());
         let spent = state.allowances.spent().iter();
-        let (waiting, waiting_ranks) = state.dispatch.waiting_reports(clock::now());
+        let (waiting, waiting_order) = state.dispatch.waiting_reports(clock::now());
         // The fields have the names of the wire format: `store` says whether the store answers this
         // host, `doubted_ms` how long ago a call to it went unanswered, `doubtful` lists the servers
         // that recently failed, `ordering` says whether this host is about to give orders to engines,
@@ -447,7 +447,7 @@
             spent: spent.map(|(name, tokens)| (name.clone(), *tokens)).collect(),
             engines: state.dispatch.engine_reports(),
             waiting,
-            waiting_ranks,
+            waiting_order,
             failing: state.dispatch.failing_servers(clock::now()),
             doubtful: state.dispatch.recently_failed_servers(clock::now()),
             changing: state.dispatch.changing_engines(clock::now()),
--- a/crates/forward/tests/forward/configurations.rs
+++ b/crates/forward/tests/forward/configurations.rs
@@ -272,3 +272,25 @@
     let property: fn(Vec<RunStep>) -> TestResult = property;
     QuickCheck::new().tests(CASES).rng(generator).quickcheck(property);
 }
+
+// Guards against priorities that no request of a service can have, by which its requests would be ranked.
+#[test]
+fn the_priorities_of_a_service_are_those_of_its_routes_and_organisations() {
+    let base = config();
+    let stating = |priority| Organisation { priority, ..base.organisations[0].clone() };
+    let with = |organisations| Config { organisations, ..base.clone() };
+    let sorted = |config: Config, service| {
+        let mut priorities = config.priorities(service);
+        priorities.sort_unstable();
+        priorities.dedup();
+        priorities
+    };
+
+    assert_eq!(sorted(with(vec![stating(None)]), "llm"), [1]);
+    assert_eq!(sorted(with(vec![stating(Some(0))]), "llm"), [0]);
+    assert_eq!(sorted(with(vec![stating(Some(0)), stating(None)]), "llm"), [0, 1]);
+    // A route to this service is open to callers that belong to no organisation.
+    assert_eq!(sorted(with(vec![stating(Some(255))]), "app"), [1, 255]);
+    assert_eq!(sorted(with(Vec::new()), "llm"), [1]);
+    assert!(base.priorities("another").is_empty());
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -536,10 +536,11 @@
     pub engines: Vec<EngineReport>,
     /// Ages of the waiting requests, in milliseconds, oldest first.
     pub waiting: Vec<u32>,
-    /// Services of the requests in `waiting` and ranks of their priorities, in the same order; the lowest goes first. Absent if the
-    /// requests of each service have one priority. If they are present, requests are sorted by rank first and then by age.
+    /// Services of the requests in `waiting` and their places in the order of admission, in the same sequence: the rank of
+    /// the priority, and 128 more for a request that is late. Lower ones are admitted first. The requests are sorted by it
+    /// first and then by age.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub waiting_ranks: Vec<(Arc<str>, u8)>,
+    pub waiting_order: Vec<(Arc<str>, u8)>,
     /// Backend servers that the host currently excludes from placement.
     pub failing: Vec<Arc<str>>,
     /// Backend servers that recently failed a request of the host.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -119,15 +119,15 @@
 }
 
 #[test]
-fn news_without_ranks_of_waiting_requests_is_read_as_from_a_host_of_an_earlier_version() {
+fn news_without_the_order_of_waiting_requests_is_read_as_from_a_host_of_an_earlier_version() {
     let news = News { waiting: vec![7], ..News::default() };
-    let with_ranks = News { waiting_ranks: vec![("model".into(), 200)], ..news.clone() };
-    let frames = [news, with_ranks].map(|news| Frame::News(Box::new(news)));
+    let with_order = News { waiting_order: vec![("model".into(), 200)], ..news.clone() };
+    let frames = [news, with_order].map(|news| Frame::News(Box::new(news)));
 
     let encoded = frames.clone().map(|frame| encode(&frame).unwrap());
 
-    let name = b"waiting_ranks";
-    let states_ranks = |bytes: &[u8]| bytes.windows(name.len()).any(|window| window == name);
-    assert_eq!(encoded.each_ref().map(|bytes| states_ranks(bytes)), [false, true]);
+    let name = b"waiting_order";
+    let states_order = |bytes: &[u8]| bytes.windows(name.len()).any(|window| window == name);
+    assert_eq!(encoded.each_ref().map(|bytes| states_order(bytes)), [false, true]);
     assert_eq!(encoded.map(|bytes| decode(&bytes).unwrap()), frames);
 }
