--- a/crates/core/src/dispatch/plain.rs
+++ b/crates/core/src/dispatch/plain.rs
@@ -95,9 +95,10 @@
     /// Chooses a server of a plain service that is not in `excluded` and that a residency allows,
     /// and counts a request in flight to it. Returns `None` if there is no such server.
     ///
-    /// Servers are preferred that are not failing, then those in this host's cell (the part of the
-    /// fleet that it uses first), then those that no peer avoids, then those that have not just
-    /// reported that they have no room. Two random servers of the best group are compared by cost.
+    /// Servers are preferred that are not failing, then warm ones if any has room, then those in this
+    /// host's cell (the part of the fleet that it uses first), then those that no peer avoids, then
+    /// those that have not just reported that they have no room. Two random servers of the best group
+    /// are compared by cost.
     pub fn place_plain_within(
         &mut self,
         now: Instant,
