--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -71,16 +71,21 @@
         self.services.entry(service.clone()).or_default().stream_life = stream_life;
     }
 
-    /// Records the builds whose engines are listed now.
+    /// Records the builds whose engines are listed now, by service. Returns those that were not listed before.
     pub fn record_listed(
         &mut self,
         now: Instant,
         listed: impl IntoIterator<Item = (Arc<str>, Arc<str>)>,
-    ) {
+    ) -> Vec<(Arc<str>, Arc<str>)> {
+        let mut new = Vec::new();
         for (service, build) in listed {
             self.known_since.get_or_insert(now);
-            self.services.entry(service).or_default().listed_at.insert(build, now);
+            let listed_at = &mut self.services.entry(service.clone()).or_default().listed_at;
+            if listed_at.insert(build.clone(), now).is_none() {
+                new.push((service, build));
+            }
         }
+        new
     }
 
     /// Forgets a build of a service that is known by another name now.
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -18,6 +18,7 @@
 pub use admission::{Admission, Target};
 pub use body::{AnswerMemory, Counted};
 pub use evacuation::EvacuationBounds;
+pub use origin::Basis;
 pub(crate) use origin::ServiceBuilds;
 pub use place::PlainPlacement;
 pub use quarantine::Identity;
@@ -431,6 +432,7 @@
         };
         let accepts = move |body: &Bytes| {
             let stated = parse_report(body).and_then(|report| report.born);
+            tracing::info!(server = %name, listed = born, stated, "engine asked when it started");
             let Some(stated) = stated.filter(|stated| *stated != born) else { return true };
             if let Some(app) = app.upgrade() {
                 app.record_restart(&name, born, stated);
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -15,6 +15,28 @@
 /// duration.
 const STREAM_LIFE: (u32, Duration) = (2, Duration::from_secs(5));
 
+/// How the build that began a stream was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Basis {
+    /// This host had a record of the stream.
+    Record,
+    /// Other hosts, or the store, were asked.
+    Search,
+    /// By this host's knowledge no other build can have begun it.
+    OnlyBuild,
+}
+
+impl Basis {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Basis::Record => "record",
+            Basis::Search => "search",
+            Basis::OnlyBuild => "only_build",
+        }
+    }
+}
+
 /// Builds of each service.
 pub(crate) type ServiceBuilds = BTreeMap<Arc<str>, BTreeSet<Arc<str>>>;
 
@@ -30,14 +52,15 @@
 impl State {
     /// Records the builds that are listed now.
     pub(super) fn record_listed_builds(&mut self, now: Instant) {
-        self.builds.record_listed(now, self.dispatch.listed_builds());
+        let listed = self.dispatch.listed_builds();
+        log_new_builds(self.builds.record_listed(now, listed));
     }
 
     /// Records that a server is listed until now, as far as it is an engine.
     pub(super) fn record_build_of(&mut self, now: Instant, name: &str) {
         let entry = self.dispatch.entry_of(name).filter(|entry| entry.stage.is_some());
         let build = entry.map(|entry| (entry.service.clone(), entry.build.clone()));
-        self.builds.record_listed(now, build);
+        log_new_builds(self.builds.record_listed(now, build));
     }
 
     /// Changes what is known of the builds of a service. If several may have begun streams since, has the keepers of all
@@ -56,7 +79,7 @@
         let Some(entry) = self.dispatch.entry_of(name).cloned() else { return };
         let (service, build) = (&entry.service, &entry.build);
         self.change_builds(now, service, |state| {
-            state.builds.record_listed(now, [(service.clone(), build.clone())]);
+            log_new_builds(state.builds.record_listed(now, [(service.clone(), build.clone())]));
             let unlisted = entry.born.map(|born| unlisted_build(name, born));
             if let Some(unlisted) = unlisted.filter(|unlisted| unlisted != build) {
                 state.builds.forget(service, &unlisted);
@@ -65,13 +88,28 @@
         });
     }
 
-    /// Returns the build that began a stream of a service.
-    fn find_build(&mut self, now: Instant, service: &str, stream: Option<Stream>) -> Known {
+    /// Returns the build that began a stream of a service, and how it was found.
+    fn find_build(
+        &mut self,
+        now: Instant,
+        service: &str,
+        stream: Option<Stream>,
+    ) -> (Known, Basis) {
         let recorded = stream.and_then(|stream| self.origins.build(now, stream));
         if let Some(build) = recorded {
-            return Known::Build(build);
+            return (Known::Build(build), Basis::Record);
         }
         self.record_listed_builds(now);
+        let known = self.infer_build(now, service, stream);
+        let basis = match self.builds.possible(now, service) {
+            Possible::One(_) => Basis::OnlyBuild,
+            Possible::Several | Possible::Unknown => Basis::Search,
+        };
+        (known, basis)
+    }
+
+    /// Returns the build that began a stream of a service of which this host has no record.
+    fn infer_build(&mut self, now: Instant, service: &str, stream: Option<Stream>) -> Known {
         match (self.builds.possible(now, service), stream) {
             // The store may not have been told of the last build when all hosts were killed.
             (Possible::One(_), _)
@@ -109,24 +147,29 @@
         }
     }
 
-    /// Returns the build that began a stream of a service, if it can be found within `limit`. `stream` is `None` if its
-    /// caller doesn't say which it is.
+    /// Returns the build that began a stream of a service and how it was found, if it can be found within `limit`. `stream`
+    /// is `None` if its caller doesn't say which it is.
     pub async fn find_build(
         &self,
         service: &Arc<str>,
         stream: Option<Stream>,
         limit: Duration,
-    ) -> Option<Arc<str>> {
+    ) -> Option<(Arc<str>, Basis)> {
         let deadline = tokio::time::Instant::now() + limit;
+        let mut was_searched = false;
         loop {
             let changed = self.origins_changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let known = self.state().find_build(clock::now(), service, stream);
+            let (known, basis) = self.state().find_build(clock::now(), service, stream);
             match known {
-                Known::Build(build) => return Some(build),
+                Known::Build(build) if basis == Basis::Record && was_searched => {
+                    return Some((build, Basis::Search));
+                }
+                Known::Build(build) => return Some((build, basis)),
                 Known::Nowhere => return None,
                 Known::Pending => {
+                    was_searched = true;
                     self.origins_due.notify_one();
                     self.records_wanted.notify_one();
                 }
@@ -262,3 +305,10 @@
         state.builds.is_known(now).then(|| state.builds.recent(now))
     }
 }
+
+/// Logs builds that this host lists for the first time.
+fn log_new_builds(builds: Vec<(Arc<str>, Arc<str>)>) {
+    for (service, build) in builds {
+        tracing::info!(%service, %build, "build listed");
+    }
+}
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -388,6 +388,7 @@
     match admission {
         Ok(admission) => {
             let (decode, build) = (&admission.decode.entry.name, &admission.decode.entry.build);
+            let born = admission.decode.entry.born;
             let prefill = admission.prefill.as_ref().map(|target| &*target.entry.name);
             // The names of these variables are keys in the log. `prefilled_ms` is the forecast of the time until
             // the prompt is prefilled.
@@ -403,7 +404,7 @@
             let prefilled_ms = expected_prefill_time.as_millis() as u64;
             let parts = generation.shared_parts().map(|part| &**part).collect::<Vec<_>>().join(",");
             tracing::info!(
-                id, %decode, %build, prefill, waited_ms, tokens, priority, urgent, runs, peak, prefilled_ms,
+                id, %decode, %build, born, prefill, waited_ms, tokens, priority, urgent, runs, peak, prefilled_ms,
                 news_ms, version, parts, cached,
                 "placed"
             );
--- a/crates/forward/src/attempt/origin.rs
+++ b/crates/forward/src/attempt/origin.rs
@@ -26,7 +26,9 @@
         return Ok(None);
     }
     let (began_at, stream) = (clock::now(), job.head.resumes.as_deref().map(Stream::begun_by));
-    let build = job.app.find_build(&job.service, stream, SEARCH_TIMEOUT).await;
+    let found = job.app.find_build(&job.service, stream, SEARCH_TIMEOUT).await;
+    let basis = found.as_ref().map(|(_, basis)| basis.name());
+    let build = found.map(|(build, _)| build);
     let cause = match &build {
         None => Some(Cause::BuildUnknown),
         Some(build) if !job.app.has_build(&job.service, build) => Some(Cause::BuildGone),
@@ -41,6 +43,7 @@
         resumes,
         last,
         build = build.as_deref(),
+        basis,
         refused,
         waited_ms,
         "caller resumes a stream"
--- a/crates/forward/src/attempt/relay.rs
+++ b/crates/forward/src/attempt/relay.rs
@@ -184,8 +184,8 @@
         response.stream.discard();
         self.job.app.record_outcome(&response.admission.decode, Outcome::Failure);
         let (id, entry) = (self.job.head.id.as_deref(), &response.admission.decode.entry);
-        let (server, build) = (&entry.name, &entry.build);
-        tracing::info!(id, %server, %build, %error, passed = self.forwarded_events, "stream broke");
+        let (server, build, born) = (&entry.name, &entry.build, entry.born);
+        tracing::info!(id, %server, %build, born, %error, passed = self.forwarded_events, "stream broke");
         self.job.record_break(&response.admission.decode, self.began_at, error);
         End::Broken
     }
@@ -316,8 +316,8 @@
         match response {
             Ok(response) if response.head.status.is_success() => {
                 let entry = &response.admission.decode.entry;
-                let (server, build) = (&entry.name, &entry.build);
-                tracing::info!(id, %server, %build, last = self.last_event, after_ms, "stream resumed");
+                let (server, build, born) = (&entry.name, &entry.build, entry.born);
+                tracing::info!(id, %server, %build, born, last = self.last_event, after_ms, "stream resumed");
                 self.events.clear();
                 self.engine_ended = false;
                 self.began_at = None;
