Test: a process that started again gets no call while an older connection is open

The pool takes the check of one connection for a check of the address while any connection that it knows is open.

--- a/crates/process/tests/pool.rs
+++ b/crates/process/tests/pool.rs
@@ -360,6 +360,33 @@
     drop((first, second));
 }
 
+// Guards against a call to a process that has started again at the address, while connections to the process before are not
+// seen to end.
+#[tokio::test]
+async fn a_process_that_started_again_gets_no_call_while_an_older_connection_is_open() {
+    const OTHER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let pool = probing_pool(listener.local_addr().unwrap());
+    let calls = Arc::new(AtomicUsize::new(0));
+    let calls_of_other = calls.clone();
+    tokio::spawn(async move {
+        // The first process answers the probe and one call, and then hangs.
+        let (first, _) = listener.accept().await.unwrap();
+        tokio::spawn(respond(first, &[RESPONSE, RESPONSE, ""], Arc::default()));
+        while let Ok((tcp, _)) = listener.accept().await {
+            tokio::spawn(respond(tcp, &[OTHER, RESPONSE], calls_of_other.clone()));
+        }
+    });
+    let held = http::request("GET", "/", Bytes::new()).unwrap();
+    let held = pool.call_streaming(held, CALL_TIMEOUT).await.unwrap();
+
+    let outcome = call(&pool, CALL_TIMEOUT).await;
+
+    assert_eq!(outcome, Err(Error::Connect(pool.address(), ConnectError::WrongProcess)));
+    assert_eq!(calls.load(Ordering::SeqCst), 1);
+    drop(held);
+}
+
 #[tokio::test]
 async fn the_process_is_checked_again_once_no_connection_is_open() {
     let server = server(&[RESPONSE; 2]).await;
