Pool: each new connection is checked, not the address

Callers saw text of two builds in one stream: an engine's process had ended and another one, of other software, had started under its name and address.

Cause: `Pool::is_probed` took the answer of one connection for a fact about the address, as long as any connection that the pool knew was open. When a process ends, its connections are seen to end one after the other, and those that are cut off silently much later; a call in between went unasked to the new process. The class: a fact of one connection, taken for one of the address.

Ruled out: that the entry had been newer (`server listed` came 0.5 s later), and that the question had been answered wrongly (no host but entry-3 asked).

Now each new connection begins with the question. A server that closes the connection with its answer is asked on a third connection that is opened after the one that is used: processes follow each other at an address. An answer without success, or one that can't be read, no longer counts as the intended process.

Two tests asserted the fault and are replaced: `the_process_is_checked_once_while_a_connection_is_open` and `an_engine_is_asked_once_for_its_report_while_a_connection_to_it_is_open` now expect one question on each connection, also of prefill engines. A server that closes after each answer now needs three connections where it needed two.

--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -431,7 +431,8 @@
             _ => http::request("GET", report_path, ""),
         };
         let accepts = move |body: &Bytes| {
-            let stated = parse_report(body).and_then(|report| report.born);
+            let Some(report) = parse_report(body) else { return false };
+            let stated = report.born;
             tracing::info!(server = %name, listed = born, stated, "engine asked when it started");
             let Some(stated) = stated.filter(|stated| *stated != born) else { return true };
             if let Some(app) = app.upgrade() {
--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -436,9 +436,9 @@
     assert_eq!((answer.status, other.request_count()), (200, 1), "{answer:?}");
 }
 
-// Guards against reports that are asked for with each connection.
+// Guards against connections whose process was not asked, and against reports that are asked for with each request.
 #[tokio::test]
-async fn an_engine_is_asked_once_for_its_report_while_a_connection_to_it_is_open() {
+async fn an_engine_is_asked_for_its_report_once_on_each_connection() {
     let prefiller = Backend::start(answer_prefill).await;
     let decoder = engine("v1", Begin::Complete).await;
     let servers = vec![prefill("prefill-1", &prefiller), decode_of("v1", "decode-1", &decoder)];
@@ -446,11 +446,13 @@
 
     call(host.address, &beginning("r1")).await;
     let calls = (0..CALLS).map(|_| async { call(host.address, &beginning("r1")).await });
-    let answers = join_all(calls).await;
+    let mut answers = join_all(calls).await;
+    answers.push(call(host.address, &beginning("r1")).await);
 
     assert!(answers.iter().all(|answer| answer.complete));
     assert!(decoder.connections() > 1);
-    assert_eq!((decoder.reports(), prefiller.reports()), (1, 1));
+    assert_eq!(decoder.reports(), decoder.connections());
+    assert_eq!(prefiller.reports(), prefiller.connections());
 }
 
 // Guards against streams that began while one build served, and of which no other host is told when a second one comes.
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -63,9 +63,9 @@
     }
 }
 
-/// Checks that the process behind an address is the intended one: a call that is made on a new connection before any
-/// other, unless an older connection is open. A process that has started again has closed all connections to the one
-/// before.
+/// Checks that the process behind an address is the intended one: a call that is made on each new connection before any
+/// other. Other connections say nothing about it: they may lead to a process that has ended, and are seen to be closed
+/// one after the other, or not at all.
 pub struct Probe {
     /// Builds the call.
     pub request: Box<dyn Fn() -> Result<Request<Full<Bytes>>, Error> + Send + Sync>,
@@ -133,8 +133,6 @@
     /// Total number of permits, in use or not.
     open_max: Mutex<usize>,
     probe: Option<Probe>,
-    /// Tasks that drive the connections to the process that the probe has accepted.
-    probed: Mutex<Vec<AbortHandle>>,
 }
 
 /// Pool of connections to one address. Clones share the connections.
@@ -166,7 +164,6 @@
             permits: Arc::new(Semaphore::new(settings.open_max)),
             open_max: Mutex::new(settings.open_max),
             probe,
-            probed: Mutex::default(),
         }))
     }
 
@@ -316,25 +313,28 @@
         }
     }
 
-    /// Opens a connection, within the connect timeout and before nine tenths of the time until `deadline`
-    /// have passed.
+    /// Opens a connection and checks the process that it leads to, within the connect timeout and before nine tenths of the
+    /// time until `deadline` have passed.
     async fn connect(&self, deadline: Instant) -> Result<Connection, Error> {
         // Times out shortly before the call does, so that a slow connect is reported as not sent.
         let remaining = deadline.saturating_duration_since(Instant::now()).mul_f64(0.9);
         let connect_timeout = self.0.settings.connect_timeout.min(remaining);
         let mut connection = self.open(connect_timeout).await?;
         let Some(probe) = &self.0.probe else { return Ok(connection) };
-        if !self.is_probed() {
-            let timed_out =
-                || Error::Connect(self.0.address, ConnectError::Other("probe timed out".into()));
-            let probed = timeout(connect_timeout, self.probe(probe, &mut connection)).await;
-            probed.map_err(|_| timed_out())??;
+        let timed_out =
+            || Error::Connect(self.0.address, ConnectError::Other("probe timed out".into()));
+        let probed = async {
+            self.probe(probe, &mut connection).await?;
             if connection.sender.ready().await.is_err() {
+                // The server closed the connection with its answer. Processes follow each other at an address, so one that
+                // answers later is also the one that an earlier connection leads to.
                 connection = self.open(connect_timeout).await?;
+                let mut later = self.open(connect_timeout).await?;
+                self.probe(probe, &mut later).await?;
             }
-        }
-        lock(&self.0.probed).push(connection.task.clone());
-        Ok(connection)
+            Ok(connection)
+        };
+        timeout(connect_timeout, probed).await.unwrap_or_else(|_| Err(timed_out()))
     }
 
     /// Opens a connection without a check of the process behind the address.
@@ -352,16 +352,9 @@
         })
     }
 
-    /// Returns whether the next new connection begins with a probe.
+    /// Returns whether the next call begins with a probe: it needs a new connection.
     pub fn needs_probe(&self) -> bool {
-        self.0.probe.is_some() && !self.is_probed()
-    }
-
-    /// Returns whether a connection is open to the process that the probe has accepted.
-    fn is_probed(&self) -> bool {
-        let mut probed = lock(&self.0.probed);
-        probed.retain(|task| !task.is_finished());
-        !probed.is_empty()
+        self.0.probe.is_some() && lock(&self.0.idle).connections.is_empty()
     }
 
     /// Makes the call of a probe on a new connection.
@@ -377,7 +370,10 @@
         let (head, body) = response.map_err(|error| failed(error.to_string()))?.into_parts();
         let body = http::read_body(body, PROBE_BYTES_MAX).await;
         let body = body.map_err(|error| failed(error.to_string()))?;
-        match !head.status.is_success() || (probe.accepts)(&body) {
+        if !head.status.is_success() {
+            return Err(failed(format!("probe answered with status {}", head.status)));
+        }
+        match (probe.accepts)(&body) {
             true => Ok(()),
             false => Err(Error::Connect(self.0.address, ConnectError::WrongProcess)),
         }
--- a/crates/process/tests/pool.rs
+++ b/crates/process/tests/pool.rs
@@ -348,7 +348,7 @@
 }
 
 #[tokio::test]
-async fn the_process_is_checked_once_while_a_connection_is_open() {
+async fn the_process_is_checked_on_each_new_connection() {
     let server = server(&[RESPONSE; 8]).await;
     let pool = probing_pool(server.address);
     let request = || http::request("GET", "/", Bytes::new()).unwrap();
@@ -356,7 +356,7 @@
     let first = pool.call_streaming(request(), CALL_TIMEOUT).await.unwrap();
     let second = pool.call_streaming(request(), CALL_TIMEOUT).await.unwrap();
 
-    assert_eq!((server.connections(), server.calls()), (2, 3));
+    assert_eq!((server.connections(), server.calls()), (2, 4));
     drop((first, second));
 }
 
@@ -412,6 +412,19 @@
     assert_eq!(server.calls(), 1);
 }
 
+// Guards against a process that counts as the intended one, since it did not say which it is.
+#[tokio::test]
+async fn nothing_is_sent_to_a_process_that_does_not_answer_the_probe_with_success() {
+    let server = server(&["HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nok", RESPONSE]).await;
+    let pool = probing_pool(server.address);
+
+    let outcome = call(&pool, CALL_TIMEOUT).await;
+
+    assert!(matches!(outcome, Err(Error::Connect(_, ConnectError::Other(_)))), "{outcome:?}");
+    assert_eq!(server.calls(), 1);
+}
+
+// Such a server can be asked only on another connection, which is opened after the one that is used.
 #[tokio::test]
 async fn a_process_that_ends_the_connection_with_the_answer_to_the_probe_is_used() {
     let server = server(&[RESPONSE]).await;
@@ -419,5 +432,5 @@
 
     let outcome = call(&pool, CALL_TIMEOUT).await;
 
-    assert_eq!((outcome.unwrap(), server.connections()), ("ok".into(), 2));
+    assert_eq!((outcome.unwrap(), server.connections()), ("ok".into(), 3));
 }
