Tests: what a host believes to be the only build expires, and no stream begins at a build that others can't know

A host out of step, which stands still or is cut off, answers a caller by the flag that its last heartbeat set, and another host begins streams at a new build as soon as it lists it.

--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -203,6 +203,17 @@
     assert_eq!(builds.possible(NOW, "llm"), Possible::One("v1".into()));
 }
 
+// Guards against a host that stood still, or that was cut off silently, and still relies on what it knew before.
+#[test]
+fn a_host_that_has_heard_nothing_for_long_knows_no_only_build() {
+    let mut builds = Builds::new(true);
+    list(&mut builds, NOW, &["v1"]);
+    builds.set_current(true);
+
+    assert_eq!(builds.possible(NOW + seconds(1), "llm"), Possible::One("v1".into()));
+    assert_eq!(builds.possible(NOW + seconds(2), "llm"), Possible::Unknown);
+}
+
 // Guards against a build that two hosts report to each other for ever, each time a little younger.
 #[test]
 fn what_another_host_reported_is_not_reported_further() {
--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -17,7 +17,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Number of events of a stream.
 const EVENTS: u64 = 4;
@@ -472,3 +472,37 @@
 
     assert_eq!((answer.status, builds(&answer)), (200, BTreeSet::from([&*build])), "{answer:?}");
 }
+
+// Guards against streams of a new build that another host, which does not know it, takes for those of the only build.
+#[tokio::test]
+async fn no_resumable_stream_begins_at_a_build_before_the_other_hosts_know_it() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let (first, second) =
+        (engine("v1", Begin::Complete).await, engine("v2", Begin::Complete).await);
+    let former = decode_of("v1", "decode-1", &first);
+    let fleet = Fleet::start(3, &[prefill("prefill-1", &prefiller), former.clone()]).await;
+    let address = fleet.address(0);
+    let call_streams = async || {
+        let calls =
+            (0..CALLS).map(|n| async move { call(address, &beginning(&format!("a{n}"))).await });
+        join_all(calls).await
+    };
+
+    fleet.members[0].put(&decode_of("v2", "decode-2", &second));
+    let beside = call_streams().await;
+    fleet.members[0].put(&Entry { leaving: true, ..former });
+    let alone = call(address, &beginning("b1")).await;
+    let (answers_beside, reached) =
+        (beside.iter().filter(|answer| answer.complete), second.request_count());
+    fleet.members[1..].iter().for_each(|member| member.put(&decode_of("v2", "decode-2", &second)));
+    let calling = async {
+        while !call(address, &beginning("c1")).await.complete {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+
+    assert_eq!((answers_beside.count(), reached), (CALLS, 0));
+    assert!(is_refused_with_time(&alone), "{alone:?}");
+    // All hosts know it now, so no further time has to pass.
+    timeout(Duration::from_secs(3), calling).await.expect("streams at the new build");
+}
