Streams: what a host knows of the builds is a lease, and streams begin at a new build once no other host can miss it

Callers saw text of two builds in one stream where one entry host was out of step while engines of a new build joined: streams that had begun there through other hosts were taken up at that host and went on at the older build.

Cause: `Builds::is_current` was a flag that the last heartbeat tick set, without an age, and other hosts began streams at a build as soon as they listed it. Either half alone proves nothing: a belief has to expire, and what would make it wrong must wait that long. The class: a belief about other processes that has no age, and that nobody has to wait for.

Now what a host knows holds for 1.5 s, counted on the clock that runs while a machine sleeps, from when that was sent which confirmed it: messages of more than half of the hosts, or a read of the store's list. Messages count from when they were sent, by the sender's own clock, since a process that stood still reads old ones late. A host that nothing confirms lists the servers anew, and tells the keepers the builds of its streams. Resumable streams begin at a build, while another may have begun streams, once all other hosts report that they list it (usually one message each way), or 3 s after so many do that each other host must hear one of them. Until then they begin at the other builds; requests that can't be resumed go anywhere.

Ruled out as sufficient: the expiry without the wait, and the wait without the expiry.

Two tests of stored builds begin a stream once it may begin; what they check is unchanged.

--- a/crates/core/src/dispatch/admission.rs
+++ b/crates/core/src/dispatch/admission.rs
@@ -54,6 +54,8 @@
     pub prefilled: bool,
     /// Prefixes of the prompt, shortest first, that engines may hold; empty if its parts are unknown or not shared.
     pub prefixes: Arc<[Prefix]>,
+    /// Whether the stream that answers the request may be resumed, so that other hosts must know its build.
+    pub resumable: bool,
     /// Build whose engines may generate, or `None` if any may: what two builds write does not fit together.
     pub build: Option<Arc<str>>,
     /// Regions whose servers may get the request.
@@ -61,8 +63,8 @@
 }
 
 impl Request {
-    /// Returns whether only some engines may serve the request, so that others may pass it in the queue.
-    fn is_bound(&self) -> bool {
+    /// Returns whether only engines of a build or region may serve the request.
+    fn is_restricted(&self) -> bool {
         self.build.is_some() || self.residency.is_restricted()
     }
 
@@ -178,7 +180,7 @@
         let is_next = !self.queue.any(|waiting| {
             let goes_after = waiting.item.0.order(waiting.rank) > request.order(rank)
                 && waiting.item.0.service == request.service;
-            !waiting.item.0.is_bound() && !goes_after
+            !self.is_bound(&waiting.item.0) && !goes_after
         });
         if (is_next || request.urgent)
             && let Some(assignment) =
@@ -191,7 +193,7 @@
         if is_quiet
             || self.is_stranded(&request)
             || self.excluded_for(now, &request).is_some()
-            || request.build.as_ref().is_some_and(|build| !self.has_build(&request.service, build))
+            || !self.has_build_for(&request)
         {
             let reason = if is_quiet { RefusalReason::Quiet } else { RefusalReason::NoServer };
             let refusal = self.refuse(now, &request, rank, reason);
@@ -247,6 +249,13 @@
         }
     }
 
+    /// Returns whether only some engines may serve a request, so that others may pass it in the queue.
+    fn is_bound(&self, request: &Request) -> bool {
+        let waits_for_build = request.resumable && request.build.is_none();
+        request.is_restricted()
+            || waits_for_build && self.unannounced_builds.contains_key(&request.service)
+    }
+
     /// Removes a waiting request from the queue and refuses it. Returns `None` if it no longer waits.
     pub(super) fn refuse_waiting(
         &mut self,
@@ -311,9 +320,10 @@
         let (generations_by_engine, shuffle_seed) =
             (self.known_generations(now), self.shuffle_seeds.next());
         let mut queue = std::mem::replace(&mut self.queue, queue::Queue::new(self.settings.queue));
+        let is_bound = |request: &Request| self.is_bound(request);
         let dequeued = queue.dequeue_passing(
             now,
-            |waiting| waiting.item.0.is_bound(),
+            |waiting| is_bound(&waiting.item.0),
             |waiting| {
                 let request = &waiting.item.0;
                 self.assign(now, request, waiting.rank, &generations_by_engine, shuffle_seed)
--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -11,7 +11,7 @@
 use crate::origin::unlisted_build;
 use crate::prefix::Prefix;
 use crate::time::Instant;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -262,19 +262,19 @@
         server.speed.0.or_else(pool_speed).unwrap_or(Pool::default().tokens_per_ms())
     }
 
-    /// Returns the engines of a stage, and of a build if one is given, that may get a new request with a residency: those in
+    /// Returns the engines of a stage, and of the builds that are allowed, that may get a new request with a residency: those in
     /// this host's cell, or all engines if no warm one in the cell is usable.
     fn usable_engines(
         &self,
         now: Instant,
         service: &str,
         stage: Stage,
-        build: Option<&Arc<str>>,
         residency: &Residency,
+        allows_build: impl Fn(&str) -> bool,
     ) -> Vec<(ServerKey, &Server)> {
         let serving = |(_, server): &(ServerKey, &Server)| {
             server.can_serve(now, service, stage)
-                && build.is_none_or(|build| server.entry.build == *build)
+                && allows_build(&server.entry.build)
                 && residency.allows(server)
                 && self.throttle.has_room(now, &server.entry.name)
         };
@@ -321,10 +321,11 @@
         let pool = self.pools.get(&request.service)?;
         let capacity = pool.kv_tokens as f64 * self.settings.memory_fraction;
         let incoming = request.forecast_generation(&pool.length);
-        let build = request.build.as_ref();
         let residency = &request.residency;
         let mut candidates =
-            self.usable_engines(now, &request.service, Stage::Decode, build, residency);
+            self.usable_engines(now, &request.service, Stage::Decode, residency, |build| {
+                self.allows_build(request, build)
+            });
         candidates
             .sort_by_key(|(key, server)| (server.is_cold(now), shuffle::rank(*key, shuffle_seed)));
         let engines_by_build = self.engines_by_build(&request.service);
@@ -376,6 +377,35 @@
         self.engines_by_build(service).contains_key(build)
     }
 
+    /// Sets the builds at which no resumable stream may begin, by service, since not all hosts know them.
+    pub fn set_unannounced_builds(&mut self, builds: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>) {
+        self.unannounced_builds = builds;
+    }
+
+    /// Returns whether engines of a build may generate for a request.
+    fn allows_build(&self, request: &Request, build: &str) -> bool {
+        match &request.build {
+            Some(bound) => **bound == *build,
+            None => {
+                let unannounced = self.unannounced_builds.get(&request.service);
+                !request.resumable || unannounced.is_none_or(|builds| !builds.contains(build))
+            }
+        }
+    }
+
+    /// Returns whether a decode engine of a build that a request allows takes new requests. If a request needs no certain one, that
+    /// is also so while there is no engine.
+    pub(super) fn has_build_for(&self, request: &Request) -> bool {
+        let builds = self.engines_by_build(&request.service);
+        builds.keys().any(|build| self.allows_build(request, build))
+            || builds.is_empty() && request.build.is_none()
+    }
+
+    /// Returns whether the store lists an engine of a build, so that it is not only known from its process.
+    pub fn is_listed_build(&self, build: &str) -> bool {
+        self.builds_while_unlisted().all(|(unlisted, known)| *known != *build || unlisted != known)
+    }
+
     /// Returns service and build of each listed engine.
     pub fn listed_builds(&self) -> impl Iterator<Item = (Arc<str>, Arc<str>)> {
         let engines = self.servers.values().filter(|server| server.entry.stage.is_some());
@@ -407,7 +437,7 @@
         let cached = self.expected_cached(now, service, prefixes);
         let per_ms = self.pools.get(service)?.prefill_per_ms;
         let domain = self.servers.get(decode).map(|server| server.entry.failure_domain.clone());
-        let candidates = self.usable_engines(now, service, Stage::Prefill, None, residency);
+        let candidates = self.usable_engines(now, service, Stage::Prefill, residency, |_| true);
         let candidates = candidates.into_iter();
         let ranked =
             candidates.filter(|(key, _)| !in_progress.contains(key)).map(|(key, server)| {
@@ -445,7 +475,7 @@
         // one has a shorter queue.
         let cached = self.expected_cached(now, &request.service, &request.prefixes);
         let (service, residency) = (&request.service, &request.residency);
-        let engines = self.usable_engines(now, service, Stage::Prefill, None, residency);
+        let engines = self.usable_engines(now, service, Stage::Prefill, residency, |_| true);
         let ranked = engines.into_iter().map(|(key, server)| {
             let saved = cached.get(&key).copied().unwrap_or_default();
             let tokens = self.queued_prefill_tokens(now, server, per_ms) - saved;
@@ -516,7 +546,7 @@
         }
         let pool = self.pools.get(&request.service)?;
         let (service, residency) = (&request.service, &request.residency);
-        let engines = self.usable_engines(now, service, Stage::Prefill, None, residency);
+        let engines = self.usable_engines(now, service, Stage::Prefill, residency, |_| true);
         if engines.is_empty() {
             return Some(mode);
         }
@@ -544,7 +574,7 @@
     ) -> Option<Duration> {
         let pool = self.pools.get(&request.service)?;
         let (service, residency) = (&request.service, &request.residency);
-        let engines = self.usable_engines(now, service, Stage::Prefill, None, residency);
+        let engines = self.usable_engines(now, service, Stage::Prefill, residency, |_| true);
         let queued = engines
             .iter()
             .map(|(_, server)| self.queued_prefill_tokens(now, server, pool.prefill_per_ms));
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -49,7 +49,7 @@
 use peer::Peer;
 use serde::{Deserialize, Serialize};
 use slotmap::{SecondaryMap, SlotMap, new_key_type};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -238,6 +238,8 @@
     departed: leaving::Departed,
     /// Failure domains whose servers get no new requests.
     evacuations: evacuation::Evacuations,
+    /// Builds at which no resumable stream may begin, by service.
+    unannounced_builds: BTreeMap<Arc<str>, BTreeSet<Arc<str>>>,
     /// Region of each failure domain.
     regions: BTreeMap<Arc<str>, Arc<str>>,
     /// Ordered by name, so that runs are reproducible.
@@ -276,6 +278,7 @@
             prompts: SecondaryMap::new(),
             departed: leaving::Departed::default(),
             evacuations: evacuation::Evacuations::default(),
+            unannounced_builds: BTreeMap::new(),
             regions: BTreeMap::new(),
             peers: BTreeMap::new(),
             pending_retries: admission::PendingRetries::default(),
--- a/crates/core/src/dispatch/tests/choice.rs
+++ b/crates/core/src/dispatch/tests/choice.rs
@@ -37,6 +37,7 @@
         urgent: false,
         prefilled: false,
         prefixes: Arc::default(),
+        resumable: false,
         build: None,
         residency: Residency::default(),
     }
--- a/crates/core/src/dispatch/tests/cold.rs
+++ b/crates/core/src/dispatch/tests/cold.rs
@@ -207,6 +207,7 @@
         prefixes: Arc::default(),
         priority: 0,
         residency: Residency::default(),
+        resumable: false,
         build: None,
     }
 }
--- a/crates/core/src/dispatch/tests/leaving.rs
+++ b/crates/core/src/dispatch/tests/leaving.rs
@@ -124,6 +124,7 @@
         urgent: false,
         prefilled: false,
         prefixes: Arc::default(),
+        resumable: false,
         build: None,
         residency: Residency::default(),
     };
--- a/crates/core/src/dispatch/tests/simulation.rs
+++ b/crates/core/src/dispatch/tests/simulation.rs
@@ -335,6 +335,7 @@
             urgent: false,
             prefilled: false,
             prefixes: Arc::default(),
+            resumable: false,
             build: None,
             residency: Residency::default(),
         };
--- a/crates/core/src/dispatch/tests/stage.rs
+++ b/crates/core/src/dispatch/tests/stage.rs
@@ -146,6 +146,7 @@
             urgent: false,
             prefilled: false,
             prefixes: Arc::default(),
+            resumable: false,
             build: None,
             residency: Residency::default(),
         };
--- a/crates/core/src/dispatch/tests/throttle.rs
+++ b/crates/core/src/dispatch/tests/throttle.rs
@@ -204,6 +204,7 @@
         urgent: false,
         prefilled: false,
         prefixes: Arc::default(),
+        resumable: false,
         build: None,
         residency: Residency::default(),
     }
--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -6,6 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Time for which a host may rely on its knowledge of the builds, counted from when what confirmed it was sent.
+pub const KNOWLEDGE_LEASE: Duration = Duration::from_millis(1_500);
+/// Time before the first stream at a build whose existence not all hosts are known to know, counted from when enough of
+/// them know it. Longer than [`KNOWLEDGE_LEASE`], so that no other host still relies on knowledge without that build.
+pub const FIRST_STREAM_DELAY: Duration = Duration::from_millis(3_000);
+
 /// Longest time that a stream may last, over all tries of its caller, where no route says otherwise.
 const STREAM_LIFE: Duration = Duration::from_secs(60);
 
@@ -27,13 +33,60 @@
     listed_at: BTreeMap<Arc<str>, Instant>,
     /// The same, as other hosts or the store said. It is not passed on: each time would add the delay of a message.
     told_at: BTreeMap<Arc<str>, Instant>,
+    /// Builds at which streams may begin, since no host still takes another build for the only one.
+    announced: BTreeSet<Arc<str>>,
+    /// The other builds that were listed, with what is known of the hosts that know them.
+    unannounced: BTreeMap<Arc<str>, Announcement>,
     /// Longest time that a stream may last.
     stream_life: Duration,
 }
 
 impl Default for Service {
     fn default() -> Service {
-        Service { listed_at: BTreeMap::new(), told_at: BTreeMap::new(), stream_life: STREAM_LIFE }
+        Service {
+            listed_at: BTreeMap::new(),
+            told_at: BTreeMap::new(),
+            announced: BTreeSet::new(),
+            unannounced: BTreeMap::new(),
+            stream_life: STREAM_LIFE,
+        }
+    }
+}
+
+/// Which other hosts are known to list a build.
+#[derive(Clone, Debug, Default)]
+struct Announcement {
+    listed_by: BTreeSet<Arc<str>>,
+    /// Since when enough hosts have been known to list it.
+    quorum_at: Option<Instant>,
+}
+
+/// The other hosts, whose knowledge of a build is required before a stream begins at it.
+#[derive(Clone, Copy, Debug)]
+pub struct Hosts<'a> {
+    /// The hosts from which this one hears.
+    pub peers: &'a BTreeSet<Arc<str>>,
+    /// Whether there are no others.
+    pub is_whole_fleet: bool,
+}
+
+impl Announcement {
+    /// Returns whether no host takes another build for the only one any more.
+    fn is_known(&mut self, now: Instant, hosts: Hosts, is_listed: bool) -> bool {
+        let listing = hosts.peers.intersection(&self.listed_by).count();
+        if is_listed && listing >= hosts.listing_min() {
+            self.quorum_at.get_or_insert(now);
+        }
+        let is_listed_by_all = hosts.is_whole_fleet && listing == hosts.peers.len();
+        is_listed_by_all || self.quorum_at.is_some_and(|at| now.since(at) >= FIRST_STREAM_DELAY)
+    }
+}
+
+impl Hosts<'_> {
+    /// Returns how many other hosts must list a build. They and this host have one in common with each host and those that it
+    /// has to hear (`Roster::quorum_sent_at`).
+    fn listing_min(self) -> usize {
+        self.peers.len() / 2
     }
 }
 
@@ -49,8 +102,20 @@
     knows_former: bool,
     /// Whether another host that has listed all builds reported those that served before that time.
     is_vouched: bool,
-    /// Whether a build that is listed now would be known.
-    is_current: bool,
+    currency: Currency,
+    /// [`Builds::is_current`] when [`Builds::currency_change`] was last called.
+    was_current: bool,
+}
+
+/// Up to when all builds that were listed are known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Currency {
+    /// At any time: the list of servers is not followed.
+    Unfollowed,
+    /// They are not.
+    Never,
+    /// At a time when this was confirmed.
+    Until(Instant),
 }
 
 impl Builds {
@@ -62,10 +127,16 @@
             is_first: is_fleet_first_start,
             knows_former: false,
             is_vouched: false,
-            is_current: true,
+            currency: Currency::Unfollowed,
+            was_current: true,
         }
     }
 
+    /// Begins to follow a list of servers, none of which has been read. From now on, what this host knows has to be confirmed.
+    pub fn follow(&mut self) {
+        (self.currency, self.was_current) = (Currency::Never, false);
+    }
+
     /// Sets the longest time that a stream of a service may last.
     pub fn set_stream_life(&mut self, service: &Arc<str>, stream_life: Duration) {
         self.services.entry(service.clone()).or_default().stream_life = stream_life;
@@ -80,9 +151,24 @@
         let mut new = Vec::new();
         for (service, build) in listed {
             self.known_since.get_or_insert(now);
-            let listed_at = &mut self.services.entry(service.clone()).or_default().listed_at;
-            if listed_at.insert(build.clone(), now).is_none() {
-                new.push((service, build));
+            let is_followed = self.currency != Currency::Unfollowed;
+            let known = self.services.entry(service.clone()).or_default();
+            let listed_before = known.listed_at.insert(build.clone(), now);
+            // Other hosts may count one that comes back as forgotten already.
+            let is_forgotten = |at: Instant| now.since(at) >= known.stream_life / 2;
+            if listed_before.is_none_or(is_forgotten) {
+                known.announced.remove(&build);
+                new.push((service, build.clone()));
+            }
+            if known.announced.contains(&build) {
+                continue;
+            }
+            // No other build can be taken for the only one.
+            if !is_followed || known.recent(now).count() == 1 {
+                known.unannounced.remove(&build);
+                known.announced.insert(build);
+            } else {
+                known.unannounced.entry(build).or_default();
             }
         }
         new
@@ -93,6 +179,8 @@
         if let Some(service) = self.services.get_mut(service) {
             service.listed_at.remove(build);
             service.told_at.remove(build);
+            service.announced.remove(build);
+            service.unannounced.remove(build);
         }
     }
 
@@ -130,10 +218,88 @@
         !self.is_vouched && !service.is_some_and(|service| self.has_listed_all_of(now, service))
     }
 
-    /// Sets whether this host would know of a build that is listed now: it has read the whole list, and the store answers
-    /// it or most other hosts are heard. Returns whether that changed.
-    pub fn set_current(&mut self, is_current: bool) -> bool {
-        std::mem::replace(&mut self.is_current, is_current) != is_current
+    /// Records that enough other hosts were heard, whose last messages were sent at `sent_at` or later. One of them has
+    /// told this host of each build at which any host begins streams.
+    pub fn record_heard(&mut self, sent_at: Instant) {
+        self.currency = match self.currency {
+            Currency::Until(at) => Currency::Until(at.max(sent_at)),
+            _ => Currency::Until(sent_at),
+        };
+    }
+
+    /// Records that the store's list of servers was read by a call that was sent at `sent_at`. A build may have been listed,
+    /// begun streams and left since it was last confirmed that all are known, if that is long ago.
+    pub fn record_list_read(&mut self, sent_at: Instant) {
+        if let Currency::Until(at) = self.currency
+            && sent_at.since(at) >= FIRST_STREAM_DELAY
+        {
+            self.known_since = self.known_since.map(|_| sent_at);
+            (self.is_first, self.knows_former, self.is_vouched) = (false, false, false);
+        }
+        self.record_heard(sent_at);
+    }
+
+    /// Returns whether a build at which another host may begin a stream now would be known.
+    pub fn is_current(&self, now: Instant) -> bool {
+        match self.currency {
+            Currency::Unfollowed => true,
+            Currency::Never => false,
+            Currency::Until(at) => now.since(at) < KNOWLEDGE_LEASE,
+        }
+    }
+
+    /// Returns [`Builds::is_current`] if it has changed since it was last returned.
+    pub fn currency_change(&mut self, now: Instant) -> Option<bool> {
+        let is_current = self.is_current(now);
+        let was_current = std::mem::replace(&mut self.was_current, is_current);
+        (was_current != is_current).then_some(is_current)
+    }
+
+    /// Records the builds that another host reports as listed.
+    pub fn record_listing_host(&mut self, host: &Arc<str>, reports: &[BuildReport]) {
+        for report in reports {
+            let service = self.services.get_mut(&report.service);
+            let announcement =
+                service.and_then(|service| service.unannounced.get_mut(&report.build));
+            if let Some(announcement) = announcement {
+                announcement.listed_by.insert(host.clone());
+            }
+        }
+    }
+
+    /// Returns the builds at which streams may begin from now on, by service: those that all other hosts list, or enough of
+    /// them for long enough. `is_listed` tells whether the store lists a build, so that hosts that read its list know it.
+    pub fn announce(
+        &mut self,
+        now: Instant,
+        hosts: Hosts,
+        is_listed: impl Fn(&str) -> bool,
+    ) -> Vec<(Arc<str>, Arc<str>)> {
+        let mut announced = Vec::new();
+        for (name, service) in &mut self.services {
+            let is_only = service.recent(now).count() == 1;
+            service.unannounced.retain(|build, announcement| {
+                let is_announced = is_only || announcement.is_known(now, hosts, is_listed(build));
+                if is_announced {
+                    service.announced.insert(build.clone());
+                    announced.push((name.clone(), build.clone()));
+                }
+                !is_announced
+            });
+        }
+        announced
+    }
+
+    /// Returns whether there is a listed build at which no stream may begin yet.
+    pub fn has_unannounced(&self) -> bool {
+        self.services.values().any(|service| !service.unannounced.is_empty())
+    }
+
+    /// Returns the listed builds at which no stream may begin yet, by service.
+    pub fn unannounced(&self) -> BTreeMap<Arc<str>, BTreeSet<Arc<str>>> {
+        let services = self.services.iter().filter(|(_, service)| !service.unannounced.is_empty());
+        let builds = |service: &Service| service.unannounced.keys().cloned().collect();
+        services.map(|(name, service)| (name.clone(), builds(service))).collect()
     }
 
     /// Returns the builds that may have begun a stream of a service that has not ended.
@@ -148,7 +314,7 @@
     }
 
     /// Returns the reports on the builds that this host has listed, of all services that have had several, for other
-    /// hosts.
+    /// hosts: by them each host knows which others list a build.
     pub fn reports(&self, now: Instant) -> Vec<BuildReport> {
         let several = self.services.iter().filter(|(_, service)| service.recent(now).count() > 1);
         let reports = several.flat_map(|(name, service)| {
@@ -190,13 +356,13 @@
 
     /// Returns whether all builds that may have begun a stream of a service are known.
     fn is_complete(&self, now: Instant, service: &Service) -> bool {
-        self.is_current && self.knows_former || self.has_listed_all_of(now, service)
+        self.is_current(now) && self.knows_former || self.has_listed_all_of(now, service)
     }
 
     /// Returns whether this host has listed all builds that may have begun a stream of a service.
     fn has_listed_all_of(&self, now: Instant, service: &Service) -> bool {
         let Some(known_since) = self.known_since else { return false };
-        self.is_current && (self.is_first || now.since(known_since) >= service.stream_life)
+        self.is_current(now) && (self.is_first || now.since(known_since) >= service.stream_life)
     }
 }
 
--- a/crates/core/src/origin/mod.rs
+++ b/crates/core/src/origin/mod.rs
@@ -12,9 +12,11 @@
 mod records;
 mod registry;
 #[cfg(test)]
+mod simulation_tests;
+#[cfg(test)]
 mod tests;
 
-pub use builds::{Builds, Possible};
+pub use builds::{Builds, FIRST_STREAM_DELAY, Hosts, KNOWLEDGE_LEASE, Possible};
 pub use records::{Contents, Record, Recorder, Recorders, Step, StepResult};
 pub use registry::{Known, Origins};
 
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -195,11 +195,12 @@
 fn a_host_that_would_not_know_of_a_listed_build_knows_none() {
     let mut builds = Builds::new(true);
     list(&mut builds, NOW, &["v1"]);
+    builds.follow();
 
-    assert!(builds.set_current(false) && !builds.set_current(false));
-
+    assert_eq!(builds.currency_change(NOW), None);
     assert_eq!(builds.possible(NOW, "llm"), Possible::Unknown);
-    assert!(builds.set_current(true));
+    builds.record_heard(NOW);
+    assert_eq!(builds.currency_change(NOW), Some(true));
     assert_eq!(builds.possible(NOW, "llm"), Possible::One("v1".into()));
 }
 
@@ -207,8 +208,9 @@
 #[test]
 fn a_host_that_has_heard_nothing_for_long_knows_no_only_build() {
     let mut builds = Builds::new(true);
+    builds.follow();
     list(&mut builds, NOW, &["v1"]);
-    builds.set_current(true);
+    builds.record_heard(NOW);
 
     assert_eq!(builds.possible(NOW + seconds(1), "llm"), Possible::One("v1".into()));
     assert_eq!(builds.possible(NOW + seconds(2), "llm"), Possible::Unknown);
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -25,6 +25,11 @@
 /// Time without a heartbeat after which a host counts as unreachable: three heartbeat periods.
 pub const UNREACHABLE_AFTER: Duration = Duration::from_millis(1_500);
 
+/// Time over which the delay of a host's reports is measured before it is relied on, and by how much a shorter delay
+/// begins the measurement anew.
+const CALIBRATION_TIME: Duration = Duration::from_millis(200);
+const CALIBRATION_TOLERANCE: Duration = Duration::from_millis(100);
+
 /// Timeouts after which hosts count as unreachable, isolated or lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -75,6 +80,10 @@
     pub orders_pending: bool,
     /// Whether the host that reports is shutting down.
     pub draining: bool,
+    /// Process that reports.
+    pub incarnation: u64,
+    /// Time for which that process has run, when it sent the report.
+    pub uptime: Duration,
 }
 
 /// What has become available again, according to a report.
@@ -96,6 +105,12 @@
     first_heartbeat: Option<Instant>,
     /// When the peer's last report arrived that did not list this host as unreachable.
     last_mutual_heartbeat: Instant,
+    /// When the peer's last report was sent, by the shortest delay of any. A host that stood still reads reports late.
+    last_sent: Option<Instant>,
+    /// Least difference between this host's clock and the uptime of the peer's process, in microseconds.
+    clock_offset: Option<i128>,
+    /// When that difference was last found to be clearly less than before.
+    calibrated_at: Instant,
     report: Report,
     /// Whether the peer was found unreachable and has not reported since.
     unreachable: bool,
@@ -131,6 +146,9 @@
             last_heartbeat: now,
             first_heartbeat: None,
             last_mutual_heartbeat: now,
+            last_sent: None,
+            clock_offset: None,
+            calibrated_at: now,
             report,
             unreachable: false,
             refuses_connections: false,
@@ -159,6 +177,7 @@
         if report.unreachable_hosts.iter().all(|(host, _)| *host != self.name) {
             peer.last_mutual_heartbeat = now;
         }
+        peer.record_sent(now, &report);
         let store_reachable_again = report.store_reachable && !peer.report.store_reachable;
         (peer.last_heartbeat, peer.report, peer.refuses_connections) = (now, report, false);
         let is_first_report = peer.first_heartbeat.is_none();
@@ -236,6 +255,11 @@
         ranked_peers.filter(|(name, _)| **name < self.name).count()
     }
 
+    /// Returns whether the store answers a reachable host.
+    pub fn reports_store(&self) -> bool {
+        self.peers.values().any(|peer| !peer.unreachable && peer.report.store_reachable)
+    }
+
     /// Returns `true` if a reachable host is about to send orders. The others then leave the lease to it:
     /// it waits for the orders of the previous holder, and would otherwise lose the lease to a host that
     /// has waited as long.
@@ -278,6 +302,19 @@
         hosts > 2 && (!self.is_isolated(now) || is_half && is_confirmed)
     }
 
+    /// Returns the time since which each of so many hosts has sent a report that, with this one, they are more than half of the
+    /// fleet, and all of a fleet of two; `None` if that has never been so.
+    pub fn quorum_sent_at(&self, now: Instant) -> Option<Instant> {
+        let others = self.peers.len().div_ceil(2);
+        if others == 0 {
+            return Some(now);
+        }
+        let mut sent: Vec<Instant> =
+            self.peers.values().filter_map(|peer| peer.last_sent).collect();
+        sent.sort_unstable();
+        sent.get(sent.len().checked_sub(others)?).copied()
+    }
+
     /// Returns `true` if this host has no contact with more than half of the fleet, so that it needs the
     /// store to confirm that it is listed.
     pub fn is_isolated(&self, now: Instant) -> bool {
@@ -334,6 +371,25 @@
 }
 
 impl Peer {
+    /// Records when a report was sent, by the peer's own clock: a report that waited on its way says nothing of the time since.
+    /// A host that stood still reads reports of different ages at once, so the delay of a report is known only after some time.
+    fn record_sent(&mut self, now: Instant, report: &Report) {
+        if report.incarnation != self.report.incarnation {
+            self.clock_offset = None;
+        }
+        let (now_us, uptime_us) = (i128::from(now.0), report.uptime.as_micros() as i128);
+        let offset = now_us - uptime_us;
+        let tolerance_us = CALIBRATION_TOLERANCE.as_micros() as i128;
+        if self.clock_offset.is_none_or(|least| offset + tolerance_us < least) {
+            self.calibrated_at = now;
+        }
+        let least = self.clock_offset.map_or(offset, |least| least.min(offset));
+        self.clock_offset = Some(least);
+        if now.since(self.calibrated_at) >= CALIBRATION_TIME {
+            self.last_sent = u64::try_from(least + uptime_us).ok().map(Instant);
+        }
+    }
+
     /// Returns `true` if the peer's heartbeats arrive and its address hasn't refused a connection since.
     fn takes_duties(&self) -> bool {
         !self.unreachable && !self.refuses_connections
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -54,6 +54,7 @@
                     draining: false,
                     unreachable_hosts: roster.unreachable_durations(now),
                     orders_pending: false,
+                    ..Report::default()
                 }
             })
             .collect();
@@ -385,3 +386,26 @@
 
     assert_eq!((before, roster.rank()), (1, 0));
 }
+
+// Guards against a host that stood still, and takes what it then reads of its peers for what they say now.
+#[test]
+fn reports_that_are_read_late_count_from_when_they_were_sent() {
+    let mut roster = Roster::new(name(0), Settings::default());
+    roster.add_peer(at(0), &name(1));
+    let mut record = |now, sent| {
+        let report =
+            Report { incarnation: 1, uptime: Duration::from_millis(sent), ..Report::default() };
+        roster.record_report(at(now), &name(1), report);
+        roster.quorum_sent_at(at(now))
+    };
+
+    // The delay of the first report is not known, nor that of those read at the same time.
+    assert_eq!([0, 500, 1_000].map(|sent| record(3_000, sent)), [None; 3]);
+    assert_eq!(record(3_100, 3_000), None);
+    assert_eq!(record(3_600, 3_500), Some(at(3_600)));
+    // The host stands still, and reads the reports of the time one after the other.
+    assert_eq!(
+        [4_000, 4_500].map(|sent| record(9_000, sent)),
+        [4_100, 4_600].map(|sent| Some(at(sent)))
+    );
+}
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -412,6 +412,10 @@
                 }
             }
         }
+        if state.builds.has_unannounced() {
+            // Streams begin at a new build once the others report that they list it too.
+            self.gossip_due.notify_one();
+        }
         drop(state);
         self.report_cold_servers();
         self.origins_due.notify_one();
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -2,7 +2,7 @@
 
 use super::{App, State};
 use crate::config::{Config, Kind};
-use chestnutrack_core::origin::{Known, Possible, Stream, unlisted_build};
+use chestnutrack_core::origin::{Builds, Hosts, Known, Possible, Stream, unlisted_build};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_wire::frame::{BuildReport, OriginReport};
@@ -52,15 +52,28 @@
 impl State {
     /// Records the builds that are listed now.
     pub(super) fn record_listed_builds(&mut self, now: Instant) {
-        let listed = self.dispatch.listed_builds();
-        log_new_builds(self.builds.record_listed(now, listed));
+        let listed: Vec<_> = self.dispatch.listed_builds().collect();
+        self.record_listed(now, listed);
+    }
+
+    /// Records builds that are listed now, by service, and logs those that are new. Resumable streams begin at a new one
+    /// only once the other hosts know it.
+    fn record_listed(
+        &mut self,
+        now: Instant,
+        listed: impl IntoIterator<Item = (Arc<str>, Arc<str>)>,
+    ) {
+        for (service, build) in self.builds.record_listed(now, listed) {
+            tracing::info!(%service, %build, "build listed");
+        }
+        self.dispatch.set_unannounced_builds(self.builds.unannounced());
     }
 
     /// Records that a server is listed until now, as far as it is an engine.
     pub(super) fn record_build_of(&mut self, now: Instant, name: &str) {
         let entry = self.dispatch.entry_of(name).filter(|entry| entry.stage.is_some());
         let build = entry.map(|entry| (entry.service.clone(), entry.build.clone()));
-        log_new_builds(self.builds.record_listed(now, build));
+        self.record_listed(now, build);
     }
 
     /// Changes what is known of the builds of a service. If several may have begun streams since, has the keepers of all
@@ -79,7 +92,7 @@
         let Some(entry) = self.dispatch.entry_of(name).cloned() else { return };
         let (service, build) = (&entry.service, &entry.build);
         self.change_builds(now, service, |state| {
-            log_new_builds(state.builds.record_listed(now, [(service.clone(), build.clone())]));
+            state.record_listed(now, [(service.clone(), build.clone())]);
             let unlisted = entry.born.map(|born| unlisted_build(name, born));
             if let Some(unlisted) = unlisted.filter(|unlisted| unlisted != build) {
                 state.builds.forget(service, &unlisted);
@@ -285,16 +298,64 @@
         self.origins_changed.notify_waiters();
     }
 
-    /// Records the builds that are listed now, and whether this host would know of another one that is.
-    pub(crate) fn refresh_builds(&self, is_current: bool) {
-        let mut state = self.state();
-        state.record_listed_builds(clock::now());
-        let changed = state.builds.set_current(is_current);
+    /// Begins to follow a list of servers, by which this host learns of builds.
+    pub(crate) fn follow_builds(&self) {
+        self.state().builds.follow();
+    }
+
+    /// Records that enough other hosts were heard, whose last messages were sent at `sent_at` or later.
+    pub(crate) fn confirm_builds_heard(&self, sent_at: Instant) {
+        self.confirm_builds(|builds| builds.record_heard(sent_at));
+    }
+
+    /// Records that the list of servers was read from the store by a call that was sent at `sent_at`.
+    pub(crate) fn confirm_builds_listed(&self, sent_at: Instant) {
+        self.confirm_builds(|builds| builds.record_list_read(sent_at));
+    }
+
+    fn confirm_builds(&self, confirm: impl FnOnce(&mut Builds)) {
+        confirm(&mut self.state().builds);
+        self.report_currency();
+    }
+
+    /// Returns whether this host would know of a build at which another one begins streams, and logs a change.
+    pub(crate) fn report_currency(&self) -> bool {
+        let (now, mut state) = (clock::now(), self.state());
+        let (change, is_current) =
+            (state.builds.currency_change(now), state.builds.is_current(now));
         drop(state);
-        if changed {
+        if change.is_some() {
             tracing::info!(is_current, "knowledge of builds changed");
             self.origins_changed.notify_waiters();
         }
+        is_current
+    }
+
+    /// Records the builds that a peer lists.
+    pub(crate) fn record_listing_host(&self, peer: &Arc<str>, reports: &[BuildReport]) {
+        self.state().builds.record_listing_host(peer, reports);
+    }
+
+    /// Lets resumable streams begin at the builds that the other hosts know by now, and records the builds that are listed.
+    pub(crate) fn announce_builds(self: &Arc<App>, hosts: Hosts) {
+        let (now, mut state) = (clock::now(), self.state());
+        state.record_listed_builds(now);
+        let State { builds, dispatch, .. } = &mut *state;
+        let announced = builds.announce(now, hosts, |build| dispatch.is_listed_build(build));
+        if announced.is_empty() {
+            return;
+        }
+        dispatch.set_unannounced_builds(builds.unannounced());
+        drop(state);
+        for (service, build) in announced {
+            tracing::info!(%service, %build, "streams may begin at a build");
+        }
+        self.admit_waiting();
+    }
+
+    /// Returns whether there is a build at which no resumable stream may begin yet.
+    pub fn has_unannounced_builds(&self) -> bool {
+        self.state().builds.has_unannounced()
     }
 
     /// Returns the builds that may have begun a stream, for hosts that start later; `None` if this host does not know all.
@@ -305,10 +366,3 @@
         state.builds.is_known(now).then(|| state.builds.recent(now))
     }
 }
-
-/// Logs builds that this host lists for the first time.
-fn log_new_builds(builds: Vec<(Arc<str>, Arc<str>)>) {
-    for (service, build) in builds {
-        tracing::info!(%service, %build, "build listed");
-    }
-}
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -379,6 +379,7 @@
         urgent,
         prefilled,
         prefixes: if job.route.sticky { generation.prefixes() } else { Arc::default() },
+        resumable: job.route.kind.may_resume(),
         build: start.build.clone(),
         residency: job.residency.clone(),
     };
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -159,7 +159,7 @@
 impl Follower {
     /// Creates a follower that has not read anything from the store yet.
     pub fn new(app: Arc<App>, directory: Directory) -> Arc<Follower> {
-        app.refresh_builds(false);
+        app.follow_builds();
         let control = Control {
             watch_timeout: WATCH_TIMEOUT_PER_HOST,
             relist_requests: 0,
@@ -247,16 +247,29 @@
             state.config_sent_at = state.config_sent_at.max(now);
             self.config_watch.send_modify(|control| control.relist_requests += 1);
         }
+        drop(state);
+        self.doubt_servers(unanswered_at, why);
+        let mut state = self.state();
+        if self.follows_evacuations() && state.evacuations.doubt(now, unanswered_at) {
+            tracing::info!(kind = self.directory.evacuations_kind, why, "watch doubted");
+            self.evacuations_watch.send_modify(|control| control.relist_requests += 1);
+        }
+    }
+
+    /// Lists the servers again, unless that is under way, since nothing has confirmed for long that all are known.
+    pub fn confirm_list(&self) {
+        self.doubt_servers(clock::now(), "unconfirmed for too long");
+    }
+
+    /// Lists the servers again if the watch in flight was sent before `unanswered_at`.
+    fn doubt_servers(&self, unanswered_at: Instant, why: &str) {
+        let mut state = self.state();
         if state.servers_sent_at < unanswered_at && !state.is_listing {
             tracing::info!(kind = self.directory.servers_kind, why, "watch doubted");
-            state.servers_sent_at = state.servers_sent_at.max(now);
+            state.servers_sent_at = state.servers_sent_at.max(clock::now());
             state.is_listing = true;
             self.servers_watch.send_modify(|control| control.relist_requests += 1);
         }
-        if self.follows_evacuations() && state.evacuations.doubt(now, unanswered_at) {
-            tracing::info!(kind = self.directory.evacuations_kind, why, "watch doubted");
-            self.evacuations_watch.send_modify(|control| control.relist_requests += 1);
-        }
     }
 
     /// Records that a call of this host failed, and doubts the calls in flight if the call went
@@ -486,8 +499,13 @@
         if is_restored {
             self.app.record_restore();
         }
+        let (is_snapshot, is_page, sent) = (update.is_snapshot, update.is_page, update.sent);
         let entries = update.objects.into_iter().map(|o| (o.name, o.version, o.value)).collect();
-        self.apply_entries(update.is_snapshot, entries);
+        self.apply_entries(is_snapshot, entries);
+        // The first list may be older than the call.
+        if !is_page && !is_first {
+            self.app.confirm_builds_listed(sent);
+        }
     }
 
     /// Applies server entries by name, with their versions; an entry without a value was deleted.
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -19,7 +19,7 @@
 use chestnutrack_core::allowance::Report;
 use chestnutrack_core::cell::Cell;
 use chestnutrack_core::intake;
-use chestnutrack_core::origin::{Keepers, Recorders};
+use chestnutrack_core::origin::{Hosts, Keepers, Recorders};
 use chestnutrack_core::roster::{self, Roster, Step};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
@@ -28,7 +28,7 @@
 use chestnutrack_wire::frame::{self, Frame, News, PrefixReport};
 use chestnutrack_wire::{Connection, codec};
 use membership::StoppedProcesses;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -368,6 +368,8 @@
             unreachable_hosts,
             orders_pending: news.ordering,
             draining: news.draining,
+            incarnation,
+            uptime: Duration::from_millis(news.age_ms),
         };
         let (recovery, spend_until) = {
             let mut roster = self.roster();
@@ -408,6 +410,11 @@
         }
         self.app.record_peer_refusals(&news.refused);
         self.app.record_builds(&news.builds, news.builds_known, true);
+        self.app.record_listing_host(name, &news.builds);
+        self.refresh_builds();
+        if self.app.has_unannounced_builds() {
+            self.announce_builds();
+        }
         if news.stopped {
             self.record_stop(name, incarnation);
         }
@@ -599,12 +606,43 @@
         if self.app.uptime() >= CONNECTING_TIME {
             self.record_hosts_known();
         }
-        let is_current = self.follower.is_list_whole() && (self.follower.is_up() || !is_isolated);
-        self.app.refresh_builds(is_current);
+        self.refresh_builds();
+        self.announce_builds();
+        if !self.app.report_currency() {
+            self.follower.confirm_list();
+        }
         self.app.metrics.peers.set(i64::try_from(reachable).unwrap_or(i64::MAX));
         self.app.metrics.reserved_per_mille.set(reserved);
     }
 
+    /// Renews the time for which this host may rely on knowing all builds, by the messages of its peers.
+    fn refresh_builds(&self) {
+        let (sent_at, reports_store) = {
+            let roster = self.roster();
+            (roster.quorum_sent_at(clock::now()), roster.reports_store())
+        };
+        // Hosts of other cells may begin streams at builds that only the store can tell.
+        let is_told = self.is_whole_fleet() || reports_store || self.follower.is_up();
+        let is_known = self.knows_hosts() && self.follower.is_list_whole() && is_told;
+        if let Some(sent_at) = sent_at.filter(|_| is_known) {
+            self.app.confirm_builds_heard(sent_at);
+        }
+    }
+
+    /// Lets resumable streams begin at the builds that the other hosts know by now.
+    fn announce_builds(&self) {
+        if self.knows_hosts() {
+            let peers: BTreeSet<Arc<str>> = self.peers().keys().cloned().collect();
+            let is_whole_fleet = self.is_whole_fleet();
+            self.app.announce_builds(Hosts { peers: &peers, is_whole_fleet });
+        }
+    }
+
+    /// Returns whether all other hosts are peers.
+    fn is_whole_fleet(&self) -> bool {
+        self.peer_count() == self.other_host_count()
+    }
+
     /// Accepts peers' connections for the lifetime of the process.
     pub async fn accept(self: Arc<Mesh>, listener: TcpListener) {
         let bounds =
--- a/crates/forward/tests/forward/stored_builds.rs
+++ b/crates/forward/tests/forward/stored_builds.rs
@@ -204,6 +204,7 @@
     control(fleet.store, "copy").await;
     fleet.put(&decode_of("v2", "decode-2", &new));
     fleet.remove("decode-1");
+    fleet.until_connected().await;
     let (build, connection) = begin(fleet.address(0), "a1").await;
     let requests = old.request_count();
 
@@ -234,6 +235,7 @@
     let named = client.read(HOSTS, "engine-builds").await.unwrap().value.unwrap();
     fleet.put(&decode_of("v2", "decode-2", &new));
     fleet.remove("decode-1");
+    fleet.until_connected().await;
     let (build, connection) = begin(fleet.address(0), "a1").await;
     fleet.until_recorded(1).await;
     let requests = old.request_count();
