Store: objects of an answer are parsed one by one in both dialects

What callers saw: in a deployment with the project's own dialect, one object of another writer with a lone surrogate, a number out of range or deep nesting made every list and watch of its kind malformed. Hosts listed it again and again and learned of no change of the servers; a host whose own entry it was could not register.

Cause: the own dialect parsed a whole answer as one document.

Change: dialect::items holds the one copy: an item is parsed by itself, a value that can't be read becomes null, and an item without a name or version is left out.

Ruled out: the depth of the parser's stack.

--- a/crates/store/src/dialect/mod.rs
+++ b/crates/store/src/dialect/mod.rs
@@ -3,6 +3,7 @@
 //! The client decides when to make a call, what its outcome means and what to retry. A dialect
 //! only builds requests and parses responses. [`OWN`] is the project's own dialect.
 
+pub mod items;
 mod own;
 
 pub use own::{EPOCH_HEADER, OWN};
--- a/crates/store/src/dialect/own.rs
+++ b/crates/store/src/dialect/own.rs
@@ -1,5 +1,6 @@
 //! The project's own dialect, which the stand-in of the object interface implements.
 
+use super::items::{self, Item};
 use super::{Dialect, Freshness, HttpRequest, Page};
 use crate::error::Error;
 use crate::object::{Conflict, List, Object, Written};
@@ -7,8 +8,10 @@
 use chestnutrack_process::http;
 use hyper::HeaderMap;
 use hyper::header::{HeaderValue, IF_MATCH};
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
 use serde_json::Value;
+use serde_json::value::RawValue;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The project's own dialect.
@@ -56,24 +59,56 @@
     Ok(if_match(request, version))
 }
 
+/// An [`Object`] whose value is not parsed yet.
+#[derive(Deserialize)]
+struct RawObject<'a> {
+    name: Arc<str>,
+    version: u64,
+    #[serde(borrow)]
+    value: Option<&'a RawValue>,
+    age_ms: u64,
+}
+
+/// A [`List`] whose objects are not parsed yet.
+#[derive(Deserialize)]
+struct RawList<'a> {
+    version: u64,
+    #[serde(borrow)]
+    objects: Vec<&'a RawValue>,
+}
+
 fn object(body: &[u8]) -> Result<Object, Error> {
-    parse("read", body)
+    let text = items::text(body);
+    parse("read", &text).map(|object| items::object(item(object)))
 }
 
 fn page(body: &[u8]) -> Result<Page, Error> {
-    Ok(Page { list: parse("list", body)?, more: false })
+    Ok(Page { list: list_of("list", body)?, more: false })
 }
 
 fn changes(body: &[u8]) -> Result<List, Error> {
-    parse("watch", body)
+    list_of("watch", body)
+}
+
+/// Parses the objects of a list or watch. Leaves out those without a name or version.
+fn list_of(place: &str, body: &[u8]) -> Result<List, Error> {
+    let text = items::text(body);
+    let RawList { version, objects } = parse(place, &text)?;
+    let parse_item = |text| serde_json::from_str(text).map(item).map_err(|error| error.to_string());
+    Ok(List { version, objects: items::objects(&objects, parse_item) })
+}
+
+fn item(object: RawObject<'_>) -> Item<'_> {
+    let RawObject { name, version, value, age_ms } = object;
+    Item { name, version, value: value.map(RawValue::get), age_ms }
 }
 
 fn written(body: &[u8]) -> Result<u64, Error> {
-    Ok(parse::<Written>("written", body)?.version)
+    Ok(parse::<Written>("written", &items::text(body))?.version)
 }
 
 fn conflict(body: &[u8]) -> Result<u64, Error> {
-    Ok(parse::<Conflict>("conflict", body)?.version)
+    Ok(parse::<Conflict>("conflict", &items::text(body))?.version)
 }
 
 fn get(target: &str) -> Result<HttpRequest, Error> {
@@ -91,7 +126,7 @@
 }
 
 /// Parses a JSON body. `place` names the call in the error.
-fn parse<T: DeserializeOwned>(place: &str, body: &[u8]) -> Result<T, Error> {
-    serde_json::from_slice(body)
+fn parse<'a, T: Deserialize<'a>>(place: &str, text: &'a str) -> Result<T, Error> {
+    serde_json::from_str(text)
         .map_err(|error| Error::Malformed(place.to_owned(), error.to_string()))
 }
