--- a/crates/store/tests/entries.rs
+++ b/crates/store/tests/entries.rs
@@ -1,8 +1,12 @@
-//! Objects of other writers that the project's own dialect can't read, beside others.
+//! Objects of other writers that can't be read, beside others.
 
+use chestnutrack_process::http;
+use chestnutrack_store::client::{Client, Settings};
 use chestnutrack_store::dialect::OWN;
 use chestnutrack_store::object::{List, Object};
 use serde_json::{Value, json};
+use std::time::Duration;
+use tokio::net::TcpListener;
 
 fn object(name: &str, version: u64, value: Value) -> Object {
     Object { name: name.into(), version, value: Some(value), age_ms: 0 }
@@ -64,3 +68,32 @@
     let deleted = |name, version| Object { value: None, ..object(name, version, Value::Null) };
     assert_eq!(changed, Ok(vec![deleted("a", 3), deleted("b", 4)]));
 }
+
+/// Starts an interface that gives the same answer to every call, and returns a client of it.
+async fn client_of_answer(body: String) -> Client {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(http::serve(listener, move |_: hyper::Request<hyper::body::Incoming>| {
+        let body = body.clone();
+        async move { hyper::Response::new(http::full(body)) }
+    }));
+    Client::new(address, Settings::default(), None)
+}
+
+/// Guards against an object whose version does not fit beside an epoch, and that hides all other objects.
+#[tokio::test]
+async fn an_object_with_a_version_out_of_range_hides_no_other_in_lists_and_watches() {
+    for version in [1 << 40, u64::MAX] {
+        let objects = [("a", 3), ("b", version), ("c", 5)];
+        let objects = objects.map(|(name, version)| object(name, version, json!(1)));
+        let answer = json!(List { version: 9, objects: objects.to_vec() }).to_string();
+        let client = client_of_answer(answer).await;
+
+        let listed = client.list("servers").await;
+        let changed = client.watch("servers", 1, Duration::ZERO).await;
+
+        let expected =
+            Ok(List { version: 9, objects: vec![objects[0].clone(), objects[2].clone()] });
+        assert_eq!((listed, changed), (expected.clone(), expected), "{version}");
+    }
+}
--- a/crates/store/tests/pages.rs
+++ b/crates/store/tests/pages.rs
@@ -10,8 +10,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
+use tokio::time::timeout;
 
 const PAGED: Dialect = Dialect { list, page, ..OWN };
 
@@ -135,3 +137,19 @@
     let names: Vec<&str> = list.objects.iter().map(|object| &*object.name).collect();
     assert_eq!(names, ["a", "b"]);
 }
+
+/// Guards against a list that is read without end and grows, since a page doesn't continue after its name.
+#[tokio::test]
+async fn a_page_that_comes_again_ends_the_list_with_an_error() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let respond =
+        |_: hyper::Request<hyper::body::Incoming>| async { hyper::Response::new(http::full("a")) };
+    tokio::spawn(http::serve(listener, respond));
+    let client = Client::with_dialect(PAGED, address, Settings::default(), None);
+
+    let list =
+        timeout(Duration::from_secs(5), client.list_paged("servers", Freshness::Any, |_| {}));
+
+    assert!(matches!(list.await, Ok(Err(Error::Malformed(..)))));
+}
