Store: a page of a list that comes again ends the list with an error

What callers saw: none did yet. A list whose next page does not continue after the name that was asked for was read without end, and its objects were kept, until the memory was used up.

Cause: the client trusted that each page goes further. Names that the interface reads in another way than they were written break that.

Change: a page that ends with a name that the list has already ends it with an error.

Evidence: a_page_that_comes_again_ends_the_list_with_an_error ran into its limit of 5 s before, and passes.

--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -20,6 +20,7 @@
 use prometheus::Registry;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -210,6 +211,12 @@
             if !list.objects.is_empty() && epoch::of(page.list.version) != epoch::of(list.version) {
                 return Err(Error::Unknown("pages of two epochs".to_owned()));
             }
+            let next_name = page.list.objects.last().map(|object| &object.name);
+            let is_listed =
+                |name: &Arc<str>| list.objects.iter().any(|object| object.name == *name);
+            if page.more && next_name.is_some_and(is_listed) {
+                return Err(Error::Malformed(kind.to_owned(), "page came again".to_owned()));
+            }
             // Without an object there is no name to continue after.
             let has_no_objects = page.list.objects.is_empty();
             if page.more && !has_no_objects {
