Store: an object whose version is out of range hides no other

What callers saw: none did yet. One object with a version of 2^40 or more made each list and watch of its kind malformed, so that its readers listed it again and again.

Cause: the versions of a whole answer were joined with the epoch or refused together.

Evidence: an_object_with_a_version_out_of_range_hides_no_other_in_lists_and_watches failed before, and passes. The version of the whole answer is still refused if it does not fit, since a watch can't continue from it.

--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -446,11 +446,18 @@
     Ok(Object { version, ..object })
 }
 
-/// Returns a list of a response with its versions in an epoch.
+/// Returns a list of a response with its versions in an epoch. Leaves out objects whose version does not
+/// fit, and logs them.
 fn list_in_epoch(epoch: u64, list: List) -> Result<List, Error> {
     let version = epoch::join(epoch, list.version).ok_or_else(|| too_large("list"))?;
-    let objects = list.objects.into_iter().map(|object| in_epoch(epoch, object));
-    Ok(List { version, objects: objects.collect::<Result<_, _>>()? })
+    let count = list.objects.len();
+    let objects = list.objects.into_iter().filter_map(|object| in_epoch(epoch, object).ok());
+    let list = List { version, objects: objects.collect() };
+    let unreadable = count - list.objects.len();
+    if unreadable > 0 {
+        tracing::warn!(objects = unreadable, "versions of objects of the store are too large");
+    }
+    Ok(list)
 }
 
 /// Returns the error for a version that does not fit beside an epoch.
