--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -16,6 +16,7 @@
 mod hosts;
 mod limits;
 mod notices;
+mod odd_entries;
 mod peers;
 mod plain;
 mod residency;
--- /dev/null
+++ b/crates/forward/tests/forward/odd_entries.rs
@@ -0,0 +1,209 @@
+//! Entries of other writers that can't be used, beside those of servers and hosts.
+
+use crate::fixture::backend::{Backend, answer};
+use crate::fixture::caller::{call, request};
+use crate::fixture::store::{HOSTS, register, start_store};
+use crate::fixture::{Host, app, host, plain, unconfigured_host, wait_until};
+use chestnutrack_core::dispatch::Entry;
+use chestnutrack_forward::follow::Follower;
+use chestnutrack_forward::native;
+use chestnutrack_store::client::Client;
+use chestnutrack_wire::frame::ServerRecord;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Kind of the servers' entries.
+const SERVERS: &str = native::DIRECTORY.servers_kind;
+/// Time in which a change of the servers is followed.
+const FOLLOW_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Returns a value that the store takes, and that is nested too deeply to be read in a list.
+fn nested() -> Value {
+    (0..125).fold(json!(1), |value, _| json!([value]))
+}
+
+/// Returns entries that name no server: nested deeply, with a number too large, and with a port out of range.
+fn odd_entries(sound: &Entry) -> Vec<Value> {
+    let with = |field: &str, value: Value| {
+        let mut entry = json!(sound);
+        entry[field] = value;
+        entry
+    };
+    vec![
+        nested(),
+        with("slots", json!(1e300)),
+        with("born", json!(u64::MAX as f64 * 4.0)),
+        with("address", json!("127.0.0.1:65536")),
+        with("address", json!("127.0.0.1:0")),
+    ]
+}
+
+/// Writes an object of any content in place of the one that has the version, and returns its version.
+async fn put(client: &Client, name: &str, version: u64, value: &Value) -> u64 {
+    client.replace(SERVERS, name, version, value).await.unwrap()
+}
+
+/// Waits until requests are answered with a status.
+async fn until_status(host: &Host, status: u16) {
+    let answered = async {
+        while call(host.address, &request("GET", "/look/1", "", "")).await.status != status {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(FOLLOW_TIMEOUT, answered).await.expect("status changes in time");
+}
+
+/// Guards against hosts that stop following the servers, or end, because of one entry of another writer.
+#[tokio::test]
+async fn servers_are_followed_beside_odd_entries_and_after_one_in_the_place_of_a_server() {
+    let (first, second) = (
+        Backend::start(|seen| vec![answer(seen, "200 OK", "first")]).await,
+        Backend::start(|seen| vec![answer(seen, "203 Other", "second")]).await,
+    );
+    let client = start_store().await;
+    let host = unconfigured_host().await;
+    let _registration = register(&host.app, &client).await;
+    let entry = plain("app-1", &first);
+    let mut version = put(&client, "app-1", 0, &json!(entry)).await;
+    until_status(&host, 200).await;
+
+    for (index, odd) in odd_entries(&entry).iter().enumerate() {
+        // Beside a server, while another joins and leaves.
+        let beside = format!("odd-{index}");
+        put(&client, &beside, 0, odd).await;
+        let joined = put(&client, "app-2", 0, &json!(plain("app-2", &second))).await;
+        client.delete(SERVERS, "app-1", version).await.unwrap();
+        until_status(&host, 203).await;
+        put(&client, "app-1", 0, &json!(entry)).await;
+        client.delete(SERVERS, "app-2", joined).await.unwrap();
+        until_status(&host, 200).await;
+
+        // In the place of the server, and back.
+        version = client.read(SERVERS, "app-1").await.unwrap().version;
+        version = put(&client, "app-1", version, odd).await;
+        until_status(&host, 503).await;
+        version = put(&client, "app-1", version, &json!(entry)).await;
+        until_status(&host, 200).await;
+    }
+}
+
+/// Returns the follower of a host, and the number of servers that it knows after a peer has sent it an entry beside a
+/// sound one.
+async fn servers_beside(name: &str, entry: &[u8]) -> (Arc<Follower>, i64) {
+    let backend = Backend::start(|seen| vec![answer(seen, "200 OK", "fine")]).await;
+    let host = host(Vec::new()).await;
+    let follower = Follower::new(host.app.clone(), native::DIRECTORY);
+    let record = |name: &str, entry: &[u8]| ServerRecord {
+        name: name.into(),
+        version: 1,
+        entry: entry.to_vec(),
+    };
+    let sound = json!(plain("sound", &backend)).to_string();
+
+    let servers = vec![record(name, entry), record("sound", sound.as_bytes())];
+    follower.apply_peer_servers("peer", servers);
+
+    let answer = call(host.address, &request("GET", "/look/1", "", "")).await;
+    assert_eq!(answer.status, 200);
+    let known = host.app.metrics.servers.get();
+    (follower, known)
+}
+
+/// Guards against requests that are sent to an address at which no server can be.
+#[tokio::test]
+async fn an_entry_whose_address_can_not_be_dialled_names_no_server() {
+    let backend = Backend::start(|seen| vec![answer(seen, "200 OK", "fine")]).await;
+    let addresses = [
+        "127.0.0.1:0",
+        "0.0.0.0:80",
+        "224.0.0.1:80",
+        "255.255.255.255:80",
+        "[::]:80",
+        "[ff02::1]:80",
+    ];
+    for address in addresses {
+        let mut entry = json!(plain("odd", &backend));
+        entry["address"] = json!(address);
+
+        let (_, known) = servers_beside("odd", entry.to_string().as_bytes()).await;
+
+        assert_eq!(known, 1, "{address}");
+    }
+}
+
+/// Guards against requests that don't say for which server they are meant, since its name fits into no header.
+#[tokio::test]
+async fn an_entry_whose_name_fits_into_no_header_names_no_server() {
+    let backend = Backend::start(|seen| vec![answer(seen, "200 OK", "fine")]).await;
+    for name in ["", " ", "a\nb", "a\u{1}", &"n".repeat(1 << 20)] {
+        let mut entry = json!(plain("odd", &backend));
+        entry["name"] = json!(name);
+
+        let (_, known) = servers_beside(name, entry.to_string().as_bytes()).await;
+
+        assert_eq!(known, 1, "{:?}", name.chars().take(20).collect::<String>());
+    }
+}
+
+/// Guards against a list of servers that is too long for a peer because of an entry that names none.
+#[tokio::test]
+async fn an_entry_that_names_no_server_is_passed_on_without_its_content() {
+    for odd in [format!(r#""{}""#, "x".repeat(1 << 20)), "not JSON".to_owned()] {
+        let (follower, _) = servers_beside("odd", odd.as_bytes()).await;
+
+        let records = follower.servers();
+
+        let passed_on: Vec<(&str, bool)> =
+            records.iter().map(|record| (&*record.name, record.entry.len() < 1_000)).collect();
+        assert_eq!(passed_on, [("odd", true), ("sound", true)]);
+    }
+}
+
+/// Guards against a host that hosts that start later can't find, since another writer has overwritten its entry.
+#[tokio::test]
+async fn a_host_writes_its_entry_again_after_another_writer_has_overwritten_it() {
+    let client = start_store().await;
+    let _registration = register(&app("here"), &client).await;
+    let read = async || client.read(HOSTS, "here").await;
+    let registered = async {
+        while read().await.is_err() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(Duration::from_secs(5), registered).await.expect("registered");
+    let own = read().await.unwrap();
+
+    for odd in [nested(), json!({ "incarnation": 1e300, "address": "127.0.0.1:99999" })] {
+        let version = read().await.unwrap().version;
+        client.replace(HOSTS, "here", version, &odd).await.unwrap();
+
+        let written_again = async {
+            while read().await.unwrap().value != own.value {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(Duration::from_secs(5), written_again).await.expect("written again");
+    }
+}
+
+/// Guards against a host that waits for hosts at addresses at which none can be, and reserves a share for them.
+#[tokio::test]
+async fn an_entry_whose_address_can_not_be_dialled_names_no_host() {
+    let client = start_store().await;
+    let here = app("here");
+    let there = app("there");
+    let _registration = register(&here, &client).await;
+    for address in ["127.0.0.1:0", "0.0.0.0:80", "224.0.0.1:80"] {
+        let entry = json!({ "incarnation": 3, "address": address });
+        client.create(HOSTS, &address.replace(':', "-"), &entry).await.unwrap();
+    }
+
+    let _there = register(&there, &client).await;
+    wait_until(|| here.metrics.peers.get() >= 1 && there.metrics.peers.get() >= 1).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+
+    let reserved = [&here, &there].map(|app| app.metrics.reserved_per_mille.get());
+    assert_eq!(reserved, [0, 0]);
+}
