Follow: an entry with an address at which no server can listen names no server

What callers saw: an entry of another writer with port 0, or with an unspecified, multicast or broadcast address, counted as a server. Requests were placed on it and used up their attempts until it counted as failing, again and again.

Cause: an entry was decoded as soon as its address could be parsed.

Change: the check stands where the entries of both dialects and of peers are decoded. Ports beyond 65,535 were refused by the parser already.

--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -21,8 +21,8 @@
 use chestnutrack_core::fetch::VersionFetch;
 use chestnutrack_core::listing::Listing;
 use chestnutrack_core::time::Instant;
-use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
+use chestnutrack_process::{clock, socket};
 use chestnutrack_store::client::Client;
 use chestnutrack_store::dialect::Freshness;
 use chestnutrack_store::epoch;
@@ -33,6 +33,7 @@
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -528,7 +529,8 @@
 
     /// Decodes the entry of a backend server. Logs one that can't be read and returns `None`.
     fn decode_entry(&self, name: &Arc<str>, value: &Value) -> Option<Entry> {
-        let entry = (self.directory.server)(name, value);
+        let entry = (self.directory.server)(name, value)
+            .and_then(|entry| check_address(entry.address).map(|()| entry));
         entry
             .inspect_err(
                 |error| tracing::warn!(server = %name, %error, "server entry can't be read"),
@@ -574,6 +576,14 @@
     }
 }
 
+/// Returns an error for an address at which no server or host can listen.
+fn check_address(address: SocketAddr) -> Result<(), String> {
+    match socket::is_dialable(address) {
+        true => Ok(()),
+        false => Err(format!("no process can listen at {address}")),
+    }
+}
+
 /// Returns a hash of the names and versions of all known entries, by which hosts compare their
 /// lists.
 fn digest(listing: &Listing) -> u64 {
--- a/crates/process/src/socket.rs
+++ b/crates/process/src/socket.rs
@@ -1,6 +1,7 @@
-//! Socket options.
+//! Socket options and addresses.
 
 use nix::sys::socket::{setsockopt, sockopt};
+use std::net::{IpAddr, SocketAddr};
 use std::os::fd::AsFd;
 use std::time::Duration;
 
@@ -35,3 +36,10 @@
     setsockopt(socket, sockopt::RcvBuf, &bytes)?;
     setsockopt(socket, sockopt::SndBuf, &bytes)
 }
+
+/// Returns `true` if a process may listen at an address: it has a port, and is the address of one machine.
+pub fn is_dialable(address: SocketAddr) -> bool {
+    let is_broadcast = matches!(address.ip(), IpAddr::V4(ip) if ip.is_broadcast());
+    let ip = address.ip();
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
