Follow: an entry with an address at which no host can listen names no host

What callers saw: each such entry of another writer among those of the hosts reserved a share of every allowance (333 and 600 of 1,000 on two hosts beside three entries), and a host beside more such entries than hosts counted as isolated, so that it spent only while the store confirmed its entry.

Cause: an entry was decoded as soon as its address could be parsed.

Evidence: an_entry_whose_address_can_not_be_dialled_names_no_host failed before, and passes.

--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -9,7 +9,7 @@
 
 use super::builds::{self, BuildHistory};
 use super::patterns::{Patterns, is_quarantine};
-use super::{next_tick, watch_settings};
+use super::{check_address, next_tick, watch_settings};
 use crate::mesh::Mesh;
 use chestnutrack_core::roster::Step;
 use chestnutrack_core::time::Instant;
@@ -380,9 +380,18 @@
 /// Returns name, version and entry of an object; without an entry if the object was deleted. Logs
 /// an entry that can't be read and returns `None`.
 fn decode_entry(object: Object) -> Option<(Arc<str>, u64, Option<Entry>)> {
-    let entry = object.value.map(serde_json::from_value::<Entry>).transpose();
-    let entry = entry.inspect_err(
+    let entry = object.value.map(parse_entry).transpose().inspect_err(
         |error| tracing::warn!(host = %object.name, %error, "host entry can't be read"),
     );
     Some((object.name, object.version, entry.ok()?))
 }
+
+/// Parses the entry of a host. One that listens on all its addresses may state the unspecified one.
+fn parse_entry(value: Value) -> Result<Entry, String> {
+    let entry: Entry = serde_json::from_value(value).map_err(|error| error.to_string())?;
+    let address = entry.host.address;
+    if !address.ip().is_unspecified() {
+        check_address(address)?;
+    }
+    Ok(entry)
+}
