Registration: a host writes its entry again when another writer has overwritten it with one that can't be read

What callers saw: hosts that started later did not find the host in the store's list, and shared allowances and load without it until it connected to them.

Cause: check_own_entry rewrote an entry that was marked or deleted, or that a restored store held of an earlier process. One that can't be read counted as in order.

Ruled out: rewriting each entry that differs. A process that ends would overwrite that of its successor with the same name.

The log line has a name that holds for all its causes, which its fields tell apart.

--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -230,9 +230,9 @@
         }
     }
 
-    /// Requests that this host's entry be written again if other hosts have marked or deleted it, or if
-    /// a restored store holds that of an earlier process. Ignores versions up to the one that this host
-    /// wrote. Takes over the version that its entry has in a restored store.
+    /// Requests that this host's entry be written again if other hosts have marked or deleted it, if it
+    /// can't be read, or if a restored store holds that of an earlier process. Ignores versions up to the
+    /// one that this host wrote. Takes over the version that its entry has in a restored store.
     fn check_own_entry(&self, object: Object) {
         let own_version = self.version.load(Ordering::Relaxed);
         if object.version <= own_version {
@@ -242,13 +242,23 @@
         let is_restored = own_version > 0 && epoch::of(version) > epoch::of(own_version);
         let entry = decode_entry(object).and_then(|(.., entry)| entry);
         let is_lost = entry.as_ref().is_some_and(|entry| entry.lost);
+        let is_unreadable = !gone && entry.is_none();
         let is_outdated = is_restored && entry.is_none_or(|entry| entry.host != self.host);
-        if is_restored && !(gone || is_lost || is_outdated) {
+        let is_wrong = gone || is_lost || is_unreadable || is_outdated;
+        if is_restored && !is_wrong {
             // The copy holds the entry, under a version of the new epoch.
             self.version.store(version, Ordering::Relaxed);
         }
-        if gone || is_lost || is_outdated {
-            tracing::warn!(name = %self.name, version, gone, "own entry marked as lost or deleted");
+        if is_wrong {
+            tracing::warn!(
+                name = %self.name,
+                version,
+                gone,
+                is_lost,
+                is_unreadable,
+                is_outdated,
+                "own entry has to be written again"
+            );
             self.rewrite_needed.notify_one();
         }
     }
