Follow: an entry whose name fits into no header names no server

What callers saw: nothing yet. A request names the server for which it is meant in a header; for a server whose name has a control character, or of a megabyte, the header was left out or made the request too large. Another server at the address would have run it instead of refusing it.

Cause: header::set leaves out a value that is not valid, and names from the store were not checked.

Evidence: an_entry_whose_name_fits_into_no_header_names_no_server failed before, and passes.

--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -23,12 +23,13 @@
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::timer::Timer;
 use chestnutrack_process::{clock, socket};
-use chestnutrack_store::client::Client;
+use chestnutrack_store::client::{Client, NAME_BYTES_MAX};
 use chestnutrack_store::dialect::Freshness;
 use chestnutrack_store::epoch;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::watcher::{self, Control, Event, RetryMode, Update};
 use chestnutrack_wire::frame::ServerRecord;
+use hyper::header::HeaderValue;
 use rand::Rng;
 use serde_json::Value;
 use std::collections::BTreeMap;
@@ -529,7 +530,8 @@
 
     /// Decodes the entry of a backend server. Logs one that can't be read and returns `None`.
     fn decode_entry(&self, name: &Arc<str>, value: &Value) -> Option<Entry> {
-        let entry = (self.directory.server)(name, value)
+        let entry = check_name(name)
+            .and_then(|()| (self.directory.server)(name, value))
             .and_then(|entry| check_address(entry.address).map(|()| entry));
         entry
             .inspect_err(
@@ -576,6 +578,15 @@
     }
 }
 
+/// Returns an error for a name that can't be stated in the header of a request.
+fn check_name(name: &str) -> Result<(), String> {
+    let is_stated = name.trim() == name && HeaderValue::from_str(name).is_ok();
+    match is_stated && (1..=NAME_BYTES_MAX).contains(&name.len()) {
+        true => Ok(()),
+        false => Err(format!("name is not 1 to {NAME_BYTES_MAX} bytes that fit into a header")),
+    }
+}
+
 /// Returns an error for an address at which no server or host can listen.
 fn check_address(address: SocketAddr) -> Result<(), String> {
     match socket::is_dialable(address) {
