--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod faults;
 pub mod http;
+pub mod mutation;
 pub mod plain;
 pub mod platform;
 pub mod request_log;
