Test of requests after randomly changed entries and configurations

200 seeded cases: a peer's list with changed entries beside the servers and in their place, and a changed configuration; afterwards the sound ones again. Requests are answered and no task on the thread panics; at the end a plain request and a stream get 200. The mutation keeps the type of a value more often than not, or hardly any document could be read.

--- a/crates/forward/tests/forward/odd_entries.rs
+++ b/crates/forward/tests/forward/odd_entries.rs
@@ -1,17 +1,25 @@
 //! Entries of other writers that can't be used, beside those of servers and hosts.
 
-use crate::fixture::backend::{Backend, answer};
-use crate::fixture::caller::{call, request};
+use crate::fixture::backend::{Backend, answer, answer_prefill, complete_stream};
+use crate::fixture::caller::{call, generation, request};
 use crate::fixture::store::{HOSTS, register, start_store};
-use crate::fixture::{Host, app, host, plain, unconfigured_host, wait_until};
+use crate::fixture::{
+    Host, TEST_TIMEOUT, app, config, decode, host, plain, prefill, unconfigured_host, wait_until,
+};
 use chestnutrack_core::dispatch::Entry;
+use chestnutrack_forward::config::Config;
 use chestnutrack_forward::follow::Follower;
 use chestnutrack_forward::native;
+use chestnutrack_standin::mutation::mutate;
 use chestnutrack_store::client::Client;
 use chestnutrack_wire::frame::ServerRecord;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use std::{panic, thread};
 use tokio::time::timeout;
 
 /// Kind of the servers' entries.
@@ -207,3 +215,95 @@
     let reserved = [&here, &there].map(|app| app.metrics.reserved_per_mille.get());
     assert_eq!(reserved, [0, 0]);
 }
+
+/// Random cases of a test, and the seed of the first.
+const CASES: u64 = 200;
+const SEED: u64 = 44;
+
+/// Returns the configuration of the fixture with a version, and allowances that are never used up.
+fn ample_config(version: u64) -> Config {
+    let mut config = Config { version, ..config() };
+    let rate = 1_000_000_000;
+    config.organisations.iter_mut().for_each(|organisation| organisation.rate = rate);
+    config
+}
+
+/// Returns the record of a server with an entry of any content.
+fn record(name: &str, version: u64, entry: String) -> ServerRecord {
+    ServerRecord { name: name.into(), version, entry: entry.into() }
+}
+
+/// Counts the panics on this thread, on which the tasks of a test with one thread run, from now on.
+fn count_panics() -> Arc<AtomicUsize> {
+    let (panics, thread) = (Arc::new(AtomicUsize::new(0)), thread::current().id());
+    let (count, previous) = (panics.clone(), panic::take_hook());
+    panic::set_hook(Box::new(move |info| {
+        if thread::current().id() == thread {
+            count.fetch_add(1, Ordering::Relaxed);
+        }
+        previous(info);
+    }));
+    panics
+}
+
+/// Guards against a task that ends while it uses an entry or a configuration that can be read and has odd values.
+#[tokio::test]
+async fn requests_are_answered_after_randomly_changed_entries_and_configurations() {
+    let app_1 = Backend::start(|seen| vec![answer(seen, "200 OK", "fine")]).await;
+    let prefiller = Backend::start(answer_prefill).await;
+    let decoder = Backend::start(complete_stream).await;
+    let servers =
+        [plain("app-1", &app_1), prefill("prefill-1", &prefiller), decode("decode-1", &decoder)];
+    let host = host(Vec::new()).await;
+    let follower = Follower::new(host.app.clone(), native::DIRECTORY);
+    let sound = |version| {
+        servers.each_ref().map(|entry| record(&entry.name, version, json!(entry).to_string()))
+    };
+    let requests = [request("GET", "/look/1", "", ""), generation("/digest/1")];
+    let panics = count_panics();
+
+    for seed in SEED..SEED + CASES {
+        let rng = &mut ChaCha8Rng::seed_from_u64(seed);
+        let version = 3 * seed;
+        let mut beside = sound(version).to_vec();
+        for (index, entry) in servers.iter().enumerate() {
+            let name = format!("odd-{index}");
+            let entry = Entry { name: name.as_str().into(), ..entry.clone() };
+            beside.push(record(&name, version, mutate(&json!(entry), rng)));
+        }
+        let changed = |entry: &Entry| record(&entry.name, version + 1, mutate(&json!(entry), rng));
+        let in_place = servers.each_ref().map(changed).to_vec();
+        let changed_config = {
+            let mut config = json!(ample_config(version));
+            config["version"] = json!("VERSION");
+            mutate(&config, rng).replace("\"VERSION\"", &version.to_string())
+        };
+
+        follower.apply_peer_config("peer", version, changed_config.as_bytes());
+        for servers in [beside, in_place] {
+            follower.apply_peer_servers("peer", servers);
+            for request in &requests {
+                let _ = timeout(Duration::from_millis(100), call(host.address, request)).await;
+            }
+        }
+        let restored = json!(ample_config(version + 1)).to_string();
+        follower.apply_peer_config("peer", version + 1, restored.as_bytes());
+        follower.apply_peer_servers("peer", sound(version + 2).to_vec());
+
+        for request in &requests {
+            let answer = call(host.address, request).await;
+            assert!(answer.status > 0, "seed {seed}: the connection broke");
+        }
+        assert_eq!(panics.load(Ordering::Relaxed), 0, "seed {seed}");
+    }
+
+    // Servers that are missing all at once stay for a grace period.
+    for request in &requests {
+        let answered = async {
+            while call(host.address, request).await.status != 200 {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, answered).await.expect("200 in time");
+    }
+}
--- a/crates/standin/src/mutation.rs
+++ b/crates/standin/src/mutation.rs
@@ -4,17 +4,17 @@
 use rand::seq::IndexedRandom;
 use serde_json::Value;
 
-/// Stands for the value that is replaced, until the text is built.
-const PLACEHOLDER: &str = "\u{1}replaced\u{1}";
 /// Depths of nested values: below the limit of the parser and of its callers, at both, and beyond the stack.
 const DEPTHS: [usize; 6] = [20, 120, 127, 128, 300, 100_000];
-/// Texts of values that other writers may leave in place of any value.
-const ODD_VALUES: &[&str] = &[
-    "null",
-    "true",
+/// Texts of numbers that other writers may leave in place of any value.
+const NUMBERS: &[&str] = &[
     "0",
+    "1",
     "-1",
     "1.5",
+    "255",
+    "65536",
+    "4294967295",
     "4294967296",
     "18446744073709551615",
     "18446744073709551616",
@@ -23,36 +23,41 @@
     "1e999",
     "-1e999",
     "1e-999",
+];
+/// Texts of strings that other writers may leave in place of any value.
+const STRINGS: &[&str] = &[
     "\"\"",
     "\" \"",
     "\"\\u0000\\n\\r/\"",
     "\"\\ud800\"",
     "\"\u{fffd}\u{202e}\"",
     "\"127.0.0.1:0\"",
+    "\"127.0.0.1:1\"",
     "\"127.0.0.1:99999\"",
     "\"0.0.0.0:80\"",
     "\"224.0.0.1:80\"",
-    "\"[::1]:80\"",
+    "\"[::1]:1\"",
     "\"localhost:80\"",
-    "[]",
-    "{}",
-    "{\"a\":1,\"a\":2}",
+    "\"ready\"",
+    "\"decode\"",
 ];
+/// Texts of other values that other writers may leave in place of any value.
+const OTHERS: &[&str] = &["null", "true", "false", "[]", "{}", "{\"a\":1,\"a\":2}"];
 
 /// Returns the text of `value` with one to three of its values replaced by odd ones, deeply nested ones or long texts. The
 /// text is JSON, but not all of it can be read into a [`Value`].
 pub fn mutate(value: &Value, rng: &mut impl Rng) -> String {
     let mut mutated = value.clone();
-    let count = rng.random_range(1..=3);
-    for _ in 0..count {
-        *choose(&mut mutated, rng) = PLACEHOLDER.into();
-    }
-    let placeholder = Value::from(PLACEHOLDER).to_string();
-    let mut text = mutated.to_string();
-    while let Some(at) = text.find(&placeholder) {
-        text.replace_range(at..at + placeholder.len(), &odd_value(rng));
+    let mut texts = Vec::new();
+    for index in 0..rng.random_range(1..=3) {
+        let chosen = choose(&mut mutated, rng);
+        let odd = odd_value(chosen, rng);
+        let placeholder = Value::from(format!("\u{1}{index}\u{1}"));
+        texts.push((placeholder.to_string(), odd));
+        *chosen = placeholder;
     }
-    text
+    let mutated = mutated.to_string();
+    texts.into_iter().fold(mutated, |text, (placeholder, odd)| text.replace(&placeholder, &odd))
 }
 
 /// Returns `bytes` with a part cut off, or some bytes replaced.
@@ -90,15 +95,19 @@
     }
 }
 
-/// Returns the text of an odd value.
-fn odd_value(rng: &mut impl Rng) -> String {
-    match rng.random_range(0..8) {
-        0 => {
+/// Returns the text of an odd value, most often one of the type of the value that it replaces.
+fn odd_value(replaced: &Value, rng: &mut impl Rng) -> String {
+    let texts = match (rng.random_range(0..10), replaced) {
+        (0, _) => {
             let depth = *DEPTHS.choose(rng).unwrap_or(&1);
             let (open, close) = if rng.random() { ("[", "]") } else { ("{\"a\":", "}") };
-            format!("{}1{}", open.repeat(depth), close.repeat(depth))
+            return format!("{}1{}", open.repeat(depth), close.repeat(depth));
         }
-        1 => format!("\"{}\"", "x".repeat(rng.random_range(1..100_000))),
-        _ => ODD_VALUES.choose(rng).copied().unwrap_or("null").to_owned(),
-    }
+        (1, _) => return format!("\"{}\"", "x".repeat(rng.random_range(1..100_000))),
+        (2, _) => [NUMBERS, STRINGS, OTHERS].concat(),
+        (_, Value::Number(_)) => NUMBERS.to_vec(),
+        (_, Value::String(_)) => STRINGS.to_vec(),
+        _ => OTHERS.to_vec(),
+    };
+    texts.choose(rng).copied().unwrap_or("null").to_owned()
 }
