Test of requests after randomly changed gossip

200 seeded connections of a peer, each with up to 4 messages whose values are changed: requests are answered and no task on the thread panics.

--- a/crates/forward/tests/forward/odd_entries.rs
+++ b/crates/forward/tests/forward/odd_entries.rs
@@ -4,22 +4,32 @@
 use crate::fixture::caller::{call, generation, request};
 use crate::fixture::store::{HOSTS, register, start_store};
 use crate::fixture::{
-    Host, TEST_TIMEOUT, app, config, decode, host, plain, prefill, unconfigured_host, wait_until,
+    Host, TEST_TIMEOUT, app, config, decode, host, host_with, plain, prefill, unconfigured_host,
+    wait_until,
 };
 use chestnutrack_core::dispatch::Entry;
 use chestnutrack_forward::config::Config;
 use chestnutrack_forward::follow::Follower;
+use chestnutrack_forward::mesh::Mesh;
 use chestnutrack_forward::native;
+use chestnutrack_process::timer::Timer;
 use chestnutrack_standin::mutation::mutate;
 use chestnutrack_store::client::Client;
-use chestnutrack_wire::frame::ServerRecord;
+use chestnutrack_wire::connection;
+use chestnutrack_wire::frame::{
+    self, Break, BuildReport, DemandReport, EngineReport, EvacuationReport, Frame,
+    GenerationReport, HeldPattern, HostReport, LeavingReport, LimitReport, LimitStatement, News,
+    PrefixReport, QuarantineReport, Sender, ServerRecord,
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use std::{panic, thread};
+use tokio::net::TcpListener;
 use tokio::time::timeout;
 
 /// Kind of the servers' entries.
@@ -307,3 +317,116 @@
         timeout(TEST_TIMEOUT, answered).await.expect("200 in time");
     }
 }
+
+/// Returns gossip with an item in each of its lists.
+fn full_news() -> News {
+    let answer = Break {
+        engine: "decode-1".into(),
+        born: Some(1),
+        request: 5,
+        parts: vec!["p".into()],
+        written_ms: 9,
+    };
+    let held = HeldPattern {
+        parts: BTreeSet::from(["p".into()]),
+        decisions: BTreeSet::from([4]),
+        left_ms: 9_000,
+        age_ms: 90,
+        first_crash_ms: 95,
+    };
+    let statement = LimitStatement { rate: Some(9_000), age_ms: 5 };
+    let run = GenerationReport { context: 100, made: 5, expected: 50, most: 90 };
+    let engine = EngineReport { server: "decode-1".into(), runs: vec![run], prefilling: 70 };
+    let demand = DemandReport {
+        service: "llm".into(),
+        seen: 90,
+        prompt_tokens: 100,
+        answer_tokens: 50,
+        held_by_generated: 9_000,
+    };
+    News {
+        configuration: 1,
+        store: true,
+        doubted_ms: Some(50),
+        servers: 7,
+        servers_version: 8,
+        age_ms: 9_000,
+        spent: vec![("orchard".into(), 500)],
+        engines: vec![engine],
+        waiting: vec![10],
+        waiting_order: vec![("llm".into(), 1)],
+        failing: vec!["app-2".into()],
+        doubtful: vec!["app-1".into()],
+        demand: vec![demand],
+        changing: vec![("prefill-1".into(), 50)],
+        refused: vec![(5, 60)],
+        leaving: vec![LeavingReport { server: "app-2".into(), born: Some(1) }],
+        limits: vec![LimitReport {
+            server: "app-1".into(),
+            born: Some(1),
+            statement: Some(statement),
+            sent: 500,
+        }],
+        store_epoch: 1,
+        quarantine: QuarantineReport {
+            breaks: vec![(90, answer)],
+            sound: vec![("p".into(), vec![5])],
+            held: vec![held],
+            revoked: vec![6],
+        },
+        unheard: vec![("other".into(), 900)],
+        builds: vec![BuildReport { service: "llm".into(), build: "v1".into(), age_ms: 90 }],
+        builds_known: true,
+        prefixes: vec![PrefixReport {
+            server: "prefill-1".into(),
+            born: Some(1),
+            prefixes: vec![(5, 100)],
+            age_ms: 9,
+        }],
+        evacuations: Some(EvacuationReport { version: 5, domains: vec!["gl-a".into()] }),
+        hosts: vec![HostReport {
+            name: "other".into(),
+            incarnation: 4,
+            address: "127.0.0.1:1".into(),
+        }],
+        fleet_size: 3,
+        ..News::default()
+    }
+}
+
+/// Guards against a task that ends while it uses what a peer reports.
+#[tokio::test]
+async fn requests_are_answered_after_randomly_changed_gossip() {
+    let app_1 = Backend::start(|seen| vec![answer(seen, "200 OK", "fine")]).await;
+    let prefiller = Backend::start(answer_prefill).await;
+    let decoder = Backend::start(complete_stream).await;
+    let servers =
+        [plain("app-1", &app_1), prefill("prefill-1", &prefiller), decode("decode-1", &decoder)];
+    let host = host_with(ample_config(1), servers.to_vec()).await;
+    let follower = Follower::new(host.app.clone(), native::DIRECTORY);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mesh = Mesh::new(host.app.clone(), follower, address);
+    tokio::spawn(mesh.clone().accept(listener));
+    tokio::spawn(mesh.clone().run_gossip(Timer::start()));
+    let requests = [request("GET", "/look/1", "", ""), generation("/digest/1")];
+    let panics = count_panics();
+
+    for seed in SEED..SEED + CASES {
+        let rng = &mut ChaCha8Rng::seed_from_u64(seed);
+        let connection = connection::connect(address, None).await.unwrap();
+        let sender = Sender { name: format!("peer-{}", seed % 3).into(), incarnation: seed % 2 };
+        let hello = Frame::Hello { version: frame::VERSION, sender, configuration: 0 };
+        connection.sender.send(&hello).unwrap();
+        for _ in 0..4 {
+            if let Ok(news) = serde_json::from_str(&mutate(&json!(full_news()), rng)) {
+                connection.sender.send(&Frame::News(news)).unwrap();
+            }
+        }
+        for request in &requests {
+            let answer = timeout(Duration::from_millis(50), call(host.address, request)).await;
+            assert!(answer.is_err() || answer.unwrap().status > 0, "seed {seed}");
+        }
+        assert_eq!(panics.load(Ordering::Relaxed), 0, "seed {seed}");
+    }
+}
