Test of frames that are nested deeply or state huge lengths

CBOR nested a million deep (arrays, maps, tags, open arrays), 100,000 deep inside of gossip, and lengths of 2^64-1: each is refused without a panic.

--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -168,3 +168,32 @@
     assert_eq!(read, News::default());
     assert_eq!(ciborium::Value::serialized(&news).unwrap().deserialized::<News>().unwrap(), news);
 }
+
+/// Guards against a frame of a faulty peer that ends the process: nested beyond the stack, or with a length beyond memory.
+#[test]
+fn frames_that_are_nested_deeply_or_state_huge_lengths_are_refused() {
+    let (array, map, tag, open_array) = (0x81, 0xa1, 0xc1, 0x9f);
+    let nested = [array, map, tag, open_array].map(|head: u8| vec![head; 1_000_000]);
+    let news_field = |head: u8| {
+        let mut bytes = encode(&Frame::News(Box::default())).unwrap();
+        let name = b"waiting";
+        let at = bytes.windows(name.len()).position(|part| part == name).unwrap() + name.len();
+        bytes.splice(at..at + 1, vec![head; 100_000]);
+        bytes
+    };
+    // The major types with lengths: bytes, text, array and map, each with a length of eight bytes.
+    let lengths = [0x5b, 0x7b, 0x9b, 0xbb].map(|head: u8| [vec![head], vec![0xff; 8]].concat());
+    let unknown_field = |length: &[u8]| {
+        let mut bytes = encode(&Frame::Ping(7)).unwrap();
+        bytes.truncate(bytes.len() - 1);
+        bytes.extend(length);
+        bytes
+    };
+    let in_frames = lengths.iter().map(|length| unknown_field(length));
+    let fields = [array, map, tag, open_array].map(news_field);
+
+    for bytes in nested.into_iter().chain(fields).chain(in_frames).chain(lengths.clone()) {
+        let start = bytes[..bytes.len().min(12)].to_vec();
+        assert!(decode(&bytes).is_err(), "{start:x?}");
+    }
+}
