Tests of configurations that can't be used: the one in force stays; the log line is short (red)

an_odd_configuration_leaves_the_one_in_force_and_the_next_one_is_followed passed when it was written. a_configuration_that_can_not_be_read_is_logged_in_short fails: 1,048,646 bytes in one line.

--- a/crates/forward/tests/entry_log.rs
+++ b/crates/forward/tests/entry_log.rs
@@ -1,4 +1,4 @@
-//! Log lines about entries of other writers. The test has a program of its own, since a subscriber of one thread gets no
+//! Log lines about entries of other writers. The tests have a program of their own, since a subscriber of one thread gets no
 //! events of call sites that another thread has reached first.
 
 use chestnutrack_forward::app::{App, Settings};
@@ -27,7 +27,7 @@
 
 impl Subscriber for LogCounter {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        *metadata.level() == Level::WARN
+        *metadata.level() <= Level::WARN
     }
 
     fn new_span(&self, _: &Attributes<'_>) -> Id {
@@ -50,6 +50,22 @@
     fn exit(&self, _: &Id) {}
 }
 
+/// Guards against a log that is filled by the text of one configuration.
+#[test]
+fn a_configuration_that_can_not_be_read_is_logged_in_short() {
+    let follower = Follower::new(app(), native::DIRECTORY);
+    let text = json!({ "version": "x".repeat(1 << 20) }).to_string();
+    let log = LogCounter::default();
+
+    tracing::subscriber::with_default(log.clone(), || {
+        follower.apply_peer_config("peer", 1, text.as_bytes());
+    });
+
+    let (lines, bytes) = (log.0.0.load(Ordering::Relaxed), log.0.1.load(Ordering::Relaxed));
+    assert_eq!(lines, 1);
+    assert!(bytes < 1_000, "{bytes} bytes");
+}
+
 /// Guards against a log that is filled by an entry that stays as it is, or by the text of one entry.
 #[test]
 fn an_entry_that_can_not_be_read_is_logged_once_for_each_change_and_in_short() {
--- a/crates/forward/tests/forward/odd_entries.rs
+++ b/crates/forward/tests/forward/odd_entries.rs
@@ -179,6 +179,34 @@
     }
 }
 
+/// Guards against a host without routes, or one that follows no later configuration, because of one that can't be used.
+#[tokio::test]
+async fn an_odd_configuration_leaves_the_one_in_force_and_the_next_one_is_followed() {
+    let backend = Backend::start(|seen| vec![answer(seen, "200 OK", "fine")]).await;
+    let client = start_store().await;
+    let host = unconfigured_host().await;
+    let _registration = register(&host.app, &client).await;
+    put(&client, "app-1", 0, &json!(plain("app-1", &backend))).await;
+    until_status(&host, 200).await;
+    let kind = native::DIRECTORY.config_kind;
+    let mut too_large = json!(Config { version: 2, ..config() });
+    too_large["routes"][0]["timeout_ms"] = json!(1e300);
+    let odd = [nested(), too_large, json!({ "version": 2 }), json!(null), json!("text")];
+
+    for (index, odd) in odd.into_iter().enumerate() {
+        let (version, sound) = (client.read(kind, "main").await.unwrap().version, index as u64 + 2);
+        let version = client.replace(kind, "main", version, &odd).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let in_force = host.app.version();
+        let answer = call(host.address, &request("GET", "/look/1", "", "")).await;
+        let next = json!(Config { version: sound, ..config() });
+        client.replace(kind, "main", version, &next).await.unwrap();
+
+        assert_eq!((answer.status, in_force), (200, sound - 1));
+        wait_until(|| host.app.version() == sound).await;
+    }
+}
+
 /// Guards against a host that hosts that start later can't find, since another writer has overwritten its entry.
 #[tokio::test]
 async fn a_host_writes_its_entry_again_after_another_writer_has_overwritten_it() {
