Follow: log lines quote objects of other writers in short

What callers saw: a configuration, host entry, pattern or record that could not be read was logged with the parser's error, which quotes its texts: up to 1 MiB in one line, which the log's rate limit drops, or which displaces the lines of requests for seconds.

Change: the texts are cut to 100 characters, as in the store's own lines.

The lines about hosts, patterns, builds and records were changed in the same way without a test of their own.

--- a/crates/forward/src/follow/builds.rs
+++ b/crates/forward/src/follow/builds.rs
@@ -7,6 +7,7 @@
 use crate::app::ServiceBuilds;
 use crate::mesh::Mesh;
 use chestnutrack_store::client::Client;
+use chestnutrack_store::dialect::items::excerpt;
 use chestnutrack_store::epoch;
 use chestnutrack_store::object::Object;
 use chestnutrack_wire::frame::BuildReport;
@@ -68,7 +69,9 @@
             }
             Ok(None) => *self.stored() = Stored::default(),
             Err(error) => {
-                tracing::warn!(name = NAME, %error, "builds in the store can't be read");
+                let error = error.to_string();
+                let error = excerpt(&error);
+                tracing::warn!(name = NAME, error, "builds in the store can't be read");
                 *self.stored() = Stored { version, entry: Entry::default() };
             }
         }
--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -18,6 +18,7 @@
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_store::client::Client;
 use chestnutrack_store::dialect::Freshness;
+use chestnutrack_store::dialect::items::excerpt;
 use chestnutrack_store::epoch;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::object::Object;
@@ -390,9 +391,10 @@
 /// Returns name, version and entry of an object; without an entry if the object was deleted. Logs
 /// an entry that can't be read and returns `None`.
 fn decode_entry(object: Object) -> Option<(Arc<str>, u64, Option<Entry>)> {
-    let entry = object.value.map(parse_entry).transpose().inspect_err(
-        |error| tracing::warn!(host = %object.name, %error, "host entry can't be read"),
-    );
+    let entry = object.value.map(parse_entry).transpose().inspect_err(|error| {
+        let (host, error) = (excerpt(&object.name), excerpt(error));
+        tracing::warn!(host, version = object.version, error, "host entry can't be read");
+    });
     Some((object.name, object.version, entry.ok()?))
 }
 
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -412,7 +412,9 @@
                     tracing::info!(version, source, "configuration in force");
                 }
             }
-            Err(error) => tracing::error!(%error, source, "configuration can't be read"),
+            Err(error) => {
+                tracing::error!(error = excerpt(&error), source, "configuration can't be read");
+            }
         }
     }
 
--- a/crates/forward/src/follow/patterns.rs
+++ b/crates/forward/src/follow/patterns.rs
@@ -11,6 +11,7 @@
 use chestnutrack_core::cell::Cell;
 use chestnutrack_core::quarantine::{ADOPTED_LEFT_MIN, Pattern};
 use chestnutrack_store::client::Client;
+use chestnutrack_store::dialect::items::excerpt;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::object::Object;
 use chestnutrack_wire::frame::{Break, HeldPattern, QuarantineReport};
@@ -137,7 +138,7 @@
                 self.stored().patterns.insert(name, (version, entry));
             }
             Ok(None) => self.remove(&name),
-            Err(error) => tracing::warn!(%name, %error, "pattern can't be read"),
+            Err(error) => log_unreadable(&name, &error, "pattern can't be read"),
         }
     }
 
@@ -155,9 +156,7 @@
                 self.mesh.app().record_cell_report(&object.name, age, report);
             }
             Ok(None) => {}
-            Err(error) => {
-                tracing::warn!(name = %object.name, %error, "cell's report can't be read");
-            }
+            Err(error) => log_unreadable(&object.name, &error, "cell's report can't be read"),
         }
     }
 
@@ -286,6 +285,12 @@
     format!("{CELL_PREFIX}{index}-of-{count}").into()
 }
 
+/// Logs an object of another writer that can't be read.
+fn log_unreadable(name: &str, error: &serde_json::Error, message: &str) {
+    let error = error.to_string();
+    tracing::warn!(name = excerpt(name), error = excerpt(&error), "{message}");
+}
+
 /// Returns the time of day in milliseconds since 1970.
 fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/forward/src/follow/records.rs
+++ b/crates/forward/src/follow/records.rs
@@ -9,6 +9,7 @@
 use chestnutrack_core::origin::{Contents, Record, Step, StepResult};
 use chestnutrack_process::clock;
 use chestnutrack_store::client::Client;
+use chestnutrack_store::dialect::items::excerpt;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::object::Object;
 use serde_json::json;
@@ -171,8 +172,10 @@
 /// Returns the contents of an object. Logs an object that can't be read and returns `None`.
 fn decode(object: &Object) -> Option<Contents> {
     let contents = serde_json::from_value(object.value.clone()?);
-    let name = &object.name;
-    contents
-        .inspect_err(|error| tracing::warn!(%name, %error, "builds of streams can't be decoded"))
-        .ok()
+    let log = |error: &serde_json::Error| {
+        let error = error.to_string();
+        let (name, error) = (excerpt(&object.name), excerpt(&error));
+        tracing::warn!(name, error, "builds of streams can't be decoded");
+    };
+    contents.inspect_err(log).ok()
 }
