Tests of what peers send: addresses at which no host can be, and frames that are invalid (red)

The existing test of hosts that are named with an unreadable address gets two more addresses, port 0 and multicast, and fails with them: such hosts are added, and a share of allowances is reserved for each.

--- a/crates/forward/tests/entry_log.rs
+++ b/crates/forward/tests/entry_log.rs
@@ -3,14 +3,19 @@
 
 use chestnutrack_forward::app::{App, Settings};
 use chestnutrack_forward::follow::Follower;
+use chestnutrack_forward::mesh::Mesh;
 use chestnutrack_forward::metric::Metrics;
 use chestnutrack_forward::native;
+use chestnutrack_wire::connection;
 use chestnutrack_wire::frame::ServerRecord;
 use prometheus::Registry;
 use serde_json::json;
 use std::fmt::Debug;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::timeout;
 use tracing::field::Field;
 use tracing::span::{Attributes, Id, Record};
 use tracing::{Event, Level, Metadata, Subscriber};
@@ -85,3 +90,22 @@
     assert_eq!(lines, 2);
     assert!(bytes < 1_000, "{bytes} bytes");
 }
+
+/// Guards against a connection between hosts that ends again and again without a word of why.
+#[tokio::test]
+async fn an_invalid_frame_of_a_peer_is_logged() {
+    let log = LogCounter::default();
+    let _subscriber = tracing::subscriber::set_default(log.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let app = app();
+    let mesh = Mesh::new(app.clone(), Follower::new(app, native::DIRECTORY), address);
+    tokio::spawn(mesh.accept(listener));
+
+    let mut connection = connection::connect(address, None).await.expect("a connection");
+    connection.sender.send_encoded(vec![0xff]).expect("a connection");
+    let ended = timeout(Duration::from_secs(10), connection.receiver.receive()).await;
+
+    assert!(matches!(ended, Ok(Err(_))), "{ended:?}");
+    assert_eq!(log.0.0.load(Ordering::Relaxed), 1);
+}
--- a/crates/forward/tests/forward/peers.rs
+++ b/crates/forward/tests/forward/peers.rs
@@ -281,6 +281,8 @@
         named("here", "127.0.0.1:9"),
         named("good", "127.0.0.1:9"),
         named("none", ""),
+        named("port-0", "127.0.0.1:0"),
+        named("multicast", "224.0.0.1:80"),
     ];
     let news = News { hosts, fleet_size: u32::MAX, ..News::default() };
 
