Mesh: a host that is named with an address at which none can listen is not added

Cause: of the addresses that a peer names, only the unspecified one was left out. The check is the one of the store's entries.

Evidence: a_host_that_is_named_with_an_unreadable_address_is_ignored with port 0 and a multicast address failed before, and passes.

--- a/crates/forward/src/mesh/membership.rs
+++ b/crates/forward/src/mesh/membership.rs
@@ -6,7 +6,7 @@
 
 use super::Mesh;
 use crate::follow::Host;
-use chestnutrack_process::clock;
+use chestnutrack_process::{clock, socket};
 use chestnutrack_wire::frame::{self, HostReport, News};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -158,7 +158,7 @@
             tracing::warn!(host = %name, peer, %error, "address of a host named by a peer can't be read");
         });
         // A host that listens on all its addresses doesn't say at which of them it is reached.
-        let address = address.ok().filter(|address| !address.ip().is_unspecified())?;
+        let address = address.ok().filter(|address| socket::is_dialable(*address))?;
         let host = Host { incarnation: *incarnation, address };
         if known.as_ref() == Some(&host) {
             return None;
