Mesh: an invalid frame of a peer is logged

What operators saw: nothing. A frame that can't be decoded ends the connection, which the peer opens again; the error was dropped on both ends.

Evidence: an_invalid_frame_of_a_peer_is_logged failed before (no line), and passes.

--- a/crates/forward/src/mesh/link.rs
+++ b/crates/forward/src/mesh/link.rs
@@ -1,7 +1,7 @@
 //! Connections between hosts. Each host opens one to every peer, on which it sends its gossip:
 //! messages with its state.
 
-use super::{Mesh, read_frames};
+use super::{Mesh, read_frames, receive};
 use chestnutrack_process::{intake, socket};
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_wire::Connection;
@@ -81,7 +81,7 @@
 /// Reads and handles the frames that a peer sends on the connection that this host opened, until it
 /// ends.
 async fn read_answers(mesh: &Arc<Mesh>, name: &Arc<str>, mut receiver: Receiver, sender: &Sender) {
-    while let Ok(frame) = receiver.receive().await {
+    while let Some(frame) = receive(&mut receiver, name).await {
         if let Some(answer) = mesh.handle_frame(name, 0, frame)
             && sender.send(&answer).is_err()
         {
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -25,10 +25,13 @@
 use chestnutrack_process::clock;
 use chestnutrack_process::intake::Intake;
 use chestnutrack_process::timer::Timer;
+use chestnutrack_store::dialect::items::excerpt;
+use chestnutrack_wire::connection::{Error, Receiver};
 use chestnutrack_wire::frame::{self, Frame, News, PrefixReport};
 use chestnutrack_wire::{Connection, codec};
 use membership::StoppedProcesses;
 use std::collections::{BTreeMap, HashMap};
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -636,6 +639,16 @@
     }
 }
 
+/// Returns the next frame of a peer, or `None` at the end of the connection. Logs an invalid frame, which ends it.
+async fn receive(receiver: &mut Receiver, peer: &impl Display) -> Option<Frame> {
+    let frame = receiver.receive().await;
+    if let Err(Error::Frame(error)) = &frame {
+        let error = error.to_string();
+        tracing::warn!(%peer, error = excerpt(&error), "peer sent an invalid frame");
+    }
+    frame.ok()
+}
+
 /// Reads and handles frames from a connection that a peer opened, until it ends. The peer
 /// identifies itself in the first frame.
 async fn read_frames(
@@ -644,7 +657,7 @@
     opened: &chestnutrack_process::intake::Connection,
 ) {
     let mut sender: Option<frame::Sender> = None;
-    while let Ok(frame) = connection.receiver.receive().await {
+    while let Some(frame) = receive(&mut connection.receiver, &connection.peer).await {
         match (frame, &sender) {
             // An address of another host may lead here: it is given out anew, or guessed from a connection.
             (Frame::Hello { sender: from, .. }, _) if from.name == mesh.app.settings.name => {
