Test of requests after odd numbers in the heads of answers

Limits, cold times and Retry-After of inf, NaN, 1e308, negative numbers, dates and empty texts, with 200 and 503: requests are answered and no task on the thread panics.

--- a/crates/forward/tests/forward/odd_entries.rs
+++ b/crates/forward/tests/forward/odd_entries.rs
@@ -1,4 +1,4 @@
-//! Entries of other writers that can't be used, beside those of servers and hosts.
+//! Odd values that other writers leave among the entries of servers and hosts, or servers and peers in what they say.
 
 use crate::fixture::backend::{Backend, answer, answer_prefill, complete_stream};
 use crate::fixture::caller::{call, generation, request};
@@ -458,3 +458,44 @@
         assert_eq!(panics.load(Ordering::Relaxed), 0, "seed {seed}");
     }
 }
+
+/// Values that a server may leave in place of a number in the head of an answer.
+const ODD_NUMBERS: [&str; 12] = [
+    "inf",
+    "-inf",
+    "NaN",
+    "1e308",
+    "1e999",
+    "-1",
+    "-0.0",
+    "1e-320",
+    "18446744073709551616",
+    "Sat, 05 Dec 2026 12:00:00 GMT",
+    "\u{e9}",
+    "",
+];
+
+/// Guards against a task that ends while it uses what a server says of itself in the head of an answer.
+#[tokio::test]
+async fn requests_are_answered_after_odd_numbers_in_the_heads_of_answers() {
+    let panics = count_panics();
+    for (status, name) in [
+        ("200 OK", native::LIMIT),
+        ("200 OK", "x-chestnutrack-cold-ms"),
+        ("503 Full", "retry-after"),
+        ("503 Full", native::LIMIT),
+    ] {
+        for value in ODD_NUMBERS {
+            let head = format!("{status}\r\n{name}: {value}");
+            let backend = Backend::start(move |seen| vec![answer(seen, &head, "fine")]).await;
+            let host = host_with(ample_config(1), vec![plain("app-1", &backend)]).await;
+
+            for _ in 0..3 {
+                let answer = call(host.address, &request("GET", "/look/1", "", "")).await;
+                assert!(answer.status > 0, "{status} {name}: {value}");
+            }
+
+            assert_eq!(panics.load(Ordering::Relaxed), 0, "{status} {name}: {value}");
+        }
+    }
+}
