--- a/crates/forward/src/follow/hosts.rs
+++ b/crates/forward/src/follow/hosts.rs
@@ -9,7 +9,7 @@
 
 use super::builds::{self, BuildHistory};
 use super::patterns::{Patterns, is_quarantine};
-use super::{next_tick, watch_settings};
+use super::{check_address, next_tick, watch_settings};
 use crate::mesh::Mesh;
 use chestnutrack_core::roster::Step;
 use chestnutrack_core::time::Instant;
@@ -18,6 +18,7 @@
 use chestnutrack_store::backoff::Backoff;
 use chestnutrack_store::client::Client;
 use chestnutrack_store::dialect::Freshness;
+use chestnutrack_store::dialect::items::excerpt;
 use chestnutrack_store::epoch;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::object::Object;
@@ -230,9 +231,9 @@
         }
     }
 
-    /// Requests that this host's entry be written again if other hosts have marked or deleted it, or if
-    /// a restored store holds that of an earlier process. Ignores versions up to the one that this host
-    /// wrote. Takes over the version that its entry has in a restored store.
+    /// Requests that this host's entry be written again if other hosts have marked or deleted it, if it
+    /// can't be read, or if a restored store holds that of an earlier process. Ignores versions up to the
+    /// one that this host wrote. Takes over the version that its entry has in a restored store.
     fn check_own_entry(&self, object: Object) {
         let own_version = self.version.load(Ordering::Relaxed);
         if object.version <= own_version {
@@ -242,13 +243,23 @@
         let is_restored = own_version > 0 && epoch::of(version) > epoch::of(own_version);
         let entry = decode_entry(object).and_then(|(.., entry)| entry);
         let is_lost = entry.as_ref().is_some_and(|entry| entry.lost);
+        let is_unreadable = !gone && entry.is_none();
         let is_outdated = is_restored && entry.is_none_or(|entry| entry.host != self.host);
-        if is_restored && !(gone || is_lost || is_outdated) {
+        let is_wrong = gone || is_lost || is_unreadable || is_outdated;
+        if is_restored && !is_wrong {
             // The copy holds the entry, under a version of the new epoch.
             self.version.store(version, Ordering::Relaxed);
         }
-        if gone || is_lost || is_outdated {
-            tracing::warn!(name = %self.name, version, gone, "own entry marked as lost or deleted");
+        if is_wrong {
+            tracing::warn!(
+                name = %self.name,
+                version,
+                gone,
+                is_lost,
+                is_unreadable,
+                is_outdated,
+                "own entry has to be written again"
+            );
             self.rewrite_needed.notify_one();
         }
     }
@@ -380,9 +391,19 @@
 /// Returns name, version and entry of an object; without an entry if the object was deleted. Logs
 /// an entry that can't be read and returns `None`.
 fn decode_entry(object: Object) -> Option<(Arc<str>, u64, Option<Entry>)> {
-    let entry = object.value.map(serde_json::from_value::<Entry>).transpose();
-    let entry = entry.inspect_err(
-        |error| tracing::warn!(host = %object.name, %error, "host entry can't be read"),
-    );
+    let entry = object.value.map(parse_entry).transpose().inspect_err(|error| {
+        let (host, error) = (excerpt(&object.name), excerpt(error));
+        tracing::warn!(host, version = object.version, error, "host entry can't be read");
+    });
     Some((object.name, object.version, entry.ok()?))
 }
+
+/// Parses the entry of a host. One that listens on all its addresses may state the unspecified one.
+fn parse_entry(value: Value) -> Result<Entry, String> {
+    let entry: Entry = serde_json::from_value(value).map_err(|error| error.to_string())?;
+    let address = entry.host.address;
+    if !address.ip().is_unspecified() {
+        check_address(address)?;
+    }
+    Ok(entry)
+}
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -21,18 +21,21 @@
 use chestnutrack_core::fetch::VersionFetch;
 use chestnutrack_core::listing::Listing;
 use chestnutrack_core::time::Instant;
-use chestnutrack_process::clock;
 use chestnutrack_process::timer::Timer;
-use chestnutrack_store::client::Client;
+use chestnutrack_process::{clock, socket};
+use chestnutrack_store::client::{Client, NAME_BYTES_MAX};
 use chestnutrack_store::dialect::Freshness;
+use chestnutrack_store::dialect::items::excerpt;
 use chestnutrack_store::epoch;
 use chestnutrack_store::error::Error;
 use chestnutrack_store::watcher::{self, Control, Event, RetryMode, Update};
 use chestnutrack_wire::frame::ServerRecord;
+use hyper::header::HeaderValue;
 use rand::Rng;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
@@ -422,7 +425,9 @@
                     tracing::info!(version, source, "configuration in force");
                 }
             }
-            Err(error) => tracing::error!(%error, source, "configuration can't be read"),
+            Err(error) => {
+                tracing::error!(error = excerpt(&error), source, "configuration can't be read");
+            }
         }
     }
 
@@ -519,19 +524,31 @@
         }
         let mut decoded_entries = Vec::new();
         for (name, version, value) in entries {
-            let mut entry = value.as_ref().map(|value| self.decode_entry(&name, value));
             let known = listed_before.get(&name).or_else(|| state.stored_entries.get(&name));
-            if known.is_some_and(|(known, _)| *known == version)
-                && let Some(Some(entry)) = &mut entry
-            {
-                // An entry that is only listed again was written some time ago.
-                entry.cold_ms = None;
-            }
-            match value {
-                Some(value) => drop(state.stored_entries.insert(name.clone(), (version, value))),
-                None => drop(state.stored_entries.remove(&name)),
-            }
-            decoded_entries.push((name, version, entry));
+            let is_known = known.is_some_and(|(known, _)| *known == version);
+            let Some(value) = value else {
+                state.stored_entries.remove(&name);
+                decoded_entries.push((name, version, None));
+                continue;
+            };
+            let entry = match self.decode_entry(&name, &value) {
+                Ok(entry) => {
+                    state.stored_entries.insert(name.clone(), (version, value));
+                    // An entry that is only listed again was written some time ago.
+                    let cold_ms = entry.cold_ms.filter(|_| !is_known);
+                    Some(Entry { cold_ms, ..entry })
+                }
+                Err(error) => {
+                    if !is_known {
+                        let (server, error) = (excerpt(&name), excerpt(&error));
+                        tracing::warn!(server, version, error, "server entry can't be read");
+                    }
+                    // It may be large, and peers need no more than its version.
+                    state.stored_entries.insert(name.clone(), (version, Value::Null));
+                    None
+                }
+            };
+            decoded_entries.push((name, version, Some(entry)));
         }
         let changes = state.listing.apply(clock::now(), is_snapshot, decoded_entries);
         let server_count = state.listing.versions().count();
@@ -544,14 +561,12 @@
         }
     }
 
-    /// Decodes the entry of a backend server. Logs one that can't be read and returns `None`.
-    fn decode_entry(&self, name: &Arc<str>, value: &Value) -> Option<Entry> {
-        let entry = (self.directory.server)(name, value);
-        entry
-            .inspect_err(
-                |error| tracing::warn!(server = %name, %error, "server entry can't be read"),
-            )
-            .ok()
+    /// Decodes the entry of a backend server. The error says why it names none.
+    fn decode_entry(&self, name: &Arc<str>, value: &Value) -> Result<Entry, String> {
+        check_name(name)?;
+        let entry = (self.directory.server)(name, value)?;
+        check_address(entry.address)?;
+        Ok(entry)
     }
 
     /// Removes the servers that have been missing for longer than their grace period.
@@ -573,9 +588,10 @@
             return;
         }
         tracing::info!(peer, servers = servers.len(), "servers received from a peer");
-        let entries = servers.into_iter().filter_map(|record| {
-            let value = serde_json::from_slice(&record.entry).ok()?;
-            Some((record.name, record.version, Some(value)))
+        let entries = servers.into_iter().map(|record| {
+            // One that can't be read names no server, as in the store.
+            let value = serde_json::from_slice(&record.entry).unwrap_or_default();
+            (record.name, record.version, Some(value))
         });
         self.apply_entries(true, entries.collect());
         self.state().listing.record_failure();
@@ -592,6 +608,23 @@
     }
 }
 
+/// Returns an error for a name that can't be stated in the header of a request.
+fn check_name(name: &str) -> Result<(), String> {
+    let is_stated = name.trim() == name && HeaderValue::from_str(name).is_ok();
+    match is_stated && (1..=NAME_BYTES_MAX).contains(&name.len()) {
+        true => Ok(()),
+        false => Err(format!("name is not 1 to {NAME_BYTES_MAX} bytes that fit into a header")),
+    }
+}
+
+/// Returns an error for an address at which no server or host can listen.
+fn check_address(address: SocketAddr) -> Result<(), String> {
+    match socket::is_dialable(address) {
+        true => Ok(()),
+        false => Err(format!("no process can listen at {address}")),
+    }
+}
+
 /// Returns a hash of the names and versions of all known entries, by which hosts compare their
 /// lists.
 fn digest(listing: &Listing) -> u64 {
--- a/crates/store/src/client/mod.rs
+++ b/crates/store/src/client/mod.rs
@@ -20,6 +20,7 @@
 use prometheus::Registry;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -210,6 +211,12 @@
             if !list.objects.is_empty() && epoch::of(page.list.version) != epoch::of(list.version) {
                 return Err(Error::Unknown("pages of two epochs".to_owned()));
             }
+            let next_name = page.list.objects.last().map(|object| &object.name);
+            let is_listed =
+                |name: &Arc<str>| list.objects.iter().any(|object| object.name == *name);
+            if page.more && next_name.is_some_and(is_listed) {
+                return Err(Error::Malformed(kind.to_owned(), "page came again".to_owned()));
+            }
             // Without an object there is no name to continue after.
             let has_no_objects = page.list.objects.is_empty();
             if page.more && !has_no_objects {
@@ -439,11 +446,18 @@
     Ok(Object { version, ..object })
 }
 
-/// Returns a list of a response with its versions in an epoch.
+/// Returns a list of a response with its versions in an epoch. Leaves out objects whose version does not
+/// fit, and logs them.
 fn list_in_epoch(epoch: u64, list: List) -> Result<List, Error> {
     let version = epoch::join(epoch, list.version).ok_or_else(|| too_large("list"))?;
-    let objects = list.objects.into_iter().map(|object| in_epoch(epoch, object));
-    Ok(List { version, objects: objects.collect::<Result<_, _>>()? })
+    let count = list.objects.len();
+    let objects = list.objects.into_iter().filter_map(|object| in_epoch(epoch, object).ok());
+    let list = List { version, objects: objects.collect() };
+    let unreadable = count - list.objects.len();
+    if unreadable > 0 {
+        tracing::warn!(objects = unreadable, "versions of objects of the store are too large");
+    }
+    Ok(list)
 }
 
 /// Returns the error for a version that does not fit beside an epoch.
