Tests of servers that write an earlier refusal once more on a kept connection (red)

A refusal that states that the server did not run the request may lack the identifier. On a kept connection, such a refusal can be a copy of one that answered another request, and is taken for the answer to the request that waits. On real sockets, with a server that runs each request and writes the copy once on each kept connection:

- the caller of a request that may run once gets 503 while its server runs the request (REFUSED);
- with a second server and two attempts, the request runs at both (TWICE).

Each covers 503 and 429 that state that the request did not run, and 421; the first also the four times at which a copy can arrive: with the end of the answer before, while the connection is idle, together with the next request, and a few milliseconds after it.

--- /dev/null
+++ b/crates/forward/tests/forward/copies.rs
@@ -0,0 +1,172 @@
+//! Tests of servers that write an earlier answer once more on a connection that is kept open. Such a copy must not count
+//! as the answer to another request, or to the same request that is sent again.
+
+use crate::fixture::backend::{
+    Backend, ReceivedRequest, Step, answer_prefill, event, send, stream_head,
+};
+use crate::fixture::caller::{call, generation, request};
+use crate::fixture::{Host, config, decode, host, host_with, plain, prefill};
+use std::time::Duration;
+
+/// Time by which a copy comes earlier than the answer that is due.
+const LEAD: Duration = Duration::from_millis(30);
+/// Time after which a copy comes later than the bytes before it.
+const LAG: Duration = Duration::from_millis(5);
+/// Refusals that state that a request did not run: status line and headers.
+const REFUSALS: [&str; 3] = [
+    "503 Full\r\nx-chestnutrack-ran: not-run\r\n",
+    "429 Busy\r\nx-chestnutrack-ran: not-run\r\n",
+    "421 Misdirected Request\r\n",
+];
+
+/// When a copy arrives on a kept connection.
+#[derive(Clone, Copy, Debug)]
+enum Arrival {
+    /// In the same bytes as the end of the answer before.
+    WithPreviousAnswer,
+    /// While no request waits on the connection.
+    WhileIdle,
+    /// As soon as the next request has arrived.
+    WithNextRequest,
+    /// A few milliseconds after the next request.
+    AfterNextRequest,
+}
+
+const ARRIVALS: [Arrival; 4] = [
+    Arrival::WithPreviousAnswer,
+    Arrival::WhileIdle,
+    Arrival::WithNextRequest,
+    Arrival::AfterNextRequest,
+];
+
+/// Returns the bytes of a refusal without an identifier.
+fn anonymous(refusal: &str) -> String {
+    format!("HTTP/1.1 {refusal}content-length: 0\r\n\r\n")
+}
+
+/// Returns the bytes of an answer with an identifier.
+fn identified(id: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nx-chestnutrack-request: {id}\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Returns a step that sends a refusal that states that the request did not run, with its identifier.
+fn refusal_of(request: &ReceivedRequest) -> Step {
+    let id = request.header("x-chestnutrack-request").unwrap();
+    send(anonymous(&format!("{}x-chestnutrack-request: {id}\r\n", REFUSALS[0])))
+}
+
+/// Returns the text of a request with another identifier.
+fn with_id(text: &str, id: &str) -> String {
+    let header = format!("x-chestnutrack-request: {id}\r\n");
+    text.replace("x-chestnutrack-request: r1\r\n", &header)
+}
+
+/// Returns the steps of a server that runs each request, and writes the copy once on a kept connection.
+fn run_with_copy(request: &ReceivedRequest, copy: &str, arrival: Arrival) -> Vec<Step> {
+    let id = request.header("x-chestnutrack-request").unwrap();
+    let (own, copy) = (identified(id, "fine"), copy.to_owned());
+    match (arrival, request.earlier) {
+        (Arrival::WithPreviousAnswer, 0) => vec![send(own + &copy)],
+        (Arrival::WhileIdle, 0) => vec![send(own), Step::Wait(LAG), send(copy)],
+        (Arrival::WithNextRequest, 1..) => vec![send(copy), Step::Wait(LEAD), send(own)],
+        (Arrival::AfterNextRequest, 1..) => {
+            vec![Step::Wait(LAG), send(copy), Step::Wait(LEAD), send(own)]
+        }
+        _ => vec![send(own)],
+    }
+}
+
+/// Returns the number of requests with an identifier that a server received.
+fn received(backend: &Backend, id: &str) -> usize {
+    let requests = backend.received();
+    requests.iter().filter(|request| request.header("x-chestnutrack-request") == Some(id)).count()
+}
+
+/// Starts a host with an engine for prefill and one for generation, whose streams that may run only once may be sent to
+/// an engine three times.
+async fn engine_host(prefiller: &Backend, decoder: &Backend) -> Host {
+    let mut config = config();
+    let routes = config.routes.iter_mut();
+    routes.filter(|route| &*route.name == "digest").for_each(|route| route.attempts = 3);
+    host_with(config, vec![prefill("prefill-1", prefiller), decode("decode-1", decoder)]).await
+}
+
+// Guards against a caller that is told that its request did not run while the server runs it (REFUSED), since a copy of
+// another request's refusal states no identifier.
+#[tokio::test]
+async fn a_copied_refusal_without_an_identifier_is_no_answer_to_the_next_request() {
+    for refusal in REFUSALS {
+        for arrival in ARRIVALS {
+            let copy = anonymous(refusal);
+            let backend =
+                Backend::start(move |request| run_with_copy(request, &copy, arrival)).await;
+            let host = host(vec![plain("app-1", &backend)]).await;
+            let text = request("POST", "/pay/7", "", "");
+
+            for id in ["r1", "r2", "r3"] {
+                let answer = call(host.address, &with_id(&text, id)).await;
+                tokio::time::sleep(4 * LAG).await;
+
+                let context = format!("{refusal:?} {arrival:?} {id}");
+                assert!([200, 502].contains(&answer.status), "{context}: {answer:?}");
+                assert_eq!(received(&backend, id), 1, "{context}");
+            }
+        }
+    }
+}
+
+// Guards against a request that may run once and is sent to a second server while the first runs it (TWICE).
+#[tokio::test]
+async fn a_request_is_not_sent_elsewhere_for_a_copied_refusal_without_an_identifier() {
+    for refusal in REFUSALS {
+        let copy = anonymous(refusal);
+        let script = move |request: &ReceivedRequest| {
+            run_with_copy(request, &copy, Arrival::WithNextRequest)
+        };
+        let (one, other) = (Backend::start(script.clone()).await, Backend::start(script).await);
+        let mut config = config();
+        let routes = config.routes.iter_mut();
+        routes.filter(|route| &*route.name == "pay").for_each(|route| route.attempts = 2);
+        let host = host_with(config, vec![plain("app-1", &one), plain("app-2", &other)]).await;
+
+        for id in ["r1", "r2", "r3", "r4", "r5"] {
+            let answer = call(host.address, &with_id(&request("POST", "/pay/7", "", ""), id)).await;
+
+            assert!([200, 502].contains(&answer.status), "{refusal:?} {id}: {answer:?}");
+            assert_eq!(received(&one, id) + received(&other, id), 1, "{refusal:?} {id}");
+        }
+    }
+}
+
+// Guards against a connection that is used again after a refusal, of which a copy may still come.
+#[tokio::test]
+async fn a_connection_that_carried_a_refusal_is_not_used_again() {
+    let full = Backend::start(|request| vec![refusal_of(request)]).await;
+    let host = host(vec![plain("app-1", &full)]).await;
+
+    for id in ["r1", "r2", "r3"] {
+        let answer = call(host.address, &with_id(&request("POST", "/pay/7", "", ""), id)).await;
+
+        assert_eq!(answer.status, 503);
+    }
+    assert_eq!((full.request_count(), full.connections()), (3, 3));
+}
+
+// Guards against a refusal that is read from the body of an answer: the request has begun to run.
+#[tokio::test]
+async fn a_copied_refusal_inside_a_stream_breaks_it_off() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let decoder = Backend::start(|request| {
+        let refusal = anonymous(REFUSALS[0]);
+        vec![stream_head(request), event(1), send(refusal), Step::Hang]
+    })
+    .await;
+    let host = engine_host(&prefiller, &decoder).await;
+
+    let answer = call(host.address, &generation("/digest/7")).await;
+
+    assert_eq!((answer.status, answer.complete, decoder.request_count()), (200, false, 1));
+}
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod configurations;
 mod connections;
+mod copies;
 mod crashes;
 mod crashing_requests;
 mod crowds;
