Refusals without an identifier count only as the first answer on a connection

What callers saw: 503, "not run, try again", for a request that its server ran (REFUSED), or the same request run at a second server (TWICE).

Cause: an answer must state the identifier of the request, but a refusal that states that nothing ran was exempt, "since its connection is not used again". That looks at the wrong side: what matters is what the connection carried before. On a kept connection the refusal can be a copy of one that answered another request, a probe, or the freeing of a handle. Class: a fact about one exchange is taken for a fact about another, as nothing in it says which it is about.

Ruled out: telling a copy by its time of arrival. Bytes that come before the request is written are seen only if the connection's task runs between the two; a copy that comes a few milliseconds after the request looks like an answer. A refusal that comes before a long body is written whole may be true. Ruled out too: refusing all answers without identifier, since a server may refuse a request without reading what identifies it, and on a new connection such a refusal can be no copy.

Change: a connection knows whether it carried a call before, a probe included. A refusal without an identifier counts only as the answer to the first one. On any other, the answer is rejected like any without identifier, the connection is closed, and the request's outcome is unknown: it goes to another server only if its route allows repeats, and its caller is never told that it did not run.

Covered: copies without identifier, of 503, 429 and 421, that arrive with the end of the answer before, on the idle connection, together with the next request or later; copies with another request's identifier were rejected before. Can't be told apart by any means: a server that writes, as the first answer on a new connection, a refusal that it gave on another one.

Tests: the fixture's refusals and three 421 in streams and takeover had no identifier, after a probe on their connection. They state it now, as servers do; what these tests assert is unchanged. Refusals without identifier have tests of their own, for kept and for new connections. The soak's server states the identifier in a 421 too.

--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -25,7 +25,7 @@
 use chestnutrack_process::{clock, pool};
 use http_body_util::Full;
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Request, Response, Uri};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -468,7 +468,7 @@
             }
         };
         let answer = (self.app.dialect.parse_response_head)(response.status(), response.headers());
-        if let Some(reason) = self.mismatch(&answer, response.status(), &added_values.step) {
+        if let Some(reason) = self.mismatch(&answer, &response, &added_values.step) {
             // Keys in the log: `answers` is the request that the server answered.
             let (server, answers, status) =
                 (&target.entry.name, answer.id.as_deref(), response.status().as_u16());
@@ -488,19 +488,21 @@
     ///
     /// A faulty server may send a second answer, or other bytes, where the next answer on a connection is due. So an
     /// answer counts only with the identifier of the request, and a success only with the server's signature, which the
-    /// answer to a prefill doesn't bear. A refusal that states that the server did not run the request may lack the identifier.
+    /// answer to a prefill doesn't bear. A refusal that states that the server did not run the request may lack the
+    /// identifier on a connection that carried no call before, where it can't be a copy of another one.
     fn mismatch(
         &self,
         answer: &ResponseHead,
-        status: StatusCode,
+        response: &Response<pool::Stream>,
         step: &Step,
     ) -> Option<&'static str> {
         let is_refusal = answer.not_run || answer.misdirected;
+        let may_lack_id = is_refusal && response.body().is_first();
         if answer.encoded {
             Some("encoded")
-        } else if answer.id != self.head.id && !(answer.id.is_none() && is_refusal) {
+        } else if answer.id != self.head.id && !(answer.id.is_none() && may_lack_id) {
             Some("identifier")
-        } else if status.is_success() && !answer.signed && *step != Step::Prefill {
+        } else if response.status().is_success() && !answer.signed && *step != Step::Prefill {
             Some("signature")
         } else {
             None
--- a/crates/forward/tests/forward/copies.rs
+++ b/crates/forward/tests/forward/copies.rs
@@ -141,6 +141,20 @@
     }
 }
 
+// Guards against a request that counts as lost although its server states that it did not run: on a new connection a
+// refusal can't be a copy.
+#[tokio::test]
+async fn a_refusal_without_an_identifier_on_a_new_connection_says_that_nothing_ran() {
+    for refusal in REFUSALS {
+        let full = Backend::start(move |_| vec![send(anonymous(refusal))]).await;
+        let host = host(vec![plain("app-1", &full)]).await;
+
+        let answer = call(host.address, &request("POST", "/pay/7", "", "")).await;
+
+        assert_eq!(answer.status, 503, "{refusal:?}");
+    }
+}
+
 // Guards against a connection that is used again after a refusal, of which a copy may still come.
 #[tokio::test]
 async fn a_connection_that_carried_a_refusal_is_not_used_again() {
--- a/crates/forward/tests/forward/framing.rs
+++ b/crates/forward/tests/forward/framing.rs
@@ -2,8 +2,8 @@
 //! request's time limit, and answers with neither a length nor chunks, which end with their connection.
 
 use crate::fixture::backend::{
-    Backend, ReceivedRequest, Step, answer, answer_prefill, chunk, drip, event, flood, send,
-    stream_end, stream_head, unframed_head,
+    Backend, ReceivedRequest, Step, answer, answer_prefill, chunk, drip, event, flood,
+    refuse_as_not_run, send, stream_end, stream_head, unframed_head,
 };
 use crate::fixture::caller::{Answer, call, generation, request};
 use crate::fixture::{Host, decode, host, plain, prefill, wait_until};
@@ -298,12 +298,7 @@
             [b'D', ..] => vec![unframed_head(request, "200 OK", ""), step.clone()],
             _ => answer_prefill(request),
         };
-        let refuse = |_: &ReceivedRequest| {
-            vec![send(
-                "HTTP/1.1 503 Full\r\nx-chestnutrack-ran: not-run\r\ncontent-length: 0\r\n\r\n",
-            )]
-        };
-        let (host, prefiller, _decoder) = engine_host(prefill_steps, refuse).await;
+        let (host, prefiller, _decoder) = engine_host(prefill_steps, refuse_as_not_run).await;
 
         call(host.address, &generation("/digest/7")).await;
         wait_until(|| prefiller.disconnects() == 1).await;
--- a/crates/forward/tests/forward/streams.rs
+++ b/crates/forward/tests/forward/streams.rs
@@ -1,8 +1,8 @@
 //! Tests of requests to model engines: prefill, generation, streams and their resumption.
 
 use crate::fixture::backend::{
-    Backend, ReceivedRequest, Step, answer_prefill, chunk, complete_stream, event, events,
-    refuse_as_not_run, send, stream_end, stream_events, stream_head,
+    Backend, ReceivedRequest, Step, answer, answer_prefill, chunk, complete_stream, event, events,
+    refuse_as_not_run, stream_end, stream_events, stream_head,
 };
 use crate::fixture::caller::{call, connect, generation, request};
 use crate::fixture::{config, decode, engines, host, prefill, wait_until};
@@ -279,8 +279,7 @@
 #[tokio::test]
 async fn a_prompt_whose_engine_was_replaced_is_generated_at_another_from_the_same_kv_cache() {
     let prefiller = Backend::start(answer_prefill).await;
-    let replaced =
-        Backend::start(|_| vec![send("HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n")]).await;
+    let replaced = Backend::start(|request| vec![answer(request, "421 No", "")]).await;
     let decoder = Backend::start(complete_stream).await;
     let host = engines(&prefiller, &[&replaced, &decoder]).await;
 
@@ -297,8 +296,7 @@
 #[tokio::test]
 async fn a_replaced_server_is_tried_at_most_once() {
     let prefiller = Backend::start(answer_prefill).await;
-    let replaced =
-        Backend::start(|_| vec![send("HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n")]).await;
+    let replaced = Backend::start(|request| vec![answer(request, "421 No", "")]).await;
     let decoder = Backend::start(complete_stream).await;
     let host = engines(&prefiller, &[&replaced, &decoder]).await;
 
--- a/crates/forward/tests/forward/takeover.rs
+++ b/crates/forward/tests/forward/takeover.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::backend::{
     Backend, ReceivedRequest, Step, answer, answer_prefill, chunk, complete_stream, event, events,
-    refuse_as_not_run, send, stream_end, stream_events, stream_head,
+    refuse_as_not_run, stream_end, stream_events, stream_head,
 };
 use crate::fixture::caller::{Answer, call, connect, generation};
 use crate::fixture::{
@@ -247,7 +247,7 @@
     let misdirected = Arc::new(AtomicU32::new(0));
     let fleet = Fleet::start(3, move |request| match is_resumed(request) {
         true if misdirected.fetch_add(1, Ordering::Relaxed) == 0 => {
-            vec![send("HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n")]
+            vec![answer(request, "421 No", "")]
         }
         true => complete_stream(request),
         false => {
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -80,6 +80,8 @@
     last_used: Instant,
     /// Longest time that the connection may stay idle.
     idle_timeout: Duration,
+    /// Whether a call was sent on the connection before, a probe included.
+    is_used: bool,
 }
 
 impl Connection {
@@ -148,6 +150,7 @@
     epoch: u64,
     pool: Pool,
     permit: Option<OwnedSemaphorePermit>,
+    is_first: bool,
 }
 
 impl Pool {
@@ -237,9 +240,10 @@
         let outcome = outcome.unwrap_or(Err(Error::Timeout(millis(call_timeout))));
         let (response, mut connection) = outcome.inspect_err(|_| self.discard_connections())?;
         let (head, body) = response.into_parts();
+        let is_first = !std::mem::replace(&mut connection.is_used, true);
         connection.apply_keep_alive(&head.headers);
         let (connection, pool) = (Some(connection), self.clone());
-        let stream = Stream { body, connection, epoch, pool, permit };
+        let stream = Stream { body, connection, epoch, pool, permit, is_first };
         Ok(Response::from_parts(head, stream))
     }
 
@@ -349,6 +353,7 @@
             task,
             last_used: Instant::now(),
             idle_timeout: settings.idle_timeout,
+            is_used: false,
         })
     }
 
@@ -373,6 +378,7 @@
     async fn probe(&self, probe: &Probe, connection: &mut Connection) -> Result<(), Error> {
         let failed = |error: String| Error::Connect(self.0.address, ConnectError::Other(error));
         let request = (probe.request)()?;
+        connection.is_used = true;
         let response = connection.sender.send_request(request).await;
         let (head, body) = response.map_err(|error| failed(error.to_string()))?.into_parts();
         let body = http::read_body(body, PROBE_BYTES_MAX).await;
@@ -425,6 +431,12 @@
 }
 
 impl Stream {
+    /// Returns whether the call was the first one on its connection, so that the response can't be a copy of the response to
+    /// an earlier one.
+    pub fn is_first(&self) -> bool {
+        self.is_first
+    }
+
     /// Reads the next bytes. Returns `None` at the end of the body.
     ///
     /// # Errors
--- a/crates/soak/src/backend/mod.rs
+++ b/crates/soak/src/backend/mod.rs
@@ -283,7 +283,8 @@
             _ => {}
         }
         if header(&request, SERVER) != Some(&*self.name) {
-            return Ok(status(StatusCode::MISDIRECTED_REQUEST, ""));
+            let id = header(&request, REQUEST).unwrap_or_default();
+            return Ok(with_id(status(StatusCode::MISDIRECTED_REQUEST, ""), id));
         }
         if request.headers().contains_key(AUTHORIZATION) {
             self.ledger.record_violation(format!("{} saw a caller's key", self.name));
