Tests of a request that is sent to the same engine again over a kept connection (red)

A request that an engine refused may come back to it, over another of its kept connections. A copy of the first refusal then states the right identifier. With two kept connections to each of two engines, one of them busy, a generation that may run once is refused, waits, and is sent to the same engine again, which writes the copy and then runs it: its caller gets 503 (REFUSED).

A prefill whose answer was lost is sent to the same engine again as well. A copy of that answer names a KV cache that the engine no longer keeps, and the generation is sent with its handle.

--- a/crates/forward/tests/forward/copies.rs
+++ b/crates/forward/tests/forward/copies.rs
@@ -2,10 +2,14 @@
 //! as the answer to another request, or to the same request that is sent again.
 
 use crate::fixture::backend::{
-    Backend, ReceivedRequest, Step, answer_prefill, event, send, stream_head,
+    Backend, ReceivedRequest, Step, answer_prefill, complete_stream, event, send, stream_end,
+    stream_events, stream_head,
 };
 use crate::fixture::caller::{call, generation, request};
-use crate::fixture::{Host, config, decode, host, host_with, plain, prefill};
+use crate::fixture::{Host, config, decode, host, host_with, plain, prefill, wait_until};
+use chestnutrack_core::dispatch::{Change, Entry};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// Time by which a copy comes earlier than the answer that is due.
@@ -94,6 +98,26 @@
     host_with(config, vec![prefill("prefill-1", prefiller), decode("decode-1", decoder)]).await
 }
 
+/// Lists decode engines with a number of slots.
+fn put_decode_engines(host: &Host, engines: &[Backend], slots: u32) {
+    for (number, engine) in (1..).zip(engines) {
+        let entry = Entry { slots, ..decode(&format!("decode-{number}"), engine) };
+        host.app.apply_change(Change::Put(entry.name.clone(), entry));
+    }
+}
+
+/// Makes calls at once, whose connections are then kept if their answers take a while.
+async fn open_connections(host: &Host, count: u32) {
+    let address = host.address;
+    let calls = (0..count).map(|number| {
+        let text = with_id(&generation("/digest/7"), &format!("w{number}"));
+        tokio::spawn(async move { call(address, &text).await })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        assert_eq!(call.await.unwrap().status, 200);
+    }
+}
+
 // Guards against a caller that is told that its request did not run while the server runs it (REFUSED), since a copy of
 // another request's refusal states no identifier.
 #[tokio::test]
@@ -169,6 +193,73 @@
     assert_eq!((full.request_count(), full.connections()), (3, 3));
 }
 
+// Guards against a request that is sent again to an engine that refused it, and is taken for refused again by a copy of
+// the first refusal while the engine runs it (REFUSED).
+#[tokio::test]
+async fn a_copied_refusal_of_a_request_is_no_answer_when_it_is_sent_to_the_engine_again() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let sent = Arc::new(AtomicU32::new(0));
+    let script = move |request: &ReceivedRequest| {
+        let copied = [vec![refusal_of(request), Step::Wait(LEAD)], complete_stream(request)];
+        match request.header("x-chestnutrack-request") {
+            Some("r1") => match (sent.fetch_add(1, Ordering::Relaxed), request.earlier) {
+                (0, _) => vec![refusal_of(request)],
+                (_, 0) => complete_stream(request),
+                _ => copied.concat(),
+            },
+            Some("long") => {
+                let pause = Step::Wait(Duration::from_millis(3_000));
+                [stream_events(request, 1), vec![pause, event(2), stream_end()]].concat()
+            }
+            _ => [vec![Step::Wait(4 * LEAD)], complete_stream(request)].concat(),
+        }
+    };
+    let engines = [Backend::start(script.clone()).await, Backend::start(script).await];
+    let host = engine_host(&prefiller, &engines[0]).await;
+    put_decode_engines(&host, &engines, 8);
+    open_connections(&host, 4).await;
+    // One engine is taken for long, so that the request waits until the other one may be tried again.
+    put_decode_engines(&host, &engines, 1);
+    let address = host.address;
+    tokio::spawn(async move { call(address, &with_id(&generation("/digest/7"), "long")).await });
+    wait_until(|| engines.iter().any(|engine| received(engine, "long") == 1)).await;
+
+    let answer = call(host.address, &generation("/digest/7")).await;
+
+    let sent: usize = engines.iter().map(|engine| received(engine, "r1")).sum();
+    assert_eq!((answer.status, answer.complete, sent), (200, true, 2));
+}
+
+// Guards against a generation from a KV cache that the engine does not keep: a copy of the lost answer to the first
+// prefill of a prompt names another handle.
+#[tokio::test]
+async fn a_copied_answer_to_a_prefill_is_no_answer_when_the_prompt_is_prefilled_again() {
+    let sent = AtomicU32::new(0);
+    let prefiller = Backend::start(move |request| {
+        let first = identified("r1", r#"{"handle":"kept-1"}"#);
+        let second = identified("r1", r#"{"handle":"kept-2"}"#);
+        if request.header("x-chestnutrack-request") != Some("r1") {
+            return [vec![Step::Wait(4 * LEAD)], answer_prefill(request)].concat();
+        }
+        match (sent.fetch_add(1, Ordering::Relaxed), request.earlier) {
+            (0, _) => vec![Step::Reset],
+            (_, 0) => vec![send(second)],
+            _ => vec![send(first), Step::Wait(LEAD), send(second)],
+        }
+    })
+    .await;
+    let decoder = Backend::start(complete_stream).await;
+    let host = engine_host(&prefiller, &decoder).await;
+    open_connections(&host, 2).await;
+
+    let answer = call(host.address, &generation("/digest/7")).await;
+
+    let requests = decoder.received();
+    let handle = requests.last().unwrap().header("x-chestnutrack-kv").unwrap();
+    assert_eq!((answer.status, received(&prefiller, "r1")), (200, 2));
+    assert!(handle.ends_with("/kept-2"), "{handle}");
+}
+
 // Guards against a refusal that is read from the body of an answer: the request has begun to run.
 #[tokio::test]
 async fn a_copied_refusal_inside_a_stream_breaks_it_off() {
