A request that is sent to the same server again goes over a new connection

What callers saw: 503, "not run, try again", for a generation that the engine ran (REFUSED); or a generation sent with the handle of a KV cache that the prefill engine did not keep.

Cause: the identifier names the request, not the sending of it. A request can come back to an engine: after a refusal, once the engine is tried again, or after a lost prefill. An answer to the first sending that the engine writes once more on another kept connection states the right identifier. Class: a fact about one exchange is taken for a fact about another that has the same name.

Ruled out: an identifier for each sending, which servers would have to state in their answers; the dialects have none, and the request's own is passed on as it came. Closing all connections to a server after a refusal: refusals come in bursts when servers are full, and each connection would be opened again, at engines with a probe.

Change: a request keeps the servers that it was sent to, prefills included. It goes to such a server again only over a new connection, which takes the place of an idle one, so that no more connections are open than calls allow. A probe on it is counted for cold servers.

Covered: copies of any answer to an earlier sending, on any connection that was open before the next sending, at whatever time they arrive. Can't be told apart by any means: a copy that the server writes on the new connection itself, after the probe or before any answer; and a copy where a caller gives two requests the same identifier.

--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -43,7 +43,7 @@
 use chestnutrack_process::clock;
 use chestnutrack_process::http;
 use chestnutrack_process::intake::Intake;
-use chestnutrack_process::pool::{self, Pool, Probe};
+use chestnutrack_process::pool::{self, Pool, Probe, Reuse};
 use chestnutrack_wire::frame::{LeavingReport, LimitReport};
 use slotmap::SecondaryMap;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -514,7 +514,7 @@
     /// none for which a new connection has to be opened, and so its process probed.
     pub fn admit_call(&self, target: &Target) -> bool {
         let (now, mut state) = (clock::now(), self.state());
-        if target.pool.needs_probe() && state.dispatch.is_cold(now, target.key) {
+        if target.pool.needs_probe(Reuse::Allowed) && state.dispatch.is_cold(now, target.key) {
             return false;
         }
         let is_admitted = state.dispatch.admit_call(now, target.key);
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -19,14 +19,16 @@
 use crate::config::{Organisation, Route};
 use crate::dialect::{AddedValues, RequestHead, ResponseHead, Step};
 use bytes::Bytes;
-use chestnutrack_core::dispatch::{Outcome, Residency};
+use chestnutrack_core::dispatch::{Outcome, Residency, ServerKey};
 use chestnutrack_core::time::Instant;
+use chestnutrack_process::clock;
 use chestnutrack_process::http::{ConnectError, Error};
-use chestnutrack_process::{clock, pool};
+use chestnutrack_process::pool::{self, Reuse};
 use http_body_util::Full;
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response, Uri};
-use std::sync::Arc;
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// The request that is being served: what was received from the caller, and what was determined from it before the
@@ -58,6 +60,8 @@
     pub first_arrived_at: Instant,
     /// When the request must have ended.
     pub deadline: Instant,
+    /// Servers that the request was sent to, prefills included.
+    pub sent_to: Mutex<HashSet<ServerKey>>,
 }
 
 /// Why an attempt at one backend server gave no usable answer.
@@ -396,14 +400,16 @@
         if self.left().is_zero() {
             return Err(Failure::Unsent);
         }
-        let sent_at = clock::now();
+        let (sent_at, reuse) = (clock::now(), self.reuse(target));
         let result = match self.quarantine_left() {
             Some(left) => Err(Failure::Quarantined(left)),
             None if self.app.is_evacuated(target) => Err(Failure::Evacuated),
-            None if !self.app.accepts(target) || !self.app.may_send(target) => Err(Failure::Closed),
+            None if !self.app.accepts(target) || !self.app.may_send(target, reuse) => {
+                Err(Failure::Closed)
+            }
             // The server's entry may have changed since it was chosen.
             None if !self.app.is_allowed(target, &self.residency) => Err(Failure::Closed),
-            None => self.exchange(target, added_values, on_send).await,
+            None => self.exchange(target, added_values, reuse, on_send).await,
         };
         if let Err(failure) = &result {
             let (server, failure) = (&target.entry.name, failure.name());
@@ -444,12 +450,18 @@
         &self,
         target: &Target,
         added_values: &AddedValues,
+        reuse: Reuse,
         on_send: &(dyn Fn() + Send + Sync),
     ) -> Result<Response<pool::Stream>, Failure> {
         let (left, sent_at) = (self.left(), clock::now());
         let headers = (self.app.dialect.forward_headers)(&self.parts.headers, added_values);
         let request = self.build_request(headers).ok_or(Failure::Unsent)?;
-        let response = match target.pool.call_streaming_observed(request, left, on_send).await {
+        let on_send = || {
+            self.sent_to().insert(target.key);
+            on_send();
+        };
+        let response = target.pool.call_streaming_observed(request, reuse, left, &on_send).await;
+        let response = match response {
             Ok(response) => response,
             Err(Error::Connect(_, ConnectError::Refused)) => return Err(Failure::Refused),
             Err(Error::Connect(_, ConnectError::PoolExhausted)) => return Err(Failure::Crowded),
@@ -484,6 +496,20 @@
         }
     }
 
+    /// Returns which connections to a server the request may be sent on. An answer to an earlier sending bears the same
+    /// identifier, so that a copy of it on a kept connection can't be told from the answer to the next sending.
+    fn reuse(&self, target: &Target) -> Reuse {
+        match self.sent_to().contains(&target.key) {
+            true => Reuse::Forbidden,
+            false => Reuse::Allowed,
+        }
+    }
+
+    /// Locks the set of servers that the request was sent to.
+    fn sent_to(&self) -> MutexGuard<'_, HashSet<ServerKey>> {
+        self.sent_to.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns why an answer can't be the one to this request, or `None` if it can.
     ///
     /// A faulty server may send a second answer, or other bytes, where the next answer on a connection is due. So an
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -175,6 +175,7 @@
         arrived_at,
         first_arrived_at,
         deadline,
+        sent_to: Default::default(),
     });
     let answer = attempt::run(job.clone()).await;
     if let Err(refusal) = &answer
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -63,6 +63,16 @@
     }
 }
 
+/// Which connections a call may be sent on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reuse {
+    /// An idle connection, or a new one if there is none.
+    #[default]
+    Allowed,
+    /// Only a new connection, which carried no call but a probe.
+    Forbidden,
+}
+
 /// Checks that the process behind an address is the intended one: a call that is made on a new connection before any
 /// other, unless an older connection is open. A process that has started again has closed all connections to the one
 /// before.
@@ -218,11 +228,11 @@
         request: Request<Full<Bytes>>,
         call_timeout: Duration,
     ) -> Result<Response<Stream>, Error> {
-        self.call_streaming_observed(request, call_timeout, &|| {}).await
+        self.call_streaming_observed(request, Reuse::Allowed, call_timeout, &|| {}).await
     }
 
-    /// Makes one call as [`Pool::call_streaming`] does. Calls `on_send` when there is a connection and the request is
-    /// about to be sent on it.
+    /// Makes one call as [`Pool::call_streaming`] does, on a connection that `reuse` allows. Calls `on_send` when there is a
+    /// connection and the request is about to be sent on it.
     ///
     /// # Errors
     ///
@@ -230,13 +240,14 @@
     pub async fn call_streaming_observed(
         &self,
         request: Request<Full<Bytes>>,
+        reuse: Reuse,
         call_timeout: Duration,
         on_send: &(dyn Fn() + Send + Sync),
     ) -> Result<Response<Stream>, Error> {
         let deadline = Instant::now() + call_timeout;
         let permit = Some(self.acquire(deadline).await?);
         let epoch = self.epoch();
-        let outcome = timeout_at(deadline, self.send(request, deadline, on_send)).await;
+        let outcome = timeout_at(deadline, self.send(request, reuse, deadline, on_send)).await;
         let outcome = outcome.unwrap_or(Err(Error::Timeout(millis(call_timeout))));
         let (response, mut connection) = outcome.inspect_err(|_| self.discard_connections())?;
         let (head, body) = response.into_parts();
@@ -295,15 +306,20 @@
     }
 
     /// Sends a request on an idle connection, or on a new one if there is none or the idle ones
-    /// were closed before anything was sent.
+    /// were closed before anything was sent. If `reuse` forbids idle connections, a new one takes the place of one of
+    /// them, so that no more connections are open than calls allow.
     async fn send(
         &self,
         request: Request<Full<Bytes>>,
+        reuse: Reuse,
         deadline: Instant,
         on_send: &(dyn Fn() + Send + Sync),
     ) -> Result<(Response<Incoming>, Connection), Error> {
         let mut request = request;
         while let Some(connection) = self.take_idle() {
+            if reuse == Reuse::Forbidden {
+                break;
+            }
             on_send();
             match attempt(connection, request).await? {
                 Attempt::Answered(response, connection) => return Ok((response, connection)),
@@ -357,9 +373,9 @@
         })
     }
 
-    /// Returns whether the next new connection begins with a probe.
-    pub fn needs_probe(&self) -> bool {
-        self.0.probe.is_some() && !self.is_probed()
+    /// Returns whether the next call, on a connection that `reuse` allows, may begin with a probe.
+    pub fn needs_probe(&self, reuse: Reuse) -> bool {
+        self.0.probe.is_some() && (reuse == Reuse::Forbidden || !self.is_probed())
     }
 
     /// Returns whether a connection is open to the process that the probe has accepted.
--- a/crates/process/tests/pool.rs
+++ b/crates/process/tests/pool.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnutrack_process::http::{self, ConnectError, Error};
-use chestnutrack_process::pool::{Pool, Probe, Settings};
+use chestnutrack_process::pool::{Pool, Probe, Reuse, Settings};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -79,6 +79,25 @@
     assert_eq!((server.connections(), server.calls()), (1, 3));
 }
 
+// Guards against a call that gets a connection on which a copy of an earlier response may come, and against more open
+// connections than calls.
+#[tokio::test]
+async fn a_call_that_forbids_reuse_gets_a_new_connection_in_place_of_an_idle_one() {
+    let server = server(&[RESPONSE; 3]).await;
+    let pool = Pool::new(server.address, Settings::default());
+    let mut calls = Vec::new();
+
+    for reuse in [Reuse::Allowed, Reuse::Forbidden, Reuse::Allowed] {
+        let request = http::request("GET", "/", Bytes::new()).unwrap();
+        let call = pool.call_streaming_observed(request, reuse, CALL_TIMEOUT, &|| {}).await;
+        let mut stream = call.unwrap().into_body();
+        stream.read(100).await.unwrap();
+        calls.push((server.connections(), stream.is_first()));
+    }
+
+    assert_eq!(calls, [(1, true), (2, true), (2, false)]);
+}
+
 #[tokio::test]
 async fn no_more_connections_are_opened_than_the_limit() {
     let server = server(&[RESPONSE; 3]).await;
