Test of a copied answer to a request without an identifier (red)

Of two requests without an identifier on a kept connection, the caller of the second gets the copy of the answer to the first (MIXED).

--- a/crates/forward/tests/forward/copies.rs
+++ b/crates/forward/tests/forward/copies.rs
@@ -260,6 +260,30 @@
     assert!(handle.ends_with("/kept-2"), "{handle}");
 }
 
+// Guards against an answer to another caller's request (MIXED), since neither request has an identifier.
+#[tokio::test]
+async fn a_copied_answer_is_no_answer_to_a_request_without_an_identifier() {
+    let requests = Arc::new(AtomicU32::new(0));
+    let backend = Backend::start(move |request| {
+        let number = requests.fetch_add(1, Ordering::Relaxed);
+        let answer =
+            |number| send(anonymous("200 OK\r\n").replace("length: 0", "length: 1") + number);
+        match (number, request.earlier) {
+            (0, _) => vec![answer("0")],
+            (_, 0) => vec![answer("1")],
+            _ => vec![answer("0"), Step::Wait(LEAD), answer("1")],
+        }
+    })
+    .await;
+    let host = host(vec![plain("app-1", &backend)]).await;
+    let text = request("GET", "/open/7", "", "").replace("x-chestnutrack-request: r1\r\n", "");
+
+    let first = call(host.address, &text).await;
+    let second = call(host.address, &text).await;
+
+    assert_eq!((&*first.body, &*second.body), ("0", "1"));
+}
+
 // Guards against a refusal that is read from the body of an answer: the request has begun to run.
 #[tokio::test]
 async fn a_copied_refusal_inside_a_stream_breaks_it_off() {
