A request without an identifier goes over a new connection

What callers saw: the answer to another caller's request (MIXED), or a refusal of it.

Cause: an answer must state the identifier of its request. Where the request has none, any answer without one fits, and so does a copy of the answer to an earlier request without one on the same connection. Class: nothing in the answer says which exchange it is about.

Ruled out: an identifier of the router's own, since requests reach servers as callers send them; a refusal of such requests, which the native dialect allows.

Change: such a request goes only over a new connection. Price: one connection each, only for callers that state no identifier. Can't be told apart by any means: a copy of the answer to a probe, where the new connection began with one.

--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -496,10 +496,11 @@
         }
     }
 
-    /// Returns which connections to a server the request may be sent on. An answer to an earlier sending bears the same
-    /// identifier, so that a copy of it on a kept connection can't be told from the answer to the next sending.
+    /// Returns which connections to a server the request may be sent on. On a kept connection, a copy of an earlier answer
+    /// can't be told from the answer to this request if it was sent to the server before, since both bear its identifier,
+    /// or if it has none.
     fn reuse(&self, target: &Target) -> Reuse {
-        match self.sent_to().contains(&target.key) {
+        match self.head.id.is_none() || self.sent_to().contains(&target.key) {
             true => Reuse::Forbidden,
             false => Reuse::Allowed,
         }
