Test of a copied refusal where the freeing of a handle is answered (red)

A prefill engine writes a refusal of another request, with that request's identifier, where the answer to the freeing of a handle is due. The host takes it for that answer, and sends the engine nothing for the time that the refusal asks for: the next prompt is prefilled elsewhere.

--- a/crates/forward/tests/forward/copies.rs
+++ b/crates/forward/tests/forward/copies.rs
@@ -8,6 +8,7 @@
 use crate::fixture::caller::{call, generation, request};
 use crate::fixture::{Host, config, decode, host, host_with, plain, prefill, wait_until};
 use chestnutrack_core::dispatch::{Change, Entry};
+use chestnutrack_core::health::REFUSAL_BACKOFF;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -284,6 +285,37 @@
     assert_eq!((&*first.body, &*second.body), ("0", "1"));
 }
 
+// Guards against a pause in the requests to an engine for which another request's refusal asked, by a copy that is taken
+// for the answer to the freeing of a handle.
+#[tokio::test]
+async fn a_copied_refusal_is_no_answer_to_the_freeing_of_a_handle() {
+    let prefiller = Backend::start(|request| match request.line.starts_with("DELETE") {
+        true => {
+            let refusal = format!("{}retry-after: 9\r\n", REFUSALS[0]);
+            let copy = anonymous(&format!("{refusal}x-chestnutrack-request: r0\r\n"));
+            vec![send(copy), Step::Wait(LEAD), send(anonymous("200 OK\r\n"))]
+        }
+        false => answer_prefill(request),
+    })
+    .await;
+    let generations = AtomicU32::new(0);
+    let decoder =
+        Backend::start(move |request| match generations.fetch_add(1, Ordering::Relaxed) {
+            0 => vec![refusal_of(request)],
+            _ => complete_stream(request),
+        })
+        .await;
+    let host = host(vec![prefill("prefill-1", &prefiller), decode("decode-1", &decoder)]).await;
+
+    let first = call(host.address, &generation("/digest/7")).await;
+    // The host avoids the engine that refused for a while.
+    tokio::time::sleep(2 * REFUSAL_BACKOFF.0).await;
+    let second = call(host.address, &with_id(&generation("/digest/7"), "r2")).await;
+
+    assert_eq!((first.status, second.status), (503, 200));
+    assert_eq!(received(&prefiller, "r2"), 1);
+}
+
 // Guards against a refusal that is read from the body of an answer: the request has begun to run.
 #[tokio::test]
 async fn a_copied_refusal_inside_a_stream_breaks_it_off() {
