An answer to another request is no answer to the freeing of a handle

What callers saw: requests served elsewhere, later or not at all, since an engine got nothing for the time that a refusal asked for which it had given to another request.

Cause: the call that frees a handle has no identifier and goes over a kept connection, and whatever came there was taken for its answer. What an answer's head says of the server (leaving, quiet, its limit) was recorded from it, and its connection was used again although the call's own answer was still due. Class: a fact about one exchange is taken for a fact about another.

Ruled out: a connection of its own for each such call, as for orders and reports: handles are freed where generations were refused, in bursts, and their answers decide nothing about a request.

Change: the answer's head is looked at before its connection is used again. One that states an identifier is another request's; a refusal without one may be, unless it is the first answer on its connection. Either is rejected, logged and counted like any other answer to another request, and its connection is closed. The handle then expires.

Can't be told apart by any means: a copy of the answer to the freeing of another handle. It says the same of the server.

--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -15,12 +15,14 @@
 use chestnutrack_core::dispatch::{self, Outcome, PlacementBasis, ServerKey, Stage};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
+use chestnutrack_process::http::Error;
 use chestnutrack_process::pool::Stream;
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
-use hyper::Response;
+use http_body_util::Full;
 use hyper::http::response;
+use hyper::{Request, Response};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -194,21 +196,31 @@
                 tracing::info!(id, server = %target.entry.name, "handle not freed: the server takes no requests");
                 return;
             }
-            let sent_at = clock::now();
-            match target.pool.call(request, FREE_TIMEOUT, MAX_HANDLE_BYTES).await {
-                Ok(answer) => {
-                    let head =
-                        (job.app.dialect.parse_response_head)(answer.status(), answer.headers());
-                    job.app.record_notices(&target, sent_at, &head, id);
-                }
-                Err(error) => {
-                    tracing::warn!(id, %error, "failed to free a handle; it will expire");
-                }
+            let freed = timeout(FREE_TIMEOUT, send_free(&job, &target, request)).await;
+            let timed_out = Error::Timeout(FREE_TIMEOUT.as_millis() as u64);
+            if let Err(error) = freed.unwrap_or(Err(timed_out)) {
+                tracing::warn!(id, %error, "failed to free a handle; it will expire");
             }
         });
     }
 }
 
+/// Sends the call that frees a handle and records what the engine says of itself in its answer. The call has no identifier, so
+/// an answer that states one is another request's. So may be a refusal on a connection that carried a call before.
+async fn send_free(job: &Job, target: &Target, request: Request<Full<Bytes>>) -> Result<(), Error> {
+    let sent_at = clock::now();
+    let response = target.pool.call_streaming(request, FREE_TIMEOUT).await?;
+    let answer = (job.app.dialect.parse_response_head)(response.status(), response.headers());
+    let is_refusal = answer.not_run || answer.misdirected;
+    if answer.id.is_some() || is_refusal && !response.body().is_first() {
+        job.record_rejected(target, &answer, response.status(), "identifier");
+        return Ok(());
+    }
+    response.into_body().read(MAX_HANDLE_BYTES).await?;
+    job.app.record_notices(target, sent_at, &answer, job.head.id.as_deref());
+    Ok(())
+}
+
 /// A generation that is ready to be sent to an engine: admitted, and its prompt prefilled.
 pub(super) struct PreparedGeneration {
     pub(super) admission: Admission,
--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -26,7 +26,7 @@
 use chestnutrack_process::pool::{self, Reuse};
 use http_body_util::Full;
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request, Response, Uri};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -481,11 +481,7 @@
         };
         let answer = (self.app.dialect.parse_response_head)(response.status(), response.headers());
         if let Some(reason) = self.mismatch(&answer, &response, &added_values.step) {
-            // Keys in the log: `answers` is the request that the server answered.
-            let (server, answers, status) =
-                (&target.entry.name, answer.id.as_deref(), response.status().as_u16());
-            tracing::warn!(id = self.head.id.as_deref(), %server, answers, status, reason, "answer rejected");
-            self.app.metrics.rejected_answers.with_label_values(&[reason]).inc();
+            self.record_rejected(target, &answer, response.status(), reason);
             return Err(Failure::Unknown);
         }
         self.app.record_notices(target, sent_at, &answer, self.head.id.as_deref());
@@ -536,6 +532,20 @@
         }
     }
 
+    /// Logs and counts an answer that can't be the one to the call that was sent.
+    fn record_rejected(
+        &self,
+        target: &Target,
+        answer: &ResponseHead,
+        status: StatusCode,
+        reason: &str,
+    ) {
+        // Keys in the log: `answers` is the request that the server answered.
+        let (server, answers, status) = (&target.entry.name, answer.id.as_deref(), status.as_u16());
+        tracing::warn!(id = self.head.id.as_deref(), %server, answers, status, reason, "answer rejected");
+        self.app.metrics.rejected_answers.with_label_values(&[reason]).inc();
+    }
+
     /// Builds the request for a server from the method, path, query and body received and the given headers. Returns
     /// `None` if the caller's URI has no path.
     fn build_request(&self, headers: HeaderMap) -> Option<Request<Full<Bytes>>> {
