--- a/crates/forward/src/app/cold.rs
+++ b/crates/forward/src/app/cold.rs
@@ -32,8 +32,9 @@
         self.state().dispatch.set_cold_bound(bound)
     }
 
-    /// Counts a request that is about to be sent to a server on a connection that `reuse` allows, and the probe of its process if that has to be made first.
-    /// Returns `false` if the server is cold and they exceed what this host may send it.
+    /// Counts a request that is about to be sent to a server on a connection that `reuse` allows, and the probe of its
+    /// process if that may have to be made first. Returns `false` if the server is cold and they exceed what this host may
+    /// send it.
     pub(crate) fn may_send(&self, target: &Target, reuse: Reuse) -> bool {
         let requests = 1 + usize::from(target.pool.needs_probe(reuse));
         let may_send = self.state().dispatch.record_send(clock::now(), target.key, requests);
