--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -63,6 +63,16 @@
     }
 }
 
+/// Which connections a call may be sent on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reuse {
+    /// An idle connection, or a new one if there is none.
+    #[default]
+    Allowed,
+    /// Only a new connection, which carried no call but a probe.
+    Forbidden,
+}
+
 /// Checks that the process behind an address is the intended one: a call that is made on each new connection before any
 /// other. Other connections say nothing about it: they may lead to a process that has ended, and are seen to be closed
 /// one after the other, or not at all.
@@ -80,6 +90,8 @@
     last_used: Instant,
     /// Longest time that the connection may stay idle.
     idle_timeout: Duration,
+    /// Whether a call was sent on the connection before, a probe included.
+    is_used: bool,
 }
 
 impl Connection {
@@ -146,6 +158,7 @@
     epoch: u64,
     pool: Pool,
     permit: Option<OwnedSemaphorePermit>,
+    is_first: bool,
 }
 
 impl Pool {
@@ -212,11 +225,11 @@
         request: Request<Full<Bytes>>,
         call_timeout: Duration,
     ) -> Result<Response<Stream>, Error> {
-        self.call_streaming_observed(request, call_timeout, &|| {}).await
+        self.call_streaming_observed(request, Reuse::Allowed, call_timeout, &|| {}).await
     }
 
-    /// Makes one call as [`Pool::call_streaming`] does. Calls `on_send` when there is a connection and the request is
-    /// about to be sent on it.
+    /// Makes one call as [`Pool::call_streaming`] does, on a connection that `reuse` allows. Calls `on_send` when there is a
+    /// connection and the request is about to be sent on it.
     ///
     /// # Errors
     ///
@@ -224,19 +237,21 @@
     pub async fn call_streaming_observed(
         &self,
         request: Request<Full<Bytes>>,
+        reuse: Reuse,
         call_timeout: Duration,
         on_send: &(dyn Fn() + Send + Sync),
     ) -> Result<Response<Stream>, Error> {
         let deadline = Instant::now() + call_timeout;
         let permit = Some(self.acquire(deadline).await?);
         let epoch = self.epoch();
-        let outcome = timeout_at(deadline, self.send(request, deadline, on_send)).await;
+        let outcome = timeout_at(deadline, self.send(request, reuse, deadline, on_send)).await;
         let outcome = outcome.unwrap_or(Err(Error::Timeout(millis(call_timeout))));
         let (response, mut connection) = outcome.inspect_err(|_| self.discard_connections())?;
         let (head, body) = response.into_parts();
+        let is_first = !std::mem::replace(&mut connection.is_used, true);
         connection.apply_keep_alive(&head.headers);
         let (connection, pool) = (Some(connection), self.clone());
-        let stream = Stream { body, connection, epoch, pool, permit };
+        let stream = Stream { body, connection, epoch, pool, permit, is_first };
         Ok(Response::from_parts(head, stream))
     }
 
@@ -288,15 +303,20 @@
     }
 
     /// Sends a request on an idle connection, or on a new one if there is none or the idle ones
-    /// were closed before anything was sent.
+    /// were closed before anything was sent. If `reuse` forbids idle connections, a new one takes the place of one of
+    /// them, so that no more connections are open than calls allow.
     async fn send(
         &self,
         request: Request<Full<Bytes>>,
+        reuse: Reuse,
         deadline: Instant,
         on_send: &(dyn Fn() + Send + Sync),
     ) -> Result<(Response<Incoming>, Connection), Error> {
         let mut request = request;
         while let Some(connection) = self.take_idle() {
+            if reuse == Reuse::Forbidden {
+                break;
+            }
             on_send();
             match attempt(connection, request).await? {
                 Attempt::Answered(response, connection) => return Ok((response, connection)),
@@ -349,12 +369,14 @@
             task,
             last_used: Instant::now(),
             idle_timeout: settings.idle_timeout,
+            is_used: false,
         })
     }
 
-    /// Returns whether the next call begins with a probe: it needs a new connection.
-    pub fn needs_probe(&self) -> bool {
-        self.0.probe.is_some() && lock(&self.0.idle).connections.is_empty()
+    /// Returns whether the next call, on a connection that `reuse` allows, begins with a probe: it needs a new connection.
+    pub fn needs_probe(&self, reuse: Reuse) -> bool {
+        let needs_connection = || lock(&self.0.idle).connections.is_empty();
+        self.0.probe.is_some() && (reuse == Reuse::Forbidden || needs_connection())
     }
 
     /// Makes the call of a probe on a new connection.
@@ -366,6 +388,7 @@
     async fn probe(&self, probe: &Probe, connection: &mut Connection) -> Result<(), Error> {
         let failed = |error: String| Error::Connect(self.0.address, ConnectError::Other(error));
         let request = (probe.request)()?;
+        connection.is_used = true;
         let response = connection.sender.send_request(request).await;
         let (head, body) = response.map_err(|error| failed(error.to_string()))?.into_parts();
         let body = http::read_body(body, PROBE_BYTES_MAX).await;
@@ -421,6 +444,12 @@
 }
 
 impl Stream {
+    /// Returns whether the call was the first one on its connection, so that the response can't be a copy of the response to
+    /// an earlier one.
+    pub fn is_first(&self) -> bool {
+        self.is_first
+    }
+
     /// Reads the next bytes. Returns `None` at the end of the body.
     ///
     /// # Errors
