--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -146,6 +146,7 @@
     if let Some(owner) = &organisation {
         app.debit(&owner.name, tokens).map_err(|refusal| {
             let (id, organisation) = (head.id.as_deref(), &owner.name);
+            let (resumes, last) = (head.resumes.as_deref(), head.last_event);
             // The names of these variables are keys in the log.
             let chestnutrack_core::allowance::Refusal {
                 remaining: left,
@@ -154,7 +155,18 @@
                 reserved_share: kept,
                 ..
             } = refusal;
-            tracing::info!(id, %organisation, tokens, left, rate, burst, kept, "over its allowance");
+            tracing::info!(
+                id,
+                resumes,
+                last,
+                %organisation,
+                tokens,
+                left,
+                rate,
+                burst,
+                kept,
+                "over its allowance"
+            );
             Refusal::with_retry_after(Cause::OverRate, refusal.retry_after)
         })?;
     }
