--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -8,6 +8,7 @@
 use crate::fixture::fleet::Fleet;
 use crate::fixture::store::{HOSTS, control, host_at, register, start_store};
 use crate::fixture::{Host, decode, host, host_with_settings, prefill, settings, wait_until};
+use chestnutrack_core::allowance;
 use chestnutrack_core::dispatch::{Change, Entry};
 use chestnutrack_core::origin::{Keepers, Stream};
 use futures_util::future::join_all;
@@ -470,3 +471,39 @@
 
     assert_eq!((answer.status, builds(&answer)), (200, BTreeSet::from([&*build])), "{answer:?}");
 }
+
+// Guards against streams that are lost to their callers after a kill of all hosts, while new ones take all that accrues.
+#[tokio::test]
+async fn a_stream_goes_on_though_new_ones_want_the_whole_rate_after_all_hosts_were_killed() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let (first, next) = (engine("v1", Begin::Hang).await, engine("v1", Begin::Complete).await);
+    let servers = [prefill("prefill-1", &prefiller), decode_of("v1", "decode-1", &first)];
+    let mut fleet = Fleet::start(3, &servers).await;
+    fleet.until_builds_are_stored().await;
+    let (_, connection) = begin(fleet.address(0), "a1").await;
+    fleet.remove("decode-1");
+    fleet.put(&decode_of("v1", "decode-2", &next));
+    let (window, accrual_time) = (Duration::from_secs(8), Duration::from_secs(1));
+    let allowance = allowance::Settings { window, accrual_time, ..allowance::Settings::default() };
+    fleet.restart_with_limits(allowance).await;
+    fleet.until_connected().await;
+    drop(connection);
+    // A tenth of the organisation's rate per second.
+    let large = |text: String| text.replace("tokens: 100,50", "tokens: 900,100");
+
+    let flood = Instant::now();
+    let (mut admitted, mut refused) = (0, false);
+    for n in 0.. {
+        let answer = call(fleet.address(n % 3), &large(beginning(&format!("n{n}")))).await;
+        admitted += u32::from(answer.status == 200);
+        refused = answer.status == 429;
+        if refused && flood.elapsed() > Duration::from_secs(3) {
+            break;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+    let answer = call(fleet.address(1), &large(resuming("b1", "a1"))).await;
+
+    assert!(admitted > 10 && refused, "{admitted}");
+    assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+}
