Allowances: after a kill of all hosts streams are resumed before new ones begin

Cause: a host that knows no spending starts with empty buckets. Callers notice the kill some 2.6 s after the hosts are back (3.6 s after it); by then new streams have spent what accrued. All refused callers got nearly the same retry time (0.1 s at the median), with tokens for one of them.

Ruled out: engines of the build that drain.

Change: for a window after a start at which no host knows the spending, a stream that begins leaves half of the bucket to streams that are resumed; no organisation gets more than before. A resumed stream that finds no tokens gets a retry time by which those of the callers refused before it have accrued, too.

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -47,6 +47,11 @@
 
 /// Share that is reserved while the other hosts are not known: all but that of one host in a cell of average size.
 const UNKNOWN_FLEET_RESERVE: f64 = 1.0 - 1.0 / HOSTS_PER_CELL as f64;
+/// Part of what a new stream would leave in a full bucket that it has to leave to streams that are resumed, while the
+/// spending before this host's start is unknown.
+const RESUMED_SHARE: f64 = 0.5;
+/// Longest time for which tokens are promised to callers that resume their streams; few of them can wait for longer.
+const PROMISE_MAX: Duration = Duration::from_secs(4);
 /// Time after its start for which a host counts as joining the fleet, if there is no window.
 const JOINING_TIME_MIN: Duration = Duration::from_secs(1);
 
@@ -66,6 +71,17 @@
     pub overdraw: bool,
 }
 
+/// What the tokens of a request are spent for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// A stream that begins.
+    BeginStream,
+    /// A stream that was broken off.
+    ResumeStream,
+    /// A request without a stream.
+    Other,
+}
+
 /// A request refused because too few tokens remain.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Refusal {
@@ -94,6 +110,8 @@
     /// Tokens in the bucket; negative if it is overdrawn.
     level: f64,
     refilled_at: Instant,
+    /// By when the tokens have accrued of the streams that could not be resumed so far.
+    promised_until: Instant,
     /// Spending of the recent past.
     window: Window,
 }
@@ -220,7 +238,9 @@
             }
             None => {
                 let window = Window::new(self.settings.window);
-                let bucket = Bucket { rate, burst, level: 0.0, refilled_at: now, window };
+                let promised_until = Instant::default();
+                let bucket =
+                    Bucket { rate, burst, level: 0.0, refilled_at: now, promised_until, window };
                 let level = if self.starts_full {
                     bucket.capacity(reserved_share, accrual_time)
                 } else {
@@ -242,10 +262,29 @@
         now: Instant,
         organisation: &Arc<str>,
         tokens: u64,
+    ) -> Result<(), Refusal> {
+        self.debit_for(now, organisation, tokens, Purpose::Other)
+    }
+
+    /// Debits the tokens of a request with a purpose, like [`Allowances::debit`]. While the spending before this host's
+    /// start is unknown, streams that begin leave a part of the bucket to those that are resumed: most callers notice
+    /// that theirs was broken off only after new ones have come.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] like [`Allowances::debit`].
+    pub fn debit_for(
+        &mut self,
+        now: Instant,
+        organisation: &Arc<str>,
+        tokens: u64,
+        purpose: Purpose,
     ) -> Result<(), Refusal> {
         self.mark_timed_out_peers(now);
         let (reserved_share, settings) = (self.reserved_share(), self.settings);
-        let may_overdraw = self.other_cell_hosts > 0 && self.is_history_known(now);
+        let is_history_known = self.is_history_known(now);
+        let may_overdraw = self.other_cell_hosts > 0 && is_history_known;
+        let hosts = self.peers.len() as f64 + 1.0;
         let uptime = now.since(self.started);
         let Some(bucket) = self.buckets.get_mut(organisation) else { return Ok(()) };
         if self.spend_until.is_some_and(|spend_until| spend_until <= now) {
@@ -260,19 +299,29 @@
         }
         bucket.refill(now, reserved_share, settings.accrual_time);
         let cost = tokens as f64;
+        let capacity = bucket.capacity(reserved_share, settings.accrual_time);
+        let due = match purpose {
+            Purpose::BeginStream if !is_history_known => {
+                cost + (capacity - cost).max(0.0) * RESUMED_SHARE
+            }
+            _ => cost,
+        };
         let remaining = bucket.available(now, reserved_share, &settings);
         let overdraws = match may_overdraw {
             _ if settings.overdraw => remaining > 0.0,
             true => bucket.may_overdraw(now, cost, reserved_share, &settings),
             false => {
-                self.other_cell_hosts > 0 && bucket.has_accrued(now, uptime, cost, reserved_share)
+                self.other_cell_hosts > 0 && bucket.has_accrued(now, uptime, due, reserved_share)
             }
         };
-        if remaining < cost && !overdraws {
-            let min_level = if may_overdraw || settings.overdraw { cost.min(1.0) } else { cost };
-            let retry_after = bucket
+        if remaining < due && !overdraws {
+            let min_level = if may_overdraw || settings.overdraw { due.min(1.0) } else { due };
+            let mut retry_after = bucket
                 .time_until_available(now, (min_level, cost), reserved_share, &settings)
                 .max(RETRY_MIN);
+            if purpose == Purpose::ResumeStream && !is_history_known {
+                retry_after = bucket.promise(now, retry_after, cost * hosts, reserved_share);
+            }
             let (remaining, rate, burst) = (remaining.max(0.0) as u64, bucket.rate, bucket.burst);
             return Err(Refusal { remaining, rate, burst, reserved_share, retry_after });
         }
@@ -575,6 +624,22 @@
         self.window.add_evenly(now - span, now, in_window.min(most));
     }
 
+    /// Returns the time after which a refused caller is to come back so that the tokens of callers that were refused
+    /// before it have accrued by then, too. `retry_after` is the time without these, and `tokens` what it and those
+    /// that are refused by the other hosts need.
+    fn promise(
+        &mut self,
+        now: Instant,
+        retry_after: Duration,
+        tokens: f64,
+        reserved_share: f64,
+    ) -> Duration {
+        let retry_at = (now + retry_after).max(self.promised_until);
+        let next = retry_at + refill_time(tokens, self.rate * (1.0 - reserved_share));
+        self.promised_until = next.min(now + PROMISE_MAX);
+        retry_at.since(now)
+    }
+
     /// Adds refunded tokens, up to the capacity without any reserved share.
     fn refund(&mut self, tokens: f64, accrual_time: Duration) {
         self.level = (self.level + tokens).min(self.capacity(0.0, accrual_time));
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -1,6 +1,6 @@
 use super::ledger::{PROCESSES_MAX, RETENTION};
 use super::window::Window;
-use super::{Account, Allowances, Refusal, Report, Settings, Spent};
+use super::{Account, Allowances, Purpose, Refusal, Report, Settings, Spent};
 use crate::limit::Quota;
 use crate::time::Instant;
 use std::sync::Arc;
@@ -498,6 +498,87 @@
     }
 }
 
+/// Sends new streams of a tenth of the rate every 10 ms, and returns how many are admitted.
+fn flood_with_new_streams(host: &mut Allowances, from_ms: u64, to_ms: u64) -> usize {
+    let times = (from_ms..to_ms).step_by(10).map(|ms| at(0) + Duration::from_millis(ms));
+    times
+        .filter(|now| {
+            host.debit_for(*now, &organisation(), RATE / 10, Purpose::BeginStream).is_ok()
+        })
+        .count()
+}
+
+/// Resumes a stream of a tenth of the rate.
+fn resume(host: &mut Allowances, at_ms: u64) -> Result<(), Refusal> {
+    let now = at(0) + Duration::from_millis(at_ms);
+    host.debit_for(now, &organisation(), RATE / 10, Purpose::ResumeStream)
+}
+
+// Guards against streams that are lost to their callers, since new ones have spent what accrued before these came.
+#[test]
+fn streams_are_resumed_before_new_ones_begin_where_no_host_knows_the_spending() {
+    let mut host = restarted();
+
+    let new_before = flood_with_new_streams(&mut host, 0, 3_000);
+    let resumed = (0..12).filter(|_| resume(&mut host, 3_000).is_ok()).count();
+    let new_meanwhile = flood_with_new_streams(&mut host, 3_000, 3_500);
+
+    // New ones wait for half of the bucket once, and get the rate after that.
+    assert!((18..=21).contains(&new_before), "{new_before}");
+    assert!(resumed >= 9, "{resumed}");
+    assert_eq!(new_meanwhile, 0);
+}
+
+// Guards against callers that all come back at once, with tokens for one of them, until they give up.
+#[test]
+fn callers_whose_streams_find_no_tokens_come_back_one_after_the_other() {
+    let mut host = restarted();
+    flood_with_new_streams(&mut host, 0, 3_000);
+
+    let refused: Vec<_> = (0..20).filter_map(|_| resume(&mut host, 3_000).err()).collect();
+    let mut retry_ms: Vec<u64> =
+        refused.iter().map(|refusal| 3_000 + refusal.retry_after.as_millis() as u64 + 1).collect();
+    retry_ms.sort_unstable();
+    let resumed = retry_ms.iter().filter(|ms| resume(&mut host, **ms).is_ok()).count();
+
+    assert!((8..=11).contains(&refused.len()), "{}", refused.len());
+    assert_eq!(resumed, refused.len(), "{retry_ms:?}");
+    assert!(retry_ms.iter().all(|ms| *ms <= 3_000 + 1_200), "{retry_ms:?}");
+}
+
+#[test]
+fn new_streams_leave_nothing_once_the_spending_of_a_window_is_known() {
+    let mut host = restarted();
+    flood_with_new_streams(&mut host, 0, 8_000);
+
+    let admitted = flood_with_new_streams(&mut host, 8_000, 9_000);
+
+    assert!(admitted >= 18, "{admitted}");
+    assert!(host.debit(at(9), &organisation(), RATE / 5).is_err());
+}
+
+#[test]
+fn new_streams_leave_nothing_where_the_spending_is_known() {
+    let mut host = Allowances::new(at(0), true, WINDOWED);
+    host.configure(at(0), &quotas(RATE));
+
+    let all = host.debit_for(at(0), &organisation(), 2 * RATE, Purpose::BeginStream);
+
+    assert_eq!(all, Ok(()));
+}
+
+// Guards against a new stream that waits for what a bucket can't hold.
+#[test]
+fn a_new_stream_as_large_as_the_bucket_begins_when_that_is_full() {
+    let mut host = restarted();
+
+    let second = (0..8).find(|second| {
+        host.debit_for(at(*second), &organisation(), 2 * RATE, Purpose::BeginStream).is_ok()
+    });
+
+    assert_eq!(second, Some(2));
+}
+
 #[test]
 fn a_host_that_joins_a_running_fleet_applies_its_accounts() {
     let mut running_host = Allowances::new(at(0), true, WINDOWED);
--- a/crates/forward/src/app/limit.rs
+++ b/crates/forward/src/app/limit.rs
@@ -6,7 +6,7 @@
 //! requests.
 
 use super::App;
-use chestnutrack_core::allowance::{Account, Refusal};
+use chestnutrack_core::allowance::{Account, Purpose, Refusal};
 use chestnutrack_core::retry::{self, Budget};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
@@ -30,6 +30,15 @@
 const REFUSAL_REPORT_PERIOD: Duration = Duration::from_secs(2);
 
 impl App {
+    /// Debits tokens from an organisation's allowance, for a request without a stream; see [`App::debit_for`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the allowance does not cover the tokens.
+    pub fn debit(&self, organisation: &Arc<str>, tokens: u64) -> Result<(), Refusal> {
+        self.debit_for(organisation, tokens, Purpose::Other)
+    }
+
     /// Debits tokens from an organisation's allowance. If less than half of it remains, the
     /// spending is reported to peers soon rather than with the next heartbeat, unless that was done
     /// shortly before.
@@ -37,10 +46,15 @@
     /// # Errors
     ///
     /// Returns the refusal if the allowance does not cover the tokens.
-    pub fn debit(&self, organisation: &Arc<str>, tokens: u64) -> Result<(), Refusal> {
+    pub fn debit_for(
+        &self,
+        organisation: &Arc<str>,
+        tokens: u64,
+        purpose: Purpose,
+    ) -> Result<(), Refusal> {
         let now = clock::now();
         let mut state = self.state();
-        let result = state.allowances.debit(now, organisation, tokens);
+        let result = state.allowances.debit_for(now, organisation, tokens, purpose);
         let hosts = u32::try_from(state.allowances.host_count()).unwrap_or(u32::MAX);
         let is_due = now.since(state.spending_reported_at)
             >= SPENDING_REPORT_INTERVAL_PER_HOST.saturating_mul(hosts);
--- a/crates/forward/src/request/mod.rs
+++ b/crates/forward/src/request/mod.rs
@@ -7,9 +7,10 @@
 use crate::answer::{Body, Cause, Refusal};
 use crate::app::{App, Counted, Identity};
 use crate::attempt::{self, Job};
-use crate::config::{Limits, Organisation, Route, Table};
+use crate::config::{Kind, Limits, Organisation, Route, Table};
 use crate::dialect::{Generation, RequestHead};
 use bytes::Bytes;
+use chestnutrack_core::allowance::{self, Purpose};
 use chestnutrack_core::dispatch::Residency;
 use chestnutrack_core::intake::Phase;
 use chestnutrack_core::time::Instant;
@@ -144,17 +145,17 @@
         fingerprint.and_then(|fingerprint| app.first_seen(fingerprint)).unwrap_or(arrived_at);
     let tokens = token_cost(&head, organisation.as_ref());
     if let Some(owner) = &organisation {
-        app.debit(&owner.name, tokens).map_err(|refusal| {
+        let (resumes, last) = (head.resumes.as_deref(), head.last_event);
+        let purpose = match route.kind {
+            Kind::Stream { .. } if resumes.is_some() || last.is_some() => Purpose::ResumeStream,
+            Kind::Stream { .. } => Purpose::BeginStream,
+            Kind::Once | Kind::Idempotent => Purpose::Other,
+        };
+        app.debit_for(&owner.name, tokens, purpose).map_err(|refusal| {
             let (id, organisation) = (head.id.as_deref(), &owner.name);
-            let (resumes, last) = (head.resumes.as_deref(), head.last_event);
             // The names of these variables are keys in the log.
-            let chestnutrack_core::allowance::Refusal {
-                remaining: left,
-                rate,
-                burst,
-                reserved_share: kept,
-                ..
-            } = refusal;
+            let allowance::Refusal { remaining: left, rate, burst, reserved_share: kept, .. } =
+                refusal;
             tracing::info!(
                 id,
                 resumes,
