--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -278,6 +278,11 @@
         let mut announced = Vec::new();
         for (name, service) in &mut self.services {
             let is_only = service.recent(now).count() == 1;
+            let Service { listed_at, stream_life, unannounced, .. } = service;
+            // A process that was never listed may have ended.
+            unannounced.retain(|build, _| {
+                listed_at.get(build).is_some_and(|at| now.since(*at) < *stream_life)
+            });
             service.unannounced.retain(|build, announcement| {
                 let is_announced = is_only || announcement.is_known(now, hosts, is_listed(build));
                 if is_announced {
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -1,4 +1,4 @@
-use super::{Builds, Keepers, Known, Origins, Possible, Stream};
+use super::{Builds, FIRST_STREAM_DELAY, Hosts, Keepers, Known, Origins, Possible, Stream};
 use crate::time::Instant;
 use chestnutrack_wire::frame::{BuildReport, OriginReport};
 use quickcheck::quickcheck;
@@ -269,3 +269,56 @@
     assert_eq!(builds.possible(NOW, "llm"), Possible::One("v1".into()));
     assert!(!builds.relies_on_store(NOW, "llm"));
 }
+
+/// Returns what a host of a fleet knows that listed the first build and, a minute later, the second one too.
+fn builds_with_a_new_one() -> Builds {
+    let mut builds = builds_of_later_host(&["v1"]);
+    builds.follow();
+    list(&mut builds, NOW + seconds(60), &["v1", "v2"]);
+    builds
+}
+
+fn announced(builds: &mut Builds, now: Instant, peers: &[&str]) -> usize {
+    let peers = peers.iter().map(|peer| (*peer).into()).collect();
+    builds.announce(now, Hosts { peers: &peers, is_whole_fleet: true }, |_| true).len()
+}
+
+// Guards against a new build that gets no streams since a host that is out of step does not list it.
+#[test]
+fn streams_begin_at_a_new_build_when_all_hosts_list_it_or_enough_have_for_long() {
+    let (joined, peers) = (NOW + seconds(60), ["b", "c"]);
+    let mut builds = builds_with_a_new_one();
+
+    assert_eq!(announced(&mut builds, joined + FIRST_STREAM_DELAY, &peers), 0);
+    builds.record_listing_host(&"b".into(), &[report("v2", 0)]);
+    let mut with_all = builds.clone();
+    with_all.record_listing_host(&"c".into(), &[report("v2", 0)]);
+
+    assert_eq!(announced(&mut with_all, joined + FIRST_STREAM_DELAY, &peers), 1);
+    let quorum_at = joined + seconds(10);
+    assert_eq!(announced(&mut builds, quorum_at, &peers), 0);
+    assert_eq!(announced(&mut builds, quorum_at + FIRST_STREAM_DELAY, &peers), 1);
+    assert!(!builds.has_unannounced());
+}
+
+// Guards against builds of processes that were never listed, which are kept for ever.
+#[test]
+fn a_build_that_left_before_streams_could_begin_at_it_is_forgotten() {
+    let mut builds = builds_with_a_new_one();
+
+    announced(&mut builds, NOW + seconds(60) + LIFE, &["b", "c"]);
+
+    assert!(!builds.has_unannounced());
+}
+
+// Guards against a build that was taken back and comes again, which hosts that have forgotten it do not expect.
+#[test]
+fn a_build_that_comes_back_is_announced_again() {
+    let mut builds = builds_with_a_new_one();
+    announced(&mut builds, NOW + seconds(60), &[]);
+    list(&mut builds, NOW + seconds(90), &["v1"]);
+
+    list(&mut builds, NOW + seconds(91), &["v1", "v2"]);
+
+    assert!(builds.has_unannounced());
+}
