Soak: hosts cut off from each other, and releases while a host is out of step

Hosts reach each other over relays, one for each pair and direction; a release brings engines of a build that has not served before to one of four services of one build each, while a host stands still, is cut off from the other hosts, the store or both. The new engines or another host then crash, and callers take streams up at once, preferably at that host. Releases have a sequence of their own.

--- a/crates/harness/src/link.rs
+++ b/crates/harness/src/link.rs
@@ -30,6 +30,8 @@
     reset_before: u64,
     /// Whether data towards the target is held back.
     one_way: bool,
+    /// Whether data is held back in both directions.
+    is_held: bool,
     /// Delay added before each write, in both directions.
     delay: Duration,
     /// Whether the relay has stopped listening for good.
@@ -107,17 +109,23 @@
         self.state.send_modify(|state| state.one_way = true);
     }
 
+    /// Holds back data in both directions, of new connections too, until the link is restored.
+    pub fn hold(&self) {
+        self.state.send_modify(|state| state.is_held = true);
+    }
+
     /// Delays each write by `delay` in both directions until the link is restored.
     pub fn slow(&self, delay: Duration) {
         self.state.send_modify(|state| state.delay = delay);
     }
 
-    /// Accepts new connections again and removes the delay and the block of one direction.
+    /// Accepts new connections again and removes the delay and the block of one or both directions.
     ///
     /// Connections that were closed, reset or stalled do not recover.
     pub fn restore(&self) {
         self.state.send_modify(|state| {
-            (state.refuses_new, state.one_way, state.delay) = (false, false, Duration::ZERO);
+            (state.refuses_new, state.one_way, state.is_held) = (false, false, false);
+            state.delay = Duration::ZERO;
         });
     }
 
@@ -200,6 +208,7 @@
             return;
         }
         if connection.generation < state.stalled_before
+            || state.is_held
             || state.one_way && direction == Direction::ToTarget
         {
             if connection.states.changed().await.is_err() {
--- a/crates/soak/src/backend/mod.rs
+++ b/crates/soak/src/backend/mod.rs
@@ -32,6 +32,10 @@
 const EVENT_COUNT: (u64, u64) = (4, 16);
 /// The same of a long stream.
 const LONG_EVENT_COUNT: (u64, u64) = (160, 80);
+/// The same of a stream of a service that releases take place in.
+const RELEASE_EVENT_COUNT: (u64, u64) = (20, 30);
+/// Prefix of the identifiers of requests for such streams.
+pub const RELEASE_PREFIX: &str = "release-";
 /// Prefix of the identifiers of requests for long streams.
 pub const LONG_PREFIX: &str = "long-";
 /// Prefix of the parts of prompts that crash engines.
@@ -49,6 +53,9 @@
 /// Versions of the engines' software. What two of them write does not fit together.
 pub const BUILDS: [&str; 3] = ["v1", "v1.1", "v1.2"];
 
+/// Builds of the services that releases take place in, in the order of their releases.
+pub const RELEASES: [&str; 8] = ["r0", "r1", "r2", "r3", "r4", "r5", "r6", "r7"];
+
 /// The process of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Process {
@@ -529,7 +536,11 @@
 
 /// Returns the number of events in the stream of a request.
 pub fn events(id: &str) -> u64 {
-    let (least, lengths) = if is_long(id) { LONG_EVENT_COUNT } else { EVENT_COUNT };
+    let (least, lengths) = match id {
+        id if is_long(id) => LONG_EVENT_COUNT,
+        id if id.starts_with(RELEASE_PREFIX) => RELEASE_EVENT_COUNT,
+        _ => EVENT_COUNT,
+    };
     least + hash(id) % lengths
 }
 
--- a/crates/soak/src/caller/mod.rs
+++ b/crates/soak/src/caller/mod.rs
@@ -1,6 +1,6 @@
 //! Callers that keep connections open, check their answers and record them.
 
-use crate::backend::{self, BUILDS};
+use crate::backend::{self, BUILDS, RELEASE_PREFIX, RELEASES};
 use crate::ledger::crash::Sharing;
 use crate::ledger::{Kind, Ledger, Outcome, Sent};
 use bytes::Bytes;
@@ -16,10 +16,14 @@
 pub const ROUTE_HOST: &str = "shop.example";
 /// Time within which a caller needs an answer, and one that is a long stream.
 const ANSWER_TIMEOUTS: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(8));
+/// The same for a stream of a service that releases take place in: the timeout of its route.
+const RELEASE_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Part of that time that is kept from the deadline which the host is told.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 /// Tolerated delay of an answer past that time, for a busy machine.
 const ANSWER_SLACK: Duration = Duration::from_secs(2);
+/// Time for a host to answer late after it has stood still at its caller's deadline.
+const STILL: Duration = Duration::from_millis(500);
 /// Largest accepted body of an answer without success, in bytes.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
 /// Time for which an unused connection is kept. Longer than a run: callers close connections only with a process.
@@ -53,6 +57,8 @@
     pub id: Arc<str>,
     /// Kind of the request.
     pub kind: Kind,
+    /// First segment of its path, which stands for its route.
+    pub route: Arc<str>,
     /// Last segment of its path: what it asks for.
     pub resource: Arc<str>,
     /// Name of the entry host that it is sent to.
@@ -93,6 +99,7 @@
         Call {
             id,
             kind,
+            route: kind.path_segment().into(),
             resource,
             host,
             shared_parts,
@@ -114,9 +121,10 @@
 
     /// Returns the time within which the caller needs the answer.
     fn answer_timeout(&self) -> Duration {
-        match self.kind.is_stream() && backend::is_long(self.stream()) {
-            true => ANSWER_TIMEOUTS.1,
-            false => ANSWER_TIMEOUTS.0,
+        match self.kind.is_stream() {
+            true if backend::is_long(self.stream()) => ANSWER_TIMEOUTS.1,
+            true if self.stream().starts_with(RELEASE_PREFIX) => RELEASE_ANSWER_TIMEOUT,
+            _ => ANSWER_TIMEOUTS.0,
         }
     }
 
@@ -158,7 +166,17 @@
     ledger.record_request(id, sent);
     let limit = disconnect_after.unwrap_or(call.answer_timeout() + ANSWER_SLACK);
     let mut progress = call.progress();
-    let outcome = match timeout(limit, answer(ledger, pool, caller, call, &mut progress)).await {
+    let answered = async {
+        let answer = answer(ledger, pool, caller, call, &mut progress);
+        tokio::pin!(answer);
+        let mut answered = timeout(limit, &mut answer).await;
+        // A host that stood still twice has had no time to answer.
+        while answered.is_err() && disconnect_after.is_none() && ledger.is_disturbed(host, STILL) {
+            answered = timeout(STILL, &mut answer).await;
+        }
+        answered
+    };
+    let outcome = match answered.await {
         Ok(outcome) => outcome,
         Err(_) => {
             if disconnect_after.is_none() {
@@ -181,9 +199,9 @@
     call: &Call,
     progress: &mut Progress,
 ) -> Outcome {
-    let Call { id, kind, resource, .. } = call;
+    let Call { id, kind, route, resource, .. } = call;
     let method = if *kind == Kind::Lookup { "GET" } else { "POST" };
-    let target = format!("/{}/{resource}", kind.path_segment());
+    let target = format!("/{route}/{resource}");
     let Ok(mut request) = request(method, &target, Bytes::new()) else { return Outcome::Unsent };
     let deadline_ms = call.deadline().as_millis().to_string();
     let bearer = format!("Bearer {}", caller.key);
@@ -242,8 +260,7 @@
     let before = *progress;
     // Any build may begin a stream, and only the one that began it may go on.
     let mut expected: Vec<(Option<&str>, String)> = match kind.is_stream() {
-        true => BUILDS
-            .into_iter()
+        true => builds()
             .filter(|build| before.build.is_none_or(|began| began == *build))
             .map(|build| (Some(build), events(call.stream(), before.events, build)))
             .collect(),
@@ -276,7 +293,7 @@
         if kind.is_stream() && ended > 0 {
             *progress = Progress {
                 events: before.events + ended,
-                build: BUILDS.into_iter().find(|known| Some(*known) == *build),
+                build: builds().find(|known| Some(*known) == *build),
             };
         }
         if let Some(outcome) = outcome {
@@ -285,6 +302,11 @@
     }
 }
 
+/// Returns all builds of engines.
+fn builds() -> impl Iterator<Item = &'static str> {
+    BUILDS.into_iter().chain(RELEASES)
+}
+
 /// Returns the events of a stream after the first `last` ones, as a build writes them.
 fn events(stream: &str, last: u64, build: &str) -> String {
     (last + 1..=backend::events(stream))
--- a/crates/soak/src/fault/mod.rs
+++ b/crates/soak/src/fault/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod crash;
 pub mod limit;
+pub mod release;
 pub mod restart;
 
 use crate::backend::Behaviour;
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! Starts the processes of a run and the relays between them, and writes the configuration.
 
-use crate::backend::{BUILDS, Backend, Crash, Process as ServerProcess};
+mod peers;
+
+use crate::backend::{BUILDS, RELEASES, Backend, Crash, Process as ServerProcess};
 use crate::caller::{Caller, ROUTE_HOST};
 use crate::ledger::{Allowance, Ledger};
 use chestnutrack_core::dispatch::{Entry, Stage};
@@ -15,19 +17,30 @@
 use chestnutrack_store::client::{self, Client};
 use chestnutrack_store::object::Object;
 use displaydoc::Display;
+use peers::PeerLinks;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use tempfile::TempDir;
-use tokio::sync::{Mutex, mpsc};
+use tokio::sync::{Mutex, mpsc, watch};
 use tokio::time::{Instant, sleep};
 
 /// Host numbers of the store, of the first backend server and of the first entry host.
 const FIRST_HOST_NUMBERS: (u8, u8, u8) = (1, 10, 100);
 /// Ports of the relays in front of the store and in front of a server.
 const LINK_PORTS: (u16, u16) = (20_010, 20_011);
+/// Port of the relay that has hosts connect to each other by relays.
+const STORE_PORT: u16 = 20_012;
+/// Ports of an engine of the services that releases take place in, and of the relay in front of it.
+const RELEASE_PORTS: (u16, u16) = (20_013, 20_014);
+/// Number of these services, so that each is of one build again when its next release begins.
+pub const RELEASE_SERVICES: usize = 4;
+/// Timeout of their routes. It is short because twice that time, and five seconds, is how long a build counts as one that
+/// may have begun streams.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout of a call to a process.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest accepted answer of a process, in bytes.
@@ -128,6 +141,13 @@
     pub hosts: Vec<Host>,
     /// Backend servers.
     pub servers: Mutex<Vec<Server>>,
+    /// Engines of the services that releases take place in. They have no other faults.
+    pub released: Mutex<Vec<Server>>,
+    next_released: AtomicU8,
+    /// Relays between the entry hosts.
+    pub peers: PeerLinks,
+    /// Service that a release takes place in, and the entry host that is out of step meanwhile, or was just before.
+    pub release: watch::Sender<Option<(usize, usize)>>,
     /// Record of runs and answers.
     pub ledger: Arc<Ledger>,
     /// Configuration as it was last written.
@@ -168,6 +188,10 @@
         let mut fleet = Fleet {
             hosts: Vec::new(),
             servers: Mutex::default(),
+            released: Mutex::default(),
+            next_released: AtomicU8::new(0),
+            peers: PeerLinks::start(block, hosts).await?,
+            release: watch::Sender::default(),
             ledger: Arc::default(),
             config: Mutex::new(config()),
             crashes: Mutex::new(crashes),
@@ -184,6 +208,9 @@
         for (number, stage) in INITIAL_STAGES.iter().enumerate() {
             fleet.add_server(number as u8, *stage).await?;
         }
+        for (number, stage) in RELEASE_STAGES.repeat(RELEASE_SERVICES).into_iter().enumerate() {
+            fleet.add_released(stage, number / RELEASE_STAGES.len(), RELEASES[0]).await?;
+        }
         fleet.write_config(|_| {}).await?;
         for number in 0..hosts {
             let host = fleet.start_host(number, &programs).await?;
@@ -198,7 +225,8 @@
     /// Starts an entry host and the relay between it and the store.
     async fn start_host(&self, number: u8, programs: &Path) -> Result<Host, Error> {
         let address = |port| self.block.address(FIRST_HOST_NUMBERS.2 + number, port);
-        let store_link = Link::start(address(LINK_PORTS.0), self.platform).await?;
+        let store = peers::relay_store(address(STORE_PORT), self.platform).await?;
+        let store_link = Link::start(address(LINK_PORTS.0), store).await?;
         let name = format!("entry-{number}");
         let (caller_address, admin_address) = (address(CALLER_PORT), address(ADMIN_PORT));
         let options = [
@@ -256,20 +284,56 @@
 
     /// Starts a backend server and lists it in the store.
     async fn start_server(&self, number: u8, stage: Option<Stage>) -> Result<Server, Error> {
-        let address = |port| self.block.address(FIRST_HOST_NUMBERS.1 + number, port);
         let name: Arc<str> = format!("server-{number}").into();
-        let (ledger, crashes) = (self.ledger.clone(), self.crash_sender.clone());
+        let service = if stage.is_some() { "llm" } else { "app" };
         // Two servers that start one after the other are of the same build.
         let build = BUILDS[usize::from(number) / 2 % BUILDS.len()];
         let process = ServerProcess { build, born: number.into() };
-        let listen = address(BACKEND_PORT);
+        self.list_server((name, number), service, stage, process, (BACKEND_PORT, LINK_PORTS.1))
+            .await
+    }
+
+    /// Starts an engine of a service that releases take place in, and lists it in the store. Returns its name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the engine fails to start or its entry cannot be written.
+    pub async fn add_released(
+        &self,
+        stage: Stage,
+        service: usize,
+        build: &'static str,
+    ) -> Result<Arc<str>, Error> {
+        let number = self.next_released.fetch_add(1, Ordering::Relaxed);
+        let service = release_service(service);
+        let name: Arc<str> = format!("{service}-{number}").into();
+        let process = ServerProcess { build, born: number.into() };
+        let place = (name.clone(), number);
+        let server =
+            self.list_server(place, &service, Some(stage), process, RELEASE_PORTS).await?;
+        self.released.lock().await.push(server);
+        Ok(name)
+    }
+
+    /// Starts a server with a name, a number and ports of its own and of its relay, and lists it in the store.
+    async fn list_server(
+        &self,
+        (name, number): (Arc<str>, u8),
+        service: &str,
+        stage: Option<Stage>,
+        process: ServerProcess,
+        ports: (u16, u16),
+    ) -> Result<Server, Error> {
+        let address = |port| self.block.address(FIRST_HOST_NUMBERS.1 + number, port);
+        let (ledger, crashes) = (self.ledger.clone(), self.crash_sender.clone());
+        let listen = address(ports.0);
         let backend = Backend::start(&name, stage, process, listen, ledger, crashes).await?;
-        let link = Link::start(address(LINK_PORTS.1), backend.address).await?;
+        let link = Link::start(address(ports.1), backend.address).await?;
         let entry = Entry {
             name: name.clone(),
-            born: Some(u64::from(number)),
-            build: build.into(),
-            service: if stage.is_some() { "llm" } else { "app" }.into(),
+            born: Some(process.born),
+            build: process.build.into(),
+            service: service.into(),
             address: link.address,
             failure_domain: format!("domain-{}", number % 2).into(),
             slots: 64,
@@ -342,11 +406,12 @@
         StoreFaultGuard(self.store_faults.clone())
     }
 
-    /// Returns the number of engines of a build that generate, and neither leave nor have crashed.
-    pub async fn engines_of(&self, build: Option<&str>) -> usize {
-        let servers = self.servers.lock().await;
-        let serving = servers.iter().filter(|server| {
+    /// Returns the number of engines of a service and a build that generate, and neither leave nor have crashed.
+    pub async fn engines_of(&self, service: &str, build: Option<&str>) -> usize {
+        let (servers, released) = (self.servers.lock().await, self.released.lock().await);
+        let serving = servers.iter().chain(&*released).filter(|server| {
             server.entry.stage == Some(Stage::Decode)
+                && *server.entry.service == *service
                 && Some(&*server.entry.build) == build
                 && !server.entry.leaving
                 && !server.is_crashed
@@ -491,6 +556,14 @@
     None,
 ];
 
+/// Stages of the engines of a service that releases take place in.
+pub const RELEASE_STAGES: [Stage; 3] = [Stage::Decode, Stage::Decode, Stage::Prefill];
+
+/// Returns the name of a service that releases take place in, and of its route.
+pub fn release_service(number: usize) -> Arc<str> {
+    format!("release-{number}").into()
+}
+
 /// Returns a caller of the organisation without a limit, and one of the organisation that exceeds its
 /// allowance.
 pub fn callers() -> (Caller, Caller) {
@@ -525,7 +598,12 @@
         plain_tokens: PLAIN_TOKENS,
         regions: None,
     };
-    Config {
+    let released: Vec<_> = (0..RELEASE_SERVICES).map(release_service).collect();
+    let released_routes = released.iter().map(|name| Route {
+        timeout: RELEASE_TIMEOUT,
+        ..route(name, Kind::Stream { resumable: true }, name, 3)
+    });
+    let mut config = Config {
         version: 0,
         routes: vec![
             route("pay", Kind::Once, "app", 3),
@@ -540,7 +618,11 @@
             organisation(uninvolved_caller(), (0, 0)),
         ],
         limits: Limits::default(),
-    }
+    };
+    config.routes.extend(released_routes);
+    let services = released.iter().map(|name| service(name, Some(engine_settings())));
+    config.services.extend(services);
+    config
 }
 
 /// Returns a route to a service for the path prefix `/path/`.
--- a/crates/soak/src/ledger/mod.rs
+++ b/crates/soak/src/ledger/mod.rs
@@ -189,6 +189,12 @@
         Guard::new(&self.disturbances, name, scope)
     }
 
+    /// Returns whether a fault affected the process or connections of a host or server within the last `time`.
+    pub fn is_disturbed(&self, name: &str, time: Duration) -> bool {
+        let disturbances = self.disturbances.lock().unwrap_or_else(PoisonError::into_inner);
+        disturbances.any_of_connections(name, (Instant::now() - time, Instant::now()))
+    }
+
     /// Records the outcome of a request for its caller.
     pub fn record_outcome(&self, id: &Arc<str>, outcome: Outcome) {
         if let Some(request) = self.requests().get_mut(id) {
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -1,9 +1,9 @@
 //! One soak run: starts callers, injects faults, and reports the findings.
 
-use crate::backend::{CRASHING_PREFIX, DEADLY_PREFIX, LONG_PREFIX};
+use crate::backend::{CRASHING_PREFIX, DEADLY_PREFIX, LONG_PREFIX, RELEASE_PREFIX};
 use crate::caller::{self, Call, Caller, Progress, Resumed};
 use crate::fault::{self, Fault};
-use crate::fleet::{self, Error, Fleet};
+use crate::fleet::{self, Error, Fleet, RELEASE_SERVICES};
 use crate::ledger::crash::Sharing;
 use crate::ledger::resume::{ENGINES_MIN, Try};
 use crate::ledger::{Kind, Outcome};
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// Number of callers of each role.
-const CALLERS: [(Role, usize); 8] = [
+const CALLERS: [(Role, usize); 9] = [
     (Role::Any, 12),
     (Role::Flood, 3),
     (Role::LongStreams, 4),
@@ -28,6 +28,8 @@
     (Role::Sound(Sharing::FirstPart), 4),
     (Role::Crashing, 3),
     (Role::Deadly, 1),
+    // Last, so that the others keep their sequences.
+    (Role::Release, 32),
 ];
 /// Pause of a caller between two requests, in milliseconds.
 const REQUEST_INTERVAL_MS: std::ops::Range<u64> = 5..40;
@@ -50,9 +52,16 @@
 const LIMIT_SEED_OFFSET: u64 = 4 << 32;
 /// Added to the seed of a run for the engines that start again.
 const RESTART_SEED_OFFSET: u64 = 5 << 32;
+/// Added to the seed of a run for its releases.
+const RELEASE_SEED_OFFSET: u64 = 6 << 32;
 /// Tries of a caller to resume a stream that has broken off, and the time before each, in milliseconds.
 const RESUMES_MAX: u32 = 2;
 const RESUME_DELAY_MS: std::ops::Range<u64> = 5..300;
+/// Share of streams of the services that releases take place in which go to the one with a release.
+const RELEASE_SHARE: f64 = 0.8;
+/// The time before each try to resume one of these, in milliseconds, and the share of tries at a host that is out of step.
+const RELEASE_RESUME_DELAY_MS: std::ops::Range<u64> = 0..20;
+const OUT_OF_STEP_SHARE: f64 = 0.6;
 /// Time without a fault after which the store counts as stable.
 const STORE_CALM: Duration = Duration::from_secs(3);
 /// Time between the starts of two faults, in milliseconds.
@@ -107,6 +116,8 @@
     Crashing,
     /// One request that crashes servers of the plain service, again and again at the same times.
     Deadly,
+    /// Streams of the services that releases take place in.
+    Release,
 }
 
 /// State shared by the callers.
@@ -141,15 +152,18 @@
     let rng = ChaCha8Rng::seed_from_u64(settings.seed.wrapping_add(CRASH_SEED_OFFSET));
     let limit_rng = ChaCha8Rng::seed_from_u64(settings.seed.wrapping_add(LIMIT_SEED_OFFSET));
     let restart_rng = ChaCha8Rng::seed_from_u64(settings.seed.wrapping_add(RESTART_SEED_OFFSET));
-    let (faults, drills, sound_faults, crashes, limit, restarts) = tokio::join!(
+    let release_rng = ChaCha8Rng::seed_from_u64(settings.seed.wrapping_add(RELEASE_SEED_OFFSET));
+    let (faults, drills, sound_faults, crashes, limit, restarts, releases) = tokio::join!(
         inject_faults(&fleet, settings),
         inject_drills(&fleet, settings),
         inject_sound_faults(&fleet, settings),
         fault::crash::inject(&fleet, rng, &shared.crashing_part, &shared.crashing),
         fault::limit::inject(&fleet, limit_rng),
         fault::restart::inject(&fleet, restart_rng, settings.length),
+        fault::release::inject(&fleet, release_rng, settings.length),
     );
-    let faults = [faults?, drills?, sound_faults?, vec![crashes?, limit], restarts?].concat();
+    let of_engines = [sound_faults?, vec![crashes?, limit], restarts?, releases?].concat();
+    let faults = [faults?, drills?, of_engines].concat();
     for host in 0..fleet.hosts.len() {
         fleet.wait_ready(host).await?;
     }
@@ -248,7 +262,9 @@
 }
 
 /// Waits until all faults have ended.
-async fn wait_until_ended(mut running: JoinSet<Result<(), Error>>) -> Result<(), Error> {
+pub(crate) async fn wait_until_ended(
+    mut running: JoinSet<Result<(), Error>>,
+) -> Result<(), Error> {
     let all_ended = async {
         while let Some(result) = running.join_next().await {
             if let Ok(Err(error)) = result {
@@ -294,9 +310,13 @@
                     Kind::Recap
                 }
             }
-            Role::Sound(_) => Kind::Recap,
+            Role::Sound(_) | Role::Release => Kind::Recap,
+        };
+        let prefix = match self {
+            Role::LongStreams => LONG_PREFIX,
+            Role::Release => RELEASE_PREFIX,
+            _ => "",
         };
-        let prefix = if self == Role::LongStreams { LONG_PREFIX } else { "" };
         let id = format!("{prefix}r{}", shared.next_id.fetch_add(1, Ordering::Relaxed)).into();
         let mut call = Call::new(&shared.fleet.hosts[host].name, id, kind);
         match self {
@@ -310,6 +330,12 @@
             Role::Crashing => {
                 call.shared_parts = vec![FIRST_PART.into(), shared.crashing_part.clone()];
             }
+            Role::Release => {
+                let other = rng.random_range(0..RELEASE_SERVICES);
+                let current = *shared.fleet.release.borrow();
+                let current = current.filter(|_| rng.random_bool(RELEASE_SHARE));
+                call.route = fleet::release_service(current.map_or(other, |(service, _)| service));
+            }
         }
         if self == Role::Sound(Sharing::FirstPart) {
             call.shared_parts = vec![FIRST_PART.into()];
@@ -359,16 +385,24 @@
 ) {
     let (fleet, ledger) = (&shared.fleet, &shared.fleet.ledger);
     for _ in 0..RESUMES_MAX {
-        sleep(Duration::from_millis(rng.random_range(RESUME_DELAY_MS))).await;
-        let host = rng.random_range(0..pools.len());
+        let is_released = *begun.route != *Kind::Recap.path_segment();
+        let delay_ms = if is_released { RELEASE_RESUME_DELAY_MS } else { RESUME_DELAY_MS };
+        sleep(Duration::from_millis(rng.random_range(delay_ms))).await;
+        let release = *fleet.release.borrow();
+        let host = match release {
+            Some((_, host)) if is_released && rng.random_bool(OUT_OF_STEP_SHARE) => host,
+            _ => rng.random_range(0..pools.len()),
+        };
         let id = format!("r{}", shared.next_id.fetch_add(1, Ordering::Relaxed)).into();
         let mut call = Call::new(&fleet.hosts[host].name, id, Kind::Recap);
         call.shared_parts = begun.shared_parts.clone();
+        call.route = begun.route.clone();
         call.resumed = Some(Resumed { stream: begun.id.clone(), progress });
-        let engines_before = fleet.engines_of(progress.build).await;
+        let service = if is_released { &*begun.route } else { "llm" };
+        let engines_before = fleet.engines_of(service, progress.build).await;
         let sent_at = std::time::Instant::now();
         let (outcome, after) = caller::call_stream(ledger, &pools[host], caller, &call).await;
-        let engines = engines_before.min(fleet.engines_of(progress.build).await);
+        let engines = engines_before.min(fleet.engines_of(service, progress.build).await);
         let is_judged = engines >= ENGINES_MIN;
         record_try(shared, &call, sent_at, (outcome, after), is_judged);
         progress = after;
