--- a/crates/soak/src/fault/release.rs
+++ b/crates/soak/src/fault/release.rs
@@ -19,6 +19,8 @@
 const INTERVAL_MS: std::ops::Range<u64> = 2_000..3_500;
 /// Time for which callers go on to prefer a host after it was out of step.
 const AFTERMATH: Duration = Duration::from_millis(300);
+/// Time until the connections of a host carry data again after it stood still.
+const RECONNECT_TIME: Duration = Duration::from_millis(150);
 /// Silence after which both ends of a connection count it as broken.
 const SILENCE_MAX: Duration = Duration::from_millis(1_500);
 
@@ -29,6 +31,8 @@
     None,
     /// It stands still.
     Stop,
+    /// It stands still, and its connections to hosts and the store carry nothing until a little later.
+    Suspend,
     /// The connections that it opens to other hosts, or those that others open to it, or both are closed or silent.
     Cut { is_silent: bool, are_opened: bool, are_accepted: bool },
     /// The same of all its connections to hosts and the store, which are silent.
@@ -71,7 +75,8 @@
         let disruption = disruptions[rng.random_range(0..disruptions.len())];
         let absence = match rng.random_range(0..10) {
             0 => Absence::None,
-            1..=3 => Absence::Stop,
+            1 => Absence::Stop,
+            2 | 3 => Absence::Suspend,
             4 | 5 => Absence::Cut { is_silent, are_opened, are_accepted },
             6..=8 => Absence::CutOff,
             _ => Absence::Store(disruption),
@@ -80,7 +85,7 @@
         let lead_ms = rng.random_range(0..300);
         // Callers come while the host is cut off, or just as it goes on.
         let late = |rng: &mut ChaCha8Rng| match absence {
-            Absence::Stop => rng.random_range(absent_ms - 100..absent_ms + 60),
+            Absence::Stop | Absence::Suspend => rng.random_range(absent_ms - 100..absent_ms + 60),
             _ => rng.random_range(lead_ms + 150..absent_ms + 300),
         };
         let (crash_ms, kill_ms) = (late(rng), late(rng));
@@ -155,11 +160,19 @@
             let _disturbance = disturb();
             cut(fleet.peers.of(host, are_opened, are_accepted), is_silent, length).await;
         }
-        Absence::CutOff => {
+        Absence::CutOff | Absence::Suspend => {
             let (_disturbance, _store_fault) = (disturb(), fleet.begin_store_fault());
             let mut links = fleet.peers.of(host, true, true);
             links.push(fleet.hosts[host].store_link.clone());
-            cut(links, true, length).await;
+            if release.absence == Absence::CutOff {
+                cut(links, true, length).await;
+            } else {
+                let (paused, ()) = tokio::join!(
+                    pause(fleet, host, length),
+                    cut(links, true, length + RECONNECT_TIME)
+                );
+                paused?;
+            }
         }
         Absence::Store(disruption) => {
             let _store_fault = fleet.begin_store_fault();
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -1,8 +1,10 @@
 //! Starts the processes of a run and the relays between them, and writes the configuration.
 
 mod peers;
+#[cfg(test)]
+mod tests;
 
-use crate::backend::{BUILDS, RELEASES, Backend, Crash, Process as ServerProcess};
+use crate::backend::{BUILDS, Backend, Crash, Process as ServerProcess, RELEASES};
 use crate::caller::{Caller, ROUTE_HOST};
 use crate::ledger::{Allowance, Ledger};
 use chestnutrack_core::dispatch::{Entry, Stage};
@@ -309,8 +311,7 @@
         let name: Arc<str> = format!("{service}-{number}").into();
         let process = ServerProcess { build, born: number.into() };
         let place = (name.clone(), number);
-        let server =
-            self.list_server(place, &service, Some(stage), process, RELEASE_PORTS).await?;
+        let server = self.list_server(place, &service, Some(stage), process, RELEASE_PORTS).await?;
         self.released.lock().await.push(server);
         Ok(name)
     }
--- a/crates/soak/src/fleet/peers.rs
+++ b/crates/soak/src/fleet/peers.rs
@@ -94,7 +94,7 @@
 }
 
 /// Changes the ports of the hosts that a frame names.
-fn relayed(mut frame: Frame) -> Frame {
+pub(super) fn relayed(mut frame: Frame) -> Frame {
     let (listened, relayed) = (format!(":{PEER_PORT}"), format!(":{RELAYED_PORT}"));
     if let Frame::News(news) = &mut frame {
         for host in &mut news.hosts {
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -262,9 +262,7 @@
 }
 
 /// Waits until all faults have ended.
-pub(crate) async fn wait_until_ended(
-    mut running: JoinSet<Result<(), Error>>,
-) -> Result<(), Error> {
+pub(crate) async fn wait_until_ended(mut running: JoinSet<Result<(), Error>>) -> Result<(), Error> {
     let all_ended = async {
         while let Some(result) = running.join_next().await {
             if let Ok(Err(error)) = result {
