--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -576,6 +576,12 @@
     caller("meadow")
 }
 
+/// Returns a caller of an organisation that only uses the services that releases take place in, so that the others'
+/// shares stay the same.
+pub fn release_caller() -> Caller {
+    caller("harvest")
+}
+
 fn caller(name: &str) -> Caller {
     Caller { organisation: name.into(), key: format!("key-of-{name}").into() }
 }
@@ -587,7 +593,7 @@
 }
 
 /// Returns the initial configuration: a route for each kind of request, a plain service, a service of
-/// engines, and two organisations without and one with a limit.
+/// engines and those that releases take place in, and three organisations without and one with a limit.
 fn config() -> Config {
     let (unlimited, flood) = callers();
     let organisation = |caller: Caller, (rate, burst)| Organisation {
@@ -617,6 +623,7 @@
             organisation(unlimited, (0, 0)),
             organisation(flood, FLOOD_ALLOWANCE),
             organisation(uninvolved_caller(), (0, 0)),
+            organisation(release_caller(), (0, 0)),
         ],
         limits: Limits::default(),
     };
--- a/crates/soak/src/run/mod.rs
+++ b/crates/soak/src/run/mod.rs
@@ -292,6 +292,7 @@
         match self {
             Role::Flood => fleet::callers().1,
             Role::Sound(Sharing::Nothing) => fleet::uninvolved_caller(),
+            Role::Release => fleet::release_caller(),
             _ => fleet::callers().0,
         }
     }
