--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -18,6 +18,7 @@
 pub use admission::{Admission, Target};
 pub use body::{AnswerMemory, Counted};
 pub use evacuation::EvacuationBounds;
+pub use origin::Basis;
 pub(crate) use origin::ServiceBuilds;
 pub use place::PlainPlacement;
 pub use quarantine::Identity;
@@ -411,6 +412,10 @@
                 }
             }
         }
+        if state.builds.has_unannounced() {
+            // Streams begin at a new build once the others report that they list it too.
+            self.gossip_due.notify_one();
+        }
         drop(state);
         self.report_cold_servers();
         self.origins_due.notify_one();
@@ -430,7 +435,9 @@
             _ => http::request("GET", report_path, ""),
         };
         let accepts = move |body: &Bytes| {
-            let stated = parse_report(body).and_then(|report| report.born);
+            let Some(report) = parse_report(body) else { return false };
+            let stated = report.born;
+            tracing::info!(server = %name, listed = born, stated, "engine asked when it started");
             let Some(stated) = stated.filter(|stated| *stated != born) else { return true };
             if let Some(app) = app.upgrade() {
                 app.record_restart(&name, born, stated);
--- a/crates/process/tests/pool.rs
+++ b/crates/process/tests/pool.rs
@@ -348,7 +348,7 @@
 }
 
 #[tokio::test]
-async fn the_process_is_checked_once_while_a_connection_is_open() {
+async fn the_process_is_checked_on_each_new_connection() {
     let server = server(&[RESPONSE; 8]).await;
     let pool = probing_pool(server.address);
     let request = || http::request("GET", "/", Bytes::new()).unwrap();
@@ -356,10 +356,37 @@
     let first = pool.call_streaming(request(), CALL_TIMEOUT).await.unwrap();
     let second = pool.call_streaming(request(), CALL_TIMEOUT).await.unwrap();
 
-    assert_eq!((server.connections(), server.calls()), (2, 3));
+    assert_eq!((server.connections(), server.calls()), (2, 4));
     drop((first, second));
 }
 
+// Guards against a call to a process that has started again at the address, while connections to the process before are not
+// seen to end.
+#[tokio::test]
+async fn a_process_that_started_again_gets_no_call_while_an_older_connection_is_open() {
+    const OTHER: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let pool = probing_pool(listener.local_addr().unwrap());
+    let calls = Arc::new(AtomicUsize::new(0));
+    let calls_of_other = calls.clone();
+    tokio::spawn(async move {
+        // The first process answers the probe and one call, and then hangs.
+        let (first, _) = listener.accept().await.unwrap();
+        tokio::spawn(respond(first, &[RESPONSE, RESPONSE, ""], Arc::default()));
+        while let Ok((tcp, _)) = listener.accept().await {
+            tokio::spawn(respond(tcp, &[OTHER, RESPONSE], calls_of_other.clone()));
+        }
+    });
+    let held = http::request("GET", "/", Bytes::new()).unwrap();
+    let held = pool.call_streaming(held, CALL_TIMEOUT).await.unwrap();
+
+    let outcome = call(&pool, CALL_TIMEOUT).await;
+
+    assert_eq!(outcome, Err(Error::Connect(pool.address(), ConnectError::WrongProcess)));
+    assert_eq!(calls.load(Ordering::SeqCst), 1);
+    drop(held);
+}
+
 #[tokio::test]
 async fn the_process_is_checked_again_once_no_connection_is_open() {
     let server = server(&[RESPONSE; 2]).await;
@@ -385,6 +412,19 @@
     assert_eq!(server.calls(), 1);
 }
 
+// Guards against a process that counts as the intended one, since it did not say which it is.
+#[tokio::test]
+async fn nothing_is_sent_to_a_process_that_does_not_answer_the_probe_with_success() {
+    let server = server(&["HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nok", RESPONSE]).await;
+    let pool = probing_pool(server.address);
+
+    let outcome = call(&pool, CALL_TIMEOUT).await;
+
+    assert!(matches!(outcome, Err(Error::Connect(_, ConnectError::Other(_)))), "{outcome:?}");
+    assert_eq!(server.calls(), 1);
+}
+
+// Such a server can be asked only on another connection, which is opened after the one that is used.
 #[tokio::test]
 async fn a_process_that_ends_the_connection_with_the_answer_to_the_probe_is_used() {
     let server = server(&[RESPONSE]).await;
@@ -392,5 +432,5 @@
 
     let outcome = call(&pool, CALL_TIMEOUT).await;
 
-    assert_eq!((outcome.unwrap(), server.connections()), ("ok".into(), 2));
+    assert_eq!((outcome.unwrap(), server.connections()), ("ok".into(), 3));
 }
