Fleet tests: a member's port is reserved for the whole test

The fixture bound a free port, closed it and had the member bind it again, so that a listener of another test could get the port in between.

A socket is bound to the port, without listening, until the test ends. The address of a killed member still refuses connections.

--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -137,11 +137,10 @@
     let mut hosts = start_hosts(&platform).await;
     let version = hosts[0].fleet.snapshot().version;
     platform.inject_faults(json!({ "down": true })).await;
-    let address = hosts[2].address;
     hosts[2].kill();
     tokio::time::sleep(Duration::from_millis(200)).await;
 
-    hosts[2] = Host::start_at("c", 9, platform.address, address).await;
+    hosts[2].restart(9, platform.address).await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     let refusal = hosts[2].fleet.debit(&acme(), 1, Duration::from_millis(100)).await;
     platform.inject_faults(json!({ "down": false })).await;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::{Builder, Runtime};
 
 /// Longest wait for any step that has no guaranteed bound of its own.
@@ -30,22 +30,38 @@
     pub(crate) address: SocketAddr,
     pub(crate) name: Arc<str>,
     runtime: Option<Runtime>,
+    /// Bound to the address without listening, so that no other socket gets the port while the member is not running.
+    _reserved: TcpSocket,
+}
+
+/// Binds a socket to an address that may be bound once more.
+fn reserve(address: SocketAddr) -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseaddr(true).unwrap();
+    socket.bind(address).unwrap();
+    socket
 }
 
 impl Host {
     /// Starts a member on a free port.
     pub(crate) async fn start(name: &str, incarnation: u64, platform: SocketAddr) -> Host {
-        let address = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
-        Host::start_at(name, incarnation, platform, address).await
+        Host::start_on(name, incarnation, platform, reserve(SocketAddr::from(([127, 0, 0, 1], 0))))
+            .await
+    }
+
+    /// Starts another process of the member, which was killed, on its address.
+    pub(crate) async fn restart(&mut self, incarnation: u64, platform: SocketAddr) {
+        let reserved = reserve(self.address);
+        *self = Host::start_on(&self.name, incarnation, platform, reserved).await;
     }
 
-    /// Starts a member that listens on `address`.
-    pub(crate) async fn start_at(
+    async fn start_on(
         name: &str,
         incarnation: u64,
         platform: SocketAddr,
-        address: SocketAddr,
+        reserved: TcpSocket,
     ) -> Host {
+        let address = reserved.local_addr().unwrap();
         let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
         let registry = Registry::new();
         let settings = Settings {
@@ -63,7 +79,14 @@
             Fleet::start(settings, timer::Timer::start(), &registered, shutdown).await
         });
         let fleet = started.await.unwrap().unwrap();
-        Host { fleet, registry, address, name: Arc::from(name), runtime: Some(runtime) }
+        Host {
+            fleet,
+            registry,
+            address,
+            name: Arc::from(name),
+            runtime: Some(runtime),
+            _reserved: reserved,
+        }
     }
 
     /// Kills the member at once; its sockets are closed.
