Builds: messages of processes that started since the last confirmation confirm nothing

Callers could see a stream that began at one build go on at another (ORDER): a host was cut off from the others and the store while a build joined, began streams and was taken back, and all other hosts started again meanwhile. Their new processes know nothing of that build. The host took their messages for a confirmation that it knew all builds, so that the list of servers, which it read a moment later, did not count as read anew after a gap either.

Only messages of processes that started two seconds before the last confirmation, or earlier, continue it now; the list of servers, which is read when it lapses, does that otherwise. Two seconds cover the time for which other hosts rely on what the process before had said, and the delay of a message.

The simulation plays this pattern.

--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -12,6 +12,10 @@
 /// them know it. Longer than [`KNOWLEDGE_LEASE`], so that no other host still relies on knowledge without that build.
 pub const FIRST_STREAM_DELAY: Duration = Duration::from_millis(3_000);
 
+/// Time before a confirmation by which a process must have started for its messages to continue it. Other hosts may take
+/// for [`KNOWLEDGE_LEASE`], and while a message is on its way, what the process before it listed for what it lists.
+const SETTLING_TIME: Duration = Duration::from_millis(2_000);
+
 /// Longest time that a stream may last, over all tries of its caller, where no route says otherwise.
 const STREAM_LIFE: Duration = Duration::from_secs(60);
 
@@ -223,8 +227,19 @@
         !self.is_vouched && !service.is_some_and(|service| self.has_listed_all_of(now, service))
     }
 
-    /// Records that enough other hosts were heard, whose last messages were sent at `sent_at` or later. One of them has
-    /// told this host of each build at which any host begins streams.
+    /// Returns when a process must have started at the latest for its messages to confirm that all builds are known. One that
+    /// has started since the last confirmation does not know the builds that its host listed in between.
+    pub fn settled_by(&self, now: Instant) -> Instant {
+        let confirmed_at = match self.freshness {
+            Freshness::ConfirmedAt(at) => at,
+            Freshness::Unfollowed | Freshness::Unconfirmed => now,
+        };
+        confirmed_at - SETTLING_TIME
+    }
+
+    /// Records that enough other hosts were heard, whose processes started at [`Builds::settled_by`] or before and whose last
+    /// messages were sent at `sent_at` or later. One of them has told this host of each build at which any host begins
+    /// streams.
     pub fn record_heard(&mut self, sent_at: Instant) {
         self.freshness = match self.freshness {
             Freshness::ConfirmedAt(at) => Freshness::ConfirmedAt(at.max(sent_at)),
--- a/crates/core/src/origin/simulation_tests.rs
+++ b/crates/core/src/origin/simulation_tests.rs
@@ -110,16 +110,19 @@
         self.builds.record_listed(at(ms), listed);
     }
 
-    fn refresh(&mut self, ms: u64, peers: &BTreeSet<Arc<str>>) {
+    fn refresh(&mut self, ms: u64) {
         self.list(ms);
-        if let Some(sent_at) = self.roster.quorum_sent_at(at(ms)) {
+        let settled_by = self.builds.settled_by(at(ms));
+        if let Some(sent_at) = self.roster.quorum_sent_at(at(ms), settled_by) {
             self.builds.record_heard(sent_at);
         }
-        self.builds.announce(at(ms), Hosts { peers, is_whole_fleet: true }, |_| true);
+        let (own, names) = (self.name.clone(), (0..self.known_processes.len()).map(name));
+        let peers: BTreeSet<Arc<str>> = names.filter(|name| *name != own).collect();
+        self.builds.announce(at(ms), Hosts { peers: &peers, is_whole_fleet: true }, |_| true);
     }
 
     /// Handles the next message that has arrived, and returns whether there was one.
-    fn receive(&mut self, ms: u64, peers: &BTreeSet<Arc<str>>) -> bool {
+    fn receive(&mut self, ms: u64) -> bool {
         if self.inbox.front().is_none_or(|message| message.arrives_ms > ms) {
             return false;
         }
@@ -139,7 +142,7 @@
             self.builds.record_former_known(true);
         }
         self.builds.record_listing_host(&from, &message.reports);
-        self.refresh(ms, peers);
+        self.refresh(ms);
         true
     }
 
@@ -178,15 +181,38 @@
     }
 }
 
-/// Plays a release. Hosts also start again if `with_restarts` says so.
-fn simulate(seed: u64, with_restarts: bool) -> Outcome {
+/// How often hosts start again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Restarts {
+    Never,
+    /// Each host once at most.
+    Rare,
+    /// All hosts but one within a second, while that one hears neither them nor the store.
+    AllButOne,
+}
+
+/// Plays a release.
+fn simulate(seed: u64, frequency: Restarts) -> Outcome {
     let random = Random(Cell::new(seed));
     let count = 1 + random.below(6) as usize;
     let (joined, former_left) = (9_000 + random.below(12_000), random.below(12_000));
     // The new build leaves again in one of three releases.
     let left = joined + if random.below(3) == 0 { 500 + random.below(12_000) } else { LENGTH_MS };
     let mut hosts: Vec<Host> = (0..count).map(|own| Host::new(own, count, 0, &random)).collect();
-    let restarts: Vec<u64> = (0..count).map(|_| 1 + random.below(3 * LENGTH_MS)).collect();
+    let mut restarts: Vec<Vec<u64>> =
+        (0..count).map(|_| vec![1 + random.below(3 * LENGTH_MS)]).collect();
+    match frequency {
+        Restarts::Never => restarts.iter_mut().for_each(Vec::clear),
+        Restarts::Rare => {}
+        Restarts::AllButOne => {
+            let begin = joined + random.below(12_000);
+            restarts.iter_mut().for_each(|times| *times = vec![begin + random.below(1_000)]);
+            restarts[0].clear();
+            let cut = (joined - random.below(1_500), begin + 1_000 + random.below(1_500));
+            hosts[0].outages = vec![cut];
+            hosts[0].losses.iter_mut().for_each(|losses| *losses = vec![cut]);
+        }
+    }
     let mut begun: Vec<(usize, &'static str, u64)> = Vec::new();
     let mut outcome = Outcome::default();
     for ms in (0..LENGTH_MS).step_by(STEP_MS as usize) {
@@ -200,8 +226,7 @@
         };
         let mut sent: Vec<(usize, Message)> = Vec::new();
         for (own, host) in hosts.iter_mut().enumerate() {
-            let peers: BTreeSet<Arc<str>> = (0..count).filter(|n| *n != own).map(name).collect();
-            if with_restarts && (ms..ms + STEP_MS).contains(&restarts[own]) {
+            if restarts[own].iter().any(|at| (ms..ms + STEP_MS).contains(at)) {
                 *host = Host::new(own, count, ms, &random);
             }
             if covers(&host.pauses, ms) {
@@ -209,7 +234,7 @@
             }
             // A caller may come before anything else is done, and between two messages.
             outcome.check(host, ms, &begun);
-            while host.receive(ms, &peers) {
+            while host.receive(ms) {
                 outcome.check(host, ms, &begun);
             }
             let turn = ms + own as u64 * STEP_MS;
@@ -222,7 +247,7 @@
             }
             if turn.is_multiple_of(HEARTBEAT_MS) {
                 host.list(ms);
-                host.refresh(ms, &peers);
+                host.refresh(ms);
                 let (reports, is_known) =
                     (host.builds.reports(at(ms), true), host.builds.has_listed_all(at(ms)));
                 for to in (0..count).filter(|to| *to != own) {
@@ -254,14 +279,14 @@
 // Guards against a host that goes on with a stream at the build that it takes for the only one.
 #[test]
 fn no_host_takes_a_build_for_the_only_one_while_streams_of_another_last() {
-    let mixed: Vec<_> = (0..400).filter_map(|seed| simulate(seed, false).mixed).collect();
+    let mixed: Vec<_> = (0..400).filter_map(|seed| simulate(seed, Restarts::Never).mixed).collect();
 
     assert_eq!(mixed, Vec::<String>::new());
 }
 
 #[test]
 fn streams_begin_at_new_builds_and_hosts_know_the_only_build_most_of_the_time() {
-    let outcomes: Vec<Outcome> = (0..100).map(|seed| simulate(seed, false)).collect();
+    let outcomes: Vec<Outcome> = (0..100).map(|seed| simulate(seed, Restarts::Never)).collect();
 
     let begun = outcomes.iter().filter(|outcome| outcome.begun_new > 0).count();
     let knew_one = outcomes.iter().map(|outcome| outcome.knew_one).sum::<usize>();
@@ -273,7 +298,19 @@
 fn hosts_that_start_again_confirm_no_only_build_while_streams_of_another_last() {
     let seeds = (0..200).chain([2660, 5451, 6184]);
 
-    let mixed: Vec<_> = seeds.filter_map(|seed| simulate(seed, true).mixed).collect();
+    let mixed: Vec<_> = seeds.filter_map(|seed| simulate(seed, Restarts::Rare).mixed).collect();
+
+    assert_eq!(mixed, Vec::<String>::new());
+}
+
+// Guards against a host that was cut off and relies on messages of processes that started meanwhile, which know nothing of a
+// build that was taken back.
+#[test]
+fn a_host_that_was_cut_off_knows_no_only_build_after_all_others_have_started_again() {
+    let seeds = (0..100).chain([121, 2053, 2494, 3585]);
+
+    let mixed: Vec<_> =
+        seeds.filter_map(|seed| simulate(seed, Restarts::AllButOne).mixed).collect();
 
     assert_eq!(mixed, Vec::<String>::new());
 }
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -110,9 +110,9 @@
 }
 
 impl ClockOffset {
-    /// Returns when a report was sent that arrives now. A host that stood still reads reports of different ages at once, so the
-    /// delay of a report is known only after some time; until then returns `None`.
-    fn sent_at(&mut self, now: Instant, uptime: Duration) -> Option<Instant> {
+    /// Returns when the process started that sends a report which arrives now. A host that stood still reads reports of
+    /// different ages at once, so the delay of a report is known only after some time; until then returns `None`.
+    fn started_at(&mut self, now: Instant, uptime: Duration) -> Option<Instant> {
         let elapsed = now.since(self.period_began_at);
         if elapsed >= CALIBRATION_PERIOD {
             let is_recent = elapsed < CALIBRATION_PERIOD * 2;
@@ -129,10 +129,19 @@
         self.least[0] = Some(self.least[0].map_or(offset, |least| least.min(offset)));
         let least = known.map_or(offset, |least| least.min(offset));
         let is_calibrated = now.since(self.calibrated_at) >= CALIBRATION_TIME;
-        u64::try_from(least + uptime_us).ok().map(Instant).filter(|_| is_calibrated)
+        // The process may be older than this host's clock.
+        is_calibrated.then(|| Instant(u64::try_from(least).unwrap_or(0)))
     }
 }
 
+/// A report that a peer sent, by the shortest delay of any. A host that stood still reads reports late.
+#[derive(Clone, Copy, Debug)]
+struct SentReport {
+    sent_at: Instant,
+    /// When the process started that sent it.
+    started_at: Instant,
+}
+
 /// What this host knows of another host.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -141,8 +150,7 @@
     first_heartbeat: Option<Instant>,
     /// When the peer's last report arrived that did not list this host as unreachable.
     last_mutual_heartbeat: Instant,
-    /// When the peer's last report was sent, by the shortest delay of any. A host that stood still reads reports late.
-    last_sent: Option<Instant>,
+    last_sent: Option<SentReport>,
     clock_offset: ClockOffset,
     report: Report,
     /// Whether the peer was found unreachable and has not reported since.
@@ -334,15 +342,19 @@
         hosts > 2 && (!self.is_isolated(now) || is_half && is_confirmed)
     }
 
-    /// Returns the time since which each of so many hosts has sent a report that, with this one, they are more than half of the
-    /// fleet, and all of a fleet of two; `None` if that has never been so.
-    pub fn quorum_sent_at(&self, now: Instant) -> Option<Instant> {
+    /// Returns the time since which each host of a quorum has sent a report: so many that, with this one, they are more than
+    /// half of the fleet, and all of a fleet of two. Only processes count that started at `started_by` or before. Returns
+    /// `None` if there is no quorum of them.
+    pub fn quorum_sent_at(&self, now: Instant, started_by: Instant) -> Option<Instant> {
         let others = self.peers.len().div_ceil(2);
         if others == 0 {
             return Some(now);
         }
-        let mut sent: Vec<Instant> =
-            self.peers.values().filter_map(|peer| peer.last_sent).collect();
+        let last_sent = self.peers.values().filter_map(|peer| peer.last_sent);
+        let mut sent: Vec<Instant> = last_sent
+            .filter(|report| report.started_at <= started_by)
+            .map(|report| report.sent_at)
+            .collect();
         sent.sort_unstable();
         sent.get(sent.len().checked_sub(others)?).copied()
     }
@@ -408,7 +420,9 @@
         if report.incarnation != self.report.incarnation {
             self.clock_offset = ClockOffset::default();
         }
-        self.last_sent = self.clock_offset.sent_at(now, report.uptime).or(self.last_sent);
+        if let Some(started_at) = self.clock_offset.started_at(now, report.uptime) {
+            self.last_sent = Some(SentReport { sent_at: started_at + report.uptime, started_at });
+        }
     }
 
     /// Returns `true` if the peer's heartbeats arrive and its address hasn't refused a connection since.
--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -396,7 +396,7 @@
         let report =
             Report { incarnation: 1, uptime: Duration::from_millis(sent), ..Report::default() };
         roster.record_report(at(now), &name(1), report);
-        roster.quorum_sent_at(at(now))
+        roster.quorum_sent_at(at(now), at(now))
     };
 
     // The delay of the first report is not known, nor that of those read at the same time.
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -303,6 +303,11 @@
         self.state().builds.follow();
     }
 
+    /// Returns when a process must have started at the latest for its messages to confirm that all builds are known.
+    pub(crate) fn builds_settled_by(&self) -> Instant {
+        self.state().builds.settled_by(clock::now())
+    }
+
     /// Records that enough other hosts were heard, whose last messages were sent at `sent_at` or later.
     pub(crate) fn confirm_builds_heard(&self, sent_at: Instant) {
         self.confirm_builds(|builds| builds.record_heard(sent_at));
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -622,9 +622,10 @@
 
     /// Renews the time for which this host may rely on knowing all builds, by the messages of its peers.
     fn refresh_builds(&self) {
+        let settled_by = self.app.builds_settled_by();
         let (sent_at, reports_store) = {
             let roster = self.roster();
-            (roster.quorum_sent_at(clock::now()), roster.reports_store())
+            (roster.quorum_sent_at(clock::now(), settled_by), roster.reports_store())
         };
         // Hosts of other cells may begin streams at builds that only the store can tell.
         let is_told = self.is_whole_fleet() || reports_store || self.follower.is_up();
