Builds: hosts that are not heard do not count as listing a build

A stream could begin at a new build 3 s after enough hosts had said once that they list it, though they were not heard since. Such a host may have started again, and a third one that relies on its messages does not learn of the build.

Only hosts of which a message was sent within the lease count, and enough of them must be heard without a break for 3 s.

--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -61,27 +61,28 @@
 #[derive(Clone, Debug, Default)]
 struct Announcement {
     listed_by: BTreeSet<Arc<str>>,
-    /// Since when enough hosts have been known to list it.
+    /// Since when enough hosts that are heard have listed it without a break.
     quorum_at: Option<Instant>,
 }
 
 /// The other hosts, whose knowledge of a build is required before a stream begins at it.
 #[derive(Clone, Copy, Debug)]
 pub struct Hosts<'a> {
-    /// The hosts from which this one hears.
-    pub peers: &'a BTreeSet<Arc<str>>,
-    /// Whether there are no others.
+    /// The peers of which a message was sent within [`KNOWLEDGE_LEASE`].
+    pub heard: &'a BTreeSet<Arc<str>>,
+    /// Number of all peers.
+    pub peers: usize,
+    /// Whether all other hosts are peers.
     pub is_whole_fleet: bool,
 }
 
 impl Announcement {
     /// Returns whether no host takes another build for the only one any more.
     fn is_known(&mut self, now: Instant, hosts: Hosts, is_stored: bool) -> bool {
-        let listing = hosts.peers.intersection(&self.listed_by).count();
-        if is_stored && listing >= hosts.listing_min() {
-            self.quorum_at.get_or_insert(now);
-        }
-        let is_listed_by_all = hosts.is_whole_fleet && listing == hosts.peers.len();
+        let listing = hosts.heard.intersection(&self.listed_by).count();
+        let is_quorum = is_stored && listing >= hosts.listing_min();
+        self.quorum_at = is_quorum.then(|| self.quorum_at.unwrap_or(now));
+        let is_listed_by_all = hosts.is_whole_fleet && listing == hosts.peers;
         is_listed_by_all || self.quorum_at.is_some_and(|at| now.since(at) >= FIRST_STREAM_DELAY)
     }
 }
@@ -90,7 +91,7 @@
     /// Returns how many other hosts must list a build. With this host, they overlap with any host and those whose messages it
     /// relies on (`Roster::quorum_sent_at`).
     fn listing_min(self) -> usize {
-        self.peers.len() / 2
+        self.peers / 2
     }
 }
 
--- a/crates/core/src/origin/simulation_tests.rs
+++ b/crates/core/src/origin/simulation_tests.rs
@@ -1,6 +1,6 @@
 //! Load pattern: a release, or one that is taken back, while hosts stand still or hear neither each other nor the store.
 
-use super::{Builds, Hosts, Possible};
+use super::{Builds, Hosts, KNOWLEDGE_LEASE, Possible};
 use crate::mix::mix;
 use crate::roster::{Report, Roster, Settings};
 use crate::time::Instant;
@@ -116,9 +116,10 @@
         if let Some(sent_at) = self.roster.quorum_sent_at(at(ms), settled_by) {
             self.builds.record_heard(sent_at);
         }
-        let (own, names) = (self.name.clone(), (0..self.known_processes.len()).map(name));
-        let peers: BTreeSet<Arc<str>> = names.filter(|name| *name != own).collect();
-        self.builds.announce(at(ms), Hosts { peers: &peers, is_whole_fleet: true }, |_| true);
+        let heard = self.roster.peers_sent_within(at(ms), KNOWLEDGE_LEASE);
+        let peers = self.known_processes.len() - 1;
+        self.builds
+            .announce(at(ms), Hosts { heard: &heard, peers, is_whole_fleet: true }, |_| true);
     }
 
     /// Handles the next message that has arrived, and returns whether there was one.
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -298,9 +298,13 @@
 }
 
 fn announced(builds: &mut Builds, now: Instant, peers: &[&str]) -> usize {
+    announced_to(builds, now, peers, peers.len())
+}
+
+fn announced_to(builds: &mut Builds, now: Instant, heard: &[&str], peers: usize) -> usize {
     list(builds, now, &["v1", "v2"]);
-    let peers = peers.iter().map(|peer| (*peer).into()).collect();
-    builds.announce(now, Hosts { peers: &peers, is_whole_fleet: true }, |_| true).len()
+    let heard = heard.iter().map(|peer| (*peer).into()).collect();
+    builds.announce(now, Hosts { heard: &heard, peers, is_whole_fleet: true }, |_| true).len()
 }
 
 // Guards against a new build that gets no streams since a host that is out of step does not list it.
@@ -321,14 +325,29 @@
     assert!(!builds.has_unannounced());
 }
 
+// Guards against streams that begin at a build by what hosts said that have not been heard since: they may have started
+// again, and no longer know the build.
+#[test]
+fn hosts_that_are_not_heard_do_not_count_as_listing_a_build() {
+    let (joined, peers) = (NOW + seconds(60), ["b", "c"]);
+    let mut builds = builds_with_a_new_one();
+    builds.record_listing_host(&"b".into(), &[report("v2", 0)]);
+
+    assert_eq!(announced(&mut builds, joined, &peers), 0);
+    assert_eq!(announced_to(&mut builds, joined + seconds(1), &["c"], 2), 0);
+    assert_eq!(announced(&mut builds, joined + seconds(2), &peers), 0);
+    assert_eq!(announced(&mut builds, joined + FIRST_STREAM_DELAY, &peers), 0);
+    assert_eq!(announced(&mut builds, joined + seconds(2) + FIRST_STREAM_DELAY, &peers), 1);
+}
+
 // Guards against a wait that goes on while the build is not listed, and against builds that are kept for ever.
 #[test]
 fn a_build_that_left_before_streams_could_begin_at_it_is_forgotten() {
     let mut builds = builds_with_a_new_one();
-    let (now, hosts) = (NOW + seconds(61), BTreeSet::from(["b".into()]));
+    let (now, heard) = (NOW + seconds(61), BTreeSet::from(["b".into()]));
 
     list(&mut builds, now, &["v1"]);
-    builds.announce(now, Hosts { peers: &hosts, is_whole_fleet: true }, |_| true);
+    builds.announce(now, Hosts { heard: &heard, peers: 1, is_whole_fleet: true }, |_| true);
 
     assert!(!builds.has_unannounced());
 }
@@ -350,8 +369,8 @@
 fn a_host_that_does_not_know_all_builds_begins_no_stream_before_others_list_its_build() {
     let mut builds = Builds::new(false);
     builds.follow();
-    let peers = BTreeSet::from(["b".into(), "c".into()]);
-    let hosts = Hosts { peers: &peers, is_whole_fleet: true };
+    let heard = BTreeSet::from(["b".into(), "c".into()]);
+    let hosts = Hosts { heard: &heard, peers: 2, is_whole_fleet: true };
 
     list(&mut builds, NOW, &["v2"]);
     assert_eq!(builds.announce(NOW, hosts, |_| true).len(), 0);
--- a/crates/core/src/roster/mod.rs
+++ b/crates/core/src/roster/mod.rs
@@ -18,7 +18,7 @@
 mod tests;
 
 use crate::time::Instant;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -359,6 +359,13 @@
         sent.get(sent.len().checked_sub(others)?).copied()
     }
 
+    /// Returns the hosts of which a report was sent within `time`.
+    pub fn peers_sent_within(&self, now: Instant, time: Duration) -> BTreeSet<Arc<str>> {
+        let is_recent = |report: SentReport| now.since(report.sent_at) < time;
+        let recent = self.peers.iter().filter(|(_, peer)| peer.last_sent.is_some_and(is_recent));
+        recent.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Returns `true` if this host has no contact with more than half of the fleet, so that it needs the
     /// store to confirm that it is listed.
     pub fn is_isolated(&self, now: Instant) -> bool {
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -19,7 +19,7 @@
 use chestnutrack_core::allowance::Report;
 use chestnutrack_core::cell::Cell;
 use chestnutrack_core::intake;
-use chestnutrack_core::origin::{Hosts, Keepers, Recorders};
+use chestnutrack_core::origin::{Hosts, KNOWLEDGE_LEASE, Keepers, Recorders};
 use chestnutrack_core::roster::{self, Roster, Step};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
@@ -30,7 +30,7 @@
 use chestnutrack_wire::frame::{self, Frame, News, PrefixReport};
 use chestnutrack_wire::{Connection, codec};
 use membership::StoppedProcesses;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -638,9 +638,9 @@
     /// Lets resumable streams begin at the builds that the other hosts know by now.
     fn announce_builds(&self) {
         if self.knows_hosts() {
-            let peers: BTreeSet<Arc<str>> = self.peers().keys().cloned().collect();
-            let is_whole_fleet = self.is_whole_fleet();
-            self.app.announce_builds(Hosts { peers: &peers, is_whole_fleet });
+            let heard = self.roster().peers_sent_within(clock::now(), KNOWLEDGE_LEASE);
+            let (peers, is_whole_fleet) = (self.peer_count(), self.is_whole_fleet());
+            self.app.announce_builds(Hosts { heard: &heard, peers, is_whole_fleet });
         }
     }
 
