Builds: the list of servers is read before the lease on it ends

A host that does not hear enough others (one of two whose other one is dead) read the list of servers only after its knowledge of the builds had lapsed. Until the answer came, streams that callers resumed waited, as often as every two seconds. Its list is read again now when two thirds of the lease have passed, so that it holds without a gap while the store answers.

--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -12,6 +12,8 @@
 /// them know it. Longer than [`KNOWLEDGE_LEASE`], so that no other host still relies on knowledge without that build.
 pub const FIRST_STREAM_DELAY: Duration = Duration::from_millis(3_000);
 
+/// Age of the last confirmation from which on another one is due, so that one that takes a while comes in time.
+const CONFIRMATION_DUE_AFTER: Duration = Duration::from_millis(1_000);
 /// Time before a confirmation by which a process must have started for its messages to continue it. Other hosts may take
 /// for [`KNOWLEDGE_LEASE`], and while a message is on its way, what the process before it listed for what it lists.
 const SETTLING_TIME: Duration = Duration::from_millis(2_000);
@@ -271,6 +273,16 @@
         }
     }
 
+    /// Returns whether the list of servers is to be read again, as nothing else has confirmed for long that all builds are
+    /// known.
+    pub fn is_confirmation_due(&self, now: Instant) -> bool {
+        match self.freshness {
+            Freshness::Unfollowed => false,
+            Freshness::Unconfirmed => true,
+            Freshness::ConfirmedAt(at) => now.since(at) >= CONFIRMATION_DUE_AFTER,
+        }
+    }
+
     /// Returns [`Builds::is_current`] if it has changed since it was last returned.
     pub fn freshness_change(&mut self, now: Instant) -> Option<bool> {
         let is_current = self.is_current(now);
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -340,6 +340,22 @@
     assert_eq!(announced(&mut builds, joined + seconds(2) + FIRST_STREAM_DELAY, &peers), 1);
 }
 
+// Guards against a host without the messages of enough others that refuses streams again and again, until it has read the
+// list of servers.
+#[test]
+fn a_confirmation_is_due_before_the_last_one_has_expired() {
+    let mut builds = Builds::new(true);
+    builds.follow();
+    list(&mut builds, NOW, &["v1"]);
+    assert!(builds.is_confirmation_due(NOW));
+
+    builds.record_list_read(NOW, true);
+
+    let later = NOW + Duration::from_millis(1_000);
+    assert!(!builds.is_confirmation_due(NOW + Duration::from_millis(900)));
+    assert!(builds.is_confirmation_due(later) && builds.is_current(later));
+}
+
 // Guards against a wait that goes on while the build is not listed, and against builds that are kept for ever.
 #[test]
 fn a_build_that_left_before_streams_could_begin_at_it_is_forgotten() {
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -308,6 +308,11 @@
         self.state().builds.settled_by(clock::now())
     }
 
+    /// Returns whether the list of servers is to be read to confirm that all builds are known.
+    pub(crate) fn is_builds_confirmation_due(&self) -> bool {
+        self.state().builds.is_confirmation_due(clock::now())
+    }
+
     /// Records that enough other hosts were heard, whose last messages were sent at `sent_at` or later.
     pub(crate) fn confirm_builds_heard(&self, sent_at: Instant) {
         self.confirm_builds(|builds| builds.record_heard(sent_at));
@@ -323,22 +328,18 @@
         self.check_builds_current();
     }
 
-    /// Returns whether this host would know of a build at which another one begins streams. Logs a change, and has the keepers
-    /// of all streams told if it would not: hosts that lack the same messages can't infer their builds.
-    pub(crate) fn check_builds_current(&self) -> bool {
-        let (now, mut state) = (clock::now(), self.state());
-        let change = state.builds.freshness_change(now);
-        let is_current = state.builds.is_current(now);
-        if change == Some(false) {
+    /// Logs whether this host would know of a build at which another one begins streams, if that has changed. Has the keepers of
+    /// all streams told if it would not: hosts that lack the same messages can't infer their builds.
+    pub(crate) fn check_builds_current(&self) {
+        let mut state = self.state();
+        let Some(is_current) = state.builds.freshness_change(clock::now()) else { return };
+        if !is_current {
             state.origins.tell_all();
         }
         drop(state);
-        if change.is_some() {
-            tracing::info!(is_current, "knowledge of builds changed");
-            self.origins_due.notify_one();
-            self.origins_changed.notify_waiters();
-        }
-        is_current
+        tracing::info!(is_current, "knowledge of builds changed");
+        self.origins_due.notify_one();
+        self.origins_changed.notify_waiters();
     }
 
     /// Forgets which builds a peer lists, whose process has ended.
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -613,7 +613,8 @@
         }
         self.refresh_builds();
         self.announce_builds();
-        if !self.app.check_builds_current() {
+        self.app.check_builds_current();
+        if self.app.is_builds_confirmation_due() {
             self.follower.confirm_list();
         }
         self.app.metrics.peers.set(i64::try_from(reachable).unwrap_or(i64::MAX));
