Test: keepers are told of streams when a host no longer knows the only build

The test kills half of a fleet of four, so that the host which began a stream hears no majority, and waits until the last peer knows the build of the stream.

--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -5,7 +5,7 @@
     Backend, ReceivedRequest, Step, answer_prefill, chunk, stream_end, stream_head,
 };
 use crate::fixture::caller::{Answer, call, connect, generation};
-use crate::fixture::fleet::Fleet;
+use crate::fixture::fleet::{Fleet, Member};
 use crate::fixture::store::{HOSTS, control, host_at, register, start_store};
 use crate::fixture::{Host, decode, host, host_with_settings, prefill, settings, wait_until};
 use chestnutrack_core::allowance;
@@ -543,3 +543,23 @@
     assert!(admitted > 10 && refused, "{admitted}");
     assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
 }
+
+// Guards against streams that began while one build was known to serve, and of which no other host is told when that can't be
+// relied on any more: others that hear as little can't infer their build.
+#[tokio::test]
+async fn the_keepers_of_streams_under_way_are_told_when_a_host_no_longer_knows_the_only_build() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let decoder = engine("v1", Begin::Hang).await;
+    let servers = [prefill("prefill-1", &prefiller), decode_of("v1", "decode-1", &decoder)];
+    let mut fleet = Fleet::start(4, &servers).await;
+    let (_, connection) = begin(fleet.address(0), "a1").await;
+    let origins = |fleet: &Fleet| fleet.members[1].host.app.metrics.origins.get();
+    let told_before = origins(&fleet);
+
+    // Half of the fleet is no majority.
+    fleet.members[2..].iter_mut().for_each(Member::kill);
+    wait_until(|| origins(&fleet) == 1).await;
+    drop(connection);
+
+    assert_eq!(told_before, 0);
+}
