Tests: the delay of a peer's reports is measured anew, for clocks that drift and hosts that stood still for minutes

With clocks that drift by 200 parts per million for four hours, no report counts as sent more than 100 ms before it arrives. The second one guards against reports that are read late after minutes and count as sent then; it passes on this code, and no mechanism was taken away for it.

--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -409,3 +409,46 @@
         [4_100, 4_600].map(|sent| Some(at(sent)))
     );
 }
+
+// Guards against clocks that drift: after hours, all reports of a peer would count as sent too long ago to confirm anything.
+#[test]
+fn reports_count_as_sent_when_they_arrive_though_clocks_have_drifted_for_hours() {
+    for drift_per_million in [-200, 200] {
+        let mut roster = Roster::new(name(0), Settings::default());
+        roster.add_peer(at(0), &name(1));
+        let mut longest = Duration::ZERO;
+        for now in (0..4 * 3_600_000_i64).step_by(HEARTBEAT_MS as usize) {
+            let uptime_us = 10_000_000 + now * 1_000 + now * drift_per_million / 1_000;
+            let uptime = Duration::from_micros(uptime_us as u64);
+            let now = now as u64;
+
+            roster.record_report(at(now), &name(1), Report { uptime, ..Report::default() });
+
+            if now >= 2 * HEARTBEAT_MS {
+                let sent_at = roster.quorum_sent_at(at(now), at(now)).expect("a report that counts");
+                longest = longest.max(at(now).since(sent_at));
+            }
+        }
+        assert!(longest < Duration::from_millis(100), "{drift_per_million}: {longest:?}");
+    }
+}
+
+// Guards against a host that stood still for minutes, and measures the delay of reports anew by those that it then reads late.
+#[test]
+fn reports_that_are_read_after_minutes_do_not_count_as_sent_then() {
+    let mut roster = Roster::new(name(0), Settings::default());
+    roster.add_peer(at(0), &name(1));
+    let mut record = |now, sent| {
+        let uptime = Duration::from_millis(sent);
+        roster.record_report(at(now), &name(1), Report { uptime, ..Report::default() });
+        roster.quorum_sent_at(at(now), at(now))
+    };
+    let before = [0, 500, 1_000].map(|sent| record(sent, sent))[2];
+
+    let late = [1_500, 2_000, 2_500].map(|sent| record(200_000, sent));
+
+    assert_eq!(before, Some(at(1_000)));
+    assert!(late.iter().all(|sent_at| *sent_at <= Some(at(2_500))), "{late:?}");
+    // Reports that arrive as they are sent count again.
+    assert_eq!([200_000, 200_500].map(|sent| record(sent, sent))[1], Some(at(200_500)));
+}
