Builds: a host that listed a build long ago does not count as listing it

A build that came back about one stream life after it had left got streams at once, while another host was about to forget it and then took the other build for the only one (ORDER). Reports name the builds of a whole stream life, with the time since they were listed, and each counted as a host that lists the build now. The unit test failed before.

Only builds that were listed within two heartbeats count, and a host that no longer lists a build is taken from those that do.

--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -12,6 +12,8 @@
 /// them know it. Longer than [`KNOWLEDGE_LEASE`], so that no other host still relies on knowledge without that build.
 pub const FIRST_STREAM_DELAY: Duration = Duration::from_millis(3_000);
 
+/// Longest time since another host listed a build for which it counts as listing it: two heartbeats.
+const LISTED_AGE_MAX_MS: u32 = 1_000;
 /// Age of the last confirmation from which on another one is due, so that one that takes a while comes in time.
 const CONFIRMATION_DUE_AFTER: Duration = Duration::from_millis(1_000);
 /// Time before a confirmation by which a process must have started for its messages to continue it. Other hosts may take
@@ -290,14 +292,24 @@
         (was_current != is_current).then_some(is_current)
     }
 
-    /// Records the builds that another host reports as listed.
+    /// Records which builds another host lists, by its reports. They also name those that it has listed for the last time some
+    /// time ago, and leave out services of which it knows a single build.
     pub fn record_listing_host(&mut self, host: &Arc<str>, reports: &[BuildReport]) {
-        for report in reports {
-            let service = self.services.get_mut(&report.service);
-            let announcement =
-                service.and_then(|service| service.unannounced.get_mut(&report.build));
-            if let Some(announcement) = announcement {
-                announcement.listed_by.insert(host.clone());
+        for (name, service) in &mut self.services {
+            let mut reports = reports.iter().filter(|report| report.service == *name).peekable();
+            if reports.peek().is_none() {
+                continue;
+            }
+            let listed: BTreeSet<&Arc<str>> = reports
+                .filter(|report| report.age_ms <= LISTED_AGE_MAX_MS)
+                .map(|report| &report.build)
+                .collect();
+            for (build, announcement) in &mut service.unannounced {
+                if listed.contains(build) {
+                    announcement.listed_by.insert(host.clone());
+                } else {
+                    announcement.listed_by.remove(host);
+                }
             }
         }
     }
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -412,3 +412,17 @@
     assert_eq!(builds.possible(later, "llm"), Possible::Unknown);
     assert_eq!(gapless.possible(later, "llm"), Possible::One("v1".into()));
 }
+
+// Guards against streams at a build that has come back, which another host is about to forget: its report still named the
+// build, as one that it listed long ago.
+#[test]
+fn a_host_that_listed_a_build_long_ago_does_not_count_as_one_that_lists_it() {
+    let mut builds = builds_with_a_new_one();
+    let (joined, peers) = (NOW + seconds(60), ["b", "c"]);
+
+    builds.record_listing_host(&"b".into(), &[report("v2", 0)]);
+    builds.record_listing_host(&"c".into(), &[report("v2", 0)]);
+    builds.record_listing_host(&"c".into(), &[report("v1", 0), report("v2", 32_900)]);
+
+    assert_eq!(announced(&mut builds, joined, &peers), 0);
+}
