Builds: a peer vouches only for the services that its reports name

A host that had just started could take the first build that it listed for the only one, and begin streams there at once (ORDER). A peer that has not heard the new host yet says that it has listed all builds in a message that names none; to a host without a list that covered all services. The unit test failed before.

Vouching is kept for each service that the reports name, and counts from the first list on. The simulation's hosts report single builds only while they hear a new host, as the code does.

--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -47,6 +47,8 @@
     unannounced: BTreeMap<Arc<str>, Announcement>,
     /// Longest time that a stream may last.
     stream_life: Duration,
+    /// Whether another host that has listed all builds reported those that served before [`Builds::known_since`].
+    is_vouched: bool,
 }
 
 impl Default for Service {
@@ -57,6 +59,7 @@
             announced: BTreeSet::new(),
             unannounced: BTreeMap::new(),
             stream_life: STREAM_LIFE,
+            is_vouched: false,
         }
     }
 }
@@ -107,10 +110,8 @@
     known_since: Option<Instant>,
     /// Whether no stream began before that time.
     is_first: bool,
-    /// Whether all builds that served before that time are known from the store or another host.
+    /// Whether all builds that served before that time are known from the store.
     knows_former: bool,
-    /// Whether another host that has listed all builds reported those that served before that time.
-    is_vouched: bool,
     freshness: Freshness,
     /// [`Builds::is_current`] when [`Builds::freshness_change`] was last called.
     was_current: bool,
@@ -135,7 +136,6 @@
             known_since: None,
             is_first: is_fleet_first_start,
             knows_former: false,
-            is_vouched: false,
             freshness: Freshness::Unfollowed,
             was_current: true,
         }
@@ -201,18 +201,20 @@
         }
     }
 
-    /// Returns whether reports name a build of each service that has engines here. If not, the host that sent them may know
-    /// another build only.
-    pub fn is_covered_by(&self, reports: &[BuildReport]) -> bool {
-        let mut listed = self.services.iter().filter(|(_, service)| !service.listed_at.is_empty());
-        listed.all(|(name, _)| reports.iter().any(|report| report.service == *name))
+    /// Records that all builds that served before this host started are known from the store.
+    pub fn record_former_known(&mut self) {
+        self.knows_former = true;
     }
 
-    /// Records that all builds that served before this host started are known: from the store, or from another host
-    /// (`is_vouched`).
-    pub fn record_former_known(&mut self, is_vouched: bool) {
-        self.knows_former = true;
-        self.is_vouched |= is_vouched;
+    /// Records that the reports are of a host that has listed all builds of the services that they name. Its messages name a
+    /// service with a single build only while it hears a host that has just started, so others say nothing of a service.
+    pub fn record_vouched(&mut self, reports: &[BuildReport]) {
+        if self.known_since.is_none() {
+            return;
+        }
+        for report in reports {
+            self.services.entry(report.service.clone()).or_default().is_vouched = true;
+        }
     }
 
     /// Records the builds that the store's records name. If one of them is not known, the builds that the store named may
@@ -221,15 +223,17 @@
         let known: BTreeSet<&str> =
             self.services.values().flat_map(|service| service.recent(now)).map(|b| &**b).collect();
         if builds.into_iter().any(|build| !known.contains(build)) {
-            self.knows_former &= self.is_vouched;
+            self.knows_former = false;
         }
     }
 
     /// Returns whether that only one build can have begun a stream of a service is known only from the store's list of
     /// builds, which may lack the last one.
     pub fn relies_on_store(&self, now: Instant, service: &str) -> bool {
-        let service = self.services.get(service);
-        !self.is_vouched && !service.is_some_and(|service| self.has_listed_all_of(now, service))
+        !self
+            .services
+            .get(service)
+            .is_some_and(|service| service.is_vouched || self.has_listed_all_of(now, service))
     }
 
     /// Returns when a process must have started at the latest for its messages to confirm that all builds are known. One that
@@ -261,7 +265,8 @@
             && sent_at.since(at) >= FIRST_STREAM_DELAY
         {
             self.known_since = self.known_since.map(|_| sent_at);
-            (self.is_first, self.knows_former, self.is_vouched) = (false, false, false);
+            (self.is_first, self.knows_former) = (false, false);
+            self.services.values_mut().for_each(|service| service.is_vouched = false);
         }
         self.record_heard(sent_at);
     }
@@ -429,7 +434,8 @@
 
     /// Returns whether all builds that may have begun a stream of a service are known.
     fn is_complete(&self, now: Instant, service: &Service) -> bool {
-        self.is_current(now) && self.knows_former || self.has_listed_all_of(now, service)
+        let knows_former = self.knows_former || service.is_vouched;
+        self.is_current(now) && knows_former || self.has_listed_all_of(now, service)
     }
 
     /// Returns whether this host has listed all builds that may have begun a stream of a service.
--- a/crates/core/src/origin/simulation_tests.rs
+++ b/crates/core/src/origin/simulation_tests.rs
@@ -16,6 +16,8 @@
 /// Time for which engines serve that have left the list.
 const DRAIN_MS: u64 = 3_000;
 const STEP_MS: u64 = 100;
+/// Time for which a host counts as new for the others, which then report single builds too.
+const NAMING_TIME: Duration = Duration::from_secs(5);
 const LENGTH_MS: u64 = 40_000;
 /// Time between two messages of a host, and between two reads of the list.
 const HEARTBEAT_MS: u64 = 500;
@@ -139,8 +141,8 @@
         let report = Report { incarnation: message.process as u64, uptime, ..Report::default() };
         self.roster.record_report(at(ms), &from, report);
         self.builds.record_former(at(ms), &message.reports);
-        if message.is_known && self.builds.is_covered_by(&message.reports) {
-            self.builds.record_former_known(true);
+        if message.is_known {
+            self.builds.record_vouched(&message.reports);
         }
         self.builds.record_listing_host(&from, &message.reports);
         self.refresh(ms);
@@ -249,8 +251,9 @@
             if turn.is_multiple_of(HEARTBEAT_MS) {
                 host.list(ms);
                 host.refresh(ms);
-                let (reports, is_known) =
-                    (host.builds.reports(at(ms), true), host.builds.has_listed_all(at(ms)));
+                let hears_new_host = !host.roster.heard_peers(at(ms), Some(NAMING_TIME)).is_empty();
+                let reports = host.builds.reports(at(ms), hears_new_host);
+                let is_known = host.builds.has_listed_all(at(ms));
                 for to in (0..count).filter(|to| *to != own) {
                     let arrives_ms = ms + random.below(3) * STEP_MS;
                     let reports = reports.clone();
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -178,7 +178,7 @@
     let fresh = builds_of_later_host(&["v2"]);
     let mut told = fresh.clone();
     told.record_former(NOW, &[]);
-    told.record_former_known(false);
+    told.record_former_known();
     let mut told_another = told.clone();
     told_another.record_former(NOW, &[report("v1", 3_000)]);
 
@@ -231,7 +231,7 @@
 #[test]
 fn only_a_host_that_has_listed_for_as_long_as_a_stream_lasts_vouches_for_its_reports() {
     let mut told = builds_of_later_host(&["v1"]);
-    told.record_former_known(false);
+    told.record_former_known();
     let mut first = Builds::new(true);
 
     assert!(!first.has_listed_all(NOW) && !first.is_known(NOW));
@@ -262,7 +262,7 @@
 #[test]
 fn builds_that_the_store_names_are_not_all_if_its_records_name_another() {
     let mut builds = builds_of_later_host(&["v1"]);
-    builds.record_former_known(false);
+    builds.record_former_known();
     assert!(builds.relies_on_store(NOW, "llm"));
 
     builds.record_recorded(NOW, ["v1"]);
@@ -280,7 +280,7 @@
 #[test]
 fn builds_that_another_host_vouches_for_are_all() {
     let mut builds = builds_of_later_host(&["v1"]);
-    builds.record_former_known(true);
+    builds.record_vouched(&[report("v1", 0)]);
 
     builds.record_recorded(NOW, ["v2"]);
 
@@ -392,7 +392,7 @@
     assert_eq!(builds.announce(NOW, hosts, |_| true).len(), 0);
     assert_eq!(builds.reports(NOW, false), [report("v2", 0)]);
     builds.record_heard(NOW);
-    builds.record_former_known(true);
+    builds.record_vouched(&[report("v2", 0)]);
 
     assert_eq!(builds.announce(NOW, hosts, |_| true).len(), 1);
 }
@@ -426,3 +426,20 @@
 
     assert_eq!(announced(&mut builds, joined, &peers), 0);
 }
+
+// Guards against a host that has just started, and takes the first build that it lists for the only one: before, a peer that had
+// not heard it yet vouched for all builds, in a message that names none.
+#[test]
+fn reports_that_name_no_build_do_not_complete_what_a_host_knows_that_has_listed_none() {
+    let mut builds = Builds::new(false);
+    builds.follow();
+    builds.set_stream_life(&"llm".into(), LIFE);
+
+    builds.record_vouched(&[]);
+    list(&mut builds, NOW, &["v2"]);
+    builds.record_vouched(&[]);
+    builds.record_list_read(NOW, false);
+
+    assert_eq!(builds.possible(NOW, "llm"), Possible::Unknown);
+    assert_eq!(announced(&mut builds, NOW, &["host-1", "host-2"]), 0);
+}
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -290,8 +290,10 @@
                 state.builds.record_former(now, std::slice::from_ref(report));
             });
         }
-        if is_known && (!is_peer || state.builds.is_covered_by(reports)) {
-            state.builds.record_former_known(is_peer);
+        match is_peer {
+            _ if !is_known => {}
+            true => state.builds.record_vouched(reports),
+            false => state.builds.record_former_known(),
         }
         drop(state);
         self.origins_due.notify_one();
