Builds: one that left while the list was out of date is announced again

A host whose list was out of date renewed the time at which it last listed a build that had left. When the build came back, it looked as if it had never left, and streams began there at once, though hosts that do not hear this one had forgotten it (ORDER).

--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -113,6 +113,8 @@
     /// Whether all builds that served before that time are known from the store.
     knows_former: bool,
     freshness: Freshness,
+    /// When the call was sent by which the list of servers, or its changes, last came.
+    list_read_at: Option<Instant>,
     /// [`Builds::is_current`] when [`Builds::freshness_change`] was last called.
     was_current: bool,
 }
@@ -137,6 +139,7 @@
             is_first: is_fleet_first_start,
             knows_former: false,
             freshness: Freshness::Unfollowed,
+            list_read_at: None,
             was_current: true,
         }
     }
@@ -258,8 +261,12 @@
 
     /// Records that the store's list of servers, or all changes since it was read, came by a call that was sent at `sent_at`. If
     /// the list was read anew (`is_snapshot`) long after it was last confirmed that all builds are known, one may have been
-    /// listed, begun streams and left since.
-    pub fn record_list_read(&mut self, sent_at: Instant, is_snapshot: bool) {
+    /// listed, begun streams and left since. All builds that are listed at `now` have been recorded.
+    pub fn record_list_read(&mut self, now: Instant, sent_at: Instant, is_snapshot: bool) {
+        let read_at = self.list_read_at.replace(sent_at);
+        if read_at.is_some_and(|at| sent_at.since(at) >= FIRST_STREAM_DELAY) {
+            self.forget_announced_unlisted(now);
+        }
         if let Freshness::ConfirmedAt(at) = self.freshness
             && is_snapshot
             && sent_at.since(at) >= FIRST_STREAM_DELAY
@@ -271,6 +278,15 @@
         self.record_heard(sent_at);
     }
 
+    /// Has builds that are not listed at `now` announced again when they come back. They may have left at any time since the
+    /// list was read before, so that other hosts have forgotten them.
+    fn forget_announced_unlisted(&mut self, now: Instant) {
+        for service in self.services.values_mut() {
+            let listed_at = &service.listed_at;
+            service.announced.retain(|build| listed_at.get(build) == Some(&now));
+        }
+    }
+
     /// Returns whether a build at which another host may begin a stream now would be known.
     pub fn is_current(&self, now: Instant) -> bool {
         match self.freshness {
--- a/crates/core/src/origin/simulation_tests.rs
+++ b/crates/core/src/origin/simulation_tests.rs
@@ -246,7 +246,7 @@
                 host.listed =
                     served.iter().filter(|(_, is)| *is).map(|(build, _)| *build).collect();
                 host.list(ms);
-                host.builds.record_list_read(at(ms), true);
+                host.builds.record_list_read(at(ms), at(ms), true);
             }
             if turn.is_multiple_of(HEARTBEAT_MS) {
                 host.list(ms);
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -349,7 +349,7 @@
     list(&mut builds, NOW, &["v1"]);
     assert!(builds.is_confirmation_due(NOW));
 
-    builds.record_list_read(NOW, true);
+    builds.record_list_read(NOW, NOW, true);
 
     let later = NOW + Duration::from_millis(1_000);
     assert!(!builds.is_confirmation_due(NOW + Duration::from_millis(900)));
@@ -406,8 +406,8 @@
     builds.record_heard(NOW);
     let (mut gapless, later) = (builds.clone(), NOW + seconds(10));
 
-    builds.record_list_read(later, true);
-    gapless.record_list_read(later, false);
+    builds.record_list_read(later, later, true);
+    gapless.record_list_read(later, later, false);
 
     assert_eq!(builds.possible(later, "llm"), Possible::Unknown);
     assert_eq!(gapless.possible(later, "llm"), Possible::One("v1".into()));
@@ -438,8 +438,35 @@
     builds.record_vouched(&[]);
     list(&mut builds, NOW, &["v2"]);
     builds.record_vouched(&[]);
-    builds.record_list_read(NOW, false);
+    builds.record_list_read(NOW, NOW, false);
 
     assert_eq!(builds.possible(NOW, "llm"), Possible::Unknown);
     assert_eq!(announced(&mut builds, NOW, &["host-1", "host-2"]), 0);
 }
+
+// Guards against streams at a build that other hosts have forgotten: this one's list was out of date, so that it took the
+// build for listed long after its engines had left.
+#[test]
+fn a_build_that_left_while_the_list_was_out_of_date_is_announced_again() {
+    let mut builds = builds_of_later_host(&["v1", "v2"]);
+    builds.follow();
+    builds.record_list_read(NOW, NOW, false);
+    let heard = BTreeSet::new();
+    let hosts = Hosts { heard: &heard, peers: 0, is_whole_fleet: false };
+    let mut tick = |now, listed: &[&str], is_read| {
+        list(&mut builds, now, listed);
+        if is_read {
+            builds.record_list_read(now, now, true);
+        }
+        builds.announce(now, hosts, |_| true);
+        builds.unannounced().remove("llm").unwrap_or_default()
+    };
+
+    // The engines of v1 leave after the first read, and come back after the second one.
+    let before = (0..33).flat_map(|n| tick(NOW + seconds(n), &["v1", "v2"], false)).count();
+    tick(NOW + LIFE, &["v2"], true);
+    let after = tick(NOW + LIFE + seconds(2), &["v1", "v2"], true);
+
+    assert_eq!(before, 0);
+    assert!(after.contains("v1"), "{after:?}");
+}
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -2,7 +2,7 @@
 
 use super::{App, State};
 use crate::config::{Config, Kind};
-use chestnutrack_core::origin::{Builds, Hosts, Known, Possible, Stream, unlisted_build};
+use chestnutrack_core::origin::{Hosts, Known, Possible, Stream, unlisted_build};
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_wire::frame::{BuildReport, OriginReport};
@@ -317,16 +317,16 @@
 
     /// Records that enough other hosts were heard, whose last messages were sent at `sent_at` or later.
     pub(crate) fn confirm_builds_heard(&self, sent_at: Instant) {
-        self.confirm_builds(|builds| builds.record_heard(sent_at));
+        self.state().builds.record_heard(sent_at);
+        self.check_builds_current();
     }
 
     /// Records that the list of servers, or its changes, came from the store by a call that was sent at `sent_at`.
     pub(crate) fn confirm_builds_listed(&self, sent_at: Instant, is_snapshot: bool) {
-        self.confirm_builds(|builds| builds.record_list_read(sent_at, is_snapshot));
-    }
-
-    fn confirm_builds(&self, confirm: impl FnOnce(&mut Builds)) {
-        confirm(&mut self.state().builds);
+        let (now, mut state) = (clock::now(), self.state());
+        state.record_listed_builds(now);
+        state.builds.record_list_read(now, sent_at, is_snapshot);
+        drop(state);
         self.check_builds_current();
     }
 
