Builds: after a gap, messages of a cell alone do not confirm what was known before

Where a fleet has several cells, hosts of a cell that could not read the store took their knowledge for complete again once one of them had read it, by the messages that they exchange. None of them knows a build that the other cell had meanwhile (ORDER).

The unit test failed before.

--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -250,9 +250,17 @@
     }
 
     /// Records that enough other hosts were heard, whose processes started at [`Builds::settled_by`] or before and whose last
-    /// messages were sent at `sent_at` or later. One of them has told this host of each build at which any host begins
-    /// streams.
-    pub fn record_heard(&mut self, sent_at: Instant) {
+    /// messages were sent at `sent_at` or later. If they are of the whole fleet, one of them has told this host of each build
+    /// at which any host begins streams. Otherwise hosts of other cells may have begun some since the last confirmation.
+    pub fn record_heard(&mut self, sent_at: Instant, is_whole_fleet: bool) {
+        if !is_whole_fleet {
+            self.forget_after_gap(sent_at);
+        }
+        self.renew(sent_at);
+    }
+
+    /// Renews the time for which this host may rely on knowing all builds.
+    fn renew(&mut self, sent_at: Instant) {
         self.freshness = match self.freshness {
             Freshness::ConfirmedAt(at) => Freshness::ConfirmedAt(at.max(sent_at)),
             _ => Freshness::ConfirmedAt(sent_at),
@@ -267,15 +275,22 @@
         if read_at.is_some_and(|at| sent_at.since(at) >= FIRST_STREAM_DELAY) {
             self.forget_announced_unlisted(now);
         }
-        if let Freshness::ConfirmedAt(at) = self.freshness
-            && is_snapshot
-            && sent_at.since(at) >= FIRST_STREAM_DELAY
-        {
-            self.known_since = self.known_since.map(|_| sent_at);
-            (self.is_first, self.knows_former) = (false, false);
-            self.services.values_mut().for_each(|service| service.is_vouched = false);
+        if is_snapshot {
+            self.forget_after_gap(sent_at);
+        }
+        self.renew(sent_at);
+    }
+
+    /// Has this host know only the builds that are listed from `sent_at` on, if the last confirmation is so old that streams may
+    /// have begun at others since.
+    fn forget_after_gap(&mut self, sent_at: Instant) {
+        let Freshness::ConfirmedAt(at) = self.freshness else { return };
+        if sent_at.since(at) < FIRST_STREAM_DELAY {
+            return;
         }
-        self.record_heard(sent_at);
+        self.known_since = self.known_since.map(|_| sent_at);
+        (self.is_first, self.knows_former) = (false, false);
+        self.services.values_mut().for_each(|service| service.is_vouched = false);
     }
 
     /// Has builds that are not listed at `now` announced again when they come back. They may have left at any time since the
--- a/crates/core/src/origin/simulation_tests.rs
+++ b/crates/core/src/origin/simulation_tests.rs
@@ -116,7 +116,7 @@
         self.list(ms);
         let settled_by = self.builds.settled_by(at(ms));
         if let Some(sent_at) = self.roster.quorum_sent_at(at(ms), settled_by) {
-            self.builds.record_heard(sent_at);
+            self.builds.record_heard(sent_at, true);
         }
         let heard = self.roster.peers_sent_within(at(ms), KNOWLEDGE_LEASE);
         let peers = self.known_processes.len() - 1;
--- a/crates/core/src/origin/tests.rs
+++ b/crates/core/src/origin/tests.rs
@@ -199,7 +199,7 @@
 
     assert_eq!(builds.freshness_change(NOW), None);
     assert_eq!(builds.possible(NOW, "llm"), Possible::Unknown);
-    builds.record_heard(NOW);
+    builds.record_heard(NOW, true);
     assert_eq!(builds.freshness_change(NOW), Some(true));
     assert_eq!(builds.freshness_change(NOW + seconds(2)), Some(false));
     assert_eq!(builds.possible(NOW, "llm"), Possible::One("v1".into()));
@@ -211,7 +211,7 @@
     let mut builds = Builds::new(true);
     builds.follow();
     list(&mut builds, NOW, &["v1"]);
-    builds.record_heard(NOW);
+    builds.record_heard(NOW, true);
 
     assert_eq!(builds.possible(NOW + seconds(1), "llm"), Possible::One("v1".into()));
     assert_eq!(builds.possible(NOW + seconds(2), "llm"), Possible::Unknown);
@@ -391,7 +391,7 @@
     list(&mut builds, NOW, &["v2"]);
     assert_eq!(builds.announce(NOW, hosts, |_| true).len(), 0);
     assert_eq!(builds.reports(NOW, false), [report("v2", 0)]);
-    builds.record_heard(NOW);
+    builds.record_heard(NOW, true);
     builds.record_vouched(&[report("v2", 0)]);
 
     assert_eq!(builds.announce(NOW, hosts, |_| true).len(), 1);
@@ -403,7 +403,7 @@
     let mut builds = Builds::new(true);
     builds.follow();
     list(&mut builds, NOW, &["v1"]);
-    builds.record_heard(NOW);
+    builds.record_heard(NOW, true);
     let (mut gapless, later) = (builds.clone(), NOW + seconds(10));
 
     builds.record_list_read(later, later, true);
@@ -470,3 +470,20 @@
     assert_eq!(before, 0);
     assert!(after.contains("v1"), "{after:?}");
 }
+
+// Guards against a cell that could not read the store for a while, and relies on its hosts' messages again as soon as one of them
+// has read it: none of them knows a build that hosts of another cell had meanwhile.
+#[test]
+fn a_host_whose_cell_heard_nothing_of_others_for_long_knows_no_only_build() {
+    let mut builds = Builds::new(true);
+    builds.follow();
+    list(&mut builds, NOW, &["v1"]);
+    builds.record_list_read(NOW, NOW, true);
+    let (mut whole_fleet, later) = (builds.clone(), NOW + seconds(10));
+
+    builds.record_heard(later, false);
+    whole_fleet.record_heard(later, true);
+
+    assert_eq!(builds.possible(later, "llm"), Possible::Unknown);
+    assert_eq!(whole_fleet.possible(later, "llm"), Possible::One("v1".into()));
+}
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -315,9 +315,10 @@
         self.state().builds.is_confirmation_due(clock::now())
     }
 
-    /// Records that enough other hosts were heard, whose last messages were sent at `sent_at` or later.
-    pub(crate) fn confirm_builds_heard(&self, sent_at: Instant) {
-        self.state().builds.record_heard(sent_at);
+    /// Records that enough other hosts, of the whole fleet or of this host's cell, were heard, whose last messages were sent
+    /// at `sent_at` or later.
+    pub(crate) fn confirm_builds_heard(&self, sent_at: Instant, is_whole_fleet: bool) {
+        self.state().builds.record_heard(sent_at, is_whole_fleet);
         self.check_builds_current();
     }
 
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -629,10 +629,11 @@
             (roster.quorum_sent_at(clock::now(), settled_by), roster.reports_store())
         };
         // Hosts of other cells may begin streams at builds that only the store can tell.
-        let is_told = self.is_whole_fleet() || reports_store || self.follower.is_up();
+        let is_whole_fleet = self.is_whole_fleet();
+        let is_told = is_whole_fleet || reports_store || self.follower.is_up();
         let is_known = self.knows_hosts() && self.follower.is_list_whole() && is_told;
         if let Some(sent_at) = sent_at.filter(|_| is_known) {
-            self.app.confirm_builds_heard(sent_at);
+            self.app.confirm_builds_heard(sent_at, is_whole_fleet);
         }
     }
 
