Orders: an engine's process is asked before each report and order

An order that was decided for one process of an engine could reach the next one under its name and address. Reports and orders went over connections that were not asked when the process had started; an engine whose process had started again after its report took the order. What the process said of itself was recorded for the listed one.

Cause: the controller made a pool of its own for each call, without the probe of the engine's pool. `Expected-Instance` does not help, as a server may start again under its name, and neither does the expected number of orders: it is 0 for both.

Such calls still have connections of their own, but from the engine's pool (`Pool::without_reuse`), with its probe. A process that has started again is recorded as for any request. An order that was not sent leaves the engine available after the stage change's own time, and the time is recorded for the process that the order was for. A cold engine gets no order, since each one needs a new connection; until now it got one if a connection happened to be idle.

The test failed before: the order came after one report, and the new process was never asked.

--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -517,11 +517,11 @@
         self.state().dispatch.is_evacuated(target.key)
     }
 
-    /// Counts a call of the router's own to a server. Returns `false` if the server must not get it now: a cold server gets
-    /// none for which a new connection has to be opened, and so its process probed.
-    pub fn admit_call(&self, target: &Target) -> bool {
+    /// Counts a call of the router's own to a server, on a connection that `reuse` allows. Returns `false` if the server must
+    /// not get it now: a cold server gets none for which a new connection has to be opened, and so its process probed.
+    pub fn admit_call(&self, target: &Target, reuse: Reuse) -> bool {
         let (now, mut state) = (clock::now(), self.state());
-        if target.pool.needs_probe(Reuse::Allowed) && state.dispatch.is_cold(now, target.key) {
+        if target.pool.needs_probe(reuse) && state.dispatch.is_cold(now, target.key) {
             return false;
         }
         let is_admitted = state.dispatch.admit_call(now, target.key);
--- a/crates/forward/src/attempt/generation.rs
+++ b/crates/forward/src/attempt/generation.rs
@@ -16,7 +16,7 @@
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::clock;
 use chestnutrack_process::http::Error;
-use chestnutrack_process::pool::Stream;
+use chestnutrack_process::pool::{Reuse, Stream};
 use futures_util::StreamExt;
 use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -192,7 +192,7 @@
         let (target, job) = (self.target.clone(), self.job.clone());
         tokio::spawn(async move {
             let id = job.head.id.as_deref();
-            if !job.app.admit_call(&target) {
+            if !job.app.admit_call(&target, Reuse::Allowed) {
                 tracing::info!(id, server = %target.entry.name, "handle not freed: the server takes no requests");
                 return;
             }
--- a/crates/forward/src/stage/mod.rs
+++ b/crates/forward/src/stage/mod.rs
@@ -16,9 +16,10 @@
 use bytes::Bytes;
 use chestnutrack_core::dispatch::{SplitChange, Stage};
 use chestnutrack_core::time::Instant;
-use chestnutrack_process::pool::Pool;
+use chestnutrack_process::clock;
+use chestnutrack_process::http::{self, Error};
+use chestnutrack_process::pool::Reuse;
 use chestnutrack_process::timer::Timer;
-use chestnutrack_process::{clock, http};
 use chestnutrack_store::client::Client;
 use http_body_util::Full;
 use hyper::{Request, Response};
@@ -165,7 +166,7 @@
     /// the engine refuses it if another order came first.
     async fn change_stage(&mut self, target: &Target, stage: Stage) {
         let server = target.entry.name.clone();
-        if !self.app.admit_call(target) {
+        if !self.app.admit_call(target, Reuse::Forbidden) {
             tracing::info!(%server, "order not sent: the server takes no requests");
             return;
         }
@@ -205,13 +206,17 @@
             tracing::warn!(server = %order.server, "order not sent: the process was paused after the lease was confirmed");
             return;
         }
-        let duration = self.stage_switch_time(&target.entry.service) + STAGE_CHANGE_MARGIN;
-        self.record_stage_change(&order.server, duration);
-        if !self.app.admit_call(target) {
+        if !self.app.admit_call(target, Reuse::Forbidden) {
             tracing::info!(server = %order.server, "order not sent: the server takes no requests");
             return;
         }
+        let duration = self.stage_switch_time(&target.entry.service) + STAGE_CHANGE_MARGIN;
+        self.record_stage_change(target, duration);
         let answer = self.call(target, request).await;
+        if let Err(error @ (Error::Connect(..) | Error::Request(_))) = &answer {
+            tracing::info!(server = %order.server, %error, "order not sent");
+            return;
+        }
         let status = answer.as_ref().ok().map(|answer| answer.status().as_u16());
         let error = answer.as_ref().err().map(ToString::to_string);
         // The names of these variables are keys in the log.
@@ -220,14 +225,18 @@
         tracing::info!(%server, stage, epoch, sequence, status, error, "order given");
         if status.is_none_or(|status| !ACCEPTED_STATUSES.contains(&status)) {
             // The engine may still carry the order out.
-            self.record_stage_change(server, UNANSWERED_ORDER_TIMEOUT);
+            self.record_stage_change(target, UNANSWERED_ORDER_TIMEOUT);
         }
     }
 
     /// Records that an engine is unavailable for a duration, and reports it to the other hosts as urgent
-    /// gossip.
-    fn record_stage_change(&self, server: &str, duration: Duration) {
-        self.app.state().dispatch.record_stage_change(clock::now(), server, duration);
+    /// gossip. Does nothing if its process is no longer listed: an order does not concern the one that follows it.
+    fn record_stage_change(&self, target: &Target, duration: Duration) {
+        let mut state = self.app.state();
+        if state.dispatch.entry(target.key).is_none() {
+            return;
+        }
+        state.dispatch.record_stage_change(clock::now(), &target.entry.name, duration);
         self.app.urgent_gossip_due.notify_one();
     }
 
@@ -239,14 +248,14 @@
     }
 
     /// Makes a call to an engine, and records what the engine says of itself. Reports and orders don't state which call they
-    /// answer, so each call has a connection of its own, on which no other answer can come.
+    /// answer, so each call has a connection of its own, on which no other answer can come but that of the probe.
     async fn call(
         &self,
         target: &Target,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Bytes>, http::Error> {
+    ) -> Result<Response<Bytes>, Error> {
         let sent_at = clock::now();
-        let pool = Pool::new(target.pool.address(), self.app.settings.pool.without_reuse());
+        let pool = target.pool.without_reuse();
         let answer = pool.call(request, ANSWER_TIMEOUT, MAX_ANSWER_BYTES).await?;
         let head = (self.app.dialect.parse_response_head)(answer.status(), answer.headers());
         self.app.record_notices(target, sent_at, &head, None);
@@ -254,10 +263,10 @@
     }
 
     /// Requests an engine's report.
-    async fn fetch_report(&self, target: &Target) -> Result<Report, http::Error> {
+    async fn fetch_report(&self, target: &Target) -> Result<Report, Error> {
         let request = http::request("GET", self.app.dialect.report_path, Bytes::new())?;
         let answer = self.call(target, request).await?;
         let report = (self.app.dialect.parse_report)(answer.body());
-        report.ok_or_else(|| http::Error::Broken("report can't be read".to_owned()))
+        report.ok_or_else(|| Error::Broken("report can't be read".to_owned()))
     }
 }
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod notices;
 mod odd_entries;
+mod orders;
 mod peers;
 mod plain;
 mod residency;
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -144,7 +144,7 @@
     permits: Arc<Semaphore>,
     /// Total number of permits, in use or not.
     open_max: Mutex<usize>,
-    probe: Option<Probe>,
+    probe: Option<Arc<Probe>>,
 }
 
 /// Pool of connections to one address. Clones share the connections.
@@ -169,6 +169,17 @@
 
     /// Creates a pool as [`Pool::new`] does, which checks the process behind the address.
     pub fn with_probe(address: SocketAddr, settings: Settings, probe: Option<Probe>) -> Pool {
+        Pool::create(address, settings, probe.map(Arc::new))
+    }
+
+    /// Returns a pool that has connections of its own to the same process, a new one for each call; see
+    /// [`Settings::without_reuse`].
+    pub fn without_reuse(&self) -> Pool {
+        let Shared { address, settings, probe, .. } = &*self.0;
+        Pool::create(*address, settings.without_reuse(), probe.clone())
+    }
+
+    fn create(address: SocketAddr, settings: Settings, probe: Option<Arc<Probe>>) -> Pool {
         Pool(Arc::new(Shared {
             address,
             settings,
--- a/crates/process/tests/pool.rs
+++ b/crates/process/tests/pool.rs
@@ -431,6 +431,19 @@
     assert_eq!(server.calls(), 1);
 }
 
+// Guards against calls on connections of their own that reach a process which was not asked.
+#[tokio::test]
+async fn a_pool_without_reuse_checks_the_process_for_each_call() {
+    let server = server(&[RESPONSE; 8]).await;
+    let pool = probing_pool(server.address).without_reuse();
+
+    for _ in 0..2 {
+        assert_eq!(call(&pool, CALL_TIMEOUT).await.unwrap(), "ok");
+    }
+
+    assert_eq!((server.connections(), server.calls()), (2, 4));
+}
+
 // Guards against a process that counts as the intended one, since it did not say which it is.
 #[tokio::test]
 async fn nothing_is_sent_to_a_process_that_does_not_answer_the_probe_with_success() {
