Dispatch: a process keeps what it has said when its entry comes

An engine that had started again and said in an answer that it is leaving got further requests as soon as its entry came; so did one that had asked for quiet, and a cold one lost its cold time. Its running generations and failures were forgotten too, and peers that listed it later were not told that it is leaving.

Cause: a process that is known from its own report is listed under a build that stands for the unknown one. Its entry, with the same start time and the true build, counted as another process, so that the server was removed and added without history.

An entry that only adds the build is now of the same process, and the server keeps its key, its connections and its state. Ruled out: limits of requests, which are kept by name and start time, and streams, whose builds are renamed as before.

Both tests failed before; the one on sockets saw a second request at the engine that was leaving.

--- a/crates/core/src/dispatch/engine.rs
+++ b/crates/core/src/dispatch/engine.rs
@@ -396,10 +396,7 @@
     /// Returns whether the store lists an engine of a build, so that it is not only known from its process.
     pub fn is_stored_build(&self, build: &str) -> bool {
         let mut engines = self.servers.values().filter(|server| server.entry.stage.is_some());
-        engines.any(|Server { entry, .. }| {
-            let unlisted = entry.born.map(|born| unlisted_build(&entry.name, born));
-            *entry.build == *build && unlisted.is_none_or(|unlisted| unlisted != entry.build)
-        })
+        engines.any(|Server { entry, .. }| *entry.build == *build && !entry.is_unlisted())
     }
 
     /// Returns service and build of each listed engine.
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -42,6 +42,7 @@
 use crate::forecast;
 use crate::health::Health;
 use crate::listing;
+use crate::origin::unlisted_build;
 use crate::plan;
 use crate::prefix::Index;
 use crate::queue::{self, Queue};
@@ -110,9 +111,15 @@
 }
 
 impl Entry {
-    /// Returns whether two entries are of one process.
-    fn is_same_process(&self, other: &Entry) -> bool {
-        (self.address, self.born, &self.build) == (other.address, other.born, &other.build)
+    /// Returns whether the process is known only from itself, so that its build is not.
+    fn is_unlisted(&self) -> bool {
+        self.born.is_some_and(|born| self.build == unlisted_build(&self.name, born))
+    }
+
+    /// Returns whether a later entry of the same name is of the same process. It may be the first that says its build.
+    fn is_same_process(&self, later: &Entry) -> bool {
+        (self.address, self.born) == (later.address, later.born)
+            && (self.build == later.build || self.is_unlisted())
     }
 }
 
--- a/crates/core/src/dispatch/tests/leaving.rs
+++ b/crates/core/src/dispatch/tests/leaving.rs
@@ -3,6 +3,7 @@
 
 use super::simulation::{entry, service};
 use crate::dispatch::{Dispatch, Effect, Entry, Request, Residency, ServerKey, Settings};
+use crate::origin::unlisted_build;
 use crate::time::Instant;
 use std::sync::Arc;
 use std::time::Duration;
@@ -73,6 +74,44 @@
     assert!(later_peer.accepts(NOW, restarted));
 }
 
+/// Returns the entry of an engine that the list names, and that of the process that follows it, before and after the list
+/// names its build.
+fn restarted_engine() -> [Entry; 3] {
+    let listed = entry(0, false);
+    let name = listed.name.clone();
+    let restarted = Entry { born: Some(2), build: unlisted_build(&name, 2), ..listed.clone() };
+    let named = Entry { build: "v2".into(), ..restarted.clone() };
+    [listed, restarted, named]
+}
+
+// Guards against a process that gets requests although it has said that it is leaving or wants none, or more than it takes while
+// it is cold, since its entry came later.
+#[test]
+fn what_a_process_has_said_holds_when_its_entry_says_its_build() {
+    type Record = fn(&mut Dispatch<u32>, ServerKey);
+    let records: [Record; 3] = [
+        |dispatch, key| _ = dispatch.record_leaving(key),
+        |dispatch, key| _ = dispatch.record_backoff(NOW, key, seconds(3)),
+        |dispatch, key| _ = dispatch.record_cold(NOW, key, seconds(3)),
+    ];
+    let states = records.map(|record| {
+        let mut dispatch: Dispatch<u32> = Dispatch::new(Settings::default(), "a".into());
+        let [listed, restarted, named] = restarted_engine();
+        dispatch.put(NOW, listed);
+        let (key, _) = dispatch.put(NOW, restarted);
+        record(&mut dispatch, key);
+
+        let (key, changed) = dispatch.put(NOW, named);
+
+        let is_cold = dispatch.is_cold(NOW, key);
+        (changed, dispatch.is_leaving(key), dispatch.accepts(NOW, key), is_cold)
+    });
+
+    let expected = [(true, false, false), (false, false, false), (false, true, true)];
+    let expected = expected.map(|(leaving, accepts, cold)| (true, leaving, accepts, cold));
+    assert_eq!(states, expected);
+}
+
 #[test]
 fn a_server_that_asks_for_quiet_gets_nothing_until_the_time_is_over() {
     let (mut dispatch, [quiet, other]) = plain_servers();
--- a/crates/forward/tests/forward/notices.rs
+++ b/crates/forward/tests/forward/notices.rs
@@ -3,6 +3,7 @@
 use crate::fixture::backend::{Backend, ReceivedRequest, Step, answer, answer_prefill, send};
 use crate::fixture::caller::{call, generation, request};
 use crate::fixture::{decode, host, plain, prefill};
+use chestnutrack_core::dispatch::{Change, Entry};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -87,6 +88,32 @@
     assert_eq!(leaving.received().len(), 1);
 }
 
+// Guards against an engine that gets requests after it has said that it is leaving, since its process had started again and was
+// listed only after that.
+#[tokio::test]
+async fn an_engine_that_said_it_is_leaving_before_its_entry_came_gets_nothing_more() {
+    let prefiller = Backend::start(answer_prefill).await;
+    let leaving = Backend::start(|received| with_header(received, "200 OK", LEAVING)).await;
+    let other = Backend::start(answer_stream).await;
+    let entry = decode("d-1", &leaving);
+    let servers = vec![prefill("p-1", &prefiller), entry.clone(), decode("d-2", &other)];
+    leaving.set_born(2);
+    let host = host(servers).await;
+    while leaving.received().is_empty() {
+        call(host.address, &generation("/digest/1")).await;
+    }
+
+    host.app.apply_change(Change::Put(
+        entry.name.clone(),
+        Entry { born: Some(2), build: "v2".into(), ..entry },
+    ));
+    for _ in 0..12 {
+        assert_eq!(call(host.address, &generation("/digest/1")).await.status, 200);
+    }
+
+    assert_eq!(leaving.received().len(), 1);
+}
+
 #[tokio::test]
 async fn a_generation_is_placed_anew_if_its_engine_leaves_while_the_prompt_is_prefilled() {
     let first = Backend::start(answer_stream).await;
