Dispatch: a repeated entry of the process before does not bring it back

A host that had learned from an engine that it has started again listed the process before anew when the store's list was read once more, or a watch came late, before the entry of the new process was there. What the new process had said, that it is leaving or wants no requests, was lost, and streams there counted as those of the older build until the next connection was opened and asked.

Cause: any entry with another start time counted as a restart, also that of the process which had just been followed.

Start times are of the servers' own clocks, so an older one alone proves nothing. The entry of exactly that process which another one has followed under its name is now ignored for as long as the other one is only known from itself; that it serves again has to be learned from its report.

The first test failed before; the second one guards the way back, where two processes are asked in turn.

--- a/crates/core/src/dispatch/leaving.rs
+++ b/crates/core/src/dispatch/leaving.rs
@@ -77,6 +77,16 @@
         is_known_leaving || was_removed
     }
 
+    /// Returns whether an entry is that of a process which another one has followed under its name. The other one has said so
+    /// itself, and the list does not name it yet.
+    pub(super) fn is_superseded(&self, now: Instant, entry: &Entry) -> bool {
+        let known = self.keys_by_name.get(&entry.name).map(|key| &self.servers[*key].entry);
+        let before = self.departed.process(now, &entry.name);
+        known.is_some_and(Entry::is_unlisted)
+            && !entry.is_unlisted()
+            && before.is_some_and(|(born, _)| born == entry.born)
+    }
+
     /// Records that a server has said in an answer that it is leaving. Returns whether that is new.
     pub fn record_leaving(&mut self, key: ServerKey) -> bool {
         let server = self.servers.get_mut(key);
--- a/crates/core/src/dispatch/mod.rs
+++ b/crates/core/src/dispatch/mod.rs
@@ -316,8 +316,14 @@
     /// A server that is listed under the same name but with another address, start time or build has
     /// restarted: the former server is removed, and the new one gets a new key and no history.
     ///
-    /// A server that has left stays out though a store that was restored from a copy lists it again.
+    /// A server that has left stays out though a store that was restored from a copy lists it again. So does a process that
+    /// another one has followed, though the list names it until the entry of that one has come.
     pub fn put(&mut self, now: Instant, mut entry: Entry) -> (ServerKey, bool) {
+        if let Some(&key) = self.keys_by_name.get(&entry.name)
+            && self.is_superseded(now, &entry)
+        {
+            return (key, false);
+        }
         entry.leaving |= self.is_departed(now, &entry);
         let evacuated = self.evacuations.covers(&entry.failure_domain);
         let region = self.regions.get(&entry.failure_domain).cloned();
--- a/crates/core/src/dispatch/tests/leaving.rs
+++ b/crates/core/src/dispatch/tests/leaving.rs
@@ -112,6 +112,40 @@
     assert_eq!(states, expected);
 }
 
+// Guards against a process that has ended and counts as the one that serves, since the list was read once more before the
+// entry of the next process came.
+#[test]
+fn the_entry_of_a_process_that_another_one_has_followed_is_ignored() {
+    let mut dispatch: Dispatch<u32> = Dispatch::new(Settings::default(), "a".into());
+    let [listed, restarted, named] = restarted_engine();
+    dispatch.put(NOW, listed.clone());
+    let (key, _) = dispatch.put(NOW, restarted);
+    dispatch.record_leaving(key);
+
+    let repeated = dispatch.put(NOW + seconds(1), Entry { slots: 9, ..listed });
+    let born = dispatch.entry(key).and_then(|entry| entry.born);
+    let (named_key, _) = dispatch.put(NOW + seconds(2), named);
+
+    assert_eq!((repeated, born, named_key), ((key, false), Some(2), key));
+    assert!(dispatch.is_leaving(key));
+}
+
+// Guards against a process that is kept out by its entry's name, although it has said itself that it serves.
+#[test]
+fn a_process_that_was_asked_is_listed_though_another_one_seemed_to_follow_it() {
+    let mut dispatch: Dispatch<u32> = Dispatch::new(Settings::default(), "a".into());
+    let [listed, restarted, _] = restarted_engine();
+    dispatch.put(NOW, listed.clone());
+    dispatch.put(NOW, restarted);
+    let unlisted = unlisted_build(&listed.name, 1);
+
+    let (asked, _) =
+        dispatch.put(NOW, Entry { born: listed.born, build: unlisted, ..listed.clone() });
+    let (named, changed) = dispatch.put(NOW, listed.clone());
+
+    assert_eq!((asked, changed, dispatch.entry(named)), (named, true, Some(&listed)));
+}
+
 #[test]
 fn a_server_that_asks_for_quiet_gets_nothing_until_the_time_is_over() {
     let (mut dispatch, [quiet, other]) = plain_servers();
