Core: decisions on numbers at the ends of their ranges (red)

A bounded random test feeds one host's dispatch with numbers that entries, peers and callers may state.

--- a/crates/core/src/dispatch/tests/mod.rs
+++ b/crates/core/src/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod cold;
 mod evacuation;
+mod extreme;
 mod leaving;
 mod load;
 mod prefix;
