Stage plans: generations that peers report are summed without overflow

A host sums the generations that its peers have placed between two samples of the load, in 32 bits. Two peers that state numbers near the largest one made a debug build panic, and a release build plan by a number that had wrapped.

--- a/crates/core/src/dispatch/stage.rs
+++ b/crates/core/src/dispatch/stage.rs
@@ -46,7 +46,7 @@
     /// Records a generation at its start, with its expected length. Recording at the end would make
     /// the averages too low: at first, only short generations have ended.
     pub(super) fn record(&mut self, prompt: f64, expected: f64) {
-        let weight = MIN_SMOOTHING.max(1.0 / f64::from(self.seen + 1));
+        let weight = MIN_SMOOTHING.max(1.0 / f64::from(self.seen.saturating_add(1)));
         self.seen = self.seen.saturating_add(1);
         self.prompt_tokens += weight * (prompt - self.prompt_tokens);
         self.answer_tokens += weight * (expected - self.answer_tokens);
@@ -125,7 +125,8 @@
         // Hosts that were not known before, or that have restarted, count from the next sample on.
         let placed_since =
             |(host, placed): (&Arc<str>, &u32)| placed.checked_sub(*self.placed_by_host.get(host)?);
-        let placed: u32 = placed_by_host.iter().filter_map(placed_since).sum();
+        // Peers state any numbers, so the sum may exceed that of one host.
+        let placed: u64 = placed_by_host.iter().filter_map(placed_since).map(u64::from).sum();
         (self.placed_by_host, self.sampled_at) = (placed_by_host, now);
         if placed == 0 && self.since.is_none() {
             return;
@@ -135,7 +136,7 @@
         let kept = (-elapsed.as_secs_f64() / LOAD_WINDOW.as_secs_f64()).exp();
         self.sums = Sums {
             ms: self.sums.ms * kept + elapsed_ms,
-            placed: self.sums.placed * kept + f64::from(placed),
+            placed: self.sums.placed * kept + placed as f64,
             token_ms: self.sums.token_ms * kept + held_tokens * elapsed_ms,
             generation_ms: self.sums.generation_ms * kept + generations * elapsed_ms,
         };
