Queue: virtual time doesn't wrap around

The virtual time of an organisation grows by the size that its callers state for each request served from the queue. Callers that state answers of up to 2^64 tokens made it overflow: a panic in a debug build, and in a release build an organisation that is served first from then on. A saturating sum would hold all organisations at the same time for good, so the order among them would be lost.

--- a/crates/core/src/queue/mod.rs
+++ b/crates/core/src/queue/mod.rs
@@ -110,7 +110,7 @@
 struct Lane {
     /// A rank without waiting requests has no entry.
     classes: [BTreeMap<u8, VecDeque<Key>>; 3],
-    virtual_time: u64,
+    virtual_time: u128,
 }
 
 impl Lane {
@@ -143,7 +143,7 @@
     settings: Settings,
     entries: SlotMap<Key, Waiting<T>>,
     lanes: HashMap<Arc<str>, Lane>,
-    virtual_time: u64,
+    virtual_time: u128,
     /// Dequeues since the last request that may wait, and since the last late one.
     dequeues_since_last: [u32; 2],
     dequeue_interval: DequeueInterval,
@@ -379,7 +379,7 @@
         if !waiting.returned {
             let lane = self.lanes.entry(waiting.organisation.clone()).or_default();
             self.virtual_time = self.virtual_time.max(lane.virtual_time);
-            lane.virtual_time += waiting.tokens.max(1);
+            lane.virtual_time += u128::from(waiting.tokens.max(1));
             self.dequeue_interval.record(now, !self.entries.is_empty());
         }
         self.forget_idle();
