Configurations are ordered by the store's object, not by what they state

A document of another writer that stated a very high version was put in force, and shut out all that the operator wrote after it: on each host until it started again, and hosts passed it back to one that had started again. Decoding it as an error would only move the limit to the highest number that is still accepted.

A configuration is now known by the version that it states and by that of the store's object that holds it (core::fetch::Revision). Within an epoch of the store the object that was written later is newer, whatever it states; the store answers reads of the configuration linearizably, and a watcher never goes back. Between epochs, where a restored store holds an older object, and where the object is not known (a host of an earlier version), the stated version decides as before, so that a configuration does not go back with a restored store.

Hosts announce both. A request to a peer asks for any configuration, since a newer one may state a lower version; the answer is compared again. The frame of the configuration itself is unchanged: its object is the one that was announced.

Left: after a restore, a document that stated the highest version before it still shuts out those of the new epoch, until the hosts start again.

Tests: forward config_order (3).

--- a/crates/core/src/fetch/tests.rs
+++ b/crates/core/src/fetch/tests.rs
@@ -1,6 +1,6 @@
 //! A host whose peers announce newer versions.
 
-use super::VersionFetch;
+use super::{Revision, Version, VersionFetch};
 use crate::time::Instant;
 use std::time::Duration;
 
@@ -93,3 +93,29 @@
 
     assert_eq!((requested_at_once, requested_after_grace, next_requested), (false, true, false));
 }
+
+fn revision(epoch: u64, object: u64, stated: u64) -> Revision {
+    Revision { stated, object, epoch }
+}
+
+// Guards against a configuration that states too high a version and shuts out all that are written after it.
+#[test]
+fn the_object_that_was_written_later_is_newer_whatever_version_it_states() {
+    let (odd, later) = (revision(0, 10, u64::MAX), revision(0, 11, 7));
+
+    assert!(later.is_newer_than(odd) && !odd.is_newer_than(later));
+    assert!(!later.is_newer_than(later));
+    assert!(later.is_newer_than(Revision::default()));
+}
+
+// Guards against a configuration that goes back with a store that was restored from a copy.
+#[test]
+fn the_stated_version_decides_between_epochs_and_where_an_object_is_not_known() {
+    let (before, restored, next) = (revision(0, 10, 9), revision(1, 20, 5), revision(1, 21, 10));
+    let (unknown, lower) = (revision(0, 0, 9), revision(0, 12, 8));
+
+    assert!(before.is_newer_than(restored) && !restored.is_newer_than(before));
+    assert!(next.is_newer_than(before) && !before.is_newer_than(next));
+    assert!(unknown.is_newer_than(lower) && !lower.is_newer_than(unknown));
+    assert!(before.is_newer_than(unknown) && !unknown.is_newer_than(before));
+}
--- a/crates/forward/src/app/mod.rs
+++ b/crates/forward/src/app/mod.rs
@@ -33,6 +33,7 @@
     self, Change, ColdBound, ColdStart, Dispatch, Entry, LimitChange, Outcome, RefusedCallers,
     Residency, ServerKey, Stage,
 };
+use chestnutrack_core::fetch::{Revision, Version};
 use chestnutrack_core::intake;
 use chestnutrack_core::limit::Quota;
 use chestnutrack_core::origin::{Builds, Origins, Recorder, unlisted_build};
@@ -45,6 +46,7 @@
 use chestnutrack_process::http;
 use chestnutrack_process::intake::Intake;
 use chestnutrack_process::pool::{self, Pool, Probe, Reuse};
+use chestnutrack_store::epoch;
 use chestnutrack_wire::frame::{LeavingReport, LimitReport};
 use slotmap::SecondaryMap;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -184,6 +186,14 @@
     pub table: Table,
     /// The configuration as the platform's store holds it, to be passed on to peers.
     pub raw: Vec<u8>,
+    /// By which it is compared with other configurations.
+    pub revision: Revision,
+}
+
+/// Returns which configuration a document is, by the version that it states and that of the store's object
+/// that holds it.
+pub(crate) fn revision_of(stated: u64, object: u64) -> Revision {
+    Revision { stated, object, epoch: epoch::of(object) }
 }
 
 /// State shared by all requests of the process.
@@ -226,9 +236,9 @@
     stopped: AtomicBool,
     /// When the process ends, once it closes connections; set at the end of the notice period of a shutdown.
     ends_at: OnceLock<Instant>,
-    /// Number of hosts among which the connections to servers are divided, and version of the
-    /// configuration under which they were last divided; 1 and 0 until the first division.
-    connection_division: Mutex<(usize, u64)>,
+    /// Number of hosts among which the connections to servers are divided, and the configuration
+    /// under which they were last divided; 1 and the default until the first division.
+    connection_division: Mutex<(usize, Revision)>,
     started_at: Instant,
 }
 
@@ -309,7 +319,7 @@
             stopped: AtomicBool::new(false),
             ends_at: OnceLock::new(),
             orders_pending: AtomicBool::new(false),
-            connection_division: Mutex::new((1, 0)),
+            connection_division: Mutex::new((1, Revision::default())),
             started_at: clock::now(),
         }
     }
@@ -333,14 +343,26 @@
         self.active_config().map_or(0, |active_config| active_config.table.config().version)
     }
 
-    /// Puts a configuration in force and returns `true`, unless the version in force is at least as
-    /// new.
+    /// Returns which configuration is in force; the default if there is none.
+    pub fn revision(&self) -> Revision {
+        self.active_config().map_or_else(Revision::default, |active_config| active_config.revision)
+    }
+
+    /// Puts a configuration in force of which only the version is known that it states, as
+    /// [`App::configure_from`] does.
     pub fn configure(&self, config: Config, raw: Vec<u8>) -> bool {
+        self.configure_from(config, raw, 0)
+    }
+
+    /// Puts a configuration in force and returns `true`, unless the one in force is at least as new.
+    /// `object` is the version of the store's object that holds it; 0 if it is not known.
+    pub fn configure_from(&self, config: Config, raw: Vec<u8>, object: u64) -> bool {
         let version = config.version;
+        let revision = revision_of(version, object);
         {
             let mut active = self.active_config.lock().unwrap_or_else(PoisonError::into_inner);
-            let current = active.as_ref().map_or(0, |active| active.table.config().version);
-            if active.is_some() && current >= version {
+            let current = active.as_ref().map(|active| active.revision);
+            if current.is_some_and(|current| !revision.is_newer_than(current)) {
                 return false;
             }
             self.configure_builds(&config);
@@ -359,7 +381,7 @@
                 let cold = cold.unwrap_or(ColdStart { duration: Duration::ZERO, per_s: None });
                 state.dispatch.configure_cold_start(clock::now(), &service.name, cold);
             }
-            *active = Some(Arc::new(ActiveConfig { table: Table::new(config), raw }));
+            *active = Some(Arc::new(ActiveConfig { table: Table::new(config), raw, revision }));
         }
         self.metrics.configuration.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.gossip_due.notify_one();
@@ -469,7 +491,7 @@
     /// Divides the connections that servers accept among `hosts` hosts. Does nothing unless the
     /// number of hosts or the configuration has changed since the last division.
     pub fn divide_connections(&self, hosts: usize) {
-        let division = (hosts.max(1), self.version());
+        let division = (hosts.max(1), self.revision());
         if std::mem::replace(&mut *self.connection_division(), division) == division {
             return;
         }
@@ -486,8 +508,8 @@
         }
     }
 
-    /// Locks the number of hosts and the version of the last division of connections.
-    fn connection_division(&self) -> MutexGuard<'_, (usize, u64)> {
+    /// Locks the number of hosts and the configuration of the last division of connections.
+    fn connection_division(&self) -> MutexGuard<'_, (usize, Revision)> {
         self.connection_division.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -18,7 +18,7 @@
 use crate::app::App;
 use crate::config::Config;
 use chestnutrack_core::dispatch::Entry;
-use chestnutrack_core::fetch::VersionFetch;
+use chestnutrack_core::fetch::{Revision, Version, VersionFetch};
 use chestnutrack_core::listing::Listing;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::timer::Timer;
@@ -114,7 +114,7 @@
 struct State {
     listing: Listing,
     /// Requests to peers for the configuration and for the servers.
-    config_fetch: VersionFetch,
+    config_fetch: VersionFetch<Revision>,
     servers_fetch: VersionFetch,
     /// Entries of backend servers as the store holds them, with their versions.
     stored_entries: BTreeMap<Arc<str>, (u64, Value)>,
@@ -369,12 +369,12 @@
 
     /// Returns `true` if a peer should be asked now for its newer configuration, and records the
     /// request. If the store answers this host, the configuration is expected from the store first.
-    pub fn should_request_config(&self, version: u64) -> bool {
+    pub fn should_request_config(&self, revision: Revision) -> bool {
         let head_start = if self.is_up() { CONFIG_STORE_HEAD_START } else { Duration::ZERO };
         let mut state = self.state();
-        state.config_fetch.record_version(self.app.version());
-        let is_newer = version > state.config_fetch.own_version();
-        is_newer && state.config_fetch.try_request(clock::now(), version, head_start)
+        state.config_fetch.record_version(self.app.revision());
+        let is_newer = revision.is_newer_than(self.app.revision());
+        is_newer && state.config_fetch.try_request(clock::now(), revision, head_start)
     }
 
     /// Returns the known servers, for a peer.
@@ -409,20 +409,23 @@
             drop(state);
             let mut objects = update.objects.into_iter();
             let config_object = objects.find(|object| &*object.name == self.directory.config_name);
-            if let Some(value) = config_object.and_then(|object| object.value) {
-                self.apply_config(&value, "store");
+            if let Some(object) = config_object
+                && let Some(value) = object.value
+            {
+                self.apply_config(&value, object.version, "store");
             }
         }
     }
 
-    /// Decodes a configuration and puts it in force if it is newer than the one in force. `source`
-    /// is the store or the name of a peer.
-    fn apply_config(&self, value: &Value, source: &str) {
+    /// Decodes a configuration and puts it in force if it is newer than the one in force. `object`
+    /// is the version of the store's object that holds it, 0 if it is not known, and `source` the
+    /// store or the name of a peer.
+    fn apply_config(&self, value: &Value, object: u64, source: &str) {
         match (self.directory.config)(value) {
             Ok(config) => {
-                let version = config.version;
-                if self.app.configure(config, value.to_string().into_bytes()) {
-                    tracing::info!(version, source, "configuration in force");
+                let (version, replaced) = (config.version, self.app.version());
+                if self.app.configure_from(config, value.to_string().into_bytes(), object) {
+                    tracing::info!(version, replaced, object, source, "configuration in force");
                 }
             }
             Err(error) => {
@@ -431,14 +434,17 @@
         }
     }
 
-    /// Applies a configuration that a peer sent.
+    /// Applies a configuration that a peer sent. If it is the one that this host has requested, the
+    /// peer has announced which object of the store holds it.
     pub fn apply_peer_config(&self, peer: &str, version: u64, document: &[u8]) {
-        self.state().config_fetch.record_answer();
-        if version <= self.app.version() {
+        let requested = self.state().config_fetch.record_answer();
+        let requested = requested.filter(|requested| requested.stated == version);
+        let revision = requested.unwrap_or(Revision { stated: version, ..Revision::default() });
+        if !revision.is_newer_than(self.app.revision()) {
             return;
         }
         match serde_json::from_slice(document) {
-            Ok(value) => self.apply_config(&value, peer),
+            Ok(value) => self.apply_config(&value, revision.object, peer),
             Err(error) => tracing::error!(%error, peer, "configuration can't be read"),
         }
     }
--- a/crates/forward/src/mesh/mod.rs
+++ b/crates/forward/src/mesh/mod.rs
@@ -13,7 +13,7 @@
 mod membership;
 mod origins;
 
-use crate::app::App;
+use crate::app::{App, revision_of};
 use crate::follow::{Follower, Host};
 use bytes::Bytes;
 use chestnutrack_core::allowance::Report;
@@ -429,20 +429,20 @@
     /// peer's differ and the store answers the peer but not this host, or this host has none yet;
     /// and the accounts, if it has a configuration but doesn't know them.
     fn request_missing(&self, news: &News) -> Option<Frame> {
-        let (own_configuration, own_servers) = (self.app.version(), self.follower.digest());
-        let wants_config = news.configuration > own_configuration
-            && self.follower.should_request_config(news.configuration);
+        let own_servers = self.follower.digest();
+        let revision = revision_of(news.configuration, news.configuration_object);
+        let wants_config = self.follower.should_request_config(revision);
         let may_adopt_servers =
             news.store && !self.follower.is_up() || self.follower.has_no_servers();
         let servers_differ = news.servers != own_servers;
         let wants_servers = may_adopt_servers
             && servers_differ
             && self.follower.should_request_servers(news.servers_version);
-        let accounts = own_configuration > 0 && !self.app.knows_accounts();
+        let accounts = self.app.version() > 0 && !self.app.knows_accounts();
         // For a part that isn't requested, the peer's own digest or version is sent, so that the
-        // peer doesn't answer with it.
+        // peer doesn't answer with it. A configuration that is newer may state a lower version.
         let servers = if wants_servers { own_servers } else { news.servers };
-        let configuration = if wants_config { own_configuration } else { news.configuration };
+        let configuration = if wants_config { 0 } else { news.configuration };
         let wants_any = wants_config || wants_servers || accounts;
         wants_any.then_some(Frame::Want { configuration, servers, accounts })
     }
@@ -474,7 +474,7 @@
         let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
         let (servers, store) = (self.follower.digest(), self.follower.is_up());
         let quarantine = self.app.quarantine_report();
-        let configuration = self.app.version();
+        let revision = self.app.revision();
         let hears_new_host = !self.roster().heard_peers(clock::now(), Some(NAMING_TIME)).is_empty();
         let (builds, builds_known) = self.app.build_reports(hears_new_host);
         let evacuations = self.app.evacuation_report();
@@ -487,7 +487,8 @@
         // that recently failed, `ordering` says whether this host is about to give orders to engines,
         // and `unheard` lists the unreachable hosts.
         News {
-            configuration,
+            configuration: revision.stated,
+            configuration_object: revision.object,
             store,
             doubted_ms: self.follower.doubted_ms(),
             servers,
--- a/crates/forward/tests/forward/main.rs
+++ b/crates/forward/tests/forward/main.rs
@@ -4,6 +4,7 @@
 
 mod builds;
 mod cold;
+mod config_order;
 mod configurations;
 mod connections;
 mod copies;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -331,8 +331,8 @@
     /// Asks a peer for state that the sender lacks: a configuration newer than `configuration`,
     /// and the backend servers unless their digest equals `servers`.
     Want {
-        /// Version of the configuration in force at the sender; the peer's own version if none is
-        /// requested.
+        /// Version above which the peer's configuration is requested: 0 if the sender found it to be
+        /// newer than its own, the peer's own version if none is requested.
         configuration: u64,
         /// Digest of the backend servers that the sender knows; the peer's own digest if none are
         /// requested.
@@ -529,8 +529,11 @@
 /// Gossip state that a host sends to its peers; each message replaces the previous one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct News {
-    /// Version of the configuration in force; 0 for none.
+    /// Version that the configuration in force states; 0 for none.
     pub configuration: u64,
+    /// Version of the store's object that holds the configuration in force; 0 if it is not known.
+    #[serde(default)]
+    pub configuration_object: u64,
     /// Whether the host can reach the platform's store.
     pub store: bool,
     /// Time since a call of the host to the store went unanswered, in milliseconds; absent if none
