Allowances: the largest requests count as spent

A caller may state any number of tokens. The count of what a host has spent is signed; a request of 2^63 tokens or more was counted as negative, so that peers credited its organisation instead of debiting it, and a sum of such requests panicked in a debug build. Requests of this size pass only where an organisation has no limit that is smaller, or where an allowance may be overdrawn.

The count saturates at both ends.

--- a/crates/core/src/allowance/mod.rs
+++ b/crates/core/src/allowance/mod.rs
@@ -326,7 +326,8 @@
             return Err(Refusal { remaining, rate, burst, reserved_share, retry_after });
         }
         bucket.spend(now, cost);
-        *self.own_spent.entry(organisation.clone()).or_default() += tokens as i64;
+        let spent = self.own_spent.entry(organisation.clone()).or_default();
+        *spent = spent.saturating_add_unsigned(tokens);
         Ok(())
     }
 
@@ -373,7 +374,8 @@
         let Some(bucket) = self.buckets.get_mut(organisation) else { return };
         bucket.refill(now, reserved_share, accrual_time);
         bucket.refund(tokens as f64, accrual_time);
-        *self.own_spent.entry(organisation.clone()).or_default() -= tokens as i64;
+        let spent = self.own_spent.entry(organisation.clone()).or_default();
+        *spent = spent.saturating_sub_unsigned(tokens);
     }
 
     /// Returns `true` if the spending of the whole window is known: since the fleet's first start, from a
--- a/crates/core/src/allowance/tests.rs
+++ b/crates/core/src/allowance/tests.rs
@@ -702,3 +702,19 @@
 
     assert_eq!(window.slots(at(10)).count(), 0);
 }
+
+// Guards against spending that peers take for a refund, since the tokens that a caller states don't fit into the count.
+#[test]
+fn the_largest_requests_that_callers_can_state_count_as_spent() {
+    let mut host = Allowances::new(at(0), true, Settings::default());
+    host.configure(at(0), &quotas(u64::MAX));
+
+    let largest = i64::MAX.unsigned_abs() + 1;
+    let first = host.debit(at(0), &organisation(), largest);
+    let once = host.spent()[&organisation()];
+    host.refund(at(0), &organisation(), 5);
+    let second = host.debit(at(10), &organisation(), largest);
+
+    assert!(first.is_ok() && second.is_ok());
+    assert_eq!((once, host.spent()[&organisation()]), (i64::MAX, i64::MAX));
+}
