--- a/crates/forward/tests/forward/copies.rs
+++ b/crates/forward/tests/forward/copies.rs
@@ -2,8 +2,8 @@
 //! as the answer to another request, or to the same request that is sent again.
 
 use crate::fixture::backend::{
-    Backend, ReceivedRequest, Step, answer_prefill, complete_stream, event, send, stream_end,
-    stream_events, stream_head,
+    Backend, ReceivedRequest, Step, answer, answer_prefill, complete_stream, event, send,
+    stream_end, stream_events, stream_head,
 };
 use crate::fixture::caller::{call, generation, request};
 use crate::fixture::{Host, config, decode, host, host_with, plain, prefill, wait_until};
@@ -331,3 +331,20 @@
 
     assert_eq!((answer.status, answer.complete, decoder.request_count()), (200, false, 1));
 }
+
+// Guards against a request that runs twice, or whose caller is told that it did not run, since the answer of the server that
+// ran it says both: that it succeeded, and that it did not run.
+#[tokio::test]
+async fn a_success_that_says_that_it_did_not_run_promises_nothing() {
+    let contradiction = "200 OK\r\nx-chestnutrack-ran: not-run";
+    let backends = [
+        Backend::start(move |seen| vec![answer(seen, contradiction, "fine")]).await,
+        Backend::start(move |seen| vec![answer(seen, contradiction, "fine")]).await,
+    ];
+    let host = host(vec![plain("app-1", &backends[0]), plain("app-2", &backends[1])]).await;
+
+    let answer = call(host.address, &request("POST", "/pay/1", "", "body")).await;
+
+    let sent: usize = backends.iter().map(Backend::request_count).sum();
+    assert_eq!((answer.status, sent), (502, 1));
+}
