Follow: an unchanged entry or configuration is not decoded again

Each list decoded all entries anew, and so logged again whatever was odd in an entry that names a server, such as a number that is too large, for as long as the entry stayed. The same held for the configuration, also for one that can't be read, whenever it was listed again.

The decoded entry is kept beside its object and used again while version and value are the same; of the configuration, the version decoded last is kept. Entries that can't be read are decoded again as before, as their values are not kept, and are still logged once for each change.

--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -116,8 +116,8 @@
     /// Requests to peers for the configuration and for the servers.
     config_fetch: VersionFetch<Revision>,
     servers_fetch: VersionFetch,
-    /// Entries of backend servers as the store holds them, with their versions.
-    stored_entries: BTreeMap<Arc<str>, (u64, Value)>,
+    /// Entries of backend servers as the store holds them.
+    stored_entries: BTreeMap<Arc<str>, StoredEntry>,
     /// When the store last answered about the configuration.
     config_answered_at: Option<Instant>,
     is_config_up: bool,
@@ -144,6 +144,15 @@
     differs_since: Option<Instant>,
 }
 
+/// Entry of a backend server as the store holds it.
+struct StoredEntry {
+    version: u64,
+    /// Null if it can't be read.
+    value: Value,
+    /// The decoded entry; `None` if it names no server.
+    entry: Option<Entry>,
+}
+
 /// Returns the settings of a watcher. `pause` follows each answer and gathers changes, since each
 /// answer causes another call of every host. `first` says how old the first list may be.
 pub fn watch_settings(pause: Duration, first: Freshness, retry: RetryMode) -> watcher::Settings {
@@ -380,10 +389,10 @@
     /// Returns the known servers, for a peer.
     pub fn servers(&self) -> Vec<ServerRecord> {
         let state = self.state();
-        let records = state.stored_entries.iter().map(|(name, (version, value))| ServerRecord {
+        let records = state.stored_entries.iter().map(|(name, stored)| ServerRecord {
             name: name.clone(),
-            version: *version,
-            entry: value.to_string().into_bytes(),
+            version: stored.version,
+            entry: stored.value.to_string().into_bytes(),
         });
         records.collect()
     }
@@ -393,6 +402,9 @@
         let (kind, control) = (self.directory.config_kind, self.config_watch.subscribe());
         let settings = watch_settings(CONFIG_PAUSE, Freshness::Newest, RetryMode::Leader);
         let mut events = watcher::start_controlled(client, kind, settings, control);
+        // Version of the last object that was decoded. One that is only listed again isn't decoded again, so that what is odd
+        // in it is logged once.
+        let mut decoded = 0;
         while let Some(event) = events.recv().await {
             self.state().config_sent_at = clock::now();
             let update = match event {
@@ -411,6 +423,7 @@
             let config_object = objects.find(|object| &*object.name == self.directory.config_name);
             if let Some(object) = config_object
                 && let Some(value) = object.value
+                && std::mem::replace(&mut decoded, object.version) != object.version
             {
                 self.apply_config(&value, object.version, "store");
             }
@@ -531,15 +544,20 @@
         let mut decoded_entries = Vec::new();
         for (name, version, value) in entries {
             let known = listed_before.get(&name).or_else(|| state.stored_entries.get(&name));
-            let is_known = known.is_some_and(|(known, _)| *known == version);
+            let known = known.filter(|known| known.version == version);
+            let is_known = known.is_some();
             let Some(value) = value else {
                 state.stored_entries.remove(&name);
                 decoded_entries.push((name, version, None));
                 continue;
             };
-            let entry = match self.decode_entry(&name, &value) {
+            // One that is only listed again isn't decoded again, so that odd values in it are logged once.
+            let decoded = known.filter(|known| known.value == value);
+            let decoded = decoded.and_then(|known| known.entry.clone());
+            let entry = match decoded.map_or_else(|| self.decode_entry(&name, &value), Ok) {
                 Ok(entry) => {
-                    state.stored_entries.insert(name.clone(), (version, value));
+                    let stored = StoredEntry { version, value, entry: Some(entry.clone()) };
+                    state.stored_entries.insert(name.clone(), stored);
                     // An entry that is only listed again was written some time ago.
                     let cold_ms = entry.cold_ms.filter(|_| !is_known);
                     Some(Entry { cold_ms, ..entry })
@@ -550,7 +568,8 @@
                         tracing::warn!(server, version, error, "server entry can't be read");
                     }
                     // It may be large, and peers need no more than its version.
-                    state.stored_entries.insert(name.clone(), (version, Value::Null));
+                    let stored = StoredEntry { version, value: Value::Null, entry: None };
+                    state.stored_entries.insert(name.clone(), stored);
                     None
                 }
             };
