Pool: bytes that no call waited for are logged

A server that writes on a kept connection while no request waits there, such as a second answer, ends the connection. Nothing was logged, so operators saw only that connections were opened more often.

The line names the address and comes at most once for each connection, as it ends there. Errors of other kinds, such as resets of idle connections, are usual and stay without a line.

--- a/crates/process/src/http.rs
+++ b/crates/process/src/http.rs
@@ -128,6 +128,18 @@
     Ok(buffer.freeze())
 }
 
+/// Returns `true` if a connection ended because the peer sent bytes while no call waited for an answer. Of the errors
+/// without a cause, `hyper` names the others.
+pub(crate) fn is_unexpected_message(error: &hyper::Error) -> bool {
+    let is_other = error.is_incomplete_message()
+        || error.is_canceled()
+        || error.is_closed()
+        || error.is_parse()
+        || error.is_timeout()
+        || error.is_user();
+    std::error::Error::source(error).is_none() && !is_other
+}
+
 /// Serves the requests of one connection with `handle` until it is closed.
 pub async fn serve_connection<H, R>(tcp: TcpStream, handle: H)
 where
--- a/crates/process/src/pool.rs
+++ b/crates/process/src/pool.rs
@@ -363,7 +363,15 @@
         let (sender, connection) =
             http::connect(self.0.address, connect_timeout, settings.peer_timeout).await?;
         self.0.opened.fetch_add(1, Ordering::Relaxed);
-        let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
+        let address = self.0.address;
+        let task = tokio::spawn(async move {
+            if let Err(error) = connection.await
+                && http::is_unexpected_message(&error)
+            {
+                tracing::warn!(%address, "connection closed after bytes that no call waited for");
+            }
+        });
+        let task = task.abort_handle();
         Ok(Connection {
             sender,
             task,
