Attempts: a success that says that it did not run promises nothing

An answer with a success status that also states that the request did not run counted as a refusal: the request was sent to another server where attempts were left, and else its caller was told that it had not run. If the status was right, a request that may run once ran twice, or its caller was told to try again.

Such an answer is rejected as a contradiction, and the outcome is unknown, so that callers get 502 and requests that may run once are not sent again. Requests that may be repeated still are. To believe the status instead was ruled out: the body of a request that did not run would be passed on as its answer.

a_success_that_says_that_it_did_not_run_promises_nothing failed before with 503.

--- a/crates/forward/src/attempt/mod.rs
+++ b/crates/forward/src/attempt/mod.rs
@@ -512,7 +512,8 @@
     /// A faulty server may send a second answer, or other bytes, where the next answer on a connection is due. So an
     /// answer counts only with the identifier of the request, and a success only with the server's signature, which the
     /// answer to a prefill doesn't bear. A refusal that states that the server did not run the request may lack the
-    /// identifier on a connection that carried no call before, where it can't be a copy of another one.
+    /// identifier on a connection that carried no call before, where it can't be a copy of another one. A success that
+    /// states so contradicts itself: the request may have run.
     fn mismatch(
         &self,
         answer: &ResponseHead,
@@ -525,6 +526,8 @@
             Some("encoded")
         } else if answer.id != self.head.id && !(answer.id.is_none() && may_lack_id) {
             Some("identifier")
+        } else if response.status().is_success() && is_refusal {
+            Some("contradiction")
         } else if response.status().is_success() && !answer.signed && *step != Step::Prefill {
             Some("signature")
         } else {
