--- a/crates/forward/src/follow/mod.rs
+++ b/crates/forward/src/follow/mod.rs
@@ -18,7 +18,7 @@
 use crate::app::App;
 use crate::config::Config;
 use chestnutrack_core::dispatch::Entry;
-use chestnutrack_core::fetch::VersionFetch;
+use chestnutrack_core::fetch::{Revision, Version, VersionFetch};
 use chestnutrack_core::listing::Listing;
 use chestnutrack_core::time::Instant;
 use chestnutrack_process::timer::Timer;
@@ -114,10 +114,10 @@
 struct State {
     listing: Listing,
     /// Requests to peers for the configuration and for the servers.
-    config_fetch: VersionFetch,
+    config_fetch: VersionFetch<Revision>,
     servers_fetch: VersionFetch,
-    /// Entries of backend servers as the store holds them, with their versions.
-    stored_entries: BTreeMap<Arc<str>, (u64, Value)>,
+    /// Entries of backend servers as the store holds them.
+    stored_entries: BTreeMap<Arc<str>, StoredEntry>,
     /// When the store last answered about the configuration.
     config_answered_at: Option<Instant>,
     is_config_up: bool,
@@ -144,6 +144,15 @@
     differs_since: Option<Instant>,
 }
 
+/// Entry of a backend server as the store holds it.
+struct StoredEntry {
+    version: u64,
+    /// Null if it can't be read.
+    value: Value,
+    /// The decoded entry; `None` if it names no server.
+    entry: Option<Entry>,
+}
+
 /// Returns the settings of a watcher. `pause` follows each answer and gathers changes, since each
 /// answer causes another call of every host. `first` says how old the first list may be.
 pub fn watch_settings(pause: Duration, first: Freshness, retry: RetryMode) -> watcher::Settings {
@@ -369,21 +378,21 @@
 
     /// Returns `true` if a peer should be asked now for its newer configuration, and records the
     /// request. If the store answers this host, the configuration is expected from the store first.
-    pub fn should_request_config(&self, version: u64) -> bool {
+    pub fn should_request_config(&self, revision: Revision) -> bool {
         let head_start = if self.is_up() { CONFIG_STORE_HEAD_START } else { Duration::ZERO };
         let mut state = self.state();
-        state.config_fetch.record_version(self.app.version());
-        let is_newer = version > state.config_fetch.own_version();
-        is_newer && state.config_fetch.try_request(clock::now(), version, head_start)
+        state.config_fetch.record_version(self.app.revision());
+        let is_newer = revision.is_newer_than(self.app.revision());
+        is_newer && state.config_fetch.try_request(clock::now(), revision, head_start)
     }
 
     /// Returns the known servers, for a peer.
     pub fn servers(&self) -> Vec<ServerRecord> {
         let state = self.state();
-        let records = state.stored_entries.iter().map(|(name, (version, value))| ServerRecord {
+        let records = state.stored_entries.iter().map(|(name, stored)| ServerRecord {
             name: name.clone(),
-            version: *version,
-            entry: value.to_string().into_bytes(),
+            version: stored.version,
+            entry: stored.value.to_string().into_bytes(),
         });
         records.collect()
     }
@@ -393,6 +402,9 @@
         let (kind, control) = (self.directory.config_kind, self.config_watch.subscribe());
         let settings = watch_settings(CONFIG_PAUSE, Freshness::Newest, RetryMode::Leader);
         let mut events = watcher::start_controlled(client, kind, settings, control);
+        // Version of the last object that was decoded. One that is only listed again isn't decoded again, so that what is odd
+        // in it is logged once.
+        let mut decoded = 0;
         while let Some(event) = events.recv().await {
             self.state().config_sent_at = clock::now();
             let update = match event {
@@ -409,20 +421,24 @@
             drop(state);
             let mut objects = update.objects.into_iter();
             let config_object = objects.find(|object| &*object.name == self.directory.config_name);
-            if let Some(value) = config_object.and_then(|object| object.value) {
-                self.apply_config(&value, "store");
+            if let Some(object) = config_object
+                && let Some(value) = object.value
+                && std::mem::replace(&mut decoded, object.version) != object.version
+            {
+                self.apply_config(&value, object.version, "store");
             }
         }
     }
 
-    /// Decodes a configuration and puts it in force if it is newer than the one in force. `source`
-    /// is the store or the name of a peer.
-    fn apply_config(&self, value: &Value, source: &str) {
+    /// Decodes a configuration and puts it in force if it is newer than the one in force. `object`
+    /// is the version of the store's object that holds it, 0 if it is not known, and `source` the
+    /// store or the name of a peer.
+    fn apply_config(&self, value: &Value, object: u64, source: &str) {
         match (self.directory.config)(value) {
             Ok(config) => {
-                let version = config.version;
-                if self.app.configure(config, value.to_string().into_bytes()) {
-                    tracing::info!(version, source, "configuration in force");
+                let (version, replaced) = (config.version, self.app.version());
+                if self.app.configure_from(config, value.to_string().into_bytes(), object) {
+                    tracing::info!(version, replaced, object, source, "configuration in force");
                 }
             }
             Err(error) => {
@@ -431,14 +447,17 @@
         }
     }
 
-    /// Applies a configuration that a peer sent.
+    /// Applies a configuration that a peer sent. If it is the one that this host has requested, the
+    /// peer has announced which object of the store holds it.
     pub fn apply_peer_config(&self, peer: &str, version: u64, document: &[u8]) {
-        self.state().config_fetch.record_answer();
-        if version <= self.app.version() {
+        let requested = self.state().config_fetch.record_answer();
+        let requested = requested.filter(|requested| requested.stated == version);
+        let revision = requested.unwrap_or(Revision { stated: version, ..Revision::default() });
+        if !revision.is_newer_than(self.app.revision()) {
             return;
         }
         match serde_json::from_slice(document) {
-            Ok(value) => self.apply_config(&value, peer),
+            Ok(value) => self.apply_config(&value, revision.object, peer),
             Err(error) => tracing::error!(%error, peer, "configuration can't be read"),
         }
     }
@@ -525,15 +544,20 @@
         let mut decoded_entries = Vec::new();
         for (name, version, value) in entries {
             let known = listed_before.get(&name).or_else(|| state.stored_entries.get(&name));
-            let is_known = known.is_some_and(|(known, _)| *known == version);
+            let known = known.filter(|known| known.version == version);
+            let is_known = known.is_some();
             let Some(value) = value else {
                 state.stored_entries.remove(&name);
                 decoded_entries.push((name, version, None));
                 continue;
             };
-            let entry = match self.decode_entry(&name, &value) {
+            // One that is only listed again isn't decoded again, so that odd values in it are logged once.
+            let decoded = known.filter(|known| known.value == value);
+            let decoded = decoded.and_then(|known| known.entry.clone());
+            let entry = match decoded.map_or_else(|| self.decode_entry(&name, &value), Ok) {
                 Ok(entry) => {
-                    state.stored_entries.insert(name.clone(), (version, value));
+                    let stored = StoredEntry { version, value, entry: Some(entry.clone()) };
+                    state.stored_entries.insert(name.clone(), stored);
                     // An entry that is only listed again was written some time ago.
                     let cold_ms = entry.cold_ms.filter(|_| !is_known);
                     Some(Entry { cold_ms, ..entry })
@@ -544,7 +568,8 @@
                         tracing::warn!(server, version, error, "server entry can't be read");
                     }
                     // It may be large, and peers need no more than its version.
-                    state.stored_entries.insert(name.clone(), (version, Value::Null));
+                    let stored = StoredEntry { version, value: Value::Null, entry: None };
+                    state.stored_entries.insert(name.clone(), stored);
                     None
                 }
             };
