Quarantine: crashes that a pattern accounts for are no sign of other parts

Cause, from the hosts' logs: the host that decided knew of six engines that had ended while requests with the first part ran. Four were crashes under the bad part. The pattern of that part, decided by another host, was in force when it decided, and accounts for them. The other two were restarts of engines. All six still counted against the first part, and few engines answered meanwhile: one sound answer in 5.9 s makes up for four crashes. With two crashes without an explanation it was held, for five minutes, by all hosts.

A crash for which a pattern accounts no longer counts against a part that the pattern lacks; such a part needs four crashes of its own. Crashes of a pattern with the part still count, so that a pattern that is too narrow is widened after two more crashes, as before.

Ruled out: connections that a fault reset while the engine's process goes on. By the start times that the engines state, all six processes had ended.

The first new test plays that sequence: it failed before ({"family"} was held). The second one, which keeps a second bad part from being spared, failed as well, since `family` was held at its first crash.

--- a/crates/core/src/quarantine/evidence.rs
+++ b/crates/core/src/quarantine/evidence.rs
@@ -1,5 +1,6 @@
 //! What speaks against parts of prompts and for them: answers that broke off, and answers that their engines survived.
 
+use super::crash::list_crashes;
 use super::{Pattern, REQUEST_PREFIX};
 use crate::time::Instant;
 use chestnutrack_wire::frame::Break;
@@ -18,10 +19,6 @@
 const UNEXPLAINED_MIN: usize = 2;
 /// Crashes for which one sound answer makes up: a part at more of them is held responsible.
 const CRASHES_PER_SOUND: usize = 4;
-/// Time within which crashes count as simultaneous. Engines that fail together may have a cause of their own.
-const SIMULTANEOUS: Duration = Duration::from_millis(20);
-/// Simultaneous crashes that count at most.
-const SIMULTANEOUS_MAX: usize = 2;
 /// Sound answers that began less than this time before the first crash count as well, until [`PRIOR_TIME`] after it.
 const PRIOR_PERIOD: Duration = Duration::from_secs(4);
 /// Time after the first crash from which on earlier sound answers no longer count: a part that was sound until then may
@@ -60,12 +57,12 @@
 type SoundAnswers = BTreeMap<Arc<str>, Vec<Instant>>;
 
 /// Identifies the process of an engine: its name and start time.
-type Engine<'a> = (&'a Arc<str>, Option<u64>);
+pub(super) type Engine<'a> = (&'a Arc<str>, Option<u64>);
 
 /// An answer that broke off, with when and where.
 #[derive(Clone, Debug)]
-struct Record {
-    at: Instant,
+pub(super) struct Record {
+    pub(super) at: Instant,
     origin: Origin,
     answer: Break,
 }
@@ -82,7 +79,7 @@
 }
 
 impl Record {
-    fn engine(&self) -> Engine<'_> {
+    pub(super) fn engine(&self) -> Engine<'_> {
         (&self.answer.engine, self.answer.born)
     }
 }
@@ -302,20 +299,30 @@
         let settled_at = self.settled_at();
         let is_settled = |record: &&Record| settled_at[&record.engine()] <= now;
         let settled: Vec<&Record> = self.records.iter().filter(is_settled).collect();
-        let explained_by = |patterns: &[&Pattern]| -> BTreeSet<Engine<'_>> {
-            let is_explained =
-                |answer: &Break| patterns.iter().any(|pattern| accounts_for(pattern, answer));
-            let explained = settled.iter().filter(|record| is_explained(&record.answer));
-            explained.map(|record| record.engine()).collect()
-        };
-        let explained = explained_by(patterns);
-        // Crashes under several requests may be those of a part that they share, though each request is held.
-        let of_parts =
-            patterns.iter().filter(|pattern| !pattern.iter().any(|part| is_request(part)));
-        let explained_by_parts = explained_by(&of_parts.copied().collect::<Vec<_>>());
+        let mut patterns_of: BTreeMap<Engine<'_>, BTreeSet<&Pattern>> = BTreeMap::new();
+        for record in &settled {
+            let accounting =
+                patterns.iter().filter(|pattern| accounts_for(pattern, &record.answer));
+            patterns_of.entry(record.engine()).or_default().extend(accounting);
+        }
         let mut by_part: BTreeMap<&Arc<str>, (usize, Vec<&Record>)> = BTreeMap::new();
+        let mut explained: BTreeMap<&Arc<str>, BTreeSet<Engine<'_>>> = BTreeMap::new();
         for record in &settled {
             for (position, part) in record.answer.parts.iter().enumerate() {
+                // Crashes under several requests may be those of a part that they share, though each request is held.
+                let mut accounting = patterns_of[&record.engine()]
+                    .iter()
+                    .filter(|pattern| is_request(part) || !is_of_request(pattern))
+                    .peekable();
+                let explained = explained.entry(part).or_default();
+                if accounting.peek().is_some() {
+                    explained.insert(record.engine());
+                }
+                // A crash that other parts account for is no sign of this one. One that it accounts for together with
+                // others may be its own alone.
+                if accounting.any(|pattern| !pattern.contains(part)) {
+                    continue;
+                }
                 let (last_position, records) = by_part.entry(part).or_default();
                 *last_position = position.max(*last_position);
                 records.push(record);
@@ -324,8 +331,7 @@
         let suspicions: BTreeMap<&Arc<str>, Suspicion> = by_part
             .iter()
             .filter_map(|(part, (_, records))| {
-                let explained = if is_request(part) { &explained } else { &explained_by_parts };
-                Some((*part, self.suspicion(now, part, records, explained)?))
+                Some((*part, self.suspicion(now, part, records, &explained[part])?))
             })
             .collect();
         let responsible = suspicions.iter().filter(|(part, suspicion)| {
@@ -412,6 +418,11 @@
     part.starts_with(REQUEST_PREFIX)
 }
 
+/// Returns `true` if a pattern holds a single request.
+fn is_of_request(pattern: &Pattern) -> bool {
+    pattern.iter().any(|part| is_request(part))
+}
+
 /// Returns `true` if one request was at all crashes that a part is suspected of. A single request that was sent again is no
 /// sign of its shared parts.
 fn is_one_request(suspicion: &Suspicion, records: &[&Record]) -> bool {
@@ -472,29 +483,6 @@
     }
 }
 
-/// Returns the crashes at which answers broke off, in order, and whether they are explained. Of simultaneous ones at
-/// most [`SIMULTANEOUS_MAX`].
-fn list_crashes(records: &[&Record], explained: &BTreeSet<Engine<'_>>) -> Vec<(Instant, bool)> {
-    let mut crashes: BTreeMap<Engine<'_>, Instant> = BTreeMap::new();
-    for record in records {
-        let at = crashes.entry(record.engine()).or_insert(record.at);
-        *at = record.at.min(*at);
-    }
-    let mut crashes: Vec<(Instant, bool)> =
-        crashes.into_iter().map(|(engine, at)| (at, explained.contains(&engine))).collect();
-    crashes.sort_unstable();
-    let mut group: Option<(Instant, usize)> = None;
-    crashes.retain(|(at, _)| {
-        let counted = match group {
-            Some((first, counted)) if at.since(first) < SIMULTANEOUS => (first, counted + 1),
-            _ => (*at, 1),
-        };
-        group = Some(counted);
-        counted.1 <= SIMULTANEOUS_MAX
-    });
-    crashes
-}
-
 /// Returns `true` if a pattern accounts for an answer that broke off: its prompt had all parts of the pattern.
 fn accounts_for(pattern: &Pattern, answer: &Break) -> bool {
     pattern.iter().all(|part| answer.parts.contains(part))
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -15,6 +15,7 @@
 //!
 //! Hosts exchange what they record, since each of them serves only some of the requests.
 
+mod crash;
 mod evidence;
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/quarantine/tests/decision.rs
+++ b/crates/core/src/quarantine/tests/decision.rs
@@ -169,6 +169,52 @@
     assert_eq!(new, [] as [Pattern; 0]);
 }
 
+/// Records four crashes under the parts `family` and `bad`, of which `bad` is in quarantine then, and one under
+/// `family` alone before them. Few engines answer meanwhile: one request with `family` is survived.
+fn hold_bad_part_beside_another_crash(quarantine: &mut Quarantine) {
+    crash(quarantine, START, vec![broken(10, 10, &["family", "sound"])]);
+    record_sound(quarantine, START + millis(3_000), 1, &["family"]);
+    for n in 0..4 {
+        let at = START + millis(2_000 + 800 * n);
+        crash(quarantine, at, vec![broken(n, n, &["family", "bad"])]);
+    }
+    quarantine.hold(START + millis(4_500), &held(&["bad"], millis(300_000), 1));
+}
+
+// Guards against holding the sound first part of prompts that crash engines because two engines have ended for other reasons
+// beside them.
+#[test]
+fn crashes_that_a_pattern_accounts_for_are_no_sign_of_a_part_that_it_lacks() {
+    let mut quarantine = Quarantine::default();
+    hold_bad_part_beside_another_crash(&mut quarantine);
+
+    let later = START + millis(5_500);
+    let new = crash(&mut quarantine, later, vec![broken(11, 11, &["family", "other"])]);
+
+    assert_eq!(new, [] as [Pattern; 0]);
+    assert!(is_refused(&quarantine, later, &["family", "bad"]));
+}
+
+// Guards against sparing a second part that crashes engines because it was also at crashes of the first one.
+#[test]
+fn a_part_is_held_after_four_crashes_for_which_no_pattern_accounts() {
+    let mut quarantine = Quarantine::default();
+    hold_bad_part_beside_another_crash(&mut quarantine);
+
+    let later = START + millis(5_500);
+    let new: Vec<_> = (0..4)
+        .map(|n| {
+            let id = 20 + n;
+            let answer = broken(id, id, &["family", "worse"]);
+            crash(&mut quarantine, later + millis(200 * n), vec![answer])
+        })
+        .collect();
+
+    let first = new.iter().position(|patterns| !patterns.is_empty());
+    assert_eq!(first, Some(3), "{new:?}");
+    assert!(is_refused(&quarantine, later + millis(900), &["family", "worse"]));
+}
+
 #[test]
 fn of_two_parts_at_the_same_crashes_the_one_further_back_is_held_responsible() {
     let mut quarantine = Quarantine::default();
