Programs hold signals back from the first line of main on

Cause: the handlers need a runtime, and were installed after the settings had been read, the log started and the runtime built. Until then the system's default action, to end the process, is in force.

The entry host, the side process and the stand-ins now block these signals first in `main` and unblock them on the same thread once their handlers are installed, so that a signal that came meanwhile is delivered then.

What remains: from exec to `main`, while the system loads the program, the default action can't be avoided by the program.

--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -4,8 +4,8 @@
 use chestnutrack_entry::settings::{self, Flags};
 use chestnutrack_forward::native;
 use chestnutrack_forward::program::{Protocol, Reload, Settings, run};
-use chestnutrack_process::log;
 use chestnutrack_process::settings::environment;
+use chestnutrack_process::{log, shutdown};
 use std::fmt::Display;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -17,6 +17,9 @@
 /// there, with direct calls to backend servers if the flags ask for that, otherwise through side
 /// processes.
 fn main() -> ExitCode {
+    if let Err(error) = shutdown::defer_signals() {
+        return exit_code(Err(error));
+    }
     if let Some(settings_path) = chestnutrack_platform::settings::path() {
         return run_on_platform(settings_path);
     }
--- a/crates/entry/src/program.rs
+++ b/crates/entry/src/program.rs
@@ -137,6 +137,7 @@
 /// If the program can't start.
 pub async fn run(settings: Settings) -> Result<(), Error> {
     let shutdown = shutdown::on_signal().map_err(Error::Signal)?;
+    shutdown::deliver_signals().map_err(Error::Signal)?;
     let security =
         settings.tls_files.as_ref().map(tls::load).transpose().map_err(Error::Identity)?;
     let (registry, timer, ready) = (Registry::new(), Timer::start(), Readiness::default());
--- a/crates/forward/src/program/mod.rs
+++ b/crates/forward/src/program/mod.rs
@@ -90,6 +90,7 @@
 pub async fn run(settings: Settings, protocol: Protocol, reload: Reload) -> Result<(), Error> {
     let shutdown = shutdown::on_signal().map_err(Error::Signal)?;
     let hangups = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    shutdown::deliver_signals().map_err(Error::Signal)?;
     let callers = listen(settings.callers).await?;
     let readiness = match settings.readiness {
         Some(address) => Some(listen(address).await?),
--- a/crates/process/src/shutdown.rs
+++ b/crates/process/src/shutdown.rs
@@ -1,5 +1,11 @@
 //! Graceful shutdown on SIGTERM or SIGINT.
+//!
+//! The system ends a process by these signals until their handlers are installed, which takes a runtime and settings. So a
+//! program calls [`defer_signals`] first in `main`, and [`deliver_signals`] once its handlers are installed. A signal that
+//! arrives before `main` runs, while the system loads the program, still ends it, unless the process that starts it blocks
+//! the signal.
 
+use nix::sys::signal::{SigSet, Signal};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
@@ -36,6 +42,30 @@
     (Trigger(sender), Shutdown(receiver))
 }
 
+/// Holds back SIGTERM, SIGINT and SIGHUP until [`deliver_signals`]. To be called first in `main`: threads that exist already
+/// still get them.
+///
+/// # Errors
+///
+/// The system's error if the signals can't be blocked.
+pub fn defer_signals() -> std::io::Result<()> {
+    Ok(deferred_signals().thread_block()?)
+}
+
+/// Delivers the signals that were held back, and those to come, on this thread. To be called on the thread that called
+/// [`defer_signals`], once the handlers of the program are installed: a signal without a handler ends it.
+///
+/// # Errors
+///
+/// The system's error if the signals can't be unblocked.
+pub fn deliver_signals() -> std::io::Result<()> {
+    Ok(deferred_signals().thread_unblock()?)
+}
+
+fn deferred_signals() -> SigSet {
+    [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP].into_iter().collect()
+}
+
 /// Creates a shutdown that SIGTERM or SIGINT starts.
 ///
 /// # Errors
--- a/crates/standin/src/cmd/mod.rs
+++ b/crates/standin/src/cmd/mod.rs
@@ -18,7 +18,7 @@
 /// Exit code for invalid settings.
 const EXIT_INVALID_SETTINGS: u8 = 2;
 /// Exit code if the listener or the signal handlers can't be set up.
-const EXIT_START_FAILED: u8 = 1;
+pub(crate) const EXIT_START_FAILED: u8 = 1;
 
 /// Reads settings from flags or from their environment variables, and collects the invalid ones.
 pub(crate) struct Flags(Reader<fn(&str) -> Option<String>>);
@@ -128,7 +128,8 @@
         Err(findings) => return exit_with_error(EXIT_INVALID_SETTINGS, &findings.to_string()),
     };
     log::start(common.log_format);
-    let shutdown = shutdown::on_signal();
+    let shutdown =
+        shutdown::on_signal().and_then(|shutdown| shutdown::deliver_signals().map(|()| shutdown));
     let listener = TcpListener::bind(common.listen).await;
     let (mut shutdown, listener) = match (shutdown, listener) {
         (Ok(shutdown), Ok(listener)) => (shutdown, listener),
@@ -145,7 +146,7 @@
 }
 
 /// Writes a message to standard error and returns the exit code.
-fn exit_with_error(code: u8, text: &str) -> ExitCode {
+pub(crate) fn exit_with_error(code: u8, text: &str) -> ExitCode {
     let _ = std::io::stderr().write_all(text.as_bytes());
     ExitCode::from(code)
 }
