Test of told keepers: the store is away too

The list of servers is read before the lease ends now, so a host without a majority still knows the only build while the store answers. The test waited for the end of that knowledge, and failed (30 s). It takes the store away as well; what it asserts is unchanged.

--- a/crates/forward/tests/forward/builds.rs
+++ b/crates/forward/tests/forward/builds.rs
@@ -6,7 +6,7 @@
 };
 use crate::fixture::caller::{Answer, call, connect, generation};
 use crate::fixture::fleet::{Fleet, Member};
-use crate::fixture::store::{HOSTS, control, host_at, register, start_store};
+use crate::fixture::store::{HOSTS, control, host_at, register, set_down, start_store};
 use crate::fixture::{Host, decode, host, host_with_settings, prefill, settings, wait_until};
 use chestnutrack_core::allowance;
 use chestnutrack_core::dispatch::{Change, Entry};
@@ -556,7 +556,8 @@
     let origins = |fleet: &Fleet| fleet.members[1].host.app.metrics.origins.get();
     let told_before = origins(&fleet);
 
-    // Half of the fleet is no majority.
+    // Half of the fleet is no majority, and the store confirms nothing either.
+    set_down(fleet.store, true).await;
     fleet.members[2..].iter_mut().for_each(Member::kill);
     wait_until(|| origins(&fleet) == 1).await;
     drop(connection);
