--- a/crates/core/src/quarantine/tests/exchange.rs
+++ b/crates/core/src/quarantine/tests/exchange.rs
@@ -190,3 +190,21 @@
     let left = second.time_left(again_at + millis(350), &parts(&["bad"]));
     assert_eq!(left, Some(HOLD * 2));
 }
+
+// Guards against holding a part because a peer's connections were reset, at engines that the peer then finds alive.
+#[test]
+fn an_engine_that_answers_a_peer_again_has_not_crashed() {
+    let (mut host, mut peer) = (Quarantine::default(), Quarantine::default());
+
+    let mut new = Vec::new();
+    for n in 0..4 {
+        let at = START + millis(200 * n);
+        peer.record_break(at, broken(n, n, &["sound"]));
+        host.record_report(at, &"peer".into(), peer.report(at));
+        peer.record_alive(&format!("engine-{n}").into(), Some(1), at + millis(10));
+        host.record_report(at + millis(20), &"peer".into(), peer.report(at + millis(20)));
+        new.extend(host.poll(at + millis(100)));
+    }
+
+    assert_eq!(new, [] as [Pattern; 0]);
+}
