--- a/crates/core/src/roster/tests.rs
+++ b/crates/core/src/roster/tests.rs
@@ -425,7 +425,8 @@
             roster.record_report(at(now), &name(1), Report { uptime, ..Report::default() });
 
             if now >= 2 * HEARTBEAT_MS {
-                let sent_at = roster.quorum_sent_at(at(now), at(now)).expect("a report that counts");
+                let sent_at =
+                    roster.quorum_sent_at(at(now), at(now)).expect("a report that counts");
                 longest = longest.max(at(now).since(sent_at));
             }
         }
