--- a/crates/forward/tests/forward/odd_entries.rs
+++ b/crates/forward/tests/forward/odd_entries.rs
@@ -438,7 +438,7 @@
     tokio::spawn(mesh.clone().accept(listener));
     tokio::spawn(mesh.clone().run_gossip(Timer::start()));
     let requests = [request("GET", "/look/1", "", ""), generation("/digest/1")];
-    let panics = count_panics();
+    let (panics, mut sent) = (count_panics(), 0);
 
     for seed in SEED..SEED + CASES {
         let rng = &mut ChaCha8Rng::seed_from_u64(seed);
@@ -449,6 +449,7 @@
         for _ in 0..4 {
             if let Ok(news) = serde_json::from_str(&mutate(&json!(full_news()), rng)) {
                 connection.sender.send(&Frame::News(news)).unwrap();
+                sent += 1;
             }
         }
         for request in &requests {
@@ -457,6 +458,9 @@
         }
         assert_eq!(panics.load(Ordering::Relaxed), 0, "seed {seed}");
     }
+
+    // Messages that can't be decoded are not sent.
+    assert!(sent >= CASES / 2, "{sent}");
 }
 
 /// Values that a server may leave in place of a number in the head of an answer.
