--- a/crates/core/src/origin/builds.rs
+++ b/crates/core/src/origin/builds.rs
@@ -1,5 +1,6 @@
 //! What a host knows of the builds that may have begun a stream that has not ended.
 
+use super::announcement::{Announcement, FIRST_STREAM_DELAY, Hosts};
 use crate::time::Instant;
 use chestnutrack_wire::frame::BuildReport;
 use std::collections::{BTreeMap, BTreeSet};
@@ -8,10 +9,6 @@
 
 /// Time for which a host may rely on its knowledge of the builds, counted from when what confirmed it was sent.
 pub const KNOWLEDGE_LEASE: Duration = Duration::from_millis(1_500);
-/// Time before the first stream at a build whose existence not all hosts are known to know, counted from when enough of
-/// them know it. Longer than [`KNOWLEDGE_LEASE`], so that no other host still relies on knowledge without that build.
-pub const FIRST_STREAM_DELAY: Duration = Duration::from_millis(3_000);
-
 /// Longest time since another host listed a build for which it counts as listing it: two heartbeats.
 const LISTED_AGE_MAX_MS: u32 = 1_000;
 /// Age of the last confirmation from which on another one is due, so that one that takes a while comes in time.
@@ -64,44 +61,6 @@
     }
 }
 
-/// Which other hosts are known to list a build.
-#[derive(Clone, Debug, Default)]
-struct Announcement {
-    listed_by: BTreeSet<Arc<str>>,
-    /// Since when enough hosts that are heard have listed it without a break.
-    quorum_at: Option<Instant>,
-}
-
-/// The other hosts, whose knowledge of a build is required before a stream begins at it.
-#[derive(Clone, Copy, Debug)]
-pub struct Hosts<'a> {
-    /// The peers of which a message was sent within [`KNOWLEDGE_LEASE`].
-    pub heard: &'a BTreeSet<Arc<str>>,
-    /// Number of all peers.
-    pub peers: usize,
-    /// Whether all other hosts are peers.
-    pub is_whole_fleet: bool,
-}
-
-impl Announcement {
-    /// Returns whether no host takes another build for the only one any more.
-    fn is_known(&mut self, now: Instant, hosts: Hosts, is_stored: bool) -> bool {
-        let listing = hosts.heard.intersection(&self.listed_by).count();
-        let is_quorum = is_stored && listing >= hosts.listing_min();
-        self.quorum_at = is_quorum.then(|| self.quorum_at.unwrap_or(now));
-        let is_listed_by_all = hosts.is_whole_fleet && listing == hosts.peers;
-        is_listed_by_all || self.quorum_at.is_some_and(|at| now.since(at) >= FIRST_STREAM_DELAY)
-    }
-}
-
-impl Hosts<'_> {
-    /// Returns how many other hosts must list a build. With this host, they overlap with any host and those whose messages it
-    /// relies on (`Roster::quorum_sent_at`).
-    fn listing_min(self) -> usize {
-        self.peers / 2
-    }
-}
-
 /// Builds of all services.
 #[derive(Clone, Debug)]
 pub struct Builds {
@@ -368,25 +327,25 @@
         hosts: Hosts,
         is_stored: impl Fn(&str) -> bool,
     ) -> Vec<(Arc<str>, Arc<str>)> {
-        let mut announced = Vec::new();
+        let mut new = Vec::new();
         let names: Vec<Arc<str>> = self.services.keys().cloned().collect();
         for name in names {
             let is_only = matches!(self.possible(now, &name), Possible::One(_));
             let Some(service) = self.services.get_mut(&name) else { continue };
-            let Service { listed_at, announced: open, unannounced, .. } = service;
+            let Service { listed_at, announced, unannounced, .. } = service;
             unannounced.retain(|build, announcement| {
                 if listed_at.get(build) != Some(&now) {
                     return false;
                 }
                 let is_announced = is_only || announcement.is_known(now, hosts, is_stored(build));
                 if is_announced {
-                    open.insert(build.clone());
-                    announced.push((name.clone(), build.clone()));
+                    announced.insert(build.clone());
+                    new.push((name.clone(), build.clone()));
                 }
                 !is_announced
             });
         }
-        announced
+        new
     }
 
     /// Returns whether there is a listed build at which no stream may begin yet.
--- a/crates/core/src/origin/mod.rs
+++ b/crates/core/src/origin/mod.rs
@@ -6,6 +6,7 @@
 //! the stream, which build began it: [`Keepers`] finds them from the stream's identifier at any host. [`Origins`] is what a
 //! host knows of streams, [`Builds`] what it knows of the builds that may have begun one.
 
+mod announcement;
 mod builds;
 #[cfg(test)]
 mod record_tests;
@@ -16,7 +17,8 @@
 #[cfg(test)]
 mod tests;
 
-pub use builds::{Builds, FIRST_STREAM_DELAY, Hosts, KNOWLEDGE_LEASE, Possible};
+pub use announcement::{FIRST_STREAM_DELAY, Hosts};
+pub use builds::{Builds, KNOWLEDGE_LEASE, Possible};
 pub use records::{Contents, Record, Recorder, Recorders, Step, StepResult};
 pub use registry::{Known, Origins};
 
--- a/crates/forward/src/app/origin.rs
+++ b/crates/forward/src/app/origin.rs
@@ -290,10 +290,10 @@
                 state.builds.record_former(now, std::slice::from_ref(report));
             });
         }
-        match is_peer {
-            _ if !is_known => {}
-            true => state.builds.record_vouched(reports),
-            false => state.builds.record_former_known(),
+        if is_known && is_peer {
+            state.builds.record_vouched(reports);
+        } else if is_known {
+            state.builds.record_former_known();
         }
         drop(state);
         self.origins_due.notify_one();
