--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -126,8 +126,13 @@
     }
 
     /// Reads the body that belongs to a head, and calls `on_part` with each part. Sets `complete` if it ended properly.
-    pub fn body(&mut self, message: &mut Message, mut on_part: impl FnMut(&[u8])) -> io::Result<()> {
-        let is_chunked = message.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
+    pub fn body(
+        &mut self,
+        message: &mut Message,
+        mut on_part: impl FnMut(&[u8]),
+    ) -> io::Result<()> {
+        let is_chunked =
+            message.header("transfer-encoding").is_some_and(|value| value.contains("chunked"));
         if is_chunked {
             loop {
                 let Some(size) = self.line()? else { return Ok(()) };
@@ -150,7 +155,8 @@
                 message.body.extend_from_slice(&part);
             }
         }
-        let length = message.header("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+        let length =
+            message.header("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
         if let Some(body) = self.exact(length)? {
             on_part(&body);
             message.body = body;
@@ -220,7 +226,9 @@
 
     pub fn get(&self, name: &str) -> Option<&Json> {
         match self {
-            Json::Table(fields) => fields.iter().find(|(known, _)| known == name).map(|(_, value)| value),
+            Json::Table(fields) => {
+                fields.iter().find(|(known, _)| known == name).map(|(_, value)| value)
+            }
             _ => None,
         }
     }
@@ -245,10 +253,14 @@
             Json::Bool(value) => value.to_string(),
             Json::Number(text) => text.clone(),
             Json::Text(text) => quote(text),
-            Json::List(items) => format!("[{}]", items.iter().map(Json::write).collect::<Vec<_>>().join(",")),
+            Json::List(items) => {
+                format!("[{}]", items.iter().map(Json::write).collect::<Vec<_>>().join(","))
+            }
             Json::Table(fields) => {
-                let fields: Vec<String> =
-                    fields.iter().map(|(name, value)| format!("{}:{}", quote(name), value.write())).collect();
+                let fields: Vec<String> = fields
+                    .iter()
+                    .map(|(name, value)| format!("{}:{}", quote(name), value.write()))
+                    .collect();
                 format!("{{{}}}", fields.join(","))
             }
         }
@@ -333,7 +345,10 @@
                             'u' => {
                                 let hex: String = chars.get(*at..*at + 4)?.iter().collect();
                                 *at += 4;
-                                text.push(char::from_u32(u32::from_str_radix(&hex, 16).ok()?).unwrap_or('?'));
+                                text.push(
+                                    char::from_u32(u32::from_str_radix(&hex, 16).ok()?)
+                                        .unwrap_or('?'),
+                                );
                             }
                             other => text.push(other),
                         }
@@ -402,7 +417,11 @@
         let object = Object { revision: self.revision, created, spec };
         let text = object.write(name);
         objects.insert(name.to_owned(), object);
-        self.changes.push((self.revision, kind.to_owned(), format!("{{\"deleted\":false,\"object\":{text}}}")));
+        self.changes.push((
+            self.revision,
+            kind.to_owned(),
+            format!("{{\"deleted\":false,\"object\":{text}}}"),
+        ));
         text
     }
 
@@ -411,7 +430,11 @@
         self.revision += 1;
         object.revision = self.revision;
         let text = object.write(name);
-        self.changes.push((self.revision, kind.to_owned(), format!("{{\"deleted\":true,\"object\":{text}}}")));
+        self.changes.push((
+            self.revision,
+            kind.to_owned(),
+            format!("{{\"deleted\":true,\"object\":{text}}}"),
+        ));
         Some(text)
     }
 }
@@ -446,16 +469,24 @@
     }
 
     fn handle(&self, request: &Message) -> Vec<u8> {
-        let json = |status: &str, body: &str| answer(status, &[("Content-Type", "application/json")], body);
+        let json = |status: &str, body: &str| {
+            answer(status, &[("Content-Type", "application/json")], body)
+        };
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
-        let query: HashMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
-        let Some(rest) = path.strip_prefix("/v1/objects/") else { return json("404 Not Found", "{}") };
-        let (kind, name) = rest.split_once('/').map_or((rest, None), |(kind, name)| (kind, Some(name)));
+        let query: HashMap<&str, &str> =
+            query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+        let Some(rest) = path.strip_prefix("/v1/objects/") else {
+            return json("404 Not Found", "{}");
+        };
+        let (kind, name) =
+            rest.split_once('/').map_or((rest, None), |(kind, name)| (kind, Some(name)));
         let mut state = self.state.0.lock().unwrap();
         match (request.method(), name) {
             ("GET", None) => {
-                if let Some(since) = query.get("watch").and_then(|value| value.parse::<u64>().ok()) {
-                    let wait_ms = query.get("waitMs").and_then(|value| value.parse().ok()).unwrap_or(0);
+                if let Some(since) = query.get("watch").and_then(|value| value.parse::<u64>().ok())
+                {
+                    let wait_ms =
+                        query.get("waitMs").and_then(|value| value.parse().ok()).unwrap_or(0);
                     let until = Instant::now() + Duration::from_millis(wait_ms);
                     loop {
                         let events: Vec<&str> = state
@@ -466,7 +497,11 @@
                             .collect();
                         let left = until.saturating_duration_since(Instant::now());
                         if !events.is_empty() || left.is_zero() {
-                            let body = format!("{{\"events\":[{}],\"at\":{}}}", events.join(","), state.revision);
+                            let body = format!(
+                                "{{\"events\":[{}],\"at\":{}}}",
+                                events.join(","),
+                                state.revision
+                            );
                             return json("200 OK", &body);
                         }
                         state = self.state.1.wait_timeout(state, left).unwrap().0;
@@ -480,24 +515,39 @@
                     .filter(|(name, _)| name.as_str() > after)
                     .map(|(name, object)| object.write(name))
                     .collect();
-                json("200 OK", &format!("{{\"items\":[{}],\"hasMore\":false,\"at\":{}}}", items.join(","), state.revision))
+                json(
+                    "200 OK",
+                    &format!(
+                        "{{\"items\":[{}],\"hasMore\":false,\"at\":{}}}",
+                        items.join(","),
+                        state.revision
+                    ),
+                )
+            }
+            ("GET", Some(name)) => {
+                match state.kinds.get(kind).and_then(|objects| objects.get(name)) {
+                    Some(object) => json("200 OK", &object.write(name)),
+                    None => json("404 Not Found", "{}"),
+                }
             }
-            ("GET", Some(name)) => match state.kinds.get(kind).and_then(|objects| objects.get(name)) {
-                Some(object) => json("200 OK", &object.write(name)),
-                None => json("404 Not Found", "{}"),
-            },
             ("POST", None) | ("PUT", Some(_)) => {
-                let Some(body) = Json::parse(&request.text()) else { return json("400 Bad Request", "{}") };
+                let Some(body) = Json::parse(&request.text()) else {
+                    return json("400 Bad Request", "{}");
+                };
                 let metadata = body.get("metadata").cloned().unwrap_or(Json::Null);
                 let spec = body.get("spec").cloned().unwrap_or(Json::Null);
-                let named = metadata.get("name").and_then(|name| name.string()).unwrap_or("").to_owned();
+                let named =
+                    metadata.get("name").and_then(|name| name.string()).unwrap_or("").to_owned();
                 let name = name.map_or(named, str::to_owned);
                 let known = state.kinds.get(kind).and_then(|objects| objects.get(&name));
                 match (request.method(), known) {
                     ("POST", Some(known)) => json("409 Conflict", &known.write(&name)),
                     ("PUT", None) => json("404 Not Found", "{}"),
                     ("PUT", Some(known))
-                        if metadata.get("revision").and_then(Json::number).is_some_and(|stated| stated != known.revision) =>
+                        if metadata
+                            .get("revision")
+                            .and_then(Json::number)
+                            .is_some_and(|stated| stated != known.revision) =>
                     {
                         json("409 Conflict", &known.write(&name))
                     }
@@ -552,7 +602,9 @@
 }
 
 fn free_port(ip: Ipv4Addr) -> u16 {
-    TcpListener::bind((ip, 0)).and_then(|listener| listener.local_addr()).map_or(0, |address| address.port())
+    TcpListener::bind((ip, 0))
+        .and_then(|listener| listener.local_addr())
+        .map_or(0, |address| address.port())
 }
 
 impl Host {
@@ -576,7 +628,11 @@
     }
 
     fn run(&mut self) {
-        let log = OpenOptions::new().create(true).append(true).open(&self.log).expect("the log can be written");
+        let log = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("the log can be written");
         let child = Command::new(&self.program)
             .env("CHESTNUTRACK_NODE_FILE", &self.settings)
             .stdin(Stdio::null())
@@ -609,7 +665,8 @@
     /// Sends a signal to the host's process.
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+            let _ =
+                Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
         }
     }
 
@@ -657,8 +714,10 @@
     pub fn new() -> Run {
         let folder = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| ".".into()));
         let folder = fs::canonicalize(folder).expect("the folder of the case exists");
-        let root = folder.parent().and_then(Path::parent).expect("the case is in the project").to_owned();
-        let temporary = std::env::temp_dir().join(format!("chestnutrack-review-{}", std::process::id()));
+        let root =
+            folder.parent().and_then(Path::parent).expect("the case is in the project").to_owned();
+        let temporary =
+            std::env::temp_dir().join(format!("chestnutrack-review-{}", std::process::id()));
         fs::create_dir_all(&temporary).expect("the temporary folder can be made");
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         let record = Record::create(&folder);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! Plays the cases of this review that are scripts: `player CASE FOLDER`. The folder is that of the case. It starts entry hosts as
 //! processes, and takes the places of the platform's store, the replicas and the consumers.
 
+#[allow(dead_code, reason = "the cases use different parts")]
 mod common;
 mod silence;
 
--- a/review/standin-2/silence.rs
+++ b/review/standin-2/silence.rs
@@ -14,7 +14,7 @@
 /// Time between two events.
 const GAP: Duration = Duration::from_millis(20);
 /// How long a request is preempted, and read in again. Consumers leave after a gap of 3.6 s.
-const PAUSE: Duration = Duration::from_millis(2_200);
+const PAUSE: Duration = Duration::from_millis(2_600);
 /// How long a request waits for its turn among the transfers of a decode replica. Its handle lapses after 0.5 s.
 const TRANSFER_WAIT: Duration = Duration::from_millis(600);
 
@@ -33,7 +33,8 @@
 
 impl Replica {
     fn start(self, store: &Store, number: u8) -> SocketAddr {
-        let listener = TcpListener::bind((loopback(number), 0)).expect("the replica's address is free");
+        let listener =
+            TcpListener::bind((loopback(number), 0)).expect("the replica's address is free");
         let address = listener.local_addr().unwrap();
         let (name, stage, born) = (self.name, self.stage, self.born);
         store.put("servers", name, &format!(
@@ -57,19 +58,28 @@
         }
         let id = request.header("attempt-id").unwrap_or("").to_owned();
         if request.header("expected-instance").is_some_and(|expected| expected != self.name) {
-            return tcp.write_all(&answer("421 Misdirected Request", &[("Attempt-Id", &id)], "")).is_ok();
+            return tcp
+                .write_all(&answer("421 Misdirected Request", &[("Attempt-Id", &id)], ""))
+                .is_ok();
         }
         if request.header("serving-stage") == Some("prefill") {
             thread::sleep(milliseconds(90));
             self.record.line(&format!("replica {} has read the prompt of {id}", self.name));
-            let body = format!(r#"{{"transferHandle":"h{id}{}","tokens":5000,"version":1}}"#, unix_ms());
+            let body =
+                format!(r#"{{"transferHandle":"h{id}{}","tokens":5000,"version":1}}"#, unix_ms());
             return tcp.write_all(&answer("200 OK", &[("Attempt-Id", &id)], &body)).is_ok();
         }
         if let Some(last) = request.header("last-event-id") {
             // The transfer waits behind others, and the handle has lapsed when its turn comes.
-            self.record.line(&format!("replica {} gets {id} after event {last}, which waits for its transfer", self.name));
+            self.record.line(&format!(
+                "replica {} gets {id} after event {last}, which waits for its transfer",
+                self.name
+            ));
             thread::sleep(TRANSFER_WAIT);
-            self.record.line(&format!("replica {} answers {id} with 503 and Not-Executed: its handle has lapsed", self.name));
+            self.record.line(&format!(
+                "replica {} answers {id} with 503 and Not-Executed: its handle has lapsed",
+                self.name
+            ));
             let headers = [("Attempt-Id", id.as_str()), ("Not-Executed", "1")];
             return tcp.write_all(&answer("503 Service Unavailable", &headers, "")).is_ok();
         }
@@ -87,7 +97,8 @@
         tcp.write_all(head.as_bytes())?;
         for number in 1..=EVENTS {
             if self.trouble && number == BEFORE_PAUSE + 1 {
-                self.record.line(&format!("replica {} preempts {id}, and reads it in again", self.name));
+                self.record
+                    .line(&format!("replica {} preempts {id}, and reads it in again", self.name));
                 thread::sleep(PAUSE);
                 self.record.line(&format!("replica {} goes on with {id}", self.name));
             }
@@ -109,7 +120,8 @@
 }
 
 fn consume(host: SocketAddr, id: &str, record: &Record) -> Got {
-    let failed = |record: &Record| Got { status: 0, events: 0, complete: false, ended_at: record.seconds() };
+    let failed =
+        |record: &Record| Got { status: 0, events: 0, complete: false, ended_at: record.seconds() };
     let Ok(tcp) = TcpStream::connect(host) else { return failed(record) };
     let body = "p".repeat(5_000);
     let request = format!(
@@ -124,8 +136,17 @@
     let Ok(Some(mut message)) = reader.head() else { return failed(record) };
     let _ = reader.body(&mut message, |_| {});
     let events = message.text().matches("\n\n").count() as u32;
-    let got = Got { status: message.status(), events, complete: message.complete, ended_at: record.seconds() };
-    record.line(&format!("consumer of {id} has got {got:?}"));
+    let got = Got {
+        status: message.status(),
+        events,
+        complete: message.complete,
+        ended_at: record.seconds(),
+    };
+    let ending = if got.complete { "and their end" } else { "and no end" };
+    record.line(&format!(
+        "consumer of {id} has got {} with {} events {ending}",
+        got.status, got.events
+    ));
     got
 }
 
@@ -135,11 +156,18 @@
     store.put("config", "main", r#"{"version":7,"routes":[{"name":"r-imaj3nr","host":"ficu95.example","pathPrefix":"/lohu930/","kind":"streaming","timeoutMs":14000,"targetLatencyMs":900,"priority":1,"service":"huvo11a","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"targetGapMs":300}],"services":[{"name":"huvo11a","healthPath":"/health","maxConnections":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kvCacheTokens":92343,"kvTokenBytes":163840,"linkMbps":12000000.0,"moves":true,"backups":true,"stride":1,"most":12,"handleTtlS":0.5,"stageSwitchS":6.0,"pinMs":4000.0,"holdMs":2000.0,"models":[{"name":"m"}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"huka270","apiKeys":["3d3zji9n73hh2b9wu3fe"],"priority":1,"unit":"token_count","plainTokens":200,"ratePerS":126937,"burst":126937}]}"#);
     let stages = [("i-1", "prefill"), ("i-2", "decode"), ("i-3", "decode")];
     for (number, (name, stage)) in stages.into_iter().enumerate() {
-        let replica = Replica { name, stage, born: unix_ms() - 60_000, record: record.clone(), trouble: run.trouble };
+        let replica = Replica {
+            name,
+            stage,
+            born: unix_ms() - 60_000,
+            record: record.clone(),
+            trouble: run.trouble,
+        };
         replica.start(&store, 100 + number as u8);
     }
     let mut host = Host::start(&run.root, &run.temporary, 1, store.address);
     if !host.wait_until_ready() {
+        host.kill();
         run.end(2, "could not run: the host is not ready");
     }
     // The host is in touch.
@@ -166,8 +194,16 @@
         thread::sleep(milliseconds(50));
         ended = host.ended();
     }
-    record.line(&format!("the host's process has ended: {ended:?}, {:.1} s after SIGTERM", record.seconds() - terminated_at));
-    for line in host.log().lines().filter(|line| line.contains("silent engine") || line.contains("stream not resumed") || line.contains("stream ended")) {
+    record.line(&format!(
+        "the host's process has ended: {ended:?}, {:.1} s after SIGTERM",
+        record.seconds() - terminated_at
+    ));
+    host.kill();
+    for line in host.log().lines().filter(|line| {
+        line.contains("silent engine")
+            || line.contains("stream not resumed")
+            || line.contains("stream ended")
+    }) {
         record.line(&format!("log of the host: {line}"));
     }
     let got = got.lock().unwrap().clone();
