Review: the second replica of case 6 is busy, and its handle lapses in the queue

Cause: a wait among transfers is not what the links of the site bring about. Done: the case's texts name the queue of a busy replica; what is played stays.

--- a/review/standin-2/silence.rs
+++ b/review/standin-2/silence.rs
@@ -15,8 +15,8 @@
 const GAP: Duration = Duration::from_millis(20);
 /// How long a request is preempted, and read in again. Consumers leave after a gap of 3.6 s.
 const PAUSE: Duration = Duration::from_millis(2_600);
-/// How long a request waits for its turn among the transfers of a decode replica. Its handle lapses after 0.5 s.
-const TRANSFER_WAIT: Duration = Duration::from_millis(600);
+/// How long a request waits in the queue of a decode replica whose batch is full. Its handle lapses after 0.5 s.
+const QUEUE_WAIT: Duration = Duration::from_millis(600);
 
 fn milliseconds(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -70,12 +70,12 @@
             return tcp.write_all(&answer("200 OK", &[("Attempt-Id", &id)], &body)).is_ok();
         }
         if let Some(last) = request.header("last-event-id") {
-            // The transfer waits behind others, and the handle has lapsed when its turn comes.
+            // The batch is full of other hosts' requests, and the handle has lapsed when its turn comes.
             self.record.line(&format!(
-                "replica {} gets {id} after event {last}, which waits for its transfer",
+                "replica {} gets {id} after event {last}, which waits in its queue",
                 self.name
             ));
-            thread::sleep(TRANSFER_WAIT);
+            thread::sleep(QUEUE_WAIT);
             self.record.line(&format!(
                 "replica {} answers {id} with 503 and Not-Executed: its handle has lapsed",
                 self.name
